--- /dev/null
+++ b/src/corkcrank/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/src/corkcrank/contracts/__init__.py
@@ -0,0 +1,1 @@
+"""Agreements between tenants, operators and the system."""
--- /dev/null
+++ b/src/corkcrank/contracts/process_life.py
@@ -0,0 +1,63 @@
+"""Life cycle of a daemon: starting, serving, draining, stopped."""
+
+from enum import StrEnum
+
+from corkcrank.contracts.life_cycle import IllegalTransitionError, LifeCycle, Step
+
+
+class ProcessState(StrEnum):
+    """What a daemon is doing."""
+
+    STARTING = "starting"
+    SERVING = "serving"
+    DRAINING = "draining"
+    STOPPED = "stopped"
+
+
+class ProcessTrigger(StrEnum):
+    """Steps of a daemon's life."""
+
+    SERVE = "serve"
+    DRAIN = "drain"
+    STOP = "stop"
+
+
+_PROCESS_LIFE_CYCLE = LifeCycle(
+    ProcessState,
+    (
+        Step(ProcessTrigger.SERVE, (ProcessState.STARTING,), ProcessState.SERVING),
+        Step(
+            ProcessTrigger.DRAIN,
+            (ProcessState.STARTING, ProcessState.SERVING),
+            ProcessState.DRAINING,
+        ),
+        Step(ProcessTrigger.STOP, (ProcessState.DRAINING,), ProcessState.STOPPED),
+    ),
+)
+
+
+class ProcessLife:
+    """One daemon's state.
+
+    >>> life = ProcessLife()
+    >>> life.fire(ProcessTrigger.SERVE), life.state
+    (True, 'serving')
+    >>> life.fire(ProcessTrigger.STOP)
+    False
+    """
+
+    def __init__(self) -> None:
+        self.state = ProcessState.STARTING.value
+
+    def fire(self, trigger: ProcessTrigger) -> bool:
+        """Take a step if it is allowed; return whether it was."""
+        try:
+            _PROCESS_LIFE_CYCLE.fire(self, trigger)
+        except IllegalTransitionError:
+            return False
+        return True
+
+    @property
+    def draining(self) -> bool:
+        """Return whether a planned stop has begun."""
+        return self.state in (ProcessState.DRAINING, ProcessState.STOPPED)
--- /dev/null
+++ b/src/corkcrank/contracts/result_codes.py
@@ -0,0 +1,122 @@
+"""Numbered result codes shared by every program.
+
+``docs/RESULT-CODES.md`` lists the same table; a test holds the two equal.
+"""
+
+from dataclasses import dataclass
+from enum import Enum, StrEnum
+
+
+class Ran(StrEnum):
+    """What the caller may conclude about the effect of a request."""
+
+    NO = "no"
+    UNKNOWN = "unknown"
+    YES = "yes"
+
+
+@dataclass(frozen=True, slots=True)
+class CodeEntry:
+    """One row of the result code table."""
+
+    number: int
+    http_status: int
+    ran: Ran
+    summary: str
+
+
+class ResultCode(Enum):
+    """Every result code with its HTTP status and run state."""
+
+    OK = CodeEntry(1000, 200, Ran.YES, "Answered whole.")
+
+    MALFORMED_REQUEST = CodeEntry(2001, 400, Ran.NO, "The body or a header cannot be read.")
+    BODY_TOO_LARGE = CodeEntry(2002, 413, Ran.NO, "The body exceeds the size limit.")
+    UNKNOWN_API_KEY = CodeEntry(2003, 401, Ran.NO, "The API key belongs to no tenant.")
+    UNKNOWN_PIPELINE = CodeEntry(2004, 404, Ran.NO, "No pipeline has this name.")
+    UNKNOWN_SERVICE = CodeEntry(2005, 404, Ran.NO, "No plain service has this name.")
+    IDEMPOTENCY_KEY_REQUIRED = CodeEntry(
+        2006, 400, Ran.NO, "An unrepeatable operation needs an Idempotency-Key."
+    )
+    IDEMPOTENCY_KEY_REUSED = CodeEntry(
+        2007, 422, Ran.NO, "The key was used before with another body."
+    )
+    DEADLINE_ALREADY_PAST = CodeEntry(2008, 400, Ran.NO, "The deadline is not in the future.")
+    UNKNOWN_PATH = CodeEntry(2009, 404, Ran.NO, "No such path or method.")
+
+    DEADLINE_UNREACHABLE = CodeEntry(
+        3001, 503, Ran.NO, "The remaining stages cannot finish before the deadline."
+    )
+    TENANT_QUOTA_EXCEEDED = CodeEntry(3002, 429, Ran.NO, "The tenant's quota is used up.")
+    NO_BACKEND = CodeEntry(3003, 503, Ran.NO, "No live back end serves the stage.")
+    CLAIM_STORE_UNAVAILABLE = CodeEntry(
+        3004, 503, Ran.NO, "The claim could not be settled in the table, so nothing was sent."
+    )
+    CONFIGURATION_NOT_CONFIRMED = CodeEntry(
+        3005, 503, Ran.NO, "This gateway cannot confirm that its configuration is in force."
+    )
+    DRAINING = CodeEntry(3006, 503, Ran.NO, "This gateway is stopping.")
+    CLAIM_ABANDONED = CodeEntry(
+        3007, 503, Ran.NO, "The key was claimed but the call was never sent."
+    )
+
+    OUTCOME_UNKNOWN = CodeEntry(
+        4001, 504, Ran.UNKNOWN, "The call was sent and its outcome is not known."
+    )
+    DEADLINE_EXCEEDED = CodeEntry(
+        4002, 504, Ran.UNKNOWN, "The deadline passed after work had started."
+    )
+    STAGE_FAILED = CodeEntry(4003, 502, Ran.UNKNOWN, "A stage failed after work had started.")
+    STREAM_INTERRUPTED = CodeEntry(
+        4004, 502, Ran.UNKNOWN, "The stream could not be completed before the deadline."
+    )
+    CLAIM_IN_PROGRESS = CodeEntry(
+        4005, 409, Ran.UNKNOWN, "Another call with this key has no recorded outcome yet."
+    )
+
+    PLAN_STALE = CodeEntry(5001, 409, Ran.NO, "The plan was drawn from an older version.")
+    PLAN_UNKNOWN = CodeEntry(5002, 404, Ran.NO, "No plan has this id.")
+    INTENT_INVALID = CodeEntry(5003, 422, Ran.NO, "The intent does not give a valid configuration.")
+    TABLE_UNAVAILABLE = CodeEntry(5004, 503, Ran.NO, "The table did not answer; nothing changed.")
+    CONFIRM_UNKNOWN = CodeEntry(
+        5005, 504, Ran.UNKNOWN, "The table's answer to the confirm was lost and not settled."
+    )
+
+    SETTINGS_UNREADABLE = CodeEntry(6001, 500, Ran.NO, "The settings file cannot be read.")
+    SETTINGS_INVALID = CodeEntry(6002, 500, Ran.NO, "The settings file has a wrong value.")
+
+    @property
+    def number(self) -> int:
+        """Return the stable number of the code."""
+        return self.value.number
+
+    @property
+    def ran(self) -> Ran:
+        """Return what the caller may conclude about the effect."""
+        return self.value.ran
+
+    @property
+    def http_status(self) -> int:
+        """Return the HTTP status sent with the code."""
+        return self.value.http_status
+
+    @property
+    def is_refusal(self) -> bool:
+        """Return whether the same request may succeed later.
+
+        >>> ResultCode.NO_BACKEND.is_refusal, ResultCode.UNKNOWN_API_KEY.is_refusal
+        (True, False)
+        """
+        return self.number // 1000 in (3, 4)
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """A typed error: a result code, a short detail and when to come back.
+
+    ``retry_after`` is in seconds; ``None`` means that retrying does not help.
+    """
+
+    code: ResultCode
+    detail: str = ""
+    retry_after: float | None = None
--- /dev/null
+++ b/src/corkcrank/controller/__init__.py
@@ -0,0 +1,1 @@
+"""The program that looks after zones and services."""
--- /dev/null
+++ b/src/corkcrank/controller/program.py
@@ -0,0 +1,119 @@
+"""``corkcrank-controller``: looks after its zone and answers operators."""
+
+import asyncio
+import time
+from pathlib import Path
+
+import aiohttp
+import msgspec
+import typer
+from aiohttp import web
+
+from corkcrank.contracts.process_life import ProcessLife, ProcessTrigger
+from corkcrank.contracts.settings import Settings
+from corkcrank.controller.plan_desk import PlanDesk
+from corkcrank.controller.routes import MAXIMUM_INTENT_BYTES, OperatorRoutes
+from corkcrank.controller.zone_holder import ZoneHolder
+from corkcrank.links.back_ends import BackEndClient
+from corkcrank.links.http_table import HttpTable
+from corkcrank.links.logs import PartLog, configure_logs
+from corkcrank.links.peer_client import PeerClient
+from corkcrank.machines.daemon import (
+    MemberDump,
+    read_settings_or_exit,
+    serve_application,
+    stop_on_signals,
+)
+from corkcrank.machines.member import MemberAgent
+from corkcrank.machines.member_dump import dump_member
+from corkcrank.machines.peer_routes import PeerRoutes
+
+ROLE = "controller"
+
+
+class ControllerDump(msgspec.Struct, frozen=True):
+    """The state of a controller, on request."""
+
+    member: MemberDump
+    publishes: bool
+    fence: int
+    lease_seconds_left: float
+    workers_polled: tuple[str, ...]
+    orders_sent: int
+    peer_messages: int
+    peer_bytes_sent: int
+
+
+class Controller:
+    """Wires one controller together."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self._session = aiohttp.ClientSession()
+        self._peers = PeerClient()
+        self._back_ends = BackEndClient()
+        self.life = ProcessLife()
+        table = HttpTable(self._session, settings.platform.table)
+        self.agent = MemberAgent(settings, ROLE, table, self._peers)
+        self.holder = ZoneHolder(self.agent, table, self._peers, self._back_ends)
+        self.agent.reports = self.holder.reports
+        self.desk = PlanDesk(table)
+        self._log = PartLog(ROLE)
+
+    def dump(self) -> ControllerDump:
+        """Return the state for ``/dump``."""
+        lease = self.holder.lease
+        return ControllerDump(
+            member=dump_member(self.agent, self.life),
+            publishes=self.holder.publishes,
+            fence=lease.fence,
+            lease_seconds_left=max(0.0, lease.held_until - time.monotonic()),
+            workers_polled=tuple(report.worker for report in self.holder.reports()),
+            orders_sent=self.holder.orders_sent,
+            peer_messages=self._peers.messages,
+            peer_bytes_sent=self._peers.bytes_sent,
+        )
+
+    async def run(self) -> None:
+        """Serve until a signal, then give the lease up and leave."""
+        stop = stop_on_signals()
+        application = web.Application(client_max_size=MAXIMUM_INTENT_BYTES)
+        PeerRoutes(self.agent, self.dump, self.holder.hear_heartbeat).add_to(application)
+        OperatorRoutes(self.desk, self.holder, self.agent).add_to(application)
+        runner = await serve_application(application, self._settings.process.peer_address)
+        self.life.fire(ProcessTrigger.SERVE)
+        self._log.info("Serving.", address=self._settings.process.peer_address)
+        loops = [
+            asyncio.create_task(self.agent.run()),
+            asyncio.create_task(self.holder.run()),
+            asyncio.create_task(self.holder.run_polls()),
+        ]
+        await stop.wait()
+        self.life.fire(ProcessTrigger.DRAIN)
+        for task in loops:
+            task.cancel()
+        await asyncio.gather(*loops, return_exceptions=True)
+        await self.holder.release()
+        await runner.cleanup()
+        await self._peers.close()
+        await self._back_ends.close()
+        await self._session.close()
+        self._log.info("Stopped.")
+
+
+async def _run(settings: Settings) -> None:
+    await Controller(settings).run()
+
+
+def start(
+    settings_file: Path = typer.Argument(..., help="TOML settings of this controller."),
+) -> None:
+    """Look after the zone named in SETTINGS_FILE until SIGTERM."""
+    settings = read_settings_or_exit(settings_file, needs_caller_address=False)
+    configure_logs(settings.process.name)
+    asyncio.run(_run(settings))
+
+
+def main() -> None:
+    """Run the program."""
+    typer.run(start)
--- /dev/null
+++ b/src/corkcrank/controller/routes.py
@@ -0,0 +1,117 @@
+"""The controller's routes for operators and for other zones' holders."""
+
+from typing import TypeVar
+
+import msgspec
+from aiohttp import web
+from expression import Result
+
+from corkcrank.contracts.plans import Intent
+from corkcrank.contracts.result_codes import Failure, ResultCode
+from corkcrank.controller.plan_desk import PlanDesk
+from corkcrank.controller.zone_holder import ZoneHolder
+from corkcrank.machines.member import MemberAgent
+
+_BodyT = TypeVar("_BodyT", bound=msgspec.Struct)
+
+MAXIMUM_INTENT_BYTES = 1 << 22
+"""Largest intent; a whole configuration of the planned size is about 150 kB."""
+
+
+class FailureView(msgspec.Struct, frozen=True):
+    """A failure as shown to operators."""
+
+    code: int
+    name: str
+    detail: str
+
+
+class MemberVersion(msgspec.Struct, frozen=True):
+    """The version in force at one member."""
+
+    member: str
+    version: int
+
+
+class StatusView(msgspec.Struct, frozen=True):
+    """A controller's answer to ``status``."""
+
+    controller: str
+    zone: str
+    publishes: bool
+    fence: int
+    committed_version: int
+    members: tuple[MemberVersion, ...]
+
+
+class OperatorRoutes:
+    """Serves plan, confirm and status, and the summary for other zones."""
+
+    def __init__(self, desk: PlanDesk, holder: ZoneHolder, agent: MemberAgent) -> None:
+        self._desk = desk
+        self._holder = holder
+        self._agent = agent
+
+    def add_to(self, application: web.Application) -> None:
+        """Add the routes to an application."""
+        application.add_routes(
+            [
+                web.post("/operator/plans", self._draw),
+                web.post("/operator/plans/{plan_id}/confirm", self._confirm),
+                web.get("/operator/status", self._status),
+                web.get("/peer/summary/{known}", self._summary),
+            ]
+        )
+
+    async def _draw(self, request: web.Request) -> web.Response:
+        try:
+            intent = msgspec.json.decode(await request.read(), type=Intent)
+        except msgspec.DecodeError as error:
+            return _failure(Failure(ResultCode.INTENT_INVALID, str(error)))
+        return _respond(await self._desk.draw(intent))
+
+    async def _confirm(self, request: web.Request) -> web.Response:
+        result = await self._desk.confirm(request.match_info["plan_id"])
+        if result.is_ok() and result.ok.code == ResultCode.OK.number:
+            self._agent.view.adoption.announce(result.ok.version)
+            self._holder.wake_if_newer()
+            await self._agent.send_heartbeat()
+        return _respond(result)
+
+    async def _status(self, request: web.Request) -> web.Response:
+        versions = self._holder.member_versions
+        live = {entry.member for entry in self._agent.view.directory.members}
+        members = tuple(
+            MemberVersion(name, versions[name]) for name in sorted(versions) if name in live
+        )
+        status = StatusView(
+            controller=self._agent.settings.process.name,
+            zone=self._holder.zone,
+            publishes=self._holder.publishes,
+            fence=self._holder.lease.fence,
+            committed_version=self._agent.view.adoption.announced_version,
+            members=members if self._holder.publishes else (),
+        )
+        return _json(status, 200)
+
+    async def _summary(self, request: web.Request) -> web.Response:
+        known = request.match_info["known"]
+        body = self._holder.encoded_summary(int(known) if known.isdigit() else 0)
+        if body is None:
+            return web.Response(status=404)
+        return web.Response(body=body, content_type="application/octet-stream")
+
+
+def _respond(result: Result[_BodyT, Failure]) -> web.Response:
+    return _json(result.ok, 200) if result.is_ok() else _failure(result.error)
+
+
+def _failure(failure: Failure) -> web.Response:
+    view = FailureView(failure.code.number, failure.code.name, failure.detail)
+    return _json(view, failure.code.http_status)
+
+
+def _json(body: msgspec.Struct, status: int) -> web.Response:
+    return web.Response(
+        status=status, body=msgspec.json.encode(body), content_type="application/json"
+    )
--- /dev/null
+++ b/src/corkcrank/controller/zone_holder.py
@@ -0,0 +1,255 @@
+"""Looks after one zone: lease, digest, orders.
+
+The digest is a hint, so the last holder goes on telling it while the table is away.
+Orders are not: each is sent only while the lease is held for longer than its flight.
+"""
+
+import asyncio
+import contextlib
+import time
+from dataclasses import dataclass
+
+import msgspec
+
+from corkcrank.contracts import table_keys
+from corkcrank.contracts.identifiers import Address
+from corkcrank.contracts.messages import LoadReport, MachineList, ModelOrder, WorkerEntry
+from corkcrank.links.back_ends import ORDER_SECONDS, BackEndClient
+from corkcrank.links.logs import PartLog
+from corkcrank.links.peer_client import PeerClient
+from corkcrank.links.peer_codec import (
+    PeerDecodeError,
+    decode_digest,
+    decode_heartbeat,
+    encode_digest,
+)
+from corkcrank.links.table import Committed, Condition, Conflicted, Row, Table, Unanswered, Write
+from corkcrank.machines.leases import Lease, LeaseRow, WriteLease
+from corkcrank.machines.member import MemberAgent
+from corkcrank.machines.orders import orders_due
+from corkcrank.zones.digest import Directory
+from corkcrank.zones.poll_shares import poll_share
+from corkcrank.zones.zone_state import ZoneState
+
+TICK_SECONDS = 1.0
+"""Time between digests and between renewals."""
+
+
+@dataclass(frozen=True, slots=True)
+class _NamedDirectory:
+    directory: Directory
+    hash: int
+
+
+_NO_DIRECTORY = _NamedDirectory(Directory(), 0)
+
+
+class ZoneHolder:
+    """One controller's work for its zone; only the lease's holder publishes."""
+
+    def __init__(
+        self, agent: MemberAgent, table: Table, peers: PeerClient, back_ends: BackEndClient
+    ) -> None:
+        process = agent.settings.process
+        self.zone = process.zone
+        self.state = ZoneState(process.zone)
+        self.lease = Lease(process.zone, process.name, process.peer_address)
+        self.member_versions: dict[str, int] = {}
+        self.orders_sent = 0
+        self.last_digest_at = 0.0
+        self._agent = agent
+        self._table = table
+        self._peers = peers
+        self._back_ends = back_ends
+        self._log = PartLog("zone")
+        self._wake = asyncio.Event()
+        self._own_reports: tuple[LoadReport, ...] = ()
+        self._other_holders: dict[str, LeaseRow] = {}
+        self._remote_directories: dict[str, _NamedDirectory] = {}
+        self._known_version = 0
+
+    @property
+    def publishes(self) -> bool:
+        """Return whether this controller tells the digest: it was the last known holder."""
+        row = self.lease.row
+        return row is not None and row.holder == self._agent.settings.process.name
+
+    def reports(self) -> tuple[LoadReport, ...]:
+        """Return the loads polled here, to be sent with the next heartbeat."""
+        return self._own_reports
+
+    def hear_heartbeat(self, data: bytes) -> bool:
+        """Take a member's heartbeat; return whether this controller publishes."""
+        heartbeat = decode_heartbeat(data)
+        if heartbeat.zone == self.zone:
+            self.state.hear_heartbeat(heartbeat, time.monotonic())
+            self.member_versions[heartbeat.member] = heartbeat.configuration_version
+            self._agent.view.adoption.announce(heartbeat.configuration_version)
+            self.wake_if_newer()
+        return self.publishes
+
+    def wake_if_newer(self) -> None:
+        """Publish at once when a newer configuration version has become known."""
+        version = self._agent.view.adoption.announced_version
+        if version > self._known_version:
+            self._known_version = version
+            self._wake.set()
+
+    async def run(self) -> None:
+        """Tick until cancelled."""
+        while True:
+            started = time.monotonic()
+            await self.tick()
+            pause = max(0.05, TICK_SECONDS - (time.monotonic() - started))
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._wake.wait(), pause)
+            self._wake.clear()
+
+    async def run_polls(self) -> None:
+        """Poll this controller's share of the zone's workers until cancelled."""
+        while True:
+            started = time.monotonic()
+            await self._poll_workers()
+            await asyncio.sleep(max(0.05, TICK_SECONDS - (time.monotonic() - started)))
+
+    async def tick(self) -> None:
+        """Renew or claim the lease, then publish if it is this controller's to do."""
+        await self._refresh_leases()
+        await self._advance_lease()
+        if self.publishes:
+            await self._read_list()
+            await self._pull_summaries()
+            self._publish()
+            await self._send_orders()
+
+    async def release(self) -> None:
+        """Give the lease up at a planned stop, after the last order."""
+        write = self.lease.release()
+        if write is not None:
+            await self._write_lease(write)
+
+    def encoded_summary(self, known_directory: int) -> bytes | None:
+        """Return what other zones are told, or ``None`` when this is not the holder.
+
+        The directory is enclosed unless its hash is ``known_directory``.
+        """
+        if not self.publishes:
+            return None
+        version = self._agent.view.adoption.announced_version
+        digest = self.state.make_summary(self.lease.fence, version)
+        enclose = known_directory != self.state.directory_hash
+        return encode_digest(digest, self.state.directory, with_directory=enclose)
+
+    async def _refresh_leases(self) -> None:
+        zones: list[str] = [self.zone]
+        if self.publishes:
+            zones += sorted({row.zone for row in self.state.machine_list.workers} - {self.zone})
+        outcome = await self._table.read(tuple(table_keys.zone_lease(zone) for zone in zones))
+        if isinstance(outcome, Unanswered):
+            return
+        now = time.monotonic()
+        for zone, row in zip(zones, outcome.rows, strict=True):
+            lease_row = _decode_lease(row)
+            if zone == self.zone:
+                self.lease.see(lease_row, row.revision, now)
+            elif lease_row is not None:
+                self._other_holders[zone] = lease_row
+
+    async def _advance_lease(self) -> None:
+        write = self.lease.next_write(time.monotonic())
+        if write is not None:
+            await self._write_lease(write)
+
+    async def _write_lease(self, write: WriteLease) -> None:
+        key = table_keys.zone_lease(self.zone)
+        sent_at = time.monotonic()
+        outcome = await self._table.commit(
+            (Condition(key, write.expected_revision),),
+            (Write(key, msgspec.json.encode(write.row).decode()),),
+        )
+        match outcome:
+            case Committed(rows=rows):
+                if write.row.fence != self.lease.fence:
+                    self._log.info("Lease taken.", zone=self.zone, fence=write.row.fence)
+                self.lease.written(write, rows[0].revision, sent_at)
+            case Conflicted(rows=rows):
+                self.lease.see(_decode_lease(rows[0]), rows[0].revision, time.monotonic())
+            case Unanswered():
+                return
+
+    async def _read_list(self) -> None:
+        listed = await self._back_ends.machine_list(self._agent.settings.platform.machine_list)
+        if isinstance(listed, MachineList):
+            self.state.hear_list(listed)
+
+    async def _pull_summaries(self) -> None:
+        holders = [(zone, row) for zone, row in self._other_holders.items() if row.address]
+        await asyncio.gather(*(self._pull_summary(zone, row.address) for zone, row in holders))
+
+    async def _pull_summary(self, zone: str, address: Address) -> None:
+        known = self._remote_directories.get(zone, _NO_DIRECTORY)
+        data = await self._peers.pull_summary(address, known.hash)
+        if not data:
+            return
+        try:
+            digest = decode_digest(data, known.directory, known.hash)
+        except PeerDecodeError:
+            return
+        if digest.zone != zone:
+            return
+        if digest.directory is not None:
+            self._remote_directories[zone] = _NamedDirectory(
+                digest.directory, digest.directory_hash
+            )
+        self.state.hear_remote(msgspec.structs.replace(digest, directory=None))
+        self._agent.view.adoption.announce(digest.configuration_version)
+
+    def _publish(self) -> None:
+        now = time.monotonic()
+        self.state.forget_silent(now)
+        version = self._agent.view.adoption.announced_version
+        digest = self.state.make_digest(self.lease.fence, version)
+        self.last_digest_at = now
+        self._agent.publish(digest, self.state.directory)
+
+    async def _send_orders(self) -> None:
+        index = self._agent.view.adoption.index
+        if index is None or self._agent.view.adoption.wanted_version is not None:
+            return
+        due = orders_due(
+            index.configuration,
+            self.state.workers_of_zone(),
+            self.state.reports(),
+            self.lease.fence,
+        )
+        addresses = {row.worker: row.address for row in self.state.machine_list.workers}
+        await asyncio.gather(
+            *(self._send_order(Address(addresses[order.worker]), order) for order in due)
+        )
+
+    async def _send_order(self, address: Address, order: ModelOrder) -> None:
+        # Checked in the same step as the send, with no await between: a pause here is
+        # covered by the bound on the flight, which the next holder waits out.
+        if not self.lease.holds(time.monotonic(), margin=ORDER_SECONDS):
+            return
+        if order.fence != self.lease.fence:
+            return
+        self.orders_sent += 1
+        await self._back_ends.order(address, order)
+
+    async def _poll_workers(self) -> None:
+        members = self._agent.view.directory.members
+        workers = self._zone_workers()
+        share = poll_share(self._agent.settings.process.name, members, workers)
+        outcomes = await asyncio.gather(*(self._back_ends.load(worker.address) for worker in share))
+        self._own_reports = tuple(
+            outcome for outcome in outcomes if isinstance(outcome, LoadReport)
+        )
+
+    def _zone_workers(self) -> tuple[WorkerEntry, ...]:
+        listed = self.state.machine_list.workers or self._agent.view.directory.workers
+        return tuple(row for row in listed if row.zone == self.zone)
+
+
+def _decode_lease(row: Row) -> LeaseRow | None:
+    return msgspec.json.decode(row.value, type=LeaseRow) if row.value is not None else None
--- /dev/null
+++ b/src/corkcrank/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The program that serves callers."""
--- /dev/null
+++ b/src/corkcrank/gateway/claim_store.py
@@ -0,0 +1,87 @@
+"""Claims in the table: insert, read, and record until the table takes it."""
+
+import asyncio
+
+import msgspec
+
+from corkcrank.contracts.claims import (
+    ClaimRow,
+    InsertCommitted,
+    RowSeen,
+    TableUnanswered,
+)
+from corkcrank.links.claim_writer import ClaimWriter
+from corkcrank.links.table import Committed, Conflicted, Row, Table, Unanswered
+
+RECORD_PAUSE_SECONDS = 0.5
+"""Pause between tries to record a row while the table is away."""
+
+
+class ClaimStore:
+    """The claims of one gateway."""
+
+    def __init__(self, table: Table) -> None:
+        self._table = table
+        self.writer = ClaimWriter(table)
+        self._recording: set[asyncio.Task[None]] = set()
+
+    @property
+    def unrecorded(self) -> int:
+        """Return the number of rows that the table has not taken yet."""
+        return len(self._recording)
+
+    async def insert(
+        self, key: str, row: ClaimRow, expected_revision: int
+    ) -> InsertCommitted | RowSeen | TableUnanswered:
+        """Insert a claim if the table still holds ``expected_revision``."""
+        outcome = await self.writer.write(key, expected_revision, _encode(row))
+        match outcome:
+            case Committed():
+                return InsertCommitted()
+            case Conflicted(rows=rows):
+                return _seen(rows[0])
+            case Unanswered():
+                return TableUnanswered()
+
+    async def read(self, key: str) -> RowSeen | TableUnanswered:
+        """Read a claim."""
+        outcome = await self._table.read((key,))
+        return TableUnanswered() if isinstance(outcome, Unanswered) else _seen(outcome.rows[0])
+
+    def record(self, key: str, row: ClaimRow) -> None:
+        """Write the last state of a claim in the background."""
+        task = asyncio.create_task(self._record(key, row))
+        self._recording.add(task)
+        task.add_done_callback(self._recording.discard)
+
+    async def wait_recorded(self, timeout: float) -> bool:
+        """Wait until every row is recorded; return whether it was in time."""
+        if not self._recording:
+            return True
+        _, pending = await asyncio.wait(self._recording, timeout=timeout)
+        return not pending
+
+    async def _record(self, key: str, row: ClaimRow) -> None:
+        while not await self._try_record(key, row):
+            await asyncio.sleep(RECORD_PAUSE_SECONDS)
+
+    async def _try_record(self, key: str, row: ClaimRow) -> bool:
+        seen = await self.read(key)
+        if isinstance(seen, TableUnanswered):
+            return False
+        if seen.row is not None and seen.row.attempt != row.attempt:
+            return True
+        if seen.row == row:
+            return True
+        # An absent row is written too: it stops an insert of ours that is still on its way.
+        outcome = await self.writer.write(key, seen.revision, _encode(row))
+        return isinstance(outcome, Committed)
+
+
+def _encode(row: ClaimRow) -> str:
+    return msgspec.json.encode(row).decode()
+
+
+def _seen(row: Row) -> RowSeen:
+    decoded = msgspec.json.decode(row.value, type=ClaimRow) if row.value is not None else None
+    return RowSeen(decoded, row.revision)
--- /dev/null
+++ b/src/corkcrank/gateway/dispatch.py
@@ -0,0 +1,63 @@
+"""Chooses back ends over the gateway's load view and counts calls in flight."""
+
+from collections.abc import Callable, Collection, Iterator
+from contextlib import contextmanager
+
+from corkcrank.contracts.identifiers import Address, WorkerId
+from corkcrank.gateway.retry import RetryBudget
+from corkcrank.gateway.routing import RoutingPolicy
+from corkcrank.links.back_ends import BackEndClient
+from corkcrank.machines.load_view import LoadView
+
+UNKNOWN_ADDRESS = Address("0.0.0.0:0")
+"""Address of a back end that left the list between choice and send; never connects."""
+
+
+class Dispatcher:
+    """Everything a request needs to reach a back end."""
+
+    def __init__(
+        self,
+        view: LoadView,
+        back_ends: BackEndClient,
+        policy: RoutingPolicy,
+        clock: Callable[[], float],
+        drained: Callable[[], frozenset[WorkerId]],
+    ) -> None:
+        self.view = view
+        self.back_ends = back_ends
+        self._policy = policy
+        self._clock = clock
+        self._drained = drained
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def budget(self, service: str) -> RetryBudget:
+        """Return the retry budget of a service."""
+        return self._budgets.setdefault(service, RetryBudget())
+
+    def choose(
+        self, service: str, tried: Collection[WorkerId], affinity: str, model: str = ""
+    ) -> WorkerId | None:
+        """Return a back end outside ``tried``; one of ``tried`` when only those remain."""
+        now = self._clock()
+        excluded = self._drained().union(tried)
+        candidates = self.view.candidates(service, now, model, excluded)
+        if not candidates:
+            candidates = self.view.candidates(service, now, model, self._drained())
+        if not candidates:
+            return None
+        return self._policy.choose(candidates, affinity).worker
+
+    def least_pressure(self, service: str, model: str) -> float | None:
+        """Return the lowest load per slot among a service's back ends, if it has any."""
+        candidates = self.view.candidates(service, self._clock(), model, self._drained())
+        return min((candidate.pressure for candidate in candidates), default=None)
+
+    @contextmanager
+    def sending(self, worker: WorkerId) -> Iterator[Address]:
+        """Count a call to ``worker`` while it is in flight, and give its address."""
+        self.view.call_started(worker)
+        try:
+            yield self.view.address(worker) or UNKNOWN_ADDRESS
+        finally:
+            self.view.call_ended(worker)
--- /dev/null
+++ b/src/corkcrank/gateway/pipeline_run.py
@@ -0,0 +1,280 @@
+"""Runs one pipeline request, stage by stage, on top of the pure stage process."""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from corkcrank.contracts.configuration import (
+    ConfigurationIndex,
+    Pipeline,
+    Service,
+    ServiceKind,
+    Stage,
+)
+from corkcrank.contracts.identifiers import (
+    RequestId,
+    TenantName,
+    WorkerId,
+    new_attempt_id,
+)
+from corkcrank.contracts.messages import GenerateCall, Passage, StageAnswer, StageCall
+from corkcrank.contracts.result_codes import Failure
+from corkcrank.gateway import metrics
+from corkcrank.gateway.admission import StageTimes
+from corkcrank.gateway.answer_checks import answers_stage
+from corkcrank.gateway.dispatch import Dispatcher
+from corkcrank.gateway.routing import PREFIX_BYTES
+from corkcrank.gateway.stage_process import (
+    AttemptAnswered,
+    AttemptBroken,
+    AttemptNotSent,
+    FinishStage,
+    GiveUpStage,
+    IgnoreEvent,
+    SendAttempt,
+    StageEvent,
+    StageProcess,
+    StageStarted,
+)
+from corkcrank.gateway.streams import StreamAssembler, StreamGapError
+from corkcrank.links.back_ends import BackEndError, NotSent
+
+MINIMUM_ATTEMPT_SECONDS = 0.5
+"""Shortest time given to one attempt."""
+
+ATTEMPT_PATIENCE = 6.0
+"""An attempt is given this multiple of the stage's usual time."""
+
+TOKEN_PATIENCE_SECONDS = 1.0
+"""Longest silence of a stream before it is taken up elsewhere."""
+
+TokenSink = Callable[[int, str], Awaitable[None]]
+"""Takes each new token with its index, in order."""
+
+
+class StageGivenUpError(Exception):
+    """A stage was given up; carries the request's failure."""
+
+    def __init__(self, failure: Failure) -> None:
+        super().__init__(failure.code.name)
+        self.failure = failure
+
+
+@dataclass(slots=True)
+class PipelineRun:
+    """One request on its way through a pipeline.
+
+    ``deadline`` is in monotonic seconds; ``costs`` is by service; ``seconds`` holds each
+    finished stage's time.
+    """
+
+    request: RequestId
+    tenant: TenantName
+    rank: int
+    pipeline: Pipeline
+    index: ConfigurationIndex
+    dispatcher: Dispatcher
+    times: dict[str, StageTimes]
+    text: str
+    max_tokens: int
+    deadline: float
+    sink: TokenSink
+    passages: tuple[Passage, ...] = ()
+    answer: str = ""
+    tokens: int = 0
+    costs: dict[str, float] = field(default_factory=dict)
+    work_started: bool = False
+
+    async def run(self) -> None:
+        """Run every stage; raises :class:`StageGivenUpError`."""
+        question = self.text
+        for number, stage in enumerate(self.pipeline.stages):
+            started = time.monotonic()
+            service = self.index.service(stage.service)
+            assert service is not None
+            if service.kind == ServiceKind.ENGINE:
+                await self._generate(number, stage, service, question)
+            else:
+                await self._call_pool(number, stage, service)
+            elapsed = time.monotonic() - started
+            metrics.STAGE_SECONDS.labels(stage.service).observe(elapsed)
+
+    def _process(self, stage: Stage, affinity: str) -> StageProcess:
+        def choose(tried: frozenset[WorkerId]) -> WorkerId | None:
+            return self.dispatcher.choose(stage.service, tried, affinity, stage.model)
+
+        return StageProcess(
+            choose=choose,
+            new_attempt=new_attempt_id,
+            budget=self.dispatcher.budget(stage.service),
+            deadline=self.deadline,
+            work_started=self.work_started,
+        )
+
+    async def _drive(
+        self,
+        stage: Stage,
+        process: StageProcess,
+        attempt: Callable[[SendAttempt], Awaitable[StageEvent]],
+    ) -> None:
+        event: StageEvent = StageStarted()
+        while True:
+            instruction = process.handle(event, time.monotonic())
+            self.work_started = process.work_started
+            match instruction:
+                case SendAttempt():
+                    if process.attempts > 1:
+                        metrics.RETRIES.labels(stage.service).inc()
+                    event = await attempt(instruction)
+                    self._note_outcome(event, instruction.worker)
+                case FinishStage():
+                    return
+                case GiveUpStage(failure=failure):
+                    raise StageGivenUpError(failure)
+                case IgnoreEvent():
+                    raise AssertionError("an attempt that was never sent has ended")
+
+    def _note_outcome(self, event: StageEvent, worker: WorkerId) -> None:
+        if isinstance(event, AttemptBroken | AttemptNotSent):
+            self.dispatcher.view.mark_suspect(worker, time.monotonic())
+
+    async def _call_pool(self, number: int, stage: Stage, service: Service) -> None:
+        process = self._process(stage, affinity="")
+
+        async def attempt(send: SendAttempt) -> StageEvent:
+            return await self._attempt_pool(number, stage, service, send)
+
+        await self._drive(stage, process, attempt)
+
+    async def _attempt_pool(
+        self, number: int, stage: Stage, service: Service, send: SendAttempt
+    ) -> StageEvent:
+        call = StageCall(
+            request=self.request,
+            stage=number,
+            attempt=send.attempt,
+            tenant=self.tenant,
+            text=self.text,
+            passages=self.passages,
+            rank=self.rank,
+        )
+        with self.dispatcher.sending(send.worker) as address:
+            outcome = await self.dispatcher.back_ends.call_stage(
+                address, call, self._attempt_seconds(stage)
+            )
+        if isinstance(outcome, NotSent):
+            return AttemptNotSent(send.attempt)
+        if not isinstance(outcome, StageAnswer):
+            return AttemptBroken(send.attempt)
+        if not answers_stage(call, outcome):
+            metrics.DROPPED_ANSWERS.labels(stage.service).inc()
+            return AttemptBroken(send.attempt)
+        self._take_pool_answer(stage, service, outcome)
+        return AttemptAnswered(send.attempt)
+
+    def _take_pool_answer(self, stage: Stage, service: Service, answer: StageAnswer) -> None:
+        self.text = answer.text
+        self.passages = answer.passages
+        self._charge(stage, service, answer.busy_seconds)
+        self.times[stage.service].record(answer.busy_seconds)
+
+    def _attempt_seconds(self, stage: Stage) -> float:
+        patience = max(
+            MINIMUM_ATTEMPT_SECONDS, ATTEMPT_PATIENCE * self.times[stage.service].seconds
+        )
+        return max(0.001, min(patience, self.deadline - time.monotonic()))
+
+    def _charge(self, stage: Stage, service: Service, busy_seconds: float) -> None:
+        cost = busy_seconds * service.cost_per_second
+        self.costs[stage.service] = self.costs.get(stage.service, 0.0) + cost
+        metrics.STAGE_COST.labels(stage.service).inc(cost)
+
+    async def _generate(self, number: int, stage: Stage, service: Service, question: str) -> None:
+        prompt = assemble_prompt(question, self.passages)
+        assembler = StreamAssembler()
+        started = time.monotonic()
+        process = self._process(stage, affinity=prefix_key(self.tenant, prompt))
+
+        async def attempt(send: SendAttempt) -> StageEvent:
+            call = GenerateCall(
+                request=self.request,
+                stage=number,
+                attempt=send.attempt,
+                tenant=self.tenant,
+                model=stage.model,
+                prompt=prompt,
+                cache_salt=self.tenant,
+                max_tokens=self.max_tokens,
+                offset=assembler.offset,
+                rank=self.rank,
+            )
+            return await self._attempt_stream(stage, service, call, send, assembler)
+
+        await self._drive(stage, process, attempt)
+        self.answer = "".join(assembler.tokens)
+        self.tokens = assembler.offset
+        self.times[stage.service].record(time.monotonic() - started)
+
+    async def _attempt_stream(
+        self,
+        stage: Stage,
+        service: Service,
+        call: GenerateCall,
+        send: SendAttempt,
+        assembler: StreamAssembler,
+    ) -> StageEvent:
+        assembler.begin(send.attempt)
+        first_offset = assembler.offset
+        with self.dispatcher.sending(send.worker) as address:
+            try:
+                await self._read_stream(stage, service, call, address, assembler)
+            except BackEndError as error:
+                if not error.sent and assembler.offset == first_offset:
+                    return AttemptNotSent(send.attempt)
+                return AttemptBroken(send.attempt)
+            except (TimeoutError, StreamGapError):
+                metrics.DROPPED_ANSWERS.labels(stage.service).inc()
+                await self.dispatcher.back_ends.cancel(address, send.attempt)
+                return AttemptBroken(send.attempt)
+            except asyncio.CancelledError:
+                # The caller has gone: free the engine's slot before leaving.
+                await asyncio.shield(self.dispatcher.back_ends.cancel(address, send.attempt))
+                raise
+        return AttemptAnswered(send.attempt)
+
+    async def _read_stream(
+        self,
+        stage: Stage,
+        service: Service,
+        call: GenerateCall,
+        address: str,
+        assembler: StreamAssembler,
+    ) -> None:
+        remaining = max(0.001, self.deadline - time.monotonic())
+        chunks = self.dispatcher.back_ends.generate(address, call, remaining).__aiter__()
+        while not assembler.complete:
+            try:
+                chunk = await asyncio.wait_for(chunks.__anext__(), self._silence_seconds(assembler))
+            except StopAsyncIteration:
+                raise BackEndError("the stream ended without its last chunk", sent=True) from None
+            if assembler.accept(chunk):
+                await self.sink(chunk.index, chunk.token)
+            if assembler.complete:
+                self._charge(stage, service, chunk.busy_seconds)
+
+    def _silence_seconds(self, assembler: StreamAssembler) -> float:
+        remaining = max(0.001, self.deadline - time.monotonic())
+        if assembler.offset == 0:
+            return remaining
+        return min(remaining, TOKEN_PATIENCE_SECONDS)
+
+
+def assemble_prompt(question: str, passages: tuple[Passage, ...]) -> str:
+    """Return the prompt: passages first, so that requests over the same ones share a prefix."""
+    return "\n".join([*(passage.text for passage in passages), question])
+
+
+def prefix_key(tenant: TenantName, prompt: str) -> str:
+    """Return what decides a prompt's preferred engine."""
+    return f"{tenant}\x00{prompt[:PREFIX_BYTES]}"
--- /dev/null
+++ b/src/corkcrank/gateway/program.py
@@ -0,0 +1,179 @@
+"""``corkcrank-gateway``: serves callers."""
+
+import asyncio
+import random
+import time
+from pathlib import Path
+
+import aiohttp
+import msgspec
+import typer
+from aiohttp import web
+
+from corkcrank.contracts.identifiers import WorkerId
+from corkcrank.contracts.process_life import ProcessLife, ProcessState, ProcessTrigger
+from corkcrank.contracts.settings import Settings
+from corkcrank.gateway.claim_store import ClaimStore
+from corkcrank.gateway.dispatch import Dispatcher
+from corkcrank.gateway.front import Front
+from corkcrank.gateway.routing import PrefixAffinity
+from corkcrank.links.back_ends import BackEndClient
+from corkcrank.links.http_table import HttpTable
+from corkcrank.links.logs import PartLog, configure_logs
+from corkcrank.links.peer_client import PeerClient
+from corkcrank.machines.daemon import (
+    MemberDump,
+    WorkerDump,
+    read_settings_or_exit,
+    serve_application,
+    stop_on_signals,
+)
+from corkcrank.machines.load_view import LoadView
+from corkcrank.machines.member import MemberAgent
+from corkcrank.machines.member_dump import dump_member
+from corkcrank.machines.peer_routes import PeerRoutes, member_heartbeat
+from corkcrank.zones.digest import ZoneDigest
+
+ROLE = "gateway"
+
+CHECK_SECONDS = 0.05
+"""Time between looks at whether a stop is complete."""
+
+
+class GatewayDump(msgspec.Struct, frozen=True):
+    """The state of a gateway, on request."""
+
+    member: MemberDump
+    in_flight: int
+    unsettled_claims: int
+    claim_transactions: int
+    claim_writes: int
+    workers: tuple[WorkerDump, ...]
+    peer_messages: int
+    peer_bytes_sent: int
+
+
+class Gateway:
+    """Wires one gateway together."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self._session = aiohttp.ClientSession()
+        self._peers = PeerClient()
+        self._back_ends = BackEndClient()
+        self.life = ProcessLife()
+        table = HttpTable(self._session, settings.platform.table)
+        self.agent = MemberAgent(settings, ROLE, table, self._peers)
+        self.agent.on_digest = self._apply_digest
+        self.view = LoadView(settings.process.zone)
+        policy = PrefixAffinity(random.Random(settings.process.name))
+        self.dispatcher = Dispatcher(
+            self.view, self._back_ends, policy, time.monotonic, self._drained_workers
+        )
+        self.claims = ClaimStore(table)
+        self.front = Front(
+            self.agent.view, self.dispatcher, self.claims, self.life, settings.limits
+        )
+        self._log = PartLog(ROLE)
+
+    def _apply_digest(self, digest: ZoneDigest) -> None:
+        if digest.directory is not None:
+            self.view.apply_directory(digest.directory)
+        self.view.apply_loads(digest.loads)
+
+    def _drained_workers(self) -> frozenset[WorkerId]:
+        index = self.agent.view.adoption.index
+        return index.drained if index is not None else frozenset()
+
+    def dump(self) -> GatewayDump:
+        """Return the state for ``/dump``."""
+        return GatewayDump(
+            member=dump_member(self.agent, self.life),
+            in_flight=self.front.in_flight,
+            unsettled_claims=self.front.unsettled_claims,
+            claim_transactions=self.claims.writer.transactions,
+            claim_writes=self.claims.writer.writes,
+            workers=tuple(
+                WorkerDump(
+                    worker=worker.entry.worker,
+                    service=worker.entry.service,
+                    leaving=worker.leaving,
+                    load=worker.load,
+                    own_in_flight=worker.own_in_flight,
+                    models=worker.models,
+                )
+                for worker in self.view.workers()
+            ),
+            peer_messages=self._peers.messages,
+            peer_bytes_sent=self._peers.bytes_sent,
+        )
+
+    async def run(self) -> None:
+        """Serve until a signal, then drain and leave."""
+        stop = stop_on_signals()
+        peer_application = web.Application(client_max_size=1 << 24)
+        PeerRoutes(self.agent, self.dump, member_heartbeat).add_to(peer_application)
+        peer_runner = await serve_application(peer_application, self._settings.process.peer_address)
+        application = web.Application(client_max_size=self._settings.limits.maximum_body_bytes)
+        self.front.add_to(application)
+        runner = await serve_application(
+            application, self._settings.process.caller_address, handler_cancellation=True
+        )
+        loops = [
+            asyncio.create_task(self.agent.run()),
+            asyncio.create_task(self._become_ready()),
+        ]
+        await stop.wait()
+        await self._drain(runner)
+        for task in loops:
+            task.cancel()
+        await asyncio.gather(*loops, return_exceptions=True)
+        await runner.cleanup()
+        await peer_runner.cleanup()
+        await self._peers.close()
+        await self._back_ends.close()
+        await self._session.close()
+        self._log.info("Stopped.")
+
+    async def _become_ready(self) -> None:
+        while not self.agent.view.adoption.may_admit(time.monotonic()):
+            await asyncio.sleep(CHECK_SECONDS)
+        if self.life.fire(ProcessTrigger.SERVE):
+            self._log.info("Serving.", address=self._settings.process.caller_address)
+
+    async def _drain(self, runner: web.AppRunner) -> None:
+        """Stay reachable for the balancer's lag, then finish what is in flight."""
+        self.life.fire(ProcessTrigger.DRAIN)
+        self._log.info("Draining.", in_flight=self.front.in_flight)
+        limits = self._settings.limits
+        await asyncio.sleep(limits.drain_linger_seconds)
+        for site in list(runner.sites):
+            await site.stop()
+        give_up_at = time.monotonic() + limits.drain_limit_seconds
+        while self.front.in_flight or self.front.unsettled_claims:
+            if time.monotonic() >= give_up_at:
+                self._log.warning(
+                    "Drain limit reached.",
+                    in_flight=self.front.in_flight,
+                    unsettled_claims=self.front.unsettled_claims,
+                )
+                break
+            await asyncio.sleep(CHECK_SECONDS)
+        self.life.fire(ProcessTrigger.STOP)
+        assert self.life.state == ProcessState.STOPPED
+
+
+async def _run(settings: Settings) -> None:
+    await Gateway(settings).run()
+
+
+def start(settings_file: Path = typer.Argument(..., help="TOML settings of this gateway.")) -> None:
+    """Serve callers with SETTINGS_FILE until SIGTERM."""
+    settings = read_settings_or_exit(settings_file, needs_caller_address=True)
+    configure_logs(settings.process.name)
+    asyncio.run(_run(settings))
+
+
+def main() -> None:
+    """Run the program."""
+    typer.run(start)
--- /dev/null
+++ b/src/corkcrank/gateway/request_reader.py
@@ -0,0 +1,87 @@
+"""Reads callers' requests: headers and bodies into typed values or numbered failures."""
+
+import msgspec
+from aiohttp import web
+from expression import Error, Ok, Result
+
+from corkcrank.contracts.messages import PipelineRequest
+from corkcrank.contracts.result_codes import Failure, ResultCode
+
+DEADLINE_HEADER = "Corkcrank-Deadline-Ms"
+"""Milliseconds that the caller gives the request, from its arrival."""
+
+KEY_HEADER = "Idempotency-Key"
+"""Names an unrepeatable call, the same for every repeat."""
+
+MAXIMUM_KEY_LENGTH = 256
+"""Longest idempotency key, in characters."""
+
+MAXIMUM_DEADLINE_SECONDS = 600.0
+"""Longest deadline that is accepted."""
+
+MAXIMUM_TOKENS = 4096
+"""Most tokens that one request may ask for."""
+
+
+def read_api_key(request: web.Request) -> str:
+    """Return the bearer token, or an empty string."""
+    scheme, _, token = request.headers.get("Authorization", "").partition(" ")
+    return token.strip() if scheme.lower() == "bearer" else ""
+
+
+def read_deadline_seconds(request: web.Request, default: float) -> Result[float, Failure]:
+    """Return the seconds that the caller gives the request."""
+    text = request.headers.get(DEADLINE_HEADER)
+    if text is None:
+        return Ok(default)
+    try:
+        seconds = float(text) / 1000.0
+    except ValueError:
+        return Error(_malformed(f"{DEADLINE_HEADER} is not a number"))
+    if not seconds <= MAXIMUM_DEADLINE_SECONDS:
+        return Error(_malformed(f"{DEADLINE_HEADER} is above {MAXIMUM_DEADLINE_SECONDS:.0f} s"))
+    if seconds <= 0:
+        return Error(Failure(ResultCode.DEADLINE_ALREADY_PAST))
+    return Ok(seconds)
+
+
+def read_key(request: web.Request) -> Result[str, Failure]:
+    """Return the idempotency key, empty when there is none."""
+    key = request.headers.get(KEY_HEADER, "")
+    if len(key) > MAXIMUM_KEY_LENGTH:
+        return Error(_malformed(f"{KEY_HEADER} is longer than {MAXIMUM_KEY_LENGTH}"))
+    return Ok(key)
+
+
+async def read_body(request: web.Request, limit: int) -> Result[bytes, Failure]:
+    """Return the body if it is within ``limit`` bytes."""
+    too_large = Failure(ResultCode.BODY_TOO_LARGE, f"the limit is {limit} bytes")
+    if request.content_length is not None and request.content_length > limit:
+        return Error(too_large)
+    try:
+        return Ok(await request.read())
+    except web.HTTPRequestEntityTooLarge:
+        return Error(too_large)
+
+
+def read_pipeline_request(body: bytes) -> Result[PipelineRequest, Failure]:
+    """Return the decoded body of a pipeline request."""
+    try:
+        decoded = msgspec.json.decode(body, type=PipelineRequest)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Error(_malformed(str(error)))
+    if decoded.max_tokens is not None and not 1 <= decoded.max_tokens <= MAXIMUM_TOKENS:
+        return Error(_malformed(f"max_tokens must be from 1 to {MAXIMUM_TOKENS}"))
+    return Ok(decoded)
+
+
+def read_text(body: bytes) -> Result[str, Failure]:
+    """Return the body of a plain call as text."""
+    try:
+        return Ok(body.decode())
+    except UnicodeDecodeError as error:
+        return Error(_malformed(str(error)))
+
+
+def _malformed(detail: str) -> Failure:
+    return Failure(ResultCode.MALFORMED_REQUEST, detail)
--- /dev/null
+++ b/src/corkcrank/gateway/retry.py
@@ -0,0 +1,40 @@
+"""Retry budget: retries are limited to a share of recent first attempts."""
+
+RETRY_SHARE = 0.1
+"""Retries earned by each first attempt."""
+
+RETRY_RESERVE = 10.0
+"""Most retries that can be saved up; also what a new budget starts with."""
+
+
+class RetryBudget:
+    """The retries that one gateway may still spend on one service."""
+
+    def __init__(self, share: float = RETRY_SHARE, reserve: float = RETRY_RESERVE) -> None:
+        self._share = share
+        self._reserve = reserve
+        self.balance = reserve
+        self.spent = 0
+        self.first_attempts = 0
+
+    def record_first_attempt(self) -> None:
+        """Earn a share of a retry."""
+        self.first_attempts += 1
+        self.balance = min(self._reserve, self.balance + self._share)
+
+    def try_spend(self) -> bool:
+        """Spend one retry if the budget allows it.
+
+        >>> budget = RetryBudget(reserve=1.0)
+        >>> budget.try_spend(), budget.try_spend()
+        (True, False)
+        """
+        if self.balance < 1.0:
+            return False
+        self.balance -= 1.0
+        self.spent += 1
+        return True
+
+    def validate(self) -> None:
+        """Check that retries never exceed their bound."""
+        assert self.spent <= self._reserve + self._share * self.first_attempts
--- /dev/null
+++ b/src/corkcrank/gateway/routing.py
@@ -0,0 +1,105 @@
+"""Back-end choice: one policy a class, over a lagged load view and own calls in flight."""
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+import xxhash
+
+from corkcrank.contracts.identifiers import WorkerId
+
+PREFIX_BYTES = 256
+"""Bytes of a prompt that decide its preferred engine."""
+
+PREFIX_LOAD_BOUND = 1.25
+"""A preferred engine is skipped above this multiple of the mean load."""
+
+
+@dataclass(slots=True)
+class Candidate:
+    """A live back end as one gateway sees it.
+
+    ``load`` counts reported running and waiting calls plus own calls sent since.
+    """
+
+    worker: WorkerId
+    load: float
+    slots: int
+    distance: int = 0
+
+    @property
+    def pressure(self) -> float:
+        """Return the load per slot."""
+        return self.load / max(1, self.slots)
+
+
+class RoutingPolicy(Protocol):
+    """Chooses one of several candidates."""
+
+    def choose(self, candidates: Sequence[Candidate], affinity: str) -> Candidate:
+        """Return the chosen candidate; ``candidates`` is not empty."""
+
+
+class RoundRobin:
+    """Takes the candidates in turn, whatever their load."""
+
+    def __init__(self, random_source: random.Random) -> None:
+        self._next = random_source.randrange(1 << 16)
+
+    def choose(self, candidates: Sequence[Candidate], affinity: str) -> Candidate:
+        """Return the next candidate in turn."""
+        self._next += 1
+        return candidates[self._next % len(candidates)]
+
+
+class LeastLoaded:
+    """Takes the lowest pressure in the view; herds when the view lags."""
+
+    def __init__(self, random_source: random.Random) -> None:
+        self._random = random_source
+
+    def choose(self, candidates: Sequence[Candidate], affinity: str) -> Candidate:
+        """Return the candidate of least pressure, ties broken at random."""
+        return min(candidates, key=lambda candidate: (candidate.pressure, self._random.random()))
+
+
+class TwoChoices:
+    """Takes the better of two drawn at random, which spreads a lagged view's error."""
+
+    def __init__(self, random_source: random.Random) -> None:
+        self._random = random_source
+
+    def choose(self, candidates: Sequence[Candidate], affinity: str) -> Candidate:
+        """Return the better of two random candidates."""
+        if len(candidates) == 1:
+            return candidates[0]
+        first, second = self._random.sample(candidates, 2)
+        return first if first.pressure <= second.pressure else second
+
+
+class PrefixAffinity:
+    """Prefers the engine that holds the prefix while its load stays near the mean.
+
+    The preferred engine is the highest rendezvous hash of prefix and worker, so every
+    gateway prefers the same one. Above the bound, the choice falls to two choices.
+    """
+
+    def __init__(self, random_source: random.Random) -> None:
+        self._fallback = TwoChoices(random_source)
+
+    def choose(self, candidates: Sequence[Candidate], affinity: str) -> Candidate:
+        """Return the preferred candidate, or the better of two when it is loaded."""
+        if not affinity:
+            return self._fallback.choose(candidates, affinity)
+        preferred = max(candidates, key=lambda item: rendezvous_weight(affinity, item.worker))
+        mean = sum(item.pressure for item in candidates) / len(candidates)
+        allowance = 1.0 / max(1, preferred.slots)
+        if preferred.pressure <= mean * PREFIX_LOAD_BOUND + allowance:
+            return preferred
+        return self._fallback.choose(candidates, affinity)
+
+
+def rendezvous_weight(key: str, node: str) -> int:
+    """Return the rendezvous hash of ``key`` on ``node``; the highest node owns the key."""
+    return xxhash.xxh3_64_intdigest(f"{key}\x00{node}".encode())
--- /dev/null
+++ b/src/corkcrank/gateway/stream_writer.py
@@ -0,0 +1,75 @@
+"""Writes a pipeline's answer to the caller: as one body, or as events while it comes."""
+
+import contextlib
+
+from aiohttp import web
+
+from corkcrank.contracts.identifiers import RequestId
+from corkcrank.contracts.messages import PipelineAnswer
+from corkcrank.contracts.result_codes import Failure
+from corkcrank.gateway.responses import (
+    REQUEST_HEADER,
+    failure_answer,
+    failure_response,
+    final_event,
+    json_response,
+    token_event,
+)
+
+
+class StreamWriter:
+    """The answer to one caller.
+
+    Events begin with the first token, so a request that fails before it gets a plain
+    HTTP answer with its own status.
+    """
+
+    def __init__(self, request: web.Request, identifier: RequestId, streamed: bool) -> None:
+        self._request = request
+        self._identifier = identifier
+        self._streamed = streamed
+        self._response: web.StreamResponse | None = None
+
+    async def write_token(self, index: int, token: str) -> None:
+        """Pass one token on, if the caller asked for a stream."""
+        if not self._streamed:
+            return
+        response = await self._started()
+        await response.write(token_event(index, token))
+
+    async def end(self, answer: PipelineAnswer, closing: bool) -> web.StreamResponse:
+        """Write the whole answer, as the explicit last event of a stream."""
+        if not self._streamed:
+            return self._close(json_response(self._identifier, answer), closing)
+        response = await self._started()
+        return await self._finish(response, final_event("end", answer))
+
+    async def fail(self, failure: Failure, closing: bool) -> web.StreamResponse:
+        """Write the failure, as the explicit last event of a stream that has begun."""
+        if self._response is None:
+            return self._close(failure_response(self._identifier, failure), closing)
+        body = failure_answer(self._identifier, failure)
+        return await self._finish(self._response, final_event("error", body))
+
+    async def _started(self) -> web.StreamResponse:
+        if self._response is None:
+            self._response = web.StreamResponse(
+                headers={
+                    "Content-Type": "text/event-stream",
+                    "Cache-Control": "no-store",
+                    REQUEST_HEADER: self._identifier,
+                }
+            )
+            await self._response.prepare(self._request)
+        return self._response
+
+    async def _finish(self, response: web.StreamResponse, event: bytes) -> web.StreamResponse:
+        with contextlib.suppress(ConnectionResetError):
+            await response.write(event)
+            await response.write_eof()
+        return response
+
+    def _close(self, response: web.Response, closing: bool) -> web.Response:
+        if closing:
+            response.force_close()
+        return response
--- /dev/null
+++ b/src/corkcrank/links/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to callers, back ends, platform and peers."""
--- /dev/null
+++ b/src/corkcrank/links/back_ends.py
@@ -0,0 +1,196 @@
+"""Calls to back ends over HTTP.
+
+Each call says how far it got: :class:`NotSent` only when the connection was never made,
+:class:`Broken` for anything later. Nothing here retries.
+"""
+
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from typing import TypeVar
+
+import aiohttp
+import msgspec
+
+from corkcrank.contracts.messages import (
+    GenerateCall,
+    LoadReport,
+    MachineList,
+    ModelOrder,
+    PlainAnswer,
+    PlainCall,
+    StageAnswer,
+    StageCall,
+    TokenChunk,
+)
+
+CONNECT_SECONDS = 0.5
+"""Longest wait for a connection."""
+
+POLL_SECONDS = 0.8
+"""Longest wait for a load report or the machine list."""
+
+ORDER_SECONDS = 0.8
+"""Longest flight of an order; below :data:`LONGEST_FLIGHT_SECONDS` of leases."""
+
+PLAIN_RESULT_SECONDS = 60.0
+"""Longest wait for a plain service, kept up in the background after the deadline."""
+
+
+@dataclass(frozen=True, slots=True)
+class NotSent:
+    """No byte left this process."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """Bytes may have left this process; no whole answer came back."""
+
+    reason: str
+
+
+class BackEndError(Exception):
+    """A stream could not be opened or was cut; ``sent`` tells whether bytes left."""
+
+    def __init__(self, reason: str, sent: bool) -> None:
+        super().__init__(reason)
+        self.sent = sent
+
+
+_AnswerT = TypeVar("_AnswerT", bound=msgspec.Struct)
+
+
+class BackEndClient:
+    """The client side of every back end protocol."""
+
+    def __init__(self) -> None:
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=10.0)
+        )
+        # A kept-alive connection can die while a call is being written, which leaves
+        # open whether the call was sent; unrepeatable calls get a fresh connection.
+        self._fresh_session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=True)
+        )
+        self._machine_list: MachineList | None = None
+        self._machine_list_tag = ""
+
+    async def close(self) -> None:
+        """Close every connection."""
+        await self._session.close()
+        await self._fresh_session.close()
+
+    async def call_stage(
+        self, address: str, call: StageCall, timeout: float
+    ) -> StageAnswer | NotSent | Broken:
+        """Call an encoder, retriever or reranker; ``timeout`` is in seconds."""
+        return await _post(self._session, address, "/v1/stage", call, StageAnswer, timeout)
+
+    async def call_plain(
+        self, address: str, call: PlainCall, timeout: float, fresh: bool
+    ) -> PlainAnswer | NotSent | Broken:
+        """Call a plain service; ``fresh`` forbids a kept-alive connection."""
+        session = self._fresh_session if fresh else self._session
+        return await _post(session, address, "/v1/call", call, PlainAnswer, timeout)
+
+    async def generate(
+        self, address: str, call: GenerateCall, timeout: float
+    ) -> AsyncIterator[TokenChunk]:
+        """Yield an engine's chunks; raises :class:`BackEndError` when cut."""
+        sent = False
+        try:
+            async with self._session.post(
+                f"http://{address}/v1/generate",
+                data=msgspec.json.encode(call),
+                timeout=_timeout(timeout),
+            ) as response:
+                sent = True
+                if response.status != 200:
+                    raise BackEndError(f"status {response.status}", sent=response.status != 503)
+                async for line in response.content:
+                    yield msgspec.json.decode(line, type=TokenChunk)
+        except aiohttp.ClientConnectorError as error:
+            raise BackEndError(str(error), sent=sent) from error
+        except (TimeoutError, aiohttp.ClientError, OSError, msgspec.DecodeError) as error:
+            raise BackEndError(type(error).__name__, sent=True) from error
+
+    async def cancel(self, address: str, attempt: str) -> None:
+        """Tell an engine that nobody waits for ``attempt`` any more."""
+        try:
+            async with self._session.post(
+                f"http://{address}/v1/cancel/{attempt}", timeout=_timeout(POLL_SECONDS)
+            ) as response:
+                await response.read()
+        except (TimeoutError, aiohttp.ClientError, OSError):
+            return
+
+    async def load(self, address: str) -> LoadReport | NotSent | Broken:
+        """Read a back end's load report."""
+        return await _get(self._session, f"http://{address}/v1/load", LoadReport)
+
+    async def order(self, address: str, order: ModelOrder) -> LoadReport | NotSent | Broken:
+        """Send a fenced order; the answer is the state the back end really holds."""
+        return await _post(self._session, address, "/v1/orders", order, LoadReport, ORDER_SECONDS)
+
+    async def machine_list(self, address: str) -> MachineList | None:
+        """Read the platform's list; an unchanged one costs no transfer."""
+        headers = {"If-None-Match": self._machine_list_tag} if self._machine_list_tag else {}
+        try:
+            async with self._session.get(
+                f"http://{address}/machines", headers=headers, timeout=_timeout(POLL_SECONDS)
+            ) as response:
+                if response.status == 304:
+                    return self._machine_list
+                if response.status != 200:
+                    return None
+                decoded = msgspec.json.decode(await response.read(), type=MachineList)
+                self._machine_list_tag = response.headers.get("ETag", "")
+        except (TimeoutError, aiohttp.ClientError, OSError, msgspec.DecodeError):
+            return None
+        self._machine_list = decoded
+        return decoded
+
+
+def _timeout(total: float) -> aiohttp.ClientTimeout:
+    return aiohttp.ClientTimeout(total=total, sock_connect=min(total, CONNECT_SECONDS))
+
+
+async def _post(
+    session: aiohttp.ClientSession,
+    address: str,
+    path: str,
+    body: msgspec.Struct,
+    answer_type: type[_AnswerT],
+    timeout: float,
+) -> _AnswerT | NotSent | Broken:
+    try:
+        async with session.post(
+            f"http://{address}{path}", data=msgspec.json.encode(body), timeout=_timeout(timeout)
+        ) as response:
+            content = await response.read()
+            if response.status == 503:
+                # By protocol a back end answers 503 only before it starts any work.
+                return NotSent("refused by the back end")
+            if response.status != 200:
+                return Broken(f"status {response.status}")
+            return msgspec.json.decode(content, type=answer_type)
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+        return NotSent(type(error).__name__)
+    except (TimeoutError, aiohttp.ClientError, OSError, msgspec.DecodeError) as error:
+        return Broken(type(error).__name__)
+
+
+async def _get(
+    session: aiohttp.ClientSession, url: str, answer_type: type[_AnswerT]
+) -> _AnswerT | NotSent | Broken:
+    try:
+        async with session.get(url, timeout=_timeout(POLL_SECONDS)) as response:
+            content = await response.read()
+            if response.status != 200:
+                return Broken(f"status {response.status}")
+            return msgspec.json.decode(content, type=answer_type)
+    except aiohttp.ClientConnectorError as error:
+        return NotSent(type(error).__name__)
+    except (TimeoutError, aiohttp.ClientError, OSError, msgspec.DecodeError) as error:
+        return Broken(type(error).__name__)
--- /dev/null
+++ b/src/corkcrank/links/http_table.py
@@ -0,0 +1,67 @@
+"""The platform's table over HTTP and JSON."""
+
+from collections.abc import Sequence
+
+import aiohttp
+import msgspec
+
+from corkcrank.links.table import (
+    CommitAnswer,
+    CommitRequest,
+    Committed,
+    Condition,
+    Conflicted,
+    ReadAnswer,
+    ReadRequest,
+    Row,
+    Rows,
+    Unanswered,
+    Write,
+)
+
+TABLE_TIMEOUT_SECONDS = 1.0
+"""Longest wait for one answer of the table."""
+
+
+class HttpTable:
+    """A table client; every method answers within :data:`TABLE_TIMEOUT_SECONDS`."""
+
+    def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
+        self._session = session
+        self._base = f"http://{address}"
+        self._timeout = aiohttp.ClientTimeout(total=TABLE_TIMEOUT_SECONDS)
+
+    async def read(self, keys: Sequence[str]) -> Rows | Unanswered:
+        """Read rows in one transaction."""
+        answer = await self._post("/read", ReadRequest(tuple(keys)))
+        if isinstance(answer, Unanswered):
+            return answer
+        return Rows(msgspec.json.decode(answer, type=ReadAnswer).rows)
+
+    async def commit(
+        self, conditions: Sequence[Condition], writes: Sequence[Write]
+    ) -> Committed | Conflicted | Unanswered:
+        """Write rows in one transaction if every condition holds."""
+        answer = await self._post("/commit", CommitRequest(tuple(conditions), tuple(writes)))
+        if isinstance(answer, Unanswered):
+            return answer
+        decoded = msgspec.json.decode(answer, type=CommitAnswer)
+        return Committed(decoded.rows) if decoded.committed else Conflicted(decoded.rows)
+
+    async def _post(self, path: str, body: msgspec.Struct) -> bytes | Unanswered:
+        try:
+            async with self._session.post(
+                self._base + path, data=msgspec.json.encode(body), timeout=self._timeout
+            ) as response:
+                content = await response.read()
+                if response.status != 200:
+                    return Unanswered(f"status {response.status}")
+                return content
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            return Unanswered(type(error).__name__)
+
+
+async def read_one(table: HttpTable, key: str) -> Row | Unanswered:
+    """Read a single row."""
+    outcome = await table.read((key,))
+    return outcome if isinstance(outcome, Unanswered) else outcome.rows[0]
--- /dev/null
+++ b/src/corkcrank/links/peer_client.py
@@ -0,0 +1,83 @@
+"""Calls between the system's own processes: packed Cap'n Proto bodies over HTTP."""
+
+import aiohttp
+
+from corkcrank.contracts.configuration import Configuration, decode_configuration
+from corkcrank.contracts.identifiers import Address
+from corkcrank.links.peer_codec import (
+    DigestReply,
+    Heartbeat,
+    HeartbeatReply,
+    PeerDecodeError,
+    decode_digest_reply,
+    decode_heartbeat_reply,
+    encode_heartbeat,
+)
+
+PEER_SECONDS = 0.8
+"""Longest wait for a peer's answer."""
+
+
+class PeerClient:
+    """Talks to peers; every method returns ``None`` when the peer gave no answer.
+
+    ``bytes_sent`` and ``bytes_received`` count bodies, ``messages`` counts calls.
+    """
+
+    def __init__(self) -> None:
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=15.0),
+            timeout=aiohttp.ClientTimeout(total=PEER_SECONDS),
+        )
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self.messages = 0
+
+    async def close(self) -> None:
+        """Close every connection."""
+        await self._session.close()
+
+    async def heartbeat(self, address: Address, heartbeat: Heartbeat) -> HeartbeatReply | None:
+        """Send a heartbeat."""
+        body = await self._call("POST", address, "/peer/heartbeat", encode_heartbeat(heartbeat))
+        try:
+            return decode_heartbeat_reply(body) if body else None
+        except PeerDecodeError:
+            return None
+
+    async def push_digest(self, address: Address, digest: bytes) -> DigestReply | None:
+        """Send an encoded digest."""
+        body = await self._call("POST", address, "/peer/digest", digest)
+        try:
+            return decode_digest_reply(body) if body else None
+        except PeerDecodeError:
+            return None
+
+    async def pull_digest(self, address: Address) -> bytes | None:
+        """Ask for the last digest, with its directory."""
+        return await self._call("GET", address, "/peer/digest", b"")
+
+    async def pull_summary(self, address: Address, known_directory: int) -> bytes | None:
+        """Ask a zone's holder for what other zones are told."""
+        return await self._call("GET", address, f"/peer/summary/{known_directory}", b"")
+
+    async def configuration(self, address: Address, version: int) -> Configuration | None:
+        """Ask for a configuration of at least ``version``."""
+        body = await self._call("GET", address, f"/peer/configuration/{version}", b"")
+        try:
+            return decode_configuration(body) if body else None
+        except ValueError:
+            return None
+
+    async def _call(self, method: str, address: Address, path: str, body: bytes) -> bytes | None:
+        self.messages += 1
+        self.bytes_sent += len(body)
+        try:
+            async with self._session.request(
+                method, f"http://{address}{path}", data=body or None
+            ) as response:
+                content = await response.read()
+                self.bytes_received += len(content)
+                return content if response.status == 200 else None
+        except (TimeoutError, aiohttp.ClientError, OSError):
+            return None
--- /dev/null
+++ b/src/corkcrank/links/peer_codec.py
@@ -0,0 +1,252 @@
+"""Packed Cap'n Proto encoding of the messages between the system's own processes."""
+
+from importlib.resources import files
+from typing import Any
+
+import capnp
+import msgspec
+
+from corkcrank.contracts.identifiers import Address, MemberId, WorkerId
+from corkcrank.contracts.messages import LoadReport, WorkerEntry
+from corkcrank.zones.digest import Directory, MemberEntry, WorkerLoad, ZoneDigest
+
+capnp.remove_import_hook()
+_SCHEMA: Any = capnp.load(str(files("corkcrank.links").joinpath("peer.capnp")))
+
+MAXIMUM_COUNT = 65_535
+"""Largest value of a load counter on the wire."""
+
+TRAVERSAL_WORDS = 1 << 20
+"""Most words that decoding one message may touch."""
+
+
+class PeerDecodeError(Exception):
+    """A peer's message cannot be read."""
+
+
+class Heartbeat(msgspec.Struct, frozen=True):
+    """A daemon's sign of life to its zone's holder, with the workers it polled."""
+
+    member: MemberId
+    role: str
+    zone: str
+    address: Address
+    configuration_version: int
+    reports: tuple[LoadReport, ...] = ()
+
+
+class HeartbeatReply(msgspec.Struct, frozen=True):
+    """The receiver's committed configuration version, and whether it holds the zone."""
+
+    configuration_version: int
+    holder: bool
+
+
+class DigestReply(msgspec.Struct, frozen=True):
+    """What the receiver of a digest holds."""
+
+    directory_hash: int
+    configuration_version: int
+
+
+def _read(struct: Any, data: bytes) -> Any:
+    try:
+        return struct.from_bytes_packed(data, traversal_limit_in_words=TRAVERSAL_WORDS)
+    except (capnp.KjException, ValueError) as error:
+        raise PeerDecodeError(str(error)) from error
+
+
+def _clip(count: int) -> int:
+    return max(0, min(MAXIMUM_COUNT, count))
+
+
+def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
+    """Return the packed form of a heartbeat."""
+    message = _SCHEMA.Heartbeat.new_message(
+        member=heartbeat.member,
+        role=heartbeat.role,
+        zone=heartbeat.zone,
+        address=heartbeat.address,
+        configurationVersion=heartbeat.configuration_version,
+    )
+    reports = message.init("reports", len(heartbeat.reports))
+    for target, report in zip(reports, heartbeat.reports, strict=True):
+        target.worker = report.worker
+        target.boot = report.boot
+        target.leaving = report.leaving
+        target.running = _clip(report.running)
+        target.waiting = _clip(report.waiting)
+        target.slots = _clip(report.slots)
+        target.models = list(report.models)
+        target.fence = report.fence
+    return bytes(message.to_bytes_packed())
+
+
+def decode_heartbeat(data: bytes) -> Heartbeat:
+    """Return the heartbeat in ``data``; raises :class:`PeerDecodeError`."""
+    message = _read(_SCHEMA.Heartbeat, data)
+    return Heartbeat(
+        member=MemberId(message.member),
+        role=message.role,
+        zone=message.zone,
+        address=Address(message.address),
+        configuration_version=message.configurationVersion,
+        reports=tuple(_decode_report(report) for report in message.reports),
+    )
+
+
+def _decode_report(report: Any) -> LoadReport:
+    return LoadReport(
+        worker=WorkerId(report.worker),
+        leaving=report.leaving,
+        running=report.running,
+        waiting=report.waiting,
+        slots=report.slots,
+        boot=report.boot,
+        models=tuple(report.models),
+        fence=report.fence,
+    )
+
+
+def encode_heartbeat_reply(reply: HeartbeatReply) -> bytes:
+    """Return the packed form of a heartbeat's reply."""
+    message = _SCHEMA.HeartbeatReply.new_message(
+        configurationVersion=reply.configuration_version, holder=reply.holder
+    )
+    return bytes(message.to_bytes_packed())
+
+
+def decode_heartbeat_reply(data: bytes) -> HeartbeatReply:
+    """Return the reply in ``data``; raises :class:`PeerDecodeError`."""
+    message = _read(_SCHEMA.HeartbeatReply, data)
+    return HeartbeatReply(message.configurationVersion, message.holder)
+
+
+def encode_digest_reply(reply: DigestReply) -> bytes:
+    """Return the packed form of a digest's reply."""
+    message = _SCHEMA.DigestReply.new_message(
+        directoryHash=reply.directory_hash, configurationVersion=reply.configuration_version
+    )
+    return bytes(message.to_bytes_packed())
+
+
+def decode_digest_reply(data: bytes) -> DigestReply:
+    """Return the reply in ``data``; raises :class:`PeerDecodeError`."""
+    message = _read(_SCHEMA.DigestReply, data)
+    return DigestReply(message.directoryHash, message.configurationVersion)
+
+
+def encode_digest(digest: ZoneDigest, directory: Directory, with_directory: bool) -> bytes:
+    """Return the packed form of a digest whose loads refer to ``directory``."""
+    message = _SCHEMA.ZoneDigest.new_message(
+        zone=digest.zone,
+        fence=digest.fence,
+        sequence=digest.sequence,
+        configurationVersion=digest.configuration_version,
+        directoryHash=digest.directory_hash,
+        gateways=_clip(digest.gateways),
+    )
+    names = sorted({model for load in digest.loads for model in load.models})[:16]
+    message.modelNames = names
+    _fill_loads(message, digest, directory, names)
+    if with_directory:
+        _fill_directory(message.init("directory"), directory)
+    return bytes(message.to_bytes_packed())
+
+
+def _fill_loads(message: Any, digest: ZoneDigest, directory: Directory, names: list[str]) -> None:
+    index = {entry.worker: number for number, entry in enumerate(directory.workers)}
+    known = [load for load in digest.loads if load.worker in index]
+    bits = {name: 1 << number for number, name in enumerate(names)}
+    loads = message.init("loads", len(known))
+    for target, load in zip(loads, known, strict=True):
+        target.index = index[load.worker]
+        target.running = _clip(load.running)
+        target.waiting = _clip(load.waiting)
+        target.slots = _clip(load.slots)
+        target.models = sum(bits.get(model, 0) for model in load.models)
+        target.leaving = load.leaving
+
+
+def _fill_directory(target: Any, directory: Directory) -> None:
+    target.listVersion = directory.list_version
+    workers = target.init("workers", len(directory.workers))
+    for row, worker in zip(workers, directory.workers, strict=True):
+        row.worker = worker.worker
+        row.service = worker.service
+        row.zone = worker.zone
+        row.address = worker.address
+        row.boot = worker.boot
+        row.leaving = worker.leaving
+    members = target.init("members", len(directory.members))
+    for row, member in zip(members, directory.members, strict=True):
+        row.member = member.member
+        row.role = member.role
+        row.address = member.address
+
+
+def decode_digest(data: bytes, known: Directory, known_hash: int) -> ZoneDigest:
+    """Return the digest in ``data``, read against the directory known so far.
+
+    Loads are left out when the digest refers to a directory that is neither enclosed nor
+    known; the reply's hash then asks the sender for it. Raises :class:`PeerDecodeError`.
+    """
+    message = _read(_SCHEMA.ZoneDigest, data)
+    enclosed = _decode_directory(message.directory) if message._has("directory") else None
+    directory = enclosed
+    if directory is None and message.directoryHash == known_hash:
+        directory = known
+    loads = _decode_loads(message, directory) if directory is not None else ()
+    return ZoneDigest(
+        zone=message.zone,
+        fence=message.fence,
+        sequence=message.sequence,
+        configuration_version=message.configurationVersion,
+        directory_hash=message.directoryHash,
+        gateways=message.gateways,
+        loads=loads,
+        directory=enclosed,
+    )
+
+
+def _decode_loads(message: Any, directory: Directory) -> tuple[WorkerLoad, ...]:
+    names = tuple(message.modelNames)
+    return tuple(
+        WorkerLoad(
+            worker=directory.workers[load.index].worker,
+            running=load.running,
+            waiting=load.waiting,
+            slots=load.slots,
+            models=_models_of(load.models, names),
+            leaving=load.leaving,
+        )
+        for load in message.loads
+        if load.index < len(directory.workers)
+    )
+
+
+def _models_of(mask: int, names: tuple[str, ...]) -> tuple[str, ...]:
+    if not mask:
+        return ()
+    return tuple(name for number, name in enumerate(names) if mask >> number & 1)
+
+
+def _decode_directory(message: Any) -> Directory:
+    return Directory(
+        workers=tuple(
+            WorkerEntry(
+                worker=WorkerId(row.worker),
+                service=row.service,
+                zone=row.zone,
+                address=row.address,
+                boot=row.boot,
+                leaving=row.leaving,
+            )
+            for row in message.workers
+        ),
+        members=tuple(
+            MemberEntry(MemberId(row.member), row.role, Address(row.address))
+            for row in message.members
+        ),
+        list_version=message.listVersion,
+    )
--- /dev/null
+++ b/src/corkcrank/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load generation, local deployments and experiments; never imported by the daemons."""
--- /dev/null
+++ b/src/corkcrank/load/local_cluster.py
@@ -0,0 +1,318 @@
+"""Runs a whole deployment on one machine: daemons and stand-ins, each its own process.
+
+The daemons start no process; this tool does, for demonstrations and tests.
+"""
+
+import asyncio
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, TypeVar
+
+import aiohttp
+import msgspec
+
+from corkcrank.contracts.identifiers import Address
+from corkcrank.contracts.messages import WorkerEntry
+from corkcrank.contracts.plans import ConfirmAnswer, Intent, PlanView, ReplaceConfiguration
+from corkcrank.load.deployment import Deployment
+from corkcrank.load.toml_writer import write_toml
+from corkcrank.standins.faults import Faults
+
+START_SECONDS = 30.0
+"""Longest wait for a deployment to become ready."""
+
+POLL_SECONDS = 0.05
+"""Time between looks at a condition."""
+
+PROGRAMS = {
+    "gateway": "corkcrank.gateway.program",
+    "controller": "corkcrank.controller.program",
+    "standin": "corkcrank.standins.program",
+}
+
+_BodyT = TypeVar("_BodyT")
+
+
+@dataclass(slots=True)
+class LocalProcess:
+    """One process of the cluster."""
+
+    name: str
+    program: str
+    settings_path: Path
+    caller_address: Address
+    peer_address: Address
+    popen: subprocess.Popen[bytes]
+
+
+class PortSource:
+    """Gives free loopback ports; each is held open until all have been chosen."""
+
+    def __init__(self) -> None:
+        self._held: list[socket.socket] = []
+
+    def address(self) -> Address:
+        """Return a loopback address that nothing listens on."""
+        held = socket.socket()
+        held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        held.bind(("127.0.0.1", 0))
+        self._held.append(held)
+        return Address(f"127.0.0.1:{held.getsockname()[1]}")
+
+    def release(self) -> None:
+        """Let the ports go, for the processes to bind."""
+        for held in self._held:
+            held.close()
+        self._held.clear()
+
+
+class LocalCluster:
+    """A deployment's processes, with the faults that tests need."""
+
+    def __init__(self, deployment: Deployment) -> None:
+        self.deployment = deployment
+        self.processes: dict[str, LocalProcess] = {}
+        self.worker_addresses: dict[str, Address] = {}
+        self._directory = tempfile.TemporaryDirectory(prefix="corkcrank-")
+        self._root = Path(self._directory.name)
+        ports = PortSource()
+        self.table = ports.address()
+        self.machine_list = ports.address()
+        self.weight_store = ports.address()
+        self.object_store = ports.address()
+        self._plan_ports(ports)
+        ports.release()
+        self._session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> "LocalCluster":
+        """Start every process, confirm the configuration, and wait until all serve."""
+        self._session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=10.0))
+        try:
+            await self._start()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def __aexit__(self, *details: object) -> None:
+        """End every process that was started here."""
+        for process in self.processes.values():
+            if process.popen.poll() is None:
+                process.popen.send_signal(signal.SIGCONT)
+                process.popen.kill()
+            process.popen.wait()
+        if self._session is not None:
+            await self._session.close()
+        self._directory.cleanup()
+
+    def gateways(self) -> list[LocalProcess]:
+        """Return the gateways, started or not."""
+        return [item for item in self.processes.values() if item.program == "gateway"]
+
+    def controllers(self) -> list[LocalProcess]:
+        """Return the controllers, started or not."""
+        return [item for item in self.processes.values() if item.program == "controller"]
+
+    def start_process(self, name: str) -> LocalProcess:
+        """Start a process, or start it again after it ended."""
+        program = name.split("-", 1)[0]
+        settings_path = self._root / f"{name}.toml"
+        with (self._root / f"{name}.log").open("ab") as log:
+            popen = subprocess.Popen(
+                [sys.executable, "-c", _run_line(program), str(settings_path)],
+                stderr=log,
+                stdout=log,
+            )
+        addresses = self._addresses.get(name, (Address(""), Address("")))
+        process = LocalProcess(name, program, settings_path, *addresses, popen)
+        self.processes[name] = process
+        return process
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one process."""
+        self.processes[name].popen.send_signal(number)
+
+    async def wait_ended(self, name: str, timeout: float = 30.0) -> int:
+        """Wait until a process has ended; return its exit status."""
+        popen = self.processes[name].popen
+        await self.wait_until(lambda: popen.poll() is not None, timeout)
+        return popen.wait()
+
+    def log_text(self, name: str) -> str:
+        """Return what a process has logged."""
+        return (self._root / f"{name}.log").read_text(encoding="utf-8")
+
+    async def wait_until(self, condition: Callable[[], bool], timeout: float) -> None:
+        """Wait for a condition; raises ``TimeoutError``."""
+        give_up_at = time.monotonic() + timeout
+        while not condition():
+            if time.monotonic() > give_up_at:
+                raise TimeoutError("the condition did not come about")
+            await asyncio.sleep(POLL_SECONDS)
+
+    async def set_faults(self, address: Address, **faults: Any) -> None:
+        """Replace the faults in force at a stand-in; with none, switch all off."""
+        body = msgspec.json.encode(Faults(**faults))
+        async with self.session.post(f"http://{address}/faults", data=body) as response:
+            response.raise_for_status()
+
+    @property
+    def session(self) -> aiohttp.ClientSession:
+        """Return the HTTP session for tests and tools."""
+        assert self._session is not None
+        return self._session
+
+    async def get(self, address: Address, path: str, body_type: type[_BodyT]) -> _BodyT:
+        """Read and decode a JSON document."""
+        async with self.session.get(f"http://{address}{path}") as response:
+            return msgspec.json.decode(await response.read(), type=body_type)
+
+    async def draw_plan(self, intent: Intent, controller: int = 0) -> PlanView:
+        """Ask a controller for a plan."""
+        url = f"http://{self.controllers()[controller].peer_address}/operator/plans"
+        async with self.session.post(url, data=msgspec.json.encode(intent)) as response:
+            response.raise_for_status()
+            return msgspec.json.decode(await response.read(), type=PlanView)
+
+    async def confirm_plan(self, plan_id: str, controller: int = 0) -> ConfirmAnswer:
+        """Ask a controller to confirm a plan."""
+        address = self.controllers()[controller].peer_address
+        url = f"http://{address}/operator/plans/{plan_id}/confirm"
+        async with self.session.post(url) as response:
+            return msgspec.json.decode(await response.read(), type=ConfirmAnswer)
+
+    async def apply(self, intent: Intent) -> int:
+        """Draw and confirm a plan; return the version now committed."""
+        plan = await self.draw_plan(intent)
+        answer = await self.confirm_plan(plan.plan_id)
+        return answer.version
+
+    async def wait_ready(self, names: list[str], timeout: float = START_SECONDS) -> None:
+        """Wait until gateways admit requests."""
+        give_up_at = time.monotonic() + timeout
+        for name in names:
+            while not await self._is_ready(self.processes[name].caller_address):
+                if time.monotonic() > give_up_at:
+                    raise TimeoutError(f"{name} is not ready:\n{self.log_text(name)[-2000:]}")
+                await asyncio.sleep(POLL_SECONDS)
+
+    async def _is_ready(self, address: Address) -> bool:
+        return await self._answers(f"http://{address}/readyz")
+
+    async def _answers(self, url: str) -> bool:
+        try:
+            async with self.session.get(url) as response:
+                return response.status == 200
+        except (TimeoutError, aiohttp.ClientError, OSError):
+            return False
+
+    async def _start(self) -> None:
+        names = list(self._settings)
+        for name, settings in self._settings.items():
+            (self._root / f"{name}.toml").write_text(write_toml(settings), encoding="utf-8")
+        for name in sorted(names, key=lambda item: not item.startswith("standin")):
+            self.start_process(name)
+        await self._wait_answering(f"http://{self.controllers()[0].peer_address}/operator/status")
+        await self._wait_answering(f"http://{self.machine_list}/machines")
+        await self._wait_answering(f"http://{self.table}/counters")
+        await self.apply(ReplaceConfiguration(self.deployment.configuration()))
+        await self.wait_ready([item.name for item in self.gateways()])
+        await self._wait_workers_known()
+
+    async def _wait_answering(self, url: str) -> None:
+        give_up_at = time.monotonic() + START_SECONDS
+        while not await self._answers(url):
+            if time.monotonic() > give_up_at:
+                raise TimeoutError(f"no answer from {url}")
+            await asyncio.sleep(POLL_SECONDS)
+
+    async def _wait_workers_known(self) -> None:
+        give_up_at = time.monotonic() + START_SECONDS
+        for gateway in self.gateways():
+            while not await self._knows_workers(gateway.peer_address):
+                if time.monotonic() > give_up_at:
+                    raise TimeoutError(f"{gateway.name} does not know the back ends")
+                await asyncio.sleep(POLL_SECONDS)
+
+    async def _knows_workers(self, address: Address) -> bool:
+        dump = await self.get(address, "/dump", _WorkersInDump)
+        return len(dump.workers) >= len(self.worker_addresses)
+
+    def _plan_ports(self, ports: PortSource) -> None:
+        self._addresses: dict[str, tuple[Address, Address]] = {}
+        self._settings: dict[str, dict[str, Any]] = {}
+        listed: list[WorkerEntry] = []
+        for service in self.deployment.services:
+            listed += self._plan_service(service.name, ports)
+        self._settings["standin-platform"] = {
+            "table": self.table,
+            "machine_list": self.machine_list,
+            "object_store": self.object_store,
+            "writes_per_second": self.deployment.writes_per_second,
+            "list_lag_seconds": self.deployment.list_lag_seconds,
+            "listed": [msgspec.to_builtins(entry) for entry in listed],
+        }
+        self._settings["standin-weights"] = {"weight_store": self.weight_store}
+        for number in range(self.deployment.machines):
+            self._addresses[f"gateway-{number}"] = (ports.address(), ports.address())
+            self._addresses[f"controller-{number}"] = (Address(""), ports.address())
+        for name in self._addresses:
+            self._settings[name] = self._daemon_settings(name)
+
+    def _plan_service(self, name: str, ports: PortSource) -> list[WorkerEntry]:
+        service = next(item for item in self.deployment.services if item.name == name)
+        rows = []
+        entries = []
+        for number, worker in enumerate(service.worker_ids()):
+            address = ports.address()
+            zone = self.deployment.zone_of(number)
+            self.worker_addresses[worker] = address
+            entries.append(WorkerEntry(worker, service.name, zone, address, boot="1"))
+            rows.append(
+                {
+                    "worker": worker,
+                    "service": service.name,
+                    "kind": str(service.kind),
+                    "zone": zone,
+                    "address": address,
+                    "slots": service.slots,
+                    "service_seconds": service.service_seconds,
+                    "models": list(service.models),
+                    "checks_fence": service.checks_fence,
+                }
+            )
+        self._settings[f"standin-{name}"] = {"weight_store": self.weight_store, "workers": rows}
+        return entries
+
+    def _daemon_settings(self, name: str) -> dict[str, Any]:
+        number = int(name.rsplit("-", 1)[1])
+        caller, peer = self._addresses[name]
+        process = {
+            "name": name,
+            "zone": self.deployment.zone_of(number),
+            "peer_address": peer,
+        }
+        if caller:
+            process["caller_address"] = caller
+        seeds = [address[1] for other, address in self._addresses.items() if other != name]
+        return {
+            "process": process,
+            "platform": {"table": self.table, "machine_list": self.machine_list},
+            "peers": {"seeds": seeds[:6]},
+            "limits": {"drain_linger_seconds": self.deployment.drain_linger_seconds},
+        }
+
+
+class _WorkersInDump(msgspec.Struct):
+    workers: list[Any]
+
+
+def _run_line(program: str) -> str:
+    return f"from {PROGRAMS[program]} import main; main()"
--- /dev/null
+++ b/src/corkcrank/machines/__init__.py
@@ -0,0 +1,1 @@
+"""Entry machines and back ends."""
--- /dev/null
+++ b/src/corkcrank/machines/daemon.py
@@ -0,0 +1,82 @@
+"""What every daemon's program shares: serving addresses, signals, and the planned stop."""
+
+import asyncio
+import signal
+import sys
+from pathlib import Path
+
+import msgspec
+from aiohttp import web
+
+from corkcrank.contracts.result_codes import Failure
+from corkcrank.contracts.settings import Settings, load_settings
+
+BACKLOG = 1024
+"""Connections that may wait to be accepted."""
+
+EXIT_SETTINGS = 3
+"""Exit status of a daemon whose settings are wrong."""
+
+
+class WorkerDump(msgspec.Struct, frozen=True):
+    """One back end in a dump."""
+
+    worker: str
+    service: str
+    leaving: bool
+    load: float
+    own_in_flight: int
+    models: tuple[str, ...]
+
+
+class MemberDump(msgspec.Struct, frozen=True):
+    """The part of a dump that every daemon has."""
+
+    name: str
+    role: str
+    zone: str
+    state: str
+    configuration_version: int
+    may_admit: bool
+    digest_age_seconds: float | None
+    gateways: int
+    members: tuple[str, ...]
+
+
+def read_settings_or_exit(path: Path, *, needs_caller_address: bool) -> Settings:
+    """Return the settings, or print why they are wrong and exit."""
+    result = load_settings(path, needs_caller_address=needs_caller_address)
+    if result.is_error():
+        print(format_failure(result.error), file=sys.stderr)
+        raise SystemExit(EXIT_SETTINGS)
+    return result.ok
+
+
+def format_failure(failure: Failure) -> str:
+    """Return one line for an operator's terminal."""
+    return f"error {failure.code.number} {failure.code.name}: {failure.detail}"
+
+
+def stop_on_signals() -> asyncio.Event:
+    """Return an event that is set by SIGTERM or SIGINT; a repeat changes nothing."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    return stop
+
+
+async def serve_application(
+    application: web.Application, address: str, *, handler_cancellation: bool = False
+) -> web.AppRunner:
+    """Serve an application on ``ip:port`` until the runner is cleaned up."""
+    runner = web.AppRunner(
+        application,
+        access_log=None,
+        handler_cancellation=handler_cancellation,
+        shutdown_timeout=1.0,
+    )
+    await runner.setup()
+    host, port = address.rsplit(":", 1)
+    await web.TCPSite(runner, host, int(port), backlog=BACKLOG).start()
+    return runner
--- /dev/null
+++ b/src/corkcrank/machines/leases.py
@@ -0,0 +1,121 @@
+"""Leases: one holder per scope, with a fence number that only rises.
+
+The row in the table is the only truth. Times are the holder's own monotonic clock, taken
+*before* the renewal was sent, so the holder always believes its lease ends earlier than
+any other process does. A candidate waits until it has seen the row unchanged for the
+whole duration plus :data:`LONGEST_FLIGHT_SECONDS`; clocks are never compared.
+"""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from corkcrank.contracts.identifiers import Address, MemberId
+
+LEASE_SECONDS = 3.0
+"""Duration of a lease."""
+
+RENEW_SECONDS = 1.0
+"""Time between renewals."""
+
+LONGEST_FLIGHT_SECONDS = 1.0
+"""Bound on an order's flight; the next holder waits it out."""
+
+
+class LeaseRow(msgspec.Struct, frozen=True):
+    """The row kept in the table."""
+
+    holder: MemberId
+    address: Address
+    fence: int
+    renewal: int
+
+
+@dataclass(frozen=True, slots=True)
+class WriteLease:
+    """Write ``row`` if the table still holds ``expected_revision``."""
+
+    row: LeaseRow
+    expected_revision: int
+
+
+class Lease:
+    """One process's view of one scope's lease."""
+
+    def __init__(self, scope: str, member: MemberId, address: Address) -> None:
+        self.scope = scope
+        self.member = member
+        self.address = address
+        self.row: LeaseRow | None = None
+        self.revision = 0
+        self.held_until = 0.0
+        self._seen_unchanged_since: float | None = None
+
+    def holds(self, now: float, margin: float = 0.0) -> bool:
+        """Return whether the lease is held here for at least ``margin`` more seconds."""
+        return self.row is not None and self._is_ours() and now + margin < self.held_until
+
+    @property
+    def fence(self) -> int:
+        """Return the fence number of the row last seen; zero when none was."""
+        return self.row.fence if self.row is not None else 0
+
+    def see(self, row: LeaseRow | None, revision: int, now: float) -> None:
+        """Take the row as read from the table or returned with a conflict."""
+        changed = revision != self.revision or self._seen_unchanged_since is None
+        if changed:
+            self._seen_unchanged_since = now
+        if changed and row is not None and row.holder == self.member:
+            # A write of ours took effect but its answer was lost. When it was sent is not
+            # known here, so the lease is not counted as held until the next renewal.
+            self.held_until = min(self.held_until, now)
+        self.row = row
+        self.revision = revision
+
+    def next_write(self, now: float) -> WriteLease | None:
+        """Return the renewal or the take-over that is due, or ``None``."""
+        if self._seen_unchanged_since is None:
+            return None
+        if self.row is None:
+            return self._claim(fence=1)
+        if self._is_ours():
+            return self._renewal(now)
+        if not self.row.holder:
+            return self._claim(fence=self.row.fence + 1)
+        quiet = now - self._seen_unchanged_since
+        if quiet < LEASE_SECONDS + LONGEST_FLIGHT_SECONDS:
+            return None
+        return self._claim(fence=self.row.fence + 1)
+
+    def release(self) -> WriteLease | None:
+        """Return the write that gives the lease up, if it is held here.
+
+        Only for a holder that sends nothing more: the next one need not wait.
+        """
+        if self.row is None or not self._is_ours():
+            return None
+        row = LeaseRow(MemberId(""), Address(""), self.row.fence, self.row.renewal + 1)
+        return WriteLease(row, self.revision)
+
+    def written(self, write: WriteLease, revision: int, sent_at: float) -> None:
+        """Take the table's word that ``write``, sent at ``sent_at``, was committed."""
+        self.row = write.row
+        self.revision = revision
+        self.held_until = sent_at + LEASE_SECONDS
+        self._seen_unchanged_since = sent_at
+
+    def _is_ours(self) -> bool:
+        return self.row is not None and self.row.holder == self.member
+
+    def _claim(self, fence: int) -> WriteLease:
+        row = LeaseRow(self.member, self.address, fence, renewal=0)
+        return WriteLease(row, self.revision)
+
+    def _renewal(self, now: float) -> WriteLease:
+        assert self.row is not None
+        # A lease that lapsed may have orders of its own still in flight, and a former
+        # incarnation may share the name: it is taken again under a higher fence.
+        lapsed = now >= self.held_until
+        fence = self.row.fence + 1 if lapsed else self.row.fence
+        row = LeaseRow(self.member, self.address, fence, self.row.renewal + 1)
+        return WriteLease(row, self.revision)
--- /dev/null
+++ b/src/corkcrank/machines/load_view.py
@@ -0,0 +1,156 @@
+"""A gateway's view of the back ends: directory, lagged loads, own calls and own failures."""
+
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass
+
+from corkcrank.contracts.identifiers import Address, WorkerId
+from corkcrank.contracts.messages import WorkerEntry
+from corkcrank.gateway.routing import Candidate
+from corkcrank.zones.digest import Directory, WorkerLoad
+
+SUSPECT_SECONDS = 1.0
+"""Time for which a back end that failed a call is avoided if others remain."""
+
+DEFAULT_SLOTS = 8
+"""Slots assumed of a back end that has not reported yet."""
+
+
+@dataclass(slots=True)
+class WorkerView:
+    """One back end as this gateway sees it."""
+
+    entry: WorkerEntry
+    leaving: bool = False
+    reported_running: int = 0
+    reported_waiting: int = 0
+    slots: int = DEFAULT_SLOTS
+    models: tuple[str, ...] = ()
+    reported: bool = False
+    own_in_flight: int = 0
+    own_at_report: int = 0
+    suspect_until: float = 0.0
+
+    @property
+    def load(self) -> float:
+        """Return reported calls plus own calls sent since the report.
+
+        The report already counts the own calls that were in flight then.
+        """
+        since = max(0, self.own_in_flight - self.own_at_report)
+        return self.reported_running + self.reported_waiting + since
+
+
+class LoadView:
+    """Every back end known here.
+
+    A back end seen leaving stays so until the list no longer has it or it restarted
+    under a new boot id: an older list or report never turns it back to live.
+    """
+
+    def __init__(self, zone: str) -> None:
+        self._zone = zone
+        self._workers: dict[WorkerId, WorkerView] = {}
+        self._by_service: dict[str, list[WorkerView]] = {}
+        self._list_version = 0
+
+    def apply_directory(self, directory: Directory) -> None:
+        """Take a directory unless it is older than the one known."""
+        if directory.list_version < self._list_version:
+            return
+        self._list_version = directory.list_version
+        previous = self._workers
+        self._workers = {
+            entry.worker: _merge_entry(previous.get(entry.worker), entry)
+            for entry in directory.workers
+        }
+        self._by_service = {}
+        for view in self._workers.values():
+            self._by_service.setdefault(view.entry.service, []).append(view)
+
+    def apply_loads(self, loads: Iterable[WorkerLoad]) -> None:
+        """Take newly reported loads."""
+        for load in loads:
+            view = self._workers.get(load.worker)
+            if view is None:
+                continue
+            view.reported_running = load.running
+            view.reported_waiting = load.waiting
+            view.slots = load.slots
+            view.models = load.models
+            view.leaving = view.leaving or load.leaving
+            view.own_at_report = view.own_in_flight
+            view.reported = True
+
+    def mark_leaving(self, worker: WorkerId) -> None:
+        """Note a back end's own word that it is leaving."""
+        view = self._workers.get(worker)
+        if view is not None:
+            view.leaving = True
+
+    def mark_suspect(self, worker: WorkerId, now: float) -> None:
+        """Avoid a back end that failed a call."""
+        view = self._workers.get(worker)
+        if view is not None:
+            view.suspect_until = now + SUSPECT_SECONDS
+
+    def address(self, worker: WorkerId) -> Address | None:
+        """Return where a back end listens."""
+        view = self._workers.get(worker)
+        return Address(view.entry.address) if view is not None else None
+
+    def call_started(self, worker: WorkerId) -> None:
+        """Count a call sent to a back end."""
+        view = self._workers.get(worker)
+        if view is not None:
+            view.own_in_flight += 1
+
+    def call_ended(self, worker: WorkerId) -> None:
+        """Count a call to a back end as over."""
+        view = self._workers.get(worker)
+        if view is not None:
+            view.own_in_flight = max(0, view.own_in_flight - 1)
+            view.own_at_report = min(view.own_at_report, view.own_in_flight)
+
+    def candidates(
+        self,
+        service: str,
+        now: float,
+        model: str = "",
+        excluded: Collection[WorkerId] = (),
+    ) -> list[Candidate]:
+        """Return the back ends that may take a call, nearest first choice only.
+
+        Back ends of the own zone are preferred while one of them has a free slot.
+        """
+        views = [
+            view
+            for view in self._by_service.get(service, ())
+            if not view.leaving
+            and view.entry.worker not in excluded
+            and (not model or not view.reported or model in view.models)
+        ]
+        healthy = [view for view in views if view.suspect_until <= now]
+        return _nearest([self._candidate(view) for view in healthy or views])
+
+    def workers(self) -> tuple[WorkerView, ...]:
+        """Return every back end, for dumps."""
+        return tuple(self._workers.values())
+
+    def _candidate(self, view: WorkerView) -> Candidate:
+        distance = 0 if view.entry.zone == self._zone else 1
+        return Candidate(view.entry.worker, view.load, view.slots, distance)
+
+
+def _merge_entry(previous: WorkerView | None, entry: WorkerEntry) -> WorkerView:
+    if previous is None or previous.entry.boot != entry.boot:
+        return WorkerView(entry, leaving=entry.leaving)
+    previous.entry = entry
+    previous.leaving = previous.leaving or entry.leaving
+    return previous
+
+
+def _nearest(candidates: list[Candidate]) -> list[Candidate]:
+    near = [candidate for candidate in candidates if candidate.distance == 0]
+    if any(candidate.pressure < 1.0 for candidate in near):
+        return near
+    return candidates
--- /dev/null
+++ b/src/corkcrank/machines/member.py
@@ -0,0 +1,271 @@
+"""A daemon as a member of its zone: configuration, heartbeats, digests.
+
+:class:`MemberView` is the deciding part and does no I/O; :class:`MemberAgent` carries it
+out. Gateways and controllers both are members.
+"""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable, Coroutine
+
+import msgspec
+
+from corkcrank.contracts import table_keys
+from corkcrank.contracts.adoption import ConfigurationAdoption
+from corkcrank.contracts.configuration import Configuration, decode_configuration
+from corkcrank.contracts.identifiers import Address
+from corkcrank.contracts.messages import LoadReport
+from corkcrank.contracts.settings import Settings
+from corkcrank.links.logs import PartLog
+from corkcrank.links.peer_client import PeerClient
+from corkcrank.links.peer_codec import (
+    DigestReply,
+    Heartbeat,
+    PeerDecodeError,
+    decode_digest,
+    encode_digest,
+)
+from corkcrank.links.table import Row, Table, Unanswered
+from corkcrank.machines.leases import LeaseRow
+from corkcrank.zones.digest import (
+    Directory,
+    MemberEntry,
+    ZoneDigest,
+    hash_directory,
+    relay_targets,
+)
+
+HEARTBEAT_SECONDS = 1.0
+"""Time between heartbeats and between reads of the configuration's head."""
+
+DIGEST_STALE_SECONDS = 3.0
+"""Age of the last digest after which a member asks a peer for one."""
+
+
+class MemberView:
+    """What one member knows of its zone."""
+
+    def __init__(self, zone: str) -> None:
+        self.zone = zone
+        self.adoption = ConfigurationAdoption()
+        self.directory = Directory()
+        self.directory_hash = hash_directory(self.directory)
+        self.digest: ZoneDigest | None = None
+        self.digest_at: float | None = None
+        self.lease: LeaseRow | None = None
+
+    @property
+    def gateways(self) -> int:
+        """Return the number of live gateways in all zones, at least one."""
+        return max(1, self.digest.gateways) if self.digest is not None else 1
+
+    def hear_digest(self, digest: ZoneDigest, now: float) -> bool:
+        """Take a digest unless it is older than the one known; return whether it counts."""
+        self.adoption.announce(digest.configuration_version)
+        if self.digest is not None and digest.order_key < self.digest.order_key:
+            return False
+        if digest.directory is not None:
+            self.directory = digest.directory
+            self.directory_hash = digest.directory_hash
+        if digest.directory_hash != self.directory_hash:
+            return False
+        self.digest = digest
+        self.digest_at = now
+        return True
+
+    def digest_is_stale(self, now: float) -> bool:
+        """Return whether the last digest is too old to wait for the next."""
+        return self.digest_at is None or now - self.digest_at > DIGEST_STALE_SECONDS
+
+    def position(self, member: str) -> int | None:
+        """Return the member's place in the relay tree."""
+        for number, entry in enumerate(self.directory.members):
+            if entry.member == member:
+                return number
+        return None
+
+
+class MemberAgent:
+    """Carries out what a member does each second."""
+
+    def __init__(self, settings: Settings, role: str, table: Table, peers: PeerClient) -> None:
+        self.settings = settings
+        self.role = role
+        self.table = table
+        self.peers = peers
+        self.view = MemberView(settings.process.zone)
+        self.on_digest: Callable[[ZoneDigest], None] = lambda digest: None
+        self.reports: Callable[[], tuple[LoadReport, ...]] = lambda: ()
+        self._log = PartLog("member")
+        self._random = random.Random(settings.process.name)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._fetching = False
+        self._relayed = (-1, -1)
+
+    async def run(self) -> None:
+        """Refresh and send heartbeats until cancelled."""
+        while True:
+            started = time.monotonic()
+            await asyncio.gather(self.refresh(), self.send_heartbeat())
+            await asyncio.sleep(max(0.05, HEARTBEAT_SECONDS - (time.monotonic() - started)))
+
+    async def refresh(self) -> None:
+        """Read the configuration's head and the zone's lease."""
+        keys = (table_keys.CONFIGURATION_HEAD, table_keys.zone_lease(self.view.zone))
+        asked_at = time.monotonic()
+        outcome = await self.table.read(keys)
+        if isinstance(outcome, Unanswered):
+            return
+        head, lease = outcome.rows
+        self.view.adoption.confirm(head_version(head), asked_at)
+        if lease.value is not None:
+            self.view.lease = msgspec.json.decode(lease.value, type=LeaseRow)
+        await self.fetch_wanted(None)
+
+    async def fetch_wanted(self, teller: Address | None) -> None:
+        """Fetch and adopt a newer configuration, from the table or else from peers."""
+        version = self.view.adoption.wanted_version
+        if version is None or self._fetching:
+            return
+        self._fetching = True
+        try:
+            configuration = await self._fetch(version, teller)
+        finally:
+            self._fetching = False
+        if configuration is None:
+            return
+        if self.view.adoption.adopt(configuration, time.monotonic()):
+            self._log.info("Configuration adopted.", version=configuration.version)
+
+    async def _fetch(self, version: int, teller: Address | None) -> Configuration | None:
+        outcome = await self.table.read((table_keys.configuration_document(version),))
+        if not isinstance(outcome, Unanswered) and outcome.rows[0].value is not None:
+            return decode_configuration(outcome.rows[0].value.encode())
+        for address in self._peer_addresses(teller):
+            configuration = await self.peers.configuration(address, version)
+            if configuration is not None and configuration.version >= version:
+                return configuration
+        return None
+
+    async def send_heartbeat(self) -> None:
+        """Tell the holder that this daemon lives; a peer if there is none."""
+        heartbeat = Heartbeat(
+            member=self.settings.process.name,
+            role=self.role,
+            zone=self.view.zone,
+            address=self.settings.process.peer_address,
+            configuration_version=self.view.adoption.version,
+            reports=self.reports(),
+        )
+        for address in self._heartbeat_targets():
+            asked_at = time.monotonic()
+            reply = await self.peers.heartbeat(address, heartbeat)
+            if reply is not None:
+                self.view.adoption.confirm(reply.configuration_version, asked_at)
+                await self.fetch_wanted(address)
+                break
+        if self.view.digest_is_stale(time.monotonic()):
+            await self._pull_digest()
+
+    def hear_encoded_digest(self, data: bytes) -> DigestReply:
+        """Take a digest pushed by a peer, act on it, and pass it on.
+
+        A digest whose directory is not known here changes nothing; the reply names the
+        directory held, so the sender sends the digest again with the directory enclosed.
+        """
+        digest = decode_digest(data, self.view.directory, self.view.directory_hash)
+        if digest.zone == self.view.zone and self.view.hear_digest(digest, time.monotonic()):
+            self.on_digest(digest)
+            self._relay_once(digest)
+        if self.view.adoption.wanted_version is not None:
+            self._spawn(self.fetch_wanted(None))
+        return DigestReply(self.view.directory_hash, self.view.adoption.announced_version)
+
+    def publish(self, digest: ZoneDigest, directory: Directory) -> None:
+        """Take this daemon's own digest as the holder, and send it down the relay tree."""
+        enclosed = msgspec.structs.replace(digest, directory=directory)
+        if self.view.hear_digest(enclosed, time.monotonic()):
+            self.on_digest(enclosed)
+            self._relayed = digest.order_key
+            self._spawn(self.relay(digest, -1))
+
+    def _relay_once(self, digest: ZoneDigest) -> None:
+        position = self.view.position(self.settings.process.name)
+        if position is None or digest.order_key <= self._relayed:
+            return
+        self._relayed = digest.order_key
+        self._spawn(self.relay(digest, position))
+
+    async def relay(self, digest: ZoneDigest, position: int) -> None:
+        """Pass a digest on to the members below ``position`` in the relay tree."""
+        members = self.view.directory.members
+        targets = relay_targets(members, position)
+        if not targets:
+            return
+        small = encode_digest(digest, self.view.directory, with_directory=False)
+        await asyncio.gather(*(self._push(digest, small, members, target) for target in targets))
+
+    async def _push(
+        self,
+        digest: ZoneDigest,
+        small: bytes,
+        members: tuple[MemberEntry, ...],
+        target: int,
+    ) -> None:
+        entry = members[target]
+        if entry.member == self.settings.process.name:
+            # The holder is in its own tree; what lies below it is its own to serve.
+            await self.relay(digest, target)
+            return
+        reply = await self.peers.push_digest(entry.address, small)
+        if reply is None:
+            # The members below a dead one are served from here until it is dropped.
+            await self.relay(digest, target)
+        elif reply.directory_hash != digest.directory_hash:
+            large = encode_digest(digest, self.view.directory, with_directory=True)
+            await self.peers.push_digest(entry.address, large)
+
+    async def _pull_digest(self) -> None:
+        for address in self._peer_addresses(None):
+            data = await self.peers.pull_digest(address)
+            if not data:
+                continue
+            try:
+                digest = decode_digest(data, self.view.directory, self.view.directory_hash)
+            except PeerDecodeError:
+                continue
+            if digest.zone == self.view.zone or not self.view.directory.workers:
+                self._take_pulled(digest)
+                return
+
+    def _take_pulled(self, digest: ZoneDigest) -> None:
+        if digest.directory is None:
+            return
+        if digest.zone == self.view.zone and not self.view.hear_digest(digest, time.monotonic()):
+            return
+        self.on_digest(digest)
+
+    def _heartbeat_targets(self) -> list[Address]:
+        targets: list[Address] = []
+        if self.view.lease is not None and self.view.lease.address:
+            targets.append(self.view.lease.address)
+        others = self._peer_addresses(None)
+        self._random.shuffle(others)
+        return targets + others[:2]
+
+    def _peer_addresses(self, first: Address | None) -> list[Address]:
+        known = [entry.address for entry in self.view.directory.members]
+        ordered = [*([first] if first else []), *self.settings.peers.seeds, *known[:8]]
+        own = self.settings.process.peer_address
+        return list(dict.fromkeys(address for address in ordered if address != own))
+
+    def _spawn(self, coroutine: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def head_version(head: Row) -> int:
+    """Return the version named by the configuration's head row; zero when absent."""
+    return int(head.value) if head.value is not None else 0
--- /dev/null
+++ b/src/corkcrank/machines/peer_routes.py
@@ -0,0 +1,92 @@
+"""The routes that every daemon serves to peers and operators."""
+
+from collections.abc import Callable
+
+import msgspec
+from aiohttp import web
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
+from corkcrank.contracts.configuration import encode_configuration
+from corkcrank.links.peer_codec import (
+    HeartbeatReply,
+    PeerDecodeError,
+    decode_heartbeat,
+    encode_digest,
+    encode_digest_reply,
+    encode_heartbeat_reply,
+)
+from corkcrank.machines.member import MemberAgent
+
+BINARY = "application/octet-stream"
+
+
+class PeerRoutes:
+    """Serves a daemon's peer address."""
+
+    def __init__(
+        self,
+        agent: MemberAgent,
+        dump: Callable[[], msgspec.Struct],
+        hear_heartbeat: Callable[[bytes], bool],
+    ) -> None:
+        self._agent = agent
+        self._dump = dump
+        self._hear_heartbeat = hear_heartbeat
+
+    def add_to(self, application: web.Application) -> None:
+        """Add the routes to an application."""
+        application.add_routes(
+            [
+                web.post("/peer/heartbeat", self._heartbeat),
+                web.post("/peer/digest", self._take_digest),
+                web.get("/peer/digest", self._give_digest),
+                web.get("/peer/configuration/{version}", self._configuration),
+                web.get("/dump", self._give_dump),
+                web.get("/metrics", self._metrics),
+            ]
+        )
+
+    async def _heartbeat(self, request: web.Request) -> web.Response:
+        try:
+            holder = self._hear_heartbeat(await request.read())
+        except PeerDecodeError as error:
+            return web.Response(status=400, text=str(error))
+        version = self._agent.view.adoption.announced_version
+        reply = HeartbeatReply(version, holder)
+        return web.Response(body=encode_heartbeat_reply(reply), content_type=BINARY)
+
+    async def _take_digest(self, request: web.Request) -> web.Response:
+        try:
+            reply = self._agent.hear_encoded_digest(await request.read())
+        except PeerDecodeError as error:
+            return web.Response(status=400, text=str(error))
+        return web.Response(body=encode_digest_reply(reply), content_type=BINARY)
+
+    async def _give_digest(self, request: web.Request) -> web.Response:
+        view = self._agent.view
+        if view.digest is None or view.digest.directory_hash != view.directory_hash:
+            return web.Response(status=404)
+        body = encode_digest(view.digest, view.directory, with_directory=True)
+        return web.Response(body=body, content_type=BINARY)
+
+    async def _configuration(self, request: web.Request) -> web.Response:
+        index = self._agent.view.adoption.index
+        wanted = request.match_info["version"]
+        if index is None or not wanted.isdigit() or index.configuration.version < int(wanted):
+            return web.Response(status=404)
+        return web.Response(
+            body=encode_configuration(index.configuration), content_type="application/json"
+        )
+
+    async def _give_dump(self, request: web.Request) -> web.Response:
+        body = msgspec.json.format(msgspec.json.encode(self._dump()), indent=2)
+        return web.Response(body=body, content_type="application/json")
+
+    async def _metrics(self, request: web.Request) -> web.Response:
+        return web.Response(body=generate_latest(), headers={"Content-Type": CONTENT_TYPE_LATEST})
+
+
+def member_heartbeat(data: bytes) -> bool:
+    """Take a heartbeat at a daemon that holds no zone: only its form is checked."""
+    decode_heartbeat(data)
+    return False
--- /dev/null
+++ b/src/corkcrank/zones/__init__.py
@@ -0,0 +1,1 @@
+"""Regions and zones."""
--- /dev/null
+++ b/src/corkcrank/zones/poll_shares.py
@@ -0,0 +1,27 @@
+"""Which controller of a zone polls which worker.
+
+Every worker is polled once for all. Each controller finds its share from the member list
+alone, by rendezvous hashing; while lists differ a worker may be polled twice or, for one
+round, not at all, which only ages its report.
+"""
+
+from collections.abc import Sequence
+
+from corkcrank.contracts.identifiers import MemberId
+from corkcrank.contracts.messages import WorkerEntry
+from corkcrank.gateway.routing import rendezvous_weight
+from corkcrank.zones.digest import MemberEntry
+
+
+def poll_share(
+    member: MemberId, members: Sequence[MemberEntry], workers: Sequence[WorkerEntry]
+) -> tuple[WorkerEntry, ...]:
+    """Return the workers that ``member`` polls."""
+    controllers = {entry.member for entry in members if entry.role == "controller"}
+    controllers.add(member)
+    ordered = sorted(controllers)
+    return tuple(
+        worker
+        for worker in workers
+        if max(ordered, key=lambda name: rendezvous_weight(worker.worker, name)) == member
+    )
--- /dev/null
+++ b/src/corkcrank/zones/zone_state.py
@@ -0,0 +1,173 @@
+"""What the holder of a zone keeps: members, reports, and the digest made of them.
+
+Nothing here is agreed or kept. A new holder starts empty and is whole again after one
+heartbeat of each member.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from corkcrank.contracts.identifiers import WorkerId
+from corkcrank.contracts.messages import LoadReport, MachineList, WorkerEntry
+from corkcrank.links.peer_codec import Heartbeat
+from corkcrank.zones.digest import (
+    Directory,
+    MemberEntry,
+    WorkerLoad,
+    ZoneDigest,
+    hash_directory,
+)
+
+MEMBER_SECONDS = 3.5
+"""Silence after which a member is no longer counted."""
+
+REPORT_SECONDS = 5.0
+"""Age after which a load report is no longer told."""
+
+REMOTE_WORKERS_PER_SERVICE = 8
+"""Least loaded workers of another zone that are told for each service."""
+
+
+@dataclass(slots=True)
+class _Member:
+    entry: MemberEntry
+    heard_at: float
+
+
+@dataclass(slots=True)
+class _Report:
+    report: LoadReport
+    heard_at: float
+
+
+class ZoneState:
+    """The news of one zone, gathered by its holder."""
+
+    def __init__(self, zone: str) -> None:
+        self.zone = zone
+        self.machine_list = MachineList(0, ())
+        self.directory = Directory()
+        self.directory_hash = hash_directory(self.directory)
+        self._members: dict[str, _Member] = {}
+        self._reports: dict[WorkerId, _Report] = {}
+        self._remote: dict[str, ZoneDigest] = {}
+        self._sequence = 0
+
+    def hear_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
+        """Take a member's heartbeat and the reports in it."""
+        entry = MemberEntry(heartbeat.member, heartbeat.role, heartbeat.address)
+        self._members[heartbeat.member] = _Member(entry, now)
+        for report in heartbeat.reports:
+            self._reports[report.worker] = _Report(report, now)
+
+    def hear_list(self, machine_list: MachineList) -> None:
+        """Take the platform's list unless it is older than the one known."""
+        if machine_list.version >= self.machine_list.version:
+            self.machine_list = machine_list
+
+    def hear_remote(self, digest: ZoneDigest) -> None:
+        """Take another zone's digest unless it is older than the one known."""
+        known = self._remote.get(digest.zone)
+        if known is None or digest.order_key > known.order_key:
+            self._remote[digest.zone] = digest
+
+    def forget_silent(self, now: float) -> None:
+        """Drop members and reports that have grown old, and remake the directory."""
+        self._members = {
+            name: member
+            for name, member in self._members.items()
+            if now - member.heard_at <= MEMBER_SECONDS
+        }
+        self._reports = {
+            worker: report
+            for worker, report in self._reports.items()
+            if now - report.heard_at <= REPORT_SECONDS
+        }
+        self._remake_directory()
+
+    def reports(self) -> tuple[LoadReport, ...]:
+        """Return the reports held, newest of each worker."""
+        return tuple(held.report for held in self._reports.values())
+
+    def members(self) -> tuple[MemberEntry, ...]:
+        """Return the live members in the order of the relay tree."""
+        return tuple(sorted(member.entry for member in self._members.values()))
+
+    def workers_of_zone(self) -> tuple[WorkerEntry, ...]:
+        """Return the zone's own workers."""
+        return tuple(row for row in self.machine_list.workers if row.zone == self.zone)
+
+    def make_digest(self, fence: int, configuration_version: int) -> ZoneDigest:
+        """Return the next digest for the members of the zone."""
+        self._sequence += 1
+        own = self._own_loads()
+        remote = [load for digest in self._remote.values() for load in digest.loads]
+        gateways = self._own_gateways() + sum(item.gateways for item in self._remote.values())
+        return self._digest(fence, configuration_version, (*own, *remote), gateways)
+
+    def make_summary(self, fence: int, configuration_version: int) -> ZoneDigest:
+        """Return what other zones are told: a few least loaded workers of each service."""
+        services = {row.worker: row.service for row in self.machine_list.workers}
+        chosen = least_loaded_by_service(self._own_loads(), services)
+        return self._digest(fence, configuration_version, chosen, self._own_gateways())
+
+    def validate(self) -> None:
+        """Check the invariants that hold between calls."""
+        assert self.directory_hash == hash_directory(self.directory)
+
+    def _digest(
+        self, fence: int, version: int, loads: tuple[WorkerLoad, ...], gateways: int
+    ) -> ZoneDigest:
+        return ZoneDigest(
+            zone=self.zone,
+            fence=fence,
+            sequence=self._sequence,
+            configuration_version=version,
+            directory_hash=self.directory_hash,
+            gateways=gateways,
+            loads=loads,
+        )
+
+    def _own_gateways(self) -> int:
+        return sum(member.entry.role == "gateway" for member in self._members.values())
+
+    def _own_loads(self) -> tuple[WorkerLoad, ...]:
+        return tuple(
+            WorkerLoad(
+                worker=report.worker,
+                running=report.running,
+                waiting=report.waiting,
+                slots=report.slots,
+                models=report.models,
+                leaving=report.leaving,
+            )
+            for report in self.reports()
+        )
+
+    def _remake_directory(self) -> None:
+        directory = Directory(
+            workers=self.machine_list.workers,
+            members=self.members(),
+            list_version=self.machine_list.version,
+        )
+        if directory != self.directory:
+            self.directory = directory
+            self.directory_hash = hash_directory(directory)
+
+
+def least_loaded_by_service(
+    loads: Iterable[WorkerLoad], services: dict[WorkerId, str]
+) -> tuple[WorkerLoad, ...]:
+    """Return the leaving workers and the few least loaded live ones of each service."""
+    by_service: dict[str, list[WorkerLoad]] = {}
+    leaving: list[WorkerLoad] = []
+    for load in loads:
+        if load.leaving:
+            leaving.append(load)
+        else:
+            by_service.setdefault(services.get(load.worker, ""), []).append(load)
+    chosen = list(leaving)
+    for group in by_service.values():
+        group.sort(key=lambda load: (load.running + load.waiting) / max(1, load.slots))
+        chosen += group[:REMOTE_WORKERS_PER_SERVICE]
+    return tuple(chosen)
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,12 @@
+"""Shared settings of the tests: property tests give the same verdict every run."""
+
+from hypothesis import HealthCheck, settings
+
+settings.register_profile(
+    "fixed",
+    derandomize=True,
+    deadline=None,
+    database=None,
+    suppress_health_check=[HealthCheck.too_slow],
+)
+settings.load_profile("fixed")
