--- /dev/null
+++ b/tests/small.py
@@ -0,0 +1,78 @@
+"""A small deployment for tests that start processes."""
+
+from pathlib import Path
+
+import msgspec
+
+from corkcrank.contracts.configuration import ServiceKind
+from corkcrank.load.deployment import Deployment, load_deployment
+from corkcrank.load.local_cluster import LocalCluster
+from corkcrank.load.trace import Arrival, ArrivalKind
+from corkcrank.standins.plain import Run, Runs
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+SERVICE = "member-portal"
+OPERATION = "confirm-receipt"
+
+
+def small_deployment(machines: int = 2, zones: int = 1) -> Deployment:
+    """Return the association's deployment with fewer places and back ends."""
+    deployment = load_deployment(EXAMPLES / "association.toml")
+    kept = tuple(
+        msgspec.structs.replace(service, workers=2)
+        for service in deployment.services
+        if service.kind != ServiceKind.PLAIN or service.name == SERVICE
+    )
+    return msgspec.structs.replace(
+        deployment,
+        machines=machines,
+        zones=deployment.zones[:zones],
+        services=kept,
+        list_lag_seconds=0.2,
+        drain_linger_seconds=0.2,
+    )
+
+
+def unrepeatable_call(deployment: Deployment, number: int, key: str, text: str = "") -> Arrival:
+    """Return a call that may run at most once."""
+    return Arrival(
+        number=number,
+        at=0.0,
+        kind=ArrivalKind.UNREPEATABLE,
+        tenant=deployment.tenants[0],
+        text=text or f"item {key}",
+        service=SERVICE,
+        operation=OPERATION,
+        key=key,
+    )
+
+
+def pipeline_call(deployment: Deployment, number: int, streamed: bool = True) -> Arrival:
+    """Return a call of the first pipeline."""
+    return Arrival(
+        number=number,
+        at=0.0,
+        kind=ArrivalKind.PIPELINE,
+        tenant=deployment.tenants[number % len(deployment.tenants)],
+        text=f"question {number}",
+        pipeline=deployment.pipelines[0],
+        streamed=streamed,
+    )
+
+
+async def all_runs(cluster: LocalCluster) -> list[Run]:
+    """Return every run that the plain services recorded."""
+    runs: list[Run] = []
+    for worker, address in cluster.worker_addresses.items():
+        if worker.startswith(SERVICE):
+            runs += (await cluster.get(address, "/runs", Runs)).runs
+    return runs
+
+
+def plain_addresses(cluster: LocalCluster) -> list[str]:
+    """Return the addresses of the plain service's workers."""
+    return [
+        address
+        for worker, address in cluster.worker_addresses.items()
+        if worker.startswith(SERVICE)
+    ]
