--- /dev/null
+++ b/src/corkcrank/load/cuttable_link.py
@@ -0,0 +1,62 @@
+"""A TCP link that can be cut: forwards bytes between one process and one address."""
+
+import asyncio
+import contextlib
+
+from corkcrank.contracts.identifiers import Address
+
+CHUNK_BYTES = 65_536
+"""Most bytes read at once."""
+
+
+class CuttableLink:
+    """Forwards connections to ``target`` until :meth:`cut`."""
+
+    def __init__(self, address: Address, target: Address) -> None:
+        self.address = address
+        self._target = target
+        self._is_cut = False
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        """Listen."""
+        host, port = self.address.rsplit(":", 1)
+        self._server = await asyncio.start_server(self._accept, host, int(port))
+
+    def cut(self) -> None:
+        """Close every connection and accept none."""
+        self._is_cut = True
+        for writer in self._writers:
+            writer.close()
+
+    def mend(self) -> None:
+        """Accept connections again."""
+        self._is_cut = False
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        self.cut()
+        if self._server is not None:
+            self._server.close()
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self._is_cut:
+            writer.close()
+            return
+        host, port = self._target.rsplit(":", 1)
+        try:
+            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.close()
+            return
+        self._writers |= {writer, far_writer}
+        await asyncio.gather(self._forward(reader, far_writer), self._forward(far_reader, writer))
+        self._writers -= {writer, far_writer}
+
+    async def _forward(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(CHUNK_BYTES):
+                writer.write(data)
+                await writer.drain()
+        writer.close()
--- a/src/corkcrank/load/local_cluster.py
+++ b/src/corkcrank/load/local_cluster.py
@@ -10,7 +10,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, TypeVar
@@ -21,6 +21,7 @@
 from corkcrank.contracts.identifiers import Address
 from corkcrank.contracts.messages import WorkerEntry
 from corkcrank.contracts.plans import ConfirmAnswer, Intent, PlanView, ReplaceConfiguration
+from corkcrank.load.cuttable_link import CuttableLink
 from corkcrank.load.deployment import Deployment
 from corkcrank.load.toml_writer import write_toml
 from corkcrank.standins.faults import Faults
@@ -74,10 +75,14 @@
 
 
 class LocalCluster:
-    """A deployment's processes, with the faults that tests need."""
+    """A deployment's processes, with the faults that tests need.
 
-    def __init__(self, deployment: Deployment) -> None:
+    ``cuttable`` names daemons that reach the table over a link of their own.
+    """
+
+    def __init__(self, deployment: Deployment, cuttable: Sequence[str] = ()) -> None:
         self.deployment = deployment
+        self.table_links: dict[str, CuttableLink] = {}
         self.processes: dict[str, LocalProcess] = {}
         self.worker_addresses: dict[str, Address] = {}
         self._directory = tempfile.TemporaryDirectory(prefix="corkcrank-")
@@ -87,6 +92,8 @@
         self.machine_list = ports.address()
         self.weight_store = ports.address()
         self.object_store = ports.address()
+        for name in cuttable:
+            self.table_links[name] = CuttableLink(ports.address(), self.table)
         self._plan_ports(ports)
         ports.release()
         self._session: aiohttp.ClientSession | None = None
@@ -108,6 +115,8 @@
                 process.popen.send_signal(signal.SIGCONT)
                 process.popen.kill()
             process.popen.wait()
+        for link in self.table_links.values():
+            await link.stop()
         if self._session is not None:
             await self._session.close()
         self._directory.cleanup()
@@ -215,6 +224,8 @@
 
     async def _start(self) -> None:
         names = list(self._settings)
+        for link in self.table_links.values():
+            await link.start()
         for name, settings in self._settings.items():
             (self._root / f"{name}.toml").write_text(write_toml(settings), encoding="utf-8")
         for name in sorted(names, key=lambda item: not item.startswith("standin")):
@@ -302,9 +313,14 @@
         if caller:
             process["caller_address"] = caller
         seeds = [address[1] for other, address in self._addresses.items() if other != name]
+        link = self.table_links.get(name)
+        table = link.address if link else self.table
         return {
             "process": process,
-            "platform": {"table": self.table, "machine_list": self.machine_list},
+            "platform": {
+                "table": link.address if link else self.table,
+                "machine_list": self.machine_list,
+            },
             "peers": {"seeds": seeds[:6]},
             "limits": {"drain_linger_seconds": self.deployment.drain_linger_seconds},
         }
