Add a scale run with hollow daemons beside real ones

Cause: the capacity page needs slopes that were measured, at sizes up to 350 daemons before 670 workers, on one machine.

Ruled out: a simulation with counted I/O only (it misses the HTTP server and client around each message, which cost more than the codecs); one process a daemon (350 processes of 60 MB are 21 GB, over half of the memory).

Change: gateways and controllers start and stop as objects; hollow processes hold many of them, without callers, over loopback; real ones run beside.

--- a/src/corkcrank/controller/program.py
+++ b/src/corkcrank/controller/program.py
@@ -20,6 +20,7 @@
 from corkcrank.links.peer_client import PeerClient
 from corkcrank.machines.daemon import (
     MemberDump,
+    cancel_all,
     read_settings_or_exit,
     serve_application,
     stop_on_signals,
@@ -59,6 +60,8 @@
         self.agent.reports = self.holder.reports
         self.desk = PlanDesk(table)
         self._log = PartLog(ROLE)
+        self._runner: web.AppRunner | None = None
+        self._loops: list[asyncio.Task[None]] = []
 
     def dump(self) -> ControllerDump:
         """Return the state for ``/dump``."""
@@ -74,35 +77,40 @@
             peer_bytes_sent=self._peers.bytes_sent,
         )
 
-    async def run(self) -> None:
-        """Serve until a signal, then give the lease up and leave."""
-        stop = stop_on_signals()
+    async def start(self) -> None:
+        """Serve peers and operators, and begin to look after the zone."""
         application = web.Application(client_max_size=MAXIMUM_INTENT_BYTES)
         PeerRoutes(self.agent, self.dump, self.holder.hear_heartbeat).add_to(application)
         OperatorRoutes(self.desk, self.holder, self.agent).add_to(application)
-        runner = await serve_application(application, self._settings.process.peer_address)
+        self._runner = await serve_application(application, self._settings.process.peer_address)
         self.life.fire(ProcessTrigger.SERVE)
         self._log.info("Serving.", address=self._settings.process.peer_address)
-        loops = [
+        self._loops = [
             asyncio.create_task(self.agent.run()),
             asyncio.create_task(self.holder.run()),
             asyncio.create_task(self.holder.run_polls()),
         ]
-        await stop.wait()
+
+    async def stop(self) -> None:
+        """Stop looking after the zone, give its lease up, and leave."""
         self.life.fire(ProcessTrigger.DRAIN)
-        for task in loops:
-            task.cancel()
-        await asyncio.gather(*loops, return_exceptions=True)
+        await cancel_all(self._loops)
         await self.holder.release()
-        await runner.cleanup()
+        if self._runner is not None:
+            await self._runner.cleanup()
         await self._peers.close()
         await self._back_ends.close()
         await self._session.close()
+        self.life.fire(ProcessTrigger.STOP)
         self._log.info("Stopped.")
 
 
 async def _run(settings: Settings) -> None:
-    await Controller(settings).run()
+    stop = stop_on_signals()
+    controller = Controller(settings)
+    await controller.start()
+    await stop.wait()
+    await controller.stop()
 
 
 def start(
--- a/src/corkcrank/gateway/program.py
+++ b/src/corkcrank/gateway/program.py
@@ -24,6 +24,7 @@
 from corkcrank.machines.daemon import (
     MemberDump,
     WorkerDump,
+    cancel_all,
     read_settings_or_exit,
     serve_application,
     stop_on_signals,
@@ -36,6 +37,9 @@
 
 ROLE = "gateway"
 
+MAXIMUM_PEER_BYTES = 1 << 24
+"""Largest message from a peer."""
+
 CHECK_SECONDS = 0.05
 """Time between looks at whether a stop is complete."""
 
@@ -75,6 +79,9 @@
             self.agent.view, self.dispatcher, self.claims, self.life, settings.limits
         )
         self._log = PartLog(ROLE)
+        self._peer_runner: web.AppRunner | None = None
+        self._caller_runner: web.AppRunner | None = None
+        self._loops: list[asyncio.Task[None]] = []
 
     def _apply_digest(self, digest: ZoneDigest) -> None:
         if digest.directory is not None:
@@ -108,28 +115,30 @@
             peer_bytes_sent=self._peers.bytes_sent,
         )
 
-    async def run(self) -> None:
-        """Serve until a signal, then drain and leave."""
-        stop = stop_on_signals()
-        peer_application = web.Application(client_max_size=1 << 24)
+    async def start(self) -> None:
+        """Serve peers and callers; without a caller address, peers only."""
+        peer_application = web.Application(client_max_size=MAXIMUM_PEER_BYTES)
         PeerRoutes(self.agent, self.dump, member_heartbeat).add_to(peer_application)
-        peer_runner = await serve_application(peer_application, self._settings.process.peer_address)
-        application = web.Application(client_max_size=self._settings.limits.maximum_body_bytes)
-        self.front.add_to(application)
-        runner = await serve_application(
-            application, self._settings.process.caller_address, handler_cancellation=True
-        )
-        loops = [
+        process = self._settings.process
+        self._peer_runner = await serve_application(peer_application, process.peer_address)
+        if process.caller_address:
+            application = web.Application(client_max_size=self._settings.limits.maximum_body_bytes)
+            self.front.add_to(application)
+            self._caller_runner = await serve_application(
+                application, process.caller_address, handler_cancellation=True
+            )
+        self._loops = [
             asyncio.create_task(self.agent.run()),
             asyncio.create_task(self._become_ready()),
         ]
-        await stop.wait()
-        await self._drain(runner)
-        for task in loops:
-            task.cancel()
-        await asyncio.gather(*loops, return_exceptions=True)
-        await runner.cleanup()
-        await peer_runner.cleanup()
+
+    async def stop(self) -> None:
+        """Drain, then leave."""
+        await self._drain()
+        await cancel_all(self._loops)
+        for runner in (self._caller_runner, self._peer_runner):
+            if runner is not None:
+                await runner.cleanup()
         await self._peers.close()
         await self._back_ends.close()
         await self._session.close()
@@ -141,14 +150,15 @@
         if self.life.fire(ProcessTrigger.SERVE):
             self._log.info("Serving.", address=self._settings.process.caller_address)
 
-    async def _drain(self, runner: web.AppRunner) -> None:
+    async def _drain(self) -> None:
         """Stay reachable for the balancer's lag, then finish what is in flight."""
         self.life.fire(ProcessTrigger.DRAIN)
         self._log.info("Draining.", in_flight=self.front.in_flight)
         limits = self._settings.limits
         await asyncio.sleep(limits.drain_linger_seconds)
-        for site in list(runner.sites):
-            await site.stop()
+        if self._caller_runner is not None:
+            for site in list(self._caller_runner.sites):
+                await site.stop()
         give_up_at = time.monotonic() + limits.drain_limit_seconds
         while self.front.in_flight or self.front.unsettled_claims:
             if time.monotonic() >= give_up_at:
@@ -164,7 +174,11 @@
 
 
 async def _run(settings: Settings) -> None:
-    await Gateway(settings).run()
+    stop = stop_on_signals()
+    gateway = Gateway(settings)
+    await gateway.start()
+    await stop.wait()
+    await gateway.stop()
 
 
 def start(settings_file: Path = typer.Argument(..., help="TOML settings of this gateway.")) -> None:
--- a/src/corkcrank/load/local_cluster.py
+++ b/src/corkcrank/load/local_cluster.py
@@ -7,12 +7,9 @@
 import signal
 import socket
 import subprocess
-import sys
-import tempfile
 import time
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
-from pathlib import Path
 from typing import Any, TypeVar
 
 import aiohttp
@@ -23,7 +20,7 @@
 from corkcrank.contracts.plans import ConfirmAnswer, Intent, PlanView, ReplaceConfiguration
 from corkcrank.load.cuttable_link import CuttableLink
 from corkcrank.load.deployment import Deployment
-from corkcrank.load.toml_writer import write_toml
+from corkcrank.load.process_group import ProcessGroup
 from corkcrank.standins.faults import Faults
 
 START_SECONDS = 30.0
@@ -47,7 +44,6 @@
 
     name: str
     program: str
-    settings_path: Path
     caller_address: Address
     peer_address: Address
     popen: subprocess.Popen[bytes]
@@ -85,8 +81,7 @@
         self.table_links: dict[str, CuttableLink] = {}
         self.processes: dict[str, LocalProcess] = {}
         self.worker_addresses: dict[str, Address] = {}
-        self._directory = tempfile.TemporaryDirectory(prefix="corkcrank-")
-        self._root = Path(self._directory.name)
+        self._group = ProcessGroup()
         ports = PortSource()
         self.table = ports.address()
         self.machine_list = ports.address()
@@ -110,16 +105,11 @@
 
     async def __aexit__(self, *details: object) -> None:
         """End every process that was started here."""
-        for process in self.processes.values():
-            if process.popen.poll() is None:
-                process.popen.send_signal(signal.SIGCONT)
-                process.popen.kill()
-            process.popen.wait()
         for link in self.table_links.values():
             await link.stop()
         if self._session is not None:
             await self._session.close()
-        self._directory.cleanup()
+        self._group.close()
 
     def gateways(self) -> list[LocalProcess]:
         """Return the gateways, started or not."""
@@ -132,21 +122,15 @@
     def start_process(self, name: str) -> LocalProcess:
         """Start a process, or start it again after it ended."""
         program = name.split("-", 1)[0]
-        settings_path = self._root / f"{name}.toml"
-        with (self._root / f"{name}.log").open("ab") as log:
-            popen = subprocess.Popen(
-                [sys.executable, "-c", _run_line(program), str(settings_path)],
-                stderr=log,
-                stdout=log,
-            )
+        self._group.start(name, _run_line(program), self._settings[name])
         addresses = self._addresses.get(name, (Address(""), Address("")))
-        process = LocalProcess(name, program, settings_path, *addresses, popen)
+        process = LocalProcess(name, program, *addresses, self._group.processes[name])
         self.processes[name] = process
         return process
 
     def signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to one process."""
-        self.processes[name].popen.send_signal(number)
+        self._group.signal(name, number)
 
     async def wait_ended(self, name: str, timeout: float = 30.0) -> int:
         """Wait until a process has ended; return its exit status."""
@@ -156,7 +140,7 @@
 
     def log_text(self, name: str) -> str:
         """Return what a process has logged."""
-        return (self._root / f"{name}.log").read_text(encoding="utf-8")
+        return self._group.log_text(name)
 
     async def wait_until(self, condition: Callable[[], bool], timeout: float) -> None:
         """Wait for a condition; raises ``TimeoutError``."""
@@ -223,12 +207,9 @@
             return False
 
     async def _start(self) -> None:
-        names = list(self._settings)
         for link in self.table_links.values():
             await link.start()
-        for name, settings in self._settings.items():
-            (self._root / f"{name}.toml").write_text(write_toml(settings), encoding="utf-8")
-        for name in sorted(names, key=lambda item: not item.startswith("standin")):
+        for name in sorted(self._settings, key=lambda item: not item.startswith("standin")):
             self.start_process(name)
         await self._wait_answering(f"http://{self.controllers()[0].peer_address}/operator/status")
         await self._wait_answering(f"http://{self.machine_list}/machines")
--- /dev/null
+++ b/src/corkcrank/load/scale_run.py
@@ -0,0 +1,465 @@
+"""The scale run: hollow daemons beside real ones, at one size, over loopback.
+
+Measures what each role spends for control, the table's load, and the times until news is
+known everywhere. Nothing is extrapolated here; the capacity page does that from slopes.
+"""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any, TypeVar
+
+import aiohttp
+import msgspec
+
+from corkcrank.contracts.configuration import (
+    Configuration,
+    Pipeline,
+    Placement,
+    Service,
+    ServiceKind,
+    Stage,
+    Tenant,
+    Tier,
+    digest_api_key,
+)
+from corkcrank.contracts.identifiers import (
+    Address,
+    PipelineName,
+    ServiceName,
+    TenantName,
+    WorkerId,
+)
+from corkcrank.contracts.messages import WorkerEntry
+from corkcrank.contracts.plans import (
+    ConfirmAnswer,
+    Intent,
+    PlanView,
+    ReplaceConfiguration,
+    SetTenantQuota,
+)
+from corkcrank.load.hollow import HollowStatus
+from corkcrank.load.local_cluster import PROGRAMS, PortSource
+from corkcrank.load.process_group import ProcessGroup
+from corkcrank.load.process_usage import cpu_seconds_of, resident_bytes_of
+from corkcrank.standins.machine_list import ListChange
+from corkcrank.standins.table import TableCounters
+
+ZONES = ("north-a", "north-b", "south-a", "south-b")
+HOLLOW_PROCESSES = 8
+WORKER_PROCESSES = 4
+ENGINE_SHARE = 0.5
+WARM_SECONDS = 60.0
+WINDOW_SECONDS = 10.0
+CHANGES = 5
+WAIT_SECONDS = 30.0
+POLL_SECONDS = 0.05
+
+REAL_ROLES = ("holder", "gateway", "controller")
+"""What the first daemons are; they are real processes of one zone."""
+
+REAL_COUNT = len(REAL_ROLES)
+
+_POOLS = (("encoder", "encoder"), ("retriever", "retriever"), ("reranker", "reranker"))
+
+_BodyT = TypeVar("_BodyT")
+
+HOLLOW_LINE = (
+    "import asyncio, pathlib, sys; from corkcrank.load.hollow import *; "
+    "asyncio.run(serve_hollow(read_hollow_settings(pathlib.Path(sys.argv[1]))))"
+)
+
+
+class ScaleSize(msgspec.Struct, frozen=True):
+    """One size; half of the daemons are gateways."""
+
+    daemons: int
+    workers: int
+    tenants: int
+    pipelines: int
+
+
+class RoleUse(msgspec.Struct, frozen=True):
+    """What one real daemon spent over the window, and what it holds."""
+
+    cpu_share: float
+    resident_bytes: int
+    messages_per_second: float
+    body_bytes_per_second: float
+
+
+class ScaleResult(msgspec.Struct, frozen=True):
+    """What one size measured; shares are of one core, times in seconds."""
+
+    size: ScaleSize
+    gateway: RoleUse
+    controller: RoleUse
+    holder: RoleUse
+    hollow_cpu_share_per_daemon: float
+    hollow_messages_per_daemon: float
+    hollow_bytes_per_daemon: float
+    hollow_resident_bytes_per_daemon: float
+    table_rows_read_per_second: float
+    table_commits_per_second: float
+    configuration_bytes: int
+    seconds_to_ready: float
+    seconds_in_force: tuple[float, ...]
+    seconds_leaving_known: float
+
+
+@dataclass(slots=True)
+class _Usage:
+    cpu_seconds: float
+    messages: int
+    body_bytes: int
+    resident_bytes: int
+
+
+def scale_configuration(size: ScaleSize, engines: tuple[WorkerId, ...]) -> Configuration:
+    """Return a configuration of the given size: 4 models, pipelines of 3 to 6 stages."""
+    models = ("model-a", "model-b", "model-c", "model-d")
+    services = [Service(ServiceName("llm"), ServiceKind.ENGINE)]
+    services += [
+        Service(ServiceName(name), kind)
+        for name, kind in (
+            ("encoder", ServiceKind.ENCODER),
+            ("retriever", ServiceKind.RETRIEVER),
+            ("reranker", ServiceKind.RERANKER),
+        )
+    ]
+    pool = tuple(Stage(service.name, 0.02) for service in services[1:])
+    return Configuration(
+        version=0,
+        tiers=(Tier("gold", 0), Tier("silver", 1), Tier("bronze", 2)),
+        tenants=tuple(
+            Tenant(
+                TenantName(f"tenant-{number}"),
+                ("gold", "silver", "bronze")[number % 3],
+                digest_api_key(f"key-{number}"),
+                10.0,
+                20.0,
+            )
+            for number in range(size.tenants)
+        ),
+        services=tuple(services),
+        pipelines=tuple(
+            Pipeline(
+                PipelineName(f"pipeline-{number}"),
+                (*(pool * 2)[: 2 + number % 4], Stage(ServiceName("llm"), 0.8, models[number % 4])),
+                3.0,
+            )
+            for number in range(size.pipelines)
+        ),
+        placements=tuple(
+            Placement(worker, (models[number % 4],)) for number, worker in enumerate(engines)
+        ),
+    )
+
+
+class ScaleRun:
+    """One size's processes."""
+
+    def __init__(self, size: ScaleSize) -> None:
+        self.size = size
+        self._group = ProcessGroup()
+        ports = PortSource()
+        self._table = ports.address()
+        self._machine_list = ports.address()
+        self._status = [ports.address() for _ in range(HOLLOW_PROCESSES)]
+        self._workers = self._plan_workers(ports)
+        self._daemons = self._plan_daemons(ports)
+        ports.release()
+        self._session: aiohttp.ClientSession | None = None
+
+    async def run(self) -> ScaleResult:
+        """Start everything, measure, and end everything."""
+        self._session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=20.0))
+        try:
+            started = time.monotonic()
+            await self._start()
+            return await self._measure(time.monotonic() - started)
+        finally:
+            await self._session.close()
+            self._group.close()
+
+    def _plan_workers(self, ports: PortSource) -> list[dict[str, Any]]:
+        engines = int(self.size.workers * ENGINE_SHARE)
+        kinds = [
+            ("llm", "engine") if number < engines else _POOLS[number % len(_POOLS)]
+            for number in range(self.size.workers)
+        ]
+        return [
+            {
+                "worker": f"{service}-{number}",
+                "service": service,
+                "kind": kind,
+                "zone": ZONES[number % len(ZONES)],
+                "address": ports.address(),
+                "models": [f"model-{'abcd'[number % 4]}"] if kind == "engine" else [],
+            }
+            for number, (service, kind) in enumerate(kinds)
+        ]
+
+    def _plan_daemons(self, ports: PortSource) -> list[dict[str, Any]]:
+        return [
+            {
+                "role": "gateway" if number % 2 else "controller",
+                "name": f"{'gateway' if number % 2 else 'controller'}-{number}",
+                "zone": ZONES[0] if number < REAL_COUNT else ZONES[(number // 2) % len(ZONES)],
+                "peer_address": ports.address(),
+            }
+            for number in range(self.size.daemons)
+        ]
+
+    async def _start(self) -> None:
+        self._start_platform()
+        for number in range(WORKER_PROCESSES):
+            rows = self._workers[number::WORKER_PROCESSES]
+            self._group.start(f"workers-{number}", _program_line("standin"), {"workers": rows})
+        await self._until(lambda: self._answers(self._table, "/counters"))
+        await self._until(lambda: self._answers(self._machine_list, "/machines"))
+        # The first controller is alone until it holds its zone, so that a real process is
+        # measured as a holder.
+        self._start_real(self._real[0])
+        await self._until(self._first_holds)
+        for daemon in self._real[1:]:
+            self._start_real(daemon)
+        seeds = [daemon["peer_address"] for daemon in self._real]
+        hollow = self._daemons[REAL_COUNT:]
+        for number, status in enumerate(self._status):
+            settings: dict[str, Any] = {
+                "status_address": status,
+                "table": self._table,
+                "machine_list": self._machine_list,
+                "seeds": seeds,
+                "daemons": [
+                    daemon
+                    for place, daemon in enumerate(hollow)
+                    if place // 2 % HOLLOW_PROCESSES == number
+                ],
+            }
+            self._group.start(f"hollow-{number}", HOLLOW_LINE, settings)
+        await self._until(lambda: self._answers(self._operator, "/operator/status"))
+        engines = tuple(WorkerId(row["worker"]) for row in self._workers if row["kind"] == "engine")
+        version = await self._apply(ReplaceConfiguration(scale_configuration(self.size, engines)))
+        await self._until(lambda: self._all_ready(version), WARM_SECONDS)
+
+    @property
+    def _real(self) -> list[dict[str, Any]]:
+        return self._daemons[:REAL_COUNT]
+
+    @property
+    def _operator(self) -> Address:
+        return Address(self._daemons[0]["peer_address"])
+
+    async def _first_holds(self) -> bool:
+        dump = await self._get(self._operator, "/dump", dict[str, Any])
+        return bool(dump["publishes"])
+
+    def _start_platform(self) -> None:
+        entries = [
+            {
+                "worker": row["worker"],
+                "service": row["service"],
+                "zone": row["zone"],
+                "address": row["address"],
+                "boot": "1",
+            }
+            for row in self._workers
+        ]
+        settings = {
+            "table": self._table,
+            "machine_list": self._machine_list,
+            "list_lag_seconds": 0.0,
+            "listed": entries,
+        }
+        self._group.start("platform", _program_line("standin"), settings)
+
+    def _start_real(self, daemon: dict[str, Any]) -> None:
+        process = {key: daemon[key] for key in ("name", "zone", "peer_address")}
+        if daemon["role"] == "gateway":
+            ports = PortSource()
+            process["caller_address"] = ports.address()
+            ports.release()
+        settings = {
+            "process": process,
+            "platform": {"table": self._table, "machine_list": self._machine_list},
+            "peers": {"seeds": [self._operator]},
+        }
+        self._group.start(daemon["name"], _program_line(daemon["role"]), settings)
+
+    async def _measure(self, seconds_to_ready: float) -> ScaleResult:
+        counters = await self._get(self._table, "/counters", TableCounters)
+        hollow = await self._hollow()
+        real = [await self._usage_of(daemon) for daemon in self._real]
+        await asyncio.sleep(WINDOW_SECONDS)
+        counters_after = await self._get(self._table, "/counters", TableCounters)
+        hollow_after = await self._hollow()
+        real_after = [await self._usage_of(daemon) for daemon in self._real]
+        uses = {
+            name: _use(before, after)
+            for name, before, after in zip(REAL_ROLES, real, real_after, strict=True)
+        }
+        in_force = tuple([await self._time_change(number) for number in range(CHANGES)])
+        leaving = await self._time_leaving()
+        count = sum(status.daemons for status in hollow_after)
+        return ScaleResult(
+            size=self.size,
+            gateway=uses["gateway"],
+            controller=uses["controller"],
+            holder=uses["holder"],
+            hollow_cpu_share_per_daemon=_per_second(hollow, hollow_after, "cpu_seconds"),
+            hollow_messages_per_daemon=_per_second(hollow, hollow_after, "messages"),
+            hollow_bytes_per_daemon=_per_second(hollow, hollow_after, "body_bytes"),
+            hollow_resident_bytes_per_daemon=(
+                sum(status.resident_bytes for status in hollow_after) / count
+            ),
+            table_rows_read_per_second=(
+                (counters_after.rows_read - counters.rows_read) / WINDOW_SECONDS
+            ),
+            table_commits_per_second=((counters_after.commits - counters.commits) / WINDOW_SECONDS),
+            configuration_bytes=await self._configuration_bytes(),
+            seconds_to_ready=seconds_to_ready,
+            seconds_in_force=in_force,
+            seconds_leaving_known=leaving,
+        )
+
+    async def _time_change(self, number: int) -> float:
+        """Return the time from a confirm's send until every daemon has the version."""
+        tenant = TenantName(f"tenant-{number % self.size.tenants}")
+        plan = await self._draw(SetTenantQuota(tenant, 11.0 + number, 20.0))
+        started = time.monotonic()
+        version = await self._confirm(plan)
+        await self._until(lambda: self._all_at(version))
+        return time.monotonic() - started
+
+    async def _time_leaving(self) -> float:
+        """Return the time from a worker's mark in the list until every gateway knows."""
+        row = self._workers[0]
+        entry = WorkerEntry(
+            WorkerId(row["worker"]), row["service"], row["zone"], row["address"], "1", True
+        )
+        started = time.monotonic()
+        url = f"http://{self._machine_list}/machines"
+        body = msgspec.json.encode(ListChange(put=(entry,)))
+        async with self.session.post(url, data=body) as response:
+            response.raise_for_status()
+        await self._until(self._all_know_leaving)
+        return time.monotonic() - started
+
+    async def _configuration_bytes(self) -> int:
+        url = f"http://{self._operator}/peer/configuration/1"
+        async with self.session.get(url) as response:
+            return len(await response.read())
+
+    @property
+    def session(self) -> aiohttp.ClientSession:
+        """Return the HTTP session of the run."""
+        assert self._session is not None
+        return self._session
+
+    async def _usage_of(self, daemon: dict[str, Any]) -> _Usage:
+        dump = await self._get(Address(daemon["peer_address"]), "/dump", dict[str, Any])
+        process = self._group.processes[daemon["name"]]
+        return _Usage(
+            cpu_seconds=cpu_seconds_of(process.pid),
+            messages=dump["peer_messages"],
+            body_bytes=dump["peer_bytes_sent"],
+            resident_bytes=resident_bytes_of(process.pid),
+        )
+
+    async def _hollow(self) -> list[HollowStatus]:
+        return list(
+            await asyncio.gather(
+                *(self._get(address, "/status", HollowStatus) for address in self._status)
+            )
+        )
+
+    async def _all_ready(self, version: int) -> bool:
+        statuses = await self._hollow()
+        return all(
+            status.least_version >= version
+            and (status.gateways == 0 or status.least_workers >= self.size.workers)
+            for status in statuses
+        ) and await self._real_at(version)
+
+    async def _all_at(self, version: int) -> bool:
+        statuses = await self._hollow()
+        return all(status.least_version >= version for status in statuses) and (
+            await self._real_at(version)
+        )
+
+    async def _real_at(self, version: int) -> bool:
+        for daemon in self._real:
+            dump = await self._get(Address(daemon["peer_address"]), "/dump", dict[str, Any])
+            if dump["member"]["configuration_version"] < version:
+                return False
+        return True
+
+    async def _all_know_leaving(self) -> bool:
+        return all(
+            status.gateways_knowing_leaving == status.gateways for status in await self._hollow()
+        )
+
+    async def _apply(self, intent: Intent) -> int:
+        return await self._confirm(await self._draw(intent))
+
+    async def _draw(self, intent: Intent) -> PlanView:
+        url = f"http://{self._operator}/operator/plans"
+        async with self.session.post(url, data=msgspec.json.encode(intent)) as response:
+            response.raise_for_status()
+            return msgspec.json.decode(await response.read(), type=PlanView)
+
+    async def _confirm(self, plan: PlanView) -> int:
+        url = f"http://{self._operator}/operator/plans/{plan.plan_id}/confirm"
+        async with self.session.post(url) as response:
+            response.raise_for_status()
+            return msgspec.json.decode(await response.read(), type=ConfirmAnswer).version
+
+    async def _get(self, address: Address, path: str, body_type: type[_BodyT]) -> _BodyT:
+        async with self.session.get(f"http://{address}{path}") as response:
+            return msgspec.json.decode(await response.read(), type=body_type)
+
+    async def _answers(self, address: Address, path: str) -> bool:
+        try:
+            async with self.session.get(f"http://{address}{path}") as response:
+                return response.status == 200
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return False
+
+    async def _until(
+        self, condition: Callable[[], Awaitable[bool]], timeout: float = WAIT_SECONDS
+    ) -> None:
+        give_up_at = time.monotonic() + timeout
+        while not await _held(condition):
+            if time.monotonic() > give_up_at:
+                raise TimeoutError("the scale run waits in vain")
+            await asyncio.sleep(POLL_SECONDS)
+
+
+async def _held(condition: Callable[[], Awaitable[bool]]) -> bool:
+    try:
+        return await condition()
+    except (aiohttp.ClientError, OSError, msgspec.DecodeError):
+        return False
+
+
+def _program_line(program: str) -> str:
+    return f"from {PROGRAMS[program]} import main; main()"
+
+
+def _use(before: _Usage, after: _Usage) -> RoleUse:
+    return RoleUse(
+        cpu_share=(after.cpu_seconds - before.cpu_seconds) / WINDOW_SECONDS,
+        resident_bytes=after.resident_bytes,
+        messages_per_second=(after.messages - before.messages) / WINDOW_SECONDS,
+        body_bytes_per_second=(after.body_bytes - before.body_bytes) / WINDOW_SECONDS,
+    )
+
+
+def _per_second(before: list[HollowStatus], after: list[HollowStatus], field: str) -> float:
+    total = sum(getattr(item, field) for item in after) - sum(
+        getattr(item, field) for item in before
+    )
+    return float(total) / WINDOW_SECONDS / sum(item.daemons for item in after)
--- a/src/corkcrank/machines/daemon.py
+++ b/src/corkcrank/machines/daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 import sys
+from collections.abc import Sequence
 from pathlib import Path
 
 import msgspec
@@ -66,6 +67,13 @@
     return stop
 
 
+async def cancel_all(tasks: Sequence[asyncio.Task[None]]) -> None:
+    """Cancel tasks and wait until they have ended."""
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
 async def serve_application(
     application: web.Application, address: str, *, handler_cancellation: bool = False
 ) -> web.AppRunner:
