Name directory and membership apart, and keep poll shares

Cause: at 350 daemons and 670 workers a change took 9 to 18 s to be in force, a real gateway spent 23 % of a core and a holder sent 79 kB/s. The directory of workers and the list of members were one table, so each daemon that came or went had all 670 workers sent again to every member, which made heartbeats late, which made members drop out and the table change again. Each controller also worked out its poll share (workers x controllers hashes) every second.

Ruled out: the table (563 rows/s of 2,000), the configuration's size (134 kB).

Change: two tables with a hash each, sent apart to those that lack them; poll shares are kept until members or workers change; daemons parse their one argument without the operators' command line library.

--- a/src/corkcrank/controller/program.py
+++ b/src/corkcrank/controller/program.py
@@ -2,11 +2,9 @@
 
 import asyncio
 import time
-from pathlib import Path
 
 import aiohttp
 import msgspec
-import typer
 from aiohttp import web
 
 from corkcrank.contracts.process_life import ProcessLife, ProcessTrigger
@@ -113,15 +111,8 @@
     await controller.stop()
 
 
-def start(
-    settings_file: Path = typer.Argument(..., help="TOML settings of this controller."),
-) -> None:
-    """Look after the zone named in SETTINGS_FILE until SIGTERM."""
-    settings = read_settings_or_exit(settings_file, needs_caller_address=False)
+def main() -> None:
+    """Look after the zone in the settings file named on the command line until SIGTERM."""
+    settings = read_settings_or_exit("corkcrank-controller", needs_caller_address=False)
     configure_logs(settings.process.name)
     asyncio.run(_run(settings))
-
-
-def main() -> None:
-    """Run the program."""
-    typer.run(start)
--- a/src/corkcrank/controller/routes.py
+++ b/src/corkcrank/controller/routes.py
@@ -80,7 +80,7 @@
 
     async def _status(self, request: web.Request) -> web.Response:
         versions = self._holder.member_versions
-        live = {entry.member for entry in self._agent.view.directory.members}
+        live = {entry.member for entry in self._agent.view.tables.membership.members}
         members = tuple(
             MemberVersion(name, versions[name]) for name in sorted(versions) if name in live
         )
--- a/src/corkcrank/controller/zone_holder.py
+++ b/src/corkcrank/controller/zone_holder.py
@@ -7,7 +7,6 @@
 import asyncio
 import contextlib
 import time
-from dataclasses import dataclass
 
 import msgspec
 
@@ -18,6 +17,8 @@
 from corkcrank.links.logs import PartLog
 from corkcrank.links.peer_client import PeerClient
 from corkcrank.links.peer_codec import (
+    Enclosures,
+    KnownTables,
     PeerDecodeError,
     decode_digest,
     decode_heartbeat,
@@ -27,23 +28,13 @@
 from corkcrank.machines.leases import Lease, LeaseRow, WriteLease
 from corkcrank.machines.member import MemberAgent
 from corkcrank.machines.orders import orders_due
-from corkcrank.zones.digest import Directory
-from corkcrank.zones.poll_shares import poll_share
+from corkcrank.zones.poll_shares import PollShares
 from corkcrank.zones.zone_state import ZoneState
 
 TICK_SECONDS = 1.0
 """Time between digests and between renewals."""
 
 
-@dataclass(frozen=True, slots=True)
-class _NamedDirectory:
-    directory: Directory
-    hash: int
-
-
-_NO_DIRECTORY = _NamedDirectory(Directory(), 0)
-
-
 class ZoneHolder:
     """One controller's work for its zone; only the lease's holder publishes."""
 
@@ -65,7 +56,8 @@
         self._wake = asyncio.Event()
         self._own_reports: tuple[LoadReport, ...] = ()
         self._other_holders: dict[str, LeaseRow] = {}
-        self._remote_directories: dict[str, _NamedDirectory] = {}
+        self._remote_tables: dict[str, KnownTables] = {}
+        self._shares = PollShares(process.name)
         self._known_version = 0
 
     @property
@@ -137,8 +129,8 @@
             return None
         version = self._agent.view.adoption.announced_version
         digest = self.state.make_summary(self.lease.fence, version)
-        enclose = known_directory != self.state.directory_hash
-        return encode_digest(digest, self.state.directory, with_directory=enclose)
+        enclose = known_directory != self.state.tables.directory_hash
+        return encode_digest(digest, self.state.tables, Enclosures(directory=enclose))
 
     async def _refresh_leases(self) -> None:
         zones: list[str] = [self.zone]
@@ -187,20 +179,18 @@
         await asyncio.gather(*(self._pull_summary(zone, row.address) for zone, row in holders))
 
     async def _pull_summary(self, zone: str, address: Address) -> None:
-        known = self._remote_directories.get(zone, _NO_DIRECTORY)
-        data = await self._peers.pull_summary(address, known.hash)
+        known = self._remote_tables.get(zone, KnownTables())
+        data = await self._peers.pull_summary(address, known.directory_hash)
         if not data:
             return
         try:
-            digest = decode_digest(data, known.directory, known.hash)
+            digest = decode_digest(data, known)
         except PeerDecodeError:
             return
         if digest.zone != zone:
             return
         if digest.directory is not None:
-            self._remote_directories[zone] = _NamedDirectory(
-                digest.directory, digest.directory_hash
-            )
+            self._remote_tables[zone] = KnownTables(digest.directory, digest.directory_hash)
         self.state.hear_remote(msgspec.structs.replace(digest, directory=None))
         self._agent.view.adoption.announce(digest.configuration_version)
 
@@ -210,7 +200,7 @@
         version = self._agent.view.adoption.announced_version
         digest = self.state.make_digest(self.lease.fence, version)
         self.last_digest_at = now
-        self._agent.publish(digest, self.state.directory)
+        self._agent.publish(digest, self.state.tables)
 
     async def _send_orders(self) -> None:
         index = self._agent.view.adoption.index
@@ -238,16 +228,14 @@
         await self._back_ends.order(address, order)
 
     async def _poll_workers(self) -> None:
-        members = self._agent.view.directory.members
-        workers = self._zone_workers()
-        share = poll_share(self._agent.settings.process.name, members, workers)
+        share = self._shares.share(self._agent.view.tables.membership.members, self._zone_workers())
         outcomes = await asyncio.gather(*(self._back_ends.load(worker.address) for worker in share))
         self._own_reports = tuple(
             outcome for outcome in outcomes if isinstance(outcome, LoadReport)
         )
 
     def _zone_workers(self) -> tuple[WorkerEntry, ...]:
-        listed = self.state.machine_list.workers or self._agent.view.directory.workers
+        listed = self.state.machine_list.workers or self._agent.view.tables.directory.workers
         return tuple(row for row in listed if row.zone == self.zone)
 
 
--- a/src/corkcrank/gateway/program.py
+++ b/src/corkcrank/gateway/program.py
@@ -3,11 +3,9 @@
 import asyncio
 import random
 import time
-from pathlib import Path
 
 import aiohttp
 import msgspec
-import typer
 from aiohttp import web
 
 from corkcrank.contracts.identifiers import WorkerId
@@ -181,13 +179,8 @@
     await gateway.stop()
 
 
-def start(settings_file: Path = typer.Argument(..., help="TOML settings of this gateway.")) -> None:
-    """Serve callers with SETTINGS_FILE until SIGTERM."""
-    settings = read_settings_or_exit(settings_file, needs_caller_address=True)
+def main() -> None:
+    """Serve callers with the settings file named on the command line until SIGTERM."""
+    settings = read_settings_or_exit("corkcrank-gateway", needs_caller_address=True)
     configure_logs(settings.process.name)
     asyncio.run(_run(settings))
-
-
-def main() -> None:
-    """Run the program."""
-    typer.run(start)
--- a/src/corkcrank/links/peer.capnp
+++ b/src/corkcrank/links/peer.capnp
@@ -51,9 +51,12 @@
 }
 
 struct Directory {
-  workers @0 :List(WorkerEntry);
-  members @1 :List(MemberEntry);
-  listVersion @2 :UInt64;
+  workers     @0 :List(WorkerEntry);
+  listVersion @1 :UInt64;
+}
+
+struct Membership {
+  members @0 :List(MemberEntry);
 }
 
 struct ZoneDigest {
@@ -66,9 +69,12 @@
   modelNames           @6 :List(Text);
   loads                @7 :List(WorkerLoad);
   directory            @8 :Directory;
+  membershipHash       @9 :UInt64;
+  membership           @10 :Membership;
 }
 
 struct DigestReply {
   directoryHash        @0 :UInt64;
   configurationVersion @1 :UInt64;
+  membershipHash       @2 :UInt64;
 }
--- a/src/corkcrank/links/peer_codec.py
+++ b/src/corkcrank/links/peer_codec.py
@@ -1,5 +1,6 @@
 """Packed Cap'n Proto encoding of the messages between the system's own processes."""
 
+from dataclasses import dataclass, field
 from importlib.resources import files
 from typing import Any
 
@@ -8,7 +9,7 @@
 
 from corkcrank.contracts.identifiers import Address, MemberId, WorkerId
 from corkcrank.contracts.messages import LoadReport, WorkerEntry
-from corkcrank.zones.digest import Directory, MemberEntry, WorkerLoad, ZoneDigest
+from corkcrank.zones.digest import Directory, MemberEntry, Membership, WorkerLoad, ZoneDigest
 
 capnp.remove_import_hook()
 _SCHEMA: Any = capnp.load(str(files("corkcrank.links").joinpath("peer.capnp")))
@@ -46,9 +47,28 @@
     """What the receiver of a digest holds."""
 
     directory_hash: int
+    membership_hash: int
     configuration_version: int
 
 
+@dataclass(frozen=True, slots=True)
+class KnownTables:
+    """The directory and membership that one side holds, with their hashes."""
+
+    directory: Directory = field(default_factory=Directory)
+    directory_hash: int = 0
+    membership: Membership = field(default_factory=Membership)
+    membership_hash: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Enclosures:
+    """What a digest is sent with."""
+
+    directory: bool = False
+    membership: bool = False
+
+
 def _read(struct: Any, data: bytes) -> Any:
     try:
         return struct.from_bytes_packed(data, traversal_limit_in_words=TRAVERSAL_WORDS)
@@ -125,7 +145,9 @@
 def encode_digest_reply(reply: DigestReply) -> bytes:
     """Return the packed form of a digest's reply."""
     message = _SCHEMA.DigestReply.new_message(
-        directoryHash=reply.directory_hash, configurationVersion=reply.configuration_version
+        directoryHash=reply.directory_hash,
+        membershipHash=reply.membership_hash,
+        configurationVersion=reply.configuration_version,
     )
     return bytes(message.to_bytes_packed())
 
@@ -133,24 +155,27 @@
 def decode_digest_reply(data: bytes) -> DigestReply:
     """Return the reply in ``data``; raises :class:`PeerDecodeError`."""
     message = _read(_SCHEMA.DigestReply, data)
-    return DigestReply(message.directoryHash, message.configurationVersion)
+    return DigestReply(message.directoryHash, message.membershipHash, message.configurationVersion)
 
 
-def encode_digest(digest: ZoneDigest, directory: Directory, with_directory: bool) -> bytes:
-    """Return the packed form of a digest whose loads refer to ``directory``."""
+def encode_digest(digest: ZoneDigest, tables: KnownTables, enclosures: Enclosures) -> bytes:
+    """Return the packed form of a digest whose loads refer to the directory held."""
     message = _SCHEMA.ZoneDigest.new_message(
         zone=digest.zone,
         fence=digest.fence,
         sequence=digest.sequence,
         configurationVersion=digest.configuration_version,
         directoryHash=digest.directory_hash,
+        membershipHash=digest.membership_hash,
         gateways=_clip(digest.gateways),
     )
     names = sorted({model for load in digest.loads for model in load.models})[:16]
     message.modelNames = names
-    _fill_loads(message, digest, directory, names)
-    if with_directory:
-        _fill_directory(message.init("directory"), directory)
+    _fill_loads(message, digest, tables.directory, names)
+    if enclosures.directory:
+        _fill_directory(message.init("directory"), tables.directory)
+    if enclosures.membership:
+        _fill_membership(message.init("membership"), tables.membership)
     return bytes(message.to_bytes_packed())
 
 
@@ -178,15 +203,18 @@
         row.address = worker.address
         row.boot = worker.boot
         row.leaving = worker.leaving
-    members = target.init("members", len(directory.members))
-    for row, member in zip(members, directory.members, strict=True):
+
+
+def _fill_membership(target: Any, membership: Membership) -> None:
+    members = target.init("members", len(membership.members))
+    for row, member in zip(members, membership.members, strict=True):
         row.member = member.member
         row.role = member.role
         row.address = member.address
 
 
-def decode_digest(data: bytes, known: Directory, known_hash: int) -> ZoneDigest:
-    """Return the digest in ``data``, read against the directory known so far.
+def decode_digest(data: bytes, tables: KnownTables) -> ZoneDigest:
+    """Return the digest in ``data``, read against the tables held so far.
 
     Loads are left out when the digest refers to a directory that is neither enclosed nor
     known; the reply's hash then asks the sender for it. Raises :class:`PeerDecodeError`.
@@ -194,8 +222,8 @@
     message = _read(_SCHEMA.ZoneDigest, data)
     enclosed = _decode_directory(message.directory) if message._has("directory") else None
     directory = enclosed
-    if directory is None and message.directoryHash == known_hash:
-        directory = known
+    if directory is None and message.directoryHash == tables.directory_hash:
+        directory = tables.directory
     loads = _decode_loads(message, directory) if directory is not None else ()
     return ZoneDigest(
         zone=message.zone,
@@ -203,9 +231,11 @@
         sequence=message.sequence,
         configuration_version=message.configurationVersion,
         directory_hash=message.directoryHash,
+        membership_hash=message.membershipHash,
         gateways=message.gateways,
         loads=loads,
         directory=enclosed,
+        membership=_decode_membership(message),
     )
 
 
@@ -244,9 +274,16 @@
             )
             for row in message.workers
         ),
-        members=tuple(
-            MemberEntry(MemberId(row.member), row.role, Address(row.address))
-            for row in message.members
-        ),
         list_version=message.listVersion,
     )
+
+
+def _decode_membership(message: Any) -> Membership | None:
+    if not message._has("membership"):
+        return None
+    return Membership(
+        tuple(
+            MemberEntry(MemberId(row.member), row.role, Address(row.address))
+            for row in message.membership.members
+        )
+    )
--- a/src/corkcrank/machines/daemon.py
+++ b/src/corkcrank/machines/daemon.py
@@ -1,5 +1,6 @@
 """What every daemon's program shares: serving addresses, signals, and the planned stop."""
 
+import argparse
 import asyncio
 import signal
 import sys
@@ -44,8 +45,15 @@
     members: tuple[str, ...]
 
 
-def read_settings_or_exit(path: Path, *, needs_caller_address: bool) -> Settings:
-    """Return the settings, or print why they are wrong and exit."""
+def read_settings_or_exit(program: str, *, needs_caller_address: bool) -> Settings:
+    """Return the settings named on the command line, or print why they are wrong and exit.
+
+    The standard library's parser serves here: the operators' one would add its own size
+    to every daemon.
+    """
+    parser = argparse.ArgumentParser(prog=program)
+    parser.add_argument("settings_file", type=Path, help="TOML settings of this process")
+    path = parser.parse_args().settings_file
     result = load_settings(path, needs_caller_address=needs_caller_address)
     if result.is_error():
         print(format_failure(result.error), file=sys.stderr)
--- a/src/corkcrank/machines/member.py
+++ b/src/corkcrank/machines/member.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import dataclasses
 import random
 import time
 from collections.abc import Callable, Coroutine
@@ -21,20 +22,16 @@
 from corkcrank.links.peer_client import PeerClient
 from corkcrank.links.peer_codec import (
     DigestReply,
+    Enclosures,
     Heartbeat,
+    KnownTables,
     PeerDecodeError,
     decode_digest,
     encode_digest,
 )
 from corkcrank.links.table import Row, Table, Unanswered
 from corkcrank.machines.leases import LeaseRow
-from corkcrank.zones.digest import (
-    Directory,
-    MemberEntry,
-    ZoneDigest,
-    hash_directory,
-    relay_targets,
-)
+from corkcrank.zones.digest import MemberEntry, ZoneDigest, relay_targets
 
 HEARTBEAT_SECONDS = 1.0
 """Time between heartbeats and between reads of the configuration's head."""
@@ -49,8 +46,7 @@
     def __init__(self, zone: str) -> None:
         self.zone = zone
         self.adoption = ConfigurationAdoption()
-        self.directory = Directory()
-        self.directory_hash = hash_directory(self.directory)
+        self.tables = KnownTables()
         self.digest: ZoneDigest | None = None
         self.digest_at: float | None = None
         self.lease: LeaseRow | None = None
@@ -65,22 +61,37 @@
         self.adoption.announce(digest.configuration_version)
         if self.digest is not None and digest.order_key < self.digest.order_key:
             return False
-        if digest.directory is not None:
-            self.directory = digest.directory
-            self.directory_hash = digest.directory_hash
-        if digest.directory_hash != self.directory_hash:
+        self._take_tables(digest)
+        if digest.directory_hash != self.tables.directory_hash:
             return False
         self.digest = digest
         self.digest_at = now
         return True
 
+    def _take_tables(self, digest: ZoneDigest) -> None:
+        if digest.directory is not None:
+            self.tables = dataclasses.replace(
+                self.tables, directory=digest.directory, directory_hash=digest.directory_hash
+            )
+        if digest.membership is not None:
+            self.tables = dataclasses.replace(
+                self.tables, membership=digest.membership, membership_hash=digest.membership_hash
+            )
+
+    def missing_from(self, reply: DigestReply, digest: ZoneDigest) -> Enclosures:
+        """Return what the receiver of a digest lacks."""
+        return Enclosures(
+            directory=reply.directory_hash != digest.directory_hash,
+            membership=reply.membership_hash != digest.membership_hash,
+        )
+
     def digest_is_stale(self, now: float) -> bool:
         """Return whether the last digest is too old to wait for the next."""
         return self.digest_at is None or now - self.digest_at > DIGEST_STALE_SECONDS
 
     def position(self, member: str) -> int | None:
         """Return the member's place in the relay tree."""
-        for number, entry in enumerate(self.directory.members):
+        for number, entry in enumerate(self.tables.membership.members):
             if entry.member == member:
                 return number
         return None
@@ -174,17 +185,23 @@
         A digest whose directory is not known here changes nothing; the reply names the
         directory held, so the sender sends the digest again with the directory enclosed.
         """
-        digest = decode_digest(data, self.view.directory, self.view.directory_hash)
+        digest = decode_digest(data, self.view.tables)
         if digest.zone == self.view.zone and self.view.hear_digest(digest, time.monotonic()):
             self.on_digest(digest)
             self._relay_once(digest)
         if self.view.adoption.wanted_version is not None:
             self._spawn(self.fetch_wanted(None))
-        return DigestReply(self.view.directory_hash, self.view.adoption.announced_version)
+        return DigestReply(
+            self.view.tables.directory_hash,
+            self.view.tables.membership_hash,
+            self.view.adoption.announced_version,
+        )
 
-    def publish(self, digest: ZoneDigest, directory: Directory) -> None:
+    def publish(self, digest: ZoneDigest, tables: KnownTables) -> None:
         """Take this daemon's own digest as the holder, and send it down the relay tree."""
-        enclosed = msgspec.structs.replace(digest, directory=directory)
+        enclosed = msgspec.structs.replace(
+            digest, directory=tables.directory, membership=tables.membership
+        )
         if self.view.hear_digest(enclosed, time.monotonic()):
             self.on_digest(enclosed)
             self._relayed = digest.order_key
@@ -192,6 +209,8 @@
 
     def _relay_once(self, digest: ZoneDigest) -> None:
         position = self.view.position(self.settings.process.name)
+        if digest.membership_hash != self.view.tables.membership_hash:
+            return
         if position is None or digest.order_key <= self._relayed:
             return
         self._relayed = digest.order_key
@@ -199,11 +218,11 @@
 
     async def relay(self, digest: ZoneDigest, position: int) -> None:
         """Pass a digest on to the members below ``position`` in the relay tree."""
-        members = self.view.directory.members
+        members = self.view.tables.membership.members
         targets = relay_targets(members, position)
         if not targets:
             return
-        small = encode_digest(digest, self.view.directory, with_directory=False)
+        small = encode_digest(digest, self.view.tables, Enclosures())
         await asyncio.gather(*(self._push(digest, small, members, target) for target in targets))
 
     async def _push(
@@ -222,8 +241,10 @@
         if reply is None:
             # The members below a dead one are served from here until it is dropped.
             await self.relay(digest, target)
-        elif reply.directory_hash != digest.directory_hash:
-            large = encode_digest(digest, self.view.directory, with_directory=True)
+            return
+        missing = self.view.missing_from(reply, digest)
+        if missing.directory or missing.membership:
+            large = encode_digest(digest, self.view.tables, missing)
             await self.peers.push_digest(entry.address, large)
 
     async def _pull_digest(self) -> None:
@@ -232,10 +253,10 @@
             if not data:
                 continue
             try:
-                digest = decode_digest(data, self.view.directory, self.view.directory_hash)
+                digest = decode_digest(data, self.view.tables)
             except PeerDecodeError:
                 continue
-            if digest.zone == self.view.zone or not self.view.directory.workers:
+            if digest.zone == self.view.zone or not self.view.tables.directory.workers:
                 self._take_pulled(digest)
                 return
 
@@ -255,7 +276,7 @@
         return targets + others[:2]
 
     def _peer_addresses(self, first: Address | None) -> list[Address]:
-        known = [entry.address for entry in self.view.directory.members]
+        known = [entry.address for entry in self.view.tables.membership.members]
         ordered = [*([first] if first else []), *self.settings.peers.seeds, *known[:8]]
         own = self.settings.process.peer_address
         return list(dict.fromkeys(address for address in ordered if address != own))
--- a/src/corkcrank/machines/member_dump.py
+++ b/src/corkcrank/machines/member_dump.py
@@ -20,5 +20,5 @@
         may_admit=view.adoption.may_admit(now),
         digest_age_seconds=None if view.digest_at is None else now - view.digest_at,
         gateways=view.gateways,
-        members=tuple(entry.member for entry in view.directory.members),
+        members=tuple(entry.member for entry in view.tables.membership.members),
     )
--- a/src/corkcrank/machines/peer_routes.py
+++ b/src/corkcrank/machines/peer_routes.py
@@ -8,6 +8,7 @@
 
 from corkcrank.contracts.configuration import encode_configuration
 from corkcrank.links.peer_codec import (
+    Enclosures,
     HeartbeatReply,
     PeerDecodeError,
     decode_heartbeat,
@@ -64,9 +65,9 @@
 
     async def _give_digest(self, request: web.Request) -> web.Response:
         view = self._agent.view
-        if view.digest is None or view.digest.directory_hash != view.directory_hash:
+        if view.digest is None or view.digest.directory_hash != view.tables.directory_hash:
             return web.Response(status=404)
-        body = encode_digest(view.digest, view.directory, with_directory=True)
+        body = encode_digest(view.digest, view.tables, Enclosures(True, True))
         return web.Response(body=body, content_type=BINARY)
 
     async def _configuration(self, request: web.Request) -> web.Response:
--- a/src/corkcrank/zones/digest.py
+++ b/src/corkcrank/zones/digest.py
@@ -1,7 +1,8 @@
 """A zone's digest: the loads and members that one controller tells a whole zone.
 
-The directory (who exists, and where) changes some hundred times a day and is sent only
-to members that lack it; loads change every second and refer to it by index.
+The directory (which back ends exist, and where) and the membership (which daemons live)
+change some hundred times a day and are each sent only to members that lack them; loads
+change every second and refer to the directory by index.
 """
 
 from collections.abc import Sequence
@@ -25,13 +26,18 @@
 
 
 class Directory(msgspec.Struct, frozen=True):
-    """The workers of every zone and the daemons of one, in a fixed order."""
+    """The workers of every zone, in a fixed order."""
 
     workers: tuple[WorkerEntry, ...] = ()
-    members: tuple[MemberEntry, ...] = ()
     list_version: int = 0
 
 
+class Membership(msgspec.Struct, frozen=True):
+    """The live daemons of one zone, in the order of the relay tree."""
+
+    members: tuple[MemberEntry, ...] = ()
+
+
 class WorkerLoad(msgspec.Struct, frozen=True):
     """One worker's load as told to gateways."""
 
@@ -44,7 +50,10 @@
 
 
 class ZoneDigest(msgspec.Struct, frozen=True):
-    """One second's news for one zone; ``directory`` is absent when the receiver has it."""
+    """One second's news for one zone.
+
+    ``directory`` and ``membership`` are absent when the receiver has them.
+    """
 
     zone: str
     fence: int
@@ -52,8 +61,10 @@
     configuration_version: int
     directory_hash: int
     gateways: int
+    membership_hash: int
     loads: tuple[WorkerLoad, ...]
     directory: Directory | None = None
+    membership: Membership | None = None
 
     @property
     def order_key(self) -> tuple[int, int]:
@@ -61,9 +72,9 @@
         return (self.fence, self.sequence)
 
 
-def hash_directory(directory: Directory) -> int:
-    """Return a 64-bit content hash that names the directory."""
-    return xxhash.xxh3_64_intdigest(msgspec.msgpack.encode(directory))
+def content_hash(content: Directory | Membership) -> int:
+    """Return a 64-bit content hash that names a directory or a membership."""
+    return xxhash.xxh3_64_intdigest(msgspec.msgpack.encode(content))
 
 
 def relay_targets(
--- a/src/corkcrank/zones/poll_shares.py
+++ b/src/corkcrank/zones/poll_shares.py
@@ -13,6 +13,25 @@
 from corkcrank.zones.digest import MemberEntry
 
 
+class PollShares:
+    """One controller's share, worked out again only when members or workers change."""
+
+    def __init__(self, member: MemberId) -> None:
+        self._member = member
+        self._members: tuple[MemberEntry, ...] = ()
+        self._workers: tuple[WorkerEntry, ...] = ()
+        self._share: tuple[WorkerEntry, ...] = ()
+
+    def share(
+        self, members: tuple[MemberEntry, ...], workers: tuple[WorkerEntry, ...]
+    ) -> tuple[WorkerEntry, ...]:
+        """Return the workers that this controller polls."""
+        if members != self._members or workers != self._workers:
+            self._members, self._workers = members, workers
+            self._share = poll_share(self._member, members, workers)
+        return self._share
+
+
 def poll_share(
     member: MemberId, members: Sequence[MemberEntry], workers: Sequence[WorkerEntry]
 ) -> tuple[WorkerEntry, ...]:
