Let the holder pace heartbeats, so that its cost stays within the bound

Cause: a zone's holder spent 5.7 % of a core at 176 daemons and 7.1 % at 350, over the bound of 4.7 %. A profile of a real holder at 176 gave 100 of 237 samples to heartbeats, most of it the HTTP server around each, and 34 to encoding digests.

Ruled out: heartbeats gathered up the relay tree (loads would age by a second for each of three levels, for members near the leaves); a smaller codec share (the bodies are 70 to 300 bytes).

Change: the reply to a heartbeat names the interval, so that a zone sends its holder at most 30 a second; silence is counted in intervals. Pulls of digests go to peers in random order. The scale run lets things settle before its window and gives its hollow daemons different seeds (the real ones served 347 seeds' connections and grew to 76 MB).

--- a/src/corkcrank/controller/zone_holder.py
+++ b/src/corkcrank/controller/zone_holder.py
@@ -18,6 +18,7 @@
 from corkcrank.links.peer_client import PeerClient
 from corkcrank.links.peer_codec import (
     Enclosures,
+    HeartbeatReply,
     KnownTables,
     PeerDecodeError,
     decode_digest,
@@ -70,15 +71,19 @@
         """Return the loads polled here, to be sent with the next heartbeat."""
         return self._own_reports
 
-    def hear_heartbeat(self, data: bytes) -> bool:
-        """Take a member's heartbeat; return whether this controller publishes."""
+    def hear_heartbeat(self, data: bytes) -> HeartbeatReply:
+        """Take a member's heartbeat and answer it."""
         heartbeat = decode_heartbeat(data)
         if heartbeat.zone == self.zone:
             self.state.hear_heartbeat(heartbeat, time.monotonic())
             self.member_versions[heartbeat.member] = heartbeat.configuration_version
             self._agent.view.adoption.announce(heartbeat.configuration_version)
             self.wake_if_newer()
-        return self.publishes
+        return HeartbeatReply(
+            configuration_version=self._agent.view.adoption.announced_version,
+            holder=self.publishes,
+            interval_seconds=self.state.heartbeat_interval if self.publishes else 1.0,
+        )
 
     def wake_if_newer(self) -> None:
         """Publish at once when a newer configuration version has become known."""
--- a/src/corkcrank/gateway/program.py
+++ b/src/corkcrank/gateway/program.py
@@ -30,7 +30,7 @@
 from corkcrank.machines.load_view import LoadView
 from corkcrank.machines.member import MemberAgent
 from corkcrank.machines.member_dump import dump_member
-from corkcrank.machines.peer_routes import PeerRoutes, member_heartbeat
+from corkcrank.machines.peer_routes import PeerRoutes
 from corkcrank.zones.digest import ZoneDigest
 
 ROLE = "gateway"
@@ -116,7 +116,7 @@
     async def start(self) -> None:
         """Serve peers and callers; without a caller address, peers only."""
         peer_application = web.Application(client_max_size=MAXIMUM_PEER_BYTES)
-        PeerRoutes(self.agent, self.dump, member_heartbeat).add_to(peer_application)
+        PeerRoutes(self.agent, self.dump, self.agent.answer_heartbeat).add_to(peer_application)
         process = self._settings.process
         self._peer_runner = await serve_application(peer_application, process.peer_address)
         if process.caller_address:
--- a/src/corkcrank/links/peer.capnp
+++ b/src/corkcrank/links/peer.capnp
@@ -24,6 +24,7 @@
 struct HeartbeatReply {
   configurationVersion @0 :UInt64;
   holder               @1 :Bool;
+  intervalMs           @2 :UInt32;
 }
 
 struct WorkerLoad {
--- a/src/corkcrank/links/peer_codec.py
+++ b/src/corkcrank/links/peer_codec.py
@@ -37,10 +37,14 @@
 
 
 class HeartbeatReply(msgspec.Struct, frozen=True):
-    """The receiver's committed configuration version, and whether it holds the zone."""
+    """The receiver's committed configuration version, and whether it holds the zone.
+
+    ``interval_seconds`` is the pace that the holder asks of this member.
+    """
 
     configuration_version: int
     holder: bool
+    interval_seconds: float = 1.0
 
 
 class DigestReply(msgspec.Struct, frozen=True):
@@ -131,7 +135,9 @@
 def encode_heartbeat_reply(reply: HeartbeatReply) -> bytes:
     """Return the packed form of a heartbeat's reply."""
     message = _SCHEMA.HeartbeatReply.new_message(
-        configurationVersion=reply.configuration_version, holder=reply.holder
+        configurationVersion=reply.configuration_version,
+        holder=reply.holder,
+        intervalMs=round(reply.interval_seconds * 1000),
     )
     return bytes(message.to_bytes_packed())
 
@@ -139,7 +145,7 @@
 def decode_heartbeat_reply(data: bytes) -> HeartbeatReply:
     """Return the reply in ``data``; raises :class:`PeerDecodeError`."""
     message = _read(_SCHEMA.HeartbeatReply, data)
-    return HeartbeatReply(message.configurationVersion, message.holder)
+    return HeartbeatReply(message.configurationVersion, message.holder, message.intervalMs / 1000)
 
 
 def encode_digest_reply(reply: DigestReply) -> bytes:
--- a/src/corkcrank/load/scale_run.py
+++ b/src/corkcrank/load/scale_run.py
@@ -48,9 +48,11 @@
 
 ZONES = ("north-a", "north-b", "south-a", "south-b")
 HOLLOW_PROCESSES = 8
+SEEDS = 4
 WORKER_PROCESSES = 4
 ENGINE_SHARE = 0.5
 WARM_SECONDS = 60.0
+SETTLE_SECONDS = 8.0
 WINDOW_SECONDS = 10.0
 CHANGES = 5
 WAIT_SECONDS = 30.0
@@ -225,14 +227,13 @@
         await self._until(self._first_holds)
         for daemon in self._real[1:]:
             self._start_real(daemon)
-        seeds = [daemon["peer_address"] for daemon in self._real]
         hollow = self._daemons[REAL_COUNT:]
         for number, status in enumerate(self._status):
             settings: dict[str, Any] = {
                 "status_address": status,
                 "table": self._table,
                 "machine_list": self._machine_list,
-                "seeds": seeds,
+                "seeds": [row["peer_address"] for row in hollow[number::HOLLOW_PROCESSES][:SEEDS]],
                 "daemons": [
                     daemon
                     for place, daemon in enumerate(hollow)
@@ -290,6 +291,7 @@
         self._group.start(daemon["name"], _program_line(daemon["role"]), settings)
 
     async def _measure(self, seconds_to_ready: float) -> ScaleResult:
+        await asyncio.sleep(SETTLE_SECONDS)
         counters = await self._get(self._table, "/counters", TableCounters)
         hollow = await self._hollow()
         real = [await self._usage_of(daemon) for daemon in self._real]
--- a/src/corkcrank/machines/member.py
+++ b/src/corkcrank/machines/member.py
@@ -24,17 +24,23 @@
     DigestReply,
     Enclosures,
     Heartbeat,
+    HeartbeatReply,
     KnownTables,
     PeerDecodeError,
     decode_digest,
+    decode_heartbeat,
     encode_digest,
 )
 from corkcrank.links.table import Row, Table, Unanswered
 from corkcrank.machines.leases import LeaseRow
 from corkcrank.zones.digest import MemberEntry, ZoneDigest, relay_targets
+from corkcrank.zones.zone_state import SHORTEST_INTERVAL_SECONDS
 
-HEARTBEAT_SECONDS = 1.0
-"""Time between heartbeats and between reads of the configuration's head."""
+REFRESH_SECONDS = 1.0
+"""Time between reads of the configuration's head."""
+
+SHORTEST_PAUSE_SECONDS = 0.05
+"""Least pause between two rounds, however long the first one took."""
 
 DIGEST_STALE_SECONDS = 3.0
 """Age of the last digest after which a member asks a peer for one."""
@@ -113,13 +119,28 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._fetching = False
         self._relayed = (-1, -1)
+        self._interval = SHORTEST_INTERVAL_SECONDS
 
     async def run(self) -> None:
         """Refresh and send heartbeats until cancelled."""
+        await asyncio.gather(self._run_refresh(), self._run_heartbeats())
+
+    async def _run_refresh(self) -> None:
+        while True:
+            started = time.monotonic()
+            await self.refresh()
+            await asyncio.sleep(_rest(started, REFRESH_SECONDS))
+
+    async def _run_heartbeats(self) -> None:
         while True:
             started = time.monotonic()
-            await asyncio.gather(self.refresh(), self.send_heartbeat())
-            await asyncio.sleep(max(0.05, HEARTBEAT_SECONDS - (time.monotonic() - started)))
+            await self.send_heartbeat()
+            await asyncio.sleep(_rest(started, self._interval))
+
+    def answer_heartbeat(self, data: bytes) -> HeartbeatReply:
+        """Answer a heartbeat at a daemon that holds no zone: only its form is checked."""
+        decode_heartbeat(data)
+        return HeartbeatReply(self.view.adoption.announced_version, holder=False)
 
     async def refresh(self) -> None:
         """Read the configuration's head and the zone's lease."""
@@ -173,6 +194,7 @@
             asked_at = time.monotonic()
             reply = await self.peers.heartbeat(address, heartbeat)
             if reply is not None:
+                self._interval = reply.interval_seconds
                 self.view.adoption.confirm(reply.configuration_version, asked_at)
                 await self.fetch_wanted(address)
                 break
@@ -248,7 +270,9 @@
             await self.peers.push_digest(entry.address, large)
 
     async def _pull_digest(self) -> None:
-        for address in self._peer_addresses(None):
+        addresses = self._peer_addresses(None)
+        self._random.shuffle(addresses)
+        for address in addresses:
             data = await self.peers.pull_digest(address)
             if not data:
                 continue
@@ -287,6 +311,10 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _rest(started: float, interval: float) -> float:
+    return max(SHORTEST_PAUSE_SECONDS, interval - (time.monotonic() - started))
+
+
 def head_version(head: Row) -> int:
     """Return the version named by the configuration's head row; zero when absent."""
     return int(head.value) if head.value is not None else 0
--- a/src/corkcrank/machines/peer_routes.py
+++ b/src/corkcrank/machines/peer_routes.py
@@ -11,7 +11,6 @@
     Enclosures,
     HeartbeatReply,
     PeerDecodeError,
-    decode_heartbeat,
     encode_digest,
     encode_digest_reply,
     encode_heartbeat_reply,
@@ -28,7 +27,7 @@
         self,
         agent: MemberAgent,
         dump: Callable[[], msgspec.Struct],
-        hear_heartbeat: Callable[[bytes], bool],
+        hear_heartbeat: Callable[[bytes], HeartbeatReply],
     ) -> None:
         self._agent = agent
         self._dump = dump
@@ -49,11 +48,9 @@
 
     async def _heartbeat(self, request: web.Request) -> web.Response:
         try:
-            holder = self._hear_heartbeat(await request.read())
+            reply = self._hear_heartbeat(await request.read())
         except PeerDecodeError as error:
             return web.Response(status=400, text=str(error))
-        version = self._agent.view.adoption.announced_version
-        reply = HeartbeatReply(version, holder)
         return web.Response(body=encode_heartbeat_reply(reply), content_type=BINARY)
 
     async def _take_digest(self, request: web.Request) -> web.Response:
@@ -85,9 +82,3 @@
 
     async def _metrics(self, request: web.Request) -> web.Response:
         return web.Response(body=generate_latest(), headers={"Content-Type": CONTENT_TYPE_LATEST})
-
-
-def member_heartbeat(data: bytes) -> bool:
-    """Take a heartbeat at a daemon that holds no zone: only its form is checked."""
-    decode_heartbeat(data)
-    return False
--- a/src/corkcrank/zones/zone_state.py
+++ b/src/corkcrank/zones/zone_state.py
@@ -19,11 +19,17 @@
     content_hash,
 )
 
-MEMBER_SECONDS = 3.5
-"""Silence after which a member is no longer counted."""
+SHORTEST_INTERVAL_SECONDS = 1.0
+"""Time between a member's heartbeats in a small zone."""
 
-REPORT_SECONDS = 5.0
-"""Age after which a load report is no longer told."""
+HEARTBEATS_PER_SECOND = 30.0
+"""Most heartbeats a second that a holder asks for; larger zones send them less often."""
+
+MEMBER_INTERVALS = 3.5
+"""Heartbeats missed after which a member is no longer counted."""
+
+REPORT_INTERVALS = 5.0
+"""Heartbeats missed after which the loads in the last one are no longer told."""
 
 REMOTE_WORKERS_PER_SERVICE = 8
 """Least loaded workers of another zone that are told for each service."""
@@ -53,6 +59,11 @@
         self._remote: dict[str, ZoneDigest] = {}
         self._sequence = 0
 
+    @property
+    def heartbeat_interval(self) -> float:
+        """Return the seconds between heartbeats that suit the zone's size."""
+        return max(SHORTEST_INTERVAL_SECONDS, len(self._members) / HEARTBEATS_PER_SECOND)
+
     def hear_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
         """Take a member's heartbeat and the reports in it."""
         entry = MemberEntry(heartbeat.member, heartbeat.role, heartbeat.address)
@@ -73,15 +84,16 @@
 
     def forget_silent(self, now: float) -> None:
         """Drop members and reports that have grown old, and remake the tables."""
+        interval = self.heartbeat_interval
         self._members = {
             name: member
             for name, member in self._members.items()
-            if now - member.heard_at <= MEMBER_SECONDS
+            if now - member.heard_at <= MEMBER_INTERVALS * interval
         }
         self._reports = {
             worker: report
             for worker, report in self._reports.items()
-            if now - report.heard_at <= REPORT_SECONDS
+            if now - report.heard_at <= REPORT_INTERVALS * interval
         }
         self._remake_tables()
 
