--- /dev/null
+++ b/src/corkcrank/cli/controller_client.py
@@ -0,0 +1,65 @@
+"""The command line's calls to controllers."""
+
+import asyncio
+from dataclasses import dataclass
+from typing import TypeVar
+
+import aiohttp
+import msgspec
+from expression import Error, Ok, Result
+
+from corkcrank.contracts.plans import ConfirmAnswer, Intent, PlanView
+from corkcrank.contracts.result_codes import ResultCode
+from corkcrank.controller.routes import FailureView, StatusView
+
+TIMEOUT_SECONDS = 10.0
+"""Longest wait for a controller; a confirm may take some seconds to settle."""
+
+_BodyT = TypeVar("_BodyT")
+
+
+@dataclass(frozen=True, slots=True)
+class ControllerClient:
+    """Talks to one controller at ``ip:port``."""
+
+    address: str
+
+    def draw(self, intent: Intent) -> Result[PlanView, FailureView]:
+        """Ask for a plan."""
+        return self._run("POST", "/operator/plans", msgspec.json.encode(intent), PlanView)
+
+    def confirm(self, plan_id: str) -> Result[ConfirmAnswer, FailureView]:
+        """Confirm a plan."""
+        path = f"/operator/plans/{plan_id}/confirm"
+        return self._run("POST", path, b"", ConfirmAnswer)
+
+    def status(self) -> Result[StatusView, FailureView]:
+        """Ask which versions are in force."""
+        return self._run("GET", "/operator/status", b"", StatusView)
+
+    def dump(self) -> Result[dict[str, object], FailureView]:
+        """Ask for the state of any process."""
+        return self._run("GET", "/dump", b"", dict[str, object])
+
+    def _run(
+        self, method: str, path: str, body: bytes, answer_type: type[_BodyT]
+    ) -> Result[_BodyT, FailureView]:
+        try:
+            status, content = asyncio.run(self._request(method, path, body))
+            if status == 200:
+                return Ok(msgspec.json.decode(content, type=answer_type))
+            return Error(msgspec.json.decode(content, type=FailureView))
+        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.DecodeError) as error:
+            code = ResultCode.TABLE_UNAVAILABLE
+            if "confirm" in path and not isinstance(error, aiohttp.ClientConnectorError):
+                code = ResultCode.CONFIRM_UNKNOWN
+            detail = f"no answer from {self.address}: {type(error).__name__}"
+            return Error(FailureView(code.number, code.name, detail))
+
+    async def _request(self, method: str, path: str, body: bytes) -> tuple[int, bytes]:
+        timeout = aiohttp.ClientTimeout(total=TIMEOUT_SECONDS)
+        async with (
+            aiohttp.ClientSession(timeout=timeout) as session,
+            session.request(method, f"http://{self.address}{path}", data=body or None) as response,
+        ):
+            return response.status, await response.read()
--- a/src/corkcrank/contracts/result_codes.py
+++ b/src/corkcrank/contracts/result_codes.py
@@ -50,7 +50,10 @@
     TENANT_QUOTA_EXCEEDED = CodeEntry(3002, 429, Ran.NO, "The tenant's quota is used up.")
     NO_BACKEND = CodeEntry(3003, 503, Ran.NO, "No live back end serves the stage.")
     CLAIM_STORE_UNAVAILABLE = CodeEntry(
-        3004, 503, Ran.NO, "The claim could not be settled in the table, so nothing was sent."
+        3004,
+        503,
+        Ran.UNKNOWN,
+        "The claim could not be read; nothing was sent now, but an earlier call may have run.",
     )
     CONFIGURATION_NOT_CONFIRMED = CodeEntry(
         3005, 503, Ran.NO, "This gateway cannot confirm that its configuration is in force."
--- a/src/corkcrank/contracts/settings.py
+++ b/src/corkcrank/contracts/settings.py
@@ -2,6 +2,7 @@
 
 import re
 import tomllib
+from enum import StrEnum
 from pathlib import Path
 
 import msgspec
@@ -46,6 +47,26 @@
     drain_limit_seconds: float = 60.0
 
 
+class Routing(StrEnum):
+    """How a back end is chosen."""
+
+    PREFIX_AFFINITY = "prefix-affinity"
+    TWO_CHOICES = "two-choices"
+    LEAST_LOADED = "least-loaded"
+    ROUND_ROBIN = "round-robin"
+
+
+class PolicySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Policies of a gateway; the defaults are the measured winners.
+
+    ``retry_share`` is the retries earned by each first attempt.
+    """
+
+    routing: Routing = Routing.PREFIX_AFFINITY
+    admission: bool = True
+    retry_share: float = 0.1
+
+
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The whole settings file of a gateway or a controller."""
 
@@ -53,6 +74,7 @@
     platform: PlatformSettings
     peers: PeerSettings = PeerSettings()
     limits: LimitSettings = LimitSettings()
+    policies: PolicySettings = PolicySettings()
 
 
 def load_settings(path: Path, *, needs_caller_address: bool) -> Result[Settings, Failure]:
--- a/src/corkcrank/controller/program.py
+++ b/src/corkcrank/controller/program.py
@@ -16,6 +16,7 @@
 from corkcrank.links.http_table import HttpTable
 from corkcrank.links.logs import PartLog, configure_logs
 from corkcrank.links.peer_client import PeerClient
+from corkcrank.links.traffic import UNUSED_HEADERS, ControlTraffic
 from corkcrank.machines.daemon import (
     MemberDump,
     cancel_all,
@@ -39,8 +40,8 @@
     lease_seconds_left: float
     workers_polled: tuple[str, ...]
     orders_sent: int
-    peer_messages: int
-    peer_bytes_sent: int
+    control_exchanges: int
+    control_bytes: int
 
 
 class Controller:
@@ -48,11 +49,12 @@
 
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
-        self._session = aiohttp.ClientSession()
-        self._peers = PeerClient()
-        self._back_ends = BackEndClient()
+        self._session = aiohttp.ClientSession(skip_auto_headers=UNUSED_HEADERS)
+        self.traffic = ControlTraffic()
+        self._peers = PeerClient(self.traffic)
+        self._back_ends = BackEndClient(self.traffic)
         self.life = ProcessLife()
-        table = HttpTable(self._session, settings.platform.table)
+        table = HttpTable(self._session, settings.platform.table, self.traffic)
         self.agent = MemberAgent(settings, ROLE, table, self._peers)
         self.holder = ZoneHolder(self.agent, table, self._peers, self._back_ends)
         self.agent.reports = self.holder.reports
@@ -71,14 +73,16 @@
             lease_seconds_left=max(0.0, lease.held_until - time.monotonic()),
             workers_polled=tuple(report.worker for report in self.holder.reports()),
             orders_sent=self.holder.orders_sent,
-            peer_messages=self._peers.messages,
-            peer_bytes_sent=self._peers.bytes_sent,
+            control_exchanges=self.traffic.exchanges,
+            control_bytes=self.traffic.total_bytes,
         )
 
     async def start(self) -> None:
         """Serve peers and operators, and begin to look after the zone."""
         application = web.Application(client_max_size=MAXIMUM_INTENT_BYTES)
-        PeerRoutes(self.agent, self.dump, self.holder.hear_heartbeat).add_to(application)
+        PeerRoutes(self.agent, self.dump, self.holder.hear_heartbeat, self.traffic).add_to(
+            application
+        )
         OperatorRoutes(self.desk, self.holder, self.agent).add_to(application)
         self._runner = await serve_application(application, self._settings.process.peer_address)
         self.life.fire(ProcessTrigger.SERVE)
--- a/src/corkcrank/controller/routes.py
+++ b/src/corkcrank/controller/routes.py
@@ -33,6 +33,13 @@
     version: int
 
 
+class HolderView(msgspec.Struct, frozen=True):
+    """The controller that holds a zone, as far as is known."""
+
+    zone: str
+    address: str
+
+
 class StatusView(msgspec.Struct, frozen=True):
     """A controller's answer to ``status``."""
 
@@ -42,6 +49,7 @@
     fence: int
     committed_version: int
     members: tuple[MemberVersion, ...]
+    holders: tuple[HolderView, ...]
 
 
 class OperatorRoutes:
@@ -91,6 +99,9 @@
             fence=self._holder.lease.fence,
             committed_version=self._agent.view.adoption.announced_version,
             members=members if self._holder.publishes else (),
+            holders=tuple(
+                HolderView(lease.zone, lease.row.address) for lease in self._holder.known_holders()
+            ),
         )
         return _json(status, 200)
 
--- a/src/corkcrank/controller/zone_holder.py
+++ b/src/corkcrank/controller/zone_holder.py
@@ -26,7 +26,7 @@
     encode_digest,
 )
 from corkcrank.links.table import Committed, Condition, Conflicted, Row, Table, Unanswered, Write
-from corkcrank.machines.leases import Lease, LeaseRow, WriteLease
+from corkcrank.machines.leases import Lease, LeaseRow, WriteLease, ZoneLease
 from corkcrank.machines.member import MemberAgent
 from corkcrank.machines.orders import orders_due
 from corkcrank.zones.poll_shares import PollShares
@@ -35,6 +35,9 @@
 TICK_SECONDS = 1.0
 """Time between digests and between renewals."""
 
+SUMMARY_TICKS = 2
+"""Digests between two readings of other zones' summaries."""
+
 
 class ZoneHolder:
     """One controller's work for its zone; only the lease's holder publishes."""
@@ -59,6 +62,7 @@
         self._other_holders: dict[str, LeaseRow] = {}
         self._remote_tables: dict[str, KnownTables] = {}
         self._shares = PollShares(process.name)
+        self._ticks = 0
         self._known_version = 0
 
     @property
@@ -82,9 +86,18 @@
         return HeartbeatReply(
             configuration_version=self._agent.view.adoption.announced_version,
             holder=self.publishes,
-            interval_seconds=self.state.heartbeat_interval if self.publishes else 1.0,
+            interval_seconds=self.state.heartbeat_interval(heartbeat.role),
+            holder_address=self._agent.holder_for(heartbeat.zone),
         )
 
+    def known_holders(self) -> tuple[ZoneLease, ...]:
+        """Return each zone's last known lease."""
+        rows: dict[str, LeaseRow] = dict(self._other_holders)
+        own = self.lease.row or self._agent.view.lease
+        if own is not None:
+            rows[self.zone] = own
+        return tuple(ZoneLease(zone, row) for zone, row in sorted(rows.items()) if row.address)
+
     def wake_if_newer(self) -> None:
         """Publish at once when a newer configuration version has become known."""
         version = self._agent.view.adoption.announced_version
@@ -111,11 +124,13 @@
 
     async def tick(self) -> None:
         """Renew or claim the lease, then publish if it is this controller's to do."""
+        self._ticks += 1
         await self._refresh_leases()
         await self._advance_lease()
         if self.publishes:
             await self._read_list()
-            await self._pull_summaries()
+            if self._ticks % SUMMARY_TICKS == 0:
+                await self._pull_summaries()
             self._publish()
             await self._send_orders()
 
--- /dev/null
+++ b/src/corkcrank/gateway/decode_pace.py
@@ -0,0 +1,48 @@
+"""The pace of one stream: can it still end in time, and how long did decoding take."""
+
+HASTE = 0.5
+"""Share of the usual decoding time in which a stream might still end at best."""
+
+
+class DecodePace:
+    """Judges one attempt against the usual decoding time of its service.
+
+    Parameters
+    ----------
+    usual_seconds
+        Moving mean of the time from first to last token, waiting excluded.
+    max_tokens
+        Tokens wanted.
+
+    """
+
+    def __init__(self, usual_seconds: float, max_tokens: int) -> None:
+        self._usual_seconds = usual_seconds
+        self._max_tokens = max_tokens
+        self._first_at: float | None = None
+        self._last_at = 0.0
+        self._tokens = 0
+
+    def slack_seconds(self, remaining_seconds: float, offset: int) -> float:
+        """Return the time that may still be lost, at most, before the end is out of reach.
+
+        >>> DecodePace(usual_seconds=1.0, max_tokens=10).slack_seconds(2.0, offset=5)
+        1.75
+        """
+        left = max(0, self._max_tokens - offset) / self._max_tokens
+        return remaining_seconds - HASTE * self._usual_seconds * left
+
+    def note_token(self, now: float) -> None:
+        """Take the time of a token."""
+        if self._first_at is None:
+            self._first_at = now
+        self._last_at = now
+        self._tokens += 1
+
+    @property
+    def measured_seconds(self) -> float | None:
+        """Return the decoding time of all tokens wanted, or ``None`` from too few tokens."""
+        if self._first_at is None or self._tokens < 2:
+            return None
+        per_token = (self._last_at - self._first_at) / (self._tokens - 1)
+        return per_token * self._max_tokens
--- a/src/corkcrank/gateway/dispatch.py
+++ b/src/corkcrank/gateway/dispatch.py
@@ -4,7 +4,7 @@
 from contextlib import contextmanager
 
 from corkcrank.contracts.identifiers import Address, WorkerId
-from corkcrank.gateway.retry import RetryBudget
+from corkcrank.gateway.retry import RETRY_SHARE, RetryBudget
 from corkcrank.gateway.routing import RoutingPolicy
 from corkcrank.links.back_ends import BackEndClient
 from corkcrank.machines.load_view import LoadView
@@ -23,7 +23,9 @@
         policy: RoutingPolicy,
         clock: Callable[[], float],
         drained: Callable[[], frozenset[WorkerId]],
+        retry_share: float = RETRY_SHARE,
     ) -> None:
+        self._retry_share = retry_share
         self.view = view
         self.back_ends = back_ends
         self._policy = policy
@@ -33,7 +35,7 @@
 
     def budget(self, service: str) -> RetryBudget:
         """Return the retry budget of a service."""
-        return self._budgets.setdefault(service, RetryBudget())
+        return self._budgets.setdefault(service, RetryBudget(self._retry_share))
 
     def choose(
         self, service: str, tried: Collection[WorkerId], affinity: str, model: str = ""
--- a/src/corkcrank/gateway/front.py
+++ b/src/corkcrank/gateway/front.py
@@ -18,12 +18,12 @@
 from corkcrank.contracts.messages import PipelineAnswer, PipelineRequest, PlainAnswer, PlainResult
 from corkcrank.contracts.process_life import ProcessLife
 from corkcrank.contracts.result_codes import Failure, Ran, ResultCode
-from corkcrank.contracts.settings import LimitSettings
+from corkcrank.contracts.settings import Settings
 from corkcrank.gateway import metrics
 from corkcrank.gateway.admission import StageForecast, StageTimes, seconds_until_feasible
 from corkcrank.gateway.claim_store import ClaimStore
 from corkcrank.gateway.dispatch import Dispatcher
-from corkcrank.gateway.pipeline_run import PipelineRun, StageGivenUpError
+from corkcrank.gateway.pipeline_run import PipelineRun, StageGivenUpError, stage_key
 from corkcrank.gateway.plain_run import ClaimedCall, PlainRequest, send_plain
 from corkcrank.gateway.quota import TenantQuotas
 from corkcrank.gateway.request_reader import (
@@ -67,13 +67,14 @@
         dispatcher: Dispatcher,
         claims: ClaimStore,
         life: ProcessLife,
-        limits: LimitSettings,
+        settings: Settings,
     ) -> None:
         self._view = view
         self._dispatcher = dispatcher
         self._claims = claims
         self._life = life
-        self._limits = limits
+        self._limits = settings.limits
+        self._policies = settings.policies
         self._quotas = TenantQuotas()
         self._times: dict[str, StageTimes] = {}
         self._log = PartLog("request")
@@ -101,7 +102,8 @@
         return web.Response(text="alive")
 
     async def _handle_ready(self, request: web.Request) -> web.Response:
-        ready = not self._life.draining and self._view.adoption.may_admit(time.monotonic())
+        confirmed = self._view.adoption.may_admit(time.monotonic())
+        ready = confirmed and self._dispatcher.view.known and not self._life.draining
         return web.Response(status=200 if ready else 503, text="ready" if ready else "not ready")
 
     async def _handle_unknown(self, request: web.Request) -> web.Response:
@@ -202,7 +204,10 @@
         seconds = read_deadline_seconds(request, pipeline.deadline_seconds)
         if seconds.is_error():
             return Error(seconds.error)
-        refusal = self._check_quota(caller) or self._check_feasible(caller, pipeline, seconds.ok)
+        scale = (body.ok.max_tokens or pipeline.max_tokens) / pipeline.max_tokens
+        refusal = self._check_quota(caller) or self._check_feasible(
+            caller, pipeline, seconds.ok, scale
+        )
         if refusal is not None:
             return Error(refusal)
         return Ok(self._make_run(caller, pipeline, body.ok, caller.arrived + seconds.ok))
@@ -228,14 +233,21 @@
             sink=_discard_token,
         )
 
-    def _check_feasible(self, caller: Caller, pipeline: Pipeline, seconds: float) -> Failure | None:
+    def _check_feasible(
+        self, caller: Caller, pipeline: Pipeline, seconds: float, scale: float
+    ) -> Failure | None:
         forecasts: list[StageForecast] = []
         for stage in pipeline.stages:
-            times = self._times.setdefault(stage.service, StageTimes(stage.expected_seconds))
+            key = stage_key(pipeline, stage)
+            times = self._times.setdefault(key, StageTimes(stage.expected_seconds))
             pressure = self._dispatcher.least_pressure(stage.service, stage.model)
             if pressure is None:
                 return Failure(ResultCode.NO_BACKEND, stage.service, retry_after=1.0)
-            forecasts.append(StageForecast(times.seconds, pressure))
+            # Only a stage that generates takes longer for more tokens.
+            service_seconds = times.seconds * (scale if stage.model else 1.0)
+            forecasts.append(StageForecast(service_seconds, pressure))
+        if not self._policies.admission:
+            return None
         wait = seconds_until_feasible(forecasts, seconds, caller.rank)
         if wait <= 0:
             return None
--- a/src/corkcrank/gateway/pipeline_run.py
+++ b/src/corkcrank/gateway/pipeline_run.py
@@ -23,12 +23,14 @@
 from corkcrank.gateway import metrics
 from corkcrank.gateway.admission import StageTimes
 from corkcrank.gateway.answer_checks import answers_stage
+from corkcrank.gateway.decode_pace import DecodePace
 from corkcrank.gateway.dispatch import Dispatcher
 from corkcrank.gateway.routing import PREFIX_BYTES
 from corkcrank.gateway.stage_process import (
     AttemptAnswered,
     AttemptBroken,
     AttemptNotSent,
+    AttemptTooLate,
     FinishStage,
     GiveUpStage,
     IgnoreEvent,
@@ -53,6 +55,10 @@
 """Takes each new token with its index, in order."""
 
 
+class TooLateError(Exception):
+    """A stream can no longer end before the deadline."""
+
+
 class StageGivenUpError(Exception):
     """A stage was given up; carries the request's failure."""
 
@@ -177,11 +183,12 @@
         self.text = answer.text
         self.passages = answer.passages
         self._charge(stage, service, answer.busy_seconds)
-        self.times[stage.service].record(answer.busy_seconds)
+        self.times[stage_key(self.pipeline, stage)].record(answer.busy_seconds)
 
     def _attempt_seconds(self, stage: Stage) -> float:
         patience = max(
-            MINIMUM_ATTEMPT_SECONDS, ATTEMPT_PATIENCE * self.times[stage.service].seconds
+            MINIMUM_ATTEMPT_SECONDS,
+            ATTEMPT_PATIENCE * self.times[stage_key(self.pipeline, stage)].seconds,
         )
         return max(0.001, min(patience, self.deadline - time.monotonic()))
 
@@ -193,7 +200,6 @@
     async def _generate(self, number: int, stage: Stage, service: Service, question: str) -> None:
         prompt = assemble_prompt(question, self.passages)
         assembler = StreamAssembler()
-        started = time.monotonic()
         process = self._process(stage, affinity=prefix_key(self.tenant, prompt))
 
         async def attempt(send: SendAttempt) -> StageEvent:
@@ -214,7 +220,6 @@
         await self._drive(stage, process, attempt)
         self.answer = "".join(assembler.tokens)
         self.tokens = assembler.offset
-        self.times[stage.service].record(time.monotonic() - started)
 
     async def _attempt_stream(
         self,
@@ -229,6 +234,9 @@
         with self.dispatcher.sending(send.worker) as address:
             try:
                 await self._read_stream(stage, service, call, address, assembler)
+            except TooLateError:
+                await self.dispatcher.back_ends.cancel(address, send.attempt)
+                return AttemptTooLate(send.attempt)
             except BackEndError as error:
                 if not error.sent and assembler.offset == first_offset:
                     return AttemptNotSent(send.attempt)
@@ -252,22 +260,35 @@
         assembler: StreamAssembler,
     ) -> None:
         remaining = max(0.001, self.deadline - time.monotonic())
+        times = self.times[stage_key(self.pipeline, stage)]
+        scale = self.max_tokens / self.pipeline.max_tokens
+        pace = DecodePace(times.seconds * scale, self.max_tokens)
         chunks = self.dispatcher.back_ends.generate(address, call, remaining).__aiter__()
         while not assembler.complete:
+            slack = pace.slack_seconds(self.deadline - time.monotonic(), assembler.offset)
+            if slack <= 0.0:
+                raise TooLateError
+            begun = assembler.offset > call.offset
+            patience = min(slack, TOKEN_PATIENCE_SECONDS) if begun else slack
             try:
-                chunk = await asyncio.wait_for(chunks.__anext__(), self._silence_seconds(assembler))
+                chunk = await asyncio.wait_for(chunks.__anext__(), patience)
             except StopAsyncIteration:
                 raise BackEndError("the stream ended without its last chunk", sent=True) from None
+            except TimeoutError:
+                if patience < slack:
+                    raise
+                raise TooLateError from None
             if assembler.accept(chunk):
+                pace.note_token(time.monotonic())
                 await self.sink(chunk.index, chunk.token)
-            if assembler.complete:
-                self._charge(stage, service, chunk.busy_seconds)
+        self._charge(stage, service, chunk.busy_seconds)
+        if pace.measured_seconds is not None:
+            times.record(pace.measured_seconds / scale)
 
-    def _silence_seconds(self, assembler: StreamAssembler) -> float:
-        remaining = max(0.001, self.deadline - time.monotonic())
-        if assembler.offset == 0:
-            return remaining
-        return min(remaining, TOKEN_PATIENCE_SECONDS)
+
+def stage_key(pipeline: Pipeline, stage: Stage) -> str:
+    """Return the name under which a stage's usual time is kept."""
+    return f"{pipeline.name}/{stage.service}"
 
 
 def assemble_prompt(question: str, passages: tuple[Passage, ...]) -> str:
--- a/src/corkcrank/gateway/program.py
+++ b/src/corkcrank/gateway/program.py
@@ -14,11 +14,12 @@
 from corkcrank.gateway.claim_store import ClaimStore
 from corkcrank.gateway.dispatch import Dispatcher
 from corkcrank.gateway.front import Front
-from corkcrank.gateway.routing import PrefixAffinity
+from corkcrank.gateway.routing import make_policy
 from corkcrank.links.back_ends import BackEndClient
 from corkcrank.links.http_table import HttpTable
 from corkcrank.links.logs import PartLog, configure_logs
 from corkcrank.links.peer_client import PeerClient
+from corkcrank.links.traffic import UNUSED_HEADERS, ControlTraffic
 from corkcrank.machines.daemon import (
     MemberDump,
     WorkerDump,
@@ -51,8 +52,8 @@
     claim_transactions: int
     claim_writes: int
     workers: tuple[WorkerDump, ...]
-    peer_messages: int
-    peer_bytes_sent: int
+    control_exchanges: int
+    control_bytes: int
 
 
 class Gateway:
@@ -60,22 +61,26 @@
 
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
-        self._session = aiohttp.ClientSession()
-        self._peers = PeerClient()
-        self._back_ends = BackEndClient()
+        self._session = aiohttp.ClientSession(skip_auto_headers=UNUSED_HEADERS)
+        self.traffic = ControlTraffic()
+        self._peers = PeerClient(self.traffic)
+        self._back_ends = BackEndClient(self.traffic)
         self.life = ProcessLife()
-        table = HttpTable(self._session, settings.platform.table)
+        table = HttpTable(self._session, settings.platform.table, self.traffic)
         self.agent = MemberAgent(settings, ROLE, table, self._peers)
         self.agent.on_digest = self._apply_digest
         self.view = LoadView(settings.process.zone)
-        policy = PrefixAffinity(random.Random(settings.process.name))
+        policy = make_policy(settings.policies.routing, random.Random(settings.process.name))
         self.dispatcher = Dispatcher(
-            self.view, self._back_ends, policy, time.monotonic, self._drained_workers
+            self.view,
+            self._back_ends,
+            policy,
+            time.monotonic,
+            self._drained_workers,
+            settings.policies.retry_share,
         )
         self.claims = ClaimStore(table)
-        self.front = Front(
-            self.agent.view, self.dispatcher, self.claims, self.life, settings.limits
-        )
+        self.front = Front(self.agent.view, self.dispatcher, self.claims, self.life, settings)
         self._log = PartLog(ROLE)
         self._peer_runner: web.AppRunner | None = None
         self._caller_runner: web.AppRunner | None = None
@@ -109,14 +114,16 @@
                 )
                 for worker in self.view.workers()
             ),
-            peer_messages=self._peers.messages,
-            peer_bytes_sent=self._peers.bytes_sent,
+            control_exchanges=self.traffic.exchanges,
+            control_bytes=self.traffic.total_bytes,
         )
 
     async def start(self) -> None:
         """Serve peers and callers; without a caller address, peers only."""
         peer_application = web.Application(client_max_size=MAXIMUM_PEER_BYTES)
-        PeerRoutes(self.agent, self.dump, self.agent.answer_heartbeat).add_to(peer_application)
+        PeerRoutes(self.agent, self.dump, self.agent.answer_heartbeat, self.traffic).add_to(
+            peer_application
+        )
         process = self._settings.process
         self._peer_runner = await serve_application(peer_application, process.peer_address)
         if process.caller_address:
--- a/src/corkcrank/gateway/routing.py
+++ b/src/corkcrank/gateway/routing.py
@@ -8,6 +8,7 @@
 import xxhash
 
 from corkcrank.contracts.identifiers import WorkerId
+from corkcrank.contracts.settings import Routing
 
 PREFIX_BYTES = 256
 """Bytes of a prompt that decide its preferred engine."""
@@ -100,6 +101,19 @@
         return self._fallback.choose(candidates, affinity)
 
 
+def make_policy(routing: Routing, random_source: random.Random) -> RoutingPolicy:
+    """Return the policy of this name."""
+    match routing:
+        case Routing.PREFIX_AFFINITY:
+            return PrefixAffinity(random_source)
+        case Routing.TWO_CHOICES:
+            return TwoChoices(random_source)
+        case Routing.LEAST_LOADED:
+            return LeastLoaded(random_source)
+        case Routing.ROUND_ROBIN:
+            return RoundRobin(random_source)
+
+
 def rendezvous_weight(key: str, node: str) -> int:
     """Return the rendezvous hash of ``key`` on ``node``; the highest node owns the key."""
     return xxhash.xxh3_64_intdigest(f"{key}\x00{node}".encode())
--- a/src/corkcrank/gateway/stage_process.py
+++ b/src/corkcrank/gateway/stage_process.py
@@ -45,7 +45,14 @@
     attempt: AttemptId
 
 
-StageEvent = StageStarted | AttemptAnswered | AttemptNotSent | AttemptBroken
+@dataclass(frozen=True, slots=True)
+class AttemptTooLate:
+    """An attempt can no longer be done before the deadline, here or elsewhere."""
+
+    attempt: AttemptId
+
+
+StageEvent = StageStarted | AttemptAnswered | AttemptNotSent | AttemptBroken | AttemptTooLate
 
 
 @dataclass(frozen=True, slots=True)
@@ -132,6 +139,9 @@
                 return self._retry(now)
             case AttemptNotSent():
                 return self._retry(now)
+            case AttemptTooLate():
+                self.work_started = True
+                return self._give_up_late()
 
     def validate(self) -> None:
         """Check the invariants that hold between events."""
--- a/src/corkcrank/links/back_ends.py
+++ b/src/corkcrank/links/back_ends.py
@@ -22,6 +22,7 @@
     StageCall,
     TokenChunk,
 )
+from corkcrank.links.traffic import UNUSED_HEADERS, ControlTraffic
 
 CONNECT_SECONDS = 0.5
 """Longest wait for a connection."""
@@ -32,6 +33,9 @@
 ORDER_SECONDS = 0.8
 """Longest flight of an order; below :data:`LONGEST_FLIGHT_SECONDS` of leases."""
 
+LOAD_REPORT_BYTES = 130
+"""Size of a load report, for the count of control traffic."""
+
 PLAIN_RESULT_SECONDS = 60.0
 """Longest wait for a plain service, kept up in the background after the deadline."""
 
@@ -64,9 +68,11 @@
 class BackEndClient:
     """The client side of every back end protocol."""
 
-    def __init__(self) -> None:
+    def __init__(self, traffic: ControlTraffic) -> None:
+        self._traffic = traffic
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=10.0)
+            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=10.0),
+            skip_auto_headers=UNUSED_HEADERS,
         )
         # A kept-alive connection can die while a call is being written, which leaves
         # open whether the call was sent; unrepeatable calls get a fresh connection.
@@ -127,7 +133,9 @@
 
     async def load(self, address: str) -> LoadReport | NotSent | Broken:
         """Read a back end's load report."""
-        return await _get(self._session, f"http://{address}/v1/load", LoadReport)
+        report = await _get(self._session, f"http://{address}/v1/load", LoadReport)
+        self._traffic.count(0, LOAD_REPORT_BYTES)
+        return report
 
     async def order(self, address: str, order: ModelOrder) -> LoadReport | NotSent | Broken:
         """Send a fenced order; the answer is the state the back end really holds."""
@@ -144,7 +152,9 @@
                     return self._machine_list
                 if response.status != 200:
                     return None
-                decoded = msgspec.json.decode(await response.read(), type=MachineList)
+                content = await response.read()
+                self._traffic.count(0, len(content))
+                decoded = msgspec.json.decode(content, type=MachineList)
                 self._machine_list_tag = response.headers.get("ETag", "")
         except (TimeoutError, aiohttp.ClientError, OSError, msgspec.DecodeError):
             return None
--- a/src/corkcrank/links/http_table.py
+++ b/src/corkcrank/links/http_table.py
@@ -13,11 +13,11 @@
     Conflicted,
     ReadAnswer,
     ReadRequest,
-    Row,
     Rows,
     Unanswered,
     Write,
 )
+from corkcrank.links.traffic import ControlTraffic
 
 TABLE_TIMEOUT_SECONDS = 1.0
 """Longest wait for one answer of the table."""
@@ -26,8 +26,11 @@
 class HttpTable:
     """A table client; every method answers within :data:`TABLE_TIMEOUT_SECONDS`."""
 
-    def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
+    def __init__(
+        self, session: aiohttp.ClientSession, address: str, traffic: ControlTraffic
+    ) -> None:
         self._session = session
+        self._traffic = traffic
         self._base = f"http://{address}"
         self._timeout = aiohttp.ClientTimeout(total=TABLE_TIMEOUT_SECONDS)
 
@@ -49,19 +52,15 @@
         return Committed(decoded.rows) if decoded.committed else Conflicted(decoded.rows)
 
     async def _post(self, path: str, body: msgspec.Struct) -> bytes | Unanswered:
+        data = msgspec.json.encode(body)
         try:
             async with self._session.post(
-                self._base + path, data=msgspec.json.encode(body), timeout=self._timeout
+                self._base + path, data=data, timeout=self._timeout
             ) as response:
                 content = await response.read()
+                self._traffic.count(len(data), len(content))
                 if response.status != 200:
                     return Unanswered(f"status {response.status}")
                 return content
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             return Unanswered(type(error).__name__)
-
-
-async def read_one(table: HttpTable, key: str) -> Row | Unanswered:
-    """Read a single row."""
-    outcome = await table.read((key,))
-    return outcome if isinstance(outcome, Unanswered) else outcome.rows[0]
--- a/src/corkcrank/links/peer.capnp
+++ b/src/corkcrank/links/peer.capnp
@@ -25,6 +25,7 @@
   configurationVersion @0 :UInt64;
   holder               @1 :Bool;
   intervalMs           @2 :UInt32;
+  holderAddress        @3 :Text;
 }
 
 struct WorkerLoad {
--- a/src/corkcrank/links/peer_client.py
+++ b/src/corkcrank/links/peer_client.py
@@ -13,25 +13,22 @@
     decode_heartbeat_reply,
     encode_heartbeat,
 )
+from corkcrank.links.traffic import UNUSED_HEADERS, ControlTraffic
 
 PEER_SECONDS = 0.8
 """Longest wait for a peer's answer."""
 
 
 class PeerClient:
-    """Talks to peers; every method returns ``None`` when the peer gave no answer.
+    """Talks to peers; every method returns ``None`` when the peer gave no answer."""
 
-    ``bytes_sent`` and ``bytes_received`` count bodies, ``messages`` counts calls.
-    """
-
-    def __init__(self) -> None:
+    def __init__(self, traffic: ControlTraffic) -> None:
+        self._traffic = traffic
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=15.0),
             timeout=aiohttp.ClientTimeout(total=PEER_SECONDS),
+            skip_auto_headers=UNUSED_HEADERS,
         )
-        self.bytes_sent = 0
-        self.bytes_received = 0
-        self.messages = 0
 
     async def close(self) -> None:
         """Close every connection."""
@@ -70,14 +67,12 @@
             return None
 
     async def _call(self, method: str, address: Address, path: str, body: bytes) -> bytes | None:
-        self.messages += 1
-        self.bytes_sent += len(body)
         try:
             async with self._session.request(
                 method, f"http://{address}{path}", data=body or None
             ) as response:
                 content = await response.read()
-                self.bytes_received += len(content)
+                self._traffic.count(len(body), len(content))
                 return content if response.status == 200 else None
         except (TimeoutError, aiohttp.ClientError, OSError):
             return None
--- a/src/corkcrank/links/peer_codec.py
+++ b/src/corkcrank/links/peer_codec.py
@@ -39,12 +39,14 @@
 class HeartbeatReply(msgspec.Struct, frozen=True):
     """The receiver's committed configuration version, and whether it holds the zone.
 
-    ``interval_seconds`` is the pace that the holder asks of this member.
+    ``interval_seconds`` is the pace that the holder asks of this member. A receiver that
+    is not the holder names it in ``holder_address``, if it is of the same zone and knows.
     """
 
     configuration_version: int
     holder: bool
     interval_seconds: float = 1.0
+    holder_address: Address = Address("")
 
 
 class DigestReply(msgspec.Struct, frozen=True):
@@ -138,6 +140,7 @@
         configurationVersion=reply.configuration_version,
         holder=reply.holder,
         intervalMs=round(reply.interval_seconds * 1000),
+        holderAddress=reply.holder_address,
     )
     return bytes(message.to_bytes_packed())
 
@@ -145,7 +148,12 @@
 def decode_heartbeat_reply(data: bytes) -> HeartbeatReply:
     """Return the reply in ``data``; raises :class:`PeerDecodeError`."""
     message = _read(_SCHEMA.HeartbeatReply, data)
-    return HeartbeatReply(message.configurationVersion, message.holder, message.intervalMs / 1000)
+    return HeartbeatReply(
+        message.configurationVersion,
+        message.holder,
+        message.intervalMs / 1000,
+        Address(message.holderAddress),
+    )
 
 
 def encode_digest_reply(reply: DigestReply) -> bytes:
--- a/src/corkcrank/load/hollow.py
+++ b/src/corkcrank/load/hollow.py
@@ -50,7 +50,7 @@
 class HollowStatus(msgspec.Struct, frozen=True):
     """What the daemons of one process hold and have sent.
 
-    ``least_version`` and ``most_leaving`` are over the daemons; bytes count bodies.
+    ``least_version`` and ``least_workers`` are over the daemons; bytes count both ways.
     """
 
     daemons: int
@@ -59,8 +59,8 @@
     gateways: int
     least_workers: int
     holders: tuple[str, ...]
-    messages: int
-    body_bytes: int
+    exchanges: int
+    control_bytes: int
     cpu_seconds: float
     resident_bytes: int
 
@@ -101,8 +101,8 @@
             gateways=len(views),
             least_workers=min((len(view) for view in views), default=0),
             holders=tuple(dump.member.name for dump in controller_dumps if dump.publishes),
-            messages=sum(dump.peer_messages for dump in dumps),
-            body_bytes=sum(dump.peer_bytes_sent for dump in dumps),
+            exchanges=sum(dump.control_exchanges for dump in dumps),
+            control_bytes=sum(dump.control_bytes for dump in dumps),
             cpu_seconds=cpu_seconds_of(os.getpid()),
             resident_bytes=resident_bytes_of(os.getpid()),
         )
--- a/src/corkcrank/load/local_cluster.py
+++ b/src/corkcrank/load/local_cluster.py
@@ -18,6 +18,7 @@
 from corkcrank.contracts.identifiers import Address
 from corkcrank.contracts.messages import WorkerEntry
 from corkcrank.contracts.plans import ConfirmAnswer, Intent, PlanView, ReplaceConfiguration
+from corkcrank.contracts.settings import PolicySettings
 from corkcrank.load.cuttable_link import CuttableLink
 from corkcrank.load.deployment import Deployment
 from corkcrank.load.process_group import ProcessGroup
@@ -76,8 +77,14 @@
     ``cuttable`` names daemons that reach the table over a link of their own.
     """
 
-    def __init__(self, deployment: Deployment, cuttable: Sequence[str] = ()) -> None:
+    def __init__(
+        self,
+        deployment: Deployment,
+        cuttable: Sequence[str] = (),
+        policies: PolicySettings | None = None,
+    ) -> None:
         self.deployment = deployment
+        self._policies = policies or PolicySettings()
         self.table_links: dict[str, CuttableLink] = {}
         self.processes: dict[str, LocalProcess] = {}
         self.worker_addresses: dict[str, Address] = {}
@@ -301,6 +308,7 @@
             "platform": {"table": table, "machine_list": self.machine_list},
             "peers": {"seeds": seeds[:6]},
             "limits": {"drain_linger_seconds": self.deployment.drain_linger_seconds},
+            "policies": msgspec.to_builtins(self._policies),
         }
 
 
--- a/src/corkcrank/load/program.py
+++ b/src/corkcrank/load/program.py
@@ -3,11 +3,21 @@
 import asyncio
 from pathlib import Path
 
+import msgspec
 import typer
 
+from corkcrank.contracts.configuration import ServiceKind
+from corkcrank.contracts.settings import PolicySettings
 from corkcrank.load.caller import Caller
 from corkcrank.load.deployment import load_deployment
 from corkcrank.load.local_cluster import LocalCluster
+from corkcrank.load.overload import (
+    BASELINE,
+    Scenario,
+    format_overload,
+    run_variant,
+    with_workers,
+)
 from corkcrank.load.report import LoadReport, format_report, make_report
 from corkcrank.load.runner import play_trace
 from corkcrank.load.trace import TraceShape, make_trace
@@ -38,6 +48,97 @@
     raise typer.Exit(1 if wrong else 0)
 
 
+@application.command()
+def overload(
+    deployment_file: Path = typer.Argument(..., help="A deployment file."),
+    engines: int = typer.Option(2, help="Engines, so that one machine can overload them."),
+    rate: float = typer.Option(15.0, help="Requests a second outside the burst."),
+    factor: float = typer.Option(4.0, help="The burst's multiple of the rate."),
+    seconds: float = typer.Option(14.0, help="Length of the trace; the burst is its middle."),
+    seed: int = typer.Option(1, help="Seed of the trace."),
+) -> None:
+    """Compare policies with a baseline under a burst and under a slow stage.
+
+    Example: corkcrank-load overload examples/association.toml
+    """
+    deployment = with_workers(load_deployment(deployment_file), engines)
+    shape = TraceShape(rate, seconds, factor, seconds * 0.2, seconds * 0.7, 0.0, 0.0)
+    trace = make_trace(deployment, shape, seed)
+    slow = next(item for item in deployment.services if item.kind == ServiceKind.ENCODER)
+    scenarios = (
+        Scenario("burst"),
+        Scenario("one encoder ten times slower", (slow.worker_ids()[0],), 10.0),
+    )
+    for scenario in scenarios:
+        results = [
+            asyncio.run(run_variant(deployment, trace, scenario, name, policies))
+            for name, policies in (("baseline", BASELINE), ("default", PolicySettings()))
+        ]
+        print(format_overload(scenario.name, results), flush=True)
+
+
+@application.command()
+def chaos(
+    deployment_file: Path = typer.Argument(..., help="A deployment file."),
+    seconds: float = typer.Option(60.0, help="Length of the load and of the failures."),
+    rate: float = typer.Option(15.0, help="Requests a second."),
+    seed: int = typer.Option(1, help="Seed of trace and failures; replays a run."),
+) -> None:
+    """Put failures on a deployment at random and check every promise afterwards.
+
+    Example: corkcrank-load chaos examples/association.toml --seconds 120 --seed 7
+    """
+    from corkcrank.load.chaos import ChaosRun
+
+    deployment = load_deployment(deployment_file)
+    shape = TraceShape(rate, seconds, unrepeatable_share=0.3)
+    result = asyncio.run(ChaosRun(deployment, seed, shape).run())
+    for failure in result.failures:
+        print(f"  {failure}")
+    print(format_report(make_report(result.records)))
+    print(f"versions at the end: {sorted(set(result.versions))}")
+    print(f"seed {result.seed}: {len(result.violations)} violations")
+    for violation in result.violations:
+        print(f"  {violation.promise}: {violation.detail}")
+    raise typer.Exit(1 if result.violations else 0)
+
+
+@application.command()
+def routing(seed: int = typer.Option(1, help="Seed of the arrivals.")) -> None:
+    """Compare routing policies over lagged views, at 8 and at 350 gateways.
+
+    Example: corkcrank-load routing
+    """
+    from corkcrank.load.routing_experiment import LARGE, SMALL, format_routing, run_routing
+
+    for fleet in (SMALL, LARGE):
+        print(format_routing(fleet, run_routing(fleet, seed)), flush=True)
+
+
+@application.command()
+def scale(
+    output: Path = typer.Argument(..., help="Folder for scale.json, scale.md and scale.png."),
+    daemons: list[int] = typer.Option([36, 88, 176, 350], help="Sizes; give it once for each."),
+) -> None:
+    """Run hollow daemons beside real ones at several sizes and write what they spent.
+
+    Example: corkcrank-load scale results --daemons 36 --daemons 88
+    """
+    from corkcrank.load.scale_report import draw_results, format_results
+    from corkcrank.load.scale_run import ScaleRun, size_for
+
+    results = []
+    for count in daemons:
+        results.append(asyncio.run(ScaleRun(size_for(count)).run()))
+        print(f"{count} daemons measured", flush=True)
+    output.mkdir(parents=True, exist_ok=True)
+    encoded = msgspec.json.format(msgspec.json.encode(results), indent=1)
+    (output / "scale.json").write_bytes(encoded + b"\n")
+    (output / "scale.md").write_text(format_results(results) + "\n", encoding="utf-8")
+    draw_results(results, output / "scale.png")
+    print(format_results(results))
+
+
 async def run_demo(path: Path, shape: TraceShape, seed: int) -> LoadReport:
     """Start a deployment, play a trace, stop it, and print the report."""
     deployment = load_deployment(path)
--- a/src/corkcrank/load/scale_run.py
+++ b/src/corkcrank/load/scale_run.py
@@ -82,13 +82,18 @@
     pipelines: int
 
 
+def size_for(daemons: int) -> ScaleSize:
+    """Return the planned ratio of workers and tenants to daemons: 670 of each at 350."""
+    return ScaleSize(daemons, round(daemons * 670 / 350), round(daemons * 670 / 350), 35)
+
+
 class RoleUse(msgspec.Struct, frozen=True):
     """What one real daemon spent over the window, and what it holds."""
 
     cpu_share: float
     resident_bytes: int
-    messages_per_second: float
-    body_bytes_per_second: float
+    exchanges_per_second: float
+    bytes_per_second: float
 
 
 class ScaleResult(msgspec.Struct, frozen=True):
@@ -99,7 +104,7 @@
     controller: RoleUse
     holder: RoleUse
     hollow_cpu_share_per_daemon: float
-    hollow_messages_per_daemon: float
+    hollow_exchanges_per_daemon: float
     hollow_bytes_per_daemon: float
     hollow_resident_bytes_per_daemon: float
     table_rows_read_per_second: float
@@ -113,8 +118,8 @@
 @dataclass(slots=True)
 class _Usage:
     cpu_seconds: float
-    messages: int
-    body_bytes: int
+    exchanges: int
+    control_bytes: int
     resident_bytes: int
 
 
@@ -312,8 +317,8 @@
             controller=uses["controller"],
             holder=uses["holder"],
             hollow_cpu_share_per_daemon=_per_second(hollow, hollow_after, "cpu_seconds"),
-            hollow_messages_per_daemon=_per_second(hollow, hollow_after, "messages"),
-            hollow_bytes_per_daemon=_per_second(hollow, hollow_after, "body_bytes"),
+            hollow_exchanges_per_daemon=_per_second(hollow, hollow_after, "exchanges"),
+            hollow_bytes_per_daemon=_per_second(hollow, hollow_after, "control_bytes"),
             hollow_resident_bytes_per_daemon=(
                 sum(status.resident_bytes for status in hollow_after) / count
             ),
@@ -366,8 +371,8 @@
         process = self._group.processes[daemon["name"]]
         return _Usage(
             cpu_seconds=cpu_seconds_of(process.pid),
-            messages=dump["peer_messages"],
-            body_bytes=dump["peer_bytes_sent"],
+            exchanges=dump["control_exchanges"],
+            control_bytes=dump["control_bytes"],
             resident_bytes=resident_bytes_of(process.pid),
         )
 
@@ -455,8 +460,8 @@
     return RoleUse(
         cpu_share=(after.cpu_seconds - before.cpu_seconds) / WINDOW_SECONDS,
         resident_bytes=after.resident_bytes,
-        messages_per_second=(after.messages - before.messages) / WINDOW_SECONDS,
-        body_bytes_per_second=(after.body_bytes - before.body_bytes) / WINDOW_SECONDS,
+        exchanges_per_second=(after.exchanges - before.exchanges) / WINDOW_SECONDS,
+        bytes_per_second=(after.control_bytes - before.control_bytes) / WINDOW_SECONDS,
     )
 
 
--- a/src/corkcrank/machines/leases.py
+++ b/src/corkcrank/machines/leases.py
@@ -31,6 +31,14 @@
     renewal: int
 
 
+@dataclass(frozen=True, slots=True)
+class ZoneLease:
+    """A zone's lease as last seen."""
+
+    zone: str
+    row: LeaseRow
+
+
 @dataclass(frozen=True, slots=True)
 class WriteLease:
     """Write ``row`` if the table still holds ``expected_revision``."""
--- a/src/corkcrank/machines/load_view.py
+++ b/src/corkcrank/machines/load_view.py
@@ -44,7 +44,8 @@
     """Every back end known here.
 
     A back end seen leaving stays so until the list no longer has it or it restarted
-    under a new boot id: an older list or report never turns it back to live.
+    under a new boot id: an older list or report never turns it back to live. ``known``
+    is false until the first directory has come.
     """
 
     def __init__(self, zone: str) -> None:
@@ -52,11 +53,13 @@
         self._workers: dict[WorkerId, WorkerView] = {}
         self._by_service: dict[str, list[WorkerView]] = {}
         self._list_version = 0
+        self.known = False
 
     def apply_directory(self, directory: Directory) -> None:
         """Take a directory unless it is older than the one known."""
         if directory.list_version < self._list_version:
             return
+        self.known = True
         self._list_version = directory.list_version
         previous = self._workers
         self._workers = {
--- a/src/corkcrank/machines/member.py
+++ b/src/corkcrank/machines/member.py
@@ -39,6 +39,9 @@
 REFRESH_SECONDS = 1.0
 """Time between reads of the configuration's head."""
 
+PEERS_ASKED = 2
+"""Peers asked in turn when the holder or the table gives no answer."""
+
 SHORTEST_PAUSE_SECONDS = 0.05
 """Least pause between two rounds, however long the first one took."""
 
@@ -119,6 +122,8 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._fetching = False
         self._relayed = (-1, -1)
+        self._told_holder = Address("")
+        self._next_pull_at = time.monotonic() + DIGEST_STALE_SECONDS
         self._interval = SHORTEST_INTERVAL_SECONDS
 
     async def run(self) -> None:
@@ -129,6 +134,7 @@
         while True:
             started = time.monotonic()
             await self.refresh()
+            await self._pull_if_stale()
             await asyncio.sleep(_rest(started, REFRESH_SECONDS))
 
     async def _run_heartbeats(self) -> None:
@@ -138,9 +144,18 @@
             await asyncio.sleep(_rest(started, self._interval))
 
     def answer_heartbeat(self, data: bytes) -> HeartbeatReply:
-        """Answer a heartbeat at a daemon that holds no zone: only its form is checked."""
-        decode_heartbeat(data)
-        return HeartbeatReply(self.view.adoption.announced_version, holder=False)
+        """Answer a heartbeat at a daemon that holds no zone."""
+        heartbeat = decode_heartbeat(data)
+        return HeartbeatReply(
+            configuration_version=self.view.adoption.announced_version,
+            holder=False,
+            holder_address=self.holder_for(heartbeat.zone),
+        )
+
+    def holder_for(self, zone: str) -> Address:
+        """Return the holder's address if it is known and of this zone, else an empty one."""
+        lease = self.view.lease
+        return lease.address if lease is not None and zone == self.view.zone else Address("")
 
     async def refresh(self) -> None:
         """Read the configuration's head and the zone's lease."""
@@ -148,6 +163,7 @@
         asked_at = time.monotonic()
         outcome = await self.table.read(keys)
         if isinstance(outcome, Unanswered):
+            await self._confirm_with_peer()
             return
         head, lease = outcome.rows
         self.view.adoption.confirm(head_version(head), asked_at)
@@ -155,6 +171,14 @@
             self.view.lease = msgspec.json.decode(lease.value, type=LeaseRow)
         await self.fetch_wanted(None)
 
+    async def _confirm_with_peer(self) -> None:
+        """Ask some peer for the committed version while the table is away."""
+        addresses = self._peer_addresses(None)
+        self._random.shuffle(addresses)
+        for address in addresses[:PEERS_ASKED]:
+            if await self._beat(address, ()):
+                return
+
     async def fetch_wanted(self, teller: Address | None) -> None:
         """Fetch and adopt a newer configuration, from the table or else from peers."""
         version = self.view.adoption.wanted_version
@@ -182,24 +206,30 @@
 
     async def send_heartbeat(self) -> None:
         """Tell the holder that this daemon lives; a peer if there is none."""
+        reports = self.reports()
+        for address in self._heartbeat_targets():
+            if await self._beat(address, reports):
+                break
+
+    async def _beat(self, address: Address, reports: tuple[LoadReport, ...]) -> bool:
         heartbeat = Heartbeat(
             member=self.settings.process.name,
             role=self.role,
             zone=self.view.zone,
             address=self.settings.process.peer_address,
             configuration_version=self.view.adoption.version,
-            reports=self.reports(),
+            reports=reports,
         )
-        for address in self._heartbeat_targets():
-            asked_at = time.monotonic()
-            reply = await self.peers.heartbeat(address, heartbeat)
-            if reply is not None:
-                self._interval = reply.interval_seconds
-                self.view.adoption.confirm(reply.configuration_version, asked_at)
-                await self.fetch_wanted(address)
-                break
-        if self.view.digest_is_stale(time.monotonic()):
-            await self._pull_digest()
+        asked_at = time.monotonic()
+        reply = await self.peers.heartbeat(address, heartbeat)
+        if reply is None:
+            return False
+        self._told_holder = reply.holder_address or self._told_holder
+        if reply.holder:
+            self._interval = reply.interval_seconds
+        self.view.adoption.confirm(reply.configuration_version, asked_at)
+        await self.fetch_wanted(address)
+        return True
 
     def hear_encoded_digest(self, data: bytes) -> DigestReply:
         """Take a digest pushed by a peer, act on it, and pass it on.
@@ -226,7 +256,8 @@
         )
         if self.view.hear_digest(enclosed, time.monotonic()):
             self.on_digest(enclosed)
-            self._relayed = digest.order_key
+            # The holder has a place of its own in the tree as well: what lies below that
+            # is served when the digest comes back to it.
             self._spawn(self.relay(digest, -1))
 
     def _relay_once(self, digest: ZoneDigest) -> None:
@@ -256,7 +287,7 @@
     ) -> None:
         entry = members[target]
         if entry.member == self.settings.process.name:
-            # The holder is in its own tree; what lies below it is its own to serve.
+            # A place of its own right below the one it serves for.
             await self.relay(digest, target)
             return
         reply = await self.peers.push_digest(entry.address, small)
@@ -269,6 +300,15 @@
             large = encode_digest(digest, self.view.tables, missing)
             await self.peers.push_digest(entry.address, large)
 
+    async def _pull_if_stale(self) -> None:
+        # A new member waits as well: the holder's next digest brings it everything, unless
+        # there is no holder. The pause is spread, so that a zone's members do not pull at once.
+        now = time.monotonic()
+        if not self.view.digest_is_stale(now) or now < self._next_pull_at:
+            return
+        self._next_pull_at = now + DIGEST_STALE_SECONDS * self._random.uniform(0.5, 1.5)
+        await self._pull_digest()
+
     async def _pull_digest(self) -> None:
         addresses = self._peer_addresses(None)
         self._random.shuffle(addresses)
@@ -293,11 +333,12 @@
 
     def _heartbeat_targets(self) -> list[Address]:
         targets: list[Address] = []
-        if self.view.lease is not None and self.view.lease.address:
-            targets.append(self.view.lease.address)
+        holder = self.view.lease.address if self.view.lease is not None else self._told_holder
+        if holder:
+            targets.append(holder)
         others = self._peer_addresses(None)
         self._random.shuffle(others)
-        return targets + others[:2]
+        return targets + others[:PEERS_ASKED]
 
     def _peer_addresses(self, first: Address | None) -> list[Address]:
         known = [entry.address for entry in self.view.tables.membership.members]
--- a/src/corkcrank/machines/peer_routes.py
+++ b/src/corkcrank/machines/peer_routes.py
@@ -4,6 +4,7 @@
 
 import msgspec
 from aiohttp import web
+from aiohttp.typedefs import Handler
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from corkcrank.contracts.configuration import encode_configuration
@@ -15,7 +16,9 @@
     encode_digest_reply,
     encode_heartbeat_reply,
 )
+from corkcrank.links.traffic import ControlTraffic
 from corkcrank.machines.member import MemberAgent
+from corkcrank.zones.digest import ZoneDigest
 
 BINARY = "application/octet-stream"
 
@@ -28,13 +31,18 @@
         agent: MemberAgent,
         dump: Callable[[], msgspec.Struct],
         hear_heartbeat: Callable[[bytes], HeartbeatReply],
+        traffic: ControlTraffic,
     ) -> None:
+        self._traffic = traffic
         self._agent = agent
         self._dump = dump
         self._hear_heartbeat = hear_heartbeat
+        self._encoded_for: ZoneDigest | None = None
+        self._encoded = b""
 
     def add_to(self, application: web.Application) -> None:
-        """Add the routes to an application."""
+        """Add the routes to an application, and count what peers exchange over it."""
+        application.middlewares.append(self._count)
         application.add_routes(
             [
                 web.post("/peer/heartbeat", self._heartbeat),
@@ -46,6 +54,14 @@
             ]
         )
 
+    @web.middleware
+    async def _count(self, request: web.Request, handler: Handler) -> web.StreamResponse:
+        response = await handler(request)
+        if request.path.startswith("/peer/") and isinstance(response, web.Response):
+            body = response.body if isinstance(response.body, bytes) else b""
+            self._traffic.count(request.content_length or 0, len(body))
+        return response
+
     async def _heartbeat(self, request: web.Request) -> web.Response:
         try:
             reply = self._hear_heartbeat(await request.read())
@@ -64,7 +80,10 @@
         view = self._agent.view
         if view.digest is None or view.digest.directory_hash != view.tables.directory_hash:
             return web.Response(status=404)
-        body = encode_digest(view.digest, view.tables, Enclosures(True, True))
+        if self._encoded_for is not view.digest:
+            self._encoded_for = view.digest
+            self._encoded = encode_digest(view.digest, view.tables, Enclosures(True, True))
+        body = self._encoded
         return web.Response(body=body, content_type=BINARY)
 
     async def _configuration(self, request: web.Request) -> web.Response:
--- a/src/corkcrank/zones/digest.py
+++ b/src/corkcrank/zones/digest.py
@@ -13,7 +13,7 @@
 from corkcrank.contracts.identifiers import Address, MemberId, WorkerId
 from corkcrank.contracts.messages import WorkerEntry
 
-RELAY_WIDTH = 4
+RELAY_WIDTH = 2
 """Members to which each member passes a digest on."""
 
 
--- a/src/corkcrank/zones/zone_state.py
+++ b/src/corkcrank/zones/zone_state.py
@@ -7,6 +7,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+import msgspec
+
 from corkcrank.contracts.identifiers import WorkerId
 from corkcrank.contracts.messages import LoadReport, MachineList, WorkerEntry
 from corkcrank.links.peer_codec import Heartbeat, KnownTables
@@ -19,11 +21,17 @@
     content_hash,
 )
 
+REPORTING_ROLE = "controller"
+"""Role of the members whose heartbeats carry load reports."""
+
 SHORTEST_INTERVAL_SECONDS = 1.0
 """Time between a member's heartbeats in a small zone."""
 
-HEARTBEATS_PER_SECOND = 30.0
-"""Most heartbeats a second that a holder asks for; larger zones send them less often."""
+REPORTS_PER_SECOND = 15.0
+"""Most heartbeats with load reports a second that a holder asks its controllers for."""
+
+SIGNS_OF_LIFE_PER_SECOND = 5.0
+"""Most heartbeats a second that a holder asks its gateways for."""
 
 MEMBER_INTERVALS = 3.5
 """Heartbeats missed after which a member is no longer counted."""
@@ -59,10 +67,11 @@
         self._remote: dict[str, ZoneDigest] = {}
         self._sequence = 0
 
-    @property
-    def heartbeat_interval(self) -> float:
-        """Return the seconds between heartbeats that suit the zone's size."""
-        return max(SHORTEST_INTERVAL_SECONDS, len(self._members) / HEARTBEATS_PER_SECOND)
+    def heartbeat_interval(self, role: str) -> float:
+        """Return the seconds between a member's heartbeats that suit the zone's size."""
+        count = sum(member.entry.role == role for member in self._members.values())
+        rate = REPORTS_PER_SECOND if role == REPORTING_ROLE else SIGNS_OF_LIFE_PER_SECOND
+        return max(SHORTEST_INTERVAL_SECONDS, count / rate)
 
     def hear_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
         """Take a member's heartbeat and the reports in it."""
@@ -84,16 +93,16 @@
 
     def forget_silent(self, now: float) -> None:
         """Drop members and reports that have grown old, and remake the tables."""
-        interval = self.heartbeat_interval
+        intervals = {role: self.heartbeat_interval(role) for role in (REPORTING_ROLE, "gateway")}
         self._members = {
             name: member
             for name, member in self._members.items()
-            if now - member.heard_at <= MEMBER_INTERVALS * interval
+            if now - member.heard_at <= MEMBER_INTERVALS * intervals[member.entry.role]
         }
         self._reports = {
             worker: report
             for worker, report in self._reports.items()
-            if now - report.heard_at <= REPORT_INTERVALS * interval
+            if now - report.heard_at <= REPORT_INTERVALS * intervals[REPORTING_ROLE]
         }
         self._remake_tables()
 
@@ -115,7 +124,8 @@
         own = self._own_loads()
         remote = [load for digest in self._remote.values() for load in digest.loads]
         gateways = self._own_gateways() + sum(item.gateways for item in self._remote.values())
-        return self._digest(fence, configuration_version, (*own, *remote), gateways)
+        loads = self._with_listed_leaving((*own, *remote))
+        return self._digest(fence, configuration_version, loads, gateways)
 
     def make_summary(self, fence: int, configuration_version: int) -> ZoneDigest:
         """Return what other zones are told: a few least loaded workers of each service."""
@@ -158,9 +168,27 @@
             for report in self.reports()
         )
 
+    def _current_directory(self) -> Directory:
+        # Leaving is told with the loads, so that it costs no new directory.
+        workers = tuple(
+            msgspec.structs.replace(row, leaving=False) if row.leaving else row
+            for row in self.machine_list.workers
+        )
+        if workers == self.tables.directory.workers:
+            return self.tables.directory
+        return Directory(workers, self.machine_list.version)
+
+    def _with_listed_leaving(self, loads: Iterable[WorkerLoad]) -> tuple[WorkerLoad, ...]:
+        by_worker = {load.worker: load for load in loads}
+        for row in self.machine_list.workers:
+            if row.leaving:
+                known = by_worker.get(row.worker, WorkerLoad(row.worker, 0, 0, 0))
+                by_worker[row.worker] = msgspec.structs.replace(known, leaving=True)
+        return tuple(by_worker.values())
+
     def _remake_tables(self) -> None:
         held = self.tables
-        directory = Directory(self.machine_list.workers, self.machine_list.version)
+        directory = self._current_directory()
         membership = Membership(self.members())
         if directory == held.directory and membership == held.membership:
             return
