--- /dev/null
+++ b/benchmarks/test_bounds.py
@@ -0,0 +1,90 @@
+"""Regression bounds: counts, sizes, and ratios to a baseline of the same run."""
+
+import asyncio
+import random
+from collections.abc import Sequence
+
+from pytest_benchmark.fixture import BenchmarkFixture
+
+from corkcrank.contracts.claims import ClaimProcess, ClaimStarted, InsertCommitted
+from corkcrank.contracts.identifiers import AttemptId, WorkerId
+from corkcrank.gateway.routing import Candidate, PrefixAffinity, rendezvous_weight
+from corkcrank.links.claim_writer import ClaimWriter
+from corkcrank.links.table import Committed, Condition, Row, Rows, Write
+from corkcrank.load.scale_report import BOUND_RESIDENT_BYTES
+from overhead import Overhead, format_overhead, measure
+
+CALLS = 1000
+MAXIMUM_ADDED_P50 = 3.0
+MAXIMUM_ADDED_P99 = 4.0
+MINIMUM_RATE_SHARE = 0.3
+CANDIDATES = 100
+MAXIMUM_HASHES_PER_CHOICE = 4.0 * CANDIDATES
+CLAIMS = 200
+MAXIMUM_TRANSACTIONS = 8
+
+
+def check_added(overhead: Overhead, callers: int) -> None:
+    forwarder = overhead.added("forwarder", callers)
+    gateway = overhead.added("gateway", callers)
+    assert gateway[0] <= MAXIMUM_ADDED_P50 * forwarder[0]
+    assert gateway[1] <= MAXIMUM_ADDED_P99 * forwarder[1]
+
+
+def test_gateway_against_a_bare_forwarder() -> None:
+    overhead = asyncio.run(measure(CALLS))
+    print(format_overhead(overhead))
+    check_added(overhead, 1)
+    check_added(overhead, 32)
+    rates = {name: overhead.timings[name, 32].rate for name in ("gateway", "forwarder")}
+    assert rates["gateway"] >= MINIMUM_RATE_SHARE * rates["forwarder"]
+    for name in ("gateway-0", "controller-0"):
+        assert overhead.resident[name] <= BOUND_RESIDENT_BYTES
+
+
+def test_choice_costs_a_few_hashes_a_candidate(benchmark: BenchmarkFixture) -> None:
+    policy = PrefixAffinity(random.Random(1))
+    candidates = [Candidate(WorkerId(f"w{number}"), 1.0, 16) for number in range(CANDIDATES)]
+    benchmark(policy.choose, candidates, "prefix")
+    stats = benchmark.stats.stats
+    baseline = min_seconds(lambda: rendezvous_weight("prefix", "w1"))
+    assert stats.min <= MAXIMUM_HASHES_PER_CHOICE * baseline
+
+
+def min_seconds(call: object) -> float:
+    import timeit
+
+    return min(timeit.repeat(call, number=1000, repeat=20)) / 1000  # type: ignore[arg-type]
+
+
+def test_claim_costs_a_few_transitions(benchmark: BenchmarkFixture) -> None:
+    def claim() -> None:
+        process = ClaimProcess(AttemptId("a"), "digest", 10.0)
+        process.handle(ClaimStarted(), 0.0)
+        process.handle(InsertCommitted(), 0.1)
+
+    benchmark(claim)
+    baseline = min_seconds(lambda: rendezvous_weight("prefix", "w1"))
+    assert benchmark.stats.stats.min <= 300 * baseline
+
+
+class CountingTable:
+    """Commits everything after one turn of the loop."""
+
+    async def read(self, keys: Sequence[str]) -> Rows:
+        return Rows(tuple(Row(key, 0, None) for key in keys))
+
+    async def commit(self, conditions: Sequence[Condition], writes: Sequence[Write]) -> Committed:
+        await asyncio.sleep(0)
+        return Committed(tuple(Row(write.key, 1, write.value) for write in writes))
+
+
+def test_claims_of_one_gateway_share_transactions() -> None:
+    async def write_all() -> ClaimWriter:
+        writer = ClaimWriter(CountingTable())
+        await asyncio.gather(*(writer.write(f"k{number}", 0, "v") for number in range(CLAIMS)))
+        return writer
+
+    writer = asyncio.run(write_all())
+    assert writer.writes == CLAIMS
+    assert writer.transactions <= MAXIMUM_TRANSACTIONS
--- /dev/null
+++ b/tests/processes/test_interface.py
@@ -0,0 +1,168 @@
+"""The interface page's examples, and every way in which a caller's request can be wrong."""
+
+import itertools
+import re
+import shlex
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+
+from corkcrank.contracts.configuration import ServiceKind
+from corkcrank.contracts.result_codes import ResultCode
+from corkcrank.load.deployment import Deployment, load_deployment
+from corkcrank.load.local_cluster import LocalCluster
+from small import small_deployment
+
+PAGE = Path(__file__).parent.parent.parent / "docs" / "INTERFACE.md"
+EXAMPLES = Path(__file__).parent.parent.parent / "examples"
+
+
+def deployment_of_the_page() -> Deployment:
+    """Return the small deployment with every plain service that the page names."""
+    small = small_deployment(machines=1)
+    whole = load_deployment(EXAMPLES / "association.toml")
+    named = {service.name for service in small.services}
+    others = tuple(
+        msgspec.structs.replace(service, workers=1)
+        for service in whole.services
+        if service.kind == ServiceKind.PLAIN and service.name not in named
+    )
+    return msgspec.structs.replace(small, services=(*small.services, *others))
+
+
+def examples() -> list[str]:
+    blocks = re.findall(r"```sh\n(.*?)```", PAGE.read_text(encoding="utf-8"), re.DOTALL)
+    return [block.replace("\\\n", " ").strip() for block in blocks]
+
+
+async def run_example(cluster: LocalCluster, command: str) -> tuple[int, dict[str, str], bytes]:
+    """Carry out a curl command of the page."""
+    gateway = cluster.gateways()[0].caller_address
+    key = cluster.deployment.tenants[0].api_key
+    words = shlex.split(command.replace("$GATEWAY", gateway).replace("$KEY", key))
+    url = next(word for word in words if word.startswith("http://"))
+    headers: dict[str, str] = {}
+    data = ""
+    for flag, value in itertools.pairwise(words):
+        if flag == "-H":
+            name, _, text = value.partition(": ")
+            headers[name] = text
+        elif flag == "-d":
+            data = value
+    async with cluster.session.post(url, headers=headers, data=data.encode()) as response:
+        return response.status, dict(response.headers), await response.read()
+
+
+async def test_examples_of_the_page() -> None:
+    async with LocalCluster(deployment_of_the_page()) as cluster:
+        answers = [await run_example(cluster, command) for command in examples()]
+    pipeline, stream, plain, receipt, unknown = answers
+    body = msgspec.json.decode(pipeline[2])
+    assert (pipeline[0], body["code"], body["tokens"]) == (200, 1000, 16)
+    assert stream[2].count(b"event: token") == 3
+    assert stream[2].rstrip().split(b"\n")[-2] == b"event: end"
+    assert plain[0] == receipt[0] == 200
+    assert msgspec.json.decode(unknown[2])["name"] == "UNKNOWN_PIPELINE"
+
+
+CASES = (
+    ("pipelines/nonesuch", {}, b"{}", ResultCode.UNKNOWN_PIPELINE),
+    ("pipelines/draft-review", {}, b"{", ResultCode.MALFORMED_REQUEST),
+    ("pipelines/draft-review", {}, b'{"input": 3}', ResultCode.MALFORMED_REQUEST),
+    ("pipelines/draft-review", {}, b'{"input": "x", "more": 1}', ResultCode.MALFORMED_REQUEST),
+    (
+        "pipelines/draft-review",
+        {},
+        b'{"input": "x", "max_tokens": 0}',
+        ResultCode.MALFORMED_REQUEST,
+    ),
+    ("pipelines/draft-review", {}, b"x" * 2_000_000, ResultCode.BODY_TOO_LARGE),
+    ("pipelines/draft-review", {"Authorization": "Bearer no"}, b"{}", ResultCode.UNKNOWN_API_KEY),
+    (
+        "pipelines/draft-review",
+        {"Corkcrank-Deadline-Ms": "-5"},
+        b'{"input": "x"}',
+        ResultCode.DEADLINE_ALREADY_PAST,
+    ),
+    (
+        "pipelines/draft-review",
+        {"Corkcrank-Deadline-Ms": "soon"},
+        b'{"input": "x"}',
+        ResultCode.MALFORMED_REQUEST,
+    ),
+    (
+        "pipelines/draft-review",
+        {"Corkcrank-Deadline-Ms": "nan"},
+        b'{"input": "x"}',
+        ResultCode.MALFORMED_REQUEST,
+    ),
+    (
+        "pipelines/draft-review",
+        {"Corkcrank-Deadline-Ms": "5"},
+        b'{"input": "x"}',
+        ResultCode.DEADLINE_UNREACHABLE,
+    ),
+    ("services/nonesuch/status", {}, b"", ResultCode.UNKNOWN_SERVICE),
+    ("services/tax-llm/status", {}, b"", ResultCode.UNKNOWN_SERVICE),
+    (
+        "services/member-portal/confirm-receipt",
+        {},
+        b"",
+        ResultCode.IDEMPOTENCY_KEY_REQUIRED,
+    ),
+    (
+        "services/member-portal/confirm-receipt",
+        {"Idempotency-Key": "k" * 300},
+        b"",
+        ResultCode.MALFORMED_REQUEST,
+    ),
+    ("services/member-portal/status", {}, b"\xff\xfe", ResultCode.MALFORMED_REQUEST),
+    ("nonesuch", {}, b"", ResultCode.UNKNOWN_PATH),
+)
+
+
+async def test_each_wrong_request_has_its_code_and_the_gateway_goes_on() -> None:
+    async with LocalCluster(small_deployment(machines=1)) as cluster:
+        key = cluster.deployment.tenants[0].api_key
+        gateway = cluster.gateways()[0].caller_address
+        for path, headers, body, expected in CASES:
+            status, answer, retry_after = await post(
+                cluster,
+                f"http://{gateway}/v1/{path}",
+                {"Authorization": f"Bearer {key}", **headers},
+                body,
+            )
+            assert answer["code"] == expected.number, (path, headers, body[:40], answer)
+            assert status == expected.http_status
+            assert answer["ran"] == str(expected.ran)
+            assert (retry_after is not None) == expected.is_refusal
+        fine = b'{"input": "x", "max_tokens": 2}'
+        headers = {"Authorization": f"Bearer {key}"}
+        url = f"http://{gateway}/v1/pipelines/draft-review"
+        assert (await post(cluster, url, headers, fine))[0] == 200
+
+
+async def post(
+    cluster: LocalCluster, url: str, headers: dict[str, str], body: bytes
+) -> tuple[int, dict[str, Any], str | None]:
+    async with cluster.session.post(url, headers=headers, data=body) as response:
+        answer = msgspec.json.decode(await response.read())
+        return response.status, answer, response.headers.get("Retry-After")
+
+
+@pytest.mark.parametrize("tenant", [4])
+async def test_quota_is_shared_by_the_gateways(tenant: int) -> None:
+    async with LocalCluster(small_deployment(machines=2)) as cluster:
+        key = cluster.deployment.tenants[tenant].api_key
+        burst = cluster.deployment.tenants[tenant].burst
+        headers = {"Authorization": f"Bearer {key}"}
+        codes: list[int] = []
+        for number in range(int(burst * 1.5)):
+            gateway = cluster.gateways()[number % 2].caller_address
+            url = f"http://{gateway}/v1/services/member-portal/status"
+            codes.append((await post(cluster, url, headers, b"x"))[1]["code"])
+        refused = codes.count(ResultCode.TENANT_QUOTA_EXCEEDED.number)
+        assert set(codes) == {1000, ResultCode.TENANT_QUOTA_EXCEEDED.number}
+        assert refused >= burst * 0.2
