Count own calls since the load's sample, and poll right before the heartbeat

Three causes were found one after another: 1. the load tool's own session allowed 100 connections, so refusals seemed to take 1.07 s (with no limit: 0.006 s); 2. among two engines "two random choices" always drew both, so each gateway took the same least loaded one; 3. a load is about 1.7 s old when a gateway has it, but own calls were counted only since its arrival, so the calls in between were in neither.

Change: no limit in the load tool; the two choices are drawn independently; own calls count from the usual time of the sample; controllers poll right before their heartbeat; the queue's wait is forecast from the service's mean call, with smaller margins; without admission nothing is given up early either.

--- a/src/corkcrank/controller/program.py
+++ b/src/corkcrank/controller/program.py
@@ -57,6 +57,7 @@
         table = HttpTable(self._session, settings.platform.table, self.traffic)
         self.agent = MemberAgent(settings, ROLE, table, self._peers)
         self.holder = ZoneHolder(self.agent, table, self._peers, self._back_ends)
+        self.agent.before_heartbeat = self.holder.poll_workers
         self.agent.reports = self.holder.reports
         self.desk = PlanDesk(table)
         self._log = PartLog(ROLE)
@@ -90,7 +91,6 @@
         self._loops = [
             asyncio.create_task(self.agent.run()),
             asyncio.create_task(self.holder.run()),
-            asyncio.create_task(self.holder.run_polls()),
         ]
 
     async def stop(self) -> None:
--- a/src/corkcrank/controller/zone_holder.py
+++ b/src/corkcrank/controller/zone_holder.py
@@ -115,13 +115,6 @@
                 await asyncio.wait_for(self._wake.wait(), pause)
             self._wake.clear()
 
-    async def run_polls(self) -> None:
-        """Poll this controller's share of the zone's workers until cancelled."""
-        while True:
-            started = time.monotonic()
-            await self._poll_workers()
-            await asyncio.sleep(max(0.05, TICK_SECONDS - (time.monotonic() - started)))
-
     async def tick(self) -> None:
         """Renew or claim the lease, then publish if it is this controller's to do."""
         self._ticks += 1
@@ -247,7 +240,8 @@
         self.orders_sent += 1
         await self._back_ends.order(address, order)
 
-    async def _poll_workers(self) -> None:
+    async def poll_workers(self) -> None:
+        """Poll this controller's share of the zone's workers, for the next heartbeat."""
         share = self._shares.share(self._agent.view.tables.membership.members, self._zone_workers())
         outcomes = await asyncio.gather(*(self._back_ends.load(worker.address) for worker in share))
         self._own_reports = tuple(
--- a/src/corkcrank/gateway/admission.py
+++ b/src/corkcrank/gateway/admission.py
@@ -12,23 +12,31 @@
 SMOOTHING = 0.1
 """Weight of the newest sample in a moving mean."""
 
-RANK_PATIENCE = 0.25
-"""Share of the budget that each rank below the best gives up as a safety margin."""
+OPTIMISM = 1.25
+"""The forecast may exceed the budget by this factor: a queue seen late has mostly drained."""
 
-MAXIMUM_MARGIN = 0.5
+RANK_MARGIN = 0.1
+"""Share of the budget that each rank below the best gives up while there is a queue."""
+
+MAXIMUM_MARGIN = 0.3
 """Largest share of the budget taken as margin."""
 
 
 @dataclass(frozen=True, slots=True)
 class StageForecast:
-    """What is known of one remaining stage; times are in seconds."""
+    """What is known of one remaining stage; times are in seconds.
+
+    ``queue_seconds`` is the mean time of the calls queued at the stage's service, which
+    may belong to other pipelines.
+    """
 
     service_seconds: float
     least_pressure: float
+    queue_seconds: float
 
 
 class StageTimes:
-    """Moving mean of one stage's uncontended service time at one gateway."""
+    """Moving mean of a stage's or a service's uncontended time of one call."""
 
     def __init__(self, expected_seconds: float) -> None:
         self.seconds = expected_seconds
@@ -41,10 +49,10 @@
 def predict_seconds(stages: Sequence[StageForecast]) -> float:
     """Return the predicted time until the last stage has answered.
 
-    >>> predict_seconds([StageForecast(0.1, 0.0), StageForecast(0.2, 2.0)])
-    0.5
+    >>> predict_seconds([StageForecast(0.1, 0.0, 0.1), StageForecast(0.2, 2.0, 0.3)])
+    0.6
     """
-    return sum(stage.service_seconds * (1.0 + queue_ahead(stage)) for stage in stages)
+    return sum(stage.service_seconds + stage.queue_seconds * queue_ahead(stage) for stage in stages)
 
 
 def queue_ahead(stage: StageForecast) -> float:
@@ -67,8 +75,10 @@
         Rank of the tenant's tier; zero is served first.
 
     """
-    margin = min(MAXIMUM_MARGIN, RANK_PATIENCE * rank)
+    margin = min(MAXIMUM_MARGIN, RANK_MARGIN * rank)
     congested = any(queue_ahead(stage) > 0.0 for stage in stages)
-    budget = remaining_seconds * (1.0 - margin) if congested else remaining_seconds
+    budget = remaining_seconds
+    if congested:
+        budget *= OPTIMISM * (1.0 - margin)
     excess = predict_seconds(stages) - budget
     return max(0.0, excess)
--- a/src/corkcrank/gateway/dispatch.py
+++ b/src/corkcrank/gateway/dispatch.py
@@ -58,8 +58,9 @@
     @contextmanager
     def sending(self, worker: WorkerId) -> Iterator[Address]:
         """Count a call to ``worker`` while it is in flight, and give its address."""
-        self.view.call_started(worker)
+        started = self._clock()
+        self.view.call_started(worker, started)
         try:
             yield self.view.address(worker) or UNKNOWN_ADDRESS
         finally:
-            self.view.call_ended(worker)
+            self.view.call_ended(worker, started)
--- a/src/corkcrank/gateway/front.py
+++ b/src/corkcrank/gateway/front.py
@@ -231,6 +231,7 @@
             max_tokens=body.max_tokens or pipeline.max_tokens,
             deadline=deadline,
             sink=_discard_token,
+            gives_up_early=self._policies.admission,
         )
 
     def _check_feasible(
@@ -245,7 +246,8 @@
                 return Failure(ResultCode.NO_BACKEND, stage.service, retry_after=1.0)
             # Only a stage that generates takes longer for more tokens.
             service_seconds = times.seconds * (scale if stage.model else 1.0)
-            forecasts.append(StageForecast(service_seconds, pressure))
+            queue = self._times.setdefault(stage.service, StageTimes(stage.expected_seconds))
+            forecasts.append(StageForecast(service_seconds, pressure, queue.seconds))
         if not self._policies.admission:
             return None
         wait = seconds_until_feasible(forecasts, seconds, caller.rank)
--- a/src/corkcrank/gateway/pipeline_run.py
+++ b/src/corkcrank/gateway/pipeline_run.py
@@ -86,6 +86,7 @@
     max_tokens: int
     deadline: float
     sink: TokenSink
+    gives_up_early: bool = True
     passages: tuple[Passage, ...] = ()
     answer: str = ""
     tokens: int = 0
@@ -184,6 +185,7 @@
         self.passages = answer.passages
         self._charge(stage, service, answer.busy_seconds)
         self.times[stage_key(self.pipeline, stage)].record(answer.busy_seconds)
+        self.times[stage.service].record(answer.busy_seconds)
 
     def _attempt_seconds(self, stage: Stage) -> float:
         patience = max(
@@ -262,7 +264,8 @@
         remaining = max(0.001, self.deadline - time.monotonic())
         times = self.times[stage_key(self.pipeline, stage)]
         scale = self.max_tokens / self.pipeline.max_tokens
-        pace = DecodePace(times.seconds * scale, self.max_tokens)
+        usual = times.seconds * scale if self.gives_up_early else 0.0
+        pace = DecodePace(usual, self.max_tokens)
         chunks = self.dispatcher.back_ends.generate(address, call, remaining).__aiter__()
         while not assembler.complete:
             slack = pace.slack_seconds(self.deadline - time.monotonic(), assembler.offset)
@@ -284,6 +287,7 @@
         self._charge(stage, service, chunk.busy_seconds)
         if pace.measured_seconds is not None:
             times.record(pace.measured_seconds / scale)
+            self.times[stage.service].record(pace.measured_seconds)
 
 
 def stage_key(pipeline: Pipeline, stage: Stage) -> str:
--- a/src/corkcrank/gateway/program.py
+++ b/src/corkcrank/gateway/program.py
@@ -89,7 +89,7 @@
     def _apply_digest(self, digest: ZoneDigest) -> None:
         if digest.directory is not None:
             self.view.apply_directory(digest.directory)
-        self.view.apply_loads(digest.loads)
+        self.view.apply_loads(digest.loads, time.monotonic())
 
     def _drained_workers(self) -> frozenset[WorkerId]:
         index = self.agent.view.adoption.index
--- a/src/corkcrank/gateway/routing.py
+++ b/src/corkcrank/gateway/routing.py
@@ -66,16 +66,19 @@
 
 
 class TwoChoices:
-    """Takes the better of two drawn at random, which spreads a lagged view's error."""
+    """Takes the better of two drawn at random, which spreads a lagged view's error.
+
+    The two are drawn independently and may be the same: among two back ends a pair of
+    different ones would always be both, and every gateway would choose the same.
+    """
 
     def __init__(self, random_source: random.Random) -> None:
         self._random = random_source
 
     def choose(self, candidates: Sequence[Candidate], affinity: str) -> Candidate:
         """Return the better of two random candidates."""
-        if len(candidates) == 1:
-            return candidates[0]
-        first, second = self._random.sample(candidates, 2)
+        first = self._random.choice(candidates)
+        second = self._random.choice(candidates)
         return first if first.pressure <= second.pressure else second
 
 
--- a/src/corkcrank/load/local_cluster.py
+++ b/src/corkcrank/load/local_cluster.py
@@ -102,7 +102,10 @@
 
     async def __aenter__(self) -> "LocalCluster":
         """Start every process, confirm the configuration, and wait until all serve."""
-        self._session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=10.0))
+        # Callers must not wait for one another in the load tool itself.
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0), timeout=aiohttp.ClientTimeout(total=10.0)
+        )
         try:
             await self._start()
         except BaseException:
--- a/src/corkcrank/machines/load_view.py
+++ b/src/corkcrank/machines/load_view.py
@@ -1,7 +1,8 @@
 """A gateway's view of the back ends: directory, lagged loads, own calls and own failures."""
 
+from bisect import bisect_right
 from collections.abc import Collection, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from corkcrank.contracts.identifiers import Address, WorkerId
 from corkcrank.contracts.messages import WorkerEntry
@@ -11,6 +12,9 @@
 SUSPECT_SECONDS = 1.0
 """Time for which a back end that failed a call is avoided if others remain."""
 
+REPORT_AGE_SECONDS = 1.5
+"""Usual age of a load when a gateway gets it: report lag, heartbeat and digest."""
+
 DEFAULT_SLOTS = 8
 """Slots assumed of a back end that has not reported yet."""
 
@@ -26,17 +30,22 @@
     slots: int = DEFAULT_SLOTS
     models: tuple[str, ...] = ()
     reported: bool = False
-    own_in_flight: int = 0
-    own_at_report: int = 0
+    own_starts: list[float] = field(default_factory=list)
+    sampled_at: float = 0.0
     suspect_until: float = 0.0
 
+    @property
+    def own_in_flight(self) -> int:
+        """Return the number of own calls in flight."""
+        return len(self.own_starts)
+
     @property
     def load(self) -> float:
-        """Return reported calls plus own calls sent since the report.
+        """Return reported calls plus own calls sent since the report was sampled.
 
         The report already counts the own calls that were in flight then.
         """
-        since = max(0, self.own_in_flight - self.own_at_report)
+        since = len(self.own_starts) - bisect_right(self.own_starts, self.sampled_at)
         return self.reported_running + self.reported_waiting + since
 
 
@@ -70,7 +79,7 @@
         for view in self._workers.values():
             self._by_service.setdefault(view.entry.service, []).append(view)
 
-    def apply_loads(self, loads: Iterable[WorkerLoad]) -> None:
+    def apply_loads(self, loads: Iterable[WorkerLoad], now: float) -> None:
         """Take newly reported loads."""
         for load in loads:
             view = self._workers.get(load.worker)
@@ -81,7 +90,7 @@
             view.slots = load.slots
             view.models = load.models
             view.leaving = view.leaving or load.leaving
-            view.own_at_report = view.own_in_flight
+            view.sampled_at = now - REPORT_AGE_SECONDS
             view.reported = True
 
     def mark_leaving(self, worker: WorkerId) -> None:
@@ -101,18 +110,17 @@
         view = self._workers.get(worker)
         return Address(view.entry.address) if view is not None else None
 
-    def call_started(self, worker: WorkerId) -> None:
-        """Count a call sent to a back end."""
+    def call_started(self, worker: WorkerId, now: float) -> None:
+        """Count a call sent to a back end at ``now``."""
         view = self._workers.get(worker)
         if view is not None:
-            view.own_in_flight += 1
+            view.own_starts.append(now)
 
-    def call_ended(self, worker: WorkerId) -> None:
-        """Count a call to a back end as over."""
+    def call_ended(self, worker: WorkerId, started: float) -> None:
+        """Count the call that was sent at ``started`` as over."""
         view = self._workers.get(worker)
-        if view is not None:
-            view.own_in_flight = max(0, view.own_in_flight - 1)
-            view.own_at_report = min(view.own_at_report, view.own_in_flight)
+        if view is not None and started in view.own_starts:
+            view.own_starts.remove(started)
 
     def candidates(
         self,
--- a/src/corkcrank/machines/member.py
+++ b/src/corkcrank/machines/member.py
@@ -8,7 +8,7 @@
 import dataclasses
 import random
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 
 import msgspec
 
@@ -116,6 +116,7 @@
         self.peers = peers
         self.view = MemberView(settings.process.zone)
         self.on_digest: Callable[[ZoneDigest], None] = lambda digest: None
+        self.before_heartbeat: Callable[[], Awaitable[None]] = _nothing
         self.reports: Callable[[], tuple[LoadReport, ...]] = lambda: ()
         self._log = PartLog("member")
         self._random = random.Random(settings.process.name)
@@ -140,6 +141,7 @@
     async def _run_heartbeats(self) -> None:
         while True:
             started = time.monotonic()
+            await self.before_heartbeat()
             await self.send_heartbeat()
             await asyncio.sleep(_rest(started, self._interval))
 
@@ -352,6 +354,10 @@
         task.add_done_callback(self._tasks.discard)
 
 
+async def _nothing() -> None:
+    """Do nothing."""
+
+
 def _rest(started: float, interval: float) -> float:
     return max(SHORTEST_PAUSE_SECONDS, interval - (time.monotonic() - started))
 
--- a/tests/core/test_load_view.py
+++ b/tests/core/test_load_view.py
@@ -43,7 +43,7 @@
         elif action == 2:
             view.apply_directory(source.choice(history))
         elif action == 3:
-            view.apply_loads([WorkerLoad(worker, 1, 0, 8, leaving=worker in truth)])
+            view.apply_loads([WorkerLoad(worker, 1, 0, 8, leaving=worker in truth)], 0.0)
         chosen = {item.worker for item in view.candidates("llm", now=0.0)}
         for entry in view.workers():
             key = (entry.entry.worker, int(entry.entry.boot))
@@ -59,7 +59,7 @@
     far = WorkerEntry(WorkerId("far"), "llm", "b", "1.1.1.1:2")
     view.apply_directory(Directory(workers=(near, far), list_version=1))
     assert [item.worker for item in view.candidates("llm", 0.0)] == ["near"]
-    view.apply_loads([WorkerLoad(WorkerId("near"), 8, 2, 8)])
+    view.apply_loads([WorkerLoad(WorkerId("near"), 8, 2, 8)], 0.0)
     assert {item.worker for item in view.candidates("llm", 0.0)} == {"near", "far"}
 
 
@@ -67,10 +67,14 @@
     view = LoadView("a")
     entry = WorkerEntry(WorkerId("w"), "llm", "a", "1.1.1.1:1")
     view.apply_directory(Directory(workers=(entry,), list_version=1))
-    view.call_started(WorkerId("w"))
-    view.apply_loads([WorkerLoad(WorkerId("w"), 1, 0, 8)])
-    view.call_started(WorkerId("w"))
-    assert view.candidates("llm", 0.0)[0].load == 2
-    view.call_ended(WorkerId("w"))
-    view.call_ended(WorkerId("w"))
-    assert view.candidates("llm", 0.0)[0].load == 1
+    view.call_started(WorkerId("w"), 10.0)
+    view.call_started(WorkerId("w"), 19.5)
+    view.apply_loads([WorkerLoad(WorkerId("w"), 1, 0, 8)], 20.0)
+    assert view.candidates("llm", 20.0)[0].load == 2, "the second was sent after the sample"
+    view.call_started(WorkerId("w"), 20.5)
+    assert view.candidates("llm", 20.5)[0].load == 3
+    view.call_ended(WorkerId("w"), 10.0)
+    assert view.candidates("llm", 20.5)[0].load == 3, "the report still counts the first"
+    view.call_ended(WorkerId("w"), 19.5)
+    view.call_ended(WorkerId("w"), 20.5)
+    assert view.candidates("llm", 20.5)[0].load == 1
