--- a/src/corkcrank/links/peer_codec.py
+++ b/src/corkcrank/links/peer_codec.py
@@ -1,11 +1,14 @@
 """Packed Cap'n Proto encoding of the messages between the system's own processes."""
 
+import functools
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from importlib.resources import files
-from typing import Any
+from typing import Any, ParamSpec, TypeVar
 
 import capnp
 import msgspec
+import xxhash
 
 from corkcrank.contracts.identifiers import Address, MemberId, WorkerId
 from corkcrank.contracts.messages import LoadReport, WorkerEntry
@@ -14,9 +17,15 @@
 capnp.remove_import_hook()
 _SCHEMA: Any = capnp.load(str(files("corkcrank.links").joinpath("peer.capnp")))
 
+_ArgumentsT = ParamSpec("_ArgumentsT")
+_MessageT = TypeVar("_MessageT")
+
 MAXIMUM_COUNT = 65_535
 """Largest value of a load counter on the wire."""
 
+CHECKSUM_BYTES = 8
+"""Length of the checksum before each message."""
+
 TRAVERSAL_WORDS = 1 << 20
 """Most words that decoding one message may touch."""
 
@@ -75,13 +84,40 @@
     membership: bool = False
 
 
+def _seal(message: Any) -> bytes:
+    """Return a message's packed bytes behind their checksum."""
+    packed = bytes(message.to_bytes_packed())
+    return xxhash.xxh3_64_digest(packed) + packed
+
+
 def _read(struct: Any, data: bytes) -> Any:
+    """Return the message in ``data``.
+
+    The checksum goes first: the unpacker of the library ends the whole process on some
+    damaged messages.
+    """
+    checksum, packed = data[:CHECKSUM_BYTES], data[CHECKSUM_BYTES:]
+    if not packed or xxhash.xxh3_64_digest(packed) != checksum:
+        raise PeerDecodeError("the checksum does not match")
     try:
-        return struct.from_bytes_packed(data, traversal_limit_in_words=TRAVERSAL_WORDS)
+        return struct.from_bytes_packed(packed, traversal_limit_in_words=TRAVERSAL_WORDS)
     except (capnp.KjException, ValueError) as error:
         raise PeerDecodeError(str(error)) from error
 
 
+def _typed_errors(decode: Callable[_ArgumentsT, _MessageT]) -> Callable[_ArgumentsT, _MessageT]:
+    """Turn the library's errors, which may come from any field, into typed ones."""
+
+    @functools.wraps(decode)
+    def decode_or_raise(*arguments: _ArgumentsT.args, **named: _ArgumentsT.kwargs) -> _MessageT:
+        try:
+            return decode(*arguments, **named)
+        except (capnp.KjException, ValueError) as error:
+            raise PeerDecodeError(str(error)) from error
+
+    return decode_or_raise
+
+
 def _clip(count: int) -> int:
     return max(0, min(MAXIMUM_COUNT, count))
 
@@ -105,9 +141,10 @@
         target.slots = _clip(report.slots)
         target.models = list(report.models)
         target.fence = report.fence
-    return bytes(message.to_bytes_packed())
+    return _seal(message)
 
 
+@_typed_errors
 def decode_heartbeat(data: bytes) -> Heartbeat:
     """Return the heartbeat in ``data``; raises :class:`PeerDecodeError`."""
     message = _read(_SCHEMA.Heartbeat, data)
@@ -142,9 +179,10 @@
         intervalMs=round(reply.interval_seconds * 1000),
         holderAddress=reply.holder_address,
     )
-    return bytes(message.to_bytes_packed())
+    return _seal(message)
 
 
+@_typed_errors
 def decode_heartbeat_reply(data: bytes) -> HeartbeatReply:
     """Return the reply in ``data``; raises :class:`PeerDecodeError`."""
     message = _read(_SCHEMA.HeartbeatReply, data)
@@ -163,9 +201,10 @@
         membershipHash=reply.membership_hash,
         configurationVersion=reply.configuration_version,
     )
-    return bytes(message.to_bytes_packed())
+    return _seal(message)
 
 
+@_typed_errors
 def decode_digest_reply(data: bytes) -> DigestReply:
     """Return the reply in ``data``; raises :class:`PeerDecodeError`."""
     message = _read(_SCHEMA.DigestReply, data)
@@ -190,7 +229,7 @@
         _fill_directory(message.init("directory"), tables.directory)
     if enclosures.membership:
         _fill_membership(message.init("membership"), tables.membership)
-    return bytes(message.to_bytes_packed())
+    return _seal(message)
 
 
 def _fill_loads(message: Any, digest: ZoneDigest, directory: Directory, names: list[str]) -> None:
@@ -227,6 +266,7 @@
         row.address = member.address
 
 
+@_typed_errors
 def decode_digest(data: bytes, tables: KnownTables) -> ZoneDigest:
     """Return the digest in ``data``, read against the tables held so far.
 
--- a/tests/core/test_peer_codec.py
+++ b/tests/core/test_peer_codec.py
@@ -108,3 +108,10 @@
     encoded[place % len(encoded)] = value
     with contextlib.suppress(PeerDecodeError):
         decode_heartbeat(bytes(encoded))
+
+
+def test_a_message_of_another_kind_gives_a_typed_error_or_a_message() -> None:
+    known = tables(5)
+    digest = ZoneDigest("zone", 3, 4, 5, known.directory_hash, 8, known.membership_hash, ())
+    with contextlib.suppress(PeerDecodeError):
+        decode_heartbeat(encode_digest(digest, known, Enclosures(True, True)))
