Take the relay tree and the member's view out of the member's module

Ruled out: a base class for both daemons (they share connections, not a life).

Change: member_view decides, member carries out, relay is the tree; DaemonLinks opens and closes a daemon's connections.

Measured: core, whole-path and command line tests pass (39); lint, format and types clean.

Conclusion: behaviour as before.

--- a/src/corkcrank/controller/program.py
+++ b/src/corkcrank/controller/program.py
@@ -3,7 +3,6 @@
 import asyncio
 import time
 
-import aiohttp
 import msgspec
 from aiohttp import web
 
@@ -12,11 +11,7 @@
 from corkcrank.controller.plan_desk import PlanDesk
 from corkcrank.controller.routes import MAXIMUM_INTENT_BYTES, OperatorRoutes
 from corkcrank.controller.zone_holder import ZoneHolder
-from corkcrank.links.back_ends import BackEndClient
-from corkcrank.links.http_table import HttpTable
 from corkcrank.links.logs import PartLog, configure_logs
-from corkcrank.links.peer_client import PeerClient
-from corkcrank.links.traffic import UNUSED_HEADERS, ControlTraffic
 from corkcrank.machines.daemon import (
     MemberDump,
     cancel_all,
@@ -24,6 +19,7 @@
     serve_application,
     stop_on_signals,
 )
+from corkcrank.machines.daemon_links import DaemonLinks
 from corkcrank.machines.member import MemberAgent
 from corkcrank.machines.member_dump import dump_member
 from corkcrank.machines.peer_routes import PeerRoutes
@@ -49,14 +45,11 @@
 
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
-        self._session = aiohttp.ClientSession(skip_auto_headers=UNUSED_HEADERS)
-        self.traffic = ControlTraffic()
-        self._peers = PeerClient(self.traffic)
-        self._back_ends = BackEndClient(self.traffic)
+        self._links = DaemonLinks(settings)
         self.life = ProcessLife()
-        table = HttpTable(self._session, settings.platform.table, self.traffic)
-        self.agent = MemberAgent(settings, ROLE, table, self._peers)
-        self.holder = ZoneHolder(self.agent, table, self._peers, self._back_ends)
+        table = self._links.table
+        self.agent = MemberAgent(settings, ROLE, table, self._links.peers)
+        self.holder = ZoneHolder(self.agent, table, self._links.peers, self._links.back_ends)
         self.agent.before_heartbeat = self.holder.poll_workers
         self.agent.reports = self.holder.reports
         self.desk = PlanDesk(table)
@@ -74,14 +67,14 @@
             lease_seconds_left=max(0.0, lease.held_until - time.monotonic()),
             workers_polled=tuple(report.worker for report in self.holder.reports()),
             orders_sent=self.holder.orders_sent,
-            control_exchanges=self.traffic.exchanges,
-            control_bytes=self.traffic.total_bytes,
+            control_exchanges=self._links.traffic.exchanges,
+            control_bytes=self._links.traffic.total_bytes,
         )
 
     async def start(self) -> None:
         """Serve peers and operators, and begin to look after the zone."""
         application = web.Application(client_max_size=MAXIMUM_INTENT_BYTES)
-        PeerRoutes(self.agent, self.dump, self.holder.hear_heartbeat, self.traffic).add_to(
+        PeerRoutes(self.agent, self.dump, self.holder.hear_heartbeat, self._links.traffic).add_to(
             application
         )
         OperatorRoutes(self.desk, self.holder, self.agent).add_to(application)
@@ -100,9 +93,7 @@
         await self.holder.release()
         if self._runner is not None:
             await self._runner.cleanup()
-        await self._peers.close()
-        await self._back_ends.close()
-        await self._session.close()
+        await self._links.close()
         self.life.fire(ProcessTrigger.STOP)
         self._log.info("Stopped.")
 
--- a/src/corkcrank/gateway/caller_gate.py
+++ b/src/corkcrank/gateway/caller_gate.py
@@ -15,7 +15,7 @@
 from corkcrank.gateway.quota import TenantQuotas
 from corkcrank.gateway.request_reader import read_api_key
 from corkcrank.links.logs import PartLog
-from corkcrank.machines.member import MemberView
+from corkcrank.machines.member_view import MemberView
 
 UNKNOWN_RANK = -1
 """Rank under which requests of unknown callers are counted."""
--- a/src/corkcrank/gateway/front.py
+++ b/src/corkcrank/gateway/front.py
@@ -16,7 +16,7 @@
 from corkcrank.gateway.plain_front import PlainFront
 from corkcrank.gateway.responses import failure_response
 from corkcrank.links.logs import PartLog
-from corkcrank.machines.member import MemberView
+from corkcrank.machines.member_view import MemberView
 
 
 class Front:
--- a/src/corkcrank/gateway/program.py
+++ b/src/corkcrank/gateway/program.py
@@ -4,7 +4,6 @@
 import random
 import time
 
-import aiohttp
 import msgspec
 from aiohttp import web
 
@@ -14,11 +13,7 @@
 from corkcrank.gateway.claim_store import ClaimStore
 from corkcrank.gateway.dispatch import Dispatcher
 from corkcrank.gateway.front import Front
-from corkcrank.links.back_ends import BackEndClient
-from corkcrank.links.http_table import HttpTable
 from corkcrank.links.logs import PartLog, configure_logs
-from corkcrank.links.peer_client import PeerClient
-from corkcrank.links.traffic import UNUSED_HEADERS, ControlTraffic
 from corkcrank.machines.daemon import (
     MemberDump,
     WorkerDump,
@@ -27,6 +22,7 @@
     serve_application,
     stop_on_signals,
 )
+from corkcrank.machines.daemon_links import DaemonLinks
 from corkcrank.machines.load_view import LoadView
 from corkcrank.machines.member import MemberAgent
 from corkcrank.machines.member_dump import dump_member
@@ -61,19 +57,16 @@
 
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
-        self._session = aiohttp.ClientSession(skip_auto_headers=UNUSED_HEADERS)
-        self.traffic = ControlTraffic()
-        self._peers = PeerClient(self.traffic)
-        self._back_ends = BackEndClient(self.traffic)
+        self._links = DaemonLinks(settings)
         self.life = ProcessLife()
-        table = HttpTable(self._session, settings.platform.table, self.traffic)
-        self.agent = MemberAgent(settings, ROLE, table, self._peers)
+        table = self._links.table
+        self.agent = MemberAgent(settings, ROLE, table, self._links.peers)
         self.agent.on_digest = self._apply_digest
         self.view = LoadView(settings.process.zone)
         policy = make_policy(settings.policies.routing, random.Random(settings.process.name))
         self.dispatcher = Dispatcher(
             self.view,
-            self._back_ends,
+            self._links.back_ends,
             policy,
             time.monotonic,
             self._drained_workers,
@@ -114,14 +107,14 @@
                 )
                 for worker in self.view.workers()
             ),
-            control_exchanges=self.traffic.exchanges,
-            control_bytes=self.traffic.total_bytes,
+            control_exchanges=self._links.traffic.exchanges,
+            control_bytes=self._links.traffic.total_bytes,
         )
 
     async def start(self) -> None:
         """Serve peers and callers; without a caller address, peers only."""
         peer_application = web.Application(client_max_size=MAXIMUM_PEER_BYTES)
-        PeerRoutes(self.agent, self.dump, self.agent.answer_heartbeat, self.traffic).add_to(
+        PeerRoutes(self.agent, self.dump, self.agent.answer_heartbeat, self._links.traffic).add_to(
             peer_application
         )
         process = self._settings.process
@@ -144,9 +137,7 @@
         for runner in (self._caller_runner, self._peer_runner):
             if runner is not None:
                 await runner.cleanup()
-        await self._peers.close()
-        await self._back_ends.close()
-        await self._session.close()
+        await self._links.close()
         self._log.info("Stopped.")
 
     async def _become_ready(self) -> None:
--- a/src/corkcrank/machines/member.py
+++ b/src/corkcrank/machines/member.py
@@ -1,11 +1,10 @@
 """A daemon as a member of its zone: configuration, heartbeats, digests.
 
-:class:`MemberView` is the deciding part and does no I/O; :class:`MemberAgent` carries it
+:class:`~corkcrank.machines.member_view.MemberView` decides; :class:`MemberAgent` carries
 out. Gateways and controllers both are members.
 """
 
 import asyncio
-import dataclasses
 import random
 import time
 from collections.abc import Awaitable, Callable, Coroutine
@@ -13,7 +12,6 @@
 import msgspec
 
 from corkcrank.contracts import table_keys
-from corkcrank.contracts.adoption import ConfigurationAdoption
 from corkcrank.contracts.configuration import Configuration, decode_configuration
 from corkcrank.contracts.identifiers import Address
 from corkcrank.contracts.messages import LoadReport
@@ -24,14 +22,14 @@
     PeerDecodeError,
     decode_digest,
     decode_heartbeat,
-    encode_digest,
 )
 from corkcrank.links.table import Row, Table, Unanswered
 from corkcrank.machines.leases import LeaseRow
-from corkcrank.zones.digest import MemberEntry, ZoneDigest, relay_targets
+from corkcrank.machines.member_view import DIGEST_STALE_SECONDS, MemberView
+from corkcrank.machines.relay import ROOT, Relay
+from corkcrank.zones.digest import ZoneDigest
 from corkcrank.zones.peer_messages import (
     DigestReply,
-    Enclosures,
     Heartbeat,
     HeartbeatReply,
     KnownTables,
@@ -47,66 +45,6 @@
 SHORTEST_PAUSE_SECONDS = 0.05
 """Least pause between two rounds, however long the first one took."""
 
-DIGEST_STALE_SECONDS = 3.0
-"""Age of the last digest after which a member asks a peer for one."""
-
-
-class MemberView:
-    """What one member knows of its zone."""
-
-    def __init__(self, zone: str) -> None:
-        self.zone = zone
-        self.adoption = ConfigurationAdoption()
-        self.tables = KnownTables()
-        self.digest: ZoneDigest | None = None
-        self.digest_at: float | None = None
-        self.lease: LeaseRow | None = None
-
-    @property
-    def gateways(self) -> int:
-        """Return the number of live gateways in all zones, at least one."""
-        return max(1, self.digest.gateways) if self.digest is not None else 1
-
-    def hear_digest(self, digest: ZoneDigest, now: float) -> bool:
-        """Take a digest unless it is older than the one known; return whether it counts."""
-        self.adoption.announce(digest.configuration_version)
-        if self.digest is not None and digest.order_key < self.digest.order_key:
-            return False
-        self._take_tables(digest)
-        if digest.directory_hash != self.tables.directory_hash:
-            return False
-        self.digest = digest
-        self.digest_at = now
-        return True
-
-    def _take_tables(self, digest: ZoneDigest) -> None:
-        if digest.directory is not None:
-            self.tables = dataclasses.replace(
-                self.tables, directory=digest.directory, directory_hash=digest.directory_hash
-            )
-        if digest.membership is not None:
-            self.tables = dataclasses.replace(
-                self.tables, membership=digest.membership, membership_hash=digest.membership_hash
-            )
-
-    def missing_from(self, reply: DigestReply, digest: ZoneDigest) -> Enclosures:
-        """Return what the receiver of a digest lacks."""
-        return Enclosures(
-            directory=reply.directory_hash != digest.directory_hash,
-            membership=reply.membership_hash != digest.membership_hash,
-        )
-
-    def digest_is_stale(self, now: float) -> bool:
-        """Return whether the last digest is too old to wait for the next."""
-        return self.digest_at is None or now - self.digest_at > DIGEST_STALE_SECONDS
-
-    def position(self, member: str) -> int | None:
-        """Return the member's place in the relay tree."""
-        for number, entry in enumerate(self.tables.membership.members):
-            if entry.member == member:
-                return number
-        return None
-
 
 class MemberAgent:
     """Carries out what a member does each second."""
@@ -124,7 +62,7 @@
         self._random = random.Random(settings.process.name)
         self._tasks: set[asyncio.Task[None]] = set()
         self._fetching = False
-        self._relayed = (-1, -1)
+        self._relay = Relay(settings.process.name, self.view, peers)
         self._told_holder = Address("")
         self._next_pull_at = time.monotonic() + DIGEST_STALE_SECONDS
         self._interval = SHORTEST_INTERVAL_SECONDS
@@ -244,7 +182,7 @@
         digest = decode_digest(data, self.view.tables)
         if digest.zone == self.view.zone and self.view.hear_digest(digest, time.monotonic()):
             self.on_digest(digest)
-            self._relay_once(digest)
+            self._spawn(self._relay.pass_on(digest))
         if self.view.adoption.wanted_version is not None:
             self._spawn(self.fetch_wanted(None))
         return DigestReply(
@@ -262,47 +200,7 @@
             self.on_digest(enclosed)
             # The holder has a place of its own in the tree as well: what lies below that
             # is served when the digest comes back to it.
-            self._spawn(self.relay(digest, -1))
-
-    def _relay_once(self, digest: ZoneDigest) -> None:
-        position = self.view.position(self.settings.process.name)
-        if digest.membership_hash != self.view.tables.membership_hash:
-            return
-        if position is None or digest.order_key <= self._relayed:
-            return
-        self._relayed = digest.order_key
-        self._spawn(self.relay(digest, position))
-
-    async def relay(self, digest: ZoneDigest, position: int) -> None:
-        """Pass a digest on to the members below ``position`` in the relay tree."""
-        members = self.view.tables.membership.members
-        targets = relay_targets(members, position)
-        if not targets:
-            return
-        small = encode_digest(digest, self.view.tables, Enclosures())
-        await asyncio.gather(*(self._push(digest, small, members, target) for target in targets))
-
-    async def _push(
-        self,
-        digest: ZoneDigest,
-        small: bytes,
-        members: tuple[MemberEntry, ...],
-        target: int,
-    ) -> None:
-        entry = members[target]
-        if entry.member == self.settings.process.name:
-            # A place of its own right below the one it serves for.
-            await self.relay(digest, target)
-            return
-        reply = await self.peers.push_digest(entry.address, small)
-        if reply is None:
-            # The members below a dead one are served from here until it is dropped.
-            await self.relay(digest, target)
-            return
-        missing = self.view.missing_from(reply, digest)
-        if missing.directory or missing.membership:
-            large = encode_digest(digest, self.view.tables, missing)
-            await self.peers.push_digest(entry.address, large)
+            self._spawn(self._relay.send_below(digest, ROOT))
 
     async def _pull_if_stale(self) -> None:
         # A new member waits as well: the holder's next digest brings it everything, unless
