--- a/src/corkcrank/load/program.py
+++ b/src/corkcrank/load/program.py
@@ -125,7 +125,8 @@
     Example: corkcrank-load scale results --daemons 36 --daemons 88
     """
     from corkcrank.load.scale_report import draw_results, format_results
-    from corkcrank.load.scale_run import ScaleRun, size_for
+    from corkcrank.load.scale_run import ScaleRun
+    from corkcrank.load.scale_size import size_for
 
     results = []
     for count in daemons:
--- a/tests/processes/test_configuration.py
+++ b/tests/processes/test_configuration.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from corkcrank.contracts.adoption import CONFIRMATION_LIMIT_SECONDS
 from corkcrank.contracts.configuration import Pipeline
 from corkcrank.contracts.identifiers import PipelineName
 from corkcrank.contracts.plans import DrainWorker, PutPipeline
@@ -17,6 +18,7 @@
 
 IN_FORCE_LIMIT_SECONDS = 7.0
 CHANGES = 5
+FROZEN_SECONDS = CONFIRMATION_LIMIT_SECONDS + 1.0
 
 
 async def version_at(cluster: LocalCluster, name: str) -> int:
@@ -97,7 +99,7 @@
         waiting = asyncio.create_task(ask_for(cluster, "gateway-0", "after-freeze"))
         version = await cluster.apply(PutPipeline(new_pipeline(cluster, "after-freeze")))
         await wait_in_force(cluster, ["gateway-1", "controller-0"], version)
-        await asyncio.sleep(6.0)
+        await asyncio.sleep(FROZEN_SECONDS)
         cluster.signal("gateway-0", signal.SIGCONT)
         code = await waiting
         assert code in (ResultCode.OK.number, ResultCode.CONFIGURATION_NOT_CONFIRMED.number)
