Remove two functions that nothing calls

Cause: reading the whole change once more showed wanted_models (orders) and wait_recorded (claim store) without a caller: reconciliation compares placements itself, and the drain watches unsettled claims.

Ruled out: uses by name in tests or benchmarks (a search finds the definitions only).

Change: both are gone.

Measured: lint, format and types clean; lease, order and claim tests and the process runs of unrepeatable calls pass (14).

Conclusion: behaviour as before.

--- a/src/corkcrank/gateway/claim_store.py
+++ b/src/corkcrank/gateway/claim_store.py
@@ -54,13 +54,6 @@
         self._recording.add(task)
         task.add_done_callback(self._recording.discard)
 
-    async def wait_recorded(self, timeout: float) -> bool:
-        """Wait until every row is recorded; return whether it was in time."""
-        if not self._recording:
-            return True
-        _, pending = await asyncio.wait(self._recording, timeout=timeout)
-        return not pending
-
     async def _record(self, key: str, row: ClaimRow) -> None:
         while not await self._try_record(key, row):
             await asyncio.sleep(RECORD_PAUSE_SECONDS)
--- a/src/corkcrank/machines/orders.py
+++ b/src/corkcrank/machines/orders.py
@@ -8,7 +8,6 @@
 from collections.abc import Iterable
 
 from corkcrank.contracts.configuration import Configuration
-from corkcrank.contracts.identifiers import WorkerId
 from corkcrank.contracts.messages import LoadReport, ModelOrder, WorkerEntry
 
 
@@ -28,11 +27,3 @@
         and placement.worker in held
         and held[placement.worker] != tuple(sorted(placement.models))
     )
-
-
-def wanted_models(configuration: Configuration, worker: WorkerId) -> tuple[str, ...]:
-    """Return the models that ``worker`` shall hold; empty when none are stated."""
-    for placement in configuration.placements:
-        if placement.worker == worker:
-            return placement.models
-    return ()
