--- /dev/null
+++ b/src/corkcrank/contracts/opaque_call.py
@@ -0,0 +1,75 @@
+"""An opaque call: what corkcrank knows of a request whose body it does not read."""
+
+from dataclasses import dataclass, field
+
+from corkcrank.contracts.opaque_configuration import OpaqueRoute
+
+
+@dataclass(frozen=True, slots=True)
+class PrefixPart:
+    """One part of a prompt that requests may share, and its tokens."""
+
+    part_id: str
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class PromptShape:
+    """What a caller tells of its prompt: tokens in, most tokens out, shared parts."""
+
+    model: str = ""
+    tokens_in: int = 0
+    tokens_out: int = 0
+    parts: tuple[PrefixPart, ...] = ()
+
+    @property
+    def shared_parts(self) -> tuple[PrefixPart, ...]:
+        """Return the parts that other prompts may share: all but the last."""
+        return self.parts[:-1]
+
+
+@dataclass(frozen=True, slots=True)
+class CallEnvelope:
+    """The parts of a request's header that decide how it is served.
+
+    ``budget_seconds`` is the time the caller will wait. ``piece_counts`` gives the pieces
+    of each stage. ``resume_after`` is the id of the last event the caller has.
+    """
+
+    call_id: str
+    key: str = ""
+    budget_seconds: float | None = None
+    prompt: PromptShape = PromptShape()
+    piece_counts: tuple[int, ...] = ()
+    piece_key: str = ""
+    resume_after: str = ""
+
+
+@dataclass(slots=True)
+class OpaqueCall:
+    """One request of one caller on its way; times are of the monotonic clock."""
+
+    envelope: CallEnvelope
+    route: OpaqueRoute
+    service: str
+    tenant: str
+    rank: tuple[int, int]
+    method: str
+    target: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    arrived_at: float
+    end_at: float
+    caller_end_at: float
+    configuration_version: int
+    workers_tried: list[str] = field(default_factory=list)
+
+    @property
+    def call_id(self) -> str:
+        """Return the caller's id of this attempt."""
+        return self.envelope.call_id
+
+    @property
+    def objective_at(self) -> float:
+        """Return when the first byte of the answer is due."""
+        return self.arrived_at + self.route.objective
--- a/src/corkcrank/contracts/result_codes.py
+++ b/src/corkcrank/contracts/result_codes.py
@@ -44,6 +44,10 @@
     DEADLINE_ALREADY_PAST = CodeEntry(2008, 400, Ran.NO, "The deadline is not in the future.")
     UNKNOWN_PATH = CodeEntry(2009, 404, Ran.NO, "No such path or method.")
 
+    UNKNOWN_ROUTE = CodeEntry(2010, 404, Ran.NO, "No route has this host and path.")
+    HEADERS_TOO_LARGE = CodeEntry(2011, 431, Ran.NO, "The header exceeds the size limit.")
+    REQUEST_TOO_SLOW = CodeEntry(2012, 408, Ran.NO, "The request did not arrive in time.")
+
     DEADLINE_UNREACHABLE = CodeEntry(
         3001, 503, Ran.NO, "The remaining stages cannot finish before the deadline."
     )
@@ -63,6 +67,12 @@
         3007, 503, Ran.NO, "The key was claimed but the call was never sent."
     )
 
+    CONFIGURATION_UNKNOWN = CodeEntry(3008, 503, Ran.NO, "This gateway has no configuration yet.")
+    CAPACITY_SHORT = CodeEntry(
+        3009, 503, Ran.NO, "The stages cannot finish in time now; nothing was begun."
+    )
+    WORKERS_FULL = CodeEntry(3010, 503, Ran.NO, "Every worker tried said that it is full.")
+
     OUTCOME_UNKNOWN = CodeEntry(
         4001, 504, Ran.UNKNOWN, "The call was sent and its outcome is not known."
     )
@@ -80,6 +90,8 @@
         4006, 500, Ran.UNKNOWN, "A fault in the gateway; its log names the request."
     )
 
+    WORKER_LOST = CodeEntry(4007, 502, Ran.UNKNOWN, "The worker's answer was lost or is not whole.")
+
     PLAN_STALE = CodeEntry(5001, 409, Ran.NO, "The plan was drawn from an older version.")
     PLAN_UNKNOWN = CodeEntry(5002, 404, Ran.NO, "No plan has this id.")
     INTENT_INVALID = CodeEntry(5003, 422, Ran.NO, "The intent does not give a valid configuration.")
--- /dev/null
+++ b/src/corkcrank/gateway/opaque/attempts.py
@@ -0,0 +1,152 @@
+"""One attempt of a call at one worker: what came back, judged."""
+
+import time
+from dataclasses import dataclass
+from enum import StrEnum
+
+import aiohttp
+
+from corkcrank.contracts.opaque_call import OpaqueCall
+from corkcrank.contracts.worker_records import WorkerRecord
+from corkcrank.gateway.opaque.services import CallServices
+from corkcrank.gateway.opaque.worker_client import SendFailure, SendTrouble
+from corkcrank.links.decision_log import LogEvent
+from corkcrank.links.platform_ports import AnswerHead
+
+AVOID_SECONDS = 1.0
+"""Time for which a worker is avoided that lost a call."""
+
+FULL_AVOID_SECONDS = 0.15
+"""Time for which a worker is avoided that said it is full."""
+
+INPUTS_GONE_STATUS = 409
+"""Status of an engine that could not fetch a result."""
+
+MISDIRECTED_STATUS = 421
+"""Status of a worker that is not the one named."""
+
+
+class AttemptOutcome(StrEnum):
+    """What an attempt means for the call."""
+
+    ANSWERED = "answered"
+    NOT_SENT = "not-sent"
+    NOT_RUN = "not-run"
+    LOST = "lost"
+
+
+@dataclass(slots=True)
+class Attempt:
+    """An attempt after the head of its answer, or after its failure."""
+
+    worker: WorkerRecord
+    outcome: AttemptOutcome
+    detail: str = ""
+    response: aiohttp.ClientResponse | None = None
+    head: AnswerHead | None = None
+    lost_inputs: bool = False
+
+    @property
+    def status(self) -> int:
+        """Return the status of the answer; zero without one."""
+        return self.response.status if self.response is not None else 0
+
+    def close(self) -> None:
+        """Drop the connection, so that the worker stops working."""
+        if self.response is not None:
+            self.response.close()
+
+
+async def attempt_call(
+    services: CallServices,
+    call: OpaqueCall,
+    worker: WorkerRecord,
+    head_seconds: float,
+    *,
+    fresh: bool,
+    inputs: tuple[str, ...] | None = None,
+    resume_after: str = "",
+) -> Attempt:
+    """Send a call to a worker and judge the head of what comes back."""
+    remaining = call.end_at - time.monotonic()
+    headers = services.ports.calls.worker_headers(call, worker, remaining, inputs, resume_after)
+    call.workers_tried.append(worker.worker_id)
+    services.log.write(
+        LogEvent.CALL_SENT,
+        call=call.call_id,
+        worker=worker.worker_id,
+        service=worker.service,
+        in_flight=services.book.of(worker.worker_id).in_flight,
+        peers_in_flight=services.book.of(worker.worker_id).peers_in_flight,
+        remaining=round(remaining, 3),
+        attempt=len(call.workers_tried),
+    )
+    response = await services.client.open(
+        call.method,
+        worker.address,
+        call.target,
+        headers,
+        call.body,
+        max(0.01, min(head_seconds, remaining)),
+        fresh=fresh,
+    )
+    attempt = _judge(services, call, worker, response)
+    _note(services, call, attempt)
+    return attempt
+
+
+def _judge(
+    services: CallServices,
+    call: OpaqueCall,
+    worker: WorkerRecord,
+    response: aiohttp.ClientResponse | SendFailure,
+) -> Attempt:
+    if isinstance(response, SendFailure):
+        sent = response.trouble is not SendTrouble.NOT_SENT
+        outcome = AttemptOutcome.LOST if sent else AttemptOutcome.NOT_SENT
+        return Attempt(worker, outcome, response.detail)
+    head = services.ports.calls.read_answer(response.headers)
+    if head.call_id and head.call_id != call.call_id:
+        response.close()
+        return Attempt(worker, AttemptOutcome.LOST, "answer to another request")
+    if head.not_run or response.status == MISDIRECTED_STATUS:
+        _note_leaving(services, worker, response)
+        status = response.status
+        response.close()
+        lost_inputs = status == INPUTS_GONE_STATUS
+        return Attempt(worker, AttemptOutcome.NOT_RUN, f"status {status}", None, head, lost_inputs)
+    if not head.sealed or head.call_id != call.call_id:
+        response.close()
+        return Attempt(worker, AttemptOutcome.LOST, "answer without signature")
+    if head.encoded and response.status < 300:
+        response.close()
+        return Attempt(worker, AttemptOutcome.LOST, "answer in another encoding")
+    return Attempt(worker, AttemptOutcome.ANSWERED, "", response, head)
+
+
+def _note_leaving(
+    services: CallServices, worker: WorkerRecord, response: aiohttp.ClientResponse
+) -> None:
+    if response.status == MISDIRECTED_STATUS:
+        services.book.of(worker.worker_id).leaving = True
+
+
+def _note(services: CallServices, call: OpaqueCall, attempt: Attempt) -> None:
+    services.metrics.attempts.labels(attempt.outcome.value).inc()
+    if attempt.outcome is AttemptOutcome.ANSWERED:
+        return
+    now = time.monotonic()
+    standing = services.book.of(attempt.worker.worker_id)
+    if attempt.outcome is AttemptOutcome.NOT_RUN:
+        standing.avoid_until = max(standing.avoid_until, now + FULL_AVOID_SECONDS)
+    else:
+        standing.failures.append(now)
+        standing.avoid_until = max(standing.avoid_until, now + AVOID_SECONDS)
+    services.log.write(
+        LogEvent.CALL_ATTEMPT_FAILED,
+        call=call.call_id,
+        worker=attempt.worker.worker_id,
+        outcome=attempt.outcome.value,
+        detail=attempt.detail,
+        failures=standing.recent_failures(now),
+    )
--- /dev/null
+++ b/src/corkcrank/gateway/opaque/front.py
@@ -0,0 +1,227 @@
+"""The opaque front: reads a call, finds its route and tenant, and has it served."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from aiohttp import web
+from aiohttp.http_exceptions import HttpProcessingError
+
+from corkcrank.contracts.opaque_call import CallEnvelope, OpaqueCall
+from corkcrank.contracts.opaque_configuration import (
+    CallKind,
+    KeyedTenant,
+    OpaqueConfiguration,
+    OpaqueRoute,
+    RequestLimits,
+)
+from corkcrank.contracts.result_codes import ResultCode
+from corkcrank.gateway.opaque.plain_run import PlainRun
+from corkcrank.gateway.opaque.refusals import Refusal
+from corkcrank.gateway.opaque.services import CallServices
+from corkcrank.gateway.opaque.stream_run import StreamRun
+from corkcrank.links.decision_log import LogEvent
+
+UNKNOWN_RETRY_SECONDS = 0.3
+"""When to come back to a gateway that has no configuration yet."""
+
+DEFAULT_BUDGET_SECONDS = 30.0
+"""Time of a caller that does not say how long it will wait."""
+
+
+class OpaqueFront:
+    """Handles every request of every caller."""
+
+    def __init__(self, services: CallServices, draining: Callable[[], bool]) -> None:
+        self._services = services
+        self._draining = draining
+
+    def limits(self) -> RequestLimits:
+        """Return the limits of the configuration in force."""
+        configuration = self._services.mirror.configuration
+        return configuration.limits if configuration is not None else RequestLimits()
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Serve one request; whatever goes wrong, its caller gets a final answer."""
+        arrived_at = time.monotonic()
+        try:
+            outcome = await self._serve(request, arrived_at)
+        except asyncio.CancelledError:
+            raise
+        except ConnectionError:
+            raise
+        except HttpProcessingError as error:
+            outcome = Refusal(ResultCode.MALFORMED_REQUEST, str(error), close=True)
+        except Exception as error:
+            self._services.log.write(LogEvent.INTERNAL_FAULT, error=repr(error), path=request.path)
+            outcome = Refusal(ResultCode.INTERNAL_ERROR, type(error).__name__, close=True)
+        response = outcome.response() if isinstance(outcome, Refusal) else outcome
+        if self._draining() and not response.prepared:
+            response.force_close()
+        return response
+
+    async def _serve(
+        self, request: web.BaseRequest, arrived_at: float
+    ) -> web.StreamResponse | Refusal:
+        configuration = self._services.mirror.configuration
+        if configuration is None:
+            return Refusal(
+                ResultCode.CONFIGURATION_UNKNOWN, retry_after=UNKNOWN_RETRY_SECONDS, close=True
+            )
+        problem = _head_problem(request, configuration.limits)
+        if problem is not None:
+            return problem
+        body = await _read_body(request, configuration.limits)
+        if isinstance(body, Refusal):
+            return body
+        call = self._read_call(request, body, arrived_at)
+        if isinstance(call, Refusal):
+            self._log_refusal(request, call)
+            return call
+        return await self._run(call, request)
+
+    async def _run(
+        self, call: OpaqueCall, request: web.BaseRequest
+    ) -> web.StreamResponse | Refusal:
+        metrics = self._services.metrics
+        outcome = "left"
+        first_at = time.monotonic()
+        detail = ""
+        try:
+            if call.route.kind is CallKind.STREAM:
+                answer = await StreamRun(call, self._services, request).run()
+            else:
+                answer = await PlainRun(call, self._services).run()
+            first_at = time.monotonic()
+            if isinstance(answer, Refusal):
+                outcome, detail = answer.code.name, answer.detail
+            else:
+                outcome = str(answer.status)
+            return answer
+        except ConnectionError as error:
+            outcome, detail = "broken", str(error)
+            raise
+        finally:
+            seconds = time.monotonic() - call.arrived_at
+            metrics.calls.labels(call.route.kind.value, str(call.rank), outcome).inc()
+            metrics.seconds.labels(call.route.kind.value).observe(first_at - call.arrived_at)
+            self._services.log.write(
+                LogEvent.CALL_ENDED,
+                call=call.call_id,
+                route=call.route.name,
+                tenant=call.tenant,
+                outcome=outcome,
+                detail=detail,
+                seconds=round(seconds, 3),
+                left=round(call.caller_end_at - time.monotonic(), 3),
+                workers=call.workers_tried,
+                configuration=call.configuration_version,
+            )
+
+    def _read_call(
+        self, request: web.BaseRequest, body: bytes, arrived_at: float
+    ) -> OpaqueCall | Refusal:
+        # The configuration may have changed while the body came in.
+        configuration = self._services.mirror.configuration
+        assert configuration is not None
+        envelope = self._services.ports.calls.read_envelope(request.headers)
+        if isinstance(envelope, str):
+            return Refusal(ResultCode.MALFORMED_REQUEST, envelope)
+        path = request.raw_path.partition("?")[0]
+        route = configuration.route_for(request.headers.get("Host", ""), path)
+        if route is None:
+            return Refusal(ResultCode.UNKNOWN_ROUTE, f"version {configuration.version}")
+        tenant = _tenant(configuration, route, envelope)
+        if isinstance(tenant, Refusal):
+            return tenant
+        return _make_call(request, body, arrived_at, configuration, envelope, route, tenant)
+
+    def _log_refusal(self, request: web.BaseRequest, refusal: Refusal) -> None:
+        self._services.log.write(
+            LogEvent.CALL_REFUSED,
+            path=request.path[:120],
+            code=refusal.code.name,
+            detail=refusal.detail,
+            version=self._services.mirror.version,
+        )
+
+
+def _make_call(
+    request: web.BaseRequest,
+    body: bytes,
+    arrived_at: float,
+    configuration: OpaqueConfiguration,
+    envelope: CallEnvelope,
+    route: OpaqueRoute,
+    tenant: KeyedTenant | None,
+) -> OpaqueCall:
+    budget = envelope.budget_seconds
+    caller_seconds = DEFAULT_BUDGET_SECONDS if budget is None else budget
+    return OpaqueCall(
+        envelope=envelope,
+        route=route,
+        service=route.service_for(envelope.call_id),
+        tenant=tenant.name if tenant is not None else "",
+        rank=(tenant.rank if tenant is not None else 0, route.rank),
+        method=request.method,
+        target=request.raw_path,
+        headers=[(_text(name), _text(value)) for name, value in request.raw_headers],
+        body=body,
+        arrived_at=arrived_at,
+        end_at=arrived_at + min(caller_seconds, route.timeout),
+        caller_end_at=arrived_at + caller_seconds,
+        configuration_version=configuration.version,
+    )
+
+
+def _tenant(
+    configuration: OpaqueConfiguration, route: OpaqueRoute, envelope: CallEnvelope
+) -> KeyedTenant | None | Refusal:
+    if not configuration.has_tenants:
+        return None
+    tenant = configuration.tenant_for(envelope.key) if envelope.key else None
+    if tenant is None and route.needs_key:
+        return Refusal(ResultCode.UNKNOWN_API_KEY, f"version {configuration.version}")
+    return tenant
+
+
+def _head_problem(request: web.BaseRequest, limits: RequestLimits) -> Refusal | None:
+    size = sum(len(name) + len(value) + 4 for name, value in request.raw_headers)
+    if size + len(request.raw_path) > limits.header_bytes:
+        return Refusal(ResultCode.HEADERS_TOO_LARGE, close=True)
+    names = [name.lower() for name, _ in request.raw_headers]
+    if b"content-length" in names and b"transfer-encoding" in names:
+        return Refusal(ResultCode.MALFORMED_REQUEST, "two lengths of the body", close=True)
+    if names.count(b"content-length") > 1 or names.count(b"host") != 1:
+        return Refusal(ResultCode.MALFORMED_REQUEST, "a header is doubled", close=True)
+    length = request.content_length
+    if length is not None and length > limits.body_bytes:
+        return Refusal(ResultCode.BODY_TOO_LARGE, close=True)
+    return None
+
+
+async def _read_body(request: web.BaseRequest, limits: RequestLimits) -> bytes | Refusal:
+    if not request.body_exists:
+        return b""
+    if request.headers.get("Expect", "").lower() == "100-continue":
+        await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+    chunks: list[bytes] = []
+    size = 0
+    try:
+        while True:
+            async with asyncio.timeout(limits.idle_seconds):
+                chunk = await request.content.readany()
+            if not chunk:
+                return b"".join(chunks)
+            size += len(chunk)
+            if size > limits.body_bytes:
+                return Refusal(ResultCode.BODY_TOO_LARGE, close=True)
+            chunks.append(chunk)
+    except TimeoutError:
+        return Refusal(ResultCode.REQUEST_TOO_SLOW, close=True)
+    except web.RequestPayloadError as error:
+        return Refusal(ResultCode.MALFORMED_REQUEST, str(error), close=True)
+
+
+def _text(raw: bytes) -> str:
+    return raw.decode("utf-8", "surrogateescape")
--- /dev/null
+++ b/src/corkcrank/gateway/opaque/heartbeats.py
@@ -0,0 +1,179 @@
+"""Sends and takes heartbeats, and pulls from peers what they have newer."""
+
+import asyncio
+import random
+import time
+
+import aiohttp
+import msgspec
+
+from corkcrank.gateway.opaque.peer_protocol import (
+    CONFIGURATION_PATH,
+    WORKERS_PATH,
+    ConfigurationAnswer,
+    WorkersAnswer,
+)
+from corkcrank.gateway.opaque.stage_desk import StageDesk
+from corkcrank.links.datagrams import DatagramLink
+from corkcrank.links.decision_log import DecisionLog, LogEvent
+from corkcrank.links.platform_ports import StoreTable
+from corkcrank.machines.fleet import CallLoad, Fleet, Heartbeat
+from corkcrank.machines.store_mirror import StoreMirror
+from corkcrank.scheduling.peer_loads import PeerLoads
+from corkcrank.scheduling.worker_choice import StandingBook
+
+PULL_SECONDS = 0.2
+"""Time between looks at whether a peer has something newer."""
+
+CONFIGURATION_LAG_SECONDS = 0.15
+"""A newer configuration of a peer is pulled if the store has not told it by then."""
+
+WORKERS_LAG_SECONDS = 0.8
+"""The same for the list of workers, which changes more often."""
+
+MAXIMUM_CALL_LOADS = 128
+"""Workers whose calls in flight one heartbeat tells."""
+
+
+class HeartbeatLoop:
+    """Keeps the fleet's view fresh in both directions."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        mirror: StoreMirror,
+        desk: StageDesk,
+        book: StandingBook,
+        peers: aiohttp.ClientSession,
+        log: DecisionLog,
+        random_source: random.Random,
+    ) -> None:
+        self._fleet = fleet
+        self._mirror = mirror
+        self._desk = desk
+        self._book = book
+        self._peers = peers
+        self._log = log
+        self._random = random_source
+        self._loads = PeerLoads(book)
+        self._incarnation = random_source.getrandbits(32)
+        self._link = DatagramLink(self._take)
+        self._decoder = msgspec.msgpack.Decoder(Heartbeat)
+        self._behind_since: dict[StoreTable, float] = {}
+
+    async def open(self) -> None:
+        """Bind the datagram address."""
+        await self._link.open(self._fleet.own_address)
+
+    def close(self) -> None:
+        """Stop sending and receiving."""
+        self._link.close()
+
+    async def beat(self) -> None:
+        """Send heartbeats for ever."""
+        while True:
+            self.send_now()
+            self._forget_silent()
+            await asyncio.sleep(self._fleet.interval() * self._random.uniform(0.9, 1.1))
+
+    def send_now(self) -> None:
+        """Send one heartbeat to everybody known."""
+        now = time.monotonic()
+        data = msgspec.msgpack.encode(self._heartbeat(now))
+        for address in self._fleet.audience(now):
+            self._link.send(data, address)
+
+    async def pull(self) -> None:
+        """Pull what peers have newer, for ever."""
+        while True:
+            await asyncio.sleep(PULL_SECONDS)
+            now = time.monotonic()
+            await self._pull_configuration(now)
+            await self._pull_workers(now)
+
+    def _heartbeat(self, now: float) -> Heartbeat:
+        calls = [
+            CallLoad(worker_id, standing.in_flight)
+            for worker_id, standing in self._book.items()
+            if standing.in_flight
+        ]
+        return Heartbeat(
+            name=self._fleet.own_name,
+            incarnation=self._incarnation,
+            zone=self._fleet.own_zone,
+            address=self._fleet.own_address,
+            phase=self._fleet.own_phase,
+            interval=self._fleet.interval(),
+            configuration_version=self._mirror.version,
+            workers_revision=self._mirror.workers.revision,
+            stage_loads=self._desk.loads(now),
+            call_loads=tuple(calls[:MAXIMUM_CALL_LOADS]),
+        )
+
+    def _take(self, data: bytes) -> None:
+        try:
+            heartbeat = self._decoder.decode(data)
+        except msgspec.DecodeError:
+            return
+        now = time.monotonic()
+        if self._fleet.hear(heartbeat, now):
+            self._log.write(
+                LogEvent.MEMBER_JOINED,
+                member=heartbeat.name,
+                zone=heartbeat.zone,
+                version=heartbeat.configuration_version,
+            )
+        self._loads.take(heartbeat.name, heartbeat.call_loads)
+
+    def _forget_silent(self) -> None:
+        now = time.monotonic()
+        for name in self._loads.peers():
+            member = self._fleet.member(name)
+            if member is None or member.suspected(now):
+                self._loads.forget(name)
+                age = now - member.heard_at if member is not None else None
+                self._log.write(LogEvent.MEMBER_SUSPECTED, member=name, silent=age)
+
+    def _lags(self, table: StoreTable, behind: bool, limit: float, now: float) -> bool:
+        """Return whether this gateway has been behind a peer for ``limit`` seconds."""
+        if not behind:
+            self._behind_since.pop(table, None)
+            return False
+        return now - self._behind_since.setdefault(table, now) >= limit
+
+    async def _pull_configuration(self, now: float) -> None:
+        member = self._fleet.newest_configuration(now)
+        behind = (
+            member is not None and member.heartbeat.configuration_version > self._mirror.version
+        )
+        limit = CONFIGURATION_LAG_SECONDS if self._mirror.version else 0.0
+        if not self._lags(StoreTable.CONFIGURATION, behind, limit, now) or member is None:
+            return
+        body = await self._get(member.heartbeat.address, CONFIGURATION_PATH)
+        if body is None:
+            return
+        answer = msgspec.msgpack.decode(body, type=ConfigurationAnswer)
+        if answer.configuration is not None:
+            self._mirror.adopt(answer.configuration, f"peer {member.heartbeat.name}")
+
+    async def _pull_workers(self, now: float) -> None:
+        member = self._fleet.newest_workers(now)
+        behind = (
+            member is not None and member.heartbeat.workers_revision > self._mirror.workers.revision
+        )
+        limit = WORKERS_LAG_SECONDS if self._mirror.workers_known else 0.0
+        if not self._lags(StoreTable.WORKERS, behind, limit, now) or member is None:
+            return
+        body = await self._get(member.heartbeat.address, WORKERS_PATH)
+        if body is None:
+            return
+        answer = msgspec.msgpack.decode(body, type=WorkersAnswer)
+        self._mirror.take_workers(answer.records, answer.revision, f"peer {member.heartbeat.name}")
+
+    async def _get(self, address: str, path: str) -> bytes | None:
+        try:
+            async with self._peers.get(f"http://{address}{path}") as response:
+                body = await response.read()
+                return body if response.status == 200 else None
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return None
--- /dev/null
+++ b/src/corkcrank/gateway/opaque/metrics.py
@@ -0,0 +1,52 @@
+"""Counters and histograms of the opaque front; label values never come from callers."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+BUCKETS = (0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
+"""Upper bounds of latency histograms, in seconds."""
+
+
+class OpaqueMetrics:
+    """The metrics of one gateway, in a registry of their own."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.calls = Counter(
+            "corkcrank_calls",
+            "Calls ended, by kind, rank and outcome.",
+            ("kind", "rank", "outcome"),
+            registry=self.registry,
+        )
+        self.seconds = Histogram(
+            "corkcrank_call_seconds",
+            "Time to the first byte of an answer.",
+            ("kind",),
+            buckets=BUCKETS,
+            registry=self.registry,
+        )
+        self.attempts = Counter(
+            "corkcrank_attempts",
+            "Requests sent to workers, by how they ended.",
+            ("outcome",),
+            registry=self.registry,
+        )
+        self.stage_wait = Histogram(
+            "corkcrank_stage_seconds",
+            "Time of all stages of a call.",
+            buckets=BUCKETS,
+            registry=self.registry,
+        )
+        self.configuration_version = Gauge(
+            "corkcrank_configuration_version",
+            "Version in force.",
+            registry=self.registry,
+        )
+        self.members = Gauge(
+            "corkcrank_members", "Live gateways, this one included.", registry=self.registry
+        )
+        self.loop_lag = Histogram(
+            "corkcrank_loop_lag_seconds",
+            "How late the event loop runs a timer.",
+            buckets=(0.001, 0.005, 0.02, 0.05, 0.1, 0.5),
+            registry=self.registry,
+        )
--- /dev/null
+++ b/src/corkcrank/gateway/opaque/node.py
@@ -0,0 +1,248 @@
+"""Wires one gateway for opaque calls together: start, membership, drain, stop."""
+
+import asyncio
+import random
+import time
+from collections.abc import Coroutine
+
+import aiohttp
+import msgspec
+from aiohttp import web
+
+from corkcrank.contracts.node_settings import NodeSettings
+from corkcrank.contracts.process_life import ProcessLife, ProcessState, ProcessTrigger
+from corkcrank.gateway.opaque.caller_server import CallerServer
+from corkcrank.gateway.opaque.front import OpaqueFront
+from corkcrank.gateway.opaque.heartbeats import HeartbeatLoop
+from corkcrank.gateway.opaque.metrics import OpaqueMetrics
+from corkcrank.gateway.opaque.peer_server import PeerServer, serve_readiness
+from corkcrank.gateway.opaque.services import CallServices
+from corkcrank.gateway.opaque.stage_desk import StageDesk
+from corkcrank.gateway.opaque.stage_dispatch import PEER_CONNECT_SECONDS, StageDispatch
+from corkcrank.gateway.opaque.worker_client import WorkerClient
+from corkcrank.links.decision_log import DecisionLog, LogEvent
+from corkcrank.links.platform_ports import PlatformPorts, StoreFailure, StoreTable
+from corkcrank.machines.fleet import Fleet, Phase
+from corkcrank.machines.store_mirror import StoreMirror
+from corkcrank.scheduling.engine_choice import EngineChooser
+from corkcrank.scheduling.worker_choice import StandingBook
+
+BALANCER_LAG_SECONDS = 2.5
+"""Time for which the balancer may still send connections after it was told not to."""
+
+RESTING_CLOSE_SECONDS = 0.3
+"""While draining, connections that have rested for this long are closed."""
+
+DRAIN_RESERVE_SECONDS = 0.4
+"""Time kept back from the grace for closing down."""
+
+CHECK_SECONDS = 0.05
+"""Time between looks at whether the drain is complete."""
+
+REGISTER_RETRY_SECONDS = 1.0
+"""Pause before a failed registration in the store is tried again."""
+
+LAG_PROBE_SECONDS = 0.5
+"""Time between measurements of the event loop's lag."""
+
+
+class NodeDump(msgspec.Struct, frozen=True):
+    """State of a gateway for opaque calls, on request."""
+
+    name: str
+    state: str
+    configuration_version: int
+    configuration_age: float
+    workers_revision: int
+    workers: int
+    members: tuple[str, ...]
+    in_flight: int
+    lanes: tuple[tuple[str, int, int, float], ...]
+    store_calls: dict[str, int]
+
+
+class Node:
+    """One gateway."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        ports: PlatformPorts,
+        log: DecisionLog,
+        random_source: random.Random,
+    ) -> None:
+        process = settings.process
+        self._settings = settings
+        self._ports = ports
+        self._log = log
+        self.life = ProcessLife()
+        self.fleet = Fleet(process.name, process.zone, process.peer_address)
+        self.mirror = StoreMirror(ports.store, ports.documents, log, random_source)
+        self.mirror.on_change = self._changed
+        self._book = StandingBook()
+        self._engines = EngineChooser()
+        self._client = WorkerClient()
+        self._peers = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=PEER_CONNECT_SECONDS),
+            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=30.0),
+        )
+        self.desk = StageDesk(self.mirror, self._book, ports.stages, self._client, log)
+        dispatch = StageDispatch(
+            self.mirror, self.fleet, self._book, self.desk, self._peers, random_source
+        )
+        bounds = settings.bounds
+        self.services = CallServices(
+            ports=ports,
+            mirror=self.mirror,
+            fleet=self.fleet,
+            book=self._book,
+            engines=self._engines,
+            dispatch=dispatch,
+            client=self._client,
+            log=log,
+            metrics=OpaqueMetrics(),
+            random=random_source,
+            zone=process.zone,
+            retry_ratio=bounds.retry_ratio,
+            retry_allowance=bounds.retry_allowance,
+            retry_window=bounds.retry_window,
+        )
+        self.front = OpaqueFront(self.services, lambda: self.life.draining)
+        self.callers = CallerServer(self.front.handle, self.front.limits)
+        self.heartbeats = HeartbeatLoop(
+            self.fleet, self.mirror, self.desk, self._book, self._peers, log, random_source
+        )
+        self._peer_server = PeerServer(
+            self.desk, self.mirror, self.services.metrics.registry, self.dump
+        )
+        self._readiness: web.ServerRunner | None = None
+        self._loops: list[asyncio.Task[None]] = []
+
+    @property
+    def ready(self) -> bool:
+        """Return whether the balancer may send callers here."""
+        return self.life.state == ProcessState.SERVING
+
+    def dump(self) -> NodeDump:
+        """Return the state for ``/dump``."""
+        now = time.monotonic()
+        return NodeDump(
+            name=self.fleet.own_name,
+            state=self.life.state,
+            configuration_version=self.mirror.version,
+            configuration_age=self.mirror.age(StoreTable.CONFIGURATION, now),
+            workers_revision=self.mirror.workers.revision,
+            workers=len(self.mirror.workers.records()),
+            members=tuple(member.heartbeat.name for member in self.fleet.live(now)),
+            in_flight=self.callers.in_flight,
+            lanes=tuple(
+                (worker_id, lane.waiting, lane.at_work, lane.room_used)
+                for worker_id, lane in self.desk.lanes()
+            ),
+            store_calls=dict(self.mirror.calls),
+        )
+
+    async def start(self) -> None:
+        """Serve peers first, then follow the store, then callers."""
+        process = self._settings.process
+        self._log.write(LogEvent.STARTED, name=process.name, zone=process.zone)
+        port = process.peer_address.rsplit(":", 1)[1]
+        seeds = [f"{seed.rsplit(':', 1)[0]}:{port}" for seed in self._settings.peers.seeds]
+        self.fleet.introduce(seeds, time.monotonic())
+        await self._peer_server.start([process.peer_address, process.metrics_address])
+        await self.heartbeats.open()
+        self._readiness = await serve_readiness(
+            process.readiness_address, self._ports.ready_path, lambda: self.ready
+        )
+        await self.callers.start(process.caller_address)
+        self._loops = [
+            self._spawn(self.mirror.follow(StoreTable.CONFIGURATION)),
+            self._spawn(self.mirror.follow(StoreTable.WORKERS)),
+            self._spawn(self.heartbeats.beat()),
+            self._spawn(self.heartbeats.pull()),
+            self._spawn(self._register()),
+            self._spawn(self._become_ready()),
+            self._spawn(self._measure_lag()),
+        ]
+
+    async def stop(self) -> None:
+        """Drain, then close everything."""
+        await self._drain()
+        for task in self._loops:
+            task.cancel()
+        await asyncio.gather(*self._loops, return_exceptions=True)
+        await self.callers.stop()
+        await self.desk.close()
+        self.heartbeats.close()
+        await self._peer_server.stop()
+        if self._readiness is not None:
+            await self._readiness.cleanup()
+        await self._client.close()
+        await self._peers.close()
+        self._log.write(LogEvent.STOPPED)
+        self._log.flush()
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
+        task = asyncio.create_task(work)
+        task.add_done_callback(self._report_end)
+        return task
+
+    def _report_end(self, task: asyncio.Task[None]) -> None:
+        if not task.cancelled() and task.exception() is not None:
+            self._log.write(LogEvent.INTERNAL_FAULT, error=repr(task.exception()))
+
+    def _changed(self) -> None:
+        self.services.metrics.configuration_version.set(self.mirror.version)
+        listed = {record.worker_id for record in self.mirror.workers.records()}
+        self._book.forget_all_but(listed)
+        self._engines.forget_all_but(listed)
+        self.desk.workers_changed()
+
+    async def _register(self) -> None:
+        """Write the own address to the store, then read the others' once.
+
+        Of two that start together, the one that reads last sees the other.
+        """
+        process = self._settings.process
+        store = self._ports.store
+        value = process.peer_address.encode()
+        while isinstance(await store.put(StoreTable.MEMBERS, process.name, value), StoreFailure):
+            await asyncio.sleep(REGISTER_RETRY_SECONDS)
+        while isinstance(rows := await store.read(StoreTable.MEMBERS), StoreFailure):
+            await asyncio.sleep(REGISTER_RETRY_SECONDS)
+        addresses = [row.value.decode() for row in rows.rows if row.value is not None]
+        self.fleet.introduce(addresses, time.monotonic())
+        self.heartbeats.send_now()
+
+    async def _become_ready(self) -> None:
+        while self.mirror.configuration is None or not self.mirror.workers_known:
+            await asyncio.sleep(CHECK_SECONDS)
+        if self.life.fire(ProcessTrigger.SERVE):
+            self.fleet.own_phase = Phase.SERVING
+            self._log.write(LogEvent.READY, version=self.mirror.version)
+
+    async def _measure_lag(self) -> None:
+        while True:
+            due = time.monotonic() + LAG_PROBE_SECONDS
+            await asyncio.sleep(LAG_PROBE_SECONDS)
+            self.services.metrics.loop_lag.observe(max(0.0, time.monotonic() - due))
+            self.services.metrics.members.set(len(self.fleet.live(time.monotonic())) + 1)
+
+    async def _drain(self) -> None:
+        """Finish what is in flight within the grace, then take no more."""
+        began = time.monotonic()
+        self.life.fire(ProcessTrigger.DRAIN)
+        self.fleet.own_phase = Phase.LEAVING
+        self.heartbeats.send_now()
+        self._log.write(LogEvent.STOPPING, in_flight=self.callers.in_flight)
+        end_at = began + self._settings.bounds.grace - DRAIN_RESERVE_SECONDS
+        listen_until = began + min(BALANCER_LAG_SECONDS, self._settings.bounds.grace / 3)
+        while time.monotonic() < end_at:
+            await asyncio.sleep(CHECK_SECONDS)
+            self.callers.close_resting(RESTING_CLOSE_SECONDS)
+            if time.monotonic() < listen_until:
+                continue
+            self.callers.stop_listening()
+            if not self.callers.in_flight and not self.desk.busy:
+                break
+        self.life.fire(ProcessTrigger.STOP)
--- /dev/null
+++ b/src/corkcrank/gateway/opaque/peer_protocol.py
@@ -0,0 +1,63 @@
+"""Messages between gateways: pieces for the owner of a stage worker, results given up.
+
+MessagePack by msgspec over HTTP; the types are these, so nothing is generated.
+"""
+
+import msgspec
+
+from corkcrank.contracts.opaque_configuration import OpaqueConfiguration
+from corkcrank.contracts.worker_records import WorkerRecord
+from corkcrank.links.platform_ports import PieceResult
+
+PIECES_PATH = "/peer/pieces"
+FREE_PATH = "/peer/free"
+CONFIGURATION_PATH = "/peer/configuration"
+WORKERS_PATH = "/peer/workers"
+
+
+class StageWork(msgspec.Struct, frozen=True):
+    """Pieces of one stage of one call, for one stage worker.
+
+    ``start_by`` and ``remaining`` are seconds from the moment of sending, since clocks of
+    machines are not compared.
+    """
+
+    worker_id: str
+    service: str
+    call_id: str
+    stage: int
+    pieces: tuple[int, ...]
+    key: str
+    inputs: tuple[str, ...]
+    result_bytes: float
+    urgency: tuple[float, ...]
+    start_by: float
+    remaining: float
+
+
+class StageAnswer(msgspec.Struct, frozen=True):
+    """The results in the order of the pieces, and the wait forecast for a new one."""
+
+    results: tuple[PieceResult, ...]
+    start_seconds: float = 0.0
+    detail: str = ""
+
+
+class FreeResults(msgspec.Struct, frozen=True):
+    """Results of one worker that nobody reads any more."""
+
+    worker_id: str
+    handles: tuple[str, ...]
+
+
+class WorkersAnswer(msgspec.Struct, frozen=True):
+    """A gateway's whole list of workers."""
+
+    revision: int
+    records: tuple[WorkerRecord, ...]
+
+
+class ConfigurationAnswer(msgspec.Struct, frozen=True):
+    """A gateway's configuration, if it has one."""
+
+    configuration: OpaqueConfiguration | None
--- /dev/null
+++ b/src/corkcrank/gateway/opaque/peer_server.py
@@ -0,0 +1,117 @@
+"""What peers ask of this gateway, and where operators find metrics and the state dump."""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+from aiohttp import web
+from prometheus_client import CollectorRegistry, generate_latest
+
+from corkcrank.gateway.opaque.peer_protocol import (
+    CONFIGURATION_PATH,
+    FREE_PATH,
+    PIECES_PATH,
+    WORKERS_PATH,
+    ConfigurationAnswer,
+    FreeResults,
+    StageWork,
+    WorkersAnswer,
+)
+from corkcrank.gateway.opaque.stage_desk import StageDesk
+from corkcrank.machines.store_mirror import StoreMirror
+
+METRICS_PATH = "/metrics"
+DUMP_PATH = "/dump"
+PEER_SHUTDOWN_SECONDS = 0.2
+
+
+class PeerServer:
+    """Serves peers on one address, metrics and dump on the same."""
+
+    def __init__(
+        self,
+        desk: StageDesk,
+        mirror: StoreMirror,
+        registry: CollectorRegistry,
+        dump: Callable[[], msgspec.Struct],
+    ) -> None:
+        self._desk = desk
+        self._mirror = mirror
+        self._registry = registry
+        self._dump = dump
+        self._runner: web.ServerRunner | None = None
+        self._routes = {
+            PIECES_PATH: self._pieces,
+            FREE_PATH: self._free,
+            CONFIGURATION_PATH: self._configuration,
+            WORKERS_PATH: self._workers,
+            METRICS_PATH: self._metrics,
+            DUMP_PATH: self._state,
+        }
+
+    async def start(self, addresses: list[str]) -> None:
+        """Listen on each ``ip:port``."""
+        server = web.Server(self._handle, handler_cancellation=True, access_log=None)
+        self._runner = web.ServerRunner(server, shutdown_timeout=PEER_SHUTDOWN_SECONDS)
+        await self._runner.setup()
+        for address in addresses:
+            host, port = address.rsplit(":", 1)
+            await web.TCPSite(self._runner, host, int(port)).start()
+
+    async def stop(self) -> None:
+        """Close every connection."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        handler = self._routes.get(request.path)
+        if handler is None:
+            return web.Response(status=404)
+        try:
+            return await handler(request)
+        except msgspec.DecodeError as error:
+            return web.Response(status=400, text=str(error))
+
+    async def _pieces(self, request: web.BaseRequest) -> web.Response:
+        work = msgspec.msgpack.decode(await request.read(), type=StageWork)
+        answer = await self._desk.make(work)
+        return web.Response(body=msgspec.msgpack.encode(answer))
+
+    async def _free(self, request: web.BaseRequest) -> web.Response:
+        message = msgspec.msgpack.decode(await request.read(), type=FreeResults)
+        self._desk.free(message.worker_id, message.handles)
+        return web.Response()
+
+    async def _configuration(self, request: web.BaseRequest) -> web.Response:
+        answer = ConfigurationAnswer(self._mirror.configuration)
+        return web.Response(body=msgspec.msgpack.encode(answer))
+
+    async def _workers(self, request: web.BaseRequest) -> web.Response:
+        workers = self._mirror.workers
+        answer = WorkersAnswer(workers.revision, workers.records())
+        return web.Response(body=msgspec.msgpack.encode(answer))
+
+    async def _metrics(self, request: web.BaseRequest) -> web.Response:
+        return web.Response(body=generate_latest(self._registry), content_type="text/plain")
+
+    async def _state(self, request: web.BaseRequest) -> web.Response:
+        body = msgspec.json.encode(self._dump())
+        return web.Response(body=body, content_type="application/json")
+
+
+async def serve_readiness(address: str, path: str, ready: Callable[[], bool]) -> web.ServerRunner:
+    """Answer the balancer's question on ``ip:port`` until the runner is cleaned up."""
+
+    async def answer(request: web.BaseRequest) -> web.Response:
+        if request.path != path:
+            return web.Response(status=404)
+        return web.Response(status=200 if ready() else 503)
+
+    runner = web.ServerRunner(
+        web.Server(answer, access_log=None), shutdown_timeout=PEER_SHUTDOWN_SECONDS
+    )
+    await runner.setup()
+    host, port = address.rsplit(":", 1)
+    await web.TCPSite(runner, host, int(port)).start()
+    await asyncio.sleep(0)
+    return runner
--- /dev/null
+++ b/src/corkcrank/gateway/opaque/plain_run.py
@@ -0,0 +1,155 @@
+"""A call whose whole answer is read before it goes back."""
+
+import asyncio
+import time
+
+from aiohttp import web
+
+from corkcrank.contracts.opaque_call import OpaqueCall
+from corkcrank.contracts.opaque_configuration import CallKind
+from corkcrank.contracts.result_codes import ResultCode
+from corkcrank.contracts.worker_records import WorkerRecord
+from corkcrank.gateway.opaque.attempts import Attempt, AttemptOutcome, attempt_call
+from corkcrank.gateway.opaque.refusals import Refusal
+from corkcrank.gateway.opaque.services import PLAIN_SECONDS, CallServices
+from corkcrank.gateway.opaque.worker_client import read_whole
+from corkcrank.scheduling.worker_choice import choose_worker
+
+SILENCE_FACTOR = 4.0
+"""A repeatable call is tried elsewhere after this multiple of the mean answer time."""
+
+LEAST_SILENCE_SECONDS = 0.15
+"""It is never tried elsewhere earlier than this."""
+
+SHORT_RETRY_SECONDS = 0.2
+"""When to come back after every worker said that it is full."""
+
+
+class PlainRun:
+    """Serves one call of a plain service."""
+
+    def __init__(self, call: OpaqueCall, services: CallServices) -> None:
+        self._call = call
+        self._services = services
+        self._may_have_run = False
+        self._last_answer: web.Response | None = None
+
+    async def run(self) -> web.StreamResponse | Refusal:
+        """Return the worker's answer, or why there is none."""
+        call = self._call
+        service = call.service
+        for number in range(call.route.maximum_attempts):
+            now = time.monotonic()
+            if now >= call.end_at:
+                break
+            worker = self._choose(now)
+            if worker is None:
+                break
+            if number == 0:
+                self._services.budget(service).record_first(now)
+            elif not self._services.may_repeat(service):
+                break
+            answer = await self._try(worker)
+            if answer is not None:
+                return answer
+            if self._may_have_run and call.route.kind is CallKind.UNREPEATABLE:
+                break
+        return self._give_up()
+
+    def _choose(self, now: float) -> WorkerRecord | None:
+        return choose_worker(
+            self._services.mirror.workers.usable(self._call.service),
+            self._services.book,
+            self._services.zone,
+            now,
+            self._call.workers_tried,
+            self._services.random,
+        )
+
+    async def _try(self, worker: WorkerRecord) -> web.Response | None:
+        standing = self._services.book.of(worker.worker_id)
+        standing.in_flight += 1
+        try:
+            return await self._exchange(worker)
+        finally:
+            standing.in_flight -= 1
+
+    async def _exchange(self, worker: WorkerRecord) -> web.Response | None:
+        call = self._call
+        started = time.monotonic()
+        attempt = await attempt_call(
+            self._services,
+            call,
+            worker,
+            self._patience(),
+            fresh=call.route.kind is CallKind.UNREPEATABLE,
+        )
+        if attempt.outcome is AttemptOutcome.LOST:
+            self._may_have_run = True
+        if attempt.outcome is not AttemptOutcome.ANSWERED:
+            return None
+        self._may_have_run = True
+        response = await self._read(attempt)
+        if response is None:
+            return None
+        if attempt.status >= 500:
+            standing = self._services.book.of(worker.worker_id)
+            standing.failures.append(time.monotonic())
+            if self._repeatable_elsewhere():
+                self._last_answer = response
+                return None
+        self._services.plain_times.learn(call.service, time.monotonic() - started)
+        return response
+
+    async def _read(self, attempt: Attempt) -> web.Response | None:
+        upstream = attempt.response
+        assert upstream is not None
+        try:
+            async with asyncio.timeout(max(0.01, self._call.end_at - time.monotonic())):
+                body = await read_whole(upstream)
+        except TimeoutError:
+            body = None
+        except asyncio.CancelledError:
+            attempt.close()
+            raise
+        if body is None:
+            attempt.close()
+            return None
+        headers = self._services.ports.calls.answer_headers(list(upstream.headers.items()))
+        response = web.Response(status=upstream.status, reason=upstream.reason, body=body)
+        replace_headers(response, headers)
+        return response
+
+    def _patience(self) -> float:
+        """Return how long a head is waited for; an unrepeatable call waits to its end."""
+        left = self._call.end_at - time.monotonic()
+        if not self._repeatable_elsewhere():
+            return left
+        usual = self._services.plain_times.of(self._call.service, PLAIN_SECONDS)
+        return min(left, max(LEAST_SILENCE_SECONDS, SILENCE_FACTOR * usual))
+
+    def _repeatable_elsewhere(self) -> bool:
+        call = self._call
+        return (
+            call.route.kind is CallKind.REPEATABLE
+            and len(call.workers_tried) < call.route.maximum_attempts
+            and len(self._services.mirror.workers.usable(call.service)) > len(call.workers_tried)
+        )
+
+    def _give_up(self) -> web.StreamResponse | Refusal:
+        if self._last_answer is not None:
+            return self._last_answer
+        call = self._call
+        if time.monotonic() >= call.end_at and self._may_have_run:
+            return Refusal(ResultCode.DEADLINE_EXCEEDED)
+        if self._may_have_run:
+            return Refusal(ResultCode.WORKER_LOST)
+        code = ResultCode.WORKERS_FULL if call.workers_tried else ResultCode.NO_BACKEND
+        return Refusal(code, retry_after=SHORT_RETRY_SECONDS)
+
+
+def replace_headers(response: web.StreamResponse, headers: list[tuple[str, str]]) -> None:
+    """Give an answer exactly the worker's headers, without defaults of the library."""
+    response.headers.clear()
+    for name, value in headers:
+        response.headers.add(name, value)
--- /dev/null
+++ b/src/corkcrank/gateway/opaque/program.py
@@ -0,0 +1,58 @@
+"""``corkcrank-node``: one gateway for opaque calls on the users' platform."""
+
+import asyncio
+import os
+import random
+import signal
+import sys
+from pathlib import Path
+
+import aiohttp
+
+from corkcrank.contracts.node_settings import NodeSettings, load_node_settings
+from corkcrank.gateway.opaque.node import Node
+from corkcrank.links.decision_log import BoundedOutput, DecisionLog, LogEvent
+from corkcrank.platform.ports import SETTINGS_VARIABLE, connect
+
+EXIT_SETTINGS = 3
+"""Exit status of a gateway whose settings are wrong."""
+
+
+async def _run(settings: NodeSettings, path: Path, log: DecisionLog) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, path, log)
+    async with aiohttp.ClientSession() as session:
+        ports = connect(session, settings.store.address, settings.store.timeout)
+        node = Node(settings, ports, log, random.Random())
+        await node.start()
+        await stop.wait()
+        await node.stop()
+
+
+def _reload(path: Path, log: DecisionLog) -> None:
+    """Check a changed settings file; addresses are taken up at the next start."""
+    result = load_node_settings(path)
+    if result.is_error():
+        log.write(LogEvent.SETTINGS_REJECTED, detail=result.error.detail)
+        return
+    log.write(LogEvent.SETTINGS_RELOADED)
+
+
+def main() -> None:
+    """Serve until SIGTERM with the settings file that the platform names."""
+    path = Path(sys.argv[1] if len(sys.argv) > 1 else os.environ.get(SETTINGS_VARIABLE, ""))
+    result = load_node_settings(path)
+    if result.is_error():
+        failure = result.error
+        print(f"error {failure.code.number} {failure.code.name}: {failure.detail}", flush=True)
+        raise SystemExit(EXIT_SETTINGS)
+    settings = result.ok
+    log = DecisionLog(BoundedOutput(), settings.process.name)
+    asyncio.run(_run(settings, path, log))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/corkcrank/gateway/opaque/refusals.py
@@ -0,0 +1,42 @@
+"""Answers of corkcrank's own to opaque calls: numbered codes, and when to come back."""
+
+from dataclasses import dataclass
+
+import msgspec
+from aiohttp import web
+
+from corkcrank.contracts.result_codes import ResultCode
+
+RETRY_AFTER = "Retry-After"
+
+
+class RefusalBody(msgspec.Struct, frozen=True):
+    """Body of an answer of corkcrank's own."""
+
+    code: int
+    name: str
+    detail: str
+    ran: str
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """A final answer without a worker's; ``retry_after`` is in seconds."""
+
+    code: ResultCode
+    detail: str = ""
+    retry_after: float | None = None
+    close: bool = False
+
+    def response(self) -> web.Response:
+        """Return the answer as it goes out."""
+        body = RefusalBody(self.code.number, self.code.name, self.detail, self.code.ran.value)
+        headers = {"Content-Type": "application/json"}
+        if self.retry_after is not None:
+            headers[RETRY_AFTER] = f"{self.retry_after:.3f}"
+        response = web.Response(
+            status=self.code.http_status, body=msgspec.json.encode(body), headers=headers
+        )
+        if self.close:
+            response.force_close()
+        return response
--- /dev/null
+++ b/src/corkcrank/gateway/opaque/services.py
@@ -0,0 +1,76 @@
+"""What the runs of calls share: views, clients, budgets, logs, measured times."""
+
+import random
+import time
+from dataclasses import dataclass, field
+
+from corkcrank.gateway.opaque.metrics import OpaqueMetrics
+from corkcrank.gateway.opaque.stage_dispatch import StageDispatch
+from corkcrank.gateway.opaque.worker_client import WorkerClient
+from corkcrank.links.decision_log import DecisionLog
+from corkcrank.links.platform_ports import PlatformPorts
+from corkcrank.machines.fleet import Fleet
+from corkcrank.machines.store_mirror import StoreMirror
+from corkcrank.scheduling.engine_choice import EngineChooser
+from corkcrank.scheduling.fleet_retry_budget import FleetRetryBudget
+from corkcrank.scheduling.worker_choice import StandingBook
+
+TIME_WEIGHT = 0.15
+"""Weight of the newest measurement in a mean time."""
+
+FIRST_EVENT_SECONDS = 0.25
+"""Time to a first event assumed before one was measured."""
+
+PLAIN_SECONDS = 0.1
+"""Time of a plain answer assumed before one was measured."""
+
+
+@dataclass(slots=True)
+class MeanTimes:
+    """Exponentially weighted means by service, in seconds."""
+
+    _means: dict[str, float] = field(default_factory=dict)
+
+    def learn(self, service: str, seconds: float) -> None:
+        """Take a measurement."""
+        known = self._means.get(service, seconds)
+        self._means[service] = known + TIME_WEIGHT * (seconds - known)
+
+    def of(self, service: str, default: float) -> float:
+        """Return the mean, or the default where nothing was measured yet."""
+        return self._means.get(service, default)
+
+
+@dataclass(slots=True)
+class CallServices:
+    """Everything that serving one call needs."""
+
+    ports: PlatformPorts
+    mirror: StoreMirror
+    fleet: Fleet
+    book: StandingBook
+    engines: EngineChooser
+    dispatch: StageDispatch
+    client: WorkerClient
+    log: DecisionLog
+    metrics: OpaqueMetrics
+    random: random.Random
+    zone: str
+    retry_ratio: float
+    retry_allowance: float
+    retry_window: float
+    first_event_times: MeanTimes = field(default_factory=MeanTimes)
+    plain_times: MeanTimes = field(default_factory=MeanTimes)
+    _budgets: dict[str, FleetRetryBudget] = field(default_factory=dict)
+
+    def budget(self, service: str) -> FleetRetryBudget:
+        """Return the retry budget of a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = FleetRetryBudget(self.retry_ratio, self.retry_allowance, self.retry_window)
+            self._budgets[service] = budget
+        return budget
+
+    def may_repeat(self, service: str) -> bool:
+        """Spend one repeat of the fleet's budget, if this gateway's share allows it."""
+        return self.budget(service).try_spend(time.monotonic(), self.fleet.share_members())
--- /dev/null
+++ b/src/corkcrank/gateway/opaque/stage_desk.py
@@ -0,0 +1,410 @@
+"""The owner's side of stage workers: lanes, the calls at work, results given up."""
+
+import asyncio
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+import aiohttp
+
+from corkcrank.contracts.opaque_configuration import ServiceProfile
+from corkcrank.contracts.worker_records import WorkerRecord
+from corkcrank.gateway.opaque.peer_protocol import StageAnswer, StageWork
+from corkcrank.gateway.opaque.worker_client import (
+    SendFailure,
+    SendTrouble,
+    WorkerClient,
+    read_whole,
+)
+from corkcrank.links.decision_log import DecisionLog, LogEvent
+from corkcrank.links.platform_ports import (
+    PieceOrder,
+    PieceOutcome,
+    PieceResult,
+    StageCodec,
+)
+from corkcrank.machines.fleet import StageLoad
+from corkcrank.machines.store_mirror import StoreMirror
+from corkcrank.scheduling.stage_lane import PieceTicket, StageCall, StageLane
+from corkcrank.scheduling.worker_choice import StandingBook
+
+FULL_BLOCK_SECONDS = 0.08
+"""Pause after a worker said that it is full: another owner fills it too."""
+
+CALL_TIME_FACTOR = 4.0
+"""A call is given up after this multiple of its expected time, plus the margin."""
+
+CALL_TIME_MARGIN = 1.0
+"""Seconds added to the limit above."""
+
+AVOID_SECONDS = 1.5
+"""Time for which a worker whose call failed is avoided."""
+
+KNOWN_HANDLES = 512
+"""Handles remembered of each worker, to tell a surplus answer from a new one."""
+
+
+@dataclass(slots=True)
+class _Lane:
+    worker: WorkerRecord
+    lane: StageLane
+    futures: dict[int, asyncio.Future[PieceResult]] = field(default_factory=dict)
+    timer: asyncio.TimerHandle | None = None
+    to_free: list[str] = field(default_factory=list)
+    freeing: bool = False
+    known_handles: dict[str, None] = field(default_factory=dict)
+
+
+class StageDesk:
+    """Fills the batches of the stage workers that this gateway owns.
+
+    Whoever sends work here is served, also when this gateway does not think itself the
+    owner: views differ for a moment, and the worker's own queue bears two owners.
+    """
+
+    def __init__(
+        self,
+        mirror: StoreMirror,
+        book: StandingBook,
+        codec: StageCodec,
+        client: WorkerClient,
+        log: DecisionLog,
+    ) -> None:
+        self._mirror = mirror
+        self._book = book
+        self._codec = codec
+        self._client = client
+        self._log = log
+        self._lanes: dict[str, _Lane] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def lane(self, worker_id: str) -> StageLane | None:
+        """Return the lane of a worker if this gateway has one."""
+        entry = self._lanes.get(worker_id)
+        return entry.lane if entry is not None else None
+
+    def lanes(self) -> list[tuple[str, StageLane]]:
+        """Return every lane, for dumps and metrics."""
+        return [(worker_id, entry.lane) for worker_id, entry in self._lanes.items()]
+
+    @property
+    def busy(self) -> bool:
+        """Return whether any piece waits or is at work."""
+        return any(entry.lane.waiting or entry.lane.at_work for entry in self._lanes.values())
+
+    def loads(self, now: float) -> tuple[StageLoad, ...]:
+        """Return what heartbeats tell of the lanes here."""
+        loads = []
+        for worker_id, entry in self._lanes.items():
+            lane = entry.lane
+            if lane.idle:
+                continue
+            start = lane.forecast(now, (float("inf"),), 1, 0.0).start
+            free = max(0.0, lane.capacity.room_bytes - lane.room_used)
+            loads.append(StageLoad(worker_id, round(start, 3), lane.waiting, free))
+        return tuple(loads)
+
+    async def make(self, work: StageWork) -> StageAnswer:
+        """Queue pieces and return their results; on cancellation they are withdrawn."""
+        worker = self._mirror.workers.get(work.worker_id)
+        profile = self._profile(work.service)
+        if worker is None or worker.leaving or profile is None or profile.stage is None:
+            return _refuse(work, 0.0, "worker is leaving or unknown")
+        entry = self._lane_of(worker, profile)
+        now = time.monotonic()
+        urgency = absolute_urgency(work.urgency, now)
+        forecast = entry.lane.forecast(now, urgency, len(work.pieces), work.result_bytes)
+        if forecast.start > work.start_by:
+            entry.lane.counters.refused += len(work.pieces)
+            return _refuse(work, forecast.start, "too long a wait")
+        tickets = [_ticket(work, piece, now) for piece in work.pieces]
+        futures = [self._submit(entry, ticket) for ticket in tickets]
+        self._pump(entry)
+        try:
+            results = await asyncio.gather(*futures)
+        except asyncio.CancelledError:
+            self._abandon(entry, tickets, futures)
+            raise
+        return StageAnswer(tuple(results), forecast.start)
+
+    def free(self, worker_id: str, handles: Sequence[str]) -> None:
+        """Give up results; a worker that has left needs no word."""
+        entry = self._lanes.get(worker_id)
+        if entry is None:
+            worker = self._mirror.workers.get(worker_id)
+            profile = self._profile(worker.service) if worker is not None else None
+            if worker is None or profile is None or profile.stage is None:
+                return
+            entry = self._lane_of(worker, profile)
+        now = time.monotonic()
+        for handle in handles:
+            entry.lane.free(handle, now)
+        entry.to_free.extend(handles)
+        self._start_freeing(entry)
+        self._pump(entry)
+
+    def workers_changed(self) -> None:
+        """Send back the pieces that wait for workers that are leaving or gone."""
+        for worker_id, entry in list(self._lanes.items()):
+            worker = self._mirror.workers.get(worker_id)
+            if worker is not None and not worker.leaving:
+                continue
+            for ticket in entry.lane.take_all():
+                self._resolve(entry, ticket, PieceResult(PieceOutcome.REFUSED))
+            if worker is None and entry.lane.at_work == 0:
+                self._drop_lane(worker_id, entry)
+
+    async def close(self) -> None:
+        """Cancel what is at work."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _profile(self, service: str) -> ServiceProfile | None:
+        configuration = self._mirror.configuration
+        return configuration.service(service) if configuration is not None else None
+
+    def _lane_of(self, worker: WorkerRecord, profile: ServiceProfile) -> _Lane:
+        entry = self._lanes.get(worker.worker_id)
+        assert profile.stage is not None
+        if entry is None:
+            entry = self._lanes[worker.worker_id] = _Lane(worker, StageLane(profile.stage))
+        entry.lane.capacity = profile.stage
+        return entry
+
+    def _drop_lane(self, worker_id: str, entry: _Lane) -> None:
+        if entry.timer is not None:
+            entry.timer.cancel()
+        del self._lanes[worker_id]
+
+    def _submit(self, entry: _Lane, ticket: PieceTicket) -> asyncio.Future[PieceResult]:
+        future: asyncio.Future[PieceResult] = asyncio.get_running_loop().create_future()
+        entry.futures[id(ticket)] = future
+        entry.lane.submit(ticket)
+        return future
+
+    def _abandon(
+        self,
+        entry: _Lane,
+        tickets: list[PieceTicket],
+        futures: list[asyncio.Future[PieceResult]],
+    ) -> None:
+        made = []
+        for ticket, future in zip(tickets, futures, strict=True):
+            entry.lane.withdraw(ticket)
+            entry.futures.pop(id(ticket), None)
+            if future.done() and not future.cancelled():
+                made.append(future.result().handle)
+        self.free(entry.worker.worker_id, [handle for handle in made if handle])
+
+    def _pump(self, entry: _Lane) -> None:
+        now = time.monotonic()
+        for ticket in entry.lane.take_late(now):
+            self._resolve(entry, ticket, PieceResult(PieceOutcome.LATE))
+        while (call := entry.lane.next_call(now)) is not None:
+            task = asyncio.create_task(self._run(entry, call))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        self._set_timer(entry, now)
+
+    def _set_timer(self, entry: _Lane, now: float) -> None:
+        if entry.timer is not None:
+            entry.timer.cancel()
+            entry.timer = None
+        at = entry.lane.next_event_at()
+        if at is not None:
+            delay = max(0.005, at - now)
+            entry.timer = asyncio.get_running_loop().call_later(delay, self._pump, entry)
+
+    def _resolve(self, entry: _Lane, ticket: PieceTicket, result: PieceResult) -> None:
+        future = entry.futures.pop(id(ticket), None)
+        if future is not None and not future.done():
+            future.set_result(result)
+
+    async def _run(self, entry: _Lane, call: StageCall) -> None:
+        started = time.monotonic()
+        outcome: list[PieceResult] | SendFailure | None = None
+        try:
+            outcome = await self._ask(entry, call)
+        finally:
+            self._finish(entry, call, outcome, started)
+
+    async def _ask(self, entry: _Lane, call: StageCall) -> list[PieceResult] | SendFailure | None:
+        """Return results, a failure, or ``None`` if the worker turned the call away unrun."""
+        now = time.monotonic()
+        orders = [_remaining(ticket, now) for ticket in call.tickets]
+        limit = CALL_TIME_FACTOR * call.expected_seconds + CALL_TIME_MARGIN
+        response = await self._client.open(
+            "POST",
+            entry.worker.address,
+            self._codec.run_path,
+            list(self._codec.run_headers(entry.worker).items()),
+            self._codec.encode_run(orders),
+            limit,
+            fresh=False,
+        )
+        if isinstance(response, SendFailure):
+            return response
+        return await self._read_results(entry, call, response, limit)
+
+    async def _read_results(
+        self, entry: _Lane, call: StageCall, response: aiohttp.ClientResponse, limit: float
+    ) -> list[PieceResult] | SendFailure | None:
+        try:
+            async with asyncio.timeout(limit):
+                body = await read_whole(response)
+        except TimeoutError:
+            response.close()
+            return SendFailure(SendTrouble.UNKNOWN, "no answer in time")
+        status = response.status
+        if status == 503:
+            return None
+        results = self._codec.decode_run(body, len(call.tickets)) if body is not None else None
+        if status != 200 or results is None:
+            response.close()
+            return SendFailure(SendTrouble.UNKNOWN, f"status {status}")
+        if any(item.handle in entry.known_handles for item in results if item.handle):
+            response.close()
+            return SendFailure(SendTrouble.UNKNOWN, "answer to an earlier call")
+        self._remember(entry, results)
+        return results
+
+    def _remember(self, entry: _Lane, results: list[PieceResult]) -> None:
+        for result in results:
+            if result.handle:
+                entry.known_handles[result.handle] = None
+        while len(entry.known_handles) > KNOWN_HANDLES:
+            del entry.known_handles[next(iter(entry.known_handles))]
+
+    def _finish(
+        self,
+        entry: _Lane,
+        call: StageCall,
+        outcome: list[PieceResult] | SendFailure | None,
+        started: float,
+    ) -> None:
+        now = time.monotonic()
+        results = outcome if isinstance(outcome, list) else None
+        entry.lane.end_call(call, results, now)
+        self._log.write(
+            LogEvent.BATCH_ENDED,
+            worker=entry.worker.worker_id,
+            service=entry.worker.service,
+            pieces=len(call.tickets),
+            calls=sorted({ticket.order.call_id for ticket in call.tickets}),
+            outcome=_describe(outcome),
+            seconds=round(now - started, 3),
+            expected=round(call.expected_seconds, 3),
+            waiting=entry.lane.waiting,
+            room_used=int(entry.lane.room_used),
+        )
+        if outcome is None:
+            self._turned_away(entry, call, now)
+        elif isinstance(outcome, SendFailure):
+            self._failed(entry, call, outcome, now)
+        else:
+            self._succeeded(entry, call, outcome)
+        self._pump(entry)
+
+    def _turned_away(self, entry: _Lane, call: StageCall, now: float) -> None:
+        """Queue the pieces again for a worker that is full: another owner fills it too."""
+        entry.lane.put_back(call.tickets)
+        entry.lane.block(now, FULL_BLOCK_SECONDS)
+        if self._leaving(entry):
+            self.workers_changed()
+
+    def _leaving(self, entry: _Lane) -> bool:
+        worker = self._mirror.workers.get(entry.worker.worker_id)
+        return worker is None or worker.leaving
+
+    def _failed(self, entry: _Lane, call: StageCall, failure: SendFailure, now: float) -> None:
+        standing = self._book.of(entry.worker.worker_id)
+        standing.failures.append(now)
+        standing.avoid_until = now + AVOID_SECONDS
+        entry.lane.block(now, FULL_BLOCK_SECONDS)
+        self._log.write(
+            LogEvent.WORKER_AVOIDED,
+            worker=entry.worker.worker_id,
+            service=entry.worker.service,
+            detail=failure.detail,
+            seconds=AVOID_SECONDS,
+        )
+        for ticket in call.tickets:
+            self._resolve(entry, ticket, PieceResult(PieceOutcome.FAILED))
+        for ticket in entry.lane.take_all():
+            self._resolve(entry, ticket, PieceResult(PieceOutcome.REFUSED))
+
+    def _succeeded(self, entry: _Lane, call: StageCall, results: list[PieceResult]) -> None:
+        orphans = []
+        for ticket, result in zip(call.tickets, results, strict=True):
+            if ticket.abandoned and result.handle:
+                orphans.append(result.handle)
+            self._resolve(entry, ticket, result)
+        if orphans:
+            self.free(entry.worker.worker_id, orphans)
+
+    def _start_freeing(self, entry: _Lane) -> None:
+        if entry.freeing or not entry.to_free:
+            return
+        entry.freeing = True
+        task = asyncio.create_task(self._send_frees(entry))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _send_frees(self, entry: _Lane) -> None:
+        """Send what was given up, all that gathered meanwhile together."""
+        try:
+            while entry.to_free:
+                handles, entry.to_free = entry.to_free, []
+                response = await self._client.open(
+                    "POST",
+                    entry.worker.address,
+                    self._codec.free_path,
+                    list(self._codec.run_headers(entry.worker).items()),
+                    self._codec.encode_free(handles),
+                    CALL_TIME_MARGIN,
+                    fresh=False,
+                )
+                if not isinstance(response, SendFailure):
+                    await read_whole(response)
+        finally:
+            entry.freeing = False
+
+
+def absolute_urgency(urgency: tuple[float, ...], now: float) -> tuple[float, ...]:
+    """Return an urgency on the own clock: its first item is seconds until the work is due."""
+    return (now + urgency[0], *urgency[1:])
+
+
+def _ticket(work: StageWork, piece: int, now: float) -> PieceTicket:
+    order = PieceOrder(work.call_id, work.stage, piece, work.key, work.inputs)
+    return PieceTicket(
+        order=order,
+        result_bytes=work.result_bytes,
+        urgency=absolute_urgency(work.urgency, now),
+        start_by=now + work.start_by,
+        end_at=now + work.remaining,
+        submitted_at=now,
+    )
+
+
+def _remaining(ticket: PieceTicket, now: float) -> PieceOrder:
+    order = ticket.order
+    remaining = max(0.001, ticket.end_at - now)
+    return PieceOrder(order.call_id, order.stage, order.piece, order.key, order.inputs, remaining)
+
+
+def _refuse(work: StageWork, start_seconds: float, detail: str) -> StageAnswer:
+    refused = PieceResult(PieceOutcome.REFUSED)
+    return StageAnswer((refused,) * len(work.pieces), start_seconds, detail)
+
+
+def _describe(outcome: list[PieceResult] | SendFailure | None) -> str:
+    if outcome is None:
+        return "turned away"
+    if isinstance(outcome, SendFailure):
+        return outcome.detail
+    counts: dict[str, int] = {}
+    for result in outcome:
+        counts[result.outcome.value] = counts.get(result.outcome.value, 0) + 1
+    return ", ".join(f"{count} {name}" for name, count in sorted(counts.items()))
--- /dev/null
+++ b/src/corkcrank/gateway/opaque/stage_dispatch.py
@@ -0,0 +1,194 @@
+"""The caller's side of stage workers: forecasts, and pieces sent to their owner."""
+
+import asyncio
+import random
+import time
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass
+
+import aiohttp
+import msgspec
+
+from corkcrank.contracts.opaque_configuration import StageCapacity
+from corkcrank.contracts.worker_records import WorkerRecord
+from corkcrank.gateway.opaque.peer_protocol import (
+    FREE_PATH,
+    PIECES_PATH,
+    FreeResults,
+    StageAnswer,
+    StageWork,
+)
+from corkcrank.gateway.opaque.stage_desk import StageDesk, absolute_urgency
+from corkcrank.links.platform_ports import PieceOutcome, PieceResult
+from corkcrank.machines.fleet import Fleet
+from corkcrank.machines.store_mirror import StoreMirror
+from corkcrank.scheduling.stage_choice import choose_stage_worker
+from corkcrank.scheduling.stage_lane import LaneForecast
+from corkcrank.scheduling.worker_choice import StandingBook
+
+PEER_CONNECT_SECONDS = 0.3
+"""Longest wait for a connection to a peer."""
+
+OWN_PIECES_SECONDS = 0.6
+"""Time for which pieces sent to a peer are added to what it told last."""
+
+WATCH_SECONDS = 0.25
+"""Time between looks at whether the owner of pieces is still alive."""
+
+
+@dataclass(slots=True)
+class _SentPieces:
+    at: float
+    pieces: int
+
+
+class StageDispatch:
+    """Knows the load of every stage worker, and has pieces made by their owners."""
+
+    def __init__(
+        self,
+        mirror: StoreMirror,
+        fleet: Fleet,
+        book: StandingBook,
+        desk: StageDesk,
+        peers: aiohttp.ClientSession,
+        random_source: random.Random,
+    ) -> None:
+        self._mirror = mirror
+        self._fleet = fleet
+        self._book = book
+        self._desk = desk
+        self._peers = peers
+        self._random = random_source
+        self._sent: dict[str, list[_SentPieces]] = {}
+        self._free_tasks: set[asyncio.Task[None]] = set()
+
+    def capacity(self, service: str) -> StageCapacity | None:
+        """Return the stated capacity of a service's workers."""
+        configuration = self._mirror.configuration
+        profile = configuration.service(service) if configuration is not None else None
+        return profile.stage if profile is not None else None
+
+    def forecast(
+        self, worker: WorkerRecord, urgency: tuple[float, ...], pieces: int, size: float
+    ) -> LaneForecast:
+        """Return when pieces would start and end at a worker, by the freshest word."""
+        now = time.monotonic()
+        lane = self._desk.lane(worker.worker_id)
+        owner = self._fleet.owner_of(worker, now)
+        if owner == self._fleet.own_name and lane is not None:
+            return lane.forecast(now, absolute_urgency(urgency, now), pieces, size)
+        return self._told_forecast(worker, owner, now, pieces)
+
+    def _told_forecast(
+        self, worker: WorkerRecord, owner: str, now: float, pieces: int
+    ) -> LaneForecast:
+        capacity = self.capacity(worker.service)
+        if capacity is None:
+            return LaneForecast(float("inf"), float("inf"))
+        member = self._fleet.member(owner)
+        start, waiting, told_at = 0.0, 0, 0.0
+        if member is not None:
+            told_at = member.heard_at
+            for load in member.heartbeat.stage_loads:
+                if load.worker_id == worker.worker_id:
+                    start = max(0.0, load.start_seconds - (now - told_at))
+                    waiting = load.waiting
+        sent = self._recently_sent(worker.worker_id, max(told_at, now - OWN_PIECES_SECONDS))
+        position = waiting % capacity.batch + sent + pieces
+        start += (position - 1) // capacity.batch * capacity.full_call_seconds
+        if sent and start == 0.0:
+            start = capacity.full_call_seconds
+        batch = min(capacity.batch, position)
+        return LaneForecast(start, start + capacity.call_seconds + batch * capacity.piece_seconds)
+
+    def choose(
+        self,
+        service: str,
+        zone: str,
+        urgency: tuple[float, ...],
+        pieces: int,
+        size: float,
+        excluded: Collection[str],
+    ) -> tuple[WorkerRecord, LaneForecast] | None:
+        """Return the best worker of a service for some pieces, with its forecast."""
+        return choose_stage_worker(
+            self._mirror.workers.usable(service),
+            lambda worker: self.forecast(worker, urgency, pieces, size),
+            self._book,
+            zone,
+            pieces * size,
+            time.monotonic(),
+            excluded,
+            self._random,
+        )
+
+    async def make(self, worker: WorkerRecord, work: StageWork) -> StageAnswer:
+        """Have pieces made by the owner of a worker."""
+        owner = self._fleet.owner_of(worker, time.monotonic())
+        member = self._fleet.member(owner)
+        if owner == self._fleet.own_name or member is None:
+            return await self._desk.make(work)
+        sent = _SentPieces(time.monotonic(), len(work.pieces))
+        self._sent.setdefault(worker.worker_id, []).append(sent)
+        return await self._make_at_peer(owner, member.heartbeat.address, work)
+
+    def free(self, results: Iterable[tuple[str, WorkerRecord]]) -> None:
+        """Give up results, each with the worker that holds it."""
+        by_worker: dict[str, tuple[WorkerRecord, list[str]]] = {}
+        for handle, worker in results:
+            by_worker.setdefault(worker.worker_id, (worker, []))[1].append(handle)
+        now = time.monotonic()
+        for worker, handles in by_worker.values():
+            owner = self._fleet.owner_of(worker, now)
+            member = self._fleet.member(owner)
+            if owner == self._fleet.own_name or member is None:
+                self._desk.free(worker.worker_id, handles)
+                continue
+            task = asyncio.create_task(
+                self._free_at_peer(member.heartbeat.address, worker, tuple(handles))
+            )
+            self._free_tasks.add(task)
+            task.add_done_callback(self._free_tasks.discard)
+
+    async def _make_at_peer(self, owner: str, address: str, work: StageWork) -> StageAnswer:
+        request = asyncio.create_task(
+            self._post(address, PIECES_PATH, msgspec.msgpack.encode(work))
+        )
+        try:
+            while not request.done():
+                await asyncio.wait({request}, timeout=WATCH_SECONDS)
+                member = self._fleet.member(owner)
+                if member is None or member.suspected(time.monotonic()):
+                    break
+        finally:
+            if not request.done():
+                request.cancel()
+        body = request.result() if request.done() and not request.cancelled() else None
+        if body is None:
+            lost = PieceResult(PieceOutcome.REFUSED)
+            return StageAnswer((lost,) * len(work.pieces), 0.0, f"owner {owner} is lost")
+        return msgspec.msgpack.decode(body, type=StageAnswer)
+
+    async def _free_at_peer(
+        self, address: str, worker: WorkerRecord, handles: tuple[str, ...]
+    ) -> None:
+        message = msgspec.msgpack.encode(FreeResults(worker.worker_id, handles))
+        if await self._post(address, FREE_PATH, message) is None:
+            self._desk.free(worker.worker_id, handles)
+
+    async def _post(self, address: str, path: str, message: bytes) -> bytes | None:
+        try:
+            async with self._peers.post(f"http://{address}{path}", data=message) as response:
+                body = await response.read()
+                return body if response.status == 200 else None
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return None
+
+    def _recently_sent(self, worker_id: str, since: float) -> int:
+        sent = [item for item in self._sent.get(worker_id, ()) if item.at > since]
+        if sent:
+            self._sent[worker_id] = sent
+        else:
+            self._sent.pop(worker_id, None)
+        return sum(item.pieces for item in sent)
--- /dev/null
+++ b/src/corkcrank/gateway/opaque/stage_run.py
@@ -0,0 +1,204 @@
+"""The stages of one call: places pieces, gathers results, frees what nobody reads."""
+
+import asyncio
+import time
+from dataclasses import dataclass, field
+
+from corkcrank.contracts.opaque_call import OpaqueCall
+from corkcrank.contracts.worker_records import WorkerRecord
+from corkcrank.gateway.opaque.peer_protocol import StageAnswer, StageWork
+from corkcrank.gateway.opaque.stage_dispatch import StageDispatch
+from corkcrank.links.decision_log import DecisionLog, LogEvent
+from corkcrank.links.platform_ports import PieceOutcome
+from corkcrank.scheduling.stage_plan import StagePlan
+
+MAXIMUM_ROUNDS = 4
+"""Times that the pieces of one stage are placed before the call is given up."""
+
+ROUND_PAUSE_SECONDS = 0.05
+"""Pause before pieces that nobody took are placed again."""
+
+
+class StageFailedError(Exception):
+    """The stages of a call cannot be finished.
+
+    ``started`` says that work was begun; ``retry_after`` is the forecast wait in seconds.
+    """
+
+    def __init__(self, detail: str, *, started: bool, retry_after: float) -> None:
+        super().__init__(detail)
+        self.detail = detail
+        self.started = started
+        self.retry_after = retry_after
+
+
+@dataclass(slots=True)
+class _Round:
+    """One placing of some pieces of a stage at one worker."""
+
+    worker: WorkerRecord
+    pieces: tuple[int, ...]
+    answer: StageAnswer
+
+
+@dataclass(slots=True)
+class StageRun:
+    """Runs the stages of one call; its results are freed by :meth:`close`."""
+
+    call: OpaqueCall
+    plan: StagePlan
+    dispatch: StageDispatch
+    log: DecisionLog
+    zone: str
+    rest_seconds: float
+    started: bool = False
+    shortest_wait: float = float("inf")
+    _holders: dict[str, WorkerRecord] = field(default_factory=dict)
+
+    async def run(self) -> tuple[str, ...]:
+        """Return the results that the call reads, once every stage has ended.
+
+        Raises :class:`StageFailedError`.
+        """
+        tasks: dict[asyncio.Task[tuple[str, ...]], int] = {}
+        try:
+            while not self.plan.complete:
+                for stage in self.plan.ready():
+                    self.plan.start(stage)
+                    tasks[asyncio.create_task(self._run_stage(stage))] = stage
+                done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+                for task in done:
+                    self.plan.finish(tasks.pop(task), task.result())
+                self._free(self.plan.release())
+        finally:
+            await _cancel(list(tasks))
+        return self.plan.final_handles()
+
+    def close(self) -> None:
+        """Free every result that is still held."""
+        self.plan.release_all()
+        self._free(list(self._holders))
+
+    def _free(self, handles: list[str]) -> None:
+        held = [
+            (handle, self._holders.pop(handle)) for handle in handles if handle in self._holders
+        ]
+        if held:
+            self.dispatch.free(held)
+
+    async def _run_stage(self, stage: int) -> tuple[str, ...]:
+        count = self.plan.counts[stage]
+        handles: dict[int, str] = {}
+        refused: set[str] = set()
+        detail, wait = "", 0.0
+        for turn in range(MAXIMUM_ROUNDS):
+            missing = [piece for piece in range(count) if piece not in handles]
+            if turn:
+                await asyncio.sleep(ROUND_PAUSE_SECONDS)
+            rounds = await self._place(stage, missing, refused)
+            for item in rounds:
+                detail, wait = item.answer.detail or detail, item.answer.start_seconds
+                self._take(item, handles, refused)
+            if len(handles) == count:
+                return tuple(handles[piece] for piece in range(count))
+            if self._hopeless(rounds):
+                break
+        if self.shortest_wait < float("inf"):
+            wait = self.shortest_wait
+        raise StageFailedError(
+            detail or f"stage {stage} was not made", started=self.started, retry_after=wait
+        )
+
+    def _hopeless(self, rounds: list[_Round]) -> bool:
+        outcomes = {result.outcome for item in rounds for result in item.answer.results}
+        if PieceOutcome.INPUT_GONE in outcomes or time.monotonic() >= self.call.end_at:
+            return True
+        return not self.started and (not rounds or PieceOutcome.LATE in outcomes)
+
+    def _take(self, item: _Round, handles: dict[int, str], refused: set[str]) -> None:
+        for piece, result in zip(item.pieces, item.answer.results, strict=True):
+            if result.outcome is PieceOutcome.DONE:
+                handles[piece] = result.handle
+                self.started = True
+            elif result.outcome in (PieceOutcome.REFUSED, PieceOutcome.FAILED):
+                refused.add(item.worker.worker_id)
+            if result.outcome is PieceOutcome.FAILED:
+                self.started = True
+
+    async def _place(self, stage: int, missing: list[int], refused: set[str]) -> list[_Round]:
+        """Place pieces, batch by batch, each where it would end first."""
+        definition = self.plan.definition(stage)
+        capacity = self.dispatch.capacity(definition.service)
+        if capacity is None:
+            return []
+        placings = []
+        for start in range(0, len(missing), capacity.batch):
+            pieces = tuple(missing[start : start + capacity.batch])
+            placings.append(self._place_batch(stage, pieces, refused))
+        rounds = await asyncio.gather(*placings)
+        return [item for item in rounds if item is not None]
+
+    async def _place_batch(
+        self, stage: int, pieces: tuple[int, ...], refused: set[str]
+    ) -> _Round | None:
+        definition = self.plan.definition(stage)
+        size = float(definition.result_bytes)
+        urgency = self._urgency()
+        choice = self.dispatch.choose(
+            definition.service, self.zone, urgency, len(pieces), size, refused
+        )
+        if choice is None and refused:
+            refused.clear()
+            choice = self.dispatch.choose(
+                definition.service, self.zone, urgency, len(pieces), size, refused
+            )
+        if choice is None:
+            return None
+        worker, forecast = choice
+        now = time.monotonic()
+        if not self.started and forecast.start > self._start_by(now):
+            self.shortest_wait = min(self.shortest_wait, forecast.start)
+            return None
+        self.log.write(
+            LogEvent.STAGE_PLACED,
+            call=self.call.call_id,
+            stage=stage,
+            pieces=len(pieces),
+            worker=worker.worker_id,
+            start=round(forecast.start, 3),
+            end=round(forecast.end, 3),
+        )
+        work = StageWork(
+            worker_id=worker.worker_id,
+            service=definition.service,
+            call_id=self.call.call_id,
+            stage=stage,
+            pieces=pieces,
+            key="" if definition.after else self.call.envelope.piece_key,
+            inputs=self.plan.inputs_of(stage),
+            result_bytes=size,
+            urgency=urgency,
+            start_by=self._start_by(now),
+            remaining=max(0.001, self.call.end_at - now),
+        )
+        answer = await self.dispatch.make(worker, work)
+        for result in answer.results:
+            if result.handle:
+                self._holders[result.handle] = worker
+        return _Round(worker, pieces, answer)
+
+    def _urgency(self) -> tuple[float, ...]:
+        """Earliest due first, as seconds before the objective; ranks break ties."""
+        due = self.call.objective_at - time.monotonic() - self.rest_seconds
+        return (round(due, 3), *self.call.rank)
+
+    def _start_by(self, now: float) -> float:
+        """Before any work, only a start that keeps the objective is worth it."""
+        limit = self.call.end_at if self.started else self.call.objective_at
+        return max(0.0, limit - now - self.rest_seconds)
+
+
+async def _cancel(tasks: list[asyncio.Task[tuple[str, ...]]]) -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/src/corkcrank/gateway/opaque/stream_relay.py
@@ -0,0 +1,167 @@
+"""Passes events on to a caller as they come, within one answer over several workers."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from enum import StrEnum
+
+import aiohttp
+from aiohttp import web
+
+from corkcrank.contracts.opaque_call import OpaqueCall
+from corkcrank.gateway.opaque.attempts import Attempt
+from corkcrank.gateway.opaque.events import EventReader, StreamEvent
+from corkcrank.gateway.opaque.plain_run import replace_headers
+from corkcrank.gateway.opaque.services import CallServices
+from corkcrank.gateway.opaque.worker_client import unframed_end
+
+LEAST_SILENCE_SECONDS = 1.0
+"""A stream is never moved for a shorter silence between events."""
+
+SILENCE_PAUSES = 2.5
+"""A resumable stream is moved after this multiple of the pause that it may have."""
+
+DEFAULT_PAUSE_SECONDS = 1.0
+"""Pause assumed where the route tells none."""
+
+
+class RelayEnd(StrEnum):
+    """How one worker's part of a stream ended."""
+
+    COMPLETE = "complete"
+    BROKEN = "broken"
+    CALLER_GONE = "caller-gone"
+
+
+class StreamRelay:
+    """The answer to one streamed call; its head is that of the first worker."""
+
+    def __init__(self, call: OpaqueCall, services: CallServices, request: web.BaseRequest) -> None:
+        self._call = call
+        self._services = services
+        self._request = request
+        self._response: web.StreamResponse | None = None
+        self._last_id: int | None = None
+        self.started = False
+        self.on_first_event: Callable[[], None] = lambda: None
+
+    @property
+    def prepared(self) -> bool:
+        """Return whether the head of the answer has gone out."""
+        return self._response is not None
+
+    @property
+    def resume_after(self) -> str:
+        """Return the id of the last event that the caller has."""
+        if self._last_id is None:
+            return self._call.envelope.resume_after
+        return str(self._last_id)
+
+    def finished(self) -> web.StreamResponse:
+        """Return the answer, whose end has gone out."""
+        assert self._response is not None
+        return self._response
+
+    def break_off(self) -> None:
+        """End the answer so that nobody takes it for whole."""
+        transport = self._request.transport
+        if transport is not None:
+            transport.abort()
+
+    async def relay(self, attempt: Attempt, first_seconds: float) -> RelayEnd:
+        """Pass one worker's events on until they end, break or fall silent."""
+        upstream = attempt.response
+        assert upstream is not None
+        end = RelayEnd.BROKEN
+        try:
+            end = await self._relay(upstream, first_seconds)
+        finally:
+            if end is not RelayEnd.COMPLETE:
+                attempt.close()
+                self._services.book.of(attempt.worker.worker_id).failures.append(time.monotonic())
+        return end
+
+    async def _relay(self, upstream: aiohttp.ClientResponse, first_seconds: float) -> RelayEnd:
+        reader = EventReader()
+        closed = unframed_end(upstream)
+        patience = first_seconds
+        try:
+            while True:
+                chunk = await self._next_chunk(upstream, patience)
+                if not chunk:
+                    break
+                events = reader.feed(chunk)
+                if events and not await self._send_events(upstream, events):
+                    return RelayEnd.BROKEN
+                if events:
+                    patience = self._silence_limit()
+            if closed is not None:
+                await closed
+        except (aiohttp.ClientError, ConnectionError, TimeoutError, ValueError):
+            return RelayEnd.CALLER_GONE if self._caller_gone() else RelayEnd.BROKEN
+        return await self._complete(upstream, reader.rest)
+
+    async def _next_chunk(self, upstream: aiohttp.ClientResponse, patience: float) -> bytes:
+        left = self._call.end_at - time.monotonic()
+        async with asyncio.timeout(max(0.001, min(left, patience))):
+            return await upstream.content.readany()
+
+    async def _send_events(
+        self, upstream: aiohttp.ClientResponse, events: list[StreamEvent]
+    ) -> bool:
+        """Send events on; return whether their ids go on where the last ended."""
+        data = []
+        whole = True
+        for event in events:
+            if not self._follows(event):
+                whole = False
+                break
+            if event.event_id is not None:
+                self._last_id = event.event_id
+            data.append(event.data)
+        if data:
+            if not self.started:
+                self.started = True
+            self.on_first_event()
+            self.on_first_event = _nothing
+            response = await self._prepare(upstream)
+            await response.write(b"".join(data))
+        return whole
+
+    def _follows(self, event: StreamEvent) -> bool:
+        if event.event_id is None or self._last_id is None:
+            return True
+        return event.event_id == self._last_id + 1
+
+    async def _prepare(self, upstream: aiohttp.ClientResponse) -> web.StreamResponse:
+        if self._response is None:
+            response = web.StreamResponse(status=upstream.status, reason=upstream.reason)
+            headers = self._services.ports.calls.answer_headers(list(upstream.headers.items()))
+            replace_headers(response, headers)
+            self._response = response
+            await response.prepare(self._request)
+        return self._response
+
+    async def _complete(self, upstream: aiohttp.ClientResponse, rest: bytes) -> RelayEnd:
+        try:
+            response = await self._prepare(upstream)
+            if rest:
+                await response.write(rest)
+            await response.write_eof()
+        except ConnectionError:
+            return RelayEnd.CALLER_GONE
+        return RelayEnd.COMPLETE
+
+    def _silence_limit(self) -> float:
+        if not self._call.route.resumable:
+            return float("inf")
+        pause = self._call.route.pause_objective or DEFAULT_PAUSE_SECONDS
+        return max(LEAST_SILENCE_SECONDS, SILENCE_PAUSES * pause)
+
+    def _caller_gone(self) -> bool:
+        transport = self._request.transport
+        return transport is None or transport.is_closing()
+
+
+def _nothing() -> None:
+    pass
--- /dev/null
+++ b/src/corkcrank/gateway/opaque/stream_run.py
@@ -0,0 +1,274 @@
+"""A call whose answer is a stream of events: admission, stages, relay, resume."""
+
+import time
+from collections.abc import Callable
+
+from aiohttp import web
+
+from corkcrank.contracts.opaque_call import OpaqueCall
+from corkcrank.contracts.result_codes import ResultCode
+from corkcrank.contracts.worker_records import WorkerRecord
+from corkcrank.gateway.opaque.attempts import Attempt, AttemptOutcome, attempt_call
+from corkcrank.gateway.opaque.refusals import Refusal
+from corkcrank.gateway.opaque.services import FIRST_EVENT_SECONDS, CallServices
+from corkcrank.gateway.opaque.stage_run import StageFailedError, StageRun
+from corkcrank.gateway.opaque.stream_relay import RelayEnd, StreamRelay
+from corkcrank.links.decision_log import LogEvent
+from corkcrank.scheduling.call_admission import (
+    RETURNING_SHARE,
+    SHORTEST_RETRY,
+    AdmissionVerdict,
+    admit,
+    forecast_chain,
+)
+from corkcrank.scheduling.stage_lane import LaneForecast
+from corkcrank.scheduling.stage_plan import StagePlan
+
+ADMISSION_MARGIN = 1.0
+"""Share of the objective that a forecast may use."""
+
+LEAST_FIRST_EVENT_SECONDS = 1.2
+"""A resumable stream is never moved earlier for want of a first event."""
+
+
+class StreamRun:
+    """Serves one streamed call."""
+
+    def __init__(self, call: OpaqueCall, services: CallServices, request: web.BaseRequest) -> None:
+        self._call = call
+        self._services = services
+        self._relay = StreamRelay(call, services, request)
+        self._plan = StagePlan(call.route.stages, call.envelope.piece_counts)
+        self._stages: StageRun | None = None
+        self._began_work = False
+        self._may_have_run = False
+
+    async def run(self) -> web.StreamResponse | Refusal:
+        """Return the finished answer, or why there is none."""
+        engine = self._choose_engine()
+        if engine is None:
+            return Refusal(ResultCode.NO_BACKEND, retry_after=SHORTEST_RETRY * 3)
+        refusal = self._admit(engine)
+        if refusal is not None:
+            return refusal
+        standing = self._services.book.of(engine.worker_id)
+        standing.in_flight += 1
+        try:
+            return await self._run_admitted(engine)
+        except StageFailedError as error:
+            return self._stage_refusal(error)
+        finally:
+            standing.in_flight -= 1
+            if self._stages is not None:
+                self._stages.close()
+
+    async def _run_admitted(self, engine: WorkerRecord) -> web.StreamResponse | Refusal:
+        call = self._call
+        service = call.service
+        for number in range(call.route.maximum_attempts):
+            inputs = await self._run_stages(engine)
+            current = self._still_usable(engine)
+            if current is None:
+                break
+            engine = current
+            now = time.monotonic()
+            if now >= call.end_at:
+                break
+            if number == 0:
+                self._services.budget(service).record_first(now)
+            elif not self._services.may_repeat(service):
+                break
+            attempt = await self._attempt(engine, inputs)
+            if attempt.outcome is AttemptOutcome.ANSWERED:
+                self._may_have_run = True
+                end = await self._relay.relay(attempt, self._first_event_patience())
+                if end is RelayEnd.COMPLETE:
+                    self._learn(engine)
+                    return self._relay.finished()
+                if end is RelayEnd.CALLER_GONE:
+                    raise ConnectionResetError("the caller has left")
+            elif attempt.outcome is AttemptOutcome.LOST:
+                self._may_have_run = True
+            elif attempt.lost_inputs:
+                self._plan.redo_all()
+            if not self._may_go_on():
+                break
+            self._after_failure(engine)
+        return self._give_up()
+
+    def _choose_engine(self) -> WorkerRecord | None:
+        call = self._call
+        return self._services.engines.choose(
+            self._services.mirror.workers.usable(call.service),
+            call.envelope.prompt,
+            self._services.book,
+            time.monotonic(),
+            call.workers_tried,
+        )
+
+    def _still_usable(self, engine: WorkerRecord) -> WorkerRecord | None:
+        record = self._services.mirror.workers.get(engine.worker_id)
+        standing = self._services.book.of(engine.worker_id)
+        tried = engine.worker_id in self._call.workers_tried
+        if record is not None and not record.leaving and not standing.leaving and not tried:
+            return record
+        return self._choose_engine()
+
+    def _admit(self, engine: WorkerRecord) -> Refusal | None:
+        """Refuse at once what cannot meet its objective, before any work is begun."""
+        call = self._call
+        if not self._plan.any_work:
+            return None
+        now = time.monotonic()
+        chain = forecast_chain(
+            call.route.stages, self._plan.counts, lambda stage: self._forecast(stage, engine)
+        )
+        verdict = admit(
+            chain,
+            self._engine_seconds(),
+            call.objective_at - now,
+            call.end_at - now,
+            ADMISSION_MARGIN,
+            returning=self._returning(),
+        )
+        if verdict.admitted:
+            return None
+        self._log_refusal(verdict, chain.waiting)
+        return Refusal(
+            ResultCode.CAPACITY_SHORT,
+            f"needs {verdict.forecast_seconds:.2f} s",
+            retry_after=verdict.retry_after,
+        )
+
+    def _forecast(self, stage: int, engine: WorkerRecord) -> LaneForecast | None:
+        definition = self._call.route.stages[stage]
+        due = self._call.objective_at - time.monotonic()
+        choice = self._services.dispatch.choose(
+            definition.service,
+            engine.zone,
+            (due, *self._call.rank),
+            self._plan.counts[stage],
+            float(definition.result_bytes),
+            (),
+        )
+        return choice[1] if choice is not None else None
+
+    def _returning(self) -> bool:
+        budget = self._call.envelope.budget_seconds
+        return budget is not None and budget < RETURNING_SHARE * self._call.route.timeout
+
+    def _engine_seconds(self) -> float:
+        return self._services.first_event_times.of(self._call.service, FIRST_EVENT_SECONDS)
+
+    async def _run_stages(self, engine: WorkerRecord) -> tuple[str, ...]:
+        if not self._plan.any_work:
+            return ()
+        if self._stages is None:
+            self._stages = StageRun(
+                self._call,
+                self._plan,
+                self._services.dispatch,
+                self._services.log,
+                engine.zone,
+                self._engine_seconds(),
+            )
+        if self._plan.complete:
+            return self._plan.final_handles()
+        started = time.monotonic()
+        handles = await self._stages.run()
+        self._services.metrics.stage_wait.observe(time.monotonic() - started)
+        self._services.log.write(
+            LogEvent.STAGE_ENDED,
+            call=self._call.call_id,
+            seconds=round(time.monotonic() - started, 3),
+            results=len(handles),
+        )
+        return handles
+
+    async def _attempt(self, engine: WorkerRecord, inputs: tuple[str, ...]) -> Attempt:
+        call = self._call
+        now = time.monotonic()
+        profile = self._engine_tokens()
+        self._services.engines.sent(engine, profile, call.envelope.prompt, now)
+        self._relay.on_first_event = self._first_event(now)
+        return await attempt_call(
+            self._services,
+            call,
+            engine,
+            self._first_event_patience(),
+            fresh=False,
+            inputs=inputs,
+            resume_after=self._relay.resume_after,
+        )
+
+    def _first_event(self, sent_at: float) -> Callable[[], None]:
+        def note() -> None:
+            seconds = time.monotonic() - sent_at
+            self._services.first_event_times.learn(self._call.service, seconds)
+            if self._stages is not None:
+                self._stages.close()
+
+        return note
+
+    def _engine_tokens(self) -> int:
+        configuration = self._services.mirror.configuration
+        profile = configuration.service(self._call.service) if configuration else None
+        return profile.engine.cache_tokens if profile and profile.engine else 0
+
+    def _first_event_patience(self) -> float:
+        left = self._call.end_at - time.monotonic()
+        if not self._call.route.idempotent:
+            return left
+        return min(left, max(LEAST_FIRST_EVENT_SECONDS, 4 * self._engine_seconds()))
+
+    def _may_go_on(self) -> bool:
+        """Return whether another worker may be tried after what is known now."""
+        if self._call.route.idempotent:
+            return True
+        return not self._may_have_run
+
+    def _after_failure(self, engine: WorkerRecord) -> None:
+        """Make results again that were freed at the first event."""
+        if self._stages is not None and self._relay.started:
+            self._plan.redo_all()
+        self._services.log.write(
+            LogEvent.STREAM_MOVED,
+            call=self._call.call_id,
+            worker=engine.worker_id,
+            last_event=self._relay.resume_after,
+        )
+
+    def _learn(self, engine: WorkerRecord) -> None:
+        self._services.book.of(engine.worker_id).avoid_until = 0.0
+
+    def _give_up(self) -> web.StreamResponse | Refusal:
+        if self._relay.prepared:
+            self._relay.break_off()
+            raise ConnectionResetError("the stream cannot be finished")
+        now = time.monotonic()
+        if now >= self._call.end_at:
+            return Refusal(ResultCode.DEADLINE_EXCEEDED)
+        if self._may_have_run:
+            return Refusal(ResultCode.WORKER_LOST)
+        code = ResultCode.WORKERS_FULL if self._call.workers_tried else ResultCode.NO_BACKEND
+        return Refusal(code, retry_after=SHORTEST_RETRY * 3)
+
+    def _stage_refusal(self, error: StageFailedError) -> web.StreamResponse | Refusal:
+        if self._relay.prepared:
+            self._relay.break_off()
+            raise ConnectionResetError("the stream cannot be finished") from error
+        if error.started or self._may_have_run:
+            return Refusal(ResultCode.STAGE_FAILED, error.detail)
+        retry = max(SHORTEST_RETRY, error.retry_after)
+        return Refusal(ResultCode.CAPACITY_SHORT, error.detail, retry_after=retry)
+
+    def _log_refusal(self, verdict: AdmissionVerdict, waiting: float) -> None:
+        self._services.log.write(
+            LogEvent.CALL_REFUSED,
+            call=self._call.call_id,
+            route=self._call.route.name,
+            needed=round(verdict.forecast_seconds, 3),
+            waiting=round(waiting, 3),
+            slack=round(verdict.slack_seconds, 3),
+            retry_after=round(verdict.retry_after, 3),
+        )
--- /dev/null
+++ b/src/corkcrank/gateway/opaque/worker_client.py
@@ -0,0 +1,158 @@
+"""HTTP to workers: one attempt is sent once, and its failure says if bytes went out."""
+
+import asyncio
+from dataclasses import dataclass
+from enum import StrEnum
+from types import TracebackType
+from typing import Self
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from multidict import CIMultiDict
+from yarl import URL
+
+from corkcrank.links.platform_ports import HeaderList
+
+CONNECT_SECONDS = 0.5
+"""Longest wait for a connection to a worker."""
+
+KEPT_IDLE_SECONDS = 1.5
+"""A kept connection that was idle for longer is not used again."""
+
+MAXIMUM_HEADER_BYTES = 32_768
+"""Longest header field of a worker's answer."""
+
+AUTOMATIC_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+"""Headers that the client library would add to what a caller sent."""
+
+
+class SendTrouble(StrEnum):
+    """What is known of a request that got no answer."""
+
+    NOT_SENT = "not-sent"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class SendFailure:
+    """No usable answer."""
+
+    trouble: SendTrouble
+    detail: str
+
+
+class _CheckedConnector(aiohttp.TCPConnector):
+    """Drops a kept connection that has unread bytes: a surplus answer lies in it."""
+
+    async def _get(self, key, traces):  # type: ignore[no-untyped-def]
+        connection = await super()._get(key, traces)
+        while connection is not None and _has_surplus(connection.protocol):
+            connection.close()
+            connection = await super()._get(key, traces)
+        return connection
+
+
+def _has_surplus(protocol: ResponseHandler | None) -> bool:
+    return protocol is None or protocol.should_close
+
+
+class WorkerClient:
+    """Opens requests to workers on fresh or on kept connections."""
+
+    def __init__(self) -> None:
+        self._kept = _session(_CheckedConnector(limit=0, keepalive_timeout=KEPT_IDLE_SECONDS))
+        self._fresh = _session(aiohttp.TCPConnector(limit=0, force_close=True))
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        await self.close()
+
+    async def close(self) -> None:
+        """Close every connection."""
+        await self._kept.close()
+        await self._fresh.close()
+
+    async def open(
+        self,
+        method: str,
+        address: str,
+        target: str,
+        headers: HeaderList,
+        body: bytes,
+        head_seconds: float,
+        *,
+        fresh: bool,
+    ) -> aiohttp.ClientResponse | SendFailure:
+        """Send a request and wait for the head of its answer.
+
+        The target goes out byte for byte. Nothing is sent a second time.
+        """
+        session = self._fresh if fresh else self._kept
+        url = URL(f"http://{address}{target}", encoded=True)
+        try:
+            async with asyncio.timeout(head_seconds):
+                return await session.request(
+                    method,
+                    url,
+                    headers=CIMultiDict(headers),
+                    data=body if body or method not in ("GET", "HEAD") else None,
+                    allow_redirects=False,
+                )
+        except aiohttp.ClientConnectorError as error:
+            return SendFailure(SendTrouble.NOT_SENT, type(error).__name__)
+        except aiohttp.ConnectionTimeoutError:
+            return SendFailure(SendTrouble.NOT_SENT, "connect time-out")
+        except TimeoutError:
+            return SendFailure(SendTrouble.UNKNOWN, "no answer in time")
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            return SendFailure(SendTrouble.UNKNOWN, type(error).__name__)
+
+
+def _session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
+    session = aiohttp.ClientSession(
+        connector=connector,
+        auto_decompress=False,
+        skip_auto_headers=AUTOMATIC_HEADERS,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        trust_env=False,
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
+        max_line_size=MAXIMUM_HEADER_BYTES,
+        max_field_size=MAXIMUM_HEADER_BYTES,
+    )
+    # The library sends an idempotent method again by itself when a kept connection has
+    # died; which request is sent again is decided by the retry budget only.
+    session._retry_connection = False
+    return session
+
+
+async def read_whole(response: aiohttp.ClientResponse) -> bytes | None:
+    """Return a whole body, or ``None`` if it was cut.
+
+    A body without length ends with its connection; if that ended by a reset, the library
+    still calls it complete, so how the connection ended is asked here.
+    """
+    closed = unframed_end(response)
+    try:
+        body = await response.read()
+        if closed is not None:
+            await closed
+    except (aiohttp.ClientError, OSError, ValueError):
+        return None
+    return body
+
+
+def unframed_end(response: aiohttp.ClientResponse) -> asyncio.Future[None] | None:
+    """Return the future of the connection's end for a body that has no framing."""
+    if "Content-Length" in response.headers or "Transfer-Encoding" in response.headers:
+        return None
+    connection = response.connection
+    if connection is None or connection.protocol is None:
+        return None
+    return connection.protocol.closed
--- /dev/null
+++ b/src/corkcrank/links/decision_log.py
@@ -0,0 +1,174 @@
+"""One structured line for each decision, to standard output, bounded and never blocking.
+
+Lines go to a buffer that is written as fast as standard output takes them. When the
+buffer is full, or one kind comes too often, lines are left out and counted; the next line
+of that kind tells how many.
+"""
+
+import asyncio
+import os
+import time
+from collections import deque
+from enum import StrEnum
+from typing import Any
+
+import structlog
+
+BUFFER_BYTES = 256 * 1024
+"""Most bytes that wait for standard output."""
+
+LINES_A_SECOND = 200.0
+"""Lines of one kind that are written each second, on average."""
+
+LINE_BURST = 400.0
+"""Lines of one kind that may be written at once."""
+
+
+class LogEvent(StrEnum):
+    """Every kind of line; the value is the sentence, with its part as prefix."""
+
+    STARTED = "Process: started."
+    STOPPING = "Process: stopping."
+    STOPPED = "Process: stopped."
+    SETTINGS_RELOADED = "Process: settings reloaded."
+    SETTINGS_REJECTED = "Process: settings rejected."
+    READY = "Process: ready."
+    NOT_READY = "Process: not ready."
+    CONFIGURATION_ADOPTED = "Configuration: adopted."
+    CONFIGURATION_UNREADABLE = "Configuration: unreadable."
+    WORKERS_TAKEN = "Workers: list taken."
+    WORKER_CHANGED = "Workers: entry changed."
+    WORKER_AVOIDED = "Workers: avoided after a failure."
+    STORE_LOST = "Store: lost."
+    STORE_REGAINED = "Store: regained."
+    MEMBER_JOINED = "Members: joined."
+    MEMBER_SUSPECTED = "Members: suspected."
+    MEMBER_REGAINED = "Members: regained."
+    CALL_REFUSED = "Call: refused."
+    CALL_SENT = "Call: sent to a worker."
+    CALL_ATTEMPT_FAILED = "Call: attempt failed."
+    CALL_ENDED = "Call: ended."
+    STREAM_MOVED = "Call: stream taken up at another worker."
+    STAGE_PLACED = "Stage: placed."
+    STAGE_ENDED = "Stage: ended."
+    BATCH_ENDED = "Batch: ended."
+    INTERNAL_FAULT = "Process: fault."
+
+
+class BoundedOutput:
+    """Standard output that never blocks the loop."""
+
+    def __init__(self, descriptor: int = 1, limit: int = BUFFER_BYTES) -> None:
+        self._descriptor = descriptor
+        self._limit = limit
+        self._lines: deque[bytes] = deque()
+        self._bytes = 0
+        self._writing = False
+        self.left_out = 0
+        self.written_bytes = 0
+        self.written_lines = 0
+        os.set_blocking(descriptor, False)
+
+    def write(self, line: bytes) -> None:
+        """Queue one line, or leave it out when the buffer is full."""
+        if self._bytes + len(line) > self._limit:
+            self.left_out += 1
+            return
+        self._lines.append(line)
+        self._bytes += len(line)
+        if not self._writing:
+            self.flush()
+
+    def flush(self) -> None:
+        """Write what standard output takes now; wait for the rest without blocking."""
+        while self._lines:
+            line = self._lines[0]
+            try:
+                count = os.write(self._descriptor, line)
+            except BlockingIOError:
+                self._wait_until_writable()
+                return
+            except OSError:
+                self._lines.clear()
+                self._bytes = 0
+                return
+            self._bytes -= count
+            self.written_bytes += count
+            if count < len(line):
+                self._lines[0] = line[count:]
+                continue
+            self._lines.popleft()
+            self.written_lines += 1
+        self._stop_waiting()
+
+    def _wait_until_writable(self) -> None:
+        if self._writing:
+            return
+        try:
+            asyncio.get_running_loop().add_writer(self._descriptor, self.flush)
+        except (RuntimeError, PermissionError):
+            return
+        self._writing = True
+
+    def _stop_waiting(self) -> None:
+        if self._writing:
+            asyncio.get_running_loop().remove_writer(self._descriptor)
+            self._writing = False
+
+
+class _Allowance:
+    """A token bucket for one kind of line."""
+
+    __slots__ = ("left_out", "tokens", "updated_at")
+
+    def __init__(self, now: float) -> None:
+        self.tokens = LINE_BURST
+        self.updated_at = now
+        self.left_out = 0
+
+    def take(self, now: float) -> bool:
+        gained = (now - self.updated_at) * LINES_A_SECOND
+        self.tokens = min(LINE_BURST, self.tokens + gained)
+        self.updated_at = now
+        if self.tokens < 1.0:
+            self.left_out += 1
+            return False
+        self.tokens -= 1.0
+        return True
+
+
+class DecisionLog:
+    """Writes typed events with their inputs as JSON lines."""
+
+    def __init__(self, output: BoundedOutput | None, process: str) -> None:
+        self._output = output
+        self._process = process
+        self._allowances: dict[LogEvent, _Allowance] = {}
+        self._render = structlog.processors.JSONRenderer()
+
+    def write(self, event: LogEvent, **fields: Any) -> None:
+        """Write one line unless its kind came too often."""
+        if self._output is None:
+            return
+        now = time.monotonic()
+        allowance = self._allowances.get(event)
+        if allowance is None:
+            allowance = self._allowances[event] = _Allowance(now)
+        if not allowance.take(now):
+            return
+        record: dict[str, Any] = {
+            "event": event.value,
+            "time": round(time.time(), 3),
+            "process": self._process,
+            **fields,
+        }
+        if allowance.left_out:
+            record["left_out"] = allowance.left_out
+            allowance.left_out = 0
+        line = self._render(None, "info", record)
+        self._output.write((line if isinstance(line, bytes) else line.encode()) + b"\n")
+
+    def flush(self) -> None:
+        """Write out what waits, as far as it can be taken at once."""
+        if self._output is not None:
+            self._output.flush()
--- /dev/null
+++ b/src/corkcrank/links/platform_ports.py
@@ -0,0 +1,193 @@
+"""What corkcrank needs of the platform it runs on, in its own terms.
+
+``corkcrank.platform`` implements these; nothing else knows the platform's names.
+"""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Protocol
+
+import msgspec
+
+from corkcrank.contracts.opaque_call import CallEnvelope, OpaqueCall
+from corkcrank.contracts.opaque_configuration import OpaqueConfiguration
+from corkcrank.contracts.worker_records import WorkerRecord
+
+HeaderList = list[tuple[str, str]]
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """What the head of a worker's answer tells.
+
+    ``sealed`` says that the answer carries a worker's signature, ``not_run`` that the
+    worker promises not to have run the request. ``load`` is running, waiting and slots.
+    """
+
+    call_id: str
+    sealed: bool
+    not_run: bool
+    worker_id: str
+    load: tuple[int, int, int] | None
+    encoded: bool
+
+
+class PieceOutcome(StrEnum):
+    """How one piece of a stage ended."""
+
+    DONE = "done"
+    LATE = "late"
+    INPUT_GONE = "input-gone"
+    NO_ROOM = "no-room"
+    FAILED = "failed"
+    REFUSED = "refused"
+
+
+class PieceOrder(msgspec.Struct, frozen=True):
+    """One piece to be made: of call ``call_id``, for a stage, from a key or from inputs."""
+
+    call_id: str
+    stage: int
+    piece: int
+    key: str = ""
+    inputs: tuple[str, ...] = ()
+    remaining_seconds: float | None = None
+
+
+class PieceResult(msgspec.Struct, frozen=True):
+    """What became of a piece; ``handle`` names the result at its worker."""
+
+    outcome: PieceOutcome
+    handle: str = ""
+
+
+class EngineReport(msgspec.Struct, frozen=True):
+    """State of an engine some hundred milliseconds ago."""
+
+    running: int
+    waiting: int
+    cache_used: int
+    cache_total: int
+
+
+class CallCodec(Protocol):
+    """Reads and writes the heads of calls."""
+
+    def read_envelope(self, headers: Mapping[str, str]) -> CallEnvelope | str:
+        """Return what a caller's head tells, or what is wrong with it."""
+
+    def worker_headers(
+        self,
+        call: OpaqueCall,
+        worker: WorkerRecord,
+        remaining_seconds: float,
+        inputs: Sequence[str] | None,
+        resume_after: str,
+    ) -> HeaderList:
+        """Return the head of the request that goes to a worker."""
+
+    def read_answer(self, headers: Mapping[str, str]) -> AnswerHead:
+        """Return what the head of a worker's answer tells."""
+
+    def answer_headers(self, headers: Sequence[tuple[str, str]]) -> HeaderList:
+        """Return the headers of a worker's answer that go back to the caller."""
+
+
+class StageCodec(Protocol):
+    """Reads and writes the calls that make and free results."""
+
+    run_path: str
+    free_path: str
+
+    def run_headers(self, worker: WorkerRecord) -> dict[str, str]:
+        """Return the headers of a call to a stage worker."""
+
+    def encode_run(self, pieces: Sequence[PieceOrder]) -> bytes:
+        """Return the body that asks for pieces."""
+
+    def decode_run(self, body: bytes, count: int) -> list[PieceResult] | None:
+        """Return the results in the order asked, or ``None`` for anything else."""
+
+    def encode_free(self, handles: Sequence[str]) -> bytes:
+        """Return the body that gives results up."""
+
+
+@dataclass(frozen=True, slots=True)
+class StoreRow:
+    """One row of the platform's store; ``value`` is ``None`` where the row is gone."""
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class StoreRows:
+    """Rows, or changes of rows, as of ``revision``."""
+
+    rows: tuple[StoreRow, ...]
+    revision: int
+
+
+class StoreTrouble(StrEnum):
+    """Why the store gave no rows."""
+
+    REFUSED = "refused"
+    SILENT = "silent"
+    HISTORY_GONE = "history-gone"
+    BROKEN = "broken"
+
+
+@dataclass(frozen=True, slots=True)
+class StoreFailure:
+    """No rows; a write that was not answered may still take effect."""
+
+    trouble: StoreTrouble
+    detail: str = ""
+
+
+class StoreTable(StrEnum):
+    """Tables that corkcrank reads or writes, by its own names for them."""
+
+    CONFIGURATION = "configuration"
+    WORKERS = "workers"
+    MEMBERS = "members"
+
+
+class MetadataStore(Protocol):
+    """The platform's store as corkcrank uses it."""
+
+    async def read(self, table: StoreTable) -> StoreRows | StoreFailure:
+        """Return all rows of a table as of one moment."""
+
+    async def watch(
+        self, table: StoreTable, since: int, wait_seconds: float
+    ) -> StoreRows | StoreFailure:
+        """Return what changed after revision ``since``, or nothing after the wait."""
+
+    async def put(self, table: StoreTable, key: str, value: bytes) -> int | StoreFailure:
+        """Write one row without condition; return its revision."""
+
+
+class DocumentCodec(Protocol):
+    """Reads the documents that lie in the store."""
+
+    def configuration(self, rows: Sequence[StoreRow]) -> OpaqueConfiguration | str | None:
+        """Return the configuration among rows; ``None`` if none is there, or what is wrong."""
+
+    def worker(self, row: StoreRow) -> WorkerRecord | None:
+        """Return the worker of a row, or ``None`` where it is gone or unreadable."""
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformPorts:
+    """Everything of the platform that a node uses."""
+
+    calls: CallCodec
+    stages: StageCodec
+    documents: DocumentCodec
+    store: MetadataStore
+    report_path: str
+    ready_path: str
+    extra: Mapping[str, str] = field(default_factory=dict)
--- /dev/null
+++ b/src/corkcrank/machines/fleet.py
@@ -0,0 +1,170 @@
+"""Membership of the gateways: who is alive, in which zone, and who owns a stage worker.
+
+Members tell each other heartbeats by datagram. There is no coordinator: two members may
+disagree for about a second, and everything built on this view bears that. Pure: the time
+is handed in.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import IntEnum
+
+import msgspec
+
+from corkcrank.contracts.rendezvous import rendezvous_weight
+from corkcrank.contracts.worker_records import WorkerRecord
+
+HEARTBEAT_SECONDS = 0.25
+"""Time between heartbeats in a small fleet."""
+
+HEARTBEATS_SENT_A_SECOND = 100.0
+"""Most heartbeats that one member sends; larger fleets are told less often."""
+
+SUSPECT_HEARTBEATS = 4.0
+"""A member is suspected after this many heartbeats without a word."""
+
+FORGET_SECONDS = 60.0
+"""A silent member is still told heartbeats for this long, so that a cut heals."""
+
+SMALLEST_FLEET = 4
+"""Members assumed for shares as long as fewer are known, e.g. right after a start."""
+
+
+class Phase(IntEnum):
+    """What a member does."""
+
+    STARTING = 0
+    SERVING = 1
+    LEAVING = 2
+
+
+class StageLoad(msgspec.Struct, frozen=True, array_like=True):
+    """What an owner tells of one stage worker: seconds until a new piece would start."""
+
+    worker_id: str
+    start_seconds: float
+    waiting: int
+    room_free: float
+
+
+class CallLoad(msgspec.Struct, frozen=True, array_like=True):
+    """A member's own calls in flight at one worker."""
+
+    worker_id: str
+    in_flight: int
+
+
+class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
+    """What a member tells the others; ``address`` is where it takes peers' calls."""
+
+    name: str
+    incarnation: int
+    zone: str
+    address: str
+    phase: int
+    interval: float
+    configuration_version: int = 0
+    workers_revision: int = 0
+    stage_loads: tuple[StageLoad, ...] = ()
+    call_loads: tuple[CallLoad, ...] = ()
+
+
+@dataclass(slots=True)
+class Member:
+    """Another gateway as heard last; ``heard_at`` is of the own monotonic clock."""
+
+    heartbeat: Heartbeat
+    heard_at: float
+
+    def suspected(self, now: float) -> bool:
+        """Return whether it has been silent for too long."""
+        return now - self.heard_at > SUSPECT_HEARTBEATS * self.heartbeat.interval
+
+
+class Fleet:
+    """Every gateway known here."""
+
+    def __init__(self, own_name: str, own_zone: str, own_address: str) -> None:
+        self.own_name = own_name
+        self.own_zone = own_zone
+        self.own_address = own_address
+        self.own_phase = Phase.STARTING
+        self._members: dict[str, Member] = {}
+        self._unheard: dict[str, float] = {}
+
+    def introduce(self, addresses: Iterable[str], now: float) -> None:
+        """Take addresses of members that were not heard yet, from seeds or the store."""
+        heard = {member.heartbeat.address for member in self._members.values()}
+        for address in addresses:
+            if address != self.own_address and address not in heard:
+                self._unheard[address] = now
+
+    def hear(self, heartbeat: Heartbeat, now: float) -> bool:
+        """Take a heartbeat; return whether its sender is new or started anew."""
+        if heartbeat.name == self.own_name:
+            return False
+        self._unheard.pop(heartbeat.address, None)
+        known = self._members.get(heartbeat.name)
+        self._members[heartbeat.name] = Member(heartbeat, now)
+        return known is None or known.heartbeat.incarnation != heartbeat.incarnation
+
+    def member(self, name: str) -> Member | None:
+        """Return a member that was heard."""
+        return self._members.get(name)
+
+    def live(self, now: float) -> list[Member]:
+        """Return the other members that are not suspected."""
+        return [member for member in self._members.values() if not member.suspected(now)]
+
+    def audience(self, now: float) -> list[str]:
+        """Return the addresses that heartbeats go to; forgets the long silent."""
+        for name in [key for key, item in self._members.items() if _forgotten(item, now)]:
+            del self._members[name]
+        for address in [key for key, at in self._unheard.items() if now - at > FORGET_SECONDS]:
+            del self._unheard[address]
+        heard = [member.heartbeat.address for member in self._members.values()]
+        return heard + list(self._unheard)
+
+    def interval(self) -> float:
+        """Return the time between own heartbeats, longer in a large fleet."""
+        audience = len(self._members) + len(self._unheard)
+        return max(HEARTBEAT_SECONDS, audience / HEARTBEATS_SENT_A_SECOND)
+
+    def share_members(self) -> int:
+        """Return the members that shares are counted by: all known, silent ones too."""
+        return max(SMALLEST_FLEET, len(self._members) + 1)
+
+    def owner_of(self, worker: WorkerRecord, now: float) -> str:
+        """Return the member that fills a stage worker's batches.
+
+        The serving members of the worker's zone come first; without any, all serve.
+        """
+        serving = [
+            member.heartbeat for member in self.live(now) if member.heartbeat.phase == Phase.SERVING
+        ]
+        names = [item.name for item in serving if item.zone == worker.zone]
+        if self.own_phase == Phase.SERVING and self.own_zone == worker.zone:
+            names.append(self.own_name)
+        if not names:
+            names = [item.name for item in serving]
+            if self.own_phase == Phase.SERVING or not names:
+                names.append(self.own_name)
+        return max(names, key=lambda name: rendezvous_weight(worker.worker_id, name))
+
+    def newest_configuration(self, now: float) -> Member | None:
+        """Return the live member with the highest configuration version."""
+        return max(
+            self.live(now),
+            key=lambda member: member.heartbeat.configuration_version,
+            default=None,
+        )
+
+    def newest_workers(self, now: float) -> Member | None:
+        """Return the live member with the newest list of workers."""
+        return max(
+            self.live(now), key=lambda member: member.heartbeat.workers_revision, default=None
+        )
+
+
+def _forgotten(member: Member, now: float) -> bool:
+    return now - member.heard_at > FORGET_SECONDS
--- /dev/null
+++ b/src/corkcrank/machines/store_mirror.py
@@ -0,0 +1,166 @@
+"""One gateway's copy of the configuration and of the list of workers.
+
+Both come from the store by a long poll each. What peers tell by heartbeat fills in when
+the store is away or turns this machine away. Only higher configuration versions are
+adopted, whatever the source.
+"""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+
+from corkcrank.contracts.opaque_configuration import OpaqueConfiguration
+from corkcrank.contracts.worker_records import WorkerList, WorkerRecord
+from corkcrank.links.decision_log import DecisionLog, LogEvent
+from corkcrank.links.platform_ports import (
+    DocumentCodec,
+    MetadataStore,
+    StoreFailure,
+    StoreRows,
+    StoreTable,
+    StoreTrouble,
+)
+
+WATCH_SECONDS = 3.0
+"""Longest long poll: a poll whose answer was lost is noticed after it."""
+
+RETRY_SECONDS = (0.1, 0.8)
+"""Shortest and longest pause after a failed call; doubled each time, with jitter."""
+
+
+class StoreMirror:
+    """Follows the store's tables; ``on_change`` is called after each change taken."""
+
+    def __init__(
+        self,
+        store: MetadataStore,
+        documents: DocumentCodec,
+        log: DecisionLog,
+        random_source: random.Random,
+    ) -> None:
+        self._store = store
+        self._documents = documents
+        self._log = log
+        self._random = random_source
+        self.configuration: OpaqueConfiguration | None = None
+        self.configuration_at = 0.0
+        self.workers = WorkerList()
+        self.workers_known = False
+        self.heard_at: dict[StoreTable, float] = {}
+        self.on_change: Callable[[], None] = lambda: None
+        self._reachable: dict[StoreTable, bool] = {}
+        self.calls: dict[str, int] = {}
+
+    @property
+    def version(self) -> int:
+        """Return the configuration version in force; zero before the first."""
+        return self.configuration.version if self.configuration is not None else 0
+
+    def age(self, table: StoreTable, now: float) -> float:
+        """Return the time since the store last answered about a table, in seconds."""
+        heard = self.heard_at.get(table)
+        return now - heard if heard is not None else float("inf")
+
+    def adopt(self, configuration: OpaqueConfiguration, source: str) -> bool:
+        """Put a configuration in force if it is newer; return whether it was."""
+        if configuration.version <= self.version:
+            return False
+        previous = self.version
+        self.configuration = configuration
+        self.configuration_at = time.monotonic()
+        self._log.write(
+            LogEvent.CONFIGURATION_ADOPTED,
+            version=configuration.version,
+            previous=previous,
+            source=source,
+            routes=len(configuration.routes),
+        )
+        self.on_change()
+        return True
+
+    def take_workers(self, records: tuple[WorkerRecord, ...], revision: int, source: str) -> None:
+        """Take a whole list of workers unless it is older than the one known."""
+        if self.workers_known and revision <= self.workers.revision:
+            return
+        self.workers.replace_all(records, revision)
+        self.workers_known = True
+        self._log.write(
+            LogEvent.WORKERS_TAKEN, source=source, revision=revision, workers=len(records)
+        )
+        self.on_change()
+
+    async def follow(self, table: StoreTable) -> None:
+        """Follow one table for ever."""
+        cursor: int | None = None
+        failures = 0
+        while True:
+            if cursor is None:
+                answer = await self._store.read(table)
+            else:
+                answer = await self._store.watch(table, cursor, WATCH_SECONDS)
+            self._count(table, answer)
+            if isinstance(answer, StoreFailure):
+                failures += 1
+                if answer.trouble is StoreTrouble.HISTORY_GONE:
+                    cursor = None
+                    failures = 0
+                await asyncio.sleep(self._pause(failures))
+                continue
+            failures = 0
+            self.heard_at[table] = time.monotonic()
+            self._apply(table, answer, whole=cursor is None)
+            cursor = answer.revision
+
+    def _apply(self, table: StoreTable, answer: StoreRows, *, whole: bool) -> None:
+        if table is StoreTable.CONFIGURATION:
+            self._apply_configuration(answer)
+        elif whole:
+            records = (self._documents.worker(row) for row in answer.rows)
+            kept = tuple(record for record in records if record is not None)
+            self.take_workers(kept, answer.revision, "store")
+        else:
+            self._apply_worker_changes(answer)
+
+    def _apply_configuration(self, answer: StoreRows) -> None:
+        found = self._documents.configuration(answer.rows)
+        if isinstance(found, str):
+            self._log.write(LogEvent.CONFIGURATION_UNREADABLE, detail=found)
+        elif found is not None:
+            self.adopt(found, "store")
+
+    def _apply_worker_changes(self, answer: StoreRows) -> None:
+        changes = {
+            row.key: self._documents.worker(row)
+            for row in answer.rows
+            if row.revision > self.workers.revision
+        }
+        if not changes:
+            return
+        self.workers.apply(changes, answer.revision)
+        for worker_id, record in changes.items():
+            self._log.write(
+                LogEvent.WORKER_CHANGED,
+                worker=worker_id,
+                state="gone" if record is None else "leaving" if record.leaving else "ready",
+                service=record.service if record is not None else "",
+                revision=answer.revision,
+            )
+        self.on_change()
+
+    def _count(self, table: StoreTable, answer: StoreRows | StoreFailure) -> None:
+        reachable = isinstance(answer, StoreRows)
+        detail = "answered" if isinstance(answer, StoreRows) else answer.trouble.value
+        key = f"{table}:{detail}"
+        self.calls[key] = self.calls.get(key, 0) + 1
+        gone = isinstance(answer, StoreFailure) and answer.trouble is StoreTrouble.HISTORY_GONE
+        if gone or self._reachable.get(table) == reachable:
+            return
+        self._reachable[table] = reachable
+        event = LogEvent.STORE_REGAINED if reachable else LogEvent.STORE_LOST
+        self._log.write(event, table=table.value, detail=detail)
+
+    def _pause(self, failures: int) -> float:
+        low, high = RETRY_SECONDS
+        longest = min(high, low * 2.0 ** min(failures, 8))
+        return longest * self._random.uniform(0.5, 1.0)
--- /dev/null
+++ b/src/corkcrank/platform/call_headers.py
@@ -0,0 +1,128 @@
+"""Heads of requests and answers as the platform writes them."""
+
+from collections.abc import Mapping, Sequence
+
+from corkcrank.contracts.opaque_call import CallEnvelope, OpaqueCall, PrefixPart, PromptShape
+from corkcrank.contracts.worker_records import WorkerRecord
+from corkcrank.links.platform_ports import AnswerHead, HeaderList
+from corkcrank.platform import names
+
+MILLISECONDS = 1000.0
+
+ONE_CONNECTION_ONLY = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+    )
+)
+"""Headers that concern a single connection (RFC 9110, 7.6.1) or are written anew."""
+
+
+class PlatformCallCodec:
+    """Reads callers' heads and workers' answers, and writes the heads for workers."""
+
+    def read_envelope(self, headers: Mapping[str, str]) -> CallEnvelope | str:
+        """Return what a caller's head tells, or what is wrong with it."""
+        try:
+            return _read_envelope(headers)
+        except ValueError as error:
+            return str(error)
+
+    def worker_headers(
+        self,
+        call: OpaqueCall,
+        worker: WorkerRecord,
+        remaining_seconds: float,
+        inputs: Sequence[str] | None,
+        resume_after: str,
+    ) -> HeaderList:
+        """Return the head of the request that goes to a worker."""
+        headers = passed_on(call.headers, names.SET_BY_SYSTEM)
+        headers.append((names.DEADLINE_MS, str(max(1, int(remaining_seconds * MILLISECONDS)))))
+        headers.append((names.EXPECT_INSTANCE, worker.worker_id))
+        if call.tenant:
+            headers.append((names.TENANT, call.tenant))
+        if inputs:
+            headers.append((names.INPUTS, ",".join(inputs)))
+        if resume_after:
+            headers.append((names.LAST_EVENT_ID, resume_after))
+        return headers
+
+    def read_answer(self, headers: Mapping[str, str]) -> AnswerHead:
+        """Return what the head of a worker's answer tells."""
+        return AnswerHead(
+            call_id=headers.get(names.ATTEMPT_ID, ""),
+            sealed=names.SEAL in headers,
+            not_run=names.NOT_EXECUTED in headers,
+            worker_id=headers.get(names.INSTANCE_ID, ""),
+            load=_read_load(headers.get(names.SERVER_LOAD, "")),
+            encoded="Content-Encoding" in headers,
+        )
+
+    def answer_headers(self, headers: Sequence[tuple[str, str]]) -> HeaderList:
+        """Return the headers of a worker's answer that go back to the caller."""
+        return passed_on(headers, frozenset())
+
+
+def passed_on(headers: Sequence[tuple[str, str]], without: frozenset[str]) -> HeaderList:
+    """Return the headers that do not concern one connection only.
+
+    >>> passed_on([("Connection", "x-a"), ("X-A", "1"), ("B", "2"), ("TE", "t")], frozenset())
+    [('B', '2')]
+    """
+    dropped = set(without)
+    for name, value in headers:
+        if name.lower() == "connection":
+            dropped.update(token.strip().lower() for token in value.split(","))
+    return [
+        (name, value)
+        for name, value in headers
+        if name.lower() not in dropped and name.lower() not in ONE_CONNECTION_ONLY
+    ]
+
+
+def _read_envelope(headers: Mapping[str, str]) -> CallEnvelope:
+    deadline = headers.get(names.DEADLINE_MS)
+    counts = headers.get(names.SEGMENTS, "")
+    return CallEnvelope(
+        call_id=headers.get(names.ATTEMPT_ID, ""),
+        key=headers.get(names.CREDENTIAL, ""),
+        budget_seconds=float(deadline) / MILLISECONDS if deadline else None,
+        prompt=_read_prompt(headers),
+        piece_counts=tuple(int(item) for item in counts.split(",")) if counts else (),
+        piece_key=headers.get(names.SEGMENT_KEY, ""),
+        resume_after=headers.get(names.LAST_EVENT_ID, ""),
+    )
+
+
+def _read_prompt(headers: Mapping[str, str]) -> PromptShape:
+    tokens = headers.get(names.TOKEN_COUNT, "0,0").split(",")
+    prefix = headers.get(names.PREFIX, "")
+    parts = []
+    for item in prefix.split(",") if prefix else ():
+        part_id, _, count = item.strip().partition(":")
+        parts.append(PrefixPart(part_id, int(count)))
+    return PromptShape(
+        model=headers.get(names.MODEL, ""),
+        tokens_in=int(tokens[0]),
+        tokens_out=int(tokens[1]) if len(tokens) > 1 else 0,
+        parts=tuple(parts),
+    )
+
+
+def _read_load(text: str) -> tuple[int, int, int] | None:
+    parts = text.split(",")
+    try:
+        running, waiting, slots = (int(part) for part in parts)
+    except ValueError:
+        return None
+    return running, waiting, slots
--- /dev/null
+++ b/src/corkcrank/platform/documents.py
@@ -0,0 +1,214 @@
+"""The operator's configuration and the workers' entries as they lie in the store."""
+
+from collections.abc import Sequence
+
+import msgspec
+
+from corkcrank.contracts.opaque_configuration import (
+    CallKind,
+    EngineCapacity,
+    KeyedTenant,
+    OpaqueConfiguration,
+    OpaqueRoute,
+    RequestLimits,
+    ServiceProfile,
+    StageCapacity,
+    StageDefinition,
+    WeightedService,
+)
+from corkcrank.contracts.worker_records import WorkerRecord
+from corkcrank.links.platform_ports import StoreRow
+from corkcrank.platform import names
+from corkcrank.platform.call_headers import MILLISECONDS
+
+MEGABYTE = 1_000_000
+
+_KINDS = {
+    "safe": CallKind.REPEATABLE,
+    "unsafe": CallKind.UNREPEATABLE,
+    "stream": CallKind.STREAM,
+}
+
+
+class _Stage(msgspec.Struct):
+    service: str
+    since_revision: tuple[int, ...] = ()
+    byte_length: float = 0
+
+
+class _Weighted(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    name: str
+    hostname: str
+    path_prefix: str
+    route_type: str
+    timeout_ms: float = 30_000
+    target_latency_ms: float = 1_000
+    max_attempts: int = 1
+    priority: int = 0
+    service: str = ""
+    weighted_services: tuple[_Weighted, ...] = ()
+    anonymous: bool = False
+    session_affinity: bool = False
+    stream_resume: bool = False
+    target_gap_ms: float | None = None
+    stages: tuple[_Stage, ...] = ()
+
+
+class _Segments(msgspec.Struct):
+    slots: int = 1
+    queue: int = 0
+    batch: int = 1
+    call_ms: float = 0
+    item_ms: float = 0
+    headroom_mb: float = 0
+    handle_s: float = 1
+
+
+class _Engine(msgspec.Struct):
+    slots: int = 1
+    kv_capacity: int = 0
+
+
+class _Service(msgspec.Struct):
+    name: str
+    health_path: str = "/"
+    max_connections: int = 0
+    segments: _Segments | None = None
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4 << 20
+    header_timeout_ms: float = 3_000
+    idle_timeout_ms: float = 15_000
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int = 0
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: tuple[_Route, ...] = ()
+    services: tuple[_Service, ...] = ()
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: tuple[_Tenant, ...] = ()
+
+
+class _Worker(msgspec.Struct):
+    service: str
+    address: str
+    zone: str = ""
+    slots: int = 1
+    state: str = "ready"
+
+
+class PlatformDocumentCodec:
+    """Reads rows of the store into corkcrank's own types."""
+
+    def configuration(self, rows: Sequence[StoreRow]) -> OpaqueConfiguration | str | None:
+        """Return the configuration among rows; ``None`` if none is there, or what is wrong."""
+        for row in rows:
+            if row.key != names.CONFIGURATION_KEY or row.value is None:
+                continue
+            try:
+                return _configuration(msgspec.json.decode(row.value, type=_Configuration))
+            except (msgspec.DecodeError, KeyError) as error:
+                return str(error)
+        return None
+
+    def worker(self, row: StoreRow) -> WorkerRecord | None:
+        """Return the worker of a row, or ``None`` where it is gone or unreadable."""
+        if row.value is None:
+            return None
+        try:
+            entry = msgspec.json.decode(row.value, type=_Worker)
+        except msgspec.DecodeError:
+            return None
+        return WorkerRecord(
+            worker_id=row.key,
+            service=entry.service,
+            address=entry.address,
+            zone=entry.zone,
+            slots=entry.slots,
+            leaving=entry.state == names.DRAINING,
+            revision=row.revision,
+        )
+
+
+def _configuration(document: _Configuration) -> OpaqueConfiguration:
+    return OpaqueConfiguration(
+        version=document.version,
+        routes=tuple(_route(route) for route in document.routes),
+        services=tuple(_service(service) for service in document.services),
+        limits=_limits(document.limits),
+        tenants=tuple(
+            KeyedTenant(tenant.name, tenant.api_keys, tenant.priority)
+            for tenant in document.tenants
+        ),
+    )
+
+
+def _route(route: _Route) -> OpaqueRoute:
+    weighted = tuple(WeightedService(item.service, item.weight) for item in route.weighted_services)
+    pause = route.target_gap_ms
+    return OpaqueRoute(
+        name=route.name,
+        host=route.hostname,
+        path_prefix=route.path_prefix,
+        kind=_KINDS[route.route_type],
+        services=weighted or (WeightedService(route.service, 1.0),),
+        timeout=route.timeout_ms / MILLISECONDS,
+        objective=route.target_latency_ms / MILLISECONDS,
+        maximum_attempts=max(1, route.max_attempts),
+        rank=route.priority,
+        needs_key=not route.anonymous,
+        resumable=route.stream_resume,
+        session_affinity=route.session_affinity,
+        pause_objective=None if pause is None else pause / MILLISECONDS,
+        stages=tuple(
+            StageDefinition(stage.service, stage.since_revision, int(stage.byte_length))
+            for stage in route.stages
+        ),
+    )
+
+
+def _service(service: _Service) -> ServiceProfile:
+    stage = service.segments
+    engine = service.engine
+    return ServiceProfile(
+        name=service.name,
+        health_path=service.health_path,
+        connections=service.max_connections,
+        stage=None if stage is None else _stage(stage),
+        engine=None if engine is None else EngineCapacity(engine.slots, engine.kv_capacity),
+    )
+
+
+def _stage(stage: _Segments) -> StageCapacity:
+    return StageCapacity(
+        slots=max(1, stage.slots),
+        queue=max(0, stage.queue),
+        batch=max(1, stage.batch),
+        call_seconds=stage.call_ms / MILLISECONDS,
+        piece_seconds=stage.item_ms / MILLISECONDS,
+        room_bytes=stage.headroom_mb * MEGABYTE,
+        result_seconds=stage.handle_s,
+    )
+
+
+def _limits(limits: _Limits) -> RequestLimits:
+    return RequestLimits(
+        header_bytes=limits.max_header_bytes,
+        body_bytes=limits.max_body_bytes,
+        header_seconds=limits.header_timeout_ms / MILLISECONDS,
+        idle_seconds=limits.idle_timeout_ms / MILLISECONDS,
+    )
--- /dev/null
+++ b/src/corkcrank/platform/ports.py
@@ -0,0 +1,25 @@
+"""Hands the platform's formats and calls to the product."""
+
+import aiohttp
+
+from corkcrank.links.platform_ports import PlatformPorts
+from corkcrank.platform import names
+from corkcrank.platform.call_headers import PlatformCallCodec
+from corkcrank.platform.documents import PlatformDocumentCodec
+from corkcrank.platform.stage_calls import PlatformStageCodec
+from corkcrank.platform.store import PlatformStore
+
+SETTINGS_VARIABLE = "CORKCRANK_BOOT"
+"""Environment variable that holds the path of the settings file."""
+
+
+def connect(session: aiohttp.ClientSession, address: str, timeout: float) -> PlatformPorts:
+    """Return the platform whose store is at ``address``; ``timeout`` is in seconds."""
+    return PlatformPorts(
+        calls=PlatformCallCodec(),
+        stages=PlatformStageCodec(),
+        documents=PlatformDocumentCodec(),
+        store=PlatformStore(session, address, timeout),
+        report_path=names.REPORT_PATH,
+        ready_path=names.READY_PATH,
+    )
--- /dev/null
+++ b/src/corkcrank/platform/stage_calls.py
@@ -0,0 +1,90 @@
+"""Calls to stage workers in the platform's format."""
+
+from collections.abc import Sequence
+
+import msgspec
+
+from corkcrank.contracts.worker_records import WorkerRecord
+from corkcrank.links.platform_ports import PieceOrder, PieceOutcome, PieceResult
+from corkcrank.platform import names
+from corkcrank.platform.call_headers import MILLISECONDS
+
+_REASONS = {
+    "late": PieceOutcome.LATE,
+    "gone": PieceOutcome.INPUT_GONE,
+    "room": PieceOutcome.NO_ROOM,
+    "error": PieceOutcome.FAILED,
+}
+
+
+class _Item(msgspec.Struct, omit_defaults=True):
+    id: str
+    stage: int
+    segment: int
+    remaining_ms: int | None = None
+    key: str | None = None
+    inputs: tuple[str, ...] | None = None
+
+
+class _Run(msgspec.Struct):
+    items: list[_Item]
+
+
+class _Result(msgspec.Struct):
+    handle: str = ""
+    reason: str = ""
+
+
+class _RunAnswer(msgspec.Struct):
+    items: list[_Result]
+
+
+class _Free(msgspec.Struct):
+    handles: list[str]
+
+
+class PlatformStageCodec:
+    """Writes and reads the bodies of calls to stage workers."""
+
+    run_path = names.STAGE_RUN_PATH
+    free_path = names.STAGE_FREE_PATH
+
+    def run_headers(self, worker: WorkerRecord) -> dict[str, str]:
+        """Return the headers of a call to a stage worker."""
+        return {"Content-Type": "application/json", names.EXPECT_INSTANCE: worker.worker_id}
+
+    def encode_run(self, pieces: Sequence[PieceOrder]) -> bytes:
+        """Return the body that asks for pieces."""
+        return msgspec.json.encode(_Run([_encode_piece(piece) for piece in pieces]))
+
+    def decode_run(self, body: bytes, count: int) -> list[PieceResult] | None:
+        """Return the results in the order asked, or ``None`` for anything else."""
+        try:
+            answer = msgspec.json.decode(body, type=_RunAnswer)
+        except msgspec.DecodeError:
+            return None
+        if len(answer.items) != count:
+            return None
+        return [_decode_result(item) for item in answer.items]
+
+    def encode_free(self, handles: Sequence[str]) -> bytes:
+        """Return the body that gives results up."""
+        return msgspec.json.encode(_Free(list(handles)))
+
+
+def _encode_piece(piece: PieceOrder) -> _Item:
+    remaining = piece.remaining_seconds
+    return _Item(
+        id=piece.call_id,
+        stage=piece.stage,
+        segment=piece.piece,
+        remaining_ms=None if remaining is None else max(1, int(remaining * MILLISECONDS)),
+        key=None if piece.inputs else piece.key,
+        inputs=piece.inputs or None,
+    )
+
+
+def _decode_result(item: _Result) -> PieceResult:
+    if item.handle:
+        return PieceResult(PieceOutcome.DONE, item.handle)
+    return PieceResult(_REASONS.get(item.reason, PieceOutcome.FAILED))
--- /dev/null
+++ b/src/corkcrank/platform/store.py
@@ -0,0 +1,151 @@
+"""The platform's store: rows over HTTP and JSON."""
+
+import asyncio
+
+import aiohttp
+import msgspec
+
+from corkcrank.links.platform_ports import (
+    StoreFailure,
+    StoreRow,
+    StoreRows,
+    StoreTable,
+    StoreTrouble,
+)
+from corkcrank.platform import names
+from corkcrank.platform.call_headers import MILLISECONDS
+
+PAGE_ROWS = 500
+"""Most rows that one read returns."""
+
+_TABLES = {
+    StoreTable.CONFIGURATION: names.OPERATOR_TABLE,
+    StoreTable.WORKERS: names.WORKER_TABLE,
+    StoreTable.MEMBERS: names.MEMBER_TABLE,
+}
+
+
+class _Row(msgspec.Struct):
+    key: str
+    ver: int = 0
+    value: bytes | None = None
+    gone: bool = False
+
+
+class _Page(msgspec.Struct):
+    ver: int
+    rows: list[_Row] = []
+    more: bool = False
+
+
+class _Put(msgspec.Struct):
+    table: str
+    part: str
+    key: str
+    value: bytes
+
+
+class _Transaction(msgspec.Struct):
+    expected_revision: list[_Put]
+    put: list[_Put]
+    remove: list[_Put]
+
+
+class _Written(msgspec.Struct):
+    ver: int
+
+
+class PlatformStore:
+    """A client of the store; each call answers within its time-out, and is not repeated."""
+
+    def __init__(self, session: aiohttp.ClientSession, address: str, timeout: float) -> None:
+        self._session = session
+        self._base = f"http://{address}"
+        self._timeout = timeout
+
+    async def read(self, table: StoreTable) -> StoreRows | StoreFailure:
+        """Return all rows of a table as of one moment, page after page."""
+        rows: list[StoreRow] = []
+        query = {"table": _TABLES[table], "part": "", "limit": str(PAGE_ROWS)}
+        while True:
+            body = await self._call("GET", names.ROWS_GET_PATH, query, None, self._timeout)
+            page = _decode_page(body)
+            if isinstance(page, StoreFailure):
+                return page
+            rows.extend(_row(row) for row in page.rows)
+            if not page.more or not page.rows:
+                return StoreRows(tuple(rows), page.ver)
+            query["source"] = page.rows[-1].key + "\x00"
+
+    async def watch(
+        self, table: StoreTable, since: int, wait_seconds: float
+    ) -> StoreRows | StoreFailure:
+        """Return what changed after revision ``since``, or nothing after the wait."""
+        query = {
+            "table": _TABLES[table],
+            "since_revision": str(since),
+            "wait_ms": str(int(wait_seconds * MILLISECONDS)),
+        }
+        timeout = wait_seconds + self._timeout
+        body = await self._call("GET", names.ROWS_FEED_PATH, query, None, timeout)
+        page = _decode_page(body)
+        if isinstance(page, StoreFailure):
+            return page
+        return StoreRows(tuple(_row(row) for row in page.rows), page.ver)
+
+    async def put(self, table: StoreTable, key: str, value: bytes) -> int | StoreFailure:
+        """Write one row without condition; return its revision."""
+        entry = _Put(_TABLES[table], "", key, value)
+        data = msgspec.json.encode(_Transaction([], [entry], []))
+        body = await self._call("POST", names.ROWS_TX_PATH, None, data, self._timeout)
+        if isinstance(body, StoreFailure):
+            return body
+        try:
+            return msgspec.json.decode(body, type=_Written).ver
+        except msgspec.DecodeError as error:
+            return StoreFailure(StoreTrouble.BROKEN, str(error))
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str] | None,
+        data: bytes | None,
+        timeout: float,
+    ) -> bytes | StoreFailure:
+        try:
+            async with self._session.request(
+                method,
+                self._base + path,
+                params=query,
+                data=data,
+                headers={"Content-Type": "application/json"} if data else None,
+                timeout=aiohttp.ClientTimeout(total=timeout, connect=self._timeout),
+            ) as response:
+                content = await response.read()
+                return _judge(response.status, content)
+        except TimeoutError:
+            return StoreFailure(StoreTrouble.SILENT)
+        except (aiohttp.ClientError, OSError, asyncio.IncompleteReadError) as error:
+            return StoreFailure(StoreTrouble.BROKEN, type(error).__name__)
+
+
+def _judge(status: int, content: bytes) -> bytes | StoreFailure:
+    if status == 200:
+        return content
+    if status == 410:
+        return StoreFailure(StoreTrouble.HISTORY_GONE)
+    return StoreFailure(StoreTrouble.REFUSED, f"status {status}")
+
+
+def _decode_page(body: bytes | StoreFailure) -> _Page | StoreFailure:
+    if isinstance(body, StoreFailure):
+        return body
+    try:
+        return msgspec.json.decode(body, type=_Page)
+    except msgspec.DecodeError as error:
+        return StoreFailure(StoreTrouble.BROKEN, str(error))
+
+
+def _row(row: _Row) -> StoreRow:
+    return StoreRow(row.key, None if row.gone else row.value, row.ver)
--- /dev/null
+++ b/src/corkcrank/scheduling/fleet_retry_budget.py
@@ -0,0 +1,55 @@
+"""Retry budget for all gateways together: each takes its share by the live members.
+
+In any window the fleet may send ``ratio`` x the first attempts + ``allowance`` repeats to
+a service. A gateway that does not know its peers yet assumes the smallest share.
+"""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+SAFETY = 0.7
+"""Part of the bound that is used, since members are counted late and windows slide."""
+
+
+@dataclass(slots=True)
+class FleetRetryBudget:
+    """Repeats that one gateway may still send to one service."""
+
+    ratio: float
+    allowance: float
+    window: float
+    _firsts: deque[float] = field(default_factory=deque)
+    _repeats: deque[float] = field(default_factory=deque)
+
+    def record_first(self, now: float) -> None:
+        """Count a first attempt."""
+        self._trim(now)
+        self._firsts.append(now)
+
+    def record_repeat(self, now: float) -> None:
+        """Count a repeat that had to be sent."""
+        self._trim(now)
+        self._repeats.append(now)
+
+    def remaining(self, now: float, members: int) -> float:
+        """Return the repeats that are left in the window that ends now.
+
+        >>> budget = FleetRetryBudget(ratio=0.2, allowance=10.0, window=10.0)
+        >>> round(budget.remaining(0.0, members=5), 6)
+        1.4
+        """
+        self._trim(now)
+        earned = self.ratio * len(self._firsts) + self.allowance / max(1, members)
+        return SAFETY * earned - len(self._repeats)
+
+    def try_spend(self, now: float, members: int) -> bool:
+        """Spend one repeat if the share allows it."""
+        if self.remaining(now, members) < 1.0:
+            return False
+        self._repeats.append(now)
+        return True
+
+    def _trim(self, now: float) -> None:
+        for times in (self._firsts, self._repeats):
+            while times and times[0] <= now - self.window:
+                times.popleft()
--- /dev/null
+++ b/src/corkcrank/scheduling/stage_lane.py
@@ -0,0 +1,264 @@
+"""The queue before one stage worker, kept by the gateway that owns it.
+
+A stage worker has few slots, takes a batch of pieces a call, and has room for few
+results. The lane fills batches across calls and gateways, counts room before a piece is
+sent, and forecasts when a new piece would start. Pure: the time is handed in.
+"""
+
+from dataclasses import dataclass, field
+
+from corkcrank.contracts.opaque_configuration import StageCapacity
+from corkcrank.links.platform_ports import PieceOrder, PieceOutcome, PieceResult
+
+PACE_WEIGHT = 0.2
+"""Weight of the newest call in the pace, measured time over the stated time."""
+
+PACE_BOUNDS = (0.5, 8.0)
+"""Bounds of the pace, so that one odd call does not stop or flood a worker."""
+
+HOLD_WEIGHT = 0.1
+"""Weight of the newest result in the mean time for which results hold room."""
+
+
+@dataclass(slots=True, eq=False)
+class PieceTicket:
+    """One piece that waits for its turn.
+
+    ``urgency`` orders the queue, lowest first. ``start_by`` is when it is no longer worth
+    starting. ``result`` is set once it has ended.
+    """
+
+    order: PieceOrder
+    result_bytes: float
+    urgency: tuple[float, ...]
+    start_by: float
+    end_at: float
+    submitted_at: float
+    sequence: int = 0
+    abandoned: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class StageCall:
+    """One call at work at the worker."""
+
+    tickets: list[PieceTicket]
+    started_at: float
+    expected_seconds: float
+
+
+@dataclass(slots=True)
+class _HeldResult:
+    size: float
+    made_at: float
+    expires_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class LaneForecast:
+    """When a new piece would start and end, in seconds from now."""
+
+    start: float
+    end: float
+
+
+@dataclass(slots=True)
+class LaneCounters:
+    """What a lane did since it was made."""
+
+    calls: int = 0
+    pieces: int = 0
+    late: int = 0
+    refused: int = 0
+    no_room: int = 0
+    room_waits: int = 0
+
+
+@dataclass(slots=True)
+class StageLane:
+    """The queue, the calls at work and the results held of one stage worker."""
+
+    capacity: StageCapacity
+    counters: LaneCounters = field(default_factory=LaneCounters)
+    pace: float = 1.0
+    mean_hold: float = 0.5
+    blocked_until: float = 0.0
+    _queue: list[PieceTicket] = field(default_factory=list)
+    _calls: list[StageCall] = field(default_factory=list)
+    _held: dict[str, _HeldResult] = field(default_factory=dict)
+    _submitted: int = 0
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of pieces that wait."""
+        return len(self._queue)
+
+    @property
+    def at_work(self) -> int:
+        """Return the number of calls at work."""
+        return len(self._calls)
+
+    @property
+    def room_used(self) -> float:
+        """Return the bytes held by results, those of calls at work included."""
+        working = sum(ticket.result_bytes for call in self._calls for ticket in call.tickets)
+        return working + sum(result.size for result in self._held.values())
+
+    @property
+    def idle(self) -> bool:
+        """Return whether nothing waits, works or is held."""
+        return not (self._queue or self._calls or self._held)
+
+    def submit(self, ticket: PieceTicket) -> None:
+        """Queue a piece behind all that are as urgent."""
+        self._submitted += 1
+        ticket.sequence = self._submitted
+        self._queue.append(ticket)
+        self._queue.sort(key=_queue_order)
+
+    def withdraw(self, ticket: PieceTicket) -> None:
+        """Take a piece out whose call has ended; one at work is only marked."""
+        ticket.abandoned = True
+        if ticket in self._queue:
+            self._queue.remove(ticket)
+
+    def take_late(self, now: float) -> list[PieceTicket]:
+        """Remove and return the pieces that are no longer worth starting."""
+        late = [ticket for ticket in self._queue if ticket.start_by <= now]
+        for ticket in late:
+            self._queue.remove(ticket)
+        self.counters.late += len(late)
+        return late
+
+    def take_all(self) -> list[PieceTicket]:
+        """Remove and return every piece that waits."""
+        waiting, self._queue = self._queue, []
+        return waiting
+
+    def next_call(self, now: float) -> StageCall | None:
+        """Start a call with as many pieces as batch and room allow, or return ``None``.
+
+        A piece that finds no room is passed over only by smaller ones of the same batch.
+        """
+        self._expire(now)
+        if now < self.blocked_until or len(self._calls) >= self.capacity.slots:
+            return None
+        batch: list[PieceTicket] = []
+        room = self.capacity.room_bytes - self.room_used
+        for ticket in self._queue:
+            if len(batch) >= self.capacity.batch:
+                break
+            if ticket.result_bytes > room:
+                self.counters.room_waits += 1
+                continue
+            room -= ticket.result_bytes
+            batch.append(ticket)
+        if not batch:
+            return None
+        for ticket in batch:
+            self._queue.remove(ticket)
+        call = StageCall(batch, now, self.call_seconds(len(batch)))
+        self._calls.append(call)
+        self.counters.calls += 1
+        self.counters.pieces += len(batch)
+        return call
+
+    def call_seconds(self, pieces: int) -> float:
+        """Return the expected time of a call with this many pieces."""
+        stated = self.capacity.call_seconds + pieces * self.capacity.piece_seconds
+        return stated * self.pace
+
+    def end_call(self, call: StageCall, results: list[PieceResult] | None, now: float) -> None:
+        """Take a call's results; ``None`` means that it gave none.
+
+        Results of abandoned pieces are held too until they are freed.
+        """
+        self._calls.remove(call)
+        if results is None:
+            return
+        self._learn_pace(call, now)
+        for ticket, result in zip(call.tickets, results, strict=True):
+            if result.outcome is PieceOutcome.DONE:
+                self._hold(result.handle, ticket.result_bytes, now)
+            elif result.outcome is PieceOutcome.NO_ROOM:
+                self.counters.no_room += 1
+
+    def put_back(self, tickets: list[PieceTicket]) -> None:
+        """Queue pieces again that their worker turned away unrun, in their old order."""
+        self._queue.extend(ticket for ticket in tickets if not ticket.abandoned)
+        self._queue.sort(key=_queue_order)
+
+    def block(self, now: float, seconds: float) -> None:
+        """Send nothing for a while: the worker said that it is full."""
+        self.blocked_until = max(self.blocked_until, now + seconds)
+
+    def free(self, handle: str, now: float) -> None:
+        """Give up a result's room."""
+        held = self._held.pop(handle, None)
+        if held is not None:
+            self.mean_hold += HOLD_WEIGHT * ((now - held.made_at) - self.mean_hold)
+
+    def forecast(
+        self, now: float, urgency: tuple[float, ...], pieces: int, size: float
+    ) -> LaneForecast:
+        """Return when ``pieces`` of ``size`` bytes each would start and end.
+
+        The last of them counts. Room is forecast by the mean time that results hold it.
+        """
+        ahead = [ticket for ticket in self._queue if ticket.urgency <= urgency]
+        position = len(ahead) + pieces
+        calls_before = (position - 1) // self.capacity.batch
+        full = self.call_seconds(self.capacity.batch)
+        start = self._first_free(now) + calls_before * full / self.capacity.slots
+        start = max(start, self._room_delay(ahead, pieces, size))
+        last = position - calls_before * self.capacity.batch
+        behind = min(self.capacity.batch, last + max(0, len(self._queue) - len(ahead)))
+        return LaneForecast(start, start + self.call_seconds(behind))
+
+    def next_event_at(self) -> float | None:
+        """Return when the lane changes by itself: a late piece, a result, a block."""
+        times = [ticket.start_by for ticket in self._queue]
+        if self._queue:
+            times.extend(result.expires_at for result in self._held.values())
+            times.append(self.blocked_until)
+        return min(times, default=None)
+
+    def validate(self) -> None:
+        """Check the invariants that hold between calls."""
+        assert len(self._calls) <= self.capacity.slots
+        assert all(len(call.tickets) <= self.capacity.batch for call in self._calls)
+        assert self.room_used <= self.capacity.room_bytes + 1e-6
+
+    def _first_free(self, now: float) -> float:
+        wait = max(0.0, self.blocked_until - now)
+        if len(self._calls) < self.capacity.slots:
+            return wait
+        ends = [call.started_at + call.expected_seconds - now for call in self._calls]
+        return max(wait, 0.0, min(ends))
+
+    def _room_delay(self, ahead: list[PieceTicket], pieces: int, size: float) -> float:
+        wanted = self.room_used + sum(ticket.result_bytes for ticket in ahead) + pieces * size
+        missing = wanted - self.capacity.room_bytes
+        if missing <= 0 or self.capacity.room_bytes <= 0:
+            return 0.0
+        turnover = self.mean_hold + self.call_seconds(self.capacity.batch)
+        return turnover * missing / self.capacity.room_bytes
+
+    def _hold(self, handle: str, size: float, now: float) -> None:
+        self._held[handle] = _HeldResult(size, now, now + self.capacity.result_seconds)
+
+    def _expire(self, now: float) -> None:
+        for handle in [key for key, held in self._held.items() if held.expires_at <= now]:
+            del self._held[handle]
+
+    def _learn_pace(self, call: StageCall, now: float) -> None:
+        stated = self.capacity.call_seconds + len(call.tickets) * self.capacity.piece_seconds
+        if stated <= 0:
+            return
+        measured = (now - call.started_at) / stated
+        low, high = PACE_BOUNDS
+        self.pace += PACE_WEIGHT * (min(high, max(low, measured)) - self.pace)
+
+
+def _queue_order(ticket: PieceTicket) -> tuple[tuple[float, ...], int]:
+    return ticket.urgency, ticket.sequence
--- /dev/null
+++ b/src/corkcrank/scheduling/stage_plan.py
@@ -0,0 +1,147 @@
+"""Progress of one call through its stage graph: what may start, what may be freed.
+
+A stage is made of pieces. Every piece of a stage reads every result of the stages listed
+in ``after``; the call itself reads the results of the stages that no other stage reads.
+"""
+
+from collections.abc import Sequence
+
+from corkcrank.contracts.opaque_configuration import StageDefinition
+
+LEAD_STAGES = 1
+"""A branch starts when the longest other branch is at most this many stages longer.
+
+Results hold scarce room at the worker that made them, so a short branch started with a
+long one would hold its room while the long one works.
+"""
+
+
+class StagePlan:
+    """The stages of one call; times and workers are others' business."""
+
+    def __init__(self, stages: Sequence[StageDefinition], counts: Sequence[int]) -> None:
+        self._stages = tuple(stages)
+        self.counts = tuple(
+            counts[number] if number < len(counts) else 1 for number in range(len(stages))
+        )
+        self._readers = _readers_of(self._stages)
+        self._depths = _depths_of(self._stages, self._readers)
+        self._started: set[int] = set()
+        self._handles: dict[int, tuple[str, ...]] = {}
+        self._freed: set[int] = set()
+        for number, count in enumerate(self.counts):
+            if count == 0:
+                self._started.add(number)
+                self._handles[number] = ()
+
+    def definition(self, stage: int) -> StageDefinition:
+        """Return the definition of a stage."""
+        return self._stages[stage]
+
+    @property
+    def complete(self) -> bool:
+        """Return whether every stage has its results."""
+        return len(self._handles) == len(self._stages)
+
+    @property
+    def any_work(self) -> bool:
+        """Return whether any piece has to be made at all."""
+        return any(self.counts)
+
+    def unfinished(self) -> list[int]:
+        """Return the stages that have no results yet, in order."""
+        return [number for number in range(len(self._stages)) if number not in self._handles]
+
+    def ready(self) -> list[int]:
+        """Return the stages to start now.
+
+        >>> chain = (StageDefinition("a"), StageDefinition("b"), StageDefinition("c", (1,)),
+        ...     StageDefinition("d", (2,)))
+        >>> plan = StagePlan(chain, (1, 1, 1, 1))
+        >>> plan.ready()
+        [1]
+        >>> plan.start(1); plan.finish(1, ("h1",)); plan.ready()
+        [0, 2]
+        """
+        waiting = [number for number in self.unfinished() if number not in self._started]
+        if not waiting:
+            return []
+        longest = max(self._depths[number] for number in self.unfinished())
+        return [
+            number
+            for number in waiting
+            if self._inputs_done(number) and self._depths[number] + LEAD_STAGES >= longest
+        ]
+
+    def start(self, stage: int) -> None:
+        """Note that the pieces of a stage were asked for."""
+        self._started.add(stage)
+
+    def finish(self, stage: int, handles: Sequence[str]) -> None:
+        """Take the results of a stage, in the order of its pieces."""
+        self._handles[stage] = tuple(handles)
+
+    def redo_all(self) -> None:
+        """Forget every result: all stages with pieces are to be made again."""
+        for number, count in enumerate(self.counts):
+            if count:
+                self._handles.pop(number, None)
+                self._started.discard(number)
+                self._freed.discard(number)
+
+    def inputs_of(self, stage: int) -> tuple[str, ...]:
+        """Return the results that every piece of a stage reads."""
+        return tuple(
+            handle for source in self._stages[stage].after for handle in self._handles[source]
+        )
+
+    def final_handles(self) -> tuple[str, ...]:
+        """Return the results that the call itself reads."""
+        return tuple(
+            handle
+            for number in range(len(self._stages))
+            if not self._readers[number]
+            for handle in self._handles.get(number, ())
+        )
+
+    def release(self) -> list[str]:
+        """Return results whose last reader is done; each is returned once."""
+        released: list[str] = []
+        for number, handles in self._handles.items():
+            readers = self._readers[number]
+            if number in self._freed or not readers:
+                continue
+            if all(reader in self._handles for reader in readers):
+                self._freed.add(number)
+                released.extend(handles)
+        return released
+
+    def release_all(self) -> list[str]:
+        """Return every result not released yet, when the call is over."""
+        released = [
+            handle
+            for number, handles in self._handles.items()
+            if number not in self._freed
+            for handle in handles
+        ]
+        self._freed.update(self._handles)
+        return released
+
+    def _inputs_done(self, stage: int) -> bool:
+        return all(source in self._handles for source in self._stages[stage].after)
+
+
+def _readers_of(stages: Sequence[StageDefinition]) -> list[list[int]]:
+    readers: list[list[int]] = [[] for _ in stages]
+    for number, stage in enumerate(stages):
+        for source in stage.after:
+            readers[source].append(number)
+    return readers
+
+
+def _depths_of(stages: Sequence[StageDefinition], readers: Sequence[Sequence[int]]) -> list[int]:
+    depths = [1] * len(stages)
+    for _ in stages:
+        for number in range(len(stages)):
+            depths[number] = 1 + max((depths[reader] for reader in readers[number]), default=0)
+    return depths
--- /dev/null
+++ b/src/corkcrank/scheduling/worker_choice.py
@@ -0,0 +1,92 @@
+"""Choice of a plain worker: own calls, peers' calls, outcomes, zone."""
+
+import random
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, field
+
+from corkcrank.contracts.worker_records import WorkerRecord
+
+FAILURE_MEMORY_SECONDS = 4.0
+"""Time for which a failed call counts against a worker."""
+
+FAILURE_PENALTY = 1.0
+"""Pressure that each remembered failure adds."""
+
+REMOTE_PENALTY = 0.25
+"""Pressure that another zone adds."""
+
+
+@dataclass(slots=True)
+class WorkerStanding:
+    """What this gateway knows of one worker by its own calls and its peers' words."""
+
+    in_flight: int = 0
+    peers_in_flight: int = 0
+    failures: list[float] = field(default_factory=list)
+    avoid_until: float = 0.0
+    leaving: bool = False
+    seconds: float = 0.0
+
+    def recent_failures(self, now: float) -> int:
+        """Return the failures that still count."""
+        self.failures = [at for at in self.failures if at > now - FAILURE_MEMORY_SECONDS]
+        return len(self.failures)
+
+
+class StandingBook:
+    """The standing of every worker that this gateway has called or heard of."""
+
+    def __init__(self) -> None:
+        self._standings: dict[str, WorkerStanding] = {}
+
+    def of(self, worker_id: str) -> WorkerStanding:
+        """Return the standing of a worker, new if needed."""
+        standing = self._standings.get(worker_id)
+        if standing is None:
+            standing = self._standings[worker_id] = WorkerStanding()
+        return standing
+
+    def forget_all_but(self, worker_ids: Collection[str]) -> None:
+        """Drop workers that are no longer listed and have no call in flight."""
+        for worker_id in list(self._standings):
+            if worker_id not in worker_ids and not self._standings[worker_id].in_flight:
+                del self._standings[worker_id]
+
+    def items(self) -> Iterable[tuple[str, WorkerStanding]]:
+        """Return every worker with its standing."""
+        return self._standings.items()
+
+
+def choose_worker(
+    candidates: Iterable[WorkerRecord],
+    book: StandingBook,
+    zone: str,
+    now: float,
+    excluded: Collection[str],
+    random_source: random.Random,
+) -> WorkerRecord | None:
+    """Return the least pressed worker not yet tried, or ``None``.
+
+    Pressure is calls per slot, with penalties for recent failures and for another zone.
+    """
+    best: WorkerRecord | None = None
+    best_key: tuple[float, float] | None = None
+    for record in candidates:
+        standing = book.of(record.worker_id)
+        if record.worker_id in excluded or standing.leaving:
+            continue
+        key = (_pressure(record, standing, zone, now), random_source.random())
+        if best_key is None or key < best_key:
+            best, best_key = record, key
+    return best
+
+
+def _pressure(record: WorkerRecord, standing: WorkerStanding, zone: str, now: float) -> float:
+    calls = standing.in_flight + standing.peers_in_flight
+    pressure = calls / max(1, record.slots)
+    pressure += FAILURE_PENALTY * standing.recent_failures(now)
+    if standing.avoid_until > now:
+        pressure += FAILURE_PENALTY
+    if record.zone != zone:
+        pressure += REMOTE_PENALTY
+    return pressure
