Keep a call's work in one zone, and start the pieces of a stage together

Change: moved bytes count at the choice; the engine is the first whose zone's chain forecast keeps the objective; pieces of a stage start together; a piece without room waits at its owner, and the used part of the room is learned.

--- a/src/corkcrank/gateway/opaque/stage_desk.py
+++ b/src/corkcrank/gateway/opaque/stage_desk.py
@@ -100,7 +100,7 @@
             if lane.idle:
                 continue
             start = lane.forecast(now, (float("inf"),), 1, 0.0).start
-            free = max(0.0, lane.capacity.room_bytes - lane.room_used)
+            free = lane.capacity.room_bytes - lane.room_used - lane.room_wanted
             loads.append(StageLoad(worker_id, round(start, 3), lane.waiting, free))
         return tuple(loads)
 
@@ -211,7 +211,7 @@
         if entry.timer is not None:
             entry.timer.cancel()
             entry.timer = None
-        at = entry.lane.next_event_at()
+        at = entry.lane.next_event_at(now)
         if at is not None:
             delay = max(0.005, at - now)
             entry.timer = asyncio.get_running_loop().call_later(delay, self._pump, entry)
@@ -339,7 +339,10 @@
         for ticket, result in zip(call.tickets, results, strict=True):
             if ticket.abandoned and result.handle:
                 orphans.append(result.handle)
-            self._resolve(entry, ticket, result)
+            if result.outcome is PieceOutcome.NO_ROOM:
+                entry.lane.put_back([ticket])
+            else:
+                self._resolve(entry, ticket, result)
         if orphans:
             self.free(entry.worker.worker_id, orphans)
 
--- a/src/corkcrank/gateway/opaque/stage_dispatch.py
+++ b/src/corkcrank/gateway/opaque/stage_dispatch.py
@@ -32,6 +32,9 @@
 OWN_PIECES_SECONDS = 0.6
 """Time for which pieces sent to a peer are added to what it told last."""
 
+TURNOVER_CALLS = 2.5
+"""Usual time for which a result holds room, in full calls, where an owner is a peer."""
+
 WATCH_SECONDS = 0.25
 """Time between looks at whether the owner of pieces is still alive."""
 
@@ -78,27 +81,33 @@
         owner = self._fleet.owner_of(worker, now)
         if owner == self._fleet.own_name and lane is not None:
             return lane.forecast(now, absolute_urgency(urgency, now), pieces, size)
-        return self._told_forecast(worker, owner, now, pieces)
+        return self._told_forecast(worker, owner, now, pieces, size)
 
     def _told_forecast(
-        self, worker: WorkerRecord, owner: str, now: float, pieces: int
+        self, worker: WorkerRecord, owner: str, now: float, pieces: int, size: float
     ) -> LaneForecast:
         capacity = self.capacity(worker.service)
         if capacity is None:
             return LaneForecast(float("inf"), float("inf"))
         member = self._fleet.member(owner)
-        start, waiting, told_at = 0.0, 0, 0.0
+        start, waiting, told_at, room = 0.0, 0, 0.0, capacity.room_bytes
         if member is not None:
             told_at = member.heard_at
             for load in member.heartbeat.stage_loads:
                 if load.worker_id == worker.worker_id:
                     start = max(0.0, load.start_seconds - (now - told_at))
                     waiting = load.waiting
+                    room = load.room_free
         sent = self._recently_sent(worker.worker_id, max(told_at, now - OWN_PIECES_SECONDS))
         position = waiting % capacity.batch + sent + pieces
         start += (position - 1) // capacity.batch * capacity.full_call_seconds
         if sent and start == 0.0:
             start = capacity.full_call_seconds
+        missing = (sent + pieces) * size - room
+        if missing > 0 and capacity.room_bytes > 0:
+            start = max(
+                start, TURNOVER_CALLS * capacity.full_call_seconds * missing / capacity.room_bytes
+            )
         batch = min(capacity.batch, position)
         return LaneForecast(start, start + capacity.call_seconds + batch * capacity.piece_seconds)
 
@@ -109,6 +118,7 @@
         urgency: tuple[float, ...],
         pieces: int,
         size: float,
+        moved_bytes: float,
         excluded: Collection[str],
     ) -> tuple[WorkerRecord, LaneForecast] | None:
         """Return the best worker of a service for some pieces, with its forecast."""
@@ -117,7 +127,7 @@
             lambda worker: self.forecast(worker, urgency, pieces, size),
             self._book,
             zone,
-            pieces * size,
+            moved_bytes,
             time.monotonic(),
             excluded,
             self._random,
--- a/src/corkcrank/gateway/opaque/stage_run.py
+++ b/src/corkcrank/gateway/opaque/stage_run.py
@@ -144,13 +144,14 @@
         definition = self.plan.definition(stage)
         size = float(definition.result_bytes)
         urgency = self._urgency()
+        moved = self.plan.moved_bytes(stage, len(pieces))
         choice = self.dispatch.choose(
-            definition.service, self.zone, urgency, len(pieces), size, refused
+            definition.service, self.zone, urgency, len(pieces), size, moved, refused
         )
         if choice is None and refused:
             refused.clear()
             choice = self.dispatch.choose(
-                definition.service, self.zone, urgency, len(pieces), size, refused
+                definition.service, self.zone, urgency, len(pieces), size, moved, refused
             )
         if choice is None:
             return None
@@ -165,6 +166,9 @@
             stage=stage,
             pieces=len(pieces),
             worker=worker.worker_id,
+            zone=worker.zone,
+            wanted_zone=self.zone,
+            size=int(size),
             start=round(forecast.start, 3),
             end=round(forecast.end, 3),
         )
--- a/src/corkcrank/gateway/opaque/stream_run.py
+++ b/src/corkcrank/gateway/opaque/stream_run.py
@@ -23,6 +23,7 @@
 )
 from corkcrank.scheduling.stage_lane import LaneForecast
 from corkcrank.scheduling.stage_plan import StagePlan
+from corkcrank.scheduling.zone_weights import engine_weights
 
 ADMISSION_MARGIN = 1.0
 """Share of the objective that a forecast may use."""
@@ -45,12 +46,12 @@
 
     async def run(self) -> web.StreamResponse | Refusal:
         """Return the finished answer, or why there is none."""
-        engine = self._choose_engine()
-        if engine is None:
+        engines = self._rank_engines()
+        if not engines:
             return Refusal(ResultCode.NO_BACKEND, retry_after=SHORTEST_RETRY * 3)
-        refusal = self._admit(engine)
-        if refusal is not None:
-            return refusal
+        engine = self._admit(engines)
+        if isinstance(engine, Refusal):
+            return engine
         standing = self._services.book.of(engine.worker_id)
         standing.in_flight += 1
         try:
@@ -96,14 +97,18 @@
             self._after_failure(engine)
         return self._give_up()
 
-    def _choose_engine(self) -> WorkerRecord | None:
+    def _rank_engines(self) -> list[WorkerRecord]:
         call = self._call
-        return self._services.engines.choose(
-            self._services.mirror.workers.usable(call.service),
+        workers = self._services.mirror.workers
+        engines = workers.usable(call.service)
+        stages = [workers.usable(stage.service) for stage in call.route.stages]
+        return self._services.engines.rank(
+            engines,
             call.envelope.prompt,
             self._services.book,
             time.monotonic(),
             call.workers_tried,
+            engine_weights(engines, stages),
         )
 
     def _still_usable(self, engine: WorkerRecord) -> WorkerRecord | None:
@@ -112,18 +117,37 @@
         tried = engine.worker_id in self._call.workers_tried
         if record is not None and not record.leaving and not standing.leaving and not tried:
             return record
-        return self._choose_engine()
+        return next(iter(self._rank_engines()), None)
 
-    def _admit(self, engine: WorkerRecord) -> Refusal | None:
-        """Refuse at once what cannot meet its objective, before any work is begun."""
-        call = self._call
+    def _admit(self, engines: list[WorkerRecord]) -> WorkerRecord | Refusal:
+        """Return the first engine whose zone can feed it in time, or refuse at once.
+
+        Nothing has been begun yet. Zones are asked in the order of the engines, so a
+        session stays with its engine as long as the zone keeps the objective.
+        """
         if not self._plan.any_work:
-            return None
+            return engines[0]
+        verdicts: dict[str, AdmissionVerdict] = {}
+        for engine in engines:
+            if engine.zone not in verdicts:
+                verdicts[engine.zone] = self._judge_zone(engine.zone)
+            if verdicts[engine.zone].admitted:
+                return engine
+        verdict = min(verdicts.values(), key=lambda item: item.forecast_seconds)
+        self._log_refusal(verdict)
+        return Refusal(
+            ResultCode.CAPACITY_SHORT,
+            f"needs {verdict.forecast_seconds:.2f} s",
+            retry_after=verdict.retry_after,
+        )
+
+    def _judge_zone(self, zone: str) -> AdmissionVerdict:
+        call = self._call
         now = time.monotonic()
         chain = forecast_chain(
-            call.route.stages, self._plan.counts, lambda stage: self._forecast(stage, engine)
+            call.route.stages, self._plan.counts, lambda stage: self._forecast(stage, zone)
         )
-        verdict = admit(
+        return admit(
             chain,
             self._engine_seconds(),
             call.objective_at - now,
@@ -131,24 +155,18 @@
             ADMISSION_MARGIN,
             returning=self._returning(),
         )
-        if verdict.admitted:
-            return None
-        self._log_refusal(verdict, chain.waiting)
-        return Refusal(
-            ResultCode.CAPACITY_SHORT,
-            f"needs {verdict.forecast_seconds:.2f} s",
-            retry_after=verdict.retry_after,
-        )
 
-    def _forecast(self, stage: int, engine: WorkerRecord) -> LaneForecast | None:
+    def _forecast(self, stage: int, zone: str) -> LaneForecast | None:
         definition = self._call.route.stages[stage]
         due = self._call.objective_at - time.monotonic()
+        pieces = self._plan.counts[stage]
         choice = self._services.dispatch.choose(
             definition.service,
-            engine.zone,
+            zone,
             (due, *self._call.rank),
-            self._plan.counts[stage],
+            pieces,
             float(definition.result_bytes),
+            self._plan.moved_bytes(stage, pieces),
             (),
         )
         return choice[1] if choice is not None else None
@@ -191,7 +209,7 @@
         profile = self._engine_tokens()
         self._services.engines.sent(engine, profile, call.envelope.prompt, now)
         self._relay.on_first_event = self._first_event(now)
-        return await attempt_call(
+        attempt = await attempt_call(
             self._services,
             call,
             engine,
@@ -200,11 +218,20 @@
             inputs=inputs,
             resume_after=self._relay.resume_after,
         )
+        head_seconds = time.monotonic() - now
+        self._services.log.write(LogEvent.HEAD, call=call.call_id, seconds=round(head_seconds, 3))
+        return attempt
 
     def _first_event(self, sent_at: float) -> Callable[[], None]:
         def note() -> None:
             seconds = time.monotonic() - sent_at
             self._services.first_event_times.learn(self._call.service, seconds)
+            self._services.log.write(
+                LogEvent.FIRST_EVENT,
+                call=self._call.call_id,
+                seconds=round(seconds, 3),
+                late=round(time.monotonic() - self._call.objective_at, 3),
+            )
             if self._stages is not None:
                 self._stages.close()
 
@@ -262,13 +289,12 @@
         retry = max(SHORTEST_RETRY, error.retry_after)
         return Refusal(ResultCode.CAPACITY_SHORT, error.detail, retry_after=retry)
 
-    def _log_refusal(self, verdict: AdmissionVerdict, waiting: float) -> None:
+    def _log_refusal(self, verdict: AdmissionVerdict) -> None:
         self._services.log.write(
             LogEvent.CALL_REFUSED,
             call=self._call.call_id,
             route=self._call.route.name,
             needed=round(verdict.forecast_seconds, 3),
-            waiting=round(waiting, 3),
             slack=round(verdict.slack_seconds, 3),
             retry_after=round(verdict.retry_after, 3),
         )
--- a/src/corkcrank/links/decision_log.py
+++ b/src/corkcrank/links/decision_log.py
@@ -48,6 +48,8 @@
     CALL_SENT = "Call: sent to a worker."
     CALL_ATTEMPT_FAILED = "Call: attempt failed."
     CALL_ENDED = "Call: ended."
+    HEAD = "Call: head of the answer."
+    FIRST_EVENT = "Call: first event."
     STREAM_MOVED = "Call: stream taken up at another worker."
     STAGE_PLACED = "Stage: placed."
     STAGE_ENDED = "Stage: ended."
--- a/src/corkcrank/machines/store_mirror.py
+++ b/src/corkcrank/machines/store_mirror.py
@@ -8,6 +8,7 @@
 import asyncio
 import random
 import time
+from collections import Counter
 from collections.abc import Callable
 
 from corkcrank.contracts.opaque_configuration import OpaqueConfiguration
@@ -86,19 +87,28 @@
         self.workers.replace_all(records, revision)
         self.workers_known = True
         self._log.write(
-            LogEvent.WORKERS_TAKEN, source=source, revision=revision, workers=len(records)
+            LogEvent.WORKERS_TAKEN,
+            source=source,
+            revision=revision,
+            workers=len(records),
+            places=sorted(Counter(f"{item.service}@{item.zone}" for item in records).items()),
         )
         self.on_change()
 
     async def follow(self, table: StoreTable) -> None:
-        """Follow one table for ever."""
+        """Follow one table for ever.
+
+        After a failure the store is asked without waiting: a long poll sent while it is
+        silent would hide its return for as long as the poll may take.
+        """
         cursor: int | None = None
         failures = 0
         while True:
             if cursor is None:
                 answer = await self._store.read(table)
             else:
-                answer = await self._store.watch(table, cursor, WATCH_SECONDS)
+                wait = 0.0 if failures else WATCH_SECONDS
+                answer = await self._store.watch(table, cursor, wait)
             self._count(table, answer)
             if isinstance(answer, StoreFailure):
                 failures += 1
@@ -144,6 +154,7 @@
                 worker=worker_id,
                 state="gone" if record is None else "leaving" if record.leaving else "ready",
                 service=record.service if record is not None else "",
+                zone=record.zone if record is not None else "",
                 revision=answer.revision,
             )
         self.on_change()
--- a/src/corkcrank/scheduling/engine_choice.py
+++ b/src/corkcrank/scheduling/engine_choice.py
@@ -6,11 +6,11 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
 
 from corkcrank.contracts.opaque_call import PromptShape
-from corkcrank.contracts.rendezvous import rendezvous_weight
+from corkcrank.contracts.rendezvous import weighted_rendezvous
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.scheduling.worker_choice import StandingBook, WorkerStanding
 
@@ -65,29 +65,40 @@
     def __init__(self) -> None:
         self._memories: dict[str, PrefixMemory] = {}
 
-    def choose(
+    def rank(
         self,
         engines: Sequence[WorkerRecord],
         prompt: PromptShape,
         book: StandingBook,
         now: float,
         excluded: Collection[str],
-    ) -> WorkerRecord | None:
-        """Return the preferred engine that is not overloaded, else the least loaded."""
+        weights: Mapping[str, float],
+    ) -> list[WorkerRecord]:
+        """Return the usable engines, the preferred first, overloaded ones last.
+
+        ``weights`` gives each engine's share of the prompts, by worker id.
+        """
         usable = [
             engine
             for engine in engines
             if engine.worker_id not in excluded and not book.of(engine.worker_id).leaving
         ]
         if not usable:
-            return None
+            return []
         loads = {engine.worker_id: _load(book.of(engine.worker_id), now) for engine in usable}
         bound = LOAD_MARGIN + LOAD_BOUND * sum(loads.values()) / len(usable)
-        within = [engine for engine in usable if loads[engine.worker_id] <= bound]
-        if not within or not prompt.parts:
-            return min(usable, key=lambda engine: loads[engine.worker_id])
-        affinity = prompt.parts[max(0, len(prompt.parts) - 2)].part_id
-        return max(within, key=lambda engine: rendezvous_weight(affinity, engine.worker_id))
+        affinity = _affinity(prompt)
+
+        def order(engine: WorkerRecord) -> tuple[bool, float]:
+            worker_id = engine.worker_id
+            if not affinity:
+                return False, loads[worker_id]
+            weight = weights.get(worker_id, 1.0)
+            score = weighted_rendezvous(affinity, worker_id, weight)
+            overloaded = loads[worker_id] > bound
+            return overloaded, loads[worker_id] if overloaded else -score
+
+        return sorted(usable, key=order)
 
     def sent(self, engine: WorkerRecord, capacity: int, prompt: PromptShape, now: float) -> None:
         """Remember that an engine reads this prompt."""
@@ -108,6 +119,13 @@
                 del self._memories[worker_id]
 
 
+def _affinity(prompt: PromptShape) -> str:
+    """Return the last shared part, which a session's prompts have in common."""
+    if not prompt.parts:
+        return ""
+    return prompt.parts[max(0, len(prompt.parts) - 2)].part_id
+
+
 def _load(standing: WorkerStanding, now: float) -> float:
     calls = standing.in_flight + standing.peers_in_flight
     avoided = FAILURE_LOAD if standing.avoid_until > now else 0.0
--- a/src/corkcrank/scheduling/stage_choice.py
+++ b/src/corkcrank/scheduling/stage_choice.py
@@ -10,8 +10,8 @@
 REMOTE_SECONDS = 0.05
 """Seconds that another zone counts as, whatever the size of results."""
 
-REMOTE_SECONDS_A_MEGABYTE = 0.25
-"""Seconds that each megabyte of results moved between zones counts as."""
+REMOTE_SECONDS_A_MEGABYTE = 0.5
+"""Seconds that each megabyte moved between zones counts as."""
 
 MEGABYTE = 1e6
 
@@ -24,18 +24,19 @@
     forecast: Callable[[WorkerRecord], LaneForecast],
     book: StandingBook,
     zone: str,
-    total_bytes: float,
+    moved_bytes: float,
     now: float,
     excluded: Collection[str],
     random_source: random.Random,
 ) -> tuple[WorkerRecord, LaneForecast] | None:
     """Return the worker where the pieces cost least, with its forecast.
 
-    ``zone`` is where the results will be read; ``total_bytes`` is their size together.
+    ``zone`` is where the rest of the call's work lies; ``moved_bytes`` would cross from
+    or to another one.
     """
     best: tuple[WorkerRecord, LaneForecast] | None = None
     best_cost: tuple[float, float] | None = None
-    remote = REMOTE_SECONDS + REMOTE_SECONDS_A_MEGABYTE * total_bytes / MEGABYTE
+    remote = REMOTE_SECONDS + REMOTE_SECONDS_A_MEGABYTE * moved_bytes / MEGABYTE
     for worker in candidates:
         standing = book.of(worker.worker_id)
         if worker.worker_id in excluded or standing.leaving:
--- a/src/corkcrank/scheduling/stage_lane.py
+++ b/src/corkcrank/scheduling/stage_lane.py
@@ -20,6 +20,19 @@
 """Weight of the newest result in the mean time for which results hold room."""
 
 
+ROOM_STEP_DOWN = 0.05
+"""Part of the room that is no longer used after a call that found too little."""
+
+ROOM_STEP_UP = 0.005
+"""Part of the room that is used again after a call that found enough."""
+
+LEAST_USABLE_ROOM = 0.6
+"""The part of the room that is always used."""
+
+PASSING_SIZE = 0.1
+"""Pieces up to this part of a waiting one's size may pass it while it waits for room."""
+
+
 @dataclass(slots=True, eq=False)
 class PieceTicket:
     """One piece that waits for its turn.
@@ -82,6 +95,7 @@
     counters: LaneCounters = field(default_factory=LaneCounters)
     pace: float = 1.0
     mean_hold: float = 0.5
+    usable_room: float = 1.0
     blocked_until: float = 0.0
     _queue: list[PieceTicket] = field(default_factory=list)
     _calls: list[StageCall] = field(default_factory=list)
@@ -104,6 +118,11 @@
         working = sum(ticket.result_bytes for call in self._calls for ticket in call.tickets)
         return working + sum(result.size for result in self._held.values())
 
+    @property
+    def room_wanted(self) -> float:
+        """Return the bytes that the waiting pieces will hold."""
+        return sum(ticket.result_bytes for ticket in self._queue)
+
     @property
     def idle(self) -> bool:
         """Return whether nothing waits, works or is held."""
@@ -136,24 +155,15 @@
         return waiting
 
     def next_call(self, now: float) -> StageCall | None:
-        """Start a call with as many pieces as batch and room allow, or return ``None``.
-
-        A piece that finds no room is passed over only by smaller ones of the same batch.
-        """
+        """Start a call with as many pieces as batch and room allow, or return ``None``."""
         self._expire(now)
         if now < self.blocked_until or len(self._calls) >= self.capacity.slots:
             return None
-        batch: list[PieceTicket] = []
-        room = self.capacity.room_bytes - self.room_used
-        for ticket in self._queue:
-            if len(batch) >= self.capacity.batch:
-                break
-            if ticket.result_bytes > room:
-                self.counters.room_waits += 1
-                continue
-            room -= ticket.result_bytes
-            batch.append(ticket)
+        room = self.capacity.room_bytes * self.usable_room - self.room_used
+        batch = fill_batch(self._queue, self.capacity.batch, room, self.capacity.room_bytes)
         if not batch:
+            if self._queue:
+                self.counters.room_waits += 1
             return None
         for ticket in batch:
             self._queue.remove(ticket)
@@ -177,11 +187,14 @@
         if results is None:
             return
         self._learn_pace(call, now)
+        short = 0
         for ticket, result in zip(call.tickets, results, strict=True):
             if result.outcome is PieceOutcome.DONE:
                 self._hold(result.handle, ticket.result_bytes, now)
             elif result.outcome is PieceOutcome.NO_ROOM:
-                self.counters.no_room += 1
+                short += 1
+        self.counters.no_room += short
+        self._learn_room(short)
 
     def put_back(self, tickets: list[PieceTicket]) -> None:
         """Queue pieces again that their worker turned away unrun, in their old order."""
@@ -215,13 +228,15 @@
         behind = min(self.capacity.batch, last + max(0, len(self._queue) - len(ahead)))
         return LaneForecast(start, start + self.call_seconds(behind))
 
-    def next_event_at(self) -> float | None:
-        """Return when the lane changes by itself: a late piece, a result, a block."""
+    def next_event_at(self, now: float) -> float | None:
+        """Return when the lane next changes by itself: a late piece, a result, a block."""
+        if not self._queue:
+            return None
         times = [ticket.start_by for ticket in self._queue]
-        if self._queue:
+        if len(self._calls) < self.capacity.slots:
             times.extend(result.expires_at for result in self._held.values())
             times.append(self.blocked_until)
-        return min(times, default=None)
+        return min((at for at in times if at > now), default=None)
 
     def validate(self) -> None:
         """Check the invariants that hold between calls."""
@@ -251,6 +266,13 @@
         for handle in [key for key, held in self._held.items() if held.expires_at <= now]:
             del self._held[handle]
 
+    def _learn_room(self, short: int) -> None:
+        """Use less of the room after a piece found none: stated sizes are rough."""
+        if short:
+            self.usable_room = max(LEAST_USABLE_ROOM, self.usable_room - ROOM_STEP_DOWN)
+        else:
+            self.usable_room = min(1.0, self.usable_room + ROOM_STEP_UP)
+
     def _learn_pace(self, call: StageCall, now: float) -> None:
         stated = self.capacity.call_seconds + len(call.tickets) * self.capacity.piece_seconds
         if stated <= 0:
@@ -260,5 +282,43 @@
         self.pace += PACE_WEIGHT * (min(high, max(low, measured)) - self.pace)
 
 
+def fill_batch(
+    queue: list[PieceTicket], batch: int, room: float, whole_room: float
+) -> list[PieceTicket]:
+    """Return the pieces of the next call, in the order of the queue.
+
+    The pieces of one call's stage are started together if they fit the room at all: a
+    part of them would hold room while it waits for the rest. While such a group waits for
+    room, only far smaller pieces pass it.
+    """
+    chosen: list[PieceTicket] = []
+    largest = float("inf")
+    for group in _groups(queue):
+        size = group[0].result_bytes
+        if size > largest:
+            continue
+        wanted = size * len(group)
+        if wanted > room and wanted <= whole_room:
+            largest = min(largest, size * PASSING_SIZE)
+            continue
+        for ticket in group:
+            if len(chosen) >= batch:
+                return chosen
+            if size > room:
+                largest = min(largest, size * PASSING_SIZE)
+                break
+            room -= size
+            chosen.append(ticket)
+    return chosen
+
+
+def _groups(queue: list[PieceTicket]) -> list[list[PieceTicket]]:
+    """Return the pieces of each call's stage together, in the order of their first."""
+    groups: dict[tuple[str, int], list[PieceTicket]] = {}
+    for ticket in queue:
+        groups.setdefault((ticket.order.call_id, ticket.order.stage), []).append(ticket)
+    return list(groups.values())
+
+
 def _queue_order(ticket: PieceTicket) -> tuple[tuple[float, ...], int]:
     return ticket.urgency, ticket.sequence
--- a/src/corkcrank/scheduling/stage_plan.py
+++ b/src/corkcrank/scheduling/stage_plan.py
@@ -95,6 +95,19 @@
             handle for source in self._stages[stage].after for handle in self._handles[source]
         )
 
+    def moved_bytes(self, stage: int, pieces: int) -> float:
+        """Return the bytes that cross if these pieces are made in another zone.
+
+        Each piece pulls every input, and each reader's piece pulls every result.
+        """
+        pulled = sum(
+            self.counts[source] * self._stages[source].result_bytes
+            for source in self._stages[stage].after
+        )
+        readers = self._readers[stage]
+        reads = sum(self.counts[reader] for reader in readers) if readers else 1
+        return pieces * (pulled + reads * self._stages[stage].result_bytes)
+
     def final_handles(self) -> tuple[str, ...]:
         """Return the results that the call itself reads."""
         return tuple(
