Free results once the engine has fetched them; hold room that a worker says it lacks

Ruled out: the head of the answer as the sign; it comes with the first event. Change: results are freed 60 ms after the call was sent, doubled when an engine misses one; room that is lacking counts as held by unknown results for 0.3 s.

--- a/src/corkcrank/gateway/opaque/services.py
+++ b/src/corkcrank/gateway/opaque/services.py
@@ -12,6 +12,7 @@
 from corkcrank.machines.fleet import Fleet
 from corkcrank.machines.store_mirror import StoreMirror
 from corkcrank.scheduling.engine_choice import EngineChooser
+from corkcrank.scheduling.fetch_delay import FetchDelay
 from corkcrank.scheduling.fleet_retry_budget import FleetRetryBudget
 from corkcrank.scheduling.worker_choice import StandingBook
 
@@ -61,8 +62,13 @@
     retry_window: float
     first_event_times: MeanTimes = field(default_factory=MeanTimes)
     plain_times: MeanTimes = field(default_factory=MeanTimes)
+    _fetch_delays: dict[str, FetchDelay] = field(default_factory=dict)
     _budgets: dict[str, FleetRetryBudget] = field(default_factory=dict)
 
+    def fetch_delay(self, service: str) -> FetchDelay:
+        """Return when results that a service's engines read may be freed."""
+        return self._fetch_delays.setdefault(service, FetchDelay())
+
     def budget(self, service: str) -> FleetRetryBudget:
         """Return the retry budget of a service."""
         budget = self._budgets.get(service)
--- a/src/corkcrank/gateway/opaque/stage_run.py
+++ b/src/corkcrank/gateway/opaque/stage_run.py
@@ -52,6 +52,7 @@
     zone: str
     rest_seconds: float
     started: bool = False
+    closed: bool = False
     shortest_wait: float = float("inf")
     _holders: dict[str, WorkerRecord] = field(default_factory=dict)
 
@@ -76,6 +77,7 @@
 
     def close(self) -> None:
         """Free every result that is still held."""
+        self.closed = True
         self.plan.release_all()
         self._free(list(self._holders))
 
--- a/src/corkcrank/gateway/opaque/stream_run.py
+++ b/src/corkcrank/gateway/opaque/stream_run.py
@@ -1,5 +1,6 @@
 """A call whose answer is a stream of events: admission, stages, relay, resume."""
 
+import asyncio
 import time
 from collections.abc import Callable
 
@@ -91,6 +92,7 @@
             elif attempt.outcome is AttemptOutcome.LOST:
                 self._may_have_run = True
             elif attempt.lost_inputs:
+                self._services.fetch_delay(service).missed()
                 self._plan.redo_all()
             if not self._may_go_on():
                 break
@@ -209,23 +211,38 @@
         profile = self._engine_tokens()
         self._services.engines.sent(engine, profile, call.envelope.prompt, now)
         self._relay.on_first_event = self._first_event(now)
-        attempt = await attempt_call(
-            self._services,
-            call,
-            engine,
-            self._first_event_patience(),
-            fresh=False,
-            inputs=inputs,
-            resume_after=self._relay.resume_after,
-        )
+        timer = self._free_after_fetch(engine)
+        try:
+            attempt = await attempt_call(
+                self._services,
+                call,
+                engine,
+                self._first_event_patience(),
+                fresh=False,
+                inputs=inputs,
+                resume_after=self._relay.resume_after,
+            )
+        finally:
+            if timer is not None:
+                timer.cancel()
         head_seconds = time.monotonic() - now
         self._services.log.write(LogEvent.HEAD, call=call.call_id, seconds=round(head_seconds, 3))
         return attempt
 
+    def _free_after_fetch(self, engine: WorkerRecord) -> asyncio.TimerHandle | None:
+        """Free the results once the engine has fetched them, unless it queues calls."""
+        standing = self._services.book.of(engine.worker_id)
+        busy = standing.in_flight + standing.peers_in_flight
+        if self._stages is None or busy >= engine.slots:
+            return None
+        delay = self._services.fetch_delay(self._call.service).seconds
+        return asyncio.get_running_loop().call_later(delay, self._stages.close)
+
     def _first_event(self, sent_at: float) -> Callable[[], None]:
         def note() -> None:
             seconds = time.monotonic() - sent_at
             self._services.first_event_times.learn(self._call.service, seconds)
+            self._services.fetch_delay(self._call.service).found()
             self._services.log.write(
                 LogEvent.FIRST_EVENT,
                 call=self._call.call_id,
@@ -256,8 +273,9 @@
 
     def _after_failure(self, engine: WorkerRecord) -> None:
         """Make results again that were freed at the first event."""
-        if self._stages is not None and self._relay.started:
+        if self._stages is not None and self._stages.closed:
             self._plan.redo_all()
+            self._stages.closed = False
         self._services.log.write(
             LogEvent.STREAM_MOVED,
             call=self._call.call_id,
--- a/src/corkcrank/scheduling/stage_lane.py
+++ b/src/corkcrank/scheduling/stage_lane.py
@@ -33,6 +33,13 @@
 """Pieces up to this part of a waiting one's size may pass it while it waits for room."""
 
 
+UNKNOWN_HANDLE = ""
+"""Stands for results that hold room and that this lane does not know."""
+
+UNKNOWN_HOLD_SECONDS = 0.3
+"""Time for which room that a worker said it lacks is not asked for again."""
+
+
 @dataclass(slots=True, eq=False)
 class PieceTicket:
     """One piece that waits for its turn.
@@ -195,6 +202,8 @@
                 short += 1
         self.counters.no_room += short
         self._learn_room(short)
+        if short:
+            self._hold_unknown(now)
 
     def put_back(self, tickets: list[PieceTicket]) -> None:
         """Queue pieces again that their worker turned away unrun, in their old order."""
@@ -262,6 +271,15 @@
     def _hold(self, handle: str, size: float, now: float) -> None:
         self._held[handle] = _HeldResult(size, now, now + self.capacity.result_seconds)
 
+    def _hold_unknown(self, now: float) -> None:
+        """Count the rest of the room as held by results that nobody here knows.
+
+        They are those of calls whose answer was lost, and of owners before this one.
+        """
+        rest = self.capacity.room_bytes * self.usable_room - self.room_used
+        if rest > 0:
+            self._held[UNKNOWN_HANDLE] = _HeldResult(rest, now, now + UNKNOWN_HOLD_SECONDS)
+
     def _expire(self, now: float) -> None:
         for handle in [key for key, held in self._held.items() if held.expires_at <= now]:
             del self._held[handle]
