Let work follow its inputs, and count lateness at the choice of a stage worker

Cause: locking all stages of a call to the engine's zone left other zones idle while small results crossed cheaply; only training's and the large results are dear to move. Change: bytes to move are counted from where inputs lie; results that the call itself reads count towards the engine's zone; a stage looks ahead to its reader's wait in the zone; a late end costs three times its lateness.

--- a/src/corkcrank/gateway/opaque/front.py
+++ b/src/corkcrank/gateway/opaque/front.py
@@ -176,7 +176,7 @@
 
 def _tenant(
     configuration: OpaqueConfiguration, route: OpaqueRoute, envelope: CallEnvelope
-) -> KeyedTenant | None | Refusal:
+) -> KeyedTenant | Refusal | None:
     if not configuration.has_tenants:
         return None
     tenant = configuration.tenant_for(envelope.key) if envelope.key else None
--- a/src/corkcrank/gateway/opaque/stage_dispatch.py
+++ b/src/corkcrank/gateway/opaque/stage_dispatch.py
@@ -22,7 +22,7 @@
 from corkcrank.links.platform_ports import PieceOutcome, PieceResult
 from corkcrank.machines.fleet import Fleet
 from corkcrank.machines.store_mirror import StoreMirror
-from corkcrank.scheduling.stage_choice import choose_stage_worker
+from corkcrank.scheduling.stage_choice import StagePlacing, choose_stage_worker
 from corkcrank.scheduling.stage_lane import LaneForecast
 from corkcrank.scheduling.worker_choice import StandingBook
 
@@ -112,27 +112,35 @@
         return LaneForecast(start, start + capacity.call_seconds + batch * capacity.piece_seconds)
 
     def choose(
-        self,
-        service: str,
-        zone: str,
-        urgency: tuple[float, ...],
-        pieces: int,
-        size: float,
-        moved_bytes: float,
-        excluded: Collection[str],
+        self, placing: StagePlacing, excluded: Collection[str]
     ) -> tuple[WorkerRecord, LaneForecast] | None:
-        """Return the best worker of a service for some pieces, with its forecast."""
+        """Return the best worker for some pieces, with its forecast."""
         return choose_stage_worker(
-            self._mirror.workers.usable(service),
-            lambda worker: self.forecast(worker, urgency, pieces, size),
+            self._mirror.workers.usable(placing.service),
+            lambda worker: self.forecast(worker, placing.urgency, placing.pieces, placing.size),
+            placing,
             self._book,
-            zone,
-            moved_bytes,
             time.monotonic(),
             excluded,
             self._random,
         )
 
+    def wait_in_zone(
+        self, service: str, zone: str, urgency: tuple[float, ...], pieces: int, size: float
+    ) -> float:
+        """Return the shortest wait of a service's workers in a zone, in seconds.
+
+        Without a worker there, the work would have to leave the zone: that counts as the
+        time of a full call.
+        """
+        capacity = self.capacity(service)
+        waits = [
+            self.forecast(worker, urgency, pieces, size).start
+            for worker in self._mirror.workers.usable(service)
+            if worker.zone == zone
+        ]
+        return min(waits, default=capacity.full_call_seconds if capacity is not None else 0.0)
+
     async def make(self, worker: WorkerRecord, work: StageWork) -> StageAnswer:
         """Have pieces made by the owner of a worker."""
         owner = self._fleet.owner_of(worker, time.monotonic())
--- a/src/corkcrank/gateway/opaque/stage_run.py
+++ b/src/corkcrank/gateway/opaque/stage_run.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from corkcrank.contracts.opaque_call import OpaqueCall
 from corkcrank.contracts.worker_records import WorkerRecord
@@ -10,6 +10,7 @@
 from corkcrank.gateway.opaque.stage_dispatch import StageDispatch
 from corkcrank.links.decision_log import DecisionLog, LogEvent
 from corkcrank.links.platform_ports import PieceOutcome
+from corkcrank.scheduling.stage_choice import StagePlacing
 from corkcrank.scheduling.stage_plan import StagePlan
 
 MAXIMUM_ROUNDS = 4
@@ -144,17 +145,17 @@
         self, stage: int, pieces: tuple[int, ...], refused: set[str]
     ) -> _Round | None:
         definition = self.plan.definition(stage)
-        size = float(definition.result_bytes)
-        urgency = self._urgency()
-        moved = self.plan.moved_bytes(stage, len(pieces))
-        choice = self.dispatch.choose(
-            definition.service, self.zone, urgency, len(pieces), size, moved, refused
+        placing = stage_placing(self.plan, self.dispatch, self.call, stage, len(pieces))
+        placing = replace(
+            placing,
+            end_by=placing.end_by - self.rest_seconds,
+            inputs=self._input_bytes(stage, len(pieces)),
+            reader_zone=self.zone if not self.plan.readers(stage) else "",
         )
+        choice = self.dispatch.choose(placing, refused)
         if choice is None and refused:
             refused.clear()
-            choice = self.dispatch.choose(
-                definition.service, self.zone, urgency, len(pieces), size, moved, refused
-            )
+            choice = self.dispatch.choose(placing, refused)
         if choice is None:
             return None
         worker, forecast = choice
@@ -170,7 +171,7 @@
             worker=worker.worker_id,
             zone=worker.zone,
             wanted_zone=self.zone,
-            size=int(size),
+            size=int(placing.size),
             start=round(forecast.start, 3),
             end=round(forecast.end, 3),
         )
@@ -182,8 +183,8 @@
             pieces=pieces,
             key="" if definition.after else self.call.envelope.piece_key,
             inputs=self.plan.inputs_of(stage),
-            result_bytes=size,
-            urgency=urgency,
+            result_bytes=placing.size,
+            urgency=self._urgency(),
             start_by=self._start_by(now),
             remaining=max(0.001, self.call.end_at - now),
         )
@@ -193,6 +194,17 @@
                 self._holders[result.handle] = worker
         return _Round(worker, pieces, answer)
 
+    def _input_bytes(self, stage: int, pieces: int) -> dict[str, float]:
+        """Return the bytes that pieces of a stage pull, by the zone they lie in."""
+        inputs: dict[str, float] = {}
+        for source in self.plan.definition(stage).after:
+            size = self.plan.definition(source).result_bytes
+            for handle in self.plan.handles_of(source):
+                holder = self._holders.get(handle)
+                if holder is not None:
+                    inputs[holder.zone] = inputs.get(holder.zone, 0.0) + pieces * size
+        return inputs
+
     def _urgency(self) -> tuple[float, ...]:
         """Earliest due first, as seconds before the objective; ranks break ties."""
         due = self.call.objective_at - time.monotonic() - self.rest_seconds
@@ -204,6 +216,36 @@
         return max(0.0, limit - now - self.rest_seconds)
 
 
+def stage_placing(
+    plan: StagePlan, dispatch: StageDispatch, call: OpaqueCall, stage: int, pieces: int
+) -> StagePlacing:
+    """Return what is known of some pieces before their inputs and their reader are."""
+    definition = plan.definition(stage)
+    due = call.objective_at - time.monotonic()
+    urgency = (round(due, 3), *call.rank)
+    followers = [
+        (plan.definition(reader), plan.counts[reader])
+        for reader in plan.readers(stage)
+        if plan.counts[reader]
+    ]
+
+    def ahead(zone: str) -> float:
+        waits = [
+            dispatch.wait_in_zone(item.service, zone, urgency, count, float(item.result_bytes))
+            for item, count in followers
+        ]
+        return max(waits, default=0.0)
+
+    return StagePlacing(
+        service=definition.service,
+        pieces=pieces,
+        size=float(definition.result_bytes),
+        urgency=urgency,
+        end_by=due,
+        ahead=ahead if followers else None,
+    )
+
+
 async def _cancel(tasks: list[asyncio.Task[tuple[str, ...]]]) -> None:
     for task in tasks:
         task.cancel()
--- a/src/corkcrank/gateway/opaque/stream_run.py
+++ b/src/corkcrank/gateway/opaque/stream_run.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections.abc import Callable
+from dataclasses import replace
 
 from aiohttp import web
 
@@ -12,7 +13,7 @@
 from corkcrank.gateway.opaque.attempts import Attempt, AttemptOutcome, attempt_call
 from corkcrank.gateway.opaque.refusals import Refusal
 from corkcrank.gateway.opaque.services import FIRST_EVENT_SECONDS, CallServices
-from corkcrank.gateway.opaque.stage_run import StageFailedError, StageRun
+from corkcrank.gateway.opaque.stage_run import StageFailedError, StageRun, stage_placing
 from corkcrank.gateway.opaque.stream_relay import RelayEnd, StreamRelay
 from corkcrank.links.decision_log import LogEvent
 from corkcrank.scheduling.call_admission import (
@@ -159,18 +160,10 @@
         )
 
     def _forecast(self, stage: int, zone: str) -> LaneForecast | None:
-        definition = self._call.route.stages[stage]
-        due = self._call.objective_at - time.monotonic()
-        pieces = self._plan.counts[stage]
-        choice = self._services.dispatch.choose(
-            definition.service,
-            zone,
-            (due, *self._call.rank),
-            pieces,
-            float(definition.result_bytes),
-            self._plan.moved_bytes(stage, pieces),
-            (),
-        )
+        dispatch = self._services.dispatch
+        placing = stage_placing(self._plan, dispatch, self._call, stage, self._plan.counts[stage])
+        reader_zone = "" if self._plan.readers(stage) else zone
+        choice = dispatch.choose(replace(placing, reader_zone=reader_zone, ahead=None), ())
         return choice[1] if choice is not None else None
 
     def _returning(self) -> bool:
--- a/src/corkcrank/scheduling/stage_choice.py
+++ b/src/corkcrank/scheduling/stage_choice.py
@@ -1,53 +1,86 @@
-"""Choice of a stage worker by forecast: when would the pieces end there, and in what zone."""
+"""Choice of a stage worker: when would the pieces end there, and what must be moved."""
 
 import random
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
+from dataclasses import dataclass, field
 
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.scheduling.stage_lane import LaneForecast
 from corkcrank.scheduling.worker_choice import StandingBook
 
-REMOTE_SECONDS = 0.05
-"""Seconds that another zone counts as, whatever the size of results."""
-
-REMOTE_SECONDS_A_MEGABYTE = 0.5
+REMOTE_SECONDS_A_MEGABYTE = 0.25
 """Seconds that each megabyte moved between zones counts as."""
 
+LATE_FACTOR = 3.0
+"""A second beyond the latest useful end counts as this many more."""
+
 MEGABYTE = 1e6
 
 FAILURE_SECONDS = 1.0
 """Seconds that each remembered failure counts as."""
 
 
+@dataclass(frozen=True, slots=True)
+class StagePlacing:
+    """Pieces to be placed: how many, how large, from where, to where.
+
+    ``inputs`` gives the bytes that all pieces together pull from each zone. ``reader_zone``
+    is where the results will be read, if that is known, and ``ahead`` the wait for the
+    next stage in a zone, since work follows large results. Times are seconds from now.
+    """
+
+    service: str
+    pieces: int
+    size: float
+    urgency: tuple[float, ...]
+    end_by: float = float("inf")
+    inputs: Mapping[str, float] = field(default_factory=dict)
+    reader_zone: str = ""
+    ahead: Callable[[str], float] | None = None
+
+    def moved_bytes(self, zone: str) -> float:
+        """Return the bytes that cross between zones if the pieces are made in ``zone``.
+
+        >>> placing = StagePlacing("s", 2, 5.0, (0.0,), inputs={"a": 7.0}, reader_zone="b")
+        >>> placing.moved_bytes("a"), placing.moved_bytes("b")
+        (10.0, 7.0)
+        """
+        pulled = sum(size for source, size in self.inputs.items() if source != zone)
+        pushed = 0.0 if self.reader_zone in ("", zone) else self.pieces * self.size
+        return pulled + pushed
+
+
 def choose_stage_worker(
     candidates: Iterable[WorkerRecord],
     forecast: Callable[[WorkerRecord], LaneForecast],
+    placing: StagePlacing,
     book: StandingBook,
-    zone: str,
-    moved_bytes: float,
     now: float,
     excluded: Collection[str],
     random_source: random.Random,
 ) -> tuple[WorkerRecord, LaneForecast] | None:
-    """Return the worker where the pieces cost least, with its forecast.
-
-    ``zone`` is where the rest of the call's work lies; ``moved_bytes`` would cross from
-    or to another one.
-    """
+    """Return the worker where the pieces cost least, with its forecast."""
     best: tuple[WorkerRecord, LaneForecast] | None = None
     best_cost: tuple[float, float] | None = None
-    remote = REMOTE_SECONDS + REMOTE_SECONDS_A_MEGABYTE * moved_bytes / MEGABYTE
     for worker in candidates:
         standing = book.of(worker.worker_id)
         if worker.worker_id in excluded or standing.leaving:
             continue
         expected = forecast(worker)
-        cost = expected.end + FAILURE_SECONDS * standing.recent_failures(now)
+        cost = _cost(worker, expected, placing)
+        cost += FAILURE_SECONDS * standing.recent_failures(now)
         if standing.avoid_until > now:
             cost += FAILURE_SECONDS
-        if worker.zone != zone:
-            cost += remote
         key = (cost, random_source.random())
         if best_cost is None or key < best_cost:
             best, best_cost = (worker, expected), key
     return best
+
+
+def _cost(worker: WorkerRecord, expected: LaneForecast, placing: StagePlacing) -> float:
+    end = expected.end
+    if placing.ahead is not None:
+        end += placing.ahead(worker.zone)
+    late = max(0.0, end - placing.end_by)
+    moved = placing.moved_bytes(worker.zone) / MEGABYTE
+    return end + LATE_FACTOR * late + REMOTE_SECONDS_A_MEGABYTE * moved
--- a/src/corkcrank/scheduling/stage_plan.py
+++ b/src/corkcrank/scheduling/stage_plan.py
@@ -95,18 +95,13 @@
             handle for source in self._stages[stage].after for handle in self._handles[source]
         )
 
-    def moved_bytes(self, stage: int, pieces: int) -> float:
-        """Return the bytes that cross if these pieces are made in another zone.
+    def handles_of(self, stage: int) -> tuple[str, ...]:
+        """Return the results of a stage, none before it has ended."""
+        return self._handles.get(stage, ())
 
-        Each piece pulls every input, and each reader's piece pulls every result.
-        """
-        pulled = sum(
-            self.counts[source] * self._stages[source].result_bytes
-            for source in self._stages[stage].after
-        )
-        readers = self._readers[stage]
-        reads = sum(self.counts[reader] for reader in readers) if readers else 1
-        return pieces * (pulled + reads * self._stages[stage].result_bytes)
+    def readers(self, stage: int) -> list[int]:
+        """Return the stages that read this one's results; none means the call itself."""
+        return self._readers[stage]
 
     def final_handles(self) -> tuple[str, ...]:
         """Return the results that the call itself reads."""
