--- a/src/corkcrank/gateway/opaque/heartbeats.py
+++ b/src/corkcrank/gateway/opaque/heartbeats.py
@@ -17,8 +17,9 @@
 from corkcrank.links.datagrams import DatagramLink
 from corkcrank.links.decision_log import DecisionLog, LogEvent
 from corkcrank.links.platform_ports import StoreTable
-from corkcrank.machines.fleet import CallLoad, Fleet, Heartbeat
+from corkcrank.machines.fleet import CallLoad, Fleet, Heartbeat, ServiceBacklog
 from corkcrank.machines.store_mirror import StoreMirror
+from corkcrank.scheduling.committed_pieces import CommittedPieces
 from corkcrank.scheduling.peer_loads import PeerLoads
 from corkcrank.scheduling.worker_choice import StandingBook
 
@@ -47,7 +48,9 @@
         peers: aiohttp.ClientSession,
         log: DecisionLog,
         random_source: random.Random,
+        committed: CommittedPieces,
     ) -> None:
+        self._committed = committed
         self._fleet = fleet
         self._mirror = mirror
         self._desk = desk
@@ -108,6 +111,11 @@
             workers_revision=self._mirror.workers.revision,
             stage_loads=self._desk.loads(now),
             call_loads=tuple(calls[:MAXIMUM_CALL_LOADS]),
+            backlogs=tuple(
+                ServiceBacklog(service, pieces)
+                for service, pieces in self._committed.all().items()
+                if pieces
+            ),
         )
 
     def _take(self, data: bytes) -> None:
--- a/src/corkcrank/gateway/opaque/node.py
+++ b/src/corkcrank/gateway/opaque/node.py
@@ -28,7 +28,10 @@
 from corkcrank.scheduling.worker_choice import StandingBook
 
 BALANCER_LAG_SECONDS = 2.5
-"""Time for which the balancer may still send connections after it was told not to."""
+"""Time for which the balancer may still send connections after it was told not to.
+
+The listener stays open to the end: where no other machine of a zone is ready, the balancer
+goes on sending callers here, and a refused connection serves them worse than an answer."""
 
 RESTING_CLOSE_SECONDS = 0.3
 """While draining, connections that have rested for this long are closed."""
@@ -110,7 +113,14 @@
         self.front = OpaqueFront(self.services, lambda: self.life.draining)
         self.callers = CallerServer(self.front.handle, self.front.limits)
         self.heartbeats = HeartbeatLoop(
-            self.fleet, self.mirror, self.desk, self._book, self._peers, log, random_source
+            self.fleet,
+            self.mirror,
+            self.desk,
+            self._book,
+            self._peers,
+            log,
+            random_source,
+            dispatch.committed,
         )
         self._peer_server = PeerServer(
             self.desk, self.mirror, self.services.metrics.registry, self.dump
@@ -236,13 +246,13 @@
         self.heartbeats.send_now()
         self._log.write(LogEvent.STOPPING, in_flight=self.callers.in_flight)
         end_at = began + self._settings.bounds.grace - DRAIN_RESERVE_SECONDS
-        listen_until = began + min(BALANCER_LAG_SECONDS, self._settings.bounds.grace / 3)
+        self.front.drain_ends_at = end_at
+        linger_until = began + min(BALANCER_LAG_SECONDS, self._settings.bounds.grace / 2)
         while time.monotonic() < end_at:
             await asyncio.sleep(CHECK_SECONDS)
             self.callers.close_resting(RESTING_CLOSE_SECONDS)
-            if time.monotonic() < listen_until:
-                continue
-            self.callers.stop_listening()
-            if not self.callers.in_flight and not self.desk.busy:
+            busy = self.callers.in_flight or self.desk.busy
+            if time.monotonic() >= linger_until and not busy:
                 break
+        self.callers.stop_listening()
         self.life.fire(ProcessTrigger.STOP)
--- a/src/corkcrank/gateway/opaque/plain_run.py
+++ b/src/corkcrank/gateway/opaque/plain_run.py
@@ -15,11 +15,11 @@
 from corkcrank.gateway.opaque.worker_client import read_whole
 from corkcrank.scheduling.worker_choice import choose_worker
 
-SILENCE_FACTOR = 4.0
+SILENCE_FACTOR = 5.0
 """A repeatable call is tried elsewhere after this multiple of the mean answer time."""
 
 LEAST_SILENCE_SECONDS = 0.15
-"""It is never tried elsewhere earlier than this."""
+"""It is never tried elsewhere earlier than this, nor than half of its objective."""
 
 SHORT_RETRY_SECONDS = 0.2
 """When to come back after every worker said that it is full."""
@@ -125,8 +125,11 @@
         left = self._call.end_at - time.monotonic()
         if not self._repeatable_elsewhere():
             return left
+        if not self._services.could_repeat(self._call.service):
+            return left
         usual = self._services.plain_times.of(self._call.service, PLAIN_SECONDS)
-        return min(left, max(LEAST_SILENCE_SECONDS, SILENCE_FACTOR * usual))
+        least = max(LEAST_SILENCE_SECONDS, self._call.route.objective / 2)
+        return min(left, max(least, SILENCE_FACTOR * usual))
 
     def _repeatable_elsewhere(self) -> bool:
         call = self._call
--- a/src/corkcrank/gateway/opaque/services.py
+++ b/src/corkcrank/gateway/opaque/services.py
@@ -77,6 +77,11 @@
             self._budgets[service] = budget
         return budget
 
+    def could_repeat(self, service: str) -> bool:
+        """Return whether a repeat could be spent now."""
+        now = time.monotonic()
+        return self.budget(service).remaining(now, self.fleet.share_members()) >= 1.0
+
     def may_repeat(self, service: str) -> bool:
         """Spend one repeat of the fleet's budget, if this gateway's share allows it."""
         return self.budget(service).try_spend(time.monotonic(), self.fleet.share_members())
--- a/src/corkcrank/gateway/opaque/stage_dispatch.py
+++ b/src/corkcrank/gateway/opaque/stage_dispatch.py
@@ -22,6 +22,7 @@
 from corkcrank.links.platform_ports import PieceOutcome, PieceResult
 from corkcrank.machines.fleet import Fleet
 from corkcrank.machines.store_mirror import StoreMirror
+from corkcrank.scheduling.committed_pieces import CommittedPieces
 from corkcrank.scheduling.stage_choice import StagePlacing, choose_stage_worker
 from corkcrank.scheduling.stage_lane import LaneForecast
 from corkcrank.scheduling.worker_choice import StandingBook
@@ -63,6 +64,7 @@
         self._desk = desk
         self._peers = peers
         self._random = random_source
+        self.committed = CommittedPieces()
         self._sent: dict[str, list[_SentPieces]] = {}
         self._free_tasks: set[asyncio.Task[None]] = set()
 
@@ -141,6 +143,17 @@
         ]
         return min(waits, default=capacity.full_call_seconds if capacity is not None else 0.0)
 
+    def coming_seconds(self, service: str) -> float:
+        """Return the time that a service needs for pieces which calls will still ask for."""
+        capacity = self.capacity(service)
+        workers = len(self._mirror.workers.usable(service))
+        if capacity is None or not workers:
+            return 0.0
+        pieces = self.committed.of(service)
+        pieces += self._fleet.told_backlog(service, time.monotonic())
+        rate = workers * capacity.slots * capacity.batch / capacity.full_call_seconds
+        return pieces / rate
+
     async def make(self, worker: WorkerRecord, work: StageWork) -> StageAnswer:
         """Have pieces made by the owner of a worker."""
         owner = self._fleet.owner_of(worker, time.monotonic())
--- a/src/corkcrank/gateway/opaque/stage_run.py
+++ b/src/corkcrank/gateway/opaque/stage_run.py
@@ -56,6 +56,7 @@
     closed: bool = False
     shortest_wait: float = float("inf")
     _holders: dict[str, WorkerRecord] = field(default_factory=dict)
+    _committed: set[int] = field(default_factory=set)
 
     async def run(self) -> tuple[str, ...]:
         """Return the results that the call reads, once every stage has ended.
@@ -63,19 +64,36 @@
         Raises :class:`StageFailedError`.
         """
         tasks: dict[asyncio.Task[tuple[str, ...]], int] = {}
+        self._commit()
         try:
             while not self.plan.complete:
                 for stage in self.plan.ready():
                     self.plan.start(stage)
+                    self._asked_for(stage)
                     tasks[asyncio.create_task(self._run_stage(stage))] = stage
                 done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
                 for task in done:
                     self.plan.finish(tasks.pop(task), task.result())
                 self._free(self.plan.release())
         finally:
+            for stage in list(self._committed):
+                self._asked_for(stage)
             await _cancel(list(tasks))
         return self.plan.final_handles()
 
+    def _commit(self) -> None:
+        """Count the pieces that this call will ask for."""
+        for stage in self.plan.unfinished():
+            self._committed.add(stage)
+            service = self.plan.definition(stage).service
+            self.dispatch.committed.add(service, self.plan.counts[stage])
+
+    def _asked_for(self, stage: int) -> None:
+        if stage in self._committed:
+            self._committed.discard(stage)
+            service = self.plan.definition(stage).service
+            self.dispatch.committed.take(service, self.plan.counts[stage])
+
     def close(self) -> None:
         """Free every result that is still held."""
         self.closed = True
--- a/src/corkcrank/gateway/opaque/stream_run.py
+++ b/src/corkcrank/gateway/opaque/stream_run.py
@@ -164,7 +164,10 @@
         placing = stage_placing(self._plan, dispatch, self._call, stage, self._plan.counts[stage])
         reader_zone = "" if self._plan.readers(stage) else zone
         choice = dispatch.choose(replace(placing, reader_zone=reader_zone, ahead=None), ())
-        return choice[1] if choice is not None else None
+        if choice is None:
+            return None
+        coming = dispatch.coming_seconds(placing.service)
+        return LaneForecast(choice[1].start + coming, choice[1].end + coming)
 
     def _returning(self) -> bool:
         budget = self._call.envelope.budget_seconds
--- a/src/corkcrank/machines/fleet.py
+++ b/src/corkcrank/machines/fleet.py
@@ -54,6 +54,13 @@
     in_flight: int
 
 
+class ServiceBacklog(msgspec.Struct, frozen=True, array_like=True):
+    """Pieces that a member's admitted calls will still ask of a stage service."""
+
+    service: str
+    pieces: int
+
+
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
     """What a member tells the others; ``address`` is where it takes peers' calls."""
 
@@ -67,6 +74,7 @@
     workers_revision: int = 0
     stage_loads: tuple[StageLoad, ...] = ()
     call_loads: tuple[CallLoad, ...] = ()
+    backlogs: tuple[ServiceBacklog, ...] = ()
 
 
 @dataclass(slots=True)
@@ -151,6 +159,15 @@
                 names.append(self.own_name)
         return max(names, key=lambda name: rendezvous_weight(worker.worker_id, name))
 
+    def told_backlog(self, service: str, now: float) -> int:
+        """Return the pieces that the other members' calls will still ask of a service."""
+        return sum(
+            backlog.pieces
+            for member in self.live(now)
+            for backlog in member.heartbeat.backlogs
+            if backlog.service == service
+        )
+
     def newest_configuration(self, now: float) -> Member | None:
         """Return the live member with the highest configuration version."""
         return max(
--- a/src/corkcrank/scheduling/stage_lane.py
+++ b/src/corkcrank/scheduling/stage_lane.py
@@ -44,8 +44,8 @@
 class PieceTicket:
     """One piece that waits for its turn.
 
-    ``urgency`` orders the queue, lowest first. ``start_by`` is when it is no longer worth
-    starting. ``result`` is set once it has ended.
+    ``urgency`` orders the queue, lowest first; its first item is when the piece should
+    have ended. ``start_by`` is when it is no longer worth starting.
     """
 
     order: PieceOrder
@@ -167,7 +167,8 @@
         if now < self.blocked_until or len(self._calls) >= self.capacity.slots:
             return None
         room = self.capacity.room_bytes * self.usable_room - self.room_used
-        batch = fill_batch(self._queue, self.capacity.batch, room, self.capacity.room_bytes)
+        queue = self._in_turn(now)
+        batch = fill_batch(queue, self.capacity.batch, room, self.capacity.room_bytes)
         if not batch:
             if self._queue:
                 self.counters.room_waits += 1
@@ -227,7 +228,13 @@
 
         The last of them counts. Room is forecast by the mean time that results hold it.
         """
-        ahead = [ticket for ticket in self._queue if ticket.urgency <= urgency]
+        limit = now + self.call_seconds(1)
+        own_order = (urgency[0] < limit, urgency)
+        ahead = [
+            ticket
+            for ticket in self._queue
+            if (ticket.urgency[0] < limit, ticket.urgency) <= own_order
+        ]
         position = len(ahead) + pieces
         calls_before = (position - 1) // self.capacity.batch
         full = self.call_seconds(self.capacity.batch)
@@ -253,6 +260,16 @@
         assert all(len(call.tickets) <= self.capacity.batch for call in self._calls)
         assert self.room_used <= self.capacity.room_bytes + 1e-6
 
+    def _in_turn(self, now: float) -> list[PieceTicket]:
+        """Return the queue with the pieces last that end late whatever is done.
+
+        Serving what is late already, because it is due first, would make the rest late.
+        """
+        limit = now + self.call_seconds(1)
+        in_time = [ticket for ticket in self._queue if ticket.urgency[0] >= limit]
+        late = [ticket for ticket in self._queue if ticket.urgency[0] < limit]
+        return in_time + late
+
     def _first_free(self, now: float) -> float:
         wait = max(0.0, self.blocked_until - now)
         if len(self._calls) < self.capacity.slots:
