Serve by rank before due time, give up late calls, let returning callers in first

Change: urgency is the tenant's and the route's rank, then the due time; owners tell the wait by rank; a begun call is given up half an objective late.

--- a/src/corkcrank/gateway/opaque/heartbeats.py
+++ b/src/corkcrank/gateway/opaque/heartbeats.py
@@ -112,9 +112,8 @@
             stage_loads=self._desk.loads(now),
             call_loads=tuple(calls[:MAXIMUM_CALL_LOADS]),
             backlogs=tuple(
-                ServiceBacklog(service, pieces)
-                for service, pieces in self._committed.all().items()
-                if pieces
+                ServiceBacklog(service, rank, pieces)
+                for service, rank, pieces in self._committed.all()
             ),
         )
 
--- a/src/corkcrank/gateway/opaque/peer_protocol.py
+++ b/src/corkcrank/gateway/opaque/peer_protocol.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from corkcrank.contracts.opaque_configuration import OpaqueConfiguration
+from corkcrank.contracts.urgency import Urgency
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.links.platform_ports import PieceResult
 
@@ -30,7 +31,7 @@
     key: str
     inputs: tuple[str, ...]
     result_bytes: float
-    urgency: tuple[float, ...]
+    urgency: Urgency
     start_by: float
     remaining: float
 
--- a/src/corkcrank/gateway/opaque/stage_desk.py
+++ b/src/corkcrank/gateway/opaque/stage_desk.py
@@ -8,6 +8,7 @@
 import aiohttp
 
 from corkcrank.contracts.opaque_configuration import ServiceProfile
+from corkcrank.contracts.urgency import Urgency
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.gateway.opaque.peer_protocol import StageAnswer, StageWork
 from corkcrank.gateway.opaque.worker_client import (
@@ -99,9 +100,7 @@
             lane = entry.lane
             if lane.idle:
                 continue
-            start = lane.forecast(now, (float("inf"),), 1, 0.0).start
-            free = lane.capacity.room_bytes - lane.room_used - lane.room_wanted
-            loads.append(StageLoad(worker_id, round(start, 3), lane.waiting, free))
+            loads.append(_load(worker_id, lane, now))
         return tuple(loads)
 
     async def make(self, work: StageWork) -> StageAnswer:
@@ -112,7 +111,7 @@
             return _refuse(work, 0.0, "worker is leaving or unknown")
         entry = self._lane_of(worker, profile)
         now = time.monotonic()
-        urgency = absolute_urgency(work.urgency, now)
+        urgency = work.urgency.on_clock(now)
         forecast = entry.lane.forecast(now, urgency, len(work.pieces), work.result_bytes)
         if forecast.start > work.start_by:
             entry.lane.counters.refused += len(work.pieces)
@@ -374,9 +373,19 @@
             entry.freeing = False
 
 
-def absolute_urgency(urgency: tuple[float, ...], now: float) -> tuple[float, ...]:
-    """Return an urgency on the own clock: its first item is seconds until the work is due."""
-    return (now + urgency[0], *urgency[1:])
+def _load(worker_id: str, lane: StageLane, now: float) -> StageLoad:
+    first = Urgency((-1, -1), float("inf"))
+    starts = tuple(
+        (rank, round(lane.forecast(now, Urgency(rank, float("inf")), 1, 0.0).start, 3))
+        for rank in lane.ranks_waiting()
+    )
+    return StageLoad(
+        worker_id=worker_id,
+        free_seconds=round(lane.forecast(now, first, 1, 0.0).start, 3),
+        starts=starts,
+        waiting=lane.waiting,
+        room_free=lane.capacity.room_bytes - lane.room_used - lane.room_wanted,
+    )
 
 
 def _ticket(work: StageWork, piece: int, now: float) -> PieceTicket:
@@ -384,7 +393,7 @@
     return PieceTicket(
         order=order,
         result_bytes=work.result_bytes,
-        urgency=absolute_urgency(work.urgency, now),
+        urgency=work.urgency.on_clock(now),
         start_by=now + work.start_by,
         end_at=now + work.remaining,
         submitted_at=now,
--- a/src/corkcrank/gateway/opaque/stage_dispatch.py
+++ b/src/corkcrank/gateway/opaque/stage_dispatch.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from corkcrank.contracts.opaque_configuration import StageCapacity
+from corkcrank.contracts.urgency import Urgency
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.gateway.opaque.peer_protocol import (
     FREE_PATH,
@@ -18,7 +19,7 @@
     StageAnswer,
     StageWork,
 )
-from corkcrank.gateway.opaque.stage_desk import StageDesk, absolute_urgency
+from corkcrank.gateway.opaque.stage_desk import StageDesk
 from corkcrank.links.platform_ports import PieceOutcome, PieceResult
 from corkcrank.machines.fleet import Fleet
 from corkcrank.machines.store_mirror import StoreMirror
@@ -75,19 +76,20 @@
         return profile.stage if profile is not None else None
 
     def forecast(
-        self, worker: WorkerRecord, urgency: tuple[float, ...], pieces: int, size: float
+        self, worker: WorkerRecord, urgency: Urgency, pieces: int, size: float
     ) -> LaneForecast:
         """Return when pieces would start and end at a worker, by the freshest word."""
         now = time.monotonic()
         lane = self._desk.lane(worker.worker_id)
         owner = self._fleet.owner_of(worker, now)
         if owner == self._fleet.own_name and lane is not None:
-            return lane.forecast(now, absolute_urgency(urgency, now), pieces, size)
-        return self._told_forecast(worker, owner, now, pieces, size)
+            return lane.forecast(now, urgency.on_clock(now), pieces, size)
+        return self._told_forecast(worker, owner, urgency, pieces, size)
 
     def _told_forecast(
-        self, worker: WorkerRecord, owner: str, now: float, pieces: int, size: float
+        self, worker: WorkerRecord, owner: str, urgency: Urgency, pieces: int, size: float
     ) -> LaneForecast:
+        now = time.monotonic()
         capacity = self.capacity(worker.service)
         if capacity is None:
             return LaneForecast(float("inf"), float("inf"))
@@ -97,7 +99,7 @@
             told_at = member.heard_at
             for load in member.heartbeat.stage_loads:
                 if load.worker_id == worker.worker_id:
-                    start = max(0.0, load.start_seconds - (now - told_at))
+                    start = max(0.0, load.start_seconds(urgency.rank) - (now - told_at))
                     waiting = load.waiting
                     room = load.room_free
         sent = self._recently_sent(worker.worker_id, max(told_at, now - OWN_PIECES_SECONDS))
@@ -128,7 +130,7 @@
         )
 
     def wait_in_zone(
-        self, service: str, zone: str, urgency: tuple[float, ...], pieces: int, size: float
+        self, service: str, zone: str, urgency: Urgency, pieces: int, size: float
     ) -> float:
         """Return the shortest wait of a service's workers in a zone, in seconds.
 
@@ -143,14 +145,14 @@
         ]
         return min(waits, default=capacity.full_call_seconds if capacity is not None else 0.0)
 
-    def coming_seconds(self, service: str) -> float:
+    def coming_seconds(self, service: str, rank: tuple[int, int]) -> float:
         """Return the time that a service needs for pieces which calls will still ask for."""
         capacity = self.capacity(service)
         workers = len(self._mirror.workers.usable(service))
         if capacity is None or not workers:
             return 0.0
-        pieces = self.committed.of(service)
-        pieces += self._fleet.told_backlog(service, time.monotonic())
+        pieces = self.committed.up_to(service, rank)
+        pieces += self._fleet.told_backlog(service, rank, time.monotonic())
         rate = workers * capacity.slots * capacity.batch / capacity.full_call_seconds
         return pieces / rate
 
--- a/src/corkcrank/gateway/opaque/stage_run.py
+++ b/src/corkcrank/gateway/opaque/stage_run.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field, replace
 
 from corkcrank.contracts.opaque_call import OpaqueCall
+from corkcrank.contracts.urgency import Urgency
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.gateway.opaque.peer_protocol import StageAnswer, StageWork
 from corkcrank.gateway.opaque.stage_dispatch import StageDispatch
@@ -16,6 +17,9 @@
 MAXIMUM_ROUNDS = 4
 """Times that the pieces of one stage are placed before the call is given up."""
 
+LATE_SHARE = 0.5
+"""Part of the objective by which a call that was begun may overrun it."""
+
 ROUND_PAUSE_SECONDS = 0.05
 """Pause before pieces that nobody took are placed again."""
 
@@ -52,6 +56,7 @@
     log: DecisionLog
     zone: str
     rest_seconds: float
+    returning: bool = False
     started: bool = False
     closed: bool = False
     shortest_wait: float = float("inf")
@@ -86,13 +91,13 @@
         for stage in self.plan.unfinished():
             self._committed.add(stage)
             service = self.plan.definition(stage).service
-            self.dispatch.committed.add(service, self.plan.counts[stage])
+            self.dispatch.committed.add(service, self.call.rank, self.plan.counts[stage])
 
     def _asked_for(self, stage: int) -> None:
         if stage in self._committed:
             self._committed.discard(stage)
             service = self.plan.definition(stage).service
-            self.dispatch.committed.take(service, self.plan.counts[stage])
+            self.dispatch.committed.take(service, self.call.rank, self.plan.counts[stage])
 
     def close(self) -> None:
         """Free every result that is still held."""
@@ -223,14 +228,21 @@
                     inputs[holder.zone] = inputs.get(holder.zone, 0.0) + pieces * size
         return inputs
 
-    def _urgency(self) -> tuple[float, ...]:
-        """Earliest due first, as seconds before the objective; ranks break ties."""
+    def _urgency(self) -> Urgency:
+        """Return the call's rank, and when its stages are due in seconds from now."""
         due = self.call.objective_at - time.monotonic() - self.rest_seconds
-        return (round(due, 3), *self.call.rank)
+        return Urgency(self.call.rank, round(due, 3))
 
     def _start_by(self, now: float) -> float:
-        """Before any work, only a start that keeps the objective is worth it."""
-        limit = self.call.end_at if self.started else self.call.objective_at
+        """Return the wait that is still worth it.
+
+        Before any work was begun, only a start that keeps the objective is. Later, a call
+        is given up that would hold room and workers long after its objective.
+        """
+        limit = self.call.objective_at
+        if self.started or self.returning:
+            limit += LATE_SHARE * self.call.route.objective
+        limit = min(limit, self.call.end_at)
         return max(0.0, limit - now - self.rest_seconds)
 
 
@@ -240,7 +252,7 @@
     """Return what is known of some pieces before their inputs and their reader are."""
     definition = plan.definition(stage)
     due = call.objective_at - time.monotonic()
-    urgency = (round(due, 3), *call.rank)
+    urgency = Urgency(call.rank, round(due, 3))
     followers = [
         (plan.definition(reader), plan.counts[reader])
         for reader in plan.readers(stage)
--- a/src/corkcrank/gateway/opaque/stream_run.py
+++ b/src/corkcrank/gateway/opaque/stream_run.py
@@ -27,7 +27,7 @@
 from corkcrank.scheduling.stage_plan import StagePlan
 from corkcrank.scheduling.zone_weights import engine_weights
 
-ADMISSION_MARGIN = 1.0
+ADMISSION_MARGIN = 0.9
 """Share of the objective that a forecast may use."""
 
 LEAST_FIRST_EVENT_SECONDS = 1.2
@@ -166,7 +166,7 @@
         choice = dispatch.choose(replace(placing, reader_zone=reader_zone, ahead=None), ())
         if choice is None:
             return None
-        coming = dispatch.coming_seconds(placing.service)
+        coming = dispatch.coming_seconds(placing.service, self._call.rank)
         return LaneForecast(choice[1].start + coming, choice[1].end + coming)
 
     def _returning(self) -> bool:
@@ -187,6 +187,7 @@
                 self._services.log,
                 engine.zone,
                 self._engine_seconds(),
+                returning=self._returning(),
             )
         if self._plan.complete:
             return self._plan.final_handles()
--- a/src/corkcrank/machines/fleet.py
+++ b/src/corkcrank/machines/fleet.py
@@ -39,13 +39,28 @@
 
 
 class StageLoad(msgspec.Struct, frozen=True, array_like=True):
-    """What an owner tells of one stage worker: seconds until a new piece would start."""
+    """What an owner tells of one stage worker.
+
+    ``free_seconds`` is when a piece would start that goes before all that wait, and
+    ``starts`` when one of each waiting rank would, queued last of it.
+    """
 
     worker_id: str
-    start_seconds: float
+    free_seconds: float
+    starts: tuple[tuple[tuple[int, int], float], ...]
     waiting: int
     room_free: float
 
+    def start_seconds(self, rank: tuple[int, int]) -> float:
+        """Return when a new piece of a rank would start.
+
+        >>> load = StageLoad("w", 0.1, (((0, 0), 0.4), ((0, 2), 0.9)), 7, 0.0)
+        >>> load.start_seconds((0, 1)), load.start_seconds((0, 2))
+        (0.4, 0.9)
+        """
+        before = [start for waiting, start in self.starts if waiting <= rank]
+        return max(before, default=self.free_seconds)
+
 
 class CallLoad(msgspec.Struct, frozen=True, array_like=True):
     """A member's own calls in flight at one worker."""
@@ -58,6 +73,7 @@
     """Pieces that a member's admitted calls will still ask of a stage service."""
 
     service: str
+    rank: tuple[int, int]
     pieces: int
 
 
@@ -159,13 +175,13 @@
                 names.append(self.own_name)
         return max(names, key=lambda name: rendezvous_weight(worker.worker_id, name))
 
-    def told_backlog(self, service: str, now: float) -> int:
-        """Return the pieces that the other members' calls will still ask of a service."""
+    def told_backlog(self, service: str, rank: tuple[int, int], now: float) -> int:
+        """Return the pieces up to a rank that the others' calls will still ask for."""
         return sum(
             backlog.pieces
             for member in self.live(now)
             for backlog in member.heartbeat.backlogs
-            if backlog.service == service
+            if backlog.service == service and backlog.rank <= rank
         )
 
     def newest_configuration(self, now: float) -> Member | None:
--- a/src/corkcrank/scheduling/call_admission.py
+++ b/src/corkcrank/scheduling/call_admission.py
@@ -14,6 +14,9 @@
 RETURNING_SHARE = 0.97
 """A caller that gives less of the route's timeout than this has probably come back."""
 
+RETURNING_MARGIN = 1.4
+"""Share of the objective that the forecast of such a caller may use."""
+
 SHORTEST_RETRY = 0.1
 """Shortest time after which a refused caller is told to come back, in seconds."""
 
@@ -84,8 +87,8 @@
     """Return whether a call may begin.
 
     ``objective_seconds`` and ``left_seconds`` are from now. ``margin`` is the share of the
-    objective that forecasts may use. A caller that has come back is admitted as long as
-    it can be served at all.
+    objective that forecasts may use; a caller that has come back may be served later, so
+    that it is not refused again.
 
     >>> admit(ChainForecast(0.5, 0.1), 0.3, 1.6, 8.0, 1.0, returning=False).admitted
     True
@@ -94,7 +97,8 @@
     (False, 0.7)
     """
     needed = chain.end + engine_seconds
-    limit = left_seconds if returning else min(objective_seconds * margin, left_seconds)
+    share = RETURNING_MARGIN if returning else margin
+    limit = min(objective_seconds * share, left_seconds)
     slack = limit - needed
     if slack >= 0:
         return AdmissionVerdict(True, needed, slack)
--- a/src/corkcrank/scheduling/stage_choice.py
+++ b/src/corkcrank/scheduling/stage_choice.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
+from corkcrank.contracts.urgency import Urgency
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.scheduling.stage_lane import LaneForecast
 from corkcrank.scheduling.worker_choice import StandingBook
@@ -32,7 +33,7 @@
     service: str
     pieces: int
     size: float
-    urgency: tuple[float, ...]
+    urgency: Urgency
     end_by: float = float("inf")
     inputs: Mapping[str, float] = field(default_factory=dict)
     reader_zone: str = ""
@@ -41,7 +42,7 @@
     def moved_bytes(self, zone: str) -> float:
         """Return the bytes that cross between zones if the pieces are made in ``zone``.
 
-        >>> placing = StagePlacing("s", 2, 5.0, (0.0,), inputs={"a": 7.0}, reader_zone="b")
+        >>> placing = StagePlacing("s", 2, 5.0, Urgency((0, 0), 1.0), inputs={"a": 7.0}, reader_zone="b")
         >>> placing.moved_bytes("a"), placing.moved_bytes("b")
         (10.0, 7.0)
         """
--- a/src/corkcrank/scheduling/stage_lane.py
+++ b/src/corkcrank/scheduling/stage_lane.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from corkcrank.contracts.opaque_configuration import StageCapacity
+from corkcrank.contracts.urgency import Urgency
 from corkcrank.links.platform_ports import PieceOrder, PieceOutcome, PieceResult
 
 PACE_WEIGHT = 0.2
@@ -44,13 +45,13 @@
 class PieceTicket:
     """One piece that waits for its turn.
 
-    ``urgency`` orders the queue, lowest first; its first item is when the piece should
+    ``urgency`` orders the queue, lowest first; it tells when the piece should
     have ended. ``start_by`` is when it is no longer worth starting.
     """
 
     order: PieceOrder
     result_bytes: float
-    urgency: tuple[float, ...]
+    urgency: Urgency
     start_by: float
     end_at: float
     submitted_at: float
@@ -221,19 +222,17 @@
         if held is not None:
             self.mean_hold += HOLD_WEIGHT * ((now - held.made_at) - self.mean_hold)
 
-    def forecast(
-        self, now: float, urgency: tuple[float, ...], pieces: int, size: float
-    ) -> LaneForecast:
+    def forecast(self, now: float, urgency: Urgency, pieces: int, size: float) -> LaneForecast:
         """Return when ``pieces`` of ``size`` bytes each would start and end.
 
         The last of them counts. Room is forecast by the mean time that results hold it.
         """
         limit = now + self.call_seconds(1)
-        own_order = (urgency[0] < limit, urgency)
+        own_order = (urgency.due < limit, urgency)
         ahead = [
             ticket
             for ticket in self._queue
-            if (ticket.urgency[0] < limit, ticket.urgency) <= own_order
+            if (ticket.urgency.due < limit, ticket.urgency) <= own_order
         ]
         position = len(ahead) + pieces
         calls_before = (position - 1) // self.capacity.batch
@@ -244,6 +243,10 @@
         behind = min(self.capacity.batch, last + max(0, len(self._queue) - len(ahead)))
         return LaneForecast(start, start + self.call_seconds(behind))
 
+    def ranks_waiting(self) -> list[tuple[int, int]]:
+        """Return the ranks that wait, the most urgent first."""
+        return sorted({ticket.urgency.rank for ticket in self._queue})
+
     def next_event_at(self, now: float) -> float | None:
         """Return when the lane next changes by itself: a late piece, a result, a block."""
         if not self._queue:
@@ -266,8 +269,8 @@
         Serving what is late already, because it is due first, would make the rest late.
         """
         limit = now + self.call_seconds(1)
-        in_time = [ticket for ticket in self._queue if ticket.urgency[0] >= limit]
-        late = [ticket for ticket in self._queue if ticket.urgency[0] < limit]
+        in_time = [ticket for ticket in self._queue if ticket.urgency.due >= limit]
+        late = [ticket for ticket in self._queue if ticket.urgency.due < limit]
         return in_time + late
 
     def _first_free(self, now: float) -> float:
@@ -355,5 +358,5 @@
     return list(groups.values())
 
 
-def _queue_order(ticket: PieceTicket) -> tuple[tuple[float, ...], int]:
+def _queue_order(ticket: PieceTicket) -> tuple[Urgency, int]:
     return ticket.urgency, ticket.sequence
