Trial: read long prompts on half of each zone's engines

Change: routes with long prompts are told apart by measurement and kept on a part of the engines. The log tells the longest pause of each stream.

--- a/src/corkcrank/gateway/opaque/stream_relay.py
+++ b/src/corkcrank/gateway/opaque/stream_relay.py
@@ -43,6 +43,8 @@
         self._response: web.StreamResponse | None = None
         self._last_id: int | None = None
         self.started = False
+        self.longest_pause = 0.0
+        self._sent_at: float | None = None
         self.on_first_event: Callable[[], None] = lambda: None
 
     @property
@@ -124,10 +126,17 @@
                 self.started = True
             self.on_first_event()
             self.on_first_event = _nothing
+            self._note_pause()
             response = await self._prepare(upstream)
             await response.write(b"".join(data))
         return whole
 
+    def _note_pause(self) -> None:
+        now = time.monotonic()
+        if self._sent_at is not None:
+            self.longest_pause = max(self.longest_pause, now - self._sent_at)
+        self._sent_at = now
+
     def _follows(self, event: StreamEvent) -> bool:
         if event.event_id is None or self._last_id is None:
             return True
--- a/src/corkcrank/gateway/opaque/stream_run.py
+++ b/src/corkcrank/gateway/opaque/stream_run.py
@@ -23,6 +23,7 @@
     admit,
     forecast_chain,
 )
+from corkcrank.scheduling.prefill_isolation import isolation_weights
 from corkcrank.scheduling.stage_lane import LaneForecast
 from corkcrank.scheduling.stage_plan import StagePlan
 from corkcrank.scheduling.zone_weights import engine_weights
@@ -48,6 +49,8 @@
 
     async def run(self) -> web.StreamResponse | Refusal:
         """Return the finished answer, or why there is none."""
+        tokens = self._call.envelope.prompt.tokens_in
+        self._services.prompt_sizes.learn(self._call.route.name, tokens)
         engines = self._rank_engines()
         if not engines:
             return Refusal(ResultCode.NO_BACKEND, retry_after=SHORTEST_RETRY * 3)
@@ -105,13 +108,19 @@
         workers = self._services.mirror.workers
         engines = workers.usable(call.service)
         stages = [workers.usable(stage.service) for stage in call.route.stages]
+        sizes = self._services.prompt_sizes
+        factors = isolation_weights(engines, long=sizes.is_long(call.route.name))
+        weights = {
+            worker_id: weight * factors[worker_id]
+            for worker_id, weight in engine_weights(engines, stages).items()
+        }
         return self._services.engines.rank(
             engines,
             call.envelope.prompt,
             self._services.book,
             time.monotonic(),
             call.workers_tried,
-            engine_weights(engines, stages),
+            weights,
         )
 
     def _still_usable(self, engine: WorkerRecord) -> WorkerRecord | None:
@@ -281,6 +290,12 @@
         )
 
     def _learn(self, engine: WorkerRecord) -> None:
+        self._services.log.write(
+            LogEvent.STREAM_ENDED,
+            call=self._call.call_id,
+            worker=engine.worker_id,
+            longest_pause=round(self._relay.longest_pause, 3),
+        )
         self._services.book.of(engine.worker_id).avoid_until = 0.0
 
     def _give_up(self) -> web.StreamResponse | Refusal:
--- a/src/corkcrank/links/decision_log.py
+++ b/src/corkcrank/links/decision_log.py
@@ -50,6 +50,7 @@
     CALL_ENDED = "Call: ended."
     HEAD = "Call: head of the answer."
     FIRST_EVENT = "Call: first event."
+    STREAM_ENDED = "Call: stream ended whole."
     STREAM_MOVED = "Call: stream taken up at another worker."
     STAGE_PLACED = "Stage: placed."
     STAGE_ENDED = "Stage: ended."
