Choose engines by what they still have to read, as the whole fleet knows it

Cause: an engine with several long prompts at once pauses its streams beyond 0.5 s, and no gateway knew what the others had sent there, nor which shared parts it keeps. Change: heartbeats tell prompt tokens unread and prefixes sent lately; an engine costs what it has to read, what of the prompt it does not keep, and what it would read again.

--- a/src/corkcrank/gateway/opaque/heartbeats.py
+++ b/src/corkcrank/gateway/opaque/heartbeats.py
@@ -7,6 +7,7 @@
 import aiohttp
 import msgspec
 
+from corkcrank.contracts.opaque_call import PrefixPart
 from corkcrank.gateway.opaque.peer_protocol import (
     CONFIGURATION_PATH,
     WORKERS_PATH,
@@ -17,10 +18,12 @@
 from corkcrank.links.datagrams import DatagramLink
 from corkcrank.links.decision_log import DecisionLog, LogEvent
 from corkcrank.links.platform_ports import StoreTable
-from corkcrank.machines.fleet import CallLoad, Fleet, Heartbeat, ServiceBacklog
+from corkcrank.machines.fleet import CallLoad, Fleet, Heartbeat, SentPrefix, ServiceBacklog
 from corkcrank.machines.store_mirror import StoreMirror
 from corkcrank.scheduling.committed_pieces import CommittedPieces
+from corkcrank.scheduling.engine_choice import EngineChooser
 from corkcrank.scheduling.peer_loads import PeerLoads
+from corkcrank.scheduling.prefix_news import PrefixNews
 from corkcrank.scheduling.worker_choice import StandingBook
 
 PULL_SECONDS = 0.2
@@ -49,7 +52,11 @@
         log: DecisionLog,
         random_source: random.Random,
         committed: CommittedPieces,
+        engines: EngineChooser,
+        prefix_news: PrefixNews,
     ) -> None:
+        self._engines = engines
+        self._prefix_news = prefix_news
         self._committed = committed
         self._fleet = fleet
         self._mirror = mirror
@@ -96,7 +103,7 @@
 
     def _heartbeat(self, now: float) -> Heartbeat:
         calls = [
-            CallLoad(worker_id, standing.in_flight)
+            CallLoad(worker_id, standing.in_flight, standing.reading)
             for worker_id, standing in self._book.items()
             if standing.in_flight
         ]
@@ -115,6 +122,7 @@
                 ServiceBacklog(service, rank, pieces)
                 for service, rank, pieces in self._committed.all()
             ),
+            prefixes=self._prefix_news.current(now),
         )
 
     def _take(self, data: bytes) -> None:
@@ -131,6 +139,19 @@
                 version=heartbeat.configuration_version,
             )
         self._loads.take(heartbeat.name, heartbeat.call_loads)
+        for prefix in heartbeat.prefixes:
+            self._take_prefix(prefix, now)
+
+    def _take_prefix(self, prefix: SentPrefix, now: float) -> None:
+        worker = self._mirror.workers.get(prefix.worker_id)
+        configuration = self._mirror.configuration
+        if worker is None or configuration is None:
+            return
+        profile = configuration.service(worker.service)
+        if profile is None or profile.engine is None:
+            return
+        parts = [PrefixPart(part_id, tokens) for part_id, tokens in prefix.parts]
+        self._engines.sent(prefix.worker_id, profile.engine.cache_tokens, parts, now)
 
     def _forget_silent(self) -> None:
         now = time.monotonic()
--- a/src/corkcrank/gateway/opaque/node.py
+++ b/src/corkcrank/gateway/opaque/node.py
@@ -121,6 +121,8 @@
             log,
             random_source,
             dispatch.committed,
+            self._engines,
+            self.services.prefix_news,
         )
         self._peer_server = PeerServer(
             self.desk, self.mirror, self.services.metrics.registry, self.dump
--- a/src/corkcrank/gateway/opaque/services.py
+++ b/src/corkcrank/gateway/opaque/services.py
@@ -15,6 +15,7 @@
 from corkcrank.scheduling.fetch_delay import FetchDelay
 from corkcrank.scheduling.fleet_retry_budget import FleetRetryBudget
 from corkcrank.scheduling.prefill_isolation import PromptSizes
+from corkcrank.scheduling.prefix_news import PrefixNews
 from corkcrank.scheduling.worker_choice import StandingBook
 
 TIME_WEIGHT = 0.15
@@ -63,6 +64,7 @@
     retry_window: float
     first_event_times: MeanTimes = field(default_factory=MeanTimes)
     plain_times: MeanTimes = field(default_factory=MeanTimes)
+    prefix_news: PrefixNews = field(default_factory=PrefixNews)
     prompt_sizes: PromptSizes = field(default_factory=PromptSizes)
     _fetch_delays: dict[str, FetchDelay] = field(default_factory=dict)
     _budgets: dict[str, FleetRetryBudget] = field(default_factory=dict)
--- a/src/corkcrank/gateway/opaque/stream_run.py
+++ b/src/corkcrank/gateway/opaque/stream_run.py
@@ -23,9 +23,11 @@
     admit,
     forecast_chain,
 )
-from corkcrank.scheduling.prefill_isolation import isolation_weights
+from corkcrank.scheduling.engine_choice import EngineQuestion
+from corkcrank.scheduling.prefill_isolation import isolation_penalties
 from corkcrank.scheduling.stage_lane import LaneForecast
 from corkcrank.scheduling.stage_plan import StagePlan
+from corkcrank.scheduling.worker_choice import WorkerStanding
 from corkcrank.scheduling.zone_weights import engine_weights
 
 ADMISSION_MARGIN = 0.9
@@ -44,8 +46,9 @@
         self._relay = StreamRelay(call, services, request)
         self._plan = StagePlan(call.route.stages, call.envelope.piece_counts)
         self._stages: StageRun | None = None
-        self._began_work = False
         self._may_have_run = False
+        self._assigned: WorkerStanding | None = None
+        self._unread = 0
 
     async def run(self) -> web.StreamResponse | Refusal:
         """Return the finished answer, or why there is none."""
@@ -57,17 +60,37 @@
         engine = self._admit(engines)
         if isinstance(engine, Refusal):
             return engine
-        standing = self._services.book.of(engine.worker_id)
-        standing.in_flight += 1
+        self._assign(engine)
         try:
             return await self._run_admitted(engine)
         except StageFailedError as error:
             return self._stage_refusal(error)
         finally:
-            standing.in_flight -= 1
+            self._unassign()
             if self._stages is not None:
                 self._stages.close()
 
+    def _assign(self, engine: WorkerRecord) -> None:
+        """Count the call, and what is to be read of its prompt, at an engine."""
+        self._unassign()
+        standing = self._services.book.of(engine.worker_id)
+        unread = self._services.engines.unread_tokens(engine.worker_id, self._call.envelope.prompt)
+        standing.in_flight += 1
+        standing.reading += unread
+        self._assigned, self._unread = standing, unread
+
+    def _has_read(self) -> None:
+        """Count the prompt as read."""
+        if self._assigned is not None:
+            self._assigned.reading -= self._unread
+            self._unread = 0
+
+    def _unassign(self) -> None:
+        if self._assigned is not None:
+            self._has_read()
+            self._assigned.in_flight -= 1
+            self._assigned = None
+
     async def _run_admitted(self, engine: WorkerRecord) -> web.StreamResponse | Refusal:
         call = self._call
         service = call.service
@@ -76,7 +99,9 @@
             current = self._still_usable(engine)
             if current is None:
                 break
-            engine = current
+            if current is not engine:
+                engine = current
+                self._assign(engine)
             now = time.monotonic()
             if now >= call.end_at:
                 break
@@ -108,20 +133,14 @@
         workers = self._services.mirror.workers
         engines = workers.usable(call.service)
         stages = [workers.usable(stage.service) for stage in call.route.stages]
-        sizes = self._services.prompt_sizes
-        factors = isolation_weights(engines, long=sizes.is_long(call.route.name))
-        weights = {
-            worker_id: weight * factors[worker_id]
-            for worker_id, weight in engine_weights(engines, stages).items()
-        }
-        return self._services.engines.rank(
-            engines,
-            call.envelope.prompt,
-            self._services.book,
-            time.monotonic(),
-            call.workers_tried,
-            weights,
+        long = self._services.prompt_sizes.is_long(call.route.name)
+        question = EngineQuestion(
+            prompt=call.envelope.prompt,
+            excluded=call.workers_tried,
+            weights=engine_weights(engines, stages),
+            penalties=isolation_penalties(engines, long=long),
         )
+        return self._services.engines.rank(engines, question, self._services.book, time.monotonic())
 
     def _still_usable(self, engine: WorkerRecord) -> WorkerRecord | None:
         record = self._services.mirror.workers.get(engine.worker_id)
@@ -214,8 +233,10 @@
     async def _attempt(self, engine: WorkerRecord, inputs: tuple[str, ...]) -> Attempt:
         call = self._call
         now = time.monotonic()
-        profile = self._engine_tokens()
-        self._services.engines.sent(engine, profile, call.envelope.prompt, now)
+        prompt = call.envelope.prompt
+        capacity = self._engine_tokens()
+        self._services.engines.sent(engine.worker_id, capacity, prompt.shared_parts, now)
+        self._services.prefix_news.add(engine.worker_id, prompt, now)
         self._relay.on_first_event = self._first_event(now)
         timer = self._free_after_fetch(engine)
         try:
@@ -247,6 +268,7 @@
     def _first_event(self, sent_at: float) -> Callable[[], None]:
         def note() -> None:
             seconds = time.monotonic() - sent_at
+            self._has_read()
             self._services.first_event_times.learn(self._call.service, seconds)
             self._services.fetch_delay(self._call.service).found()
             self._services.log.write(
--- a/src/corkcrank/machines/fleet.py
+++ b/src/corkcrank/machines/fleet.py
@@ -63,10 +63,18 @@
 
 
 class CallLoad(msgspec.Struct, frozen=True, array_like=True):
-    """A member's own calls in flight at one worker."""
+    """A member's own calls in flight at one worker, and their prompt tokens unread."""
 
     worker_id: str
     in_flight: int
+    reading: int = 0
+
+
+class SentPrefix(msgspec.Struct, frozen=True, array_like=True):
+    """Shared parts of a prompt, as id and tokens, that a member sent to an engine."""
+
+    worker_id: str
+    parts: tuple[tuple[str, int], ...]
 
 
 class ServiceBacklog(msgspec.Struct, frozen=True, array_like=True):
@@ -91,6 +99,7 @@
     stage_loads: tuple[StageLoad, ...] = ()
     call_loads: tuple[CallLoad, ...] = ()
     backlogs: tuple[ServiceBacklog, ...] = ()
+    prefixes: tuple[SentPrefix, ...] = ()
 
 
 @dataclass(slots=True)
--- a/src/corkcrank/scheduling/engine_choice.py
+++ b/src/corkcrank/scheduling/engine_choice.py
@@ -1,27 +1,34 @@
-"""Choice of a model engine: cached prefix against load against failures.
+"""Choice of a model engine by what it would have to read before the call's first event.
 
-Each gateway remembers which shared parts it sent where. A prompt whose parts it has not
-seen goes to the engine with the highest rendezvous hash of its last shared part, so all
-gateways choose the same one without a word. An engine above the load bound is passed over.
+The cost of an engine is the prompt tokens that it still has to read for calls sent before,
+and those of the new prompt that it does not keep. Gateways tell each other which shared
+parts they sent where and what is still unread, so the view is the fleet's, some hundred
+milliseconds old. Ties go to the highest rendezvous hash, the same one in every gateway.
 """
 
 from collections import OrderedDict
-from collections.abc import Collection, Mapping, Sequence
-from dataclasses import dataclass
+from collections.abc import Collection, Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
 
-from corkcrank.contracts.opaque_call import PromptShape
+from corkcrank.contracts.opaque_call import PrefixPart, PromptShape
 from corkcrank.contracts.rendezvous import weighted_rendezvous
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.scheduling.worker_choice import StandingBook, WorkerStanding
 
-LOAD_BOUND = 1.5
-"""An engine above this multiple of the mean load, plus the margin, is passed over."""
+READ_AGAIN_FACTOR = 1.0
+"""Tokens that another engine keeps, and this one would read again, count this much more."""
 
-LOAD_MARGIN = 3.0
-"""Calls above the bounded mean that an engine may always have."""
+KEPT_ELSEWHERE_SECONDS = 10.0
+"""Time for which a part that another engine read counts as kept there."""
 
-FAILURE_LOAD = 8.0
-"""Calls that one remembered failure counts as."""
+FAILURE_TOKENS = 6_000.0
+"""Tokens that one remembered failure counts as."""
+
+CALL_TOKENS = 60.0
+"""Tokens that each call in flight counts as: every step takes longer with it."""
+
+TIE_TOKENS = 400.0
+"""Costs that differ by less are equal; the hash decides."""
 
 
 @dataclass(slots=True)
@@ -38,18 +45,23 @@
         self._parts: OrderedDict[str, _CachedPart] = OrderedDict()
         self._tokens = 0
 
-    def cached_tokens(self, prompt: PromptShape) -> int:
+    def cached_tokens(self, parts: Iterable[PrefixPart]) -> int:
         """Return the tokens of the leading parts that are kept."""
         tokens = 0
-        for part in prompt.shared_parts:
+        for part in parts:
             if part.part_id not in self._parts:
                 break
             tokens += part.tokens
         return tokens
 
-    def touch(self, prompt: PromptShape, now: float) -> None:
-        """Note that the engine reads this prompt now."""
-        for part in prompt.shared_parts:
+    def used_since(self, part_id: str, since: float) -> bool:
+        """Return whether a part was sent after a time."""
+        known = self._parts.get(part_id)
+        return known is not None and known.used_at >= since
+
+    def touch(self, parts: Iterable[PrefixPart], now: float) -> None:
+        """Note that the engine reads these parts now."""
+        for part in parts:
             known = self._parts.pop(part.part_id, None)
             if known is None:
                 self._tokens += part.tokens
@@ -59,8 +71,22 @@
             self._tokens -= dropped.tokens
 
 
+@dataclass(frozen=True, slots=True)
+class EngineQuestion:
+    """What a choice depends on beside the engines' own state.
+
+    ``weights`` gives each engine's share of new prompts, ``penalties`` tokens that count
+    against it, both by worker id.
+    """
+
+    prompt: PromptShape
+    excluded: Collection[str] = ()
+    weights: Mapping[str, float] = field(default_factory=dict)
+    penalties: Mapping[str, float] = field(default_factory=dict)
+
+
 class EngineChooser:
-    """Chooses engines for prompts and remembers what was sent where."""
+    """Ranks engines for prompts and remembers what was sent where."""
 
     def __init__(self) -> None:
         self._memories: dict[str, PrefixMemory] = {}
@@ -68,49 +94,37 @@
     def rank(
         self,
         engines: Sequence[WorkerRecord],
-        prompt: PromptShape,
+        question: EngineQuestion,
         book: StandingBook,
         now: float,
-        excluded: Collection[str],
-        weights: Mapping[str, float],
     ) -> list[WorkerRecord]:
-        """Return the usable engines, the preferred first, overloaded ones last.
-
-        ``weights`` gives each engine's share of the prompts, by worker id.
-        """
+        """Return the usable engines, the cheapest first."""
         usable = [
             engine
             for engine in engines
-            if engine.worker_id not in excluded and not book.of(engine.worker_id).leaving
+            if engine.worker_id not in question.excluded and not book.of(engine.worker_id).leaving
         ]
-        if not usable:
-            return []
-        loads = {engine.worker_id: _load(book.of(engine.worker_id), now) for engine in usable}
-        bound = LOAD_MARGIN + LOAD_BOUND * sum(loads.values()) / len(usable)
-        affinity = _affinity(prompt)
-
-        def order(engine: WorkerRecord) -> tuple[bool, float]:
-            worker_id = engine.worker_id
-            if not affinity:
-                return False, loads[worker_id]
-            weight = weights.get(worker_id, 1.0)
-            score = weighted_rendezvous(affinity, worker_id, weight)
-            overloaded = loads[worker_id] > bound
-            return overloaded, loads[worker_id] if overloaded else -score
+        affinity = _affinity(question.prompt)
+
+        def order(engine: WorkerRecord) -> tuple[int, float]:
+            cost = self._cost(engine, usable, question, book.of(engine.worker_id), now)
+            weight = question.weights.get(engine.worker_id, 1.0)
+            return int(cost / TIE_TOKENS), -weighted_rendezvous(affinity, engine.worker_id, weight)
 
         return sorted(usable, key=order)
 
-    def sent(self, engine: WorkerRecord, capacity: int, prompt: PromptShape, now: float) -> None:
-        """Remember that an engine reads this prompt."""
-        memory = self._memories.get(engine.worker_id)
-        if memory is None:
-            memory = self._memories[engine.worker_id] = PrefixMemory(capacity)
-        memory.touch(prompt, now)
+    def unread_tokens(self, worker_id: str, prompt: PromptShape) -> int:
+        """Return the tokens of a prompt that an engine is believed not to keep."""
+        memory = self._memories.get(worker_id)
+        kept = memory.cached_tokens(prompt.shared_parts) if memory is not None else 0
+        return max(0, _whole_tokens(prompt) - kept)
 
-    def cached_tokens(self, engine: WorkerRecord, prompt: PromptShape) -> int:
-        """Return the tokens of a prompt that an engine is believed to keep."""
-        memory = self._memories.get(engine.worker_id)
-        return memory.cached_tokens(prompt) if memory is not None else 0
+    def sent(self, worker_id: str, capacity: int, parts: Iterable[PrefixPart], now: float) -> None:
+        """Remember that an engine reads these shared parts."""
+        memory = self._memories.get(worker_id)
+        if memory is None:
+            memory = self._memories[worker_id] = PrefixMemory(capacity)
+        memory.touch(parts, now)
 
     def forget_all_but(self, worker_ids: Collection[str]) -> None:
         """Drop the memory of engines that are no longer listed."""
@@ -118,15 +132,49 @@
             if worker_id not in worker_ids:
                 del self._memories[worker_id]
 
+    def _cost(
+        self,
+        engine: WorkerRecord,
+        engines: Sequence[WorkerRecord],
+        question: EngineQuestion,
+        standing: WorkerStanding,
+        now: float,
+    ) -> float:
+        calls = standing.in_flight + standing.peers_in_flight
+        cost = standing.reading + standing.peers_reading + CALL_TOKENS * calls
+        cost += self.unread_tokens(engine.worker_id, question.prompt)
+        cost += READ_AGAIN_FACTOR * self._kept_elsewhere(engine, engines, question.prompt, now)
+        cost += FAILURE_TOKENS * standing.recent_failures(now)
+        if standing.avoid_until > now:
+            cost += FAILURE_TOKENS
+        return cost + question.penalties.get(engine.worker_id, 0.0)
+
+    def _kept_elsewhere(
+        self,
+        engine: WorkerRecord,
+        engines: Sequence[WorkerRecord],
+        prompt: PromptShape,
+        now: float,
+    ) -> int:
+        """Return the tokens that this engine would read again after another one did."""
+        since = now - KEPT_ELSEWHERE_SECONDS
+        own = self._memories.get(engine.worker_id)
+        tokens = 0
+        for part in prompt.shared_parts:
+            if own is not None and own.used_since(part.part_id, since):
+                continue
+            others = (self._memories.get(item.worker_id) for item in engines)
+            if any(item is not None and item.used_since(part.part_id, since) for item in others):
+                tokens += part.tokens
+        return tokens
+
+
+def _whole_tokens(prompt: PromptShape) -> int:
+    return max(prompt.tokens_in, sum(part.tokens for part in prompt.parts))
+
 
 def _affinity(prompt: PromptShape) -> str:
     """Return the last shared part, which a session's prompts have in common."""
     if not prompt.parts:
         return ""
     return prompt.parts[max(0, len(prompt.parts) - 2)].part_id
-
-
-def _load(standing: WorkerStanding, now: float) -> float:
-    calls = standing.in_flight + standing.peers_in_flight
-    avoided = FAILURE_LOAD if standing.avoid_until > now else 0.0
-    return calls + avoided + FAILURE_LOAD * standing.recent_failures(now)
--- a/src/corkcrank/scheduling/prefill_isolation.py
+++ b/src/corkcrank/scheduling/prefill_isolation.py
@@ -16,8 +16,8 @@
 LONG_FACTOR = 1.8
 """A route is long if its mean prompt is this multiple of the mean over all calls."""
 
-OTHER_SIDE_WEIGHT = 0.001
-"""Weight of an engine of the other side: taken only when none of the own side is left."""
+OTHER_SIDE_TOKENS = 12_000.0
+"""Prompt tokens that count against an engine of the other side."""
 
 
 class PromptSizes:
@@ -65,12 +65,13 @@
     return frozenset(chosen)
 
 
-def isolation_weights(engines: Sequence[WorkerRecord], *, long: bool) -> dict[str, float]:
-    """Return a factor for each engine's weight, by id."""
+def isolation_penalties(engines: Sequence[WorkerRecord], *, long: bool) -> dict[str, float]:
+    """Return the tokens that count against engines of the other side, by id."""
     readers = long_prompt_engines(engines)
     if not readers:
-        return {engine.worker_id: 1.0 for engine in engines}
+        return {}
     return {
-        engine.worker_id: 1.0 if (engine.worker_id in readers) == long else OTHER_SIDE_WEIGHT
+        engine.worker_id: OTHER_SIDE_TOKENS
         for engine in engines
+        if (engine.worker_id in readers) != long
     }
--- a/src/corkcrank/scheduling/worker_choice.py
+++ b/src/corkcrank/scheduling/worker_choice.py
@@ -18,10 +18,15 @@
 
 @dataclass(slots=True)
 class WorkerStanding:
-    """What this gateway knows of one worker by its own calls and its peers' words."""
+    """What this gateway knows of one worker by its own calls and its peers' words.
+
+    ``reading`` counts prompt tokens of calls that have no first event yet.
+    """
 
     in_flight: int = 0
     peers_in_flight: int = 0
+    reading: int = 0
+    peers_reading: int = 0
     failures: list[float] = field(default_factory=list)
     avoid_until: float = 0.0
     leaving: bool = False
