Take the newest of several configurations in one answer of the feed

Ruled out: the silent store (probed again within 0.5 s) and peers (all had taken 7). Change: the row with the highest revision counts; what the parser rejects is answered with a numbered code.

--- a/src/corkcrank/gateway/opaque/caller_server.py
+++ b/src/corkcrank/gateway/opaque/caller_server.py
@@ -14,6 +14,8 @@
 from aiohttp.web_protocol import RequestHandler
 
 from corkcrank.contracts.opaque_configuration import RequestLimits
+from corkcrank.contracts.result_codes import ResultCode
+from corkcrank.gateway.opaque.refusals import Refusal
 
 SWEEP_SECONDS = 0.25
 """Time between looks at connections that rest or send their head too slowly."""
@@ -57,6 +59,19 @@
         elif not self.busy and self.head_since is None and data:
             self.head_since = time.monotonic()
 
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answer what the parser rejects with a numbered code, and close."""
+        if request.writer.output_size > 0:
+            raise ConnectionError("the answer has begun; it can only be broken off")
+        code = ResultCode.MALFORMED_REQUEST if status < 500 else ResultCode.INTERNAL_ERROR
+        return Refusal(code, message or "", close=True).response()
+
     def begin(self) -> None:
         """Note that a request is being handled."""
         self.busy = True
--- a/src/corkcrank/platform/documents.py
+++ b/src/corkcrank/platform/documents.py
@@ -115,15 +115,21 @@
     """Reads rows of the store into corkcrank's own types."""
 
     def configuration(self, rows: Sequence[StoreRow]) -> OpaqueConfiguration | str | None:
-        """Return the configuration among rows; ``None`` if none is there, or what is wrong."""
-        for row in rows:
-            if row.key != names.CONFIGURATION_KEY or row.value is None:
-                continue
-            try:
-                return _configuration(msgspec.json.decode(row.value, type=_Configuration))
-            except (msgspec.DecodeError, KeyError) as error:
-                return str(error)
-        return None
+        """Return the newest configuration among rows; ``None`` if there is none, or what is wrong.
+
+        One answer of the feed may hold several changes of the same row.
+        """
+        newest = max(
+            (row for row in rows if row.key == names.CONFIGURATION_KEY and row.value is not None),
+            key=lambda row: row.revision,
+            default=None,
+        )
+        if newest is None or newest.value is None:
+            return None
+        try:
+            return _configuration(msgspec.json.decode(newest.value, type=_Configuration))
+        except (msgspec.DecodeError, KeyError) as error:
+            return str(error)
 
     def worker(self, row: StoreRow) -> WorkerRecord | None:
         """Return the worker of a row, or ``None`` where it is gone or unreadable."""
--- a/src/corkcrank/scheduling/stage_choice.py
+++ b/src/corkcrank/scheduling/stage_choice.py
@@ -42,7 +42,8 @@
     def moved_bytes(self, zone: str) -> float:
         """Return the bytes that cross between zones if the pieces are made in ``zone``.
 
-        >>> placing = StagePlacing("s", 2, 5.0, Urgency((0, 0), 1.0), inputs={"a": 7.0}, reader_zone="b")
+        >>> urgency = Urgency((0, 0), 1.0)
+        >>> placing = StagePlacing("s", 2, 5.0, urgency, inputs={"a": 7.0}, reader_zone="b")
         >>> placing.moved_bytes("a"), placing.moved_bytes("b")
         (10.0, 7.0)
         """
--- /dev/null
+++ b/tests/platform/node_world.py
@@ -0,0 +1,194 @@
+"""One or more real gateways before stand-ins, in one loop, on loopback addresses."""
+
+import asyncio
+import itertools
+import random
+import socket
+import time
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+import aiohttp
+from platform_standins import StandinStageWorker, StandinStore, StandinWorker
+
+from corkcrank.contracts.node_settings import (
+    NodeBoundSettings,
+    NodePeerSettings,
+    NodeProcessSettings,
+    NodeSettings,
+    NodeStoreSettings,
+)
+from corkcrank.gateway.opaque.node import Node
+from corkcrank.links.decision_log import DecisionLog
+from corkcrank.platform.ports import connect
+
+HOST = "calls.example"
+KEY = "key-of-tenant"
+CONDITION_SECONDS = 10.0
+
+_call_ids = itertools.count(1)
+
+
+def call_id() -> str:
+    return f"{next(_call_ids):016x}"
+
+
+async def until(condition: Callable[[], bool], seconds: float = CONDITION_SECONDS) -> None:
+    """Wait until a condition holds; fail if it never does."""
+    give_up = time.monotonic() + seconds
+    while not condition():
+        assert time.monotonic() < give_up, "the condition never held"
+        await asyncio.sleep(0.005)
+
+
+def free_ports(ip: str, count: int) -> list[int]:
+    """Return neighbouring free ports of an address."""
+    for base in range(20_000 + random.Random().randrange(20_000), 60_000, count):
+        sockets = []
+        try:
+            for port in range(base, base + count):
+                for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                    item = socket.socket(socket.AF_INET, kind)
+                    sockets.append(item)
+                    item.bind((ip, port))
+            return list(range(base, base + count))
+        except OSError:
+            continue
+        finally:
+            for item in sockets:
+                item.close()
+    raise AssertionError("no free ports")
+
+
+def route(name: str, kind: str, service: str, **fields: Any) -> dict[str, Any]:
+    return {
+        "name": name,
+        "hostname": HOST,
+        "path_prefix": f"/{name}/",
+        "route_type": kind,
+        "timeout_ms": 4_000,
+        "target_latency_ms": 1_500,
+        "priority": 0,
+        "service": service,
+        "max_attempts": 2,
+        "anonymous": False,
+        **fields,
+    }
+
+
+def stage_service(name: str, **fields: Any) -> dict[str, Any]:
+    segments = {
+        "slots": 1,
+        "queue": 2,
+        "batch": 4,
+        "call_ms": 20.0,
+        "item_ms": 2.0,
+        "headroom_mb": 10.0,
+        "handle_s": 4.0,
+        "link_mbps": 10_000,
+        **fields,
+    }
+    return {"name": name, "health_path": "/healthz", "segments": segments}
+
+
+def configuration(version: int, routes: list[dict[str, Any]], **fields: Any) -> dict[str, Any]:
+    services = [
+        {"name": "plain", "health_path": "/healthz", "max_connections": 50},
+        {"name": "model", "engine": {"slots": 16, "kv_capacity": 100_000}},
+        stage_service("encode"),
+        stage_service("rerank"),
+    ]
+    return {
+        "version": version,
+        "routes": routes,
+        "services": services,
+        "limits": {
+            "max_header_bytes": 4_096,
+            "max_body_bytes": 10_000,
+            "header_timeout_ms": 300,
+            "idle_timeout_ms": 600,
+        },
+        "tenants": [{"name": "tenant", "api_keys": [KEY], "priority": 1}],
+        **fields,
+    }
+
+
+@dataclass
+class World:
+    """The stand-ins and the gateways of one test."""
+
+    store: StandinStore
+    nodes: list[Node] = field(default_factory=list)
+    session: aiohttp.ClientSession | None = None
+
+    def address(self, number: int = 0) -> str:
+        return self.nodes[number]._settings.process.caller_address
+
+    async def call(
+        self, path: str, *, number: int = 0, method: str = "POST", **options: Any
+    ) -> aiohttp.ClientResponse:
+        """Send a call like a client: own attempt id, key, deadline."""
+        headers = {
+            "Host": HOST,
+            "X-Corkcrank-Attempt-Id": options.pop("attempt", call_id()),
+            "X-Corkcrank-Deadline-Ms": "4000",
+            "X-Corkcrank-Credential": KEY,
+            **options.pop("headers", {}),
+        }
+        assert self.session is not None
+        response = await self.session.request(
+            method, f"http://{self.address(number)}{path}", headers=headers, **options
+        )
+        return response
+
+
+def settings_for(
+    ip: str, zone: str, store: str, seeds: tuple[str, ...], **bounds: Any
+) -> NodeSettings:
+    ports = free_ports(ip, 4)
+    return NodeSettings(
+        process=NodeProcessSettings(
+            name=f"node-{ip}",
+            zone=zone,
+            ip=ip,
+            caller_address=f"{ip}:{ports[0]}",
+            readiness_address=f"{ip}:{ports[1]}",
+            peer_ports=(ports[2], ports[3]),
+        ),
+        store=NodeStoreSettings(address=store, timeout=0.5),
+        peers=NodePeerSettings(seeds=seeds),
+        bounds=NodeBoundSettings(**bounds),
+    )
+
+
+@asynccontextmanager
+async def world(
+    document: dict[str, Any],
+    workers: dict[str, tuple[StandinWorker | StandinStageWorker, str]],
+    **bounds: Any,
+) -> AsyncIterator[World]:
+    """Run one gateway before a store and workers; ``workers`` maps a name to its service."""
+    store = StandinStore()
+    await store.server.start()
+    for worker, service in workers.values():
+        await worker.server.start()
+        store.put("servers", worker.worker_id, worker.entry(service))
+    store.put("op", "config", document)
+    bounds = {"grace": 1.0, **bounds}
+    settings = settings_for("127.0.0.1", "z1", store.server.address, (), **bounds)
+    async with aiohttp.ClientSession() as platform, aiohttp.ClientSession() as callers:
+        ports = connect(platform, settings.store.address, settings.store.timeout)
+        node = Node(settings, ports, DecisionLog(None, "test"), random.Random(7))
+        running = World(store, [node], callers)
+        await node.start()
+        try:
+            await until(lambda: node.ready)
+            yield running
+        finally:
+            if not node.life.draining:
+                await node.stop()
+            for worker, _ in workers.values():
+                await worker.server.stop()
+            await store.server.stop()
--- /dev/null
+++ b/tests/platform/platform_standins.py
@@ -0,0 +1,345 @@
+"""Small stand-ins of the platform's store, stage workers, engines and plain workers.
+
+They speak the published protocol on loopback, on the product's own models of nothing more
+than a dictionary, and can show each failure that a played day showed.
+"""
+
+import asyncio
+import base64
+import itertools
+import json
+import socket
+import struct
+from collections import deque
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+SEAL = "X-Corkcrank-Server-Seal"
+ATTEMPT = "X-Corkcrank-Attempt-Id"
+NOT_RUN = "X-Corkcrank-Not-Executed"
+INSTANCE = "X-Corkcrank-Instance-Id"
+EXPECT = "X-Corkcrank-Expect-Instance"
+
+_ids = itertools.count(1)
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+@dataclass
+class Server:
+    """An HTTP server on a free loopback port."""
+
+    handler: Handler
+    address: str = ""
+    _runner: web.ServerRunner | None = None
+
+    async def start(self, ip: str = "127.0.0.1") -> None:
+        server = web.Server(self.handler, handler_cancellation=True, access_log=None)
+        self._runner = web.ServerRunner(server, shutdown_timeout=0.1)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, ip, 0)
+        await site.start()
+        assert site._server is not None
+        port = site._server.sockets[0].getsockname()[1]  # type: ignore[attr-defined]
+        self.address = f"{ip}:{port}"
+
+    async def stop(self) -> None:
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+
+class StandinStore:
+    """Rows with revisions, a feed, and trouble to switch on."""
+
+    def __init__(self) -> None:
+        self.server = Server(self._handle)
+        self.revision = 1
+        self.rows: dict[tuple[str, str], tuple[bytes, int]] = {}
+        self.changes: list[tuple[str, str, bytes | None, int]] = []
+        self.oldest_revision = 0
+        self.refused: set[str] = set()
+        self.silent = False
+        self.calls: list[str] = []
+        self._changed = asyncio.Event()
+
+    def put(self, table: str, key: str, value: Any) -> None:
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self.revision += 1
+        self.rows[table, key] = (data, self.revision)
+        self._note(table, key, data)
+
+    def remove(self, table: str, key: str) -> None:
+        self.revision += 1
+        self.rows.pop((table, key), None)
+        self._note(table, key, None)
+
+    def forget_history(self) -> None:
+        self.changes.clear()
+        self.oldest_revision = self.revision
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _note(self, table: str, key: str, data: bytes | None) -> None:
+        self.changes.append((table, key, data, self.revision))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        self.calls.append(request.path)
+        if self.silent:
+            await asyncio.Event().wait()
+        if request.remote in self.refused:
+            return web.Response(status=503)
+        if request.path == "/rows-get":
+            return self._get(request.query["table"])
+        if request.path == "/rows-feed":
+            return await self._feed(request)
+        if request.path == "/rows-tx":
+            return await self._transaction(request)
+        return web.Response(status=404)
+
+    def _get(self, table: str) -> web.Response:
+        rows = [
+            {"table": table, "part": "", "key": key, "value": _encode(data), "ver": revision}
+            for (name, key), (data, revision) in sorted(self.rows.items())
+            if name == table
+        ]
+        return self._answer(rows=rows, more=False)
+
+    async def _feed(self, request: web.BaseRequest) -> web.Response:
+        table = request.query["table"]
+        since = int(request.query["since_revision"])
+        if since < self.oldest_revision:
+            return web.Response(status=410)
+        if not self._since(table, since):
+            changed = self._changed
+            try:
+                async with asyncio.timeout(int(request.query["wait_ms"]) / 1000):
+                    await changed.wait()
+            except TimeoutError:
+                pass
+            if since < self.oldest_revision:
+                return web.Response(status=410)
+        return self._answer(rows=self._since(table, since))
+
+    def _since(self, table: str, since: int) -> list[dict[str, Any]]:
+        found = []
+        for name, key, data, revision in self.changes:
+            if name == table and revision > since:
+                row: dict[str, Any] = {"table": table, "part": "", "key": key, "ver": revision}
+                row.update({"gone": True} if data is None else {"value": _encode(data)})
+                found.append(row)
+        return found
+
+    async def _transaction(self, request: web.BaseRequest) -> web.Response:
+        body = json.loads(await request.read())
+        for entry in body["put"]:
+            self.put(entry["table"], entry["key"], base64.b64decode(entry["value"]))
+        return self._answer()
+
+    def _answer(self, **fields: Any) -> web.Response:
+        body = {**fields, "ver": self.revision, "now_ms": 1}
+        return web.Response(body=json.dumps(body).encode(), content_type="application/json")
+
+
+def _encode(data: bytes) -> str:
+    return base64.b64encode(data).decode()
+
+
+@dataclass
+class Seen:
+    """A request as a worker got it."""
+
+    method: str
+    target: str
+    headers: CIMultiDict[str]
+    body: bytes
+
+
+@dataclass
+class StandinWorker:
+    """A worker of a plain service or a model engine.
+
+    ``faults`` are used up one by one, one for each request: ``full``, ``reset``,
+    ``no-seal``, ``foreign-id``, ``cut-chunk``, ``unframed-reset``, ``surplus``, ``hang``,
+    ``error``, ``gone`` and ``break-after-N`` for streams.
+    """
+
+    events: int = 0
+    faults: deque[str] = field(default_factory=deque)
+    worker_id: str = ""
+    seen: list[Seen] = field(default_factory=list)
+    left: int = 0
+    gap: float = 0.0
+    hold: asyncio.Event | None = None
+
+    def __post_init__(self) -> None:
+        self.worker_id = self.worker_id or f"i-{next(_ids):08x}"
+        self.server = Server(self._handle)
+
+    def entry(self, service: str, zone: str = "z1", state: str = "ready") -> dict[str, Any]:
+        return {
+            "service": service,
+            "address": self.server.address,
+            "zone": zone,
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "warmup_left_ms": 0,
+            "sequence": 1,
+        }
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        body = await request.read()
+        if request.headers.get(EXPECT) not in (None, self.worker_id):
+            return web.Response(status=421, headers={INSTANCE: self.worker_id})
+        fault = self.faults.popleft() if self.faults else ""
+        if fault == "full":
+            return web.Response(status=503, headers={NOT_RUN: "1", **self._ids(request)})
+        if fault == "gone":
+            return web.Response(status=409, headers={NOT_RUN: "1", **self._ids(request)})
+        self.seen.append(Seen(request.method, request.raw_path, CIMultiDict(request.headers), body))
+        try:
+            return await self._answer(request, fault)
+        except asyncio.CancelledError:
+            self.left += 1
+            raise
+
+    async def _answer(self, request: web.BaseRequest, fault: str) -> web.StreamResponse:
+        transport = request.transport
+        assert transport is not None
+        if fault == "hang":
+            await asyncio.Event().wait()
+        if self.hold is not None:
+            await self.hold.wait()
+        if fault == "reset":
+            transport.abort()
+            raise ConnectionResetError
+        if fault in ("unframed-reset", "surplus"):
+            return await self._raw(request, transport, fault)
+        if self.events:
+            return await self._stream(request, fault)
+        headers = self._head(request, fault)
+        if fault == "cut-chunk":
+            return await self._cut(request, headers)
+        status = 500 if fault == "error" else 200
+        return web.Response(
+            status=status, body=b"answer of " + self.worker_id.encode(), headers=headers
+        )
+
+    async def _stream(self, request: web.BaseRequest, fault: str) -> web.StreamResponse:
+        first = int(request.headers.get("Last-Event-Id") or 0) + 1
+        response = web.StreamResponse(headers=self._head(request, fault))
+        response.content_type = "text/event-stream"
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+        for number in range(first, self.events + 1):
+            if fault == f"break-after-{number - 1}":
+                assert request.transport is not None
+                await response.write(b"id: %d\nda" % number)
+                await asyncio.sleep(0.05)
+                request.transport.abort()
+                raise ConnectionResetError
+            await response.write(b"id: %d\ndata: %s\n\n" % (number, self.worker_id.encode()))
+            if self.gap:
+                await asyncio.sleep(self.gap)
+        await response.write_eof()
+        return response
+
+    async def _cut(self, request: web.BaseRequest, headers: dict[str, str]) -> web.StreamResponse:
+        response = web.StreamResponse(headers=headers)
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+        await response.write(b"half of it")
+        assert request.transport is not None
+        request.transport.abort()
+        raise ConnectionResetError
+
+    async def _raw(
+        self, request: web.BaseRequest, transport: asyncio.BaseTransport, fault: str
+    ) -> web.StreamResponse:
+        assert isinstance(transport, asyncio.Transport)
+        head = "".join(f"{name}: {value}\r\n" for name, value in self._head(request, "").items())
+        if fault == "surplus":
+            answer = f"HTTP/1.1 200 OK\r\n{head}Content-Length: 2\r\n\r\nok".encode()
+            transport.write(answer + answer)
+            await asyncio.Event().wait()
+        transport.write(f"HTTP/1.1 200 OK\r\n{head}Connection: close\r\n\r\nhalf".encode())
+        await asyncio.sleep(0.05)
+        # Without lingering, closing sends a reset in place of an end.
+        linger = struct.pack("ii", 1, 0)
+        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        transport.abort()
+        raise ConnectionResetError
+
+    def _head(self, request: web.BaseRequest, fault: str) -> dict[str, str]:
+        headers = self._ids(request)
+        if fault == "foreign-id":
+            headers[ATTEMPT] = "0" * 16
+        if fault != "no-seal":
+            headers[SEAL] = f"seal-{self.worker_id}"
+        return headers
+
+    def _ids(self, request: web.BaseRequest) -> dict[str, str]:
+        return {ATTEMPT: request.headers.get(ATTEMPT, ""), INSTANCE: self.worker_id}
+
+
+@dataclass
+class StandinStageWorker:
+    """A stage worker with a room of ``room`` results; ``gate`` holds calls at work."""
+
+    room: int = 100
+    worker_id: str = ""
+    gate: asyncio.Event | None = None
+    faults: deque[str] = field(default_factory=deque)
+    calls: list[list[dict[str, Any]]] = field(default_factory=list)
+    held: set[str] = field(default_factory=set)
+    made: set[str] = field(default_factory=set)
+
+    def __post_init__(self) -> None:
+        self.worker_id = self.worker_id or f"i-{next(_ids):08x}"
+        self.server = Server(self._handle)
+
+    def entry(self, service: str, zone: str = "z1", state: str = "ready") -> dict[str, Any]:
+        return {
+            "service": service,
+            "address": self.server.address,
+            "zone": zone,
+            "slots": 1,
+            "state": state,
+            "sequence": 1,
+        }
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.headers.get(EXPECT) not in (None, self.worker_id):
+            return web.Response(status=421, headers={INSTANCE: self.worker_id})
+        body = json.loads(await request.read())
+        if request.path == "/stage-free":
+            self.held.difference_update(body["handles"])
+            return web.Response()
+        fault = self.faults.popleft() if self.faults else ""
+        if fault == "full":
+            return web.Response(status=503, headers={NOT_RUN: "1"})
+        if fault == "reset":
+            assert request.transport is not None
+            request.transport.abort()
+            raise ConnectionResetError
+        self.calls.append(body["items"])
+        if self.gate is not None:
+            await self.gate.wait()
+        items = [self._make(item) for item in body["items"]]
+        return web.Response(
+            body=json.dumps({"items": items}).encode(), content_type="application/json"
+        )
+
+    def _make(self, item: dict[str, Any]) -> dict[str, str]:
+        if len(self.held) >= self.room:
+            return {"reason": "room"}
+        handle = f"{self.server.address}/{next(_ids):012x}"
+        self.held.add(handle)
+        self.made.add(handle)
+        return {"handle": handle}
--- /dev/null
+++ b/tests/platform/test_callers_connection.py
@@ -0,0 +1,94 @@
+"""What callers send wrongly gets a numbered answer, and the process goes on."""
+
+import asyncio
+import json
+
+import pytest
+from node_world import HOST, KEY, World, configuration, route, until, world
+from platform_standins import StandinWorker
+
+ROUTES = [route("safe", "safe", "plain")]
+HEAD = f"Host: {HOST}\r\nX-Corkcrank-Attempt-Id: 1\r\nX-Corkcrank-Credential: {KEY}\r\n"
+
+
+async def exchange(running: World, data: bytes) -> bytes:
+    """Send bytes and return what comes back until the connection is closed."""
+    host, port = running.address().rsplit(":", 1)
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(data)
+    try:
+        async with asyncio.timeout(8):
+            return await reader.read()
+    except ConnectionResetError:
+        return b""
+    finally:
+        writer.close()
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (
+            f"POST /safe/x HTTP/1.1\r\n{HEAD}Content-Length: 3\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            b"400",
+        ),
+        (
+            f"POST /safe/x HTTP/1.1\r\n{HEAD}Content-Length: 3\r\nContent-Length: 4\r\n\r\nabc",
+            b"400",
+        ),
+        (f"POST /safe/x HTTP/1.1\r\n{HEAD}Transfer-Encoding: chunked\r\n\r\nzz\r\nabc", b"400"),
+        (f"GET /safe/x HTTP/1.1\r\n{HEAD}X-Bad: a\x00b\r\n\r\n", b"400"),
+        (f"GET /safe/x HTTP/1.1\r\n{HEAD}X-Long: {'a' * 5000}\r\n\r\n", b"431"),
+        (f"POST /safe/x HTTP/1.1\r\n{HEAD}Content-Length: 20000\r\n\r\n", b"413"),
+        ("NONSENSE\r\n\r\n", b"400"),
+    ],
+)
+async def test_malformed_request_is_answered_and_closed(data: str, status: bytes) -> None:
+    one = StandinWorker()
+    async with world(configuration(1, ROUTES), {"one": (one, "plain")}) as running:
+        answer = await exchange(running, data.encode("latin-1"))
+        head, _, body = answer.partition(b"\r\n\r\n")
+        assert head.split(b" ")[1] == status
+        assert 2000 < json.loads(body)["code"] < 3000
+        assert (await running.call("/safe/x", method="GET")).status == 200
+    assert len(one.seen) == 1
+
+
+async def test_slow_head_and_resting_connection_are_closed() -> None:
+    async with world(configuration(1, ROUTES), {"one": (StandinWorker(), "plain")}) as running:
+        assert await exchange(running, b"GET /safe/x HTTP/1.1\r\nHo") == b""
+        assert await exchange(running, b"") == b""
+
+
+async def test_connection_is_kept_for_further_requests() -> None:
+    async with world(configuration(1, ROUTES), {"one": (StandinWorker(), "plain")}) as running:
+        host, port = running.address().rsplit(":", 1)
+        reader, writer = await asyncio.open_connection(host, int(port))
+        for _ in range(3):
+            writer.write(f"GET /safe/x HTTP/1.1\r\n{HEAD}\r\n".encode())
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 200")
+            length = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
+            await reader.readexactly(length)
+        writer.close()
+        await until(lambda: not running.nodes[0].callers.connections())
+
+
+async def test_drain_says_not_ready_tells_connections_to_close_and_ends_calls() -> None:
+    hold = asyncio.Event()
+    one = StandinWorker(hold=hold)
+    async with world(configuration(1, ROUTES), {"one": (one, "plain")}, grace=6.0) as running:
+        node = running.nodes[0]
+        call = asyncio.create_task(running.call("/safe/x", method="GET"))
+        await until(lambda: len(one.seen) == 1)
+        stop = asyncio.create_task(node.stop())
+        await until(lambda: node.life.draining)
+        assert not node.ready
+        late = asyncio.create_task(running.call("/safe/late", method="GET"))
+        await until(lambda: len(one.seen) == 2)
+        hold.set()
+        for response in (await call, await late):
+            assert response.status == 200
+            assert response.headers.get("Connection") == "close"
+        await stop
--- /dev/null
+++ b/tests/platform/test_store_mirror.py
@@ -0,0 +1,124 @@
+"""The configuration in force: only higher versions, through trouble of the store."""
+
+import asyncio
+import random
+
+import aiohttp
+from node_world import configuration, route, settings_for, until, world
+from platform_standins import StandinWorker
+
+from corkcrank.gateway.opaque.node import Node
+from corkcrank.links.decision_log import DecisionLog
+from corkcrank.platform.ports import connect
+
+ROUTES = [route("safe", "safe", "plain")]
+MORE = [*ROUTES, route("added", "safe", "plain")]
+
+
+async def test_new_version_is_in_force_by_the_feed_and_an_older_one_never() -> None:
+    async with world(configuration(5, ROUTES), {"one": (StandinWorker(), "plain")}) as running:
+        node = running.nodes[0]
+        running.store.put("op", "config", configuration(7, MORE))
+        await until(lambda: node.mirror.version == 7)
+        assert (await running.call("/added/x")).status == 200
+        running.store.put("op", "config", configuration(6, ROUTES))
+        running.store.put("op", "config", configuration(9, MORE))
+        await until(lambda: node.mirror.version == 9)
+
+
+async def test_lost_history_is_read_anew() -> None:
+    async with world(configuration(1, ROUTES), {"one": (StandinWorker(), "plain")}) as running:
+        running.store.rows.pop(("op", "config"))
+        running.store.put("op", "config", configuration(2, MORE))
+        running.store.forget_history()
+        await until(lambda: running.nodes[0].mirror.version == 2)
+
+
+async def test_outage_keeps_serving_and_its_end_is_noticed() -> None:
+    async with world(configuration(1, ROUTES), {"one": (StandinWorker(), "plain")}) as running:
+        running.store.refused.add("127.0.0.1")
+        running.store.forget_history()
+        running.store.put("op", "config", configuration(3, MORE))
+        assert (await running.call("/safe/x", method="GET")).status == 200
+        running.store.refused.clear()
+        await until(lambda: running.nodes[0].mirror.version == 3)
+
+
+async def test_leaving_worker_gets_no_new_work() -> None:
+    one, two = StandinWorker(), StandinWorker()
+    served = {"one": (one, "plain"), "two": (two, "plain")}
+    async with world(configuration(1, ROUTES), served) as running:
+        running.store.put("servers", one.worker_id, one.entry("plain", state="draining"))
+        await until(lambda: len(running.nodes[0].mirror.workers.usable("plain")) == 1)
+        running.store.remove("servers", one.worker_id)
+        await until(lambda: len(running.nodes[0].mirror.workers.records()) == 1)
+        for _ in range(5):
+            assert (await running.call("/safe/x", method="GET")).status == 200
+    assert not one.seen
+    assert len(two.seen) == 5
+
+
+async def test_turned_away_gateway_learns_from_its_peer() -> None:
+    one = StandinWorker()
+    async with world(configuration(1, ROUTES), {"one": (one, "plain")}) as running:
+        first = running.nodes[0]
+        port = first.fleet.own_address.rsplit(":", 1)[1]
+        settings = settings_for("127.0.0.2", "z1", running.store.server.address, ())
+        process = settings.process
+        ports = (int(port), int(port) + 1)
+        import msgspec
+
+        process = msgspec.structs.replace(process, peer_ports=ports)
+        settings = msgspec.structs.replace(settings, process=process)
+        seeds = msgspec.structs.replace(settings.peers, seeds=(first.fleet.own_address,))
+        settings = msgspec.structs.replace(
+            settings,
+            peers=seeds,
+            bounds=msgspec.structs.replace(settings.bounds, grace=0.6),
+        )
+        connector = aiohttp.TCPConnector(local_addr=("127.0.0.2", 0))
+        async with aiohttp.ClientSession(connector=connector) as session:
+            running.store.refused.add("127.0.0.2")
+            platform = connect(session, settings.store.address, settings.store.timeout)
+            second = Node(settings, platform, DecisionLog(None, "second"), random.Random(8))
+            await second.start()
+            try:
+                await until(lambda: second.ready)
+                running.store.put("op", "config", configuration(4, MORE))
+                await until(lambda: second.mirror.version == 4)
+                running.store.remove("servers", one.worker_id)
+                await until(lambda: not second.mirror.workers.records())
+            finally:
+                await second.stop()
+
+
+async def test_gateway_without_configuration_is_not_ready_and_says_503() -> None:
+    async with world(configuration(1, ROUTES), {"one": (StandinWorker(), "plain")}) as running:
+        settings = settings_for("127.0.0.3", "z1", running.store.server.address, (), grace=0.4)
+        connector = aiohttp.TCPConnector(local_addr=("127.0.0.3", 0))
+        async with aiohttp.ClientSession(connector=connector) as session:
+            running.store.refused.add("127.0.0.3")
+            platform = connect(session, settings.store.address, settings.store.timeout)
+            alone = Node(settings, platform, DecisionLog(None, "alone"), random.Random(9))
+            await alone.start()
+            try:
+                running.nodes.append(alone)
+                response = await running.call("/safe/x", number=1)
+                assert response.status == 503
+                assert not alone.ready
+            finally:
+                await alone.stop()
+
+
+async def test_silent_store_is_asked_without_waiting_until_it_is_back() -> None:
+    async with world(configuration(1, ROUTES), {"one": (StandinWorker(), "plain")}) as running:
+        store = running.store
+        store.silent = True
+        store.put("op", "config", configuration(2, MORE))
+        lost = running.nodes[0].mirror
+        await until(lambda: any("silent" in key for key in lost.calls))
+        store.silent = False
+        asked = len(store.calls)
+        async with asyncio.timeout(2.5):
+            await until(lambda: lost.version == 2)
+        assert len(store.calls) - asked < 20
--- /dev/null
+++ b/tests/scheduling/test_choices.py
@@ -0,0 +1,129 @@
+"""Choices of engines and workers, and admission over the chain."""
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from corkcrank.contracts.opaque_call import PrefixPart, PromptShape
+from corkcrank.contracts.opaque_configuration import StageDefinition
+from corkcrank.contracts.urgency import Urgency
+from corkcrank.contracts.worker_records import WorkerRecord
+from corkcrank.gateway.opaque.events import EventReader
+from corkcrank.scheduling.call_admission import admit, forecast_chain
+from corkcrank.scheduling.engine_choice import EngineChooser, EngineQuestion
+from corkcrank.scheduling.stage_choice import StagePlacing, choose_stage_worker
+from corkcrank.scheduling.stage_lane import LaneForecast
+from corkcrank.scheduling.worker_choice import StandingBook, choose_worker
+
+ENGINES = [WorkerRecord(f"e{number}", "m", "", "a") for number in range(4)]
+PROMPT = PromptShape(
+    "m", 3000, 50, (PrefixPart("p", 1500), PrefixPart("s", 1000), PrefixPart("o", 500))
+)
+
+
+def test_gateways_agree_on_an_engine_for_a_new_session() -> None:
+    first = {
+        EngineChooser().rank(ENGINES, EngineQuestion(PROMPT), StandingBook(), 0.0)[0].worker_id
+        for _ in range(5)
+    }
+    assert len(first) == 1
+
+
+def test_engine_that_keeps_the_prefix_is_preferred_until_it_has_much_to_read() -> None:
+    chooser, book = EngineChooser(), StandingBook()
+    other = chooser.rank(ENGINES, EngineQuestion(PROMPT), book, 0.0)[-1]
+    chooser.sent(other.worker_id, 100_000, PROMPT.shared_parts, 0.0)
+    assert chooser.rank(ENGINES, EngineQuestion(PROMPT), book, 1.0)[0] == other
+    book.of(other.worker_id).peers_reading = 20_000
+    assert chooser.rank(ENGINES, EngineQuestion(PROMPT), book, 1.0)[0] != other
+
+
+def test_parts_that_gave_way_are_not_counted_as_kept() -> None:
+    chooser = EngineChooser()
+    chooser.sent("e0", 2_600, PROMPT.shared_parts, 0.0)
+    assert chooser.unread_tokens("e0", PROMPT) == 500
+    chooser.sent("e0", 2_600, [PrefixPart("x", 2_000)], 1.0)
+    assert chooser.unread_tokens("e0", PROMPT) == 3_000
+
+
+def test_tried_and_leaving_engines_are_left_out() -> None:
+    book = StandingBook()
+    book.of("e1").leaving = True
+    question = EngineQuestion(PROMPT, excluded=["e0"])
+    ranked = EngineChooser().rank(ENGINES, question, book, 0.0)
+    assert {engine.worker_id for engine in ranked} == {"e2", "e3"}
+
+
+@given(loads=st.lists(st.integers(0, 20), min_size=4, max_size=4), seed=st.integers(0, 100))
+def test_plain_worker_of_least_pressure_is_chosen(loads: list[int], seed: int) -> None:
+    book = StandingBook()
+    for engine, load in zip(ENGINES, loads, strict=True):
+        book.of(engine.worker_id).in_flight = load
+    chosen = choose_worker(ENGINES, book, "a", 0.0, (), random.Random(seed))
+    assert chosen is not None
+    assert book.of(chosen.worker_id).in_flight == min(loads)
+
+
+def test_large_results_stay_in_their_zone_unless_that_is_late() -> None:
+    near, far = WorkerRecord("n", "s", "", "a"), WorkerRecord("f", "s", "", "b")
+
+    def place(near_end: float, end_by: float) -> str:
+        placing = StagePlacing("s", 2, 1.5e6, Urgency((0, 0), 1.0), end_by, reader_zone="a")
+        ends = {"n": LaneForecast(near_end - 0.4, near_end), "f": LaneForecast(0.0, 0.4)}
+        choice = choose_stage_worker(
+            [near, far],
+            lambda item: ends[item.worker_id],
+            placing,
+            StandingBook(),
+            0.0,
+            (),
+            random.Random(1),
+        )
+        assert choice is not None
+        return choice[0].worker_id
+
+    assert place(near_end=1.0, end_by=2.0) == "n"
+    assert place(near_end=1.0, end_by=0.5) == "f"
+
+
+def test_chain_waits_only_for_what_is_not_over_by_then() -> None:
+    stages = (StageDefinition("a"), StageDefinition("b", (0,)))
+    waits = {0: LaneForecast(0.5, 1.0), 1: LaneForecast(0.8, 1.2)}
+    chain = forecast_chain(stages, (1, 1), lambda stage: waits[stage])
+    assert round(chain.end, 6) == 1.4
+    assert round(chain.waiting, 6) == 0.5
+
+
+def test_chain_without_a_worker_is_never_admitted() -> None:
+    chain = forecast_chain((StageDefinition("a"),), (1,), lambda stage: None)
+    verdict = admit(chain, 0.1, 1.0, 5.0, 1.0, returning=True)
+    assert not verdict.admitted
+    assert 0 < verdict.retry_after <= 5.0 / 3
+
+
+@given(needed=st.floats(0.0, 20.0), left=st.floats(0.5, 20.0))
+def test_told_time_is_within_what_callers_wait(needed: float, left: float) -> None:
+    chain = forecast_chain(
+        (StageDefinition("a"),), (1,), lambda stage: LaneForecast(needed, needed)
+    )
+    verdict = admit(chain, 0.1, left / 2, left, 0.9, returning=False)
+    assert verdict.admitted or 0 < verdict.retry_after <= max(0.1, left / 3)
+
+
+@given(
+    data=st.lists(st.binary(max_size=20).filter(lambda item: b"\n" not in item), max_size=8),
+    cuts=st.lists(st.integers(0, 200), max_size=6),
+)
+def test_events_are_the_same_however_the_bytes_are_cut(data: list[bytes], cuts: list[int]) -> None:
+    stream = b"".join(
+        b"id: %d\ndata: %s\n\n" % (number, item.replace(b"\r", b""))
+        for number, item in enumerate(data)
+    )
+    whole = EventReader().feed(stream)
+    reader, events, last = EventReader(), [], 0
+    for cut in [*sorted(cut for cut in cuts if cut < len(stream)), len(stream)]:
+        events.extend(reader.feed(stream[last:cut]))
+        last = cut
+    assert events == whole
+    assert [event.event_id for event in events] == list(range(len(data)))
--- /dev/null
+++ b/tests/scheduling/test_fleet.py
@@ -0,0 +1,99 @@
+"""Membership, ownership and the fleet's retry budget."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from corkcrank.contracts.worker_records import WorkerRecord
+from corkcrank.machines.fleet import Fleet, Heartbeat, Phase, ServiceBacklog
+from corkcrank.scheduling.fleet_retry_budget import FleetRetryBudget
+
+ZONES = ("a", "b", "c")
+
+
+def beat(name: str, zone: str, phase: Phase = Phase.SERVING, incarnation: int = 1) -> Heartbeat:
+    return Heartbeat(name, incarnation, zone, f"10.0.0.{name}:1", phase, 0.25)
+
+
+def views(zones: list[str]) -> list[Fleet]:
+    fleets = []
+    for number, zone in enumerate(zones):
+        fleet = Fleet(str(number), zone, f"10.0.0.{number}:1")
+        fleet.own_phase = Phase.SERVING
+        for other, other_zone in enumerate(zones):
+            fleet.hear(beat(str(other), other_zone), 0.0)
+        fleets.append(fleet)
+    return fleets
+
+
+@given(
+    zones=st.lists(st.sampled_from(ZONES), min_size=1, max_size=8),
+    worker=st.text("abcdef0123456789", min_size=1, max_size=8),
+    zone=st.sampled_from(ZONES),
+)
+def test_members_with_the_same_view_name_the_same_owner(
+    zones: list[str], worker: str, zone: str
+) -> None:
+    record = WorkerRecord(worker, "s", "10.0.0.1:1", zone)
+    owners = {fleet.owner_of(record, 0.1) for fleet in views(zones)}
+    assert len(owners) == 1
+    if zone in zones:
+        assert zones[int(owners.pop())] == zone
+
+
+def test_silent_and_leaving_members_own_nothing() -> None:
+    fleet = Fleet("0", "a", "10.0.0.0:1")
+    fleet.own_phase = Phase.SERVING
+    worker = WorkerRecord("w", "s", "", "b")
+    fleet.hear(beat("1", "b"), 0.0)
+    assert fleet.owner_of(worker, 0.5) == "1"
+    assert fleet.owner_of(worker, 1.5) == "0"
+    fleet.hear(beat("1", "b", Phase.LEAVING), 1.6)
+    assert fleet.owner_of(worker, 1.6) == "0"
+
+
+def test_silent_member_is_still_told_heartbeats_until_forgotten() -> None:
+    fleet = Fleet("0", "a", "10.0.0.0:1")
+    fleet.hear(beat("1", "a"), 0.0)
+    assert fleet.audience(30.0) == ["10.0.0.1:1"]
+    assert fleet.audience(61.0) == []
+
+
+def test_restarted_member_counts_as_new() -> None:
+    fleet = Fleet("0", "a", "10.0.0.0:1")
+    assert fleet.hear(beat("1", "a"), 0.0)
+    assert not fleet.hear(beat("1", "a"), 0.2)
+    assert fleet.hear(beat("1", "a", incarnation=2), 0.4)
+
+
+def test_backlog_of_silent_members_is_not_counted() -> None:
+    fleet = Fleet("0", "a", "10.0.0.0:1")
+    told = Heartbeat(
+        "1", 1, "a", "x", Phase.SERVING, 0.25, backlogs=(ServiceBacklog("s", (0, 1), 5),)
+    )
+    fleet.hear(told, 0.0)
+    assert fleet.told_backlog("s", (0, 1), 0.1) == 5
+    assert fleet.told_backlog("s", (0, 0), 0.1) == 0
+    assert fleet.told_backlog("s", (0, 1), 2.0) == 0
+
+
+@given(
+    events=st.lists(st.tuples(st.integers(0, 5), st.booleans(), st.floats(0.0, 0.5)), max_size=200)
+)
+def test_fleet_stays_within_its_budget_in_every_window(
+    events: list[tuple[int, bool, float]],
+) -> None:
+    members, ratio, allowance, window = 6, 0.2, 30.0, 10.0
+    budgets = [FleetRetryBudget(ratio, allowance, window) for _ in range(members)]
+    firsts: list[float] = []
+    repeats: list[float] = []
+    now = 0.0
+    for member, repeat, pause in events:
+        now += pause
+        if not repeat:
+            budgets[member].record_first(now)
+            firsts.append(now)
+        elif budgets[member].try_spend(now, members):
+            repeats.append(now)
+        recent = [at for at in repeats if at > now - window]
+        earned = [at for at in firsts if at > now - 2 * window]
+        assert len(recent) <= ratio * len(earned) + allowance
--- /dev/null
+++ b/tests/scheduling/test_stage_plan.py
@@ -0,0 +1,63 @@
+"""A call's way through its stage graph."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from corkcrank.contracts.opaque_configuration import StageDefinition
+from corkcrank.scheduling.stage_plan import StagePlan
+
+
+@st.composite
+def graphs(draw: st.DrawFn) -> tuple[tuple[StageDefinition, ...], tuple[int, ...]]:
+    count = draw(st.integers(1, 6))
+    stages = []
+    for number in range(count):
+        after = draw(st.sets(st.integers(0, number - 1), max_size=2)) if number else set()
+        stages.append(StageDefinition(f"s{number}", tuple(sorted(after)), 10))
+    counts = draw(st.lists(st.integers(0, 3), min_size=count, max_size=count))
+    return tuple(stages), tuple(counts)
+
+
+@given(graph=graphs(), order=st.randoms(use_true_random=False))
+def test_every_graph_ends_and_each_result_is_freed_once(graph, order) -> None:  # type: ignore[no-untyped-def]
+    stages, counts = graph
+    plan = StagePlan(stages, counts)
+    running: list[int] = []
+    freed: list[str] = []
+    made: list[str] = []
+    while not plan.complete:
+        for stage in plan.ready():
+            assert all(
+                source in made_stages(made) or counts[source] == 0 for source in stages[stage].after
+            )
+            plan.start(stage)
+            running.append(stage)
+        assert running, "the plan stands still"
+        stage = running.pop(order.randrange(len(running)))
+        handles = tuple(f"{stage}/{piece}" for piece in range(counts[stage]))
+        inputs = plan.inputs_of(stage)
+        assert not set(inputs) & set(freed), "a result was freed before its reader read it"
+        assert len(inputs) == sum(counts[source] for source in stages[stage].after)
+        plan.finish(stage, handles)
+        made.extend(handles)
+        freed.extend(plan.release())
+    finals = plan.final_handles()
+    assert not set(finals) & set(freed)
+    freed.extend(plan.release_all())
+    assert sorted(freed) == sorted(made)
+
+
+def made_stages(made: list[str]) -> set[int]:
+    return {int(handle.split("/")[0]) for handle in made}
+
+
+def test_everything_is_made_again_after_its_results_were_freed() -> None:
+    plan = StagePlan((StageDefinition("a"), StageDefinition("b", (0,))), (1, 1))
+    for stage, handle in ((0, "x"), (1, "y")):
+        assert plan.ready() == [stage]
+        plan.start(stage)
+        plan.finish(stage, (handle,))
+        plan.release()
+    plan.release_all()
+    plan.redo_all()
+    assert plan.ready() == [0]
