--- /dev/null
+++ b/src/corkcrank/gateway/opaque/stage_caller.py
@@ -0,0 +1,114 @@
+"""Calls to stage workers: pieces asked for, results given up."""
+
+import asyncio
+import time
+from collections.abc import Sequence
+
+import aiohttp
+
+from corkcrank.contracts.worker_records import WorkerRecord
+from corkcrank.gateway.opaque.worker_client import (
+    SendFailure,
+    SendTrouble,
+    WorkerClient,
+    read_whole,
+)
+from corkcrank.links.platform_ports import PieceOrder, PieceResult, StageCodec
+from corkcrank.scheduling.batch_filling import PieceTicket
+from corkcrank.scheduling.stage_lane import StageCall
+
+CALL_TIME_FACTOR = 4.0
+"""A call is given up after this multiple of its expected time, plus the margin."""
+
+CALL_TIME_MARGIN = 1.0
+"""Seconds added to the limit above; also the limit of giving results up."""
+
+KNOWN_HANDLES = 512
+"""Handles remembered of each worker, to tell a surplus answer from a new one."""
+
+TURNED_AWAY_STATUS = 503
+"""Status of a worker that is full and has not run the call."""
+
+
+class StageCaller:
+    """Sends one call at a time for its lane, and reads what comes back."""
+
+    def __init__(self, codec: StageCodec, client: WorkerClient) -> None:
+        self._codec = codec
+        self._client = client
+
+    async def ask(
+        self, worker: WorkerRecord, call: StageCall, known_handles: dict[str, None]
+    ) -> list[PieceResult] | SendFailure | None:
+        """Return results, a failure, or ``None`` if the worker turned the call away unrun.
+
+        An answer with a handle that is known belongs to an earlier call.
+        """
+        now = time.monotonic()
+        orders = [_remaining(ticket, now) for ticket in call.tickets]
+        limit = CALL_TIME_FACTOR * call.expected_seconds + CALL_TIME_MARGIN
+        response = await self._client.open(
+            "POST",
+            worker.address,
+            self._codec.run_path,
+            list(self._codec.run_headers(worker).items()),
+            self._codec.encode_run(orders),
+            limit,
+            fresh=False,
+        )
+        if isinstance(response, SendFailure):
+            return response
+        return await self._read(response, len(orders), known_handles, limit)
+
+    async def free(self, worker: WorkerRecord, handles: Sequence[str]) -> None:
+        """Give results up; if that fails, the worker forgets them by itself in time."""
+        response = await self._client.open(
+            "POST",
+            worker.address,
+            self._codec.free_path,
+            list(self._codec.run_headers(worker).items()),
+            self._codec.encode_free(handles),
+            CALL_TIME_MARGIN,
+            fresh=False,
+        )
+        if not isinstance(response, SendFailure):
+            await read_whole(response)
+
+    async def _read(
+        self,
+        response: aiohttp.ClientResponse,
+        count: int,
+        known_handles: dict[str, None],
+        limit: float,
+    ) -> list[PieceResult] | SendFailure | None:
+        try:
+            async with asyncio.timeout(limit):
+                body = await read_whole(response)
+        except TimeoutError:
+            response.close()
+            return SendFailure(SendTrouble.UNKNOWN, "no answer in time")
+        if response.status == TURNED_AWAY_STATUS:
+            return None
+        results = self._codec.decode_run(body, count) if body is not None else None
+        if response.status != 200 or results is None:
+            response.close()
+            return SendFailure(SendTrouble.UNKNOWN, f"status {response.status}")
+        if any(item.handle in known_handles for item in results if item.handle):
+            response.close()
+            return SendFailure(SendTrouble.UNKNOWN, "answer to an earlier call")
+        _remember(known_handles, results)
+        return results
+
+
+def _remember(known_handles: dict[str, None], results: list[PieceResult]) -> None:
+    for result in results:
+        if result.handle:
+            known_handles[result.handle] = None
+    while len(known_handles) > KNOWN_HANDLES:
+        del known_handles[next(iter(known_handles))]
+
+
+def _remaining(ticket: PieceTicket, now: float) -> PieceOrder:
+    order = ticket.order
+    remaining = max(0.001, ticket.end_at - now)
+    return PieceOrder(order.call_id, order.stage, order.piece, order.key, order.inputs, remaining)
--- a/src/corkcrank/gateway/opaque/stage_desk.py
+++ b/src/corkcrank/gateway/opaque/stage_desk.py
@@ -5,18 +5,12 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
-import aiohttp
-
 from corkcrank.contracts.opaque_configuration import ServiceProfile
 from corkcrank.contracts.urgency import Urgency
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.gateway.opaque.peer_protocol import StageAnswer, StageWork
-from corkcrank.gateway.opaque.worker_client import (
-    SendFailure,
-    SendTrouble,
-    WorkerClient,
-    read_whole,
-)
+from corkcrank.gateway.opaque.stage_caller import StageCaller
+from corkcrank.gateway.opaque.worker_client import SendFailure, WorkerClient
 from corkcrank.links.decision_log import DecisionLog, LogEvent
 from corkcrank.links.platform_ports import (
     PieceOrder,
@@ -26,23 +20,15 @@
 )
 from corkcrank.machines.fleet import StageLoad
 from corkcrank.machines.store_mirror import StoreMirror
-from corkcrank.scheduling.stage_lane import PieceTicket, StageCall, StageLane
+from corkcrank.scheduling.batch_filling import PieceTicket
+from corkcrank.scheduling.stage_lane import StageCall, StageLane
 from corkcrank.scheduling.worker_choice import StandingBook
 
-FULL_BLOCK_SECONDS = 0.08
-"""Pause after a worker said that it is full: another owner fills it too."""
-
-CALL_TIME_FACTOR = 4.0
-"""A call is given up after this multiple of its expected time, plus the margin."""
-
-CALL_TIME_MARGIN = 1.0
-"""Seconds added to the limit above."""
-
 AVOID_SECONDS = 1.5
 """Time for which a worker whose call failed is avoided."""
 
-KNOWN_HANDLES = 512
-"""Handles remembered of each worker, to tell a surplus answer from a new one."""
+FULL_BLOCK_SECONDS = 0.08
+"""Pause after a worker said that it is full: another owner fills it too."""
 
 
 @dataclass(slots=True)
@@ -73,8 +59,7 @@
     ) -> None:
         self._mirror = mirror
         self._book = book
-        self._codec = codec
-        self._client = client
+        self._caller = StageCaller(codec, client)
         self._log = log
         self._lanes: dict[str, _Lane] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -224,57 +209,10 @@
         started = time.monotonic()
         outcome: list[PieceResult] | SendFailure | None = None
         try:
-            outcome = await self._ask(entry, call)
+            outcome = await self._caller.ask(entry.worker, call, entry.known_handles)
         finally:
             self._finish(entry, call, outcome, started)
 
-    async def _ask(self, entry: _Lane, call: StageCall) -> list[PieceResult] | SendFailure | None:
-        """Return results, a failure, or ``None`` if the worker turned the call away unrun."""
-        now = time.monotonic()
-        orders = [_remaining(ticket, now) for ticket in call.tickets]
-        limit = CALL_TIME_FACTOR * call.expected_seconds + CALL_TIME_MARGIN
-        response = await self._client.open(
-            "POST",
-            entry.worker.address,
-            self._codec.run_path,
-            list(self._codec.run_headers(entry.worker).items()),
-            self._codec.encode_run(orders),
-            limit,
-            fresh=False,
-        )
-        if isinstance(response, SendFailure):
-            return response
-        return await self._read_results(entry, call, response, limit)
-
-    async def _read_results(
-        self, entry: _Lane, call: StageCall, response: aiohttp.ClientResponse, limit: float
-    ) -> list[PieceResult] | SendFailure | None:
-        try:
-            async with asyncio.timeout(limit):
-                body = await read_whole(response)
-        except TimeoutError:
-            response.close()
-            return SendFailure(SendTrouble.UNKNOWN, "no answer in time")
-        status = response.status
-        if status == 503:
-            return None
-        results = self._codec.decode_run(body, len(call.tickets)) if body is not None else None
-        if status != 200 or results is None:
-            response.close()
-            return SendFailure(SendTrouble.UNKNOWN, f"status {status}")
-        if any(item.handle in entry.known_handles for item in results if item.handle):
-            response.close()
-            return SendFailure(SendTrouble.UNKNOWN, "answer to an earlier call")
-        self._remember(entry, results)
-        return results
-
-    def _remember(self, entry: _Lane, results: list[PieceResult]) -> None:
-        for result in results:
-            if result.handle:
-                entry.known_handles[result.handle] = None
-        while len(entry.known_handles) > KNOWN_HANDLES:
-            del entry.known_handles[next(iter(entry.known_handles))]
-
     def _finish(
         self,
         entry: _Lane,
@@ -358,17 +296,7 @@
         try:
             while entry.to_free:
                 handles, entry.to_free = entry.to_free, []
-                response = await self._client.open(
-                    "POST",
-                    entry.worker.address,
-                    self._codec.free_path,
-                    list(self._codec.run_headers(entry.worker).items()),
-                    self._codec.encode_free(handles),
-                    CALL_TIME_MARGIN,
-                    fresh=False,
-                )
-                if not isinstance(response, SendFailure):
-                    await read_whole(response)
+                await self._caller.free(entry.worker, handles)
         finally:
             entry.freeing = False
 
@@ -400,12 +328,6 @@
     )
 
 
-def _remaining(ticket: PieceTicket, now: float) -> PieceOrder:
-    order = ticket.order
-    remaining = max(0.001, ticket.end_at - now)
-    return PieceOrder(order.call_id, order.stage, order.piece, order.key, order.inputs, remaining)
-
-
 def _refuse(work: StageWork, start_seconds: float, detail: str) -> StageAnswer:
     refused = PieceResult(PieceOutcome.REFUSED)
     return StageAnswer((refused,) * len(work.pieces), start_seconds, detail)
--- /dev/null
+++ b/src/corkcrank/gateway/opaque/stream_admission.py
@@ -0,0 +1,119 @@
+"""Which engine a streamed call goes to, and whether it may begin at all."""
+
+import time
+from dataclasses import replace
+
+from corkcrank.contracts.opaque_call import OpaqueCall
+from corkcrank.contracts.result_codes import ResultCode
+from corkcrank.contracts.worker_records import WorkerRecord
+from corkcrank.gateway.opaque.refusals import Refusal
+from corkcrank.gateway.opaque.services import FIRST_EVENT_SECONDS, CallServices
+from corkcrank.gateway.opaque.stage_run import stage_placing
+from corkcrank.links.decision_log import LogEvent
+from corkcrank.scheduling.call_admission import (
+    RETURNING_SHARE,
+    AdmissionVerdict,
+    admit,
+    forecast_chain,
+)
+from corkcrank.scheduling.engine_choice import EngineQuestion
+from corkcrank.scheduling.prefill_isolation import isolation_penalties
+from corkcrank.scheduling.stage_lane import LaneForecast
+from corkcrank.scheduling.stage_plan import StagePlan
+from corkcrank.scheduling.zone_weights import engine_weights
+
+ADMISSION_MARGIN = 0.9
+"""Share of the objective that a forecast may use."""
+
+
+class StreamAdmission:
+    """Decides for one call from the views of this moment."""
+
+    def __init__(self, call: OpaqueCall, services: CallServices, plan: StagePlan) -> None:
+        self._call = call
+        self._services = services
+        self._plan = plan
+
+    @property
+    def returning(self) -> bool:
+        """Return whether the caller has probably been refused before."""
+        budget = self._call.envelope.budget_seconds
+        return budget is not None and budget < RETURNING_SHARE * self._call.route.timeout
+
+    def engine_seconds(self) -> float:
+        """Return the usual time of the service's engines to a first event."""
+        return self._services.first_event_times.of(self._call.service, FIRST_EVENT_SECONDS)
+
+    def rank_engines(self) -> list[WorkerRecord]:
+        """Return the engines that may be tried, the best first."""
+        call = self._call
+        workers = self._services.mirror.workers
+        engines = workers.usable(call.service)
+        stages = [workers.usable(stage.service) for stage in call.route.stages]
+        long = self._services.prompt_sizes.is_long(call.route.name)
+        question = EngineQuestion(
+            prompt=call.envelope.prompt,
+            excluded=call.workers_tried,
+            weights=engine_weights(engines, stages),
+            penalties=isolation_penalties(engines, long=long),
+        )
+        return self._services.engines.rank(engines, question, self._services.book, time.monotonic())
+
+    def admit(self, engines: list[WorkerRecord]) -> WorkerRecord | Refusal:
+        """Return the first engine whose zone can feed it in time, or refuse at once.
+
+        Nothing has been begun yet. Zones are asked in the order of the engines, so a
+        session stays with its engine as long as the zone keeps the objective.
+        """
+        if not self._plan.any_work:
+            return engines[0]
+        verdicts: dict[str, AdmissionVerdict] = {}
+        for engine in engines:
+            if engine.zone not in verdicts:
+                verdicts[engine.zone] = self._judge_zone(engine.zone)
+            if verdicts[engine.zone].admitted:
+                return engine
+        verdict = min(verdicts.values(), key=lambda item: item.forecast_seconds)
+        self._log_refusal(verdict)
+        return Refusal(
+            ResultCode.CAPACITY_SHORT,
+            f"needs {verdict.forecast_seconds:.2f} s",
+            retry_after=verdict.retry_after,
+        )
+
+    def _judge_zone(self, zone: str) -> AdmissionVerdict:
+        call = self._call
+        now = time.monotonic()
+        chain = forecast_chain(
+            call.route.stages, self._plan.counts, lambda stage: self._forecast(stage, zone)
+        )
+        return admit(
+            chain,
+            self.engine_seconds(),
+            call.objective_at - now,
+            call.end_at - now,
+            ADMISSION_MARGIN,
+            returning=self.returning,
+        )
+
+    def _forecast(self, stage: int, zone: str) -> LaneForecast | None:
+        dispatch = self._services.dispatch
+        placing = stage_placing(self._plan, dispatch, self._call, stage, self._plan.counts[stage])
+        reader_zone = "" if self._plan.readers(stage) else zone
+        choice = dispatch.choose(replace(placing, reader_zone=reader_zone, ahead=None), ())
+        if choice is None:
+            return None
+        coming = dispatch.coming_seconds(placing.service, self._call.rank)
+        return LaneForecast(choice[1].start + coming, choice[1].end + coming)
+
+    def _log_refusal(self, verdict: AdmissionVerdict) -> None:
+        self._services.log.write(
+            LogEvent.CALL_REFUSED,
+            call=self._call.call_id,
+            route=self._call.route.name,
+            needed=round(verdict.forecast_seconds, 3),
+            slack=round(verdict.slack_seconds, 3),
+            returning=self.returning,
+            retry_after=round(verdict.retry_after, 3),
+            members=self._services.fleet.share_members(),
+        )
--- a/src/corkcrank/scheduling/stage_lane.py
+++ b/src/corkcrank/scheduling/stage_lane.py
@@ -9,7 +9,8 @@
 
 from corkcrank.contracts.opaque_configuration import StageCapacity
 from corkcrank.contracts.urgency import Urgency
-from corkcrank.links.platform_ports import PieceOrder, PieceOutcome, PieceResult
+from corkcrank.links.platform_ports import PieceOutcome, PieceResult
+from corkcrank.scheduling.batch_filling import PieceTicket, fill_batch
 
 PACE_WEIGHT = 0.2
 """Weight of the newest call in the pace, measured time over the stated time."""
@@ -30,10 +31,6 @@
 LEAST_USABLE_ROOM = 0.6
 """The part of the room that is always used."""
 
-PASSING_SIZE = 0.1
-"""Pieces up to this part of a waiting one's size may pass it while it waits for room."""
-
-
 UNKNOWN_HANDLE = ""
 """Stands for results that hold room and that this lane does not know."""
 
@@ -41,24 +38,6 @@
 """Time for which room that a worker said it lacks is not asked for again."""
 
 
-@dataclass(slots=True, eq=False)
-class PieceTicket:
-    """One piece that waits for its turn.
-
-    ``urgency`` orders the queue, lowest first; it tells when the piece should
-    have ended. ``start_by`` is when it is no longer worth starting.
-    """
-
-    order: PieceOrder
-    result_bytes: float
-    urgency: Urgency
-    start_by: float
-    end_at: float
-    submitted_at: float
-    sequence: int = 0
-    abandoned: bool = False
-
-
 @dataclass(slots=True, eq=False)
 class StageCall:
     """One call at work at the worker."""
@@ -320,43 +299,5 @@
         self.pace += PACE_WEIGHT * (min(high, max(low, measured)) - self.pace)
 
 
-def fill_batch(
-    queue: list[PieceTicket], batch: int, room: float, whole_room: float
-) -> list[PieceTicket]:
-    """Return the pieces of the next call, in the order of the queue.
-
-    The pieces of one call's stage are started together if they fit the room at all: a
-    part of them would hold room while it waits for the rest. While such a group waits for
-    room, only far smaller pieces pass it.
-    """
-    chosen: list[PieceTicket] = []
-    largest = float("inf")
-    for group in _groups(queue):
-        size = group[0].result_bytes
-        if size > largest:
-            continue
-        wanted = size * len(group)
-        if wanted > room and wanted <= whole_room:
-            largest = min(largest, size * PASSING_SIZE)
-            continue
-        for ticket in group:
-            if len(chosen) >= batch:
-                return chosen
-            if size > room:
-                largest = min(largest, size * PASSING_SIZE)
-                break
-            room -= size
-            chosen.append(ticket)
-    return chosen
-
-
-def _groups(queue: list[PieceTicket]) -> list[list[PieceTicket]]:
-    """Return the pieces of each call's stage together, in the order of their first."""
-    groups: dict[tuple[str, int], list[PieceTicket]] = {}
-    for ticket in queue:
-        groups.setdefault((ticket.order.call_id, ticket.order.stage), []).append(ticket)
-    return list(groups.values())
-
-
 def _queue_order(ticket: PieceTicket) -> tuple[Urgency, int]:
     return ticket.urgency, ticket.sequence
--- a/tests/platform/node_world.py
+++ b/tests/platform/node_world.py
@@ -138,10 +138,9 @@
             **options.pop("headers", {}),
         }
         assert self.session is not None
-        response = await self.session.request(
+        return await self.session.request(
             method, f"http://{self.address(number)}{path}", headers=headers, **options
         )
-        return response
 
 
 def settings_for(
--- a/tests/scheduling/test_stage_lane.py
+++ b/tests/scheduling/test_stage_lane.py
@@ -9,7 +9,8 @@
 from corkcrank.contracts.opaque_configuration import StageCapacity
 from corkcrank.contracts.urgency import Urgency
 from corkcrank.links.platform_ports import PieceOrder, PieceOutcome, PieceResult
-from corkcrank.scheduling.stage_lane import PieceTicket, StageCall, StageLane, fill_batch
+from corkcrank.scheduling.batch_filling import PieceTicket, fill_batch
+from corkcrank.scheduling.stage_lane import StageCall, StageLane
 
 CAPACITY = StageCapacity(
     slots=2,
