--- a/src/corkcrank/cli/operator.py
+++ b/src/corkcrank/cli/operator.py
@@ -12,8 +12,10 @@
 
 from corkcrank.cli.controller_client import ControllerClient
 from corkcrank.cli.exit_codes import ExitCode, exit_code_for
+from corkcrank.cli.explain import explain_call
 from corkcrank.contracts.configuration import Configuration, Pipeline, validate_configuration
 from corkcrank.contracts.identifiers import TenantName, WorkerId
+from corkcrank.contracts.node_settings import load_node_settings
 from corkcrank.contracts.plans import (
     DrainWorker,
     Intent,
@@ -24,7 +26,7 @@
     SetTenantQuota,
     SetTenantTier,
 )
-from corkcrank.contracts.result_codes import ResultCode
+from corkcrank.contracts.result_codes import Failure, ResultCode
 from corkcrank.contracts.settings import load_settings
 from corkcrank.controller.routes import FailureView, StatusView
 
@@ -167,6 +169,7 @@
 def check(
     settings: list[Path],
     gateway: bool = typer.Option(False, "--gateway", help="The files are of gateways."),
+    node: bool = typer.Option(False, "--node", help="The files are of nodes (opaque calls)."),
 ) -> None:
     """Check settings files without starting anything.
 
@@ -174,9 +177,8 @@
     """
     wrong = False
     for path in settings:
-        result = load_settings(path, needs_caller_address=gateway)
-        if result.is_error():
-            failure = result.error
+        failure = _settings_failure(path, gateway=gateway, node=node)
+        if failure is not None:
             print(f"error {failure.code.number} {failure.code.name}: {failure.detail}")
             wrong = True
         else:
@@ -184,6 +186,28 @@
     raise typer.Exit(ExitCode.INVALID if wrong else ExitCode.OK)
 
 
+def _settings_failure(path: Path, *, gateway: bool, node: bool) -> Failure | None:
+    if node:
+        result = load_node_settings(path)
+        return result.error if result.is_error() else None
+    checked = load_settings(path, needs_caller_address=gateway)
+    return checked.error if checked.is_error() else None
+
+
+@application.command()
+def explain(call: str, files: list[Path]) -> None:
+    """Tell what log files say of one call, across machines, in order of time.
+
+    Example: corkcrank explain 9c41d07be2a35f68 logs/*.log
+    """
+    lines = explain_call(call, files)
+    if not lines:
+        typer.echo(f"no line about {call}", err=True)
+        raise typer.Exit(ExitCode.NOT_FOUND)
+    for line in lines:
+        typer.echo(line)
+
+
 @application.command()
 def codes() -> None:
     """Print the table of result codes as Markdown."""
--- a/src/corkcrank/contracts/node_settings.py
+++ b/src/corkcrank/contracts/node_settings.py
@@ -16,8 +16,9 @@
 class NodeProcessSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Who and where the process is; addresses are ``ip:port``.
 
-    ``peer_ports`` are free for what gateways say to each other; the first is used for
-    calls and datagrams, the second for metrics and the state dump.
+    ``peer_ports`` are free for what gateways say to each other; the first is used, for
+    calls and datagrams. Metrics and the state dump are served there too, and on
+    ``metrics_port`` if that is not 0.
     """
 
     name: str
@@ -26,6 +27,7 @@
     caller_address: str
     readiness_address: str
     peer_ports: tuple[int, int]
+    metrics_port: int = 0
 
     @property
     def peer_address(self) -> str:
@@ -33,9 +35,12 @@
         return f"{self.ip}:{self.peer_ports[0]}"
 
     @property
-    def metrics_address(self) -> str:
-        """Return where metrics and the dump are served."""
-        return f"{self.ip}:{self.peer_ports[0] + 1}"
+    def peer_addresses(self) -> list[str]:
+        """Return every address that peers, metrics and the dump are served on."""
+        addresses = [self.peer_address]
+        if self.metrics_port:
+            addresses.append(f"{self.ip}:{self.metrics_port}")
+        return addresses
 
 
 class NodeStoreSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/corkcrank/gateway/opaque/node.py
+++ b/src/corkcrank/gateway/opaque/node.py
@@ -161,7 +161,7 @@
         port = process.peer_address.rsplit(":", 1)[1]
         seeds = [f"{seed.rsplit(':', 1)[0]}:{port}" for seed in self._settings.peers.seeds]
         self.fleet.introduce(seeds, time.monotonic())
-        await self._peer_server.start([process.peer_address, process.metrics_address])
+        await self._peer_server.start(process.peer_addresses)
         await self.heartbeats.open()
         self._readiness = await serve_readiness(
             process.readiness_address, self._ports.ready_path, lambda: self.ready
