Forecast a low rank's wait with what more urgent ranks ask for meanwhile

Change: gateways tell the rate of pieces admitted by rank; the wait of a rank is divided by what is left of the service; a begun call may overrun its objective by 0.3 of it, not 0.5.

--- a/src/corkcrank/gateway/opaque/heartbeats.py
+++ b/src/corkcrank/gateway/opaque/heartbeats.py
@@ -119,8 +119,8 @@
             stage_loads=self._desk.loads(now),
             call_loads=tuple(calls[:MAXIMUM_CALL_LOADS]),
             backlogs=tuple(
-                ServiceBacklog(service, rank, pieces)
-                for service, rank, pieces in self._committed.all()
+                ServiceBacklog(service, rank, pieces, rate)
+                for service, rank, pieces, rate in self._committed.all(now)
             ),
             prefixes=self._prefix_news.current(now),
         )
--- a/src/corkcrank/gateway/opaque/stage_dispatch.py
+++ b/src/corkcrank/gateway/opaque/stage_dispatch.py
@@ -37,6 +37,9 @@
 TURNOVER_CALLS = 2.5
 """Usual time for which a result holds room, in full calls, where an owner is a peer."""
 
+LEAST_RATE_LEFT = 0.2
+"""Part of a service that is assumed left for a rank, however much goes before it."""
+
 WATCH_SECONDS = 0.25
 """Time between looks at whether the owner of pieces is still alive."""
 
@@ -145,16 +148,33 @@
         ]
         return min(waits, default=capacity.full_call_seconds if capacity is not None else 0.0)
 
-    def coming_seconds(self, service: str, rank: tuple[int, int]) -> float:
-        """Return the time that a service needs for pieces which calls will still ask for."""
+    def expected(self, placing: StagePlacing) -> LaneForecast | None:
+        """Return when pieces of a call would start and end that is not yet at this stage.
+
+        The wait counts the pieces that admitted calls will still ask for, and grows with
+        what more urgent ranks ask for meanwhile: they go first.
+        """
+        choice = self.choose(placing, ())
+        if choice is None:
+            return None
+        now = time.monotonic()
+        service, rank = placing.service, placing.urgency.rank
+        rate = self._service_rate(service)
+        coming = self.committed.up_to(service, rank) + self._fleet.told_backlog(service, rank, now)
+        before = self.committed.rate_before(service, rank, now)
+        before += self._fleet.told_rate_before(service, rank, now)
+        left = max(LEAST_RATE_LEFT, 1.0 - before / rate) if rate else 1.0
+        forecast = choice[1]
+        start = (forecast.start + (coming / rate if rate else 0.0)) / left
+        return LaneForecast(start, start + forecast.end - forecast.start)
+
+    def _service_rate(self, service: str) -> float:
+        """Return the pieces a second that a service's workers make with full batches."""
         capacity = self.capacity(service)
         workers = len(self._mirror.workers.usable(service))
         if capacity is None or not workers:
             return 0.0
-        pieces = self.committed.up_to(service, rank)
-        pieces += self._fleet.told_backlog(service, rank, time.monotonic())
-        rate = workers * capacity.slots * capacity.batch / capacity.full_call_seconds
-        return pieces / rate
+        return workers * capacity.slots * capacity.batch / capacity.full_call_seconds
 
     async def make(self, worker: WorkerRecord, work: StageWork) -> StageAnswer:
         """Have pieces made by the owner of a worker."""
--- a/src/corkcrank/gateway/opaque/stage_run.py
+++ b/src/corkcrank/gateway/opaque/stage_run.py
@@ -17,7 +17,7 @@
 MAXIMUM_ROUNDS = 4
 """Times that the pieces of one stage are placed before the call is given up."""
 
-LATE_SHARE = 0.5
+LATE_SHARE = 0.3
 """Part of the objective by which a call that was begun may overrun it."""
 
 ROUND_PAUSE_SECONDS = 0.05
@@ -91,7 +91,9 @@
         for stage in self.plan.unfinished():
             self._committed.add(stage)
             service = self.plan.definition(stage).service
-            self.dispatch.committed.add(service, self.call.rank, self.plan.counts[stage])
+            self.dispatch.committed.add(
+                service, self.call.rank, self.plan.counts[stage], time.monotonic()
+            )
 
     def _asked_for(self, stage: int) -> None:
         if stage in self._committed:
--- a/src/corkcrank/gateway/opaque/stream_admission.py
+++ b/src/corkcrank/gateway/opaque/stream_admission.py
@@ -100,11 +100,7 @@
         dispatch = self._services.dispatch
         placing = stage_placing(self._plan, dispatch, self._call, stage, self._plan.counts[stage])
         reader_zone = "" if self._plan.readers(stage) else zone
-        choice = dispatch.choose(replace(placing, reader_zone=reader_zone, ahead=None), ())
-        if choice is None:
-            return None
-        coming = dispatch.coming_seconds(placing.service, self._call.rank)
-        return LaneForecast(choice[1].start + coming, choice[1].end + coming)
+        return dispatch.expected(replace(placing, reader_zone=reader_zone, ahead=None))
 
     def _log_refusal(self, verdict: AdmissionVerdict) -> None:
         self._services.log.write(
--- a/src/corkcrank/machines/fleet.py
+++ b/src/corkcrank/machines/fleet.py
@@ -78,11 +78,15 @@
 
 
 class ServiceBacklog(msgspec.Struct, frozen=True, array_like=True):
-    """Pieces that a member's admitted calls will still ask of a stage service."""
+    """Pieces that a member's admitted calls will still ask of a stage service.
+
+    ``rate`` is how many a second it admitted lately.
+    """
 
     service: str
     rank: tuple[int, int]
     pieces: int
+    rate: float = 0.0
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
@@ -193,6 +197,15 @@
             if backlog.service == service and backlog.rank <= rank
         )
 
+    def told_rate_before(self, service: str, rank: tuple[int, int], now: float) -> float:
+        """Return the pieces a second that the others admit of more urgent ranks."""
+        return sum(
+            backlog.rate
+            for member in self.live(now)
+            for backlog in member.heartbeat.backlogs
+            if backlog.service == service and backlog.rank < rank
+        )
+
     def newest_configuration(self, now: float) -> Member | None:
         """Return the live member with the highest configuration version."""
         return max(
--- a/src/corkcrank/scheduling/committed_pieces.py
+++ b/src/corkcrank/scheduling/committed_pieces.py
@@ -4,33 +4,56 @@
 counts its own and tells the others, so that admission sees the whole chain.
 """
 
+import math
 from collections import Counter
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 Rank = tuple[int, int]
 
+RATE_SECONDS = 2.0
+"""Time constant of the rate at which calls ask for pieces."""
+
+LEAST_RATE = 0.05
+"""Pieces a second below which a rate is forgotten."""
+
+
+@dataclass(slots=True)
+class _Rate:
+    """Pieces a second, each fading with :data:`RATE_SECONDS`."""
+
+    value: float = 0.0
+    at: float = 0.0
+
+    def add(self, pieces: int, now: float) -> None:
+        self.value = self.current(now) + pieces / RATE_SECONDS
+        self.at = now
+
+    def current(self, now: float) -> float:
+        return self.value * math.exp(-max(0.0, now - self.at) / RATE_SECONDS)
+
 
 class CommittedPieces:
     """Counts; each call adds when it is admitted and takes off as it goes on."""
 
     def __init__(self) -> None:
         self._pieces: Counter[tuple[str, Rank]] = Counter()
+        self._rates: dict[tuple[str, Rank], _Rate] = {}
 
-    def add(self, service: str, rank: Rank, pieces: int) -> None:
+    def add(self, service: str, rank: Rank, pieces: int, now: float) -> None:
         """Count pieces of a call that was admitted.
 
         >>> committed = CommittedPieces()
-        >>> committed.add("s", (0, 1), 3); committed.take("s", (0, 1), 2)
+        >>> committed.add("s", (0, 1), 3, 0.0); committed.take("s", (0, 1), 2)
         >>> committed.up_to("s", (0, 1)), committed.up_to("s", (0, 0))
         (1, 0)
         """
         self._pieces[service, rank] += pieces
+        self._rates.setdefault((service, rank), _Rate()).add(pieces, now)
 
     def take(self, service: str, rank: Rank, pieces: int) -> None:
         """Take off pieces that were asked for, or whose call has ended."""
         self._pieces[service, rank] -= pieces
-        if self._pieces[service, rank] <= 0:
-            del self._pieces[service, rank]
 
     def up_to(self, service: str, rank: Rank) -> int:
         """Return the pieces still to come for a service, of this rank or a more urgent one."""
@@ -40,6 +63,27 @@
             if name == service and item <= rank
         )
 
-    def all(self) -> Iterable[tuple[str, Rank, int]]:
-        """Return every count."""
-        return [(service, rank, pieces) for (service, rank), pieces in self._pieces.items()]
+    def rate_before(self, service: str, rank: Rank, now: float) -> float:
+        """Return the pieces a second that more urgent ranks ask of a service.
+
+        >>> committed = CommittedPieces()
+        >>> committed.add("s", (0, 0), 4, 0.0)
+        >>> committed.rate_before("s", (0, 1), 0.0), committed.rate_before("s", (0, 0), 0.0)
+        (2.0, 0)
+        """
+        return sum(
+            rate.current(now)
+            for (name, item), rate in self._rates.items()
+            if name == service and item < rank
+        )
+
+    def all(self, now: float) -> Iterable[tuple[str, Rank, int, float]]:
+        """Return every count with its rate; forgets what is neither."""
+        counts = []
+        for (service, rank), rate in list(self._rates.items()):
+            pieces, current = self._pieces[service, rank], rate.current(now)
+            if pieces <= 0 and current < LEAST_RATE:
+                del self._rates[service, rank], self._pieces[service, rank]
+                continue
+            counts.append((service, rank, pieces, round(current, 2)))
+        return counts
