--- a/src/corkcrank/gateway/opaque/services.py
+++ b/src/corkcrank/gateway/opaque/services.py
@@ -14,6 +14,7 @@
 from corkcrank.scheduling.engine_choice import EngineChooser
 from corkcrank.scheduling.fetch_delay import FetchDelay
 from corkcrank.scheduling.fleet_retry_budget import FleetRetryBudget
+from corkcrank.scheduling.forecast_bias import ForecastBias
 from corkcrank.scheduling.prefill_isolation import PromptSizes
 from corkcrank.scheduling.prefix_news import PrefixNews
 from corkcrank.scheduling.worker_choice import StandingBook
@@ -64,6 +65,7 @@
     retry_window: float
     first_event_times: MeanTimes = field(default_factory=MeanTimes)
     plain_times: MeanTimes = field(default_factory=MeanTimes)
+    forecast_bias: ForecastBias = field(default_factory=ForecastBias)
     prefix_news: PrefixNews = field(default_factory=PrefixNews)
     prompt_sizes: PromptSizes = field(default_factory=PromptSizes)
     _fetch_delays: dict[str, FetchDelay] = field(default_factory=dict)
--- a/src/corkcrank/gateway/opaque/stream_admission.py
+++ b/src/corkcrank/gateway/opaque/stream_admission.py
@@ -33,6 +33,7 @@
         self._call = call
         self._services = services
         self._plan = plan
+        self.stages_forecast = 0.0
 
     @property
     def returning(self) -> bool:
@@ -71,7 +72,9 @@
         for engine in engines:
             if engine.zone not in verdicts:
                 verdicts[engine.zone] = self._judge_zone(engine.zone)
-            if verdicts[engine.zone].admitted:
+            verdict = verdicts[engine.zone]
+            if verdict.admitted:
+                self.stages_forecast = verdict.stages_seconds
                 return engine
         verdict = min(verdicts.values(), key=lambda item: item.forecast_seconds)
         self._log_refusal(verdict)
@@ -89,6 +92,7 @@
         )
         return admit(
             chain,
+            self._services.forecast_bias.of(call.route.name, now),
             self.engine_seconds(),
             call.objective_at - now,
             call.end_at - now,
--- a/src/corkcrank/gateway/opaque/stream_run.py
+++ b/src/corkcrank/gateway/opaque/stream_run.py
@@ -117,9 +117,7 @@
             )
         if self._plan.complete:
             return self._plan.final_handles()
-        started = time.monotonic()
-        handles = await self._stages.run()
-        seconds = time.monotonic() - started
+        handles, seconds = await self._timed_stages(self._stages)
         self._services.metrics.stage_wait.observe(seconds)
         self._services.log.write(
             LogEvent.STAGE_ENDED,
@@ -129,6 +127,21 @@
         )
         return handles
 
+    async def _timed_stages(self, stages: StageRun) -> tuple[tuple[str, ...], float]:
+        """Run the stages, and learn how far their forecast was off."""
+        route, forecast = self._call.route.name, self._admission.stages_forecast
+        bias = self._services.forecast_bias
+        started = time.monotonic()
+        try:
+            handles = await stages.run()
+        except StageFailedError:
+            now = time.monotonic()
+            bias.learn_failure(route, forecast, now - started, now)
+            raise
+        now = time.monotonic()
+        bias.learn(route, forecast, now - started, now)
+        return handles, now - started
+
     async def _send(self, engine: WorkerRecord, inputs: tuple[str, ...]) -> RelayEnd:
         """Send the call to an engine and relay what comes."""
         attempt = await self._attempt(engine, inputs)
--- a/src/corkcrank/scheduling/call_admission.py
+++ b/src/corkcrank/scheduling/call_admission.py
@@ -42,9 +42,13 @@
 
 @dataclass(frozen=True, slots=True)
 class AdmissionVerdict:
-    """Whether a call may begin, the forecast behind it, and when to come back."""
+    """Whether a call may begin, the forecast behind it, and when to come back.
+
+    ``stages_seconds`` is the forecast of the stages before its correction.
+    """
 
     admitted: bool
+    stages_seconds: float
     forecast_seconds: float
     slack_seconds: float
     retry_after: float = 0.0
@@ -77,6 +81,7 @@
 
 def admit(
     chain: ChainForecast,
+    bias: float,
     engine_seconds: float,
     objective_seconds: float,
     left_seconds: float,
@@ -86,22 +91,23 @@
 ) -> AdmissionVerdict:
     """Return whether a call may begin.
 
+    ``bias`` corrects the forecast of the stages by how far earlier ones were off.
     ``objective_seconds`` and ``left_seconds`` are from now. ``margin`` is the share of the
     objective that forecasts may use; a caller that has come back may be served later, so
     that it is not refused again.
 
-    >>> admit(ChainForecast(0.5, 0.1), 0.3, 1.6, 8.0, 1.0, returning=False).admitted
+    >>> admit(ChainForecast(0.5, 0.1), 1.0, 0.3, 1.6, 8.0, 1.0, returning=False).admitted
     True
-    >>> verdict = admit(ChainForecast(2.0, 1.5), 0.3, 1.6, 8.0, 1.0, returning=False)
+    >>> verdict = admit(ChainForecast(2.0, 1.5), 1.0, 0.3, 1.6, 8.0, 1.0, returning=False)
     >>> verdict.admitted, round(verdict.retry_after, 3)
     (False, 0.7)
     """
-    needed = chain.end + engine_seconds
+    needed = chain.end * bias + engine_seconds
     share = RETURNING_MARGIN if returning else margin
     limit = min(objective_seconds * share, left_seconds)
     slack = limit - needed
     if slack >= 0:
-        return AdmissionVerdict(True, needed, slack)
+        return AdmissionVerdict(True, chain.end, needed, slack)
     longest = LONGEST_RETRY_SHARE * left_seconds
     retry = min(longest, max(SHORTEST_RETRY, -slack))
-    return AdmissionVerdict(False, needed, slack, retry)
+    return AdmissionVerdict(False, chain.end, needed, slack, retry)
--- a/tests/scheduling/test_choices.py
+++ b/tests/scheduling/test_choices.py
@@ -97,7 +97,7 @@
 
 def test_chain_without_a_worker_is_never_admitted() -> None:
     chain = forecast_chain((StageDefinition("a"),), (1,), lambda stage: None)
-    verdict = admit(chain, 0.1, 1.0, 5.0, 1.0, returning=True)
+    verdict = admit(chain, 1.0, 0.1, 1.0, 5.0, 1.0, returning=True)
     assert not verdict.admitted
     assert 0 < verdict.retry_after <= 5.0 / 3
 
@@ -107,7 +107,7 @@
     chain = forecast_chain(
         (StageDefinition("a"),), (1,), lambda stage: LaneForecast(needed, needed)
     )
-    verdict = admit(chain, 0.1, left / 2, left, 0.9, returning=False)
+    verdict = admit(chain, 1.0, 0.1, left / 2, left, 0.9, returning=False)
     assert verdict.admitted or 0 < verdict.retry_after <= max(0.1, left / 3)
 
 
