Wait for the last attempt to its end

The patience that leaves time for another worker was also kept where no attempt, or no budget, was left; streams were cut for silence likewise. Ruled out: the connection's own time-out (it is told apart in the log). Change: patience is short only if another attempt may follow.

--- a/src/corkcrank/gateway/opaque/plain_run.py
+++ b/src/corkcrank/gateway/opaque/plain_run.py
@@ -123,7 +123,7 @@
     def _patience(self) -> float:
         """Return how long a head is waited for; an unrepeatable call waits to its end."""
         left = self._call.end_at - time.monotonic()
-        if not self._repeatable_elsewhere():
+        if not self._repeatable_elsewhere(under_way=1):
             return left
         if not self._services.could_repeat(self._call.service):
             return left
@@ -131,12 +131,14 @@
         least = max(LEAST_SILENCE_SECONDS, self._call.route.objective / 2)
         return min(left, max(least, SILENCE_FACTOR * usual))
 
-    def _repeatable_elsewhere(self) -> bool:
+    def _repeatable_elsewhere(self, under_way: int = 0) -> bool:
+        """Return whether another attempt may follow; ``under_way`` ones are not counted yet."""
         call = self._call
+        attempts = len(call.workers_tried) + under_way
         return (
             call.route.kind is CallKind.REPEATABLE
-            and len(call.workers_tried) < call.route.maximum_attempts
-            and len(self._services.mirror.workers.usable(call.service)) > len(call.workers_tried)
+            and attempts < call.route.maximum_attempts
+            and len(self._services.mirror.workers.usable(call.service)) > attempts
         )
 
     def _give_up(self) -> web.StreamResponse | Refusal:
--- a/src/corkcrank/gateway/opaque/stream_relay.py
+++ b/src/corkcrank/gateway/opaque/stream_relay.py
@@ -36,7 +36,14 @@
 class StreamRelay:
     """The answer to one streamed call; its head is that of the first worker."""
 
-    def __init__(self, call: OpaqueCall, services: CallServices, request: web.BaseRequest) -> None:
+    def __init__(
+        self,
+        call: OpaqueCall,
+        services: CallServices,
+        request: web.BaseRequest,
+        may_move: Callable[[], bool],
+    ) -> None:
+        self._may_move = may_move
         self._call = call
         self._services = services
         self._request = request
@@ -162,7 +169,7 @@
         return RelayEnd.COMPLETE
 
     def _silence_limit(self) -> float:
-        if not self._call.route.resumable:
+        if not self._may_move():
             return float("inf")
         pause = self._call.route.pause_objective or DEFAULT_PAUSE_SECONDS
         return max(LEAST_SILENCE_SECONDS, SILENCE_PAUSES * pause)
--- a/src/corkcrank/gateway/opaque/stream_run.py
+++ b/src/corkcrank/gateway/opaque/stream_run.py
@@ -39,7 +39,7 @@
         self._plan = StagePlan(call.route.stages, call.envelope.piece_counts)
         self._admission = StreamAdmission(call, services, self._plan)
         self._assignment = EngineAssignment(call, services)
-        self._relay = StreamRelay(call, services, request)
+        self._relay = StreamRelay(call, services, request, self._may_move)
         self._stages: StageRun | None = None
         self._may_have_run = False
 
@@ -166,7 +166,7 @@
                 self._services,
                 self._call,
                 engine,
-                self._first_event_patience(),
+                self._first_event_patience(under_way=1),
                 fresh=False,
                 inputs=inputs,
                 resume_after=self._relay.resume_after,
@@ -210,13 +210,23 @@
 
         return note
 
-    def _first_event_patience(self) -> float:
+    def _first_event_patience(self, under_way: int = 0) -> float:
         left = self._call.end_at - time.monotonic()
-        if not self._call.route.idempotent:
+        if not self._may_move(under_way):
             return left
         usual = FIRST_EVENT_FACTOR * self._admission.engine_seconds()
         return min(left, max(LEAST_FIRST_EVENT_SECONDS, usual))
 
+    def _may_move(self, under_way: int = 0) -> bool:
+        """Return whether a silent stream could be taken up at another engine."""
+        call = self._call
+        attempts = len(call.workers_tried) + under_way
+        return (
+            call.route.idempotent
+            and attempts < call.route.maximum_attempts
+            and self._services.could_repeat(call.service)
+        )
+
     def _after_failure(self, engine: WorkerRecord) -> None:
         """Make results again that were freed, before another engine is tried."""
         if self._stages is not None and self._stages.closed:
--- a/tests/platform/test_plain_calls.py
+++ b/tests/platform/test_plain_calls.py
@@ -154,3 +154,17 @@
         call.cancel()
         await until(lambda: one.left == 1)
         await until(lambda: running.nodes[0].callers.in_flight == 0)
+
+
+async def test_last_attempt_is_waited_for_to_the_end() -> None:
+    hold = asyncio.Event()
+    one, two = StandinWorker(hold=hold), StandinWorker(hold=hold)
+    routes = [route("single", "safe", "plain", max_attempts=1, target_latency_ms=20)]
+    served = {"one": (one, "plain"), "two": (two, "plain")}
+    async with world(configuration(1, routes), served) as running:
+        call = asyncio.create_task(running.call("/single/x", method="GET"))
+        await until(lambda: len(one.seen) + len(two.seen) == 1)
+        # Longer than a call with another attempt left would be waited for.
+        await asyncio.sleep(0.9)
+        hold.set()
+        assert (await call).status == 200
