Doubt a peer at once whose connection failed

Cause: test_pieces_are_placed_anew_when_their_owner_dies failed: for up to a second after an owner's death, callers placed pieces there again and again and answered 503. Ruled out: the next owner's lane (it was never asked). Change: a failed call suspects the member until its next heartbeat, so the next owner by hash is asked at once; a closed datagram link sends nothing.

--- a/src/corkcrank/gateway/opaque/stage_dispatch.py
+++ b/src/corkcrank/gateway/opaque/stage_dispatch.py
@@ -219,6 +219,7 @@
                 request.cancel()
         body = request.result() if request.done() and not request.cancelled() else None
         if body is None:
+            self._fleet.doubt(owner)
             lost = PieceResult(PieceOutcome.REFUSED)
             return StageAnswer((lost,) * len(work.pieces), 0.0, f"owner {owner} is lost")
         return msgspec.msgpack.decode(body, type=StageAnswer)
--- a/src/corkcrank/links/datagrams.py
+++ b/src/corkcrank/links/datagrams.py
@@ -34,10 +34,11 @@
 
     def send(self, data: bytes, address: str) -> None:
         """Send one datagram without waiting."""
-        if self._transport is None or len(data) > MAXIMUM_DATAGRAM_BYTES:
+        transport = self._transport
+        if transport is None or transport.is_closing() or len(data) > MAXIMUM_DATAGRAM_BYTES:
             return
         host, port = address.rsplit(":", 1)
-        self._transport.sendto(data, (host, int(port)))
+        transport.sendto(data, (host, int(port)))
 
     def close(self) -> None:
         """Stop receiving."""
--- a/src/corkcrank/machines/fleet.py
+++ b/src/corkcrank/machines/fleet.py
@@ -145,6 +145,12 @@
         self._members[heartbeat.name] = Member(heartbeat, now)
         return known is None or known.heartbeat.incarnation != heartbeat.incarnation
 
+    def doubt(self, name: str) -> None:
+        """Suspect a member at once whose connection failed, until its next heartbeat."""
+        member = self._members.get(name)
+        if member is not None:
+            member.heard_at -= SUSPECT_HEARTBEATS * member.heartbeat.interval
+
     def member(self, name: str) -> Member | None:
         """Return a member that was heard."""
         return self._members.get(name)
--- a/tests/platform/node_world.py
+++ b/tests/platform/node_world.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 import aiohttp
+import msgspec
 from platform_standins import StandinStageWorker, StandinStore, StandinWorker
 
 from corkcrank.contracts.node_settings import (
@@ -162,6 +163,32 @@
     )
 
 
+@asynccontextmanager
+async def peer_of(running: World, ip: str, *, refused: bool = False) -> AsyncIterator[Node]:
+    """Run another gateway on another loopback address, with the first as its seed.
+
+    ``refused`` has the store turn it away.
+    """
+    first = running.nodes[0].fleet.own_address
+    port = int(first.rsplit(":", 1)[1])
+    settings = settings_for(ip, "z1", running.store.server.address, (first,), grace=0.6)
+    process = msgspec.structs.replace(settings.process, peer_ports=(port, port + 1))
+    settings = msgspec.structs.replace(settings, process=process)
+    if refused:
+        running.store.refused.add(ip)
+    connector = aiohttp.TCPConnector(local_addr=(ip, 0))
+    async with aiohttp.ClientSession(connector=connector) as session:
+        ports = connect(session, settings.store.address, settings.store.timeout)
+        node = Node(settings, ports, DecisionLog(None, ip), random.Random(8))
+        running.nodes.append(node)
+        await node.start()
+        try:
+            yield node
+        finally:
+            if not node.life.draining:
+                await node.stop()
+
+
 @asynccontextmanager
 async def world(
     document: dict[str, Any],
--- /dev/null
+++ b/tests/platform/test_owners.py
@@ -0,0 +1,91 @@
+"""Two gateways before one stage worker: one fills its batches, and what if it dies."""
+
+import asyncio
+
+from node_world import World, configuration, peer_of, route, until, world
+from platform_standins import StandinStageWorker, StandinWorker
+
+from corkcrank.gateway.opaque.node import Node
+from corkcrank.machines.fleet import Phase
+
+ROUTES = [
+    route(
+        "staged",
+        "stream",
+        "model",
+        stages=[{"service": "encode", "since_revision": [], "byte_length": 1000}],
+    )
+]
+PIECES = {"X-Corkcrank-Segments": "1", "X-Corkcrank-Segment-Key": "k"}
+
+
+async def acquainted(first: Node, second: Node) -> None:
+    """Wait until both gateways serve and know that of each other."""
+
+    def knows(one: Node, other: Node) -> bool:
+        member = one.fleet.member(other.fleet.own_name)
+        return member is not None and member.heartbeat.phase == Phase.SERVING
+
+    await until(lambda: knows(first, second) and knows(second, first))
+
+
+def owner_of(running: World, worker: StandinStageWorker) -> Node:
+    import time
+
+    first = running.nodes[0]
+    record = first.mirror.workers.get(worker.worker_id)
+    assert record is not None
+    name = first.fleet.owner_of(record, time.monotonic())
+    return next(node for node in running.nodes if node.fleet.own_name == name)
+
+
+async def call_through(running: World, number: int) -> int:
+    response = await running.call("/staged/x", number=number, headers=PIECES)
+    await response.read()
+    return response.status
+
+
+async def test_pieces_of_two_gateways_go_out_in_one_batch() -> None:
+    gate = asyncio.Event()
+    encode = StandinStageWorker(gate=gate)
+    served = {"m": (StandinWorker(events=2), "model"), "e": (encode, "encode")}
+    async with (
+        world(configuration(1, ROUTES), served) as running,
+        peer_of(running, "127.0.0.2") as second,
+    ):
+        await acquainted(running.nodes[0], second)
+        calls = [asyncio.create_task(call_through(running, 0))]
+        await until(lambda: len(encode.calls) == 1)
+        calls += [asyncio.create_task(call_through(running, number)) for number in (0, 1, 1)]
+        owner = owner_of(running, encode)
+        await until(lambda: sum(lane.waiting for _, lane in owner.desk.lanes()) == 3)
+        gate.set()
+        assert await asyncio.gather(*calls) == [200] * 4
+    assert [len(call) for call in encode.calls] == [1, 3]
+
+
+async def test_pieces_are_placed_anew_when_their_owner_dies() -> None:
+    gate = asyncio.Event()
+    encode = StandinStageWorker(gate=gate)
+    served = {"m": (StandinWorker(events=2), "model"), "e": (encode, "encode")}
+    async with (
+        world(configuration(1, ROUTES), served) as running,
+        peer_of(running, "127.0.0.2") as second,
+    ):
+        await acquainted(running.nodes[0], second)
+        owner = owner_of(running, encode)
+        other = 1 - running.nodes.index(owner)
+        call = asyncio.create_task(call_through(running, other))
+        await until(lambda: len(encode.calls) == 1)
+        await die(owner)
+        gate.set()
+        assert await call == 200
+
+
+async def die(node: Node) -> None:
+    """Stop a gateway's loops and its server without a word, as a kill does."""
+    for task in node._loops:
+        task.cancel()
+    node.heartbeats.close()
+    await node.desk.close()
+    await node._peer_server.stop()
--- a/tests/platform/test_store_mirror.py
+++ b/tests/platform/test_store_mirror.py
@@ -4,7 +4,7 @@
 import random
 
 import aiohttp
-from node_world import configuration, route, settings_for, until, world
+from node_world import configuration, peer_of, route, settings_for, until, world
 from platform_standins import StandinWorker
 
 from corkcrank.gateway.opaque.node import Node
@@ -60,36 +60,15 @@
 
 async def test_turned_away_gateway_learns_from_its_peer() -> None:
     one = StandinWorker()
-    async with world(configuration(1, ROUTES), {"one": (one, "plain")}) as running:
-        first = running.nodes[0]
-        port = first.fleet.own_address.rsplit(":", 1)[1]
-        settings = settings_for("127.0.0.2", "z1", running.store.server.address, ())
-        process = settings.process
-        ports = (int(port), int(port) + 1)
-        import msgspec
-
-        process = msgspec.structs.replace(process, peer_ports=ports)
-        settings = msgspec.structs.replace(settings, process=process)
-        seeds = msgspec.structs.replace(settings.peers, seeds=(first.fleet.own_address,))
-        settings = msgspec.structs.replace(
-            settings,
-            peers=seeds,
-            bounds=msgspec.structs.replace(settings.bounds, grace=0.6),
-        )
-        connector = aiohttp.TCPConnector(local_addr=("127.0.0.2", 0))
-        async with aiohttp.ClientSession(connector=connector) as session:
-            running.store.refused.add("127.0.0.2")
-            platform = connect(session, settings.store.address, settings.store.timeout)
-            second = Node(settings, platform, DecisionLog(None, "second"), random.Random(8))
-            await second.start()
-            try:
-                await until(lambda: second.ready)
-                running.store.put("op", "config", configuration(4, MORE))
-                await until(lambda: second.mirror.version == 4)
-                running.store.remove("servers", one.worker_id)
-                await until(lambda: not second.mirror.workers.records())
-            finally:
-                await second.stop()
+    async with (
+        world(configuration(1, ROUTES), {"one": (one, "plain")}) as running,
+        peer_of(running, "127.0.0.2", refused=True) as second,
+    ):
+        await until(lambda: second.ready)
+        running.store.put("op", "config", configuration(4, MORE))
+        await until(lambda: second.mirror.version == 4)
+        running.store.remove("servers", one.worker_id)
+        await until(lambda: not second.mirror.workers.records())
 
 
 async def test_gateway_without_configuration_is_not_ready_and_says_503() -> None:
--- a/tests/scheduling/test_fleet.py
+++ b/tests/scheduling/test_fleet.py
@@ -51,6 +51,15 @@
     assert fleet.owner_of(worker, 1.6) == "0"
 
 
+def test_doubted_member_is_suspected_until_its_next_heartbeat() -> None:
+    fleet = Fleet("0", "a", "10.0.0.0:1")
+    fleet.hear(beat("1", "a"), 5.0)
+    fleet.doubt("1")
+    assert fleet.live(5.01) == []
+    fleet.hear(beat("1", "a"), 5.2)
+    assert len(fleet.live(5.3)) == 1
+
+
 def test_silent_member_is_still_told_heartbeats_until_forgotten() -> None:
     fleet = Fleet("0", "a", "10.0.0.0:1")
     fleet.hear(beat("1", "a"), 0.0)
