Drop callers' values of headers that only a gateway may set

A forged expected version makes a worker answer 421, which marks it as leaving for every caller of the node; a forged priority passes others; both are dropped too, and so is any spelling with underscores. A Connection header can no longer take a call's own id, model, tokens or prefix away.

Change: names.RESERVED in platform/, a field of the envelope, one log line and a counter per name.

--- a/src/corkcrank/contracts/opaque_call.py
+++ b/src/corkcrank/contracts/opaque_call.py
@@ -40,6 +40,8 @@
 
     ``budget_seconds`` is the time the caller will wait. ``piece_counts`` gives the pieces
     of each stage. ``resume_after`` is the id of the last event the caller has.
+    ``reserved_headers`` names the headers sent that only a gateway may set; they go no
+    further.
     """
 
     call_id: str
@@ -49,6 +51,7 @@
     piece_counts: tuple[int, ...] = ()
     piece_key: str = ""
     resume_after: str = ""
+    reserved_headers: tuple[str, ...] = ()
 
 
 @dataclass(slots=True)
--- a/src/corkcrank/gateway/opaque/front.py
+++ b/src/corkcrank/gateway/opaque/front.py
@@ -86,6 +86,7 @@
         if isinstance(call, Refusal):
             self._log_refusal(request, call)
             return call
+        self._note_reserved_headers(call)
         if call.arrived_at + call.route.objective > self.drain_ends_at:
             return Refusal(ResultCode.DRAINING, retry_after=DRAINING_RETRY_SECONDS, close=True)
         call.end_at = min(call.end_at, self.drain_ends_at)
@@ -147,6 +148,16 @@
             return tenant
         return _make_call(request, body, arrived_at, configuration, envelope, route, tenant)
 
+    def _note_reserved_headers(self, call: OpaqueCall) -> None:
+        reserved = call.envelope.reserved_headers
+        if not reserved:
+            return
+        for name in reserved:
+            self._services.metrics.reserved_headers.labels(name).inc()
+        self._services.log.write(
+            LogEvent.HEADERS_DROPPED, call=call.call_id, tenant=call.tenant, headers=reserved
+        )
+
     def _log_refusal(self, request: web.BaseRequest, refusal: Refusal) -> None:
         self._services.log.write(
             LogEvent.CALL_REFUSED,
--- a/src/corkcrank/gateway/opaque/metrics.py
+++ b/src/corkcrank/gateway/opaque/metrics.py
@@ -39,6 +39,12 @@
             ("cause",),
             registry=self.registry,
         )
+        self.reserved_headers = Counter(
+            "corkcrank_reserved_headers",
+            "Headers of callers that were dropped, as only a gateway may set them.",
+            ("header",),
+            registry=self.registry,
+        )
         self.forecast_ratio = Histogram(
             "corkcrank_stage_forecast_ratio",
             "Measured time of a call's stages over the forecast one.",
--- a/src/corkcrank/links/decision_log.py
+++ b/src/corkcrank/links/decision_log.py
@@ -46,6 +46,7 @@
     MEMBER_SUSPECTED = "Members: suspected."
     MEMBER_REGAINED = "Members: regained."
     CALL_REFUSED = "Call: refused."
+    HEADERS_DROPPED = "Call: reserved headers dropped."
     CALL_SENT = "Call: sent to a worker."
     CALL_ATTEMPT_FAILED = "Call: attempt failed."
     CALL_ENDED = "Call: ended."
--- a/src/corkcrank/platform/call_headers.py
+++ b/src/corkcrank/platform/call_headers.py
@@ -58,7 +58,7 @@
         resume_after: str,
     ) -> HeaderList:
         """Return the head of the request that goes to a worker."""
-        headers = passed_on(call.headers, names.SET_BY_SYSTEM)
+        headers = passed_on(call.headers, names.RESERVED | names.REPLACED)
         headers.append((names.DEADLINE_MS, str(max(1, int(remaining_seconds * MILLISECONDS)))))
         headers.append((names.EXPECT_INSTANCE, worker.worker_id))
         if call.tenant:
@@ -88,20 +88,30 @@
 def passed_on(headers: Sequence[tuple[str, str]], without: frozenset[str]) -> HeaderList:
     """Return the headers that do not concern one connection only.
 
+    Names in ``without`` are in lower case with hyphens; an underscore counts as a hyphen.
+
     >>> passed_on([("Connection", "x-a"), ("X-A", "1"), ("B", "2"), ("TE", "t")], frozenset())
     [('B', '2')]
+    >>> passed_on([("X_Own", "1"), ("B", "2")], frozenset(["x-own"]))
+    [('B', '2')]
     """
     dropped = set(without)
     for name, value in headers:
         if name.lower() == "connection":
-            dropped.update(token.strip().lower() for token in value.split(","))
+            listed = {_plain_name(token.strip()) for token in value.split(",")}
+            dropped.update(listed - names.KEPT)
     return [
         (name, value)
         for name, value in headers
-        if name.lower() not in dropped and name.lower() not in ONE_CONNECTION_ONLY
+        if _plain_name(name) not in dropped and name.lower() not in ONE_CONNECTION_ONLY
     ]
 
 
+def _plain_name(name: str) -> str:
+    """Return a header's name as lenient workers compare it."""
+    return name.lower().replace("_", "-")
+
+
 def _read_envelope(headers: Mapping[str, str]) -> CallEnvelope:
     return CallEnvelope(
         call_id=headers.get(names.ATTEMPT_ID, ""),
@@ -111,6 +121,9 @@
         piece_counts=_read_piece_counts(headers),
         piece_key=headers.get(names.SEGMENT_KEY, ""),
         resume_after=headers.get(names.LAST_EVENT_ID, ""),
+        reserved_headers=tuple(
+            sorted({_plain_name(name) for name in headers} & names.RESERVED),
+        ),
     )
 
 
--- a/src/corkcrank/platform/names.py
+++ b/src/corkcrank/platform/names.py
@@ -17,11 +17,37 @@
 INPUTS = "X-Corkcrank-Inputs"
 CREDENTIAL = "X-Corkcrank-Credential"
 
-SET_BY_SYSTEM = frozenset(
+# Headers of requests to workers that tell what the gateway decided.
+EXPECT_VERSION = "X-Corkcrank-Expect-Version"
+REQUEST_PRIORITY = "X-Corkcrank-Request-Priority"
+RESERVATION = "X-Corkcrank-Hold"
+CACHE_PIN_MS = "X-Corkcrank-Pin-Ms"
+CACHE_BACKUP = "X-Corkcrank-Kv-Backup"
+CACHE_SOURCE = "Kv-From"
+CACHE_FETCH = "Kv-Fetch"
+
+RESERVED = frozenset(
     name.lower()
-    for name in (CREDENTIAL, TENANT, EXPECT_INSTANCE, DEADLINE_MS, INPUTS, LAST_EVENT_ID)
+    for name in (
+        TENANT,
+        EXPECT_INSTANCE,
+        EXPECT_VERSION,
+        INPUTS,
+        REQUEST_PRIORITY,
+        RESERVATION,
+        CACHE_PIN_MS,
+        CACHE_BACKUP,
+        CACHE_SOURCE,
+        CACHE_FETCH,
+    )
 )
-"""Headers of a caller that are not passed on as they came."""
+"""Headers that only the gateway may set; a caller's value of one is dropped."""
+
+REPLACED = frozenset(name.lower() for name in (CREDENTIAL, DEADLINE_MS, LAST_EVENT_ID))
+"""Headers of a caller that the gateway reads itself and writes anew, or keeps."""
+
+KEPT = frozenset(name.lower() for name in (ATTEMPT_ID, MODEL, TOKEN_COUNT, PREFIX))
+"""Headers that describe the call itself; no ``Connection`` header takes them away."""
 
 READY_PATH = "/readyz"
 STAGE_RUN_PATH = "/stage-run"
--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -298,6 +298,7 @@
     gate: asyncio.Event | None = None
     faults: deque[str] = field(default_factory=deque)
     calls: list[list[dict[str, Any]]] = field(default_factory=list)
+    heads: list[CIMultiDict[str]] = field(default_factory=list)
     held: set[str] = field(default_factory=set)
     made: set[str] = field(default_factory=set)
 
@@ -318,6 +319,7 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.headers.get(EXPECT) not in (None, self.worker_id):
             return web.Response(status=421, headers={INSTANCE: self.worker_id})
+        self.heads.append(CIMultiDict(request.headers))
         body = json.loads(await request.read())
         if request.path == "/stage-free":
             self.held.difference_update(body["handles"])
