A stopping gateway admits only what ends before it stops

Cause: after SIGTERM a call was admitted if its objective, the time to the first event, lay before the end of the grace; how long the stream goes on after that was not asked, neither at admission nor after the stages.

Ruled out: closing kept connections at SIGTERM (the balancer sends new ones for 2 to 3 s all the same, and where no other machine of the zone is ready it goes on); refusing everything while draining (short calls that fit are served better here than by a retry).

Change: the time of a stream after its first event is learned by route, as an upper envelope of seconds a token that may come out (scheduling/stream_times.py). A stopping gateway refuses at once a stream whose stages, engine and events do not fit in what is left, and a plain call that may take longer; after the stages it looks again and answers 502 before an engine has the call. Streams begun while stopping close their connection. The end of the grace stands in CallServices.

Tests: five with the stand-ins (before the stop, at it, late on a kept connection, short and long, a stop while stages run); all failed before.

--- a/src/corkcrank/gateway/opaque/front.py
+++ b/src/corkcrank/gateway/opaque/front.py
@@ -25,9 +25,6 @@
 UNKNOWN_RETRY_SECONDS = 0.3
 """When to come back to a gateway that has no configuration yet."""
 
-DRAINING_RETRY_SECONDS = 0.1
-"""When to come back to another gateway than one that is stopping."""
-
 DEFAULT_BUDGET_SECONDS = 30.0
 """Time of a caller that does not say how long it will wait."""
 
@@ -38,7 +35,6 @@
     def __init__(self, services: CallServices, draining: Callable[[], bool]) -> None:
         self._services = services
         self._draining = draining
-        self.drain_ends_at = float("inf")
 
     def limits(self) -> RequestLimits:
         """Return the limits of the configuration in force."""
@@ -87,9 +83,7 @@
             self._log_refusal(request, call)
             return call
         self._note_reserved_headers(call)
-        if call.arrived_at + call.route.objective > self.drain_ends_at:
-            return Refusal(ResultCode.DRAINING, retry_after=DRAINING_RETRY_SECONDS, close=True)
-        call.end_at = min(call.end_at, self.drain_ends_at)
+        call.end_at = min(call.end_at, self._services.stop_at)
         return await self._run(call, request)
 
     async def _run(
--- a/src/corkcrank/gateway/opaque/node.py
+++ b/src/corkcrank/gateway/opaque/node.py
@@ -246,7 +246,7 @@
         self.heartbeats.tell_soon()
         self._log.write(LogEvent.STOPPING, in_flight=self.callers.in_flight)
         end_at = began + self._settings.bounds.grace - DRAIN_RESERVE_SECONDS
-        self.front.drain_ends_at = end_at
+        self.services.stop_at = end_at
         linger_until = began + min(BALANCER_LAG_SECONDS, self._settings.bounds.grace / 2)
         while time.monotonic() < end_at:
             await asyncio.sleep(CHECK_SECONDS)
--- a/src/corkcrank/gateway/opaque/plain_run.py
+++ b/src/corkcrank/gateway/opaque/plain_run.py
@@ -21,6 +21,9 @@
 LEAST_SILENCE_SECONDS = 0.15
 """It is never tried elsewhere earlier than this, nor than half of its objective."""
 
+LONGEST_TIME_FACTOR = 10.0
+"""A stopping gateway takes a call if this multiple of the mean answer time is left."""
+
 SHORT_RETRY_SECONDS = 0.2
 """When to come back after every worker said that it is full."""
 
@@ -38,6 +41,8 @@
         """Return the worker's answer, or why there is none."""
         call = self._call
         service = call.service
+        if not self._ends_before_stop():
+            return Refusal.draining()
         for number in range(call.route.maximum_attempts):
             now = time.monotonic()
             if now >= call.end_at:
@@ -56,6 +61,15 @@
                 break
         return self._give_up()
 
+    def _ends_before_stop(self) -> bool:
+        """Return whether this gateway, if it is stopping, still has time for the call."""
+        services, call = self._services, self._call
+        if not services.stopping:
+            return True
+        usual = services.plain_times.of(call.service, PLAIN_SECONDS)
+        longest = max(call.route.objective, LONGEST_TIME_FACTOR * usual)
+        return time.monotonic() + longest <= services.stop_at
+
     def _choose(self, now: float) -> WorkerRecord | None:
         return choose_worker(
             self._services.mirror.workers.usable(self._call.service),
--- a/src/corkcrank/gateway/opaque/refusals.py
+++ b/src/corkcrank/gateway/opaque/refusals.py
@@ -9,6 +9,9 @@
 
 RETRY_AFTER = "Retry-After"
 
+DRAINING_RETRY_SECONDS = 0.1
+"""When to come back to another gateway than one that is stopping: a few round trips."""
+
 
 class RefusalBody(msgspec.Struct, frozen=True):
     """Body of an answer of corkcrank's own."""
@@ -28,6 +31,11 @@
     retry_after: float | None = None
     close: bool = False
 
+    @classmethod
+    def draining(cls) -> "Refusal":
+        """Return the answer to a call that cannot end before this gateway stops."""
+        return cls(ResultCode.DRAINING, retry_after=DRAINING_RETRY_SECONDS, close=True)
+
     def response(self) -> web.Response:
         """Return the answer as it goes out."""
         body = RefusalBody(self.code.number, self.code.name, self.detail, self.code.ran.value)
--- a/src/corkcrank/gateway/opaque/services.py
+++ b/src/corkcrank/gateway/opaque/services.py
@@ -19,6 +19,7 @@
 from corkcrank.scheduling.forecast_bias import ForecastBias
 from corkcrank.scheduling.prefill_isolation import PrefillIsolation, PromptSizes
 from corkcrank.scheduling.prefix_news import PrefixNews
+from corkcrank.scheduling.stream_times import StreamTimes
 from corkcrank.scheduling.worker_choice import StandingBook
 
 TIME_WEIGHT = 0.15
@@ -49,7 +50,10 @@
 
 @dataclass(slots=True)
 class CallServices:
-    """Everything that serving one call needs."""
+    """Everything that serving one call needs.
+
+    ``stop_at`` is when this gateway ends on the monotonic clock, known once it drains.
+    """
 
     ports: PlatformPorts
     mirror: StoreMirror
@@ -64,7 +68,9 @@
     random: random.Random
     zone: str
     bounds: NodeBoundSettings
+    stop_at: float = float("inf")
     first_event_times: MeanTimes = field(default_factory=MeanTimes)
+    stream_times: StreamTimes = field(default_factory=StreamTimes)
     plain_times: MeanTimes = field(default_factory=MeanTimes)
     forecast_bias: ForecastBias = field(default_factory=ForecastBias)
     prefix_news: PrefixNews = field(default_factory=PrefixNews)
@@ -73,6 +79,11 @@
     _fetch_delays: dict[str, FetchDelay] = field(default_factory=dict)
     _budgets: dict[str, FleetRetryBudget] = field(default_factory=dict)
 
+    @property
+    def stopping(self) -> bool:
+        """Return whether this gateway drains."""
+        return self.stop_at < float("inf")
+
     def fetch_delay(self, service: str) -> FetchDelay:
         """Return when results that a service's engines read may be freed."""
         return self._fetch_delays.setdefault(service, FetchDelay())
--- a/src/corkcrank/gateway/opaque/stream_admission.py
+++ b/src/corkcrank/gateway/opaque/stream_admission.py
@@ -45,6 +45,19 @@
         """Return the usual time of the service's engines to a first event."""
         return self._services.first_event_times.of(self._call.service, FIRST_EVENT_SECONDS)
 
+    def ends_before_stop(self, stages_seconds: float = 0.0) -> bool:
+        """Return whether the stream would end before this gateway, if it is stopping, does.
+
+        ``stages_seconds`` is what the stages still take.
+        """
+        services, call = self._services, self._call
+        if not services.stopping:
+            return True
+        tokens = call.envelope.prompt.tokens_out
+        stream_seconds = services.stream_times.of(call.route.name, tokens)
+        needed = stages_seconds + self.engine_seconds() + stream_seconds
+        return time.monotonic() + needed <= services.stop_at
+
     def rank_engines(self) -> list[WorkerRecord]:
         """Return the engines that may be tried, the best first."""
         call = self._call
@@ -67,7 +80,7 @@
         session stays with its engine as long as the zone keeps the objective.
         """
         if not self._plan.any_work:
-            return engines[0]
+            return engines[0] if self.ends_before_stop() else Refusal.draining()
         bias = self._services.forecast_bias.of(self._call.route.name, time.monotonic())
         verdicts: dict[str, AdmissionVerdict] = {}
         self._forecasts.clear()
@@ -77,6 +90,8 @@
             verdict = verdicts[engine.zone]
             if verdict.admitted:
                 self.stages_forecast = verdict.stages_seconds
+                if not self.ends_before_stop(verdict.stages_seconds * bias):
+                    return Refusal.draining()
                 return engine
         verdict = min(verdicts.values(), key=lambda item: item.forecast_seconds)
         self._log_refusal(verdict)
--- a/src/corkcrank/gateway/opaque/stream_relay.py
+++ b/src/corkcrank/gateway/opaque/stream_relay.py
@@ -51,6 +51,7 @@
         self._last_id: int | None = None
         self.started = False
         self.longest_pause = 0.0
+        self._first_sent_at: float | None = None
         self._sent_at: float | None = None
         self.on_first_event: Callable[[], None] = lambda: None
 
@@ -140,6 +141,8 @@
 
     def _note_pause(self) -> None:
         now = time.monotonic()
+        if self._first_sent_at is None:
+            self._first_sent_at = now
         if self._sent_at is not None:
             self.longest_pause = max(self.longest_pause, now - self._sent_at)
         self._sent_at = now
@@ -154,6 +157,8 @@
             response = web.StreamResponse(status=upstream.status, reason=upstream.reason)
             headers = self._services.ports.calls.answer_headers(list(upstream.headers.items()))
             replace_headers(response, headers)
+            if self._services.stopping:
+                response.force_close()
             self._response = response
             await response.prepare(self._request)
         return self._response
@@ -166,8 +171,18 @@
             await response.write_eof()
         except ConnectionError:
             return RelayEnd.CALLER_GONE
+        self._learn_time()
         return RelayEnd.COMPLETE
 
+    def _learn_time(self) -> None:
+        """Learn how long the stream took, unless its caller had a part of it before."""
+        if self._first_sent_at is None or self._call.envelope.resume_after:
+            return
+        call = self._call
+        seconds = time.monotonic() - self._first_sent_at
+        tokens = call.envelope.prompt.tokens_out
+        self._services.stream_times.learn(call.route.name, tokens, seconds)
+
     def _silence_limit(self) -> float:
         if not self._may_move():
             return float("inf")
--- a/src/corkcrank/gateway/opaque/stream_run.py
+++ b/src/corkcrank/gateway/opaque/stream_run.py
@@ -70,6 +70,8 @@
         for number in range(self._call.route.maximum_attempts):
             assert engine is not None
             inputs = await self._run_stages(engine)
+            if not self._relay.prepared and not self._admission.ends_before_stop():
+                break
             engine = self._still_usable(engine)
             if engine is None or not self._may_send(number):
                 break
@@ -279,7 +281,11 @@
             code = ResultCode.DEADLINE_EXCEEDED if overdue else ResultCode.WORKER_LOST
             return Refusal(code)
         if self._stages is not None and self._stages.started:
-            return Refusal(ResultCode.STAGE_FAILED, "no engine after the stages")
+            stopping = not self._admission.ends_before_stop()
+            detail = "this gateway is stopping" if stopping else "no engine after the stages"
+            return Refusal(ResultCode.STAGE_FAILED, detail)
+        if not self._admission.ends_before_stop():
+            return Refusal.draining()
         code = ResultCode.WORKERS_FULL if self._call.workers_tried else ResultCode.NO_BACKEND
         return Refusal(code, retry_after=SHORT_RETRY_SECONDS)
 
--- /dev/null
+++ b/tests/platform/test_drain_admission.py
@@ -0,0 +1,123 @@
+"""A gateway that is stopping admits only what can end before it stops."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import aiohttp
+from node_world import World, configuration, route, until, world
+from platform_standins import StandinStageWorker, StandinWorker
+
+GRACE = 2.4
+"""Seconds between the stop and the end of the gateway."""
+
+SHORT_EVENTS, LONG_EVENTS = 4, 140
+EVENT_GAP = 0.02
+"""Events of a stream, and seconds between them: 0.1 s and 3 s."""
+
+ROUTES = [
+    route("plain", "safe", "plain"),
+    route("short", "stream", "brief", target_latency_ms=800),
+    route("long", "stream", "model", target_latency_ms=800),
+    route(
+        "staged",
+        "stream",
+        "model",
+        target_latency_ms=2_000,
+        stages=[{"service": "encode", "since_revision": [], "byte_length": 1000}],
+    ),
+]
+TOKENS = {"X-Corkcrank-Token-Count": f"10,{LONG_EVENTS}"}
+PIECES = {**TOKENS, "X-Corkcrank-Segments": "1", "X-Corkcrank-Segment-Key": "abcd"}
+
+
+@asynccontextmanager
+async def stopping_soon() -> AsyncIterator[tuple[World, StandinWorker, StandinStageWorker]]:
+    """Run a gateway that has measured a stream of each kind and is not stopping yet."""
+    model = StandinWorker(events=LONG_EVENTS, gap=EVENT_GAP)
+    brief = StandinWorker(events=SHORT_EVENTS, gap=EVENT_GAP)
+    encode = StandinStageWorker()
+    served = {
+        "m": (model, "model"),
+        "b": (brief, "brief"),
+        "e": (encode, "encode"),
+        "p": (StandinWorker(), "plain"),
+    }
+    document = configuration(1, ROUTES)
+    document["services"].append({"name": "brief", "engine": {"slots": 8, "kv_capacity": 1000}})
+    async with world(document, served, grace=GRACE) as running:
+        answers = [running.call(path, headers=TOKENS) for path in ("/short/x", "/long/x")]
+        for response in await asyncio.gather(*answers):
+            await response.read()
+        yield running, model, encode
+
+
+async def stop(running: World) -> asyncio.Task[None]:
+    node = running.nodes[0]
+    task = asyncio.create_task(node.stop())
+    await until(lambda: node.life.draining)
+    return task
+
+
+async def test_a_stream_that_outlasts_the_grace_is_refused_at_once() -> None:
+    async with stopping_soon() as (running, model, _):
+        stopped = await stop(running)
+        before = len(model.seen)
+        response = await running.call("/long/x", headers=TOKENS)
+        assert response.status == 503
+        assert b"DRAINING" in await response.read()
+        assert float(response.headers["Retry-After"]) < 1.0
+        assert response.headers["Connection"] == "close"
+        assert len(model.seen) == before
+        await stopped
+
+
+async def test_short_answers_are_still_served_whole_and_close_their_connection() -> None:
+    async with stopping_soon() as (running, _, _):
+        stopped = await stop(running)
+        for path in ("/short/x", "/plain/x"):
+            response = await running.call(path, headers=TOKENS)
+            assert response.status == 200
+            assert await response.read()
+            assert response.headers["Connection"] == "close"
+        await stopped
+
+
+async def test_a_stream_that_began_before_the_stop_ends_whole() -> None:
+    async with stopping_soon() as (running, _, _):
+        response = await running.call("/short/x", headers=TOKENS)
+        stopped = await stop(running)
+        assert (await response.read()).count(b"id:") == SHORT_EVENTS
+        await stopped
+
+
+async def test_stages_that_end_too_late_for_the_stream_are_answered_and_not_cut() -> None:
+    async with stopping_soon() as (running, model, encode):
+        encode.gate = asyncio.Event()
+        before = len(model.seen)
+        call = asyncio.create_task(running.call("/staged/x", headers=PIECES))
+        await until(lambda: bool(encode.calls))
+        stopped = await stop(running)
+        encode.gate.set()
+        response = await call
+        assert response.status == 502
+        assert b"STAGE_FAILED" in await response.read()
+        assert len(model.seen) == before
+        await stopped
+
+
+async def test_a_kept_connection_gets_an_answer_late_in_the_drain() -> None:
+    async with stopping_soon() as (running, model, _):
+        connector = aiohttp.TCPConnector(limit=1)
+        async with aiohttp.ClientSession(connector=connector) as kept:
+            running.session = kept
+            first = await running.call("/plain/x")
+            await first.read()
+            stopped = await stop(running)
+            await asyncio.sleep(0)
+            before = len(model.seen)
+            response = await running.call("/long/x", headers=TOKENS)
+            assert response.status == 503
+            await response.read()
+            assert len(model.seen) == before
+            await stopped
