Tell from the nodes' logs where calls are lost: corkcrank losses

The log lines lacked the rank, the objective and the time to the first byte of a call, the route's pause and a batch's size and fixed time; the histogram of times to the first byte counted whole streams.

One reader of log files serves explain and losses. Tests on the log of a real node before stand-ins.

--- a/src/corkcrank/cli/operator.py
+++ b/src/corkcrank/cli/operator.py
@@ -29,6 +29,10 @@
 from corkcrank.contracts.result_codes import Failure, ResultCode
 from corkcrank.contracts.settings import load_settings
 from corkcrank.controller.routes import FailureView, StatusView
+from corkcrank.reports.call_story import tell_stories
+from corkcrank.reports.log_records import read_all
+from corkcrank.reports.losses import LossReport, make_report
+from corkcrank.reports.losses_table import table_lines
 
 application = typer.Typer(no_args_is_help=True, help=__doc__, rich_markup_mode=None)
 plan_application = typer.Typer(no_args_is_help=True, help="Draw a plan from an intent.")
@@ -208,6 +212,37 @@
         typer.echo(line)
 
 
+@application.command()
+def losses(
+    files: list[Path],
+    plot: Path | None = typer.Option(None, help="Also write a picture, e.g. losses.png."),
+    least_calls: int = typer.Option(1, help="Leave out routes with fewer calls."),
+) -> None:
+    """Tell from all nodes' log files where calls were lost or late, and why.
+
+    Example: corkcrank losses logs/*.log --plot losses.png
+    """
+    records = read_all(files)
+    stories = tell_stories(records)
+    if not stories:
+        typer.echo("no call ended in these files", err=True)
+        raise typer.Exit(ExitCode.NOT_FOUND)
+    report = make_report(stories, records)
+    for line in table_lines(report, least_calls):
+        typer.echo(line)
+    if plot is not None:
+        _plot(report, plot)
+
+
+def _plot(report: LossReport, path: Path) -> None:
+    try:
+        from corkcrank.reports.losses_plot import plot_losses
+    except ImportError:
+        typer.echo("--plot needs matplotlib: install corkcrank[reports]", err=True)
+        raise typer.Exit(ExitCode.UNAVAILABLE) from None
+    plot_losses(report, path)
+
+
 @application.command()
 def codes() -> None:
     """Print the table of result codes as Markdown."""
--- a/src/corkcrank/contracts/opaque_call.py
+++ b/src/corkcrank/contracts/opaque_call.py
@@ -54,9 +54,16 @@
     reserved_headers: tuple[str, ...] = ()
 
 
+RETURNING_SHARE = 0.97
+"""A caller that gives less of the route's timeout than this has probably come back."""
+
+
 @dataclass(slots=True)
 class OpaqueCall:
-    """One request of one caller on its way; times are of the monotonic clock."""
+    """One request of one caller on its way; times are of the monotonic clock.
+
+    ``first_byte_at`` is when the answer began to go back, once it did.
+    """
 
     envelope: CallEnvelope
     route: OpaqueRoute
@@ -72,12 +79,19 @@
     caller_end_at: float
     configuration_version: int
     workers_tried: list[str] = field(default_factory=list)
+    first_byte_at: float | None = None
 
     @property
     def call_id(self) -> str:
         """Return the caller's id of this attempt."""
         return self.envelope.call_id
 
+    @property
+    def returning(self) -> bool:
+        """Return whether the caller has probably been refused before."""
+        budget = self.envelope.budget_seconds
+        return budget is not None and budget < RETURNING_SHARE * self.route.timeout
+
     @property
     def objective_at(self) -> float:
         """Return when the first byte of the answer is due."""
--- a/src/corkcrank/gateway/opaque/front.py
+++ b/src/corkcrank/gateway/opaque/front.py
@@ -89,16 +89,12 @@
     async def _run(
         self, call: OpaqueCall, request: web.BaseRequest
     ) -> web.StreamResponse | Refusal:
-        metrics = self._services.metrics
-        outcome = "left"
-        first_at = time.monotonic()
-        detail = ""
+        outcome, detail = "left", ""
         try:
             if call.route.kind is CallKind.STREAM:
                 answer = await StreamRun(call, self._services, request).run()
             else:
                 answer = await PlainRun(call, self._services).run()
-            first_at = time.monotonic()
             if isinstance(answer, Refusal):
                 outcome, detail = answer.code.name, answer.detail
             else:
@@ -108,21 +104,31 @@
             outcome, detail = "broken", str(error)
             raise
         finally:
-            seconds = time.monotonic() - call.arrived_at
-            metrics.calls.labels(call.route.kind.value, str(call.rank), outcome).inc()
-            metrics.seconds.labels(call.route.kind.value).observe(first_at - call.arrived_at)
-            self._services.log.write(
-                LogEvent.CALL_ENDED,
-                call=call.call_id,
-                route=call.route.name,
-                tenant=call.tenant,
-                outcome=outcome,
-                detail=detail,
-                seconds=round(seconds, 3),
-                left=round(call.caller_end_at - time.monotonic(), 3),
-                workers=call.workers_tried,
-                configuration=call.configuration_version,
-            )
+            self._note_end(call, outcome, detail)
+
+    def _note_end(self, call: OpaqueCall, outcome: str, detail: str) -> None:
+        """Count and log how a call ended; ``outcome`` is a status or a code's name."""
+        metrics = self._services.metrics
+        now = time.monotonic()
+        first_byte_seconds = (call.first_byte_at or now) - call.arrived_at
+        metrics.calls.labels(call.route.kind.value, str(call.rank), outcome).inc()
+        metrics.seconds.labels(call.route.kind.value).observe(first_byte_seconds)
+        self._services.log.write(
+            LogEvent.CALL_ENDED,
+            call=call.call_id,
+            route=call.route.name,
+            rank=call.rank,
+            tenant=call.tenant,
+            outcome=outcome,
+            detail=detail,
+            seconds=round(now - call.arrived_at, 3),
+            first_byte=round(first_byte_seconds, 3),
+            objective=call.route.objective,
+            returning=call.returning,
+            left=round(call.caller_end_at - now, 3),
+            workers=call.workers_tried,
+            configuration=call.configuration_version,
+        )
 
     def _read_call(
         self, request: web.BaseRequest, body: bytes, arrived_at: float
--- a/src/corkcrank/gateway/opaque/stage_desk.py
+++ b/src/corkcrank/gateway/opaque/stage_desk.py
@@ -232,6 +232,8 @@
             outcome=_describe(outcome),
             seconds=round(now - started, 3),
             expected=round(call.expected_seconds, 3),
+            batch=entry.lane.capacity.batch,
+            fixed=entry.lane.capacity.call_seconds,
             waiting=entry.lane.waiting,
             room_used=int(entry.lane.room_used),
         )
--- a/src/corkcrank/gateway/opaque/stream_admission.py
+++ b/src/corkcrank/gateway/opaque/stream_admission.py
@@ -11,7 +11,6 @@
 from corkcrank.gateway.opaque.stage_run import stage_placing
 from corkcrank.links.decision_log import LogEvent
 from corkcrank.scheduling.call_admission import (
-    RETURNING_SHARE,
     AdmissionVerdict,
     admit,
     forecast_chain,
@@ -35,12 +34,6 @@
         self.stages_forecast = 0.0
         self._forecasts: dict[tuple[int, str], LaneForecast | None] = {}
 
-    @property
-    def returning(self) -> bool:
-        """Return whether the caller has probably been refused before."""
-        budget = self._call.envelope.budget_seconds
-        return budget is not None and budget < RETURNING_SHARE * self._call.route.timeout
-
     def engine_seconds(self) -> float:
         """Return the usual time of the service's engines to a first event."""
         return self._services.first_event_times.of(self._call.service, FIRST_EVENT_SECONDS)
@@ -114,7 +107,7 @@
             call.objective_at - now,
             call.end_at - now,
             ADMISSION_MARGIN,
-            returning=self.returning,
+            returning=self._call.returning,
         )
 
     def _forecast(self, stage: int, zone: str) -> LaneForecast | None:
@@ -136,7 +129,7 @@
             route=self._call.route.name,
             needed=round(verdict.forecast_seconds, 3),
             slack=round(verdict.slack_seconds, 3),
-            returning=self.returning,
+            returning=self._call.returning,
             retry_after=round(verdict.retry_after, 3),
             members=self._services.fleet.share_members(),
         )
--- a/src/corkcrank/gateway/opaque/stream_relay.py
+++ b/src/corkcrank/gateway/opaque/stream_relay.py
@@ -51,7 +51,6 @@
         self._last_id: int | None = None
         self.started = False
         self.longest_pause = 0.0
-        self._first_sent_at: float | None = None
         self._sent_at: float | None = None
         self.on_first_event: Callable[[], None] = lambda: None
 
@@ -141,8 +140,8 @@
 
     def _note_pause(self) -> None:
         now = time.monotonic()
-        if self._first_sent_at is None:
-            self._first_sent_at = now
+        if self._call.first_byte_at is None:
+            self._call.first_byte_at = now
         if self._sent_at is not None:
             self.longest_pause = max(self.longest_pause, now - self._sent_at)
         self._sent_at = now
@@ -176,10 +175,10 @@
 
     def _learn_time(self) -> None:
         """Learn how long the stream took, unless its caller had a part of it before."""
-        if self._first_sent_at is None or self._call.envelope.resume_after:
-            return
         call = self._call
-        seconds = time.monotonic() - self._first_sent_at
+        if call.first_byte_at is None or call.envelope.resume_after:
+            return
+        seconds = time.monotonic() - call.first_byte_at
         tokens = call.envelope.prompt.tokens_out
         self._services.stream_times.learn(call.route.name, tokens, seconds)
 
--- a/src/corkcrank/gateway/opaque/stream_run.py
+++ b/src/corkcrank/gateway/opaque/stream_run.py
@@ -127,7 +127,7 @@
                 self._services.log,
                 engine.zone,
                 self._admission.engine_seconds(),
-                returning=self._admission.returning,
+                returning=self._call.returning,
             )
         if self._plan.complete:
             return self._plan.final_handles()
@@ -270,6 +270,7 @@
             worker=engine.worker_id,
             end=end.value,
             longest_pause=round(self._relay.longest_pause, 3),
+            pause_objective=self._call.route.pause_objective,
         )
 
     def _give_up(self) -> web.StreamResponse | Refusal:
--- /dev/null
+++ b/src/corkcrank/reports/call_story.py
@@ -0,0 +1,148 @@
+"""One call as the logs of all machines tell it: where its time went and how it ended."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from corkcrank.links.decision_log import LogEvent
+from corkcrank.reports.log_records import LogRecord, time_of
+
+
+class Step(StrEnum):
+    """The parts of a call's time up to its first byte."""
+
+    STAGE_QUEUE = "stage queue"
+    STAGE_WORK = "stage work"
+    ENGINE = "engine"
+    OTHER = "other"
+
+
+class Loss(StrEnum):
+    """Why a call earned less than it could; ``NONE`` for one served in time."""
+
+    NONE = "in time"
+    FORECAST = "refused: forecast"
+    FULL = "refused: workers full or none"
+    STOPPING = "refused: gateway stopping"
+    INVALID = "refused: request or key"
+    STAGE_WAIT = "stages: too long a wait"
+    STAGE_LOST = "stages: worker or owner lost"
+    NO_ENGINE = "no engine after the stages"
+    WORKER_LOST = "worker's answer lost"
+    WORKER_ERROR = "worker's own error"
+    DEADLINE = "deadline or timeout passed"
+    BROKEN = "stream broken off"
+    CALLER_LEFT = "caller left"
+    PAUSED = "late: pause in the stream"
+    LATE_STAGE_QUEUE = "late: stage queue"
+    LATE_STAGE_WORK = "late: stage work"
+    LATE_ENGINE = "late: engine"
+    LATE_OTHER = "late: other"
+
+
+_BY_CODE = {
+    "CAPACITY_SHORT": Loss.FORECAST,
+    "WORKERS_FULL": Loss.FULL,
+    "NO_BACKEND": Loss.FULL,
+    "CONFIGURATION_UNKNOWN": Loss.FULL,
+    "DRAINING": Loss.STOPPING,
+    "DEADLINE_EXCEEDED": Loss.DEADLINE,
+    "WORKER_LOST": Loss.WORKER_LOST,
+    "broken": Loss.BROKEN,
+    "left": Loss.CALLER_LEFT,
+}
+
+_LATE_BY_STEP = {
+    Step.STAGE_QUEUE: Loss.LATE_STAGE_QUEUE,
+    Step.STAGE_WORK: Loss.LATE_STAGE_WORK,
+    Step.ENGINE: Loss.LATE_ENGINE,
+    Step.OTHER: Loss.LATE_OTHER,
+}
+
+
+@dataclass(slots=True)
+class CallStory:
+    """Times are in seconds; ``began_at`` is of the machine's time of day."""
+
+    call_id: str
+    began_at: float
+    route: str
+    rank: str
+    outcome: str
+    detail: str
+    first_byte: float
+    objective: float
+    returning: bool
+    steps: dict[Step, float] = field(default_factory=dict)
+    longest_pause: float = 0.0
+    pause_objective: float | None = None
+
+    @property
+    def loss(self) -> Loss:
+        """Return why the call was lost or late."""
+        if self.outcome == "200":
+            return self._lateness()
+        if self.outcome == "STAGE_FAILED":
+            return _stage_loss(self.detail)
+        if self.outcome.isdigit():
+            return Loss.WORKER_ERROR
+        return _BY_CODE.get(self.outcome, Loss.INVALID)
+
+    def _lateness(self) -> Loss:
+        if self.first_byte > self.objective:
+            longest = max(self.steps, key=lambda step: self.steps[step], default=Step.OTHER)
+            return _LATE_BY_STEP[longest]
+        if self.pause_objective is not None and self.longest_pause > self.pause_objective:
+            return Loss.PAUSED
+        return Loss.NONE
+
+
+def _stage_loss(detail: str) -> Loss:
+    if detail.startswith("no engine"):
+        return Loss.NO_ENGINE
+    return Loss.STAGE_WAIT if "wait" in detail else Loss.STAGE_LOST
+
+
+def tell_stories(records: Iterable[LogRecord]) -> list[CallStory]:
+    """Return the calls that ended, in order of their end; ``records`` are in order of time."""
+    steps: dict[str, dict[Step, float]] = {}
+    batches: dict[str, float] = {}
+    pauses: dict[str, LogRecord] = {}
+    stories = []
+    for record in records:
+        event, call = record["event"], record.get("call", "")
+        if event == LogEvent.BATCH_ENDED:
+            for member in record["calls"]:
+                batches[member] = batches.get(member, 0.0) + record["seconds"]
+        elif event == LogEvent.STAGE_ENDED:
+            work = min(record["seconds"], batches.pop(call, 0.0))
+            known = steps.setdefault(call, {})
+            known[Step.STAGE_WORK] = work
+            known[Step.STAGE_QUEUE] = record["seconds"] - work
+        elif event == LogEvent.FIRST_EVENT:
+            steps.setdefault(call, {})[Step.ENGINE] = record["seconds"]
+        elif event == LogEvent.STREAM_ENDED:
+            pauses[call] = record
+        elif event == LogEvent.CALL_ENDED:
+            stories.append(_story(record, steps.pop(call, {}), pauses.pop(call, None)))
+            batches.pop(call, None)
+    return stories
+
+
+def _story(record: LogRecord, steps: dict[Step, float], stream: LogRecord | None) -> CallStory:
+    first_byte = float(record["first_byte"])
+    steps[Step.OTHER] = max(0.0, first_byte - sum(steps.values()))
+    return CallStory(
+        call_id=record["call"],
+        began_at=time_of(record) - float(record["seconds"]),
+        route=record["route"],
+        rank="/".join(str(part) for part in record["rank"]),
+        outcome=record["outcome"],
+        detail=record["detail"],
+        first_byte=first_byte,
+        objective=float(record["objective"]),
+        returning=bool(record["returning"]),
+        steps=steps,
+        longest_pause=float(stream["longest_pause"]) if stream else 0.0,
+        pause_objective=stream.get("pause_objective") if stream else None,
+    )
--- /dev/null
+++ b/src/corkcrank/reports/losses_table.py
@@ -0,0 +1,59 @@
+"""The losses of a time as text."""
+
+from collections.abc import Iterator
+from statistics import median
+
+from corkcrank.reports.call_story import Loss, Step
+from corkcrank.reports.losses import LossReport, RouteLosses, WindowLosses
+from corkcrank.reports.stage_work import WorkerTime
+
+
+def table_lines(report: LossReport, least_calls: int = 1) -> Iterator[str]:
+    """Return the report line by line; routes with fewer calls than ``least_calls`` are left out."""
+    yield "Routes: calls by cause; median seconds of each step of the served ones"
+    for route in report.routes:
+        if route.calls >= least_calls:
+            yield from _route_lines(route)
+    yield ""
+    yield "Windows: calls begun, in time, and what was lost"
+    yield from (_window_line(window) for window in report.windows)
+    yield ""
+    yield "Stage workers: batches, fill, and what their time went to"
+    yield from (_worker_line(worker) for worker in report.workers)
+
+
+def _route_lines(route: RouteLosses) -> Iterator[str]:
+    served = route.causes[Loss.NONE]
+    yield (
+        f"{route.route} rank {route.rank}, objective {route.objective:.2f} s: "
+        f"{served} of {route.calls} in time"
+    )
+    steps = [
+        f"{step.value} {median(route.waits[step]):.3f}" for step in Step if route.waits.get(step)
+    ]
+    yield "    steps: " + ", ".join(steps)
+    if route.returned:
+        yield f"    callers that came back: {route.returned_in_time} of {route.returned} in time"
+    for loss, count in route.causes.most_common():
+        if loss is not Loss.NONE:
+            yield f"    {count:5d}  {loss.value}"
+
+
+def _window_line(window: WindowLosses) -> str:
+    lost = ", ".join(
+        f"{count} {loss.value}"
+        for loss, count in window.causes.most_common()
+        if loss is not Loss.NONE
+    )
+    served = window.causes[Loss.NONE]
+    return f"{window.begins:6.0f} s  {window.causes.total():4d} {served:4d}  {lost}"
+
+
+def _worker_line(worker: WorkerTime) -> str:
+    span = max(1e-9, worker.last_at - worker.first_at)
+    return (
+        f"{worker.service} {worker.worker}  {worker.batches:4d} of {worker.mean_fill:.1f}"
+        f"/{worker.batch}  busy {worker.busy_share:.2f} (fixed {worker.fixed / span:.2f}), "
+        f"idle while pieces waited {worker.starved / span:.2f}, "
+        f"{worker.no_room} without room, {worker.failed} failed"
+    )
--- a/src/corkcrank/scheduling/call_admission.py
+++ b/src/corkcrank/scheduling/call_admission.py
@@ -11,9 +11,6 @@
 from corkcrank.contracts.opaque_configuration import StageDefinition
 from corkcrank.scheduling.stage_lane import LaneForecast
 
-RETURNING_SHARE = 0.97
-"""A caller that gives less of the route's timeout than this has probably come back."""
-
 RETURNING_MARGIN = 1.0
 """Share of the objective that the forecast of such a caller may use, never more than it."""
 
--- /dev/null
+++ b/tests/platform/test_losses.py
@@ -0,0 +1,86 @@
+"""``corkcrank losses``: a recorded log of a real node says where its calls were lost."""
+
+import re
+from collections import deque
+from pathlib import Path
+
+import pytest
+from node_world import configuration, route, world
+from platform_standins import StandinStageWorker, StandinWorker
+from test_operations_page import PIECES, logged
+from typer.testing import CliRunner
+
+from corkcrank.cli.operator import application
+from corkcrank.reports.call_story import Loss, Step, tell_stories
+from corkcrank.reports.log_records import read_all
+from corkcrank.reports.losses import LossReport, make_report
+
+STAGES = [{"service": "encode", "since_revision": [], "byte_length": 1000}]
+ROUTES = [
+    route("once", "unsafe", "plain"),
+    route("talk", "stream", "model"),
+    route("tardy", "stream", "model", target_latency_ms=1),
+    route("hopeless", "stream", "model", target_latency_ms=10, stages=STAGES),
+    route("staged", "stream", "model", stages=STAGES),
+]
+
+
+async def record(folder: Path) -> Path:
+    """Have a real node serve, refuse, delay and lose calls; return its log."""
+    served = {
+        "plain": (StandinWorker(faults=deque(["reset"])), "plain"),
+        "model": (StandinWorker(events=3, gap=0.01), "model"),
+        "encode": (StandinStageWorker(room=1), "encode"),
+    }
+    async with world(configuration(1, ROUTES), served) as running:
+        with logged(running, folder) as path:
+            for name in ("once", "talk", "tardy", "hopeless", "staged"):
+                response = await running.call(f"/{name}/x", headers=PIECES)
+                await response.read()
+            back = {**PIECES, "X-Corkcrank-Deadline-Ms": "2000"}
+            await (await running.call("/hopeless/x", headers=back)).read()
+    return path
+
+
+async def report_of(folder: Path) -> LossReport:
+    records = read_all([await record(folder)])
+    return make_report(tell_stories(records), records)
+
+
+async def test_each_lost_call_has_its_cause(tmp_path: Path) -> None:
+    report = await report_of(tmp_path)
+    causes = {item.route: dict(item.causes) for item in report.routes}
+    assert causes["once"] == {Loss.WORKER_LOST: 1}
+    assert causes["talk"] == {Loss.NONE: 1}
+    assert causes["tardy"] == {Loss.LATE_ENGINE: 1}
+    assert causes["hopeless"] == {Loss.FORECAST: 2}
+    assert causes["staged"] == {Loss.NONE: 1}
+
+
+async def test_steps_windows_workers_and_returning_callers_are_told(tmp_path: Path) -> None:
+    report = await report_of(tmp_path)
+    routes = {item.route: item for item in report.routes}
+    assert set(routes["staged"].waits) == set(Step)
+    assert (routes["hopeless"].returned, routes["hopeless"].returned_in_time) == (1, 0)
+    assert sum(window.causes.total() for window in report.windows) == 6
+    (worker,) = report.workers
+    assert (worker.service, worker.batches, worker.pieces) == ("encode", 1, 1)
+    assert worker.busy > 0
+
+
+async def test_command_prints_the_table_and_draws_the_plot(tmp_path: Path) -> None:
+    log, picture = await record(tmp_path), tmp_path / "losses.png"
+    done = CliRunner().invoke(application, ["losses", str(log), "--plot", str(picture)])
+    assert done.exit_code == 0, done.output
+    assert re.search(r"hopeless rank 1/0, objective 0.01 s: 0 of 2 in time", done.output)
+    assert "callers that came back: 0 of 1 in time" in done.output
+    assert picture.read_bytes().startswith(b"\x89PNG")
+
+
+@pytest.mark.parametrize("text", ["", "no log\n", '{"event": 1'])
+def test_files_without_calls_are_told_so(tmp_path: Path, text: str) -> None:
+    empty = tmp_path / "empty.log"
+    empty.write_text(text)
+    done = CliRunner().invoke(application, ["losses", str(empty)])
+    assert done.exit_code == 7
+    assert "no call ended" in done.output
