--- a/src/corkcrank/gateway/opaque/stream_admission.py
+++ b/src/corkcrank/gateway/opaque/stream_admission.py
@@ -32,6 +32,7 @@
         self._services = services
         self._plan = plan
         self.stages_forecast = 0.0
+        self.correction = 1.0
         self._forecasts: dict[tuple[int, str], LaneForecast | None] = {}
 
     def engine_seconds(self) -> float:
@@ -75,6 +76,7 @@
         if not self._plan.any_work:
             return engines[0] if self.ends_before_stop() else Refusal.draining()
         bias = self._services.forecast_bias.of(self._call.route.name, time.monotonic())
+        self.correction = bias
         verdicts: dict[str, AdmissionVerdict] = {}
         self._forecasts.clear()
         for engine in engines:
--- a/src/corkcrank/gateway/opaque/stream_run.py
+++ b/src/corkcrank/gateway/opaque/stream_run.py
@@ -137,6 +137,8 @@
             LogEvent.STAGE_ENDED,
             call=self._call.call_id,
             seconds=round(seconds, 3),
+            forecast=round(self._admission.stages_forecast, 3),
+            correction=round(self._admission.correction, 2),
             results=len(handles),
         )
         return handles
