Ask a stage worker for its free room after it had none, and on taking it over

Cause: when one piece found no room, the lane counted the whole rest of the room as held for 0.3 s, small results and the forecast included; and an owner that has just taken a worker over knows none of the results that hold its room (4 s after the owner before it was killed).

Change: what is left is less than the smallest piece that was turned away, so smaller ones may pass; and the worker's report of its free room, asked for at once then and when a lane is made, tells what results that nobody here knows hold, for 0.1 s at a time. A log line a report.

--- a/src/corkcrank/gateway/opaque/stage_caller.py
+++ b/src/corkcrank/gateway/opaque/stage_caller.py
@@ -13,7 +13,12 @@
     WorkerClient,
     read_whole,
 )
-from corkcrank.links.platform_ports import PieceOrder, PieceResult, StageCodec
+from corkcrank.links.platform_ports import (
+    PieceOrder,
+    PieceResult,
+    StageCodec,
+    StageWorkerReport,
+)
 from corkcrank.scheduling.batch_filling import PieceTicket
 from corkcrank.scheduling.stage_lane import StageCall
 
@@ -23,6 +28,9 @@
 CALL_TIME_MARGIN = 1.0
 """Seconds added to the limit above; also the limit of giving results up."""
 
+REPORT_SECONDS = 0.2
+"""Longest wait for a report: many round trips, and less than a usual call."""
+
 KNOWN_HANDLES = 512
 """Handles remembered of each worker, to tell a surplus answer from a new one."""
 
@@ -74,6 +82,24 @@
         if not isinstance(response, SendFailure):
             await read_whole(response)
 
+    async def report(self, worker: WorkerRecord) -> StageWorkerReport | None:
+        """Return what a worker reports of its room, or ``None`` without an answer."""
+        response = await self._client.open(
+            "GET",
+            worker.address,
+            self._codec.report_path,
+            list(self._codec.run_headers(worker).items()),
+            b"",
+            REPORT_SECONDS,
+            fresh=False,
+        )
+        if isinstance(response, SendFailure):
+            return None
+        body = await read_whole(response)
+        if body is None or response.status != 200:
+            return None
+        return self._codec.decode_report(body)
+
     async def _read(
         self,
         response: aiohttp.ClientResponse,
--- a/src/corkcrank/gateway/opaque/stage_desk.py
+++ b/src/corkcrank/gateway/opaque/stage_desk.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Sequence
+from collections.abc import Coroutine, Sequence
 from dataclasses import dataclass, field
 
 from corkcrank.contracts.opaque_configuration import ServiceProfile
@@ -39,6 +39,7 @@
     timer: asyncio.TimerHandle | None = None
     to_free: list[str] = field(default_factory=list)
     freeing: bool = False
+    asking_room: bool = False
     known_handles: dict[str, None] = field(default_factory=dict)
 
 
@@ -153,6 +154,7 @@
         assert profile.stage is not None
         if entry is None:
             entry = self._lanes[worker.worker_id] = _Lane(worker, StageLane(profile.stage))
+            self._ask_for_room(entry)
         entry.lane.capacity = profile.stage
         return entry
 
@@ -186,9 +188,7 @@
         for ticket in entry.lane.take_late(now):
             self._resolve(entry, ticket, PieceResult(PieceOutcome.LATE))
         while (call := entry.lane.next_call(now)) is not None:
-            task = asyncio.create_task(self._run(entry, call))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._spawn(self._run(entry, call))
         self._set_timer(entry, now)
 
     def _set_timer(self, entry: _Lane, now: float) -> None:
@@ -284,14 +284,46 @@
                 self._resolve(entry, ticket, result)
         if orphans:
             self.free(entry.worker.worker_id, orphans)
+        if any(result.outcome is PieceOutcome.NO_ROOM for result in results):
+            self._ask_for_room(entry)
+
+    def _ask_for_room(self, entry: _Lane) -> None:
+        """Ask a worker how much room it has, unless a question is under way."""
+        if entry.asking_room:
+            return
+        entry.asking_room = True
+        self._spawn(self._learn_room(entry))
+
+    async def _learn_room(self, entry: _Lane) -> None:
+        try:
+            report = await self._caller.report(entry.worker)
+        finally:
+            entry.asking_room = False
+        if report is None:
+            return
+        lane = entry.lane
+        lane.take_free_room(report.free_bytes, time.monotonic())
+        self._log.write(
+            LogEvent.ROOM_REPORTED,
+            worker=entry.worker.worker_id,
+            service=entry.worker.service,
+            free=int(report.free_bytes),
+            room=int(lane.capacity.room_bytes),
+            room_used=int(lane.room_used),
+            waiting=lane.waiting,
+        )
+        self._pump(entry)
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     def _start_freeing(self, entry: _Lane) -> None:
         if entry.freeing or not entry.to_free:
             return
         entry.freeing = True
-        task = asyncio.create_task(self._send_frees(entry))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._spawn(self._send_frees(entry))
 
     async def _send_frees(self, entry: _Lane) -> None:
         """Send what was given up, all that gathered meanwhile together."""
--- a/src/corkcrank/links/decision_log.py
+++ b/src/corkcrank/links/decision_log.py
@@ -56,6 +56,7 @@
     STREAM_MOVED = "Call: stream taken up at another worker."
     STAGE_PLACED = "Stage: placed."
     STAGE_ENDED = "Stage: ended."
+    ROOM_REPORTED = "Stage: worker reported its room."
     BATCH_ENDED = "Batch: ended."
     INTERNAL_FAULT = "Process: fault."
 
--- a/src/corkcrank/links/platform_ports.py
+++ b/src/corkcrank/links/platform_ports.py
@@ -62,6 +62,13 @@
     handle: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class StageWorkerReport:
+    """What a stage worker tells of itself: ``free_bytes`` of room for results."""
+
+    free_bytes: float
+
+
 class CallCodec(Protocol):
     """Reads and writes the heads of calls."""
 
@@ -90,6 +97,7 @@
 
     run_path: str
     free_path: str
+    report_path: str
 
     def run_headers(self, worker: WorkerRecord) -> dict[str, str]:
         """Return the headers of a call to a stage worker."""
@@ -103,6 +111,9 @@
     def encode_free(self, handles: Sequence[str]) -> bytes:
         """Return the body that gives results up."""
 
+    def decode_report(self, body: bytes) -> StageWorkerReport | None:
+        """Return what a stage worker reports, or ``None`` for anything else."""
+
 
 @dataclass(frozen=True, slots=True)
 class StoreRow:
--- a/src/corkcrank/platform/names.py
+++ b/src/corkcrank/platform/names.py
@@ -52,6 +52,7 @@
 READY_PATH = "/readyz"
 STAGE_RUN_PATH = "/stage-run"
 STAGE_FREE_PATH = "/stage-free"
+REPORT_PATH = "/report"
 ROWS_GET_PATH = "/rows-get"
 ROWS_FEED_PATH = "/rows-feed"
 ROWS_TX_PATH = "/rows-tx"
--- a/src/corkcrank/platform/stage_calls.py
+++ b/src/corkcrank/platform/stage_calls.py
@@ -5,9 +5,15 @@
 import msgspec
 
 from corkcrank.contracts.worker_records import WorkerRecord
-from corkcrank.links.platform_ports import PieceOrder, PieceOutcome, PieceResult
+from corkcrank.links.platform_ports import (
+    PieceOrder,
+    PieceOutcome,
+    PieceResult,
+    StageWorkerReport,
+)
 from corkcrank.platform import names
 from corkcrank.platform.call_headers import MILLISECONDS
+from corkcrank.platform.documents import MEGABYTE
 
 _REASONS = {
     "late": PieceOutcome.LATE,
@@ -39,6 +45,10 @@
     items: list[_Result]
 
 
+class _Report(msgspec.Struct):
+    free_mb: float
+
+
 class _Free(msgspec.Struct):
     handles: list[str]
 
@@ -48,6 +58,7 @@
 
     run_path = names.STAGE_RUN_PATH
     free_path = names.STAGE_FREE_PATH
+    report_path = names.REPORT_PATH
 
     def run_headers(self, worker: WorkerRecord) -> dict[str, str]:
         """Return the headers of a call to a stage worker."""
@@ -71,6 +82,14 @@
         """Return the body that gives results up."""
         return msgspec.json.encode(_Free(list(handles)))
 
+    def decode_report(self, body: bytes) -> StageWorkerReport | None:
+        """Return what a stage worker reports, or ``None`` for anything else."""
+        try:
+            report = msgspec.json.decode(body, type=_Report)
+        except msgspec.DecodeError:
+            return None
+        return StageWorkerReport(free_bytes=report.free_mb * MEGABYTE)
+
 
 def _encode_piece(piece: PieceOrder) -> _Item:
     remaining = piece.remaining_seconds
--- a/src/corkcrank/scheduling/stage_lane.py
+++ b/src/corkcrank/scheduling/stage_lane.py
@@ -37,6 +37,12 @@
 UNKNOWN_HOLD_SECONDS = 0.3
 """Time for which room that a worker said it lacks is not asked for again."""
 
+SMALLER_SHARE = 0.99
+"""Part of a piece without room that counts as free: enough for any that is really smaller."""
+
+REPORTED_HOLD_SECONDS = 0.1
+"""The same where the worker told how much it has: a report costs a few round trips."""
+
 
 @dataclass(slots=True, eq=False)
 class StageCall:
@@ -175,16 +181,17 @@
         if results is None:
             return
         self._learn_pace(call, now)
-        short = 0
+        short, smallest = 0, float("inf")
         for ticket, result in zip(call.tickets, results, strict=True):
             if result.outcome is PieceOutcome.DONE:
                 self._hold(result.handle, ticket.result_bytes, now)
             elif result.outcome is PieceOutcome.NO_ROOM:
                 short += 1
+                smallest = min(smallest, ticket.result_bytes)
         self.counters.no_room += short
         self._learn_room(short)
         if short:
-            self._hold_unknown(now)
+            self._hold_unknown(smallest, now)
 
     def put_back(self, tickets: list[PieceTicket]) -> None:
         """Queue pieces again that their worker turned away unrun, in their old order."""
@@ -270,15 +277,28 @@
     def _hold(self, handle: str, size: float, now: float) -> None:
         self._held[handle] = _HeldResult(size, now, now + self.capacity.result_seconds)
 
-    def _hold_unknown(self, now: float) -> None:
-        """Count the rest of the room as held by results that nobody here knows.
+    def _hold_unknown(self, smallest: float, now: float) -> None:
+        """Count room as held by results that nobody here knows, after a piece found none.
 
-        They are those of calls whose answer was lost, and of owners before this one.
+        They are those of calls whose answer was lost, and of owners before this one. What
+        is left is less than the smallest piece that was turned away; smaller ones may fit.
         """
         rest = self.capacity.room_bytes * self.usable_room - self.room_used
+        rest -= SMALLER_SHARE * smallest
         if rest > 0:
             self._held[UNKNOWN_HANDLE] = _HeldResult(rest, now, now + UNKNOWN_HOLD_SECONDS)
 
+    def take_free_room(self, free_bytes: float, now: float) -> None:
+        """Take what the worker says is free; the rest that is not known here is unknown's.
+
+        An owner that has just taken over knows none of the results that hold room.
+        """
+        self._held.pop(UNKNOWN_HANDLE, None)
+        unknown = self.capacity.room_bytes - free_bytes - self.room_used
+        if unknown > 0:
+            expires_at = now + REPORTED_HOLD_SECONDS
+            self._held[UNKNOWN_HANDLE] = _HeldResult(unknown, now, expires_at)
+
     def _expire(self, now: float) -> None:
         for handle in [key for key, held in self._held.items() if held.expires_at <= now]:
             del self._held[handle]
--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -291,7 +291,10 @@
 
 @dataclass
 class StandinStageWorker:
-    """A stage worker with a room of ``room`` results; ``gate`` holds calls at work."""
+    """A stage worker with a room of ``room`` results; ``gate`` holds calls at work.
+
+    It reports ``free_mb`` of room and counts how often it was asked.
+    """
 
     room: int = 100
     worker_id: str = ""
@@ -301,6 +304,8 @@
     heads: list[CIMultiDict[str]] = field(default_factory=list)
     held: set[str] = field(default_factory=set)
     made: set[str] = field(default_factory=set)
+    free_mb: float = 1e6
+    reports: int = 0
 
     def __post_init__(self) -> None:
         self.worker_id = self.worker_id or f"i-{next(_ids):08x}"
@@ -320,6 +325,9 @@
         if request.headers.get(EXPECT) not in (None, self.worker_id):
             return web.Response(status=421, headers={INSTANCE: self.worker_id})
         self.heads.append(CIMultiDict(request.headers))
+        if request.path == "/report":
+            self.reports += 1
+            return web.json_response({"queued": 0, "utilization": False, "free_mb": self.free_mb})
         body = json.loads(await request.read())
         if request.path == "/stage-free":
             self.held.difference_update(body["handles"])
--- a/tests/platform/test_losses.py
+++ b/tests/platform/test_losses.py
@@ -1,11 +1,13 @@
 """``corkcrank losses``: a recorded log of a real node says where its calls were lost."""
 
+import asyncio
 import re
+import time
 from collections import deque
 from pathlib import Path
 
 import pytest
-from node_world import configuration, route, world
+from node_world import World, configuration, route, until, world
 from platform_standins import StandinStageWorker, StandinWorker
 from test_operations_page import PIECES, logged
 from typer.testing import CliRunner
@@ -15,6 +17,9 @@
 from corkcrank.reports.log_records import read_all
 from corkcrank.reports.losses import LossReport, make_report
 
+ENGINE_SECONDS = 0.5
+"""Time of a slow engine: long beside all that a gateway does with a call."""
+
 STAGES = [{"service": "encode", "since_revision": [], "byte_length": 1000}]
 ROUTES = [
     route("once", "unsafe", "plain"),
@@ -27,21 +32,35 @@
 
 async def record(folder: Path) -> Path:
     """Have a real node serve, refuse, delay and lose calls; return its log."""
+    model = StandinWorker(events=3, gap=0.01)
     served = {
         "plain": (StandinWorker(faults=deque(["reset"])), "plain"),
-        "model": (StandinWorker(events=3, gap=0.01), "model"),
+        "model": (model, "model"),
         "encode": (StandinStageWorker(room=1), "encode"),
     }
     async with world(configuration(1, ROUTES), served) as running:
         with logged(running, folder) as path:
-            for name in ("once", "talk", "tardy", "hopeless", "staged"):
+            for name in ("once", "talk", "hopeless", "staged"):
                 response = await running.call(f"/{name}/x", headers=PIECES)
                 await response.read()
+            await slow_engine(running, model)
             back = {**PIECES, "X-Corkcrank-Deadline-Ms": "2000"}
             await (await running.call("/hopeless/x", headers=back)).read()
     return path
 
 
+async def slow_engine(running: World, model: StandinWorker) -> None:
+    """Make a call whose engine takes far longer than all else."""
+    model.hold = asyncio.Event()
+    before = len(model.seen)
+    call = asyncio.create_task(running.call("/tardy/x"))
+    await until(lambda: len(model.seen) > before)
+    seen_at = time.monotonic()
+    await until(lambda: time.monotonic() > seen_at + ENGINE_SECONDS)
+    model.hold.set()
+    await (await call).read()
+
+
 async def report_of(folder: Path) -> LossReport:
     records = read_all([await record(folder)])
     return make_report(tell_stories(records), records)
--- a/tests/scheduling/test_stage_lane.py
+++ b/tests/scheduling/test_stage_lane.py
@@ -104,6 +104,16 @@
     assert lane.next_call(0.5) is not None
 
 
+def test_a_piece_without_room_leaves_the_rest_of_the_room_to_smaller_ones() -> None:
+    one = StageCapacity(1, 0, 4, 0.2, 0.05, 60.0, 4.0)
+    lane = lane_with(ticket("large", size=20.0), capacity=one)
+    call = lane.next_call(0.0)
+    assert call is not None
+    lane.end_call(call, [PieceResult(PieceOutcome.NO_ROOM)], 0.1)
+    lane.submit(ticket("small", size=5.0))
+    assert lane.next_call(0.1) is not None
+
+
 def test_forecast_counts_only_what_goes_before() -> None:
     one = StageCapacity(1, 0, 4, 0.2, 0.05, 1e9, 4.0)
     lane = lane_with(*(ticket("a", piece, rank=1) for piece in range(8)), capacity=one)
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -21,6 +21,7 @@
 CALL_SECONDS = 0.03
 STAGE_QUEUE = 2
 ROOM = 100
+RESULT_MB = 0.1
 HELD_SECONDS = 4.0
 GREY_KINDS = ("reset", "no-seal", "foreign-id", "cut", "surplus", "hang", "error", "full")
 
@@ -213,6 +214,8 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.headers.get(EXPECT) not in (None, self.worker_id):
             return web.Response(status=421, headers={INSTANCE: self.worker_id})
+        if request.path == "/report":
+            return web.json_response({"free_mb": (ROOM - self.held) * RESULT_MB})
         body = json.loads(await request.read())
         if request.path == "/stage-free":
             for handle in body["handles"]:
