Pool the stage workers of a zone; free results whose caller left in the same moment

Change: one gateway owns all workers of a service in a zone (up to six), and a worker that is free takes over what waits for busy siblings, unless it is avoided, leaving, or so slow that the sibling would end first (machines/worker_pools.py, scheduling/queue_sharing.py). Results say which worker made them. stage_desk.py is parted: stage_room.py (results given up, free room), stage_messages.py.

Cause (results): found by the test of a taken-over piece. A caller leaves, its future is cancelled, and before the task runs that marks the piece as given up, the worker's answer comes: nobody freed the result, which held room for 4 s. Now a result that nobody takes is freed.

--- a/src/corkcrank/gateway/opaque/stage_desk.py
+++ b/src/corkcrank/gateway/opaque/stage_desk.py
@@ -5,22 +5,26 @@
 from collections.abc import Coroutine, Sequence
 from dataclasses import dataclass, field
 
+import msgspec
+
 from corkcrank.contracts.opaque_configuration import ServiceProfile
-from corkcrank.contracts.urgency import Urgency
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.gateway.opaque.peer_protocol import StageAnswer, StageWork
 from corkcrank.gateway.opaque.stage_caller import StageCaller
+from corkcrank.gateway.opaque.stage_messages import describe, load_of, refuse, ticket_of
+from corkcrank.gateway.opaque.stage_room import StageRoom, WorkerRoom
 from corkcrank.gateway.opaque.worker_client import SendFailure, WorkerClient
 from corkcrank.links.decision_log import DecisionLog, LogEvent
 from corkcrank.links.platform_ports import (
-    PieceOrder,
     PieceOutcome,
     PieceResult,
     StageCodec,
 )
 from corkcrank.machines.heartbeat import StageLoad
 from corkcrank.machines.store_mirror import StoreMirror
+from corkcrank.machines.worker_pools import pool_of
 from corkcrank.scheduling.batch_filling import PieceTicket
+from corkcrank.scheduling.queue_sharing import pieces_to_take
 from corkcrank.scheduling.stage_lane import StageCall, StageLane
 from corkcrank.scheduling.worker_choice import StandingBook
 
@@ -35,11 +39,8 @@
 class _Lane:
     worker: WorkerRecord
     lane: StageLane
-    futures: dict[int, asyncio.Future[PieceResult]] = field(default_factory=dict)
+    room: WorkerRoom
     timer: asyncio.TimerHandle | None = None
-    to_free: list[str] = field(default_factory=list)
-    freeing: bool = False
-    asking_room: bool = False
     known_handles: dict[str, None] = field(default_factory=dict)
 
 
@@ -63,6 +64,8 @@
         self._caller = StageCaller(codec, client)
         self._log = log
         self._lanes: dict[str, _Lane] = {}
+        self._room = StageRoom(self._caller, log, self._spawn, self._room_changed)
+        self._futures: dict[int, asyncio.Future[PieceResult]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     def lane(self, worker_id: str) -> StageLane | None:
@@ -86,7 +89,7 @@
             lane = entry.lane
             if lane.idle:
                 continue
-            loads.append(_load(worker_id, lane, now))
+            loads.append(load_of(worker_id, lane, now))
         return tuple(loads)
 
     async def make(self, work: StageWork) -> StageAnswer:
@@ -94,17 +97,18 @@
         worker = self._mirror.workers.get(work.worker_id)
         profile = self._profile(work.service)
         if worker is None or worker.leaving or profile is None or profile.stage is None:
-            return _refuse(work, 0.0, "worker is leaving or unknown")
+            return refuse(work, 0.0, "worker is leaving or unknown")
         entry = self._lane_of(worker, profile)
         now = time.monotonic()
         urgency = work.urgency.on_clock(now)
         forecast = entry.lane.forecast(now, urgency, len(work.pieces), work.result_bytes)
         if forecast.start > work.start_by:
             entry.lane.counters.refused += len(work.pieces)
-            return _refuse(work, forecast.start, "too long a wait")
-        tickets = [_ticket(work, piece, now) for piece in work.pieces]
+            return refuse(work, forecast.start, "too long a wait")
+        tickets = [ticket_of(work, piece, now) for piece in work.pieces]
         futures = [self._submit(entry, ticket) for ticket in tickets]
         self._pump(entry)
+        self._offer(entry, profile)
         try:
             results = await asyncio.gather(*futures)
         except asyncio.CancelledError:
@@ -121,11 +125,7 @@
             if worker is None or profile is None or profile.stage is None:
                 return
             entry = self._lane_of(worker, profile)
-        now = time.monotonic()
-        for handle in handles:
-            entry.lane.free(handle, now)
-        entry.to_free.extend(handles)
-        self._start_freeing(entry)
+        self._room.free(entry.room, handles)
         self._pump(entry)
 
     def workers_changed(self) -> None:
@@ -135,7 +135,7 @@
             if worker is not None and not worker.leaving:
                 continue
             for ticket in entry.lane.take_all():
-                self._resolve(entry, ticket, PieceResult(PieceOutcome.REFUSED))
+                self._resolve(ticket, PieceResult(PieceOutcome.REFUSED))
             if worker is None and entry.lane.at_work == 0:
                 self._drop_lane(worker_id, entry)
 
@@ -153,8 +153,10 @@
         entry = self._lanes.get(worker.worker_id)
         assert profile.stage is not None
         if entry is None:
-            entry = self._lanes[worker.worker_id] = _Lane(worker, StageLane(profile.stage))
-            self._ask_for_room(entry)
+            lane = StageLane(profile.stage)
+            entry = _Lane(worker, lane, WorkerRoom(worker, lane))
+            self._lanes[worker.worker_id] = entry
+            self._room.ask(entry.room)
         entry.lane.capacity = profile.stage
         return entry
 
@@ -165,7 +167,7 @@
 
     def _submit(self, entry: _Lane, ticket: PieceTicket) -> asyncio.Future[PieceResult]:
         future: asyncio.Future[PieceResult] = asyncio.get_running_loop().create_future()
-        entry.futures[id(ticket)] = future
+        self._futures[id(ticket)] = future
         entry.lane.submit(ticket)
         return future
 
@@ -175,18 +177,20 @@
         tickets: list[PieceTicket],
         futures: list[asyncio.Future[PieceResult]],
     ) -> None:
-        made = []
+        lanes = [entry.lane, *(sibling.lane for sibling in self._siblings(entry))]
         for ticket, future in zip(tickets, futures, strict=True):
-            entry.lane.withdraw(ticket)
-            entry.futures.pop(id(ticket), None)
-            if future.done() and not future.cancelled():
-                made.append(future.result().handle)
-        self.free(entry.worker.worker_id, [handle for handle in made if handle])
+            for lane in lanes:
+                lane.withdraw(ticket)
+            self._futures.pop(id(ticket), None)
+            made = future.done() and not future.cancelled() and future.result().handle
+            if made:
+                self.free(future.result().worker_id, [future.result().handle])
 
     def _pump(self, entry: _Lane) -> None:
         now = time.monotonic()
         for ticket in entry.lane.take_late(now):
-            self._resolve(entry, ticket, PieceResult(PieceOutcome.LATE))
+            self._resolve(ticket, PieceResult(PieceOutcome.LATE))
+        self._take_over(entry, now)
         while (call := entry.lane.next_call(now)) is not None:
             self._spawn(self._run(entry, call))
         self._set_timer(entry, now)
@@ -200,10 +204,41 @@
             delay = max(0.005, at - now)
             entry.timer = asyncio.get_running_loop().call_later(delay, self._pump, entry)
 
-    def _resolve(self, entry: _Lane, ticket: PieceTicket, result: PieceResult) -> None:
-        future = entry.futures.pop(id(ticket), None)
-        if future is not None and not future.done():
-            future.set_result(result)
+    def _siblings(self, entry: _Lane) -> list[_Lane]:
+        """Return the lanes here of the other workers of the same service and zone."""
+        pool = (entry.worker.service, entry.worker.zone)
+        return [
+            other
+            for other in self._lanes.values()
+            if other is not entry and (other.worker.service, other.worker.zone) == pool
+        ]
+
+    def _offer(self, entry: _Lane, profile: ServiceProfile) -> None:
+        """Have idle workers of the pool take pieces that wait for a busy one."""
+        for worker in pool_of(self._mirror.workers, entry.worker).workers:
+            if not entry.lane.waiting:
+                return
+            if worker.worker_id != entry.worker.worker_id:
+                self._pump(self._lane_of(worker, profile))
+
+    def _take_over(self, entry: _Lane, now: float) -> None:
+        """Take over pieces that wait for busy workers, if this one is idle and sound."""
+        standing = self._book.of(entry.worker.worker_id)
+        unsound = standing.leaving or standing.avoid_until > now
+        if unsound or self._leaving(entry):
+            return
+        others = [sibling.lane for sibling in self._siblings(entry)]
+        for piece in pieces_to_take(entry.lane, others, now):
+            piece.lane.take(piece.ticket)
+            entry.lane.submit(piece.ticket)
+
+    def _resolve(self, ticket: PieceTicket, result: PieceResult) -> bool:
+        """Hand a result to whoever waits for it; return whether anybody still does."""
+        future = self._futures.pop(id(ticket), None)
+        if future is None or future.done():
+            return False
+        future.set_result(result)
+        return True
 
     async def _run(self, entry: _Lane, call: StageCall) -> None:
         started = time.monotonic()
@@ -229,7 +264,7 @@
             service=entry.worker.service,
             pieces=len(call.tickets),
             calls=sorted({ticket.order.call_id for ticket in call.tickets}),
-            outcome=_describe(outcome),
+            outcome=describe(outcome),
             seconds=round(now - started, 3),
             expected=round(call.expected_seconds, 3),
             batch=entry.lane.capacity.batch,
@@ -269,110 +304,30 @@
             seconds=AVOID_SECONDS,
         )
         for ticket in call.tickets:
-            self._resolve(entry, ticket, PieceResult(PieceOutcome.FAILED))
+            self._resolve(ticket, PieceResult(PieceOutcome.FAILED))
         for ticket in entry.lane.take_all():
-            self._resolve(entry, ticket, PieceResult(PieceOutcome.REFUSED))
+            self._resolve(ticket, PieceResult(PieceOutcome.REFUSED))
 
     def _succeeded(self, entry: _Lane, call: StageCall, results: list[PieceResult]) -> None:
         orphans = []
         for ticket, result in zip(call.tickets, results, strict=True):
-            if ticket.abandoned and result.handle:
-                orphans.append(result.handle)
             if result.outcome is PieceOutcome.NO_ROOM:
                 entry.lane.put_back([ticket])
-            else:
-                self._resolve(entry, ticket, result)
+                continue
+            made = msgspec.structs.replace(result, worker_id=entry.worker.worker_id)
+            if not self._resolve(ticket, made) and result.handle:
+                orphans.append(result.handle)
         if orphans:
             self.free(entry.worker.worker_id, orphans)
         if any(result.outcome is PieceOutcome.NO_ROOM for result in results):
-            self._ask_for_room(entry)
-
-    def _ask_for_room(self, entry: _Lane) -> None:
-        """Ask a worker how much room it has, unless a question is under way."""
-        if entry.asking_room:
-            return
-        entry.asking_room = True
-        self._spawn(self._learn_room(entry))
+            self._room.ask(entry.room)
 
-    async def _learn_room(self, entry: _Lane) -> None:
-        try:
-            report = await self._caller.report(entry.worker)
-        finally:
-            entry.asking_room = False
-        if report is None:
-            return
-        lane = entry.lane
-        lane.take_free_room(report.free_bytes, time.monotonic())
-        self._log.write(
-            LogEvent.ROOM_REPORTED,
-            worker=entry.worker.worker_id,
-            service=entry.worker.service,
-            free=int(report.free_bytes),
-            room=int(lane.capacity.room_bytes),
-            room_used=int(lane.room_used),
-            waiting=lane.waiting,
-        )
-        self._pump(entry)
+    def _room_changed(self, worker_id: str) -> None:
+        entry = self._lanes.get(worker_id)
+        if entry is not None:
+            self._pump(entry)
 
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-
-    def _start_freeing(self, entry: _Lane) -> None:
-        if entry.freeing or not entry.to_free:
-            return
-        entry.freeing = True
-        self._spawn(self._send_frees(entry))
-
-    async def _send_frees(self, entry: _Lane) -> None:
-        """Send what was given up, all that gathered meanwhile together."""
-        try:
-            while entry.to_free:
-                handles, entry.to_free = entry.to_free, []
-                await self._caller.free(entry.worker, handles)
-        finally:
-            entry.freeing = False
-
-
-def _load(worker_id: str, lane: StageLane, now: float) -> StageLoad:
-    first = Urgency((-1, -1), float("inf"))
-    starts = tuple(
-        (rank, round(lane.forecast(now, Urgency(rank, float("inf")), 1, 0.0).start, 3))
-        for rank in lane.ranks_waiting()
-    )
-    return StageLoad(
-        worker_id=worker_id,
-        free_seconds=round(lane.forecast(now, first, 1, 0.0).start, 3),
-        starts=starts,
-        waiting=lane.waiting,
-        room_free=lane.capacity.room_bytes - lane.room_used - lane.room_wanted,
-    )
-
-
-def _ticket(work: StageWork, piece: int, now: float) -> PieceTicket:
-    order = PieceOrder(work.call_id, work.stage, piece, work.key, work.inputs)
-    return PieceTicket(
-        order=order,
-        result_bytes=work.result_bytes,
-        urgency=work.urgency.on_clock(now),
-        start_by=now + work.start_by,
-        end_at=now + work.remaining,
-        submitted_at=now,
-    )
-
-
-def _refuse(work: StageWork, start_seconds: float, detail: str) -> StageAnswer:
-    refused = PieceResult(PieceOutcome.REFUSED)
-    return StageAnswer((refused,) * len(work.pieces), start_seconds, detail)
-
-
-def _describe(outcome: list[PieceResult] | SendFailure | None) -> str:
-    if outcome is None:
-        return "turned away"
-    if isinstance(outcome, SendFailure):
-        return outcome.detail
-    counts: dict[str, int] = {}
-    for result in outcome:
-        counts[result.outcome.value] = counts.get(result.outcome.value, 0) + 1
-    return ", ".join(f"{count} {name}" for name, count in sorted(counts.items()))
--- a/src/corkcrank/gateway/opaque/stage_dispatch.py
+++ b/src/corkcrank/gateway/opaque/stage_dispatch.py
@@ -23,6 +23,7 @@
 from corkcrank.links.platform_ports import PieceOutcome, PieceResult
 from corkcrank.machines.fleet import Fleet
 from corkcrank.machines.store_mirror import StoreMirror
+from corkcrank.machines.worker_pools import pool_of
 from corkcrank.scheduling.committed_pieces import CommittedPieces
 from corkcrank.scheduling.stage_choice import StagePlacing, choose_stage_worker
 from corkcrank.scheduling.stage_lane import LaneForecast
@@ -76,19 +77,28 @@
         self.on_wait: Callable[[str], None] = lambda owner: None
         self._free_tasks: set[asyncio.Task[None]] = set()
 
+    def worker(self, worker_id: str) -> WorkerRecord | None:
+        """Return a worker that is listed."""
+        return self._mirror.workers.get(worker_id)
+
     def capacity(self, service: str) -> StageCapacity | None:
         """Return the stated capacity of a service's workers."""
         configuration = self._mirror.configuration
         profile = configuration.service(service) if configuration is not None else None
         return profile.stage if profile is not None else None
 
+    def owner_of(self, worker: WorkerRecord, now: float) -> str:
+        """Return the member that keeps the queues of a worker's pool."""
+        pool = pool_of(self._mirror.workers, worker)
+        return self._fleet.zone_owner(pool.zone, pool.key, now)
+
     def forecast(
         self, worker: WorkerRecord, urgency: Urgency, pieces: int, size: float
     ) -> LaneForecast:
         """Return when pieces would start and end at a worker, by the freshest word."""
         now = time.monotonic()
         lane = self._desk.lane(worker.worker_id)
-        owner = self._fleet.owner_of(worker, now)
+        owner = self.owner_of(worker, now)
         if owner == self._fleet.own_name and lane is not None:
             return lane.forecast(now, urgency.on_clock(now), pieces, size)
         return self._told_forecast(worker, owner, urgency, pieces, size)
@@ -181,7 +191,7 @@
 
     async def make(self, worker: WorkerRecord, work: StageWork) -> StageAnswer:
         """Have pieces made by the owner of a worker."""
-        owner = self._fleet.owner_of(worker, time.monotonic())
+        owner = self.owner_of(worker, time.monotonic())
         member = self._fleet.member(owner)
         if owner == self._fleet.own_name or member is None:
             return await self._desk.make(work)
@@ -196,7 +206,7 @@
             by_worker.setdefault(worker.worker_id, (worker, []))[1].append(handle)
         now = time.monotonic()
         for worker, handles in by_worker.values():
-            owner = self._fleet.owner_of(worker, now)
+            owner = self.owner_of(worker, now)
             member = self._fleet.member(owner)
             if owner == self._fleet.own_name or member is None:
                 self._desk.free(worker.worker_id, handles)
--- /dev/null
+++ b/src/corkcrank/gateway/opaque/stage_room.py
@@ -0,0 +1,87 @@
+"""The room of stage workers: results given up, and what the workers report as free."""
+
+import time
+from collections.abc import Callable, Coroutine, Sequence
+from dataclasses import dataclass, field
+
+from corkcrank.contracts.worker_records import WorkerRecord
+from corkcrank.gateway.opaque.stage_caller import StageCaller
+from corkcrank.links.decision_log import DecisionLog, LogEvent
+from corkcrank.scheduling.stage_lane import StageLane
+
+Spawn = Callable[[Coroutine[None, None, None]], None]
+
+
+@dataclass(slots=True)
+class WorkerRoom:
+    """What is under way about one worker's room; ``to_free`` holds results' handles."""
+
+    worker: WorkerRecord
+    lane: StageLane
+    to_free: list[str] = field(default_factory=list)
+    freeing: bool = False
+    asking: bool = False
+
+
+class StageRoom:
+    """Tells workers which results nobody reads any more, and asks them for their free room.
+
+    ``spawn`` runs a task in the background; ``on_change`` is called with a worker's id when
+    its room may have become larger.
+    """
+
+    def __init__(
+        self,
+        caller: StageCaller,
+        log: DecisionLog,
+        spawn: Spawn,
+        on_change: Callable[[str], None],
+    ) -> None:
+        self._caller = caller
+        self._log = log
+        self._spawn = spawn
+        self._on_change = on_change
+
+    def free(self, room: WorkerRoom, handles: Sequence[str]) -> None:
+        """Give up results; what gathers while a message is under way goes together."""
+        now = time.monotonic()
+        for handle in handles:
+            room.lane.free(handle, now)
+        room.to_free.extend(handles)
+        if room.to_free and not room.freeing:
+            room.freeing = True
+            self._spawn(self._send_frees(room))
+
+    def ask(self, room: WorkerRoom) -> None:
+        """Ask a worker how much room it has, unless a question is under way."""
+        if not room.asking:
+            room.asking = True
+            self._spawn(self._learn(room))
+
+    async def _send_frees(self, room: WorkerRoom) -> None:
+        try:
+            while room.to_free:
+                handles, room.to_free = room.to_free, []
+                await self._caller.free(room.worker, handles)
+        finally:
+            room.freeing = False
+
+    async def _learn(self, room: WorkerRoom) -> None:
+        try:
+            report = await self._caller.report(room.worker)
+        finally:
+            room.asking = False
+        if report is None:
+            return
+        lane = room.lane
+        lane.take_free_room(report.free_bytes, time.monotonic())
+        self._log.write(
+            LogEvent.ROOM_REPORTED,
+            worker=room.worker.worker_id,
+            service=room.worker.service,
+            free=int(report.free_bytes),
+            room=int(lane.capacity.room_bytes),
+            room_used=int(lane.room_used),
+            waiting=lane.waiting,
+        )
+        self._on_change(room.worker.worker_id)
--- a/src/corkcrank/gateway/opaque/stage_run.py
+++ b/src/corkcrank/gateway/opaque/stage_run.py
@@ -216,7 +216,8 @@
         answer = await self.dispatch.make(worker, work)
         for result in answer.results:
             if result.handle:
-                self._holders[result.handle] = worker
+                maker = self.dispatch.worker(result.worker_id)
+                self._holders[result.handle] = maker or worker
         return _Round(worker, pieces, answer)
 
     def _input_bytes(self, stage: int, pieces: int) -> dict[str, float]:
--- a/src/corkcrank/links/platform_ports.py
+++ b/src/corkcrank/links/platform_ports.py
@@ -56,10 +56,11 @@
 
 
 class PieceResult(msgspec.Struct, frozen=True):
-    """What became of a piece; ``handle`` names the result at its worker."""
+    """What became of a piece; ``handle`` names the result at its worker ``worker_id``."""
 
     outcome: PieceOutcome
     handle: str = ""
+    worker_id: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/corkcrank/machines/fleet.py
+++ b/src/corkcrank/machines/fleet.py
@@ -9,7 +9,6 @@
 from dataclasses import dataclass, field
 
 from corkcrank.contracts.rendezvous import rendezvous_weight
-from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.links.platform_ports import StoreTable
 from corkcrank.machines.heartbeat import Heartbeat, Phase, ServiceBacklog
 from corkcrank.machines.store_word import StoreWord, ToldStoreWord, newer_word
@@ -222,14 +221,10 @@
         """Return the members that shares are counted by: all known, silent ones too."""
         return max(SMALLEST_FLEET, len(self._members) + 1)
 
-    def owner_of(self, worker: WorkerRecord, now: float) -> str:
-        """Return the member that fills a stage worker's batches."""
-        return self.zone_owner(worker.zone, worker.worker_id, now)
-
     def zone_owner(self, zone: str, key: str, now: float) -> str:
         """Return the member that decides about something in a zone, by its key.
 
-        The serving members of the zone come first; without any, all serve.
+        The serving members of the zone come first; without any, and for no zone, all serve.
         """
         view = self._fresh_view(now)
         owner = view.owners.get((zone, key))
--- a/src/corkcrank/scheduling/stage_lane.py
+++ b/src/corkcrank/scheduling/stage_lane.py
@@ -94,6 +94,7 @@
     _calls: list[StageCall] = field(default_factory=list)
     _held: dict[str, _HeldResult] = field(default_factory=dict)
     _submitted: int = 0
+    _smallest_short: float = float("inf")
 
     @property
     def waiting(self) -> int:
@@ -147,10 +148,22 @@
         waiting, self._queue = self._queue, []
         return waiting
 
+    def queued(self) -> tuple[PieceTicket, ...]:
+        """Return the pieces that wait, the most urgent first."""
+        return tuple(self._queue)
+
+    def take(self, ticket: PieceTicket) -> None:
+        """Remove a piece that another lane takes over."""
+        self._queue.remove(ticket)
+
+    def may_start(self, now: float) -> bool:
+        """Return whether the worker would take a call now."""
+        return now >= self.blocked_until and len(self._calls) < self.capacity.slots
+
     def next_call(self, now: float) -> StageCall | None:
         """Start a call with as many pieces as batch and room allow, or return ``None``."""
         self._expire(now)
-        if now < self.blocked_until or len(self._calls) >= self.capacity.slots:
+        if not self.may_start(now):
             return None
         room = self.capacity.room_bytes * self.usable_room - self.room_used
         queue = self._in_turn(now)
@@ -223,7 +236,7 @@
         position = len(ahead) + pieces
         calls_before = (position - 1) // self.capacity.batch
         full = self.call_seconds(self.capacity.batch)
-        start = self._first_free(now) + calls_before * full / self.capacity.slots
+        start = self.free_in(now) + calls_before * full / self.capacity.slots
         start = max(start, self._room_delay(ahead, pieces, size))
         last = position - calls_before * self.capacity.batch
         behind = min(self.capacity.batch, last + max(0, len(self._queue) - len(ahead)))
@@ -259,7 +272,8 @@
         late = [ticket for ticket in self._queue if ticket.urgency.due < limit]
         return in_time + late
 
-    def _first_free(self, now: float) -> float:
+    def free_in(self, now: float) -> float:
+        """Return in how many seconds the worker can start a call."""
         wait = max(0.0, self.blocked_until - now)
         if len(self._calls) < self.capacity.slots:
             return wait
@@ -283,6 +297,7 @@
         They are those of calls whose answer was lost, and of owners before this one. What
         is left is less than the smallest piece that was turned away; smaller ones may fit.
         """
+        self._smallest_short = smallest
         rest = self.capacity.room_bytes * self.usable_room - self.room_used
         rest -= SMALLER_SHARE * smallest
         if rest > 0:
@@ -291,10 +306,13 @@
     def take_free_room(self, free_bytes: float, now: float) -> None:
         """Take what the worker says is free; the rest that is not known here is unknown's.
 
-        An owner that has just taken over knows none of the results that hold room.
+        An owner that has just taken over knows none of the results that hold room. A piece
+        that the worker has just turned away is not sent again at once, whatever it reports.
         """
         self._held.pop(UNKNOWN_HANDLE, None)
-        unknown = self.capacity.room_bytes - free_bytes - self.room_used
+        free = min(free_bytes, SMALLER_SHARE * self._smallest_short)
+        self._smallest_short = float("inf")
+        unknown = self.capacity.room_bytes - free - self.room_used
         if unknown > 0:
             expires_at = now + REPORTED_HOLD_SECONDS
             self._held[UNKNOWN_HANDLE] = _HeldResult(unknown, now, expires_at)
--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -306,6 +306,7 @@
     made: set[str] = field(default_factory=set)
     free_mb: float = 1e6
     reports: int = 0
+    lies_of_room: bool = False
 
     def __post_init__(self) -> None:
         self.worker_id = self.worker_id or f"i-{next(_ids):08x}"
@@ -327,7 +328,9 @@
         self.heads.append(CIMultiDict(request.headers))
         if request.path == "/report":
             self.reports += 1
-            return web.json_response({"queued": 0, "utilization": False, "free_mb": self.free_mb})
+            full = len(self.held) >= self.room and not self.lies_of_room
+            free = 0.0 if full else self.free_mb
+            return web.json_response({"queued": 0, "utilization": False, "free_mb": free})
         body = json.loads(await request.read())
         if request.path == "/stage-free":
             self.held.difference_update(body["handles"])
--- a/tests/platform/test_owners.py
+++ b/tests/platform/test_owners.py
@@ -37,7 +37,7 @@
     first = running.nodes[0]
     record = first.mirror.workers.get(worker.worker_id)
     assert record is not None
-    name = first.fleet.owner_of(record, time.monotonic())
+    name = first.services.dispatch.owner_of(record, time.monotonic())
     return next(node for node in running.nodes if node.fleet.own_name == name)
 
 
--- a/tests/platform/test_stage_room.py
+++ b/tests/platform/test_stage_room.py
@@ -38,6 +38,21 @@
         await response.read()
 
 
+async def test_a_piece_is_not_sent_again_at_once_whatever_is_reported() -> None:
+    encode = StandinStageWorker(room=1, free_mb=10.0)
+    encode.held.add("of another owner")
+    encode.lies_of_room = True
+    served = {"m": (StandinWorker(events=2), "model"), "e": (encode, "encode")}
+    async with world(configuration(1, ROUTES), served) as running:
+        call = asyncio.create_task(running.call("/staged/x", headers=PIECES))
+        await until(lambda: encode.reports >= 5)
+        assert len(encode.calls) <= encode.reports
+        encode.held.clear()
+        response = await call
+        assert response.status == 200
+        await response.read()
+
+
 async def test_a_new_owner_asks_before_anything_was_turned_away() -> None:
     encode = StandinStageWorker(free_mb=1.0)
     served = {"m": (StandinWorker(events=2), "model"), "e": (encode, "encode")}
--- /dev/null
+++ b/tests/platform/test_worker_pool.py
@@ -0,0 +1,62 @@
+"""Workers of one pool: a piece that waits for a busy one is made by the first that is free."""
+
+import asyncio
+
+from node_world import configuration, route, until, world
+from platform_standins import StandinStageWorker, StandinWorker
+
+ROUTES = [
+    route(
+        "staged",
+        "stream",
+        "model",
+        stages=[{"service": "encode", "since_revision": [], "byte_length": 1000}],
+    )
+]
+PIECES = {"X-Corkcrank-Segments": "1", "X-Corkcrank-Segment-Key": "k"}
+CALLS = 6
+
+
+async def test_pieces_of_a_worker_that_stands_still_are_made_by_its_sibling() -> None:
+    stuck, sound = StandinStageWorker(gate=asyncio.Event()), StandinStageWorker()
+    served = {
+        "m": (StandinWorker(events=2), "model"),
+        "stuck": (stuck, "encode"),
+        "sound": (sound, "encode"),
+    }
+    async with world(configuration(1, ROUTES), served) as running:
+        calls = [
+            asyncio.create_task(running.call("/staged/x", headers=PIECES)) for _ in range(CALLS)
+        ]
+        held = [call for call in calls]
+        await until(lambda: sum(call.done() for call in held) >= CALLS - 4)
+        desk = running.nodes[0].desk
+        waiting = sum(lane.waiting for _, lane in desk.lanes())
+        assert waiting == 0
+        assert stuck.gate is not None
+        stuck.gate.set()
+        for response in await asyncio.gather(*calls):
+            assert response.status == 200
+            await response.read()
+        await until(lambda: not stuck.held and not sound.held)
+
+
+async def test_a_withdrawn_piece_that_was_taken_over_frees_its_result() -> None:
+    gate = asyncio.Event()
+    one, two = StandinStageWorker(gate=gate), StandinStageWorker(gate=gate)
+    served = {
+        "m": (StandinWorker(events=2), "model"),
+        "one": (one, "encode"),
+        "two": (two, "encode"),
+    }
+    async with world(configuration(1, ROUTES), served) as running:
+        calls = [
+            asyncio.create_task(running.call("/staged/x", headers=PIECES)) for _ in range(CALLS)
+        ]
+        await until(lambda: bool(one.calls) and bool(two.calls))
+        for call in calls:
+            call.cancel()
+        await asyncio.gather(*calls, return_exceptions=True)
+        gate.set()
+        desk = running.nodes[0].desk
+        await until(lambda: not desk.busy and not one.held and not two.held)
--- a/tests/scheduling/test_fleet.py
+++ b/tests/scheduling/test_fleet.py
@@ -35,7 +35,7 @@
     zones: list[str], worker: str, zone: str
 ) -> None:
     record = WorkerRecord(worker, "s", "10.0.0.1:1", zone)
-    owners = {fleet.owner_of(record, 0.1) for fleet in views(zones)}
+    owners = {fleet.zone_owner(record.zone, record.worker_id, 0.1) for fleet in views(zones)}
     assert len(owners) == 1
     if zone in zones:
         assert zones[int(owners.pop())] == zone
@@ -46,10 +46,10 @@
     fleet.own_phase = Phase.SERVING
     worker = WorkerRecord("w", "s", "", "b")
     fleet.hear(beat("1", "b"), 0.0)
-    assert fleet.owner_of(worker, 0.5) == "1"
-    assert fleet.owner_of(worker, 1.5) == "0"
+    assert fleet.zone_owner(worker.zone, worker.worker_id, 0.5) == "1"
+    assert fleet.zone_owner(worker.zone, worker.worker_id, 1.5) == "0"
     fleet.hear(beat("1", "b", Phase.LEAVING), 1.6)
-    assert fleet.owner_of(worker, 1.6) == "0"
+    assert fleet.zone_owner(worker.zone, worker.worker_id, 1.6) == "0"
 
 
 def test_doubted_member_is_suspected_until_its_next_heartbeat() -> None:
