--- a/src/corkcrank/contracts/opaque_configuration.py
+++ b/src/corkcrank/contracts/opaque_configuration.py
@@ -92,6 +92,11 @@
     room_bytes: float
     result_seconds: float
 
+    @property
+    def pieces_a_second(self) -> float:
+        """Return what one worker makes with full batches."""
+        return self.slots * self.batch / self.full_call_seconds if self.full_call_seconds else 0.0
+
     @property
     def full_call_seconds(self) -> float:
         """Return the usual time of a call with a full batch."""
--- a/src/corkcrank/gateway/opaque/node.py
+++ b/src/corkcrank/gateway/opaque/node.py
@@ -11,6 +11,7 @@
 from corkcrank.contracts.node_settings import NodeSettings
 from corkcrank.contracts.process_life import ProcessLife, ProcessState, ProcessTrigger
 from corkcrank.gateway.opaque.caller_server import CallerServer
+from corkcrank.gateway.opaque.capacity_log import CapacityLog
 from corkcrank.gateway.opaque.engine_desk import EngineDesk, EngineTurnTaker
 from corkcrank.gateway.opaque.front import OpaqueFront
 from corkcrank.gateway.opaque.heartbeats import HeartbeatLoop
@@ -72,6 +73,7 @@
         self._duty = StoreDuty(self.fleet, settings.bounds.shortest)
         self.mirror = StoreMirror(ports.store, ports.documents, log, random_source, self._duty)
         self.mirror.on_change = self._changed
+        self._capacity_log = CapacityLog(self.mirror, log)
         self._book = StandingBook()
         self._engines = EngineChooser()
         self._client = WorkerClient()
@@ -204,6 +206,7 @@
     def _changed(self) -> None:
         self.services.metrics.configuration_version.set(self.mirror.version)
         listed = {record.worker_id for record in self.mirror.workers.records()}
+        self._capacity_log.note()
         self._book.forget_all_but(listed)
         self._engines.forget_all_but(listed)
         self.desk.workers_changed()
--- a/src/corkcrank/gateway/opaque/stage_dispatch.py
+++ b/src/corkcrank/gateway/opaque/stage_dispatch.py
@@ -187,7 +187,7 @@
         workers = len(self._mirror.workers.usable(service))
         if capacity is None or not workers:
             return 0.0
-        return workers * capacity.slots * capacity.batch / capacity.full_call_seconds
+        return workers * capacity.pieces_a_second
 
     async def make(self, worker: WorkerRecord, work: StageWork) -> StageAnswer:
         """Have pieces made by the owner of a worker."""
--- a/src/corkcrank/links/decision_log.py
+++ b/src/corkcrank/links/decision_log.py
@@ -39,6 +39,7 @@
     WORKERS_TAKEN = "Workers: list taken."
     WORKER_CHANGED = "Workers: entry changed."
     WORKER_LAPSED = "Workers: entry gone after an outage, held back."
+    CAPACITY_CHANGED = "Service: capacity changed."
     WORKER_AVOIDED = "Workers: avoided after a failure."
     STORE_LOST = "Store: lost."
     STORE_REGAINED = "Store: regained."
