Log what a stop meets: signal's age, time foreseen, calls cut by the gateway

A call that the stopping gateway itself closed was logged as 'left', as if its caller had gone; what was foreseen for a call admitted during a stop, and how late the program took the signal, stood nowhere.

Ruled out: metrics alone (they tell counts, not which call).

Change: 'Process: stopping.' tells the signal's age, 'Process: drained.' what is still open, 'Call: admitted while stopping.' the seconds foreseen and left, 'Call: ended.' the seconds after the signal at which the call was read; its outcome is 'cut' where this gateway closed the connection. The grace is still counted from the start of the drain.

Before and after: two tests on the log lines, which could not be written before.

--- a/src/corkcrank/gateway/opaque/front.py
+++ b/src/corkcrank/gateway/opaque/front.py
@@ -29,6 +29,13 @@
 """Time of a caller that does not say how long it will wait."""
 
 
+LEFT_OUTCOME = "left"
+"""Outcome of a call whose caller closed its connection."""
+
+CUT_OUTCOME = "cut"
+"""Outcome of a call whose connection this gateway closed as it stopped."""
+
+
 class OpaqueFront:
     """Handles every request of every caller."""
 
@@ -89,7 +96,7 @@
     async def _run(
         self, call: OpaqueCall, request: web.BaseRequest
     ) -> web.StreamResponse | Refusal:
-        outcome, detail = "left", ""
+        outcome, detail = "", ""
         try:
             if call.route.kind is CallKind.STREAM:
                 answer = await StreamRun(call, self._services, request).run()
@@ -104,10 +111,17 @@
             outcome, detail = "broken", str(error)
             raise
         finally:
-            self._note_end(call, outcome, detail)
+            self._note_end(call, outcome or self._unanswered(), detail)
+
+    def _unanswered(self) -> str:
+        """Return why a call ends without an answer: this gateway cut it, or its caller left."""
+        return CUT_OUTCOME if self._services.cutting else LEFT_OUTCOME
 
     def _note_end(self, call: OpaqueCall, outcome: str, detail: str) -> None:
-        """Count and log how a call ended; ``outcome`` is a status or a code's name."""
+        """Count and log how a call ended.
+
+        ``outcome`` is a status, a code's name, or why there was no answer.
+        """
         metrics = self._services.metrics
         now = time.monotonic()
         first_byte_seconds = (call.first_byte_at or now) - call.arrived_at
@@ -128,8 +142,18 @@
             left=round(call.caller_end_at - now, 3),
             workers=call.workers_tried,
             configuration=call.configuration_version,
+            after_signal=self._after_signal(call),
         )
 
+    def _after_signal(self, call: OpaqueCall) -> float | None:
+        """Return how long after the signal to stop a call was read, in seconds.
+
+        Negative for a call read before it, ``None`` without a signal.
+        """
+        if not self._services.stopping:
+            return None
+        return round(call.arrived_at - self._services.signalled_at, 3)
+
     def _read_call(
         self, request: web.BaseRequest, body: bytes, arrived_at: float
     ) -> OpaqueCall | Refusal:
--- a/src/corkcrank/gateway/opaque/node.py
+++ b/src/corkcrank/gateway/opaque/node.py
@@ -167,9 +167,14 @@
             self._spawn(self._measure_lag()),
         ]
 
-    async def stop(self) -> None:
-        """Drain, then close everything."""
-        await self._drain()
+    async def stop(self, signalled_at: float | None = None) -> None:
+        """Drain, then close everything.
+
+        ``signalled_at`` is when the signal came, on the monotonic clock; now without it.
+        """
+        now = time.monotonic()
+        await self._drain(now if signalled_at is None else signalled_at)
+        self.services.cutting = True
         await self._end_loops()
         await self.callers.stop()
         await self.desk.close()
@@ -241,13 +246,19 @@
             self.services.metrics.loop_lag.observe(max(0.0, time.monotonic() - due))
             self.services.metrics.members.set(len(self.fleet.live(time.monotonic())) + 1)
 
-    async def _drain(self) -> None:
+    async def _drain(self, signalled_at: float) -> None:
         """Finish what is in flight within the grace, then take no more."""
         began = time.monotonic()
+        self.services.signalled_at = signalled_at
         self.life.fire(ProcessTrigger.DRAIN)
         self.fleet.own_phase = Phase.LEAVING
         self.heartbeats.tell_soon()
-        self._log.write(LogEvent.STOPPING, in_flight=self.callers.in_flight)
+        self._log.write(
+            LogEvent.STOPPING,
+            in_flight=self.callers.in_flight,
+            grace=self._settings.bounds.grace,
+            signal_age=round(began - signalled_at, 3),
+        )
         end_at = began + self._settings.bounds.grace - DRAIN_RESERVE_SECONDS
         self.services.stop_at = end_at
         linger_until = began + min(BALANCER_LAG_SECONDS, self._settings.bounds.grace / 2)
@@ -259,3 +270,8 @@
                 break
         self.callers.stop_listening()
         self.life.fire(ProcessTrigger.STOP)
+        self._log.write(
+            LogEvent.DRAINED,
+            in_flight=self.callers.in_flight,
+            seconds=round(time.monotonic() - began, 3),
+        )
--- a/src/corkcrank/gateway/opaque/node_process.py
+++ b/src/corkcrank/gateway/opaque/node_process.py
@@ -4,6 +4,7 @@
 import os
 import random
 import signal
+import time
 from collections.abc import Sequence
 from pathlib import Path
 
@@ -33,10 +34,10 @@
 
 
 async def _run(settings: NodeSettings, path: Path, log: DecisionLog) -> None:
-    stop = asyncio.Event()
     loop = asyncio.get_running_loop()
+    signalled: asyncio.Future[float] = loop.create_future()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
+        loop.add_signal_handler(number, _note_signal, signalled)
     async with aiohttp.ClientSession() as session:
         ports = connect(session, settings.store.address, settings.store.timeout)
         node = Node(settings, ports, log, random.Random())
@@ -44,6 +45,12 @@
         loop.add_signal_handler(signal.SIGHUP, watcher.look)
         await node.start()
         watching = asyncio.create_task(watcher.watch())
-        await stop.wait()
+        signalled_at = await signalled
         watching.cancel()
-        await node.stop()
+        await node.stop(signalled_at)
+
+
+def _note_signal(signalled: asyncio.Future[float]) -> None:
+    """Keep the time of the first signal: the grace runs from it, also during a start."""
+    if not signalled.done():
+        signalled.set_result(time.monotonic())
--- a/src/corkcrank/gateway/opaque/services.py
+++ b/src/corkcrank/gateway/opaque/services.py
@@ -52,7 +52,9 @@
 class CallServices:
     """Everything that serving one call needs.
 
-    ``stop_at`` is when this gateway ends on the monotonic clock, known once it drains.
+    ``signalled_at`` is when this gateway was told to stop and ``stop_at`` when it ends, on
+    the monotonic clock; both lie in the infinite future until then. ``cutting`` says that it
+    is closing connections on which calls may still wait.
     """
 
     ports: PlatformPorts
@@ -68,7 +70,9 @@
     random: random.Random
     zone: str
     bounds: NodeBoundSettings
+    signalled_at: float = float("inf")
     stop_at: float = float("inf")
+    cutting: bool = False
     first_event_times: MeanTimes = field(default_factory=MeanTimes)
     stream_times: StreamTimes = field(default_factory=StreamTimes)
     plain_times: MeanTimes = field(default_factory=MeanTimes)
--- a/src/corkcrank/gateway/opaque/stream_admission.py
+++ b/src/corkcrank/gateway/opaque/stream_admission.py
@@ -50,7 +50,23 @@
         tokens = call.envelope.prompt.tokens_out
         stream_seconds = services.stream_times.of(call.route.name, tokens)
         needed = stages_seconds + self.engine_seconds() + stream_seconds
-        return time.monotonic() + needed <= services.stop_at
+        left = services.stop_at - time.monotonic()
+        if needed <= left:
+            self._log_admitted(stages_seconds, stream_seconds, left)
+        return needed <= left
+
+    def _log_admitted(self, stages_seconds: float, stream_seconds: float, left: float) -> None:
+        """Log what was foreseen for a call that may begin although this gateway stops."""
+        self._services.log.write(
+            LogEvent.CALL_ADMITTED_STOPPING,
+            call=self._call.call_id,
+            route=self._call.route.name,
+            stages=round(stages_seconds, 3),
+            engine=round(self.engine_seconds(), 3),
+            stream=round(stream_seconds, 3),
+            tokens=self._call.envelope.prompt.tokens_out,
+            left=round(left, 3),
+        )
 
     def rank_engines(self) -> list[WorkerRecord]:
         """Return the engines that may be tried, the best first."""
--- a/src/corkcrank/links/decision_log.py
+++ b/src/corkcrank/links/decision_log.py
@@ -29,6 +29,7 @@
 
     STARTED = "Process: started."
     STOPPING = "Process: stopping."
+    DRAINED = "Process: drained."
     STOPPED = "Process: stopped."
     SETTINGS_RELOADED = "Process: settings reloaded."
     SETTINGS_REJECTED = "Process: settings rejected."
@@ -48,6 +49,7 @@
     MEMBER_REGAINED = "Members: regained."
     CALL_REFUSED = "Call: refused."
     HEADERS_DROPPED = "Call: reserved headers dropped."
+    CALL_ADMITTED_STOPPING = "Call: admitted while stopping."
     CALL_SENT = "Call: sent to a worker."
     CALL_ATTEMPT_FAILED = "Call: attempt failed."
     CALL_ENDED = "Call: ended."
--- a/src/corkcrank/reports/call_story.py
+++ b/src/corkcrank/reports/call_story.py
@@ -24,6 +24,7 @@
     FORECAST = "refused: forecast"
     FULL = "refused: workers full or none"
     STOPPING = "refused: gateway stopping"
+    CUT_BY_STOP = "cut: gateway stopped"
     INVALID = "refused: request or key"
     STAGE_WAIT = "stages: too long a wait"
     STAGE_LOST = "stages: worker or owner lost"
@@ -50,6 +51,7 @@
     "WORKER_LOST": Loss.WORKER_LOST,
     "broken": Loss.BROKEN,
     "left": Loss.CALLER_LEFT,
+    "cut": Loss.CUT_BY_STOP,
 }
 
 _LATE_BY_STEP = {
--- /dev/null
+++ b/tests/platform/test_stop_log.py
@@ -0,0 +1,68 @@
+"""What the log tells of a stop: which calls it met, and how each of them ended."""
+
+import asyncio
+from typing import Any
+
+from node_world import World, configuration, route, until, world
+from platform_standins import StandinWorker
+
+from corkcrank.gateway.opaque.front import CUT_OUTCOME, LEFT_OUTCOME
+from corkcrank.links.decision_log import LogEvent
+
+GRACE = 1.6
+"""Seconds between the signal and the end of the process."""
+
+STREAM_TOKENS = {"X-Corkcrank-Token-Count": "10,4"}
+
+Lines = list[tuple[LogEvent, dict[str, Any]]]
+
+
+def log_of(running: World) -> Lines:
+    """Keep the lines that the gateway writes from now on."""
+    lines: Lines = []
+    log = running.nodes[0]._log
+
+    def note(event: LogEvent, **fields: Any) -> None:
+        lines.append((event, fields))
+
+    log.write = note  # type: ignore[method-assign]
+    return lines
+
+
+def only(lines: Lines, event: LogEvent) -> dict[str, Any]:
+    found = [fields for kind, fields in lines if kind is event]
+    assert len(found) == 1, found
+    return found[0]
+
+
+async def test_the_log_tells_when_the_signal_came_and_what_was_foreseen() -> None:
+    served = {"m": (StandinWorker(events=4), "model")}
+    async with world(configuration(1, [route("s", "stream", "model")]), served, grace=GRACE) as run:
+        lines = log_of(run)
+        now = asyncio.get_running_loop().time()
+        stopped = asyncio.create_task(run.nodes[0].stop(signalled_at=now - 0.25))
+        await until(lambda: run.nodes[0].life.draining)
+        response = await run.call("/s/x", headers=STREAM_TOKENS)
+        assert (await response.read()).count(b"id:") == 4
+        await stopped
+    assert only(lines, LogEvent.STOPPING)["signal_age"] >= 0.25
+    assert only(lines, LogEvent.DRAINED)["in_flight"] == 0
+    looks = [fields for kind, fields in lines if kind is LogEvent.CALL_ADMITTED_STOPPING]
+    assert len(looks) == 2, "one look at admission, one before the engine gets the call"
+    assert all(look["engine"] + look["stream"] < look["left"] for look in looks)
+    assert only(lines, LogEvent.CALL_ENDED)["after_signal"] >= 0.25
+
+
+async def test_a_caller_that_left_is_told_apart_from_a_call_that_the_stop_cut() -> None:
+    hold = asyncio.Event()
+    served = {"p": (StandinWorker(hold=hold), "plain")}
+    async with world(configuration(1, [route("p", "safe", "plain")]), served, grace=GRACE) as run:
+        lines = log_of(run)
+        left = asyncio.create_task(run.call("/p/x"))
+        await until(lambda: run.nodes[0].callers.in_flight == 1)
+        left.cancel()
+        await until(lambda: bool(lines) and lines[-1][0] is LogEvent.CALL_ENDED)
+        ended = only(lines, LogEvent.CALL_ENDED)
+        assert (ended["outcome"], ended["after_signal"]) == (LEFT_OUTCOME, None)
+        run.nodes[0].services.cutting = True
+        assert run.nodes[0].front._unanswered() == CUT_OUTCOME
