A stopping gateway begins streams in the first seconds by their usual time

Gateways that had measured kept an upper envelope, which is no bound either: measured over foreseen time was above 3.7 for one stream of twenty.

Ruled out: a longer margin (see above); asking a peer for its times at the start (a message more; the prior alone does it here; not tried).

Change: the usual time (a mean, newest weight 0.15) in place of the envelope, 0.01 s a token before any was measured. That no call is lost by a wrong guess late in the drain is the schedule's work.

The fixture of test_drain_admission measures its staged route too: unmeasured, its stream is now foreseen shorter. The checks are the same.

--- a/src/corkcrank/scheduling/stream_times.py
+++ b/src/corkcrank/scheduling/stream_times.py
@@ -1,22 +1,27 @@
 """How long a stream takes from its first event to its end, by route.
 
-A gateway that is stopping admits only streams that end before it does. Callers tell the
-most tokens that may come out, so the time is kept for each of these tokens, and as an upper
-envelope: a stream that is cut serves its caller worse than one that is refused.
+A gateway that is stopping begins a stream only if it usually ends before the gateway does.
+Callers tell the most tokens that may come out, so the time is kept for each of these tokens.
+
+The usual time, not an upper bound, is what serves callers: a stream that is likelier to end
+than not is worth beginning, since a caller sent away is served about as seldom while gateways
+restart in turn. No bound would hold anyway: over 4,019 streams begun in drains, measured over
+foreseen time was 0.3 at the median, 3.7 at the 95th and 9.2 at the 99th percentile.
 """
 
 from dataclasses import dataclass, field
 
-UNKNOWN_TOKEN_SECONDS = 0.03
-"""Seconds a token before any stream of a route was measured: a slow engine's pace."""
+UNKNOWN_TOKEN_SECONDS = 0.01
+"""Seconds a token before any stream of a route was measured; engines of the measured fleets
+took 0.007 at the median and 0.016 at the 90th percentile while gateways restarted."""
 
-SHRINK_WEIGHT = 0.05
-"""Weight of a shorter stream in the envelope; a longer one replaces it."""
+NEWEST_WEIGHT = 0.15
+"""Weight of the newest stream in the mean."""
 
 
 @dataclass(slots=True)
 class StreamTimes:
-    """The longest usual time of streams, in seconds for each token that may come out."""
+    """The usual time of streams, in seconds for each token that may come out."""
 
     _token_seconds: dict[str, float] = field(default_factory=dict)
 
@@ -26,14 +31,13 @@
         >>> times = StreamTimes()
         >>> times.learn("r", 100, 2.0); times.learn("r", 100, 1.0)
         >>> round(times.of("r", 200), 2), times.of("unknown", 10)
-        (3.9, 0.3)
+        (3.7, 0.1)
         """
         measured = seconds / max(1, tokens_out)
-        known = self._token_seconds.get(route, 0.0)
-        shrunk = known + SHRINK_WEIGHT * (measured - known)
-        self._token_seconds[route] = max(measured, shrunk)
+        known = self._token_seconds.get(route, measured)
+        self._token_seconds[route] = known + NEWEST_WEIGHT * (measured - known)
 
     def of(self, route: str, tokens_out: int) -> float:
-        """Return the seconds that a stream of a route may take after its first event."""
+        """Return the seconds that a stream of a route usually takes after its first event."""
         pace = self._token_seconds.get(route, UNKNOWN_TOKEN_SECONDS)
         return pace * max(1, tokens_out)
--- a/tests/platform/test_drain_admission.py
+++ b/tests/platform/test_drain_admission.py
@@ -46,7 +46,8 @@
     document = configuration(1, ROUTES)
     document["services"].append({"name": "brief", "engine": {"slots": 8, "kv_capacity": 1000}})
     async with world(document, served, grace=GRACE) as running:
-        answers = [running.call(path, headers=TOKENS) for path in ("/short/x", "/long/x")]
+        paths = ("/short/x", "/long/x", "/staged/x")
+        answers = [running.call(path, headers=PIECES) for path in paths]
         for response in await asyncio.gather(*answers):
             await response.read()
         yield running, model, encode
