corkcrank stops: the calls that planned stops met, by when they were read and how they ended

Cause: that a stop cuts nothing could only be counted by hand, from single lines of all nodes.

Ruled out: a counter alone: it does not tell calls read before, during and late after the signal.

Before and after: none before.

--- a/src/corkcrank/cli/operator.py
+++ b/src/corkcrank/cli/operator.py
@@ -33,6 +33,7 @@
 from corkcrank.reports.log_records import read_all
 from corkcrank.reports.losses import LossReport, make_report
 from corkcrank.reports.losses_table import table_lines
+from corkcrank.reports.stops import report_stops, stop_lines
 
 application = typer.Typer(no_args_is_help=True, help=__doc__, rich_markup_mode=None)
 plan_application = typer.Typer(no_args_is_help=True, help="Draw a plan from an intent.")
@@ -234,6 +235,20 @@
         _plot(report, plot)
 
 
+@application.command()
+def stops(files: list[Path]) -> None:
+    """Tell from all nodes' log files which calls planned stops met, and how they ended.
+
+    Example: corkcrank stops logs/*.log
+    """
+    report = report_stops(read_all(files))
+    if not report.stops:
+        typer.echo("no planned stop in these files", err=True)
+        raise typer.Exit(ExitCode.NOT_FOUND)
+    for line in stop_lines(report):
+        typer.echo(line)
+
+
 def _plot(report: LossReport, path: Path) -> None:
     try:
         from corkcrank.reports.losses_plot import plot_losses
--- a/tests/platform/test_stop_log.py
+++ b/tests/platform/test_stop_log.py
@@ -1,13 +1,20 @@
 """What the log tells of a stop: which calls it met, and how each of them ended."""
 
 import asyncio
+import time
+from pathlib import Path
 from typing import Any
 
 from node_world import World, configuration, route, until, world
 from platform_standins import StandinWorker
+from test_operations_page import logged
+from typer.testing import CliRunner
 
+from corkcrank.cli.operator import application
 from corkcrank.gateway.opaque.front import CUT_OUTCOME, LEFT_OUTCOME
 from corkcrank.links.decision_log import LogEvent
+from corkcrank.reports.log_records import read_all
+from corkcrank.reports.stops import End, Read, report_stops
 
 GRACE = 1.6
 """Seconds between the signal and the end of the process."""
@@ -66,3 +73,34 @@
         assert (ended["outcome"], ended["after_signal"]) == (LEFT_OUTCOME, None)
         run.nodes[0].services.cutting = True
         assert run.nodes[0].front._unanswered() == CUT_OUTCOME
+
+
+async def test_the_table_of_stops_counts_calls_by_when_they_were_read(tmp_path: Path) -> None:
+    hold = asyncio.Event()
+    engine, plain = StandinWorker(events=4), StandinWorker(hold=hold)
+    served = {"p": (plain, "plain"), "m": (engine, "model")}
+    routes = [route("p", "safe", "plain"), route("s", "stream", "model")]
+    async with world(configuration(1, routes), served, grace=GRACE) as run:
+        with logged(run, tmp_path) as path:
+            before = asyncio.create_task(run.call("/p/x"))
+            await until(lambda: bool(plain.seen))
+            stopped = asyncio.create_task(run.nodes[0].stop())
+            await until(lambda: run.nodes[0].life.draining)
+            early = await run.call("/s/x", headers=STREAM_TOKENS)
+            assert early.status == 200
+            await early.read()
+            until_late = run.nodes[0].services.drain.streams_until
+            await until(lambda: time.monotonic() > until_late)
+            assert (await run.call("/s/x", headers=STREAM_TOKENS)).status == 503
+            assert (await before).status == 504
+            await stopped
+    report = report_stops(read_all([path]))
+    assert report.stops == 1
+    assert report.calls == {
+        (Read.BEFORE, End.FAILED): 1,
+        (Read.EARLY, End.FINISHED): 1,
+        (Read.EARLY, End.REFUSED): 1,
+    }
+    result = CliRunner().invoke(application, ["stops", str(path)])
+    assert result.exit_code == 0
+    assert "1 stops" in result.output
