A call whose inputs could not be made is told that it has not run

Cause: calls whose stages were begun and then failed got 502, which promises nothing, although no worker of their own service had had them: their callers could not come back with an unrepeatable stream. In a drain the same fact was answered 503.

Change: STAGE_NOT_MADE (3011, 503, 'ran: no', Retry-After) where no worker may have begun the call; STAGE_FAILED stays for streams that a worker had begun.

--- a/src/corkcrank/contracts/result_codes.py
+++ b/src/corkcrank/contracts/result_codes.py
@@ -72,6 +72,9 @@
         3009, 503, Ran.NO, "The stages cannot finish in time now; nothing was begun."
     )
     WORKERS_FULL = CodeEntry(3010, 503, Ran.NO, "Every worker tried said that it is full.")
+    STAGE_NOT_MADE = CodeEntry(
+        3011, 503, Ran.NO, "An input could not be made in time; no worker had the call itself."
+    )
 
     OUTCOME_UNKNOWN = CodeEntry(
         4001, 504, Ran.UNKNOWN, "The call was sent and its outcome is not known."
--- a/src/corkcrank/gateway/opaque/stage_desk.py
+++ b/src/corkcrank/gateway/opaque/stage_desk.py
@@ -144,7 +144,11 @@
         await self._room.settle(seconds)
 
     async def close(self) -> None:
-        """Cancel what is at work."""
+        """Cancel what is at work, and begin nothing any more."""
+        self._room.close()
+        for entry in self._lanes.values():
+            if entry.timer is not None:
+                entry.timer.cancel()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/src/corkcrank/gateway/opaque/stage_room.py
+++ b/src/corkcrank/gateway/opaque/stage_room.py
@@ -43,6 +43,7 @@
         self._spawn = spawn
         self._on_change = on_change
         self._freeing: set[asyncio.Task[None]] = set()
+        self._closed = False
 
     def free(self, room: WorkerRoom, handles: Sequence[str]) -> None:
         """Give up results; what gathers while a message is under way goes together."""
@@ -50,7 +51,7 @@
         for handle in handles:
             room.lane.free(handle, now)
         room.to_free.extend(handles)
-        if room.to_free and not room.freeing:
+        if room.to_free and not room.freeing and not self._closed:
             room.freeing = True
             task = self._spawn(self._send_frees(room))
             self._freeing.add(task)
@@ -63,10 +64,14 @@
 
     def ask(self, room: WorkerRoom) -> None:
         """Ask a worker how much room it has, unless a question is under way."""
-        if not room.asking:
+        if not room.asking and not self._closed:
             room.asking = True
             self._spawn(self._learn(room))
 
+    def close(self) -> None:
+        """Send nothing any more: the connections to workers are about to close."""
+        self._closed = True
+
     async def _send_frees(self, room: WorkerRoom) -> None:
         try:
             while room.to_free:
--- a/src/corkcrank/gateway/opaque/stream_run.py
+++ b/src/corkcrank/gateway/opaque/stream_run.py
@@ -286,7 +286,8 @@
         if not self._admission.ends_before_stop():
             return Refusal.draining("its stream would outlast the drain")
         if self._stages is not None and self._stages.started:
-            return Refusal(ResultCode.STAGE_FAILED, "no engine after the stages")
+            detail = "no engine after the stages"
+            return Refusal(ResultCode.STAGE_NOT_MADE, detail, retry_after=SHORT_RETRY_SECONDS)
         code = ResultCode.WORKERS_FULL if self._call.workers_tried else ResultCode.NO_BACKEND
         return Refusal(code, retry_after=SHORT_RETRY_SECONDS)
 
@@ -294,9 +295,10 @@
         if self._relay.prepared:
             self._relay.break_off()
             raise ConnectionResetError("the stream cannot be finished") from error
-        if self._services.drain.begun and not self._call.may_have_run:
-            return Refusal.draining(error.detail)
-        if error.started or self._call.may_have_run:
+        if self._call.may_have_run:
             return Refusal(ResultCode.STAGE_FAILED, error.detail)
+        if self._services.drain.begun:
+            return Refusal.draining(error.detail)
+        code = ResultCode.STAGE_NOT_MADE if error.started else ResultCode.CAPACITY_SHORT
         retry = max(SHORTEST_RETRY, error.retry_after)
-        return Refusal(ResultCode.CAPACITY_SHORT, error.detail, retry_after=retry)
+        return Refusal(code, error.detail, retry_after=retry)
--- a/src/corkcrank/reports/call_story.py
+++ b/src/corkcrank/reports/call_story.py
@@ -54,6 +54,8 @@
     "cut": Loss.CUT_BY_STOP,
 }
 
+_STAGE_CODES = ("STAGE_FAILED", "STAGE_NOT_MADE")
+
 _LATE_BY_STEP = {
     Step.STAGE_QUEUE: Loss.LATE_STAGE_QUEUE,
     Step.STAGE_WORK: Loss.LATE_STAGE_WORK,
@@ -84,7 +86,7 @@
         """Return why the call was lost or late."""
         if self.outcome == "200":
             return self._lateness()
-        if self.outcome == "STAGE_FAILED":
+        if self.outcome in _STAGE_CODES:
             return _stage_loss(self.detail)
         if self.outcome.isdigit():
             return Loss.WORKER_ERROR
