The line of a call's end tells when its caller was told to come back

Cause: whether Retry-After is worth waiting for could not be measured.

Ruled out: a line of its own for each refusal (a second line for each of them, and one more kind that can be left out under load).

Change: 'Call: ended.' has the field retry_after, in seconds, null where nothing was told. Call stories hold it, with the caller's tenant and time left; for logs without the field it comes from the line of the refusal, by the call's id.

Before and after: the two tests fail without the change and pass with it; the six others of the file pass in both.

--- a/src/corkcrank/gateway/opaque/front.py
+++ b/src/corkcrank/gateway/opaque/front.py
@@ -98,10 +98,12 @@
         self, call: OpaqueCall, request: web.BaseRequest
     ) -> web.StreamResponse | Refusal:
         outcome, detail = "", ""
+        retry_after: float | None = None
         try:
             answer = await self.open_calls.serve(call, self._run_of(call, request))
             if isinstance(answer, Refusal):
                 outcome, detail = answer.code.name, answer.detail
+                retry_after = answer.retry_after
             else:
                 outcome = str(answer.status)
             return answer
@@ -109,7 +111,7 @@
             outcome, detail = "broken", str(error)
             raise
         finally:
-            self._note_end(call, outcome or self._unanswered(), detail)
+            self._note_end(call, outcome or self._unanswered(), detail, retry_after)
 
     def _run_of(
         self, call: OpaqueCall, request: web.BaseRequest
@@ -122,10 +124,13 @@
         """Return why a call ends without an answer: this gateway cut it, or its caller left."""
         return CUT_OUTCOME if self._services.cutting else LEFT_OUTCOME
 
-    def _note_end(self, call: OpaqueCall, outcome: str, detail: str) -> None:
+    def _note_end(
+        self, call: OpaqueCall, outcome: str, detail: str, retry_after: float | None
+    ) -> None:
         """Count and log how a call ended.
 
-        ``outcome`` is a status, a code's name, or why there was no answer.
+        ``outcome`` is a status, a code's name, or why there was no answer; ``retry_after``
+        is when its caller was told to come back, in seconds.
         """
         metrics = self._services.metrics
         now = time.monotonic()
@@ -148,6 +153,7 @@
             workers=call.workers_tried,
             configuration=call.configuration_version,
             after_signal=self._after_signal(call),
+            retry_after=None if retry_after is None else round(retry_after, 3),
         )
 
     def _after_signal(self, call: OpaqueCall) -> float | None:
--- a/src/corkcrank/reports/call_story.py
+++ b/src/corkcrank/reports/call_story.py
@@ -66,12 +66,20 @@
 
 @dataclass(slots=True)
 class CallStory:
-    """Times are in seconds; ``began_at`` is of the machine's time of day."""
+    """Times are in seconds; ``began_at`` is of the machine's time of day.
+
+    ``held`` is the time from the call's arrival to its end, ``left`` what its caller would
+    still have waited then, and ``retry_after`` when the caller was told to come back,
+    ``None`` if it was not told or the log does not say.
+    """
 
     call_id: str
     began_at: float
+    held: float
+    left: float
     route: str
     rank: str
+    tenant: str
     outcome: str
     detail: str
     first_byte: float
@@ -80,6 +88,17 @@
     steps: dict[Step, float] = field(default_factory=dict)
     longest_pause: float = 0.0
     pause_objective: float | None = None
+    retry_after: float | None = None
+
+    @property
+    def ended_at(self) -> float:
+        """Return when the call ended, in seconds of the machine's time of day."""
+        return self.began_at + self.held
+
+    @property
+    def caller_end_at(self) -> float:
+        """Return until when the caller waits, in seconds of the machine's time of day."""
+        return self.ended_at + self.left
 
     @property
     def loss(self) -> Loss:
@@ -112,6 +131,7 @@
     steps: dict[str, dict[Step, float]] = {}
     batches: dict[str, float] = {}
     pauses: dict[str, LogRecord] = {}
+    told: dict[str, float] = {}
     stories = []
     for record in records:
         event, call = record["event"], record.get("call", "")
@@ -127,8 +147,12 @@
             steps.setdefault(call, {})[Step.ENGINE] = record["seconds"]
         elif event == LogEvent.STREAM_ENDED:
             pauses[call] = record
+        elif event == LogEvent.CALL_REFUSED and "retry_after" in record:
+            told[call] = record["retry_after"]
         elif event == LogEvent.CALL_ENDED:
-            stories.append(_story(record, steps.pop(call, {}), pauses.pop(call, None)))
+            story = _story(record, steps.pop(call, {}), pauses.pop(call, None))
+            story.retry_after = record.get("retry_after", told.pop(call, None))
+            stories.append(story)
             batches.pop(call, None)
     return stories
 
@@ -139,8 +163,11 @@
     return CallStory(
         call_id=record["call"],
         began_at=time_of(record) - float(record["seconds"]),
+        held=float(record["seconds"]),
+        left=float(record["left"]),
         route=record["route"],
         rank="/".join(str(part) for part in record["rank"]),
+        tenant=record["tenant"],
         outcome=record["outcome"],
         detail=record["detail"],
         first_byte=first_byte,
--- a/tests/platform/test_losses.py
+++ b/tests/platform/test_losses.py
@@ -13,6 +13,7 @@
 from typer.testing import CliRunner
 
 from corkcrank.cli.operator import application
+from corkcrank.links.decision_log import LogEvent
 from corkcrank.reports.call_story import Loss, Step, tell_stories
 from corkcrank.reports.log_records import read_all
 from corkcrank.reports.losses import LossReport, make_report
@@ -87,6 +88,29 @@
     assert worker.busy > 0
 
 
+async def test_time_told_to_come_back_is_in_the_line_of_the_end(tmp_path: Path) -> None:
+    records = read_all([await record(tmp_path)])
+    ended = [item for item in records if item["event"] == LogEvent.CALL_ENDED]
+    told = {item["call"]: item["retry_after"] for item in ended}
+    refused = [item for item in records if item["event"] == LogEvent.CALL_REFUSED]
+    assert [told[item["call"]] for item in refused] == [item["retry_after"] for item in refused]
+    assert len(refused) == 2
+    assert [item["retry_after"] for item in ended if item["route"] == "talk"] == [None]
+
+
+async def test_line_of_the_refusal_tells_it_in_logs_without_that_field(tmp_path: Path) -> None:
+    records = read_all([await record(tmp_path)])
+    without = [
+        {name: value for name, value in item.items() if name != "retry_after"}
+        if item["event"] == LogEvent.CALL_ENDED
+        else item
+        for item in records
+    ]
+    told = [story.retry_after for story in tell_stories(records)]
+    assert [story.retry_after for story in tell_stories(without)] == told
+    assert sum(item is not None for item in told) == 2
+
+
 async def test_command_prints_the_table_and_draws_the_plot(tmp_path: Path) -> None:
     log, picture = await record(tmp_path), tmp_path / "losses.png"
     done = CliRunner().invoke(application, ["losses", str(log), "--plot", str(picture)])
