corkcrank losses: how long calls were held that were not served

Cause: the causes of lost calls were counted, but not how long each had kept its caller waiting. A refusal at once and one after 2.6 s of an objective of 2 s stood under the same cause.

Ruled out: one median for each cause.

Change: a table 'Held and not served', over all routes and by route: for each cause the calls in six buckets of seconds held, the median and the 95th percentile as a share of the objective.

Conclusion: the longest waits without an answer can be named by cause.

--- /dev/null
+++ b/src/corkcrank/reports/held.py
@@ -0,0 +1,109 @@
+"""How long calls were held that were not served, by route and cause."""
+
+from bisect import bisect_right
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+from math import ceil
+from statistics import median
+
+from corkcrank.reports.call_story import CallStory, Loss
+
+HELD_BOUNDS = (0.02, 0.1, 0.5, 1.0, 2.0)
+"""Upper bounds of all buckets but the last, in seconds; a bound belongs to the next bucket."""
+
+HIGH_PERCENTILE = 0.95
+"""The share of calls that the upper figure of a group covers."""
+
+LATE_LOSSES = frozenset(
+    (
+        Loss.PAUSED,
+        Loss.LATE_STAGE_QUEUE,
+        Loss.LATE_STAGE_WORK,
+        Loss.LATE_ENGINE,
+        Loss.LATE_OTHER,
+    )
+)
+"""Calls that were served, but not as fast as they should have been."""
+
+SERVED_LOSSES = LATE_LOSSES | {Loss.NONE}
+"""Calls that had a worker's whole answer."""
+
+
+@dataclass(slots=True)
+class HeldCalls:
+    """Calls of one route and rank that ended for one cause without being served.
+
+    ``seconds`` holds how long each was held, ``shares`` the same as a share of its objective.
+    """
+
+    route: str
+    rank: str
+    cause: Loss
+    seconds: list[float] = field(default_factory=list)
+    shares: list[float] = field(default_factory=list)
+
+    @property
+    def calls(self) -> int:
+        """Return the number of calls."""
+        return len(self.seconds)
+
+    @property
+    def buckets(self) -> list[int]:
+        """Return the number of calls in each bucket of ``HELD_BOUNDS``, the last is open.
+
+        >>> HeldCalls("r", "0/0", Loss.FULL, [0.0, 0.019, 0.02, 1.5, 60.0]).buckets
+        [2, 1, 0, 0, 1, 1]
+        """
+        counts = [0] * (len(HELD_BOUNDS) + 1)
+        for seconds in self.seconds:
+            counts[bisect_right(HELD_BOUNDS, seconds)] += 1
+        return counts
+
+    @property
+    def median_share(self) -> float:
+        """Return the median time held as a share of the objective."""
+        return median(self.shares)
+
+    @property
+    def high_share(self) -> float:
+        """Return the 95th percentile of the time held as a share of the objective."""
+        return percentile(self.shares, HIGH_PERCENTILE)
+
+    def add(self, story: CallStory) -> None:
+        """Take one call."""
+        self.seconds.append(story.held)
+        self.shares.append(story.held / max(1e-9, story.objective))
+
+
+@dataclass(slots=True)
+class HeldReport:
+    """Calls held and not served: over all routes by cause, and by route and cause."""
+
+    totals: list[HeldCalls]
+    routes: list[HeldCalls]
+
+
+def percentile(values: Sequence[float], share: float) -> float:
+    """Return the least value that is at least as large as ``share`` of all (nearest rank).
+
+    >>> percentile([3.0, 1.0, 2.0, 4.0], 0.5), percentile([3.0, 1.0, 2.0, 4.0], 0.95)
+    (2.0, 4.0)
+    """
+    return sorted(values)[max(1, ceil(share * len(values))) - 1]
+
+
+def held_calls(stories: Iterable[CallStory]) -> HeldReport:
+    """Return the calls that were not served: causes and routes by the number of calls."""
+    totals: dict[Loss, HeldCalls] = {}
+    routes: dict[tuple[str, str, Loss], HeldCalls] = {}
+    for story in stories:
+        loss = story.loss
+        if loss in SERVED_LOSSES:
+            continue
+        totals.setdefault(loss, HeldCalls("all routes", "", loss)).add(story)
+        key = (story.route, story.rank, loss)
+        routes.setdefault(key, HeldCalls(*key)).add(story)
+    return HeldReport(
+        sorted(totals.values(), key=lambda item: -item.calls),
+        sorted(routes.values(), key=lambda item: (item.rank, item.route, -item.calls)),
+    )
--- a/src/corkcrank/reports/losses.py
+++ b/src/corkcrank/reports/losses.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from corkcrank.reports.call_story import CallStory, Loss, Step
+from corkcrank.reports.held import HeldReport, held_calls
 from corkcrank.reports.log_records import LogRecord
 from corkcrank.reports.stage_work import WorkerTime, worker_times
 
@@ -55,11 +56,17 @@
     routes: list[RouteLosses]
     windows: list[WindowLosses]
     workers: list[WorkerTime]
+    held: HeldReport
 
 
 def make_report(stories: Sequence[CallStory], records: Sequence[LogRecord]) -> LossReport:
     """Return the report over calls and the log lines that they were told from."""
-    return LossReport(_by_route(stories), _by_window(stories), worker_times(records))
+    return LossReport(
+        routes=_by_route(stories),
+        windows=_by_window(stories),
+        workers=worker_times(records),
+        held=held_calls(stories),
+    )
 
 
 def _by_route(stories: Sequence[CallStory]) -> list[RouteLosses]:
--- a/src/corkcrank/reports/losses_table.py
+++ b/src/corkcrank/reports/losses_table.py
@@ -1,19 +1,22 @@
 """The losses of a time as text."""
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from statistics import median
 
 from corkcrank.reports.call_story import Loss, Step
+from corkcrank.reports.held import HELD_BOUNDS, HeldCalls, HeldReport
 from corkcrank.reports.losses import LossReport, RouteLosses, WindowLosses
 from corkcrank.reports.stage_work import WorkerTime
 
 
 def table_lines(report: LossReport, least_calls: int = 1) -> Iterator[str]:
     """Return the report line by line; routes with fewer calls than ``least_calls`` are left out."""
+    routes = [route for route in report.routes if route.calls >= least_calls]
     yield "Routes: calls by cause; median seconds of each step of the served ones"
-    for route in report.routes:
-        if route.calls >= least_calls:
-            yield from _route_lines(route)
+    for route in routes:
+        yield from _route_lines(route)
+    yield ""
+    yield from _held_lines(report.held, routes)
     yield ""
     yield "Windows: calls begun, in time, and what was lost"
     yield from (_window_line(window) for window in report.windows)
@@ -57,3 +60,26 @@
         f"idle while pieces waited {worker.starved / span:.2f}, "
         f"{worker.no_room} without room, {worker.failed} failed"
     )
+
+
+def _held_lines(held: HeldReport, routes: Sequence[RouteLosses]) -> Iterator[str]:
+    yield "Held and not served: calls by seconds held, time held as a share of the objective"
+    bounds = [f"<{bound:g}" for bound in HELD_BOUNDS] + ["longer"]
+    yield f"{'':42s} calls  " + "".join(f"{bound:>7s}" for bound in bounds) + "  median    95%"
+    yield "all routes"
+    yield from (_held_line(group) for group in held.totals)
+    for route in routes:
+        groups = [
+            item for item in held.routes if (item.route, item.rank) == (route.route, route.rank)
+        ]
+        if groups:
+            yield f"{route.route} rank {route.rank}"
+        yield from (_held_line(group) for group in groups)
+
+
+def _held_line(group: HeldCalls) -> str:
+    buckets = "".join(f"{count:7d}" for count in group.buckets)
+    return (
+        f"    {group.cause.value:38s} {group.calls:5d}  {buckets}"
+        f"  {group.median_share:6.3f} {group.high_share:6.3f}"
+    )
--- /dev/null
+++ b/tests/platform/test_held_calls.py
@@ -0,0 +1,97 @@
+"""``corkcrank losses``: how long calls were held that were not served, and who came back."""
+
+import json
+from pathlib import Path
+from typing import Any
+
+from typer.testing import CliRunner
+
+from corkcrank.cli.operator import application
+from corkcrank.links.decision_log import LogEvent
+from corkcrank.reports.call_story import CallStory, Loss, tell_stories
+from corkcrank.reports.held import held_calls
+
+BEGAN = 1000.0
+"""Time of day of the first call of each log, in seconds."""
+
+
+def ended(outcome: str, held: float, at: float = 0.0, **fields: Any) -> dict[str, Any]:
+    """Return the line of a call that came ``at`` seconds after ``BEGAN``."""
+    return {
+        "event": LogEvent.CALL_ENDED.value,
+        "time": BEGAN + at + held,
+        "call": f"{at}-{outcome}",
+        "route": "talk",
+        "rank": [0, 1],
+        "tenant": "neihu",
+        "outcome": outcome,
+        "detail": "",
+        "seconds": held,
+        "first_byte": held,
+        "objective": 2.0,
+        "returning": False,
+        "left": 10.0 - held,
+        "workers": [],
+        "retry_after": None,
+        **fields,
+    }
+
+
+def stories_of(lines: list[dict[str, Any]]) -> list[CallStory]:
+    return tell_stories(sorted(lines, key=lambda line: float(line["time"])))
+
+
+HELD = [
+    ended("CAPACITY_SHORT", 0.001, 0.1),
+    ended("CAPACITY_SHORT", 0.02, 0.2),
+    ended("CAPACITY_SHORT", 0.4, 0.3),
+    ended("DEADLINE_EXCEEDED", 1.9, 0.4),
+    ended("DEADLINE_EXCEEDED", 9.0, 0.5, route="ask", objective=3.0),
+    ended("STAGE_FAILED", 0.6, 0.6, detail="stage 1: too long a wait"),
+    ended("200", 5.0, 0.7),
+    ended("200", 0.5, 0.8),
+]
+
+
+def test_held_calls_are_counted_by_route_cause_and_bucket() -> None:
+    held = held_calls(stories_of(HELD))
+    counts = {(group.route, group.cause): group.buckets for group in held.routes}
+    assert counts == {
+        ("talk", Loss.FORECAST): [1, 1, 1, 0, 0, 0],
+        ("talk", Loss.DEADLINE): [0, 0, 0, 0, 1, 0],
+        ("talk", Loss.STAGE_WAIT): [0, 0, 0, 1, 0, 0],
+        ("ask", Loss.DEADLINE): [0, 0, 0, 0, 0, 1],
+    }
+    totals = {group.cause: group.calls for group in held.totals}
+    assert totals == {Loss.FORECAST: 3, Loss.DEADLINE: 2, Loss.STAGE_WAIT: 1}
+
+
+def test_time_held_is_told_as_a_share_of_each_calls_objective() -> None:
+    totals = {group.cause: group for group in held_calls(stories_of(HELD)).totals}
+    assert totals[Loss.FORECAST].median_share == 0.01
+    assert totals[Loss.FORECAST].high_share == 0.2
+    assert totals[Loss.DEADLINE].shares == [0.95, 3.0]
+    assert totals[Loss.DEADLINE].high_share == 3.0
+
+
+def printed(folder: Path, lines: list[dict[str, Any]], *options: str) -> list[str]:
+    log = folder / "node.log"
+    log.write_text("".join(json.dumps(line) + "\n" for line in lines), encoding="utf-8")
+    done = CliRunner().invoke(application, ["losses", str(log), *options])
+    assert done.exit_code == 0, done.output
+    return [" ".join(line.split()) for line in done.output.splitlines()]
+
+
+def test_command_prints_who_was_held(tmp_path: Path) -> None:
+    lines = printed(tmp_path, HELD)
+    assert "calls <0.02 <0.1 <0.5 <1 <2 longer median 95%" in lines
+    assert "deadline or timeout passed 2 0 0 0 0 1 1 1.975 3.000" in lines
+    assert lines.count("ask rank 0/1") == 1
+    row = lines.index("talk rank 0/1")
+    assert lines[row + 1] == "refused: forecast 3 1 1 1 0 0 0 0.010 0.200"
+
+
+def test_routes_with_few_calls_held_are_left_out_of_the_table(tmp_path: Path) -> None:
+    lines = printed(tmp_path, HELD, "--least-calls", "2")
+    assert "talk rank 0/1" in lines
+    assert "ask rank 0/1" not in lines
