corkcrank losses: whether callers that came back at the time told were served

Cause: Retry-After was answered from a forecast and nobody could tell whether it was right: the report knew the calls of returning callers, but not which refusal had sent them back.

Ruled out: matching by route, tenant and time alone.

Change: a table 'Callers sent back': by cause and by the share of calls refused in that second (three bands), how many callers came back at the time told, how many were served in time, late, refused again or failed, and how many came sooner. It counts the calls of returning callers that fit no refusal and the refusals without a known time.

Conclusion: the time told can be judged; logs from before the field retry_after say it for refusals on the forecast alone.

--- a/src/corkcrank/reports/losses.py
+++ b/src/corkcrank/reports/losses.py
@@ -7,6 +7,7 @@
 from corkcrank.reports.call_story import CallStory, Loss, Step
 from corkcrank.reports.held import HeldReport, held_calls
 from corkcrank.reports.log_records import LogRecord
+from corkcrank.reports.sent_back import SentBackReport, sent_back
 from corkcrank.reports.stage_work import WorkerTime, worker_times
 
 WINDOW_SECONDS = 2.0
@@ -57,6 +58,7 @@
     windows: list[WindowLosses]
     workers: list[WorkerTime]
     held: HeldReport
+    sent_back: SentBackReport
 
 
 def make_report(stories: Sequence[CallStory], records: Sequence[LogRecord]) -> LossReport:
@@ -66,6 +68,7 @@
         windows=_by_window(stories),
         workers=worker_times(records),
         held=held_calls(stories),
+        sent_back=sent_back(stories),
     )
 
 
--- a/src/corkcrank/reports/losses_table.py
+++ b/src/corkcrank/reports/losses_table.py
@@ -6,6 +6,7 @@
 from corkcrank.reports.call_story import Loss, Step
 from corkcrank.reports.held import HELD_BOUNDS, HeldCalls, HeldReport
 from corkcrank.reports.losses import LossReport, RouteLosses, WindowLosses
+from corkcrank.reports.sent_back import LOAD_BOUNDS, Fate, SentBack, SentBackReport
 from corkcrank.reports.stage_work import WorkerTime
 
 
@@ -18,6 +19,8 @@
     yield ""
     yield from _held_lines(report.held, routes)
     yield ""
+    yield from _sent_back_lines(report.sent_back)
+    yield ""
     yield "Windows: calls begun, in time, and what was lost"
     yield from (_window_line(window) for window in report.windows)
     yield ""
@@ -65,7 +68,7 @@
 def _held_lines(held: HeldReport, routes: Sequence[RouteLosses]) -> Iterator[str]:
     yield "Held and not served: calls by seconds held, time held as a share of the objective"
     bounds = [f"<{bound:g}" for bound in HELD_BOUNDS] + ["longer"]
-    yield f"{'':42s} calls  " + "".join(f"{bound:>7s}" for bound in bounds) + "  median    95%"
+    yield f"{'':35s} calls  " + "".join(f"{bound:>7s}" for bound in bounds) + "  median    95%"
     yield "all routes"
     yield from (_held_line(group) for group in held.totals)
     for route in routes:
@@ -80,6 +83,34 @@
 def _held_line(group: HeldCalls) -> str:
     buckets = "".join(f"{count:7d}" for count in group.buckets)
     return (
-        f"    {group.cause.value:38s} {group.calls:5d}  {buckets}"
+        f"    {group.cause.value:31s} {group.calls:5d}  {buckets}"
         f"  {group.median_share:6.3f} {group.high_share:6.3f}"
     )
+
+
+def _sent_back_lines(report: SentBackReport) -> Iterator[str]:
+    yield "Callers sent back: by cause and share of calls refused in the second of the refusal"
+    fates = "".join(f"  {fate.value}" for fate in Fate)
+    yield f"{'':35s} load    refused  as told{fates}   share  sooner (in time)"
+    yield from (_sent_back_line(group) for group in report.groups)
+    yield (
+        f"    {report.unmatched} of {report.returning} calls of returning callers fit no refusal; "
+        f"{report.untold} refusals without a known time are left out"
+    )
+
+
+def _sent_back_line(group: SentBack) -> str:
+    returned = group.returns.total()
+    fates = "".join(f"  {group.returns[fate]:{len(fate.value)}d}" for fate in Fate)
+    share = f"{group.returns[Fate.IN_TIME] / returned:.2f}" if returned else "-"
+    return (
+        f"    {group.cause.value:31s} {_band_name(group.band):7s} {group.refused:7d}  {returned:7d}"
+        f"{fates}  {share:>6s}  {group.sooner.total():6d} ({group.sooner[Fate.IN_TIME]})"
+    )
+
+
+def _band_name(band: int) -> str:
+    """Return a band of load as its bounds, e.g. ``<0.33``."""
+    if band == len(LOAD_BOUNDS):
+        return f">={LOAD_BOUNDS[-1]:.2f}"
+    return f"<{LOAD_BOUNDS[band]:.2f}"
