A metric of how long calls were held that ended without a worker's answer

Cause: corkcrank_call_seconds puts refusals at once, answers and calls held to their deadline into one histogram by kind, so a running node did not show which cause held its callers longest.

Ruled out: a label 'cause' on corkcrank_call_seconds (it changes a metric that is read already).

Change: corkcrank_held_seconds, a histogram of the time from arrival to end, by the code's name or 'broken', 'left', 'cut'. Worker's answers, errors too, are not counted. Label values are the node's own outcomes.

Before and after: its test fails without the change and passes with it: one call lost, one refused, one answered 200 and one answered 500 by its worker; the last two are not counted.

Conclusion: the table 'Held and not served' has its counterpart on the metrics address.

--- a/src/corkcrank/gateway/opaque/front.py
+++ b/src/corkcrank/gateway/opaque/front.py
@@ -137,6 +137,8 @@
         first_byte_seconds = (call.first_byte_at or now) - call.arrived_at
         metrics.calls.labels(call.route.kind.value, str(call.rank), outcome).inc()
         metrics.seconds.labels(call.route.kind.value).observe(first_byte_seconds)
+        if not outcome.isdigit():
+            metrics.held.labels(outcome).observe(now - call.arrived_at)
         self._services.log.write(
             LogEvent.CALL_ENDED,
             call=call.call_id,
--- a/src/corkcrank/gateway/opaque/metrics.py
+++ b/src/corkcrank/gateway/opaque/metrics.py
@@ -27,6 +27,13 @@
             buckets=BUCKETS,
             registry=self.registry,
         )
+        self.held = Histogram(
+            "corkcrank_held_seconds",
+            "Time from a call's arrival to its end, of calls without a worker's answer.",
+            ("cause",),
+            buckets=BUCKETS,
+            registry=self.registry,
+        )
         self.attempts = Counter(
             "corkcrank_attempts",
             "Requests sent to workers, by how they ended.",
--- a/tests/platform/test_held_calls.py
+++ b/tests/platform/test_held_calls.py
@@ -1,9 +1,15 @@
 """``corkcrank losses``: how long calls were held that were not served, and who came back."""
 
 import json
+import time
+from collections import deque
 from pathlib import Path
 from typing import Any
 
+from node_world import configuration, route, world
+from platform_standins import StandinStageWorker, StandinWorker
+from test_losses import STAGES
+from test_operations_page import PIECES
 from typer.testing import CliRunner
 
 from corkcrank.cli.operator import application
@@ -95,3 +101,31 @@
     lines = printed(tmp_path, HELD, "--least-calls", "2")
     assert "talk rank 0/1" in lines
     assert "ask rank 0/1" not in lines
+
+
+async def test_time_of_calls_without_a_workers_answer_is_a_metric() -> None:
+    routes = [
+        route("once", "unsafe", "plain"),
+        route("hopeless", "stream", "model", target_latency_ms=10, stages=STAGES),
+    ]
+    served = {
+        "plain": (StandinWorker(faults=deque(["reset", "", "error"])), "plain"),
+        "model": (StandinWorker(), "model"),
+        "encode": (StandinStageWorker(), "encode"),
+    }
+    async with world(configuration(1, routes), served) as running:
+        statuses: list[int] = []
+        began = time.monotonic()
+        for name in ("once", "once", "once", "hopeless"):
+            statuses.append((await running.call(f"/{name}/x", headers=PIECES)).status)
+        passed = time.monotonic() - began
+        registry = running.nodes[0].services.metrics.registry
+    assert statuses == [502, 200, 500, 503]
+    counted = {
+        cause: registry.get_sample_value("corkcrank_held_seconds_count", {"cause": cause})
+        for cause in ("WORKER_LOST", "CAPACITY_SHORT", "200", "500")
+    }
+    assert counted == {"WORKER_LOST": 1.0, "CAPACITY_SHORT": 1.0, "200": None, "500": None}
+    held = registry.get_sample_value("corkcrank_held_seconds_sum", {"cause": "WORKER_LOST"})
+    assert held is not None
+    assert 0.0 < held < passed
