Reports tell refusals after a wait for stages apart from refusals on arrival

Cause: a call whose stages failed is answered DRAINING by a stopping gateway, and CAPACITY_SHORT if no stage had begun. The report put both under the cause of the code, so that 122 calls held for over 2 s stood among 394 that a stopping gateway refused on arrival.

Ruled out: the gateway holding calls that it meant to refuse.

Change: two causes, 'stages: given up in a drain' and 'stages: none begun', told by code and detail as the other losses of stages are.

Ten cases of code and detail.

--- a/src/corkcrank/reports/call_story.py
+++ b/src/corkcrank/reports/call_story.py
@@ -28,6 +28,8 @@
     INVALID = "refused: request or key"
     STAGE_WAIT = "stages: too long a wait"
     STAGE_LOST = "stages: worker or owner lost"
+    STAGE_NOT_BEGUN = "stages: none begun"
+    STAGE_STOPPING = "stages: given up in a drain"
     NO_ENGINE = "no engine after the stages"
     WORKER_LOST = "worker's answer lost"
     WORKER_ERROR = "worker's own error"
@@ -56,6 +58,15 @@
 
 _STAGE_CODES = ("STAGE_FAILED", "STAGE_NOT_MADE")
 
+_BY_CODE_AFTER_STAGES = {
+    "CAPACITY_SHORT": Loss.STAGE_NOT_BEGUN,
+    "DRAINING": Loss.STAGE_STOPPING,
+}
+"""Losses of calls that were refused when their stages had failed, not on arrival."""
+
+_STAGE_DETAILS = ("stage ", "owner ", "worker is ", "too long a wait")
+"""How the details begin that tell why a stage failed."""
+
 _LATE_BY_STEP = {
     Step.STAGE_QUEUE: Loss.LATE_STAGE_QUEUE,
     Step.STAGE_WORK: Loss.LATE_STAGE_WORK,
@@ -107,6 +118,8 @@
             return self._lateness()
         if self.outcome in _STAGE_CODES:
             return _stage_loss(self.detail)
+        if self.detail.startswith(_STAGE_DETAILS) and self.outcome in _BY_CODE_AFTER_STAGES:
+            return _BY_CODE_AFTER_STAGES[self.outcome]
         if self.outcome.isdigit():
             return Loss.WORKER_ERROR
         return _BY_CODE.get(self.outcome, Loss.INVALID)
--- a/tests/platform/test_held_calls.py
+++ b/tests/platform/test_held_calls.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from typing import Any
 
+import pytest
 from node_world import configuration, route, world
 from platform_standins import StandinStageWorker, StandinWorker
 from test_losses import STAGES
@@ -80,6 +81,28 @@
     assert totals[Loss.DEADLINE].high_share == 3.0
 
 
+@pytest.mark.parametrize(
+    ("outcome", "detail", "loss"),
+    [
+        ("DRAINING", "would outlast the drain", Loss.STOPPING),
+        ("DRAINING", "given up at the end of the drain", Loss.STOPPING),
+        ("DRAINING", "", Loss.STOPPING),
+        ("DRAINING", "too long a wait", Loss.STAGE_STOPPING),
+        ("DRAINING", "stage 0 was not made", Loss.STAGE_STOPPING),
+        ("DRAINING", "owner edge-neihu-1 is lost", Loss.STAGE_STOPPING),
+        ("CAPACITY_SHORT", "needs 3.89 s", Loss.FORECAST),
+        ("CAPACITY_SHORT", "stage 0 was not made", Loss.STAGE_NOT_BEGUN),
+        ("CAPACITY_SHORT", "worker is leaving or unknown", Loss.STAGE_NOT_BEGUN),
+        ("STAGE_FAILED", "stage 1 was not made", Loss.STAGE_LOST),
+    ],
+)
+def test_refusals_after_a_wait_for_stages_are_told_apart(
+    outcome: str, detail: str, loss: Loss
+) -> None:
+    (story,) = stories_of([ended(outcome, 2.6, detail=detail)])
+    assert story.loss is loss
+
+
 def printed(folder: Path, lines: list[dict[str, Any]], *options: str) -> list[str]:
     log = folder / "node.log"
     log.write_text("".join(json.dumps(line) + "\n" for line in lines), encoding="utf-8")
