Reports count a call of unknown outcome at a stop as cut by the stop

Cause: a call that a stopping gateway gives up after a worker may have begun it is answered OUTCOME_UNKNOWN. Reports did not know that code and put the call under 'refused: request or key'.

Ruled out: a cause of its own; the code has one source, the end of a drain.

Change: the code maps to 'cut: gateway stopped'.

Before and after: the test fails without the change and passes with it.

Conclusion: a stop that cuts calls is told as such, also where they got an answer.

--- a/src/corkcrank/reports/call_story.py
+++ b/src/corkcrank/reports/call_story.py
@@ -53,6 +53,7 @@
     "WORKER_LOST": Loss.WORKER_LOST,
     "broken": Loss.BROKEN,
     "left": Loss.CALLER_LEFT,
+    "OUTCOME_UNKNOWN": Loss.CUT_BY_STOP,
     "cut": Loss.CUT_BY_STOP,
 }
 
--- a/tests/platform/test_held_calls.py
+++ b/tests/platform/test_held_calls.py
@@ -103,6 +103,12 @@
     assert story.loss is loss
 
 
+def test_a_call_of_unknown_outcome_at_the_end_of_a_drain_was_cut_by_the_stop() -> None:
+    detail = "this gateway is stopping"
+    (story,) = stories_of([ended("OUTCOME_UNKNOWN", 2.6, detail=detail)])
+    assert story.loss is Loss.CUT_BY_STOP
+
+
 def printed(folder: Path, lines: list[dict[str, Any]], *options: str) -> list[str]:
     log = folder / "node.log"
     log.write_text("".join(json.dumps(line) + "\n" for line in lines), encoding="utf-8")
