A caller's close is seen before its request was read, and while reading is paused

Cause: a close was learnt only from the event loop, by reading. (1) A request whose caller had closed before it was read got some turns of the loop first, in which it could go out on a kept connection; the same for pieces and engine turns that another gateway had taken back. (2) The library pauses reading once enough further requests wait on a connection; a close was then never seen. (3) After the end of the caller's side the connection stayed until all was written to it: a caller that read nothing more kept its engine.

Ruled out: a lost cancellation between gateways (pieces in another gateway's queue, at work there, with the owner of the engines slow: held before, tests here); the client's side of a cancelled request (it closes its connection: held before); queues, room, stages at work, between stages, retry, body not whole: held before.

A caller that closes its sending side only counts as one that left, as before: on the wire that is what a close looks like, the library has always ended such a call, and without it no close of a quiet caller could be seen.

Calls that end this way are logged as `left`.

Conclusion: at the steps tested, nothing is sent on and no worker that can be stopped is at work 0.5 s after a close. A stage call at work cannot be stopped; its results are freed when it ends.

--- a/src/corkcrank/gateway/opaque/caller_server.py
+++ b/src/corkcrank/gateway/opaque/caller_server.py
@@ -16,9 +16,10 @@
 from corkcrank.contracts.opaque_configuration import RequestLimits
 from corkcrank.contracts.result_codes import ResultCode
 from corkcrank.gateway.opaque.refusals import Refusal
+from corkcrank.links.closed_connections import closed_by_peer
 
 SWEEP_SECONDS = 0.25
-"""Time between looks at connections that rest or send their head too slowly."""
+"""Time between looks at connections that rest, send their head too slowly or were closed."""
 
 MAXIMUM_FIELD_BYTES = 65_536
 """Bound of the library's parser; the configuration's own limit is lower."""
@@ -80,6 +81,15 @@
         code = ResultCode.MALFORMED_REQUEST if status < 500 else ResultCode.INTERNAL_ERROR
         return Refusal(code, message or "", close=True).response()
 
+    def end_if_left(self) -> None:
+        """End the request being handled if its caller has closed the connection.
+
+        The library sees a close only by reading. Reading is paused while further requests
+        wait, and after the caller's end the connection stays until all was written.
+        """
+        if self._busy and self.transport is not None and closed_by_peer(self.transport):
+            self.transport.abort()
+
     def begin(self) -> None:
         """Note that a request is being handled."""
         self._busy = True
@@ -163,6 +173,7 @@
             now = time.monotonic()
             for connection in self.connections():
                 if connection.busy:
+                    connection.end_if_left()
                     continue
                 if connection.head_since is not None:
                     if now - connection.head_since > limits.header_seconds:
--- a/src/corkcrank/gateway/opaque/front.py
+++ b/src/corkcrank/gateway/opaque/front.py
@@ -17,9 +17,10 @@
 )
 from corkcrank.contracts.result_codes import ResultCode
 from corkcrank.gateway.opaque.plain_run import PlainRun
-from corkcrank.gateway.opaque.refusals import Refusal
+from corkcrank.gateway.opaque.refusals import CallerLeftError, Refusal
 from corkcrank.gateway.opaque.services import CallServices
 from corkcrank.gateway.opaque.stream_run import StreamRun
+from corkcrank.links.closed_connections import closed_by_peer
 from corkcrank.links.decision_log import LogEvent
 
 UNKNOWN_RETRY_SECONDS = 0.3
@@ -91,6 +92,8 @@
     ) -> web.StreamResponse | Refusal:
         outcome, detail = "left", ""
         try:
+            if closed_by_peer(request.transport):
+                raise CallerLeftError
             if call.route.kind is CallKind.STREAM:
                 answer = await StreamRun(call, self._services, request).run()
             else:
@@ -100,6 +103,8 @@
             else:
                 outcome = str(answer.status)
             return answer
+        except CallerLeftError:
+            raise
         except ConnectionError as error:
             outcome, detail = "broken", str(error)
             raise
--- a/src/corkcrank/gateway/opaque/peer_server.py
+++ b/src/corkcrank/gateway/opaque/peer_server.py
@@ -23,6 +23,7 @@
     WorkersAnswer,
 )
 from corkcrank.gateway.opaque.stage_desk import StageDesk
+from corkcrank.links.closed_connections import closed_by_peer
 from corkcrank.machines.store_mirror import StoreMirror
 
 METRICS_PATH = "/metrics"
@@ -83,6 +84,7 @@
 
     async def _pieces(self, request: web.BaseRequest) -> web.Response:
         work = msgspec.msgpack.decode(await request.read(), type=StageWork)
+        _check_asker(request)
         answer = await self._desk.make(work)
         return web.Response(body=msgspec.msgpack.encode(answer))
 
@@ -93,6 +95,7 @@
 
     async def _engine_turn(self, request: web.BaseRequest) -> web.Response:
         turn = msgspec.msgpack.decode(await request.read(), type=EngineTurn)
+        _check_asker(request)
         return web.Response(body=msgspec.msgpack.encode(self._engine_desk.grant(turn)))
 
     async def _engine_done(self, request: web.BaseRequest) -> web.Response:
@@ -116,6 +119,12 @@
         return web.Response(body=body, content_type="application/json")
 
 
+def _check_asker(request: web.BaseRequest) -> None:
+    """Do nothing for a gateway that has taken its question back before it was read."""
+    if closed_by_peer(request.transport):
+        raise ConnectionResetError("the asker has closed its connection")
+
+
 async def serve_readiness(address: str, path: str, ready: Callable[[], bool]) -> web.ServerRunner:
     """Answer the balancer's question on ``ip:port`` until the runner is cleaned up."""
 
--- a/src/corkcrank/gateway/opaque/refusals.py
+++ b/src/corkcrank/gateway/opaque/refusals.py
@@ -13,6 +13,13 @@
 """When to come back to another gateway than one that is stopping: a few round trips."""
 
 
+class CallerLeftError(ConnectionResetError):
+    """A call's caller has closed its connection: nobody would read an answer."""
+
+    def __init__(self) -> None:
+        super().__init__("the caller has left")
+
+
 class RefusalBody(msgspec.Struct, frozen=True):
     """Body of an answer of corkcrank's own."""
 
--- a/src/corkcrank/gateway/opaque/stream_run.py
+++ b/src/corkcrank/gateway/opaque/stream_run.py
@@ -11,7 +11,7 @@
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.gateway.opaque.attempts import Attempt, AttemptOutcome, attempt_call
 from corkcrank.gateway.opaque.engine_assignment import EngineAssignment
-from corkcrank.gateway.opaque.refusals import Refusal
+from corkcrank.gateway.opaque.refusals import CallerLeftError, Refusal
 from corkcrank.gateway.opaque.services import CallServices
 from corkcrank.gateway.opaque.stage_run import StageFailedError, StageRun
 from corkcrank.gateway.opaque.stream_admission import StreamAdmission
@@ -80,7 +80,7 @@
             if end is RelayEnd.COMPLETE:
                 return self._relay.finished()
             if end is RelayEnd.CALLER_GONE:
-                raise ConnectionResetError("the caller has left")
+                raise CallerLeftError
             if self._may_have_run and not self._call.route.idempotent:
                 break
             self._after_failure(engine)
--- /dev/null
+++ b/src/corkcrank/links/closed_connections.py
@@ -0,0 +1,26 @@
+"""Whether the other end of a TCP connection has closed it, as the kernel knows it.
+
+An event loop tells of a close only once everything before it was read: late while the loop
+is busy, and never while reading is paused.
+"""
+
+import asyncio
+import socket
+
+TCP_CLOSE, TCP_CLOSE_WAIT = 7, 8
+"""Linux's states of a connection after a reset, and after the end of the other side."""
+
+
+def closed_by_peer(transport: asyncio.BaseTransport | None) -> bool:
+    """Return whether the other end sent its end or a reset, or the connection is closing here.
+
+    An end may be of the other's sending only; on the wire that looks as a close does.
+    """
+    if transport is None or transport.is_closing():
+        return True
+    connection = transport.get_extra_info("socket")
+    try:
+        state = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+    except OSError:
+        return True
+    return state in (TCP_CLOSE, TCP_CLOSE_WAIT)
--- /dev/null
+++ b/tests/platform/callers.py
@@ -0,0 +1,107 @@
+"""A caller on a raw connection, which it may close in any way and at any step."""
+
+import asyncio
+import socket
+import struct
+import time
+from collections.abc import AsyncIterator, Mapping
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+from node_world import HOST, KEY, World, call_id, until
+from platform_standins import StandinStageWorker, StandinWorker
+
+LEAVE_SECONDS = 0.5
+"""Longest time from a caller's close until nothing is at work for it."""
+
+Served = dict[str, tuple[StandinWorker | StandinStageWorker, str]]
+
+
+@dataclass
+class Caller:
+    """One connection; ``left_at`` is when it was closed."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    left_at: float = 0.0
+
+    def send(self, path: str, headers: Mapping[str, str] | None = None, body: bytes = b"") -> None:
+        """Send a request; a body shorter than its length comes by ``headers``."""
+        self.writer.write(request_bytes(path, headers, body))
+
+    def leave(self, how: str = "close") -> None:
+        """Close the connection: ``close``, ``reset`` or only its ``write-side``."""
+        self.left_at = time.monotonic()
+        if how == "write-side":
+            self.writer.write_eof()
+            return
+        if how == "reset":
+            linger = struct.pack("ii", 1, 0)
+            connection = self.writer.get_extra_info("socket")
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            self.writer.transport.abort()
+            return
+        self.writer.close()
+
+    async def half_a_second_later(self) -> None:
+        """Wait until the time is over within which work for this caller must end."""
+        await until(lambda: time.monotonic() >= self.left_at + LEAVE_SECONDS)
+
+
+def request_bytes(path: str, headers: Mapping[str, str] | None = None, body: bytes = b"") -> bytes:
+    """Return a request like a client's: own attempt id, key, deadline."""
+    fields = {
+        "Host": HOST,
+        "X-Corkcrank-Attempt-Id": call_id(),
+        "X-Corkcrank-Deadline-Ms": "4000",
+        "X-Corkcrank-Credential": KEY,
+        "Content-Length": str(len(body)),
+        **(headers or {}),
+    }
+    lines = [f"POST {path} HTTP/1.1", *(f"{name}: {value}" for name, value in fields.items())]
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+@asynccontextmanager
+async def caller_of(running: World, number: int = 0) -> AsyncIterator[Caller]:
+    """Connect to a gateway."""
+    host, port = running.address(number).rsplit(":", 1)
+    reader, writer = await asyncio.open_connection(host, int(port))
+    caller = Caller(reader, writer)
+    try:
+        yield caller
+    finally:
+        writer.transport.abort()
+
+
+def send_and_close_unread(address: str, data: bytes) -> None:
+    """Connect, send and close before the loop of this process, and so its server, runs."""
+    host, port = address.rsplit(":", 1)
+    with socket.create_connection((host, int(port))) as connection:
+        connection.sendall(data)
+
+
+def requests_seen(served: Served) -> int:
+    """Return how many requests workers have begun to work on."""
+    return sum(
+        len(worker.seen) if isinstance(worker, StandinWorker) else len(worker.calls)
+        for worker, _ in served.values()
+    )
+
+
+def results_held(served: Served) -> int:
+    """Return how many results stage workers hold."""
+    return sum(
+        len(worker.held) for worker, _ in served.values() if isinstance(worker, StandinStageWorker)
+    )
+
+
+async def ends_in_time(running: World) -> None:
+    """Wait until no gateway has a call or a waiting piece, for as long as that may take."""
+
+    def idle() -> bool:
+        lanes = [lane for node in running.nodes for _, lane in node.desk.lanes()]
+        busy = any(node.callers.in_flight for node in running.nodes)
+        return not busy and not any(lane.waiting for lane in lanes)
+
+    await until(idle, seconds=LEAVE_SECONDS)
--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -167,7 +167,8 @@
 
     ``faults`` are used up one by one, one for each request: ``full``, ``reset``,
     ``no-seal``, ``foreign-id``, ``cut-chunk``, ``unframed-reset``, ``surplus``, ``hang``,
-    ``error``, ``gone`` and ``break-after-N`` for streams.
+    ``error``, ``gone`` and ``break-after-N`` for streams. Each event carries ``padding``
+    bytes more; ``left`` counts the requests whose connection closed before their answer.
     """
 
     events: int = 0
@@ -176,6 +177,7 @@
     seen: list[Seen] = field(default_factory=list)
     left: int = 0
     gap: float = 0.0
+    padding: int = 0
     hold: asyncio.Event | None = None
 
     def __post_init__(self) -> None:
@@ -245,7 +247,8 @@
                 await asyncio.sleep(0.05)
                 request.transport.abort()
                 raise ConnectionResetError
-            await response.write(b"id: %d\ndata: %s\n\n" % (number, self.worker_id.encode()))
+            data = self.worker_id.encode() + b"." * self.padding
+            await response.write(b"id: %d\ndata: %s\n\n" % (number, data))
             if self.gap:
                 await asyncio.sleep(self.gap)
         await response.write_eof()
@@ -293,7 +296,8 @@
 class StandinStageWorker:
     """A stage worker with a room of ``room`` results; ``gate`` holds calls at work.
 
-    It reports ``free_mb`` of room and counts how often it was asked.
+    It reports ``free_mb`` of room and counts how often it was asked; ``left`` counts the
+    calls whose connection closed before their answer.
     """
 
     room: int = 100
@@ -307,6 +311,7 @@
     free_mb: float = 1e6
     reports: int = 0
     lies_of_room: bool = False
+    left: int = 0
 
     def __post_init__(self) -> None:
         self.worker_id = self.worker_id or f"i-{next(_ids):08x}"
@@ -344,7 +349,11 @@
             raise ConnectionResetError
         self.calls.append(body["items"])
         if self.gate is not None:
-            await self.gate.wait()
+            try:
+                await self.gate.wait()
+            except asyncio.CancelledError:
+                self.left += 1
+                raise
         items = [self._make(item) for item in body["items"]]
         return web.Response(
             body=json.dumps({"items": items}).encode(), content_type="application/json"
--- /dev/null
+++ b/tests/platform/test_callers_leave_owners.py
@@ -0,0 +1,209 @@
+"""A caller who leaves one gateway while another works for its call: the close travels on."""
+
+import asyncio
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+import msgspec
+import pytest
+from aiohttp import web
+from callers import (
+    LEAVE_SECONDS,
+    Caller,
+    Served,
+    caller_of,
+    ends_in_time,
+    requests_seen,
+    results_held,
+    send_and_close_unread,
+)
+from node_world import World, configuration, peer_of, route, until, world
+from platform_standins import StandinStageWorker, StandinWorker
+from test_owners import acquainted, owner_of
+
+from corkcrank.contracts.urgency import Urgency
+from corkcrank.gateway.opaque.node import Node
+from corkcrank.gateway.opaque.peer_protocol import (
+    ENGINE_TURN_PATH,
+    PIECES_PATH,
+    StageWork,
+)
+from corkcrank.load.loopback import loopback_address
+
+ROUTES = [
+    route(
+        "staged",
+        "stream",
+        "model",
+        stages=[
+            {"service": "encode", "since_revision": [], "byte_length": 1000},
+            {"service": "rerank", "since_revision": [0], "byte_length": 500},
+        ],
+    ),
+    route("talk", "stream", "model"),
+]
+PIECES = {"X-Corkcrank-Segments": "2,1", "X-Corkcrank-Segment-Key": "k"}
+WAYS = ["close", "reset", "write-side"]
+
+
+@dataclass
+class Pair:
+    """Two gateways before stage workers; ``owner`` fills those of the first stage."""
+
+    running: World
+    served: Served
+    encode: StandinStageWorker
+    rerank: StandinStageWorker
+    model: StandinWorker
+    owner: Node
+
+    @property
+    def other(self) -> int:
+        """Return the number of the gateway that does not own the first stage."""
+        return 1 - self.running.nodes.index(self.owner)
+
+    def waiting(self) -> int:
+        return sum(lane.waiting for _, lane in self.owner.desk.lanes())
+
+
+@asynccontextmanager
+async def pair(gate: asyncio.Event) -> AsyncIterator[Pair]:
+    encode, rerank = StandinStageWorker(gate=gate), StandinStageWorker()
+    model = StandinWorker(events=3)
+    served: Served = {
+        "m": (model, "model"),
+        "e": (encode, "encode"),
+        "r": (rerank, "rerank"),
+    }
+    async with (
+        world(configuration(1, ROUTES), served) as running,
+        peer_of(running, loopback_address(2)) as second,
+    ):
+        await acquainted(running.nodes[0], second)
+        yield Pair(running, served, encode, rerank, model, owner_of(running, encode))
+
+
+async def nothing_is_sent_on(two: Pair, caller: Caller) -> None:
+    """Check that the call ends in time and that no worker gets a request later."""
+    await ends_in_time(two.running)
+    before = requests_seen(two.served)
+    await caller.half_a_second_later()
+    assert requests_seen(two.served) == before
+
+
+@pytest.mark.parametrize("how", WAYS)
+async def test_pieces_in_the_queue_of_another_gateway_are_withdrawn(how: str) -> None:
+    gate = asyncio.Event()
+    async with (
+        pair(gate) as two,
+        caller_of(two.running, two.other) as first,
+        caller_of(two.running, two.other) as second,
+    ):
+        first.send("/staged/x", PIECES)
+        await until(lambda: len(two.encode.calls) == 1)
+        second.send("/staged/x", PIECES)
+        await until(lambda: two.waiting() == 2)
+        second.leave(how)
+        await until(lambda: two.waiting() == 0, seconds=LEAVE_SECONDS)
+        gate.set()
+        await first.reader.readuntil(b"id: 3")
+        await second.half_a_second_later()
+        assert len(two.encode.calls) == 1
+
+
+@pytest.mark.parametrize("how", WAYS)
+async def test_results_that_another_gateway_has_made_are_freed(how: str) -> None:
+    gate = asyncio.Event()
+    async with pair(gate) as two, caller_of(two.running, two.other) as caller:
+        caller.send("/staged/x", PIECES)
+        await until(lambda: len(two.encode.calls) == 1)
+        caller.leave(how)
+        await ends_in_time(two.running)
+        gate.set()
+        await until(lambda: not two.owner.desk.busy and not results_held(two.served))
+        assert len(two.encode.made) == 2
+        await nothing_is_sent_on(two, caller)
+        assert requests_seen(two.served) == 1
+
+
+async def test_results_are_freed_where_the_caller_leaves_in_the_moment_of_the_answer() -> None:
+    gate = asyncio.Event()
+    async with pair(gate) as two, caller_of(two.running, two.other) as caller:
+        caller.send("/staged/x", PIECES)
+        await until(lambda: len(two.encode.calls) == 1)
+        follow = asyncio.Event()
+        two.rerank.gate = follow
+        gate.set()
+        await until(lambda: len(two.encode.made) == 2)
+        caller.leave()
+        await nothing_is_sent_on(two, caller)
+        await until(lambda: not two.encode.held)
+        follow.set()
+        await until(lambda: not two.owner.desk.busy and not results_held(two.served))
+        assert not two.model.seen
+
+
+async def test_while_the_owner_of_the_engines_is_asked_no_engine_gets_the_call() -> None:
+    asked, answer = asyncio.Event(), asyncio.Event()
+    async with pair(asyncio.Event()) as two:
+        nodes = two.running.nodes
+        name = nodes[0].fleet.zone_owner("z1", "model", time.monotonic())
+        owner = next(node for node in nodes if node.fleet.own_name == name)
+        grant = owner._peer_server._routes[ENGINE_TURN_PATH]
+
+        async def slowly(request: web.BaseRequest) -> web.Response:
+            asked.set()
+            await answer.wait()
+            return await grant(request)
+
+        owner._peer_server._routes[ENGINE_TURN_PATH] = slowly
+        async with caller_of(two.running, 1 - nodes.index(owner)) as caller:
+            caller.send("/talk/x")
+            await asked.wait()
+            caller.leave()
+            await ends_in_time(two.running)
+            answer.set()
+            await nothing_is_sent_on(two, caller)
+        assert not two.model.seen
+
+
+async def test_pieces_asked_for_by_a_gateway_that_gave_up_unread_are_not_made() -> None:
+    """Pieces went out to their worker in the turn in which the owner read the question.
+
+    The close that had come with it was seen a turn later.
+    """
+    async with pair(asyncio.Event()) as two:
+        # The owner knows its worker, so that nothing but the close is in the way.
+        two.owner.desk.free(two.encode.worker_id, [])
+        await until(lambda: two.encode.reports > 0)
+        left_at = time.monotonic()
+        for _ in range(5):
+            send_and_close_unread(two.owner.fleet.own_address, pieces_request(two.encode))
+        await until(lambda: time.monotonic() > left_at + LEAVE_SECONDS)
+        assert not two.encode.calls
+        assert two.waiting() == 0
+
+
+def piece_work(worker: StandinStageWorker) -> StageWork:
+    return StageWork(
+        worker_id=worker.worker_id,
+        service="encode",
+        call_id="00000000000000dd",
+        stage=0,
+        pieces=(0, 1),
+        key="k",
+        inputs=(),
+        result_bytes=1000.0,
+        urgency=Urgency((1, 0), 1.0),
+        start_by=2.0,
+        remaining=3.0,
+    )
+
+
+def pieces_request(worker: StandinStageWorker) -> bytes:
+    """Return what a gateway sends to the owner of a worker to have two pieces made."""
+    body = msgspec.msgpack.encode(piece_work(worker))
+    head = f"POST {PIECES_PATH} HTTP/1.1\r\nHost: peer\r\nContent-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
