Results are freed where their call ends in the moment of a peer's answer

Cause: results of a peer's answer were known to nobody in two moments: at the owner, if the asker had closed while they were made and the loop had not told so yet (the answer went to a closed connection); at the asker, if its call was cancelled after the answer was read and before the call was told of it.

Ruled out: the owner's own calls (freed when a batch ends, tests of test_worker_pool.py).

Change: the owner looks at the asker's connection before it answers; a cancelled asker frees what an answer that it has read names.

Conclusion: what is left open is an answer that is on the wire when the asker closes: neither side can tell, and the room is held for its time.

--- a/src/corkcrank/gateway/opaque/peer_server.py
+++ b/src/corkcrank/gateway/opaque/peer_server.py
@@ -19,6 +19,7 @@
     EngineDone,
     EngineTurn,
     FreeResults,
+    StageAnswer,
     StageWork,
     WorkersAnswer,
 )
@@ -86,8 +87,16 @@
         work = msgspec.msgpack.decode(await request.read(), type=StageWork)
         _check_asker(request)
         answer = await self._desk.make(work)
+        if closed_by_peer(request.transport):
+            self._free_all(answer)
         return web.Response(body=msgspec.msgpack.encode(answer))
 
+    def _free_all(self, answer: StageAnswer) -> None:
+        """Free the results of an answer that its asker will not read."""
+        for result in answer.results:
+            if result.handle:
+                self._desk.free(result.worker_id, (result.handle,))
+
     async def _free(self, request: web.BaseRequest) -> web.Response:
         message = msgspec.msgpack.decode(await request.read(), type=FreeResults)
         self._desk.free(message.worker_id, message.handles)
--- a/src/corkcrank/gateway/opaque/stage_dispatch.py
+++ b/src/corkcrank/gateway/opaque/stage_dispatch.py
@@ -228,6 +228,10 @@
                 member = self._fleet.member(owner)
                 if member is None or member.suspected(time.monotonic()):
                     break
+        except asyncio.CancelledError:
+            if request.done() and not request.cancelled():
+                self._give_up(request.result())
+            raise
         finally:
             if not request.done():
                 request.cancel()
@@ -238,6 +242,14 @@
             return StageAnswer((lost,) * len(work.pieces), 0.0, f"owner {owner} is lost")
         return msgspec.msgpack.decode(body, type=StageAnswer)
 
+    def _give_up(self, body: bytes | None) -> None:
+        """Free the results of an answer that was read and that nobody waits for."""
+        if body is None:
+            return
+        answer = msgspec.msgpack.decode(body, type=StageAnswer)
+        made = [(result.handle, self.worker(result.worker_id)) for result in answer.results]
+        self.free([(handle, maker) for handle, maker in made if handle and maker is not None])
+
     async def _free_at_peer(
         self, address: str, worker: WorkerRecord, handles: tuple[str, ...]
     ) -> None:
--- a/tests/platform/test_callers_leave_owners.py
+++ b/tests/platform/test_callers_leave_owners.py
@@ -1,6 +1,7 @@
 """A caller who leaves one gateway while another works for its call: the close travels on."""
 
 import asyncio
+import socket
 import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -28,6 +29,7 @@
 from corkcrank.gateway.opaque.peer_protocol import (
     ENGINE_TURN_PATH,
     PIECES_PATH,
+    StageAnswer,
     StageWork,
 )
 from corkcrank.load.loopback import loopback_address
@@ -207,3 +209,49 @@
     body = msgspec.msgpack.encode(piece_work(worker))
     head = f"POST {PIECES_PATH} HTTP/1.1\r\nHost: peer\r\nContent-Length: {len(body)}\r\n\r\n"
     return head.encode() + body
+
+
+async def test_results_are_freed_where_the_asker_closes_before_its_answer_goes_out() -> None:
+    """An owner handed results to an asker that had closed; they held room for their time."""
+    gate = asyncio.Event()
+    async with pair(gate) as two:
+        host, port = two.owner.fleet.own_address.rsplit(":", 1)
+        with socket.create_connection((host, int(port))) as asker:
+            make = two.owner.desk.make
+
+            async def make_and_lose_asker(work: StageWork) -> StageAnswer:
+                answer = await make(work)
+                asker.close()
+                return answer
+
+            two.owner.desk.make = make_and_lose_asker  # type: ignore[method-assign]
+            asker.sendall(pieces_request(two.encode))
+            await until(lambda: len(two.encode.calls) == 1)
+            gate.set()
+            await until(lambda: len(two.encode.made) == 2)
+            await until(lambda: not two.encode.held, seconds=LEAVE_SECONDS)
+
+
+async def test_results_are_freed_where_the_caller_leaves_once_their_answer_was_read() -> None:
+    """Results held room for their time if their call ended before it was told of them."""
+    gate = asyncio.Event()
+    gate.set()
+    async with pair(gate) as two:
+        dispatch = two.running.nodes[two.other].services.dispatch
+        worker = dispatch.worker(two.encode.worker_id)
+        assert worker is not None
+        post = dispatch._post
+
+        async def post_and_cancel(address: str, path: str, message: bytes) -> bytes | None:
+            body = await post(address, path, message)
+            if path == PIECES_PATH:
+                # The call is cancelled before it is told that the answer is there.
+                asyncio.get_running_loop().call_soon(call.cancel)
+            return body
+
+        dispatch._post = post_and_cancel  # type: ignore[method-assign]
+        call = asyncio.create_task(dispatch.make(worker, piece_work(two.encode)))
+        with pytest.raises(asyncio.CancelledError):
+            await call
+        assert len(two.encode.made) == 2
+        await until(lambda: not two.encode.held, seconds=LEAVE_SECONDS)
