An engine is not blamed for a caller that left

Cause: a relay that did not end with a complete stream counted as a failure of its engine, also where the caller had closed or the call was cancelled. Engines are ranked and avoided by their failures of the last seconds.

Ruled out: plain calls (a cancelled one records nothing).

Change: only a stream that its engine broke off or left silent counts.

Conclusion: callers that leave no longer turn others away from sound engines.

--- a/src/corkcrank/gateway/opaque/stream_relay.py
+++ b/src/corkcrank/gateway/opaque/stream_relay.py
@@ -81,12 +81,14 @@
         """Pass one worker's events on until they end, break or fall silent."""
         upstream = attempt.response
         assert upstream is not None
-        end = RelayEnd.BROKEN
+        # Without another word the call was cancelled, which is no fault of the engine.
+        end = RelayEnd.CALLER_GONE
         try:
             end = await self._relay(upstream, first_seconds)
         finally:
             if end is not RelayEnd.COMPLETE:
                 attempt.close()
+            if end is RelayEnd.BROKEN:
                 self._services.book.of(attempt.worker.worker_id).failures.append(time.monotonic())
         return end
 
--- a/tests/platform/test_callers_leave.py
+++ b/tests/platform/test_callers_leave.py
@@ -109,6 +109,23 @@
         await nothing_is_sent_on(running, served, caller)
 
 
+@pytest.mark.parametrize("how", WAYS)
+async def test_an_engine_is_not_blamed_for_a_caller_that_left(how: str) -> None:
+    """A stream that its caller closed counted as a failure of the engine.
+
+    Engines are chosen and avoided by their failures of the last seconds, so callers that
+    leave would turn others away from sound engines.
+    """
+    model = StandinWorker(events=1000, gap=0.02)
+    async with calling({"m": (model, "model")}, "/talk/x") as (running, caller):
+        await caller.reader.readuntil(b"id: 3")
+        caller.leave(how)
+        await until(lambda: model.left == 1)
+        await ends_in_time(running)
+        standing = running.nodes[0].services.book.of(model.worker_id)
+        assert not standing.failures
+
+
 @pytest.mark.parametrize("path", ["/safe/x", "/resumed/x"])
 async def test_in_a_retry_the_second_worker_sees_the_close(path: str) -> None:
     served: Served = {}
