Metric, log field and a table of losses for work that goes on after a caller left

Cause: nothing told how long workers go on for a caller who left, nor at which step callers leave and what was spent on them.

Ruled out: one histogram at the node that had the call: a stage worker's release is known only at its owner, which may be another node. The owner therefore counts queued pieces and batches at work (from the moment at which their call gave them up), the call's node all other steps.

Change: `corkcrank_release_seconds` by step; `step` in `Call: ended.` where the outcome is `left`; `given_up` in `Batch: ended.`; `corkcrank losses` ends with "work done for nobody"; a ticket notes when it was given up (`withdraw` takes the time, so the lane's state machine passes it).

Given up are also pieces of a call that failed at another stage; the owner cannot tell those apart, the report counts only calls whose caller left.

--- a/src/corkcrank/contracts/opaque_call.py
+++ b/src/corkcrank/contracts/opaque_call.py
@@ -1,6 +1,7 @@
 """An opaque call: what corkcrank knows of a request whose body it does not read."""
 
 from dataclasses import dataclass, field
+from enum import StrEnum
 from functools import cached_property
 
 from corkcrank.contracts.opaque_configuration import OpaqueRoute
@@ -54,6 +55,17 @@
     reserved_headers: tuple[str, ...] = ()
 
 
+class CallStep(StrEnum):
+    """Where a call is on its way: what it waits for, or who is at work for it."""
+
+    UNREAD = "unread"
+    PLAIN = "plain"
+    STAGES = "stages"
+    TURN = "turn"
+    ENGINE = "engine"
+    RELAY = "relay"
+
+
 RETURNING_SHARE = 0.97
 """A caller that gives less of the route's timeout than this has probably come back."""
 
@@ -80,6 +92,7 @@
     configuration_version: int
     workers_tried: list[str] = field(default_factory=list)
     first_byte_at: float | None = None
+    step: CallStep = CallStep.UNREAD
 
     @property
     def call_id(self) -> str:
--- a/src/corkcrank/gateway/opaque/caller_server.py
+++ b/src/corkcrank/gateway/opaque/caller_server.py
@@ -48,6 +48,7 @@
         )
         self.resting_since = time.monotonic()
         self.head_since: float | None = None
+        self.lost_at: float | None = None
         self._begun = 0
         self._busy = False
 
@@ -59,6 +60,11 @@
         """
         return self._busy or self._request_count > self._begun
 
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Note when the connection ended, and end its handler."""
+        self.lost_at = time.monotonic()
+        super().connection_lost(exc)
+
     def data_received(self, data: bytes) -> None:
         """Note when a head begins; a parsed head ends it."""
         before = self._request_count
@@ -102,6 +108,12 @@
         self.resting_since = time.monotonic()
 
 
+def seconds_since_close(request: web.BaseRequest) -> float:
+    """Return how long ago the connection of a request was seen to end."""
+    lost_at = getattr(request.protocol, "lost_at", None)
+    return time.monotonic() - lost_at if lost_at is not None else 0.0
+
+
 class _ConnectionServer(web.Server):
     def __call__(self) -> RequestHandler:
         return CallerConnection(self, self._loop)
--- a/src/corkcrank/gateway/opaque/front.py
+++ b/src/corkcrank/gateway/opaque/front.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 from aiohttp.http_exceptions import HttpProcessingError
 
-from corkcrank.contracts.opaque_call import CallEnvelope, OpaqueCall
+from corkcrank.contracts.opaque_call import CallEnvelope, CallStep, OpaqueCall
 from corkcrank.contracts.opaque_configuration import (
     CallKind,
     KeyedTenant,
@@ -16,6 +16,7 @@
     RequestLimits,
 )
 from corkcrank.contracts.result_codes import ResultCode
+from corkcrank.gateway.opaque.caller_server import seconds_since_close
 from corkcrank.gateway.opaque.plain_run import PlainRun
 from corkcrank.gateway.opaque.refusals import CallerLeftError, Refusal
 from corkcrank.gateway.opaque.services import CallServices
@@ -109,8 +110,16 @@
             outcome, detail = "broken", str(error)
             raise
         finally:
+            if outcome == "left":
+                self._note_left(call, request)
             self._note_end(call, outcome, detail)
 
+    def _note_left(self, call: OpaqueCall, request: web.BaseRequest) -> None:
+        """Count how long work went on; that of stages is counted by the workers' owner."""
+        if call.step is not CallStep.STAGES:
+            seconds = seconds_since_close(request)
+            self._services.metrics.released(call.step.value, seconds)
+
     def _note_end(self, call: OpaqueCall, outcome: str, detail: str) -> None:
         """Count and log how a call ended; ``outcome`` is a status or a code's name."""
         metrics = self._services.metrics
@@ -131,6 +140,7 @@
             objective=call.route.objective,
             returning=call.returning,
             left=round(call.caller_end_at - now, 3),
+            step=call.step.value if outcome == "left" else "",
             workers=call.workers_tried,
             configuration=call.configuration_version,
         )
--- a/src/corkcrank/gateway/opaque/metrics.py
+++ b/src/corkcrank/gateway/opaque/metrics.py
@@ -9,6 +9,10 @@
 """Upper bounds of measured over forecast times."""
 
 
+RELEASE_BUCKETS = (0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0)
+"""Upper bounds of the time for which work goes on after a caller's close, in seconds."""
+
+
 class OpaqueMetrics:
     """The metrics of one gateway, in a registry of their own."""
 
@@ -63,6 +67,14 @@
             buckets=BUCKETS,
             registry=self.registry,
         )
+        self.release = Histogram(
+            "corkcrank_release_seconds",
+            "Time from a caller's close, or a call's word to its pieces' owner, to the release"
+            " of the last worker.",
+            ("step",),
+            buckets=RELEASE_BUCKETS,
+            registry=self.registry,
+        )
         self.configuration_version = Gauge(
             "corkcrank_configuration_version",
             "Version in force.",
@@ -78,6 +90,10 @@
             registry=self.registry,
         )
 
+    def released(self, step: str, seconds: float) -> None:
+        """Note that no worker is at work any more for a call whose caller has left."""
+        self.release.labels(step).observe(seconds)
+
     def refusals_by_cause(self) -> dict[str, int]:
         """Return how many answers of its own this gateway gave, by cause."""
         return {
--- a/src/corkcrank/gateway/opaque/node.py
+++ b/src/corkcrank/gateway/opaque/node.py
@@ -102,6 +102,7 @@
             zone=process.zone,
             bounds=settings.bounds,
         )
+        self.desk.on_release = self.services.metrics.released
         self.services.metrics.registry.register(StateCollector(self.services, self.desk))
         self.front = OpaqueFront(self.services, lambda: self.life.draining)
         self.callers = CallerServer(self.front.handle, self.front.limits)
--- a/src/corkcrank/gateway/opaque/plain_run.py
+++ b/src/corkcrank/gateway/opaque/plain_run.py
@@ -5,7 +5,7 @@
 
 from aiohttp import web
 
-from corkcrank.contracts.opaque_call import OpaqueCall
+from corkcrank.contracts.opaque_call import CallStep, OpaqueCall
 from corkcrank.contracts.opaque_configuration import CallKind
 from corkcrank.contracts.result_codes import ResultCode
 from corkcrank.contracts.worker_records import WorkerRecord
@@ -40,6 +40,7 @@
     async def run(self) -> web.StreamResponse | Refusal:
         """Return the worker's answer, or why there is none."""
         call = self._call
+        call.step = CallStep.PLAIN
         service = call.service
         if not self._ends_before_stop():
             return Refusal.draining()
--- a/src/corkcrank/gateway/opaque/stage_desk.py
+++ b/src/corkcrank/gateway/opaque/stage_desk.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Coroutine, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass, field
 
 import msgspec
@@ -11,7 +11,7 @@
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.gateway.opaque.peer_protocol import StageAnswer, StageWork
 from corkcrank.gateway.opaque.stage_caller import StageCaller
-from corkcrank.gateway.opaque.stage_messages import describe, load_of, refuse, ticket_of
+from corkcrank.gateway.opaque.stage_messages import describe, given_up, load_of, refuse, ticket_of
 from corkcrank.gateway.opaque.stage_room import StageRoom, WorkerRoom
 from corkcrank.gateway.opaque.worker_client import SendFailure, WorkerClient
 from corkcrank.links.decision_log import DecisionLog, LogEvent
@@ -49,6 +49,9 @@
 
     Whoever sends work here is served, also when this gateway does not think itself the
     owner: views differ for a moment, and the worker's own queue bears two owners.
+
+    ``on_release`` is called with a step and the seconds from the moment at which a call gave
+    its pieces up: ``queued`` if none was at work, else ``stages`` when their batch ends.
     """
 
     def __init__(
@@ -67,6 +70,7 @@
         self._room = StageRoom(self._caller, log, self._spawn, self._room_changed)
         self._futures: dict[int, asyncio.Future[PieceResult]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self.on_release: Callable[[str, float], None] = lambda step, seconds: None
 
     def lane(self, worker_id: str) -> StageLane | None:
         """Return the lane of a worker if this gateway has one."""
@@ -178,9 +182,12 @@
         futures: list[asyncio.Future[PieceResult]],
     ) -> None:
         lanes = [entry.lane, *(sibling.lane for sibling in self._siblings(entry))]
+        now = time.monotonic()
+        if all(any(ticket in lane.queued() for lane in lanes) for ticket in tickets):
+            self.on_release("queued", 0.0)
         for ticket, future in zip(tickets, futures, strict=True):
             for lane in lanes:
-                lane.withdraw(ticket)
+                lane.withdraw(ticket, now)
             self._futures.pop(id(ticket), None)
             made = future.done() and not future.cancelled() and future.result().handle
             if made:
@@ -258,12 +265,16 @@
         now = time.monotonic()
         results = outcome if isinstance(outcome, list) else None
         entry.lane.end_call(call, results, now)
+        left = given_up(call.tickets, now)
+        for since in left.values():
+            self.on_release("stages", since)
         self._log.write(
             LogEvent.BATCH_ENDED,
             worker=entry.worker.worker_id,
             service=entry.worker.service,
             pieces=len(call.tickets),
             calls=sorted({ticket.order.call_id for ticket in call.tickets}),
+            given_up=left,
             outcome=describe(outcome),
             seconds=round(now - started, 3),
             expected=round(call.expected_seconds, 3),
--- a/src/corkcrank/gateway/opaque/stage_messages.py
+++ b/src/corkcrank/gateway/opaque/stage_messages.py
@@ -1,5 +1,7 @@
 """What an owner of stage workers tells others: loads, answers, log texts."""
 
+from collections.abc import Sequence
+
 from corkcrank.contracts.urgency import Urgency
 from corkcrank.gateway.opaque.peer_protocol import StageAnswer, StageWork
 from corkcrank.gateway.opaque.worker_client import SendFailure
@@ -44,6 +46,15 @@
     return StageAnswer((refused,) * len(work.pieces), start_seconds, detail)
 
 
+def given_up(tickets: Sequence[PieceTicket], now: float) -> dict[str, float]:
+    """Return the calls that gave up pieces of a batch, and how many seconds ago."""
+    return {
+        ticket.order.call_id: round(now - ticket.abandoned_at, 3)
+        for ticket in tickets
+        if ticket.abandoned_at is not None
+    }
+
+
 def describe(outcome: list[PieceResult] | SendFailure | None) -> str:
     """Return how the pieces of a call ended, for the log."""
     if outcome is None:
--- a/src/corkcrank/gateway/opaque/stream_relay.py
+++ b/src/corkcrank/gateway/opaque/stream_relay.py
@@ -8,7 +8,7 @@
 import aiohttp
 from aiohttp import web
 
-from corkcrank.contracts.opaque_call import OpaqueCall
+from corkcrank.contracts.opaque_call import CallStep, OpaqueCall
 from corkcrank.gateway.opaque.attempts import Attempt
 from corkcrank.gateway.opaque.events import EventReader, StreamEvent
 from corkcrank.gateway.opaque.plain_run import replace_headers
@@ -133,6 +133,7 @@
         if data:
             if not self.started:
                 self.started = True
+            self._call.step = CallStep.RELAY
             self.on_first_event()
             self.on_first_event = _nothing
             self._note_pause()
--- a/src/corkcrank/gateway/opaque/stream_run.py
+++ b/src/corkcrank/gateway/opaque/stream_run.py
@@ -6,7 +6,7 @@
 
 from aiohttp import web
 
-from corkcrank.contracts.opaque_call import OpaqueCall
+from corkcrank.contracts.opaque_call import CallStep, OpaqueCall
 from corkcrank.contracts.result_codes import ResultCode
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.gateway.opaque.attempts import Attempt, AttemptOutcome, attempt_call
@@ -89,6 +89,7 @@
     async def _take_turn(self, chosen: WorkerRecord) -> WorkerRecord:
         """Return the engine of the chosen one's zone that reads the prompt next."""
         services = self._services
+        self._call.step = CallStep.TURN
         long = services.prompt_sizes.is_long(self._call.route.name)
         engine = await services.turns.take(self._call, chosen, long=long)
         if engine.worker_id != chosen.worker_id:
@@ -131,6 +132,7 @@
             )
         if self._plan.complete:
             return self._plan.final_handles()
+        self._call.step = CallStep.STAGES
         handles, seconds = await self._timed_stages(self._stages)
         self._services.metrics.stage_wait.observe(seconds)
         self._services.log.write(
@@ -162,6 +164,7 @@
 
     async def _send(self, engine: WorkerRecord, inputs: tuple[str, ...]) -> RelayEnd:
         """Send the call to an engine and relay what comes."""
+        self._call.step = CallStep.ENGINE
         attempt = await self._attempt(engine, inputs)
         if attempt.outcome is AttemptOutcome.ANSWERED:
             self._may_have_run = True
--- a/src/corkcrank/reports/losses.py
+++ b/src/corkcrank/reports/losses.py
@@ -7,6 +7,7 @@
 from corkcrank.reports.call_story import CallStory, Loss, Step
 from corkcrank.reports.log_records import LogRecord
 from corkcrank.reports.stage_work import WorkerTime, worker_times
+from corkcrank.reports.work_for_nobody import WorkForNobody, work_for_nobody
 
 WINDOW_SECONDS = 2.0
 """Length of the windows in which losses are shown over time."""
@@ -55,11 +56,17 @@
     routes: list[RouteLosses]
     windows: list[WindowLosses]
     workers: list[WorkerTime]
+    for_nobody: list[WorkForNobody]
 
 
 def make_report(stories: Sequence[CallStory], records: Sequence[LogRecord]) -> LossReport:
     """Return the report over calls and the log lines that they were told from."""
-    return LossReport(_by_route(stories), _by_window(stories), worker_times(records))
+    return LossReport(
+        _by_route(stories),
+        _by_window(stories),
+        worker_times(records),
+        work_for_nobody(records),
+    )
 
 
 def _by_route(stories: Sequence[CallStory]) -> list[RouteLosses]:
--- a/src/corkcrank/reports/losses_table.py
+++ b/src/corkcrank/reports/losses_table.py
@@ -6,6 +6,7 @@
 from corkcrank.reports.call_story import Loss, Step
 from corkcrank.reports.losses import LossReport, RouteLosses, WindowLosses
 from corkcrank.reports.stage_work import WorkerTime
+from corkcrank.reports.work_for_nobody import WorkForNobody
 
 
 def table_lines(report: LossReport, least_calls: int = 1) -> Iterator[str]:
@@ -20,6 +21,9 @@
     yield ""
     yield "Stage workers: batches, fill, and what their time went to"
     yield from (_worker_line(worker) for worker in report.workers)
+    yield ""
+    yield "Work done for nobody: calls whose callers left, by step, and workers' seconds on them"
+    yield from (_nobody_line(work) for work in report.for_nobody)
 
 
 def _route_lines(route: RouteLosses) -> Iterator[str]:
@@ -49,6 +53,14 @@
     return f"{window.begins:6.0f} s  {window.causes.total():4d} {served:4d}  {lost}"
 
 
+def _nobody_line(work: WorkForNobody) -> str:
+    return (
+        f"{work.calls:5d}  {work.step}: stage workers {work.stage_seconds:.2f} s "
+        f"(after the close {work.after_close:.2f} s), "
+        f"engines and plain workers {work.worker_seconds:.2f} s"
+    )
+
+
 def _worker_line(worker: WorkerTime) -> str:
     span = max(1e-9, worker.last_at - worker.first_at)
     return (
--- a/src/corkcrank/scheduling/batch_filling.py
+++ b/src/corkcrank/scheduling/batch_filling.py
@@ -14,7 +14,8 @@
     """One piece that waits for its turn.
 
     ``urgency`` orders the queue, lowest first; it tells when the piece should
-    have ended. ``start_by`` is when it is no longer worth starting.
+    have ended. ``start_by`` is when it is no longer worth starting, ``abandoned_at`` when
+    its call gave it up.
     """
 
     order: PieceOrder
@@ -24,7 +25,12 @@
     end_at: float
     submitted_at: float
     sequence: int = 0
-    abandoned: bool = False
+    abandoned_at: float | None = None
+
+    @property
+    def abandoned(self) -> bool:
+        """Return whether the piece's call has given it up."""
+        return self.abandoned_at is not None
 
 
 def fill_batch(
--- a/src/corkcrank/scheduling/stage_lane.py
+++ b/src/corkcrank/scheduling/stage_lane.py
@@ -129,9 +129,9 @@
         self._queue.append(ticket)
         self._queue.sort(key=_queue_order)
 
-    def withdraw(self, ticket: PieceTicket) -> None:
+    def withdraw(self, ticket: PieceTicket, now: float) -> None:
         """Take a piece out whose call has ended; one at work is only marked."""
-        ticket.abandoned = True
+        ticket.abandoned_at = now
         if ticket in self._queue:
             self._queue.remove(ticket)
 
--- a/tests/scheduling/test_stage_lane.py
+++ b/tests/scheduling/test_stage_lane.py
@@ -203,7 +203,7 @@
     @precondition(lambda self: self.waiting)
     @rule()
     def withdraw(self) -> None:
-        self.lane.withdraw(self.waiting.pop())
+        self.lane.withdraw(self.waiting.pop(), self.now)
         self.ended += 1
 
     @rule(seconds=st.floats(0.01, 2.0))
