--- a/src/corkcrank/gateway/opaque/stage_desk.py
+++ b/src/corkcrank/gateway/opaque/stage_desk.py
@@ -15,11 +15,7 @@
 from corkcrank.gateway.opaque.stage_room import StageRoom, WorkerRoom
 from corkcrank.gateway.opaque.worker_client import SendFailure, WorkerClient
 from corkcrank.links.decision_log import DecisionLog, LogEvent
-from corkcrank.links.platform_ports import (
-    PieceOutcome,
-    PieceResult,
-    StageCodec,
-)
+from corkcrank.links.platform_ports import PieceOutcome, PieceResult, StageCodec
 from corkcrank.machines.heartbeat import StageLoad
 from corkcrank.machines.store_mirror import StoreMirror
 from corkcrank.machines.worker_pools import pool_of
@@ -34,6 +30,9 @@
 FULL_BLOCK_SECONDS = 0.08
 """Pause after a worker said that it is full: another owner fills it too."""
 
+LEAST_TIMER_SECONDS = 0.005
+"""Least time until a queue is looked at again."""
+
 
 @dataclass(slots=True)
 class _Lane:
@@ -181,7 +180,8 @@
         tickets: list[PieceTicket],
         futures: list[asyncio.Future[PieceResult]],
     ) -> None:
-        lanes = [entry.lane, *(sibling.lane for sibling in self._siblings(entry))]
+        entries = [entry, *self._siblings(entry)]
+        lanes = [item.lane for item in entries]
         now = time.monotonic()
         if all(any(ticket in lane.queued() for lane in lanes) for ticket in tickets):
             self.on_release("queued", 0.0)
@@ -192,6 +192,9 @@
             made = future.done() and not future.cancelled() and future.result().handle
             if made:
                 self.free(future.result().worker_id, [future.result().handle])
+        # Not at once: others may leave in the same moment.
+        for item in entries:
+            asyncio.get_running_loop().call_later(LEAST_TIMER_SECONDS, self._pump, item)
 
     def _pump(self, entry: _Lane) -> None:
         now = time.monotonic()
@@ -208,7 +211,7 @@
             entry.timer = None
         at = entry.lane.next_event_at(now)
         if at is not None:
-            delay = max(0.005, at - now)
+            delay = max(LEAST_TIMER_SECONDS, at - now)
             entry.timer = asyncio.get_running_loop().call_later(delay, self._pump, entry)
 
     def _siblings(self, entry: _Lane) -> list[_Lane]:
