--- a/src/corkcrank/contracts/opaque_call.py
+++ b/src/corkcrank/contracts/opaque_call.py
@@ -1,6 +1,7 @@
 """An opaque call: what corkcrank knows of a request whose body it does not read."""
 
 from dataclasses import dataclass, field
+from enum import StrEnum
 from functools import cached_property
 
 from corkcrank.contracts.opaque_configuration import OpaqueRoute
@@ -54,6 +55,17 @@
     reserved_headers: tuple[str, ...] = ()
 
 
+class CallStep(StrEnum):
+    """Where a call is on its way: what it waits for, or who is at work for it."""
+
+    UNREAD = "unread"
+    PLAIN = "plain"
+    STAGES = "stages"
+    TURN = "turn"
+    ENGINE = "engine"
+    RELAY = "relay"
+
+
 RETURNING_SHARE = 0.97
 """A caller that gives less of the route's timeout than this has probably come back."""
 
@@ -84,6 +96,7 @@
     first_byte_at: float | None = None
     answer_begun: bool = False
     may_have_run: bool = False
+    step: CallStep = CallStep.UNREAD
 
     @property
     def call_id(self) -> str:
--- a/src/corkcrank/gateway/opaque/caller_server.py
+++ b/src/corkcrank/gateway/opaque/caller_server.py
@@ -16,9 +16,10 @@
 from corkcrank.contracts.opaque_configuration import RequestLimits
 from corkcrank.contracts.result_codes import ResultCode
 from corkcrank.gateway.opaque.refusals import Refusal
+from corkcrank.links.closed_connections import closed_by_peer
 
 SWEEP_SECONDS = 0.25
-"""Time between looks at connections that rest or send their head too slowly."""
+"""Time between looks at connections that rest, send their head too slowly or were closed."""
 
 MAXIMUM_FIELD_BYTES = 65_536
 """Bound of the library's parser; the configuration's own limit is lower."""
@@ -47,6 +48,7 @@
         )
         self.resting_since = time.monotonic()
         self.head_since: float | None = None
+        self.lost_at: float | None = None
         self._begun = 0
         self._unsent_before = 0
         self._busy = False
@@ -75,6 +77,11 @@
             self.resting_since = now
         self._unsent_before = self.unsent_bytes
 
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Note when the connection ended, and end its handler."""
+        self.lost_at = time.monotonic()
+        super().connection_lost(exc)
+
     def data_received(self, data: bytes) -> None:
         """Note when a head begins; a parsed head ends it."""
         before = self._request_count
@@ -97,6 +104,15 @@
         code = ResultCode.MALFORMED_REQUEST if status < 500 else ResultCode.INTERNAL_ERROR
         return Refusal(code, message or "", close=True).response()
 
+    def end_if_left(self) -> None:
+        """End the request being handled if its caller has closed the connection.
+
+        The library sees a close only by reading. Reading is paused while further requests
+        wait, and after the caller's end the connection stays until all was written.
+        """
+        if self._busy and self.transport is not None and closed_by_peer(self.transport):
+            self.transport.abort()
+
     def begin(self) -> None:
         """Note that a request is being handled."""
         self._busy = True
@@ -109,6 +125,12 @@
         self.resting_since = time.monotonic()
 
 
+def seconds_since_close(request: web.BaseRequest) -> float:
+    """Return how long ago the connection of a request was seen to end."""
+    lost_at = getattr(request.protocol, "lost_at", None)
+    return time.monotonic() - lost_at if lost_at is not None else 0.0
+
+
 class _ConnectionServer(web.Server):
     def __call__(self) -> RequestHandler:
         return CallerConnection(self, self._loop)
@@ -186,6 +208,7 @@
             now = time.monotonic()
             for connection in self.connections():
                 if connection.busy:
+                    connection.end_if_left()
                     continue
                 connection.note_reading(now)
                 if connection.head_since is not None:
--- a/src/corkcrank/gateway/opaque/front.py
+++ b/src/corkcrank/gateway/opaque/front.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 from aiohttp.http_exceptions import HttpProcessingError
 
-from corkcrank.contracts.opaque_call import CallEnvelope, OpaqueCall
+from corkcrank.contracts.opaque_call import CallEnvelope, CallStep, OpaqueCall
 from corkcrank.contracts.opaque_configuration import (
     CallKind,
     KeyedTenant,
@@ -16,11 +16,13 @@
     RequestLimits,
 )
 from corkcrank.contracts.result_codes import ResultCode
+from corkcrank.gateway.opaque.caller_server import seconds_since_close
 from corkcrank.gateway.opaque.drain import CallAnswer, CallRun, OpenCalls
 from corkcrank.gateway.opaque.plain_run import PlainRun
-from corkcrank.gateway.opaque.refusals import Refusal
+from corkcrank.gateway.opaque.refusals import CallerLeftError, Refusal
 from corkcrank.gateway.opaque.services import CallServices
 from corkcrank.gateway.opaque.stream_run import StreamRun
+from corkcrank.links.closed_connections import closed_by_peer
 from corkcrank.links.decision_log import LogEvent
 
 UNKNOWN_RETRY_SECONDS = 0.3
@@ -100,6 +102,8 @@
         outcome, detail = "", ""
         retry_after: float | None = None
         try:
+            if closed_by_peer(request.transport):
+                raise CallerLeftError
             answer = await self.open_calls.serve(self._run_of(call, request))
             if isinstance(answer, Refusal):
                 outcome, detail = answer.code.name, answer.detail
@@ -107,11 +111,19 @@
             else:
                 outcome = str(answer.status)
             return answer
+        except CallerLeftError:
+            raise
         except ConnectionError as error:
             outcome, detail = "broken", str(error)
             raise
+        except Exception as error:
+            outcome, detail = ResultCode.INTERNAL_ERROR.name, type(error).__name__
+            raise
         finally:
-            self._note_end(call, outcome or self._unanswered(), detail, retry_after)
+            outcome = outcome or self._unanswered()
+            if outcome == LEFT_OUTCOME:
+                self._note_left(call, request)
+            self._note_end(call, outcome, detail, retry_after)
 
     def _run_of(self, call: OpaqueCall, request: web.BaseRequest) -> CallRun[CallAnswer]:
         if call.route.kind is CallKind.STREAM:
@@ -122,6 +134,12 @@
         """Return why a call ends without an answer: this gateway cut it, or its caller left."""
         return CUT_OUTCOME if self._services.cutting else LEFT_OUTCOME
 
+    def _note_left(self, call: OpaqueCall, request: web.BaseRequest) -> None:
+        """Count how long work went on; that of stages is counted by the workers' owner."""
+        if call.step is not CallStep.STAGES:
+            seconds = seconds_since_close(request)
+            self._services.metrics.released(call.step.value, seconds)
+
     def _note_end(
         self, call: OpaqueCall, outcome: str, detail: str, retry_after: float | None
     ) -> None:
@@ -150,6 +168,7 @@
             objective=call.route.objective,
             returning=call.returning,
             left=round(call.caller_end_at - now, 3),
+            step=call.step.value if outcome == LEFT_OUTCOME else "",
             workers=call.workers_tried,
             configuration=call.configuration_version,
             after_signal=self._after_signal(call),
--- a/src/corkcrank/gateway/opaque/stream_relay.py
+++ b/src/corkcrank/gateway/opaque/stream_relay.py
@@ -8,7 +8,7 @@
 import aiohttp
 from aiohttp import web
 
-from corkcrank.contracts.opaque_call import OpaqueCall
+from corkcrank.contracts.opaque_call import CallStep, OpaqueCall
 from corkcrank.gateway.opaque.attempts import Attempt
 from corkcrank.gateway.opaque.events import EventReader, StreamEvent
 from corkcrank.gateway.opaque.plain_run import replace_headers
@@ -81,12 +81,14 @@
         """Pass one worker's events on until they end, break or fall silent."""
         upstream = attempt.response
         assert upstream is not None
-        end = RelayEnd.BROKEN
+        # Without another word the call was cancelled, which is no fault of the engine.
+        end = RelayEnd.CALLER_GONE
         try:
             end = await self._relay(upstream, first_seconds)
         finally:
             if end is not RelayEnd.COMPLETE:
                 attempt.close()
+            if end is RelayEnd.BROKEN:
                 self._services.book.of(attempt.worker.worker_id).failures.append(time.monotonic())
         return end
 
@@ -131,6 +133,7 @@
         if data:
             if not self.started:
                 self.started = True
+            self._call.step = CallStep.RELAY
             self.on_first_event()
             self.on_first_event = _nothing
             self._note_pause()
--- a/src/corkcrank/gateway/opaque/stream_run.py
+++ b/src/corkcrank/gateway/opaque/stream_run.py
@@ -6,13 +6,13 @@
 
 from aiohttp import web
 
-from corkcrank.contracts.opaque_call import OpaqueCall
+from corkcrank.contracts.opaque_call import CallStep, OpaqueCall
 from corkcrank.contracts.result_codes import ResultCode
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.gateway.opaque.attempts import Attempt, AttemptOutcome, attempt_call
 from corkcrank.gateway.opaque.drain import stopped_answer
 from corkcrank.gateway.opaque.engine_assignment import EngineAssignment
-from corkcrank.gateway.opaque.refusals import Refusal
+from corkcrank.gateway.opaque.refusals import CallerLeftError, Refusal
 from corkcrank.gateway.opaque.services import CallServices
 from corkcrank.gateway.opaque.stage_run import StageFailedError, StageRun
 from corkcrank.gateway.opaque.stream_admission import StreamAdmission
@@ -99,7 +99,7 @@
             if end is RelayEnd.COMPLETE:
                 return self._relay.finished()
             if end is RelayEnd.CALLER_GONE:
-                raise ConnectionResetError("the caller has left")
+                raise CallerLeftError
             if self._call.may_have_run and not self._call.route.idempotent:
                 break
             if time.monotonic() >= self._call.end_at:
@@ -110,6 +110,7 @@
     async def _take_turn(self, chosen: WorkerRecord) -> WorkerRecord:
         """Return the engine of the chosen one's zone that reads the prompt next."""
         services = self._services
+        self._call.step = CallStep.TURN
         long = services.prompt_sizes.is_long(self._call.route.name)
         engine = await services.turns.take(self._call, chosen, long=long)
         if engine.worker_id != chosen.worker_id:
@@ -152,6 +153,7 @@
             )
         if self._plan.complete:
             return self._plan.final_handles()
+        self._call.step = CallStep.STAGES
         handles, seconds = await self._timed_stages(self._stages)
         self._services.metrics.stage_wait.observe(seconds)
         self._services.log.write(
@@ -183,6 +185,7 @@
 
     async def _send(self, engine: WorkerRecord, inputs: tuple[str, ...]) -> RelayEnd:
         """Send the call to an engine and relay what comes."""
+        self._call.step = CallStep.ENGINE
         attempt = await self._attempt(engine, inputs)
         if attempt.outcome is AttemptOutcome.ANSWERED:
             end = await self._relay.relay(attempt, self._first_event_patience())
--- a/src/corkcrank/reports/losses.py
+++ b/src/corkcrank/reports/losses.py
@@ -9,6 +9,7 @@
 from corkcrank.reports.log_records import LogRecord
 from corkcrank.reports.sent_back import SentBackReport, sent_back
 from corkcrank.reports.stage_work import WorkerTime, worker_times
+from corkcrank.reports.work_for_nobody import WorkForNobody, work_for_nobody
 
 WINDOW_SECONDS = 2.0
 """Length of the windows in which losses are shown over time."""
@@ -59,6 +60,7 @@
     workers: list[WorkerTime]
     held: HeldReport
     sent_back: SentBackReport
+    for_nobody: list[WorkForNobody]
 
 
 def make_report(stories: Sequence[CallStory], records: Sequence[LogRecord]) -> LossReport:
@@ -69,6 +71,7 @@
         workers=worker_times(records),
         held=held_calls(stories),
         sent_back=sent_back(stories),
+        for_nobody=work_for_nobody(records),
     )
 
 
