Nodes: accepting and readiness come from one state; callers' connections are bounded

Nothing bounded the open connections of callers. Once they had used every descriptor, the event loop's own server (Python 3.11) called accept 1,024 times in a turn, wrote a traceback for each failure (22,748 in 5 s, on standard error, blocking), paused for a second and began again. A balancer that asks for readiness over an open connection was answered 200 all the while. A process of 256 descriptors, 400 connections held open, 5 s of one call and one question at a time: 0 of 5 calls served, 0 of 5 questions answered on new connections, 5 of 5 answered 200 on a kept one.

Order of the start: readiness is asked for before the callers' listener opens, but says 503 until the configuration and the workers are known, after that. Outage of the store: 38 of 38 calls and questions answered 200 with the store silent. Fewer connections than descriptors: 230 held, 25 of 25 served.

Change. listener_state.py holds whether the gateway listens and whether accepting is blocked; readiness is read from it. caller_listener.py accepts by itself, within a limit from the settings' descriptors and memory (new table [limits]; the process's own limit without it): half of what is left to sockets. At the limit it closes resting connections, longest first, then those whose head has not ended, then those whose body has not; never one whose request is whole. Where all are busy, or accept fails, it tries again every 0.05 s and is not ready after 0.5 s. Gauge of open connections, counter and line of closed ones, lines when readiness changes so.

Weighed: answering and closing beyond the limit (a busy loop, no place in the queue for who may wait a moment); a smaller number accepted in a turn (64: under load the queue of 1,024 overran in a trial of 2,000 calls at once, so all that wait are accepted).

A resting connection takes 22,200 bytes, one that never sent a byte 5,500, an unfinished head of 8 KiB 23,700.

Tests: tests/platform/test_accepting.py, on the sources before: the flood of four kinds, requests in progress beside it, the order of closing and a closed listener failed; those that use the new objects could not run.

Open: bodies in progress are not counted against the memory.

--- a/src/corkcrank/contracts/node_settings.py
+++ b/src/corkcrank/contracts/node_settings.py
@@ -76,6 +76,16 @@
         return min(self.leaving, self.configuration)
 
 
+class NodeLimitSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What the operating system allows the process; 0 where it is not told.
+
+    ``file_descriptors`` are those of all files and sockets, ``memory_mb`` is in MiB.
+    """
+
+    file_descriptors: int = 0
+    memory_mb: float = 0.0
+
+
 class NodeSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The whole settings file of a gateway for opaque calls."""
 
@@ -83,6 +93,7 @@
     store: NodeStoreSettings
     peers: NodePeerSettings = NodePeerSettings()
     bounds: NodeBoundSettings = NodeBoundSettings()
+    limits: NodeLimitSettings = NodeLimitSettings()
 
 
 def load_node_settings(path: Path) -> Result[NodeSettings, Failure]:
@@ -137,4 +148,7 @@
     for key, value in positive.items():
         if value <= 0:
             return f"expected a positive number - at `$.{key}`"
+    limits = settings.limits
+    if limits.file_descriptors < 0 or limits.memory_mb < 0:
+        return "expected no negative number - at `$.limits`"
     return ""
--- a/src/corkcrank/gateway/opaque/caller_server.py
+++ b/src/corkcrank/gateway/opaque/caller_server.py
@@ -10,11 +10,18 @@
 from collections.abc import Awaitable, Callable
 from typing import cast
 
-from aiohttp import web
+from aiohttp import StreamReader, web
 from aiohttp.web_protocol import RequestHandler
 
 from corkcrank.contracts.opaque_configuration import RequestLimits
 from corkcrank.contracts.result_codes import ResultCode
+from corkcrank.gateway.opaque.caller_listener import (
+    CallerListener,
+    ConnectionPhase,
+    HeldConnection,
+    ListenerReport,
+)
+from corkcrank.gateway.opaque.listener_state import ListenerState
 from corkcrank.gateway.opaque.refusals import Refusal
 
 SWEEP_SECONDS = 0.25
@@ -26,16 +33,18 @@
 NEVER_SECONDS = 86_400.0
 """Keep-alive of the library, which the sweep replaces."""
 
-BACKLOG = 1024
-"""Connections that may wait to be accepted."""
-
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
-class CallerConnection(RequestHandler):
-    """One connection, with the times that the sweep needs."""
+class CallerConnection(RequestHandler, HeldConnection):
+    """One connection, with the times that the sweep and the listener need."""
 
-    def __init__(self, manager: web.Server, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self,
+        manager: web.Server,
+        loop: asyncio.AbstractEventLoop,
+        lost: Callable[[HeldConnection], None],
+    ) -> None:
         super().__init__(
             manager,
             loop=loop,
@@ -47,8 +56,11 @@
         )
         self.resting_since = time.monotonic()
         self.head_since: float | None = None
+        self._lost = lost
         self._begun = 0
         self._busy = False
+        self._begun_at = 0.0
+        self._content: StreamReader | None = None
 
     @property
     def busy(self) -> bool:
@@ -58,6 +70,27 @@
         """
         return self._busy or self._request_count > self._begun
 
+    @property
+    def phase(self) -> ConnectionPhase:
+        """Return what it waits for."""
+        if self.busy or self._current_request is not None:
+            content = self._content
+            unfinished = content is not None and not content.is_eof()
+            return ConnectionPhase.BODY if unfinished else ConnectionPhase.BUSY
+        return ConnectionPhase.RESTING if self.head_since is None else ConnectionPhase.HEAD
+
+    @property
+    def waits_since(self) -> float:
+        """Return since when it has been in its phase, on the monotonic clock."""
+        if self.busy:
+            return self._begun_at
+        return self.resting_since if self.head_since is None else self.head_since
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Tell the listener that the connection has ended."""
+        self._lost(self)
+        super().connection_lost(exc)
+
     def data_received(self, data: bytes) -> None:
         """Note when a head begins; a parsed head ends it."""
         before = self._request_count
@@ -80,31 +113,35 @@
         code = ResultCode.MALFORMED_REQUEST if status < 500 else ResultCode.INTERNAL_ERROR
         return Refusal(code, message or "", close=True).response()
 
-    def begin(self) -> None:
-        """Note that a request is being handled."""
+    def begin(self, content: StreamReader) -> None:
+        """Note that a request with a body is being handled."""
         self._busy = True
+        self._begun_at = time.monotonic()
+        self._content = content
         self.head_since = None
         self._begun += 1
 
     def rest(self) -> None:
         """Note that no request is being handled."""
         self._busy = False
+        self._content = None
         self.resting_since = time.monotonic()
 
 
-class _ConnectionServer(web.Server):
-    def __call__(self) -> RequestHandler:
-        return CallerConnection(self, self._loop)
-
-
 class CallerServer:
     """Serves one handler on one address, within limits that may change at any time."""
 
-    def __init__(self, handler: Handler, limits: Callable[[], RequestLimits]) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        limits: Callable[[], RequestLimits],
+        state: ListenerState,
+        report: ListenerReport,
+    ) -> None:
         self._handler = handler
         self._limits = limits
-        self._server = _ConnectionServer(self._handle, handler_cancellation=True)
-        self._listener: asyncio.Server | None = None
+        self._server = web.Server(self._handle, handler_cancellation=True)
+        self._listener = CallerListener(self._connection, state, report)
         self._sweeper: asyncio.Task[None] | None = None
         self.closing_connections = False
 
@@ -119,17 +156,12 @@
 
     async def start(self, address: str) -> None:
         """Listen on ``ip:port``."""
-        host, port = address.rsplit(":", 1)
-        loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(
-            self._server, host, int(port), backlog=BACKLOG, reuse_address=True
-        )
+        self._listener.start(address)
         self._sweeper = asyncio.create_task(self._sweep())
 
     def stop_listening(self) -> None:
         """Accept no further connections."""
-        if self._listener is not None:
-            self._listener.close()
+        self._listener.close()
 
     def close_resting(self, longer_than: float) -> None:
         """Close connections that have rested for some seconds and have sent nothing new."""
@@ -148,9 +180,12 @@
             connection.force_close()
         await self._server.shutdown(0.1)
 
+    def _connection(self) -> CallerConnection:
+        return CallerConnection(self._server, asyncio.get_running_loop(), self._listener.lost)
+
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         connection = cast(CallerConnection, request.protocol)
-        connection.begin()
+        connection.begin(request.content)
         try:
             return await self._handler(request)
         finally:
--- /dev/null
+++ b/src/corkcrank/gateway/opaque/listener_report.py
@@ -0,0 +1,41 @@
+"""Writes what the callers' listener does to the log and the metrics."""
+
+from collections import Counter
+
+from corkcrank.gateway.opaque.caller_listener import ConnectionPhase
+from corkcrank.gateway.opaque.listener_state import ListenerState
+from corkcrank.gateway.opaque.metrics import OpaqueMetrics
+from corkcrank.links.decision_log import DecisionLog, LogEvent
+
+
+class NodeListenerReport:
+    """One line for each group of connections closed, and for each change of readiness."""
+
+    def __init__(self, log: DecisionLog, metrics: OpaqueMetrics) -> None:
+        self._log = log
+        self._metrics = metrics
+
+    def closed(self, counts: Counter[ConnectionPhase], open_connections: int) -> None:
+        """Take how many connections were closed for new ones, by phase."""
+        by_name = {phase.name.lower(): count for phase, count in counts.items()}
+        for name, count in by_name.items():
+            self._metrics.connections_closed.labels(name).inc(count)
+        self._log.write(LogEvent.CONNECTIONS_CLOSED, **by_name, open=open_connections)
+
+    def failing(self, state: ListenerState) -> None:
+        """Take that accepting has been blocked for too long."""
+        self._log.write(
+            LogEvent.NOT_READY,
+            cause=state.blocked_by,
+            open=state.open_connections,
+            limit=state.connection_limit,
+        )
+
+    def accepting(self, state: ListenerState) -> None:
+        """Take that accepting works again, before the state forgets since when it did not."""
+        self._log.write(
+            LogEvent.READY,
+            cause=state.blocked_by,
+            seconds=round(state.blocked_seconds, 3),
+            open=state.open_connections,
+        )
--- a/src/corkcrank/gateway/opaque/metrics.py
+++ b/src/corkcrank/gateway/opaque/metrics.py
@@ -45,6 +45,15 @@
             ("header",),
             registry=self.registry,
         )
+        self.connections = Gauge(
+            "corkcrank_connections", "Open connections of callers.", registry=self.registry
+        )
+        self.connections_closed = Counter(
+            "corkcrank_connections_closed",
+            "Connections of callers closed for new ones, by what they waited for.",
+            ("phase",),
+            registry=self.registry,
+        )
         self.forecast_ratio = Histogram(
             "corkcrank_stage_forecast_ratio",
             "Measured time of a call's stages over the forecast one.",
--- a/src/corkcrank/gateway/opaque/node.py
+++ b/src/corkcrank/gateway/opaque/node.py
@@ -15,6 +15,8 @@
 from corkcrank.gateway.opaque.engine_desk import EngineDesk, EngineTurnTaker
 from corkcrank.gateway.opaque.front import OpaqueFront
 from corkcrank.gateway.opaque.heartbeats import HeartbeatLoop
+from corkcrank.gateway.opaque.listener_report import NodeListenerReport
+from corkcrank.gateway.opaque.listener_state import ListenerState, connection_limit
 from corkcrank.gateway.opaque.metrics import OpaqueMetrics
 from corkcrank.gateway.opaque.node_dump import NodeDump, make_dump
 from corkcrank.gateway.opaque.peer_server import PeerServer, serve_readiness
@@ -104,7 +106,16 @@
         )
         self.services.metrics.registry.register(StateCollector(self.services, self.desk))
         self.front = OpaqueFront(self.services, lambda: self.life.draining)
-        self.callers = CallerServer(self.front.handle, self.front.limits)
+        self.listener_state = ListenerState(
+            connection_limit(settings.limits), lambda: self.life.state == ProcessState.SERVING
+        )
+        self.callers = CallerServer(
+            self.front.handle,
+            self.front.limits,
+            self.listener_state,
+            NodeListenerReport(log, self.services.metrics),
+        )
+        self.services.metrics.connections.set_function(lambda: self.listener_state.open_connections)
         self.heartbeats = HeartbeatLoop(
             self.fleet,
             self.mirror,
@@ -130,13 +141,14 @@
     @property
     def ready(self) -> bool:
         """Return whether the balancer may send callers here."""
-        return self.life.state == ProcessState.SERVING
+        return self.listener_state.ready
 
     def take_settings(self, settings: NodeSettings) -> None:
-        """Put the bounds of a changed settings file in force."""
+        """Put the bounds and limits of a changed settings file in force."""
         self._settings = settings
         self._duty.shortest_bound = settings.bounds.shortest
         self.services.take_bounds(settings.bounds)
+        self.listener_state.connection_limit = connection_limit(settings.limits)
 
     def dump(self) -> NodeDump:
         """Return the state for ``/dump``."""
--- a/src/corkcrank/links/decision_log.py
+++ b/src/corkcrank/links/decision_log.py
@@ -46,6 +46,7 @@
     MEMBER_JOINED = "Members: joined."
     MEMBER_SUSPECTED = "Members: suspected."
     MEMBER_REGAINED = "Members: regained."
+    CONNECTIONS_CLOSED = "Callers: connections closed for new ones."
     CALL_REFUSED = "Call: refused."
     HEADERS_DROPPED = "Call: reserved headers dropped."
     CALL_SENT = "Call: sent to a worker."
--- /dev/null
+++ b/tests/platform/process_world.py
@@ -0,0 +1,190 @@
+"""One gateway in a process of its own, before a stand-in store and worker on loopback."""
+
+import asyncio
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+import aiohttp
+from node_world import HOST, KEY, call_id, configuration, new_ports, route
+from platform_standins import StandinStore, StandinWorker
+
+from corkcrank.load.loopback import loopback_address
+from corkcrank.load.process_group import ProcessGroup
+from corkcrank.load.process_usage import resident_bytes_of
+
+RUN_LINE = """
+import resource
+resource.setrlimit(resource.RLIMIT_NOFILE, ({descriptors}, {descriptors}))
+from corkcrank.gateway.opaque.program import main
+main()
+"""
+NAME = "node"
+START_SECONDS = 20.0
+CONNECT_SECONDS = 1.0
+LONG_MS = 60_000
+ROUTES = [route("safe", "safe", "plain")]
+
+Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+
+@dataclass
+class ProcessWorld:
+    """The process, its addresses, and the connections that a test holds open."""
+
+    group: ProcessGroup
+    store: StandinStore
+    worker: StandinWorker
+    caller_address: str
+    readiness_address: str
+    peer_address: str
+    held: list[Streams] = field(default_factory=list)
+
+    @property
+    def resident_bytes(self) -> int:
+        return resident_bytes_of(self.group.processes[NAME].pid)
+
+    def log_lines(self) -> list[str]:
+        return self.group.log_text(NAME).splitlines()
+
+    async def readiness(self) -> int:
+        """Return the status of the balancer's question, 0 without an answer in a second."""
+        request = b"GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+        return await exchange(self.readiness_address, request, CONNECT_SECONDS)
+
+    async def call(self, seconds: float = CONNECT_SECONDS) -> int:
+        """Return the status of a call over a new connection, 0 without an answer in time."""
+        return await exchange(self.caller_address, request_bytes(close=True), seconds)
+
+    async def metric(self, name: str) -> float:
+        """Return the sum of a metric's samples."""
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(f"http://{self.peer_address}/metrics") as response,
+        ):
+            lines = (await response.text()).splitlines()
+        samples = [line.rsplit(" ", 1) for line in lines if not line.startswith("#")]
+        return sum(float(value) for key, value in samples if key.partition("{")[0] == name)
+
+    async def hold(self, count: int, data: bytes = b"") -> None:
+        """Open connections, send the same bytes on each, and keep them."""
+        for _ in range(count):
+            streams = await connect(self.caller_address)
+            streams[1].write(data)
+            self.held.append(streams)
+
+    def held_closed(self) -> set[int]:
+        """Return which of the connections held were closed by the gateway, by number."""
+        return {
+            number
+            for number, (reader, _) in enumerate(self.held)
+            if reader._eof or reader.exception() is not None  # type: ignore[attr-defined]
+        }
+
+    def closed_by_node(self) -> int:
+        """Return how many of the connections held were closed by the gateway."""
+        return len(self.held_closed())
+
+    async def release(self) -> None:
+        """Close the connections held, and wait until they are."""
+        for _, writer in self.held:
+            writer.transport.abort()
+        ends = [writer.wait_closed() for _, writer in self.held]
+        await asyncio.gather(*ends, return_exceptions=True)
+        self.held.clear()
+
+
+def request_bytes(*, close: bool = False, body: bytes = b"", length: int | None = None) -> bytes:
+    """Return a call; ``length`` may promise a longer body than is sent."""
+    size = len(body) if length is None else length
+    lines = [
+        "POST /safe/x HTTP/1.1",
+        f"Host: {HOST}",
+        f"X-Corkcrank-Attempt-Id: {call_id()}",
+        f"X-Corkcrank-Credential: {KEY}",
+        "X-Corkcrank-Deadline-Ms: 4000",
+        f"Content-Length: {size}",
+    ]
+    if close:
+        lines.append("Connection: close")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+async def connect(address: str) -> Streams:
+    host, port = address.rsplit(":", 1)
+    async with asyncio.timeout(CONNECT_SECONDS):
+        return await asyncio.open_connection(host, int(port))
+
+
+async def exchange(address: str, data: bytes, seconds: float) -> int:
+    """Return the status of what is answered on a new connection, 0 without an answer."""
+    writer = None
+    try:
+        async with asyncio.timeout(seconds):
+            reader, writer = await connect(address)
+            writer.write(data)
+            line = await reader.readline()
+            return int(line.split(b" ")[1]) if line else 0
+    except (OSError, TimeoutError):
+        return 0
+    finally:
+        if writer is not None:
+            writer.transport.abort()
+
+
+@asynccontextmanager
+async def process_world(
+    descriptors: int, *, limits: dict[str, Any] | None = None
+) -> AsyncIterator[ProcessWorld]:
+    """Run a gateway with a lowered limit of descriptors until it is ready, then end it."""
+    store, worker = StandinStore(), StandinWorker()
+    await store.server.start()
+    await worker.server.start()
+    store.put("servers", worker.worker_id, worker.entry("plain"))
+    document = configuration(1, ROUTES)
+    document["limits"].update(
+        max_header_bytes=8_192, header_timeout_ms=LONG_MS, idle_timeout_ms=LONG_MS
+    )
+    store.put("op", "config", document)
+    ip, ports = loopback_address(2), new_ports(4)
+    settings: dict[str, Any] = {
+        "process": {
+            "name": NAME,
+            "zone": "z1",
+            "ip": ip,
+            "caller_address": f"{ip}:{ports[0]}",
+            "readiness_address": f"{ip}:{ports[1]}",
+            "peer_ports": ports[2:],
+        },
+        "store": {"address": store.server.address, "timeout": 0.5},
+    }
+    if limits is not None:
+        settings["limits"] = limits
+    process = settings["process"]
+    running = ProcessWorld(
+        ProcessGroup(),
+        store,
+        worker,
+        process["caller_address"],
+        process["readiness_address"],
+        f"{ip}:{ports[2]}",
+    )
+    running.group.start(NAME, RUN_LINE.format(descriptors=descriptors), settings)
+    try:
+        await ready(running)
+        yield running
+    finally:
+        await running.release()
+        running.group.close()
+        await worker.server.stop()
+        await store.server.stop()
+
+
+async def ready(running: ProcessWorld, seconds: float = START_SECONDS) -> None:
+    """Wait until the gateway says that it is ready."""
+    give_up_at = time.monotonic() + seconds
+    while await running.readiness() != 200:
+        assert time.monotonic() < give_up_at, running.group.log_text(NAME)[-2000:]
+        await asyncio.sleep(0.02)
--- /dev/null
+++ b/tests/platform/test_accepting.py
@@ -0,0 +1,205 @@
+"""A gateway that says it is ready takes connections.
+
+With 400 connections held open before a process of 256 descriptors, the event loop's own server
+called ``accept`` a thousand times in a turn, with a line for each failure (22,000 in five
+seconds), then paused for a second: no caller was served while the flood lasted, and the
+readiness that a balancer asks over an open connection went on as it was.
+"""
+
+import asyncio
+import errno
+import socket
+from typing import Any
+
+import pytest
+from node_world import World, configuration, route, until, world
+from platform_standins import StandinWorker
+from process_world import ProcessWorld, connect, process_world, request_bytes
+
+from corkcrank.contracts.node_settings import NodeLimitSettings
+from corkcrank.gateway.opaque.listener_state import (
+    FEWEST_CONNECTIONS,
+    PATIENCE_SECONDS,
+    BlockCause,
+    ListenerState,
+    connection_limit,
+)
+
+DESCRIPTORS = 256
+FLOOD = 400
+CONTACT_SECONDS = 3.0
+CALLS = 20
+ROUTES = [route("safe", "safe", "plain")]
+
+FLOODS = {
+    "silent": b"",
+    "half a head": b"POST /safe/x HTTP/1.1\r\nHo",
+    "half a body": request_bytes(body=b"a" * 100, length=5_000),
+    "resting": request_bytes(),
+}
+
+
+async def served_within(running: ProcessWorld, seconds: float) -> bool:
+    """Return whether one of the calls that are tried one after the other is served."""
+    try:
+        async with asyncio.timeout(seconds):
+            while await running.call() != 200:
+                pass
+    except TimeoutError:
+        return False
+    return True
+
+
+class Asked:
+    """The balancer's question over a connection that stays open."""
+
+    def __init__(self, streams: tuple[asyncio.StreamReader, asyncio.StreamWriter]) -> None:
+        self.reader, self.writer = streams
+
+    async def status(self) -> int:
+        self.writer.write(b"GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n")
+        head = await self.reader.readuntil(b"\r\n\r\n")
+        length = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
+        await self.reader.readexactly(length)
+        return int(head.split(b" ")[1])
+
+
+@pytest.mark.parametrize("kind", FLOODS)
+async def test_callers_are_served_beside_a_flood(kind: str) -> None:
+    async with process_world(DESCRIPTORS) as running:
+        asked = Asked(await connect(running.readiness_address))
+        await running.hold(FLOOD, FLOODS[kind])
+        assert await served_within(running, CONTACT_SECONDS)
+        for _ in range(CALLS):
+            assert await running.call() == 200
+            assert await asked.status() == await running.readiness() == 200
+        await running.hold(FLOOD // 4, FLOODS[kind])
+        assert await served_within(running, CONTACT_SECONDS)
+        assert await running.metric("corkcrank_connections") <= DESCRIPTORS / 4
+        closed = await running.metric("corkcrank_connections_closed_total")
+        assert closed >= FLOOD - DESCRIPTORS / 4
+        text = running.group.log_text("node")
+        assert "connections closed for new ones" in text
+        assert "accept() out of system resource" not in text
+
+
+async def test_no_request_in_progress_is_closed_for_new_connections() -> None:
+    async with process_world(DESCRIPTORS) as running:
+        running.worker.hold = asyncio.Event()
+        calls = [asyncio.create_task(running.call(10.0)) for _ in range(8)]
+        await until(lambda: len(running.worker.seen) == len(calls))
+        await running.hold(FLOOD)
+        await until(lambda: running.closed_by_node() > FLOOD / 2)
+        running.worker.hold.set()
+        assert await asyncio.gather(*calls) == [200] * len(calls)
+
+
+async def test_longest_resting_connections_are_closed_first() -> None:
+    async with process_world(DESCRIPTORS) as running:
+        await running.hold(10, FLOODS["half a head"])
+        await running.hold(10)
+        await running.hold(DESCRIPTORS // 4 - 20)
+        await running.hold(4)
+        await until(lambda: running.closed_by_node() >= 4)
+        assert running.held_closed() <= set(range(10, 20))
+
+
+async def test_an_outage_of_the_store_changes_nothing() -> None:
+    async with process_world(DESCRIPTORS) as running:
+        running.store.silent = True
+        calls = len(running.store.calls)
+        await until(lambda: len(running.store.calls) > calls + 2)
+        assert await running.call() == 200
+        assert await running.readiness() == 200
+
+
+class FailingSocket:
+    """A listening socket whose ``accept`` fails as it does without descriptors."""
+
+    def __init__(self, real: socket.socket) -> None:
+        self._real = real
+        self.failing = True
+        self.tries = 0
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._real, name)
+
+    def accept(self) -> tuple[socket.socket, Any]:
+        if self.failing:
+            self.tries += 1
+            raise OSError(errno.EMFILE, "Too many open files")
+        return self._real.accept()
+
+
+async def test_readiness_follows_accept_that_fails_and_works_again() -> None:
+    async with world(configuration(1, ROUTES), {"one": (StandinWorker(), "plain")}) as running:
+        node = running.nodes[0]
+        listener = node.callers._listener
+        assert listener._socket is not None
+        failing = FailingSocket(listener._socket)
+        listener._socket = failing  # type: ignore[assignment]
+        call = asyncio.create_task(running.call("/safe/x", method="GET"))
+        await until(lambda: failing.tries > 0)
+        assert node.ready, "a moment without descriptors is no reason to leave"
+        await until(lambda: not node.ready)
+        assert node.life.state == "serving"
+        assert failing.tries < 20 * (PATIENCE_SECONDS + 1.0)
+        failing.failing = False
+        await until(lambda: node.ready)
+        assert (await call).status == 200
+
+
+async def test_a_gateway_is_ready_only_while_it_listens() -> None:
+    async with world(configuration(1, ROUTES), {"one": (StandinWorker(), "plain")}) as running:
+        node = running.nodes[0]
+        node.callers.stop_listening()
+        assert not node.ready
+
+
+async def test_full_with_requests_in_progress_is_not_ready_until_places_are_free() -> None:
+    hold = asyncio.Event()
+    one = StandinWorker(hold=hold)
+    async with world(configuration(1, ROUTES), {"one": (one, "plain")}) as running:
+        node = running.nodes[0]
+        state = node.listener_state
+        state.connection_limit = FEWEST_CONNECTIONS
+        calls = [_call(running) for _ in range(FEWEST_CONNECTIONS)]
+        await until(lambda: len(one.seen) == len(calls))
+        assert node.ready, "a busy gateway is ready"
+        waiting = _call(running)
+        await until(lambda: state.blocked_by is BlockCause.CONNECTIONS)
+        await until(lambda: not node.ready)
+        assert node.callers.in_flight == len(calls)
+        hold.set()
+        await until(lambda: node.ready)
+        statuses = [(await call).status for call in (*calls, waiting)]
+        assert statuses == [200] * len(statuses)
+
+
+def _call(running: World) -> "asyncio.Task[Any]":
+    return asyncio.create_task(running.call("/safe/x", method="GET", headers={"X-N": "1"}))
+
+
+def test_busy_is_not_unready_and_readiness_does_not_change_with_each_connection() -> None:
+    state = ListenerState(160, lambda: True)
+    assert not state.ready
+    state.listening = True
+    state.open_connections = 160
+    assert state.ready
+    assert not state.has_place
+    state.block(BlockCause.CONNECTIONS)
+    state.open_connections = 159
+    assert not state.has_place, "some places have to be free"
+    state.open_connections = 149
+    assert state.has_place
+
+
+@pytest.mark.parametrize(
+    ("descriptors", "memory", "expected"),
+    [(4_100, 300, 1_950), (4_100, 64, 1_398), (400, 300, 100), (20, 300, 8), (4_100, 0, 1_950)],
+)
+def test_limit_of_connections_leaves_descriptors_and_memory(
+    descriptors: int, memory: float, expected: int
+) -> None:
+    limits = NodeLimitSettings(file_descriptors=descriptors, memory_mb=memory)
+    assert connection_limit(limits) == expected
--- a/tests/platform/test_settings_watcher.py
+++ b/tests/platform/test_settings_watcher.py
@@ -8,7 +8,12 @@
 from node_world import configuration, route, world
 from platform_standins import StandinWorker
 
-from corkcrank.contracts.node_settings import NodeSettings, load_node_settings
+from corkcrank.contracts.node_settings import (
+    NodeLimitSettings,
+    NodeSettings,
+    load_node_settings,
+    parse_node_settings,
+)
 from corkcrank.gateway.opaque.settings_watcher import SettingsWatcher
 from corkcrank.links.decision_log import BoundedOutput, DecisionLog
 from corkcrank.scheduling.fleet_retry_budget import SAFETY
@@ -83,3 +88,17 @@
         more = node.services.budget("plain").remaining(time.monotonic(), 1)
         assert more == pytest.approx(left + SAFETY * 10.0)
         assert (await running.call("/safe/x", method="GET")).status == 200
+
+
+async def test_limits_of_a_running_gateway_change() -> None:
+    served = {"one": (StandinWorker(), "plain")}
+    async with world(configuration(1, [route("safe", "safe", "plain")]), served) as running:
+        node = running.nodes[0]
+        limits = NodeLimitSettings(file_descriptors=600, memory_mb=300)
+        node.take_settings(msgspec.structs.replace(node._settings, limits=limits))
+        assert node.listener_state.connection_limit == 200
+
+
+@pytest.mark.parametrize("line", ["file_descriptors = -1", "memory_mb = -0.5", "cores = 2"])
+def test_wrong_limits_are_refused(line: str) -> None:
+    assert parse_node_settings(f"{TEXT}[limits]\n{line}\n", "f").is_error()
