Nodes: a head that has not ended is bounded by the configuration's limit

The library bounds single header fields, not their sum, and the configuration's limit was looked at when the head had ended. A caller whose head never ends held what it had sent: 40 fields of 60 kB took 4.86 MB of the process for each connection.

Many small fields: the library answers 400 beyond 128. Bodies: bounded while they are read (5 kB unfinished: 11,500 bytes for each connection).

A head that has not ended is answered 431 and closed once it is longer than the configuration's limit and 1 KiB for its first line. A caller that goes on sending sees a reset.

Test: test_memory_of_unfinished_heads_is_bounded failed before.

Open: a head begun behind a request that is still in progress is not counted.

--- a/src/corkcrank/gateway/opaque/caller_server.py
+++ b/src/corkcrank/gateway/opaque/caller_server.py
@@ -30,6 +30,10 @@
 MAXIMUM_FIELD_BYTES = 65_536
 """Bound of the library's parser; the configuration's own limit is lower."""
 
+HEAD_SLACK_BYTES = 1_024
+"""What a head that has not ended may have beyond the configuration's limit of headers: its
+first line's other words. The library bounds single fields only, and not their sum."""
+
 NEVER_SECONDS = 86_400.0
 """Keep-alive of the library, which the sweep replaces."""
 
@@ -43,6 +47,7 @@
         self,
         manager: web.Server,
         loop: asyncio.AbstractEventLoop,
+        limits: Callable[[], RequestLimits],
         lost: Callable[[HeldConnection], None],
     ) -> None:
         super().__init__(
@@ -56,7 +61,9 @@
         )
         self.resting_since = time.monotonic()
         self.head_since: float | None = None
+        self._limits = limits
         self._lost = lost
+        self._head_bytes = 0
         self._begun = 0
         self._busy = False
         self._begun_at = 0.0
@@ -97,8 +104,18 @@
         super().data_received(data)
         if self._request_count != before:
             self.head_since = None
-        elif not self.busy and self.head_since is None and data:
+            self._head_bytes = 0
+        elif not self.busy and data:
+            self._await_head(len(data))
+
+    def _await_head(self, size: int) -> None:
+        if self.head_since is None:
             self.head_since = time.monotonic()
+        self._head_bytes += size
+        longest = self._limits().header_bytes + HEAD_SLACK_BYTES
+        if self._head_bytes > longest and self.transport is not None:
+            self.transport.write(Refusal(ResultCode.HEADERS_TOO_LARGE).closing_bytes())
+            self.force_close()
 
     def handle_error(
         self,
@@ -181,7 +198,9 @@
         await self._server.shutdown(0.1)
 
     def _connection(self) -> CallerConnection:
-        return CallerConnection(self._server, asyncio.get_running_loop(), self._listener.lost)
+        return CallerConnection(
+            self._server, asyncio.get_running_loop(), self._limits, self._listener.lost
+        )
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         connection = cast(CallerConnection, request.protocol)
--- a/src/corkcrank/gateway/opaque/refusals.py
+++ b/src/corkcrank/gateway/opaque/refusals.py
@@ -1,6 +1,7 @@
 """Answers of corkcrank's own to opaque calls: numbered codes, and when to come back."""
 
 from dataclasses import dataclass
+from http import HTTPStatus
 
 import msgspec
 from aiohttp import web
@@ -36,15 +37,28 @@
         """Return the answer to a call that cannot end before this gateway stops."""
         return cls(ResultCode.DRAINING, retry_after=DRAINING_RETRY_SECONDS, close=True)
 
+    def closing_bytes(self) -> bytes:
+        """Return the whole answer where no request was read; the connection ends with it."""
+        status, body = self.code.http_status, self._body()
+        lines = [
+            f"HTTP/1.1 {status} {HTTPStatus(status).phrase}",
+            "Content-Type: application/json",
+            f"Content-Length: {len(body)}",
+            "Connection: close",
+        ]
+        return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+    def _body(self) -> bytes:
+        return msgspec.json.encode(
+            RefusalBody(self.code.number, self.code.name, self.detail, self.code.ran.value)
+        )
+
     def response(self) -> web.Response:
         """Return the answer as it goes out."""
-        body = RefusalBody(self.code.number, self.code.name, self.detail, self.code.ran.value)
         headers = {"Content-Type": "application/json"}
         if self.retry_after is not None:
             headers[RETRY_AFTER] = f"{self.retry_after:.3f}"
-        response = web.Response(
-            status=self.code.http_status, body=msgspec.json.encode(body), headers=headers
-        )
+        response = web.Response(status=self.code.http_status, body=self._body(), headers=headers)
         if self.close:
             response.force_close()
         return response
--- a/tests/platform/test_accepting.py
+++ b/tests/platform/test_accepting.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import errno
+import json
 import signal
 import socket
 from typing import Any
@@ -217,3 +218,22 @@
 ) -> None:
     limits = NodeLimitSettings(file_descriptors=descriptors, memory_mb=memory)
     assert connection_limit(limits) == expected
+
+
+async def test_memory_of_unfinished_heads_is_bounded() -> None:
+    """The library bounds single fields: a head of 40 fields of 60 kB held 4.9 MB."""
+    async with process_world(DESCRIPTORS) as running:
+        before = running.resident_bytes
+        await running.hold(20, b"POST /safe/x HTTP/1.1\r\n" + 40 * _field(60_000))
+        await until(lambda: running.closed_by_node() == 20)
+        assert running.resident_bytes - before < 20 * 500_000
+        reader, writer = await connect(running.caller_address)
+        writer.write(b"POST /safe/x HTTP/1.1\r\n" + 10 * _field(1_000))
+        assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 431")
+        assert json.loads(await reader.read())["name"] == "HEADERS_TOO_LARGE"
+        writer.close()
+        assert await running.call() == 200
+
+
+def _field(size: int) -> bytes:
+    return b"X: " + b"a" * size + b"\r\n"
