Soak: floods of callers' connections, and a check that a ready node takes new ones

No fault of the soak held connections open, and none of its checks looked at whether a node that says it is ready takes new connections.

A flood holds 700 connections open at one node, beyond the 600 descriptors that a node of the soak now has: silent, half a head, half a body, or one request and then rest. A watch tries a new connection at each node four times a second; a node that was not disturbed itself, says it is ready and takes none for 3 s breaks `accepts`. A flooded node counts as undisturbed.

Tests: the watch finds a ready node that takes none, and excuses one that says no or is down.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -14,6 +14,7 @@
 from corkcrank.load.process_group import ProcessGroup
 from corkcrank.load.process_usage import resident_bytes_of
 from corkcrank.load.toml_writer import write_toml
+from soak.accepting import AcceptWatch
 from soak.bounds import SoakBounds
 from soak.ledger import Ledger
 from soak.links import FaultLink
@@ -31,7 +32,15 @@
 READINESS_MISSES = 2
 INTERPRETER_SECONDS = 0.15
 LAG_PROBE_SECONDS = 0.05
-RUN_LINE = "from corkcrank.gateway.opaque.program import main; main()"
+DESCRIPTORS = 600
+"""Descriptors of a node's process: a third of them for callers' connections."""
+
+MEMORY_MB = 300
+RUN_LINE = (
+    "import resource; "
+    f"resource.setrlimit(resource.RLIMIT_NOFILE, ({DESCRIPTORS}, {DESCRIPTORS})); "
+    "from corkcrank.gateway.opaque.program import main; main()"
+)
 WORKERS_OF_SERVICE = 3
 STAGES = [
     {"service": "encode", "since_revision": [], "byte_length": 100_000},
@@ -50,7 +59,8 @@
         self.zone = ZONES[number % len(ZONES)]
         self.ip = loopback_address(number + 1)
         links = loopback_address(LINK_HOST)
-        self.callers = FaultLink(links, f"{self.ip}:{CALLER_PORT}")
+        self.caller_address = f"{self.ip}:{CALLER_PORT}"
+        self.callers = FaultLink(links, self.caller_address)
         self.store = FaultLink(links, store, source_host=self.ip)
         self.misses = READINESS_MISSES
         self.down = False
@@ -63,7 +73,7 @@
                 "name": self.name,
                 "zone": self.zone,
                 "ip": self.ip,
-                "caller_address": f"{self.ip}:{CALLER_PORT}",
+                "caller_address": self.caller_address,
                 "readiness_address": f"{self.ip}:{READINESS_PORT}",
                 "peer_ports": [FIRST_PEER_PORT, LAST_PEER_PORT],
             },
@@ -74,6 +84,7 @@
                 "leaving": bounds.told_leaving,
                 "configuration": bounds.told_configuration,
             },
+            "limits": {"file_descriptors": DESCRIPTORS, "memory_mb": MEMORY_MB},
         }
 
 
@@ -87,6 +98,7 @@
         self.store = SoakStore(random.Random(f"store {seed}"))
         self.workers: list[AnyWorker] = []
         self.nodes: list[SoakNode] = []
+        self.watches: list[AcceptWatch] = []
         self.processes = ProcessGroup()
         self.version = 0
         self.routes: dict[str, dict[str, Any]] = {}
@@ -105,9 +117,11 @@
             await node.callers.start()
             await node.store.start()
             self.start_node(node)
+        self.watches = [self._accept_watch(node) for node in self.nodes]
         self._loops = [
             asyncio.create_task(self._watch_readiness()),
             asyncio.create_task(self._watch_lag()),
+            *(asyncio.create_task(watch.watch()) for watch in self.watches),
         ]
         await self.wait_ready(START_SECONDS)
 
@@ -124,6 +138,9 @@
         await self.store.server.stop()
         self.processes.close()
 
+    def _accept_watch(self, node: SoakNode) -> AcceptWatch:
+        return AcceptWatch(node.name, node.caller_address, self.ledger, lambda: node.misses == 0)
+
     def start_node(self, node: SoakNode) -> None:
         """Start a node's process, or start it again after it ended."""
         settings = node.settings(self._seeds(node), self.bounds)
--- a/tests/soak/injector.py
+++ b/tests/soak/injector.py
@@ -8,6 +8,7 @@
 
 from node_world import route
 
+from soak.accepting import FLOODS, flood
 from soak.fleet import PLAIN_SERVICES, SERVICES, ZONES, AnyWorker, SoakFleet, SoakNode
 from soak.links import FaultLink, LinkTrouble
 from soak.schedule import Fault, FaultKind
@@ -38,6 +39,7 @@
 
     def __init__(self, fleet: SoakFleet) -> None:
         self.played: list[str] = []
+        self.floods = 0
         self._fleet = fleet
         self._ledger = fleet.ledger
         self._actions: dict[FaultKind, Callable[[Fault], Awaitable[None]]] = {
@@ -50,6 +52,7 @@
             FaultKind.KILL_MANY: self._kill_many,
             FaultKind.FREEZE: self._freeze,
             FaultKind.CALLERS_LINK: self._callers_link,
+            FaultKind.CALLERS_FLOOD: self._callers_flood,
             FaultKind.STORE_LINK: self._store_link,
             FaultKind.WORKER_LINK: self._worker_link,
             FaultKind.STORE_DOWN: self._store_down,
@@ -151,6 +154,14 @@
         if node is not None:
             await self._trouble(node.callers, node.name, fault)
 
+    async def _callers_flood(self, fault: Fault) -> None:
+        """Hold more connections open than a node keeps; the node counts as undisturbed."""
+        node = self._pick_node(fault)
+        if node is not None:
+            self.floods += 1
+            kind = int(fault.strength * len(FLOODS))
+            await flood(node.caller_address, kind, fault.seconds)
+
     async def _store_link(self, fault: Fault) -> None:
         node = self._pick_node(fault)
         if node is not None:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -51,6 +51,8 @@
     violations: tuple[Violation, ...]
     faults: tuple[str, ...]
     longest_lag: float
+    floods: int
+    longest_unaccepted: float
     largest_bytes: int
 
 
@@ -139,6 +141,8 @@
         violations=tuple(ledger.violations),
         faults=tuple(injector.played),
         longest_lag=round(ledger.longest_lag, 3),
+        floods=injector.floods,
+        longest_unaccepted=round(max((item.longest for item in fleet.watches), default=0.0), 2),
         largest_bytes=fleet.largest_bytes(),
     )
 
@@ -191,6 +195,7 @@
         f"seed {result.seed}: {result.calls} calls, {len(result.faults)} faults, "
         f"{len(result.violations)} broken, lag {result.longest_lag} s, "
         f"largest node {result.largest_bytes >> 20} MB, "
+        f"{result.floods} floods, longest without a connection {result.longest_unaccepted} s, "
         f"{result.outcomes}",
         flush=True,
     )
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -17,6 +17,7 @@
     KILL_MANY = "kill many"
     FREEZE = "freeze"
     CALLERS_LINK = "callers' link"
+    CALLERS_FLOOD = "flood of callers' connections"
     STORE_LINK = "store's link"
     WORKER_LINK = "worker's link"
     STORE_DOWN = "store down"
@@ -37,7 +38,11 @@
 )
 """Work of operators, which must cut nothing."""
 
-WEIGHTS = {FaultKind.WORKER_GREY: 4.0, FaultKind.WORKER_LINK: 2.0}
+WEIGHTS = {
+    FaultKind.WORKER_GREY: 4.0,
+    FaultKind.CALLERS_FLOOD: 3.0,
+    FaultKind.WORKER_LINK: 2.0,
+}
 """Kinds that come more often than others: a soak must hit each service a few times."""
 
 MEAN_PAUSE_SECONDS = 0.9
--- a/tests/soak/test_ledger.py
+++ b/tests/soak/test_ledger.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from soak.accepting import AcceptWatch
 from soak.bounds import SoakBounds
 from soak.ledger import Answer, Ledger, Run, SentCall, event, plain_body
 
@@ -182,3 +183,22 @@
     call.sent_at -= 10.0
     answer(ledger, call, 504, b"", {})
     assert promises(ledger) == ["in time"]
+
+
+def test_a_ready_node_that_takes_no_connection_is_found(ledger: Ledger) -> None:
+    watch = AcceptWatch("node-0", "", ledger, lambda: True)
+    for moment in range(1, 5):
+        watch.judge(False, moment - 0.5, float(moment))
+    assert [item.promise for item in ledger.violations] == ["accepts"]
+
+
+def test_a_node_that_takes_one_now_and_then_says_no_or_is_down_is_excused(ledger: Ledger) -> None:
+    slow = AcceptWatch("node-0", "", ledger, lambda: True)
+    unready = AcceptWatch("node-1", "", ledger, lambda: False)
+    down = AcceptWatch("node-2", "", ledger, lambda: True)
+    ledger.disturbances.begin("node-2")
+    for moment in range(1, 9):
+        slow.judge(moment % 3 == 0, moment - 0.5, float(moment))
+        unready.judge(False, moment - 0.5, float(moment))
+        down.judge(False, moment - 0.5, float(moment))
+    assert ledger.violations == []
