Merge: readiness and accepting come from one state; callers' connections are bounded

Callers that close before their connection is accepted are not read at all now, so the tests of requests that nobody waits for connect, are accepted, and then send and close in one turn of the loop; what they assert is the same.

--- a/src/corkcrank/gateway/opaque/caller_server.py
+++ b/src/corkcrank/gateway/opaque/caller_server.py
@@ -10,11 +10,18 @@
 from collections.abc import Awaitable, Callable
 from typing import cast
 
-from aiohttp import web
+from aiohttp import StreamReader, web
 from aiohttp.web_protocol import RequestHandler
 
 from corkcrank.contracts.opaque_configuration import RequestLimits
 from corkcrank.contracts.result_codes import ResultCode
+from corkcrank.gateway.opaque.caller_listener import (
+    CallerListener,
+    ConnectionPhase,
+    HeldConnection,
+    ListenerReport,
+)
+from corkcrank.gateway.opaque.listener_state import ListenerState
 from corkcrank.gateway.opaque.refusals import Refusal
 from corkcrank.links.closed_connections import closed_by_peer
 
@@ -24,19 +31,26 @@
 MAXIMUM_FIELD_BYTES = 65_536
 """Bound of the library's parser; the configuration's own limit is lower."""
 
+HEAD_SLACK_BYTES = 1_024
+"""What a head that has not ended may have beyond the configuration's limit of headers: its
+first line's other words. The library bounds single fields only, and not their sum."""
+
 NEVER_SECONDS = 86_400.0
 """Keep-alive of the library, which the sweep replaces."""
 
-BACKLOG = 1024
-"""Connections that may wait to be accepted."""
-
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
-class CallerConnection(RequestHandler):
-    """One connection, with the times that the sweep needs."""
+class CallerConnection(RequestHandler, HeldConnection):
+    """One connection, with the times that the sweep and the listener need."""
 
-    def __init__(self, manager: web.Server, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self,
+        manager: web.Server,
+        loop: asyncio.AbstractEventLoop,
+        limits: Callable[[], RequestLimits],
+        lost: Callable[[HeldConnection], None],
+    ) -> None:
         super().__init__(
             manager,
             loop=loop,
@@ -49,9 +63,14 @@
         self.resting_since = time.monotonic()
         self.head_since: float | None = None
         self.lost_at: float | None = None
+        self._limits = limits
+        self._lost = lost
+        self._head_bytes = 0
         self._begun = 0
         self._unsent_before = 0
         self._busy = False
+        self._begun_at = 0.0
+        self._content: StreamReader | None = None
 
     @property
     def busy(self) -> bool:
@@ -77,9 +96,26 @@
             self.resting_since = now
         self._unsent_before = self.unsent_bytes
 
+    @property
+    def phase(self) -> ConnectionPhase:
+        """Return what it waits for."""
+        if self.busy or self._current_request is not None or self.unsent_bytes > 0:
+            content = self._content
+            unfinished = content is not None and not content.is_eof()
+            return ConnectionPhase.BODY if unfinished else ConnectionPhase.BUSY
+        return ConnectionPhase.RESTING if self.head_since is None else ConnectionPhase.HEAD
+
+    @property
+    def waits_since(self) -> float:
+        """Return since when it has been in its phase, on the monotonic clock."""
+        if self.busy:
+            return self._begun_at
+        return self.resting_since if self.head_since is None else self.head_since
+
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Note when the connection ended, and end its handler."""
+        """Note when the connection ended, tell the listener, and end the handler."""
         self.lost_at = time.monotonic()
+        self._lost(self)
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
@@ -88,8 +124,18 @@
         super().data_received(data)
         if self._request_count != before:
             self.head_since = None
-        elif not self.busy and self.head_since is None and data:
+            self._head_bytes = 0
+        elif not self.busy and data:
+            self._await_head(len(data))
+
+    def _await_head(self, size: int) -> None:
+        if self.head_since is None:
             self.head_since = time.monotonic()
+        self._head_bytes += size
+        longest = self._limits().header_bytes + HEAD_SLACK_BYTES
+        if self._head_bytes > longest and self.transport is not None:
+            self.transport.write(Refusal(ResultCode.HEADERS_TOO_LARGE).closing_bytes())
+            self.force_close()
 
     def handle_error(
         self,
@@ -113,15 +159,18 @@
         if self._busy and self.transport is not None and closed_by_peer(self.transport):
             self.transport.abort()
 
-    def begin(self) -> None:
-        """Note that a request is being handled."""
+    def begin(self, content: StreamReader) -> None:
+        """Note that a request is being handled; its body may still come."""
         self._busy = True
+        self._begun_at = time.monotonic()
+        self._content = content
         self.head_since = None
         self._begun += 1
 
     def rest(self) -> None:
         """Note that no request is being handled."""
         self._busy = False
+        self._content = None
         self.resting_since = time.monotonic()
 
 
@@ -131,21 +180,21 @@
     return time.monotonic() - lost_at if lost_at is not None else 0.0
 
 
-class _ConnectionServer(web.Server):
-    def __call__(self) -> RequestHandler:
-        return CallerConnection(self, self._loop)
-
-
 class CallerServer:
     """Serves one handler on one address, within limits that may change at any time."""
 
-    def __init__(self, handler: Handler, limits: Callable[[], RequestLimits]) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        limits: Callable[[], RequestLimits],
+        state: ListenerState,
+        report: ListenerReport,
+    ) -> None:
         self._handler = handler
         self._limits = limits
-        self._server = _ConnectionServer(self._handle, handler_cancellation=True)
-        self._listener: asyncio.Server | None = None
+        self._server = web.Server(self._handle, handler_cancellation=True)
+        self._listener = CallerListener(self._connection, state, report)
         self._sweeper: asyncio.Task[None] | None = None
-        self.closing_connections = False
 
     @property
     def in_flight(self) -> int:
@@ -163,17 +212,12 @@
 
     async def start(self, address: str) -> None:
         """Listen on ``ip:port``."""
-        host, port = address.rsplit(":", 1)
-        loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(
-            self._server, host, int(port), backlog=BACKLOG, reuse_address=True
-        )
+        self._listener.start(address)
         self._sweeper = asyncio.create_task(self._sweep())
 
     def stop_listening(self) -> None:
         """Accept no further connections."""
-        if self._listener is not None:
-            self._listener.close()
+        self._listener.close()
 
     def close_resting(self, longer_than: float) -> None:
         """Close connections that have rested for some seconds and have sent nothing new."""
@@ -193,9 +237,14 @@
             connection.force_close()
         await self._server.shutdown(0.1)
 
+    def _connection(self) -> CallerConnection:
+        return CallerConnection(
+            self._server, asyncio.get_running_loop(), self._limits, self._listener.lost
+        )
+
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         connection = cast(CallerConnection, request.protocol)
-        connection.begin()
+        connection.begin(request.content)
         try:
             return await self._handler(request)
         finally:
--- a/src/corkcrank/links/closed_connections.py
+++ b/src/corkcrank/links/closed_connections.py
@@ -19,9 +19,13 @@
     if transport is None or transport.is_closing():
         return True
     connection = transport.get_extra_info("socket")
+    return connection is not None and socket_closed_by_peer(connection)
+
+
+def socket_closed_by_peer(connection: socket.socket) -> bool:
+    """Return whether the other end of a connection that is open here has closed it."""
     try:
         state = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
     except OSError:
-        # Not known: a connection that is closed here was noticed above.
         return False
     return bool(state) and state[0] in (TCP_CLOSE, TCP_CLOSE_WAIT)
--- a/src/corkcrank/links/decision_log.py
+++ b/src/corkcrank/links/decision_log.py
@@ -48,6 +48,8 @@
     MEMBER_JOINED = "Members: joined."
     MEMBER_SUSPECTED = "Members: suspected."
     MEMBER_REGAINED = "Members: regained."
+    CONNECTIONS_CLOSED = "Callers: connections closed for new ones."
+    CALLERS_LEFT = "Callers: left before they were accepted."
     CALL_REFUSED = "Call: refused."
     HEADERS_DROPPED = "Call: reserved headers dropped."
     CALL_ADMITTED_STOPPING = "Call: admitted while stopping."
--- a/tests/platform/callers.py
+++ b/tests/platform/callers.py
@@ -4,7 +4,7 @@
 import socket
 import struct
 import time
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
@@ -81,6 +81,23 @@
         connection.sendall(data)
 
 
+async def accepted_callers(running: World, count: int) -> list[socket.socket]:
+    """Return connections that the gateway has accepted; those closed before are not read."""
+    host, port = running.address().rsplit(":", 1)
+    server = running.nodes[0].callers
+    before = len(server.connections())
+    callers = [socket.create_connection((host, int(port))) for _ in range(count)]
+    await until(lambda: len(server.connections()) == before + count)
+    return callers
+
+
+def send_and_leave_unread(callers: list[socket.socket], data: Callable[[], bytes]) -> None:
+    """Send and close on accepted connections before the loop of this process runs."""
+    for caller in callers:
+        caller.sendall(data())
+        caller.close()
+
+
 def requests_seen(served: Served) -> int:
     """Return how many requests workers have begun to work on."""
     return sum(
