--- a/src/corkcrank/gateway/opaque/caller_server.py
+++ b/src/corkcrank/gateway/opaque/caller_server.py
@@ -16,6 +16,12 @@
 from corkcrank.contracts.opaque_configuration import RequestLimits
 from corkcrank.contracts.result_codes import ResultCode
 from corkcrank.gateway.opaque.refusals import Refusal
+from corkcrank.links.silence import (
+    ConnectionKind,
+    SilenceListener,
+    SilentConnection,
+    ignore_silence,
+)
 
 SWEEP_SECONDS = 0.25
 """Time between looks at connections that rest or send their head too slowly."""
@@ -47,9 +53,16 @@
         )
         self.resting_since = time.monotonic()
         self.head_since: float | None = None
+        self.unsent_bytes = 0
         self._begun = 0
         self._busy = False
 
+    @property
+    def caller(self) -> str:
+        """Return the caller's ``ip:port``, empty once the connection is closed."""
+        name = self.peername
+        return f"{name[0]}:{name[1]}" if isinstance(name, tuple) else ""
+
     @property
     def busy(self) -> bool:
         """Return whether a request is being handled, or was read and will be next.
@@ -91,6 +104,20 @@
         self._busy = False
         self.resting_since = time.monotonic()
 
+    def note_unsent(self, now: float) -> None:
+        """Count the rest anew whenever the caller accepted some of what was written."""
+        transport = self.transport
+        unsent = transport.get_write_buffer_size() if transport is not None else 0
+        if unsent != self.unsent_bytes:
+            self.unsent_bytes = unsent
+            self.resting_since = now
+
+    def drop_unsent(self) -> None:
+        """Close without sending what the caller does not accept; closing would wait for it."""
+        if self.transport is not None:
+            self.transport.abort()
+        self.force_close()
+
 
 class _ConnectionServer(web.Server):
     def __call__(self) -> RequestHandler:
@@ -107,6 +134,7 @@
         self._listener: asyncio.Server | None = None
         self._sweeper: asyncio.Task[None] | None = None
         self.closing_connections = False
+        self.on_silence: SilenceListener = ignore_silence
 
     @property
     def in_flight(self) -> int:
@@ -164,8 +192,18 @@
             for connection in self.connections():
                 if connection.busy:
                     continue
+                connection.note_unsent(now)
                 if connection.head_since is not None:
                     if now - connection.head_since > limits.header_seconds:
                         connection.force_close()
                 elif now - connection.resting_since > limits.idle_seconds:
-                    connection.force_close()
+                    self._close_idle(connection, now)
+
+    def _close_idle(self, connection: CallerConnection, now: float) -> None:
+        """Close a connection that has rested, or accepted no bytes, for the longest time."""
+        if not connection.unsent_bytes:
+            connection.force_close()
+            return
+        waited = now - connection.resting_since
+        self.on_silence(SilentConnection(ConnectionKind.CALLER, connection.caller, waited))
+        connection.drop_unsent()
--- a/src/corkcrank/gateway/opaque/engine_desk.py
+++ b/src/corkcrank/gateway/opaque/engine_desk.py
@@ -4,11 +4,11 @@
 import time
 from collections.abc import Callable
 
-import aiohttp
 import msgspec
 
 from corkcrank.contracts.opaque_call import OpaqueCall
 from corkcrank.contracts.worker_records import WorkerRecord
+from corkcrank.gateway.opaque.peer_client import PeerClient, PeerTrouble
 from corkcrank.gateway.opaque.peer_protocol import (
     ENGINE_DONE_PATH,
     ENGINE_TURN_PATH,
@@ -66,7 +66,7 @@
         mirror: StoreMirror,
         fleet: Fleet,
         desk: EngineDesk,
-        peers: aiohttp.ClientSession,
+        peers: PeerClient,
         log: DecisionLog,
     ) -> None:
         self._mirror = mirror
@@ -74,7 +74,7 @@
         self._desk = desk
         self._peers = peers
         self._log = log
-        self._tasks: set[asyncio.Task[bytes | None]] = set()
+        self._tasks: set[asyncio.Task[bytes | PeerTrouble]] = set()
         self._owners: dict[str, str] = {}
         self.on_silence: Callable[[str], None] = lambda owner: None
 
@@ -116,7 +116,10 @@
             self._desk.done(message)
             return
         data = msgspec.msgpack.encode(message)
-        task = asyncio.create_task(self._post(member.heartbeat.address, ENGINE_DONE_PATH, data))
+        telling = self._peers.ask(
+            member.heartbeat.address, ENGINE_DONE_PATH, data, seconds=GRANT_SECONDS, repeat=True
+        )
+        task = asyncio.create_task(telling)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -126,18 +129,10 @@
         if owner == self._fleet.own_name or member is None:
             return self._desk.grant(turn)
         data = msgspec.msgpack.encode(turn)
-        body = await self._post(member.heartbeat.address, ENGINE_TURN_PATH, data)
-        if body is None:
+        body = await self._peers.ask(
+            member.heartbeat.address, ENGINE_TURN_PATH, data, seconds=GRANT_SECONDS
+        )
+        if isinstance(body, PeerTrouble):
             self.on_silence(owner)
-        return msgspec.msgpack.decode(body, type=EngineGrant) if body is not None else None
-
-    async def _post(self, address: str, path: str, message: bytes) -> bytes | None:
-        timeout = aiohttp.ClientTimeout(total=GRANT_SECONDS)
-        try:
-            async with self._peers.post(
-                f"http://{address}{path}", data=message, timeout=timeout
-            ) as response:
-                body = await response.read()
-                return body if response.status == 200 else None
-        except (aiohttp.ClientError, OSError, TimeoutError):
             return None
+        return msgspec.msgpack.decode(body, type=EngineGrant)
--- a/src/corkcrank/gateway/opaque/heartbeats.py
+++ b/src/corkcrank/gateway/opaque/heartbeats.py
@@ -5,11 +5,11 @@
 import time
 from contextlib import suppress
 
-import aiohttp
 import msgspec
 from msgspec.structs import replace
 
 from corkcrank.contracts.opaque_call import PrefixPart
+from corkcrank.gateway.opaque.peer_client import PeerClient, PeerTrouble
 from corkcrank.gateway.opaque.peer_protocol import (
     CONFIGURATION_PATH,
     WORKERS_PATH,
@@ -70,7 +70,7 @@
         mirror: StoreMirror,
         desk: StageDesk,
         book: StandingBook,
-        peers: aiohttp.ClientSession,
+        peers: PeerClient,
         log: DecisionLog,
         random_source: random.Random,
         committed: CommittedPieces,
@@ -272,8 +272,8 @@
         limit = CONFIGURATION_LAG_SECONDS if follows else 0.0
         if not self._lags(StoreTable.CONFIGURATION, behind, limit, now) or member is None:
             return
-        body = await self._get(member.heartbeat.address, CONFIGURATION_PATH)
-        if body is None:
+        body = await self._peers.ask(member.heartbeat.address, CONFIGURATION_PATH, repeat=True)
+        if isinstance(body, PeerTrouble):
             return
         answer = msgspec.msgpack.decode(body, type=ConfigurationAnswer)
         if answer.configuration is not None:
@@ -289,16 +289,8 @@
         limit = WORKERS_LAG_SECONDS if self._mirror.workers_known else 0.0
         if not self._lags(StoreTable.WORKERS, behind, limit, now) or member is None:
             return
-        body = await self._get(member.heartbeat.address, WORKERS_PATH)
-        if body is None:
+        body = await self._peers.ask(member.heartbeat.address, WORKERS_PATH, repeat=True)
+        if isinstance(body, PeerTrouble):
             return
         answer = msgspec.msgpack.decode(body, type=WorkersAnswer)
         self._mirror.take_workers(answer.records, answer.revision, f"peer {member.heartbeat.name}")
-
-    async def _get(self, address: str, path: str) -> bytes | None:
-        try:
-            async with self._peers.get(f"http://{address}{path}") as response:
-                body = await response.read()
-                return body if response.status == 200 else None
-        except (aiohttp.ClientError, OSError, TimeoutError):
-            return None
--- a/src/corkcrank/gateway/opaque/metrics.py
+++ b/src/corkcrank/gateway/opaque/metrics.py
@@ -39,6 +39,12 @@
             ("cause",),
             registry=self.registry,
         )
+        self.silent_connections = Counter(
+            "corkcrank_silent_connections",
+            "Connections dropped since no byte came or was accepted in time, by kind.",
+            ("kind",),
+            registry=self.registry,
+        )
         self.reserved_headers = Counter(
             "corkcrank_reserved_headers",
             "Headers of callers that were dropped, as only a gateway may set them.",
--- a/src/corkcrank/gateway/opaque/node.py
+++ b/src/corkcrank/gateway/opaque/node.py
@@ -5,7 +5,6 @@
 import time
 from collections.abc import Coroutine
 
-import aiohttp
 from aiohttp import web
 
 from corkcrank.contracts.node_settings import NodeSettings
@@ -17,10 +16,12 @@
 from corkcrank.gateway.opaque.heartbeats import HeartbeatLoop
 from corkcrank.gateway.opaque.metrics import OpaqueMetrics
 from corkcrank.gateway.opaque.node_dump import NodeDump, make_dump
+from corkcrank.gateway.opaque.peer_client import PeerClient
 from corkcrank.gateway.opaque.peer_server import PeerServer, serve_readiness
 from corkcrank.gateway.opaque.services import CallServices
+from corkcrank.gateway.opaque.silence_log import SilenceLog
 from corkcrank.gateway.opaque.stage_desk import StageDesk
-from corkcrank.gateway.opaque.stage_dispatch import PEER_CONNECT_SECONDS, StageDispatch
+from corkcrank.gateway.opaque.stage_dispatch import StageDispatch
 from corkcrank.gateway.opaque.state_collector import StateCollector
 from corkcrank.gateway.opaque.worker_client import WorkerClient
 from corkcrank.links.decision_log import DecisionLog, LogEvent
@@ -76,11 +77,11 @@
         self._capacity_log = CapacityLog(self.mirror, log)
         self._book = StandingBook()
         self._engines = EngineChooser()
-        self._client = WorkerClient()
-        self._peers = aiohttp.ClientSession(
-            timeout=aiohttp.ClientTimeout(total=None, sock_connect=PEER_CONNECT_SECONDS),
-            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=30.0),
-        )
+        metrics = OpaqueMetrics()
+        silence = SilenceLog(log, metrics)
+        ports.store.on_silence = silence.note
+        self._client = WorkerClient(silence.note)
+        self._peers = PeerClient(silence.note)
         self.desk = StageDesk(self.mirror, self._book, ports.stages, self._client, log)
         dispatch = StageDispatch(
             self.mirror, self.fleet, self._book, self.desk, self._peers, random_source
@@ -97,14 +98,16 @@
             turns=turns,
             client=self._client,
             log=log,
-            metrics=OpaqueMetrics(),
+            metrics=metrics,
             random=random_source,
             zone=process.zone,
             bounds=settings.bounds,
+            note_silence=silence.note,
         )
         self.services.metrics.registry.register(StateCollector(self.services, self.desk))
         self.front = OpaqueFront(self.services, lambda: self.life.draining)
         self.callers = CallerServer(self.front.handle, self.front.limits)
+        self.callers.on_silence = silence.note
         self.heartbeats = HeartbeatLoop(
             self.fleet,
             self.mirror,
@@ -124,6 +127,7 @@
         self._peer_server = PeerServer(
             self.desk, engine_desk, self.mirror, self.services.metrics.registry, self.dump
         )
+        self._peer_server.on_silence = silence.note
         self._readiness: web.ServerRunner | None = None
         self._loops: list[asyncio.Task[None]] = []
 
--- a/src/corkcrank/gateway/opaque/peer_server.py
+++ b/src/corkcrank/gateway/opaque/peer_server.py
@@ -8,6 +8,11 @@
 from prometheus_client import CollectorRegistry, generate_latest
 
 from corkcrank.gateway.opaque.engine_desk import EngineDesk
+from corkcrank.gateway.opaque.peer_client import (
+    PEER_PROGRESS_SECONDS,
+    PEER_SILENCE_SECONDS,
+    PROGRESS_BYTE,
+)
 from corkcrank.gateway.opaque.peer_protocol import (
     CONFIGURATION_PATH,
     ENGINE_DONE_PATH,
@@ -19,10 +24,17 @@
     EngineDone,
     EngineTurn,
     FreeResults,
+    StageAnswer,
     StageWork,
     WorkersAnswer,
 )
 from corkcrank.gateway.opaque.stage_desk import StageDesk
+from corkcrank.links.silence import (
+    ConnectionKind,
+    SilenceListener,
+    SilentConnection,
+    ignore_silence,
+)
 from corkcrank.machines.store_mirror import StoreMirror
 
 METRICS_PATH = "/metrics"
@@ -47,6 +59,7 @@
         self._registry = registry
         self._dump = dump
         self._runner: web.ServerRunner | None = None
+        self.on_silence: SilenceListener = ignore_silence
         self._routes = {
             PIECES_PATH: self._pieces,
             FREE_PATH: self._free,
@@ -81,24 +94,39 @@
         except msgspec.DecodeError as error:
             return web.Response(status=400, text=str(error))
 
-    async def _pieces(self, request: web.BaseRequest) -> web.Response:
-        work = msgspec.msgpack.decode(await request.read(), type=StageWork)
-        answer = await self._desk.make(work)
-        return web.Response(body=msgspec.msgpack.encode(answer))
+    async def _pieces(self, request: web.BaseRequest) -> web.StreamResponse:
+        work = msgspec.msgpack.decode(await self._read(request), type=StageWork)
+        making = asyncio.create_task(self._desk.make(work))
+        try:
+            return await _answer_when_made(request, making)
+        finally:
+            making.cancel()
 
     async def _free(self, request: web.BaseRequest) -> web.Response:
-        message = msgspec.msgpack.decode(await request.read(), type=FreeResults)
+        message = msgspec.msgpack.decode(await self._read(request), type=FreeResults)
         self._desk.free(message.worker_id, message.handles)
         return web.Response()
 
     async def _engine_turn(self, request: web.BaseRequest) -> web.Response:
-        turn = msgspec.msgpack.decode(await request.read(), type=EngineTurn)
+        turn = msgspec.msgpack.decode(await self._read(request), type=EngineTurn)
         return web.Response(body=msgspec.msgpack.encode(self._engine_desk.grant(turn)))
 
     async def _engine_done(self, request: web.BaseRequest) -> web.Response:
-        self._engine_desk.done(msgspec.msgpack.decode(await request.read(), type=EngineDone))
+        self._engine_desk.done(msgspec.msgpack.decode(await self._read(request), type=EngineDone))
         return web.Response()
 
+    async def _read(self, request: web.BaseRequest) -> bytes:
+        """Return a whole message; a connection that falls silent within one is dropped."""
+        try:
+            async with asyncio.timeout(PEER_SILENCE_SECONDS):
+                return await request.read()
+        except TimeoutError:
+            peer = request.remote or ""
+            self.on_silence(SilentConnection(ConnectionKind.PEER, peer, PEER_SILENCE_SECONDS))
+            if request.transport is not None:
+                request.transport.abort()
+            raise web.HTTPRequestTimeout from None
+
     async def _configuration(self, request: web.BaseRequest) -> web.Response:
         answer = ConfigurationAnswer(self._mirror.configuration)
         return web.Response(body=msgspec.msgpack.encode(answer))
@@ -116,6 +144,27 @@
         return web.Response(body=body, content_type="application/json")
 
 
+async def _answer_when_made(
+    request: web.BaseRequest, making: asyncio.Task[StageAnswer]
+) -> web.StreamResponse:
+    """Answer with the results; until they are made, show that the connection works."""
+    if await _done(making):
+        return web.Response(body=msgspec.msgpack.encode(making.result()))
+    response = web.StreamResponse()
+    await response.prepare(request)
+    while not await _done(making):
+        await response.write(PROGRESS_BYTE)
+    await response.write(msgspec.msgpack.encode(making.result()))
+    await response.write_eof()
+    return response
+
+
+async def _done(task: asyncio.Task[StageAnswer]) -> bool:
+    """Wait for a task for as long as a connection may be without a byte."""
+    done, _ = await asyncio.wait({task}, timeout=PEER_PROGRESS_SECONDS)
+    return bool(done)
+
+
 async def serve_readiness(address: str, path: str, ready: Callable[[], bool]) -> web.ServerRunner:
     """Answer the balancer's question on ``ip:port`` until the runner is cleaned up."""
 
--- a/src/corkcrank/gateway/opaque/plain_run.py
+++ b/src/corkcrank/gateway/opaque/plain_run.py
@@ -12,7 +12,6 @@
 from corkcrank.gateway.opaque.attempts import Attempt, AttemptOutcome, attempt_call
 from corkcrank.gateway.opaque.refusals import Refusal
 from corkcrank.gateway.opaque.services import PLAIN_SECONDS, CallServices
-from corkcrank.gateway.opaque.worker_client import read_whole
 from corkcrank.scheduling.worker_choice import choose_worker
 
 SILENCE_FACTOR = 5.0
@@ -119,10 +118,9 @@
         upstream = attempt.response
         assert upstream is not None
         try:
-            async with asyncio.timeout(max(0.01, self._call.end_at - time.monotonic())):
-                body = await read_whole(upstream)
-        except TimeoutError:
-            body = None
+            left = self._call.end_at - time.monotonic()
+            silence = self._patience(under_way=0)
+            body = await self._services.client.read(upstream, left, silence)
         except asyncio.CancelledError:
             attempt.close()
             raise
@@ -134,10 +132,10 @@
         replace_headers(response, headers)
         return response
 
-    def _patience(self) -> float:
-        """Return how long a head is waited for; an unrepeatable call waits to its end."""
+    def _patience(self, under_way: int = 1) -> float:
+        """Return how long a head or a body is waited for; an unrepeatable call waits to its end."""
         left = self._call.end_at - time.monotonic()
-        if not self._repeatable_elsewhere(under_way=1):
+        if not self._repeatable_elsewhere(under_way):
             return left
         if not self._services.could_repeat(self._call.service):
             return left
--- a/src/corkcrank/gateway/opaque/services.py
+++ b/src/corkcrank/gateway/opaque/services.py
@@ -11,6 +11,7 @@
 from corkcrank.gateway.opaque.worker_client import WorkerClient
 from corkcrank.links.decision_log import DecisionLog
 from corkcrank.links.platform_ports import PlatformPorts
+from corkcrank.links.silence import SilenceListener, ignore_silence
 from corkcrank.machines.fleet import Fleet
 from corkcrank.machines.store_mirror import StoreMirror
 from corkcrank.scheduling.engine_choice import EngineChooser
@@ -68,6 +69,7 @@
     random: random.Random
     zone: str
     bounds: NodeBoundSettings
+    note_silence: SilenceListener = ignore_silence
     stop_at: float = float("inf")
     first_event_times: MeanTimes = field(default_factory=MeanTimes)
     stream_times: StreamTimes = field(default_factory=StreamTimes)
--- /dev/null
+++ b/src/corkcrank/gateway/opaque/silence_log.py
@@ -0,0 +1,24 @@
+"""Logs and counts the connections that were dropped for silence."""
+
+from corkcrank.gateway.opaque.metrics import OpaqueMetrics
+from corkcrank.links.decision_log import DecisionLog, LogEvent
+from corkcrank.links.silence import SilentConnection
+
+
+class SilenceLog:
+    """Listens for all kinds of connections of one gateway."""
+
+    def __init__(self, log: DecisionLog, metrics: OpaqueMetrics) -> None:
+        self._log = log
+        self._metrics = metrics
+
+    def note(self, connection: SilentConnection) -> None:
+        """Take one connection that was dropped."""
+        self._metrics.silent_connections.labels(connection.kind.value).inc()
+        self._log.write(
+            LogEvent.CONNECTION_SILENT,
+            kind=connection.kind.value,
+            peer=connection.peer,
+            waited=round(connection.waited, 3),
+            idle_dropped=connection.idle_dropped,
+        )
--- a/src/corkcrank/gateway/opaque/stage_caller.py
+++ b/src/corkcrank/gateway/opaque/stage_caller.py
@@ -1,6 +1,5 @@
 """Calls to stage workers: pieces asked for, results given up."""
 
-import asyncio
 import time
 from collections.abc import Sequence
 
@@ -11,7 +10,6 @@
     SendFailure,
     SendTrouble,
     WorkerClient,
-    read_whole,
 )
 from corkcrank.links.platform_ports import (
     PieceOrder,
@@ -80,7 +78,7 @@
             fresh=False,
         )
         if not isinstance(response, SendFailure):
-            await read_whole(response)
+            await self._client.read(response, CALL_TIME_MARGIN)
 
     async def report(self, worker: WorkerRecord) -> StageWorkerReport | None:
         """Return what a worker reports of its room, or ``None`` without an answer."""
@@ -95,7 +93,7 @@
         )
         if isinstance(response, SendFailure):
             return None
-        body = await read_whole(response)
+        body = await self._client.read(response, REPORT_SECONDS)
         if body is None or response.status != 200:
             return None
         return self._codec.decode_report(body)
@@ -107,12 +105,7 @@
         known_handles: dict[str, None],
         limit: float,
     ) -> list[PieceResult] | SendFailure | None:
-        try:
-            async with asyncio.timeout(limit):
-                body = await read_whole(response)
-        except TimeoutError:
-            response.close()
-            return SendFailure(SendTrouble.UNKNOWN, "no answer in time")
+        body = await self._client.read(response, limit)
         if response.status == TURNED_AWAY_STATUS:
             return None
         results = self._codec.decode_run(body, count) if body is not None else None
--- a/src/corkcrank/gateway/opaque/stage_dispatch.py
+++ b/src/corkcrank/gateway/opaque/stage_dispatch.py
@@ -6,12 +6,12 @@
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
 
-import aiohttp
 import msgspec
 
 from corkcrank.contracts.opaque_configuration import StageCapacity
 from corkcrank.contracts.urgency import Urgency
 from corkcrank.contracts.worker_records import WorkerRecord
+from corkcrank.gateway.opaque.peer_client import PeerClient, PeerTrouble
 from corkcrank.gateway.opaque.peer_protocol import (
     FREE_PATH,
     PIECES_PATH,
@@ -29,9 +29,6 @@
 from corkcrank.scheduling.stage_lane import LaneForecast
 from corkcrank.scheduling.worker_choice import StandingBook
 
-PEER_CONNECT_SECONDS = 0.3
-"""Longest wait for a connection to a peer."""
-
 OWN_PIECES_SECONDS = 0.6
 """Time for which pieces sent to a peer are added to what it told last."""
 
@@ -63,7 +60,7 @@
         fleet: Fleet,
         book: StandingBook,
         desk: StageDesk,
-        peers: aiohttp.ClientSession,
+        peers: PeerClient,
         random_source: random.Random,
     ) -> None:
         self._mirror = mirror
@@ -219,7 +216,7 @@
 
     async def _make_at_peer(self, owner: str, address: str, work: StageWork) -> StageAnswer:
         request = asyncio.create_task(
-            self._post(address, PIECES_PATH, msgspec.msgpack.encode(work))
+            self._peers.ask(address, PIECES_PATH, msgspec.msgpack.encode(work))
         )
         try:
             while not request.done():
@@ -231,8 +228,13 @@
         finally:
             if not request.done():
                 request.cancel()
-        body = request.result() if request.done() and not request.cancelled() else None
-        if body is None:
+        known = request.done() and not request.cancelled()
+        body = request.result() if known else PeerTrouble.BROKEN
+        if body is PeerTrouble.SILENT:
+            # The owner lives, and may have made the pieces: only its answer is lost.
+            lost = PieceResult(PieceOutcome.FAILED)
+            return StageAnswer((lost,) * len(work.pieces), 0.0, f"no word from owner {owner}")
+        if isinstance(body, PeerTrouble):
             self._fleet.doubt(owner)
             lost = PieceResult(PieceOutcome.REFUSED)
             return StageAnswer((lost,) * len(work.pieces), 0.0, f"owner {owner} is lost")
@@ -242,17 +244,10 @@
         self, address: str, worker: WorkerRecord, handles: tuple[str, ...]
     ) -> None:
         message = msgspec.msgpack.encode(FreeResults(worker.worker_id, handles))
-        if await self._post(address, FREE_PATH, message) is None:
+        answer = await self._peers.ask(address, FREE_PATH, message, repeat=True)
+        if isinstance(answer, PeerTrouble):
             self._desk.free(worker.worker_id, handles)
 
-    async def _post(self, address: str, path: str, message: bytes) -> bytes | None:
-        try:
-            async with self._peers.post(f"http://{address}{path}", data=message) as response:
-                body = await response.read()
-                return body if response.status == 200 else None
-        except (aiohttp.ClientError, OSError, TimeoutError):
-            return None
-
     def _recently_sent(self, worker_id: str, since: float) -> int:
         sent = [item for item in self._sent.get(worker_id, ()) if item.at > since]
         if sent:
--- a/src/corkcrank/gateway/opaque/stream_relay.py
+++ b/src/corkcrank/gateway/opaque/stream_relay.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from enum import StrEnum
 
 import aiohttp
@@ -13,7 +13,8 @@
 from corkcrank.gateway.opaque.events import EventReader, StreamEvent
 from corkcrank.gateway.opaque.plain_run import replace_headers
 from corkcrank.gateway.opaque.services import CallServices
-from corkcrank.gateway.opaque.worker_client import unframed_end
+from corkcrank.gateway.opaque.worker_client import address_of, unframed_end
+from corkcrank.links.silence import ConnectionKind, SilentConnection
 
 LEAST_SILENCE_SECONDS = 1.0
 """A stream is never moved for a shorter silence between events."""
@@ -111,9 +112,16 @@
         return await self._complete(upstream, reader.rest)
 
     async def _next_chunk(self, upstream: aiohttp.ClientResponse, patience: float) -> bytes:
-        left = self._call.end_at - time.monotonic()
-        async with asyncio.timeout(max(0.001, min(left, patience))):
-            return await upstream.content.readany()
+        started = time.monotonic()
+        left = self._call.end_at - started
+        try:
+            async with asyncio.timeout(max(0.001, min(left, patience))):
+                return await upstream.content.readany()
+        except TimeoutError:
+            waited = time.monotonic() - started
+            if waited >= LEAST_SILENCE_SECONDS:
+                self._services.client.note_silence(address_of(upstream), waited)
+            raise
 
     async def _send_events(
         self, upstream: aiohttp.ClientResponse, events: list[StreamEvent]
@@ -134,10 +142,33 @@
             self.on_first_event()
             self.on_first_event = _nothing
             self._note_pause()
-            response = await self._prepare(upstream)
-            await response.write(b"".join(data))
+            await self._within_call(self._write(upstream, b"".join(data)))
         return whole
 
+    async def _write(self, upstream: aiohttp.ClientResponse, data: bytes) -> None:
+        response = await self._prepare(upstream)
+        await response.write(data)
+
+    async def _write_end(self, upstream: aiohttp.ClientResponse, rest: bytes) -> None:
+        response = await self._prepare(upstream)
+        if rest:
+            await response.write(rest)
+        await response.write_eof()
+
+    async def _within_call(self, writing: Coroutine[None, None, None]) -> None:
+        """Write to the caller; one that accepts no bytes is dropped at the call's end."""
+        started = time.monotonic()
+        try:
+            async with asyncio.timeout(max(0.001, self._call.end_at - started)):
+                await writing
+        except TimeoutError:
+            waited = time.monotonic() - started
+            self._services.note_silence(
+                SilentConnection(ConnectionKind.CALLER, self._request.remote or "", waited)
+            )
+            self.break_off()
+            raise ConnectionResetError("the caller accepts no bytes") from None
+
     def _note_pause(self) -> None:
         now = time.monotonic()
         if self._call.first_byte_at is None:
@@ -164,10 +195,7 @@
 
     async def _complete(self, upstream: aiohttp.ClientResponse, rest: bytes) -> RelayEnd:
         try:
-            response = await self._prepare(upstream)
-            if rest:
-                await response.write(rest)
-            await response.write_eof()
+            await self._within_call(self._write_end(upstream, rest))
         except ConnectionError:
             return RelayEnd.CALLER_GONE
         self._learn_time()
--- a/src/corkcrank/gateway/opaque/worker_client.py
+++ b/src/corkcrank/gateway/opaque/worker_client.py
@@ -1,6 +1,7 @@
 """HTTP to workers: one attempt is sent once, and its failure says if bytes went out."""
 
 import asyncio
+import time
 from dataclasses import dataclass
 from enum import StrEnum
 from types import TracebackType
@@ -12,6 +13,13 @@
 from yarl import URL
 
 from corkcrank.links.platform_ports import HeaderList
+from corkcrank.links.silence import (
+    ConnectionKind,
+    SilenceListener,
+    SilentConnection,
+    drop_idle,
+    ignore_silence,
+)
 
 CONNECT_SECONDS = 0.5
 """Longest wait for a connection to a worker."""
@@ -19,6 +27,9 @@
 KEPT_IDLE_SECONDS = 1.5
 """A kept connection that was idle for longer is not used again."""
 
+LEAST_SILENCE_SECONDS = 0.1
+"""A shorter wait without a byte tells nothing of a connection: the call's end was near."""
+
 MAXIMUM_HEADER_BYTES = 32_768
 """Longest header field of a worker's answer."""
 
@@ -57,9 +68,13 @@
 
 
 class WorkerClient:
-    """Opens requests to workers on fresh or on kept connections."""
+    """Opens requests to workers on fresh or on kept connections.
+
+    After a time-out no idle connection to that worker is used again.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, on_silence: SilenceListener = ignore_silence) -> None:
+        self._on_silence = on_silence
         self._kept = _session(_CheckedConnector(limit=0, keepalive_timeout=KEPT_IDLE_SECONDS))
         self._fresh = _session(aiohttp.TCPConnector(limit=0, force_close=True))
 
@@ -96,6 +111,7 @@
         """
         session = self._fresh if fresh else self._kept
         url = URL(f"http://{address}{target}", encoded=True)
+        started = time.monotonic()
         try:
             async with asyncio.timeout(head_seconds):
                 return await session.request(
@@ -110,10 +126,54 @@
         except aiohttp.ConnectionTimeoutError:
             return SendFailure(SendTrouble.NOT_SENT, "connect time-out")
         except TimeoutError:
+            self.note_silence(address, time.monotonic() - started)
             return SendFailure(SendTrouble.UNKNOWN, "no answer in time")
         except (aiohttp.ClientError, OSError, ValueError) as error:
             return SendFailure(SendTrouble.UNKNOWN, type(error).__name__)
 
+    async def read(
+        self, response: aiohttp.ClientResponse, seconds: float, silence: float = float("inf")
+    ) -> bytes | None:
+        """Return a whole body, or ``None`` if it was cut or did not come in time.
+
+        ``seconds`` bounds the whole of it, ``silence`` the wait for each next byte. A body
+        without length ends with its connection; if that ended by a reset, the library still
+        calls it complete, so how the connection ended is asked here.
+        """
+        end_at = time.monotonic() + seconds
+        closed = unframed_end(response)
+        chunks: list[bytes] = []
+        heard_at = time.monotonic()
+        try:
+            while True:
+                async with asyncio.timeout(max(0.0, min(silence, end_at - heard_at))):
+                    chunk = await response.content.readany()
+                if not chunk:
+                    break
+                chunks.append(chunk)
+                heard_at = time.monotonic()
+            if closed is not None:
+                await closed
+        except TimeoutError:
+            response.close()
+            self.note_silence(address_of(response), time.monotonic() - heard_at)
+            return None
+        except (aiohttp.ClientError, OSError, ValueError):
+            return None
+        return b"".join(chunks)
+
+    def note_silence(self, address: str, waited: float) -> None:
+        """Take that a worker's connection was dropped after a wait in seconds for bytes."""
+        if waited < LEAST_SILENCE_SECONDS:
+            return
+        idle = drop_idle(self._kept, address)
+        self._on_silence(SilentConnection(ConnectionKind.WORKER, address, waited, idle))
+
+
+def address_of(response: aiohttp.ClientResponse) -> str:
+    """Return the ``ip:port`` that an answer came from."""
+    return f"{response.url.host}:{response.url.port}"
+
 
 def _session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
     session = aiohttp.ClientSession(
@@ -132,22 +192,6 @@
     return session
 
 
-async def read_whole(response: aiohttp.ClientResponse) -> bytes | None:
-    """Return a whole body, or ``None`` if it was cut.
-
-    A body without length ends with its connection; if that ended by a reset, the library
-    still calls it complete, so how the connection ended is asked here.
-    """
-    closed = unframed_end(response)
-    try:
-        body = await response.read()
-        if closed is not None:
-            await closed
-    except (aiohttp.ClientError, OSError, ValueError):
-        return None
-    return body
-
-
 def unframed_end(response: aiohttp.ClientResponse) -> asyncio.Future[None] | None:
     """Return the future of the connection's end for a body that has no framing."""
     if "Content-Length" in response.headers or "Transfer-Encoding" in response.headers:
--- a/src/corkcrank/links/decision_log.py
+++ b/src/corkcrank/links/decision_log.py
@@ -59,6 +59,7 @@
     STAGE_ENDED = "Stage: ended."
     ROOM_REPORTED = "Stage: worker reported its room."
     BATCH_ENDED = "Batch: ended."
+    CONNECTION_SILENT = "Connection: dropped for silence."
     INTERNAL_FAULT = "Process: fault."
 
 
--- a/src/corkcrank/links/platform_ports.py
+++ b/src/corkcrank/links/platform_ports.py
@@ -13,6 +13,7 @@
 from corkcrank.contracts.opaque_call import CallEnvelope, OpaqueCall
 from corkcrank.contracts.opaque_configuration import OpaqueConfiguration
 from corkcrank.contracts.worker_records import WorkerRecord
+from corkcrank.links.silence import SilenceListener
 
 HeaderList = list[tuple[str, str]]
 
@@ -163,7 +164,9 @@
 
 
 class MetadataStore(Protocol):
-    """The platform's store as corkcrank uses it."""
+    """The platform's store as corkcrank uses it; ``on_silence`` hears of dropped connections."""
+
+    on_silence: SilenceListener
 
     async def read(self, table: StoreTable) -> StoreRows | StoreFailure:
         """Return all rows of a table as of one moment."""
--- a/src/corkcrank/platform/store.py
+++ b/src/corkcrank/platform/store.py
@@ -12,6 +12,13 @@
     StoreTable,
     StoreTrouble,
 )
+from corkcrank.links.silence import (
+    ConnectionKind,
+    SilenceListener,
+    SilentConnection,
+    drop_idle,
+    ignore_silence,
+)
 from corkcrank.platform import names
 from corkcrank.platform.call_headers import MILLISECONDS
 
@@ -57,12 +64,18 @@
 
 
 class PlatformStore:
-    """A client of the store; each call answers within its time-out, and is not repeated."""
+    """A client of the store; each call answers within its time-out, and is not repeated.
+
+    After a time-out no idle connection is used again: those that went silent at the same
+    moment would each cost the next call a time-out.
+    """
 
     def __init__(self, session: aiohttp.ClientSession, address: str, timeout: float) -> None:
         self._session = session
         self._base = f"http://{address}"
+        self._address = address
         self._timeout = timeout
+        self.on_silence: SilenceListener = ignore_silence
 
     async def read(self, table: StoreTable) -> StoreRows | StoreFailure:
         """Return all rows of a table as of one moment, page after page."""
@@ -81,7 +94,10 @@
     async def watch(
         self, table: StoreTable, since: int, wait_seconds: float
     ) -> StoreRows | StoreFailure:
-        """Return what changed after revision ``since``, or nothing after the wait."""
+        """Return what changed after revision ``since``, or nothing after the wait.
+
+        The deadline is the wait and the time-out of a call that does not wait.
+        """
         query = {
             "table": _TABLES[table],
             "since_revision": str(since),
@@ -127,11 +143,18 @@
             ) as response:
                 content = await response.read()
                 return _judge(response.status, content)
+        except aiohttp.ConnectionTimeoutError:
+            return StoreFailure(StoreTrouble.SILENT, "connect time-out")
         except TimeoutError:
+            self._drop(timeout)
             return StoreFailure(StoreTrouble.SILENT)
         except (aiohttp.ClientError, OSError, asyncio.IncompleteReadError) as error:
             return StoreFailure(StoreTrouble.BROKEN, type(error).__name__)
 
+    def _drop(self, waited: float) -> None:
+        idle = drop_idle(self._session, self._address)
+        self.on_silence(SilentConnection(ConnectionKind.STORE, self._address, waited, idle))
+
 
 def _judge(status: int, content: bytes) -> bytes | StoreFailure:
     if status == 200:
--- a/tests/platform/node_world.py
+++ b/tests/platform/node_world.py
@@ -12,6 +12,7 @@
 import aiohttp
 import msgspec
 from platform_standins import StandinStageWorker, StandinStore, StandinWorker
+from silent_link import SilentLink
 
 from corkcrank.contracts.node_settings import (
     NodeBoundSettings,
@@ -155,11 +156,37 @@
     )
 
 
+@dataclass
+class WorldLinks:
+    """Links that may lie before the store, the first gateway's peers' side, and workers."""
+
+    store: SilentLink | None = None
+    peers: SilentLink | None = None
+    workers: dict[str, SilentLink] = field(default_factory=dict)
+
+    async def stop(self) -> None:
+        """Close every link."""
+        for link in (self.store, self.peers, *self.workers.values()):
+            if link is not None:
+                await link.stop()
+
+
+async def _serve_peers_behind(node: Node, link: SilentLink) -> None:
+    """Have peers reach a gateway through a link; datagrams pass beside it."""
+    address = node.fleet.own_address
+    behind = f"{address.rsplit(':', 1)[0]}:{new_ports(1)[0]}"
+    serve = node._peer_server.start
+    node._peer_server.start = lambda addresses: serve([behind])  # type: ignore[method-assign]
+    await link.start(behind, address)
+
+
 @asynccontextmanager
-async def peer_of(running: World, ip: str, *, refused: bool = False) -> AsyncIterator[Node]:
+async def peer_of(
+    running: World, ip: str, *, refused: bool = False, link: SilentLink | None = None
+) -> AsyncIterator[Node]:
     """Run another gateway on another loopback address, with the first as its seed.
 
-    ``refused`` has the store turn it away.
+    ``refused`` has the store turn it away; its peers reach it through ``link``.
     """
     first = running.nodes[0].fleet.own_address
     port = int(first.rsplit(":", 1)[1])
@@ -173,29 +200,43 @@
         ports = connect(session, settings.store.address, settings.store.timeout)
         node = Node(settings, ports, DecisionLog(None, ip), random.Random(8))
         running.nodes.append(node)
+        if link is not None:
+            await _serve_peers_behind(node, link)
         await node.start()
         try:
             yield node
         finally:
             if not node.life.draining:
                 await node.stop()
+            if link is not None:
+                await link.stop()
 
 
 @asynccontextmanager
 async def world(
     document: dict[str, Any],
     workers: dict[str, tuple[StandinWorker | StandinStageWorker, str]],
+    links: WorldLinks | None = None,
     **bounds: Any,
 ) -> AsyncIterator[World]:
     """Run one gateway before a store and workers; ``workers`` maps a name to its service."""
+    links = links or WorldLinks()
     store = StandinStore()
     await store.server.start()
-    for worker, service in workers.values():
+    for name, (worker, service) in workers.items():
         await worker.server.start()
-        store.put("servers", worker.worker_id, worker.entry(service))
+        entry = worker.entry(service)
+        if name in links.workers:
+            await links.workers[name].start(worker.server.address)
+            entry["address"] = links.workers[name].address
+        store.put("servers", worker.worker_id, entry)
     store.put("op", "config", document)
     bounds = {"grace": 1.0, **bounds}
-    settings = settings_for(loopback_address(1), "z1", store.server.address, (), **bounds)
+    store_address = store.server.address
+    if links.store is not None:
+        await links.store.start(store_address)
+        store_address = links.store.address
+    settings = settings_for(loopback_address(1), "z1", store_address, (), **bounds)
     connector = aiohttp.TCPConnector(local_addr=(loopback_address(1), 0))
     async with (
         aiohttp.ClientSession(connector=connector) as platform,
@@ -204,6 +245,8 @@
         ports = connect(platform, settings.store.address, settings.store.timeout)
         node = Node(settings, ports, DecisionLog(None, "test"), random.Random(7))
         running = World(store, [node], callers)
+        if links.peers is not None:
+            await _serve_peers_behind(node, links.peers)
         await node.start()
         try:
             await until(lambda: node.ready)
@@ -211,6 +254,7 @@
         finally:
             if not node.life.draining:
                 await node.stop()
+            await links.stop()
             for worker, _ in workers.values():
                 await worker.server.stop()
             await store.server.stop()
--- /dev/null
+++ b/tests/platform/silent_link.py
@@ -0,0 +1,117 @@
+"""A TCP link whose open connections can go silent for good, while new ones pass bytes."""
+
+import asyncio
+import contextlib
+from dataclasses import dataclass, field
+
+CHUNK_BYTES = 16_384
+
+
+@dataclass(eq=False)
+class _Connection:
+    """The two ends of one connection; ``lost`` counts bytes that were swallowed."""
+
+    near: asyncio.StreamWriter
+    far: asyncio.StreamWriter
+    silent_to_target: bool = False
+    silent_from_target: bool = False
+    lost: int = 0
+
+    @property
+    def silent(self) -> bool:
+        return self.silent_to_target or self.silent_from_target
+
+
+@dataclass(eq=False)
+class SilentLink:
+    """Forwards connections to ``target``; what a silent one is sent is accepted and lost.
+
+    A silent direction loses the end of the connection too.
+    """
+
+    target: str = ""
+    address: str = ""
+    accepted: int = 0
+    _server: asyncio.Server | None = None
+    _connections: set[_Connection] = field(default_factory=set)
+    _silenced: list[_Connection] = field(default_factory=list)
+    _tasks: set[asyncio.Task[None]] = field(default_factory=set)
+
+    async def start(self, target: str, address: str = "127.0.0.1:0") -> None:
+        """Listen on an address."""
+        self.target = target
+        host, port = address.rsplit(":", 1)
+        self._server = await asyncio.start_server(self._accept, host, int(port))
+        self.address = f"{host}:{self._server.sockets[0].getsockname()[1]}"
+
+    async def stop(self) -> None:
+        """Stop listening and close every connection."""
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    @property
+    def open(self) -> int:
+        """Return the number of connections whose client has not closed them."""
+        return len(self._connections)
+
+    @property
+    def used_when_silent(self) -> int:
+        """Return how many connections were sent something after they had gone silent."""
+        return sum(connection.lost > 0 for connection in self._silenced)
+
+    def silence(self, *, to_target: bool = True, from_target: bool = True) -> None:
+        """Have the connections that are open go silent for good, in one direction or both."""
+        for connection in self._connections:
+            connection.silent_to_target = connection.silent_to_target or to_target
+            connection.silent_from_target = connection.silent_from_target or from_target
+            self._silenced.append(connection)
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        try:
+            await self._serve(reader, writer)
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            self._tasks.discard(task)
+            writer.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        host, port = self.target.rsplit(":", 1)
+        far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        connection = _Connection(writer, far_writer)
+        self._connections.add(connection)
+        self.accepted += 1
+        answers = asyncio.create_task(self._pump(connection, far_reader, to_target=False))
+        try:
+            await self._pump(connection, reader, to_target=True)
+            self._connections.discard(connection)
+            if connection.silent_to_target:
+                # The target does not hear of the end, so its side stays open.
+                await asyncio.Event().wait()
+        finally:
+            self._connections.discard(connection)
+            answers.cancel()
+            await asyncio.gather(answers, return_exceptions=True)
+            far_writer.close()
+
+    async def _pump(
+        self, connection: _Connection, reader: asyncio.StreamReader, *, to_target: bool
+    ) -> None:
+        writer = connection.far if to_target else connection.near
+        with contextlib.suppress(OSError):
+            while data := await reader.read(CHUNK_BYTES):
+                if connection.silent_to_target if to_target else connection.silent_from_target:
+                    connection.lost += len(data) if to_target else 0
+                    continue
+                if to_target and connection.silent:
+                    connection.lost += len(data)
+                writer.write(data)
+                await writer.drain()
+        if not to_target and not connection.silent_from_target:
+            writer.close()
--- /dev/null
+++ b/tests/platform/test_silent_connections.py
@@ -0,0 +1,415 @@
+"""Open connections that go silent for good, without a reset, while new ones work.
+
+On the platform's machines the connections of all processes may go silent at one moment.
+Before, a pool handed one silent connection after the other to the next calls, each for a
+whole time-out, and a question to a peer had no time-out at all: a gateway that pulled the
+configuration through one never pulled again, and pieces on one waited until their caller
+left, since the owner's datagrams went on.
+"""
+
+import asyncio
+import contextlib
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from typing import Any
+
+import aiohttp
+import pytest
+from aiohttp import web
+from node_world import (
+    HOST,
+    KEY,
+    World,
+    WorldLinks,
+    call_id,
+    configuration,
+    peer_of,
+    route,
+    stage_service,
+    until,
+    world,
+)
+from platform_standins import Server, StandinStageWorker, StandinStore, StandinWorker
+from silent_link import SilentLink
+from test_owners import ROUTES as STAGED_ROUTES
+from test_owners import acquainted, call_through, owner_of
+
+from corkcrank.contracts.worker_records import WorkerRecord
+from corkcrank.gateway.opaque.stage_caller import CALL_TIME_MARGIN, REPORT_SECONDS, StageCaller
+from corkcrank.gateway.opaque.worker_client import SendFailure, WorkerClient
+from corkcrank.links.platform_ports import StoreFailure, StoreTable
+from corkcrank.load.loopback import loopback_address
+from corkcrank.platform.stage_calls import PlatformStageCodec
+from corkcrank.platform.store import PlatformStore
+
+BOTH = {"to_target": True, "from_target": True}
+TO_TARGET = {"to_target": True, "from_target": False}
+FROM_TARGET = {"to_target": False, "from_target": True}
+DIRECTIONS = pytest.mark.parametrize(
+    "directions", [BOTH, TO_TARGET, FROM_TARGET], ids=["both ways", "to target", "from target"]
+)
+KEPT = 5
+"""Connections that a pool holds when they go silent."""
+
+STORE_TIMEOUT = 0.3
+LONGEST_SECONDS = 9.0
+"""A call is longer under way only if nothing bounds it: its route's time-out is less."""
+
+PEER_SILENCE_SECONDS = 1.6
+SLACK_SECONDS = 0.6
+"""Allowance for a busy machine, in seconds."""
+
+
+async def timed(work: Awaitable[Any]) -> tuple[Any, float]:
+    started = time.monotonic()
+    result = await work
+    return result, time.monotonic() - started
+
+
+def silences(running: World, kind: str, number: int = 0) -> float:
+    """Return how many connections of a kind a gateway counted as dropped for silence."""
+    registry = running.nodes[number].services.metrics.registry
+    value = registry.get_sample_value("corkcrank_silent_connections_total", {"kind": kind})
+    return value or 0.0
+
+
+# The store
+
+
+@asynccontextmanager
+async def linked_store() -> AsyncIterator[tuple[PlatformStore, SilentLink]]:
+    store, link = StandinStore(), SilentLink()
+    await store.server.start()
+    await link.start(store.server.address)
+    async with aiohttp.ClientSession() as session:
+        yield PlatformStore(session, link.address, STORE_TIMEOUT), link
+    await link.stop()
+    await store.server.stop()
+
+
+@DIRECTIONS
+async def test_silence_of_the_store_costs_one_time_out(directions: dict[str, bool]) -> None:
+    async with linked_store() as (store, link):
+        await asyncio.gather(*(store.read(StoreTable.WORKERS) for _ in range(KEPT)))
+        assert link.open == KEPT
+        link.silence(**directions)
+        first, seconds = await timed(store.read(StoreTable.WORKERS))
+        assert isinstance(first, StoreFailure)
+        assert seconds < STORE_TIMEOUT + SLACK_SECONDS
+        second = await store.read(StoreTable.WORKERS)
+        assert not isinstance(second, StoreFailure)
+        assert link.used_when_silent == 1
+
+
+@DIRECTIONS
+async def test_long_poll_has_a_deadline_of_its_own(directions: dict[str, bool]) -> None:
+    async with linked_store() as (store, link):
+        await store.read(StoreTable.WORKERS)
+        link.silence(**directions)
+        answer, seconds = await timed(store.watch(StoreTable.WORKERS, 1, 0.4))
+        assert isinstance(answer, StoreFailure)
+        assert seconds < 0.4 + STORE_TIMEOUT + SLACK_SECONDS
+
+
+@DIRECTIONS
+async def test_configuration_is_in_force_in_time_after_the_store_fell_silent(
+    directions: dict[str, bool],
+) -> None:
+    links = WorldLinks(store=SilentLink())
+    routes = [route("safe", "safe", "plain")]
+    async with world(configuration(1, routes), {"w": (StandinWorker(), "plain")}, links) as running:
+        node = running.nodes[0]
+        assert links.store is not None
+        links.store.silence(**directions)
+        running.store.put("op", "config", configuration(2, routes))
+        started = time.monotonic()
+        await until(lambda: node.mirror.version == 2)
+        bounds = node._settings.bounds
+        assert time.monotonic() - started < bounds.configuration + SLACK_SECONDS
+        assert silences(running, "store") >= 1
+
+
+# Workers
+
+
+async def answer_ok(request: web.BaseRequest) -> web.Response:
+    await request.read()
+    return web.Response(body=b"ok")
+
+
+@asynccontextmanager
+async def linked_worker(
+    handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+) -> AsyncIterator[tuple[WorkerClient, SilentLink]]:
+    server, link = Server(handler), SilentLink()
+    await server.start()
+    await link.start(server.address)
+    async with WorkerClient() as client:
+        yield client, link
+    await link.stop()
+    await server.stop()
+
+
+async def ask_worker(client: WorkerClient, address: str) -> bytes | SendFailure:
+    response = await client.open("GET", address, "/", [], b"", 0.3, fresh=False)
+    return response if isinstance(response, SendFailure) else await response.read()
+
+
+@DIRECTIONS
+async def test_silence_of_a_worker_costs_one_time_out(directions: dict[str, bool]) -> None:
+    async with linked_worker(answer_ok) as (client, link):
+        await asyncio.gather(*(ask_worker(client, link.address) for _ in range(KEPT)))
+        assert link.open == KEPT
+        link.silence(**directions)
+        assert isinstance(await ask_worker(client, link.address), SendFailure)
+        assert await ask_worker(client, link.address) == b"ok"
+        assert link.used_when_silent == 1
+
+
+async def answer_head_only(request: web.BaseRequest) -> web.StreamResponse:
+    await request.read()
+    response = web.StreamResponse(headers={"Content-Length": "100"})
+    await response.prepare(request)
+    await response.write(b"{")
+    await asyncio.Event().wait()
+    return response
+
+
+def stage_worker(address: str) -> WorkerRecord:
+    return WorkerRecord("i-1", "encode", address, "z1", 1, leaving=False)
+
+
+@pytest.mark.parametrize("what", ["free", "report"])
+async def test_a_body_that_falls_silent_does_not_hold_the_room_of_a_worker(what: str) -> None:
+    # The head came, the body never did: the wait had no end, and no result of that worker
+    # was given up any more, nor was it asked for its room.
+    async with linked_worker(answer_head_only) as (client, link):
+        caller = StageCaller(PlatformStageCodec(), client)
+        worker = stage_worker(link.address)
+        work = caller.free(worker, ["handle"]) if what == "free" else caller.report(worker)
+        limit = CALL_TIME_MARGIN if what == "free" else REPORT_SECONDS
+        async with asyncio.timeout(2 * limit + SLACK_SECONDS):
+            assert await work is None
+
+
+@DIRECTIONS
+async def test_a_repeatable_call_goes_on_elsewhere(directions: dict[str, bool]) -> None:
+    silent, sound = StandinWorker(), StandinWorker()
+    links = WorldLinks(workers={"silent": SilentLink()})
+    served = {"silent": (silent, "plain")}
+    async with world(configuration(1, [route("safe", "safe", "plain")]), served, links) as running:
+        hold = silent.hold = asyncio.Event()
+        calls = [asyncio.create_task(running.call("/safe/x", method="GET")) for _ in range(KEPT)]
+        await until(lambda: len(silent.seen) == KEPT)
+        hold.set()
+        assert [(await call).status for call in calls] == [200] * KEPT
+        links.workers["silent"].silence(**directions)
+        await sound.server.start()
+        running.store.put("servers", sound.worker_id, sound.entry("plain"))
+        await until(lambda: len(running.nodes[0].mirror.workers.usable("plain")) == 2)
+        responses = [await running.call("/safe/x", method="GET") for _ in range(KEPT)]
+        assert [response.status for response in responses] == [200] * KEPT
+        assert links.workers["silent"].used_when_silent <= 1
+        assert silences(running, "worker") == links.workers["silent"].used_when_silent
+        await sound.server.stop()
+
+
+@DIRECTIONS
+async def test_an_unrepeatable_stream_is_never_sent_twice(directions: dict[str, bool]) -> None:
+    # Streams go out on kept connections. What a silent one swallowed may have run.
+    engine = StandinWorker(events=2)
+    links = WorldLinks(workers={"engine": SilentLink()})
+    once = route("once", "stream", "model", timeout_ms=900, max_attempts=3)
+    async with world(configuration(1, [once]), {"engine": (engine, "model")}, links) as running:
+        await (await running.call("/once/x")).read()
+        links.workers["engine"].silence(**directions)
+        response, seconds = await timed(running.call("/once/x"))
+        assert response.status == 504
+        assert seconds < 0.9 + SLACK_SECONDS
+        assert len(engine.seen) == (2 if directions is FROM_TARGET else 1)
+        assert links.workers["engine"].used_when_silent == 1
+        assert silences(running, "worker") == 1
+        response = await running.call("/once/x")
+        assert response.status == 200
+        await response.read()
+
+
+async def test_a_stream_that_falls_silent_midway_is_taken_up_elsewhere() -> None:
+    one, two = StandinWorker(events=6, gap=0.1), StandinWorker(events=6, gap=0.1)
+    links = WorldLinks(workers={"one": SilentLink(), "two": SilentLink()})
+    talk = route("talk", "stream", "model", stream_resume=True, target_gap_ms=200)
+    served = {"one": (one, "model"), "two": (two, "model")}
+    async with world(configuration(1, [talk]), served, links) as running:
+        response = await running.call("/talk/x")
+        await until(lambda: bool(one.seen or two.seen))
+        links.workers["one" if one.seen else "two"].silence()
+        body = await response.read()
+        assert body.count(b"id: ") == 6
+        assert len(one.seen) + len(two.seen) == 2
+        assert silences(running, "worker") == 1
+
+
+# Peers
+
+
+@DIRECTIONS
+async def test_a_gateway_pulls_the_configuration_past_silent_connections(
+    directions: dict[str, bool],
+) -> None:
+    # One question on a silent connection had no time-out, and the loop that asks peers
+    # waited for it: newer versions were never pulled again.
+    links = WorldLinks(peers=SilentLink())
+    routes = [route("safe", "safe", "plain")]
+    served = {"w": (StandinWorker(), "plain")}
+    async with (
+        world(configuration(1, routes), served, links) as running,
+        peer_of(running, loopback_address(2), refused=True) as second,
+    ):
+        assert links.peers is not None
+        await until(lambda: second.ready)
+        link = links.peers
+        for version in (2, 3):
+            assert link.open >= 1
+            link.silence(**directions)
+            running.store.put("op", "config", configuration(version, routes))
+            await until(lambda: second.mirror.version == version, seconds=4.0)  # noqa: B023
+        assert silences(running, "peer", 1) == 2
+
+
+@DIRECTIONS
+async def test_pieces_on_a_silent_connection_to_their_owner_are_placed_anew(
+    directions: dict[str, bool],
+) -> None:
+    # The owner's datagrams went on, so it was never suspected, and the pieces waited until
+    # their call's end.
+    before = (SilentLink(), SilentLink())
+    patient = {**STAGED_ROUTES[0], "target_latency_ms": 3_500, "timeout_ms": 8_000}
+    encode = StandinStageWorker()
+    served = {"m": (StandinWorker(events=2), "model"), "e": (encode, "encode")}
+    async with (
+        world(configuration(1, [patient]), served, WorldLinks(peers=before[0])) as running,
+        peer_of(running, loopback_address(2), link=before[1]) as second,
+    ):
+        await acquainted(running.nodes[0], second)
+        owner = running.nodes.index(owner_of(running, encode))
+        caller = running.nodes[1 - owner]
+        assert await call_through(running, 1 - owner) == 200
+        # The connection rests once the results were given up on it.
+        await until(lambda: not encode.held)
+        for link in before:
+            link.silence(**directions)
+        async with asyncio.timeout(LONGEST_SECONDS):
+            status, seconds = await timed(call_through(running, 1 - owner))
+        assert status == 200
+        assert seconds < PEER_SILENCE_SECONDS + SLACK_SECONDS
+        assert silences(running, "peer", 1 - owner) >= 1
+        member = caller.fleet.member(running.nodes[owner].fleet.own_name)
+        assert member is not None
+        assert not member.suspected(time.monotonic())
+
+
+async def test_an_owner_at_work_for_long_is_not_taken_for_silent() -> None:
+    patient = {**STAGED_ROUTES[0], "target_latency_ms": 3_500, "timeout_ms": 8_000}
+    gate = asyncio.Event()
+    encode = StandinStageWorker(gate=gate)
+    served = {"m": (StandinWorker(events=2), "model"), "e": (encode, "encode")}
+    services = [
+        {"name": "model", "engine": {"slots": 16, "kv_capacity": 100_000}},
+        stage_service("encode", call_ms=1_000.0),
+    ]
+    async with (
+        world(configuration(1, [patient], services=services), served) as running,
+        peer_of(running, loopback_address(2)) as second,
+    ):
+        await acquainted(running.nodes[0], second)
+        owner = owner_of(running, encode)
+        call = asyncio.create_task(call_through(running, 1 - running.nodes.index(owner)))
+        await until(lambda: len(encode.calls) == 1)
+        done, _ = await asyncio.wait({call}, timeout=2.4)
+        assert not done
+        gate.set()
+        assert await call == 200
+        assert len(encode.calls) == 1
+
+
+async def test_a_peer_that_falls_silent_within_a_message_is_dropped() -> None:
+    served = {"w": (StandinWorker(), "plain")}
+    document = configuration(1, [route("safe", "safe", "plain")])
+    async with world(document, served) as running:
+        host, port = running.nodes[0].fleet.own_address.rsplit(":", 1)
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"POST /peer/free HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\nhalf")
+        async with asyncio.timeout(PEER_SILENCE_SECONDS + SLACK_SECONDS):
+            with contextlib.suppress(ConnectionResetError):
+                await reader.read()
+        assert silences(running, "peer") == 1
+        writer.close()
+
+
+# Callers
+
+
+async def open_caller(address: str) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Connect as a caller that reads next to nothing ahead."""
+    host, port = address.rsplit(":", 1)
+    return await asyncio.open_connection(host, int(port), limit=1)
+
+
+def request_of(path: str, deadline_ms: int) -> bytes:
+    head = (
+        f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Corkcrank-Attempt-Id: {call_id()}\r\n"
+        f"X-Corkcrank-Deadline-Ms: {deadline_ms}\r\nX-Corkcrank-Credential: {KEY}\r\n"
+        "Content-Length: 0\r\n\r\n"
+    )
+    return head.encode()
+
+
+BIG_BYTES = 32 << 20
+"""More than the kernel keeps for a caller that does not read."""
+
+
+def flood(*, streamed: bool) -> Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]:
+    async def answer(request: web.BaseRequest) -> web.StreamResponse:
+        await request.read()
+        headers = {
+            "X-Corkcrank-Attempt-Id": request.headers["X-Corkcrank-Attempt-Id"],
+            "X-Corkcrank-Server-Seal": "seal",
+        }
+        if not streamed:
+            return web.Response(body=b"x" * BIG_BYTES, headers=headers)
+        response = web.StreamResponse(headers=headers)
+        response.content_type = "text/event-stream"
+        await response.prepare(request)
+        data = b"x" * 60_000
+        for number in range(1, BIG_BYTES // len(data)):
+            await response.write(b"id: %d\ndata: %s\n\n" % (number, data))
+        await response.write_eof()
+        return response
+
+    return answer
+
+
+@pytest.mark.parametrize("streamed", [True, False], ids=["stream", "plain"])
+async def test_a_caller_that_accepts_no_bytes_is_dropped(streamed: bool) -> None:
+    # A stream's write waited for the caller without end, past the call's own; a whole
+    # answer stayed in memory, since closing waits until what was written has gone out.
+    worker = StandinWorker()
+    worker.server = Server(flood(streamed=streamed))
+    service = "model" if streamed else "plain"
+    kind = "stream" if streamed else "unsafe"
+    served = {"w": (worker, service)}
+    document = configuration(1, [route("big", kind, service, timeout_ms=800)])
+    async with world(document, served) as running:
+        node = running.nodes[0]
+        _, writer = await open_caller(running.address())
+        writer.write(request_of("/big/x", 800))
+        await until(lambda: node.callers.in_flight == 1)
+        started = time.monotonic()
+        await until(lambda: not node.callers.connections(), seconds=5.0)
+        idle = node.front.limits().idle_seconds
+        assert time.monotonic() - started < 0.8 + idle + SLACK_SECONDS
+        assert silences(running, "caller") == 1
+        writer.close()
+        with contextlib.suppress(OSError):
+            await writer.wait_closed()
