Soak: kept connections fall silent for good on every link, nodes' links to each other too

Cause: the soak's links delayed, held up, cut or reset whole links, new connections as well, so nothing showed a pool of silent connections; nodes' connections to each other passed no link.

Change: a link can lose every byte, end and reset of the connections that are open, both ways or one way, while new ones pass. Nodes serve peers on their last peer port, behind a link on the first. A new promise, `silence`: a node gives up a silent connection that it used within 2 s to the store or a peer, 7 s to a worker. Each line tells what the nodes dropped, by kind.

Not looked at: connections that a node keeps idle after they fell silent and never uses again; callers that read nothing (tests/platform/test_silent_connections.py).

--- a/tests/soak/bounds.py
+++ b/tests/soak/bounds.py
@@ -7,7 +7,9 @@
 class SoakBounds:
     """What is promised, and what the soak allows for.
 
-    ``contact`` is how long a node must have been undisturbed to be bound by times.
+    ``contact`` is how long a node must have been undisturbed to be bound by times. A node
+    gives a silent connection up in time: to the store after the wait and the time-out of a
+    call (1.6 s), to a peer after 1.6 s, to a worker at the end of the longest call (6 s).
     """
 
     leaving: float = 2.5
@@ -17,5 +19,8 @@
     late_answer: float = 0.75
     close_crossing: float = 0.2
     recover: float = 12.0
+    silent_store: float = 2.0
+    silent_peer: float = 2.0
+    silent_worker: float = 7.0
     told_leaving: float = 2.0
     told_configuration: float = 2.0
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -5,6 +5,7 @@
 import signal
 import time
 from collections.abc import Iterable
+from pathlib import Path
 from typing import Any
 
 import aiohttp
@@ -31,7 +32,10 @@
 READINESS_MISSES = 2
 INTERPRETER_SECONDS = 0.15
 LAG_PROBE_SECONDS = 0.05
-RUN_LINE = "from corkcrank.gateway.opaque.program import main; main()"
+TESTS = Path(__file__).parent.parent
+RUN_LINE = (
+    f"import sys; sys.path.insert(0, {str(TESTS)!r}); from soak.node_program import main; main()"
+)
 WORKERS_OF_SERVICE = 3
 STAGES = [
     {"service": "encode", "since_revision": [], "byte_length": 100_000},
@@ -52,6 +56,7 @@
         links = loopback_address(LINK_HOST)
         self.callers = FaultLink(links, f"{self.ip}:{CALLER_PORT}")
         self.store = FaultLink(links, store, source_host=self.ip)
+        self.peers = FaultLink(self.ip, f"{self.ip}:{LAST_PEER_PORT}")
         self.misses = READINESS_MISSES
         self.down = False
         self.started_at = float("-inf")
@@ -104,6 +109,7 @@
         for node in self.nodes:
             await node.callers.start()
             await node.store.start()
+            await node.peers.start(FIRST_PEER_PORT)
             self.start_node(node)
         self._loops = [
             asyncio.create_task(self._watch_readiness()),
@@ -119,6 +125,7 @@
         for node in self.nodes:
             await node.callers.stop()
             await node.store.stop()
+            await node.peers.stop()
         for worker in self.workers:
             await self.end_worker(worker)
         await self.store.server.stop()
--- a/tests/soak/injector.py
+++ b/tests/soak/injector.py
@@ -9,7 +9,7 @@
 from node_world import route
 
 from soak.fleet import PLAIN_SERVICES, SERVICES, ZONES, AnyWorker, SoakFleet, SoakNode
-from soak.links import FaultLink, LinkTrouble
+from soak.links import FaultLink, LinkTrouble, Silence
 from soak.schedule import Fault, FaultKind
 from soak.workers import GREY_KINDS
 
@@ -59,6 +59,7 @@
             FaultKind.STORE_TURNS_AWAY: self._store_turns_away,
             FaultKind.WORKER_GREY: self._worker_grey,
             FaultKind.WORKER_CRASH: self._worker_crash,
+            FaultKind.KEPT_SILENT: self._kept_silent,
         }
 
     async def play(self, schedule: Sequence[Fault]) -> None:
@@ -170,6 +171,34 @@
         link.mend()
         self._ledger.disturbances.end(part)
 
+    async def _kept_silent(self, fault: Fault) -> None:
+        """Silence the kept connections of one link, of a kind of links, or all there are."""
+        targets = self._silence_targets(fault)
+        for part in {part for _, part in targets}:
+            self._ledger.disturbances.begin(part)
+        silence = tuple(Silence)[int(fault.strength * len(Silence))]
+        count = sum(link.silence_kept(silence) for link, _ in targets)
+        line = self.played.index(str(fault))
+        self.played[line] += f", {silence.value}, {count} connections of {len(targets)} links"
+        await asyncio.sleep(fault.seconds)
+        for part in {part for _, part in targets}:
+            self._ledger.disturbances.end(part)
+
+    def _silence_targets(self, fault: Fault) -> list[tuple[FaultLink, str]]:
+        """Return links, each with the part of the world that is disturbed."""
+        nodes, workers = self._fleet.nodes, self._fleet.workers
+        of_nodes = {
+            "callers": [(node.callers, node.name) for node in nodes],
+            "store": [(node.store, f"store of {node.name}") for node in nodes],
+            "peers": [(node.peers, "workers") for node in nodes],
+        }
+        of_workers = [(item.link, "workers") for item in workers if item.link is not None]
+        kinds = [*of_nodes.values(), of_workers]
+        everything = [target for links in kinds for target in links]
+        groups = [*kinds, *([_pick(links, fault.strength)] for links in kinds), everything]
+        chosen = groups[int(fault.choice * len(groups))]
+        return [target for target in chosen if target is not None]
+
     # The store
 
     async def _store_down(self, fault: Fault) -> None:
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -4,6 +4,8 @@
 import contextlib
 import socket
 import struct
+import time
+from dataclasses import dataclass
 from enum import Enum
 
 CHUNK_BYTES = 16_384
@@ -24,6 +26,42 @@
 BLOCKED_FROM_TARGET = {LinkTrouble.SILENT, LinkTrouble.CUT_FROM_TARGET}
 
 
+class Silence(Enum):
+    """In which directions the connections that are open lose every byte from now on."""
+
+    BOTH = "both ways"
+    TO_TARGET = "to target"
+    FROM_TARGET = "from target"
+
+
+@dataclass(eq=False)
+class _Passage:
+    """One connection's two directions, each lost for good or not.
+
+    ``used_at`` is when its client first sent something since then, ``left`` whether the
+    client has closed it.
+    """
+
+    lost_to_target: bool = False
+    lost_from_target: bool = False
+    used_at: float | None = None
+    left: bool = False
+
+    @property
+    def silent(self) -> bool:
+        """Return whether a request on it gets no answer any more."""
+        return self.lost_to_target or self.lost_from_target
+
+    def lose(self, silence: Silence) -> None:
+        """Lose what is sent from now on, the end of the connection too."""
+        self.lost_to_target |= silence is not Silence.FROM_TARGET
+        self.lost_from_target |= silence is not Silence.TO_TARGET
+
+    def lost(self, blocked: set[LinkTrouble]) -> bool:
+        """Return whether the direction that these troubles block is lost."""
+        return self.lost_to_target if blocked is BLOCKED_TO_TARGET else self.lost_from_target
+
+
 class FaultLink:
     """Forwards connections to ``target``; bytes that a cut holds up arrive when it is mended.
 
@@ -39,12 +77,14 @@
         self._delay = 0.0
         self._changed = asyncio.Event()
         self._server: asyncio.Server | None = None
+        self._passages: set[_Passage] = set()
+        self._mended_at = 0.0
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
-    async def start(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._accept, self._host, 0)
+    async def start(self, port: int = 0) -> None:
+        """Listen on a port, by default on a free one."""
+        self._server = await asyncio.start_server(self._accept, self._host, port)
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"{self._host}:{port}"
 
@@ -67,9 +107,35 @@
                 _reset(writer)
         self._note_change()
 
+    def silence_kept(self, silence: Silence) -> int:
+        """Have the connections that are open go silent for good; return how many they are.
+
+        Their bytes are acknowledged and lost; new connections pass.
+        """
+        for passage in self._passages:
+            passage.lose(silence)
+        self._note_change()
+        return len(self._passages)
+
+    def longest_unnoticed(self) -> float:
+        """Return for how long a client has waited on a silent connection that it used.
+
+        What a trouble of the whole link holds up is not counted.
+        """
+        if self._trouble is not None:
+            return 0.0
+        now = time.monotonic()
+        waits = [
+            now - max(passage.used_at, self._mended_at)
+            for passage in self._passages
+            if passage.used_at is not None and not passage.left
+        ]
+        return max(waits, default=0.0)
+
     def mend(self) -> None:
         """End the trouble."""
         self._trouble = None
+        self._mended_at = time.monotonic()
         self._note_change()
 
     def _note_change(self) -> None:
@@ -104,32 +170,60 @@
             _reset(writer)
             return
         self._writers.add(far_writer)
+        passage = _Passage()
+        self._passages.add(passage)
         try:
             async with asyncio.TaskGroup() as group:
-                group.create_task(self._pump(reader, far_writer, BLOCKED_TO_TARGET))
-                group.create_task(self._pump(far_reader, writer, BLOCKED_FROM_TARGET))
+                group.create_task(self._pump(passage, reader, far_writer, BLOCKED_TO_TARGET))
+                group.create_task(self._pump(passage, far_reader, writer, BLOCKED_FROM_TARGET))
         except* OSError:
             _reset(writer)
             _reset(far_writer)
         finally:
+            self._passages.discard(passage)
             self._writers.discard(far_writer)
             far_writer.close()
 
     async def _pump(
         self,
+        passage: _Passage,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         blocked: set[LinkTrouble],
     ) -> None:
+        try:
+            await self._pass_on(passage, reader, writer, blocked)
+        except OSError:
+            passage.left |= blocked is BLOCKED_TO_TARGET
+            # The reset of one side is lost as its bytes are.
+            if not passage.lost(blocked):
+                raise
+
+    async def _pass_on(
+        self,
+        passage: _Passage,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        blocked: set[LinkTrouble],
+    ) -> None:
+        from_client = blocked is BLOCKED_TO_TARGET
         while data := await reader.read(CHUNK_BYTES):
-            while self._trouble in blocked:
+            if passage.silent and from_client and passage.used_at is None:
+                passage.used_at = time.monotonic()
+            while self._trouble in blocked and not passage.lost(blocked):
                 await self._changed.wait()
             if self._trouble is LinkTrouble.DELAYED:
                 await asyncio.sleep(self._delay)
+            if passage.lost(blocked):
+                continue
             writer.write(data)
             await writer.drain()
-        while self._trouble in blocked:
+        if from_client:
+            passage.left = True
+        while self._trouble in blocked and not passage.lost(blocked):
             await self._changed.wait()
+        if passage.lost(blocked):
+            return
         # The other direction goes on until it ends by itself.
         with contextlib.suppress(OSError, RuntimeError):
             writer.write_eof()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import json
 import logging
 import random
 import shutil
@@ -19,6 +20,7 @@
 from soak.injector import Injector
 from soak.ledger import Ledger, Violation
 from soak.schedule import make_schedule
+from soak.silence_watch import SilenceWatch
 from soak.workers import SoakStageWorker
 
 ROUTE_USES = (
@@ -37,6 +39,7 @@
 CLIENTS = 16
 SECONDS = 20.0
 FAULT_LINE = "Process: fault."
+SILENCE_LINE = "Connection: dropped for silence."
 PLANNED_EVERY = 3
 """Every third seed plays planned work only, which must cut nothing."""
 
@@ -52,6 +55,7 @@
     faults: tuple[str, ...]
     longest_lag: float
     largest_bytes: int
+    silences: dict[str, int]
 
 
 async def soak(
@@ -73,11 +77,13 @@
     try:
         await fleet.start()
         users.start(clients)
+        watching = asyncio.create_task(SilenceWatch(fleet).run())
         await injector.play(make_schedule(seed, seconds, planned_only=planned_only))
         await _check_recovery(fleet, users)
         await users.stop()
         await _check_freed(fleet)
         await _check_processes(fleet)
+        watching.cancel()
     finally:
         result = _result(seed, fleet, injector)
         if keep is not None and result.violations:
@@ -140,6 +146,17 @@
         faults=tuple(injector.played),
         longest_lag=round(ledger.longest_lag, 3),
         largest_bytes=fleet.largest_bytes(),
+        silences=dict(sorted(_silences(fleet).items())),
+    )
+
+
+def _silences(fleet: SoakFleet) -> Counter[str]:
+    """Return how many connections the nodes dropped for silence, by kind."""
+    return Counter(
+        json.loads(line)["kind"]
+        for node in fleet.nodes
+        for line in fleet.processes.log_text(node.name).splitlines()
+        if SILENCE_LINE in line and line.startswith("{")
     )
 
 
@@ -191,7 +208,7 @@
         f"seed {result.seed}: {result.calls} calls, {len(result.faults)} faults, "
         f"{len(result.violations)} broken, lag {result.longest_lag} s, "
         f"largest node {result.largest_bytes >> 20} MB, "
-        f"{result.outcomes}",
+        f"dropped for silence {result.silences}, {result.outcomes}",
         flush=True,
     )
     for item in result.violations[:12]:
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -26,6 +26,7 @@
     STORE_TURNS_AWAY = "store turns a node away"
     WORKER_GREY = "worker fails some calls"
     WORKER_CRASH = "worker crashes"
+    KEPT_SILENT = "kept connections fall silent for good"
 
 
 PLANNED = (
@@ -37,15 +38,24 @@
 )
 """Work of operators, which must cut nothing."""
 
+DRAWN_APART = (FaultKind.KEPT_SILENT,)
+"""Kinds with a random source of their own, beside the others of a seed."""
+
 WEIGHTS = {FaultKind.WORKER_GREY: 4.0, FaultKind.WORKER_LINK: 2.0}
 """Kinds that come more often than others: a soak must hit each service a few times."""
 
+MEAN_SILENCE_PAUSE_SECONDS = 4.0
+"""Mean time between two moments at which kept connections fall silent."""
+
 MEAN_PAUSE_SECONDS = 0.9
 FAULT_SECONDS = (0.3, 4.5)
 SERIES_SHARE = 0.25
 SERIES_LENGTH = (2, 4)
 SERIES_PAUSE_SECONDS = 0.35
 QUIET_START_SECONDS = 1.0
+SILENCE_SECONDS = 2.0
+"""Time within which a node notices that the store, a peer or an idle worker's connection is
+silent, and for which it counts as disturbed: the longest of its bounds and some slack."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,7 +76,7 @@
 def make_schedule(seed: int, seconds: float, *, planned_only: bool) -> tuple[Fault, ...]:
     """Return the faults of a soak in the order of their times; some come in short series."""
     source = random.Random(f"schedule {seed}")
-    kinds = PLANNED if planned_only else tuple(FaultKind)
+    kinds = PLANNED if planned_only else tuple(k for k in FaultKind if k not in DRAWN_APART)
     weights = [WEIGHTS.get(kind, 1.0) for kind in kinds]
     faults: list[Fault] = []
     at = QUIET_START_SECONDS
@@ -84,4 +94,19 @@
             for number in range(count)
         ]
         at += source.expovariate(1.0 / MEAN_PAUSE_SECONDS)
+    if not planned_only:
+        faults += _silences(seed, seconds)
     return tuple(sorted(faults, key=lambda fault: fault.at))
+
+
+def _silences(seed: int, seconds: float) -> list[Fault]:
+    """Return when kept connections fall silent, on which links and in which direction."""
+    source = random.Random(f"silences {seed}")
+    faults = []
+    at = QUIET_START_SECONDS + source.expovariate(1.0 / MEAN_SILENCE_PAUSE_SECONDS)
+    while at < seconds:
+        faults.append(
+            Fault(FaultKind.KEPT_SILENT, at, SILENCE_SECONDS, source.random(), source.random())
+        )
+        at += source.expovariate(1.0 / MEAN_SILENCE_PAUSE_SECONDS)
+    return faults
--- /dev/null
+++ b/tests/soak/silence_watch.py
@@ -0,0 +1,45 @@
+"""Checks that nodes give silent connections up in time, from what the links see."""
+
+import asyncio
+import time
+from collections.abc import Iterator
+
+from soak.fleet import SoakFleet
+from soak.ledger import MACHINE
+from soak.links import FaultLink
+
+LOOK_SECONDS = 0.25
+
+
+class SilenceWatch:
+    """Looks at every link whose clients are nodes."""
+
+    def __init__(self, fleet: SoakFleet) -> None:
+        self._fleet = fleet
+
+    async def run(self) -> None:
+        """Look again and again, for ever; tell each link that breaks the promise once."""
+        told: set[str] = set()
+        while True:
+            for name, link, bound in self._links():
+                waited = link.longest_unnoticed()
+                late = waited - bound - self._fleet.ledger.loop_lag
+                if late > 0 and name not in told and not self._held_up(bound):
+                    told.add(name)
+                    self._fleet.ledger.violate("silence", f"{name}: {late:.2f} s too late")
+            await asyncio.sleep(LOOK_SECONDS)
+
+    def _links(self) -> Iterator[tuple[str, FaultLink, float]]:
+        bounds = self._fleet.bounds
+        for node in self._fleet.nodes:
+            yield f"store of {node.name}", node.store, bounds.silent_store
+            yield f"peers of {node.name}", node.peers, bounds.silent_peer
+        for worker in self._fleet.workers:
+            if worker.link is not None:
+                yield f"worker {worker.worker_id}", worker.link, bounds.silent_worker
+
+    def _held_up(self, bound: float) -> bool:
+        """Return whether any process could not run at some time within the bound."""
+        since = time.monotonic() - bound
+        parts = (MACHINE, *(node.name for node in self._fleet.nodes))
+        return any(self._fleet.ledger.disturbances.since(part, since) for part in parts)
