--- a/src/corkcrank/gateway/opaque/caller_server.py
+++ b/src/corkcrank/gateway/opaque/caller_server.py
@@ -24,6 +24,12 @@
 from corkcrank.gateway.opaque.listener_state import ListenerState
 from corkcrank.gateway.opaque.refusals import Refusal
 from corkcrank.links.closed_connections import closed_by_peer
+from corkcrank.links.silence import (
+    ConnectionKind,
+    SilenceListener,
+    SilentConnection,
+    ignore_silence,
+)
 
 SWEEP_SECONDS = 0.25
 """Time between looks at connections that rest, send their head too slowly or were closed."""
@@ -72,6 +78,12 @@
         self._begun_at = 0.0
         self._content: StreamReader | None = None
 
+    @property
+    def caller(self) -> str:
+        """Return the caller's ``ip:port``, empty once the connection is closed."""
+        name = self.peername
+        return f"{name[0]}:{name[1]}" if isinstance(name, tuple) else ""
+
     @property
     def busy(self) -> bool:
         """Return whether a request is being handled, or was read and will be next.
@@ -173,6 +185,12 @@
         self._content = None
         self.resting_since = time.monotonic()
 
+    def drop_unsent(self) -> None:
+        """Close without sending what the caller does not accept; closing would wait for it."""
+        if self.transport is not None:
+            self.transport.abort()
+        self.force_close()
+
 
 def seconds_since_close(request: web.BaseRequest) -> float:
     """Return how long ago the connection of a request was seen to end."""
@@ -195,6 +213,7 @@
         self._server = web.Server(self._handle, handler_cancellation=True)
         self._listener = CallerListener(self._connection, state, report)
         self._sweeper: asyncio.Task[None] | None = None
+        self.on_silence: SilenceListener = ignore_silence
 
     @property
     def in_flight(self) -> int:
@@ -264,4 +283,13 @@
                     if now - connection.head_since > limits.header_seconds:
                         connection.force_close()
                 elif now - connection.resting_since > limits.idle_seconds:
-                    connection.force_close()
+                    self._close_idle(connection, now)
+
+    def _close_idle(self, connection: CallerConnection, now: float) -> None:
+        """Close a connection that has rested, or accepted no bytes, for the longest time."""
+        if not connection.unsent_bytes:
+            connection.force_close()
+            return
+        waited = now - connection.resting_since
+        self.on_silence(SilentConnection(ConnectionKind.CALLER, connection.caller, waited))
+        connection.drop_unsent()
--- a/src/corkcrank/gateway/opaque/services.py
+++ b/src/corkcrank/gateway/opaque/services.py
@@ -12,6 +12,7 @@
 from corkcrank.gateway.opaque.worker_client import WorkerClient
 from corkcrank.links.decision_log import DecisionLog
 from corkcrank.links.platform_ports import PlatformPorts
+from corkcrank.links.silence import SilenceListener, ignore_silence
 from corkcrank.machines.fleet import Fleet
 from corkcrank.machines.store_mirror import StoreMirror
 from corkcrank.scheduling.engine_choice import EngineChooser
@@ -72,6 +73,7 @@
     bounds: NodeBoundSettings
     drain: DrainSchedule = field(default_factory=DrainSchedule)
     cutting: bool = False
+    note_silence: SilenceListener = ignore_silence
     first_event_times: MeanTimes = field(default_factory=MeanTimes)
     stream_times: StreamTimes = field(default_factory=StreamTimes)
     plain_times: MeanTimes = field(default_factory=MeanTimes)
--- a/src/corkcrank/gateway/opaque/stage_desk.py
+++ b/src/corkcrank/gateway/opaque/stage_desk.py
@@ -3,12 +3,17 @@
 import asyncio
 import time
 from collections.abc import Callable, Coroutine, Sequence
-from dataclasses import dataclass, field
 
 import msgspec
 
 from corkcrank.contracts.opaque_configuration import ServiceProfile
 from corkcrank.contracts.worker_records import WorkerRecord
+from corkcrank.gateway.opaque.owned_lane import (
+    AVOID_SECONDS,
+    FULL_BLOCK_SECONDS,
+    LEAST_TIMER_SECONDS,
+    OwnedLane,
+)
 from corkcrank.gateway.opaque.peer_protocol import StageAnswer, StageWork
 from corkcrank.gateway.opaque.stage_caller import StageCaller
 from corkcrank.gateway.opaque.stage_messages import describe, given_up, load_of, refuse, ticket_of
@@ -24,24 +29,6 @@
 from corkcrank.scheduling.stage_lane import StageCall, StageLane
 from corkcrank.scheduling.worker_choice import StandingBook
 
-AVOID_SECONDS = 1.5
-"""Time for which a worker whose call failed is avoided."""
-
-FULL_BLOCK_SECONDS = 0.08
-"""Pause after a worker said that it is full: another owner fills it too."""
-
-LEAST_TIMER_SECONDS = 0.005
-"""Least time until a queue is looked at again."""
-
-
-@dataclass(slots=True)
-class _Lane:
-    worker: WorkerRecord
-    lane: StageLane
-    room: WorkerRoom
-    timer: asyncio.TimerHandle | None = None
-    known_handles: dict[str, None] = field(default_factory=dict)
-
 
 class StageDesk:
     """Fills the batches of the stage workers that this gateway owns.
@@ -49,8 +36,8 @@
     Whoever sends work here is served, also when this gateway does not think itself the
     owner: views differ for a moment, and the worker's own queue bears two owners.
 
-    ``on_release`` is called with a step and the seconds from the moment at which a call gave
-    its pieces up: ``queued`` if none was at work, else ``stages`` when their batch ends.
+    ``on_release`` takes a step and the seconds since a call gave its pieces up: ``queued`` if
+    none was at work, else ``stages`` when their batch ends.
     """
 
     def __init__(
@@ -65,8 +52,8 @@
         self._book = book
         self._caller = StageCaller(codec, client)
         self._log = log
-        self._lanes: dict[str, _Lane] = {}
-        self._room = StageRoom(self._caller, log, self._spawn, self._room_changed)
+        self._lanes: dict[str, OwnedLane] = {}
+        self.room = StageRoom(self._caller, log, self._spawn, self._room_changed)
         self._futures: dict[int, asyncio.Future[PieceResult]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._refusing = False
@@ -131,7 +118,7 @@
             if worker is None or profile is None or profile.stage is None:
                 return
             entry = self._lane_of(worker, profile)
-        self._room.free(entry.room, handles)
+        self.room.free(entry.room, handles)
         self._pump(entry)
 
     def workers_changed(self) -> None:
@@ -150,17 +137,13 @@
         for entry in self._lanes.values():
             self._give_back(entry)
 
-    def _give_back(self, entry: _Lane) -> None:
+    def _give_back(self, entry: OwnedLane) -> None:
         for ticket in entry.lane.take_all():
             self._resolve(ticket, PieceResult(PieceOutcome.REFUSED))
 
-    async def settle(self, seconds: float) -> None:
-        """Let workers be told of results that were given up, for so many seconds at most."""
-        await self._room.settle(seconds)
-
     async def close(self) -> None:
         """Cancel what is at work, and begin nothing any more."""
-        self._room.close()
+        self.room.close()
         for entry in self._lanes.values():
             if entry.timer is not None:
                 entry.timer.cancel()
@@ -172,23 +155,23 @@
         configuration = self._mirror.configuration
         return configuration.service(service) if configuration is not None else None
 
-    def _lane_of(self, worker: WorkerRecord, profile: ServiceProfile) -> _Lane:
+    def _lane_of(self, worker: WorkerRecord, profile: ServiceProfile) -> OwnedLane:
         entry = self._lanes.get(worker.worker_id)
         assert profile.stage is not None
         if entry is None:
             lane = StageLane(profile.stage)
-            entry = _Lane(worker, lane, WorkerRoom(worker, lane))
+            entry = OwnedLane(worker, lane, WorkerRoom(worker, lane))
             self._lanes[worker.worker_id] = entry
-            self._room.ask(entry.room)
+            self.room.ask(entry.room)
         entry.lane.capacity = profile.stage
         return entry
 
-    def _drop_lane(self, worker_id: str, entry: _Lane) -> None:
+    def _drop_lane(self, worker_id: str, entry: OwnedLane) -> None:
         if entry.timer is not None:
             entry.timer.cancel()
         del self._lanes[worker_id]
 
-    def _submit(self, entry: _Lane, ticket: PieceTicket) -> asyncio.Future[PieceResult]:
+    def _submit(self, entry: OwnedLane, ticket: PieceTicket) -> asyncio.Future[PieceResult]:
         future: asyncio.Future[PieceResult] = asyncio.get_running_loop().create_future()
         self._futures[id(ticket)] = future
         entry.lane.submit(ticket)
@@ -196,7 +179,7 @@
 
     def _abandon(
         self,
-        entry: _Lane,
+        entry: OwnedLane,
         tickets: list[PieceTicket],
         futures: list[asyncio.Future[PieceResult]],
     ) -> None:
@@ -216,7 +199,7 @@
         for item in entries:
             asyncio.get_running_loop().call_later(LEAST_TIMER_SECONDS, self._pump, item)
 
-    def _pump(self, entry: _Lane) -> None:
+    def _pump(self, entry: OwnedLane) -> None:
         now = time.monotonic()
         for ticket in entry.lane.take_late(now):
             self._resolve(ticket, PieceResult(PieceOutcome.LATE))
@@ -225,7 +208,7 @@
             self._spawn(self._run(entry, call))
         self._set_timer(entry, now)
 
-    def _set_timer(self, entry: _Lane, now: float) -> None:
+    def _set_timer(self, entry: OwnedLane, now: float) -> None:
         if entry.timer is not None:
             entry.timer.cancel()
             entry.timer = None
@@ -234,7 +217,7 @@
             delay = max(LEAST_TIMER_SECONDS, at - now)
             entry.timer = asyncio.get_running_loop().call_later(delay, self._pump, entry)
 
-    def _siblings(self, entry: _Lane) -> list[_Lane]:
+    def _siblings(self, entry: OwnedLane) -> list[OwnedLane]:
         """Return the lanes here of the other workers of the same service and zone."""
         pool = (entry.worker.service, entry.worker.zone)
         return [
@@ -243,7 +226,7 @@
             if other is not entry and (other.worker.service, other.worker.zone) == pool
         ]
 
-    def _offer(self, entry: _Lane, profile: ServiceProfile) -> None:
+    def _offer(self, entry: OwnedLane, profile: ServiceProfile) -> None:
         """Have idle workers of the pool take pieces that wait for a busy one."""
         for worker in pool_of(self._mirror.workers, entry.worker).workers:
             if not entry.lane.waiting:
@@ -251,7 +234,7 @@
             if worker.worker_id != entry.worker.worker_id:
                 self._pump(self._lane_of(worker, profile))
 
-    def _take_over(self, entry: _Lane, now: float) -> None:
+    def _take_over(self, entry: OwnedLane, now: float) -> None:
         """Take over pieces that wait for busy workers, if this one is idle and sound."""
         standing = self._book.of(entry.worker.worker_id)
         unsound = standing.leaving or standing.avoid_until > now
@@ -270,7 +253,7 @@
         future.set_result(result)
         return True
 
-    async def _run(self, entry: _Lane, call: StageCall) -> None:
+    async def _run(self, entry: OwnedLane, call: StageCall) -> None:
         started = time.monotonic()
         outcome: list[PieceResult] | SendFailure | None = None
         try:
@@ -280,7 +263,7 @@
 
     def _finish(
         self,
-        entry: _Lane,
+        entry: OwnedLane,
         call: StageCall,
         outcome: list[PieceResult] | SendFailure | None,
         started: float,
@@ -314,18 +297,18 @@
             self._succeeded(entry, call, outcome)
         self._pump(entry)
 
-    def _turned_away(self, entry: _Lane, call: StageCall, now: float) -> None:
+    def _turned_away(self, entry: OwnedLane, call: StageCall, now: float) -> None:
         """Queue the pieces again for a worker that is full: another owner fills it too."""
         entry.lane.put_back(call.tickets)
         entry.lane.block(now, FULL_BLOCK_SECONDS)
         if self._leaving(entry):
             self.workers_changed()
 
-    def _leaving(self, entry: _Lane) -> bool:
+    def _leaving(self, entry: OwnedLane) -> bool:
         worker = self._mirror.workers.get(entry.worker.worker_id)
         return worker is None or worker.leaving
 
-    def _failed(self, entry: _Lane, call: StageCall, failure: SendFailure, now: float) -> None:
+    def _failed(self, entry: OwnedLane, call: StageCall, failure: SendFailure, now: float) -> None:
         standing = self._book.of(entry.worker.worker_id)
         standing.failures.append(now)
         standing.avoid_until = now + AVOID_SECONDS
@@ -342,7 +325,7 @@
         for ticket in entry.lane.take_all():
             self._resolve(ticket, PieceResult(PieceOutcome.REFUSED))
 
-    def _succeeded(self, entry: _Lane, call: StageCall, results: list[PieceResult]) -> None:
+    def _succeeded(self, entry: OwnedLane, call: StageCall, results: list[PieceResult]) -> None:
         orphans = []
         for ticket, result in zip(call.tickets, results, strict=True):
             if result.outcome is PieceOutcome.NO_ROOM:
@@ -354,7 +337,7 @@
         if orphans:
             self.free(entry.worker.worker_id, orphans)
         if any(result.outcome is PieceOutcome.NO_ROOM for result in results):
-            self._room.ask(entry.room)
+            self.room.ask(entry.room)
 
     def _room_changed(self, worker_id: str) -> None:
         entry = self._lanes.get(worker_id)
--- a/tests/platform/test_callers_leave_owners.py
+++ b/tests/platform/test_callers_leave_owners.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
+from typing import Any
 
 import msgspec
 import pytest
@@ -26,6 +27,7 @@
 
 from corkcrank.contracts.urgency import Urgency
 from corkcrank.gateway.opaque.node import Node
+from corkcrank.gateway.opaque.peer_client import PeerTrouble
 from corkcrank.gateway.opaque.peer_protocol import (
     ENGINE_TURN_PATH,
     PIECES_PATH,
@@ -241,16 +243,18 @@
         dispatch = two.running.nodes[two.other].services.dispatch
         worker = dispatch.worker(two.encode.worker_id)
         assert worker is not None
-        post = dispatch._post
+        post = dispatch._peers.ask
 
-        async def post_and_cancel(address: str, path: str, message: bytes) -> bytes | None:
-            body = await post(address, path, message)
+        async def post_and_cancel(
+            address: str, path: str, message: bytes | None = None, **options: Any
+        ) -> bytes | PeerTrouble:
+            body = await post(address, path, message, **options)
             if path == PIECES_PATH:
                 # The call is cancelled before it is told that the answer is there.
                 asyncio.get_running_loop().call_soon(call.cancel)
             return body
 
-        dispatch._post = post_and_cancel  # type: ignore[method-assign]
+        dispatch._peers.ask = post_and_cancel  # type: ignore[method-assign, assignment]
         call = asyncio.create_task(dispatch.make(worker, piece_work(two.encode)))
         with pytest.raises(asyncio.CancelledError):
             await call
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -5,6 +5,7 @@
 import signal
 import time
 from collections.abc import Iterable
+from pathlib import Path
 from typing import Any
 
 import aiohttp
@@ -36,10 +37,11 @@
 """Descriptors of a node's process: a third of them for callers' connections."""
 
 MEMORY_MB = 300
+TESTS = Path(__file__).parent.parent
 RUN_LINE = (
-    "import resource; "
+    "import resource, sys; "
     f"resource.setrlimit(resource.RLIMIT_NOFILE, ({DESCRIPTORS}, {DESCRIPTORS})); "
-    "from corkcrank.gateway.opaque.program import main; main()"
+    f"sys.path.insert(0, {str(TESTS)!r}); from soak.node_program import main; main()"
 )
 WORKERS_OF_SERVICE = 3
 STAGES = [
@@ -62,6 +64,7 @@
         self.caller_address = f"{self.ip}:{CALLER_PORT}"
         self.callers = FaultLink(links, self.caller_address)
         self.store = FaultLink(links, store, source_host=self.ip)
+        self.peers = FaultLink(self.ip, f"{self.ip}:{LAST_PEER_PORT}")
         self.misses = READINESS_MISSES
         self.down = False
         self.started_at = float("-inf")
@@ -116,6 +119,7 @@
         for node in self.nodes:
             await node.callers.start()
             await node.store.start()
+            await node.peers.start(FIRST_PEER_PORT)
             self.start_node(node)
         self.watches = [self._accept_watch(node) for node in self.nodes]
         self._loops = [
@@ -133,6 +137,7 @@
         for node in self.nodes:
             await node.callers.stop()
             await node.store.stop()
+            await node.peers.stop()
         for worker in self.workers:
             await self.end_worker(worker)
         await self.store.server.stop()
--- a/tests/soak/test_ledger.py
+++ b/tests/soak/test_ledger.py
@@ -202,3 +202,14 @@
         unready.judge(False, moment - 0.5, float(moment))
         down.judge(False, moment - 0.5, float(moment))
     assert ledger.violations == []
+
+
+def test_a_late_answer_is_excused_on_a_silent_connection_only(ledger: Ledger) -> None:
+    # A stream's answer came on a connection that was silent to the node; the next call on it
+    # was lost 6 s after the silence, as no node can know.
+    ledger.silent_clients.add(("127.0.0.1", 5))
+    for port in (5, 6):
+        call = sent(ledger)
+        call.client = ("127.0.0.1", port)
+        ledger.answered(call, Answer(0, {}, b"", False, call.due_at + 2.0))
+    assert promises(ledger) == ["in time"]
