--- a/src/corkcrank/cli/operator.py
+++ b/src/corkcrank/cli/operator.py
@@ -241,8 +241,7 @@
 
     Example: corkcrank stops logs/*.log
     """
-    report = report_stops(read_all(files))
-    if not report.stops:
+    if not (report := report_stops(read_all(files))).stops:
         typer.echo("no planned stop in these files", err=True)
         raise typer.Exit(ExitCode.NOT_FOUND)
     for line in stop_lines(report):
--- a/src/corkcrank/gateway/opaque/stage_desk.py
+++ b/src/corkcrank/gateway/opaque/stage_desk.py
@@ -33,11 +33,10 @@
 class StageDesk:
     """Fills the batches of the stage workers that this gateway owns.
 
-    Whoever sends work here is served, also when this gateway does not think itself the
-    owner: views differ for a moment, and the worker's own queue bears two owners.
+    Whoever sends work here is served, also by a gateway that does not think itself the owner:
+    views differ for a moment, and the worker's own queue bears two.
 
-    ``on_release`` takes a step and the seconds since a call gave its pieces up: ``queued`` if
-    none was at work, else ``stages`` when their batch ends.
+    ``on_release`` takes a step, ``queued`` or ``stages``, and the seconds since a call left it.
     """
 
     def __init__(
