A repeatable plain call waits by what was measured, and not by half of its objective

Cause: a window set to a part of the target: a silent worker held calls for half of their objective (0.75 s of 1.5 s) although it usually answers in milliseconds.

Ruled out: no least time at all: a lag of the loop would then count as silence.

Change: five times the mean answer time, 0.15 s at the least.

Before and after: a test with the stand-ins, 0.75 s before, below 0.6 s after.

--- a/src/corkcrank/gateway/opaque/plain_run.py
+++ b/src/corkcrank/gateway/opaque/plain_run.py
@@ -19,7 +19,7 @@
 """A repeatable call is tried elsewhere after this multiple of the mean answer time."""
 
 LEAST_SILENCE_SECONDS = 0.15
-"""It is never tried elsewhere earlier than this, nor than half of its objective."""
+"""It is never tried elsewhere earlier than this: three lags of a busy loop (0.05 s)."""
 
 LONGEST_TIME_FACTOR = 10.0
 """A stopping gateway takes an unrepeatable call if this multiple of the mean answer time is
@@ -153,8 +153,7 @@
         if not self._services.could_repeat(self._call.service):
             return left
         usual = self._services.plain_times.of(self._call.service, PLAIN_SECONDS)
-        least = max(LEAST_SILENCE_SECONDS, self._call.route.objective / 2)
-        return min(left, max(least, SILENCE_FACTOR * usual))
+        return min(left, max(LEAST_SILENCE_SECONDS, SILENCE_FACTOR * usual))
 
     def _repeatable_elsewhere(self, under_way: int = 0) -> bool:
         """Return whether another attempt may follow; ``under_way`` ones are not counted yet."""
--- a/tests/platform/test_plain_calls.py
+++ b/tests/platform/test_plain_calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 from collections import deque
 
 import pytest
@@ -168,3 +169,22 @@
         await asyncio.sleep(0.9)
         hold.set()
         assert (await call).status == 200
+
+
+async def test_a_repeatable_call_waits_by_what_was_measured_and_not_by_its_objective() -> None:
+    """A silent worker held calls for half of their objective, here 0.75 s."""
+    served = workers()
+    async with world(configuration(1, ROUTES), served) as running:
+        for _ in range(20):
+            await (await running.call("/safe/x")).read()
+        candidates = [worker for worker, _ in served.values()]
+        for worker in candidates:
+            worker.faults.append("hang")
+        call = asyncio.create_task(running.call("/safe/x"))
+        await until(lambda: not all(worker.faults for worker in candidates))
+        for worker in candidates:
+            worker.faults.clear()
+        silent_at = time.monotonic()
+        response = await call
+        assert response.status == 200
+        assert time.monotonic() - silent_at < 0.6
