An asker that has gone is no fault of the gateway

Cause: the check that nothing is done for a gateway which has taken its question back raises a connection error; the library logs it with a traceback as a fault of the handler.

Ruled out: a fault of the handler: the questions had all been given up by their askers.

Change: the peer server answers such a question, which nobody reads.

Before and after: the test of questions given up unread asserts that nothing is logged as a fault; it failed before.

--- a/src/corkcrank/gateway/opaque/peer_server.py
+++ b/src/corkcrank/gateway/opaque/peer_server.py
@@ -96,6 +96,9 @@
             return await handler(request)
         except msgspec.DecodeError as error:
             return web.Response(status=400, text=str(error))
+        except ConnectionError:
+            # Nobody reads this answer; the library would log the error as a fault.
+            return web.Response(status=503)
 
     async def _pieces(self, request: web.BaseRequest) -> web.StreamResponse:
         work = msgspec.msgpack.decode(await self._read(request), type=StageWork)
--- a/tests/platform/test_callers_leave_owners.py
+++ b/tests/platform/test_callers_leave_owners.py
@@ -174,7 +174,9 @@
         assert not owner._peer_server._engine_desk._turns.reading(time.monotonic())
 
 
-async def test_pieces_asked_for_by_a_gateway_that_gave_up_unread_are_not_made() -> None:
+async def test_pieces_asked_for_by_a_gateway_that_gave_up_unread_are_not_made(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
     """Pieces went out to their worker in the turn in which the owner read the question.
 
     The close that had come with it was seen a turn later.
@@ -189,6 +191,7 @@
         await until(lambda: time.monotonic() > left_at + LEAVE_SECONDS)
         assert not two.encode.calls
         assert two.waiting() == 0
+        assert caplog.records == [], "an asker that has gone is no fault"
 
 
 def piece_work(worker: StandinStageWorker) -> StageWork:
