A call read as an idle drain ends is served, and not given up

Cause: a drain that finds nothing in flight ends early. What was read in that moment was given up at once by the step that answers what is left when the grace is over: two calls of planned restarts were answered 504 after 0.04 and 0.06 s, with 2.9 and 2.5 s of the grace left.

Ruled out: the workers (both had the calls and were at work), the schedule (answer_by lay seconds ahead).

Change: after it has stopped listening a drain reads what has come, and goes on as before while anything is in flight; only after its end are calls without an answer given up.

Before and after: a test that sends a call in that moment: 504 before, its worker's answer after.

--- a/src/corkcrank/gateway/opaque/drain.py
+++ b/src/corkcrank/gateway/opaque/drain.py
@@ -197,7 +197,13 @@
             self._look(schedule, time.monotonic())
             await asyncio.sleep(CHECK_SECONDS)
         self._callers.stop_listening()
-        await self._write_answers()
+        answers_until = max(schedule.stop_at, time.monotonic()) + ANSWER_RESERVE_SECONDS
+        # Requests that came meanwhile are read now, and served like those before them.
+        await asyncio.sleep(CHECK_SECONDS)
+        while self._pending(schedule, time.monotonic(), answers_until):
+            self._callers.close_resting(0.0)
+            self._look(schedule, time.monotonic())
+            await asyncio.sleep(CHECK_SECONDS)
 
     def _look(self, schedule: DrainSchedule, now: float) -> None:
         self._callers.close_resting(RESTING_CLOSE_SECONDS)
@@ -213,11 +219,9 @@
         busy = self._callers.in_flight or self._peers.busy
         return now >= schedule.stop_at or (now >= schedule.streams_until and not busy)
 
-    async def _write_answers(self) -> None:
-        """Answer what came last: requests whose handlers have not begun, and a late drain."""
-        give_up = time.monotonic() + ANSWER_RESERVE_SECONDS
-        while time.monotonic() < give_up:
-            self._open_calls.end_unanswered()
-            await asyncio.sleep(CHECK_SECONDS)
-            if not self._open_calls.unanswered and not self._callers.unbegun:
-                break
+    def _pending(self, schedule: DrainSchedule, now: float, answers_until: float) -> bool:
+        """Return whether callers still wait; after the drain's end only for an answer at all."""
+        if now < schedule.stop_at:
+            return self._callers.in_flight > 0
+        unanswered = self._open_calls.unanswered or self._callers.unbegun
+        return bool(unanswered) and now < answers_until
--- a/tests/platform/test_stop_ends.py
+++ b/tests/platform/test_stop_ends.py
@@ -147,6 +147,35 @@
         keeps_it_open.close()
 
 
+async def test_a_call_read_as_an_idle_drain_ends_is_served() -> None:
+    """Calls of planned restarts were given up after 0.04 s, with 2.9 s of the grace left.
+
+    A drain that finds nothing in flight ends early; a call was read in that moment.
+    """
+    plain = StandinWorker(hold=asyncio.Event())
+    served = {"p": (plain, "plain")}
+    async with world(configuration(1, ROUTES), served, grace=2 * GRACE) as running:
+        node = running.nodes[0]
+        stopped = asyncio.create_task(node.stop())
+        await until(lambda: node.life.draining)
+        late_at = node.services.drain.streams_until - 0.1
+        await until(lambda: time.monotonic() > late_at)
+        reader, writer = await opened(running)
+        stop_listening = node.callers.stop_listening
+
+        def send_then_stop() -> None:
+            writer.write(head("/plain/x", "Content-Length: 0"))
+            stop_listening()
+
+        node.callers.stop_listening = send_then_stop  # type: ignore[method-assign]
+        await until(lambda: bool(plain.seen))
+        node.callers.stop_listening = stop_listening  # type: ignore[method-assign]
+        asyncio.get_running_loop().call_later(STALL_SECONDS, plain.hold.set)
+        assert (await reader.readline()).startswith(b"HTTP/1.1 200")
+        await stopped
+        writer.close()
+
+
 async def test_an_answer_that_its_caller_reads_slowly_is_written_to_the_end() -> None:
     worker = StandinWorker()
 
