--- a/tests/platform/node_world.py
+++ b/tests/platform/node_world.py
@@ -137,6 +137,14 @@
         )
 
 
+async def stop(running: World) -> asyncio.Task[None]:
+    """Have the first gateway stop; return its stop once the drain has begun."""
+    node = running.nodes[0]
+    task = asyncio.create_task(node.stop())
+    await until(lambda: node.life.draining)
+    return task
+
+
 def settings_for(
     ip: str, zone: str, store: str, seeds: tuple[str, ...], **bounds: Any
 ) -> NodeSettings:
--- a/tests/platform/test_drain_admission.py
+++ b/tests/platform/test_drain_admission.py
@@ -5,7 +5,7 @@
 from contextlib import asynccontextmanager
 
 import aiohttp
-from node_world import World, configuration, route, until, world
+from node_world import World, configuration, route, stop, until, world
 from platform_standins import StandinStageWorker, StandinWorker
 
 GRACE = 2.4
@@ -53,13 +53,6 @@
         yield running, model, encode
 
 
-async def stop(running: World) -> asyncio.Task[None]:
-    node = running.nodes[0]
-    task = asyncio.create_task(node.stop())
-    await until(lambda: node.life.draining)
-    return task
-
-
 async def test_a_stream_that_outlasts_the_grace_is_refused_at_once() -> None:
     async with stopping_soon() as (running, model, _):
         stopped = await stop(running)
--- a/tests/platform/test_late_stop.py
+++ b/tests/platform/test_late_stop.py
@@ -19,7 +19,7 @@
 
 import aiohttp
 import pytest
-from node_world import World, configuration, route, until, world
+from node_world import configuration, route, stop, until, world
 from platform_standins import StandinStageWorker, StandinWorker
 
 from corkcrank.links.decision_log import LogEvent
@@ -47,13 +47,6 @@
 CHAIN_PIECES = {**PIECES, "X-Corkcrank-Segments": "1,1"}
 
 
-async def stop(running: World) -> asyncio.Task[None]:
-    node = running.nodes[0]
-    task = asyncio.create_task(node.stop())
-    await until(lambda: node.life.draining)
-    return task
-
-
 async def test_a_stream_read_late_after_the_signal_is_refused_whatever_was_learned() -> None:
     engine, plain = StandinWorker(events=EVENTS, gap=USUAL_GAP), StandinWorker()
     served = {"m": (engine, "model"), "p": (plain, "plain")}
--- a/tests/platform/test_stop_ends.py
+++ b/tests/platform/test_stop_ends.py
@@ -132,9 +132,10 @@
         hold_at = node.services.drain.stop_at - STALL_SECONDS / 2
         await until(lambda: time.monotonic() > hold_at - 0.05)
         host, port = running.address().rsplit(":", 1)
+        before = len(node.callers.connections())
         caller = socket.create_connection((host, int(port)))
         caller.settimeout(5.0)
-        await asyncio.sleep(0.02)
+        await until(lambda: len(node.callers.connections()) > before)
         send = threading.Thread(
             target=caller.sendall, args=(head("/plain/x", "Content-Length: 0"),)
         )
