An engine is freed also where a caller is lost in the middle of a write

Cause: a close of the caller's connection shows as a cancellation, or, when a token is written in the same moment, as an error of that write. Only the first told the engine; on the second the stream from the engine stayed open, and it generated all its tokens for nobody. This is a fault of the gateway of the own interface, behind the known red test test_engine_work_ends_when_the_caller_leaves. Ruled out: a slow report of the engine (its tokens went on growing, 341 to 934 in 10 s, while the gateway had nothing in flight); the gateway's own cancellation (its log has the error of the write). Change: an error of the write cancels at the engine too, and the stream from the engine is closed at once and not when it is collected.

--- a/src/corkcrank/gateway/pipeline_run.py
+++ b/src/corkcrank/gateway/pipeline_run.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncGenerator, Awaitable, Callable
+from contextlib import aclosing
 from dataclasses import dataclass, field
 
 from corkcrank.contracts.configuration import (
@@ -18,7 +19,7 @@
     WorkerId,
     new_attempt_id,
 )
-from corkcrank.contracts.messages import GenerateCall, Passage, StageAnswer, StageCall
+from corkcrank.contracts.messages import GenerateCall, Passage, StageAnswer, StageCall, TokenChunk
 from corkcrank.contracts.result_codes import Failure
 from corkcrank.gateway import metrics
 from corkcrank.gateway.admission import StageTimes
@@ -247,8 +248,9 @@
                 metrics.DROPPED_ANSWERS.labels(stage.service).inc()
                 await self.dispatcher.back_ends.cancel(address, send.attempt)
                 return AttemptBroken(send.attempt)
-            except asyncio.CancelledError:
-                # The caller has gone: free the engine's slot before leaving.
+            except (asyncio.CancelledError, ConnectionError):
+                # The caller has gone: free the engine's slot before leaving. Its close shows
+                # as a cancellation, or as an error of the write of a token that came first.
                 await asyncio.shield(self.dispatcher.back_ends.cancel(address, send.attempt))
                 raise
         return AttemptAnswered(send.attempt)
@@ -266,8 +268,23 @@
         scale = self.max_tokens / self.pipeline.max_tokens
         usual = times.seconds * scale if self.gives_up_early else 0.0
         pace = DecodePace(usual, self.max_tokens)
-        chunks = self.dispatcher.back_ends.generate(address, call, remaining).__aiter__()
-        while not assembler.complete:
+        chunks = self.dispatcher.back_ends.generate(address, call, remaining)
+        async with aclosing(chunks):
+            last = await self._take_chunks(chunks, call, assembler, pace)
+        self._charge(stage, service, last.busy_seconds)
+        if pace.measured_seconds is not None:
+            times.record(pace.measured_seconds / scale)
+            self.times[stage.service].record(pace.measured_seconds)
+
+    async def _take_chunks(
+        self,
+        chunks: AsyncGenerator[TokenChunk, None],
+        call: GenerateCall,
+        assembler: StreamAssembler,
+        pace: DecodePace,
+    ) -> TokenChunk:
+        """Pass on an attempt's tokens as they come, and return its last chunk."""
+        while True:
             slack = pace.slack_seconds(self.deadline - time.monotonic(), assembler.offset)
             if slack <= 0.0:
                 raise TooLateError
@@ -284,10 +301,8 @@
             if assembler.accept(chunk):
                 pace.note_token(time.monotonic())
                 await self.sink(chunk.index, chunk.token)
-        self._charge(stage, service, chunk.busy_seconds)
-        if pace.measured_seconds is not None:
-            times.record(pace.measured_seconds / scale)
-            self.times[stage.service].record(pace.measured_seconds)
+            if assembler.complete:
+                return chunk
 
 
 def stage_key(pipeline: Pipeline, stage: Stage) -> str:
--- a/src/corkcrank/links/back_ends.py
+++ b/src/corkcrank/links/back_ends.py
@@ -4,7 +4,7 @@
 :class:`Broken` for anything later. Nothing here retries.
 """
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from dataclasses import dataclass
 from typing import TypeVar
 
@@ -102,7 +102,7 @@
 
     async def generate(
         self, address: str, call: GenerateCall, timeout: float
-    ) -> AsyncIterator[TokenChunk]:
+    ) -> AsyncGenerator[TokenChunk, None]:
         """Yield an engine's chunks; raises :class:`BackEndError` when cut."""
         sent = False
         try:
--- a/tests/processes/test_caller_leaves.py
+++ b/tests/processes/test_caller_leaves.py
@@ -44,7 +44,7 @@
                 "Corkcrank-Deadline-Ms": "60000",
             },
         ) as response:
-            assert response.status == 200
+            assert response.status == 200, await response.read()
             await response.content.readline()
             while await running(cluster) == 0:
                 await asyncio.sleep(0.02)
