A local cluster is ready only when its stand-ins take connections

Cause: the cluster waited for the directory of back ends, which comes from the platform's list and not from the stand-ins. One that was still importing refused connections, four attempts ended within milliseconds, and the first calls got 3003 with Retry-After 1: the 503 of the known red test_engine_work_ends_when_the_caller_leaves and the 3003 of test_whole_answers. Ruled out: models not loaded (they are given at the start), a lapsed configuration (the code would be another one), a pause of the gateway (all eight calls of a test ended so). Change: the cluster waits until every back end answers its load report.

--- a/src/corkcrank/load/local_cluster.py
+++ b/src/corkcrank/load/local_cluster.py
@@ -244,6 +244,9 @@
         await self._wait_answering(f"http://{self.controllers()[0].peer_address}/operator/status")
         await self._wait_answering(f"http://{self.machine_list}/machines")
         await self._wait_answering(f"http://{self.table}/counters")
+        # The list names back ends that do not listen yet; calls to them would be refused.
+        for worker in self.worker_addresses.values():
+            await self._wait_answering(f"http://{worker}/v1/load")
         await self.apply(ReplaceConfiguration(self.deployment.configuration()))
         await self.wait_ready([item.name for item in self.gateways()])
         await self._wait_workers_known()
