A node's steady work does not grow with the fleet, and a start reads no certificates

(2) The HTTP library reads all trusted certificates at import (0.10 s of 0.43 s), and collections ran while modules came in (0.03 s). Ruled out: compiling at a start (byte code is there), site packages (no gain without them), decoding heartbeats (9 us each). Change: views hold until members join, leave, change phase or are suspected, with sums kept up as heartbeats come; whether anybody is ahead is one comparison; no certificates and no collections during the imports. Members and views are modules of their own. Figures: asking for all of it, 8 against 400 members: 33 us and 731 us before, 2.3 us both now (a test holds the ratio).

--- a/src/corkcrank/gateway/opaque/heartbeats.py
+++ b/src/corkcrank/gateway/opaque/heartbeats.py
@@ -23,6 +23,7 @@
 from corkcrank.machines.fleet import RUN_NOTE_SECONDS, Fleet
 from corkcrank.machines.heartbeat import CallLoad, Heartbeat, SentPrefix, ServiceBacklog
 from corkcrank.machines.heartbeat_codec import decode_heartbeat, encode_heartbeat
+from corkcrank.machines.members import Member
 from corkcrank.machines.store_mirror import StoreMirror
 from corkcrank.machines.store_word import StoreWord, ToldStoreWord, newest_word
 from corkcrank.machines.worker_news import WorkerNews
@@ -264,21 +265,18 @@
                 age = now - member.heard_at if member is not None else None
                 self._log.write(LogEvent.MEMBER_SUSPECTED, member=name, silent=age)
 
-    def _lags(self, table: StoreTable, behind: bool, limit: float, now: float) -> bool:
-        """Return whether this gateway has been behind a peer for ``limit`` seconds."""
-        if not behind:
+    def _lags(self, table: StoreTable, ahead: Member | None, limit: float, now: float) -> bool:
+        """Return whether some peer has been ahead of this gateway for ``limit`` seconds."""
+        if ahead is None:
             self._behind_since.pop(table, None)
             return False
         return now - self._behind_since.setdefault(table, now) >= limit
 
     async def _pull_configuration(self, now: float) -> None:
-        member = self._fleet.newest_configuration(now)
-        behind = (
-            member is not None and member.heartbeat.configuration_version > self._mirror.version
-        )
+        member = self._fleet.ahead_in_configuration(self._mirror.version, now)
         follows = self._mirror.version and self._mirror.on_duty(StoreTable.CONFIGURATION)
         limit = CONFIGURATION_LAG_SECONDS if follows else 0.0
-        if not self._lags(StoreTable.CONFIGURATION, behind, limit, now) or member is None:
+        if not self._lags(StoreTable.CONFIGURATION, member, limit, now) or member is None:
             return
         body = await self._peers.ask(member.heartbeat.address, CONFIGURATION_PATH, repeat=True)
         if isinstance(body, PeerTrouble):
@@ -290,12 +288,9 @@
                 self.pass_on_soon()
 
     async def _pull_workers(self, now: float) -> None:
-        member = self._fleet.newest_workers(now)
-        behind = (
-            member is not None and member.heartbeat.workers_revision > self._mirror.workers.revision
-        )
+        member = self._fleet.ahead_in_workers(self._mirror.workers.revision, now)
         limit = WORKERS_LAG_SECONDS if self._mirror.workers_known else 0.0
-        if not self._lags(StoreTable.WORKERS, behind, limit, now) or member is None:
+        if not self._lags(StoreTable.WORKERS, member, limit, now) or member is None:
             return
         body = await self._peers.ask(member.heartbeat.address, WORKERS_PATH, repeat=True)
         if isinstance(body, PeerTrouble):
--- a/src/corkcrank/gateway/opaque/peer_client.py
+++ b/src/corkcrank/gateway/opaque/peer_client.py
@@ -11,7 +11,7 @@
     SilentConnection,
     drop_idle,
 )
-from corkcrank.machines.fleet import PROBE_PATIENCE_SECONDS, PROBED_AFTER_SECONDS
+from corkcrank.machines.members import PROBE_PATIENCE_SECONDS, PROBED_AFTER_SECONDS
 
 PEER_CONNECT_SECONDS = 0.3
 """Longest wait for a connection to a peer."""
--- a/src/corkcrank/gateway/opaque/program.py
+++ b/src/corkcrank/gateway/opaque/program.py
@@ -4,6 +4,8 @@
 must not end it with a fault.
 """
 
+import gc
+import os
 import signal
 import sys
 from types import FrameType
@@ -14,11 +16,27 @@
     # The settings file is read after this; a change that was signalled before is not missed.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     signal.signal(signal.SIGTERM, _end_before_serving)
+    _skip_certificates()
+    # What is imported lives as long as the process: collections while it comes in find
+    # nothing, and cost 0.03 s of the 0.43 s of a core that the imports took.
+    gc.disable()
     from corkcrank.gateway.opaque.node_process import serve
 
+    gc.freeze()
+    gc.enable()
     serve(sys.argv[1:])
 
 
+def _skip_certificates() -> None:
+    """Have no certificates read at import: a node speaks no TLS.
+
+    The HTTP library reads all that the machine trusts when it is imported, which took 0.10 s
+    of a core, a quarter of a start (profile of the imports).
+    """
+    os.environ["SSL_CERT_FILE"] = os.devnull
+    os.environ["SSL_CERT_DIR"] = os.devnull
+
+
 def _end_before_serving(number: int, frame: FrameType | None) -> None:
     raise SystemExit(0)
 
--- a/src/corkcrank/machines/fleet.py
+++ b/src/corkcrank/machines/fleet.py
@@ -5,13 +5,14 @@
 is handed in.
 """
 
-from collections.abc import Iterable
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterable
 
 from corkcrank.contracts.rendezvous import rendezvous_weight
 from corkcrank.links.platform_ports import StoreTable
-from corkcrank.machines.heartbeat import Heartbeat, Phase, ServiceBacklog
-from corkcrank.machines.store_word import StoreWord, ToldStoreWord, newer_word
+from corkcrank.machines.fleet_view import FleetView
+from corkcrank.machines.heartbeat import Heartbeat, Phase
+from corkcrank.machines.members import FORGET_SECONDS, Member
+from corkcrank.machines.store_word import StoreWord, newer_word
 
 HEARTBEAT_SECONDS = 0.25
 """Time between heartbeats in a small fleet."""
@@ -27,21 +28,6 @@
 LENGTH_WEIGHT = 0.05
 """Weight of the newest heartbeat in the mean length."""
 
-SUSPECT_HEARTBEATS = 4.0
-"""A member is suspected after this many heartbeats without a word."""
-
-PROBE_SECONDS = 0.25
-"""Time between probes of a silent member that this one waits for."""
-
-PROBED_AFTER_SECONDS = 0.6
-"""A member that this one waits for is probed after this silence."""
-
-PROBE_PATIENCE_SECONDS = 1.0
-"""A member is suspected if this long after the first probe there is no word of it."""
-
-VIEW_SECONDS = 0.05
-"""Time for which owners and sums that were worked out of the members' words are kept."""
-
 RUN_NOTE_SECONDS = 0.1
 """Time between two notes that this process runs: less than half a heartbeat's interval, so
 that a note which is a little late is not taken for a pause."""
@@ -50,80 +36,11 @@
 """A longer time without a note is a pause of this process; it counts as one missed heartbeat
 of each member, so that a dead one is suspected also by a process that pauses again and again."""
 
-FORGET_SECONDS = 60.0
-"""A silent member is still told heartbeats for this long, so that a cut heals."""
-
 SMALLEST_FLEET = 4
 """Members assumed for shares as long as fewer are known, e.g. right after a start."""
 
 
-@dataclass(slots=True)
-class Member:
-    """Another gateway as heard last; times are of the own monotonic clock.
-
-    ``probed_at`` is when it was first probed since it was heard, ``next_probe_at`` when
-    it may be probed again. ``excused`` are the seconds since it was heard in which this
-    process was paused and could hear nobody.
-    """
-
-    heartbeat: Heartbeat
-    heard_at: float
-    probed_at: float | None = None
-    next_probe_at: float = 0.0
-    excused: float = 0.0
-
-    def silence(self, now: float) -> float:
-        """Return for how long it has not been heard while this process ran."""
-        return now - self.heard_at - self.excused
-
-    def excuse(self, seconds: float) -> None:
-        """Leave a pause of this process out of the silence, and of the wait for a probe."""
-        self.excused += seconds
-        if self.probed_at is not None:
-            self.probed_at += seconds
-
-    def suspected(self, now: float) -> bool:
-        """Return whether it has been silent for too long, or has not answered probes."""
-        if self.probed_at is not None and now - self.probed_at > PROBE_PATIENCE_SECONDS:
-            return True
-        return self.silence(now) > SUSPECT_HEARTBEATS * self.heartbeat.interval
-
-    def may_be_probed(self, now: float) -> bool:
-        """Return whether it has been silent for long enough, and not just probed."""
-        return self.silence(now) > PROBED_AFTER_SECONDS and now >= self.next_probe_at
-
-    def store_word(self, table: StoreTable) -> ToldStoreWord:
-        """Return the newest answer of the store about a table that the member knew of."""
-        beat = self.heartbeat
-        return beat.workers_word if table is StoreTable.WORKERS else beat.configuration_word
-
-
-@dataclass(slots=True)
-class _View:
-    """What follows from the members' words: who serves where, and what is asked for.
-
-    Calls ask for it many times; it is worked out once for all calls of a moment.
-    """
-
-    until: float
-    serving: dict[str, list[str]] = field(default_factory=dict)
-    all_serving: list[str] = field(default_factory=list)
-    owners: dict[tuple[str, str], str] = field(default_factory=dict)
-    pieces: dict[str, dict[tuple[int, int], int]] = field(default_factory=dict)
-    rates: dict[str, dict[tuple[int, int], float]] = field(default_factory=dict)
-
-    def add_serving(self, name: str, zone: str) -> None:
-        """Count a member that serves."""
-        self.serving.setdefault(zone, []).append(name)
-        self.all_serving.append(name)
-
-    def add_backlogs(self, backlogs: Iterable[ServiceBacklog]) -> None:
-        """Add what a member's calls will still ask for."""
-        for item in backlogs:
-            pieces = self.pieces.setdefault(item.service, {})
-            rates = self.rates.setdefault(item.service, {})
-            pieces[item.rank] = pieces.get(item.rank, 0) + item.pieces
-            rates[item.rank] = rates.get(item.rank, 0.0) + item.rate
+_NEVER = float("-inf")
 
 
 class Fleet:
@@ -138,7 +55,9 @@
         self._unheard: dict[str, float] = {}
         self._heartbeat_bytes = FIRST_HEARTBEAT_BYTES
         self._store_words: dict[StoreTable, StoreWord] = {}
-        self._view = _View(until=float("-inf"))
+        self._view = FleetView(until=_NEVER)
+        self._told_version = 0
+        self._told_revision = 0
         self._ran_at: float | None = None
         self._paused = 0.0
 
@@ -150,7 +69,7 @@
     @own_phase.setter
     def own_phase(self, phase: Phase) -> None:
         self._own_phase = phase
-        self._view = _View(until=float("-inf"))
+        self._outdate_view()
 
     def introduce(self, addresses: Iterable[str], now: float) -> None:
         """Take addresses of members that were not heard yet, from seeds or the store."""
@@ -197,17 +116,29 @@
         for table in (StoreTable.CONFIGURATION, StoreTable.WORKERS):
             word = newer_word(self.store_word(table), member.store_word(table), now)
             self._store_words[table] = word
+        self._told_version = max(self._told_version, heartbeat.configuration_version)
+        self._told_revision = max(self._told_revision, heartbeat.workers_revision)
         joined = known is None or known.heartbeat.incarnation != heartbeat.incarnation
-        if joined or known is None or known.heartbeat.phase != heartbeat.phase:
-            self._view = _View(until=float("-inf"))
+        self._note_in_view(known, member, joined=joined)
         return joined
 
+    def _note_in_view(self, known: Member | None, heard: Member, *, joined: bool) -> None:
+        """Keep the view if a member that lives tells of the same phase as before."""
+        same = known is not None and known.heartbeat.phase == heard.heartbeat.phase
+        if joined or known is None or not same or heard.heartbeat.name not in self._view.live:
+            self._outdate_view()
+        else:
+            self._view.replace(known, heard)
+
+    def _outdate_view(self) -> None:
+        self._view.until = _NEVER
+
     def doubt(self, name: str) -> None:
         """Suspect a member at once whose connection failed, until its next heartbeat."""
         member = self._members.get(name)
         if member is not None:
-            member.heard_at -= SUSPECT_HEARTBEATS * member.heartbeat.interval
-            self._view = _View(until=float("-inf"))
+            member.doubt()
+            self._outdate_view()
 
     def member(self, name: str) -> Member | None:
         """Return a member that was heard."""
@@ -242,21 +173,20 @@
         member = self._members.get(name)
         if member is None or not member.may_be_probed(now):
             return None
-        if member.probed_at is None:
-            member.probed_at = now
-        member.next_probe_at = now + PROBE_SECONDS
+        member.note_probe(now)
+        self._view.note_deadline(member)
         return member.heartbeat.address
 
     def live(self, now: float) -> list[Member]:
         """Return the other members that are not suspected."""
-        self._excuse_pause(now)
-        return [member for member in self._members.values() if not member.suspected(now)]
+        return list(self.view(now).live.values())
 
     def audience(self, now: float) -> list[str]:
         """Return the addresses that heartbeats go to; forgets the long silent."""
         self._excuse_pause(now)
-        for name in [key for key, item in self._members.items() if _forgotten(item, now)]:
+        for name in [key for key, item in self._members.items() if item.forgotten(now)]:
             del self._members[name]
+            self._outdate_view()
         for address in [key for key, at in self._unheard.items() if now - at > FORGET_SECONDS]:
             del self._unheard[address]
         heard = [member.heartbeat.address for member in self._members.values()]
@@ -285,62 +215,55 @@
 
         The serving members of the zone come first; without any, and for no zone, all serve.
         """
-        view = self._fresh_view(now)
-        owner = view.owners.get((zone, key))
-        if owner is None:
-            names = view.serving.get(zone) or view.all_serving or [self.own_name]
-            owner = max(names, key=lambda name: rendezvous_weight(key, name))
-            view.owners[zone, key] = owner
-        return owner
+        return self.view(now).owner(zone, key) or self.own_name
 
     def told_backlog(self, service: str, rank: tuple[int, int], now: float) -> int:
         """Return the pieces up to a rank that the others' calls will still ask for."""
-        told = self._fresh_view(now).pieces.get(service, {})
-        return sum(pieces for other, pieces in told.items() if other <= rank)
+        return self.view(now).backlogs.pieces_up_to(service, rank)
 
     def told_rate_before(self, service: str, rank: tuple[int, int], now: float) -> float:
         """Return the pieces a second that the others admit of more urgent ranks."""
-        told = self._fresh_view(now).rates.get(service, {})
-        return sum(rate for other, rate in told.items() if other < rank)
+        return self.view(now).backlogs.rate_before(service, rank)
 
-    def _fresh_view(self, now: float) -> "_View":
-        """Return what follows from the members' words, worked out a moment ago at most."""
-        if now >= self._view.until:
+    def view(self, now: float) -> FleetView:
+        """Return who lives and serves; the same object as long as that does not change."""
+        self._excuse_pause(now)
+        if now > self._view.until:
             self._view = self._work_out_view(now)
         return self._view
 
-    def _work_out_view(self, now: float) -> "_View":
-        view = _View(until=now + VIEW_SECONDS)
-        for member in self.live(now):
-            view.add_backlogs(member.heartbeat.backlogs)
-            if member.heartbeat.phase == Phase.SERVING:
-                view.add_serving(member.heartbeat.name, member.heartbeat.zone)
+    def _work_out_view(self, now: float) -> FleetView:
+        view = FleetView(until=float("inf"))
+        for member in self._members.values():
+            if not member.suspected(now):
+                view.add(member)
         if self.own_phase == Phase.SERVING:
             view.add_serving(self.own_name, self.own_zone)
         return view
 
-    def newest_configuration(self, now: float) -> Member | None:
-        """Return the live member with the highest configuration version, a near one first."""
-        return max(
-            self.live(now),
-            key=lambda member: (member.heartbeat.configuration_version, self._nearness(member)),
-            default=None,
-        )
-
-    def newest_workers(self, now: float) -> Member | None:
-        """Return the live member with the newest list of workers, a near one first."""
-        return max(
-            self.live(now),
-            key=lambda member: (member.heartbeat.workers_revision, self._nearness(member)),
-            default=None,
-        )
+    def ahead_in_configuration(self, version: int, now: float) -> Member | None:
+        """Return the live member with the newest configuration, if newer than a version."""
+        if self._told_version <= version:
+            return None
+        return self._newest(version, lambda beat: beat.configuration_version, now)
+
+    def ahead_in_workers(self, revision: int, now: float) -> Member | None:
+        """Return the live member with the newest list of workers, if newer than a revision."""
+        if self._told_revision <= revision:
+            return None
+        return self._newest(revision, lambda beat: beat.workers_revision, now)
+
+    def _newest(self, known: int, number: Callable[[Heartbeat], int], now: float) -> Member | None:
+        """Return the live member with the highest number above a known one, a near one first."""
+        live = self.live(now)
+        highest = max((number(member.heartbeat) for member in live), default=known)
+        if highest <= known:
+            return None
+        newest = [member for member in live if number(member.heartbeat) == highest]
+        return max(newest, key=self._nearness)
 
     def _nearness(self, member: Member) -> tuple[bool, int]:
         """Order members by zone, then differently for each gateway: questions are spread."""
         name = member.heartbeat.name
         near = member.heartbeat.zone == self.own_zone
         return near, rendezvous_weight(self.own_name, name)
-
-
-def _forgotten(member: Member, now: float) -> bool:
-    return member.silence(now) > FORGET_SECONDS
--- a/src/corkcrank/machines/store_duty.py
+++ b/src/corkcrank/machines/store_duty.py
@@ -6,10 +6,12 @@
 no failure of the chosen ones has to be detected. Pure: the time is handed in.
 """
 
+from dataclasses import dataclass
+
 from corkcrank.contracts.rendezvous import rendezvous_weight
 from corkcrank.links.platform_ports import StoreTable
 from corkcrank.machines.fleet import Fleet
-from corkcrank.machines.heartbeat import Phase
+from corkcrank.machines.fleet_view import FleetView
 
 LEAST_WATCHERS = 4
 """Gateways that follow the store at least, if the fleet has as many."""
@@ -26,6 +28,14 @@
 _ORDER_KEY = "store"
 
 
+@dataclass(frozen=True, slots=True)
+class _WatchOrder:
+    """The serving members that follow the store, and those that doubt first without it."""
+
+    watchers: frozenset[str] = frozenset()
+    next_ones: frozenset[str] = frozenset()
+
+
 class StoreDuty:
     """Decides at every moment whether this gateway follows the store itself."""
 
@@ -34,6 +44,8 @@
         self._fleet = fleet
         self.shortest_bound = shortest_bound
         self._weights: dict[str, int] = {}
+        self._order_of: FleetView | None = None
+        self._known_order = _WatchOrder()
 
     @property
     def _doubt_seconds(self) -> float:
@@ -47,25 +59,26 @@
     def watches(self, table: StoreTable, own_answer_at: float, now: float) -> bool:
         """Return whether to follow a table; ``own_answer_at`` is of the store's last answer."""
         order = self._order(now)
-        watchers = self._chosen(order)
         own = self._fleet.own_name
-        if own in watchers:
+        if own in order.watchers:
             return True
         confirmed = max(own_answer_at, self._fleet.confirmed_at(table))
-        next_ones = [name for name in order if name not in watchers][: len(watchers)]
-        factor = 1.0 if own in next_ones else LATER_DOUBT_FACTOR
+        factor = 1.0 if own in order.next_ones else LATER_DOUBT_FACTOR
         return now - confirmed > self._doubt_seconds * factor
 
-    def _order(self, now: float) -> list[str]:
-        """Return the serving members, the first to follow the store first."""
-        names = [
-            member.heartbeat.name
-            for member in self._fleet.live(now)
-            if member.heartbeat.phase == Phase.SERVING
-        ]
-        if self._fleet.own_phase == Phase.SERVING:
-            names.append(self._fleet.own_name)
-        return sorted(names, key=self._weight, reverse=True)
+    def _order(self, now: float) -> _WatchOrder:
+        """Return who follows the store; worked out anew only when the members change."""
+        view = self._fleet.view(now)
+        if self._order_of is not view:
+            self._order_of = view
+            self._known_order = self._work_out_order(view)
+        return self._known_order
+
+    def _work_out_order(self, view: FleetView) -> _WatchOrder:
+        names = sorted(view.all_serving, key=self._weight, reverse=True)
+        watchers = self._chosen(names)
+        others = [name for name in names if name not in watchers]
+        return _WatchOrder(frozenset(watchers), frozenset(others[: len(watchers)]))
 
     def _chosen(self, order: list[str]) -> set[str]:
         """Return the first of each zone, and the first of all until there are enough."""
--- a/tests/scheduling/test_fleet.py
+++ b/tests/scheduling/test_fleet.py
@@ -4,8 +4,9 @@
 from hypothesis import strategies as st
 
 from corkcrank.contracts.worker_records import WorkerRecord
-from corkcrank.machines.fleet import SUSPECT_HEARTBEATS, Fleet
+from corkcrank.machines.fleet import Fleet
 from corkcrank.machines.heartbeat import Heartbeat, Phase, ServiceBacklog
+from corkcrank.machines.members import SUSPECT_HEARTBEATS
 from corkcrank.scheduling.fleet_retry_budget import FleetRetryBudget
 
 ZONES = ("a", "b", "c")
--- a/tests/scheduling/test_fleet_at_size.py
+++ b/tests/scheduling/test_fleet_at_size.py
@@ -9,12 +9,14 @@
 from corkcrank.machines.fleet import (
     HEARTBEAT_BYTES_A_SECOND,
     HEARTBEAT_SECONDS,
+    Fleet,
+)
+from corkcrank.machines.heartbeat import Heartbeat, Phase
+from corkcrank.machines.members import (
     PROBE_PATIENCE_SECONDS,
     PROBE_SECONDS,
     PROBED_AFTER_SECONDS,
-    Fleet,
 )
-from corkcrank.machines.heartbeat import Heartbeat, Phase
 from corkcrank.machines.store_word import StoreWord, ToldStoreWord, newest_word
 
 LOOK_SECONDS = 0.25
--- /dev/null
+++ b/tests/scheduling/test_fleet_view.py
@@ -0,0 +1,142 @@
+"""The view of the members that is kept equals one that is worked out anew at each moment.
+
+It used to be worked out anew every 50 ms, and the search for newer lists went over all
+members five times a second: 7 ms of every second of a core in a fleet of 195.
+"""
+
+import time
+from collections.abc import Callable
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from corkcrank.links.platform_ports import StoreTable
+from corkcrank.machines.fleet import Fleet
+from corkcrank.machines.fleet_view import BacklogSums
+from corkcrank.machines.heartbeat import Heartbeat, Phase, ServiceBacklog
+from corkcrank.machines.store_duty import StoreDuty
+
+NAMES = ("1", "2", "3", "4", "5")
+ZONES = ("a", "b")
+RANKS = ((0, 0), (0, 1), (1, 0))
+
+heartbeats = st.builds(
+    lambda name, incarnation, phase, interval, version, pieces, rank: Heartbeat(
+        name,
+        incarnation,
+        ZONES[int(name) % 2],
+        f"10.0.0.{name}:1",
+        phase,
+        interval,
+        configuration_version=version,
+        workers_revision=version,
+        backlogs=(ServiceBacklog("s", rank, pieces, pieces / 2),) if pieces else (),
+    ),
+    st.sampled_from(NAMES),
+    st.integers(1, 2),
+    st.sampled_from(list(Phase)),
+    st.sampled_from((0.25, 1.0, 2.5)),
+    st.integers(0, 4),
+    st.integers(0, 6),
+    st.sampled_from(RANKS),
+)
+events = st.lists(
+    st.tuples(
+        st.floats(0.0, 3.0),
+        st.one_of(
+            st.tuples(st.just("hear"), heartbeats),
+            st.tuples(st.sampled_from(["doubt", "probe"]), st.sampled_from(NAMES)),
+            st.tuples(st.sampled_from(["run", "audience"]), st.just("")),
+            st.tuples(st.just("phase"), st.sampled_from(list(Phase))),
+        ),
+    ),
+    max_size=60,
+)
+
+
+def apply(fleet: Fleet, kind: str, value: object, now: float) -> None:
+    if isinstance(value, Heartbeat):
+        fleet.hear(value, now)
+    elif isinstance(value, Phase):
+        fleet.own_phase = value
+    elif kind == "doubt":
+        fleet.doubt(str(value))
+    elif kind == "probe":
+        fleet.probe(str(value), now)
+    elif kind == "run":
+        fleet.note_running(now)
+    else:
+        fleet.audience(now)
+
+
+@given(events=events)
+def test_the_view_kept_is_the_one_of_this_moment(
+    events: list[tuple[float, tuple[str, object]]],
+) -> None:
+    fleet = Fleet("0", "a", "10.0.0.0:1")
+    now = 0.0
+    for pause, (kind, value) in events:
+        now += pause
+        apply(fleet, kind, value, now)
+        live = [fleet.member(name) for name in NAMES if not fleet.suspected(name, now)]
+        beats = [member.heartbeat for member in live if member is not None]
+        assert {member.heartbeat.name for member in fleet.live(now)} == {
+            beat.name for beat in beats
+        }
+        serving = {beat.name for beat in beats if beat.phase == Phase.SERVING}
+        if fleet.own_phase == Phase.SERVING:
+            serving.add("0")
+        assert set(fleet.view(now).all_serving) == serving
+        sums = BacklogSums()
+        for beat in beats:
+            sums.add(beat.backlogs)
+        for rank in RANKS:
+            assert fleet.told_backlog("s", rank, now) == sums.pieces_up_to("s", rank)
+            assert abs(fleet.told_rate_before("s", rank, now) - sums.rate_before("s", rank)) < 1e-6
+        versions = [beat.configuration_version for beat in beats]
+        ahead = fleet.ahead_in_configuration(2, now)
+        highest = max(versions, default=0)
+        assert (ahead.heartbeat.configuration_version if ahead else None) == (
+            highest if highest > 2 else None
+        )
+
+
+def fleet_of(members: int) -> Fleet:
+    fleet = Fleet("0", "a", "10.0.0.0:1")
+    fleet.own_phase = Phase.SERVING
+    for number in range(1, members):
+        zone = ZONES[number % 2]
+        address = f"10.0.{number // 250}.{number % 250}:1"
+        fleet.hear(Heartbeat(str(number), 1, zone, address, Phase.SERVING, 2.0), 0.0)
+    return fleet
+
+
+def seconds(work: Callable[[], object], times: int = 300) -> float:
+    """Return the least time of five rounds."""
+    rounds = []
+    for _ in range(5):
+        began = time.perf_counter()
+        for _ in range(times):
+            work()
+        rounds.append(time.perf_counter() - began)
+    return min(rounds)
+
+
+def test_what_nodes_ask_again_and_again_costs_the_same_in_a_large_fleet() -> None:
+    """Ratio of 400 members to 8: 35 (731 us to 33) with views worked out anew, 1.0 now (2.3 us)."""
+
+    def ask(members: int) -> float:
+        fleet = fleet_of(members)
+        duty = StoreDuty(fleet, 2.0)
+
+        def work() -> None:
+            duty.watches(StoreTable.WORKERS, 0.0, 1.0)
+            fleet.zone_owner("a", "key", 1.0)
+            fleet.told_backlog("s", (0, 1), 1.0)
+            fleet.ahead_in_configuration(0, 1.0)
+            fleet.ahead_in_workers(0, 1.0)
+
+        work()
+        return seconds(work)
+
+    assert ask(400) < 4.0 * ask(8)
