Datagrams are read together, and nodes look less often whether they follow the store

Ruled out: what a datagram's handling itself costs (5 us to decode, 3 us to take in). Change: a socket of our own, read each 0.04 s until it is empty; the look each 0.2 s.

--- a/src/corkcrank/links/datagrams.py
+++ b/src/corkcrank/links/datagrams.py
@@ -1,12 +1,21 @@
 """Datagrams between members: small, unordered, lost now and then."""
 
 import asyncio
+import socket
 from collections.abc import Callable, Sequence
-from typing import Protocol, cast
+from contextlib import suppress
+from typing import Protocol
 
 MAXIMUM_DATAGRAM_BYTES = 8_192
 """Longer messages are not sent; heartbeats are far smaller."""
 
+READ_SECONDS = 0.04
+"""Time between looks at what has come: a sixth of the shortest time between two heartbeats of
+one member, and 1 in 25 of the wait for the answer to a probe."""
+
+MOST_READ_TOGETHER = 256
+"""Datagrams that are handled before other work gets its turn, about 10 ms."""
+
 GROUP_MEMBERS = 8
 """Members that are told at one moment: a slow link drops a longer burst of datagrams."""
 
@@ -18,42 +27,57 @@
         """Send one datagram without waiting."""
 
 
-class DatagramLink(asyncio.DatagramProtocol):
-    """Sends and receives datagrams on one address; errors of the network are ignored."""
+class DatagramLink:
+    """Sends and receives datagrams on one address; errors of the network are ignored.
+
+    Received datagrams are read together, some times a second. A wake of the event loop for
+    each of them cost a node of 195 more than what it does with them.
+    """
 
     def __init__(self, on_message: Callable[[bytes], None]) -> None:
         self._on_message = on_message
-        self._transport: asyncio.DatagramTransport | None = None
+        self._socket: socket.socket | None = None
 
     async def open(self, address: str) -> None:
         """Bind to ``ip:port``."""
         host, port = address.rsplit(":", 1)
-        loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(lambda: self, local_addr=(host, int(port)))
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the transport."""
-        self._transport = cast(asyncio.DatagramTransport, transport)
-
-    def datagram_received(self, data: bytes, addr: tuple[str | object, int]) -> None:
-        """Hand a message on."""
-        self._on_message(data)
-
-    def error_received(self, exc: Exception) -> None:
-        """Ignore an address that nobody listens at: members come and go."""
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.setblocking(False)
+        self._socket.bind((host, int(port)))
+        self._read()
 
     def send(self, data: bytes, address: str) -> None:
-        """Send one datagram without waiting."""
-        transport = self._transport
-        if transport is None or transport.is_closing() or len(data) > MAXIMUM_DATAGRAM_BYTES:
+        """Send one datagram without waiting; it is lost where the link is full."""
+        if self._socket is None or len(data) > MAXIMUM_DATAGRAM_BYTES:
             return
         host, port = address.rsplit(":", 1)
-        transport.sendto(data, (host, int(port)))
+        # Members come and go: nobody may listen there.
+        with suppress(OSError):
+            self._socket.sendto(data, (host, int(port)))
 
     def close(self) -> None:
         """Stop receiving."""
-        if self._transport is not None:
-            self._transport.close()
+        if self._socket is not None:
+            self._socket.close()
+            self._socket = None
+
+    def _read(self) -> None:
+        """Hand on what has come, and look again a moment later."""
+        if self._socket is None:
+            return
+        # First of all, so that a fault in handling a message does not end the reading.
+        asyncio.get_running_loop().call_later(READ_SECONDS, self._read)
+        for _ in range(MOST_READ_TOGETHER):
+            try:
+                data = self._socket.recv(MAXIMUM_DATAGRAM_BYTES)
+            except BlockingIOError:
+                return
+            except OSError:
+                # An earlier datagram found nobody; the next one may still have come.
+                continue
+            self._on_message(data)
+            if self._socket is None:
+                return
 
 
 async def send_spread(
--- a/src/corkcrank/machines/store_mirror.py
+++ b/src/corkcrank/machines/store_mirror.py
@@ -27,8 +27,9 @@
 from corkcrank.machines.store_word import StoreWord
 from corkcrank.machines.worker_news import RecentChanges, WorkerChange, WorkerNews
 
-OFF_DUTY_SECONDS = 0.1
-"""Time between looks at whether this gateway is to follow the store."""
+OFF_DUTY_SECONDS = 0.2
+"""Time between looks at whether this gateway is to follow the store: a tenth of the shortest
+bound on news that was measured (2 s)."""
 
 RETRY_SECONDS = (0.1, 0.8)
 """Shortest and longest pause after a failed call; doubled each time, with jitter."""
