--- a/src/corkcrank/gateway/opaque/stage_run.py
+++ b/src/corkcrank/gateway/opaque/stage_run.py
@@ -57,7 +57,10 @@
 
 @dataclass(slots=True)
 class StageRun:
-    """Runs the stages of one call; its results are freed by :meth:`close`."""
+    """Runs the stages of one call; its results are freed by :meth:`close`.
+
+    ``started`` says that a piece was made or tried, ``_begun`` that the first were asked for.
+    """
 
     call: OpaqueCall
     plan: StagePlan
--- a/tests/scheduling/test_fleet_play.py
+++ b/tests/scheduling/test_fleet_play.py
@@ -1,12 +1,13 @@
 """What callers get under a load that is more than the stage workers can make, in bursts.
 
 The load is that of a fleet of pipelines of one, three and four stages before one model, at
-1.25 of its usual traffic with two bursts: the prompts and stages of the most urgent route jump
-to 2.3 for 5 s, then everything to 1.8 for 4 s. News of a large fleet is 2 s old and more; with
-it the gateways used to admit late in a burst, and to refuse for seconds after it.
+1.25 of its usual traffic with two bursts: the calls of the most urgent route jump to 2.3 times
+as many, then all calls to 1.8. News of a large fleet is 2 s old and more; with it the gateways
+used to admit late in a burst, and to refuse for seconds after it. The tests play a third of the
+fleet: 16 nodes, bursts of 3 s.
 
-Credit of all calls and parts served in time, by route, the most urgent first (36 nodes, mean of
-two seeds; callers told by 36 nodes, news every 2 s):
+Credit of all calls, and parts served in time by route, the most urgent first (whole load, 36
+nodes, bursts of 5 and 4 s, news every 2 s, mean of two seeds):
 
 =====================================  ======  =====  =====  =====
 what admission and placing rest on     credit  first  second third
