--- a/tests/core/test_caller_lost_in_stream.py
+++ b/tests/core/test_caller_lost_in_stream.py
@@ -93,7 +93,7 @@
 
     async def slow(index: int, token: str) -> None:
         written.set()
-        await asyncio.sleep(60.0)
+        await asyncio.Event().wait()
 
     request = asyncio.create_task(engine_run(engine, slow).run())
     await written.wait()
