--- a/src/corkcrank/gateway/opaque/owned_lane.py
+++ b/src/corkcrank/gateway/opaque/owned_lane.py
@@ -91,8 +91,8 @@
 
         Whoever sends pieces knows the lanes as they were told, 1 s ago on average in a fleet
         of 195; their owner knows them as they are. Answers the load of test_fleet_play.py:
-        0.956 of the callers of the most urgent route served in time without it, 0.967 so (two
-        plays of 192 nodes).
+        0.956 of the callers of the most urgent route served in time without it, 0.967 so (trials
+        with that load on 192 nodes, two plays).
         """
         urgency = work.urgency.on_clock(now)
         choices = []
--- a/tests/scheduling/test_fleet_play.py
+++ b/tests/scheduling/test_fleet_play.py
@@ -7,7 +7,7 @@
 fleet: 16 nodes, bursts of 3 s.
 
 Credit of all calls, and parts served in time by route, the most urgent first (whole load, 36
-nodes, bursts of 5 and 4 s, news every 2 s, mean of two seeds):
+nodes, bursts of 5 and 4 s, news every 2 s, mean of two seeds; trials):
 
 =====================================  ======  =====  =====  =====
 what admission and placing rest on     credit  first  second third
