The log tells what each engine sent of a stream

Cause: the line at a stream's end told neither the status of an engine's answer, nor what marks the end of its body, nor which events came of it, so the hypotheses of the incident could not be told apart from logs. No change of logic: the fields are counted beside the relay.

--- a/src/corkcrank/gateway/opaque/stream_relay.py
+++ b/src/corkcrank/gateway/opaque/stream_relay.py
@@ -13,6 +13,7 @@
 from corkcrank.gateway.opaque.events import EventReader, StreamEvent
 from corkcrank.gateway.opaque.plain_run import replace_headers
 from corkcrank.gateway.opaque.services import CallServices
+from corkcrank.gateway.opaque.stream_part import StreamPart, framing_of
 from corkcrank.gateway.opaque.worker_client import address_of, unframed_end
 from corkcrank.links.silence import ConnectionKind, SilentConnection
 
@@ -50,6 +51,7 @@
         self._request = request
         self._response: web.StreamResponse | None = None
         self._last_id: int | None = None
+        self.part: StreamPart | None = None
         self.started = False
         self.longest_pause = 0.0
         self._sent_at: float | None = None
@@ -82,6 +84,7 @@
         """Pass one worker's events on until they end, break or fall silent."""
         upstream = attempt.response
         assert upstream is not None
+        self.part = StreamPart(upstream.status, framing_of(upstream), self.resume_after)
         # Without another word the call was cancelled, which is no fault of the engine.
         end = RelayEnd.CALLER_GONE
         try:
@@ -103,6 +106,7 @@
                 if not chunk:
                     break
                 events = reader.feed(chunk)
+                self._note_read(reader.rest)
                 if events and not await self._send_events(upstream, events):
                     return RelayEnd.BROKEN
                 if events:
@@ -137,6 +141,7 @@
                 break
             if event.event_id is not None:
                 self._last_id = event.event_id
+            self._note_sent(event)
             data.append(event.data)
         if data:
             if not self.started:
@@ -172,6 +177,14 @@
             self.break_off()
             raise ConnectionResetError("the caller accepts no bytes") from None
 
+    def _note_read(self, leftover: bytes) -> None:
+        if self.part is not None:
+            self.part.leftover = leftover
+
+    def _note_sent(self, event: StreamEvent) -> None:
+        if self.part is not None:
+            self.part.take(event)
+
     def _note_pause(self) -> None:
         now = time.monotonic()
         if self._call.first_byte_at is None:
--- a/src/corkcrank/gateway/opaque/stream_run.py
+++ b/src/corkcrank/gateway/opaque/stream_run.py
@@ -287,11 +287,20 @@
         )
 
     def _log_end(self, engine: WorkerRecord, end: RelayEnd) -> None:
+        part = self._relay.part
+        assert part is not None
         self._services.log.write(
             LogEvent.STREAM_ENDED,
             call=self._call.call_id,
             worker=engine.worker_id,
             end=end.value,
+            status=part.status,
+            framing=part.framing.value,
+            resume_after=part.resume_after,
+            events=part.events,
+            first_event=part.first_event,
+            last_event=part.last_event,
+            leftover=len(part.leftover),
             longest_pause=round(self._relay.longest_pause, 3),
             pause_objective=self._call.route.pause_objective,
         )
