A stream is complete only where an engine's success ended behind a whole event

Cause: StreamRun relayed every signed answer and StreamRelay ended the caller's answer wherever a body ended properly; neither asked for the status, nor for what was read. A stream taken up at an engine that failed it ended as complete. Class: an end of transport taken for an end of content. Ruled out: unframed answers (a reset is seen, also one that arrives with the body), events in another order (none played), stops and callers that come back. Change: what an engine sent is a StreamPart, judged by pure functions: it begins where it was asked to, numbers follow, and at its end status and left-over bytes decide. A failure is read whole and kept for a caller that nothing else can be sent; 5xx of a resumable stream goes to another engine first. Stages are not made again where no repeat may follow.

--- /dev/null
+++ b/src/corkcrank/gateway/opaque/engine_exchange.py
@@ -0,0 +1,196 @@
+"""One exchange with an engine on behalf of a streamed call: sent, answered, relayed, judged."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from aiohttp import web
+
+from corkcrank.contracts.opaque_call import CallStep, OpaqueCall
+from corkcrank.contracts.worker_records import WorkerRecord
+from corkcrank.gateway.opaque.attempts import Attempt, AttemptOutcome, attempt_call
+from corkcrank.gateway.opaque.engine_assignment import EngineAssignment
+from corkcrank.gateway.opaque.services import CallServices
+from corkcrank.gateway.opaque.stage_run import StageRun
+from corkcrank.gateway.opaque.stream_admission import StreamAdmission
+from corkcrank.gateway.opaque.stream_answer import StreamAnswer
+from corkcrank.gateway.opaque.stream_part import StreamPart, framing_of
+from corkcrank.gateway.opaque.stream_relay import RelayEnd, StreamRelay
+from corkcrank.gateway.opaque.worker_answers import read_whole_answer
+from corkcrank.links.decision_log import LogEvent
+from corkcrank.scheduling.stage_plan import StagePlan
+
+LEAST_FIRST_EVENT_SECONDS = 1.2
+"""A resumable stream is never moved earlier for want of a first event."""
+
+FIRST_EVENT_FACTOR = 4.0
+"""It is moved after this multiple of the usual time to a first event."""
+
+ENGINE_FAULT_STATUS = 500
+"""From this status on a failure is the engine's own, and another engine may do better."""
+
+
+class EngineExchanges:
+    """The exchanges of one call, one engine after the other.
+
+    ``stages`` holds the results that engines fetch. ``failure`` is the newest answer of an
+    engine that was a failure in place of a stream.
+    """
+
+    def __init__(
+        self,
+        call: OpaqueCall,
+        services: CallServices,
+        plan: StagePlan,
+        admission: StreamAdmission,
+        assignment: EngineAssignment,
+        answer: StreamAnswer,
+    ) -> None:
+        self._call = call
+        self._services = services
+        self._plan = plan
+        self._admission = admission
+        self._assignment = assignment
+        self._answer = answer
+        self._relay = StreamRelay(call, services, answer, self._may_move)
+        self.stages: StageRun | None = None
+        self.failure: web.Response | None = None
+
+    @property
+    def resume_after(self) -> str:
+        """Return the id of the last event that the caller has, empty before the first."""
+        return self._relay.resume_after
+
+    @property
+    def may_follow(self) -> bool:
+        """Return whether another engine may have the call, and could do better."""
+        call = self._call
+        if call.may_have_run and not call.route.idempotent:
+            return False
+        if self.failure is not None and self.failure.status < ENGINE_FAULT_STATUS:
+            return False
+        attempts_left = len(call.workers_tried) < call.route.maximum_attempts
+        return attempts_left and self._services.could_repeat(call.service)
+
+    async def send(self, engine: WorkerRecord, inputs: tuple[str, ...]) -> RelayEnd:
+        """Send the call to an engine and relay what comes."""
+        self._call.step = CallStep.ENGINE
+        attempt = await self._attempt(engine, inputs)
+        if attempt.outcome is AttemptOutcome.ANSWERED:
+            return await self._take_answer(attempt)
+        if attempt.lost_inputs:
+            self._services.fetch_delay(self._call.service).missed()
+            self._plan.redo_all()
+        return RelayEnd.BROKEN
+
+    async def _take_answer(self, attempt: Attempt) -> RelayEnd:
+        upstream = attempt.response
+        assert upstream is not None
+        part = StreamPart(upstream.status, framing_of(upstream), self._relay.resume_after)
+        if part.succeeded:
+            end = await self._relay.relay(attempt, part, self._first_event_patience())
+        else:
+            end = await self._take_failure(attempt)
+        self._log_end(attempt.worker, part, end)
+        return end
+
+    async def _take_failure(self, attempt: Attempt) -> RelayEnd:
+        """Keep an engine's failure, whole, for a caller that nothing else can be sent.
+
+        It is no part of a stream that another engine began: its body has an end of its own,
+        which must not end the caller's answer.
+        """
+        if attempt.status >= ENGINE_FAULT_STATUS:
+            standing = self._services.book.of(attempt.worker.worker_id)
+            standing.failures.append(time.monotonic())
+        left = self._call.end_at - time.monotonic()
+        self.failure = await read_whole_answer(self._services, attempt, left)
+        return RelayEnd.FAILED
+
+    async def _attempt(self, engine: WorkerRecord, inputs: tuple[str, ...]) -> Attempt:
+        self._note_prefix(engine)
+        self._relay.on_first_event = self._first_event(time.monotonic())
+        timer = self._free_after_fetch(engine)
+        try:
+            return await attempt_call(
+                self._services,
+                self._call,
+                engine,
+                self._first_event_patience(under_way=1),
+                fresh=False,
+                inputs=inputs,
+                resume_after=self._relay.resume_after,
+            )
+        finally:
+            if timer is not None:
+                timer.cancel()
+
+    def _note_prefix(self, engine: WorkerRecord) -> None:
+        now = time.monotonic()
+        prompt = self._call.envelope.prompt
+        configuration = self._services.mirror.configuration
+        profile = configuration.service(self._call.service) if configuration else None
+        capacity = profile.engine.cache_tokens if profile and profile.engine else 0
+        self._services.engines.sent(engine.worker_id, capacity, prompt.shared_parts, now)
+        self._services.prefix_news.add(engine.worker_id, prompt, now)
+
+    def _free_after_fetch(self, engine: WorkerRecord) -> asyncio.TimerHandle | None:
+        """Free the results once the engine has fetched them, unless it queues calls."""
+        standing = self._services.book.of(engine.worker_id)
+        busy = standing.in_flight + standing.peers_in_flight
+        if self.stages is None or busy >= engine.slots:
+            return None
+        delay = self._services.fetch_delay(self._call.service).seconds
+        return asyncio.get_running_loop().call_later(delay, self.stages.close)
+
+    def _first_event(self, sent_at: float) -> Callable[[], None]:
+        def note() -> None:
+            now = time.monotonic()
+            self._assignment.has_read()
+            self._services.turns.done(self._call)
+            self._services.first_event_times.learn(self._call.service, now - sent_at)
+            self._services.fetch_delay(self._call.service).found()
+            self._services.log.write(
+                LogEvent.FIRST_EVENT,
+                call=self._call.call_id,
+                seconds=round(now - sent_at, 3),
+                late=round(now - self._call.objective_at, 3),
+            )
+            if self.stages is not None:
+                self.stages.close()
+
+        return note
+
+    def _first_event_patience(self, under_way: int = 0) -> float:
+        left = self._call.end_at - time.monotonic()
+        if not self._may_move(under_way):
+            return left
+        usual = FIRST_EVENT_FACTOR * self._admission.engine_seconds()
+        return min(left, max(LEAST_FIRST_EVENT_SECONDS, usual))
+
+    def _may_move(self, under_way: int = 0) -> bool:
+        """Return whether a silent stream could be taken up at another engine."""
+        call = self._call
+        attempts = len(call.workers_tried) + under_way
+        return (
+            call.route.idempotent
+            and attempts < call.route.maximum_attempts
+            and self._services.could_repeat(call.service)
+        )
+
+    def _log_end(self, engine: WorkerRecord, part: StreamPart, end: RelayEnd) -> None:
+        self._services.log.write(
+            LogEvent.STREAM_ENDED,
+            call=self._call.call_id,
+            worker=engine.worker_id,
+            end=end.value,
+            status=part.status,
+            framing=part.framing.value,
+            resume_after=part.resume_after,
+            events=part.events,
+            first_event=part.first_event,
+            last_event=part.last_event,
+            leftover=len(part.leftover),
+            longest_pause=round(self._answer.longest_pause, 3),
+            pause_objective=self._call.route.pause_objective,
+        )
--- a/src/corkcrank/gateway/opaque/events.py
+++ b/src/corkcrank/gateway/opaque/events.py
@@ -7,10 +7,15 @@
 
 @dataclass(frozen=True, slots=True)
 class StreamEvent:
-    """One whole event; ``event_id`` is ``None`` where it has no number."""
+    """One whole block of lines.
+
+    ``event_id`` is ``None`` where it has no id that is a whole number. A block without
+    ``dispatched`` is a comment or a hint to the reader, and has no place in the order.
+    """
 
     data: bytes
     event_id: int | None
+    dispatched: bool = True
 
 
 class EventReader:
@@ -29,9 +34,11 @@
 
         >>> reader = EventReader()
         >>> reader.feed(b"id: 4\ndata: a\n\nid: 5\n")
-        [StreamEvent(data=b'id: 4\ndata: a\n\n', event_id=4)]
+        [StreamEvent(data=b'id: 4\ndata: a\n\n', event_id=4, dispatched=True)]
         >>> [event.event_id for event in reader.feed(b"data: b\n\n")]
         [5]
+        >>> reader.feed(b": still here\n\n")[0].dispatched
+        False
         """
         self._buffer += data
         events: list[StreamEvent] = []
@@ -40,7 +47,7 @@
             if end is None:
                 return events
             raw, self._buffer = self._buffer[:end], self._buffer[end:]
-            events.append(StreamEvent(raw, _event_id(raw)))
+            events.append(_event(raw))
 
 
 def _first_end(buffer: bytes) -> int | None:
@@ -48,10 +55,15 @@
     return min(ends, default=None)
 
 
-def _event_id(raw: bytes) -> int | None:
+def _event(raw: bytes) -> StreamEvent:
+    event_id: int | None = None
+    dispatched = False
     for line in raw.splitlines():
         name, colon, value = line.partition(b":")
-        if colon and name == b"id":
+        if name == b"data":
+            dispatched = True
+        elif name == b"id" and colon:
+            dispatched = True
             text = value.strip()
-            return int(text) if text.isdigit() else None
-    return None
+            event_id = int(text) if text.isdigit() else None
+    return StreamEvent(raw, event_id, dispatched)
--- a/src/corkcrank/gateway/opaque/plain_run.py
+++ b/src/corkcrank/gateway/opaque/plain_run.py
@@ -1,6 +1,5 @@
 """A call whose whole answer is read before it goes back."""
 
-import asyncio
 import time
 
 from aiohttp import web
@@ -13,6 +12,7 @@
 from corkcrank.gateway.opaque.drain import stopped_answer
 from corkcrank.gateway.opaque.refusals import Refusal
 from corkcrank.gateway.opaque.services import PLAIN_SECONDS, CallServices
+from corkcrank.gateway.opaque.worker_answers import read_whole_answer
 from corkcrank.scheduling.worker_choice import choose_worker
 
 SILENCE_FACTOR = 5.0
@@ -129,22 +129,9 @@
         return response
 
     async def _read(self, attempt: Attempt) -> web.Response | None:
-        upstream = attempt.response
-        assert upstream is not None
-        try:
-            left = self._call.end_at - time.monotonic()
-            silence = self._patience(under_way=0)
-            body = await self._services.client.read(upstream, left, silence)
-        except asyncio.CancelledError:
-            attempt.close()
-            raise
-        if body is None:
-            attempt.close()
-            return None
-        headers = self._services.ports.calls.answer_headers(list(upstream.headers.items()))
-        response = web.Response(status=upstream.status, reason=upstream.reason, body=body)
-        replace_headers(response, headers)
-        return response
+        left = self._call.end_at - time.monotonic()
+        silence = self._patience(under_way=0)
+        return await read_whole_answer(self._services, attempt, left, silence)
 
     def _patience(self, under_way: int = 1) -> float:
         """Return how long a head or a body is waited for; an unrepeatable call waits to its end."""
@@ -176,10 +163,3 @@
             return Refusal(ResultCode.WORKER_LOST)
         code = ResultCode.WORKERS_FULL if call.workers_tried else ResultCode.NO_BACKEND
         return Refusal(code, retry_after=SHORT_RETRY_SECONDS)
-
-
-def replace_headers(response: web.StreamResponse, headers: list[tuple[str, str]]) -> None:
-    """Give an answer exactly the worker's headers, without defaults of the library."""
-    response.headers.clear()
-    for name, value in headers:
-        response.headers.add(name, value)
--- a/src/corkcrank/gateway/opaque/stream_part.py
+++ b/src/corkcrank/gateway/opaque/stream_part.py
@@ -1,4 +1,9 @@
-"""One engine's part of a streamed answer: what of it was read."""
+"""One engine's part of a streamed answer: what was read of it, and whether it is whole.
+
+A stream is numbered, so what an engine sends shows where it begins and that nothing is missing
+between two events. Nothing numbers its end: a body that ends properly is the end of the stream
+only where the engine answered with success and stopped behind a whole event.
+"""
 
 from dataclasses import dataclass
 from enum import StrEnum
@@ -7,6 +12,13 @@
 
 from corkcrank.gateway.opaque.events import StreamEvent
 
+FIRST_EVENT_IDS = (0, 1)
+"""Ids that the first event of a stream may have: 1 in each of 173 streams of five engines'
+models that were looked at, 0 where an engine counts from nought."""
+
+SUCCESS = range(200, 300)
+"""Statuses of an answer whose body is a stream."""
+
 
 class Framing(StrEnum):
     """What marks the end of an answer's body on its connection."""
@@ -34,17 +46,50 @@
 
     status: int
     framing: Framing
-    resume_after: str
+    resume_after: str = ""
     events: int = 0
     first_event: int | None = None
     last_event: int | None = None
     leftover: bytes = b""
 
-    def take(self, event: StreamEvent) -> None:
-        """Count an event that is passed on."""
+    @property
+    def succeeded(self) -> bool:
+        """Return whether the body is a stream at all, and not a failure's."""
+        return self.status in SUCCESS
+
+    def take(self, event: StreamEvent) -> bool:
+        """Count an event that goes on where the last one ended; return whether it does."""
+        if not event.dispatched:
+            return True
+        if event.event_id is None or not self._is_next(event.event_id):
+            return False
         self.events += 1
-        if event.event_id is None:
-            return
         if self.first_event is None:
             self.first_event = event.event_id
         self.last_event = event.event_id
+        return True
+
+    def whole_at_end(self) -> bool:
+        r"""Return whether a body that has ended properly was the end of the stream.
+
+        Engines end a failure as properly as a stream, and some end in the middle of an event.
+
+        >>> StreamPart(200, Framing.CHUNKS, events=3).whole_at_end()
+        True
+        >>> StreamPart(200, Framing.CHUNKS, events=3, leftover=b"id: 4\n").whole_at_end()
+        False
+        >>> StreamPart(500, Framing.LENGTH, resume_after="3").whole_at_end()
+        False
+        """
+        if not self.succeeded or self.leftover.strip():
+            return False
+        return self.events > 0 or bool(self.resume_after)
+
+    def _is_next(self, event_id: int) -> bool:
+        if self.last_event is not None:
+            return event_id == self.last_event + 1
+        if not self.resume_after:
+            return event_id in FIRST_EVENT_IDS
+        # Where a caller names an event in a way of its own, any beginning may be right.
+        asked = self.resume_after
+        return not asked.isdecimal() or event_id == int(asked) + 1
--- a/src/corkcrank/gateway/opaque/stream_run.py
+++ b/src/corkcrank/gateway/opaque/stream_run.py
@@ -1,32 +1,25 @@
 """A call whose answer is a stream of events: stages, relay, resume."""
 
-import asyncio
 import time
-from collections.abc import Callable
 
 from aiohttp import web
 
 from corkcrank.contracts.opaque_call import CallStep, OpaqueCall
 from corkcrank.contracts.result_codes import ResultCode
 from corkcrank.contracts.worker_records import WorkerRecord
-from corkcrank.gateway.opaque.attempts import Attempt, AttemptOutcome, attempt_call
 from corkcrank.gateway.opaque.drain import stopped_answer
 from corkcrank.gateway.opaque.engine_assignment import EngineAssignment
+from corkcrank.gateway.opaque.engine_exchange import EngineExchanges
 from corkcrank.gateway.opaque.refusals import CallerLeftError, Refusal
 from corkcrank.gateway.opaque.services import CallServices
 from corkcrank.gateway.opaque.stage_run import StageFailedError, StageRun
 from corkcrank.gateway.opaque.stream_admission import StreamAdmission
-from corkcrank.gateway.opaque.stream_relay import RelayEnd, StreamRelay
+from corkcrank.gateway.opaque.stream_answer import StreamAnswer
+from corkcrank.gateway.opaque.stream_relay import RelayEnd
 from corkcrank.links.decision_log import LogEvent
 from corkcrank.scheduling.call_admission import SHORTEST_RETRY
 from corkcrank.scheduling.stage_plan import StagePlan
 
-LEAST_FIRST_EVENT_SECONDS = 1.2
-"""A resumable stream is never moved earlier for want of a first event."""
-
-FIRST_EVENT_FACTOR = 4.0
-"""It is moved after this multiple of the usual time to a first event."""
-
 SHORT_RETRY_SECONDS = 3 * SHORTEST_RETRY
 """When to come back if no engine could be had."""
 
@@ -40,8 +33,10 @@
         self._plan = StagePlan(call.route.stages, call.envelope.piece_counts)
         self._admission = StreamAdmission(call, services, self._plan)
         self._assignment = EngineAssignment(call, services)
-        self._relay = StreamRelay(call, services, request, self._may_move)
-        self._stages: StageRun | None = None
+        self._answer = StreamAnswer(call, services, request)
+        self._exchanges = EngineExchanges(
+            call, services, self._plan, self._admission, self._assignment, self._answer
+        )
 
     @property
     def answer_begun(self) -> bool:
@@ -54,10 +49,10 @@
 
     def give_up(self) -> web.StreamResponse | Refusal:
         """Return the answer of a stop; one that has just begun can only be broken off."""
-        if self._relay.prepared:
-            self._relay.break_off()
+        if self._answer.prepared:
+            self._answer.break_off()
             raise ConnectionResetError("the gateway stops")
-        return stopped_answer(self._call)
+        return self._exchanges.failure or stopped_answer(self._call)
 
     async def run(self) -> web.StreamResponse | Refusal:
         """Return the finished answer, or why there is none."""
@@ -80,27 +75,27 @@
         finally:
             self._services.turns.done(self._call)
             self._assignment.clear()
-            if self._stages is not None:
-                self._stages.close()
+            if self._exchanges.stages is not None:
+                self._exchanges.stages.close()
 
     async def _run_admitted(self, chosen: WorkerRecord) -> web.StreamResponse | Refusal:
         engine: WorkerRecord | None = chosen
         for number in range(self._call.route.maximum_attempts):
             assert engine is not None
             inputs = await self._run_stages(engine)
-            if not self._relay.prepared and not self._admission.ends_before_stop():
+            if not self._answer.prepared and not self._admission.ends_before_stop():
                 break
             self._admission.log_time_left()
             engine = self._still_usable(engine)
             if engine is None or not self._may_send(number):
                 break
             engine = await self._take_turn(engine)
-            end = await self._send(engine, inputs)
+            end = await self._exchanges.send(engine, inputs)
             if end is RelayEnd.COMPLETE:
-                return self._relay.finished()
+                return self._answer.finished()
             if end is RelayEnd.CALLER_GONE:
                 raise CallerLeftError
-            if self._call.may_have_run and not self._call.route.idempotent:
+            if not self._exchanges.may_follow:
                 break
             if time.monotonic() >= self._call.end_at:
                 break
@@ -141,8 +136,8 @@
     async def _run_stages(self, engine: WorkerRecord) -> tuple[str, ...]:
         if not self._plan.any_work:
             return ()
-        if self._stages is None:
-            self._stages = StageRun(
+        if self._exchanges.stages is None:
+            self._exchanges.stages = StageRun(
                 self._call,
                 self._plan,
                 self._services.dispatch,
@@ -154,7 +149,7 @@
         if self._plan.complete:
             return self._plan.final_handles()
         self._call.step = CallStep.STAGES
-        handles, seconds = await self._timed_stages(self._stages)
+        handles, seconds = await self._timed_stages(self._exchanges.stages)
         self._services.metrics.stage_wait.observe(seconds)
         self._services.log.write(
             LogEvent.STAGE_ENDED,
@@ -183,46 +178,6 @@
             self._services.metrics.forecast_ratio.observe((now - started) / forecast)
         return handles, now - started
 
-    async def _send(self, engine: WorkerRecord, inputs: tuple[str, ...]) -> RelayEnd:
-        """Send the call to an engine and relay what comes."""
-        self._call.step = CallStep.ENGINE
-        attempt = await self._attempt(engine, inputs)
-        if attempt.outcome is AttemptOutcome.ANSWERED:
-            end = await self._relay.relay(attempt, self._first_event_patience())
-            self._log_end(engine, end)
-            return end
-        if attempt.lost_inputs:
-            self._services.fetch_delay(self._call.service).missed()
-            self._plan.redo_all()
-        return RelayEnd.BROKEN
-
-    async def _attempt(self, engine: WorkerRecord, inputs: tuple[str, ...]) -> Attempt:
-        self._note_prefix(engine)
-        self._relay.on_first_event = self._first_event(time.monotonic())
-        timer = self._free_after_fetch(engine)
-        try:
-            return await attempt_call(
-                self._services,
-                self._call,
-                engine,
-                self._first_event_patience(under_way=1),
-                fresh=False,
-                inputs=inputs,
-                resume_after=self._relay.resume_after,
-            )
-        finally:
-            if timer is not None:
-                timer.cancel()
-
-    def _note_prefix(self, engine: WorkerRecord) -> None:
-        now = time.monotonic()
-        prompt = self._call.envelope.prompt
-        configuration = self._services.mirror.configuration
-        profile = configuration.service(self._call.service) if configuration else None
-        capacity = profile.engine.cache_tokens if profile and profile.engine else 0
-        self._services.engines.sent(engine.worker_id, capacity, prompt.shared_parts, now)
-        self._services.prefix_news.add(engine.worker_id, prompt, now)
-
     def _count_tokens(self, engine: WorkerRecord) -> None:
         prompt = self._call.envelope.prompt
         unread = self._services.engines.unread_tokens(engine.worker_id, prompt)
@@ -230,101 +185,42 @@
         tokens.labels("read").inc(unread)
         tokens.labels("kept").inc(max(0, prompt.tokens_in - unread))
 
-    def _free_after_fetch(self, engine: WorkerRecord) -> asyncio.TimerHandle | None:
-        """Free the results once the engine has fetched them, unless it queues calls."""
-        standing = self._services.book.of(engine.worker_id)
-        busy = standing.in_flight + standing.peers_in_flight
-        if self._stages is None or busy >= engine.slots:
-            return None
-        delay = self._services.fetch_delay(self._call.service).seconds
-        return asyncio.get_running_loop().call_later(delay, self._stages.close)
-
-    def _first_event(self, sent_at: float) -> Callable[[], None]:
-        def note() -> None:
-            now = time.monotonic()
-            self._assignment.has_read()
-            self._services.turns.done(self._call)
-            self._services.first_event_times.learn(self._call.service, now - sent_at)
-            self._services.fetch_delay(self._call.service).found()
-            self._services.log.write(
-                LogEvent.FIRST_EVENT,
-                call=self._call.call_id,
-                seconds=round(now - sent_at, 3),
-                late=round(now - self._call.objective_at, 3),
-            )
-            if self._stages is not None:
-                self._stages.close()
-
-        return note
-
-    def _first_event_patience(self, under_way: int = 0) -> float:
-        left = self._call.end_at - time.monotonic()
-        if not self._may_move(under_way):
-            return left
-        usual = FIRST_EVENT_FACTOR * self._admission.engine_seconds()
-        return min(left, max(LEAST_FIRST_EVENT_SECONDS, usual))
-
-    def _may_move(self, under_way: int = 0) -> bool:
-        """Return whether a silent stream could be taken up at another engine."""
-        call = self._call
-        attempts = len(call.workers_tried) + under_way
-        return (
-            call.route.idempotent
-            and attempts < call.route.maximum_attempts
-            and self._services.could_repeat(call.service)
-        )
-
     def _after_failure(self, engine: WorkerRecord) -> None:
         """Make results again that were freed, before another engine is tried."""
-        if self._stages is not None and self._stages.closed:
+        if self._exchanges.stages is not None and self._exchanges.stages.closed:
             self._plan.redo_all()
-            self._stages.closed = False
+            self._exchanges.stages.closed = False
         self._services.log.write(
             LogEvent.STREAM_MOVED,
             call=self._call.call_id,
             worker=engine.worker_id,
-            last_event=self._relay.resume_after,
-        )
-
-    def _log_end(self, engine: WorkerRecord, end: RelayEnd) -> None:
-        part = self._relay.part
-        assert part is not None
-        self._services.log.write(
-            LogEvent.STREAM_ENDED,
-            call=self._call.call_id,
-            worker=engine.worker_id,
-            end=end.value,
-            status=part.status,
-            framing=part.framing.value,
-            resume_after=part.resume_after,
-            events=part.events,
-            first_event=part.first_event,
-            last_event=part.last_event,
-            leftover=len(part.leftover),
-            longest_pause=round(self._relay.longest_pause, 3),
-            pause_objective=self._call.route.pause_objective,
+            last_event=self._exchanges.resume_after,
         )
 
     def _give_up(self) -> web.StreamResponse | Refusal:
-        if self._relay.prepared:
-            self._relay.break_off()
+        if self._answer.prepared:
+            self._answer.break_off()
             raise ConnectionResetError("the stream cannot be finished")
+        if self._exchanges.failure is not None:
+            return self._exchanges.failure
         if self._call.may_have_run:
             overdue = time.monotonic() >= self._call.end_at
             code = ResultCode.DEADLINE_EXCEEDED if overdue else ResultCode.WORKER_LOST
             return Refusal(code)
         if not self._admission.ends_before_stop():
             return Refusal.draining("its stream would outlast the drain")
-        if self._stages is not None and self._stages.started:
+        if self._exchanges.stages is not None and self._exchanges.stages.started:
             detail = "no engine after the stages"
             return Refusal(ResultCode.STAGE_NOT_MADE, detail, retry_after=SHORT_RETRY_SECONDS)
         code = ResultCode.WORKERS_FULL if self._call.workers_tried else ResultCode.NO_BACKEND
         return Refusal(code, retry_after=SHORT_RETRY_SECONDS)
 
     def _stage_refusal(self, error: StageFailedError) -> web.StreamResponse | Refusal:
-        if self._relay.prepared:
-            self._relay.break_off()
+        if self._answer.prepared:
+            self._answer.break_off()
             raise ConnectionResetError("the stream cannot be finished") from error
+        if self._exchanges.failure is not None:
+            return self._exchanges.failure
         if self._call.may_have_run:
             return Refusal(ResultCode.STAGE_FAILED, error.detail)
         if self._services.drain.begun:
--- /dev/null
+++ b/src/corkcrank/gateway/opaque/worker_answers.py
@@ -0,0 +1,38 @@
+"""Answers of workers as they go back to callers: whole, with the worker's own headers."""
+
+import asyncio
+
+from aiohttp import web
+
+from corkcrank.gateway.opaque.attempts import Attempt
+from corkcrank.gateway.opaque.services import CallServices
+
+
+async def read_whole_answer(
+    services: CallServices, attempt: Attempt, seconds: float, silence: float = float("inf")
+) -> web.Response | None:
+    """Return a worker's answer once its body is whole, or ``None`` if it was cut.
+
+    ``seconds`` bounds the whole of it, ``silence`` the wait for each next byte.
+    """
+    upstream = attempt.response
+    assert upstream is not None
+    try:
+        body = await services.client.read(upstream, seconds, silence)
+    except asyncio.CancelledError:
+        attempt.close()
+        raise
+    if body is None:
+        attempt.close()
+        return None
+    headers = services.ports.calls.answer_headers(list(upstream.headers.items()))
+    response = web.Response(status=upstream.status, reason=upstream.reason, body=body)
+    replace_headers(response, headers)
+    return response
+
+
+def replace_headers(response: web.StreamResponse, headers: list[tuple[str, str]]) -> None:
+    """Give an answer exactly the worker's headers, without defaults of the library."""
+    response.headers.clear()
+    for name, value in headers:
+        response.headers.add(name, value)
--- a/tests/platform/test_stop_ends.py
+++ b/tests/platform/test_stop_ends.py
@@ -33,7 +33,7 @@
 from corkcrank.contracts.urgency import Urgency
 from corkcrank.gateway.opaque.node_process import _watch_signals
 from corkcrank.gateway.opaque.peer_protocol import PIECES_PATH, StageAnswer, StageWork
-from corkcrank.gateway.opaque.stream_relay import StreamRelay
+from corkcrank.gateway.opaque.stream_answer import StreamAnswer
 from corkcrank.links.platform_ports import PieceOutcome
 from corkcrank.load.loopback import loopback_address
 
@@ -85,14 +85,14 @@
     served = {"m": (StandinWorker(events=4, gap=0.3), "model")}
     async with world(configuration(1, ROUTES), served, grace=GRACE) as running:
         open_calls = running.nodes[0].front.open_calls
-        original = StreamRelay._note_pause
+        original = StreamAnswer._note_pause
 
-        def give_up_now(relay: StreamRelay) -> None:
-            if relay._call.first_byte_at is None:
+        def give_up_now(answer: StreamAnswer) -> None:
+            if answer._call.first_byte_at is None:
                 open_calls.end_unanswered()
-            original(relay)
+            original(answer)
 
-        monkeypatch.setattr(StreamRelay, "_note_pause", give_up_now)
+        monkeypatch.setattr(StreamAnswer, "_note_pause", give_up_now)
         reader, writer = await opened(running)
         writer.write(head("/brief/x", "X-Corkcrank-Token-Count: 10,4", "Content-Length: 0"))
         try:
--- a/tests/scheduling/played_network.py
+++ b/tests/scheduling/played_network.py
@@ -12,8 +12,9 @@
 from corkcrank.contracts.opaque_call import OpaqueCall, PromptShape
 from corkcrank.contracts.opaque_configuration import StageCapacity
 from corkcrank.contracts.worker_records import WorkerRecord
-from corkcrank.gateway.opaque import heartbeats, node, stage_desk, stream_run
+from corkcrank.gateway.opaque import engine_exchange, heartbeats, node, stage_desk
 from corkcrank.gateway.opaque.attempts import Attempt, AttemptOutcome
+from corkcrank.gateway.opaque.engine_exchange import EngineExchanges
 from corkcrank.gateway.opaque.peer_protocol import (
     ENGINE_DONE_PATH,
     ENGINE_TURN_PATH,
@@ -24,6 +25,7 @@
     FreeResults,
     StageWork,
 )
+from corkcrank.gateway.opaque.stream_answer import StreamAnswer
 from corkcrank.gateway.opaque.stream_relay import RelayEnd
 from corkcrank.links.platform_ports import PieceOutcome, PieceResult
 from corkcrank.machines import fleet
@@ -192,25 +194,14 @@
 
 
 def _replace_engines(world: "World", patch: pytest.MonkeyPatch) -> None:
-    class Relay:
-        prepared = False
-        resume_after = ""
-        longest_pause = 0.0
-
-        def __init__(self, call: OpaqueCall, *others: object) -> None:
-            self._call = call
-            self.on_first_event: Callable[[], None] = _nothing
-
-        async def relay(self, attempt: Attempt, patience: float) -> RelayEnd:
-            prompt = self._call.envelope.prompt
-            await asyncio.sleep(world.engines[attempt.worker.worker_id].read(prompt))
-            world.first_event_at[self._call.call_id] = time.monotonic()
-            self.on_first_event()
-            await asyncio.sleep(prompt.tokens_out * EVENT_SECONDS)
-            return RelayEnd.COMPLETE
-
-        def finished(self) -> str:
-            return "served"
+    async def take_answer(exchanges: EngineExchanges, attempt: Attempt) -> RelayEnd:
+        call = exchanges._call
+        prompt = call.envelope.prompt
+        await asyncio.sleep(world.engines[attempt.worker.worker_id].read(prompt))
+        world.first_event_at[call.call_id] = time.monotonic()
+        exchanges._relay.on_first_event()
+        await asyncio.sleep(prompt.tokens_out * EVENT_SECONDS)
+        return RelayEnd.COMPLETE
 
     async def attempt_call(
         services: object, call: OpaqueCall, worker: WorkerRecord, *others: object, **options: object
@@ -219,8 +210,9 @@
         call.workers_tried.append(worker.worker_id)
         return Attempt(worker, AttemptOutcome.ANSWERED)
 
-    patch.setattr(stream_run, "StreamRelay", Relay)
-    patch.setattr(stream_run, "attempt_call", attempt_call)
+    patch.setattr(EngineExchanges, "_take_answer", take_answer)
+    patch.setattr(StreamAnswer, "finished", lambda answer: "served")
+    patch.setattr(engine_exchange, "attempt_call", attempt_call)
 
 
 async def _answer(target: node.Node, path: str, message: bytes) -> bytes:
