--- a/benchmarks/test_bounds.py
+++ b/benchmarks/test_bounds.py
@@ -11,10 +11,12 @@
 from corkcrank.contracts.rendezvous import rendezvous_weight
 from corkcrank.links.claim_writer import ClaimWriter
 from corkcrank.links.table import Committed, Condition, Row, Rows, Write
-from corkcrank.load.scale_report import BOUND_RESIDENT_BYTES
 from corkcrank.machines.routing import Candidate, PrefixAffinity
 from overhead import Overhead, format_overhead, measure
 
+BOUND_RESIDENT_BYTES = 64e6
+"""Most memory of a daemon for control, by the planned size."""
+
 CALLS = 1000
 MAXIMUM_CPU_RATIO = 2.5
 CANDIDATES = 100
--- a/src/corkcrank/load/program.py
+++ b/src/corkcrank/load/program.py
@@ -3,7 +3,6 @@
 import asyncio
 from pathlib import Path
 
-import msgspec
 import typer
 
 from corkcrank.contracts.configuration import ServiceKind
@@ -103,31 +102,6 @@
     raise typer.Exit(1 if result.violations else 0)
 
 
-@application.command()
-def scale(
-    output: Path = typer.Argument(..., help="Folder for scale.json, scale.md and scale.png."),
-    daemons: list[int] = typer.Option([36, 88, 176, 350], help="Sizes; give it once for each."),
-) -> None:
-    """Run hollow daemons beside real ones at several sizes and write what they spent.
-
-    Example: corkcrank-load scale results --daemons 36 --daemons 88
-    """
-    from corkcrank.load.scale_report import draw_results, format_results
-    from corkcrank.load.scale_run import ScaleRun
-    from corkcrank.load.scale_size import size_for
-
-    results = []
-    for count in daemons:
-        results.append(asyncio.run(ScaleRun(size_for(count)).run()))
-        print(f"{count} daemons measured", flush=True)
-    output.mkdir(parents=True, exist_ok=True)
-    encoded = msgspec.json.format(msgspec.json.encode(results), indent=1)
-    (output / "scale.json").write_bytes(encoded + b"\n")
-    (output / "scale.md").write_text(format_results(results) + "\n", encoding="utf-8")
-    draw_results(results, output / "scale.png")
-    print(format_results(results))
-
-
 async def run_demo(path: Path, shape: TraceShape, seed: int) -> LoadReport:
     """Start a deployment, play a trace, stop it, and print the report."""
     deployment = load_deployment(path)
