Soak: engines that fail in different ways at the same time

Cause: one kind of failure struck one worker at a time, so a stream that an engine broke off was hardly ever taken up at one that failed it, and soaks did not meet the shortened streams.

--- a/tests/soak/injector.py
+++ b/tests/soak/injector.py
@@ -10,6 +10,7 @@
 
 from soak.accepting import FLOODS, flood
 from soak.fleet import PLAIN_SERVICES, SERVICES, ZONES, AnyWorker, SoakFleet, SoakNode
+from soak.grey_workers import fail_together
 from soak.links import FaultLink, LinkTrouble, Silence
 from soak.schedule import Fault, FaultKind
 from soak.workers import GREY_KINDS
@@ -63,6 +64,7 @@
             FaultKind.WORKER_GREY: self._worker_grey,
             FaultKind.WORKER_CRASH: self._worker_crash,
             FaultKind.KEPT_SILENT: self._kept_silent,
+            FaultKind.ENGINES_GREY: self._engines_grey,
         }
 
     async def play(self, schedule: Sequence[Fault]) -> None:
@@ -271,6 +273,9 @@
         worker.grey, worker.grey_share = "", 0.0
         self._ledger.disturbances.end("workers")
 
+    async def _engines_grey(self, fault: Fault) -> None:
+        await fail_together(self._fleet, self._ledger, "model", fault)
+
     async def _worker_crash(self, fault: Fault) -> None:
         worker = self._pick_worker(fault, SERVICES)
         if worker is None:
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -28,6 +28,7 @@
     WORKER_GREY = "worker fails some calls"
     WORKER_CRASH = "worker crashes"
     KEPT_SILENT = "kept connections fall silent for good"
+    ENGINES_GREY = "engines fail some calls, each in its own way"
 
 
 PLANNED = (
@@ -39,7 +40,7 @@
 )
 """Work of operators, which must cut nothing."""
 
-DRAWN_APART = (FaultKind.KEPT_SILENT,)
+DRAWN_APART = (FaultKind.KEPT_SILENT, FaultKind.ENGINES_GREY)
 """Kinds with a random source of their own, beside the others of a seed."""
 
 WEIGHTS = {
@@ -52,6 +53,9 @@
 MEAN_SILENCE_PAUSE_SECONDS = 4.0
 """Mean time between two moments at which kept connections fall silent."""
 
+MEAN_GREY_PAUSE_SECONDS = 5.0
+"""Mean time between two moments at which all engines begin to fail some calls."""
+
 MEAN_PAUSE_SECONDS = 0.9
 FAULT_SECONDS = (0.3, 4.5)
 SERIES_SHARE = 0.25
@@ -101,6 +105,7 @@
         at += source.expovariate(1.0 / MEAN_PAUSE_SECONDS)
     if not planned_only:
         faults += _silences(seed, seconds)
+        faults += _grey_engines(seed, seconds)
     return tuple(sorted(faults, key=lambda fault: fault.at))
 
 
@@ -115,3 +120,16 @@
         )
         at += source.expovariate(1.0 / MEAN_SILENCE_PAUSE_SECONDS)
     return faults
+
+
+def _grey_engines(seed: int, seconds: float) -> list[Fault]:
+    """Return when engines fail some of their calls, and for how long."""
+    source = random.Random(f"grey engines {seed}")
+    faults = []
+    at = QUIET_START_SECONDS + source.expovariate(1.0 / MEAN_GREY_PAUSE_SECONDS)
+    while at < seconds:
+        duration = source.uniform(*FAULT_SECONDS)
+        choice, strength = source.random(), source.random()
+        faults.append(Fault(FaultKind.ENGINES_GREY, at, duration, choice, strength))
+        at += duration + source.expovariate(1.0 / MEAN_GREY_PAUSE_SECONDS)
+    return faults
