--- a/tests/platform/engine_script.py
+++ b/tests/platform/engine_script.py
@@ -20,13 +20,15 @@
 class Ending(StrEnum):
     PROPER = "proper"
     RESET = "reset"
+    SILENCE = "silence"
 
 
 @dataclass(frozen=True)
 class Answer:
     """One answer: its body, how it is framed, and how it ends.
 
-    A reset follows its body ``pause`` seconds later, or at once.
+    A reset follows its body ``pause`` seconds later, or at once; silence lasts until the
+    connection is closed. ``missing`` bytes more are announced by a length than are sent.
     """
 
     body: bytes
@@ -34,6 +36,7 @@
     framing: Framing = Framing.CHUNKS
     ending: Ending = Ending.PROPER
     pause: float = 0.02
+    missing: int = 0
 
 
 Script = Callable[[int], Answer]
@@ -88,7 +91,7 @@
         if answer.framing is Framing.CHUNKS:
             lines.append("Transfer-Encoding: chunked")
         elif answer.framing is Framing.LENGTH:
-            lines.append(f"Content-Length: {len(answer.body)}")
+            lines.append(f"Content-Length: {len(answer.body) + answer.missing}")
         else:
             lines.append("Connection: close")
         return ("\r\n".join(lines) + "\r\n\r\n").encode()
@@ -131,6 +134,9 @@
                 await asyncio.sleep(answer.pause)
             reset(writer)
             return False
+        if answer.ending is Ending.SILENCE:
+            await reader.read()
+            return False
         return answer.framing is not Framing.CONNECTION
 
 
