A failure without an end holds no stream, and no engine ends one whose next event had begun

Cause: the body of an engine's failure was read for as long as its caller's time was left, also where another engine could take the stream up or where no byte of it could be used. An empty success behind the last event was the end of the stream, also where the engine before had sent a part of the next event or a later one. Stages were made again before it was asked whether any engine was left. Ruled out: a limit on silence alone, since a body that trickles holds as long.

--- a/src/corkcrank/gateway/opaque/engine_exchange.py
+++ b/src/corkcrank/gateway/opaque/engine_exchange.py
@@ -14,8 +14,8 @@
 from corkcrank.gateway.opaque.stage_run import StageRun
 from corkcrank.gateway.opaque.stream_admission import StreamAdmission
 from corkcrank.gateway.opaque.stream_answer import StreamAnswer
-from corkcrank.gateway.opaque.stream_part import StreamPart, framing_of
-from corkcrank.gateway.opaque.stream_relay import RelayEnd, StreamRelay
+from corkcrank.gateway.opaque.stream_part import StreamPart
+from corkcrank.gateway.opaque.stream_relay import LEAST_SILENCE_SECONDS, RelayEnd, StreamRelay
 from corkcrank.gateway.opaque.worker_answers import read_whole_answer
 from corkcrank.links.decision_log import LogEvent
 from corkcrank.scheduling.stage_plan import StagePlan
@@ -33,8 +33,8 @@
 class EngineExchanges:
     """The exchanges of one call, one engine after the other.
 
-    ``stages`` holds the results that engines fetch. ``failure`` is the newest answer of an
-    engine that was a failure in place of a stream.
+    ``stages`` holds the results that engines fetch. ``failure`` is the newest whole answer of
+    an engine that was a failure in place of a stream.
     """
 
     def __init__(
@@ -86,7 +86,7 @@
     async def _take_answer(self, attempt: Attempt) -> RelayEnd:
         upstream = attempt.response
         assert upstream is not None
-        part = StreamPart(upstream.status, framing_of(upstream), self._relay.resume_after)
+        part = self._relay.part_of(upstream)
         if part.succeeded:
             end = await self._relay.relay(attempt, part, self._first_event_patience())
         else:
@@ -103,10 +103,20 @@
         if attempt.status >= ENGINE_FAULT_STATUS:
             standing = self._services.book.of(attempt.worker.worker_id)
             standing.failures.append(time.monotonic())
-        left = self._call.end_at - time.monotonic()
-        self.failure = await read_whole_answer(self._services, attempt, left)
+        failure = await read_whole_answer(self._services, attempt, self._failure_patience())
+        self.failure = failure or self.failure
         return RelayEnd.FAILED
 
+    def _failure_patience(self) -> float:
+        """Return how long the body of a failure is waited for, in seconds.
+
+        A body without an end would hold a stream that another engine could take up until its
+        caller's time is over. A stream that has begun needs no byte of it.
+        """
+        if not self._answer.prepared:
+            return self._first_event_patience()
+        return min(self._call.end_at - time.monotonic(), LEAST_SILENCE_SECONDS)
+
     async def _attempt(self, engine: WorkerRecord, inputs: tuple[str, ...]) -> Attempt:
         self._note_prefix(engine)
         self._relay.on_first_event = self._first_event(time.monotonic())
--- a/src/corkcrank/gateway/opaque/stream_part.py
+++ b/src/corkcrank/gateway/opaque/stream_part.py
@@ -40,17 +40,21 @@
     """What one engine sent of a stream.
 
     ``resume_after`` is the id of the event after which the engine was asked to begin, empty
-    for a stream from its beginning. ``first_event`` and ``last_event`` are the ids of events
-    that were passed on, ``leftover`` the bytes behind the last whole event.
+    for a stream from its beginning; ``more_begun`` says that another engine showed that an event
+    follows that one. ``first_event`` and ``last_event`` are the ids of events that were passed
+    on, ``leftover`` the bytes behind the last whole event; ``skipped`` says that an event was
+    missing before one that came.
     """
 
     status: int
     framing: Framing
     resume_after: str = ""
+    more_begun: bool = False
     events: int = 0
     first_event: int | None = None
     last_event: int | None = None
     leftover: bytes = b""
+    skipped: bool = False
 
     @property
     def succeeded(self) -> bool:
@@ -62,6 +66,7 @@
         if not event.dispatched:
             return True
         if event.event_id is None or not self._is_next(event.event_id):
+            self.skipped = (event.event_id or 0) > (self._position or 0)
             return False
         self.events += 1
         if self.first_event is None:
@@ -83,13 +88,35 @@
         """
         if not self.succeeded or self.leftover.strip():
             return False
-        return self.events > 0 or bool(self.resume_after)
+        return self.events > 0 or (bool(self.resume_after) and not self.more_begun)
 
-    def _is_next(self, event_id: int) -> bool:
+    def shows_more(self) -> bool:
+        r"""Return whether an event is known to follow the last one that was passed on.
+
+        Without this, an engine with nothing to add ended a stream as complete although the one
+        before it had broken off within the next event.
+
+        >>> StreamPart(200, Framing.CHUNKS, events=3, leftover=b"id: 4\n").shows_more()
+        True
+        >>> StreamPart(200, Framing.CHUNKS, events=3, leftover=b": still here").shows_more()
+        False
+        """
+        if self.skipped:
+            return True
+        begun = self.leftover.strip()
+        if begun and not begun.startswith(b":"):
+            return True
+        return self.more_begun and self.events == 0
+
+    @property
+    def _position(self) -> int | None:
+        """Return the id of the last event that the caller has, if it is a number."""
         if self.last_event is not None:
-            return event_id == self.last_event + 1
-        if not self.resume_after:
-            return event_id in FIRST_EVENT_IDS
+            return self.last_event
+        return int(self.resume_after) if self.resume_after.isdecimal() else None
+
+    def _is_next(self, event_id: int) -> bool:
+        if self._position is not None:
+            return event_id == self._position + 1
         # Where a caller names an event in a way of its own, any beginning may be right.
-        asked = self.resume_after
-        return not asked.isdecimal() or event_id == int(asked) + 1
+        return bool(self.resume_after) or event_id in FIRST_EVENT_IDS
--- a/src/corkcrank/gateway/opaque/stream_relay.py
+++ b/src/corkcrank/gateway/opaque/stream_relay.py
@@ -12,7 +12,7 @@
 from corkcrank.gateway.opaque.events import EventReader, StreamEvent
 from corkcrank.gateway.opaque.services import CallServices
 from corkcrank.gateway.opaque.stream_answer import StreamAnswer
-from corkcrank.gateway.opaque.stream_part import StreamPart
+from corkcrank.gateway.opaque.stream_part import StreamPart, framing_of
 from corkcrank.gateway.opaque.worker_client import address_of, unframed_end
 
 LEAST_SILENCE_SECONDS = 1.0
@@ -51,8 +51,15 @@
         self._answer = answer
         self.resume_after = call.envelope.resume_after
         """Id of the last event that the caller has, as it is told to an engine."""
+        self._more_begun = False
         self.on_first_event: Callable[[], None] = lambda: None
 
+    def part_of(self, upstream: aiohttp.ClientResponse) -> StreamPart:
+        """Return the part that begins with the head of an engine's answer."""
+        return StreamPart(
+            upstream.status, framing_of(upstream), self.resume_after, self._more_begun
+        )
+
     async def relay(self, attempt: Attempt, part: StreamPart, first_seconds: float) -> RelayEnd:
         """Pass one engine's events on until they end, break or fall silent."""
         upstream = attempt.response
@@ -62,6 +69,7 @@
         try:
             end = await self._relay(upstream, part, first_seconds)
         finally:
+            self._more_begun = part.shows_more()
             if end is not RelayEnd.COMPLETE:
                 attempt.close()
             if end is RelayEnd.BROKEN:
--- a/src/corkcrank/gateway/opaque/stream_run.py
+++ b/src/corkcrank/gateway/opaque/stream_run.py
@@ -99,7 +99,11 @@
                 break
             if time.monotonic() >= self._call.end_at:
                 break
-            self._after_failure(engine)
+            failed = engine
+            engine = self._still_usable(failed)
+            if engine is None:
+                break
+            self._after_failure(failed)
         return self._give_up()
 
     async def _take_turn(self, chosen: WorkerRecord) -> WorkerRecord:
--- a/tests/platform/test_stream_takeover.py
+++ b/tests/platform/test_stream_takeover.py
@@ -15,7 +15,7 @@
 from engine_script import Answer, Ending, Framing, Script, ScriptedEngine, events, honest
 from node_world import configuration, route, world
 from platform_standins import StandinStageWorker
-from test_stream_wholeness import EVENTS, ROUTES, WHOLE, answer_of, broken_after, failing
+from test_stream_wholeness import EVENTS, WHOLE, answer_of, broken_after, failing
 
 SILENT_FAILURES = {
     "no byte": lambda after: Answer(b"", 500, Framing.LENGTH, Ending.SILENCE, missing=20),
@@ -69,3 +69,9 @@
         with pytest.raises(aiohttp.ClientPayloadError):
             await response.read()
     assert len(encode.calls) == 1
+
+
+async def test_engine_that_begins_anew_does_not_show_that_an_event_is_missing() -> None:
+    anew: Script = lambda after: Answer(WHOLE)  # noqa: E731
+    expected = (200, b"", True)
+    assert await answer_of("/resumed/x", anew, honest(EVENTS), after=str(EVENTS)) == expected
