Events are cut out of a stream in linear time

Cause: for each event all bytes read together were searched for three kinds of line ends and copied; an event that came in parts was searched from its beginning with each part, and copied for the log. Ruled out: a smaller read, since one read of 16 KiB still took 0.028 s.

Change: one expression finds the ends in one pass, from where the last search ended; what is left over is copied once, when a part ends.

--- a/src/corkcrank/gateway/opaque/events.py
+++ b/src/corkcrank/gateway/opaque/events.py
@@ -1,8 +1,10 @@
 """Events of a stream: cut out whole, with their ids, from bytes as they come."""
 
+import re
 from dataclasses import dataclass
 
-_ENDS = (b"\n\n", b"\r\n\r\n", b"\r\r")
+_END = re.compile(rb"\n\n|\r\n\r\n|\r\r")
+_LONGEST_END = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,15 +21,20 @@
 
 
 class EventReader:
-    """Collects bytes and gives out whole events."""
+    """Collects bytes and gives out whole events.
+
+    Each byte is searched once, however many events come together and in however many parts
+    one comes: a slow caller's stream collects 128 KiB, whose short events held up the loop for
+    0.56 s where each of them was searched for anew.
+    """
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
 
     @property
     def rest(self) -> bytes:
         """Return bytes that are no whole event yet."""
-        return self._buffer
+        return bytes(self._buffer)
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         r"""Take bytes and return the events that became whole.
@@ -40,19 +47,15 @@
         >>> reader.feed(b": still here\n\n")[0].dispatched
         False
         """
+        unsearched = max(0, len(self._buffer) - _LONGEST_END + 1)
         self._buffer += data
         events: list[StreamEvent] = []
-        while True:
-            end = _first_end(self._buffer)
-            if end is None:
-                return events
-            raw, self._buffer = self._buffer[:end], self._buffer[end:]
-            events.append(_event(raw))
-
-
-def _first_end(buffer: bytes) -> int | None:
-    ends = [position + len(end) for end in _ENDS if (position := buffer.find(end)) >= 0]
-    return min(ends, default=None)
+        begin = 0
+        for end in _END.finditer(self._buffer, unsearched):
+            events.append(_event(bytes(self._buffer[begin : end.end()])))
+            begin = end.end()
+        del self._buffer[:begin]
+        return events
 
 
 def _event(raw: bytes) -> StreamEvent:
--- a/src/corkcrank/gateway/opaque/stream_relay.py
+++ b/src/corkcrank/gateway/opaque/stream_relay.py
@@ -88,7 +88,6 @@
                 if not chunk:
                     break
                 events = reader.feed(chunk)
-                part.leftover = reader.rest
                 if events and not await self._send_events(upstream, part, events):
                     return RelayEnd.BROKEN
                 if events:
@@ -97,6 +96,8 @@
                 await closed
         except (aiohttp.ClientError, ConnectionError, TimeoutError, ValueError):
             return RelayEnd.CALLER_GONE if self._answer.caller_gone else RelayEnd.BROKEN
+        finally:
+            part.leftover = reader.rest
         return await self._end(upstream, part)
 
     async def _next_chunk(self, upstream: aiohttp.ClientResponse, patience: float) -> bytes:
--- a/tests/platform/test_event_reader.py
+++ b/tests/platform/test_event_reader.py
@@ -3,7 +3,7 @@
 What a review showed: every whole event searched all bytes that were read together for each kind
 of line end and copied what was behind it. A read of 128 KiB of short events, which a stream with
 a slow caller collects, held up the loop, and so every other stream of the gateway, for 0.56 s;
-it takes 0.004 s now.
+it takes 0.015 s now.
 """
 
 import itertools
