A list of several pages is followed from its first one, and a page without rows is no answer

Cause: each page is as of a moment of its own, but the revision kept was that of the last page, so a change to a row of an earlier page made meanwhile never came. A page that announced more without rows, and an answer without the field of rows, were taken for all there is.

Change: the first page's revision is kept; rows are required. Ruled out: reading again until no page changed, since the changes since the first page say the same.

--- a/src/corkcrank/platform/store.py
+++ b/src/corkcrank/platform/store.py
@@ -41,8 +41,8 @@
 
 class _Page(msgspec.Struct):
     ver: int
+    rows: list[_Row]
     now_ms: float = 0.0
-    rows: list[_Row] = []
     more: bool = False
 
 
@@ -78,17 +78,25 @@
         self.on_silence: SilenceListener = ignore_silence
 
     async def read(self, table: StoreTable) -> StoreRows | StoreFailure:
-        """Return all rows of a table as of one moment, page after page."""
+        """Return all rows of a table, page after page.
+
+        Each page is as of a moment of its own. The revision is that of the first one: what
+        changed in it while the others were read comes with the changes since.
+        """
         rows: list[StoreRow] = []
+        revision: int | None = None
         query = {"table": _TABLES[table], "part": "", "limit": str(PAGE_ROWS)}
         while True:
             body = await self._call("GET", names.ROWS_GET_PATH, query, None, self._timeout)
             page = _decode_page(body)
             if isinstance(page, StoreFailure):
                 return page
+            revision = page.ver if revision is None else revision
             rows.extend(_row(row) for row in page.rows)
-            if not page.more or not page.rows:
-                return StoreRows(tuple(rows), page.ver, page.now_ms / MILLISECONDS)
+            if not page.more:
+                return StoreRows(tuple(rows), revision, page.now_ms / MILLISECONDS)
+            if not page.rows:
+                return StoreFailure(StoreTrouble.BROKEN, "more rows announced, none sent")
             query["source"] = page.rows[-1].key + "\x00"
 
     async def watch(
