--- a/tests/platform/test_stream_takeover.py
+++ b/tests/platform/test_stream_takeover.py
@@ -10,12 +10,15 @@
 - stages were made again for a stream that no other engine was left to take up.
 """
 
+import asyncio
+import random
+
 import aiohttp
 import pytest
 from engine_script import Answer, Ending, Framing, Script, ScriptedEngine, events, honest
-from node_world import configuration, route, world
-from platform_standins import StandinStageWorker
-from test_stream_wholeness import EVENTS, WHOLE, answer_of, broken_after, failing
+from node_world import World, configuration, route, stop, until, world
+from platform_standins import SEAL, StandinStageWorker
+from test_stream_wholeness import EVENTS, ROUTES, WHOLE, answer_of, broken_after, failing
 
 SILENT_FAILURES = {
     "no byte": lambda after: Answer(b"", 500, Framing.LENGTH, Ending.SILENCE, missing=20),
@@ -75,3 +78,88 @@
     anew: Script = lambda after: Answer(WHOLE)  # noqa: E731
     expected = (200, b"", True)
     assert await answer_of("/resumed/x", anew, honest(EVENTS), after=str(EVENTS)) == expected
+
+
+NO_STREAM = [101, 204, 206, 301, 304, 400, 404, 429, 503, 599, 999]
+
+
+@pytest.mark.parametrize("status", NO_STREAM)
+async def test_answer_that_is_no_stream_does_not_end_one(status: int) -> None:
+    script: Script = lambda after: Answer(b"", status, Framing.LENGTH)  # noqa: E731
+    got = await answer_of("/resumed/x", broken_after(4), script, honest(EVENTS))
+    assert got in ((200, WHOLE, True), (200, events(1, 4), False))
+
+
+async def test_failure_whose_body_is_a_series_of_events_is_no_part_of_a_stream() -> None:
+    script: Script = lambda after: Answer(events(after + 1, EVENTS), 500)  # noqa: E731
+    assert await answer_of("/resumed/x", broken_after(4), script) == (200, events(1, 4), False)
+
+
+async def test_failure_that_is_kept_goes_back_when_the_gateway_stops() -> None:
+    silent: Script = lambda after: Answer(b"", ending=Ending.SILENCE)  # noqa: E731
+    turns = [failing(body=b"kept"), silent]
+    engines = [ScriptedEngine([lambda after: turns.pop(0)(after)]) for _ in range(2)]
+    served = {engine.worker_id: (engine, "model") for engine in engines}
+    async with world(configuration(1, ROUTES), served) as running:
+        call = asyncio.create_task(running.call("/resumed/x"))
+        await until(lambda: not turns)
+        stopping = await stop(running)
+        response = await call
+        assert (response.status, await response.read()) == (500, b"kept")
+        assert response.headers[SEAL].startswith("seal-")
+        await stopping
+
+
+def any_answer(source: random.Random) -> Script:
+    """Return an engine that answers in any way but with an empty success, which may be right."""
+
+    def script(after: int) -> Answer:
+        rest = events(after + 1, EVENTS)
+        cut = source.randint(0, len(rest) - 1) if rest else 0
+        framing = source.choice(list(Framing))
+        pause = source.choice([0.0, 0.02])
+        return source.choice(
+            [
+                Answer(rest, framing=framing),
+                Answer(rest, 500, framing),
+                Answer(b"fault", 504, Framing.LENGTH, Ending.RESET, pause, missing=3),
+                Answer(rest[:cut], framing=Framing.CHUNKS, ending=Ending.RESET, pause=pause),
+                Answer(rest[:cut], framing=Framing.CONNECTION, ending=Ending.RESET, pause=pause),
+                Answer(rest[:cut], framing=Framing.LENGTH, missing=len(rest) - cut, pause=pause),
+                Answer(events(1, EVENTS), framing=framing),
+                Answer(events(after + 2, EVENTS) or rest, framing=framing),
+                Answer(rest + b"id: 1", framing=framing),
+            ]
+        )
+
+    return script
+
+
+async def one_answer(running: World, path: str, after: int) -> bool:
+    """Read an answer; return whether it is whole, and check that it is what it seems."""
+    headers = {"Last-Event-Id": str(after)} if after else {}
+    response = await running.call(path, headers=headers)
+    body = b""
+    ended = True
+    try:
+        async for data in response.content.iter_any():
+            body += data
+    except aiohttp.ClientError:
+        ended = False
+    if response.status != 200:
+        return False
+    expected = events(after + 1, EVENTS)
+    assert expected.startswith(body)
+    assert not ended or body == expected
+    return ended
+
+
+@pytest.mark.parametrize("seed", range(3))
+async def test_no_answer_that_ends_as_complete_misses_an_event(seed: int) -> None:
+    source = random.Random(seed)
+    engines = [ScriptedEngine([any_answer(source)]) for _ in range(4)]
+    served = {engine.worker_id: (engine, "model") for engine in engines}
+    calls = [("/plainly/x", 0), ("/resumed/x", 0), ("/resumed/x", 4), ("/resumed/x", EVENTS)] * 12
+    async with world(configuration(1, ROUTES), served) as running:
+        whole = await asyncio.gather(*(one_answer(running, *call) for call in calls))
+    assert any(whole)
