--- a/tests/platform/test_stream_takeover.py
+++ b/tests/platform/test_stream_takeover.py
@@ -15,9 +15,11 @@
 
 import aiohttp
 import pytest
+from callers import caller_of, request_bytes
 from engine_script import Answer, Ending, Framing, Script, ScriptedEngine, events, honest
 from node_world import World, configuration, route, stop, until, world
 from platform_standins import SEAL, StandinStageWorker
+from silent_link import CHUNK_BYTES
 from test_stream_wholeness import EVENTS, ROUTES, WHOLE, answer_of, broken_after, failing
 
 SILENT_FAILURES = {
@@ -163,3 +165,39 @@
     async with world(configuration(1, ROUTES), served) as running:
         whole = await asyncio.gather(*(one_answer(running, *call) for call in calls))
     assert any(whole)
+
+
+async def old_answer(running: World, whole: asyncio.Event | None = None) -> tuple[bytes, bool]:
+    """Read a stream by HTTP/1.0, which only its connection ends; return if that was proper."""
+    async with caller_of(running) as caller:
+        head = request_bytes("/plainly/x").replace(b"HTTP/1.1", b"HTTP/1.0")
+        caller.writer.write(head)
+        body = b""
+        try:
+            while data := await caller.reader.read(CHUNK_BYTES):
+                body += data
+                if whole is not None and b"id: 4" in body:
+                    whole.set()
+        except ConnectionResetError:
+            return body.partition(b"\r\n\r\n")[2], False
+        return body.partition(b"\r\n\r\n")[2], True
+
+
+async def test_caller_that_knows_no_chunks_sees_that_a_stream_was_broken() -> None:
+    served = {"m": (ScriptedEngine([broken_after(4), honest(EVENTS)]), "model")}
+    async with world(configuration(1, ROUTES), served) as running:
+        body, ended = await old_answer(running)
+        assert not ended
+        assert events(1, 4).startswith(body)
+        assert await old_answer(running) == (WHOLE, True)
+
+
+async def test_caller_that_knows_no_chunks_sees_that_a_stop_cut_a_stream() -> None:
+    silent: Script = lambda after: Answer(events(1, 4), ending=Ending.SILENCE)  # noqa: E731
+    served = {"m": (ScriptedEngine([silent]), "model")}
+    async with world(configuration(1, ROUTES), served) as running:
+        begun = asyncio.Event()
+        reading = asyncio.create_task(old_answer(running, begun))
+        await begun.wait()
+        await (await stop(running))
+        assert await reading == (events(1, 4), False)
