A stream that only its connection ends is reset unless it ended properly

Cause: the end of the transport was the end of the content once more, on the caller's side: a stream to a caller of HTTP/1.0 has no framing, and every close of its connection looked proper. Ruled out: refusing such callers, since whole streams reach them; a reset in break_off alone, since a stop and the end of the process cut streams too.

Change: the connection of such an answer is set to end by a reset from its head to its end. The users' clients speak HTTP/1.1, whose chunks show it; nothing changes for them.

--- a/src/corkcrank/gateway/opaque/stream_answer.py
+++ b/src/corkcrank/gateway/opaque/stream_answer.py
@@ -5,11 +5,12 @@
 from collections.abc import Coroutine
 
 import aiohttp
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 
 from corkcrank.contracts.opaque_call import OpaqueCall
 from corkcrank.gateway.opaque.services import CallServices
 from corkcrank.gateway.opaque.worker_answers import replace_headers
+from corkcrank.links.closed_connections import close_by_reset
 from corkcrank.links.silence import ConnectionKind, SilentConnection
 
 
@@ -64,6 +65,7 @@
         if rest:
             await response.write(rest)
         await response.write_eof()
+        self._end_by_reset(False)
 
     async def _within_call(self, writing: Coroutine[None, None, None]) -> None:
         """Write to the caller; one that accepts no bytes is dropped at the call's end."""
@@ -88,9 +90,18 @@
                 response.force_close()
             self._response = response
             self._call.answer_begun = True
+            self._end_by_reset(True)
             await response.prepare(self._request)
         return self._response
 
+    def _end_by_reset(self, reset: bool) -> None:
+        """Have an answer that only its connection ends not look complete before it is.
+
+        HTTP/1.0 knows no chunks; a stream that was broken off ended there as a whole one does.
+        """
+        if self._request.version < HttpVersion11:
+            close_by_reset(self._request.transport, reset)
+
     def _note_pause(self) -> None:
         now = time.monotonic()
         if self._call.first_byte_at is None:
--- a/src/corkcrank/links/closed_connections.py
+++ b/src/corkcrank/links/closed_connections.py
@@ -1,4 +1,4 @@
-"""Whether the other end of a TCP connection has closed it, as the kernel knows it.
+"""How a TCP connection ends: whether the other end has closed it, and how a close looks there.
 
 An event loop tells of a close only once everything before it was read: late while the loop
 is busy, and never while reading is paused.
@@ -6,6 +6,7 @@
 
 import asyncio
 import socket
+import struct
 
 TCP_CLOSE, TCP_CLOSE_WAIT = 7, 8
 """Linux's states of a connection after a reset, and after the end of the other side."""
@@ -29,3 +30,13 @@
     except OSError:
         return False
     return bool(state) and state[0] in (TCP_CLOSE, TCP_CLOSE_WAIT)
+
+
+def close_by_reset(transport: asyncio.BaseTransport | None, reset: bool) -> None:
+    """Have a close of a connection, by whatever cause, be seen as a reset, or properly again."""
+    if transport is None or transport.is_closing():
+        return
+    connection = transport.get_extra_info("socket")
+    if connection is not None:
+        linger = struct.pack("ii", int(reset), 0)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
--- a/tests/platform/test_stream_takeover.py
+++ b/tests/platform/test_stream_takeover.py
@@ -19,9 +19,10 @@
 from engine_script import Answer, Ending, Framing, Script, ScriptedEngine, events, honest
 from node_world import World, configuration, route, stop, until, world
 from platform_standins import SEAL, StandinStageWorker
-from silent_link import CHUNK_BYTES
 from test_stream_wholeness import EVENTS, ROUTES, WHOLE, answer_of, broken_after, failing
 
+READ_BYTES = 16_384
+
 SILENT_FAILURES = {
     "no byte": lambda after: Answer(b"", 500, Framing.LENGTH, Ending.SILENCE, missing=20),
     "some bytes": lambda after: Answer(b"out of", 500, Framing.LENGTH, Ending.SILENCE, missing=9),
@@ -174,7 +175,7 @@
         caller.writer.write(head)
         body = b""
         try:
-            while data := await caller.reader.read(CHUNK_BYTES):
+            while data := await caller.reader.read(READ_BYTES):
                 body += data
                 if whole is not None and b"id: 4" in body:
                     whole.set()
