--- a/src/corkcrank/gateway/opaque/engine_exchange.py
+++ b/src/corkcrank/gateway/opaque/engine_exchange.py
@@ -104,7 +104,8 @@
             standing = self._services.book.of(attempt.worker.worker_id)
             standing.failures.append(time.monotonic())
         failure = await read_whole_answer(self._services, attempt, self._failure_patience())
-        self.failure = failure or self.failure
+        if failure is not None:
+            self.failure = failure
         return RelayEnd.FAILED
 
     def _failure_patience(self) -> float:
