--- a/src/corkcrank/gateway/opaque/stream_relay.py
+++ b/src/corkcrank/gateway/opaque/stream_relay.py
@@ -12,7 +12,7 @@
 from corkcrank.gateway.opaque.events import EventReader, StreamEvent
 from corkcrank.gateway.opaque.services import CallServices
 from corkcrank.gateway.opaque.stream_answer import StreamAnswer
-from corkcrank.gateway.opaque.stream_part import StreamPart
+from corkcrank.gateway.opaque.stream_part import StreamPart, framing_of
 from corkcrank.gateway.opaque.worker_client import address_of, unframed_end
 
 LEAST_SILENCE_SECONDS = 1.0
@@ -51,8 +51,15 @@
         self._answer = answer
         self.resume_after = call.envelope.resume_after
         """Id of the last event that the caller has, as it is told to an engine."""
+        self._more_begun = False
         self.on_first_event: Callable[[], None] = lambda: None
 
+    def part_of(self, upstream: aiohttp.ClientResponse) -> StreamPart:
+        """Return the part that begins with the head of an engine's answer."""
+        return StreamPart(
+            upstream.status, framing_of(upstream), self.resume_after, self._more_begun
+        )
+
     async def relay(self, attempt: Attempt, part: StreamPart, first_seconds: float) -> RelayEnd:
         """Pass one engine's events on until they end, break or fall silent."""
         upstream = attempt.response
@@ -62,6 +69,7 @@
         try:
             end = await self._relay(upstream, part, first_seconds)
         finally:
+            self._more_begun = part.shows_more()
             if end is not RelayEnd.COMPLETE:
                 attempt.close()
             if end is RelayEnd.BROKEN:
@@ -80,7 +88,6 @@
                 if not chunk:
                     break
                 events = reader.feed(chunk)
-                part.leftover = reader.rest
                 if events and not await self._send_events(upstream, part, events):
                     return RelayEnd.BROKEN
                 if events:
@@ -89,6 +96,8 @@
                 await closed
         except (aiohttp.ClientError, ConnectionError, TimeoutError, ValueError):
             return RelayEnd.CALLER_GONE if self._answer.caller_gone else RelayEnd.BROKEN
+        finally:
+            part.leftover = reader.rest
         return await self._end(upstream, part)
 
     async def _next_chunk(self, upstream: aiohttp.ClientResponse, patience: float) -> bytes:
