One record for each incarnation of a worker; foreign entries name none

Cause: all state about a worker was kept by the key of its row, which a worker that starts again now keeps: draining, a 421, failures, prefixes, room and results of before were taken for those of the new process. Entries were read leniently: an unknown state counted as ready, slots of -3 and an empty address were accepted; one row that was no base64 lost a whole answer of the store. Ruled out: forgetting each kind of state when the start changes (a dozen places); ordering by the start in place of the store's revision (clocks step, a foreign start in the future locks a worker out); reading a fall of sequence as a restart (rows do not change for it alone). Change: WorkerRecord has the name on the wire and, by its start, an id of its own; all state is kept by that id as before. Entries are read whole or not at all, with a reason, and an unreadable one takes its worker out at once, also after an outage. The rows of an answer are decoded one by one. Reports of another incarnation are passed over, results of one that has ended are not freed at the next. A log line, a metric and the state dump tell of what could not be read. Tests: stand-ins' entries of stage workers and scripted engines lacked version and warmup_left_ms, which every worker writes; they have them now.

--- a/src/corkcrank/contracts/worker_records.py
+++ b/src/corkcrank/contracts/worker_records.py
@@ -1,24 +1,45 @@
 """The workers that the platform's list names."""
 
 from collections.abc import Iterable
+from functools import cached_property
 
 import msgspec
 
 
-class WorkerRecord(msgspec.Struct, frozen=True):
-    """One incarnation of one worker; ``revision`` is that of its row."""
+class WorkerRecord(msgspec.Struct, frozen=True, dict=True):
+    """One incarnation of one worker; ``revision`` is that of its row.
 
-    worker_id: str
+    ``name`` is the key of the row and what the worker answers to; it may outlive a restart.
+    ``born`` is the Unix time of the incarnation's start in milliseconds, ``None`` where the
+    platform does not tell it.
+    """
+
+    name: str
     service: str
     address: str
     zone: str
     slots: int = 1
     leaving: bool = False
     revision: int = 0
+    born: int | None = None
+
+    @cached_property
+    def worker_id(self) -> str:
+        """Return what tells this incarnation from every other one.
+
+        All state about a worker is kept by this id, so that a restart under the same name
+        inherits nothing. No name holds a space, so no two incarnations share an id.
+
+        >>> WorkerRecord("w", "s", "", "").worker_id
+        'w'
+        >>> WorkerRecord("w", "s", "", "", born=17).worker_id
+        'w 17'
+        """
+        return self.name if self.born is None else f"{self.name} {self.born}"
 
 
 class WorkerList:
-    """Every worker known, by service.
+    """Every worker known, by service: at most one incarnation of each name.
 
     ``revision`` is the state of the list that is known whole. Rows may be newer: a row is
     only replaced by a newer one of its own, whatever the order in which they are told.
@@ -26,6 +47,7 @@
 
     def __init__(self) -> None:
         self._records: dict[str, WorkerRecord] = {}
+        self._by_id: dict[str, WorkerRecord] = {}
         self._by_service: dict[str, tuple[WorkerRecord, ...]] = {}
         self._usable: dict[tuple[str, str | None], tuple[WorkerRecord, ...]] = {}
         self._indexed = True
@@ -35,22 +57,25 @@
     def replace_all(self, records: Iterable[WorkerRecord], revision: int) -> None:
         """Take the whole list as of ``revision``, but for rows known to be newer than that."""
         newer = {key: at for key, at in self._row_revisions.items() if at > revision}
-        listed = {record.worker_id: record for record in records if record.worker_id not in newer}
+        listed = {record.name: record for record in records if record.name not in newer}
         kept = {key: record for key, record in self._records.items() if key in newer}
         self._records = listed | kept
         self._row_revisions = {key: record.revision for key, record in listed.items()} | newer
+        self._by_id = {record.worker_id: record for record in self._records.values()}
         self.revision = max(self.revision, revision)
         self._indexed = False
 
-    def apply_row(self, worker_id: str, record: WorkerRecord | None, revision: int) -> bool:
+    def apply_row(self, name: str, record: WorkerRecord | None, revision: int) -> bool:
         """Take one changed row, ``None`` if it is gone; return whether it was newer."""
-        if revision <= self._row_revisions.get(worker_id, 0):
+        if revision <= self._row_revisions.get(name, 0):
             return False
-        self._row_revisions[worker_id] = revision
-        if record is None:
-            self._records.pop(worker_id, None)
-        else:
-            self._records[worker_id] = record
+        self._row_revisions[name] = revision
+        previous = self._records.pop(name, None)
+        if previous is not None:
+            del self._by_id[previous.worker_id]
+        if record is not None:
+            self._records[name] = record
+            self._by_id[record.worker_id] = record
         self._indexed = False
         return True
 
@@ -59,8 +84,17 @@
         self.revision = max(self.revision, revision)
 
     def get(self, worker_id: str) -> WorkerRecord | None:
-        """Return a worker that is still listed."""
-        return self._records.get(worker_id)
+        """Return an incarnation that is still listed."""
+        return self._by_id.get(worker_id)
+
+    def named(self, name: str) -> WorkerRecord | None:
+        """Return the incarnation that is listed under a name."""
+        return self._records.get(name)
+
+    def replaced(self, record: WorkerRecord) -> bool:
+        """Return whether another incarnation of a worker is listed: this one has ended."""
+        listed = self._records.get(record.name)
+        return listed is not None and listed.worker_id != record.worker_id
 
     def of_service(self, service: str) -> tuple[WorkerRecord, ...]:
         """Return the listed workers of a service, leaving ones too."""
--- a/src/corkcrank/gateway/opaque/metrics.py
+++ b/src/corkcrank/gateway/opaque/metrics.py
@@ -56,6 +56,12 @@
             ("kind",),
             registry=self.registry,
         )
+        self.unreadable_documents = Counter(
+            "corkcrank_unreadable_documents",
+            "Entries of the list of workers, and reports of workers, that could not be read.",
+            ("kind",),
+            registry=self.registry,
+        )
         self.reserved_headers = Counter(
             "corkcrank_reserved_headers",
             "Headers of callers that were dropped, as only a gateway may set them.",
--- a/src/corkcrank/gateway/opaque/node.py
+++ b/src/corkcrank/gateway/opaque/node.py
@@ -26,6 +26,7 @@
 from corkcrank.gateway.opaque.stage_desk import StageDesk
 from corkcrank.gateway.opaque.stage_dispatch import StageDispatch
 from corkcrank.gateway.opaque.state_collector import StateCollector
+from corkcrank.gateway.opaque.unreadable_log import UnreadableLog
 from corkcrank.gateway.opaque.worker_client import WorkerClient
 from corkcrank.links.decision_log import DecisionLog, LogEvent
 from corkcrank.links.platform_ports import PlatformPorts, StoreFailure, StoreTable
@@ -77,6 +78,8 @@
         metrics = OpaqueMetrics()
         silence = SilenceLog(log, metrics)
         ports.store.on_silence = silence.note
+        unreadable = UnreadableLog(log, metrics)
+        self.mirror.entries.on_unreadable = unreadable.note
         self._client = WorkerClient(silence.note)
         self._peers = PeerClient(silence.note)
         self.desk = StageDesk(self.mirror, self._book, ports.stages, self._client, log)
@@ -101,6 +104,7 @@
             bounds=settings.bounds,
             note_silence=silence.note,
         )
+        self.desk.room.on_unreadable = unreadable.note
         self.desk.on_release = self.services.metrics.released
         self.services.metrics.registry.register(StateCollector(self.services, self.desk))
         self.front = OpaqueFront(self.services)
@@ -251,7 +255,7 @@
             await asyncio.sleep(REGISTER_RETRY_SECONDS)
         while isinstance(rows := await store.read(StoreTable.MEMBERS), StoreFailure):
             await asyncio.sleep(REGISTER_RETRY_SECONDS)
-        addresses = [row.value.decode() for row in rows.rows if row.value is not None]
+        addresses = [row.value.decode() for row in rows.rows if isinstance(row.value, bytes)]
         self.fleet.introduce(addresses, time.monotonic())
         self.heartbeats.tell_soon()
 
--- a/src/corkcrank/gateway/opaque/node_dump.py
+++ b/src/corkcrank/gateway/opaque/node_dump.py
@@ -57,7 +57,11 @@
 
 
 class NodeDump(msgspec.Struct, frozen=True):
-    """Everything that decides what becomes of a call here."""
+    """Everything that decides what becomes of a call here.
+
+    ``unreadable_entries`` holds the reason for each row that names no worker, as far as this
+    gateway read it from the store itself.
+    """
 
     name: str
     state: str
@@ -67,6 +71,7 @@
     in_flight: int
     routes: tuple[RouteDump, ...]
     workers: tuple[WorkerDump, ...]
+    unreadable_entries: dict[str, str]
     lanes: tuple[LaneDump, ...]
     members: tuple[MemberDump, ...]
     refusals: dict[str, int]
@@ -87,6 +92,7 @@
         in_flight=in_flight,
         routes=_routes(services),
         workers=_workers(services, now),
+        unreadable_entries=dict(mirror.entries.unreadable),
         lanes=_lanes(desk),
         members=_members(services, now),
         refusals=services.metrics.refusals_by_cause(),
--- a/src/corkcrank/gateway/opaque/stage_caller.py
+++ b/src/corkcrank/gateway/opaque/stage_caller.py
@@ -16,6 +16,7 @@
     PieceResult,
     StageCodec,
     StageWorkerReport,
+    Unreadable,
 )
 from corkcrank.scheduling.batch_filling import PieceTicket
 from corkcrank.scheduling.stage_lane import StageCall
@@ -80,8 +81,11 @@
         if not isinstance(response, SendFailure):
             await self._client.read(response, CALL_TIME_MARGIN)
 
-    async def report(self, worker: WorkerRecord) -> StageWorkerReport | None:
-        """Return what a worker reports of its room, or ``None`` without an answer."""
+    async def report(self, worker: WorkerRecord) -> StageWorkerReport | Unreadable | None:
+        """Return what a worker reports of its room, or ``None`` without an answer.
+
+        An answer that cannot be read is returned as such.
+        """
         response = await self._client.open(
             "GET",
             worker.address,
--- a/src/corkcrank/gateway/opaque/stage_desk.py
+++ b/src/corkcrank/gateway/opaque/stage_desk.py
@@ -125,6 +125,7 @@
             worker = self._mirror.workers.get(entry.worker.worker_id)
             if worker is not None and not worker.leaving:
                 continue
+            entry.room.ended = self._mirror.workers.replaced(entry.worker)
             self._give_back(entry)
             if worker is None and entry.lane.at_work == 0:
                 self._lanes.drop(entry)
--- a/src/corkcrank/gateway/opaque/stage_room.py
+++ b/src/corkcrank/gateway/opaque/stage_room.py
@@ -8,6 +8,13 @@
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.gateway.opaque.stage_caller import StageCaller
 from corkcrank.links.decision_log import DecisionLog, LogEvent
+from corkcrank.links.platform_ports import StageWorkerReport, Unreadable
+from corkcrank.links.unreadable_documents import (
+    DocumentKind,
+    UnreadableDocument,
+    UnreadableListener,
+    ignore_unreadable,
+)
 from corkcrank.scheduling.stage_lane import StageLane
 
 Spawn = Callable[[Coroutine[None, None, None]], asyncio.Task[None]]
@@ -15,20 +22,26 @@
 
 @dataclass(slots=True)
 class WorkerRoom:
-    """What is under way about one worker's room; ``to_free`` holds results' handles."""
+    """What is under way about one worker's room; ``to_free`` holds results' handles.
+
+    ``ended`` says that the worker has started again. What it held went with it, and its next
+    incarnation, at the same address, may have given the same handles to others' results.
+    """
 
     worker: WorkerRecord
     lane: StageLane
     to_free: list[str] = field(default_factory=list)
     freeing: bool = False
     asking: bool = False
+    ended: bool = False
 
 
 class StageRoom:
     """Tells workers which results nobody reads any more, and asks them for their free room.
 
     ``spawn`` runs a task in the background; ``on_change`` is called with a worker's id when
-    its room may have become larger.
+    its room may have become larger. A report of another incarnation than the one asked tells
+    nothing of its room, and is passed over; ``on_unreadable`` hears of any that cannot be read.
     """
 
     def __init__(
@@ -44,6 +57,7 @@
         self._on_change = on_change
         self._freeing: set[asyncio.Task[None]] = set()
         self._closed = False
+        self.on_unreadable: UnreadableListener = ignore_unreadable
 
     def free(self, room: WorkerRoom, handles: Sequence[str]) -> None:
         """Give up results; what gathers while a message is under way goes together."""
@@ -51,7 +65,7 @@
         for handle in handles:
             room.lane.free(handle, now)
         room.to_free.extend(handles)
-        if room.to_free and not room.freeing and not self._closed:
+        if room.to_free and not room.freeing and not room.ended and not self._closed:
             room.freeing = True
             task = self._spawn(self._send_frees(room))
             self._freeing.add(task)
@@ -74,7 +88,7 @@
 
     async def _send_frees(self, room: WorkerRoom) -> None:
         try:
-            while room.to_free:
+            while room.to_free and not room.ended:
                 handles, room.to_free = room.to_free, []
                 await self._caller.free(room.worker, handles)
         finally:
@@ -87,6 +101,23 @@
             room.asking = False
         if report is None:
             return
+        if isinstance(report, Unreadable):
+            self._note_unreadable(room.worker, report)
+        elif room.worker.born not in (None, report.born):
+            self._log.write(
+                LogEvent.REPORT_OUTDATED,
+                worker=room.worker.worker_id,
+                service=room.worker.service,
+                born=report.born,
+            )
+        else:
+            self._take(room, report)
+
+    def _note_unreadable(self, worker: WorkerRecord, report: Unreadable) -> None:
+        document = UnreadableDocument(DocumentKind.REPORT, worker.worker_id, report.reason)
+        self.on_unreadable(document)
+
+    def _take(self, room: WorkerRoom, report: StageWorkerReport) -> None:
         lane = room.lane
         lane.take_free_room(report.free_bytes, time.monotonic())
         self._log.write(
--- a/src/corkcrank/links/decision_log.py
+++ b/src/corkcrank/links/decision_log.py
@@ -40,6 +40,8 @@
     CONFIGURATION_UNREADABLE = "Configuration: unreadable."
     WORKERS_TAKEN = "Workers: list taken."
     WORKER_CHANGED = "Workers: entry changed."
+    DOCUMENT_UNREADABLE = "Workers: unreadable entry or report."
+    REPORT_OUTDATED = "Workers: report of another incarnation."
     WORKER_LAPSED = "Workers: entry gone after an outage, held back."
     CAPACITY_CHANGED = "Service: capacity changed."
     WORKER_AVOIDED = "Workers: avoided after a failure."
--- a/src/corkcrank/links/platform_ports.py
+++ b/src/corkcrank/links/platform_ports.py
@@ -66,9 +66,20 @@
 
 @dataclass(frozen=True, slots=True)
 class StageWorkerReport:
-    """What a stage worker tells of itself: ``free_bytes`` of room for results."""
+    """What a stage worker tells of itself: ``free_bytes`` of room for results.
+
+    ``born`` is the Unix time of its start in milliseconds, where it is told.
+    """
 
     free_bytes: float
+    born: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Unreadable:
+    """A document that another writer may have left; ``reason`` is short, for logs."""
+
+    reason: str
 
 
 class CallCodec(Protocol):
@@ -113,16 +124,19 @@
     def encode_free(self, handles: Sequence[str]) -> bytes:
         """Return the body that gives results up."""
 
-    def decode_report(self, body: bytes) -> StageWorkerReport | None:
-        """Return what a stage worker reports, or ``None`` for anything else."""
+    def decode_report(self, body: bytes) -> StageWorkerReport | Unreadable:
+        """Return what a stage worker reports, or why that cannot be read."""
 
 
 @dataclass(frozen=True, slots=True)
 class StoreRow:
-    """One row of the platform's store; ``value`` is ``None`` where the row is gone."""
+    """One row of the platform's store; ``value`` is ``None`` where the row is gone.
+
+    ``Unreadable`` stands for a value that is there and cannot be read.
+    """
 
     key: str
-    value: bytes | None
+    value: bytes | Unreadable | None
     revision: int
 
 
@@ -131,11 +145,13 @@
     """Rows, or changes of rows, as of ``revision``.
 
     ``store_time`` is the moment of the answer on the store's own steady clock, in seconds.
+    ``nameless`` tells what was wrong with rows whose key cannot be read.
     """
 
     rows: tuple[StoreRow, ...]
     revision: int
     store_time: float = 0.0
+    nameless: tuple[Unreadable, ...] = ()
 
 
 class StoreTrouble(StrEnum):
@@ -186,8 +202,8 @@
     def configuration(self, rows: Sequence[StoreRow]) -> OpaqueConfiguration | str | None:
         """Return the configuration among rows; ``None`` if none is there, or what is wrong."""
 
-    def worker(self, row: StoreRow) -> WorkerRecord | None:
-        """Return the worker of a row, or ``None`` where it is gone or unreadable."""
+    def worker(self, row: StoreRow) -> WorkerRecord | Unreadable | None:
+        """Return the worker of a row, ``None`` where it is gone, or why it names none."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/corkcrank/machines/lapsed_entries.py
+++ b/src/corkcrank/machines/lapsed_entries.py
@@ -31,15 +31,19 @@
         False
         >>> lapsed.store_returned(1.0); lapsed.hold(gone, 1.1), lapsed.due(1.2)
         (True, [])
-        >>> [change.worker_id for change in lapsed.due(3.1)], lapsed.due(3.2)
+        >>> [change.name for change in lapsed.due(3.1)], lapsed.due(3.2)
         (['w'], [])
         """
-        self._held.pop(change.worker_id, None)
+        self._held.pop(change.name, None)
         waits = change.record is None and now - self._returned_at < RETURN_SECONDS
         if waits:
-            self._held[change.worker_id] = change
+            self._held[change.name] = change
         return waits
 
+    def forget(self, name: str) -> None:
+        """Hold nothing back of a worker: its row is there, and names it no more."""
+        self._held.pop(name, None)
+
     def due(self, now: float) -> list[WorkerChange]:
         """Return, once, the disappearances that are real."""
         if now - self._returned_at < RETURN_SECONDS:
--- a/src/corkcrank/machines/store_mirror.py
+++ b/src/corkcrank/machines/store_mirror.py
@@ -22,6 +22,7 @@
     StoreTable,
     StoreTrouble,
 )
+from corkcrank.machines.entry_reader import EntryReader
 from corkcrank.machines.lapsed_entries import LapsedEntries
 from corkcrank.machines.store_duty import StoreDuty
 from corkcrank.machines.store_word import StoreWord
@@ -49,6 +50,7 @@
         self._store = store
         self._duty = duty
         self._documents = documents
+        self.entries = EntryReader(documents)
         self._log = log
         self._random = random_source
         self.configuration: OpaqueConfiguration | None = None
@@ -158,18 +160,15 @@
 
     def _apply_workers(self, answer: StoreRows, *, whole: bool) -> None:
         now = time.monotonic()
-        changes = [
-            WorkerChange(row.key, row.revision, self._documents.worker(row))
-            for row in answer.rows
-            if row.revision > self.workers.revision
-        ]
+        changes = self.entries.changes(answer, self.workers.revision)
         if whole:
             self.workers_known = True
             listed = {row.key for row in answer.rows}
+            self.entries.keep_only(listed)
             changes += [
-                WorkerChange(record.worker_id, answer.revision, None)
+                WorkerChange(record.name, answer.revision, None)
                 for record in self.workers.records()
-                if record.worker_id not in listed
+                if record.name not in listed
             ]
         taken = [change for change in changes if not self._held_back(change, now)]
         newest = max((change.revision for change in changes), default=0)
@@ -186,15 +185,19 @@
             self.on_store_news()
 
     def _held_back(self, change: WorkerChange, now: float) -> bool:
-        """Return whether a worker's disappearance may be its entry's alone."""
-        known = self.workers.get(change.worker_id)
+        """Return whether a worker's disappearance may be its entry's alone.
+
+        An entry that is there and names no worker has not lapsed: somebody has written it.
+        """
+        known = self.workers.named(change.name)
         if change.record is None and (known is None or known.leaving):
             return False
+        if change.name in self.entries.unreadable:
+            self._lapsed.forget(change.name)
+            return False
         waits = self._lapsed.hold(change, now)
         if waits:
-            self._log.write(
-                LogEvent.WORKER_LAPSED, worker=change.worker_id, revision=change.revision
-            )
+            self._log.write(LogEvent.WORKER_LAPSED, worker=change.name, revision=change.revision)
         return waits
 
     def _take_lapsed(self) -> None:
@@ -224,7 +227,7 @@
         taken = [
             change
             for change in news.changes
-            if self.workers.apply_row(change.worker_id, change.record, change.revision)
+            if self.workers.apply_row(change.name, change.record, change.revision)
         ]
         if self.workers_known and self.workers.revision >= news.since:
             self.workers.whole_up_to(news.revision)
@@ -238,7 +241,7 @@
         record = change.record
         self._log.write(
             LogEvent.WORKER_CHANGED,
-            worker=change.worker_id,
+            worker=record.worker_id if record is not None else change.name,
             state="gone" if record is None else "leaving" if record.leaving else "ready",
             service=record.service if record is not None else "",
             zone=record.zone if record is not None else "",
--- a/src/corkcrank/machines/worker_news.py
+++ b/src/corkcrank/machines/worker_news.py
@@ -18,9 +18,9 @@
 
 
 class WorkerChange(msgspec.Struct, frozen=True, array_like=True):
-    """One changed row; ``record`` is ``None`` where the worker is gone."""
+    """One changed row; ``record`` is ``None`` where it names no worker to use any more."""
 
-    worker_id: str
+    name: str
     revision: int
     record: WorkerRecord | None
 
--- a/src/corkcrank/platform/call_headers.py
+++ b/src/corkcrank/platform/call_headers.py
@@ -60,7 +60,7 @@
         """Return the head of the request that goes to a worker."""
         headers = passed_on(call.headers, names.RESERVED | names.REPLACED)
         headers.append((names.DEADLINE_MS, str(max(1, int(remaining_seconds * MILLISECONDS)))))
-        headers.append((names.EXPECT_INSTANCE, worker.worker_id))
+        headers.append((names.EXPECT_INSTANCE, worker.name))
         if call.tenant:
             headers.append((names.TENANT, call.tenant))
         if inputs:
--- a/src/corkcrank/platform/documents.py
+++ b/src/corkcrank/platform/documents.py
@@ -17,9 +17,11 @@
     WeightedService,
 )
 from corkcrank.contracts.worker_records import WorkerRecord
-from corkcrank.links.platform_ports import StoreRow
+from corkcrank.links.platform_ports import StoreRow, Unreadable
 from corkcrank.platform import names
 from corkcrank.platform.call_headers import MILLISECONDS
+from corkcrank.platform.strict_json import decode_strictly
+from corkcrank.platform.worker_entries import read_worker
 
 MEGABYTE = 1_000_000
 
@@ -103,14 +105,6 @@
     tenants: tuple[_Tenant, ...] = ()
 
 
-class _Worker(msgspec.Struct):
-    service: str
-    address: str
-    zone: str = ""
-    slots: int = 1
-    state: str = "ready"
-
-
 class PlatformDocumentCodec:
     """Reads rows of the store into corkcrank's own types."""
 
@@ -126,28 +120,17 @@
         )
         if newest is None or newest.value is None:
             return None
+        document = decode_strictly(newest.value, _Configuration)
+        if isinstance(document, Unreadable):
+            return document.reason
         try:
-            return _configuration(msgspec.json.decode(newest.value, type=_Configuration))
-        except (msgspec.DecodeError, KeyError) as error:
+            return _configuration(document)
+        except KeyError as error:
             return str(error)
 
-    def worker(self, row: StoreRow) -> WorkerRecord | None:
-        """Return the worker of a row, or ``None`` where it is gone or unreadable."""
-        if row.value is None:
-            return None
-        try:
-            entry = msgspec.json.decode(row.value, type=_Worker)
-        except msgspec.DecodeError:
-            return None
-        return WorkerRecord(
-            worker_id=row.key,
-            service=entry.service,
-            address=entry.address,
-            zone=entry.zone,
-            slots=entry.slots,
-            leaving=entry.state == names.DRAINING,
-            revision=row.revision,
-        )
+    def worker(self, row: StoreRow) -> WorkerRecord | Unreadable | None:
+        """Return the worker of a row, ``None`` where it is gone, or why it names none."""
+        return read_worker(row)
 
 
 def _configuration(document: _Configuration) -> OpaqueConfiguration:
--- a/src/corkcrank/platform/names.py
+++ b/src/corkcrank/platform/names.py
@@ -62,4 +62,5 @@
 WORKER_TABLE = "servers"
 MEMBER_TABLE = "members"
 
+READY = "ready"
 DRAINING = "draining"
--- a/src/corkcrank/platform/stage_calls.py
+++ b/src/corkcrank/platform/stage_calls.py
@@ -1,6 +1,7 @@
 """Calls to stage workers in the platform's format."""
 
 from collections.abc import Sequence
+from typing import Annotated
 
 import msgspec
 
@@ -10,10 +11,13 @@
     PieceOutcome,
     PieceResult,
     StageWorkerReport,
+    Unreadable,
 )
 from corkcrank.platform import names
 from corkcrank.platform.call_headers import MILLISECONDS
 from corkcrank.platform.documents import MEGABYTE
+from corkcrank.platform.strict_json import decode_strictly
+from corkcrank.platform.worker_entries import BornMilliseconds
 
 _REASONS = {
     "late": PieceOutcome.LATE,
@@ -46,7 +50,8 @@
 
 
 class _Report(msgspec.Struct):
-    free_mb: float
+    free_mb: Annotated[float, msgspec.Meta(ge=0)]
+    born: BornMilliseconds | msgspec.UnsetType = msgspec.UNSET
 
 
 class _Free(msgspec.Struct):
@@ -62,7 +67,7 @@
 
     def run_headers(self, worker: WorkerRecord) -> dict[str, str]:
         """Return the headers of a call to a stage worker."""
-        return {"Content-Type": "application/json", names.EXPECT_INSTANCE: worker.worker_id}
+        return {"Content-Type": "application/json", names.EXPECT_INSTANCE: worker.name}
 
     def encode_run(self, pieces: Sequence[PieceOrder]) -> bytes:
         """Return the body that asks for pieces."""
@@ -70,11 +75,8 @@
 
     def decode_run(self, body: bytes, count: int) -> list[PieceResult] | None:
         """Return the results in the order asked, or ``None`` for anything else."""
-        try:
-            answer = msgspec.json.decode(body, type=_RunAnswer)
-        except msgspec.DecodeError:
-            return None
-        if len(answer.items) != count:
+        answer = decode_strictly(body, _RunAnswer)
+        if isinstance(answer, Unreadable) or len(answer.items) != count:
             return None
         return [_decode_result(item) for item in answer.items]
 
@@ -82,13 +84,13 @@
         """Return the body that gives results up."""
         return msgspec.json.encode(_Free(list(handles)))
 
-    def decode_report(self, body: bytes) -> StageWorkerReport | None:
-        """Return what a stage worker reports, or ``None`` for anything else."""
-        try:
-            report = msgspec.json.decode(body, type=_Report)
-        except msgspec.DecodeError:
-            return None
-        return StageWorkerReport(free_bytes=report.free_mb * MEGABYTE)
+    def decode_report(self, body: bytes) -> StageWorkerReport | Unreadable:
+        """Return what a stage worker reports, or why that cannot be read."""
+        report = decode_strictly(body, _Report)
+        if isinstance(report, Unreadable):
+            return report
+        born = None if report.born is msgspec.UNSET else report.born
+        return StageWorkerReport(report.free_mb * MEGABYTE, born)
 
 
 def _encode_piece(piece: PieceOrder) -> _Item:
--- a/src/corkcrank/platform/store.py
+++ b/src/corkcrank/platform/store.py
@@ -1,6 +1,7 @@
 """The platform's store: rows over HTTP and JSON."""
 
 import asyncio
+from dataclasses import dataclass, field
 
 import aiohttp
 import msgspec
@@ -11,6 +12,7 @@
     StoreRows,
     StoreTable,
     StoreTrouble,
+    Unreadable,
 )
 from corkcrank.links.silence import (
     ConnectionKind,
@@ -21,6 +23,7 @@
 )
 from corkcrank.platform import names
 from corkcrank.platform.call_headers import MILLISECONDS
+from corkcrank.platform.strict_json import decode_strictly
 
 PAGE_ROWS = 500
 """Most rows that one read returns."""
@@ -39,13 +42,41 @@
     gone: bool = False
 
 
+class _RowName(msgspec.Struct):
+    """What is left of a row that cannot be read whole."""
+
+    key: str
+
+
 class _Page(msgspec.Struct):
     ver: int
     now_ms: float = 0.0
-    rows: list[_Row] = []
+    rows: list[msgspec.Raw] = []
     more: bool = False
 
 
+@dataclass(slots=True)
+class _Rows:
+    """The rows of one or more pages; a broken one costs no other."""
+
+    rows: list[StoreRow] = field(default_factory=list)
+    nameless: list[Unreadable] = field(default_factory=list)
+
+    def take(self, page: _Page) -> None:
+        """Read the rows of a page."""
+        for raw in page.rows:
+            row = _decode_row(raw, page.ver)
+            if isinstance(row, StoreRow):
+                self.rows.append(row)
+            else:
+                self.nameless.append(row)
+
+    def as_of(self, page: _Page) -> StoreRows:
+        """Return all rows, as of the moment of a page."""
+        at = page.now_ms / MILLISECONDS
+        return StoreRows(tuple(self.rows), page.ver, at, tuple(self.nameless))
+
+
 class _Put(msgspec.Struct):
     table: str
     part: str
@@ -79,17 +110,20 @@
 
     async def read(self, table: StoreTable) -> StoreRows | StoreFailure:
         """Return all rows of a table as of one moment, page after page."""
-        rows: list[StoreRow] = []
+        found = _Rows()
         query = {"table": _TABLES[table], "part": "", "limit": str(PAGE_ROWS)}
         while True:
             body = await self._call("GET", names.ROWS_GET_PATH, query, None, self._timeout)
             page = _decode_page(body)
             if isinstance(page, StoreFailure):
                 return page
-            rows.extend(_row(row) for row in page.rows)
+            known = len(found.rows)
+            found.take(page)
             if not page.more or not page.rows:
-                return StoreRows(tuple(rows), page.ver, page.now_ms / MILLISECONDS)
-            query["source"] = page.rows[-1].key + "\x00"
+                return found.as_of(page)
+            if len(found.rows) == known:
+                return StoreFailure(StoreTrouble.BROKEN, "a page without a key to go on from")
+            query["source"] = found.rows[-1].key + "\x00"
 
     async def watch(
         self, table: StoreTable, since: int, wait_seconds: float
@@ -108,9 +142,9 @@
         page = _decode_page(body)
         if isinstance(page, StoreFailure):
             return page
-        return StoreRows(
-            tuple(_row(row) for row in page.rows), page.ver, page.now_ms / MILLISECONDS
-        )
+        found = _Rows()
+        found.take(page)
+        return found.as_of(page)
 
     async def put(self, table: StoreTable, key: str, value: bytes) -> int | StoreFailure:
         """Write one row without condition; return its revision."""
@@ -119,10 +153,10 @@
         body = await self._call("POST", names.ROWS_TX_PATH, None, data, self._timeout)
         if isinstance(body, StoreFailure):
             return body
-        try:
-            return msgspec.json.decode(body, type=_Written).ver
-        except msgspec.DecodeError as error:
-            return StoreFailure(StoreTrouble.BROKEN, str(error))
+        written = decode_strictly(body, _Written)
+        if isinstance(written, Unreadable):
+            return StoreFailure(StoreTrouble.BROKEN, written.reason)
+        return written.ver
 
     async def _call(
         self,
@@ -167,11 +201,24 @@
 def _decode_page(body: bytes | StoreFailure) -> _Page | StoreFailure:
     if isinstance(body, StoreFailure):
         return body
-    try:
-        return msgspec.json.decode(body, type=_Page)
-    except msgspec.DecodeError as error:
-        return StoreFailure(StoreTrouble.BROKEN, str(error))
+    page = decode_strictly(body, _Page)
+    if isinstance(page, Unreadable):
+        return StoreFailure(StoreTrouble.BROKEN, page.reason)
+    return page
+
 
+def _decode_row(raw: msgspec.Raw, newest: int) -> StoreRow | Unreadable:
+    """Return a row, one that is unreadable but for its key, or what is wrong.
 
-def _row(row: _Row) -> StoreRow:
-    return StoreRow(row.key, None if row.gone else row.value, row.ver)
+    A row whose revision cannot be read is as of the answer, ``newest``: later changes of it
+    are newer than that.
+    """
+    row = decode_strictly(raw, _Row)
+    if isinstance(row, Unreadable):
+        named = decode_strictly(raw, _RowName)
+        return named if isinstance(named, Unreadable) else StoreRow(named.key, row, newest)
+    if row.gone:
+        return StoreRow(row.key, None, row.ver)
+    if row.value is None or not row.ver:
+        return StoreRow(row.key, Unreadable("row without value or revision"), row.ver or newest)
+    return StoreRow(row.key, row.value, row.ver)
--- a/tests/platform/engine_script.py
+++ b/tests/platform/engine_script.py
@@ -67,8 +67,10 @@
             "service": service,
             "address": self.server.address,
             "zone": zone,
+            "version": "v1",
             "slots": 8,
             "state": state,
+            "warmup_left_ms": 0,
             "sequence": 1,
         }
 
--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -169,6 +169,7 @@
     ``no-seal``, ``foreign-id``, ``cut-chunk``, ``unframed-reset``, ``surplus``, ``hang``,
     ``error``, ``gone`` and ``break-after-N`` for streams. Each event carries ``padding``
     bytes more; ``left`` counts the requests whose connection closed before their answer.
+    ``told`` adds to the entry or replaces what it says.
     """
 
     events: int = 0
@@ -179,6 +180,7 @@
     gap: float = 0.0
     padding: int = 0
     hold: asyncio.Event | None = None
+    told: dict[str, Any] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.worker_id = self.worker_id or f"i-{next(_ids):08x}"
@@ -194,6 +196,7 @@
             "state": state,
             "warmup_left_ms": 0,
             "sequence": 1,
+            **self.told,
         }
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -297,7 +300,8 @@
     """A stage worker with a room of ``room`` results; ``gate`` holds calls at work.
 
     It reports ``free_mb`` of room and counts how often it was asked; ``left`` counts the
-    calls whose connection closed before their answer.
+    calls whose connection closed before their answer. ``told`` adds to the entry and to the
+    reports, or replaces what they say.
     """
 
     room: int = 100
@@ -312,6 +316,7 @@
     reports: int = 0
     lies_of_room: bool = False
     left: int = 0
+    told: dict[str, Any] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.worker_id = self.worker_id or f"i-{next(_ids):08x}"
@@ -322,9 +327,12 @@
             "service": service,
             "address": self.server.address,
             "zone": zone,
+            "version": "v1",
             "slots": 1,
             "state": state,
+            "warmup_left_ms": 0,
             "sequence": 1,
+            **self.told,
         }
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -335,7 +343,8 @@
             self.reports += 1
             full = len(self.held) >= self.room and not self.lies_of_room
             free = 0.0 if full else self.free_mb
-            return web.json_response({"queued": 0, "utilization": False, "free_mb": free})
+            body = {"queued": 0, "utilization": False, "free_mb": free, **self.told}
+            return web.json_response(body)
         body = json.loads(await request.read())
         if request.path == "/stage-free":
             self.held.difference_update(body["handles"])
--- /dev/null
+++ b/tests/platform/test_restarted_workers.py
@@ -0,0 +1,188 @@
+"""Workers that start again under their names, and know nothing of before.
+
+A restarted stage worker's lane still counted results that had gone with the process, and a
+worker that had said it was leaving, or had answered 421, got no request again.
+"""
+
+import asyncio
+
+import pytest
+from node_world import World, configuration, peer_of, route, until, world
+from platform_standins import StandinStageWorker, StandinWorker
+
+from corkcrank.gateway.opaque.node import Node
+from corkcrank.load.loopback import loopback_address
+
+RESULT_BYTES = 4_000_000
+
+STAGES = [{"service": "encode", "since_revision": [], "byte_length": RESULT_BYTES}]
+SECOND_STAGE = {"service": "rerank", "since_revision": [0], "byte_length": RESULT_BYTES}
+ROUTES = [
+    route("safe", "safe", "plain"),
+    route("talk", "stream", "model", stream_resume=True, max_attempts=3),
+    route("staged", "stream", "model", stages=STAGES),
+    route("chained", "stream", "model", stages=[*STAGES, SECOND_STAGE]),
+]
+PIECES = {"X-Corkcrank-Segments": "1", "X-Corkcrank-Segment-Key": "abcd"}
+CHAIN = {**PIECES, "X-Corkcrank-Segments": "1,1"}
+FIRST_START, SECOND_START = 1_764_000_000_000, 1_764_000_009_000
+
+
+def start_again(running: World, worker: StandinWorker | StandinStageWorker, service: str) -> None:
+    """Have a worker's entry tell of a new incarnation."""
+    worker.told["born"] = SECOND_START
+    running.store.put("servers", worker.worker_id, worker.entry(service))
+
+
+def born(node: Node, name: str) -> int | None:
+    record = node.mirror.workers.named(name)
+    return record.born if record is not None else None
+
+
+async def test_the_name_alone_goes_on_the_wire() -> None:
+    one = StandinWorker(told={"born": FIRST_START})
+    async with world(configuration(1, ROUTES), {"one": (one, "plain")}) as running:
+        assert (await running.call("/safe/x", method="GET")).status == 200
+    (seen,) = one.seen
+    assert seen.headers["X-Corkcrank-Expect-Instance"] == one.worker_id
+
+
+async def test_a_draining_worker_that_has_started_again_is_ready() -> None:
+    one = StandinWorker(told={"born": FIRST_START})
+    async with (
+        world(configuration(1, ROUTES), {"one": (one, "plain")}) as running,
+        peer_of(running, loopback_address(2), refused=True) as second,
+    ):
+        nodes = [running.nodes[0], second]
+        running.store.put("servers", one.worker_id, one.entry("plain", state="draining"))
+        await until(lambda: not any(node.mirror.workers.usable("plain") for node in nodes))
+        start_again(running, one, "plain")
+        await until(lambda: all(born(node, one.worker_id) == SECOND_START for node in nodes))
+        for number in range(2):
+            response = await running.call("/safe/x", method="GET", number=number)
+            assert response.status == 200
+
+
+async def test_a_421_of_one_incarnation_does_not_condemn_the_next() -> None:
+    one = StandinWorker(told={"born": FIRST_START})
+    name = one.worker_id
+    async with world(configuration(1, ROUTES), {"one": (one, "plain")}) as running:
+        node = running.nodes[0]
+        old = node.mirror.workers.named(name)
+        assert old is not None
+        one.worker_id = "i-another"
+        assert (await running.call("/safe/x", method="GET")).status == 503
+        assert node.services.book.of(old.worker_id).leaving
+        one.worker_id = name
+        start_again(running, one, "plain")
+        await until(lambda: born(node, name) == SECOND_START)
+        assert (await running.call("/safe/x", method="GET")).status == 200
+
+
+async def test_failures_and_prefixes_of_an_incarnation_go_with_it() -> None:
+    engine = StandinWorker(events=2, told={"born": FIRST_START})
+    prompt = {
+        "X-Corkcrank-Model": "m",
+        "X-Corkcrank-Token-Count": "900,10",
+        "X-Corkcrank-Prefix-Hash": "ab:800,cd:100",
+    }
+    async with world(configuration(1, ROUTES), {"m": (engine, "model")}) as running:
+        services = running.nodes[0].services
+        response = await running.call("/talk/x", headers=prompt)
+        await response.read()
+        old = services.mirror.workers.named(engine.worker_id)
+        assert old is not None
+        services.book.of(old.worker_id).failures.append(0.0)
+        assert old.worker_id in services.engines._memories
+        start_again(running, engine, "model")
+        await until(lambda: born(running.nodes[0], engine.worker_id) == SECOND_START)
+        new = services.mirror.workers.named(engine.worker_id)
+        assert new is not None
+        assert not services.book.of(new.worker_id).failures
+        assert not services.engines._memories
+
+
+async def test_room_and_handles_of_an_incarnation_go_with_it() -> None:
+    """The next one may give the same handles to other results: they must not be freed there."""
+    encode = StandinStageWorker(told={"born": FIRST_START})
+    rerank = StandinStageWorker(gate=asyncio.Event())
+    served = {
+        "m": (StandinWorker(events=2), "model"),
+        "e": (encode, "encode"),
+        "r": (rerank, "rerank"),
+    }
+    async with world(configuration(1, ROUTES), served) as running:
+        node = running.nodes[0]
+        call = asyncio.create_task(running.call("/chained/x", headers=CHAIN))
+        await until(lambda: bool(rerank.calls))
+        old = node.mirror.workers.named(encode.worker_id)
+        assert old is not None
+        assert node.desk.lane(old.worker_id) is not None
+        start_again(running, encode, "encode")
+        await until(lambda: born(node, encode.worker_id) == SECOND_START)
+        assert node.desk.lane(old.worker_id) is None
+        assert rerank.gate is not None
+        rerank.gate.set()
+        response = await call
+        assert response.status == 200
+        await response.read()
+        await until(lambda: not rerank.held)
+        assert encode.held == encode.made
+
+
+async def test_pieces_that_wait_for_an_incarnation_are_made_by_the_next() -> None:
+    encode = StandinStageWorker(gate=asyncio.Event(), told={"born": FIRST_START})
+    served = {"m": (StandinWorker(events=2), "model"), "e": (encode, "encode")}
+    async with world(configuration(1, ROUTES), served) as running:
+        node = running.nodes[0]
+        old = node.mirror.workers.named(encode.worker_id)
+        assert old is not None
+        calls = [asyncio.create_task(running.call("/staged/x", headers=PIECES)) for _ in range(3)]
+        await until(lambda: node.desk.lane(old.worker_id) is not None)
+        lane = node.desk.lane(old.worker_id)
+        assert lane is not None
+        await until(lambda: lane.waiting == 2)
+        start_again(running, encode, "encode")
+        await until(lambda: born(node, encode.worker_id) == SECOND_START)
+        assert not lane.waiting
+        assert encode.gate is not None
+        encode.gate.set()
+        for call in calls:
+            response = await call
+            assert response.status == 200
+            await response.read()
+        entry = node.desk._lanes.get(old.worker_id)
+        assert entry is not None
+        await until(lambda: len(entry.room.to_free) == 1 and len(encode.held) == 1)
+        assert encode.held == set(entry.room.to_free)
+
+
+@pytest.mark.parametrize("told", [SECOND_START, None])
+async def test_a_report_of_another_incarnation_is_not_booked(told: int | None) -> None:
+    encode = StandinStageWorker(free_mb=1.0, told={"born": FIRST_START})
+    served = {"m": (StandinWorker(events=2), "model"), "e": (encode, "encode")}
+    async with world(configuration(1, ROUTES), served) as running:
+        encode.told = {"born": told} if told is not None else {}
+        response = await running.call("/staged/x", headers=PIECES)
+        await response.read()
+        assert encode.reports == 1
+        record = running.nodes[0].mirror.workers.named(encode.worker_id)
+        assert record is not None
+        lane = running.nodes[0].desk.lane(record.worker_id)
+        assert lane is not None
+        assert lane.capacity.room_bytes - lane.room_used > 1_000_000
+
+
+@pytest.mark.parametrize(
+    "told", [{"free_mb": "much"}, {"free_mb": None}, {"free_mb": -1.0}, {"born": "yesterday"}]
+)
+async def test_a_report_that_cannot_be_read_is_counted(told: dict[str, object]) -> None:
+    encode = StandinStageWorker()
+    served = {"m": (StandinWorker(events=2), "model"), "e": (encode, "encode")}
+    async with world(configuration(1, ROUTES), served) as running:
+        encode.told = told
+        response = await running.call("/staged/x", headers=PIECES)
+        assert response.status == 200
+        await response.read()
+        counter = running.nodes[0].services.metrics.unreadable_documents.labels("report")
+        await until(lambda: counter._value.get() >= 1)
--- a/tests/scheduling/test_fleet_play.py
+++ b/tests/scheduling/test_fleet_play.py
@@ -125,7 +125,7 @@
     routes = (REVIEW, QUERY, EXPLAIN)
     workers = [
         WorkerRecord(
-            worker_id=f"{service}{number}",
+            name=f"{service}{number}",
             service=service,
             address="10.200.0.1:80",
             zone=ZONES[number % len(ZONES)],
--- /dev/null
+++ b/tests/scheduling/test_incarnations.py
@@ -0,0 +1,89 @@
+"""Incarnations of workers in the list: whatever is told in whatever order, the newest stands.
+
+State about a worker was kept by a name that its next incarnation bore as well: one that had
+said it was leaving, or had failed, stayed out of use after it had started again.
+"""
+
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
+
+from corkcrank.contracts.worker_records import WorkerList, WorkerRecord
+from corkcrank.machines.worker_news import WorkerChange
+from corkcrank.scheduling.worker_choice import StandingBook
+
+NAMES = ("a", "b")
+
+
+def incarnation(name: str, born: int | None, revision: int, *, leaving: bool) -> WorkerRecord:
+    return WorkerRecord(name, "s", "10.0.0.1:1", "z", 1, leaving, revision, born)
+
+
+@given(st.data())
+def test_any_order_of_rows_and_lists_ends_in_the_newest_incarnations(data: st.DataObject) -> None:
+    truth: dict[str, WorkerRecord] = {}
+    history: list[WorkerChange] = []
+    states = [dict(truth)]
+    for revision in range(1, data.draw(st.integers(1, 12)) + 1):
+        name = data.draw(st.sampled_from(NAMES))
+        born = data.draw(st.none() | st.integers(1, 4))
+        record = incarnation(name, born, revision, leaving=data.draw(st.booleans()))
+        changed = None if data.draw(st.booleans()) else record
+        truth.pop(name, None)
+        if changed is not None:
+            truth[name] = changed
+        history.append(WorkerChange(name, revision, changed))
+        states.append(dict(truth))
+    workers = WorkerList()
+    told = data.draw(st.permutations(history + data.draw(st.lists(st.sampled_from(history)))))
+    for change in told:
+        workers.apply_row(change.name, change.record, change.revision)
+        if data.draw(st.booleans()):
+            at = data.draw(st.integers(0, len(history)))
+            workers.replace_all(states[at].values(), at)
+    workers.replace_all(truth.values(), len(history))
+    assert {item.name: item for item in workers.records()} == truth
+    for change in history:
+        if change.record is not None:
+            listed = truth.get(change.name)
+            same = listed is not None and listed.worker_id == change.record.worker_id
+            assert workers.get(change.record.worker_id) == (listed if same else None)
+    usable = {item.worker_id for item in workers.usable("s")}
+    assert usable == {item.worker_id for item in truth.values() if not item.leaving}
+
+
+def test_a_new_incarnation_replaces_the_older_one_in_one_step() -> None:
+    workers = WorkerList()
+    old = incarnation("a", 1, 5, leaving=True)
+    new = incarnation("a", 2, 6, leaving=False)
+    workers.apply_row("a", old, 5)
+    assert not workers.usable("s")
+    workers.apply_row("a", new, 6)
+    assert workers.usable("s") == (new,)
+    assert workers.get(old.worker_id) is None
+    assert workers.replaced(old)
+    assert not workers.replaced(new)
+    workers.apply_row("a", None, 7)
+    assert not workers.replaced(old)
+
+
+def test_what_was_known_of_an_incarnation_is_not_known_of_the_next() -> None:
+    book = StandingBook()
+    old = incarnation("a", 1, 5, leaving=False)
+    new = incarnation("a", 2, 6, leaving=False)
+    book.of(old.worker_id).leaving = True
+    assert not book.of(new.worker_id).leaving
+
+
+@given(st.sets(st.tuples(st.sampled_from("ab@."), st.none() | st.integers(1, 99))))
+def test_no_two_incarnations_share_an_id(incarnations: set[tuple[str, int | None]]) -> None:
+    ids = {incarnation(name, born, 1, leaving=False).worker_id for name, born in incarnations}
+    assert len(ids) == len(incarnations)
+
+
+def test_an_incarnation_is_the_same_at_a_peer() -> None:
+    record = incarnation("a", 17, 5, leaving=False)
+    before = record.worker_id
+    told = msgspec.msgpack.decode(msgspec.msgpack.encode(record), type=WorkerRecord)
+    assert told == record
+    assert told.worker_id == before
--- a/tests/scheduling/test_store_duty.py
+++ b/tests/scheduling/test_store_duty.py
@@ -97,7 +97,7 @@
     workers = WorkerList()
     told = data.draw(st.lists(st.sampled_from(history), max_size=40))
     for change in told:
-        workers.apply_row(change.worker_id, change.record, change.revision)
+        workers.apply_row(change.name, change.record, change.revision)
         if data.draw(st.integers(0, 5)) == 0:
             at = data.draw(st.integers(workers.revision, len(history)))
             workers.replace_all(states[at].values(), at)
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -26,6 +26,8 @@
 GREY_KINDS = ("reset", "no-seal", "foreign-id", "cut", "surplus", "hang", "error", "full")
 
 _numbers = itertools.count(1)
+_births = itertools.count(int(time.time() * 1000))
+"""Unix milliseconds of the starts of workers; no two are the same."""
 
 
 class SoakWorker:
@@ -34,10 +36,13 @@
     ``grey`` is the kind of failure, and ``grey_share`` how often it strikes.
     """
 
-    def __init__(self, service: str, zone: str, ledger: Ledger, source: random.Random) -> None:
+    def __init__(
+        self, service: str, zone: str, ledger: Ledger, source: random.Random, worker_id: str = ""
+    ) -> None:
         self.service = service
         self.zone = zone
-        self.worker_id = f"i-{next(_numbers):08x}"
+        self.worker_id = worker_id or f"i-{next(_numbers):08x}"
+        self.born = next(_births)
         self.server = Server(self._handle)
         self.grey = ""
         self.grey_share = 0.0
@@ -63,6 +68,7 @@
             "state": state,
             "warmup_left_ms": 0,
             "sequence": 1,
+            "born": self.born,
         }
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -72,6 +78,8 @@
         kind = self.grey if self._source.random() < self.grey_share else ""
         if kind == "full" or self.at_work >= 4 * SLOTS:
             return web.Response(status=503, headers={NOT_RUN: "1", **_own(request)})
+        if SoakStageWorker.lost.intersection(_inputs(request)):
+            return web.Response(status=409, headers={NOT_RUN: "1", **_own(request)})
         begun = self._ledger.begin_run(
             self.worker_id, self.service, request.method, request.raw_path, request.headers, body
         )
@@ -163,9 +171,8 @@
     def _inputs_problem(self, request: web.BaseRequest, call: SentCall) -> str:
         if not any(call.pieces):
             return ""
-        text = request.headers.get("X-Corkcrank-Inputs", "")
         stage = max(number for number, count in enumerate(call.pieces) if count)
-        return wrong_inputs(text.split(",") if text else [], call, (stage,))
+        return wrong_inputs(_inputs(request), call, (stage,))
 
 
 class SoakStageWorker:
@@ -174,10 +181,15 @@
     made: dict[str, tuple[str, int, int]] = {}  # noqa: RUF012
     """Call, stage and piece of each result that any stage worker made."""
 
-    def __init__(self, service: str, zone: str, ledger: Ledger) -> None:
+    lost: set[str] = set()  # noqa: RUF012
+    """Results that went with a worker that has started again."""
+
+    def __init__(self, service: str, zone: str, ledger: Ledger, worker_id: str = "") -> None:
         self.service = service
         self.zone = zone
-        self.worker_id = f"i-{next(_numbers):08x}"
+        self.worker_id = worker_id or f"i-{next(_numbers):08x}"
+        self.born = next(_births)
+        self._own: set[str] = set()
         self.server = Server(self._handle)
         self._held: dict[str, float] = {}
         self.grey = ""
@@ -206,16 +218,20 @@
             "service": self.service,
             "address": self.link.address,
             "zone": self.zone,
+            "version": "v1",
             "slots": 1,
             "state": state,
+            "warmup_left_ms": 0,
             "sequence": 1,
+            "born": self.born,
         }
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.headers.get(EXPECT) not in (None, self.worker_id):
             return web.Response(status=421, headers={INSTANCE: self.worker_id})
         if request.path == "/report":
-            return web.json_response({"free_mb": (ROOM - self.held) * RESULT_MB})
+            free = (ROOM - self.held) * RESULT_MB
+            return web.json_response({"free_mb": free, "born": self.born})
         body = json.loads(await request.read())
         if request.path == "/stage-free":
             for handle in body["handles"]:
@@ -229,7 +245,7 @@
                 items = body["items"]
                 self._check(items)
                 await asyncio.sleep(CALL_SECONDS + PIECE_SECONDS * len(items))
-                made = [self._make(item) for item in items]
+                made = [self._outcome(item) for item in items]
         finally:
             self._calls -= 1
         return web.json_response({"items": made})
@@ -251,12 +267,23 @@
             if problem:
                 self._ledger.violate("inputs", f"{call.call_id} stage {stage}: {problem}")
 
+    def lose_results(self) -> None:
+        """Note that what this incarnation made goes with it."""
+        SoakStageWorker.lost |= self._own
+        self._held.clear()
+
+    def _outcome(self, item: dict[str, Any]) -> dict[str, str]:
+        if SoakStageWorker.lost.intersection(item.get("inputs") or []):
+            return {"reason": "gone"}
+        return self._make(item)
+
     def _make(self, item: dict[str, Any]) -> dict[str, str]:
         if self.held >= ROOM:
             return {"reason": "room"}
         assert self.link is not None
         handle = f"{self.link.address}/{next(_numbers):012x}"
         self._held[handle] = time.monotonic() + HELD_SECONDS
+        self._own.add(handle)
         SoakStageWorker.made[handle] = (item["id"], item["stage"], item["segment"])
         return {"handle": handle}
 
@@ -270,5 +297,10 @@
     return "" if found == wanted else f"{found}, not {wanted}"
 
 
+def _inputs(request: web.BaseRequest) -> list[str]:
+    text = request.headers.get("X-Corkcrank-Inputs", "")
+    return text.split(",") if text else []
+
+
 def _own(request: web.BaseRequest) -> dict[str, str]:
     return {ATTEMPT: request.headers.get(ATTEMPT, "")}
