Soak: workers start again under their ids, and other writers leave entries

Change: from a random source of their own, so that seeds play what they played before, workers drain or crash and start again with another start and none of their results, and foreign entries come to the list. A new check, listed, compares every node's list with what the workers wrote. What ends workers moved out of the injector into a module of its own.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -239,13 +239,18 @@
 
     # Workers
 
-    async def add_worker(self, service: str, zone: str, link: FaultLink | None = None) -> AnyWorker:
-        """Start a worker, at the address of one that has left if ``link`` is given."""
+    async def add_worker(
+        self, service: str, zone: str, link: FaultLink | None = None, worker_id: str = ""
+    ) -> AnyWorker:
+        """Start a worker, at the address of one that has left if ``link`` is given.
+
+        With ``worker_id`` it is the next incarnation of one that has ended.
+        """
         worker: AnyWorker
         if service in STAGE_SERVICES:
-            worker = SoakStageWorker(service, zone, self.ledger)
+            worker = SoakStageWorker(service, zone, self.ledger, worker_id)
         else:
-            worker = SoakWorker(service, zone, self.ledger, self.source)
+            worker = SoakWorker(service, zone, self.ledger, self.source, worker_id)
         await worker.server.start(loopback_address(STORE_HOST))
         if link is None:
             link = FaultLink(loopback_address(LINK_HOST))
@@ -256,6 +261,15 @@
         self.store.put("servers", worker.worker_id, worker.entry())
         return worker
 
+    async def start_again(self, worker: AnyWorker, *, keep_link: bool) -> None:
+        """Have a worker that has ended start anew under its id; it knows nothing of before."""
+        if isinstance(worker, SoakStageWorker):
+            worker.lose_results()
+        link = worker.link if keep_link else None
+        if worker.link is not None and not keep_link:
+            await worker.link.stop()
+        await self.add_worker(worker.service, worker.zone, link, worker.worker_id)
+
     async def end_worker(self, worker: AnyWorker, *, keep_link: bool = False) -> None:
         """Stop a worker; its link may serve another one."""
         await worker.server.stop()
--- a/tests/soak/injector.py
+++ b/tests/soak/injector.py
@@ -11,6 +11,14 @@
 from soak.accepting import FLOODS, flood
 from soak.fleet import PLAIN_SERVICES, SERVICES, ZONES, AnyWorker, SoakFleet, SoakNode
 from soak.links import FaultLink, LinkTrouble, Silence
+from soak.restarts import (
+    SAME_PLACE_SHARE,
+    crash_and_replace,
+    crash_and_restart,
+    leave,
+    restart_planned,
+    write_foreign_entries,
+)
 from soak.schedule import Fault, FaultKind
 from soak.workers import GREY_KINDS
 
@@ -18,10 +26,7 @@
 
 RESTART_SECONDS = (0.1, 1.5)
 STOP_SLACK_SECONDS = 1.5
-LEAVING_LONGEST_SECONDS = 12.0
-LEAVING_SLACK_SECONDS = 1.5
 REUSE_SECONDS = 2.0
-CRASHED_ENTRY_SECONDS = 3.0
 DELAY_SECONDS = (0.02, 0.6)
 STORE_DELAY_SECONDS = (0.05, 0.9)
 LOST_SHARE = (0.2, 0.9)
@@ -63,6 +68,9 @@
             FaultKind.WORKER_GREY: self._worker_grey,
             FaultKind.WORKER_CRASH: self._worker_crash,
             FaultKind.KEPT_SILENT: self._kept_silent,
+            FaultKind.WORKER_RESTARTED: self._worker_restarted,
+            FaultKind.WORKER_STARTS_AGAIN: self._worker_starts_again,
+            FaultKind.FOREIGN_ENTRY: self._foreign_entry,
         }
 
     async def play(self, schedule: Sequence[Fault]) -> None:
@@ -275,15 +283,7 @@
         worker = self._pick_worker(fault, SERVICES)
         if worker is None:
             return
-        self._ledger.disturbances.begin("workers")
-        assert worker.link is not None
-        worker.link.trouble(LinkTrouble.RESET, 0.0)
-        await self._fleet.end_worker(worker, keep_link=True)
-        await asyncio.sleep(CRASHED_ENTRY_SECONDS)
-        self._fleet.store.remove("servers", worker.worker_id)
-        worker.link.mend()
-        await self._fleet.add_worker(worker.service, worker.zone, worker.link)
-        self._ledger.disturbances.end("workers")
+        await crash_and_replace(self._fleet, worker)
 
     async def _drain_worker(self, fault: Fault) -> None:
         await self._leave(fault, draining=True)
@@ -296,27 +296,30 @@
         worker = self._pick_worker(fault, SERVICES)
         if worker is None:
             return
-        loop = asyncio.get_running_loop()
-        await self._fleet.add_worker(worker.service, worker.zone)
-        self._ledger.leaving_since[worker.worker_id] = loop.time()
-        if draining:
-            self._fleet.store.put("servers", worker.worker_id, worker.entry("draining"))
-        else:
-            self._fleet.store.remove("servers", worker.worker_id)
-        await asyncio.sleep(self._fleet.bounds.told_leaving + LEAVING_SLACK_SECONDS)
-        give_up_at = loop.time() + LEAVING_LONGEST_SECONDS
-        while worker.busy and loop.time() < give_up_at:
-            await asyncio.sleep(0.05)
-        if draining:
-            self._fleet.store.remove("servers", worker.worker_id)
         reused = fault.seconds < REUSE_SECONDS
-        await self._fleet.end_worker(worker, keep_link=reused)
+        await leave(self._fleet, worker, draining=draining, keep_link=reused)
         if reused:
             await asyncio.sleep(REUSE_SECONDS)
             service = SERVICES[int(fault.strength * len(SERVICES))]
             zone = ZONES[int(fault.choice * len(ZONES))]
             await self._fleet.add_worker(service, zone, worker.link)
 
+    async def _worker_restarted(self, fault: Fault) -> None:
+        """Have a worker drain, end, and start again under its id, in its place or elsewhere."""
+        worker = self._pick_worker(fault, SERVICES)
+        if worker is not None:
+            await restart_planned(self._fleet, worker, keep_link=fault.strength < SAME_PLACE_SHARE)
+
+    async def _worker_starts_again(self, fault: Fault) -> None:
+        worker = self._pick_worker(fault, SERVICES)
+        if worker is not None:
+            await crash_and_restart(self._fleet, worker, fault.seconds)
+
+    async def _foreign_entry(self, fault: Fault) -> None:
+        worker = self._pick_worker(fault, SERVICES)
+        if worker is not None:
+            await write_foreign_entries(self._fleet, worker, fault.strength, fault.seconds)
+
     # Configuration
 
     async def _configure(self, fault: Fault) -> None:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -19,6 +19,7 @@
 from soak.fleet import SoakFleet
 from soak.injector import Injector
 from soak.ledger import Ledger, Violation
+from soak.list_check import check_lists
 from soak.schedule import make_schedule
 from soak.silence_watch import SilenceWatch
 from soak.workers import SoakStageWorker
@@ -72,6 +73,7 @@
     logging.getLogger("aiohttp").setLevel(logging.CRITICAL)
     planned_only = seed % PLANNED_EVERY == 0
     SoakStageWorker.made.clear()
+    SoakStageWorker.lost.clear()
     fleet = SoakFleet(seed, nodes, SoakBounds())
     fleet.ledger.planned_only = planned_only
     injector = Injector(fleet)
@@ -82,6 +84,7 @@
         watching = asyncio.create_task(SilenceWatch(fleet).run())
         await injector.play(make_schedule(seed, seconds, planned_only=planned_only))
         await _check_recovery(fleet, users)
+        await check_lists(fleet)
         await users.stop()
         await _check_freed(fleet)
         await _check_processes(fleet)
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -28,6 +28,9 @@
     WORKER_GREY = "worker fails some calls"
     WORKER_CRASH = "worker crashes"
     KEPT_SILENT = "kept connections fall silent for good"
+    WORKER_RESTARTED = "worker drains and starts again under its id"
+    WORKER_STARTS_AGAIN = "worker crashes and starts again under its id"
+    FOREIGN_ENTRY = "entry of another writer"
 
 
 PLANNED = (
@@ -39,7 +42,12 @@
 )
 """Work of operators, which must cut nothing."""
 
-DRAWN_APART = (FaultKind.KEPT_SILENT,)
+DRAWN_APART = (
+    FaultKind.KEPT_SILENT,
+    FaultKind.WORKER_RESTARTED,
+    FaultKind.WORKER_STARTS_AGAIN,
+    FaultKind.FOREIGN_ENTRY,
+)
 """Kinds with a random source of their own, beside the others of a seed."""
 
 WEIGHTS = {
@@ -52,6 +60,9 @@
 MEAN_SILENCE_PAUSE_SECONDS = 4.0
 """Mean time between two moments at which kept connections fall silent."""
 
+MEAN_RESTART_PAUSE_SECONDS = 5.0
+"""Mean time between two moments at which a worker starts again or a foreign entry comes."""
+
 MEAN_PAUSE_SECONDS = 0.9
 FAULT_SECONDS = (0.3, 4.5)
 SERIES_SHARE = 0.25
@@ -101,6 +112,7 @@
         at += source.expovariate(1.0 / MEAN_PAUSE_SECONDS)
     if not planned_only:
         faults += _silences(seed, seconds)
+    faults += _restarts(seed, seconds, planned_only=planned_only)
     return tuple(sorted(faults, key=lambda fault: fault.at))
 
 
@@ -115,3 +127,19 @@
         )
         at += source.expovariate(1.0 / MEAN_SILENCE_PAUSE_SECONDS)
     return faults
+
+
+def _restarts(seed: int, seconds: float, *, planned_only: bool) -> list[Fault]:
+    """Return when workers start again under their ids, and when foreign entries come."""
+    source = random.Random(f"restarts {seed}")
+    kinds = [FaultKind.WORKER_RESTARTED, FaultKind.FOREIGN_ENTRY]
+    if not planned_only:
+        kinds.append(FaultKind.WORKER_STARTS_AGAIN)
+    faults = []
+    at = QUIET_START_SECONDS + source.expovariate(1.0 / MEAN_RESTART_PAUSE_SECONDS)
+    while at < seconds:
+        kind = source.choice(kinds)
+        length = source.uniform(*FAULT_SECONDS)
+        faults.append(Fault(kind, at, length, source.random(), source.random()))
+        at += source.expovariate(1.0 / MEAN_RESTART_PAUSE_SECONDS)
+    return faults
