--- a/tests/platform/test_restarted_workers.py
+++ b/tests/platform/test_restarted_workers.py
@@ -1,7 +1,8 @@
 """Workers that start again under their names, and know nothing of before.
 
-A restarted stage worker's lane still counted results that had gone with the process, and a
-worker that had said it was leaving, or had answered 421, got no request again.
+A restarted stage worker's lane still counted results that had gone with the process, and the
+handles of those were freed at the new process; a worker that had once answered 421 got no request
+again, and the failures and prefixes of before counted for the new process.
 """
 
 import asyncio
@@ -157,20 +158,27 @@
         assert encode.held == set(entry.room.to_free)
 
 
-@pytest.mark.parametrize("told", [SECOND_START, None])
-async def test_a_report_of_another_incarnation_is_not_booked(told: int | None) -> None:
+@pytest.mark.parametrize(
+    ("told", "booked"), [(FIRST_START, True), (SECOND_START, False), (None, False)]
+)
+async def test_a_report_of_another_incarnation_is_not_booked(
+    told: int | None, *, booked: bool
+) -> None:
     encode = StandinStageWorker(free_mb=1.0, told={"born": FIRST_START})
     served = {"m": (StandinWorker(events=2), "model"), "e": (encode, "encode")}
     async with world(configuration(1, ROUTES), served) as running:
+        desk = running.nodes[0].desk
+        heard: list[str] = []
+        room_changed = desk.room._on_change
+        desk.room._on_change = lambda worker_id: (heard.append(worker_id), room_changed(worker_id))
         encode.told = {"born": told} if told is not None else {}
         response = await running.call("/staged/x", headers=PIECES)
         await response.read()
         assert encode.reports == 1
         record = running.nodes[0].mirror.workers.named(encode.worker_id)
         assert record is not None
-        lane = running.nodes[0].desk.lane(record.worker_id)
-        assert lane is not None
-        assert lane.capacity.room_bytes - lane.room_used > 1_000_000
+        await until(lambda: not any(entry.room.asking for entry in desk._lanes))
+        assert heard == ([record.worker_id] if booked else [])
 
 
 @pytest.mark.parametrize(
--- a/tests/scheduling/test_incarnations.py
+++ b/tests/scheduling/test_incarnations.py
@@ -1,7 +1,7 @@
 """Incarnations of workers in the list: whatever is told in whatever order, the newest stands.
 
 State about a worker was kept by a name that its next incarnation bore as well: one that had
-said it was leaving, or had failed, stayed out of use after it had started again.
+answered 421 stayed out of use after it had started again, and failures of before still counted.
 """
 
 import msgspec
