Entries: numbers that are not used need only be numbers

Cause: a worker whose warm-up is over might tell a number below zero; it would have been lost for a figure that nothing reads. Measured: test_worker_entries.py passes (run alone).

--- a/src/corkcrank/platform/worker_entries.py
+++ b/src/corkcrank/platform/worker_entries.py
@@ -2,7 +2,7 @@
 
 An entry is taken only whole: every field that a worker writes must be there and of its type,
 since one that lacks a field was written by something else, and a request that is sent to its
-address is lost.
+address is lost. Numbers must make sense where they are used.
 """
 
 import ipaddress
@@ -25,8 +25,6 @@
 LAST_PORT = 65_535
 
 _Slots = Annotated[int, msgspec.Meta(ge=1, le=MOST_SLOTS)]
-_Count = Annotated[int, msgspec.Meta(ge=0)]
-_Duration = Annotated[float, msgspec.Meta(ge=0)]
 _Text = Annotated[str, msgspec.Meta(min_length=1)]
 
 
@@ -42,8 +40,8 @@
     version: str
     slots: _Slots
     state: _State
-    warmup_left_ms: _Duration
-    sequence: _Count
+    warmup_left_ms: float
+    sequence: int
     born: BornMilliseconds | msgspec.UnsetType = msgspec.UNSET
 
 
