Workers that have gone are forgotten, whatever peers tell late

Cause, two: a gateway that read the list whole, as at its start, told its rows as all changes since revision 0. A list holds no row that is gone, so a peer behind it took itself for whole and filtered the removal when it came. And a change that was told again after a whole list was taken brought the worker back: the list remembers revisions of the rows that it holds only. Change: news of a whole list claims nothing of what came before it; a row is not taken that is as old as what is known whole, nor a list that is older than that.

--- a/src/corkcrank/contracts/worker_records.py
+++ b/src/corkcrank/contracts/worker_records.py
@@ -55,7 +55,12 @@
         self.revision = 0
 
     def replace_all(self, records: Iterable[WorkerRecord], revision: int) -> None:
-        """Take the whole list as of ``revision``, but for rows known to be newer than that."""
+        """Take the whole list as of ``revision``, but for rows known to be newer than that.
+
+        A list that is older than what is known whole changes nothing.
+        """
+        if revision < self.revision:
+            return
         newer = {key: at for key, at in self._row_revisions.items() if at > revision}
         listed = {record.name: record for record in records if record.name not in newer}
         kept = {key: record for key, record in self._records.items() if key in newer}
@@ -66,8 +71,12 @@
         self._indexed = False
 
     def apply_row(self, name: str, record: WorkerRecord | None, revision: int) -> bool:
-        """Take one changed row, ``None`` if it is gone; return whether it was newer."""
-        if revision <= self._row_revisions.get(name, 0):
+        """Take one changed row, ``None`` if it is gone; return whether it was newer.
+
+        What the list is whole up to is known, also of rows that are gone by then: an older
+        change that is told late would bring a worker back.
+        """
+        if revision <= max(self.revision, self._row_revisions.get(name, 0)):
             return False
         self._row_revisions[name] = revision
         previous = self._records.pop(name, None)
--- a/src/corkcrank/machines/store_mirror.py
+++ b/src/corkcrank/machines/store_mirror.py
@@ -159,6 +159,11 @@
         return longest if due is None else min(longest, due)
 
     def _apply_workers(self, answer: StoreRows, *, whole: bool) -> None:
+        """Take rows of the store, and tell peers of them.
+
+        A whole list holds no row that is gone, so as news it claims nothing of what came
+        before it: a peer that took it for all changes would keep for ever what has gone.
+        """
         now = time.monotonic()
         changes = self.entries.changes(answer, self.workers.revision)
         if whole:
@@ -173,13 +178,14 @@
         taken = [change for change in changes if not self._held_back(change, now)]
         newest = max((change.revision for change in changes), default=0)
         revision = self._lapsed.whole_up_to(answer.revision if whole else newest)
-        self._take_from_store(taken, revision, now)
+        since = revision if whole else self.workers.revision
+        self._take_from_store(WorkerNews(since, revision, tuple(taken)), now)
         if whole:
+            self.workers.whole_up_to(revision)
             self._note_list("store")
 
-    def _take_from_store(self, changes: list[WorkerChange], revision: int, now: float) -> None:
-        news = WorkerNews(self.workers.revision, revision, tuple(changes))
-        if changes:
+    def _take_from_store(self, news: WorkerNews, now: float) -> None:
+        if news.changes:
             self.recent_changes.add(news, now)
         if self.take_news(news, "store"):
             self.on_store_news()
@@ -206,7 +212,8 @@
         due = self._lapsed.due(now)
         if due:
             newest = max(change.revision for change in due)
-            self._take_from_store(due, max(newest, self.workers.revision), now)
+            known = self.workers.revision
+            self._take_from_store(WorkerNews(known, max(newest, known), tuple(due)), now)
 
     def _note_list(self, source: str) -> None:
         records = self.workers.records()
--- a/tests/platform/test_store_mirror.py
+++ b/tests/platform/test_store_mirror.py
@@ -146,3 +146,23 @@
         await until(lambda: not mirror.workers.usable("plain"))
         await lapse_in_an_outage(running, one)
         assert not mirror.workers.records()
+
+
+async def test_a_list_read_whole_claims_no_changes_that_it_cannot_hold() -> None:
+    """A gateway that had just started told its whole list as all changes since the beginning.
+
+    Such a list holds no row that is gone. A peer that the store turned away took it for whole,
+    and kept a worker for ever that had gone meanwhile.
+    """
+    one, two = StandinWorker(), StandinWorker()
+    served = {"one": (one, "plain"), "two": (two, "plain")}
+    async with world(configuration(1, ROUTES), served) as running:
+        first = running.nodes[0]
+        running.store.refused.add(loopback_address(1))
+        running.store.forget_history()
+        await until(lambda: first.mirror.calls.get("workers:refused", 0) > 0)
+        running.store.remove("servers", one.worker_id)
+        running.store.put("servers", two.worker_id, two.entry("plain"))
+        async with peer_of(running, loopback_address(2)):
+            await until(lambda: first.mirror.workers.named(one.worker_id) is None)
+        assert first.mirror.workers.named(two.worker_id) is not None
--- a/tests/scheduling/test_incarnations.py
+++ b/tests/scheduling/test_incarnations.py
@@ -21,6 +21,11 @@
 
 @given(st.data())
 def test_any_order_of_rows_and_lists_ends_in_the_newest_incarnations(data: st.DataObject) -> None:
+    """Every change is told once at least; whole lists of any moments come in between.
+
+    A whole list holds no row that is gone. A change from before it, told late, brought a worker
+    back that had gone.
+    """
     truth: dict[str, WorkerRecord] = {}
     history: list[WorkerChange] = []
     states = [dict(truth)]
@@ -41,7 +46,6 @@
         if data.draw(st.booleans()):
             at = data.draw(st.integers(0, len(history)))
             workers.replace_all(states[at].values(), at)
-    workers.replace_all(truth.values(), len(history))
     assert {item.name: item for item in workers.records()} == truth
     for change in history:
         if change.record is not None:
