--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -29,6 +29,9 @@
     WORKER_CRASH = "worker crashes"
     KEPT_SILENT = "kept connections fall silent for good"
     ENGINES_GREY = "engines fail some calls, each in its own way"
+    WORKER_RESTARTED = "worker drains and starts again under its id"
+    WORKER_STARTS_AGAIN = "worker crashes and starts again under its id"
+    FOREIGN_ENTRY = "entry of another writer"
 
 
 PLANNED = (
@@ -40,7 +43,13 @@
 )
 """Work of operators, which must cut nothing."""
 
-DRAWN_APART = (FaultKind.KEPT_SILENT, FaultKind.ENGINES_GREY)
+DRAWN_APART = (
+    FaultKind.KEPT_SILENT,
+    FaultKind.ENGINES_GREY,
+    FaultKind.WORKER_RESTARTED,
+    FaultKind.WORKER_STARTS_AGAIN,
+    FaultKind.FOREIGN_ENTRY,
+)
 """Kinds with a random source of their own, beside the others of a seed."""
 
 WEIGHTS = {
@@ -56,6 +65,9 @@
 MEAN_GREY_PAUSE_SECONDS = 5.0
 """Mean time between two moments at which all engines begin to fail some calls."""
 
+MEAN_RESTART_PAUSE_SECONDS = 5.0
+"""Mean time between two moments at which a worker starts again or a foreign entry comes."""
+
 MEAN_PAUSE_SECONDS = 0.9
 FAULT_SECONDS = (0.3, 4.5)
 SERIES_SHARE = 0.25
@@ -106,6 +118,7 @@
     if not planned_only:
         faults += _silences(seed, seconds)
         faults += _grey_engines(seed, seconds)
+    faults += _restarts(seed, seconds, planned_only=planned_only)
     return tuple(sorted(faults, key=lambda fault: fault.at))
 
 
@@ -133,3 +146,19 @@
         faults.append(Fault(FaultKind.ENGINES_GREY, at, duration, choice, strength))
         at += duration + source.expovariate(1.0 / MEAN_GREY_PAUSE_SECONDS)
     return faults
+
+
+def _restarts(seed: int, seconds: float, *, planned_only: bool) -> list[Fault]:
+    """Return when workers start again under their ids, and when foreign entries come."""
+    source = random.Random(f"restarts {seed}")
+    kinds = [FaultKind.WORKER_RESTARTED, FaultKind.FOREIGN_ENTRY]
+    if not planned_only:
+        kinds.append(FaultKind.WORKER_STARTS_AGAIN)
+    faults = []
+    at = QUIET_START_SECONDS + source.expovariate(1.0 / MEAN_RESTART_PAUSE_SECONDS)
+    while at < seconds:
+        kind = source.choice(kinds)
+        length = source.uniform(*FAULT_SECONDS)
+        faults.append(Fault(kind, at, length, source.random(), source.random()))
+        at += source.expovariate(1.0 / MEAN_RESTART_PAUSE_SECONDS)
+    return faults
