An entry without its start names no worker where most others tell theirs

Cause: an entry that is whole but for the start of its worker counted as one of a platform that tells no starts, and its address was used. Ruled out: asking for a start always, since such platforms are served. Change: the reader of entries counts who tells a start; the majority decides, so that a single odd entry on a platform without starts puts nobody out of use. Peers are told a worker's name under the key that the build before reads, so that a rolling restart keeps the list of workers.

--- a/src/corkcrank/contracts/worker_records.py
+++ b/src/corkcrank/contracts/worker_records.py
@@ -14,7 +14,9 @@
     platform does not tell it.
     """
 
-    name: str
+    # Told to peers as "worker_id", the key that the rest of a fleet reads while a rolling
+    # restart puts this build in the place of one that knew no incarnations.
+    name: str = msgspec.field(name="worker_id")
     service: str
     address: str
     zone: str
--- a/src/corkcrank/machines/entry_reader.py
+++ b/src/corkcrank/machines/entry_reader.py
@@ -1,8 +1,10 @@
 """Reads rows of the list of workers, and keeps what is known of those that name none."""
 
+from collections.abc import Sequence
 from collections.abc import Set as AbstractSet
 
-from corkcrank.links.platform_ports import DocumentCodec, StoreRows, Unreadable
+from corkcrank.contracts.worker_records import WorkerRecord
+from corkcrank.links.platform_ports import DocumentCodec, StoreRow, StoreRows, Unreadable
 from corkcrank.links.unreadable_documents import (
     DocumentKind,
     UnreadableDocument,
@@ -13,25 +15,36 @@
 MOST_KEPT = 100
 """Unreadable entries that a state dump tells at most, the newest."""
 
+NO_START = Unreadable("no start, although the platform tells others'")
+
 
 class EntryReader:
-    """Turns rows into changes; ``on_unreadable`` hears of each row that cannot be read."""
+    """Turns rows into changes; ``on_unreadable`` hears of each row that cannot be read.
+
+    A platform tells the start of every worker or of none. Where most entries tell one, an entry
+    without any was left by another writer, however whole it looks otherwise; a single one that
+    tells a start where no other does must not put all others out of use.
+    """
 
     def __init__(self, documents: DocumentCodec) -> None:
         self._documents = documents
         self.on_unreadable = ignore_unreadable
         self.unreadable: dict[str, str] = {}
+        self._tells_start: dict[str, bool] = {}
 
     def changes(self, answer: StoreRows, since: int) -> list[WorkerChange]:
         """Return the changes of an answer that are newer than revision ``since``."""
         for broken in answer.nameless:
             self.on_unreadable(UnreadableDocument(DocumentKind.ENTRY, "", broken.reason))
         changes = []
-        for row in answer.rows:
-            if row.revision <= since:
-                continue
-            found = self._documents.worker(row)
+        rows = [row for row in answer.rows if row.revision > since]
+        records = [self._documents.worker(row) for row in rows]
+        self._note_starts(rows, records)
+        starts_told = 2 * sum(self._tells_start.values()) > len(self._tells_start)
+        for row, found in zip(rows, records, strict=True):
             self.unreadable.pop(row.key, None)
+            if isinstance(found, WorkerRecord) and starts_told and found.born is None:
+                found = NO_START
             if isinstance(found, Unreadable):
                 self._note(row.key, found)
                 found = None
@@ -42,6 +55,17 @@
         """Forget the entries that a whole list does not hold any more."""
         for name in self.unreadable.keys() - listed:
             del self.unreadable[name]
+        for name in self._tells_start.keys() - listed:
+            del self._tells_start[name]
+
+    def _note_starts(
+        self, rows: Sequence[StoreRow], records: Sequence[WorkerRecord | Unreadable | None]
+    ) -> None:
+        for row, found in zip(rows, records, strict=True):
+            if isinstance(found, WorkerRecord):
+                self._tells_start[row.key] = found.born is not None
+            else:
+                self._tells_start.pop(row.key, None)
 
     def _note(self, key: str, found: Unreadable) -> None:
         self.unreadable[key] = found.reason
--- /dev/null
+++ b/tests/scheduling/test_entry_reader.py
@@ -0,0 +1,52 @@
+"""An entry that lacks its start, among those that tell one and among those that do not."""
+
+import msgspec
+import pytest
+
+from corkcrank.links.platform_ports import StoreRow, StoreRows
+from corkcrank.machines.entry_reader import EntryReader
+from corkcrank.platform.documents import PlatformDocumentCodec
+
+ENTRY = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "version": "v1",
+    "slots": 1,
+    "state": "ready",
+    "warmup_left_ms": 0,
+    "sequence": 1,
+}
+
+
+def row(name: str, revision: int, **told: object) -> StoreRow:
+    return StoreRow(name, msgspec.json.encode({**ENTRY, **told}), revision)
+
+
+def named(reader: EntryReader, since: int, *rows: StoreRow) -> list[str]:
+    changes = reader.changes(StoreRows(rows, rows[-1].revision), since)
+    return [change.name for change in changes if change.record is not None]
+
+
+@pytest.mark.parametrize("first", [True, False])
+def test_an_entry_without_a_start_names_no_worker_where_others_tell_theirs(first: bool) -> None:
+    workers = [row("b", 2, born=17), row("c", 3, born=18)]
+    rows = [row("a", 1), *workers] if first else [*workers, row("a", 4)]
+    reader = EntryReader(PlatformDocumentCodec())
+    assert named(reader, 0, *rows) == ["b", "c"]
+    assert list(reader.unreadable) == ["a"]
+
+
+def test_entries_without_starts_hold_where_another_writer_tells_one() -> None:
+    reader = EntryReader(PlatformDocumentCodec())
+    rows = [row("a", 1), row("b", 2), row("x", 3, born=17), row("c", 4)]
+    assert named(reader, 0, *rows) == ["a", "b", "x", "c"]
+    assert named(reader, 4, row("a", 5, state="draining")) == ["a"]
+
+
+def test_entries_that_are_gone_count_no_more() -> None:
+    reader = EntryReader(PlatformDocumentCodec())
+    assert named(reader, 0, row("a", 1, born=17), row("x", 2, born=18)) == ["a", "x"]
+    assert named(reader, 2, row("b", 3)) == []
+    reader.keep_only({"b"})
+    assert named(reader, 3, row("c", 4)) == ["c"]
