--- a/src/corkcrank/gateway/opaque/attempts.py
+++ b/src/corkcrank/gateway/opaque/attempts.py
@@ -149,6 +149,7 @@
         standing.avoid_until = max(standing.avoid_until, now + FULL_AVOID_SECONDS)
     else:
         standing.failures.append(now)
+        services.note_broken(call, attempt.worker)
         standing.avoid_until = max(standing.avoid_until, now + AVOID_SECONDS)
     services.log.write(
         LogEvent.CALL_ATTEMPT_FAILED,
--- a/src/corkcrank/gateway/opaque/engine_desk.py
+++ b/src/corkcrank/gateway/opaque/engine_desk.py
@@ -52,6 +52,7 @@
             prompt=turn.prompt,
             excluded=turn.excluded,
             penalties=self._isolation.penalties(engines, long=turn.long),
+            repeatable=turn.repeatable,
         )
         self._used_at = now = time.monotonic()
         engine = self._turns.grant(turn.call_id, engines, question, capacity, now)
@@ -98,6 +99,7 @@
             prompt=call.envelope.prompt,
             excluded=tuple(call.workers_tried),
             long=long,
+            repeatable=call.route.idempotent,
         )
         owner = self._fleet.zone_owner(chosen.zone, call.service, time.monotonic())
         grant = await self._ask(owner, turn)
--- a/src/corkcrank/gateway/opaque/engine_exchange.py
+++ b/src/corkcrank/gateway/opaque/engine_exchange.py
@@ -19,6 +19,7 @@
 from corkcrank.gateway.opaque.worker_answers import read_whole_answer
 from corkcrank.links.decision_log import LogEvent
 from corkcrank.scheduling.stage_plan import StagePlan
+from corkcrank.scheduling.worker_outcomes import CallOutcome
 
 LEAST_FIRST_EVENT_SECONDS = 1.2
 """A resumable stream is never moved earlier for want of a first event."""
@@ -103,13 +104,14 @@
         if attempt.status >= ENGINE_FAULT_STATUS:
             standing = self._services.book.of(attempt.worker.worker_id)
             standing.failures.append(time.monotonic())
+        self._services.health.answered(attempt.worker, attempt.status)
         left = self._call.end_at - time.monotonic()
         self.failure = await read_whole_answer(self._services, attempt, left)
         return RelayEnd.FAILED
 
     async def _attempt(self, engine: WorkerRecord, inputs: tuple[str, ...]) -> Attempt:
         self._note_prefix(engine)
-        self._relay.on_first_event = self._first_event(time.monotonic())
+        self._relay.on_first_event = self._first_event(engine, time.monotonic())
         timer = self._free_after_fetch(engine)
         try:
             return await attempt_call(
@@ -143,10 +145,11 @@
         delay = self._services.fetch_delay(self._call.service).seconds
         return asyncio.get_running_loop().call_later(delay, self.stages.close)
 
-    def _first_event(self, sent_at: float) -> Callable[[], None]:
+    def _first_event(self, engine: WorkerRecord, sent_at: float) -> Callable[[], None]:
         def note() -> None:
             now = time.monotonic()
             self._assignment.has_read()
+            self._services.health.note(engine, CallOutcome.SERVED)
             self._services.turns.done(self._call)
             self._services.first_event_times.learn(self._call.service, now - sent_at)
             self._services.fetch_delay(self._call.service).found()
--- a/src/corkcrank/gateway/opaque/heartbeats.py
+++ b/src/corkcrank/gateway/opaque/heartbeats.py
@@ -18,6 +18,7 @@
     WorkersAnswer,
 )
 from corkcrank.gateway.opaque.stage_desk import StageDesk
+from corkcrank.gateway.opaque.worker_health import WorkerHealth
 from corkcrank.links.datagrams import DatagramLink, send_spread
 from corkcrank.links.decision_log import DecisionLog, LogEvent
 from corkcrank.links.platform_ports import StoreTable
@@ -78,7 +79,9 @@
         engines: EngineChooser,
         prefix_news: PrefixNews,
         forecast_bias: ForecastBias,
+        health: WorkerHealth,
     ) -> None:
+        self._health = health
         self._forecast_bias = forecast_bias
         self._engines = engines
         self._prefix_news = prefix_news
@@ -209,6 +212,7 @@
             prefixes=self._prefix_news.current(now, self._fleet.interval()),
             forecast_ratios=self._forecast_bias.told(now),
             strength=self._fleet.own_strength,
+            outcomes=self._health.told(now),
         )
 
     def _store_word(self, table: StoreTable, now: float) -> ToldStoreWord:
@@ -234,6 +238,7 @@
             self._take_worker_news(heartbeat.worker_news, heartbeat.name, now)
         self._loads.take(heartbeat.name, heartbeat.call_loads)
         self._forecast_bias.take(heartbeat.name, heartbeat.forecast_ratios, now)
+        self._health.take(heartbeat.name, heartbeat.zone, heartbeat.outcomes)
         if heartbeat.configuration_version > self._mirror.version:
             self._behind.set()
         for prefix in heartbeat.prefixes:
@@ -264,6 +269,7 @@
             if self._fleet.suspected(name, now):
                 self._loads.forget(name)
                 self._forecast_bias.forget(name)
+                self._health.forget(name)
                 member = self._fleet.member(name)
                 age = now - member.heard_at if member is not None else None
                 self._log.write(LogEvent.MEMBER_SUSPECTED, member=name, silent=age)
--- a/src/corkcrank/gateway/opaque/metrics.py
+++ b/src/corkcrank/gateway/opaque/metrics.py
@@ -44,6 +44,12 @@
             ("outcome",),
             registry=self.registry,
         )
+        self.verdicts = Counter(
+            "corkcrank_worker_verdicts",
+            "Changes of what is held of a worker that fails calls, by the new verdict.",
+            ("verdict",),
+            registry=self.registry,
+        )
         self.refusals = Counter(
             "corkcrank_refusals",
             "Answers of this gateway's own, by cause.",
--- a/src/corkcrank/gateway/opaque/node.py
+++ b/src/corkcrank/gateway/opaque/node.py
@@ -27,6 +27,7 @@
 from corkcrank.gateway.opaque.stage_dispatch import StageDispatch
 from corkcrank.gateway.opaque.state_collector import StateCollector
 from corkcrank.gateway.opaque.worker_client import WorkerClient
+from corkcrank.gateway.opaque.worker_health import WorkerHealth
 from corkcrank.links.decision_log import DecisionLog, LogEvent
 from corkcrank.links.platform_ports import PlatformPorts, StoreFailure, StoreTable
 from corkcrank.machines.fleet import Fleet
@@ -85,6 +86,10 @@
         )
         engine_desk = EngineDesk(self.mirror, self._engines, self._book)
         turns = EngineTurnTaker(self.mirror, self.fleet, engine_desk, self._peers, log)
+        self._health = WorkerHealth(
+            self.mirror, self._book, log, metrics, process.zone, random_source
+        )
+        self.desk.on_outcome = self._health.note
         self.services = CallServices(
             ports=ports,
             mirror=self.mirror,
@@ -93,6 +98,7 @@
             engines=self._engines,
             dispatch=dispatch,
             turns=turns,
+            health=self._health,
             client=self._client,
             log=log,
             metrics=metrics,
@@ -127,6 +133,7 @@
             self._engines,
             self.services.prefix_news,
             self.services.forecast_bias,
+            self._health,
         )
         self.mirror.on_store_news = self.heartbeats.pass_on_soon
         dispatch.on_wait = self.heartbeats.probe
@@ -178,6 +185,7 @@
             self._spawn(self._register()),
             self._spawn(self._become_ready()),
             self._spawn(self._measure_lag()),
+            self._spawn(self._health.watch()),
         ]
 
     async def stop(self, signalled_at: float | None = None) -> None:
@@ -237,6 +245,7 @@
         self._capacity_log.note()
         self._book.forget_all_but(listed)
         self._engines.forget_all_but(listed)
+        self._health.forget_all_but(listed)
         self.desk.workers_changed()
 
     async def _register(self) -> None:
--- a/src/corkcrank/gateway/opaque/node_dump.py
+++ b/src/corkcrank/gateway/opaque/node_dump.py
@@ -34,6 +34,8 @@
     peers_in_flight: int
     recent_failures: int
     avoided: float
+    verdict: str
+    failure_excess: float
 
 
 class LaneDump(msgspec.Struct, frozen=True):
@@ -129,6 +131,8 @@
                 peers_in_flight=standing.peers_in_flight,
                 recent_failures=standing.recent_failures(now),
                 avoided=round(max(0.0, standing.avoid_until - now), 3),
+                verdict=standing.verdict.value,
+                failure_excess=round(standing.excess, 3),
             )
         )
     return tuple(dumps)
--- a/src/corkcrank/gateway/opaque/owned_lane.py
+++ b/src/corkcrank/gateway/opaque/owned_lane.py
@@ -98,7 +98,8 @@
         choices = []
         for other in pool_of(self._mirror.workers, worker).workers:
             standing = self._book.of(other.worker_id)
-            if other is not worker and (standing.leaving or standing.avoid_until > now):
+            unsound = standing.avoid_until > now or standing.set_aside(repeatable=True)
+            if other is not worker and (standing.leaving or unsound):
                 continue
             entry = self.of(other, profile)
             expected = entry.lane.forecast(now, urgency, len(work.pieces), work.result_bytes)
--- a/src/corkcrank/gateway/opaque/peer_protocol.py
+++ b/src/corkcrank/gateway/opaque/peer_protocol.py
@@ -75,6 +75,7 @@
     prompt: PromptShape
     excluded: tuple[str, ...]
     long: bool
+    repeatable: bool = False
 
 
 class EngineGrant(msgspec.Struct, frozen=True):
--- a/src/corkcrank/gateway/opaque/plain_run.py
+++ b/src/corkcrank/gateway/opaque/plain_run.py
@@ -94,6 +94,7 @@
             now,
             self._call.workers_tried,
             self._services.random,
+            repeatable=self._call.route.kind is CallKind.REPEATABLE,
         )
 
     async def _try(self, worker: WorkerRecord) -> web.Response | None:
@@ -118,7 +119,9 @@
             return None
         response = await self._read(attempt)
         if response is None:
+            self._services.note_broken(call, worker)
             return None
+        self._services.health.answered(worker, attempt.status)
         if attempt.status >= 500:
             standing = self._services.book.of(worker.worker_id)
             standing.failures.append(time.monotonic())
--- a/src/corkcrank/gateway/opaque/services.py
+++ b/src/corkcrank/gateway/opaque/services.py
@@ -5,11 +5,14 @@
 from dataclasses import dataclass, field
 
 from corkcrank.contracts.node_settings import NodeBoundSettings
+from corkcrank.contracts.opaque_call import OpaqueCall
+from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.gateway.opaque.drain import DrainSchedule
 from corkcrank.gateway.opaque.engine_desk import EngineTurnTaker
 from corkcrank.gateway.opaque.metrics import OpaqueMetrics
 from corkcrank.gateway.opaque.stage_dispatch import StageDispatch
 from corkcrank.gateway.opaque.worker_client import WorkerClient
+from corkcrank.gateway.opaque.worker_health import WorkerHealth
 from corkcrank.links.decision_log import DecisionLog
 from corkcrank.links.platform_ports import PlatformPorts
 from corkcrank.links.silence import SilenceListener, ignore_silence
@@ -23,6 +26,7 @@
 from corkcrank.scheduling.prefix_news import PrefixNews
 from corkcrank.scheduling.stream_times import StreamTimes
 from corkcrank.scheduling.worker_choice import StandingBook
+from corkcrank.scheduling.worker_outcomes import CallOutcome
 
 TIME_WEIGHT = 0.15
 """Weight of the newest measurement in a mean time."""
@@ -65,6 +69,7 @@
     engines: EngineChooser
     dispatch: StageDispatch
     turns: EngineTurnTaker
+    health: WorkerHealth
     client: WorkerClient
     log: DecisionLog
     metrics: OpaqueMetrics
@@ -115,6 +120,11 @@
             for service, budget in self._budgets.items()
         }
 
+    def note_broken(self, call: OpaqueCall, worker: WorkerRecord) -> None:
+        """Take that a worker's connection broke, unless the call's own time was over."""
+        if time.monotonic() < call.end_at:
+            self.health.note(worker, CallOutcome.BROKEN)
+
     def could_repeat(self, service: str) -> bool:
         """Return whether a repeat could be spent now."""
         now = time.monotonic()
--- a/src/corkcrank/gateway/opaque/stage_desk.py
+++ b/src/corkcrank/gateway/opaque/stage_desk.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from corkcrank.contracts.opaque_configuration import ServiceProfile
+from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.gateway.opaque.coming_pieces import ComingPieces
 from corkcrank.gateway.opaque.owned_lane import (
     AVOID_SECONDS,
@@ -29,6 +30,7 @@
 from corkcrank.scheduling.queue_sharing import pieces_to_take
 from corkcrank.scheduling.stage_lane import StageCall, StageLane
 from corkcrank.scheduling.worker_choice import StandingBook
+from corkcrank.scheduling.worker_outcomes import CallOutcome
 
 
 class StageDesk:
@@ -59,6 +61,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._refusing = False
         self.on_release: Callable[[str, float], None] = lambda step, seconds: None
+        self.on_outcome: Callable[[WorkerRecord, CallOutcome], None] = lambda worker, outcome: None
 
     def lane(self, worker_id: str) -> StageLane | None:
         """Return the lane of a worker if this gateway has one."""
@@ -210,8 +213,8 @@
     def _take_over(self, entry: OwnedLane, now: float) -> None:
         """Take over pieces that wait for busy workers, if this one is idle and sound."""
         standing = self._book.of(entry.worker.worker_id)
-        unsound = standing.leaving or standing.avoid_until > now
-        if unsound or self._leaving(entry):
+        unsound = standing.avoid_until > now or standing.set_aside(repeatable=True)
+        if unsound or standing.leaving or self._leaving(entry):
             return
         others = [sibling.lane for sibling in self._lanes.siblings(entry)]
         for piece in pieces_to_take(entry.lane, others, now):
@@ -285,6 +288,7 @@
         standing = self._book.of(entry.worker.worker_id)
         standing.failures.append(now)
         standing.avoid_until = now + AVOID_SECONDS
+        self.on_outcome(entry.worker, CallOutcome.BROKEN)
         entry.lane.block(now, FULL_BLOCK_SECONDS)
         self._log.write(
             LogEvent.WORKER_AVOIDED,
@@ -299,6 +303,7 @@
             self._resolve(ticket, PieceResult(PieceOutcome.REFUSED))
 
     def _succeeded(self, entry: OwnedLane, call: StageCall, results: list[PieceResult]) -> None:
+        self.on_outcome(entry.worker, CallOutcome.SERVED)
         orphans = []
         for ticket, result in zip(call.tickets, results, strict=True):
             if result.outcome is PieceOutcome.NO_ROOM:
--- a/src/corkcrank/gateway/opaque/stream_admission.py
+++ b/src/corkcrank/gateway/opaque/stream_admission.py
@@ -82,6 +82,7 @@
             excluded=call.workers_tried,
             weights=engine_weights(engines, stages),
             penalties=self._services.isolation.penalties(engines, long=long),
+            repeatable=call.route.idempotent,
         )
         return self._services.engines.rank(engines, question, self._services.book, time.monotonic())
 
--- a/src/corkcrank/gateway/opaque/stream_relay.py
+++ b/src/corkcrank/gateway/opaque/stream_relay.py
@@ -65,6 +65,7 @@
             if end is not RelayEnd.COMPLETE:
                 attempt.close()
             if end is RelayEnd.BROKEN:
+                self._services.note_broken(self._call, attempt.worker)
                 self._services.book.of(attempt.worker.worker_id).failures.append(time.monotonic())
         return end
 
--- a/src/corkcrank/machines/heartbeat.py
+++ b/src/corkcrank/machines/heartbeat.py
@@ -7,6 +7,7 @@
 from corkcrank.machines.store_word import ToldStoreWord
 from corkcrank.machines.worker_news import WorkerNews
 from corkcrank.scheduling.forecast_bias import ForecastRatio
+from corkcrank.scheduling.worker_outcomes import ToldOutcomes
 
 
 class Phase(IntEnum):
@@ -94,3 +95,4 @@
     forecast_ratios: tuple[ForecastRatio, ...] = ()
     probe: bool = False
     strength: float = 0.0
+    outcomes: tuple[ToldOutcomes, ...] = ()
--- a/src/corkcrank/scheduling/engine_choice.py
+++ b/src/corkcrank/scheduling/engine_choice.py
@@ -24,6 +24,14 @@
 FAILURE_TOKENS = 6_000.0
 """Tokens that one remembered failure counts as."""
 
+EJECTED_TOKENS = 30_000.0
+"""Tokens that an ejection counts as: more than a prompt of the longest kind, read again, and the
+other side of :mod:`prefill_isolation` together; a longer queue at the others outweighs it."""
+
+EXCESS_TOKENS = 30_000.0
+"""Tokens that an engine counts which is expected to fail all of its calls, others none: the
+stages of a failed call wait while another engine reads its prompt."""
+
 CALL_TOKENS = 60.0
 """Tokens that each call in flight counts as: every step takes longer with it."""
 
@@ -77,7 +85,8 @@
 
     ``weights`` gives each engine's share of new prompts, ``penalties`` tokens that count
     against it, both by worker id. ``reading`` gives the tokens being read, where an owner
-    knows them; otherwise what this gateway and its peers told counts.
+    knows them; otherwise what this gateway and its peers told counts. A ``repeatable`` call may
+    be the probe of a half-open engine.
     """
 
     prompt: PromptShape
@@ -85,6 +94,7 @@
     weights: Mapping[str, float] = field(default_factory=dict)
     penalties: Mapping[str, float] = field(default_factory=dict)
     reading: Mapping[str, int] | None = None
+    repeatable: bool = False
 
 
 class EngineChooser:
@@ -154,6 +164,9 @@
         cost += FAILURE_TOKENS * standing.recent_failures(now)
         if standing.avoid_until > now:
             cost += FAILURE_TOKENS
+        cost += EXCESS_TOKENS * standing.excess
+        if standing.set_aside(repeatable=question.repeatable):
+            cost += EJECTED_TOKENS
         return cost + question.penalties.get(engine.worker_id, 0.0)
 
     def _kept_somewhere(
--- a/src/corkcrank/scheduling/stage_choice.py
+++ b/src/corkcrank/scheduling/stage_choice.py
@@ -17,6 +17,12 @@
 
 MEGABYTE = 1e6
 
+EJECTED_SECONDS = 3.0
+"""Seconds that an ejection counts as."""
+
+EXCESS_SECONDS = 2.0
+"""Seconds that a worker counts which is expected to fail all of its calls, others none."""
+
 FAILURE_SECONDS = 1.0
 """Seconds that each remembered failure counts as."""
 
@@ -73,6 +79,9 @@
         cost += FAILURE_SECONDS * standing.recent_failures(now)
         if standing.avoid_until > now:
             cost += FAILURE_SECONDS
+        cost += EXCESS_SECONDS * standing.excess
+        if standing.set_aside(repeatable=True):
+            cost += EJECTED_SECONDS
         key = (cost, random_source.random())
         if best_cost is None or key < best_cost:
             best, best_cost = (worker, expected), key
--- a/src/corkcrank/scheduling/worker_choice.py
+++ b/src/corkcrank/scheduling/worker_choice.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from corkcrank.contracts.worker_records import WorkerRecord
+from corkcrank.scheduling.outlier_detection import Verdict
 
 FAILURE_MEMORY_SECONDS = 4.0
 """Time for which a failed call counts against a worker."""
@@ -12,6 +13,17 @@
 FAILURE_PENALTY = 1.0
 """Pressure that each remembered failure adds."""
 
+EJECTED_PENALTY = 4.0
+"""Pressure that an ejection adds: an ejected worker is taken once each of the others has four
+calls a slot more than it."""
+
+EXCESS_PENALTY = 3.0
+"""Pressure that a worker counts which is expected to fail all of its calls, others none; one
+that fails half of them counts as another's 1.2 calls a slot more."""
+
+HALF_OPEN_CALLS = 2
+"""Calls in flight, of all gateways, up to which a half-open worker is given a probe."""
+
 REMOTE_PENALTY = 0.25
 """Pressure that another zone adds."""
 
@@ -31,6 +43,8 @@
     avoid_until: float = 0.0
     leaving: bool = False
     seconds: float = 0.0
+    verdict: Verdict = Verdict.SOUND
+    excess: float = 0.0
 
     def recent_failures(self, now: float) -> int:
         """Return the failures that still count."""
@@ -39,6 +53,17 @@
         self.failures = [at for at in self.failures if at > now - FAILURE_MEMORY_SECONDS]
         return len(self.failures)
 
+    def set_aside(self, *, repeatable: bool) -> bool:
+        """Return whether a call goes here only if nothing else is free.
+
+        A call that may run once only is never the probe of a half-open worker.
+        """
+        if self.verdict is Verdict.SOUND:
+            return False
+        if self.verdict is Verdict.EJECTED or not repeatable:
+            return True
+        return self.in_flight + self.peers_in_flight >= HALF_OPEN_CALLS
+
 
 class StandingBook:
     """The standing of every worker that this gateway has called or heard of."""
@@ -71,10 +96,13 @@
     now: float,
     excluded: Collection[str],
     random_source: random.Random,
+    *,
+    repeatable: bool = False,
 ) -> WorkerRecord | None:
     """Return the least pressed worker not yet tried, or ``None``.
 
-    Pressure is calls per slot, with penalties for recent failures and for another zone.
+    Pressure is calls per slot, with penalties for recent failures, for an ejection and for
+    another zone. A ``repeatable`` call may be a probe.
     """
     best: WorkerRecord | None = None
     best_key: tuple[float, float] | None = None
@@ -82,7 +110,10 @@
         standing = book.of(record.worker_id)
         if record.worker_id in excluded or standing.leaving:
             continue
-        key = (_pressure(record, standing, zone, now), random_source.random())
+        pressure = _pressure(record, standing, zone, now)
+        if standing.set_aside(repeatable=repeatable):
+            pressure += EJECTED_PENALTY
+        key = (pressure, random_source.random())
         if best_key is None or key < best_key:
             best, best_key = record, key
     return best
@@ -92,6 +123,7 @@
     calls = standing.in_flight + standing.peers_in_flight
     pressure = calls / max(1, record.slots)
     pressure += FAILURE_PENALTY * standing.recent_failures(now)
+    pressure += EXCESS_PENALTY * standing.excess
     if standing.avoid_until > now:
         pressure += FAILURE_PENALTY
     if record.zone != zone:
