--- a/src/corkcrank/scheduling/engine_choice.py
+++ b/src/corkcrank/scheduling/engine_choice.py
@@ -24,11 +24,11 @@
 FAILURE_TOKENS = 6_000.0
 """Tokens that one remembered failure counts as."""
 
-EJECTED_TOKENS = 30_000.0
+EJECTED_TOKENS = 12_000.0
 """Tokens that an ejection counts as: more than a prompt of the longest kind, read again, and the
 other side of :mod:`prefill_isolation` together; a longer queue at the others outweighs it."""
 
-EXCESS_TOKENS = 30_000.0
+EXCESS_TOKENS = 12_000.0
 """Tokens that an engine counts which is expected to fail all of its calls, others none: the
 stages of a failed call wait while another engine reads its prompt."""
 
--- a/src/corkcrank/scheduling/outlier_detection.py
+++ b/src/corkcrank/scheduling/outlier_detection.py
@@ -16,7 +16,7 @@
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.scheduling.worker_outcomes import Counts, Evidence, OutcomeBook
 
-CONFIDENCE = 2.0
+CONFIDENCE = 2.5
 """Standard deviations of the lower bound of a worker's failure rate."""
 
 LEAST_EXCESS = 0.1
--- a/src/corkcrank/scheduling/worker_choice.py
+++ b/src/corkcrank/scheduling/worker_choice.py
@@ -17,7 +17,7 @@
 """Pressure that an ejection adds: an ejected worker is taken once each of the others has four
 calls a slot more than it."""
 
-EXCESS_PENALTY = 3.0
+EXCESS_PENALTY = 6.0
 """Pressure that a worker counts which is expected to fail all of its calls, others none; one
 that fails half of them counts as another's 1.2 calls a slot more."""
 
--- a/tests/scheduling/outlier_play.py
+++ b/tests/scheduling/outlier_play.py
@@ -25,7 +25,8 @@
     fleet, ``interval`` the time between a gateway's heartbeats. ``bad_link`` counts gateways
     whose every call to the first worker fails, ``one_zone`` has the failing workers fail only
     the callers of the first zone. Without ``detecting`` only remembered failures count, without
-    ``telling`` each gateway learns alone.
+    ``ejecting`` the excess counts and verdicts do not, without ``telling`` each gateway learns
+    alone.
     """
 
     gateways: int = 6
@@ -44,6 +45,7 @@
     bad_link: int = 0
     one_zone: bool = False
     detecting: bool = True
+    ejecting: bool = True
     telling: bool = True
     seed: int = 1
 
@@ -178,7 +180,11 @@
             return
         if not gateway.outcomes.failing(now) and not gateway.detector.judged():
             return
-        for change in gateway.detector.judge(self._workers, now):
+        changes = gateway.detector.judge(self._workers, now)
+        for worker in self._workers:
+            excess = gateway.detector.excess(worker.worker_id)
+            gateway.book.of(worker.worker_id).excess = excess
+        for change in changes if self._scene.ejecting else ():
             worker_id = change.worker.worker_id
             gateway.book.of(worker_id).verdict = change.after
             if change.after is Verdict.EJECTED:
