--- a/src/corkcrank/machines/heartbeat.py
+++ b/src/corkcrank/machines/heartbeat.py
@@ -7,6 +7,7 @@
 from corkcrank.machines.store_word import ToldStoreWord
 from corkcrank.machines.worker_news import WorkerNews
 from corkcrank.scheduling.forecast_bias import ForecastRatio
+from corkcrank.scheduling.worker_outcomes import ToldOutcomes
 
 
 class Phase(IntEnum):
@@ -73,7 +74,8 @@
 
     The words are the newest answers of the store about each table that the sender knows
     of. ``probe`` asks the receiver for its heartbeat. ``strength`` is the processor time that
-    the sender may use, in usual processors; 0 if it does not know.
+    the sender may use, in usual processors; 0 if it does not know. ``outcomes`` are those of
+    its calls at workers that failed some.
     """
 
     name: str
@@ -94,3 +96,4 @@
     forecast_ratios: tuple[ForecastRatio, ...] = ()
     probe: bool = False
     strength: float = 0.0
+    outcomes: tuple[ToldOutcomes, ...] = ()
