--- a/src/corkcrank/standins/plain.py
+++ b/src/corkcrank/standins/plain.py
@@ -1,17 +1,15 @@
 """Stand-in of a plain service that records every run."""
 
-import asyncio
 import time
-import uuid
 
 import msgspec
 from aiohttp import web
 
 from corkcrank.contracts.identifiers import WorkerId
-from corkcrank.contracts.messages import LoadReport, PlainAnswer, PlainCall
+from corkcrank.contracts.messages import PlainAnswer, PlainCall
 from corkcrank.standins import outputs
-from corkcrank.standins.faults import FaultSwitch, cut_connection, json_response
-from corkcrank.standins.queueing import PriorityGate
+from corkcrank.standins.faults import cut_connection, json_response
+from corkcrank.standins.slotted_worker import SlottedWorker
 
 
 class Run(msgspec.Struct, frozen=True):
@@ -30,15 +28,11 @@
     runs: tuple[Run, ...]
 
 
-class PlainStandin:
+class PlainStandin(SlottedWorker):
     """One worker of a plain service."""
 
     def __init__(self, worker: WorkerId, slots: int, service_seconds: float) -> None:
-        self.switch = FaultSwitch()
-        self.boot = uuid.uuid4().hex[:8]
-        self._worker = worker
-        self._gate = PriorityGate(slots)
-        self._service_seconds = service_seconds
+        super().__init__(worker, slots, service_seconds)
         self._runs: list[Run] = []
 
     def application(self) -> web.Application:
@@ -57,30 +51,13 @@
     async def _handle_runs(self, request: web.Request) -> web.Response:
         return json_response(Runs(tuple(self._runs)))
 
-    async def _handle_load(self, request: web.Request) -> web.Response:
-        return json_response(
-            LoadReport(
-                worker=self._worker,
-                leaving=self.switch.faults.leaving,
-                running=self._gate.running,
-                waiting=self._gate.waiting,
-                slots=self._gate.slots,
-                boot=self.boot,
-            )
-        )
-
     async def _handle_call(self, request: web.Request) -> web.Response:
         refused = await self.switch.before_work()
         if refused is not None or self.switch.faults.leaving:
             return refused or web.Response(status=503, text="leaving")
         call = msgspec.json.decode(await request.read(), type=PlainCall)
         self._runs.append(Run(call.tenant, call.operation, call.key, call.attempt, time.time()))
-        await self._gate.enter(0)
-        try:
-            seconds = self._service_seconds * self.switch.faults.slow_factor
-            await asyncio.sleep(seconds)
-        finally:
-            self._gate.leave()
+        seconds = await self._work(0)
         if self.switch.faults.take_lost_answer():
             cut_connection(request)
         return json_response(
--- a/src/corkcrank/standins/pool.py
+++ b/src/corkcrank/standins/pool.py
@@ -1,34 +1,27 @@
 """Stand-in of an encoder, retriever or reranker."""
 
-import asyncio
-import uuid
-
 import msgspec
 from aiohttp import web
 
 from corkcrank.contracts.configuration import ServiceKind
 from corkcrank.contracts.identifiers import AttemptId, TenantName, WorkerId
-from corkcrank.contracts.messages import LoadReport, StageAnswer, StageCall
+from corkcrank.contracts.messages import StageAnswer, StageCall
 from corkcrank.standins import outputs
-from corkcrank.standins.faults import FaultSwitch, cut_connection, json_response
-from corkcrank.standins.queueing import PriorityGate
+from corkcrank.standins.faults import cut_connection, json_response
+from corkcrank.standins.slotted_worker import SlottedWorker
 
 FOREIGN_TENANT = TenantName("somebody-else")
 """Owner of the passages returned under the fault ``foreign_passages``."""
 
 
-class PoolStandin:
+class PoolStandin(SlottedWorker):
     """One worker of a pool with a fixed service time in seconds."""
 
     def __init__(
         self, worker: WorkerId, kind: ServiceKind, slots: int, service_seconds: float
     ) -> None:
-        self.switch = FaultSwitch()
-        self.boot = uuid.uuid4().hex[:8]
-        self._worker = worker
+        super().__init__(worker, slots, service_seconds)
         self._kind = kind
-        self._gate = PriorityGate(slots)
-        self._service_seconds = service_seconds
         self._last_attempt = AttemptId("none")
         self.calls = 0
 
@@ -48,30 +41,13 @@
     async def _handle_calls(self, request: web.Request) -> web.Response:
         return web.json_response({"calls": self.calls})
 
-    async def _handle_load(self, request: web.Request) -> web.Response:
-        return json_response(
-            LoadReport(
-                worker=self._worker,
-                leaving=self.switch.faults.leaving,
-                running=self._gate.running,
-                waiting=self._gate.waiting,
-                slots=self._gate.slots,
-                boot=self.boot,
-            )
-        )
-
     async def _handle_stage(self, request: web.Request) -> web.Response:
         refused = await self.switch.before_work()
         if refused is not None or self.switch.faults.leaving:
             return refused or web.Response(status=503, text="leaving")
         call = msgspec.json.decode(await request.read(), type=StageCall)
         self.calls += 1
-        await self._gate.enter(call.rank)
-        try:
-            seconds = self._service_seconds * self.switch.faults.slow_factor
-            await asyncio.sleep(seconds)
-        finally:
-            self._gate.leave()
+        seconds = await self._work(call.rank)
         if self.switch.faults.take_lost_answer():
             cut_connection(request)
         return json_response(self._answer(call, seconds))
