An engine's switch of protocols is no answer to a call

Cause: the library hands a 101 out as the final answer, and a signed one went to the caller as such. Found by a review's random answers of engines. Change: a status below 200 counts as a lost attempt.

--- a/src/corkcrank/gateway/opaque/attempts.py
+++ b/src/corkcrank/gateway/opaque/attempts.py
@@ -22,6 +22,9 @@
 INPUTS_GONE_STATUS = 409
 """Status of an engine that could not fetch a result."""
 
+FIRST_FINAL_STATUS = 200
+"""Lower ones announce an answer; the library hands a switch of protocols (101) out as one."""
+
 MISDIRECTED_STATUS = 421
 """Status of a worker that is not the one named."""
 
@@ -126,6 +129,11 @@
     if not head.sealed or head.call_id != call.call_id:
         response.close()
         return Attempt(worker, AttemptOutcome.LOST, "answer without signature")
+    if response.status < FIRST_FINAL_STATUS:
+        response.close()
+        return Attempt(
+            worker, AttemptOutcome.LOST, f"status {response.status} in place of an answer"
+        )
     if head.encoded and response.status < 300:
         response.close()
         return Attempt(worker, AttemptOutcome.LOST, "answer in another encoding")
--- a/tests/platform/test_stream_wholeness.py
+++ b/tests/platform/test_stream_wholeness.py
@@ -166,3 +166,10 @@
         assert await response.read() == WHOLE
     (first,) = [engine for engine in engines if "Last-Event-Id" not in engine.heads[0]]
     assert response.headers[SEAL] == f"seal-{first.worker_id}"
+
+
+async def test_switch_of_protocols_is_no_answer() -> None:
+    switch: Script = lambda after: Answer(b"", 101, Framing.CONNECTION)  # noqa: E731
+    assert await answer_of("/resumed/x", switch, honest(EVENTS)) == (200, WHOLE, True)
+    status, _, whole = await answer_of("/plainly/x", switch)
+    assert (status, whole) == (502, True)
