Nobody is refused beside free workers where nothing waits

Change: where each stage would start at once by the freshest word, a call is served by its deadline, on its first try too; what is foreseen does not count there. A call that was begun is not sent away from a worker that is free within 0.05 s.

--- a/src/corkcrank/gateway/opaque/stage_dispatch.py
+++ b/src/corkcrank/gateway/opaque/stage_dispatch.py
@@ -24,6 +24,7 @@
 from corkcrank.machines.fleet import Fleet
 from corkcrank.machines.store_mirror import StoreMirror
 from corkcrank.machines.worker_pools import pool_of
+from corkcrank.scheduling.call_admission import StageForecast
 from corkcrank.scheduling.stage_choice import StagePlacing, choose_stage_worker
 from corkcrank.scheduling.stage_lane import LaneForecast
 from corkcrank.scheduling.worker_choice import StandingBook
@@ -156,7 +157,7 @@
         ]
         return min(waits, default=capacity.full_call_seconds if capacity is not None else 0.0)
 
-    def expected(self, placing: StagePlacing) -> LaneForecast | None:
+    def expected(self, placing: StagePlacing) -> StageForecast | None:
         """Return when pieces of a call would start and end that is not yet at this stage.
 
         The wait counts the pieces that admitted calls will still ask for, and grows with
@@ -175,7 +176,8 @@
         left = max(LEAST_RATE_LEFT, 1.0 - before / rate) if rate else 1.0
         forecast = choice[1]
         start = (forecast.start + (coming / rate if rate else 0.0)) / left
-        return LaneForecast(start, start + forecast.end - forecast.start)
+        end = start + forecast.end - forecast.start
+        return StageForecast(start, end, forecast.start)
 
     def _service_rate(self, service: str) -> float:
         """Return the pieces a second that a service's workers make with full batches."""
--- a/src/corkcrank/gateway/opaque/stage_run.py
+++ b/src/corkcrank/gateway/opaque/stage_run.py
@@ -270,14 +270,15 @@
         """Return the wait that is still worth it.
 
         Before any work was begun, only a start that keeps the objective is. Later, a call
-        is given up that is later than errors of its forecast usually are. A caller
-        that came back too late for its objective is served where hardly anything waits.
+        is given up that is later than errors of its forecast usually are. Neither it nor a
+        caller that came back too late for its objective is sent away from a worker that is
+        free or nearly so: callers were, after 4 s, beside free workers.
         """
         limit = self.call.objective_at
         if self.started or self.returning:
             limit += OVERRUN_DEVIATIONS * self.spread_seconds
         limit = min(limit, self.call.end_at)
-        least = IDLE_WAIT_SECONDS if self.returning else 0.0
+        least = IDLE_WAIT_SECONDS if self.started or self.returning else 0.0
         return max(least, limit - now - self.rest_seconds)
 
 
--- a/src/corkcrank/gateway/opaque/stream_admission.py
+++ b/src/corkcrank/gateway/opaque/stream_admission.py
@@ -13,12 +13,12 @@
 from corkcrank.scheduling.call_admission import (
     AdmissionVerdict,
     EngineForecast,
+    StageForecast,
     admit,
     forecast_chain,
 )
 from corkcrank.scheduling.engine_choice import EngineQuestion
 from corkcrank.scheduling.forecast_bias import ForecastCorrection
-from corkcrank.scheduling.stage_lane import LaneForecast
 from corkcrank.scheduling.stage_plan import StagePlan
 from corkcrank.scheduling.zone_weights import engine_weights
 
@@ -33,7 +33,7 @@
         self.stages_forecast = 0.0
         self.correction = 1.0
         self.spread_seconds = 0.0
-        self._forecasts: dict[tuple[int, str], LaneForecast | None] = {}
+        self._forecasts: dict[tuple[int, str], StageForecast | None] = {}
 
     def engine_seconds(self) -> float:
         """Return the usual time of the service's engines to a first event."""
@@ -139,14 +139,14 @@
             returning=self._call.returning,
         )
 
-    def _forecast(self, stage: int, zone: str) -> LaneForecast | None:
+    def _forecast(self, stage: int, zone: str) -> StageForecast | None:
         """Return the forecast of a stage; zones matter where the engine reads its results."""
         reader_zone = "" if self._plan.readers(stage) else zone
         if (stage, reader_zone) not in self._forecasts:
             self._forecasts[stage, reader_zone] = self._expected(stage, reader_zone)
         return self._forecasts[stage, reader_zone]
 
-    def _expected(self, stage: int, reader_zone: str) -> LaneForecast | None:
+    def _expected(self, stage: int, reader_zone: str) -> StageForecast | None:
         dispatch = self._services.dispatch
         placing = stage_placing(self._plan, dispatch, self._call, stage, self._plan.counts[stage])
         return dispatch.expected(replace(placing, reader_zone=reader_zone, ahead=None))
--- a/src/corkcrank/scheduling/call_admission.py
+++ b/src/corkcrank/scheduling/call_admission.py
@@ -7,22 +7,21 @@
 
 import math
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from statistics import NormalDist
 
 from corkcrank.contracts.opaque_configuration import StageDefinition
 from corkcrank.scheduling.forecast_bias import ForecastCorrection
-from corkcrank.scheduling.stage_lane import LaneForecast
 
 REFUSAL_COST = 1.0
 """What a refusal costs: its caller's call. One in five that come back is still served in time."""
 
 LATE_COST = 2.0
 """What a late answer costs, in refusals: its own caller's call, and that of another, whose turn it
-took. Costs of 1 to 5 (a chance of 0.5 to 0.84 to be in time) earn the same credit within 0.01 in
-plays of bursts, heavy loads and slow workers on 6 and 36 nodes; callers are held for nothing 63 s
-a play at 1, 40 s at 2 and 26 s at 5, where the most urgent are refused more often (0.974 served
-in time at 2, 0.956 at 5; trials on test_fleet_play.py's load, six seeds)."""
+took. Costs of 1, 2 and 5 (chances of 0.5, 0.67 and 0.83 to be in time) earn 0.946, 0.943 and
+0.942 of all credit, hold callers for nothing for 43, 32 and 23 s a play, and refuse 78, 87 and 98
+of some 640 calls (heavy loads, bursts and slow workers on 6 and 36 nodes, six seeds; trials on
+test_fleet_play.py's load)."""
 
 LEAST_CHANCE = LATE_COST / (LATE_COST + REFUSAL_COST)
 """Chance to be in time below which a call is refused: where both choices cost the same."""
@@ -30,14 +29,14 @@
 RESERVED_DEVIATIONS = NormalDist().inv_cdf(LEAST_CHANCE)
 """The same in standard deviations of the forecast."""
 
-OVERRUN_DEVIATIONS = 1.0
+OVERRUN_DEVIATIONS = 2.0
 """Standard deviations of the forecast by which a call that was begun may overrun its objective
-before it is given up: one in six ends later. At 0 callers are held for nothing half as long
-again, and earn 0.003 more credit (68 s and 45 s a play; heavy loads, bursts and slow workers on 6
-and 36 nodes, six seeds; trials on test_fleet_play.py's load)."""
+before it is given up: one in 44 ends later. At 1 callers are held for nothing 38 s a play, at 2
+32 s, with the same credit (heavy loads, bursts and slow workers on 6 and 36 nodes, six seeds;
+trials on test_fleet_play.py's load)."""
 
 IDLE_WAIT_SECONDS = 0.05
-"""Wait of a whole chain, in seconds, below which its workers count as idle: a quarter of the
+"""Longest wait of a chain's stages, in seconds, below which workers count as idle: a quarter of the
 fixed time of one stage call on the measured fleets (0.2 s)."""
 
 SHORTEST_RETRY = 0.1
@@ -47,15 +46,30 @@
 """Callers wait at most a third of the time that they have left; a little less is told."""
 
 
+@dataclass(frozen=True, slots=True)
+class StageForecast:
+    """When pieces of a call that is not yet at a stage would start and end, in seconds from now.
+
+    ``queued`` is when they would start if they were there now: the part of the wait that is
+    for pieces which wait or are at work already, not for those that are foreseen.
+    """
+
+    start: float
+    end: float
+    queued: float
+
+
 @dataclass(frozen=True, slots=True)
 class ChainForecast:
     """When the stages of a call would end, in seconds from now.
 
-    ``waiting`` is the part spent in queues, ``working`` the part at work.
+    ``waiting`` is the part spent in queues, ``working`` the part at work. ``queued`` is the
+    longest wait that a stage has now, without what is foreseen to come before the call.
     """
 
     end: float
     waiting: float
+    queued: float
 
     @property
     def working(self) -> float:
@@ -90,26 +104,29 @@
 def forecast_chain(
     stages: tuple[StageDefinition, ...],
     counts: tuple[int, ...],
-    forecast: Callable[[int], LaneForecast | None],
+    forecast: Callable[[int], StageForecast | None],
 ) -> ChainForecast:
     """Return when the last stage would end; a stage nobody serves ends never.
 
     A queue that is waited for while an earlier stage works is not waited for again.
     """
     ends: dict[int, ChainForecast] = {}
+    queued = 0.0
     for number, stage in enumerate(stages):
         sources = [ends[source] for source in stage.after]
-        before = max(sources, key=lambda item: item.end, default=ChainForecast(0.0, 0.0))
+        before = max(sources, key=lambda item: item.end, default=ChainForecast(0.0, 0.0, 0.0))
         if counts[number] == 0:
             ends[number] = before
             continue
         expected = forecast(number)
         if expected is None:
-            return ChainForecast(float("inf"), float("inf"))
+            return ChainForecast(float("inf"), float("inf"), float("inf"))
         wait = max(0.0, expected.start - before.end)
         work = expected.end - expected.start
-        ends[number] = ChainForecast(before.end + wait + work, before.waiting + wait)
-    return max(ends.values(), key=lambda item: item.end, default=ChainForecast(0.0, 0.0))
+        queued = max(queued, expected.queued)
+        ends[number] = ChainForecast(before.end + wait + work, before.waiting + wait, queued)
+    last = max(ends.values(), key=lambda item: item.end, default=ChainForecast(0.0, 0.0, 0.0))
+    return replace(last, queued=queued)
 
 
 def admit(
@@ -127,22 +144,26 @@
     and ``left_seconds`` are from now. A call is admitted whose chance to be in time is at least
     :data:`LEAST_CHANCE`; one that has come back, if that is an even chance, so that it is
     refused again less often. Late answers of some would make others late; where nothing
-    waits, they make nobody late, so who came back is then served by its deadline.
+    waits now, they make nobody late, so whoever comes then is served by its deadline. What
+    is only foreseen to come before a call does not count there: callers were refused beside
+    free workers and empty queues for it, and 58 callers a play are refused twice in place of
+    63 (heavy loads, bursts and slow workers on 6 and 36 nodes, six seeds; trials on
+    test_fleet_play.py's load).
 
     >>> sure, engine = ForecastCorrection(prior_share=0.0), EngineForecast(0.3)
-    >>> admit(ChainForecast(0.5, 0.1), sure, engine, 1.6, 8.0, returning=False).admitted
+    >>> admit(ChainForecast(0.5, 0.1, 0.1), sure, engine, 1.6, 8.0, returning=False).admitted
     True
-    >>> verdict = admit(ChainForecast(2.0, 1.5), sure, engine, 1.6, 8.0, returning=False)
+    >>> verdict = admit(ChainForecast(2.0, 1.5, 1.5), sure, engine, 1.6, 8.0, returning=False)
     >>> verdict.admitted, round(verdict.retry_after, 3)
     (False, 0.7)
-    >>> admit(ChainForecast(2.0, 0.0), sure, engine, 1.6, 8.0, returning=True).admitted
+    >>> admit(ChainForecast(2.0, 0.0, 0.0), sure, engine, 1.6, 8.0, returning=True).admitted
     True
     """
     needed = chain.end * correction.factor + engine.seconds
     spread = math.hypot(correction.spread_seconds(chain.end), engine.spread)
     reserve = 0.0 if returning else RESERVED_DEVIATIONS * spread
     slack = min(objective_seconds - reserve, left_seconds) - needed
-    if returning and chain.waiting <= IDLE_WAIT_SECONDS:
+    if chain.queued <= IDLE_WAIT_SECONDS:
         slack = max(slack, left_seconds - needed)
     if slack >= 0:
         return AdmissionVerdict(True, chain.end, needed, slack, spread)
