--- a/tests/platform/test_restarted_workers.py
+++ b/tests/platform/test_restarted_workers.py
@@ -1,6 +1,6 @@
 """Workers that start again under their names, and know nothing of before.
 
-A restarted stage worker's lane still counted results that had gone with the process, and the
+A restarted stage worker's queue still counted results that had gone with the process, and the
 handles of those were freed at the new process; a worker that had once answered 421 got no request
 again, and the failures and prefixes of before counted for the new process.
 """
@@ -11,8 +11,8 @@
 from node_world import World, configuration, peer_of, route, until, world
 from platform_standins import StandinStageWorker, StandinWorker
 
-from corkcrank.gateway.opaque.node import Node
 from corkcrank.load.loopback import loopback_address
+from corkcrank.node.process.node import Node
 
 RESULT_BYTES = 4_000_000
 
@@ -73,7 +73,7 @@
         assert old is not None
         one.worker_id = "i-another"
         assert (await running.call("/safe/x", method="GET")).status == 503
-        assert node.services.book.of(old.worker_id).leaving
+        assert node.services.worker_statistics.of(old.worker_id).leaving
         one.worker_id = name
         start_again(running, one, "plain")
         await until(lambda: born(node, name) == SECOND_START)
@@ -93,13 +93,13 @@
         await response.read()
         old = services.mirror.workers.named(engine.worker_id)
         assert old is not None
-        services.book.of(old.worker_id).failures.append(0.0)
+        services.worker_statistics.of(old.worker_id).failures.append(0.0)
         assert old.worker_id in services.engines._memories
         start_again(running, engine, "model")
         await until(lambda: born(running.nodes[0], engine.worker_id) == SECOND_START)
         new = services.mirror.workers.named(engine.worker_id)
         assert new is not None
-        assert not services.book.of(new.worker_id).failures
+        assert not services.worker_statistics.of(new.worker_id).failures
         assert not services.engines._memories
 
 
@@ -118,10 +118,10 @@
         await until(lambda: bool(rerank.calls))
         old = node.mirror.workers.named(encode.worker_id)
         assert old is not None
-        assert node.desk.lane(old.worker_id) is not None
+        assert node.stage_owner.queue(old.worker_id) is not None
         start_again(running, encode, "encode")
         await until(lambda: born(node, encode.worker_id) == SECOND_START)
-        assert node.desk.lane(old.worker_id) is None
+        assert node.stage_owner.queue(old.worker_id) is None
         assert rerank.gate is not None
         rerank.gate.set()
         response = await call
@@ -139,20 +139,20 @@
         old = node.mirror.workers.named(encode.worker_id)
         assert old is not None
         calls = [asyncio.create_task(running.call("/staged/x", headers=PIECES)) for _ in range(3)]
-        await until(lambda: node.desk.lane(old.worker_id) is not None)
-        lane = node.desk.lane(old.worker_id)
-        assert lane is not None
-        await until(lambda: lane.waiting == 2)
+        await until(lambda: node.stage_owner.queue(old.worker_id) is not None)
+        queue = node.stage_owner.queue(old.worker_id)
+        assert queue is not None
+        await until(lambda: queue.waiting == 2)
         start_again(running, encode, "encode")
         await until(lambda: born(node, encode.worker_id) == SECOND_START)
-        assert not lane.waiting
+        assert not queue.waiting
         assert encode.gate is not None
         encode.gate.set()
         for call in calls:
             response = await call
             assert response.status == 200
             await response.read()
-        entry = node.desk._lanes.get(old.worker_id)
+        entry = node.stage_owner._queues.get(old.worker_id)
         assert entry is not None
         await until(lambda: len(entry.room.to_free) == 1 and len(encode.held) == 1)
         assert encode.held == set(entry.room.to_free)
@@ -167,17 +167,20 @@
     encode = StandinStageWorker(free_mb=1.0, told={"born": FIRST_START})
     served = {"m": (StandinWorker(events=2), "model"), "e": (encode, "encode")}
     async with world(configuration(1, ROUTES), served) as running:
-        desk = running.nodes[0].desk
+        stage_owner = running.nodes[0].stage_owner
         heard: list[str] = []
-        room_changed = desk.room._on_change
-        desk.room._on_change = lambda worker_id: (heard.append(worker_id), room_changed(worker_id))
+        room_changed = stage_owner.room._on_change
+        stage_owner.room._on_change = lambda worker_id: (
+            heard.append(worker_id),
+            room_changed(worker_id),
+        )
         encode.told = {"born": told} if told is not None else {}
         response = await running.call("/staged/x", headers=PIECES)
         await response.read()
         assert encode.reports == 1
         record = running.nodes[0].mirror.workers.named(encode.worker_id)
         assert record is not None
-        await until(lambda: not any(entry.room.asking for entry in desk._lanes))
+        await until(lambda: not any(entry.room.asking for entry in stage_owner._queues))
         assert heard == ([record.worker_id] if booked else [])
 
 
--- a/tests/platform/test_room_of_leavers.py
+++ b/tests/platform/test_room_of_leavers.py
@@ -41,7 +41,9 @@
         await until(lambda: len(model.seen) == 1)
         for number, (caller, name) in enumerate([(large, "large"), (small, "small")], start=1):
             caller.send(f"/{name}/x", PIECES)
-            await until(lambda: sum(lane.waiting for _, lane in node.desk.lanes()) == number)  # noqa: B023
+            await until(
+                lambda: sum(queue.waiting for _, queue in node.stage_owner.queues()) == number  # noqa: B023
+            )
         assert len(encode.calls) == 1
         yield encode, large, small
 
--- a/tests/platform/test_settings_watcher.py
+++ b/tests/platform/test_settings_watcher.py
@@ -14,8 +14,8 @@
     load_node_settings,
     parse_node_settings,
 )
-from corkcrank.gateway.opaque.settings_watcher import SettingsWatcher
 from corkcrank.links.decision_log import BoundedOutput, DecisionLog
+from corkcrank.node.process.settings_watcher import SettingsWatcher
 from corkcrank.scheduling.fleet_retry_budget import SAFETY
 
 TEXT = """
--- a/tests/platform/test_silent_connections.py
+++ b/tests/platform/test_silent_connections.py
@@ -36,10 +36,14 @@
 from test_owners import acquainted, call_through, owner_of
 
 from corkcrank.contracts.worker_records import WorkerRecord
-from corkcrank.gateway.opaque.stage_caller import CALL_TIME_MARGIN, REPORT_SECONDS, StageCaller
-from corkcrank.gateway.opaque.worker_client import SendFailure, WorkerClient
 from corkcrank.links.platform_ports import StoreFailure, StoreTable
 from corkcrank.load.loopback import loopback_address
+from corkcrank.node.stages.stage_worker_client import (
+    CALL_TIME_MARGIN,
+    REPORT_SECONDS,
+    StageWorkerClient,
+)
+from corkcrank.node.workers.worker_client import SendFailure, WorkerClient
 from corkcrank.platform.stage_calls import PlatformStageCodec
 from corkcrank.platform.store import PlatformStore
 
@@ -185,7 +189,7 @@
     # The head came, the body never did: the wait had no end, and no result of that worker
     # was given up any more, nor was it asked for its room.
     async with linked_worker(answer_head_only) as (client, link):
-        caller = StageCaller(PlatformStageCodec(), client)
+        caller = StageWorkerClient(PlatformStageCodec(), client)
         worker = stage_worker(link.address)
         work = caller.free(worker, ["handle"]) if what == "free" else caller.report(worker)
         limit = CALL_TIME_MARGIN if what == "free" else REPORT_SECONDS
@@ -407,7 +411,7 @@
         await until(lambda: node.callers.in_flight == 1)
         started = time.monotonic()
         await until(lambda: not node.callers.connections(), seconds=5.0)
-        idle = node.front.limits().idle_seconds
+        idle = node.call_handler.limits().idle_seconds
         assert time.monotonic() - started < 0.8 + idle + SLACK_SECONDS
         assert silences(running, "caller") == 1
         writer.close()
--- a/tests/platform/test_stage_room.py
+++ b/tests/platform/test_stage_room.py
@@ -60,9 +60,9 @@
         response = await running.call("/staged/x", headers=PIECES)
         await response.read()
         assert encode.reports == 1
-        lane = running.nodes[0].desk.lane(encode.worker_id)
-        assert lane is not None
-        assert lane.counters.no_room == 0
+        queue = running.nodes[0].stage_owner.queue(encode.worker_id)
+        assert queue is not None
+        assert queue.counters.no_room == 0
 
 
 async def test_a_report_that_nobody_can_read_changes_nothing() -> None:
--- a/tests/platform/test_stop_ends.py
+++ b/tests/platform/test_stop_ends.py
@@ -31,11 +31,11 @@
 from platform_standins import StandinStageWorker, StandinWorker
 
 from corkcrank.contracts.urgency import Urgency
-from corkcrank.gateway.opaque.node_process import _watch_signals
-from corkcrank.gateway.opaque.peer_protocol import PIECES_PATH, StageAnswer, StageWork
-from corkcrank.gateway.opaque.stream_answer import StreamAnswer
 from corkcrank.links.platform_ports import PieceOutcome
 from corkcrank.load.loopback import loopback_address
+from corkcrank.node.peers.peer_protocol import PIECES_PATH, StageAnswer, StageWork
+from corkcrank.node.process.node_process import _watch_signals
+from corkcrank.node.streams.stream_answer import StreamAnswer
 
 GRACE = 1.6
 """Seconds between the signal and the end of the process; the drain ends 0.4 s earlier."""
@@ -84,7 +84,7 @@
 ) -> None:
     served = {"m": (StandinWorker(events=4, gap=0.3), "model")}
     async with world(configuration(1, ROUTES), served, grace=GRACE) as running:
-        open_calls = running.nodes[0].front.open_calls
+        open_calls = running.nodes[0].call_handler.open_calls
         original = StreamAnswer._note_pause
 
         def give_up_now(answer: StreamAnswer) -> None:
@@ -276,7 +276,7 @@
         at_work = asyncio.create_task(ask(1))
         await until(lambda: bool(encode.calls))
         waiting = asyncio.create_task(ask(2))
-        await until(lambda: any(lane.waiting for _, lane in node.desk.lanes()))
+        await until(lambda: any(queue.waiting for _, queue in node.stage_owner.queues()))
         signalled_at = time.monotonic()
         stopped = asyncio.create_task(node.stop(signalled_at))
         answer = await waiting
@@ -297,11 +297,11 @@
     ):
         first = running.nodes[0]
         await until(lambda: len(first.fleet.live(time.monotonic())) == 1 and second.ready)
-        first.desk.refuse_pieces()
-        second.desk.refuse_pieces()
+        first.stage_owner.refuse_pieces()
+        second.stage_owner.refuse_pieces()
         response = await running.call("/staged/x", headers=PIECES)
         assert response.status == 503
-        first.desk._refusing = second.desk._refusing = False
+        first.stage_owner._refusing = second.stage_owner._refusing = False
         response = await running.call("/staged/x", headers=PIECES)
         assert response.status == 200
         await response.read()
--- a/tests/platform/test_stop_log.py
+++ b/tests/platform/test_stop_log.py
@@ -11,8 +11,8 @@
 from typer.testing import CliRunner
 
 from corkcrank.cli.operator import application
-from corkcrank.gateway.opaque.front import CUT_OUTCOME, LEFT_OUTCOME
 from corkcrank.links.decision_log import LogEvent
+from corkcrank.node.ingress.call_handler import CUT_OUTCOME, LEFT_OUTCOME
 from corkcrank.reports.log_records import read_all
 from corkcrank.reports.stops import End, Read, report_stops
 
--- a/tests/platform/test_store_mirror.py
+++ b/tests/platform/test_store_mirror.py
@@ -7,9 +7,9 @@
 from node_world import World, configuration, peer_of, route, settings_for, until, world
 from platform_standins import StandinWorker
 
-from corkcrank.gateway.opaque.node import Node
 from corkcrank.links.decision_log import DecisionLog
 from corkcrank.load.loopback import loopback_address
+from corkcrank.node.process.node import Node
 from corkcrank.platform.ports import connect
 
 ROUTES = [route("safe", "safe", "plain")]
--- a/tests/platform/test_store_watchers.py
+++ b/tests/platform/test_store_watchers.py
@@ -7,17 +7,17 @@
 from node_world import World, configuration, peer_of, route, until, world
 from platform_standins import StandinWorker
 
-from corkcrank.gateway.opaque.node import Node
 from corkcrank.links.platform_ports import StoreTable
 from corkcrank.load.loopback import loopback_address
-from corkcrank.machines.store_duty import LEAST_WATCHERS
+from corkcrank.machines.store_followers import LEAST_WATCHERS
+from corkcrank.node.process.node import Node
 
 ROUTES = [route("safe", "safe", "plain")]
 MEMBERS = LEAST_WATCHERS + 3
 
 
-def on_duty(node: Node) -> bool:
-    return node.mirror.on_duty(StoreTable.CONFIGURATION)
+def is_follower(node: Node) -> bool:
+    return node.mirror.is_follower(StoreTable.CONFIGURATION)
 
 
 def address(node: Node) -> str:
@@ -37,7 +37,7 @@
         await until(
             lambda: all(len(node.fleet.live(time.monotonic())) == MEMBERS - 1 for node in nodes)
         )
-        await until(lambda: sum(on_duty(node) for node in nodes) == LEAST_WATCHERS)
+        await until(lambda: sum(is_follower(node) for node in nodes) == LEAST_WATCHERS)
         yield running
 
 
@@ -48,13 +48,13 @@
         running.store.put("servers", worker.worker_id, worker.entry("plain", state="draining"))
         await until(lambda: all(node.mirror.version == 2 for node in running.nodes))
         await until(lambda: not any(node.mirror.workers.usable("plain") for node in running.nodes))
-        assert sum(on_duty(node) for node in running.nodes) == LEAST_WATCHERS
+        assert sum(is_follower(node) for node in running.nodes) == LEAST_WATCHERS
 
 
 async def test_others_step_in_when_the_store_turns_all_watchers_away() -> None:
     worker = StandinWorker()
     async with large_fleet(worker) as running:
-        running.store.refused.update(address(node) for node in running.nodes if on_duty(node))
+        running.store.refused.update(address(node) for node in running.nodes if is_follower(node))
         running.store.forget_history()
         running.store.put("op", "config", configuration(2, ROUTES))
         running.store.remove("servers", worker.worker_id)
--- a/tests/platform/test_worker_entries.py
+++ b/tests/platform/test_worker_entries.py
@@ -16,9 +16,9 @@
 from platform_standins import Server, StandinWorker
 
 from corkcrank.contracts.worker_records import WorkerRecord
-from corkcrank.gateway.opaque.node import Node
 from corkcrank.links.platform_ports import StoreRow, StoreRows, StoreTable, Unreadable
 from corkcrank.load.loopback import loopback_address
+from corkcrank.node.process.node import Node
 from corkcrank.platform.documents import PlatformDocumentCodec
 from corkcrank.platform.store import PlatformStore
 from corkcrank.platform.strict_json import LONGEST_REASON
--- a/tests/platform/test_worker_health.py
+++ b/tests/platform/test_worker_health.py
@@ -19,9 +19,9 @@
 from test_owners import acquainted
 
 from corkcrank.contracts.worker_records import WorkerRecord
-from corkcrank.gateway.opaque.node import Node
 from corkcrank.links.decision_log import LogEvent
 from corkcrank.load.loopback import loopback_address
+from corkcrank.node.process.node import Node
 from corkcrank.scheduling.outlier_detection import Verdict
 from corkcrank.scheduling.worker_outcomes import Counts
 
@@ -98,7 +98,7 @@
 
 
 def verdict(node: Node, record: WorkerRecord) -> Verdict:
-    return node._book.of(record.worker_id).verdict
+    return node._worker_statistics.of(record.worker_id).verdict
 
 
 async def test_two_gateways_learn_together_what_neither_knows_alone() -> None:
--- a/tests/platform/test_worker_pool.py
+++ b/tests/platform/test_worker_pool.py
@@ -30,8 +30,8 @@
         ]
         held = [call for call in calls]
         await until(lambda: sum(call.done() for call in held) >= CALLS - 4)
-        desk = running.nodes[0].desk
-        waiting = sum(lane.waiting for _, lane in desk.lanes())
+        stage_owner = running.nodes[0].stage_owner
+        waiting = sum(queue.waiting for _, queue in stage_owner.queues())
         assert waiting == 0
         assert stuck.gate is not None
         stuck.gate.set()
@@ -58,5 +58,5 @@
             call.cancel()
         await asyncio.gather(*calls, return_exceptions=True)
         gate.set()
-        desk = running.nodes[0].desk
-        await until(lambda: not desk.busy and not one.held and not two.held)
+        stage_owner = running.nodes[0].stage_owner
+        await until(lambda: not stage_owner.busy and not one.held and not two.held)
--- a/tests/scheduling/fleet_play.py
+++ b/tests/scheduling/fleet_play.py
@@ -34,11 +34,12 @@
 from corkcrank.contracts.opaque_configuration import OpaqueConfiguration, OpaqueRoute
 from corkcrank.contracts.process_life import ProcessTrigger
 from corkcrank.contracts.worker_records import WorkerRecord
-from corkcrank.gateway.opaque import node, stream_run
-from corkcrank.gateway.opaque.refusals import Refusal
 from corkcrank.links.decision_log import DecisionLog
 from corkcrank.links.platform_ports import PlatformPorts
 from corkcrank.machines.heartbeat import Phase
+from corkcrank.node.callers.refusals import Refusal
+from corkcrank.node.process import node
+from corkcrank.node.streams import stream_run
 
 PORT = 7740
 
@@ -265,9 +266,9 @@
         return all(self._free(stage.service) for stage, count in stages if count)
 
     def _free(self, service: str) -> bool:
-        lanes = [lane for item in self.nodes.values() for lane in item.desk.lanes()]
+        queues = [queue for item in self.nodes.values() for queue in item.stage_owner.queues()]
         workers = [record.worker_id for record in self.play.workers if record.service == service]
-        waiting = sum(lane.waiting for name, lane in lanes if name in workers)
+        waiting = sum(queue.waiting for name, queue in queues if name in workers)
         return not waiting and not all(self.workers[name].busy for name in workers)
 
     async def _serve(self, call: OpaqueCall) -> object:
--- a/tests/scheduling/outlier_play.py
+++ b/tests/scheduling/outlier_play.py
@@ -10,8 +10,8 @@
 
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.scheduling.outlier_detection import OutlierDetector, Verdict
-from corkcrank.scheduling.worker_choice import StandingBook, choose_worker
-from corkcrank.scheduling.worker_outcomes import CallOutcome, OutcomeBook
+from corkcrank.scheduling.worker_choice import WorkerStatisticsTable, choose_worker
+from corkcrank.scheduling.worker_outcomes import CallOutcome, OutcomeTable
 
 JUDGE_SECONDS = 0.25
 SLOTS = 8
@@ -78,8 +78,8 @@
     def __init__(self, number: int, scene: Scene) -> None:
         self.zone = f"z{number % scene.zones}"
         self.random = random.Random(scene.seed * 1000 + number)
-        self.book = StandingBook()
-        self.outcomes = OutcomeBook(self.zone)
+        self.worker_statistics = WorkerStatisticsTable()
+        self.outcomes = OutcomeTable(self.zone)
         self.detector = OutlierDetector(self.outcomes, self.random)
 
 
@@ -121,7 +121,7 @@
         repeatable = self._random.random() >= self._scene.unrepeatable
         worker = choose_worker(
             self._workers,
-            gateway.book,
+            gateway.worker_statistics,
             gateway.zone,
             now,
             (),
@@ -129,9 +129,9 @@
             repeatable=repeatable,
         )
         assert worker is not None
-        standing = gateway.book.of(worker.worker_id)
-        standing.in_flight += 1
-        if standing.verdict is Verdict.HALF_OPEN and not repeatable:
+        statistics = gateway.worker_statistics.of(worker.worker_id)
+        statistics.in_flight += 1
+        if statistics.verdict is Verdict.HALF_OPEN and not repeatable:
             self.played.probes_unrepeatable += 1
         failed = self._fails(number, worker, now)
         seconds = 0.01 if failed else self._random.expovariate(1.0 / self._scene.call_seconds)
@@ -149,10 +149,10 @@
 
     def _end(self, now: float, number: int, worker: WorkerRecord, failed: bool) -> None:
         gateway = self._gateways[number]
-        standing = gateway.book.of(worker.worker_id)
-        standing.in_flight -= 1
+        statistics = gateway.worker_statistics.of(worker.worker_id)
+        statistics.in_flight -= 1
         if failed:
-            standing.failures.append(now)
+            statistics.failures.append(now)
         outcome = CallOutcome.FAULT if failed else CallOutcome.SERVED
         gateway.outcomes.note(worker.worker_id, outcome, now)
         self.played.calls.append((now, worker.worker_id, failed))
@@ -164,7 +164,7 @@
         self._at(now + scene.interval, "beat", number)
         if not scene.telling:
             return
-        told = gateway.outcomes.told(now)
+        told = gateway.outcomes.reported(now)
         self.played.told_most = max(self.played.told_most, len(told))
         for other in self._gateways:
             if other is not gateway:
@@ -183,10 +183,10 @@
         changes = gateway.detector.judge(self._workers, now)
         for worker in self._workers:
             excess = gateway.detector.excess(worker.worker_id)
-            gateway.book.of(worker.worker_id).excess = excess
+            gateway.worker_statistics.of(worker.worker_id).excess = excess
         for change in changes if self._scene.ejecting else ():
             worker_id = change.worker.worker_id
-            gateway.book.of(worker_id).verdict = change.after
+            gateway.worker_statistics.of(worker_id).verdict = change.after
             if change.after is Verdict.EJECTED:
                 self.played.ejections.append((now, number, worker_id))
             if change.after is Verdict.SOUND:
--- a/tests/scheduling/played_network.py
+++ b/tests/scheduling/played_network.py
@@ -12,25 +12,28 @@
 from corkcrank.contracts.opaque_call import OpaqueCall, PromptShape
 from corkcrank.contracts.opaque_configuration import StageCapacity
 from corkcrank.contracts.worker_records import WorkerRecord
-from corkcrank.gateway.opaque import engine_exchange, heartbeats, node, stage_desk
-from corkcrank.gateway.opaque.attempts import Attempt, AttemptOutcome
-from corkcrank.gateway.opaque.engine_exchange import EngineExchanges
-from corkcrank.gateway.opaque.peer_protocol import (
-    ENGINE_DONE_PATH,
-    ENGINE_TURN_PATH,
+from corkcrank.links.platform_ports import PieceOutcome, PieceResult
+from corkcrank.machines import fleet
+from corkcrank.node.calls.attempts import Attempt, AttemptOutcome
+from corkcrank.node.membership import heartbeats
+from corkcrank.node.peers.peer_protocol import (
     FREE_PATH,
     PIECES_PATH,
-    EngineDone,
-    EngineTurn,
+    PREFILL_DONE_PATH,
+    PREFILL_REQUEST_PATH,
     FreeResults,
+    PrefillDone,
+    PrefillRequest,
     StageWork,
 )
-from corkcrank.gateway.opaque.stream_answer import StreamAnswer
-from corkcrank.gateway.opaque.stream_relay import RelayEnd
-from corkcrank.links.platform_ports import PieceOutcome, PieceResult
-from corkcrank.machines import fleet
+from corkcrank.node.process import node
+from corkcrank.node.stages import stage_owner
+from corkcrank.node.streams import engine_exchange
+from corkcrank.node.streams.engine_exchange import EngineExchanges
+from corkcrank.node.streams.stream_answer import StreamAnswer
+from corkcrank.node.streams.stream_relay import RelayEnd
 from corkcrank.scheduling.engine_choice import PrefixMemory
-from corkcrank.scheduling.stage_lane import StageCall
+from corkcrank.scheduling.stage_queue import StageCall
 
 if TYPE_CHECKING:
     from fleet_play import World
@@ -80,21 +83,21 @@
         results, seconds = [], self._capacity.call_seconds
         now = time.monotonic()
         self._room = {key: item for key, item in self._room.items() if item[1] > now}
-        for ticket in call.tickets:
+        for stage_item in call.stage_items:
             used = sum(size for size, _ in self._room.values())
-            if used + ticket.result_bytes > self._capacity.room_bytes:
+            if used + stage_item.result_bytes > self._capacity.room_bytes:
                 results.append(PieceResult(PieceOutcome.NO_ROOM))
                 continue
             handle = f"h{self._world.next_number()}"
-            work = self._world.work_of(ticket.order.call_id, ticket.order.stage)
+            work = self._world.work_of(stage_item.order.call_id, stage_item.order.stage)
             seconds += work * self._capacity.piece_seconds
             until = now + seconds + self._capacity.result_seconds
-            self._room[handle] = (ticket.result_bytes, until)
+            self._room[handle] = (stage_item.result_bytes, until)
             results.append(PieceResult(PieceOutcome.DONE, handle))
         seconds *= self._slowness
         self.busy_seconds += seconds
         self.calls += 1
-        self.pieces += len(call.tickets)
+        self.pieces += len(call.stage_items)
         await asyncio.sleep(seconds)
         return results
 
@@ -196,7 +199,7 @@
             return SimpleNamespace(free_bytes=world.workers[worker.worker_id].free_bytes)
 
     patch.setattr(node, "WorkerClient", lambda on_silence: None)
-    patch.setattr(stage_desk, "StageCaller", Caller)
+    patch.setattr(stage_owner, "StageWorkerClient", Caller)
 
 
 def _replace_engines(world: "World", patch: pytest.MonkeyPatch) -> None:
@@ -224,16 +227,18 @@
 async def _answer(target: node.Node, path: str, message: bytes) -> bytes:
     decode = msgspec.msgpack.decode
     if path == PIECES_PATH:
-        return msgspec.msgpack.encode(await target.desk.make(decode(message, type=StageWork)))
+        return msgspec.msgpack.encode(
+            await target.stage_owner.make(decode(message, type=StageWork))
+        )
     if path == FREE_PATH:
         results = decode(message, type=FreeResults)
-        target.desk.free(results.worker_id, results.handles)
+        target.stage_owner.free(results.worker_id, results.handles)
         return b""
-    engines = target._peer_server._engine_desk
-    if path == ENGINE_TURN_PATH:
-        return msgspec.msgpack.encode(engines.grant(decode(message, type=EngineTurn)))
-    if path == ENGINE_DONE_PATH:
-        engines.done(decode(message, type=EngineDone))
+    engines = target._peer_server._engine_owner
+    if path == PREFILL_REQUEST_PATH:
+        return msgspec.msgpack.encode(engines.grant(decode(message, type=PrefillRequest)))
+    if path == PREFILL_DONE_PATH:
+        engines.done(decode(message, type=PrefillDone))
         return b""
     raise AssertionError(path)
 
--- a/tests/scheduling/test_admission.py
+++ b/tests/scheduling/test_admission.py
@@ -126,7 +126,7 @@
     source = random.Random(1)
     for _ in range(50):
         one.learn("r", 1.0, source.choice((0.8, 1.8)), 0.0)
-    two.take("one", one.told(0.0), 0.0)
+    two.take("one", one.reported(0.0), 0.0)
     assert two.of("r", 0.0).scatter == pytest.approx(one.of("r", 0.0).scatter, abs=0.01)
 
 
--- a/tests/scheduling/test_choices.py
+++ b/tests/scheduling/test_choices.py
@@ -9,13 +9,13 @@
 from corkcrank.contracts.opaque_configuration import StageDefinition
 from corkcrank.contracts.urgency import Urgency
 from corkcrank.contracts.worker_records import WorkerRecord
-from corkcrank.gateway.opaque.events import EventReader
+from corkcrank.node.streams.events import EventReader
 from corkcrank.scheduling.call_admission import EngineForecast, StageForecast, admit, forecast_chain
 from corkcrank.scheduling.engine_choice import EngineChooser, EngineQuestion, PrefixMemory
 from corkcrank.scheduling.forecast_bias import ForecastCorrection
 from corkcrank.scheduling.stage_choice import StagePlacing, choose_stage_worker
-from corkcrank.scheduling.stage_lane import LaneForecast
-from corkcrank.scheduling.worker_choice import StandingBook, choose_worker
+from corkcrank.scheduling.stage_queue import QueueForecast
+from corkcrank.scheduling.worker_choice import WorkerStatisticsTable, choose_worker
 
 ENGINES = [WorkerRecord(f"e{number}", "m", "", "a") for number in range(4)]
 CORRECTION, ENGINE = ForecastCorrection(), EngineForecast(0.1)
@@ -26,19 +26,21 @@
 
 def test_gateways_agree_on_an_engine_for_a_new_session() -> None:
     first = {
-        EngineChooser().rank(ENGINES, EngineQuestion(PROMPT), StandingBook(), 0.0)[0].worker_id
+        EngineChooser()
+        .rank(ENGINES, EngineQuestion(PROMPT), WorkerStatisticsTable(), 0.0)[0]
+        .worker_id
         for _ in range(5)
     }
     assert len(first) == 1
 
 
 def test_engine_that_keeps_the_prefix_is_preferred_until_it_has_much_to_read() -> None:
-    chooser, book = EngineChooser(), StandingBook()
-    other = chooser.rank(ENGINES, EngineQuestion(PROMPT), book, 0.0)[-1]
+    chooser, worker_statistics = EngineChooser(), WorkerStatisticsTable()
+    other = chooser.rank(ENGINES, EngineQuestion(PROMPT), worker_statistics, 0.0)[-1]
     chooser.sent(other.worker_id, 100_000, PROMPT.shared_parts, 0.0)
-    assert chooser.rank(ENGINES, EngineQuestion(PROMPT), book, 1.0)[0] == other
-    book.of(other.worker_id).peers_reading = 20_000
-    assert chooser.rank(ENGINES, EngineQuestion(PROMPT), book, 1.0)[0] != other
+    assert chooser.rank(ENGINES, EngineQuestion(PROMPT), worker_statistics, 1.0)[0] == other
+    worker_statistics.of(other.worker_id).peers_reading = 20_000
+    assert chooser.rank(ENGINES, EngineQuestion(PROMPT), worker_statistics, 1.0)[0] != other
 
 
 def test_parts_that_gave_way_are_not_counted_as_kept() -> None:
@@ -50,21 +52,21 @@
 
 
 def test_tried_and_leaving_engines_are_left_out() -> None:
-    book = StandingBook()
-    book.of("e1").leaving = True
+    worker_statistics = WorkerStatisticsTable()
+    worker_statistics.of("e1").leaving = True
     question = EngineQuestion(PROMPT, excluded=["e0"])
-    ranked = EngineChooser().rank(ENGINES, question, book, 0.0)
+    ranked = EngineChooser().rank(ENGINES, question, worker_statistics, 0.0)
     assert {engine.worker_id for engine in ranked} == {"e2", "e3"}
 
 
 @given(loads=st.lists(st.integers(0, 20), min_size=4, max_size=4), seed=st.integers(0, 100))
 def test_plain_worker_of_least_pressure_is_chosen(loads: list[int], seed: int) -> None:
-    book = StandingBook()
+    worker_statistics = WorkerStatisticsTable()
     for engine, load in zip(ENGINES, loads, strict=True):
-        book.of(engine.worker_id).in_flight = load
-    chosen = choose_worker(ENGINES, book, "a", 0.0, (), random.Random(seed))
+        worker_statistics.of(engine.worker_id).in_flight = load
+    chosen = choose_worker(ENGINES, worker_statistics, "a", 0.0, (), random.Random(seed))
     assert chosen is not None
-    assert book.of(chosen.worker_id).in_flight == min(loads)
+    assert worker_statistics.of(chosen.worker_id).in_flight == min(loads)
 
 
 def test_large_results_stay_in_their_zone_unless_that_is_late() -> None:
@@ -72,12 +74,12 @@
 
     def place(near_end: float, end_by: float) -> str:
         placing = StagePlacing("s", 2, 1.5e6, Urgency((0, 0), 1.0), end_by, reader_zone="a")
-        ends = {"n": LaneForecast(near_end - 0.4, near_end), "f": LaneForecast(0.0, 0.4)}
+        ends = {"n": QueueForecast(near_end - 0.4, near_end), "f": QueueForecast(0.0, 0.4)}
         choice = choose_stage_worker(
             [near, far],
             lambda item: ends[item.worker_id],
             placing,
-            StandingBook(),
+            WorkerStatisticsTable(),
             0.0,
             (),
             random.Random(1),
@@ -150,5 +152,5 @@
             chooser._memories[engine.worker_id] = CountingMemory(10_000)
         CountingMemory.asked = 0
         question = EngineQuestion(prompt=PromptShape(parts=parts))
-        assert len(chooser.rank(engines, question, StandingBook(), 1.0)) == number
+        assert len(chooser.rank(engines, question, WorkerStatisticsTable(), 1.0)) == number
         assert CountingMemory.asked <= 2 * len(parts) * number
--- a/tests/scheduling/test_fleet.py
+++ b/tests/scheduling/test_fleet.py
@@ -56,7 +56,7 @@
 def test_doubted_member_is_suspected_until_its_next_heartbeat() -> None:
     fleet = Fleet("0", "a", "10.0.0.0:1")
     fleet.hear(beat("1", "a"), 5.0)
-    fleet.doubt("1")
+    fleet.suspect("1")
     assert fleet.live(5.01) == []
     fleet.hear(beat("1", "a"), 5.2)
     assert len(fleet.live(5.3)) == 1
@@ -110,7 +110,7 @@
 
 def test_a_member_that_was_suspected_before_a_pause_stays_so() -> None:
     fleet = heard_until(2.0)
-    fleet.doubt("1")
+    fleet.suspect("1")
     assert fleet.suspected("1", 7.0)
     assert fleet.suspected("2", 7.0)
 
@@ -135,9 +135,9 @@
         "1", 1, "a", "x", Phase.SERVING, 0.25, backlogs=(ServiceBacklog("s", (0, 1), 5),)
     )
     fleet.hear(told, 0.0)
-    assert fleet.told_backlog("s", (0, 1), 0.1) == 5
-    assert fleet.told_backlog("s", (0, 0), 0.1) == 0
-    assert fleet.told_backlog("s", (0, 1), 2.0) == 0
+    assert fleet.reported_backlog("s", (0, 1), 0.1) == 5
+    assert fleet.reported_backlog("s", (0, 0), 0.1) == 0
+    assert fleet.reported_backlog("s", (0, 1), 2.0) == 0
 
 
 @given(
--- a/tests/scheduling/test_fleet_at_size.py
+++ b/tests/scheduling/test_fleet_at_size.py
@@ -17,7 +17,7 @@
     PROBE_SECONDS,
     PROBED_AFTER_SECONDS,
 )
-from corkcrank.machines.store_word import StoreWord, ToldStoreWord, newest_word
+from corkcrank.machines.store_contact import ReportedStoreContact, StoreContact, newest_contact
 
 LOOK_SECONDS = 0.25
 TABLE = StoreTable.CONFIGURATION
@@ -91,15 +91,17 @@
     hops: list[tuple[int, int, float]],
 ) -> None:
     fleets = [Fleet(str(number), "a", f"10.0.0.{number}:1") for number in range(6)]
-    own = {0: StoreWord(store_time=50.0, heard_at=0.0)}
+    own = {0: StoreContact(store_time=50.0, heard_at=0.0)}
     now, longest = 0.0, 0.0
     for sender, receiver, delay in hops:
-        word = newest_word(own.get(sender, StoreWord()), fleets[sender].store_word(TABLE))
-        told = word.told(now)
+        contact = newest_contact(
+            own.get(sender, StoreContact()), fleets[sender].store_contact(TABLE)
+        )
+        told = contact.reported(now)
         now += delay
         longest = max(longest, delay)
         fleets[receiver].hear(
-            Heartbeat(f"m{sender}", 1, "a", "x", Phase.SERVING, 0.25, configuration_word=told),
+            Heartbeat(f"m{sender}", 1, "a", "x", Phase.SERVING, 0.25, configuration_contact=told),
             now,
         )
     # Each member takes a word once, so its way is no longer than the fleet.
@@ -108,7 +110,12 @@
 
 def test_any_member_tells_the_newest_word() -> None:
     fleet = Fleet("0", "a", "10.0.0.0:1")
-    for name, told in (("1", ToldStoreWord(9.0, 0.5)), ("2", ToldStoreWord(8.0, 0.1))):
-        fleet.hear(Heartbeat(name, 1, "a", "x", Phase.SERVING, 0.25, configuration_word=told), 20.0)
+    for name, told in (
+        ("1", ReportedStoreContact(9.0, 0.5)),
+        ("2", ReportedStoreContact(8.0, 0.1)),
+    ):
+        fleet.hear(
+            Heartbeat(name, 1, "a", "x", Phase.SERVING, 0.25, configuration_contact=told), 20.0
+        )
     assert fleet.confirmed_at(TABLE) == 19.5
     assert fleet.confirmed_at(StoreTable.WORKERS) == float("-inf")
--- a/tests/scheduling/test_fleet_view.py
+++ b/tests/scheduling/test_fleet_view.py
@@ -15,7 +15,7 @@
 from corkcrank.machines.fleet import Fleet
 from corkcrank.machines.fleet_view import BacklogSums
 from corkcrank.machines.heartbeat import Heartbeat, Phase, ServiceBacklog
-from corkcrank.machines.store_duty import StoreDuty
+from corkcrank.machines.store_followers import StoreFollowerElection
 
 NAMES = ("1", "2", "3", "4", "5")
 ZONES = ("a", "b")
@@ -46,7 +46,7 @@
         st.floats(0.0, 3.0),
         st.one_of(
             st.tuples(st.just("hear"), heartbeats),
-            st.tuples(st.sampled_from(["doubt", "probe"]), st.sampled_from(NAMES)),
+            st.tuples(st.sampled_from(["suspect", "probe"]), st.sampled_from(NAMES)),
             st.tuples(st.sampled_from(["run", "audience"]), st.just("")),
             st.tuples(st.just("phase"), st.sampled_from(list(Phase))),
         ),
@@ -60,8 +60,8 @@
         fleet.hear(value, now)
     elif isinstance(value, Phase):
         fleet.own_phase = value
-    elif kind == "doubt":
-        fleet.doubt(str(value))
+    elif kind == "suspect":
+        fleet.suspect(str(value))
     elif kind == "probe":
         fleet.probe(str(value), now)
     elif kind == "run":
@@ -92,8 +92,10 @@
         for beat in beats:
             sums.add(beat.backlogs)
         for rank in RANKS:
-            assert fleet.told_backlog("s", rank, now) == sums.pieces_up_to("s", rank)
-            assert abs(fleet.told_rate_before("s", rank, now) - sums.rate_before("s", rank)) < 1e-6
+            assert fleet.reported_backlog("s", rank, now) == sums.pieces_up_to("s", rank)
+            assert (
+                abs(fleet.reported_rate_before("s", rank, now) - sums.rate_before("s", rank)) < 1e-6
+            )
         versions = [beat.configuration_version for beat in beats]
         ahead = fleet.ahead_in_configuration(2, now)
         highest = max(versions, default=0)
@@ -128,12 +130,12 @@
 
     def ask(members: int) -> float:
         fleet = fleet_of(members)
-        duty = StoreDuty(fleet, 2.0)
+        election = StoreFollowerElection(fleet, 2.0)
 
         def work() -> None:
-            duty.watches(StoreTable.WORKERS, 0.0, 1.0)
+            election.watches(StoreTable.WORKERS, 0.0, 1.0)
             fleet.zone_owner("a", "key", 1.0)
-            fleet.told_backlog("s", (0, 1), 1.0)
+            fleet.reported_backlog("s", (0, 1), 1.0)
             fleet.ahead_in_configuration(0, 1.0)
             fleet.ahead_in_workers(0, 1.0)
 
@@ -155,7 +157,7 @@
     owners = {fleet.zone_owner("a", f"service {key}", 1.0) for key in range(40)}
     assert owners == {"1", "2", "3"}
     for name in ("1", "2", "3"):
-        fleet.doubt(name)
+        fleet.suspect(name)
     owners = {fleet.zone_owner("a", f"service {key}", 1.0) for key in range(40)}
     assert len(owners) > 10
 
--- a/tests/scheduling/test_held_removals.py
+++ b/tests/scheduling/test_held_removals.py
@@ -20,9 +20,9 @@
 from corkcrank.machines import store_mirror
 from corkcrank.machines.fleet import Fleet
 from corkcrank.machines.lapsed_entries import RETURN_SECONDS
-from corkcrank.machines.store_duty import StoreDuty
+from corkcrank.machines.store_followers import StoreFollowerElection
 from corkcrank.machines.store_mirror import StoreMirror
-from corkcrank.machines.worker_news import WorkerChange, WorkerNews
+from corkcrank.machines.worker_changes import WorkerChange, WorkerChangeBatch
 from corkcrank.platform.documents import PlatformDocumentCodec
 
 
@@ -44,10 +44,10 @@
 def made(monkeypatch: pytest.MonkeyPatch) -> tuple[StoreMirror, SimpleNamespace]:
     clock = SimpleNamespace(now=100.0)
     monkeypatch.setattr(store_mirror, "time", SimpleNamespace(monotonic=lambda: clock.now))
-    duty = StoreDuty(Fleet("0", "a", "10.0.0.0:1"), 2.0)
+    election = StoreFollowerElection(Fleet("0", "a", "10.0.0.0:1"), 2.0)
     store = SimpleNamespace()
     mirror = StoreMirror(
-        store, PlatformDocumentCodec(), DecisionLog(None, "test"), random.Random(1), duty
+        store, PlatformDocumentCodec(), DecisionLog(None, "test"), random.Random(1), election
     )
     return mirror, clock
 
@@ -62,10 +62,10 @@
     mirror._apply(StoreTable.WORKERS, StoreRows((row("b", 12),), 35), whole=True)
     assert [record.name for record in mirror.workers.records()] == ["a", "b"]
     another = WorkerRecord("c", "s", "10.0.0.2:80", "a", revision=told_at, born=18)
-    news = WorkerNews(34, told_at, (WorkerChange("c", told_at, another),))
-    assert mirror.take_news(news, "peer")
+    news = WorkerChangeBatch(34, told_at, (WorkerChange("c", told_at, another),))
+    assert mirror.take_changes(news, "peer")
     clock.now += RETURN_SECONDS
     mirror._take_lapsed()
     assert [record.name for record in mirror.workers.records()] == ["b", "c"]
     # The peer's news stay known: nothing of it is taken twice.
-    assert not mirror.take_news(news, "peer")
+    assert not mirror.take_changes(news, "peer")
--- a/tests/scheduling/test_incarnations.py
+++ b/tests/scheduling/test_incarnations.py
@@ -9,8 +9,8 @@
 from hypothesis import strategies as st
 
 from corkcrank.contracts.worker_records import WorkerList, WorkerRecord
-from corkcrank.machines.worker_news import WorkerChange
-from corkcrank.scheduling.worker_choice import StandingBook
+from corkcrank.machines.worker_changes import WorkerChange
+from corkcrank.scheduling.worker_choice import WorkerStatisticsTable
 
 NAMES = ("a", "b")
 
@@ -72,11 +72,11 @@
 
 
 def test_what_was_known_of_an_incarnation_is_not_known_of_the_next() -> None:
-    book = StandingBook()
+    worker_statistics = WorkerStatisticsTable()
     old = incarnation("a", 1, 5, leaving=False)
     new = incarnation("a", 2, 6, leaving=False)
-    book.of(old.worker_id).leaving = True
-    assert not book.of(new.worker_id).leaving
+    worker_statistics.of(old.worker_id).leaving = True
+    assert not worker_statistics.of(new.worker_id).leaving
 
 
 @given(st.sets(st.tuples(st.sampled_from("ab@."), st.none() | st.integers(1, 99))))
--- a/tests/scheduling/test_news_epidemic.py
+++ b/tests/scheduling/test_news_epidemic.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from corkcrank.gateway.opaque.heartbeats import NEWS_MEMBERS
+from corkcrank.node.membership.heartbeats import NEWS_MEMBERS
 
 LOST_SHARE = 0.025
 SEEDS = range(30)
--- a/tests/scheduling/test_outlier_detection.py
+++ b/tests/scheduling/test_outlier_detection.py
@@ -27,13 +27,13 @@
     OutlierDetector,
     Verdict,
 )
-from corkcrank.scheduling.worker_choice import HALF_OPEN_CALLS, StandingBook, choose_worker
+from corkcrank.scheduling.worker_choice import HALF_OPEN_CALLS, WorkerStatisticsTable, choose_worker
 from corkcrank.scheduling.worker_outcomes import (
     HALF_LIFE_SECONDS,
     MOST_TOLD,
     CallOutcome,
-    OutcomeBook,
-    ToldOutcomes,
+    OutcomeTable,
+    ReportedOutcomes,
 )
 
 WORKERS = [WorkerRecord(f"w{number}", "s", "", "a") for number in range(6)]
@@ -42,18 +42,19 @@
 LATER = EJECTION_SECONDS * (1.0 + EJECTION_SPREAD)
 
 
-def detector_of(outcomes: OutcomeBook) -> OutlierDetector:
+def detector_of(outcomes: OutcomeTable) -> OutlierDetector:
     return OutlierDetector(outcomes, random.Random(1))
 
 
-def book_with(*failing: str, calls: int = 6, outcome: CallOutcome = FAULT) -> OutcomeBook:
-    """Return a book by which some workers fail every second call and the others none."""
-    book = OutcomeBook("a")
+def book_with(*failing: str, calls: int = 6, outcome: CallOutcome = FAULT) -> OutcomeTable:
+    """Return a worker_statistics by which some workers fail every second call and the others
+    none."""
+    worker_statistics = OutcomeTable("a")
     for number in range(calls):
         for worker in WORKERS:
             bad = worker.worker_id in failing and number % 2 == 0
-            book.note(worker.worker_id, outcome if bad else SERVED, number * 0.5)
-    return book
+            worker_statistics.note(worker.worker_id, outcome if bad else SERVED, number * 0.5)
+    return worker_statistics
 
 
 def verdicts(detector: OutlierDetector) -> dict[str, Verdict]:
@@ -61,7 +62,7 @@
     return {key: verdict for key, verdict in found.items() if verdict is not Verdict.SOUND}
 
 
-def ejected() -> tuple[OutcomeBook, OutlierDetector]:
+def ejected() -> tuple[OutcomeTable, OutlierDetector]:
     """Return a state in which ``w0`` was ejected at 3 s."""
     outcomes = book_with("w0")
     detector = detector_of(outcomes)
@@ -70,7 +71,7 @@
     return outcomes, detector
 
 
-def half_open() -> tuple[OutcomeBook, OutlierDetector, float]:
+def half_open() -> tuple[OutcomeTable, OutlierDetector, float]:
     outcomes, detector = ejected()
     now = 3.0 + LATER
     detector.judge(WORKERS, now)
@@ -149,7 +150,7 @@
 
 
 def test_breaks_at_several_workers_at_once_are_this_side_s_fault() -> None:
-    outcomes = OutcomeBook("a")
+    outcomes = OutcomeTable("a")
     for moment in range(6):
         for worker in WORKERS[:2]:
             outcomes.note(worker.worker_id, BROKEN, moment * 1.0)
@@ -158,7 +159,7 @@
 
 
 def test_breaks_at_one_worker_only_count_once_each() -> None:
-    outcomes = OutcomeBook("a")
+    outcomes = OutcomeTable("a")
     for moment in range(4):
         outcomes.note("w0", BROKEN, moment * 1.0)
         for _ in range(3):
@@ -171,14 +172,14 @@
 
 def test_breaks_are_not_told_and_faults_are() -> None:
     outcomes = book_with("w0")
-    assert [item.worker_id for item in outcomes.told(3.0)] == ["w0"]
-    assert not book_with("w0", outcome=BROKEN).told(3.0)
+    assert [item.worker_id for item in outcomes.reported(3.0)] == ["w0"]
+    assert not book_with("w0", outcome=BROKEN).reported(3.0)
 
 
 def test_one_gateway_condemns_no_worker_for_the_others_and_two_do() -> None:
-    outcomes = OutcomeBook("a")
+    outcomes = OutcomeTable("a")
     detector = detector_of(outcomes)
-    told = [ToldOutcomes("w0", 0, 1000)]
+    told = [ReportedOutcomes("w0", 0, 1000)]
     outcomes.take("p", "a", told, 1.0)
     assert not detector.judge(WORKERS, 1.0)
     outcomes.take("q", "a", told, 1.0)
@@ -188,14 +189,14 @@
 def test_worker_that_fails_the_callers_of_another_zone_is_kept_by_those_it_serves() -> None:
     outcomes = book_with(calls=40)
     for peer in range(10):
-        outcomes.take(f"p{peer}", "b", [ToldOutcomes("w0", 10, 20)], 19.5)
+        outcomes.take(f"p{peer}", "b", [ReportedOutcomes("w0", 10, 20)], 19.5)
     assert not detector_of(outcomes).judge(WORKERS, 20.0)
 
 
 def test_word_of_a_silent_peer_counts_no_more() -> None:
-    outcomes = OutcomeBook("a")
+    outcomes = OutcomeTable("a")
     for peer in ("p", "q"):
-        outcomes.take(peer, "a", [ToldOutcomes("w0", 0, 20)], 1.0)
+        outcomes.take(peer, "a", [ReportedOutcomes("w0", 0, 20)], 1.0)
     outcomes.forget("p")
     assert not detector_of(outcomes).judge(WORKERS, 1.0)
 
@@ -204,41 +205,45 @@
     outcomes, detector = ejected()
     outcomes.forget_all_but({"w1"})
     detector.forget_all_but({"w1"})
-    assert not outcomes.told(3.0)
+    assert not outcomes.reported(3.0)
     assert not detector.judged()
 
 
 def test_what_is_told_is_bounded_and_the_worst_comes_first() -> None:
-    outcomes = OutcomeBook("a")
+    outcomes = OutcomeTable("a")
     for number in range(2 * MOST_TOLD):
         for _ in range(1 + number % 50):
             outcomes.note(f"w{number}", FAULT, 0.0)
-    told = outcomes.told(0.0)
+    told = outcomes.reported(0.0)
     assert len(told) == MOST_TOLD
     assert told[0].faults == max(item.faults for item in told) == 500
 
 
 def test_unrepeatable_calls_are_no_probes_and_probes_are_few() -> None:
-    book = StandingBook()
-    book.of("w0").verdict = Verdict.HALF_OPEN
+    worker_statistics = WorkerStatisticsTable()
+    worker_statistics.of("w0").verdict = Verdict.HALF_OPEN
     for worker in WORKERS[1:]:
-        book.of(worker.worker_id).in_flight = 2
+        worker_statistics.of(worker.worker_id).in_flight = 2
 
     def chosen(*, repeatable: bool) -> str:
-        found = choose_worker(WORKERS, book, "a", 0.0, (), random.Random(1), repeatable=repeatable)
+        found = choose_worker(
+            WORKERS, worker_statistics, "a", 0.0, (), random.Random(1), repeatable=repeatable
+        )
         assert found is not None
         return found.worker_id
 
     assert chosen(repeatable=True) == "w0"
     assert chosen(repeatable=False) != "w0"
-    book.of("w0").peers_in_flight = HALF_OPEN_CALLS
+    worker_statistics.of("w0").peers_in_flight = HALF_OPEN_CALLS
     assert chosen(repeatable=True) != "w0"
 
 
 def test_ejected_engines_come_last_and_are_still_there() -> None:
-    book = StandingBook()
-    book.of("w0").verdict = Verdict.EJECTED
-    ranked = EngineChooser().rank(WORKERS, EngineQuestion(PromptShape("m", 3000, 50)), book, 0.0)
+    worker_statistics = WorkerStatisticsTable()
+    worker_statistics.of("w0").verdict = Verdict.EJECTED
+    ranked = EngineChooser().rank(
+        WORKERS, EngineQuestion(PromptShape("m", 3000, 50)), worker_statistics, 0.0
+    )
     assert ranked[-1].worker_id == "w0"
     assert len(ranked) == len(WORKERS)
 
@@ -257,7 +262,7 @@
 def test_whatever_happens_half_of_the_workers_stay_and_weights_stay_sound(
     steps: list[tuple[int, CallOutcome, float]], seed: int
 ) -> None:
-    outcomes, now = OutcomeBook("a"), 0.0
+    outcomes, now = OutcomeTable("a"), 0.0
     detector = OutlierDetector(outcomes, random.Random(seed))
     for number, outcome, pause in steps:
         now += pause
@@ -276,18 +281,18 @@
 def test_without_failures_nobody_is_ejected_and_nothing_told(
     steps: list[tuple[int, CallOutcome, float]], seed: int
 ) -> None:
-    outcomes, now = OutcomeBook("a"), 0.0
+    outcomes, now = OutcomeTable("a"), 0.0
     detector = OutlierDetector(outcomes, random.Random(seed))
     for number, _, pause in steps:
         now += pause
         outcomes.note(WORKERS[number].worker_id, SERVED, now)
         assert not detector.judge(WORKERS, now)
-    assert not outcomes.told(now)
+    assert not outcomes.reported(now)
 
 
 @given(steps=STEPS, seed=st.integers(0, 1000))
 def test_every_ejection_ends(steps: list[tuple[int, CallOutcome, float]], seed: int) -> None:
-    outcomes, now = OutcomeBook("a"), 0.0
+    outcomes, now = OutcomeTable("a"), 0.0
     detector = OutlierDetector(outcomes, random.Random(seed))
     for number, outcome, pause in steps:
         now += pause
--- a/tests/scheduling/test_engine_turns.py
+++ b/tests/scheduling/test_prefill_grants.py
@@ -6,8 +6,8 @@
 from corkcrank.contracts.opaque_call import PrefixPart, PromptShape
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.scheduling.engine_choice import EngineChooser, EngineQuestion
-from corkcrank.scheduling.engine_turns import LONGEST_TURN_SECONDS, EngineTurns
-from corkcrank.scheduling.worker_choice import StandingBook
+from corkcrank.scheduling.prefill_grants import LONGEST_PREFILL_SECONDS, PrefillGrants
+from corkcrank.scheduling.worker_choice import WorkerStatisticsTable
 
 ENGINES = [WorkerRecord(f"e{number}", "m", "", "a") for number in range(4)]
 CACHE_TOKENS = 100_000
@@ -18,11 +18,11 @@
     return PromptShape("m", tokens, 50, parts)
 
 
-def turns() -> EngineTurns:
-    return EngineTurns(EngineChooser(), StandingBook())
+def grants() -> PrefillGrants:
+    return PrefillGrants(EngineChooser(), WorkerStatisticsTable())
 
 
-def granted(owner: EngineTurns, call_id: str, session: str, now: float) -> str:
+def granted(owner: PrefillGrants, call_id: str, session: str, now: float) -> str:
     question = EngineQuestion(prompt(session))
     engine = owner.grant(call_id, ENGINES, question, CACHE_TOKENS, now)
     assert engine is not None
@@ -30,13 +30,13 @@
 
 
 def test_prompts_of_one_moment_go_to_different_engines() -> None:
-    owner = turns()
+    owner = grants()
     chosen = {granted(owner, f"call{number}", f"s{number}", 1.0) for number in range(4)}
     assert len(chosen) == 4
 
 
 def test_a_session_goes_back_to_its_engine_once_that_has_read() -> None:
-    owner = turns()
+    owner = grants()
     first = granted(owner, "one", "session", 1.0)
     owner.done("one")
     for number in range(3):
@@ -46,14 +46,14 @@
 
 
 def test_a_prompt_whose_end_is_never_told_counts_for_a_while_only() -> None:
-    owner = turns()
+    owner = grants()
     granted(owner, "lost", "s", 1.0)
     assert sum(owner.reading(1.1).values()) > 0
-    assert not owner.reading(1.0 + LONGEST_TURN_SECONDS)
+    assert not owner.reading(1.0 + LONGEST_PREFILL_SECONDS)
 
 
 def test_no_engine_no_grant() -> None:
-    owner = turns()
+    owner = grants()
     assert owner.grant("call", [], EngineQuestion(prompt("s")), CACHE_TOKENS, 1.0) is None
     assert not owner.reading(1.0)
 
@@ -66,7 +66,7 @@
 def test_what_is_being_read_is_what_was_granted_and_not_done(
     steps: list[tuple[str, bool, float]],
 ) -> None:
-    owner = turns()
+    owner = grants()
     open_turns: dict[str, float] = {}
     now = 0.0
     for call_id, done, pause in steps:
@@ -76,7 +76,7 @@
             open_turns.pop(call_id, None)
         else:
             granted(owner, call_id, call_id, now)
-            open_turns[call_id] = now + LONGEST_TURN_SECONDS
+            open_turns[call_id] = now + LONGEST_PREFILL_SECONDS
         waiting = [key for key, ends_at in open_turns.items() if ends_at > now]
         reading = owner.reading(now)
         assert bool(reading) == bool(waiting)
--- a/tests/scheduling/test_stage_lane.py
+++ b/tests/scheduling/test_stage_queue.py
@@ -1,4 +1,4 @@
-"""The lane before a stage worker: batches, room, lateness, and that no piece is lost."""
+"""The queue before a stage worker: batches, room, lateness, and that no piece is lost."""
 
 import itertools
 
@@ -9,8 +9,8 @@
 from corkcrank.contracts.opaque_configuration import StageCapacity
 from corkcrank.contracts.urgency import Urgency
 from corkcrank.links.platform_ports import PieceOrder, PieceOutcome, PieceResult
-from corkcrank.scheduling.batch_filling import PieceTicket, fill_batch
-from corkcrank.scheduling.stage_lane import StageCall, StageLane
+from corkcrank.scheduling.batch_filling import StageItem, fill_batch
+from corkcrank.scheduling.stage_queue import StageCall, StageQueue
 
 CAPACITY = StageCapacity(
     slots=2,
@@ -23,10 +23,10 @@
 )
 
 
-def ticket(
+def stage_item(
     call: str, piece: int = 0, size: float = 10.0, rank: int = 0, due: float = 9.0
-) -> PieceTicket:
-    return PieceTicket(
+) -> StageItem:
+    return StageItem(
         order=PieceOrder(call, 0, piece),
         result_bytes=size,
         urgency=Urgency((0, rank), due),
@@ -36,89 +36,93 @@
     )
 
 
-def lane_with(*tickets: PieceTicket, capacity: StageCapacity = CAPACITY) -> StageLane:
-    lane = StageLane(capacity)
-    for item in tickets:
-        lane.submit(item)
-    return lane
+def queue_with(*stage_items: StageItem, capacity: StageCapacity = CAPACITY) -> StageQueue:
+    queue = StageQueue(capacity)
+    for item in stage_items:
+        queue.submit(item)
+    return queue
 
 
 def done(call: StageCall, names: itertools.count) -> list[PieceResult]:  # type: ignore[type-arg]
-    return [PieceResult(PieceOutcome.DONE, f"h{next(names)}") for _ in call.tickets]
+    return [PieceResult(PieceOutcome.DONE, f"h{next(names)}") for _ in call.stage_items]
 
 
 def test_more_urgent_rank_goes_first_and_due_time_decides_within_it() -> None:
-    low, late, early = ticket("a", rank=2, due=1.0), ticket("b", due=9.0), ticket("c", due=5.0)
-    call = lane_with(low, late, early).next_call(0.0)
+    low, late, early = (
+        stage_item("a", rank=2, due=1.0),
+        stage_item("b", due=9.0),
+        stage_item("c", due=5.0),
+    )
+    call = queue_with(low, late, early).next_call(0.0)
     assert call is not None
-    assert [item.order.call_id for item in call.tickets] == ["c", "b", "a"]
+    assert [item.order.call_id for item in call.stage_items] == ["c", "b", "a"]
 
 
 def test_piece_that_ends_late_anyway_lets_the_others_pass() -> None:
     small = StageCapacity(1, 0, 1, 0.2, 0.0, 60.0, 4.0)
-    hopeless, hopeful = ticket("a", due=1.1), ticket("b", rank=1, due=5.0)
-    call = lane_with(hopeless, hopeful, capacity=small).next_call(1.0)
+    hopeless, hopeful = stage_item("a", due=1.1), stage_item("b", rank=1, due=5.0)
+    call = queue_with(hopeless, hopeful, capacity=small).next_call(1.0)
     assert call is not None
-    assert call.tickets == [hopeful]
+    assert call.stage_items == [hopeful]
 
 
 def test_pieces_of_a_stage_wait_until_all_of_them_have_room() -> None:
     names = itertools.count()
-    lane = lane_with(*(ticket("a", piece, size=20.0) for piece in range(2)))
-    first = lane.next_call(0.0)
+    queue = queue_with(*(stage_item("a", piece, size=20.0) for piece in range(2)))
+    first = queue.next_call(0.0)
     assert first is not None
-    lane.end_call(first, done(first, names), 0.3)
+    queue.end_call(first, done(first, names), 0.3)
     for piece in range(2):
-        lane.submit(ticket("b", piece, size=20.0))
-    assert lane.next_call(0.3) is None
-    lane.free("h0", 0.4)
-    second = lane.next_call(0.4)
+        queue.submit(stage_item("b", piece, size=20.0))
+    assert queue.next_call(0.3) is None
+    queue.free("h0", 0.4)
+    second = queue.next_call(0.4)
     assert second is not None
-    assert len(second.tickets) == 2
+    assert len(second.stage_items) == 2
 
 
 def test_far_smaller_pieces_pass_one_that_waits_for_room() -> None:
-    large = [ticket("a", piece, size=20.0) for piece in range(3)]
-    small, middling = ticket("b", size=1.0, rank=1), ticket("c", size=15.0, rank=1)
+    large = [stage_item("a", piece, size=20.0) for piece in range(3)]
+    small, middling = stage_item("b", size=1.0, rank=1), stage_item("c", size=15.0, rank=1)
     assert fill_batch([*large, small, middling], 4, 50.0, 60.0) == [small]
 
 
 def test_forgotten_result_gives_its_room_back() -> None:
-    lane = lane_with(ticket("a", size=60.0))
-    call = lane.next_call(0.0)
+    queue = queue_with(stage_item("a", size=60.0))
+    call = queue.next_call(0.0)
     assert call is not None
-    lane.end_call(call, done(call, itertools.count()), 0.3)
-    lane.submit(ticket("b", size=60.0))
-    assert lane.next_call(1.0) is None
-    assert lane.next_event_at(1.0) == 0.3 + CAPACITY.result_seconds
-    assert lane.next_call(0.3 + CAPACITY.result_seconds) is not None
+    queue.end_call(call, done(call, itertools.count()), 0.3)
+    queue.submit(stage_item("b", size=60.0))
+    assert queue.next_call(1.0) is None
+    assert queue.next_event_at(1.0) == 0.3 + CAPACITY.result_seconds
+    assert queue.next_call(0.3 + CAPACITY.result_seconds) is not None
 
 
 def test_lack_of_room_is_not_asked_about_again_at_once() -> None:
-    lane = lane_with(ticket("a"))
-    call = lane.next_call(0.0)
+    queue = queue_with(stage_item("a"))
+    call = queue.next_call(0.0)
     assert call is not None
-    lane.end_call(call, [PieceResult(PieceOutcome.NO_ROOM)], 0.1)
-    lane.put_back(call.tickets)
-    assert lane.next_call(0.1) is None
-    assert lane.next_call(0.5) is not None
+    queue.end_call(call, [PieceResult(PieceOutcome.NO_ROOM)], 0.1)
+    queue.put_back(call.stage_items)
+    assert queue.next_call(0.1) is None
+    assert queue.next_call(0.5) is not None
 
 
 def test_a_piece_without_room_leaves_the_rest_of_the_room_to_smaller_ones() -> None:
     one = StageCapacity(1, 0, 4, 0.2, 0.05, 60.0, 4.0)
-    lane = lane_with(ticket("large", size=20.0), capacity=one)
-    call = lane.next_call(0.0)
+    queue = queue_with(stage_item("large", size=20.0), capacity=one)
+    call = queue.next_call(0.0)
     assert call is not None
-    lane.end_call(call, [PieceResult(PieceOutcome.NO_ROOM)], 0.1)
-    lane.submit(ticket("small", size=5.0))
-    assert lane.next_call(0.1) is not None
+    queue.end_call(call, [PieceResult(PieceOutcome.NO_ROOM)], 0.1)
+    queue.submit(stage_item("small", size=5.0))
+    assert queue.next_call(0.1) is not None
 
 
 def test_forecast_counts_only_what_goes_before() -> None:
     one = StageCapacity(1, 0, 4, 0.2, 0.05, 1e9, 4.0)
-    lane = lane_with(*(ticket("a", piece, rank=1) for piece in range(8)), capacity=one)
-    urgent = lane.forecast(0.0, Urgency((0, 0), 9.0), 1, 1.0)
-    patient = lane.forecast(0.0, Urgency((0, 2), 9.0), 1, 1.0)
+    queue = queue_with(*(stage_item("a", piece, rank=1) for piece in range(8)), capacity=one)
+    urgent = queue.forecast(0.0, Urgency((0, 0), 9.0), 1, 1.0)
+    patient = queue.forecast(0.0, Urgency((0, 2), 9.0), 1, 1.0)
     assert urgent.start == 0.0
     assert patient.start == 2 * one.full_call_seconds
 
@@ -131,7 +135,7 @@
 def test_batch_fits_room_and_holds_each_piece_once(
     sizes: list[float], room: float, batch: int
 ) -> None:
-    queue = [ticket(str(number), size=size) for number, size in enumerate(sizes)]
+    queue = [stage_item(str(number), size=size) for number, size in enumerate(sizes)]
     chosen = fill_batch(queue, batch, room, 60.0)
     assert len(chosen) <= batch
     assert sum(item.result_bytes for item in chosen) <= room + 1e-6
@@ -143,13 +147,13 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.lane = StageLane(CAPACITY)
+        self.queue = StageQueue(CAPACITY)
         self.now = 0.0
         self.names = itertools.count()
-        self.waiting: list[PieceTicket] = []
+        self.waiting: list[StageItem] = []
         self.calls: list[StageCall] = []
         self.handles: list[str] = []
-        self.tickets: list[PieceTicket] = []
+        self.stage_items: list[StageItem] = []
         self.ended = 0
         self.submitted = 0
 
@@ -162,19 +166,19 @@
     def submit(self, size: float, rank: int, due: float, count: int) -> None:
         self.submitted += 1
         for piece in range(count):
-            item = ticket(f"c{self.submitted}", piece, size, rank, self.now + due)
-            self.tickets.append(item)
+            item = stage_item(f"c{self.submitted}", piece, size, rank, self.now + due)
+            self.stage_items.append(item)
             self.waiting.append(item)
-            self.lane.submit(item)
+            self.queue.submit(item)
 
     @rule()
     def start(self) -> None:
-        for item in self.lane.take_late(self.now):
+        for item in self.queue.take_late(self.now):
             self.waiting.remove(item)
             self.ended += 1
-        call = self.lane.next_call(self.now)
+        call = self.queue.next_call(self.now)
         if call is not None:
-            self.waiting = [item for item in self.waiting if item not in call.tickets]
+            self.waiting = [item for item in self.waiting if item not in call.stage_items]
             self.calls.append(call)
 
     @precondition(lambda self: self.calls)
@@ -182,28 +186,28 @@
     def end(self, outcome: str) -> None:
         call = self.calls.pop(0)
         if outcome in ("none", "full"):
-            self.lane.end_call(call, None, self.now)
+            self.queue.end_call(call, None, self.now)
         else:
             results = done(call, self.names)
             if outcome == "mixed":
                 results[0] = PieceResult(PieceOutcome.NO_ROOM)
             self.handles += [item.handle for item in results if item.handle]
-            self.lane.end_call(call, results, self.now)
+            self.queue.end_call(call, results, self.now)
         if outcome == "full":
-            self.lane.put_back(call.tickets)
-            self.waiting += call.tickets
+            self.queue.put_back(call.stage_items)
+            self.waiting += call.stage_items
         else:
-            self.ended += len(call.tickets)
+            self.ended += len(call.stage_items)
 
     @precondition(lambda self: self.handles)
     @rule()
     def free(self) -> None:
-        self.lane.free(self.handles.pop(0), self.now)
+        self.queue.free(self.handles.pop(0), self.now)
 
     @precondition(lambda self: self.waiting)
     @rule()
     def withdraw(self) -> None:
-        self.lane.withdraw(self.waiting.pop(), self.now)
+        self.queue.withdraw(self.waiting.pop(), self.now)
         self.ended += 1
 
     @rule(seconds=st.floats(0.01, 2.0))
@@ -212,13 +216,13 @@
 
     @invariant()
     def bounds_hold(self) -> None:
-        self.lane.validate()
+        self.queue.validate()
 
     @invariant()
     def nothing_is_lost(self) -> None:
-        assert self.lane.waiting == len(self.waiting)
-        at_work = sum(len(call.tickets) for call in self.calls)
-        assert len(self.waiting) + at_work + self.ended == len(self.tickets)
+        assert self.queue.waiting == len(self.waiting)
+        at_work = sum(len(call.stage_items) for call in self.calls)
+        assert len(self.waiting) + at_work + self.ended == len(self.stage_items)
 
 
 TestLaneMachine = LaneMachine.TestCase
--- a/tests/scheduling/test_store_duty.py
+++ b/tests/scheduling/test_store_followers.py
@@ -8,21 +8,26 @@
 from corkcrank.links.platform_ports import StoreTable
 from corkcrank.machines.fleet import Fleet
 from corkcrank.machines.heartbeat import Heartbeat, Phase
-from corkcrank.machines.store_duty import (
+from corkcrank.machines.store_contact import ReportedStoreContact
+from corkcrank.machines.store_followers import (
     LEAST_WATCHERS,
     RETRY_SECONDS,
     STAND_IN_CALLS_PER_SECOND,
-    StoreDuty,
+    StoreFollowerElection,
+)
+from corkcrank.machines.worker_changes import (
+    MOST_TOLD,
+    RecentWorkerChanges,
+    WorkerChange,
+    WorkerChangeBatch,
 )
-from corkcrank.machines.store_word import ToldStoreWord
-from corkcrank.machines.worker_news import MOST_TOLD, RecentChanges, WorkerChange, WorkerNews
 
 ZONES = ("a", "b", "c", "d", "e")
 BOUND = 2.0
 
 
 def beat(name: str, zone: str, age: float, phase: Phase = Phase.SERVING) -> Heartbeat:
-    word = ToldStoreWord(store_time=100.0 - age, age=age)
+    contact = ReportedStoreContact(store_time=100.0 - age, age=age)
     return Heartbeat(
         name,
         1,
@@ -30,19 +35,19 @@
         f"10.0.0.{name}:1",
         phase,
         0.25,
-        configuration_word=word,
-        workers_word=word,
+        configuration_contact=contact,
+        workers_contact=contact,
     )
 
 
-def duties(zones: list[str], age: float) -> list[StoreDuty]:
+def elections(zones: list[str], age: float) -> list[StoreFollowerElection]:
     found = []
     for number, zone in enumerate(zones):
         fleet = Fleet(str(number), zone, f"10.0.0.{number}:1")
         fleet.own_phase = Phase.SERVING
         for other, other_zone in enumerate(zones):
             fleet.hear(beat(str(other), other_zone, age), 10.0)
-        found.append(StoreDuty(fleet, BOUND))
+        found.append(StoreFollowerElection(fleet, BOUND))
     return found
 
 
@@ -50,45 +55,45 @@
 def test_few_follow_the_store_and_every_zone_has_one(zones: list[str]) -> None:
     following = [
         zone
-        for zone, duty in zip(zones, duties(zones, age=0.1), strict=True)
-        if duty.watches(StoreTable.WORKERS, 0.0, 10.1)
+        for zone, election in zip(zones, elections(zones, age=0.1), strict=True)
+        if election.watches(StoreTable.WORKERS, 0.0, 10.1)
     ]
     assert set(following) == set(zones)
     assert len(following) == min(len(zones), max(LEAST_WATCHERS, len(set(zones))))
 
 
 def test_everybody_steps_in_before_the_bound_when_nobody_has_an_answer() -> None:
-    found = duties(["a"] * 20, age=BOUND)
-    assert all(duty.watches(StoreTable.WORKERS, 0.0, 10.1) for duty in found)
+    found = elections(["a"] * 20, age=BOUND)
+    assert all(election.watches(StoreTable.WORKERS, 0.0, 10.1) for election in found)
 
 
 def test_a_gateway_that_hears_of_no_answer_follows_the_store() -> None:
     fleet = Fleet("0", "a", "10.0.0.0:1")
     fleet.own_phase = Phase.SERVING
-    assert StoreDuty(fleet, BOUND).watches(StoreTable.CONFIGURATION, 0.0, 10.0)
+    assert StoreFollowerElection(fleet, BOUND).watches(StoreTable.CONFIGURATION, 0.0, 10.0)
 
 
 def test_the_long_poll_is_shorter_than_the_doubt_and_the_doubt_than_the_bound() -> None:
     fleet = Fleet("0", "a", "10.0.0.0:1")
     fleet.own_phase = Phase.STARTING
-    duty = StoreDuty(fleet, BOUND)
+    election = StoreFollowerElection(fleet, BOUND)
     fleet.hear(beat("1", "a", 0.0), 10.0)
     doubted_after = next(
         after / 100
         for after in range(500)
-        if duty.watches(StoreTable.WORKERS, 0.0, 10.0 + after / 100)
+        if election.watches(StoreTable.WORKERS, 0.0, 10.0 + after / 100)
     )
-    assert duty.watch_seconds < doubted_after < BOUND
+    assert election.watch_seconds < doubted_after < BOUND
 
 
 @pytest.mark.parametrize("members", [6, 74, 195, 350])
 def test_an_outage_costs_calls_that_hardly_grow_with_the_fleet(members: int) -> None:
     """In an outage of a few seconds a fleet of 195 made 11,709 calls, most of its day's."""
     zones = [ZONES[number % len(ZONES)] for number in range(members)]
-    found = duties(zones, age=9.0)
-    followers = [duty for duty in found if duty.watches(StoreTable.WORKERS, 10.0, 10.1)]
-    pauses = [duty.retry_seconds(4, 10.1) for duty in found]
-    # 0.6 of the bound is the time after which news is old: nobody waits longer to ask.
+    found = elections(zones, age=9.0)
+    followers = [election for election in found if election.watches(StoreTable.WORKERS, 10.0, 10.1)]
+    pauses = [election.retry_seconds(4, 10.1) for election in found]
+    # 0.6 of the bound is the time after which batch is old: nobody waits longer to ask.
     assert max(pauses) <= 0.6 * BOUND or members == 6
     calls = sum(1 / pause for pause in pauses)
     allowed = max(STAND_IN_CALLS_PER_SECOND, members / (0.6 * BOUND))
@@ -97,8 +102,8 @@
 
 
 def test_a_small_fleet_and_a_first_failure_are_tried_again_soon() -> None:
-    for duty in duties(["a"] * 6, age=9.0):
-        assert [duty.retry_seconds(failures, 10.1) for failures in (1, 2, 9)] == [0.2, 0.4, 0.8]
+    for election in elections(["a"] * 6, age=9.0):
+        assert [election.retry_seconds(failures, 10.1) for failures in (1, 2, 9)] == [0.2, 0.4, 0.8]
 
 
 def record(worker_id: str, revision: int, *, leaving: bool = False) -> WorkerRecord:
@@ -144,10 +149,10 @@
 
 
 def test_the_newest_changes_are_told_whole_as_far_as_they_fit() -> None:
-    recent = RecentChanges()
+    recent = RecentWorkerChanges()
     for number in range(MOST_TOLD + 5):
         change = WorkerChange(str(number), number + 1, None)
-        recent.add(WorkerNews(number, number + 1, (change,)), 1.0)
+        recent.add(WorkerChangeBatch(number, number + 1, (change,)), 1.0)
     told = recent.current(1.1)
     assert told is not None
     assert len(told.changes) == MOST_TOLD
@@ -155,10 +160,10 @@
 
 
 def test_news_does_not_claim_changes_that_came_by_a_whole_list() -> None:
-    recent = RecentChanges()
-    recent.add(WorkerNews(3, 5, (WorkerChange("a", 5, None),)), 0.0)
+    recent = RecentWorkerChanges()
+    recent.add(WorkerChangeBatch(3, 5, (WorkerChange("a", 5, None),)), 0.0)
     # Between the two, the list was taken whole as of revision 9.
-    recent.add(WorkerNews(9, 12, (WorkerChange("c", 12, None),)), 0.1)
-    news = recent.current(0.2)
-    assert news is not None
-    assert (news.since, news.revision) == (9, 12)
+    recent.add(WorkerChangeBatch(9, 12, (WorkerChange("c", 12, None),)), 0.1)
+    batch = recent.current(0.2)
+    assert batch is not None
+    assert (batch.since, batch.revision) == (9, 12)
--- /dev/null
+++ b/tests/scheduling/test_work_stealing.py
@@ -0,0 +1,65 @@
+"""A free worker takes over what a busy sibling would end later, and nothing else."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+from test_stage_queue import stage_item
+
+from corkcrank.contracts.opaque_configuration import StageCapacity
+from corkcrank.scheduling.stage_queue import StageQueue
+from corkcrank.scheduling.work_stealing import pieces_to_steal
+
+CAPACITY = StageCapacity(
+    slots=1,
+    queue=2,
+    batch=4,
+    call_seconds=0.2,
+    piece_seconds=0.05,
+    room_bytes=1e9,
+    result_seconds=4.0,
+)
+
+
+def busy_queue(waiting: int) -> StageQueue:
+    """Return a queue whose worker has just begun a call, with pieces behind it."""
+    queue = StageQueue(CAPACITY)
+    queue.submit(stage_item("at-work"))
+    assert queue.next_call(0.0) is not None
+    for piece in range(waiting):
+        queue.submit(stage_item("waits", piece))
+    return queue
+
+
+def test_a_free_worker_takes_what_would_wait_for_a_busy_one() -> None:
+    taken = pieces_to_steal(StageQueue(CAPACITY), [busy_queue(2)], 0.0)
+    assert [piece.stage_item.order.piece for piece in taken] == [0, 1]
+
+
+def test_a_busy_or_blocked_worker_takes_nothing() -> None:
+    blocked = StageQueue(CAPACITY)
+    blocked.block(0.0, 1.0)
+    for queue in (busy_queue(0), blocked):
+        assert pieces_to_steal(queue, [busy_queue(2)], 0.0) == ()
+
+
+def test_a_worker_that_can_start_keeps_its_pieces() -> None:
+    idle = StageQueue(CAPACITY)
+    idle.submit(stage_item("own"))
+    assert pieces_to_steal(StageQueue(CAPACITY), [idle], 0.0) == ()
+
+
+def test_a_slow_worker_takes_nothing_that_ends_sooner_where_it_waits() -> None:
+    slow = StageQueue(CAPACITY, pace=8.0)
+    assert pieces_to_steal(slow, [busy_queue(2)], 0.0) == ()
+
+
+@given(st.lists(st.integers(0, 9), max_size=4), st.integers(0, 6))
+def test_no_more_than_a_batch_is_taken_and_each_piece_once(waiting: list[int], own: int) -> None:
+    free = StageQueue(CAPACITY)
+    for piece in range(own):
+        free.submit(stage_item("own", piece))
+    others = [busy_queue(count) for count in waiting]
+    taken = pieces_to_steal(free, others, 0.0)
+    assert len(taken) <= max(0, CAPACITY.batch - own)
+    assert len({id(piece.stage_item) for piece in taken}) == len(taken)
+    for piece in taken:
+        assert piece.stage_item in piece.queue.queued()
--- a/tests/soak/node_program.py
+++ b/tests/soak/node_program.py
@@ -5,7 +5,7 @@
 
 import signal
 
-from corkcrank.gateway.opaque import program
+from corkcrank.node import program
 
 
 def main() -> None:
--- /dev/null
+++ b/tests/test_layout.py
@@ -0,0 +1,103 @@
+"""The node's packages import each other only as listed, without cycles."""
+
+import ast
+from graphlib import TopologicalSorter
+from pathlib import Path
+
+SOURCE = Path(__file__).parent.parent / "src" / "corkcrank"
+NODE = SOURCE / "node"
+
+MAY_IMPORT: dict[str, set[str]] = {
+    "telemetry": set(),
+    "peers": set(),
+    "workers": {"telemetry"},
+    "callers": {"telemetry"},
+    "stages": {"peers", "workers"},
+    "engines": {"peers", "stages"},
+    "calls": {"callers", "engines", "stages", "telemetry", "workers"},
+    "streams": {"callers", "calls", "stages", "workers"},
+    "ingress": {"callers", "calls", "streams"},
+    "membership": {"engines", "peers", "stages", "workers"},
+    "process": {
+        "callers",
+        "calls",
+        "engines",
+        "ingress",
+        "membership",
+        "peers",
+        "stages",
+        "telemetry",
+        "workers",
+    },
+    "program": {"process"},
+}
+"""Which packages of the node each one may import beside itself."""
+
+READERS = {"reports": {"callers"}}
+"""Packages outside that may import from one of the node's: reports read its constants."""
+
+OTHER_PRODUCTS = {"cli", "controller", "gateway", "load", "reports", "standins", "zones"}
+"""Packages that the node does without."""
+
+
+def imports_of(path: Path) -> set[str]:
+    """Return every module that a file names in an import, wherever the import stands."""
+    names: set[str] = set()
+    for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+        if isinstance(node, ast.Import):
+            names.update(alias.name for alias in node.names)
+        elif isinstance(node, ast.ImportFrom) and node.module:
+            assert node.level == 0, f"{path}: imports are absolute"
+            names.update(f"{node.module}.{alias.name}" for alias in node.names)
+    return names
+
+
+def job_of(path: Path) -> str:
+    """Return the package of the node that a file belongs to."""
+    return path.relative_to(NODE).parts[0].removesuffix(".py")
+
+
+def test_the_rules_name_every_package_and_have_no_cycle() -> None:
+    jobs = {job_of(path) for path in NODE.rglob("*.py")} - {"__init__"}
+    assert jobs == set(MAY_IMPORT)
+    TopologicalSorter(MAY_IMPORT).prepare()
+
+
+def test_packages_import_only_what_the_rules_allow() -> None:
+    wrong = []
+    for path in sorted(NODE.rglob("*.py")):
+        job = job_of(path)
+        for name in sorted(imports_of(path)):
+            parts = name.split(".")
+            if parts[:2] == ["corkcrank", "node"] and parts[2] not in {job, *MAY_IMPORT[job]}:
+                wrong.append(f"{path.relative_to(NODE)} imports {name}")
+    assert wrong == []
+
+
+def test_the_node_does_without_the_other_products() -> None:
+    wrong = [
+        f"{path.relative_to(NODE)} imports {name}"
+        for path in sorted(NODE.rglob("*.py"))
+        for name in imports_of(path)
+        if name.startswith("corkcrank.") and name.split(".")[1] in OTHER_PRODUCTS
+    ]
+    assert wrong == []
+
+
+def test_nothing_else_imports_the_node() -> None:
+    wrong = [
+        f"{path.relative_to(SOURCE)} imports {name}"
+        for path in sorted(SOURCE.rglob("*.py"))
+        if NODE not in path.parents
+        for name in imports_of(path)
+        if name.startswith("corkcrank.node.")
+        and name.split(".")[2] not in READERS.get(path.relative_to(SOURCE).parts[0], set())
+    ]
+    assert wrong == []
+
+
+def test_every_package_says_what_it_holds() -> None:
+    for folder in [NODE, *(NODE / job for job in MAY_IMPORT if (NODE / job).is_dir())]:
+        docstring = ast.get_docstring(ast.parse((folder / "__init__.py").read_text()))
+        assert docstring, folder
+        assert folder == NODE or "State:" in docstring, folder
--- a/tests/test_platform_wall.py
+++ b/tests/test_platform_wall.py
@@ -11,7 +11,14 @@
     r"weighted_services|target_latency_ms|route_type|headroom_mb|session_affinity_|"
     r"byte_length|path_prefix\"|max_header_bytes|api_keys|CORKCRANK_BOOT"
 )
-DECIDING = ("corkcrank.scheduling", "corkcrank.machines", "corkcrank.gateway", "random", "time")
+DECIDING = (
+    "corkcrank.scheduling",
+    "corkcrank.machines",
+    "corkcrank.gateway",
+    "corkcrank.node",
+    "random",
+    "time",
+)
 MAXIMUM_LINES = 1_200
 
 
