One entry of a worker for all stand-ins, one status from which a worker is at fault

Cause: five tests and stand-ins wrote a worker's entry out, and three places named 500 each for itself. Ruled out: sharing the raw engine with the stand-in worker, which differ in all but the entry. Change: worker_entry() in platform_standins.py; WorkerHealth's FAULT_STATUS serves plain calls and streams. Assertions are as they were.

--- a/src/corkcrank/node/calls/plain_run.py
+++ b/src/corkcrank/node/calls/plain_run.py
@@ -13,6 +13,7 @@
 from corkcrank.node.calls.attempts import Attempt, AttemptOutcome, attempt_call
 from corkcrank.node.calls.services import PLAIN_SECONDS, CallServices
 from corkcrank.node.calls.worker_answers import read_whole_answer
+from corkcrank.node.workers.worker_health import FAULT_STATUS
 from corkcrank.scheduling.worker_choice import choose_worker
 
 SILENCE_FACTOR = 5.0
@@ -122,7 +123,7 @@
             self._services.note_broken(call, worker)
             return None
         self._services.health.answered(worker, attempt.status)
-        if attempt.status >= 500:
+        if attempt.status >= FAULT_STATUS:
             statistics = self._services.worker_statistics.of(worker.worker_id)
             statistics.failures.append(time.monotonic())
             if self._repeatable_elsewhere():
--- a/src/corkcrank/node/streams/engine_exchange.py
+++ b/src/corkcrank/node/streams/engine_exchange.py
@@ -18,6 +18,7 @@
 from corkcrank.node.streams.stream_answer import StreamAnswer
 from corkcrank.node.streams.stream_part import StreamPart
 from corkcrank.node.streams.stream_relay import LEAST_SILENCE_SECONDS, RelayEnd, StreamRelay
+from corkcrank.node.workers.worker_health import FAULT_STATUS
 from corkcrank.scheduling.stage_plan import StagePlan
 from corkcrank.scheduling.worker_outcomes import CallOutcome
 
@@ -27,9 +28,6 @@
 FIRST_EVENT_FACTOR = 4.0
 """It is moved after this multiple of the usual time to a first event."""
 
-ENGINE_FAULT_STATUS = 500
-"""From this status on a failure is the engine's own, and another engine may do better."""
-
 
 class EngineExchanges:
     """The exchanges of one call, one engine after the other.
@@ -68,7 +66,7 @@
         call = self._call
         if call.may_have_run and not call.route.idempotent:
             return False
-        if self.failure is not None and self.failure.status < ENGINE_FAULT_STATUS:
+        if self.failure is not None and self.failure.status < FAULT_STATUS:
             return False
         attempts_left = len(call.workers_tried) < call.route.maximum_attempts
         return attempts_left and self._services.could_repeat(call.service)
@@ -101,7 +99,7 @@
         It is no part of a stream that another engine began: its body has an end of its own,
         which must not end the caller's answer.
         """
-        if attempt.status >= ENGINE_FAULT_STATUS:
+        if attempt.status >= FAULT_STATUS:
             statistics = self._services.worker_statistics.of(attempt.worker.worker_id)
             statistics.failures.append(time.monotonic())
         self._services.health.answered(attempt.worker, attempt.status)
--- a/src/corkcrank/node/workers/worker_health.py
+++ b/src/corkcrank/node/workers/worker_health.py
@@ -17,7 +17,8 @@
 """Time between two judgements: as often as a small fleet's heartbeats bring something new."""
 
 FAULT_STATUS = 500
-"""From this status on an answer is the worker's own failure; a lower one is the caller's."""
+"""From this status on an answer is the worker's own failure, and another worker may do better; a
+lower one is the caller's."""
 
 DEADLINE_STATUS = 504
 """Status of a worker that ran a call until its deadline: the time was short."""
--- a/tests/platform/engine_script.py
+++ b/tests/platform/engine_script.py
@@ -8,7 +8,7 @@
 from enum import StrEnum
 
 from multidict import CIMultiDict
-from platform_standins import ATTEMPT, INSTANCE, SEAL, Server, _ids
+from platform_standins import ATTEMPT, INSTANCE, SEAL, Server, _ids, worker_entry
 
 
 class Framing(StrEnum):
@@ -66,16 +66,7 @@
         self.server = _ScriptServer(self)
 
     def entry(self, service: str, zone: str = "z1", state: str = "ready") -> dict[str, object]:
-        return {
-            "service": service,
-            "address": self.server.address,
-            "zone": zone,
-            "version": "v1",
-            "slots": 8,
-            "state": state,
-            "warmup_left_ms": 0,
-            "sequence": 1,
-        }
+        return worker_entry(service, self.server.address, zone=zone, slots=8, state=state)
 
     def answer(self, head: CIMultiDict[str]) -> Answer:
         self.heads.append(head)
--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -27,6 +27,22 @@
 
 _ids = itertools.count(1)
 
+
+def worker_entry(service: str, address: str, **told: Any) -> dict[str, Any]:
+    """Return a worker's entry in the store; ``told`` adds fields or replaces them."""
+    return {
+        "service": service,
+        "address": address,
+        "zone": "z1",
+        "version": "v1",
+        "slots": 1,
+        "state": "ready",
+        "warmup_left_ms": 0,
+        "sequence": 1,
+        **told,
+    }
+
+
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
@@ -187,17 +203,9 @@
         self.server = Server(self._handle)
 
     def entry(self, service: str, zone: str = "z1", state: str = "ready") -> dict[str, Any]:
-        return {
-            "service": service,
-            "address": self.server.address,
-            "zone": zone,
-            "version": "v1",
-            "slots": 8,
-            "state": state,
-            "warmup_left_ms": 0,
-            "sequence": 1,
-            **self.told,
-        }
+        return worker_entry(
+            service, self.server.address, zone=zone, slots=8, state=state, **self.told
+        )
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         body = await request.read()
@@ -323,17 +331,9 @@
         self.server = Server(self._handle)
 
     def entry(self, service: str, zone: str = "z1", state: str = "ready") -> dict[str, Any]:
-        return {
-            "service": service,
-            "address": self.server.address,
-            "zone": zone,
-            "version": "v1",
-            "slots": 1,
-            "state": state,
-            "warmup_left_ms": 0,
-            "sequence": 1,
-            **self.told,
-        }
+        return worker_entry(
+            service, self.server.address, zone=zone, slots=1, state=state, **self.told
+        )
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.headers.get(EXPECT) not in (None, self.worker_id):
--- a/tests/scheduling/test_entry_reader.py
+++ b/tests/scheduling/test_entry_reader.py
@@ -2,25 +2,15 @@
 
 import msgspec
 import pytest
+from platform_standins import worker_entry
 
 from corkcrank.links.platform_ports import StoreRow, StoreRows
 from corkcrank.machines.entry_reader import EntryReader
 from corkcrank.platform.documents import PlatformDocumentCodec
 
-ENTRY = {
-    "service": "s",
-    "address": "10.0.0.1:80",
-    "zone": "a",
-    "version": "v1",
-    "slots": 1,
-    "state": "ready",
-    "warmup_left_ms": 0,
-    "sequence": 1,
-}
-
 
 def row(name: str, revision: int, **told: object) -> StoreRow:
-    return StoreRow(name, msgspec.json.encode({**ENTRY, **told}), revision)
+    return StoreRow(name, msgspec.json.encode(worker_entry("s", "10.0.0.1:80", **told)), revision)
 
 
 def named(reader: EntryReader, since: int, *rows: StoreRow) -> list[str]:
--- a/tests/scheduling/test_held_removals.py
+++ b/tests/scheduling/test_held_removals.py
@@ -13,6 +13,7 @@
 
 import msgspec
 import pytest
+from platform_standins import worker_entry
 
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.links.decision_log import DecisionLog
@@ -27,17 +28,7 @@
 
 
 def row(name: str, revision: int) -> StoreRow:
-    entry = {
-        "service": "s",
-        "address": "10.0.0.1:80",
-        "zone": "a",
-        "version": "v1",
-        "slots": 1,
-        "state": "ready",
-        "warmup_left_ms": 0,
-        "sequence": 1,
-        "born": 17,
-    }
+    entry = worker_entry("s", "10.0.0.1:80", zone="a", born=17)
     return StoreRow(name, msgspec.json.encode(entry), revision)
 
 
