Evacuated zones get nothing more; workers that warm up get what they bear

Cause: rows op/evacuate/ZONE lie beside the configuration and nothing read them; entries' warmup_left_ms and the services' warmup rate were passed over.

Ruled out: each gateway reading the operator's table itself (a call to the store for each, as with the configuration); equal shares of a warming worker's rate (1/86 of 6.7 a second).

Change: the state of each zone is the newest row of it, by the store's revision; followers read it with the configuration, heartbeats tell it to all, a whole reading ends what it lacks. One predicate of the worker list says whether a worker may be given work; calls, streams, takeovers, pieces, freed results and reports follow it. The owner of a zone's engines grants a warming one no more than its rate in any second; without an owner each gateway has slots of its own.

--- a/src/corkcrank/contracts/node_settings.py
+++ b/src/corkcrank/contracts/node_settings.py
@@ -59,13 +59,15 @@
 class NodeBoundSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """What the operator promises and asks: stop, retries, how soon news is acted upon.
 
-    ``leaving`` is the time within which a leaving worker gets no more work, and
-    ``configuration`` the time within which an accepted configuration is in force.
+    ``leaving`` is the time within which a leaving worker gets no more work,
+    ``configuration`` the time within which an accepted configuration is in force, and
+    ``evacuation`` the time within which workers of an evacuated zone get nothing more.
     """
 
     grace: float = 8.0
     leaving: float = 2.0
     configuration: float = 2.0
+    evacuation: float = 5.0
     retry_ratio: float = 0.2
     retry_window: float = 10.0
     retry_allowance: float = 50.0
@@ -73,7 +75,7 @@
     @property
     def shortest(self) -> float:
         """Return the time within which any news of the store must be acted upon."""
-        return min(self.leaving, self.configuration)
+        return min(self.leaving, self.configuration, self.evacuation)
 
 
 class NodeLimitSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -157,6 +159,7 @@
         "bounds.retry_window": settings.bounds.retry_window,
         "bounds.leaving": settings.bounds.leaving,
         "bounds.configuration": settings.bounds.configuration,
+        "bounds.evacuation": settings.bounds.evacuation,
     }
     for key, value in positive.items():
         if value <= 0:
--- a/src/corkcrank/contracts/opaque_configuration.py
+++ b/src/corkcrank/contracts/opaque_configuration.py
@@ -111,11 +111,17 @@
 
 
 class ServiceProfile(msgspec.Struct, frozen=True):
-    """One service; ``stage`` and ``engine`` are absent for plain services."""
+    """One service; ``stage`` and ``engine`` are absent for plain services.
+
+    A worker of it that is warming up bears ``warmup_rate`` requests a second (0: as many as
+    ever), after a start for ``warmup_seconds``.
+    """
 
     name: str
     health_path: str = "/"
     connections: int = 0
+    warmup_seconds: float = 0.0
+    warmup_rate: float = 0.0
     stage: StageCapacity | None = None
     engine: EngineCapacity | None = None
 
--- a/src/corkcrank/contracts/worker_records.py
+++ b/src/corkcrank/contracts/worker_records.py
@@ -6,12 +6,13 @@
 import msgspec
 
 
-class WorkerRecord(msgspec.Struct, frozen=True, dict=True):
+class WorkerRecord(msgspec.Struct, frozen=True, dict=True, omit_defaults=True):
     """One incarnation of one worker; ``revision`` is that of its row.
 
     ``name`` is the key of the row and what the worker answers to; it may outlive a restart.
     ``born`` is the Unix time of the incarnation's start in milliseconds, ``None`` where the
-    platform does not tell it.
+    platform does not tell it. ``warmup`` are the seconds for which the worker was still to warm
+    up when it wrote its entry.
     """
 
     # Told to peers as "worker_id", the key that the rest of a fleet reads while a rolling
@@ -24,6 +25,7 @@
     leaving: bool = False
     revision: int = 0
     born: int | None = None
+    warmup: float = 0.0
 
     @cached_property
     def worker_id(self) -> str:
@@ -45,6 +47,7 @@
 
     ``revision`` is the state of the list that is known whole. Rows may be newer: a row is
     only replaced by a newer one of its own, whatever the order in which they are told.
+    ``evacuated`` are the zones whose workers may be given nothing.
     """
 
     def __init__(self) -> None:
@@ -54,8 +57,23 @@
         self._usable: dict[tuple[str, str | None], tuple[WorkerRecord, ...]] = {}
         self._indexed = True
         self._row_revisions: dict[str, int] = {}
+        self._evacuated: frozenset[str] = frozenset()
         self.revision = 0
 
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """Return the zones whose workers may be given nothing."""
+        return self._evacuated
+
+    @evacuated.setter
+    def evacuated(self, zones: frozenset[str]) -> None:
+        self._evacuated = zones
+        self._usable.clear()
+
+    def accepts_work(self, record: WorkerRecord) -> bool:
+        """Return whether a listed worker may be given new work: no other way leads to one."""
+        return not record.leaving and record.zone not in self._evacuated
+
     def replace_all(self, records: Iterable[WorkerRecord], revision: int) -> None:
         """Take the whole list as of ``revision``, but for rows known to be newer than that.
 
@@ -128,10 +146,14 @@
             usable = self._usable[service, zone] = tuple(
                 record
                 for record in records
-                if not record.leaving and (zone is None or record.zone == zone)
+                if self.accepts_work(record) and (zone is None or record.zone == zone)
             )
         return usable
 
+    def by_name(self) -> dict[str, WorkerRecord]:
+        """Return every listed worker by its name."""
+        return dict(self._records)
+
     def records(self) -> tuple[WorkerRecord, ...]:
         """Return every listed worker."""
         return tuple(self._records.values())
--- a/src/corkcrank/links/platform_ports.py
+++ b/src/corkcrank/links/platform_ports.py
@@ -13,6 +13,7 @@
 from corkcrank.contracts.opaque_call import CallEnvelope, OpaqueCall
 from corkcrank.contracts.opaque_configuration import OpaqueConfiguration
 from corkcrank.contracts.worker_records import WorkerRecord
+from corkcrank.contracts.zone_evacuations import ZoneState
 from corkcrank.links.silence import SilenceListener
 
 HeaderList = list[tuple[str, str]]
@@ -211,6 +212,9 @@
     def configuration(self, rows: Sequence[StoreRow]) -> OpaqueConfiguration | str | None:
         """Return the configuration among rows; ``None`` if none is there, or what is wrong."""
 
+    def zone_states(self, rows: Sequence[StoreRow]) -> tuple[ZoneState, ...]:
+        """Return the zones that are evacuated or taken back by rows, the last one of each."""
+
     def worker(self, row: StoreRow) -> WorkerRecord | Unreadable | None:
         """Return the worker of a row, ``None`` where it is gone, or why it names none."""
 
--- a/src/corkcrank/machines/fleet.py
+++ b/src/corkcrank/machines/fleet.py
@@ -226,6 +226,10 @@
         """Return the members that shares are counted by: all known, silent ones too."""
         return max(SMALLEST_FLEET, len(self._members) + 1)
 
+    def known_members(self) -> int:
+        """Return all gateways that are known to exist, also those that were not heard yet."""
+        return max(SMALLEST_FLEET, len(self._members) + len(self._unheard) + 1)
+
     def zone_owner(self, zone: str, key: str, now: float) -> str:
         """Return the member that decides about something in a zone, by its key.
 
--- a/src/corkcrank/machines/heartbeat.py
+++ b/src/corkcrank/machines/heartbeat.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from corkcrank.contracts.zone_evacuations import ZoneState
 from corkcrank.machines.store_contact import ReportedStoreContact
 from corkcrank.machines.worker_changes import WorkerChangeBatch
 from corkcrank.scheduling.forecast_bias import ForecastRatio
@@ -76,7 +77,8 @@
     The contacts are the newest answers of the store about each table that the sender knows
     of. ``probe`` asks the receiver for its heartbeat. ``strength`` is the processor time that
     the sender may use, in usual processors; 0 if it does not know. ``outcomes`` are those of
-    its calls at workers that failed some, ``requests`` those under which workers ended.
+    its calls at workers that failed some, ``requests`` those under which workers ended, and
+    ``zone_states`` tells the zones that were ever evacuated.
     """
 
     name: str
@@ -99,3 +101,4 @@
     strength: float = 0.0
     outcomes: tuple[ReportedOutcomes, ...] = ()
     requests: tuple[RequestReport, ...] = ()
+    zone_states: tuple[ZoneState, ...] = ()
--- a/src/corkcrank/machines/heartbeat_codec.py
+++ b/src/corkcrank/machines/heartbeat_codec.py
@@ -47,13 +47,16 @@
 
 
 def _pack(heartbeat: Heartbeat) -> bytes:
-    """Pack the fields in order, without the last one where it tells nothing.
+    """Pack the fields in order, without the last ones where they tell nothing.
 
-    Requests that crash workers are rare, and each byte of a heartbeat is sent to every member.
+    Requests that crash workers and evacuated zones are rare, and each byte of a heartbeat is
+    sent to every member.
     """
     fields = msgspec.structs.astuple(heartbeat)
-    if not heartbeat.requests:
+    if not heartbeat.zone_states:
         fields = fields[:-1]
+        if not heartbeat.requests:
+            fields = fields[:-1]
     return zlib.compress(msgspec.msgpack.encode(fields), COMPRESSION_LEVEL)
 
 
--- a/src/corkcrank/machines/store_mirror.py
+++ b/src/corkcrank/machines/store_mirror.py
@@ -1,6 +1,6 @@
-"""One gateway's copy of the configuration and of the list of workers.
+"""One gateway's copy of the configuration, of evacuated zones and of the list of workers.
 
-Both come from the store by a long poll each, or from the peers that follow the store
+They come from the store by a long poll each, or from the peers that follow the store
 (:mod:`corkcrank.machines.store_followers`). Only higher configuration versions and newer rows
 are adopted, whatever the source.
 """
@@ -13,6 +13,7 @@
 from corkcrank.contracts import clock
 from corkcrank.contracts.opaque_configuration import OpaqueConfiguration
 from corkcrank.contracts.worker_records import WorkerList, WorkerRecord
+from corkcrank.contracts.zone_evacuations import ZoneEvacuations, ZoneState
 from corkcrank.links.decision_log import DecisionLog, LogEvent
 from corkcrank.links.platform_ports import (
     DocumentCodec,
@@ -26,6 +27,7 @@
 from corkcrank.machines.lapsed_entries import LapsedEntries
 from corkcrank.machines.store_contact import StoreContact
 from corkcrank.machines.store_followers import StoreFollowerElection
+from corkcrank.machines.warming_workers import WarmingWorkers
 from corkcrank.machines.worker_changes import RecentWorkerChanges, WorkerChange, WorkerChangeBatch
 
 NOT_FOLLOWING_SECONDS = 0.2
@@ -57,6 +59,8 @@
         self.configuration_at = 0.0
         self.workers = WorkerList()
         self.workers_known = False
+        self.evacuations = ZoneEvacuations()
+        self.warming = WarmingWorkers()
         self.heard_at: dict[StoreTable, float] = {}
         self.contacts: dict[StoreTable, StoreContact] = {}
         self.on_change: Callable[[], None] = lambda: None
@@ -97,8 +101,13 @@
         """Take a whole list of workers unless it is older than the one known."""
         if self.workers_known and revision <= self.workers.revision:
             return
+        known = self.workers.by_name()
         self.workers.replace_all(records, revision)
         self.workers_known = True
+        now = clock.now()
+        for record in self.workers.records():
+            if known.get(record.name) != record:
+                self.warming.note(record, now)
         self._note_list(source)
 
     async def follow(self, table: StoreTable) -> None:
@@ -142,6 +151,7 @@
 
     def _apply(self, table: StoreTable, answer: StoreRows, *, whole: bool) -> None:
         if table is StoreTable.CONFIGURATION:
+            self._apply_evacuations(answer, whole=whole)
             self._apply_configuration(answer)
         else:
             self._apply_workers(answer, whole=whole)
@@ -153,6 +163,39 @@
         elif found is not None and self.adopt(found, "store"):
             self.on_store_change()
 
+    def _apply_evacuations(self, answer: StoreRows, *, whole: bool) -> None:
+        states = self._documents.zone_states(answer.rows)
+        if whole:
+            changed = self.evacuations.replace_all(states, answer.revision)
+        else:
+            changed = self.evacuations.take(states)
+        if changed:
+            self._put_evacuations_in_force(changed, "store")
+            self.on_store_change()
+
+    def take_zone_states(self, states: tuple[ZoneState, ...], source: str) -> bool:
+        """Take what a peer tells of zones; return whether any of them changed."""
+        changed = self.evacuations.take(states)
+        if changed:
+            self._put_evacuations_in_force(changed, source)
+        return bool(changed)
+
+    def _put_evacuations_in_force(self, changed: tuple[ZoneState, ...], source: str) -> None:
+        now = clock.now()
+        self.workers.evacuated = self.evacuations.evacuated
+        for state in changed:
+            if not state.evacuated:
+                self.warming.note_taken_back(state.zone, now)
+            workers = [item for item in self.workers.records() if item.zone == state.zone]
+            self._log.write(
+                LogEvent.ZONE_EVACUATED if state.evacuated else LogEvent.ZONE_TAKEN_BACK,
+                zone=state.zone,
+                revision=state.revision,
+                source=source,
+                workers=len(workers),
+            )
+        self.on_change()
+
     def _watch_seconds(self, table: StoreTable) -> float:
         longest = self._election.watch_seconds
         due = self._lapsed.due_in(clock.now()) if table is StoreTable.WORKERS else None
@@ -240,7 +283,10 @@
         ]
         if self.workers_known and self.workers.revision >= batch.since:
             self.workers.whole_up_to(self._lapsed.whole_up_to(batch.revision))
+        now = clock.now()
         for change in taken:
+            if change.record is not None:
+                self.warming.note(change.record, now)
             self._log_change(change, source)
         if taken:
             self.on_change()
@@ -254,6 +300,7 @@
             state="gone" if record is None else "leaving" if record.leaving else "ready",
             service=record.service if record is not None else "",
             zone=record.zone if record is not None else "",
+            warmup=record.warmup if record is not None else 0.0,
             revision=change.revision,
             source=source,
         )
--- a/src/corkcrank/node/calls/plain_run.py
+++ b/src/corkcrank/node/calls/plain_run.py
@@ -87,8 +87,11 @@
         return clock.now() + longest <= services.drain.answer_by
 
     def _choose(self, now: float) -> WorkerRecord | None:
-        return choose_worker(
-            self._services.mirror.workers.usable(self._call.service),
+        """Return the worker to try next; one that warms up only when it bears a call more."""
+        warmup = self._services.warmup
+        usable = self._services.mirror.workers.usable(self._call.service)
+        worker = choose_worker(
+            [worker for worker in usable if warmup.may_send(worker, now)],
             self._services.worker_statistics,
             self._services.zone,
             now,
@@ -96,6 +99,9 @@
             self._services.random,
             repeatable=self._call.route.kind is CallKind.REPEATABLE,
         )
+        if worker is not None:
+            warmup.note_sent(worker, now)
+        return worker
 
     async def _try(self, worker: WorkerRecord) -> web.Response | None:
         statistics = self._services.worker_statistics.of(worker.worker_id)
--- a/src/corkcrank/node/engines/engine_owner.py
+++ b/src/corkcrank/node/engines/engine_owner.py
@@ -20,9 +20,11 @@
     PrefillGrant,
     PrefillRequest,
 )
+from corkcrank.node.workers.worker_warmup import WorkerWarmup
 from corkcrank.scheduling.engine_choice import EngineChooser, EngineQuestion
 from corkcrank.scheduling.prefill_grants import PrefillGrants
 from corkcrank.scheduling.prefill_isolation import PrefillIsolation
+from corkcrank.scheduling.warmup_limits import GrantWindow
 from corkcrank.scheduling.worker_choice import WorkerStatisticsTable
 
 GRANT_SECONDS = 0.15
@@ -33,16 +35,26 @@
     """The owner's side. Whoever asks is answered: views of the owner differ for a moment."""
 
     def __init__(
-        self, mirror: StoreMirror, chooser: EngineChooser, worker_statistics: WorkerStatisticsTable
+        self,
+        mirror: StoreMirror,
+        chooser: EngineChooser,
+        worker_statistics: WorkerStatisticsTable,
+        warmup: WorkerWarmup,
     ) -> None:
         self._mirror = mirror
+        self._warmup = warmup
+        self._warmup_grants = GrantWindow()
         self._grants = PrefillGrants(chooser, worker_statistics)
         self._isolation = PrefillIsolation()
         self.use = OwnerUse()
         """When grants were asked for here."""
 
     def grant(self, request: PrefillRequest) -> PrefillGrant:
-        """Choose the engine of a zone that reads a prompt next."""
+        """Choose the engine of a zone that reads a prompt next.
+
+        One that warms up gets what it bears and no more, however much it would be preferred: a
+        zone whose engines come back together would be down again at once.
+        """
         configuration = self._mirror.configuration
         profile = configuration.service(request.service) if configuration is not None else None
         capacity = profile.engine.cache_tokens if profile and profile.engine else 0
@@ -55,8 +67,17 @@
         )
         now = clock.now()
         self.use.note(now)
-        engine = self._grants.grant(request.call_id, engines, question, capacity, now)
-        return PrefillGrant(engine.worker_id if engine is not None else "")
+        bearing = [engine for engine in engines if self._bears_one_more(engine, now)]
+        engine = self._grants.grant(request.call_id, bearing, question, capacity, now)
+        if engine is None:
+            return PrefillGrant("", warming=len(bearing) < len(engines))
+        if self._warmup.rate(engine, now) is not None:
+            self._warmup_grants.note(engine.worker_id, now)
+        return PrefillGrant(engine.worker_id)
+
+    def _bears_one_more(self, engine: WorkerRecord, now: float) -> bool:
+        rate = self._warmup.rate(engine, now)
+        return rate is None or self._warmup_grants.fits(engine.worker_id, rate, now)
 
     def done(self, message: PrefillDone) -> None:
         """Note that a prompt was read, or will not be."""
@@ -75,9 +96,11 @@
         fleet: Fleet,
         engine_owner: EngineOwner,
         peers: PeerClient,
+        warmup: WorkerWarmup,
         log: DecisionLog,
     ) -> None:
         self._mirror = mirror
+        self._warmup = warmup
         self._fleet = fleet
         self._engine_owner = engine_owner
         self._peers = peers
@@ -86,11 +109,14 @@
         self._owners: dict[str, str] = {}
         self.on_silence: Callable[[str], None] = lambda owner: None
 
-    async def take(self, call: OpaqueCall, chosen: WorkerRecord, *, long: bool) -> WorkerRecord:
+    async def take(
+        self, call: OpaqueCall, chosen: WorkerRecord, *, long: bool
+    ) -> WorkerRecord | None:
         """Return the engine to send a call to: the owner's choice in the chosen one's zone.
 
         Without an answer of the owner, or where it names an engine that cannot be used,
-        the chosen one is taken.
+        the chosen one is taken. ``None`` says that the zone's engines are warming up and bear
+        no more at present.
         """
         request = PrefillRequest(
             call_id=call.call_id,
@@ -104,15 +130,27 @@
         owner = self._fleet.zone_owner(chosen.zone, call.service, clock.now())
         grant = await self._ask(owner, request)
         engine = self._mirror.workers.get(grant.worker_id) if grant is not None else None
-        usable = engine is not None and not engine.leaving
         self._log.write(
             LogEvent.ENGINE_GRANTED,
             call=call.call_id,
             owner=owner,
             chosen=chosen.worker_id,
             granted=grant.worker_id if grant is not None else None,
+            warming=grant is not None and grant.warming,
         )
-        return engine if engine is not None and usable else chosen
+        if engine is not None and self._mirror.workers.accepts_work(engine):
+            return engine
+        if grant is not None and grant.warming:
+            return None
+        return self.take_ungranted(chosen)
+
+    def take_ungranted(self, engine: WorkerRecord) -> WorkerRecord | None:
+        """Return an engine that no owner granted, unless it is warming up and bears no more."""
+        now = clock.now()
+        if not self._warmup.may_send(engine, now):
+            return None
+        self._warmup.note_sent(engine, now)
+        return engine
 
     def done(self, call: OpaqueCall) -> None:
         """Tell the owner, once, that a call's prompt was read or will not be."""
--- a/src/corkcrank/node/membership/heartbeats.py
+++ b/src/corkcrank/node/membership/heartbeats.py
@@ -233,6 +233,7 @@
             strength=self._fleet.own_strength,
             outcomes=self._health.reported(now),
             requests=self._crash_watch.quarantine.reported(now, self._fleet.interval()),
+            zone_states=self._mirror.evacuations.told(),
         )
 
     def _store_contact(self, table: StoreTable, now: float) -> ReportedStoreContact:
@@ -256,6 +257,8 @@
             )
         if heartbeat.worker_changes is not None:
             self._take_worker_changes(heartbeat.worker_changes, heartbeat.name, now)
+        if self._mirror.take_zone_states(heartbeat.zone_states, f"peer {heartbeat.name}"):
+            self.pass_on_soon()
         self._loads.take(heartbeat.name, heartbeat.call_loads)
         self._forecast_bias.take(heartbeat.name, heartbeat.forecast_ratios, now)
         self._health.take(heartbeat.name, heartbeat.zone, heartbeat.outcomes)
--- a/src/corkcrank/node/peers/peer_protocol.py
+++ b/src/corkcrank/node/peers/peer_protocol.py
@@ -90,9 +90,13 @@
 
 
 class PrefillGrant(msgspec.Struct, frozen=True):
-    """The engine that reads the prompt next; empty if there is none."""
+    """The engine that reads the prompt next; empty if there is none.
+
+    ``warming`` says that there are some, each of which has what it bears while it warms up.
+    """
 
     worker_id: str
+    warming: bool = False
 
 
 class PrefillDone(msgspec.Struct, frozen=True):
--- a/src/corkcrank/node/process/node.py
+++ b/src/corkcrank/node/process/node.py
@@ -37,6 +37,7 @@
 from corkcrank.node.workers.crash_watch import CrashWatch
 from corkcrank.node.workers.worker_client import WorkerClient
 from corkcrank.node.workers.worker_health import WorkerHealth
+from corkcrank.node.workers.worker_warmup import WorkerWarmup
 from corkcrank.scheduling.engine_choice import EngineChooser
 from corkcrank.scheduling.worker_choice import WorkerStatisticsTable
 
@@ -93,8 +94,11 @@
             self._peers,
             random_source,
         )
-        engine_owner = EngineOwner(self.mirror, self._engines, self._worker_statistics)
-        prefill_grants = PrefillGrantClient(self.mirror, self.fleet, engine_owner, self._peers, log)
+        warmup = WorkerWarmup(self.mirror, self.fleet)
+        engine_owner = EngineOwner(self.mirror, self._engines, self._worker_statistics, warmup)
+        prefill_grants = PrefillGrantClient(
+            self.mirror, self.fleet, engine_owner, self._peers, warmup, log
+        )
         self._health = WorkerHealth(
             self.mirror, self._worker_statistics, log, metrics, process.zone, random_source
         )
@@ -110,6 +114,7 @@
             prefill_grants=prefill_grants,
             health=self._health,
             crash_watch=self.crash_watch,
+            warmup=warmup,
             client=self._client,
             log=log,
             metrics=metrics,
@@ -281,6 +286,7 @@
         self._worker_statistics.forget_all_but(listed)
         self._engines.forget_all_but(listed)
         self._health.forget_all_but(listed)
+        self.mirror.warming.forget_all_but(listed)
         self.stage_owner.workers_changed()
 
     async def _register(self) -> None:
--- a/src/corkcrank/node/process/state_collector.py
+++ b/src/corkcrank/node/process/state_collector.py
@@ -34,6 +34,8 @@
         yield self._store_ages(now)
         yield self._repeats_left(now)
         yield self._requests(now)
+        yield self._evacuated_zones()
+        yield self._warming_workers(now)
         yield from self._queues()
 
     def _store_calls(self) -> Metric:
@@ -77,6 +79,23 @@
             family.add_metric((state.value,), states[state])
         return family
 
+    def _evacuated_zones(self) -> Metric:
+        zones = len(self._services.mirror.workers.evacuated)
+        return GaugeMetricFamily(
+            "corkcrank_evacuated_zones", "Zones whose workers get nothing.", value=zones
+        )
+
+    def _warming_workers(self, now: float) -> Metric:
+        family = GaugeMetricFamily(
+            "corkcrank_warming_workers",
+            "Workers that get no more than they bear while they warm up, by service.",
+            labels=("service",),
+        )
+        services = Counter(worker.service for worker in self._services.warmup.warming(now))
+        for service, count in services.items():
+            family.add_metric((service,), count)
+        return family
+
     def _queues(self) -> Iterator[Metric]:
         labels = ("worker",)
         waiting = GaugeMetricFamily(
--- a/src/corkcrank/node/process/state_dump.py
+++ b/src/corkcrank/node/process/state_dump.py
@@ -24,12 +24,16 @@
 
 
 class WorkerDump(msgspec.Struct, frozen=True):
-    """A worker as this gateway sees it; ``avoided`` is for how many seconds more."""
+    """A worker as this gateway sees it; ``avoided`` is for how many seconds more.
+
+    ``warming`` says that it gets no more than its service's workers bear while they warm up.
+    """
 
     worker_id: str
     service: str
     zone: str
     leaving: bool
+    warming: bool
     in_flight: int
     peers_in_flight: int
     recent_failures: int
@@ -79,6 +83,7 @@
     configuration_version: int
     configuration_age: float
     workers_revision: int
+    evacuated_zones: tuple[str, ...]
     in_flight: int
     routes: tuple[RouteDump, ...]
     workers: tuple[WorkerDump, ...]
@@ -103,6 +108,7 @@
         configuration_version=mirror.version,
         configuration_age=mirror.age(StoreTable.CONFIGURATION, now),
         workers_revision=mirror.workers.revision,
+        evacuated_zones=tuple(sorted(mirror.workers.evacuated)),
         in_flight=in_flight,
         routes=_routes(services),
         workers=_workers(services, now),
@@ -146,6 +152,7 @@
                 service=record.service,
                 zone=record.zone,
                 leaving=record.leaving or statistics.leaving,
+                warming=services.warmup.rate(record, now) is not None,
                 in_flight=statistics.in_flight,
                 peers_in_flight=statistics.peers_in_flight,
                 recent_failures=statistics.recent_failures(now),
--- a/src/corkcrank/node/stages/owned_queue.py
+++ b/src/corkcrank/node/stages/owned_queue.py
@@ -62,7 +62,9 @@
         entry = self._queues.get(worker.worker_id)
         if entry is None:
             queue = StageQueue(profile.stage)
-            entry = OwnedQueue(worker, queue, WorkerRoom(worker, queue))
+            evacuated = worker.zone in self._mirror.workers.evacuated
+            room = WorkerRoom(worker, queue, evacuated=evacuated)
+            entry = OwnedQueue(worker, queue, room)
             self._queues[worker.worker_id] = entry
             self._on_new(entry)
         entry.queue.capacity = profile.stage
--- a/src/corkcrank/node/stages/stage_owner.py
+++ b/src/corkcrank/node/stages/stage_owner.py
@@ -103,8 +103,10 @@
             return refuse(work, 0.0, "owner is stopping")
         worker = self._mirror.workers.get(work.worker_id)
         profile = self._profile(work.service)
-        if worker is None or worker.leaving or profile is None or profile.stage is None:
-            return refuse(work, 0.0, "worker is leaving or unknown")
+        if worker is None or not self._mirror.workers.accepts_work(worker):
+            return refuse(work, 0.0, "worker is unknown, leaving or in an evacuated zone")
+        if profile is None or profile.stage is None:
+            return refuse(work, 0.0, "service has no stage workers")
         now = clock.now()
         entry, forecast = self._queues.first_free(worker, profile, work, now)
         if forecast.start > work.start_by:
@@ -135,10 +137,11 @@
         self._pump(entry)
 
     def workers_changed(self) -> None:
-        """Send back the pieces that wait for workers that are leaving or gone."""
+        """Send back the pieces that wait for workers that may be given nothing more."""
         for entry in self._queues:
             worker = self._mirror.workers.get(entry.worker.worker_id)
-            if worker is not None and not worker.leaving:
+            entry.room.evacuated = entry.worker.zone in self._mirror.workers.evacuated
+            if worker is not None and self._mirror.workers.accepts_work(worker):
                 continue
             entry.room.ended = self._mirror.workers.replaced(entry.worker)
             self._give_back(entry)
@@ -227,7 +230,7 @@
         """Take over pieces that wait for busy workers, if this one is idle and sound."""
         statistics = self._worker_statistics.of(entry.worker.worker_id)
         unsound = statistics.avoid_until > now or statistics.set_aside(repeatable=True)
-        if unsound or statistics.out_of_use(now) or self._leaving(entry):
+        if unsound or statistics.out_of_use(now) or not self._accepts_work(entry):
             return
         others = [sibling.queue for sibling in self._queues.siblings(entry)]
         for piece in pieces_to_steal(entry.queue, others, now):
@@ -290,12 +293,12 @@
         """Queue the pieces again for a worker that is full: another owner fills it too."""
         entry.queue.put_back(call.stage_items)
         entry.queue.block(now, FULL_BLOCK_SECONDS)
-        if self._leaving(entry):
+        if not self._accepts_work(entry):
             self.workers_changed()
 
-    def _leaving(self, entry: OwnedQueue) -> bool:
+    def _accepts_work(self, entry: OwnedQueue) -> bool:
         worker = self._mirror.workers.get(entry.worker.worker_id)
-        return worker is None or worker.leaving
+        return worker is not None and self._mirror.workers.accepts_work(worker)
 
     def _failed(self, entry: OwnedQueue, call: StageCall, failure: SendFailure, now: float) -> None:
         statistics = self._worker_statistics.of(entry.worker.worker_id)
--- a/src/corkcrank/node/stages/stage_room.py
+++ b/src/corkcrank/node/stages/stage_room.py
@@ -26,6 +26,7 @@
 
     ``ended`` says that the worker has started again. What it held went with it, and its next
     incarnation, at the same address, may have given the same handles to others' results.
+    ``evacuated`` says that nothing may be sent to it: what it holds lapses by itself.
     """
 
     worker: WorkerRecord
@@ -34,6 +35,12 @@
     freeing: bool = False
     asking: bool = False
     ended: bool = False
+    evacuated: bool = False
+
+    @property
+    def reachable(self) -> bool:
+        """Return whether the worker may be sent anything."""
+        return not self.ended and not self.evacuated
 
 
 class StageRoom:
@@ -65,7 +72,9 @@
         for handle in handles:
             room.queue.free(handle, now)
         room.to_free.extend(handles)
-        if room.to_free and not room.freeing and not room.ended and not self._closed:
+        if not room.reachable:
+            room.to_free.clear()
+        elif room.to_free and not room.freeing and not self._closed:
             room.freeing = True
             task = self._spawn(self._send_frees(room))
             self._freeing.add(task)
@@ -78,7 +87,7 @@
 
     def ask(self, room: WorkerRoom) -> None:
         """Ask a worker how much room it has, unless a question is under way."""
-        if not room.asking and not self._closed:
+        if room.reachable and not room.asking and not self._closed:
             room.asking = True
             self._spawn(self._learn(room))
 
@@ -88,7 +97,7 @@
 
     async def _send_frees(self, room: WorkerRoom) -> None:
         try:
-            while room.to_free and not room.ended:
+            while room.to_free and room.reachable:
                 handles, room.to_free = room.to_free, []
                 await self._caller.free(room.worker, handles)
         finally:
--- a/src/corkcrank/node/streams/stream_run.py
+++ b/src/corkcrank/node/streams/stream_run.py
@@ -91,7 +91,7 @@
             if engine is None or not self._may_send(number):
                 break
             engine = await self._take_turn(engine)
-            if self._services.crash_watch.quarantine_left(self._call):
+            if engine is None or self._services.crash_watch.quarantine_left(self._call):
                 break
             end = await self._exchanges.send(engine, inputs)
             if end is RelayEnd.COMPLETE:
@@ -110,19 +110,42 @@
             self._after_failure(failed)
         return self._give_up()
 
-    async def _take_turn(self, chosen: WorkerRecord) -> WorkerRecord:
-        """Return the engine of the chosen one's zone that reads the prompt next."""
+    async def _take_turn(self, chosen: WorkerRecord) -> WorkerRecord | None:
+        """Return the engine of the chosen one's zone that reads the prompt next.
+
+        Where that zone's engines are warming up and bear no more, one of another zone does.
+        """
         services = self._services
         self._call.step = CallStep.ENGINE_GRANT
         long = services.prompt_sizes.is_long(self._call.route.name)
         engine = await services.prefill_grants.take(self._call, chosen, long=long)
-        if services.worker_statistics.of(engine.worker_id).out_of_use(clock.now()):
+        if engine is None:
+            engine = self._elsewhere(chosen.zone)
+        elif services.worker_statistics.of(engine.worker_id).out_of_use(clock.now()):
             # The owner has not heard yet that it ended.
-            return chosen
+            engine = services.prefill_grants.take_ungranted(chosen)
+        if engine is None:
+            return None
         if engine.worker_id != chosen.worker_id:
             self._assignment.assign(engine)
         return engine
 
+    def _elsewhere(self, zone: str) -> WorkerRecord | None:
+        """Return the best engine of another zone that may be sent the call, if there is one."""
+        grants = self._services.prefill_grants
+        ranked = [engine for engine in self._admission.rank_engines() if engine.zone != zone]
+        found = (grants.take_ungranted(engine) for engine in ranked)
+        engine = next((item for item in found if item is not None), None)
+        outcome = "refused" if engine is None else "elsewhere"
+        self._services.metrics.warmup_held_back.labels(outcome).inc()
+        self._services.log.write(
+            LogEvent.WARMUP_HELD_BACK,
+            call=self._call.call_id,
+            zone=zone,
+            taken=engine.worker_id if engine is not None else None,
+        )
+        return engine
+
     def _may_send(self, number: int) -> bool:
         """Return whether there is time and, for a repeat, budget left."""
         now = clock.now()
@@ -138,7 +161,8 @@
         statistics = self._services.worker_statistics.of(engine.worker_id)
         tried = engine.worker_id in self._call.workers_tried
         out_of_use = statistics.out_of_use(clock.now())
-        if record is not None and not record.leaving and not out_of_use and not tried:
+        accepts = record is not None and self._services.mirror.workers.accepts_work(record)
+        if accepts and not out_of_use and not tried:
             return record
         other = next(iter(self._admission.rank_engines()), None)
         if other is not None:
--- a/src/corkcrank/node/telemetry/metrics.py
+++ b/src/corkcrank/node/telemetry/metrics.py
@@ -68,6 +68,12 @@
             "Requests quarantined, since workers ended under them.",
             registry=self.registry,
         )
+        self.warmup_held_back = Counter(
+            "corkcrank_warmup_held_back",
+            "Calls for which a zone's engines bore no more while they warmed up, by what followed.",
+            ("outcome",),
+            registry=self.registry,
+        )
         self.refusals = Counter(
             "corkcrank_refusals",
             "Answers of this gateway's own, by cause.",
--- a/src/corkcrank/platform/documents.py
+++ b/src/corkcrank/platform/documents.py
@@ -17,6 +17,7 @@
     WeightedService,
 )
 from corkcrank.contracts.worker_records import WorkerRecord
+from corkcrank.contracts.zone_evacuations import ZoneState
 from corkcrank.links.platform_ports import StoreRow, Unreadable
 from corkcrank.platform import names
 from corkcrank.platform.call_headers import MILLISECONDS
@@ -80,6 +81,8 @@
     name: str
     health_path: str = "/"
     max_connections: int = 0
+    warmup_s: float = 0
+    warmup_per_s: float = 0
     segments: _Segments | None = None
     engine: _Engine | None = None
 
@@ -128,6 +131,18 @@
         except KeyError as error:
             return str(error)
 
+    def zone_states(self, rows: Sequence[StoreRow]) -> tuple[ZoneState, ...]:
+        """Return which zones the operator evacuates or takes back, the last row of each.
+
+        The row alone says it: one whose value cannot be read stands for an evacuation too.
+        """
+        states = {}
+        for row in rows:
+            zone = row.key.removeprefix(names.EVACUATION_PREFIX)
+            if zone and zone != row.key:
+                states[zone] = ZoneState(zone, row.revision, evacuated=row.value is not None)
+        return tuple(states.values())
+
     def worker(self, row: StoreRow) -> WorkerRecord | Unreadable | None:
         """Return the worker of a row, ``None`` where it is gone, or why it names none."""
         return read_worker(row)
@@ -177,6 +192,8 @@
         name=service.name,
         health_path=service.health_path,
         connections=service.max_connections,
+        warmup_seconds=max(0.0, service.warmup_s),
+        warmup_rate=max(0.0, service.warmup_per_s),
         stage=None if stage is None else _stage(stage),
         engine=None if engine is None else EngineCapacity(engine.slots, engine.kv_capacity),
     )
--- a/src/corkcrank/platform/names.py
+++ b/src/corkcrank/platform/names.py
@@ -59,6 +59,7 @@
 
 OPERATOR_TABLE = "op"
 CONFIGURATION_KEY = "config"
+EVACUATION_PREFIX = "evacuate/"
 WORKER_TABLE = "servers"
 MEMBER_TABLE = "members"
 QUARANTINE_TABLE = "quarantine"
--- a/src/corkcrank/platform/worker_entries.py
+++ b/src/corkcrank/platform/worker_entries.py
@@ -14,6 +14,7 @@
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.links.platform_ports import StoreRow, Unreadable
 from corkcrank.platform import names
+from corkcrank.platform.call_headers import MILLISECONDS
 from corkcrank.platform.strict_json import decode_strictly, unreadable
 
 BornMilliseconds = Annotated[int, msgspec.Meta(ge=1, lt=1 << 53)]
@@ -24,6 +25,9 @@
 
 LAST_PORT = 65_535
 
+MOST_WARMUP_SECONDS = 60.0
+"""Longest warm-up that is believed; a longer one would keep a worker from its share of work."""
+
 _Slots = Annotated[int, msgspec.Meta(ge=1, le=MOST_SLOTS)]
 _Text = Annotated[str, msgspec.Meta(min_length=1)]
 
@@ -65,6 +69,7 @@
         leaving=entry.state is _State.DRAINING,
         revision=row.revision,
         born=None if entry.born is msgspec.UNSET else entry.born,
+        warmup=min(MOST_WARMUP_SECONDS, max(0.0, entry.warmup_left_ms / MILLISECONDS)),
     )
 
 
--- a/tests/platform/test_node_state.py
+++ b/tests/platform/test_node_state.py
@@ -49,6 +49,8 @@
     assert {item["service"] for item in dump["workers"]} == {"plain", "model", "encode"}
     assert [queue["waiting"] for queue in dump["queues"]] == [0]
     assert dump["queues"][0]["room"] == 10_000_000
+    assert dump["evacuated_zones"] == []
+    assert not any(item["warming"] for item in dump["workers"])
     assert dump["refusals"] == {"UNKNOWN_ROUTE": 1}
     assert dump["repeats_left"]["model"] > 0
     for line in (
@@ -58,6 +60,7 @@
         'corkcrank_prompt_tokens_total{cache="read"} 140.0',
         'corkcrank_store_calls_total{answer="answered",table="configuration"}',
         'corkcrank_store_age_seconds{table="workers"}',
+        "corkcrank_evacuated_zones 0.0",
         'corkcrank_repeats_left{service="model"}',
         "corkcrank_stage_room_used_bytes{worker=",
     ):
--- /dev/null
+++ b/tests/platform/test_warming_workers.py
@@ -0,0 +1,141 @@
+"""Workers that start cold, or turn cold, get what they bear while they warm up."""
+
+import asyncio
+import json
+from typing import Any
+
+from node_world import World, configuration, peer_of, route, until, world
+from platform_standins import StandinWorker
+from test_node_state import operators_page
+from test_owners import acquainted
+
+from corkcrank.contracts import clock
+from corkcrank.load.loopback import loopback_address
+from corkcrank.platform.worker_entries import MOST_WARMUP_SECONDS
+
+ROUTES = [route("talk", "stream", "model"), route("safe", "safe", "plain")]
+RATE = 4.0
+LONG_MS = 30_000
+
+
+def limited(rate: float = RATE, seconds: float = 1.0) -> dict[str, Any]:
+    """Return a configuration whose services' workers bear little while they warm up."""
+    document = configuration(1, ROUTES)
+    for service in document["services"]:
+        service.update({"warmup_s": seconds, "warmup_per_s": rate})
+    return document
+
+
+async def talk(running: World, number: int = 0) -> int:
+    response = await running.call("/talk/x", number=number)
+    await response.read()
+    return response.status
+
+
+async def turn_cold(running: World, worker: StandinWorker, service: str, left_ms: float) -> None:
+    worker.told["warmup_left_ms"] = left_ms
+    running.store.put("servers", worker.worker_id, worker.entry(service))
+    revision = running.store.revision
+    await until(lambda: all(node.mirror.workers.revision >= revision for node in running.nodes))
+
+
+async def test_a_cold_engine_gets_what_it_bears_and_warm_ones_the_rest() -> None:
+    cold = StandinWorker(events=2, told={"warmup_left_ms": LONG_MS})
+    warm = StandinWorker(events=2)
+    async with world(limited(), {"cold": (cold, "model"), "warm": (warm, "model")}) as running:
+        statuses = await asyncio.gather(*(talk(running) for _ in range(20)))
+        assert set(statuses) == {200}
+        assert len(cold.seen) <= RATE
+
+
+async def test_when_every_engine_has_what_it_bears_the_rest_is_refused_at_once() -> None:
+    cold = StandinWorker(events=2, told={"warmup_left_ms": LONG_MS})
+    async with world(limited(), {"cold": (cold, "model")}) as running:
+        started = clock.now()
+        statuses = await asyncio.gather(*(talk(running) for _ in range(12)))
+        assert clock.now() - started < 1.0
+        assert set(statuses) == {200, 503}
+        assert len(cold.seen) == statuses.count(200) <= RATE
+
+
+async def test_two_gateways_together_send_no_more_than_one_would() -> None:
+    cold = StandinWorker(events=2, told={"warmup_left_ms": LONG_MS})
+    async with (
+        world(limited(), {"cold": (cold, "model")}) as running,
+        peer_of(running, loopback_address(2)) as second,
+    ):
+        await acquainted(running.nodes[0], second)
+        await until(lambda: second.ready)
+        await asyncio.gather(*(talk(running, number % 2) for number in range(16)))
+        assert 0 < len(cold.seen) <= RATE
+
+
+async def test_an_engine_that_turns_cold_in_the_middle_is_held_back_until_it_is_warm() -> None:
+    engine = StandinWorker(events=2)
+    async with world(limited(), {"one": (engine, "model")}) as running:
+        assert set(await asyncio.gather(*(talk(running) for _ in range(12)))) == {200}
+        await turn_cold(running, engine, "model", LONG_MS)
+        seen = len(engine.seen)
+        await asyncio.gather(*(talk(running) for _ in range(12)))
+        assert len(engine.seen) - seen <= RATE
+        await turn_cold(running, engine, "model", 0)
+        assert set(await asyncio.gather(*(talk(running) for _ in range(12)))) == {200}
+
+
+async def test_workers_of_a_zone_that_is_taken_back_count_as_cold_until_they_tell() -> None:
+    """They may have turned cold just before, which their entries tell a heartbeat later."""
+    engine = StandinWorker(events=2)
+    async with world(limited(), {"one": (engine, "model")}) as running:
+        mirror = running.nodes[0].mirror
+        running.store.put("op", "evacuate/z1", {})
+        await until(lambda: "z1" in mirror.workers.evacuated)
+        running.store.remove("op", "evacuate/z1")
+        await until(lambda: not mirror.workers.evacuated)
+        await asyncio.gather(*(talk(running) for _ in range(12)))
+        assert len(engine.seen) <= RATE
+        warmup = running.nodes[0].services.warmup
+        await until(lambda: not warmup.warming(clock.now()))
+        assert set(await asyncio.gather(*(talk(running) for _ in range(12)))) == {200}
+
+
+async def test_operators_see_evacuated_zones_and_warming_workers() -> None:
+    cold = StandinWorker(events=2, told={"warmup_left_ms": LONG_MS})
+    async with world(limited(1.0), {"cold": (cold, "model")}) as running:
+        running.store.put("op", "evacuate/z9", {})
+        await until(lambda: running.nodes[0].mirror.workers.evacuated == {"z9"})
+        await asyncio.gather(*(talk(running) for _ in range(4)))
+        metrics = await operators_page(running, "/metrics")
+        dump = json.loads(await operators_page(running, "/dump"))
+    assert dump["evacuated_zones"] == ["z9"]
+    assert [item["warming"] for item in dump["workers"]] == [True]
+    for line in (
+        "corkcrank_evacuated_zones 1.0",
+        'corkcrank_warming_workers{service="model"} 1.0',
+        'corkcrank_warmup_held_back_total{outcome="refused"} 3.0',
+    ):
+        assert line in metrics
+
+
+async def test_a_plain_worker_that_warms_up_is_passed_over_for_a_warm_one() -> None:
+    cold = StandinWorker(told={"warmup_left_ms": LONG_MS})
+    warm = StandinWorker()
+    async with world(limited(0.01), {"cold": (cold, "plain"), "warm": (warm, "plain")}) as running:
+        for _ in range(8):
+            assert (await running.call("/safe/x", method="GET")).status == 200
+        assert len(cold.seen) <= 1
+
+
+async def test_a_warmup_without_a_stated_rate_limits_nothing() -> None:
+    engine = StandinWorker(events=2, told={"warmup_left_ms": LONG_MS})
+    async with world(configuration(1, ROUTES), {"one": (engine, "model")}) as running:
+        assert set(await asyncio.gather(*(talk(running) for _ in range(12)))) == {200}
+
+
+async def test_a_negative_or_endless_warmup_is_taken_for_none_or_the_longest() -> None:
+    negative = StandinWorker(told={"warmup_left_ms": -5_000})
+    endless = StandinWorker(told={"warmup_left_ms": 1e300})
+    served = {"negative": (negative, "plain"), "endless": (endless, "plain")}
+    async with world(limited(), served) as running:
+        workers = running.nodes[0].mirror.workers
+        assert workers.named(negative.worker_id).warmup == 0.0  # type: ignore[union-attr]
+        assert workers.named(endless.worker_id).warmup == MOST_WARMUP_SECONDS  # type: ignore[union-attr]
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -13,7 +13,7 @@
     "workers": {"telemetry"},
     "callers": {"telemetry"},
     "stages": {"peers", "workers"},
-    "engines": {"peers"},
+    "engines": {"peers", "workers"},
     "calls": {"callers", "engines", "stages", "telemetry", "workers"},
     "streams": {"callers", "calls", "stages", "workers"},
     "ingress": {"callers", "calls", "streams"},
