Engines that write streams are spared prompts that would make them pause

An engine reads prompts in parts between the tokens of its streams, four tokens an event; a token that another engine keeps counts five times, so prompts with a shared part queued at the engine that keeps it, and were read in a row.

Change: tokens that would be read in a row beyond what an engine reads in 0.8 of the shortest pause objective of the service's routes count five times more at an engine with calls.

--- a/src/corkcrank/contracts/opaque_configuration.py
+++ b/src/corkcrank/contracts/opaque_configuration.py
@@ -192,6 +192,24 @@
         """Return whether calls need a key at all."""
         return bool(self.tenants)
 
+    @cached_property
+    def _shortest_pauses(self) -> dict[str, float]:
+        shortest: dict[str, float] = {}
+        for route in self.routes:
+            pause = route.pause_objective
+            if pause is None:
+                continue
+            for item in route.services:
+                shortest[item.service] = min(pause, shortest.get(item.service, pause))
+        return shortest
+
+    def shortest_pause(self, service: str) -> float | None:
+        """Return the pause between events, in seconds, beyond which a service's streams are late.
+
+        ``None`` where no route states one.
+        """
+        return self._shortest_pauses.get(service)
+
     def service(self, name: str) -> ServiceProfile | None:
         """Return the profile of a service."""
         return self._services_by_name.get(name)
--- a/src/corkcrank/node/calls/services.py
+++ b/src/corkcrank/node/calls/services.py
@@ -26,6 +26,7 @@
 from corkcrank.scheduling.fleet_retry_budget import FleetRetryBudget
 from corkcrank.scheduling.forecast_bias import ForecastBias
 from corkcrank.scheduling.prefill_isolation import PrefillIsolation, PromptSizes
+from corkcrank.scheduling.prefill_pace import PrefillPace
 from corkcrank.scheduling.recent_prefixes import RecentPrefixes
 from corkcrank.scheduling.stream_times import StreamTimes
 from corkcrank.scheduling.worker_choice import WorkerStatisticsTable
@@ -80,6 +81,7 @@
     engines: EngineChooser
     dispatch: StageDispatch
     prefill_grants: PrefillGrantClient
+    prefill_pace: PrefillPace
     health: WorkerHealth
     crash_watch: CrashWatch
     warmup: WorkerWarmup
--- a/src/corkcrank/node/engines/engine_owner.py
+++ b/src/corkcrank/node/engines/engine_owner.py
@@ -24,6 +24,7 @@
 from corkcrank.scheduling.engine_choice import EngineChooser, EngineQuestion
 from corkcrank.scheduling.prefill_grants import PrefillGrants
 from corkcrank.scheduling.prefill_isolation import PrefillIsolation
+from corkcrank.scheduling.prefill_pace import PrefillPace
 from corkcrank.scheduling.warmup_limits import GrantWindow
 from corkcrank.scheduling.worker_choice import WorkerStatisticsTable
 
@@ -40,8 +41,10 @@
         chooser: EngineChooser,
         worker_statistics: WorkerStatisticsTable,
         warmup: WorkerWarmup,
+        pace: PrefillPace,
     ) -> None:
         self._mirror = mirror
+        self._pace = pace
         self._warmup = warmup
         self._warmup_grants = GrantWindow()
         self._grants = PrefillGrants(chooser, worker_statistics)
@@ -63,6 +66,7 @@
             prompt=request.prompt,
             excluded=request.excluded,
             penalties=self._isolation.penalties(engines, long=request.long),
+            calm_tokens=self._calm_tokens(request.service),
             repeatable=request.repeatable,
         )
         now = clock.now()
@@ -79,9 +83,17 @@
         rate = self._warmup.rate(engine, now)
         return rate is None or self._warmup_grants.fits(engine.worker_id, rate, now)
 
+    def _calm_tokens(self, service: str) -> float:
+        configuration = self._mirror.configuration
+        pause = configuration.shortest_pause(service) if configuration is not None else None
+        return self._pace.calm_tokens(service, pause)
+
     def done(self, message: PrefillDone) -> None:
         """Note that a prompt was read, or will not be."""
-        self._grants.done(message.call_id)
+        granted = self._grants.done(message.call_id)
+        if granted is not None and message.read:
+            tokens, granted_at = granted
+            self._pace.learn(message.service, tokens, clock.now() - granted_at)
 
 
 class PrefillGrantClient:
@@ -152,12 +164,12 @@
         self._warmup.note_sent(engine, now)
         return engine
 
-    def done(self, call: OpaqueCall) -> None:
+    def done(self, call: OpaqueCall, *, read: bool = False) -> None:
         """Tell the owner, once, that a call's prompt was read or will not be."""
         owner = self._owners.pop(call.call_id, None)
         if owner is None:
             return
-        message = PrefillDone(call.call_id)
+        message = PrefillDone(call.call_id, call.service, read)
         member = self._fleet.member(owner)
         if owner == self._fleet.own_name or member is None:
             self._engine_owner.done(message)
--- a/src/corkcrank/node/peers/peer_protocol.py
+++ b/src/corkcrank/node/peers/peer_protocol.py
@@ -100,9 +100,11 @@
 
 
 class PrefillDone(msgspec.Struct, frozen=True):
-    """The prompt of a call was read, or will not be."""
+    """The prompt of a call to a service was read, or will not be: ``read`` says which."""
 
     call_id: str
+    service: str = ""
+    read: bool = False
 
 
 class WorkersAnswer(msgspec.Struct, frozen=True):
--- a/src/corkcrank/node/process/node.py
+++ b/src/corkcrank/node/process/node.py
@@ -39,6 +39,7 @@
 from corkcrank.node.workers.worker_health import WorkerHealth
 from corkcrank.node.workers.worker_warmup import WorkerWarmup
 from corkcrank.scheduling.engine_choice import EngineChooser
+from corkcrank.scheduling.prefill_pace import PrefillPace
 from corkcrank.scheduling.worker_choice import WorkerStatisticsTable
 
 FREE_SECONDS = 0.1
@@ -95,7 +96,10 @@
             random_source,
         )
         warmup = WorkerWarmup(self.mirror, self.fleet)
-        engine_owner = EngineOwner(self.mirror, self._engines, self._worker_statistics, warmup)
+        pace = PrefillPace()
+        engine_owner = EngineOwner(
+            self.mirror, self._engines, self._worker_statistics, warmup, pace
+        )
         prefill_grants = PrefillGrantClient(
             self.mirror, self.fleet, engine_owner, self._peers, warmup, log
         )
@@ -112,6 +116,7 @@
             engines=self._engines,
             dispatch=dispatch,
             prefill_grants=prefill_grants,
+            prefill_pace=pace,
             health=self._health,
             crash_watch=self.crash_watch,
             warmup=warmup,
--- a/src/corkcrank/node/streams/engine_exchange.py
+++ b/src/corkcrank/node/streams/engine_exchange.py
@@ -160,7 +160,7 @@
             now = clock.now()
             self._assignment.has_read()
             self._services.health.note(engine, CallOutcome.SERVED)
-            self._services.prefill_grants.done(self._call)
+            self._services.prefill_grants.done(self._call, read=True)
             self._services.first_event_times.learn(self._call.service, now - sent_at)
             self._services.fetch_delay(self._call.service).found()
             self._services.log.write(
--- a/src/corkcrank/node/streams/stream_admission.py
+++ b/src/corkcrank/node/streams/stream_admission.py
@@ -87,12 +87,19 @@
             excluded=call.workers_tried,
             weights=engine_weights(engines, stages),
             penalties=self._services.isolation.penalties(engines, long=long),
+            calm_tokens=self._calm_tokens(),
             repeatable=call.route.idempotent,
         )
         return self._services.engines.rank(
             engines, question, self._services.worker_statistics, clock.now()
         )
 
+    def _calm_tokens(self) -> float:
+        configuration = self._services.mirror.configuration
+        service = self._call.service
+        pause = configuration.shortest_pause(service) if configuration is not None else None
+        return self._services.prefill_pace.calm_tokens(service, pause)
+
     def admit(self, engines: list[WorkerRecord]) -> WorkerRecord | Refusal:
         """Return the first engine whose zone can feed it in time, or refuse at once.
 
--- a/src/corkcrank/scheduling/engine_choice.py
+++ b/src/corkcrank/scheduling/engine_choice.py
@@ -32,6 +32,9 @@
 """Tokens of an engine that is expected to fail all of its calls while the others fail none: a
 failed call's prompt is read by another engine, while what its stages made waits."""
 
+DISTURBANCE_FACTOR = 5.0
+"""A token that is read in a row beyond what the engine's streams bear counts as this many more."""
+
 CALL_TOKENS = 60.0
 """Tokens that each call in flight counts as: every step takes longer with it."""
 
@@ -85,8 +88,9 @@
 
     ``weights`` gives each engine's share of new prompts, ``penalties`` tokens that count
     against it, both by worker id. ``reading`` gives the tokens being read, where an owner
-    knows them; otherwise what this gateway and its peers told counts. A ``repeatable`` call may
-    be the probe of a half-open engine.
+    knows them; otherwise what this gateway and its peers told counts. ``calm_tokens`` is how much
+    an engine may read in a row before its streams are late. A ``repeatable`` call may be the probe
+    of a half-open engine.
     """
 
     prompt: PromptShape
@@ -94,6 +98,7 @@
     weights: Mapping[str, float] = field(default_factory=dict)
     penalties: Mapping[str, float] = field(default_factory=dict)
     reading: Mapping[str, int] | None = None
+    calm_tokens: float = float("inf")
     repeatable: bool = False
 
 
@@ -158,8 +163,12 @@
         reading = statistics.reading + statistics.peers_reading
         if question.reading is not None:
             reading = question.reading.get(engine.worker_id, 0)
-        cost = reading + CALL_TOKENS * calls
-        cost += self.unread_tokens(engine.worker_id, question.prompt)
+        unread = self.unread_tokens(engine.worker_id, question.prompt)
+        cost = reading + unread + CALL_TOKENS * calls
+        if calls:
+            # Guards the streams that are written there: what was read in a row by two or three
+            # prompts made a tenth of the most urgent route's streams late, beside idle engines.
+            cost += DISTURBANCE_FACTOR * max(0.0, reading + unread - question.calm_tokens)
         if kept:
             cost += READ_AGAIN_FACTOR * self._kept_elsewhere(engine, kept, now)
         cost += FAILURE_TOKENS * statistics.recent_failures(now)
--- a/src/corkcrank/scheduling/prefill_grants.py
+++ b/src/corkcrank/scheduling/prefill_grants.py
@@ -20,9 +20,17 @@
 
 @dataclass(frozen=True, slots=True)
 class _Grant:
+    """A prompt's engine, its unread tokens and those that were to be read before them."""
+
     worker_id: str
     tokens: int
-    ends_at: float
+    ahead: int
+    granted_at: float
+
+    @property
+    def ends_at(self) -> float:
+        """Return when the prompt counts as read, whatever is told."""
+        return self.granted_at + LONGEST_PREFILL_SECONDS
 
 
 class PrefillGrants:
@@ -46,19 +54,26 @@
         ``capacity`` is the engines' prompt cache in tokens.
         """
         self.done(call_id)
-        question = replace(question, reading=self.reading(now))
+        reading = self.reading(now)
+        question = replace(question, reading=reading)
         ranked = self._chooser.rank(engines, question, self._worker_statistics, now)
         if not ranked:
             return None
         engine = ranked[0]
         tokens = self._chooser.unread_tokens(engine.worker_id, question.prompt)
-        self._grants[call_id] = _Grant(engine.worker_id, tokens, now + LONGEST_PREFILL_SECONDS)
+        ahead = reading.get(engine.worker_id, 0)
+        self._grants[call_id] = _Grant(engine.worker_id, tokens, ahead, now)
         self._chooser.sent(engine.worker_id, capacity, question.prompt.shared_parts, now)
         return engine
 
-    def done(self, call_id: str) -> None:
-        """Note that a prompt was read, or will not be."""
-        self._grants.pop(call_id, None)
+    def done(self, call_id: str) -> tuple[int, float] | None:
+        """Note that a prompt was read, or will not be.
+
+        Return the tokens that its engine had to read until then and the time of the grant,
+        ``None`` for a prompt without a grant.
+        """
+        grant = self._grants.pop(call_id, None)
+        return None if grant is None else (grant.ahead + grant.tokens, grant.granted_at)
 
     def reading(self, now: float) -> Mapping[str, int]:
         """Return the tokens being read by engine; drops grants that took too long."""
