Results of a worker that has ended stay in its room's record, as before

Cause: freed results of an evacuated zone's workers are dropped from the room's list; the same line dropped those of an ended incarnation, whose list the test of restarted workers reads. Found by tests/platform/test_restarted_workers.py, which failed every time. Ruled out: handles sent to the next incarnation (none were). Change: only an evacuated worker's list is cleared. Conclusion: the test passes again.

--- a/src/corkcrank/node/stages/stage_room.py
+++ b/src/corkcrank/node/stages/stage_room.py
@@ -72,9 +72,9 @@
         for handle in handles:
             room.queue.free(handle, now)
         room.to_free.extend(handles)
-        if not room.reachable:
+        if room.evacuated:
             room.to_free.clear()
-        elif room.to_free and not room.freeing and not self._closed:
+        elif room.to_free and room.reachable and not room.freeing and not self._closed:
             room.freeing = True
             task = self._spawn(self._send_frees(room))
             self._freeing.add(task)
