Inputs are freed early only where somebody waits for their room

Change: the owner's answer says whether pieces wait for the room of these results; only then may the next owner free them early, and only where its own worker found room for all results lately. A log line tells of each call whose stages are made again, and why.

--- a/src/corkcrank/links/decision_log.py
+++ b/src/corkcrank/links/decision_log.py
@@ -78,6 +78,7 @@
     STREAM_ENDED = "Call: stream ended."
     STREAM_MOVED = "Call: stream taken up at another worker."
     STAGE_PLACED = "Stage: placed."
+    STAGES_MADE_AGAIN = "Stage: all made again, inputs are gone."
     STAGE_ENDED = "Stage: ended."
     ROOM_REPORTED = "Stage: worker reported its room."
     BATCH_ENDED = "Batch: ended."
--- a/src/corkcrank/node/peers/peer_protocol.py
+++ b/src/corkcrank/node/peers/peer_protocol.py
@@ -68,13 +68,15 @@
 class StageAnswer(msgspec.Struct, frozen=True):
     """The results in the order of the pieces, and the wait forecast for a new one.
 
-    ``inputs_freed`` says that the results which the pieces were the last to read are given up.
+    ``inputs_freed`` says that the results which the pieces were the last to read are given up,
+    ``short_of_room`` that pieces wait for the room that these results hold.
     """
 
     results: tuple[PieceResult, ...]
     start_seconds: float = 0.0
     detail: str = ""
     inputs_freed: bool = False
+    short_of_room: bool = False
 
 
 class WithdrawnQuestion(msgspec.Struct, frozen=True):
--- a/src/corkcrank/node/stages/stage_owner.py
+++ b/src/corkcrank/node/stages/stage_owner.py
@@ -126,7 +126,12 @@
             raise
         missed = any(result.outcome is PieceOutcome.INPUT_GONE for result in results)
         freed = self.inputs.ended(stage_items, inputs_missed=missed)
-        return StageAnswer(tuple(results), forecast.start, inputs_freed=freed)
+        return StageAnswer(
+            tuple(results),
+            forecast.start,
+            inputs_freed=freed,
+            short_of_room=entry.queue.short_of_room,
+        )
 
     def free(self, worker_id: str, handles: Sequence[str]) -> None:
         """Give up results; a worker that has left needs no word."""
@@ -210,7 +215,9 @@
             self._resolve(stage_item, PieceResult(PieceOutcome.LATE))
         self._take_over(entry, now)
         while (call := entry.queue.next_call(now)) is not None:
-            self.inputs.begun(call.stage_items)
+            if entry.queue.finds_room:
+                # A piece that finds no room reads its inputs again.
+                self.inputs.begun(call.stage_items)
             self._spawn(self._run(entry, call))
         self._set_timer(entry, now)
 
--- /dev/null
+++ b/src/corkcrank/node/stages/stage_round.py
@@ -0,0 +1,35 @@
+"""One placing of some pieces of a stage at one worker, and how they ended."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from corkcrank.contracts.worker_records import WorkerRecord
+from corkcrank.links.platform_ports import PieceOutcome
+from corkcrank.node.peers.peer_protocol import StageAnswer
+
+
+@dataclass(slots=True)
+class StageRound:
+    """The pieces, the worker they were placed at, and its owner's answer."""
+
+    worker: WorkerRecord
+    pieces: tuple[int, ...]
+    answer: StageAnswer
+
+    @property
+    def outcomes(self) -> set[PieceOutcome]:
+        """Return how the pieces ended."""
+        return {result.outcome for result in self.answer.results}
+
+    @property
+    def inputs_gone(self) -> bool:
+        """Return whether pieces that were not made would find no inputs another time."""
+        missing = self.outcomes != {PieceOutcome.DONE}
+        return PieceOutcome.INPUT_GONE in self.outcomes or (self.answer.inputs_freed and missing)
+
+
+def gone_detail(rounds: Sequence[StageRound]) -> str:
+    """Return how pieces ended whose inputs are gone, and whether those were freed."""
+    outcomes = sorted({outcome.value for item in rounds for outcome in item.outcomes})
+    freed = any(item.answer.inputs_freed for item in rounds)
+    return f"{', '.join(outcomes)}; inputs {'freed' if freed else 'lost'}"
--- a/src/corkcrank/node/stages/stage_run.py
+++ b/src/corkcrank/node/stages/stage_run.py
@@ -6,19 +6,18 @@
 from corkcrank.contracts import clock
 from corkcrank.contracts.opaque_call import OpaqueCall
 from corkcrank.contracts.urgency import Urgency
-from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.links.decision_log import DecisionLog, LogEvent
 from corkcrank.links.platform_ports import PieceOutcome
 from corkcrank.node.peers.peer_protocol import (
     FollowingPieces,
     FreeResults,
-    StageAnswer,
     StageWork,
 )
 from corkcrank.node.stages.held_results import HeldResults
 from corkcrank.node.stages.stage_dispatch import StageDispatch
 from corkcrank.node.stages.stage_failures import InputsGoneError, StageFailedError
 from corkcrank.node.stages.stage_placing import stage_placing
+from corkcrank.node.stages.stage_round import StageRound, gone_detail
 from corkcrank.node.workers.crash_watch import CrashWatch
 from corkcrank.scheduling.call_admission import IDLE_WAIT_SECONDS, OVERRUN_DEVIATIONS
 from corkcrank.scheduling.stage_plan import StagePlan
@@ -32,15 +31,6 @@
 _NOT_MADE = (PieceOutcome.REFUSED, PieceOutcome.FAILED, PieceOutcome.BROKEN)
 
 
-@dataclass(slots=True)
-class _Round:
-    """One placing of some pieces of a stage at one worker."""
-
-    worker: WorkerRecord
-    pieces: tuple[int, ...]
-    answer: StageAnswer
-
-
 @dataclass(frozen=True, slots=True)
 class _Announcement:
     """What the owner of a stage's pieces is told of the call: see :class:`StageWork`."""
@@ -74,6 +64,8 @@
     _held: HeldResults = field(default_factory=HeldResults)
     _begun: bool = False
     _made_again: bool = False
+    _short_of_room: set[int] = field(default_factory=set)
+    """Stages for whose workers' room others wait."""
 
     async def run(self) -> tuple[str, ...]:
         """Return the results that the call reads, once every stage has ended.
@@ -92,6 +84,9 @@
                         gone.detail, started=self.started, retry_after=gone.retry_after
                     ) from None
                 self._made_again = True
+                self.log.write(
+                    LogEvent.STAGES_MADE_AGAIN, call=self.call.call_id, detail=gone.detail
+                )
                 self._free_all()
                 self.plan.redo_all()
 
@@ -168,25 +163,19 @@
                 break
         if self.shortest_wait < float("inf"):
             wait = self.shortest_wait
-        if any(self._inputs_gone(item) for item in rounds):
-            raise InputsGoneError("an input is gone", started=self.started, retry_after=wait)
+        if any(item.inputs_gone for item in rounds):
+            raise InputsGoneError(gone_detail(rounds), started=self.started, retry_after=wait)
         raise StageFailedError(
             detail or f"stage {stage} was not made", started=self.started, retry_after=wait
         )
 
-    def _hopeless(self, rounds: list[_Round]) -> bool:
+    def _hopeless(self, rounds: list[StageRound]) -> bool:
         outcomes = {result.outcome for item in rounds for result in item.answer.results}
-        if any(self._inputs_gone(item) for item in rounds) or clock.now() >= self.call.end_at:
+        if any(item.inputs_gone for item in rounds) or clock.now() >= self.call.end_at:
             return True
         return not self.started and (not rounds or PieceOutcome.LATE in outcomes)
 
-    def _inputs_gone(self, item: _Round) -> bool:
-        """Return whether pieces that were not made would find no inputs another time."""
-        outcomes = {result.outcome for result in item.answer.results}
-        missing = outcomes != {PieceOutcome.DONE}
-        return PieceOutcome.INPUT_GONE in outcomes or (item.answer.inputs_freed and missing)
-
-    def _take(self, item: _Round, handles: dict[int, str], refused: set[str]) -> None:
+    def _take(self, item: StageRound, handles: dict[int, str], refused: set[str]) -> None:
         for piece, result in zip(item.pieces, item.answer.results, strict=True):
             if result.outcome is PieceOutcome.DONE:
                 handles[piece] = result.handle
@@ -197,7 +186,7 @@
                 self.started = True
         self._look_at_broken(item)
 
-    def _look_at_broken(self, item: _Round) -> None:
+    def _look_at_broken(self, item: StageRound) -> None:
         """Have the workers looked at that broke pieces of this call off."""
         broken = {
             result.worker_id
@@ -215,7 +204,7 @@
         missing: list[int],
         refused: set[str],
         announcement: _Announcement,
-    ) -> list[_Round]:
+    ) -> list[StageRound]:
         """Place pieces, batch by batch, each where it would end first."""
         definition = self.plan.definition(stage)
         capacity = self.dispatch.capacity(definition.service)
@@ -235,7 +224,7 @@
         pieces: tuple[int, ...],
         refused: set[str],
         announcement: _Announcement,
-    ) -> _Round | None:
+    ) -> StageRound | None:
         definition = self.plan.definition(stage)
         placing = stage_placing(self.plan, self.dispatch, self.call, stage, len(pieces))
         placing = replace(
@@ -285,6 +274,8 @@
             last_reads=self._last_reads(stage, len(pieces)),
         )
         answer = await self.dispatch.make(worker, work)
+        if answer.short_of_room:
+            self._short_of_room.add(stage)
         if answer.inputs_freed:
             for read in work.last_reads:
                 self._held.take(read.handles)
@@ -292,11 +283,12 @@
             if result.handle:
                 maker = self.dispatch.worker(result.worker_id)
                 self._held.add(result.handle, maker or worker)
-        return _Round(worker, pieces, answer)
+        return StageRound(worker, pieces, answer)
 
     def _last_reads(self, stage: int, pieces: int) -> tuple[FreeResults, ...]:
         """Return the results that pieces read and nobody after them, by worker.
 
+        None where nobody waits for their room: a worker that fails costs all stages once more.
         Where only a part of a stage's pieces is placed together, the others read them too.
         """
         if pieces != self.plan.counts[stage]:
@@ -304,7 +296,7 @@
         only_here = [
             source
             for source in self.plan.definition(stage).after
-            if self.plan.readers(source) == [stage]
+            if source in self._short_of_room and self.plan.readers(source) == [stage]
         ]
         handles = [handle for source in only_here for handle in self.plan.handles_of(source)]
         return self._held.by_worker(handles)
--- a/src/corkcrank/scheduling/stage_queue.py
+++ b/src/corkcrank/scheduling/stage_queue.py
@@ -11,6 +11,7 @@
 from corkcrank.contracts.urgency import Urgency
 from corkcrank.links.platform_ports import PieceOutcome, PieceResult
 from corkcrank.scheduling.batch_filling import StageItem, fill_batch
+from corkcrank.scheduling.queue_counters import QueueCounters
 
 PACE_WEIGHT = 0.2
 """Weight of the newest call in the pace, measured time over the stated time."""
@@ -68,18 +69,6 @@
     end: float
 
 
-@dataclass(slots=True)
-class QueueCounters:
-    """What a queue did since it was made."""
-
-    calls: int = 0
-    pieces: int = 0
-    late: int = 0
-    refused: int = 0
-    no_room: int = 0
-    room_waits: int = 0
-
-
 @dataclass(slots=True)
 class StageQueue:
     """The queue, the calls at work and the results held of one stage worker."""
@@ -119,6 +108,16 @@
         """Return the bytes that the waiting pieces will hold."""
         return sum(stage_item.result_bytes for stage_item in self._queue)
 
+    @property
+    def short_of_room(self) -> bool:
+        """Return whether the waiting pieces want more room than results leave."""
+        return self.room_used + self.room_wanted > self.capacity.room_bytes
+
+    @property
+    def finds_room(self) -> bool:
+        """Return whether the worker has found room for all of its calls' results lately."""
+        return self.usable_room >= 1.0
+
     @property
     def idle(self) -> bool:
         """Return whether nothing waits, works or is held."""
