Soak: zones are evacuated and taken back, beside whatever else happens

Change: the kind, its check (calls and pieces of a node in touch, 2.5 s after the row), modules of their own for what callers sent and for picking targets.

--- a/tests/soak/bounds.py
+++ b/tests/soak/bounds.py
@@ -14,6 +14,7 @@
 
     leaving: float = 2.5
     configuration: float = 2.5
+    evacuation: float = 2.5
     grace: float = 6.0
     contact: float = 3.0
     late_answer: float = 0.75
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -9,7 +9,8 @@
 
 from node_world import HOST, KEY
 
-from soak.ledger import CRASHING_KEY, Answer, Ledger, SentCall
+from soak.ledger import CRASHING_KEY, Ledger
+from soak.sent_calls import Answer, SentCall
 
 THINK_SECONDS = (0.0, 0.08)
 LONGEST_RETRY_SECONDS = 0.5
--- a/tests/soak/crashing.py
+++ b/tests/soak/crashing.py
@@ -10,9 +10,10 @@
 from corkcrank.contracts.request_fingerprint import request_fingerprint
 from soak.clients import Clients, RouteUse
 from soak.fleet import FIRST_PEER_PORT, AnyWorker, SoakFleet, SoakNode
-from soak.ledger import CRASHING, SentCall
+from soak.ledger import CRASHING
 from soak.restarts import CRASHED_ENTRY_SECONDS
 from soak.schedule import Fault
+from soak.sent_calls import SentCall
 
 QUARANTINE_ENDS = 3
 MOST_LATE_RUNS = 3
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -17,16 +17,16 @@
 from corkcrank.load.toml_writer import write_toml
 from soak.accepting import AcceptWatch
 from soak.bounds import SoakBounds
-from soak.ledger import Ledger, SentCall
+from soak.ledger import Ledger
 from soak.links import FaultLink
+from soak.sent_calls import SentCall
 from soak.store import SoakStore
 from soak.workers import SoakStageWorker, SoakWorker
 
 AnyWorker = SoakWorker | SoakStageWorker
 
 CALLER_PORT, READINESS_PORT, FIRST_PEER_PORT, LAST_PEER_PORT = 21_000, 21_001, 21_002, 21_003
-LINK_HOST = 250
-STORE_HOST = 249
+LINK_HOST, STORE_HOST = 250, 249
 ZONES = ("z0", "z1")
 START_SECONDS = 20.0
 READINESS_SECONDS = 0.25
--- a/tests/soak/injector.py
+++ b/tests/soak/injector.py
@@ -4,15 +4,17 @@
 import signal
 import time
 from collections.abc import Awaitable, Callable, Sequence
-from typing import Any, TypeVar
+from typing import Any
 
 from node_world import route
 
 from soak.accepting import FLOODS, flood
 from soak.crashing import CrashingRequests
+from soak.evacuations import evacuate
 from soak.fleet import PLAIN_SERVICES, SERVICES, ZONES, AnyWorker, SoakFleet, SoakNode
 from soak.grey_workers import fail_together
 from soak.links import FaultLink, LinkTrouble, Silence
+from soak.picking import between, pick
 from soak.restarts import (
     SAME_PLACE_SHARE,
     crash_and_replace,
@@ -24,8 +26,6 @@
 from soak.schedule import Fault, FaultKind
 from soak.workers import GREY_KINDS
 
-_Choice = TypeVar("_Choice")
-
 RESTART_SECONDS = (0.1, 1.5)
 STOP_SLACK_SECONDS = 1.5
 REUSE_SECONDS = 2.0
@@ -74,6 +74,7 @@
             FaultKind.WORKER_STARTS_AGAIN: self._worker_starts_again,
             FaultKind.FOREIGN_ENTRY: self._foreign_entry,
             FaultKind.CRASHING_REQUEST: crashing.play,
+            FaultKind.EVACUATE_ZONE: lambda fault: evacuate(fleet, fault),
         }
 
     async def play(self, schedule: Sequence[Fault]) -> None:
@@ -91,7 +92,7 @@
 
     def _pick_node(self, fault: Fault) -> SoakNode | None:
         nodes = [node for node in self._fleet.nodes if not node.down]
-        return _pick(nodes, fault.choice)
+        return pick(nodes, fault.choice)
 
     # Processes
 
@@ -132,7 +133,7 @@
         await self._restart(node, fault)
 
     async def _restart(self, node: SoakNode, fault: Fault) -> None:
-        await asyncio.sleep(_between(RESTART_SECONDS, fault.strength))
+        await asyncio.sleep(between(RESTART_SECONDS, fault.strength))
         self._fleet.start_node(node)
         node.down = False
         self._ledger.disturbances.end(node.name)
@@ -188,7 +189,7 @@
         kinds = list(LinkTrouble)
         self._ledger.disturbances.begin(part)
         trouble = kinds[int(fault.strength * len(kinds))]
-        link.trouble(trouble, _between(DELAY_SECONDS, fault.choice))
+        link.trouble(trouble, between(DELAY_SECONDS, fault.choice))
         await asyncio.sleep(fault.seconds)
         link.mend()
         self._ledger.disturbances.end(part)
@@ -219,7 +220,7 @@
         of_workers = [(item.link, "workers") for item in workers if item.link is not None]
         kinds = [*of_nodes.values(), of_workers]
         everything = [target for links in kinds for target in links]
-        groups = [*kinds, *([_pick(links, fault.strength)] for links in kinds), everything]
+        groups = [*kinds, *([pick(links, fault.strength)] for links in kinds), everything]
         chosen = groups[int(fault.choice * len(groups))]
         return [target for target in chosen if target is not None]
 
@@ -233,12 +234,12 @@
         self._fleet.store.troubles.down = False
 
     async def _store_slow(self, fault: Fault) -> None:
-        self._fleet.store.troubles.delay = _between(STORE_DELAY_SECONDS, fault.strength)
+        self._fleet.store.troubles.delay = between(STORE_DELAY_SECONDS, fault.strength)
         await self._store_trouble(fault)
         self._fleet.store.troubles.delay = 0.0
 
     async def _store_loses_answers(self, fault: Fault) -> None:
-        self._fleet.store.troubles.lost_share = _between(LOST_SHARE, fault.strength)
+        self._fleet.store.troubles.lost_share = between(LOST_SHARE, fault.strength)
         await self._store_trouble(fault)
         self._fleet.store.troubles.lost_share = 0.0
 
@@ -269,7 +270,7 @@
         """Return a worker whose service has others, too."""
         service = services[int(fault.choice * len(services))]
         workers = self._fleet.workers_of([service])
-        return _pick(workers, fault.strength) if len(workers) > 1 else None
+        return pick(workers, fault.strength) if len(workers) > 1 else None
 
     async def _worker_grey(self, fault: Fault) -> None:
         worker = self._pick_worker(fault, FAILING_SERVICES)
@@ -277,7 +278,7 @@
             return
         self._ledger.disturbances.begin("workers")
         worker.grey = GREY_KINDS[int(fault.strength * len(GREY_KINDS))]
-        worker.grey_share = _between(GREY_SHARE, fault.choice)
+        worker.grey_share = between(GREY_SHARE, fault.choice)
         await asyncio.sleep(fault.seconds)
         worker.grey, worker.grey_share = "", 0.0
         self._ledger.disturbances.end("workers")
@@ -340,11 +341,3 @@
 
 def _extra_route(name: str) -> dict[str, Any]:
     return route(name, "safe", "plain", max_attempts=2, timeout_ms=2_000)
-
-
-def _pick(items: Sequence[_Choice], choice: float) -> _Choice | None:
-    return items[int(choice * len(items))] if items else None
-
-
-def _between(bounds: tuple[float, float], share: float) -> float:
-    return bounds[0] + share * (bounds[1] - bounds[0])
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -4,9 +4,10 @@
 import time
 from collections import defaultdict
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from soak.bounds import SoakBounds
+from soak.sent_calls import Answer, Run, SentCall
 
 CRASHING = b"crashing request "
 """How the body of a request begins that crashes the workers that run it."""
@@ -46,59 +47,6 @@
     detail: str
 
 
-@dataclass(slots=True)
-class Answer:
-    """What a caller got; ``status`` is 0 where the connection ended without a head."""
-
-    status: int
-    headers: Mapping[str, str]
-    body: bytes
-    complete: bool
-    at: float
-    trouble: str = ""
-
-
-@dataclass(slots=True)
-class Run:
-    """One run of a call at a worker."""
-
-    worker_id: str
-    service: str
-    begun_at: float
-    sealed: str = ""
-    status: int = 0
-    broken_off: bool = False
-
-
-@dataclass(slots=True)
-class SentCall:
-    """One call as its client sent it; ``pieces`` counts those of each stage."""
-
-    call_id: str
-    route: str
-    node: str
-    method: str
-    target: str
-    headers: dict[str, str]
-    body: bytes
-    tenant: str
-    repeatable: bool
-    deadline: float
-    events: int = 0
-    pieces: tuple[int, ...] = ()
-    sent_at: float = 0.0
-    answer: Answer | None = None
-    runs: list[Run] = field(default_factory=list)
-    stage_runs: int = 0
-    work_ends_at: float | None = None
-    client: tuple[str, int] | None = None
-
-    @property
-    def due_at(self) -> float:
-        """Return when the client stops waiting."""
-        return self.sent_at + self.deadline
-
-
 class Disturbances:
     """When each part of the world was last disturbed by a fault that nobody planned."""
 
@@ -133,6 +81,7 @@
         self.longest_lag = 0.0
         self.route_services: dict[str, list[tuple[float, str | None]]] = defaultdict(list)
         self.leaving_since: dict[str, float] = {}
+        self.evacuated_since: dict[str, float] = {}
         self.terminated: dict[str, float] = {}
         self.planned_only = False
         self.silent_clients: set[tuple[str, int]] = set()
@@ -235,11 +184,20 @@
     def check_leaving(self, call: SentCall, worker_id: str) -> None:
         """Check that a worker which left long ago gets nothing from a node in touch."""
         left_at = self.leaving_since.get(worker_id)
-        if left_at is None:
-            return
-        late = time.monotonic() - left_at - self.bounds.leaving - self.loop_lag
-        if late > 0 and self.in_touch(call.node, time.monotonic()):
-            self.violate("leaving", f"{worker_id} gets {call.call_id} {late:.2f} s too late")
+        self._check_unused("leaving", left_at, self.bounds.leaving, call, worker_id)
+
+    def check_evacuated(self, call: SentCall, worker_id: str, zone: str) -> None:
+        """Check that workers of a zone evacuated long ago get nothing from a node in touch."""
+        since = self.evacuated_since.get(zone)
+        self._check_unused("evacuated", since, self.bounds.evacuation, call, worker_id)
+
+    def _check_unused(
+        self, promise: str, since: float | None, bound: float, call: SentCall, worker_id: str
+    ) -> None:
+        now = time.monotonic()
+        late = now - since - bound - self.loop_lag if since is not None else 0.0
+        if late > 0 and self.in_touch(call.node, now):
+            self.violate(promise, f"{worker_id} gets {call.call_id} {late:.2f} s too late")
 
     def _check_deadline(self, call: SentCall, headers: Mapping[str, str], now: float) -> None:
         """Check that a worker is not given more time than the caller has.
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -33,6 +33,7 @@
     WORKER_STARTS_AGAIN = "worker crashes and starts again under its id"
     FOREIGN_ENTRY = "entry of another writer"
     CRASHING_REQUEST = "a request that crashes its workers, again and again"
+    EVACUATE_ZONE = "a zone is evacuated and taken back"
 
 
 PLANNED = (
@@ -51,6 +52,7 @@
     FaultKind.WORKER_STARTS_AGAIN,
     FaultKind.FOREIGN_ENTRY,
     FaultKind.CRASHING_REQUEST,
+    FaultKind.EVACUATE_ZONE,
 )
 """Kinds with a random source of their own, beside the others of a seed."""
 
@@ -73,6 +75,9 @@
 MEAN_CRASHING_PAUSE_SECONDS = 8.0
 """Mean time between two moments at which a request begins to come that crashes its workers."""
 
+MEAN_EVACUATION_PAUSE_SECONDS = 6.0
+"""Mean time between two moments at which a zone is evacuated."""
+
 MEAN_PAUSE_SECONDS = 0.9
 FAULT_SECONDS = (0.3, 4.5)
 SERIES_SHARE = 0.25
@@ -124,6 +129,7 @@
         faults += _silences(seed, seconds)
         faults += _grey_engines(seed, seconds)
         faults += _crashing_requests(seed, seconds)
+    faults += _evacuations(seed, seconds)
     faults += _restarts(seed, seconds, planned_only=planned_only)
     return tuple(sorted(faults, key=lambda fault: fault.at))
 
@@ -155,6 +161,13 @@
     return _drawn_apart(FaultKind.CRASHING_REQUEST, source, seconds, pause, overlapping=True)
 
 
+def _evacuations(seed: int, seconds: float) -> list[Fault]:
+    """Return when zones are evacuated; two at once where the next begins before the last ends."""
+    source = random.Random(f"evacuations {seed}")
+    pause = MEAN_EVACUATION_PAUSE_SECONDS
+    return _drawn_apart(FaultKind.EVACUATE_ZONE, source, seconds, pause, overlapping=True)
+
+
 def _drawn_apart(
     kind: FaultKind, source: random.Random, seconds: float, pause: float, *, overlapping: bool
 ) -> list[Fault]:
--- /dev/null
+++ b/tests/soak/sent_calls.py
@@ -0,0 +1,57 @@
+"""A call as its client sent it, its runs at workers, and what came back."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True)
+class Answer:
+    """What a caller got; ``status`` is 0 where the connection ended without a head."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+    complete: bool
+    at: float
+    trouble: str = ""
+
+
+@dataclass(slots=True)
+class Run:
+    """One run of a call at a worker."""
+
+    worker_id: str
+    service: str
+    begun_at: float
+    sealed: str = ""
+    status: int = 0
+    broken_off: bool = False
+
+
+@dataclass(slots=True)
+class SentCall:
+    """One call as its client sent it; ``pieces`` counts those of each stage."""
+
+    call_id: str
+    route: str
+    node: str
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    tenant: str
+    repeatable: bool
+    deadline: float
+    events: int = 0
+    pieces: tuple[int, ...] = ()
+    sent_at: float = 0.0
+    answer: Answer | None = None
+    runs: list[Run] = field(default_factory=list)
+    stage_runs: int = 0
+    work_ends_at: float | None = None
+    client: tuple[str, int] | None = None
+
+    @property
+    def due_at(self) -> float:
+        """Return when the client stops waiting."""
+        return self.sent_at + self.deadline
--- a/tests/soak/test_ledger.py
+++ b/tests/soak/test_ledger.py
@@ -7,7 +7,8 @@
 
 from soak.accepting import AcceptWatch
 from soak.bounds import SoakBounds
-from soak.ledger import Answer, Ledger, Run, SentCall, event, plain_body
+from soak.ledger import Ledger, event, plain_body
+from soak.sent_calls import Answer, Run, SentCall
 
 LONG_AGO = -100.0
 
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -94,6 +94,7 @@
         )
         if begun is None:
             return web.Response(status=400)
+        self._ledger.check_evacuated(begun[0], self.worker_id, self.zone)
         if body.startswith(CRASHING) and not begun[0].stage_runs:
             begun[1].broken_off = True
             self.on_crashing(begun[0])
@@ -274,6 +275,7 @@
                 continue
             call.stage_runs += 1
             self._ledger.check_leaving(call, self.worker_id)
+            self._ledger.check_evacuated(call, self.worker_id, self.zone)
             if stage == 0:
                 if item.get("key") != call.headers["X-Corkcrank-Segment-Key"]:
                     self._ledger.violate("unasked", f"{call.call_id} has another piece key")
