Begun calls go by tenant and due; inputs are freed where batches are cut for room

Ruled out: admission of too many (they had been admitted by a forecast that held for their rank at that moment). Change: at a stage that reads another one's results, the rank is the tenant's; of one tenant's calls whichever is due first goes first, a less urgent route's as if it were due 0.25 s later a rank. Backlogs and forecasts count by the same rank.

--- a/src/corkcrank/node/stages/downstream_backlog.py
+++ b/src/corkcrank/node/stages/downstream_backlog.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 
+from corkcrank.contracts.urgency import begun_rank
 from corkcrank.machines.owner_use import OwnerUse
 from corkcrank.node.peers.peer_protocol import StageWork
 from corkcrank.scheduling.stage_backlog import StageBacklog
@@ -24,15 +25,16 @@
     def counted(self, work: StageWork, now: float) -> Iterator[None]:
         """Count what follows a piece of work until it has ended."""
         rank = work.urgency.rank
+        later_rank = begun_rank(rank)
         self.use.note(now)
         if work.begins:
             self.asked(work.service, rank, len(work.pieces), now)
         for later in work.following:
-            self.add(later.service, rank, later.pieces)
+            self.add(later.service, later_rank, later.pieces)
             if work.begins:
-                self.asked(later.service, rank, later.pieces, now)
+                self.asked(later.service, later_rank, later.pieces, now)
         try:
             yield
         finally:
             for later in work.following:
-                self.take(later.service, rank, later.pieces)
+                self.take(later.service, later_rank, later.pieces)
--- a/src/corkcrank/node/stages/stage_run.py
+++ b/src/corkcrank/node/stages/stage_run.py
@@ -16,7 +16,7 @@
 from corkcrank.node.stages.held_results import HeldResults
 from corkcrank.node.stages.stage_dispatch import StageDispatch
 from corkcrank.node.stages.stage_failures import InputsGoneError, StageFailedError
-from corkcrank.node.stages.stage_placing import stage_placing
+from corkcrank.node.stages.stage_placing import stage_placing, urgency_at
 from corkcrank.node.stages.stage_round import StageRound, gone_detail
 from corkcrank.node.workers.crash_watch import CrashWatch
 from corkcrank.scheduling.call_admission import IDLE_WAIT_SECONDS, OVERRUN_DEVIATIONS
@@ -265,7 +265,7 @@
             key="" if definition.after else self.call.envelope.piece_key,
             inputs=self.plan.inputs_of(stage),
             result_bytes=placing.size,
-            urgency=self._urgency(),
+            urgency=self._urgency(stage),
             start_by=self._start_by(now),
             remaining=clock.at_least_a_moment(self.call.end_at - now),
             following=announcement.following,
@@ -310,10 +310,10 @@
                 inputs[zone] = inputs.get(zone, 0.0) + count * size
         return inputs
 
-    def _urgency(self) -> Urgency:
-        """Return the call's rank, and when its stages are due in seconds from now."""
+    def _urgency(self, stage: int) -> Urgency:
+        """Return the call's rank at a stage, and when its stages are due in seconds from now."""
         due = self.call.objective_at - clock.now() - self.rest_seconds
-        return Urgency(self.call.rank, round(due, 3))
+        return urgency_at(self.plan, stage, Urgency(self.call.rank, round(due, 3)))
 
     def _start_by(self, now: float) -> float:
         """Return the wait that is still worth it.
--- a/src/corkcrank/scheduling/stage_queue.py
+++ b/src/corkcrank/scheduling/stage_queue.py
@@ -32,6 +32,10 @@
 LEAST_USABLE_ROOM = 0.6
 """The part of the room that is always used."""
 
+SHORT_ROOM_SHARE = 0.6
+"""Part of the room that is spoken for beyond which batches are cut for it: those at work hold
+room beside the results that wait to be read."""
+
 UNKNOWN_HANDLE = ""
 """Stands for results that hold room and that this queue does not know."""
 
@@ -110,8 +114,9 @@
 
     @property
     def short_of_room(self) -> bool:
-        """Return whether the waiting pieces want more room than results leave."""
-        return self.room_used + self.room_wanted > self.capacity.room_bytes
+        """Return whether pieces wait, and with results fill much of the room."""
+        spoken_for = self.room_used + self.room_wanted
+        return bool(self._queue) and spoken_for > SHORT_ROOM_SHARE * self.capacity.room_bytes
 
     @property
     def finds_room(self) -> bool:
--- /dev/null
+++ b/tests/platform/test_begun_calls.py
@@ -0,0 +1,65 @@
+"""Whose pieces go first at a stage that reads an earlier one's results.
+
+On a played day 54 calls of the least urgent route were given up after their first stage: more
+urgent ones passed them at the second, which was scarce, until they were late.
+"""
+
+import asyncio
+from typing import Any
+
+from node_world import KEY, configuration, route, until, world
+from platform_standins import StandinStageWorker, StandinWorker
+
+ENCODE = {"service": "encode", "since_revision": [], "byte_length": 1000}
+RERANK = {"service": "rerank", "since_revision": [0], "byte_length": 500}
+CHAIN = {"stages": [ENCODE, RERANK], "target_latency_ms": 3_500}
+ROUTES = [
+    route("urgent", "stream", "model", priority=0, **CHAIN),
+    route("patient", "stream", "model", priority=2, **CHAIN),
+]
+PIECES = {"X-Corkcrank-Segments": "4,4", "X-Corkcrank-Segment-Key": "abcd"}
+"""As many pieces as a batch holds, so that each call's are a batch of their own."""
+
+PAYING_KEY = "key-of-a-tenant-who-pays"
+TENANTS = [
+    {"name": "paying", "api_keys": [PAYING_KEY], "priority": 0},
+    {"name": "tenant", "api_keys": [KEY], "priority": 1},
+]
+
+
+async def order_at_the_second_stage(*calls: tuple[str, str]) -> list[int]:
+    """Begin calls (route, key) one after the other; return the order in which they are finished.
+
+    The first call of all holds the second stage's worker until the others wait for it.
+    """
+    gate = asyncio.Event()
+    encode, rerank = StandinStageWorker(), StandinStageWorker(gate=gate)
+    served: dict[str, Any] = {
+        "m": (StandinWorker(events=2), "model"),
+        "e": (encode, "encode"),
+        "r": (rerank, "rerank"),
+    }
+    async with world(configuration(1, ROUTES, tenants=TENANTS), served) as running:
+        tasks = []
+        for number, (path, key) in enumerate([("urgent", KEY), *calls]):
+            headers = {**PIECES, "X-Corkcrank-Credential": key}
+            call = running.call(f"/{path}/x", headers=headers, attempt=f"{number:016x}")
+            tasks.append(asyncio.create_task(call))
+            await until(lambda count=number + 1: len(encode.calls) == count)  # type: ignore[misc]
+        queues = running.nodes[0].stage_owner.queues
+        await until(lambda: any(queue.waiting == 4 * len(calls) for _, queue in queues()))
+        gate.set()
+        for task in tasks:
+            response = await task
+            assert response.status == 200
+            await response.read()
+    return [int(pieces[0]["id"], 16) for pieces in rerank.calls[1:]]
+
+
+async def test_a_begun_call_is_not_passed_by_a_more_urgent_route_of_its_tenant() -> None:
+    assert await order_at_the_second_stage(("patient", KEY), ("urgent", KEY)) == [1, 2]
+
+
+async def test_a_call_of_a_tenant_who_pays_for_priority_goes_first() -> None:
+    order = await order_at_the_second_stage(("urgent", KEY), ("patient", PAYING_KEY))
+    assert order == [2, 1]
