--- a/src/corkcrank/contracts/opaque_call.py
+++ b/src/corkcrank/contracts/opaque_call.py
@@ -127,8 +127,7 @@
     def objective_at(self) -> float:
         """Return when the first byte of the answer is due, from the caller's first attempt.
 
-        Counted from the attempt, callers that came back took stage workers from others that
-        could still be served in time: 0.753 served, 0.765 so (16 plays of days with trouble
-        each, two deployments and seeds).
+        Counted from the attempt, callers that come back would take stage workers from others
+        that can still be served in time.
         """
         return self.arrived_at - self.waited_before + self.route.objective
--- a/src/corkcrank/contracts/settings.py
+++ b/src/corkcrank/contracts/settings.py
@@ -57,7 +57,7 @@
 
 
 class PolicySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Policies of a gateway; the defaults are the measured winners.
+    """Policies of a gateway.
 
     ``admission`` refuses, and gives up, what cannot end before its deadline.
     ``retry_share`` is the retries earned by each first attempt.
--- a/src/corkcrank/links/datagrams.py
+++ b/src/corkcrank/links/datagrams.py
@@ -14,8 +14,7 @@
 one member, and 1 in 25 of the wait for the answer to a probe."""
 
 MOST_READ_TOGETHER = 256
-"""Datagrams that are handled before other work gets its turn: 2 ms, by 8 us for decoding a
-heartbeat and taking it in (microbenchmark)."""
+"""Datagrams that are handled before other work gets its turn, in about 2 ms."""
 
 GROUP_MEMBERS = 8
 """Members that are told at one moment: a slow link drops a longer burst of datagrams."""
@@ -31,8 +30,8 @@
 class DatagramLink:
     """Sends and receives datagrams on one address; errors of the network are ignored.
 
-    Received datagrams are read together. With a wake of the event loop for each of them, an
-    idle node of 195 woke 275 times a second, 120 of them for datagrams (profile).
+    Received datagrams are read together: a wake of the event loop for each of them would be
+    half of all wakes of an idle node in a large fleet.
     """
 
     def __init__(self, on_message: Callable[[bytes], None]) -> None:
--- a/src/corkcrank/machines/fleet.py
+++ b/src/corkcrank/machines/fleet.py
@@ -18,18 +18,16 @@
 """Time between heartbeats in a small fleet."""
 
 HEARTBEAT_BYTES_A_SECOND = 25_000.0
-"""Most bytes of heartbeats that one member sends; larger fleets are told less often. Half of
-it in a fleet of 74 was tried: older news costs more calls there than the bytes are worth
-(docs/DESIGN.md)."""
+"""Most bytes of heartbeats that one member sends; larger fleets are told less often. Calls that
+older news would cost are worth more than the bytes."""
 
 FULL_RATE_MEMBERS = 100
 """Members up to which each sends that much. In a larger fleet each sends less, so that what a
-node reads and sends does not grow with the fleet: at 195 members an idle node read 120 and sent
-130 heartbeats a second (call counts of a profile)."""
+node reads and sends does not grow with the fleet."""
 
 OWNER_BYTES_A_SECOND = 60_000.0
 """The same for a member that owns queues or engines of its zone: what others decide by is
-theirs, and they are few (24 of 195 at most). A fortieth of a link of 20 Mbit/s."""
+theirs, and they are few. A fortieth of a link of 20 Mbit/s."""
 
 FIRST_HEARTBEAT_BYTES = 250.0
 """Length of a heartbeat assumed before one was sent."""
--- a/src/corkcrank/machines/fleet_view.py
+++ b/src/corkcrank/machines/fleet_view.py
@@ -15,8 +15,8 @@
 Rank = tuple[int, int]
 
 STRONG_SHARE = 0.7
-"""Part of the strongest member's strength from which a member counts as strong. Machines of one
-kind are alike; a zone of the measured large fleet has 3 of 2.15 processors and some 30 of 0.52."""
+"""Part of the strongest member's strength from which a member counts as strong: machines of one
+kind are alike, and kinds differ by more."""
 
 
 class BacklogSums:
--- a/src/corkcrank/machines/store_followers.py
+++ b/src/corkcrank/machines/store_followers.py
@@ -34,9 +34,7 @@
 
 STAND_IN_CALLS_PER_SECOND = 40.0
 """Calls a second about one table with which all others together look whether an outage is
-over, as long as that lets each ask once in the time after which news counts as old. A day of 61
-gateways with an outage of 8 s took 4,197 calls where all asked alike, and 3,084 with this bound
-(one play each)."""
+over, as long as that lets each ask once in the time after which news counts as old."""
 
 _ORDER_KEY = "store"
 
--- a/src/corkcrank/machines/store_mirror.py
+++ b/src/corkcrank/machines/store_mirror.py
@@ -31,8 +31,8 @@
 from corkcrank.machines.worker_changes import RecentWorkerChanges, WorkerChange, WorkerChangeBatch
 
 NOT_FOLLOWING_SECONDS = 0.2
-"""Time between looks at whether this gateway is to follow the store: a tenth of the shortest
-bound on news that was measured (2 s)."""
+"""Time between looks at whether this gateway is to follow the store: a tenth of a bound on news
+of 2 s."""
 
 RETRY_JITTER = (0.5, 1.0)
 """Part of the longest pause after a failed call that is waited: not all ask at once."""
--- a/src/corkcrank/machines/worker_pools.py
+++ b/src/corkcrank/machines/worker_pools.py
@@ -25,8 +25,8 @@
 def pool_of(table: WorkerList, worker: WorkerRecord) -> WorkerPool:
     """Return the pool of a worker: its service's in its zone, or itself where they are many.
 
-    Pools do not span zones. That served more calls (hints 0.65 for 0.61 of their credit on
-    thpoa-tutor), but three to six times the bytes of results crossed zones.
+    Pools do not span zones. That would serve some more calls, and three to six times the bytes
+    of results would cross zones.
     """
     nearby = table.usable_in(worker.service, worker.zone)
     if len(nearby) <= MOST_POOL_WORKERS and worker in nearby:
--- a/src/corkcrank/node/callers/drain.py
+++ b/src/corkcrank/node/callers/drain.py
@@ -36,13 +36,11 @@
 """Time kept back from the grace for closing down."""
 
 ANSWER_RESERVE_SECONDS = 0.2
-"""Time kept back from the drain to write out the answers of calls that had none: four looks,
-and forty times the longest lag of the loop (`corkcrank_loop_lag_seconds`, below 0.005 s in
-every sample of eight gateways that were restarted in turn)."""
+"""Time kept back from the drain to write out the answers of calls that had none: four looks."""
 
 PIECES_RESERVE_SECONDS = 0.8
 """Time before the end of the drain from which other gateways' pieces are not queued here any
-more: twice a full call of the measured stage workers, so that calls at work can end."""
+more, so that calls at work can end: about two of them."""
 
 CHECK_SECONDS = 0.05
 """Time between looks at whether a start or a drain is complete."""
--- a/src/corkcrank/node/callers/listener_state.py
+++ b/src/corkcrank/node/callers/listener_state.py
@@ -25,9 +25,8 @@
 """Share of the memory that connections which wait for a request may take."""
 
 CONNECTION_BYTES = 24_000
-"""Most that a connection takes while no request is in progress, as measured: it has served
-one and rests (22,200), or its head of 8 KiB has not ended (23,700). One that never sent a
-byte takes 5,600."""
+"""Most that a connection takes while no request is in progress: it has served one and rests, or
+its head has not ended. One that never sent a byte takes a quarter of it."""
 
 BYTES_OF_MB = 2**20
 
--- a/src/corkcrank/node/calls/plain_run.py
+++ b/src/corkcrank/node/calls/plain_run.py
@@ -19,8 +19,8 @@
 """A repeatable call is tried elsewhere after this multiple of the mean answer time."""
 
 LEAST_SILENCE_SECONDS = 0.15
-"""It is never tried elsewhere earlier than this, in seconds: a lag of the loop
-(below 0.005 s where measured) is no silence of the worker."""
+"""It is never tried elsewhere earlier than this, in seconds: a lag of the loop is no silence of
+the worker."""
 
 LONGEST_TIME_FACTOR = 10.0
 """A stopping gateway takes an unrepeatable call if this multiple of the mean answer time is
--- a/src/corkcrank/node/process/node.py
+++ b/src/corkcrank/node/process/node.py
@@ -246,8 +246,8 @@
     async def _settle_frees(self) -> None:
         """Tell workers of the results that ended calls held, before connections close.
 
-        Without it those results held room for seconds that the next owner lacked, and tasks
-        failed on closed sessions: 15 in 12 plays of stops in series.
+        Otherwise those results hold room for seconds that the next owner lacks, and tasks fail
+        on closed sessions.
         """
         await asyncio.gather(
             self.services.dispatch.owners.settle(FREE_SECONDS),
--- a/src/corkcrank/node/program.py
+++ b/src/corkcrank/node/program.py
@@ -30,8 +30,8 @@
 def _skip_certificates() -> None:
     """Have no certificates read at import: a node speaks no TLS.
 
-    The HTTP library reads all that the machine trusts when it is imported, which took 0.10 s
-    of a core, a quarter of a start (profile of the imports).
+    The HTTP library reads all that the machine trusts when it is imported, a quarter of the
+    processor time of a start.
     """
     os.environ["SSL_CERT_FILE"] = os.devnull
     os.environ["SSL_CERT_DIR"] = os.devnull
--- a/src/corkcrank/node/stages/downstream_backlog.py
+++ b/src/corkcrank/node/stages/downstream_backlog.py
@@ -13,7 +13,7 @@
     """Counts what follows the pieces that are made here.
 
     Owners tell it, not the gateways whose calls they are: the few owners are heard oftener,
-    and the counts of 195 gateways were 1 s old on average when a call was decided by them.
+    and a call is decided by counts that are younger.
     """
 
     def __init__(self) -> None:
--- a/src/corkcrank/node/stages/owned_queue.py
+++ b/src/corkcrank/node/stages/owned_queue.py
@@ -90,10 +90,9 @@
     ) -> tuple[OwnedQueue, QueueForecast]:
         """Return the queue of the worker's pool where pieces would end first, and when.
 
-        Whoever sends pieces knows the queues as they were told, 1 s ago on average in a fleet
-        of 195; their owner knows them as they are. Answers the load of test_fleet_play.py:
-        0.956 of the callers of the most urgent route served in time without it, 0.967 so (trials
-        with that load on 192 nodes, two plays).
+        Whoever sends pieces knows the queues as they were told, a second ago in a large fleet;
+        their owner knows them as they are. Answers bursts there, in which the most urgent route
+        waits for workers that have filled up meanwhile (test_fleet_play.py).
         """
         urgency = work.urgency.on_clock(now)
         choices = []
--- a/src/corkcrank/scheduling/call_admission.py
+++ b/src/corkcrank/scheduling/call_admission.py
@@ -18,10 +18,7 @@
 
 LATE_COST = 2.0
 """What a late answer costs, in refusals: its own caller's call, and that of another, whose turn it
-took. Costs of 1, 2 and 5 (chances of 0.5, 0.67 and 0.83 to be in time) earn 0.946, 0.943 and
-0.942 of all credit, hold callers for nothing for 43, 32 and 23 s a play, and refuse 78, 87 and 98
-of some 640 calls (heavy loads, bursts and slow workers on 6 and 36 nodes, six seeds; trials on
-test_fleet_play.py's load)."""
+took. Where it costs more, more are refused; less, and more are held for nothing."""
 
 LEAST_CHANCE = LATE_COST / (LATE_COST + REFUSAL_COST)
 """Chance to be in time below which a call is refused: where both choices cost the same."""
@@ -31,13 +28,11 @@
 
 OVERRUN_DEVIATIONS = 2.0
 """Standard deviations of the forecast by which a call that was begun may overrun its objective
-before it is given up: one in 44 ends later. At 1 callers are held for nothing 38 s a play, at 2
-32 s, with the same credit (heavy loads, bursts and slow workers on 6 and 36 nodes, six seeds;
-trials on test_fleet_play.py's load)."""
+before it is given up: one in 44 ends later."""
 
 IDLE_WAIT_SECONDS = 0.05
-"""Longest wait of a chain's stages, in seconds, below which workers count as idle: a quarter of the
-fixed time of one stage call on the measured fleets (0.2 s)."""
+"""Longest wait of a chain's stages, in seconds, below which workers count as idle: less than a call
+at one of them takes."""
 
 SHORTEST_RETRY = 0.1
 """Shortest time after which a refused caller is told to come back, in seconds."""
@@ -145,10 +140,8 @@
     :data:`LEAST_CHANCE`; one that has come back, if that is an even chance, so that it is
     refused again less often. Late answers of some would make others late; where nothing
     waits now, they make nobody late, so whoever comes then is served by its deadline. What
-    is only foreseen to come before a call does not count there: callers were refused beside
-    free workers and empty queues for it, and 58 callers a play are refused twice in place of
-    63 (heavy loads, bursts and slow workers on 6 and 36 nodes, six seeds; trials on
-    test_fleet_play.py's load).
+    is only foreseen to come before a call does not count there: nobody is refused beside free
+    workers and empty queues for it (test_free_workers.py).
 
     >>> sure, engine = ForecastCorrection(prior_share=0.0), EngineForecast(0.3)
     >>> admit(ChainForecast(0.5, 0.1, 0.1), sure, engine, 1.6, 8.0, returning=False).admitted
--- a/src/corkcrank/scheduling/forecast_bias.py
+++ b/src/corkcrank/scheduling/forecast_bias.py
@@ -66,10 +66,8 @@
     def spread_seconds(self, forecast: float) -> float:
         """Return the standard deviation of the time that a forecast of so many seconds becomes.
 
-        A chain is a sum of waits and calls, so its variance grows with its length. A spread
-        in proportion to the forecast earned 0.943 of all credit,
-        this one 0.946 (heavy loads, bursts and slow workers on 6 and 36 nodes, six seeds; trials
-        on test_fleet_play.py's load, a chance of 0.69).
+        A chain is a sum of waits and calls, so its variance grows with its length, and not its
+        standard deviation.
 
         >>> round(ForecastCorrection().spread_seconds(1.0), 2)
         0.29
--- a/src/corkcrank/scheduling/request_evidence.py
+++ b/src/corkcrank/scheduling/request_evidence.py
@@ -22,8 +22,8 @@
 has to be known, of the three that it may crash after that."""
 
 BEGINNING_SECONDS = 0.25
-"""A run that went on for longer after its first event has hardly ended its worker. Workers that
-requests crashed ended 0.036 to 0.122 s after these began (six runs of two recorded days)."""
+"""A run that went on for longer after its first event has hardly ended its worker: one that
+crashes it does so as it begins."""
 
 QUARANTINE_SECONDS = 60.0
 """First quarantine. Each further end doubles it: a request that crashes workers costs one of them
--- a/src/corkcrank/scheduling/request_quarantine.py
+++ b/src/corkcrank/scheduling/request_quarantine.py
@@ -40,9 +40,9 @@
 """Requests that one heartbeat tells of, changed ones first; the others take turns."""
 
 SUSPECT_SECONDS = 1.0
-"""Time between two heartbeats that tell of a suspected request again, each of the next one: 34
-bytes more in one of the four heartbeats of that time (257 bytes each where that was measured).
-Gateways that were cut off from each other, or started meanwhile, add up what each saw."""
+"""Time between two heartbeats that tell of a suspected request again, each of the next one, which
+bounds their bytes. Gateways that were cut off from each other, or started meanwhile, add up what
+each saw."""
 
 
 class _Beginnings:
--- a/src/corkcrank/scheduling/stage_choice.py
+++ b/src/corkcrank/scheduling/stage_choice.py
@@ -18,11 +18,11 @@
 MEGABYTE = 1e6
 
 EJECTED_SECONDS = 3.0
-"""Seconds that an ejection counts as: three remembered failures. Not measured apart."""
+"""Seconds that an ejection counts as: three remembered failures."""
 
 EXCESS_SECONDS = 2.0
 """Seconds of a worker that is expected to fail all of its calls while the others fail none: the
-repeat of its pieces elsewhere. Not measured apart."""
+repeat of its pieces elsewhere."""
 
 FAILURE_SECONDS = 1.0
 """Seconds that each remembered failure counts as."""
--- a/src/corkcrank/scheduling/stream_times.py
+++ b/src/corkcrank/scheduling/stream_times.py
@@ -5,15 +5,13 @@
 
 The usual time, not an upper bound, is what serves callers: a stream that is likelier to end
 than not is worth beginning, since a caller sent away is served about as seldom while gateways
-restart in turn. No bound would hold anyway: over 4,019 streams begun in drains, measured over
-foreseen time was 0.3 at the median, 3.7 at the 95th and 9.2 at the 99th percentile.
+restart in turn. No bound would hold anyway: one in a hundred takes nine times as long as usual.
 """
 
 from dataclasses import dataclass, field
 
 UNKNOWN_TOKEN_SECONDS = 0.01
-"""Seconds a token before any stream of a route was measured; engines of the measured fleets
-took 0.007 at the median and 0.016 at the 90th percentile while gateways restarted."""
+"""Seconds a token before any stream of a route has ended."""
 
 NEWEST_WEIGHT = 0.15
 """Weight of the newest stream in the mean."""
--- a/src/corkcrank/scheduling/worker_choice.py
+++ b/src/corkcrank/scheduling/worker_choice.py
@@ -18,9 +18,8 @@
 calls a slot more than it."""
 
 EXCESS_PENALTY = 4.0
-"""Pressure of a worker that is expected to fail all of its calls while the others fail none. Of
-2, 3, 4 and 6, in plays in which half of six workers fail half of their calls: 0.052, 0.040, 0.034
-and 0.030 of all calls fail; with more, a chance excess herds calls on workers of few slots."""
+"""Pressure of a worker that is expected to fail all of its calls while the others fail none. With
+more, an excess by chance herds calls on workers of few slots."""
 
 ENDED_SECONDS = 5.0
 """Time for which an incarnation that has ended is out of use. Its entry goes after three of the
