Lists of workers are pulled as what changed since a revision

Ruled out: a longer history in heartbeats (their bytes go to everybody). Change: the question names the revision up to which the asker's list is whole; a peer that has read no whole list since tells the rows that changed after it, else all. An older build ignores the question and tells all.

--- a/src/corkcrank/contracts/worker_records.py
+++ b/src/corkcrank/contracts/worker_records.py
@@ -57,6 +57,7 @@
         self._usable: dict[tuple[str, str | None], tuple[WorkerRecord, ...]] = {}
         self._indexed = True
         self._row_revisions: dict[str, int] = {}
+        self._changes_known_from = 0
         self._evacuated: frozenset[str] = frozenset()
         self.revision = 0
 
@@ -88,6 +89,7 @@
         self._row_revisions = {key: record.revision for key, record in listed.items()} | newer
         self._by_id = {record.worker_id: record for record in self._records.values()}
         self.revision = max(self.revision, revision)
+        self.forget_changes_before(revision)
         self._indexed = False
 
     def apply_row(self, name: str, record: WorkerRecord | None, revision: int) -> bool:
@@ -108,6 +110,23 @@
         self._indexed = False
         return True
 
+    def forget_changes_before(self, revision: int) -> None:
+        """Note that a whole list was read: it does not show what had gone before it."""
+        self._changes_known_from = revision
+
+    def changes_since(self, revision: int) -> list[tuple[str, int, WorkerRecord | None]] | None:
+        """Return the rows that changed after a revision: name, revision, and record or ``None``.
+
+        ``None`` where a whole list was read since.
+        """
+        if revision < self._changes_known_from:
+            return None
+        return [
+            (name, changed_at, self._records.get(name))
+            for name, changed_at in self._row_revisions.items()
+            if changed_at > revision
+        ]
+
     def whole_up_to(self, revision: int) -> None:
         """Note that every change up to ``revision`` was taken."""
         self.revision = max(self.revision, revision)
--- a/src/corkcrank/machines/store_mirror.py
+++ b/src/corkcrank/machines/store_mirror.py
@@ -226,6 +226,7 @@
         self._take_from_store(WorkerChangeBatch(since, revision, tuple(taken)), now)
         if whole:
             self.workers.whole_up_to(revision)
+            self.workers.forget_changes_before(answer.revision)
             self._note_list("store")
 
     def _take_from_store(self, batch: WorkerChangeBatch, now: float) -> None:
@@ -292,6 +293,14 @@
             self.on_change()
         return bool(taken)
 
+    def changes_since(self, revision: int) -> WorkerChangeBatch | None:
+        """Return what changed in the list of workers after a revision, if that is known."""
+        rows = self.workers.changes_since(revision)
+        if rows is None or not self.workers_known:
+            return None
+        changes = tuple(WorkerChange(name, changed_at, record) for name, changed_at, record in rows)
+        return WorkerChangeBatch(revision, self.workers.revision, changes)
+
     def _log_change(self, change: WorkerChange, source: str) -> None:
         record = change.record
         self._log.write(
--- a/src/corkcrank/node/membership/heartbeats.py
+++ b/src/corkcrank/node/membership/heartbeats.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 
+import msgspec
 from msgspec.structs import replace
 
 from corkcrank.contracts import clock
@@ -26,6 +27,7 @@
     WORKERS_PATH,
     ConfigurationAnswer,
     WorkersAnswer,
+    WorkersQuestion,
 )
 from corkcrank.node.stages.stage_owner import StageOwner
 from corkcrank.node.workers.crash_watch import CrashWatch
@@ -329,9 +331,14 @@
         limit = WORKERS_LAG_SECONDS if self._mirror.workers_known else 0.0
         if not self._lags(StoreTable.WORKERS, member, limit, now) or member is None:
             return
-        body = await self._peers.ask(member.heartbeat.address, WORKERS_PATH, repeat=True)
+        question = msgspec.msgpack.encode(WorkersQuestion(self._mirror.workers.revision))
+        body = await self._peers.ask(member.heartbeat.address, WORKERS_PATH, question, repeat=True)
         answer = read_answer(body, WorkersAnswer)
         if isinstance(answer, PeerTrouble):
             self._note_trouble(member, answer)
             return
-        self._mirror.take_workers(answer.records, answer.revision, f"peer {member.heartbeat.name}")
+        source = f"peer {member.heartbeat.name}"
+        if answer.changes is not None:
+            self._mirror.take_changes(answer.changes, source)
+        else:
+            self._mirror.take_workers(answer.records, answer.revision, source)
--- a/src/corkcrank/node/membership/peer_server.py
+++ b/src/corkcrank/node/membership/peer_server.py
@@ -41,6 +41,7 @@
     StageWork,
     WithdrawnQuestion,
     WorkersAnswer,
+    WorkersQuestion,
 )
 from corkcrank.node.stages.recent_answers import RecentAnswers
 from corkcrank.node.stages.stage_owner import StageOwner
@@ -186,7 +187,11 @@
 
     async def _workers(self, request: web.BaseRequest) -> web.Response:
         workers = self._mirror.workers
-        answer = WorkersAnswer(workers.revision, workers.records())
+        data = await self._read(request)
+        since = msgspec.msgpack.decode(data, type=WorkersQuestion).since if data else 0
+        changes = self._mirror.changes_since(since)
+        records = workers.records() if changes is None else ()
+        answer = WorkersAnswer(workers.revision, records, changes)
         return web.Response(body=msgspec.msgpack.encode(answer))
 
     async def _release_request(self, request: web.BaseRequest) -> web.Response:
--- a/src/corkcrank/node/peers/peer_protocol.py
+++ b/src/corkcrank/node/peers/peer_protocol.py
@@ -10,6 +10,7 @@
 from corkcrank.contracts.urgency import Urgency
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.links.platform_ports import PieceResult
+from corkcrank.machines.worker_changes import WorkerChangeBatch
 
 PIECES_PATH = "/peer/pieces"
 FREE_PATH = "/peer/free"
@@ -115,11 +116,18 @@
     read: bool = False
 
 
+class WorkersQuestion(msgspec.Struct, frozen=True):
+    """Asks for what changed in the list of workers after a revision."""
+
+    since: int
+
+
 class WorkersAnswer(msgspec.Struct, frozen=True):
-    """A gateway's whole list of workers."""
+    """A gateway's list of workers: ``changes`` since the revision asked for, else all of it."""
 
     revision: int
     records: tuple[WorkerRecord, ...]
+    changes: WorkerChangeBatch | None = None
 
 
 class ConfigurationAnswer(msgspec.Struct, frozen=True):
--- a/tests/platform/test_store_mirror.py
+++ b/tests/platform/test_store_mirror.py
@@ -4,11 +4,13 @@
 import random
 
 import aiohttp
+import msgspec
 from node_world import World, configuration, peer_of, route, settings_for, until, world
 from platform_standins import StandinWorker
 
 from corkcrank.links.decision_log import DecisionLog
 from corkcrank.load.loopback import loopback_address
+from corkcrank.node.peers.peer_protocol import WORKERS_PATH, WorkersAnswer, WorkersQuestion
 from corkcrank.node.process.node import Node
 from corkcrank.platform.ports import connect
 
@@ -166,3 +168,28 @@
         async with peer_of(running, loopback_address(2)):
             await until(lambda: first.mirror.workers.named(one.worker_id) is None)
         assert first.mirror.workers.named(two.worker_id) is not None
+
+
+async def test_a_peer_tells_what_changed_since_a_revision_and_all_where_it_cannot_know() -> None:
+    one, two = StandinWorker(), StandinWorker()
+    served = {"one": (one, "plain"), "two": (two, "plain")}
+    async with world(configuration(1, ROUTES), served) as running:
+        node = running.nodes[0]
+        before = node.mirror.workers.revision
+        running.store.remove("servers", one.worker_id)
+        await until(lambda: len(node.mirror.workers.records()) == 1)
+        changed = await ask_for_workers(running, since=before)
+        everything = await ask_for_workers(running, since=before - 1)
+    assert changed.changes is not None
+    assert [(item.name, item.record) for item in changed.changes.changes] == [(one.worker_id, None)]
+    assert changed.records == ()
+    assert everything.changes is None
+    assert [record.name for record in everything.records] == [two.worker_id]
+
+
+async def ask_for_workers(running: World, since: int) -> WorkersAnswer:
+    assert running.session is not None
+    address = running.nodes[0].fleet.own_address
+    question = msgspec.msgpack.encode(WorkersQuestion(since))
+    async with running.session.post(f"http://{address}{WORKERS_PATH}", data=question) as response:
+        return msgspec.msgpack.decode(await response.read(), type=WorkersAnswer)
