--- a/src/corkcrank/node/stages/stage_owner.py
+++ b/src/corkcrank/node/stages/stage_owner.py
@@ -106,7 +106,7 @@
         if worker is None or not self._mirror.workers.accepts_work(worker):
             return refuse(work, 0.0, "worker is unknown, leaving or in an evacuated zone")
         if profile is None or profile.stage is None:
-            return refuse(work, 0.0, "service has no stage workers")
+            return refuse(work, 0.0, "worker is of a service without stages")
         now = clock.now()
         entry, forecast = self._queues.first_free(worker, profile, work, now)
         if forecast.start > work.start_by:
