An entry that a peer has read anew counts as readable here at once

Ruled out: a worker kept out of use (it was usable). Change: a newer record that a peer tells takes the name off the unreadable ones.

--- a/src/corkcrank/machines/entry_reader.py
+++ b/src/corkcrank/machines/entry_reader.py
@@ -51,6 +51,10 @@
             changes.append(WorkerChange(row.key, row.revision, found))
         return changes
 
+    def note_readable(self, name: str) -> None:
+        """Take that a peer has read a newer entry of a worker, and that it names one."""
+        self.unreadable.pop(name, None)
+
     def keep_only(self, listed: AbstractSet[str]) -> None:
         """Forget the entries that a whole list does not hold any more."""
         for name in self.unreadable.keys() - listed:
--- a/src/corkcrank/machines/store_mirror.py
+++ b/src/corkcrank/machines/store_mirror.py
@@ -289,6 +289,7 @@
         now = clock.now()
         for change in taken:
             if change.record is not None:
+                self.entries.note_readable(change.name)
                 self.warming.note(change.record, now)
             self._log_change(change, source)
         if taken:
