--- a/src/corkcrank/machines/heartbeat.py
+++ b/src/corkcrank/machines/heartbeat.py
@@ -7,8 +7,8 @@
 from corkcrank.contracts.zone_evacuations import ZoneState
 from corkcrank.machines.store_contact import ReportedStoreContact
 from corkcrank.machines.worker_changes import WorkerChangeBatch
+from corkcrank.scheduling.crash_reports import CrashReport, TrialReport
 from corkcrank.scheduling.forecast_bias import ForecastRatio
-from corkcrank.scheduling.request_evidence import RequestReport
 from corkcrank.scheduling.stated_limits import ReportedLimit
 from corkcrank.scheduling.worker_outcomes import ReportedOutcomes
 
@@ -78,9 +78,9 @@
     The contacts are the newest answers of the store about each table that the sender knows
     of. ``probe`` asks the receiver for its heartbeat. ``strength`` is the processor time that
     the sender may use, in usual processors; 0 if it does not know. ``outcomes`` are those of
-    its calls at workers that failed some, ``requests`` those under which workers ended,
-    ``zone_states`` tells the zones that were ever evacuated, and ``limits`` the rates that workers
-    name.
+    its calls at workers that failed some, ``trials`` the attempts of requests on probation,
+    ``zone_states`` tells the zones that were ever evacuated, ``limits`` the rates that workers
+    name, and ``crashes`` the workers that ended, each with all requests that it had.
     """
 
     name: str
@@ -102,6 +102,7 @@
     probe: bool = False
     strength: float = 0.0
     outcomes: tuple[ReportedOutcomes, ...] = ()
-    requests: tuple[RequestReport, ...] = ()
+    trials: tuple[TrialReport, ...] = ()
     zone_states: tuple[ZoneState, ...] = ()
     limits: tuple[ReportedLimit, ...] = ()
+    crashes: tuple[CrashReport, ...] = ()
--- a/src/corkcrank/machines/heartbeat_codec.py
+++ b/src/corkcrank/machines/heartbeat_codec.py
@@ -18,7 +18,7 @@
 MAXIMUM_HEARTBEAT_BYTES = 65_536
 """Longest heartbeat that is unpacked."""
 
-ALWAYS_PACKED = Heartbeat.__struct_fields__.index("requests")
+ALWAYS_PACKED = Heartbeat.__struct_fields__.index("trials")
 """Fields that are packed whatever they tell; those behind them tell of what is rare."""
 
 _decoder = msgspec.msgpack.Decoder(Heartbeat)
--- a/src/corkcrank/node/calls/plain_run.py
+++ b/src/corkcrank/node/calls/plain_run.py
@@ -62,11 +62,13 @@
         if not self._ends_before_stop():
             return Refusal.draining("may take longer than is left")
         for number in range(call.route.maximum_attempts):
+            if await self._services.crash_watch.wait_for_verdict(call):
+                break
             now = clock.now()
             if now >= call.end_at:
                 break
             worker = await self._choose(now)
-            if worker is None or self._services.crash_watch.quarantine_left(self._call):
+            if worker is None or self._services.crash_watch.quarantine_left(call):
                 break
             if number == 0:
                 self._services.budget(service).record_first(now)
--- a/src/corkcrank/node/membership/heartbeats.py
+++ b/src/corkcrank/node/membership/heartbeats.py
@@ -1,11 +1,9 @@
-"""Sends and takes heartbeats, and pulls from peers what they have newer."""
+"""Sends and takes heartbeats."""
 
 import asyncio
 import random
 from collections.abc import Callable
-from contextlib import suppress
 
-import msgspec
 from msgspec.structs import replace
 
 from corkcrank.contracts import clock
@@ -14,21 +12,13 @@
 from corkcrank.links.decision_log import DecisionLog, LogEvent
 from corkcrank.links.platform_ports import StoreTable
 from corkcrank.machines.fleet import RUN_NOTE_SECONDS, Fleet
-from corkcrank.machines.heartbeat import CallLoad, Heartbeat, SentPrefix, ServiceBacklog
+from corkcrank.machines.heartbeat import CallLoad, Heartbeat, Phase, SentPrefix, ServiceBacklog
 from corkcrank.machines.heartbeat_codec import decode_heartbeat, encode_heartbeat
 from corkcrank.machines.members import Member
 from corkcrank.machines.store_contact import ReportedStoreContact, StoreContact, newest_contact
 from corkcrank.machines.store_mirror import StoreMirror
 from corkcrank.machines.worker_changes import WorkerChangeBatch
 from corkcrank.node.engines.engine_owner import EngineOwner
-from corkcrank.node.peers.peer_client import PeerClient, PeerTrouble, read_answer
-from corkcrank.node.peers.peer_protocol import (
-    CONFIGURATION_PATH,
-    WORKERS_PATH,
-    ConfigurationAnswer,
-    WorkersAnswer,
-    WorkersQuestion,
-)
 from corkcrank.node.stages.stage_owner import StageOwner
 from corkcrank.node.workers.crash_watch import CrashWatch
 from corkcrank.node.workers.worker_health import WorkerHealth
@@ -45,15 +35,6 @@
 BEAT_SPREAD = (0.9, 1.1)
 """Bounds of the random factor of the time between heartbeats: members do not fall into step."""
 
-PULL_SECONDS = 0.2
-"""Time between looks at whether a peer has something newer."""
-
-CONFIGURATION_LAG_SECONDS = 0.15
-"""A gateway that follows the store gives it this long before it asks a peer."""
-
-WORKERS_LAG_SECONDS = 0.8
-"""A newer list of workers is pulled if its changes were not told by then."""
-
 URGENT_SPREAD_SECONDS = 0.1
 """Shortest time over which the whole fleet is told that this gateway starts or stops."""
 
@@ -86,7 +67,6 @@
         stage_owner: StageOwner,
         engine_owner: EngineOwner,
         worker_statistics: WorkerStatisticsTable,
-        peers: PeerClient,
         log: DecisionLog,
         random_source: random.Random,
         engines: EngineChooser,
@@ -107,14 +87,12 @@
         self._stage_owner = stage_owner
         self._engine_owner = engine_owner
         self._worker_statistics = worker_statistics
-        self._peers = peers
         self._log = log
         self._random = random_source
         self._loads = PeerLoads(worker_statistics)
         self._incarnation = random_source.getrandbits(INCARNATION_BITS)
         self._link = DatagramLink(self._take)
-        self._behind_since: dict[StoreTable, float] = {}
-        self._behind = asyncio.Event()
+        self.on_behind: Callable[[], None] = lambda: None
         self._urgent = asyncio.Event()
         self.on_suspended: Callable[[float], None] = lambda seconds: None
         self._news = asyncio.Event()
@@ -199,16 +177,6 @@
         self._fleet.note_heartbeat(len(data))
         return data
 
-    async def pull(self) -> None:
-        """Pull what peers have newer, for ever."""
-        while True:
-            with suppress(TimeoutError):
-                await asyncio.wait_for(self._behind.wait(), PULL_SECONDS)
-            self._behind.clear()
-            now = clock.now()
-            await self._pull_configuration(now)
-            await self._pull_workers(now)
-
     def _heartbeat(self, now: float) -> Heartbeat:
         calls = [
             CallLoad(worker_id, statistics.in_flight, statistics.reading)
@@ -237,9 +205,10 @@
             forecast_ratios=self._forecast_bias.reported(now),
             strength=self._fleet.own_strength,
             outcomes=self._health.reported(now),
-            requests=self._crash_watch.quarantine.reported(now, self._fleet.interval()),
+            trials=self._crash_watch.quarantine.reported_trials(now, self._fleet.interval()),
             zone_states=self._mirror.evacuations.told(),
             limits=self._statements.limits.reported(now),
+            crashes=self._crash_watch.quarantine.reported(now, self._fleet.interval()),
         )
 
     def _store_contact(self, table: StoreTable, now: float) -> ReportedStoreContact:
@@ -254,7 +223,9 @@
         now = clock.now()
         if heartbeat.probe:
             self._link.send(self._encoded(), heartbeat.address)
+        before = self._fleet.member(heartbeat.name)
         if self._fleet.hear(heartbeat, now):
+            self._note_restarted(before)
             self._log.write(
                 LogEvent.MEMBER_JOINED,
                 member=heartbeat.name,
@@ -268,13 +239,19 @@
         self._loads.take(heartbeat.name, heartbeat.call_loads)
         self._forecast_bias.take(heartbeat.name, heartbeat.forecast_ratios, now)
         self._health.take(heartbeat.name, heartbeat.zone, heartbeat.outcomes)
-        self._crash_watch.take(heartbeat.requests, heartbeat.name)
+        self._crash_watch.take_trials(heartbeat.trials)
+        self._crash_watch.take(heartbeat.crashes, heartbeat.name)
         self._statements.take(heartbeat.limits, heartbeat.name)
         if heartbeat.configuration_version > self._mirror.version:
-            self._behind.set()
+            self.on_behind()
         for prefix in heartbeat.prefixes:
             self._take_prefix(prefix, now)
 
+    def _note_restarted(self, before: Member | None) -> None:
+        """Take that a member has started anew; unless it had left, it ended without a word."""
+        if before is not None and before.heartbeat.phase != Phase.LEAVING:
+            self._crash_watch.note_member_lost(before.heartbeat.name, before.heard_at)
+
     def _take_worker_changes(self, batch: WorkerChangeBatch, name: str, now: float) -> None:
         if not self._mirror.take_changes(batch, f"peer {name}"):
             return
@@ -303,46 +280,5 @@
                 member = self._fleet.member(name)
                 age = now - member.heard_at if member is not None else None
                 self._log.write(LogEvent.MEMBER_SUSPECTED, member=name, silent=age)
-
-    def _lags(self, table: StoreTable, ahead: Member | None, limit: float, now: float) -> bool:
-        """Return whether some peer has been ahead of this gateway for ``limit`` seconds."""
-        if ahead is None:
-            self._behind_since.pop(table, None)
-            return False
-        return now - self._behind_since.setdefault(table, now) >= limit
-
-    async def _pull_configuration(self, now: float) -> None:
-        member = self._fleet.ahead_in_configuration(self._mirror.version, now)
-        follows = self._mirror.version and self._mirror.is_follower(StoreTable.CONFIGURATION)
-        limit = CONFIGURATION_LAG_SECONDS if follows else 0.0
-        if not self._lags(StoreTable.CONFIGURATION, member, limit, now) or member is None:
-            return
-        body = await self._peers.ask(member.heartbeat.address, CONFIGURATION_PATH, repeat=True)
-        answer = read_answer(body, ConfigurationAnswer)
-        if isinstance(answer, PeerTrouble):
-            self._note_trouble(member, answer)
-            return
-        if answer.configuration is not None:
-            adopted = self._mirror.adopt(answer.configuration, f"peer {member.heartbeat.name}")
-            if adopted:
-                self.pass_on_soon()
-
-    def _note_trouble(self, member: Member, trouble: PeerTrouble) -> None:
-        self._log.write(LogEvent.PULL_FAILED, member=member.heartbeat.name, detail=trouble.value)
-
-    async def _pull_workers(self, now: float) -> None:
-        member = self._fleet.ahead_in_workers(self._mirror.workers.revision, now)
-        limit = WORKERS_LAG_SECONDS if self._mirror.workers_known else 0.0
-        if not self._lags(StoreTable.WORKERS, member, limit, now) or member is None:
-            return
-        question = msgspec.msgpack.encode(WorkersQuestion(self._mirror.workers.revision))
-        body = await self._peers.ask(member.heartbeat.address, WORKERS_PATH, question, repeat=True)
-        answer = read_answer(body, WorkersAnswer)
-        if isinstance(answer, PeerTrouble):
-            self._note_trouble(member, answer)
-            return
-        source = f"peer {member.heartbeat.name}"
-        if answer.changes is not None:
-            self._mirror.take_changes(answer.changes, source)
-        else:
-            self._mirror.take_workers(answer.records, answer.revision, source)
+                if member is not None and member.heartbeat.phase != Phase.LEAVING:
+                    self._crash_watch.note_member_lost(name, member.heard_at)
--- a/src/corkcrank/node/membership/peer_server.py
+++ b/src/corkcrank/node/membership/peer_server.py
@@ -28,6 +28,7 @@
 )
 from corkcrank.node.peers.peer_protocol import (
     CONFIGURATION_PATH,
+    CRASHES_PATH,
     FREE_PATH,
     LIMIT_GRANT_PATH,
     PIECES_PATH,
@@ -36,6 +37,7 @@
     WITHDRAW_PATH,
     WORKERS_PATH,
     ConfigurationAnswer,
+    CrashesAnswer,
     FreeResults,
     LimitGrantRequest,
     PrefillDone,
@@ -89,6 +91,7 @@
             LIMIT_GRANT_PATH: self._limit_grant,
             CONFIGURATION_PATH: self._configuration,
             WORKERS_PATH: self._workers,
+            CRASHES_PATH: self._crashes,
             RELEASE_REQUEST_PATH: self._release_request,
             METRICS_PATH: self._metrics,
             DUMP_PATH: self._state,
@@ -205,6 +208,10 @@
         answer = WorkersAnswer(workers.revision, records, changes)
         return web.Response(body=msgspec.msgpack.encode(answer))
 
+    async def _crashes(self, request: web.BaseRequest) -> web.Response:
+        reports = self._crash_watch.quarantine.all_reports(clock.now())
+        return web.Response(body=msgspec.msgpack.encode(CrashesAnswer(reports)))
+
     async def _release_request(self, request: web.BaseRequest) -> web.Response:
         text = (await self._read(request)).decode("ascii", "replace").strip()
         if not is_fingerprint(text):
--- a/src/corkcrank/node/membership/quarantine_rows.py
+++ b/src/corkcrank/node/membership/quarantine_rows.py
@@ -22,7 +22,8 @@
 from corkcrank.machines.store_followers import StoreFollowerElection
 from corkcrank.machines.store_mirror import StoreMirror
 from corkcrank.node.workers.crash_watch import CrashWatch
-from corkcrank.scheduling.request_evidence import RequestReport, WorkerEnd
+from corkcrank.scheduling.crash_records import CrashRecord
+from corkcrank.scheduling.crash_reports import CrashReport, RequestAtEnd
 
 READ_DELAY_SECONDS = 0.5
 """Time from serving to the read: two heartbeats of a small fleet, by which a gateway knows whether
@@ -39,19 +40,39 @@
 """Rows written or removed at a time."""
 
 
+class _SuspectRow(msgspec.Struct, frozen=True, array_like=True):
+    """A request that a worker had at its end, by its fingerprint."""
+
+    request: str
+    progressed: bool = False
+
+
 class _EndRow(msgspec.Struct, frozen=True):
-    """A worker that ended; ``at`` is on the store's steady clock, in seconds."""
+    """A worker that ended; ``at`` is on the store's steady clock, in seconds.
+
+    The requests that have ended well since are left out.
+    """
 
     worker_id: str
     at: float
-    progressed: bool = False
+    suspects: tuple[_SuspectRow, ...]
+    incomplete: bool = False
 
 
 class _QuarantineRow(msgspec.Struct, frozen=True):
-    """The value of a row; its key is the request's fingerprint."""
+    """The value of a row; its key is the request's fingerprint.
+
+    Each end is told with all its suspects: without them whoever reads it after a start would blame
+    a request for what its neighbours explain as well.
+    """
 
     ends: tuple[_EndRow, ...]
 
+    @property
+    def size(self) -> int:
+        """Return how much evidence the row holds; it grows with each end and each suspect."""
+        return sum(len(end.suspects) for end in self.ends)
+
 
 class QuarantineRows:
     """Reads quarantines once after a start, and writes those that this gateway answers for."""
@@ -73,7 +94,7 @@
         self._quarantine = crash_watch.quarantine
         self._log = log
         self._written: dict[str, int] = {}
-        """Rows known to be there, with the number of ends that each tells."""
+        """Rows known to be there, with the size of each."""
 
     async def keep(self) -> None:
         """Keep the rows for ever."""
@@ -88,65 +109,68 @@
     async def _read(self) -> None:
         while isinstance(rows := await self._store.read(StoreTable.QUARANTINE), StoreFailure):
             await asyncio.sleep(RETRY_SECONDS)
-        reports = [self._report(row, rows.store_time) for row in rows.rows]
-        self._crash_watch.take([report for report in reports if report is not None], "store")
+        reports = [report for row in rows.rows for report in self._reports(row, rows.store_time)]
+        self._crash_watch.take(reports, "store")
 
-    def _report(self, row: StoreRow, store_time: float) -> RequestReport | None:
+    def _reports(self, row: StoreRow, store_time: float) -> list[CrashReport]:
         if not isinstance(row.value, bytes):
-            return None
+            return []
         try:
             value = msgspec.json.decode(row.value, type=_QuarantineRow)
-        except msgspec.DecodeError as error:
+            reports = [_report(end, store_time) for end in value.ends]
+        except (msgspec.DecodeError, ValueError) as error:
             self._log.write(
                 LogEvent.DOCUMENT_UNREADABLE, kind="quarantine", key=row.key, detail=str(error)
             )
-            return None
-        self._written[row.key] = len(value.ends)
-        ends = tuple(
-            WorkerEnd(end.worker_id, max(0.0, store_time - end.at), progressed=end.progressed)
-            for end in value.ends
-        )
-        return RequestReport(row.key, ends)
+            return []
+        self._written[row.key] = value.size
+        return reports
 
     async def _write(self) -> bool:
         """Write what has changed; return whether the store took all of it."""
-        for request in self._to_write()[:MOST_WRITES]:
-            row = self._row(request, clock.now())
-            if row is None:
-                return False
+        for request, row in self._to_write()[:MOST_WRITES]:
             data = msgspec.json.encode(row)
             if isinstance(
                 await self._store.put(StoreTable.QUARANTINE, request, data), StoreFailure
             ):
                 return False
-            self._written[request] = len(row.ends)
-        kept = set(self._quarantine.quarantined())
+            self._written[request] = row.size
+        kept = set(self._quarantine.quarantined(clock.now()))
         for request in [key for key in self._written if key not in kept][:MOST_WRITES]:
             if isinstance(await self._store.remove(StoreTable.QUARANTINE, request), StoreFailure):
                 return False
             self._written.pop(request, None)
         return True
 
-    def _to_write(self) -> list[str]:
+    def _to_write(self) -> list[tuple[str, _QuarantineRow]]:
         """Return the quarantined requests whose rows are this gateway's to write."""
-        known = self._quarantine.known()
-        return [
-            request
-            for request in self._quarantine.quarantined()
-            if len(known[request].uncleared()) != self._written.get(request)
-            and self._fleet.zone_owner("", request, clock.now()) == self._fleet.own_name
-        ]
-
-    def _row(self, request: str, now: float) -> _QuarantineRow | None:
+        now = clock.now()
         own = self._mirror.contacts.get(StoreTable.WORKERS, StoreContact())
         contact = newest_contact(own, self._fleet.store_contact(StoreTable.WORKERS))
-        evidence = self._quarantine.known().get(request)
-        if evidence is None or contact.heard_at == float("-inf"):
-            return None
+        if contact.heard_at == float("-inf"):
+            return []
         offset = contact.store_time - contact.heard_at
         rows = [
-            _EndRow(name, round(end.at + offset, 3), end.progressed)
-            for name, end in evidence.ends.items()
-            if not end.cleared
+            (request, self._row(request, offset))
+            for request in self._quarantine.quarantined(now)
+            if self._fleet.zone_owner("", request, now) == self._fleet.own_name
         ]
-        return _QuarantineRow(tuple(rows))
+        return [(key, row) for key, row in rows if row.size != self._written.get(key)]
+
+    def _row(self, request: str, offset: float) -> _QuarantineRow:
+        """Return the row of a request; ``offset`` is from the own clock to the store's."""
+        ends = self._quarantine.records.suspected_ends(request)
+        return _QuarantineRow(tuple(_end_row(record, offset) for record in ends))
+
+
+def _end_row(record: CrashRecord, offset: float) -> _EndRow:
+    suspects = tuple(
+        _SuspectRow(request, record.requests[request].progressed) for request in record.suspects()
+    )
+    return _EndRow(record.worker_id, round(record.at + offset, 3), suspects, record.incomplete)
+
+
+def _report(end: _EndRow, store_time: float) -> CrashReport:
+    items = [RequestAtEnd(suspect.request, suspect.progressed) for suspect in end.suspects]
+    age = max(0.0, store_time - end.at)
+    return CrashReport.of(end.worker_id, age, items, incomplete=end.incomplete)
--- a/src/corkcrank/node/peers/peer_protocol.py
+++ b/src/corkcrank/node/peers/peer_protocol.py
@@ -11,6 +11,7 @@
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.links.platform_ports import PieceResult
 from corkcrank.machines.worker_changes import WorkerChangeBatch
+from corkcrank.scheduling.crash_reports import CrashReport
 from corkcrank.scheduling.stated_limits import ReportedLimit
 
 PIECES_PATH = "/peer/pieces"
@@ -21,6 +22,7 @@
 PREFILL_REQUEST_PATH = "/peer/engine-turn"
 PREFILL_DONE_PATH = "/peer/engine-done"
 LIMIT_GRANT_PATH = "/peer/limit-grant"
+CRASHES_PATH = "/peer/crashes"
 
 
 class FollowingPieces(msgspec.Struct, frozen=True, array_like=True):
@@ -162,6 +164,12 @@
     changes: WorkerChangeBatch | None = None
 
 
+class CrashesAnswer(msgspec.Struct, frozen=True):
+    """Every worker's end that a gateway remembers."""
+
+    reports: tuple[CrashReport, ...]
+
+
 class ConfigurationAnswer(msgspec.Struct, frozen=True):
     """A gateway's configuration, if it has one."""
 
--- a/src/corkcrank/node/process/node.py
+++ b/src/corkcrank/node/process/node.py
@@ -25,6 +25,7 @@
 from corkcrank.node.limits.limit_grants import LimitGrantClient, LimitOwner
 from corkcrank.node.limits.worker_limits import WorkerLimits
 from corkcrank.node.membership.heartbeats import HeartbeatLoop
+from corkcrank.node.membership.peer_pulls import PeerPulls
 from corkcrank.node.membership.peer_server import PeerServer, serve_readiness
 from corkcrank.node.membership.quarantine_rows import QuarantineRows
 from corkcrank.node.peers.peer_client import PeerClient
@@ -158,7 +159,6 @@
             self.stage_owner,
             engine_owner,
             self._worker_statistics,
-            self._peers,
             log,
             random_source,
             self._engines,
@@ -168,6 +168,9 @@
             self.crash_watch,
             self._statements,
         )
+        self._pulls = PeerPulls(self.fleet, self.mirror, self._peers, self.crash_watch, log)
+        self._pulls.on_adopted = self.heartbeats.pass_on_soon
+        self.heartbeats.on_behind = self._pulls.look_soon
         self.crash_watch.on_news = self.heartbeats.pass_on_soon
         self._statements.on_news = self.heartbeats.pass_on_soon
         self._quarantine_rows = QuarantineRows(
@@ -227,7 +230,7 @@
             self._spawn(self.heartbeats.beat()),
             self._spawn(self.heartbeats.tell()),
             self._spawn(self.heartbeats.pass_on()),
-            self._spawn(self.heartbeats.pull()),
+            self._spawn(self._pulls.pull()),
             self._spawn(register(process, self._ports.store, self.fleet, self.heartbeats)),
             self._spawn(self._become_ready()),
             self._spawn(measure_lag(self.services.metrics, self.fleet)),
--- a/src/corkcrank/node/process/state_collector.py
+++ b/src/corkcrank/node/process/state_collector.py
@@ -10,7 +10,7 @@
 from corkcrank.links.platform_ports import StoreTable
 from corkcrank.node.calls.services import CallServices
 from corkcrank.node.stages.stage_owner import StageOwner
-from corkcrank.scheduling.request_evidence import RequestState
+from corkcrank.scheduling.request_quarantine import RequestState
 
 
 class StateCollector(Collector):
@@ -75,7 +75,9 @@
             labels=("state",),
         )
         quarantine = self._services.crash_watch.quarantine
-        states = Counter(quarantine.state(request, now) for request in quarantine.known())
+        states = Counter(
+            quarantine.state(request, now) for request in quarantine.records.requests()
+        )
         for state in (RequestState.SUSPECTED, RequestState.QUARANTINED, RequestState.PROBATION):
             family.add_metric((state.value,), states[state])
         return family
--- a/src/corkcrank/node/process/state_dump.py
+++ b/src/corkcrank/node/process/state_dump.py
@@ -56,12 +56,16 @@
 
 
 class RequestDump(msgspec.Struct, frozen=True):
-    """A request under which workers ended; kept from workers for ``seconds`` more."""
+    """A request under which workers ended; kept from workers for ``seconds`` more.
+
+    ``rival`` is the request that was at most of these workers too, where this one is blamed.
+    """
 
     request: str
     state: str
     ended_workers: tuple[str, ...]
     seconds: float
+    rival: str = ""
 
 
 class MemberDump(msgspec.Struct, frozen=True):
@@ -182,14 +186,18 @@
 
 
 def _requests(quarantine: RequestQuarantine, now: float) -> tuple[RequestDump, ...]:
+    verdicts = quarantine.verdicts(now)
     return tuple(
         RequestDump(
             request=request,
             state=quarantine.state(request, now).value,
-            ended_workers=tuple(sorted(evidence.ends)),
+            ended_workers=tuple(
+                sorted(record.worker_id for record in quarantine.records.of_request(request))
+            ),
             seconds=round(quarantine.seconds_left(request, now), 3),
+            rival=verdicts[request].rival if request in verdicts else "",
         )
-        for request, evidence in quarantine.known().items()
+        for request in quarantine.records.requests()
     )
 
 
--- a/src/corkcrank/node/stages/stage_run.py
+++ b/src/corkcrank/node/stages/stage_run.py
@@ -150,7 +150,7 @@
             missing = [piece for piece in range(count) if piece not in handles]
             if turn:
                 await asyncio.sleep(ROUND_PAUSE_SECONDS)
-            if wait := self.crash_watch.quarantine_left(self.call):
+            if wait := await self.crash_watch.wait_for_verdict(self.call):
                 raise StageFailedError("quarantined", started=self.started, retry_after=wait)
             rounds = await self._place(stage, missing, refused, announcement)
             announcement = replace(announcement, begins=False)
--- a/src/corkcrank/node/streams/stream_part.py
+++ b/src/corkcrank/node/streams/stream_part.py
@@ -11,7 +11,7 @@
 import aiohttp
 
 from corkcrank.node.streams.events import StreamEvent
-from corkcrank.scheduling.request_evidence import BEGINNING_SECONDS
+from corkcrank.scheduling.crash_reports import BEGINNING_SECONDS
 
 FIRST_EVENT_IDS = (0, 1)
 """Ids that the first event of a stream may have: 1 in each of 173 streams of five engines'
--- a/src/corkcrank/node/streams/stream_run.py
+++ b/src/corkcrank/node/streams/stream_run.py
@@ -67,7 +67,7 @@
         """Return the finished answer, or why there is none."""
         if clock.now() > self._services.drain.streams_until:
             return Refusal.draining("read late in the drain")
-        if wait := self._services.crash_watch.quarantine_left(self._call):
+        if wait := await self._services.crash_watch.wait_for_verdict(self._call):
             return Refusal.quarantined(wait)
         tokens = self._call.envelope.prompt.tokens_in
         self._services.prompt_sizes.learn(self._call.route.name, tokens)
@@ -110,14 +110,8 @@
         for number in range(self._call.route.maximum_attempts):
             assert engine is not None
             inputs = await self._run_stages(engine)
-            if not self._answer.prepared and not self._admission.ends_before_stop():
-                break
-            self._admission.log_time_left()
-            engine = self._still_usable(engine)
-            if engine is None or not self._may_send(number):
-                break
-            engine = await self._take_turn(engine)
-            if engine is None or self._services.crash_watch.quarantine_left(self._call):
+            engine = await self._engine_to_send_to(engine, number)
+            if engine is None:
                 break
             end = await self._exchanges.send(engine, inputs)
             if end is RelayEnd.COMPLETE:
@@ -136,6 +130,20 @@
             self._after_failure(failed)
         return self._give_up()
 
+    async def _engine_to_send_to(self, chosen: WorkerRecord, number: int) -> WorkerRecord | None:
+        """Return the engine that takes the call now, if it may be sent at all."""
+        crash_watch = self._services.crash_watch
+        if await crash_watch.wait_for_verdict(self._call):
+            return None
+        if not self._answer.prepared and not self._admission.ends_before_stop():
+            return None
+        self._admission.log_time_left()
+        engine = self._still_usable(chosen)
+        if engine is None or not self._may_send(number):
+            return None
+        engine = await self._take_turn(engine)
+        return None if crash_watch.quarantine_left(self._call) else engine
+
     async def _take_turn(self, chosen: WorkerRecord) -> WorkerRecord | None:
         """Return the engine that reads the prompt next.
 
--- a/src/corkcrank/node/telemetry/metrics.py
+++ b/src/corkcrank/node/telemetry/metrics.py
@@ -68,6 +68,17 @@
             "Requests quarantined, since workers ended under them.",
             registry=self.registry,
         )
+        self.verdicts_taken_back = Counter(
+            "corkcrank_request_verdicts_taken_back",
+            "Requests that are quarantined no more, since other requests explain the ends.",
+            registry=self.registry,
+        )
+        self.unreadable_crash_reports = Counter(
+            "corkcrank_unreadable_crash_reports",
+            "Reports of ended workers that were not believed, by what is wrong with them.",
+            ("problem",),
+            registry=self.registry,
+        )
         self.limit_held_back = Counter(
             "corkcrank_limit_held_back",
             "Calls for which workers were at their limits, by what followed.",
--- a/src/corkcrank/node/workers/crash_watch.py
+++ b/src/corkcrank/node/workers/crash_watch.py
@@ -1,7 +1,7 @@
 """Takes what broken calls show of workers that ended, and keeps requests that end them away."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from corkcrank.contracts import clock
 from corkcrank.contracts.opaque_call import OpaqueCall
@@ -10,8 +10,9 @@
 from corkcrank.links.decision_log import DecisionLog, LogEvent
 from corkcrank.node.telemetry.metrics import NodeMetrics
 from corkcrank.node.workers.worker_probe import has_ended
-from corkcrank.scheduling.request_evidence import RequestReport, RequestState
-from corkcrank.scheduling.request_quarantine import RequestQuarantine
+from corkcrank.scheduling.crash_reports import CrashReport, TrialReport
+from corkcrank.scheduling.crash_verdicts import Verdict
+from corkcrank.scheduling.request_quarantine import RequestQuarantine, RequestState
 from corkcrank.scheduling.worker_choice import WorkerStatisticsTable
 
 CONNECTION_PATIENCE_SECONDS = 1.5
@@ -37,12 +38,39 @@
         self._metrics = metrics
         self._checks: dict[str, asyncio.Task[bool]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._verdicts: Mapping[str, Verdict] = {}
+        self._review_timer: asyncio.TimerHandle | None = None
+        self._problems: set[str] = set()
 
     def quarantine_left(self, call: OpaqueCall) -> float:
         """Return for how many seconds a call's request is kept from workers, 0 if it is not."""
         if self.quarantine.empty:
             return 0.0
-        return self.quarantine.seconds_left(call.fingerprint, clock.now())
+        now = clock.now()
+        left = self.quarantine.seconds_left(call.fingerprint, now)
+        return left or self.quarantine.seconds_to_wait(call.fingerprint, now)
+
+    async def wait_for_verdict(self, call: OpaqueCall) -> float:
+        """Wait until a call's request is judged; return what :meth:`quarantine_left` does then.
+
+        A call whose time ends before that does not wait.
+        """
+        waits = False
+        while not self.quarantine.empty:
+            now = clock.now()
+            wait = self.quarantine.seconds_to_wait(call.fingerprint, now)
+            if not wait or now + wait >= call.end_at:
+                break
+            if not waits:
+                waits = True
+                self._log.write(
+                    LogEvent.REQUEST_AWAITS_VERDICT,
+                    call=call.call_id,
+                    request=call.fingerprint,
+                    seconds=round(wait, 3),
+                )
+            await asyncio.sleep(wait)
+        return self.quarantine_left(call)
 
     def is_suspected(self, call: OpaqueCall) -> bool:
         """Return whether a worker has ended under a call's request that never ended well since."""
@@ -76,18 +104,39 @@
             return
         if self.quarantine.note_sound(call.fingerprint, clock.now()):
             self._log.write(LogEvent.REQUEST_CLEARED, call=call.call_id, request=call.fingerprint)
+            self._review()
             self.on_news()
 
-    def take(self, reports: Iterable[RequestReport], source: str) -> None:
-        """Take what a peer, or the store, tells of requests."""
+    def note_member_lost(self, member: str, last_heard_at: float) -> None:
+        """Take that a gateway is gone without a word: it may not have told what it had."""
+        if self.quarantine.note_loss(last_heard_at, clock.now()):
+            self._log.write(
+                LogEvent.EVIDENCE_INCOMPLETE,
+                member=member,
+                age=round(clock.now() - last_heard_at, 3),
+            )
+            self._review()
+            self.on_news()
+
+    def take(self, reports: Iterable[CrashReport], source: str) -> None:
+        """Take what a peer, or the store, tells of ends."""
         now = clock.now()
+        news = False
         for report in reports:
-            before = self.quarantine.state(report.request, now)
-            if self.quarantine.take(report, now):
-                for end in report.ends:
-                    self._worker_statistics.of(end.worker_id).note_ended(now - end.age)
-                self._note_state(report.request, before, source)
-                self.on_news()
+            if problem := report.problem():
+                self._note_problem(problem, source)
+            elif self.quarantine.take(report, now):
+                news = True
+                self._worker_statistics.of(report.worker_id).note_ended(now - report.age)
+        if news:
+            self._review()
+            self.on_news()
+
+    def take_trials(self, reports: Iterable[TrialReport]) -> None:
+        """Take what a peer tells of requests on probation."""
+        now = clock.now()
+        if any([self.quarantine.take_trial(report, now) for report in reports]):
+            self.on_news()
 
     def release(self, request: str) -> ReleaseAnswer:
         """Free a request, for an operator who knows that it is sound."""
@@ -95,11 +144,14 @@
         before = self.quarantine.state(request, now)
         if self.quarantine.note_sound(request, now):
             self._log.write(LogEvent.REQUEST_RELEASED, request=request, before=before.value)
+            self._review()
             self.on_news()
         return ReleaseAnswer(request, before.value, self.quarantine.state(request, now).value)
 
     async def close(self) -> None:
         """Give up the looks that are under way."""
+        if self._review_timer is not None:
+            self._review_timer.cancel()
         pending = [*self._tasks, *self._checks.values()]
         for task in pending:
             task.cancel()
@@ -110,7 +162,6 @@
             return
         now = clock.now()
         self._worker_statistics.of(worker.worker_id).note_ended(now)
-        before = self.quarantine.state(call.fingerprint, now)
         request, worker_id = call.fingerprint, worker.worker_id
         if not self.quarantine.note_end(request, worker_id, now, progressed=progressed):
             return
@@ -123,7 +174,7 @@
             service=worker.service,
             progressed=progressed,
         )
-        self._note_state(call.fingerprint, before, "own call")
+        self._review()
         self.on_news()
 
     async def _has_ended(self, worker: WorkerRecord) -> bool:
@@ -147,15 +198,45 @@
             if self._checks.get(worker.worker_id) is check:
                 del self._checks[worker.worker_id]
 
-    def _note_state(self, request: str, before: RequestState, source: str) -> None:
+    def _review(self) -> None:
+        """Log verdicts that are new or taken back, now and when the next end is settled."""
         now = clock.now()
-        state = self.quarantine.state(request, now)
-        if state is RequestState.QUARANTINED and before is not state:
-            self._metrics.quarantines.inc()
-            self._log.write(
-                LogEvent.REQUEST_QUARANTINED,
-                request=request,
-                source=source,
-                workers=self.quarantine.ended_workers(request),
-                seconds=round(self.quarantine.seconds_left(request, now), 3),
-            )
+        before, self._verdicts = self._verdicts, self.quarantine.verdicts(now)
+        for request in sorted(self._verdicts.keys() - before.keys()):
+            self._note_quarantined(request, self._verdicts[request], now)
+        for request in sorted(before.keys() - self._verdicts.keys()):
+            if self.quarantine.state(request, now) is RequestState.SUSPECTED:
+                self._metrics.verdicts_taken_back.inc()
+                self._log.write(LogEvent.REQUEST_FREED, request=request)
+        self._review_later(now)
+
+    def _review_later(self, now: float) -> None:
+        if self._review_timer is not None:
+            self._review_timer.cancel()
+            self._review_timer = None
+        seconds = self.quarantine.next_settling(now) - now
+        if seconds < float("inf"):
+            loop = asyncio.get_running_loop()
+            self._review_timer = loop.call_later(seconds, self._review)
+
+    def _note_quarantined(self, request: str, verdict: Verdict, now: float) -> None:
+        self._metrics.quarantines.inc()
+        ends = self.quarantine.records.suspected_ends(request)
+        self._log.write(
+            LogEvent.REQUEST_QUARANTINED,
+            request=request,
+            workers=sorted(verdict.workers),
+            ages=sorted(round(now - record.at, 3) for record in ends),
+            progressed=sum(record.requests[request].progressed for record in ends),
+            incomplete=sum(record.incomplete for record in ends),
+            rival=verdict.rival,
+            rival_ends=verdict.shared,
+            seconds=round(self.quarantine.seconds_left(request, now), 3),
+        )
+
+    def _note_problem(self, problem: str, source: str) -> None:
+        """Count a report that cannot be believed; log the first of each kind."""
+        self._metrics.unreadable_crash_reports.labels(problem).inc()
+        if problem not in self._problems:
+            self._problems.add(problem)
+            self._log.write(LogEvent.CRASH_REPORT_UNREADABLE, source=source, detail=problem)
--- a/tests/core/test_heartbeat_codec.py
+++ b/tests/core/test_heartbeat_codec.py
@@ -97,4 +97,4 @@
 def test_a_heartbeat_without_limits_has_no_byte_for_them() -> None:
     beat = heartbeat(2, 2, 2, 0)
     fields = msgspec.msgpack.decode(zlib.decompress(encode_heartbeat(beat)))
-    assert len(fields) == Heartbeat.__struct_fields__.index("requests")
+    assert len(fields) == Heartbeat.__struct_fields__.index("trials")
--- a/tests/platform/test_ended_workers.py
+++ b/tests/platform/test_ended_workers.py
@@ -40,10 +40,8 @@
     await asyncio.gather(response, return_exceptions=True)
     ended = [worker for worker in workers if not worker.server.listening]
     for node in running.nodes:
-        known = node.crash_watch.quarantine.known
-        await until(
-            lambda known=known: any(len(item.ends) == len(ended) for item in known().values())
-        )
+        records = node.crash_watch.quarantine.records
+        await until(lambda records=records: len(records) == len(ended))
 
 
 @pytest.mark.parametrize("way", WAYS)
--- a/tests/platform/test_quarantined_requests.py
+++ b/tests/platform/test_quarantined_requests.py
@@ -48,11 +48,16 @@
     return {worker.worker_id: (worker, service) for worker in workers}
 
 
+def quarantined_at(node: Node) -> list[str]:
+    """Return the requests that a gateway blames now."""
+    return node.crash_watch.quarantine.quarantined(clock.now())
+
+
 async def convict(running: World, workers: list[MortalWorker], path: str = "/safe/x") -> None:
     """Have a request end three workers, and wait until it is quarantined and they are back."""
     join_store(running.store, workers, "plain")
     await send(running, path, CRASHING)
-    await until(lambda: all(node.crash_watch.quarantine.quarantined() for node in running.nodes))
+    await until(lambda: all(quarantined_at(node) for node in running.nodes))
     await all_back(running, workers)
 
 
@@ -86,7 +91,7 @@
         await convict(running, workers)
         ends = ends_of(workers)
         async with peer_of(running, loopback_address(2)) as late:
-            await until(lambda: bool(late.crash_watch.quarantine.quarantined()))
+            await until(lambda: bool(quarantined_at(late)))
             await until(lambda: late.ready)
             assert await send(running, "/safe/x", CRASHING, number=1) == 503
         assert ends_of(workers) == ends
@@ -101,7 +106,7 @@
         ends = ends_of(workers)
         await running.nodes[0].stop()
         async with restarted(running) as node:
-            await until(lambda: bool(node.crash_watch.quarantine.quarantined()))
+            await until(lambda: bool(quarantined_at(node)))
             assert await send(running, "/safe/x", CRASHING, number=1) == 503
         assert ends_of(workers) == ends
 
@@ -139,10 +144,10 @@
         rows = running.store.rows
         await until(lambda: any(table == "quarantine" for table, _ in rows))
         quarantine = running.nodes[0].crash_watch.quarantine
-        (request,) = quarantine.quarantined()
-        quarantine.note_sound(request, 0.0)
+        (request,) = quarantine.quarantined(clock.now())
+        quarantine.note_sound(request, clock.now())
         await until(lambda: not any(table == "quarantine" for table, _ in rows))
-        assert running.nodes[0].crash_watch.quarantine.seconds_left(request, 0.0) == 0.0
+        assert running.nodes[0].crash_watch.quarantine.seconds_left(request, clock.now()) == 0.0
 
 
 async def test_workers_that_live_convict_no_request() -> None:
@@ -167,7 +172,7 @@
             workers[0].fatal = False
             await all_back(running, workers)
             assert await send(running, "/safe/x", b"ordinary") == 200
-        assert not running.nodes[0].crash_watch.quarantine.quarantined()
+        assert not quarantined_at(running.nodes[0])
 
 
 async def test_neighbours_in_a_batch_are_served_and_not_convicted() -> None:
@@ -196,7 +201,7 @@
         await until(lambda: all(encoder.calls for encoder in encoders))
         gate.set()
         statuses = dict(zip(keys, await asyncio.gather(*calls), strict=True))
-        quarantined = running.nodes[0].crash_watch.quarantine.quarantined()
+        quarantined = quarantined_at(running.nodes[0])
     assert [key for key, status in statuses.items() if status != 200] == [CRASHING_KEY]
     assert len(quarantined) <= 1
 
--- a/tests/platform/test_released_requests.py
+++ b/tests/platform/test_released_requests.py
@@ -9,6 +9,7 @@
 from test_quarantined_requests import convict, plain_workers, served_as
 
 from corkcrank.cli.explain import explain_call
+from corkcrank.contracts import clock
 from corkcrank.contracts.request_fingerprint import request_fingerprint
 from corkcrank.contracts.request_release import RELEASE_REQUEST_PATH
 from corkcrank.load.loopback import loopback_address
@@ -51,7 +52,7 @@
             200,
             f'{{"request":"{REQUEST}","before":"quarantined","state":"sound"}}',
         )
-        await until(lambda: not peer.crash_watch.quarantine.quarantined())
+        await until(lambda: not peer.crash_watch.quarantine.quarantined(clock.now()))
         await send(running, "/safe/x", CRASHING, number=1)
         await all_back(running, workers)
         assert ends_of(workers) > ends
--- a/tests/scheduling/quarantine_play.py
+++ b/tests/scheduling/quarantine_play.py
@@ -5,8 +5,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from corkcrank.scheduling.request_evidence import BEGINNING_SECONDS, RequestState
-from corkcrank.scheduling.request_quarantine import RequestQuarantine
+from corkcrank.scheduling.crash_records import LONGEST_SETTLE_SECONDS
+from corkcrank.scheduling.crash_reports import BEGINNING_SECONDS
+from corkcrank.scheduling.request_quarantine import RequestQuarantine, RequestState
 
 ATTEMPTS = 3
 """Workers that a call goes to at most, and times that its caller sends it at most."""
@@ -99,6 +100,9 @@
         self._send(_Call(f"request-{self.outcome.calls}"))
 
     def _send(self, call: _Call) -> None:
+        if wait := self._quarantine.seconds_to_wait(call.request, self.now):
+            self._at(self.now + wait, lambda: self._send(call))
+            return
         if self._quarantine.seconds_left(call.request, self.now) > 0.0:
             return
         usable = [worker for worker in self._workers if worker.away_until <= self.now]
@@ -139,11 +143,19 @@
             self.outcome.broken += 1
             progressed = self.now - first_event > BEGINNING_SECONDS
             self._quarantine.note_end(call.request, incarnation, self.now, progressed=progressed)
+            self._at(self.now + LONGEST_SETTLE_SECONDS, self._check(call))
         for call, _ in broken.values():
+            self._go_on(call)
+
+    def _check(self, call: _Call) -> Callable[[], None]:
+        """Return a look at whether a broken call is blamed, once its end is judged."""
+
+        def look() -> None:
             state = self._quarantine.state(call.request, self.now)
             if state in (RequestState.QUARANTINED, RequestState.PROBATION):
                 self.outcome.blamed.add(call.request)
-            self._go_on(call)
+
+        return look
 
     def _go_on(self, call: _Call) -> None:
         if call.attempts < ATTEMPTS:
--- a/tests/scheduling/test_clock_jumps.py
+++ b/tests/scheduling/test_clock_jumps.py
@@ -22,13 +22,10 @@
     STALE_SHARE,
     StoreFollowerElection,
 )
-from corkcrank.scheduling.request_evidence import (
-    QUARANTINE_ENDS,
-    RequestReport,
-    WorkerEnd,
-    quarantine_seconds,
-)
-from corkcrank.scheduling.request_quarantine import RequestQuarantine
+from corkcrank.scheduling.crash_records import SETTLE_SECONDS
+from corkcrank.scheduling.crash_reports import CrashReport, RequestAtEnd
+from corkcrank.scheduling.crash_verdicts import QUARANTINE_ENDS
+from corkcrank.scheduling.request_quarantine import RequestQuarantine, quarantine_seconds
 
 INTERVAL = 0.25
 BOUND_SECONDS = 2.0
@@ -38,7 +35,7 @@
 MEMBERS = tuple("abcdefgh")
 """Enough that the gateway is none of those that follow the store while they live."""
 
-REQUEST = "f" * 32
+REQUEST = "f" * 16
 LONG_AGO = float("-inf")
 
 
@@ -57,6 +54,7 @@
         self.store_told_at = LONG_AGO
         self.store_answered_at = LONG_AGO
         self.ends: dict[str, float] = {}
+        self.known_at: dict[str, float] = {}
         for name in MEMBERS:
             self.hear(name, 0.0)
         assert not self.election.follows(self.now)
@@ -109,11 +107,13 @@
     @rule(worker=st.integers(0, 5), age=st.floats(0.0, 60.0))
     def end_elsewhere(self, worker: int, age: float) -> None:
         self._end(f"w{worker}", self.now - age)
-        report = RequestReport(REQUEST, (WorkerEnd(f"w{worker}", age),))
+        item = RequestAtEnd(REQUEST)
+        report = CrashReport.of(f"w{worker}", age, [item], incomplete=False)
         self.quarantine.take(report, self.now)
 
     def _end(self, worker: str, at: float) -> None:
         self.ends[worker] = min(at, self.ends.get(worker, at))
+        self.known_at.setdefault(worker, self.now)
 
     @invariant()
     def the_stores_word_is_as_old_as_it_is(self) -> None:
@@ -136,7 +136,8 @@
     @invariant()
     def a_quarantine_ends_when_it_is_over(self) -> None:
         left = 0.0
-        if len(self.ends) >= QUARANTINE_ENDS:
+        settled = [at for at in self.known_at.values() if at + SETTLE_SECONDS <= self.now]
+        if len(settled) >= QUARANTINE_ENDS:
             lasts = quarantine_seconds(len(self.ends))
             left = max(0.0, max(self.ends.values()) + lasts - self.now)
         known = self.quarantine.seconds_left(REQUEST, self.now)
--- /dev/null
+++ b/tests/scheduling/test_crash_verdicts.py
@@ -0,0 +1,288 @@
+"""Verdicts on requests that were at the same workers: alike everywhere, in any order of news.
+
+An ordinary stream that was moved three times beside a crashing request was held at all gateways.
+"""
+
+import random
+from itertools import permutations, product
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from corkcrank.scheduling.crash_records import (
+    LONGEST_SETTLE_SECONDS,
+    SETTLE_SECONDS,
+    CrashRecords,
+)
+from corkcrank.scheduling.crash_reports import (
+    LONGEST_AGE_SECONDS,
+    MOST_REQUESTS_AT_END,
+    CrashReport,
+    RequestAtEnd,
+)
+from corkcrank.scheduling.crash_verdicts import judge
+from corkcrank.scheduling.request_quarantine import (
+    MOST_TURNS,
+    TURN_ENDS,
+    TURN_SECONDS,
+    RequestQuarantine,
+    RequestState,
+)
+
+CRASHING = "c" * 16
+ORDINARY = "0" * 16
+WORKERS = ["seven 1", "eight 1", "nine 1"]
+HEARTBEAT = 0.25
+
+
+def suspects(count: int, source: random.Random) -> list[tuple[str, str]]:
+    """Return other requests, each with a worker that ended under it."""
+    return [(f"{number:016x}", f"other {source.randrange(20)}") for number in range(1, count + 1)]
+
+
+def held(quarantine: RequestQuarantine, request: str, now: float) -> bool:
+    return quarantine.state(request, now) is RequestState.QUARANTINED
+
+
+def noted() -> RequestQuarantine:
+    quarantine = RequestQuarantine()
+    for worker_id in WORKERS:
+        quarantine.note_end(ORDINARY, worker_id, 0.0)
+        quarantine.note_end(CRASHING, worker_id, 0.0)
+    return quarantine
+
+
+@pytest.mark.parametrize("orders", list(product(permutations((CRASHING, ORDINARY)), repeat=3)))
+def test_the_request_whose_end_is_noted_first_is_not_blamed_for_it(
+    orders: tuple[tuple[str, str], ...],
+) -> None:
+    quarantine = RequestQuarantine()
+    now = 0.0
+    for worker_id, order in zip(WORKERS, orders, strict=True):
+        for request in order:
+            now += 0.001
+            quarantine.note_end(request, worker_id, now)
+            assert not held(quarantine, ORDINARY, now)
+        now += 0.05
+    for step in range(40):
+        assert not held(quarantine, ORDINARY, now + step * 0.1)
+
+
+@settings(max_examples=200, deadline=None)
+@given(count=st.integers(0, 60), seed=st.integers(0, 10_000), rounds=st.integers(1, 30))
+def test_a_gateway_that_starts_late_is_not_told_one_side_only(
+    count: int, seed: int, rounds: int
+) -> None:
+    """The gateway that knew both requests ends after some heartbeats."""
+    source = random.Random(seed)
+    notes = suspects(count, source)
+    notes += [(request, worker) for worker in WORKERS for request in (CRASHING, ORDINARY)]
+    source.shuffle(notes)
+    before, late = RequestQuarantine(), RequestQuarantine()
+    for request, worker_id in notes:
+        before.note_end(request, worker_id, 0.0)
+    now = 6.0
+    for _ in range(rounds):
+        now += HEARTBEAT
+        for report in before.reported(now, HEARTBEAT):
+            late.take(report, now)
+        assert not held(late, ORDINARY, now)
+    assert not held(late, ORDINARY, now + LONGEST_SETTLE_SECONDS)
+
+
+def test_requests_at_the_same_ends_wait_for_the_verdict_and_go_one_after_the_other() -> None:
+    quarantine = noted()
+    assert quarantine.seconds_to_wait(ORDINARY, 0.1) == pytest.approx(SETTLE_SECONDS - 0.1)
+    assert quarantine.seconds_to_wait(ORDINARY, SETTLE_SECONDS) == 0.0
+    later = SETTLE_SECONDS + TURN_SECONDS
+    assert quarantine.seconds_to_wait(CRASHING, SETTLE_SECONDS) == pytest.approx(TURN_SECONDS)
+    assert quarantine.seconds_to_wait(CRASHING, later) == 0.0
+
+
+def test_requests_take_turns_from_their_second_common_end_on() -> None:
+    quarantine = RequestQuarantine()
+    for number, worker_id in enumerate(WORKERS[:TURN_ENDS]):
+        assert quarantine.seconds_to_wait(CRASHING, float(number)) == 0.0
+        for request in (CRASHING, ORDINARY):
+            quarantine.note_end(request, worker_id, float(number))
+    assert quarantine.seconds_to_wait(ORDINARY, 1.0) == 0.0
+    assert quarantine.seconds_to_wait(CRASHING, 1.0) == TURN_SECONDS
+
+
+def test_no_request_waits_for_more_than_a_few_others() -> None:
+    quarantine = RequestQuarantine()
+    for number in range(50):
+        for worker_id in WORKERS[:TURN_ENDS]:
+            quarantine.note_end(f"{number:016x}", worker_id, 0.0)
+    waits = [quarantine.seconds_to_wait(f"{number:016x}", 0.0) for number in range(50)]
+    assert max(waits) == MOST_TURNS * TURN_SECONDS
+
+
+def test_late_requests_put_a_verdict_off_within_a_bound() -> None:
+    quarantine = noted()
+    now = 0.0
+    while now < 2 * LONGEST_SETTLE_SECONDS:
+        now += SETTLE_SECONDS / 2
+        for worker_id in WORKERS:
+            quarantine.note_end(f"{int(now * 1000):016x}", worker_id, now)
+        waits_until = now + quarantine.seconds_to_wait(ORDINARY, now)
+        assert waits_until <= max(now, LONGEST_SETTLE_SECONDS + MOST_TURNS * TURN_SECONDS)
+
+
+def test_a_neighbour_with_more_ends_is_not_blamed_before_two_crashing_requests() -> None:
+    """The neighbour was at one worker of the first, then travelled with the second."""
+    second = "d" * 16
+    quarantine = RequestQuarantine()
+    for worker_id in ("one 1", "two 1", "three 1"):
+        quarantine.note_end(second, worker_id, 0.0)
+    quarantine.note_end(ORDINARY, "one 1", 0.0)
+    for worker_id in WORKERS:
+        quarantine.note_end(CRASHING, worker_id, 0.0)
+        quarantine.note_end(ORDINARY, worker_id, 0.0)
+    assert quarantine.quarantined(SETTLE_SECONDS) == [second]
+    quarantine.note_end(CRASHING, "four 1", SETTLE_SECONDS)
+    assert quarantine.quarantined(2 * SETTLE_SECONDS) == [CRASHING, second]
+
+
+def test_what_a_gateway_that_died_had_at_the_workers_is_not_held_against_the_others() -> None:
+    """It had told of two ends of the crashing request, and died at once after the third."""
+    quarantine = RequestQuarantine()
+    for worker_id in WORKERS:
+        quarantine.note_end(ORDINARY, worker_id, 1.0)
+    for worker_id in WORKERS[:2]:
+        quarantine.note_end(CRASHING, worker_id, 1.0)
+    assert quarantine.note_loss(last_heard_at=0.9, now=2.1)
+    assert quarantine.quarantined(1.0 + SETTLE_SECONDS) == []
+    for number in range(3):
+        quarantine.note_end(CRASHING, f"later {number}", 4.0)
+    assert quarantine.quarantined(4.0 + SETTLE_SECONDS) == [CRASHING]
+
+
+def test_an_incomplete_end_is_told_as_such() -> None:
+    first, second = noted(), RequestQuarantine()
+    first.note_loss(last_heard_at=0.0, now=0.1)
+    for report in first.reported(0.2, HEARTBEAT):
+        second.take(report, 0.2)
+    assert all(record.incomplete for record in second.records)
+
+
+def test_a_worker_with_more_requests_than_are_kept_leaves_an_incomplete_end() -> None:
+    records = CrashRecords()
+    for number in range(MOST_REQUESTS_AT_END + 1):
+        item = RequestAtEnd(f"{number:016x}")
+        records.add("w 1", 0.0, item, 0.0)
+    (record,) = records
+    assert record.incomplete
+    report = record.report(0.0)
+    assert (len(report.requests()), report.problem()) == (MOST_REQUESTS_AT_END, "")
+
+
+BAD_REPORTS = {
+    "no worker": CrashReport("", 0.0, b"", b""),
+    "a negative age": CrashReport("w", -0.1, b"", b""),
+    "an age that is no number": CrashReport("w", float("nan"), b"", b""),
+    "an age beyond what is remembered": CrashReport("w", LONGEST_AGE_SECONDS + 1.0, b"", b""),
+    "half a fingerprint": CrashReport("w", 0.0, bytes(4), b"\x00"),
+    "a thousand requests": CrashReport("w", 0.0, bytes(8 * 1000), bytes(1000)),
+    "an unknown mark": CrashReport("w", 0.0, bytes(8), b"\x07"),
+}
+
+
+@pytest.mark.parametrize("report", BAD_REPORTS.values(), ids=BAD_REPORTS.keys())
+def test_a_report_that_cannot_be_true_says_why(report: CrashReport) -> None:
+    assert report.problem()
+
+
+class CrashMachine(RuleBasedStateMachine):
+    """Three gateways; workers end under requests of several gateways; news is lost, late, doubled.
+
+    The truth is who was at which worker. Gateways start again with nothing, and ask one other.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.gateways = [RequestQuarantine() for _ in range(3)]
+        self.ends = 0
+        self.at: dict[str, set[str]] = {}
+        self.on_the_way: list[CrashReport] = []
+
+    @rule(
+        requests=st.dictionaries(
+            st.integers(0, 4),
+            st.tuples(st.integers(0, 2), st.booleans()),
+            max_size=4,
+        )
+    )
+    def worker_ends(self, requests: dict[int, tuple[int, bool]]) -> None:
+        self.ends += 1
+        worker_id = f"w{self.ends}"
+        for number, (gateway, progressed) in requests.items():
+            request = f"{number:016x}"
+            self.at.setdefault(worker_id, set()).add(request)
+            self.gateways[gateway].note_end(request, worker_id, self.now, progressed=progressed)
+
+    @rule(gateway=st.integers(0, 2), request=st.integers(0, 4))
+    def request_ends_well(self, gateway: int, request: int) -> None:
+        self.gateways[gateway].note_sound(f"{request:016x}", self.now)
+
+    @rule(gateway=st.integers(0, 2))
+    def beat(self, gateway: int) -> None:
+        self.on_the_way.extend(self.gateways[gateway].reported(self.now, HEARTBEAT))
+
+    @rule(gateway=st.integers(0, 2), data=st.data())
+    def report_comes(self, gateway: int, data: st.DataObject) -> None:
+        if self.on_the_way:
+            told = data.draw(st.sampled_from(self.on_the_way))
+            self.gateways[gateway].take(told, self.now)
+
+    @rule(gateway=st.integers(0, 2), other=st.integers(0, 2))
+    def restart(self, gateway: int, other: int) -> None:
+        history = self.gateways[other].all_reports(self.now)
+        self.gateways[gateway] = RequestQuarantine()
+        for told in history if gateway != other else ():
+            self.gateways[gateway].take(told, self.now)
+
+    @rule(gateway=st.integers(0, 2), silent=st.floats(0.0, 2.0))
+    def member_is_lost(self, gateway: int, silent: float) -> None:
+        self.gateways[gateway].note_loss(self.now - silent, self.now)
+
+    @rule(seconds=st.floats(0.01, 1.5))
+    def time_passes(self, seconds: float) -> None:
+        self.now += seconds
+
+    @rule()
+    def exchange(self) -> None:
+        """Once all have heard all of each other and it is settled, all judge alike."""
+        for source in self.gateways:
+            for told in source.all_reports(self.now):
+                for target in self.gateways:
+                    target.take(told, self.now)
+        settled = self.now + LONGEST_SETTLE_SECONDS
+        first, *others = (gateway.quarantined(settled) for gateway in self.gateways)
+        assert all(other == first for other in others)
+
+    @invariant()
+    def the_verdict_does_not_hang_on_the_order_of_records(self) -> None:
+        for gateway in self.gateways:
+            records = list(gateway.records)
+            assert judge(records) == judge(reversed(records))
+
+    @invariant()
+    def nobody_was_where_he_was_not(self) -> None:
+        for gateway in self.gateways:
+            for record in gateway.records:
+                assert set(record.requests) <= self.at[record.worker_id]
+
+    @invariant()
+    def who_is_blamed_stood_at_three_ends_at_least(self) -> None:
+        for gateway in self.gateways:
+            for request in gateway.quarantined(self.now):
+                ends = [worker for worker, there in self.at.items() if request in there]
+                assert len(ends) >= len(WORKERS)
+
+
+CrashMachine.TestCase.settings = settings(max_examples=150, stateful_step_count=40, deadline=None)
+TestCrashMachine = CrashMachine.TestCase
--- a/tests/scheduling/test_request_quarantine.py
+++ b/tests/scheduling/test_request_quarantine.py
@@ -13,27 +13,30 @@
 
 from corkcrank.machines.heartbeat import Heartbeat
 from corkcrank.machines.heartbeat_codec import encode_heartbeat
-from corkcrank.scheduling.request_evidence import (
-    CERTAIN_ENDS,
-    LONGEST_QUARANTINE_SECONDS,
-    QUARANTINE_ENDS,
-    QUARANTINE_SECONDS,
-    RequestEvidence,
-    RequestReport,
-    RequestState,
-    WorkerEnd,
+from corkcrank.scheduling.crash_records import (
+    LONGEST_SETTLE_SECONDS,
+    MOST_RECORDS,
+    SETTLE_SECONDS,
+    CrashRecords,
 )
+from corkcrank.scheduling.crash_reports import (
+    CrashReport,
+    RequestAtEnd,
+)
+from corkcrank.scheduling.crash_verdicts import CERTAIN_ENDS, QUARANTINE_ENDS, judge
 from corkcrank.scheduling.request_quarantine import (
     EVIDENCE_SECONDS,
-    MOST_REQUESTS,
+    LONGEST_QUARANTINE_SECONDS,
     MOST_TOLD,
+    QUARANTINE_SECONDS,
     SUSPECT_SECONDS,
     TRIAL_SECONDS,
     RequestQuarantine,
-    _Beginnings,
+    RequestState,
 )
 
 REQUEST = "0123456789abcdef"
+NEIGHBOUR = "fedcba9876543210"
 WORKERS = ["one 1", "two 1", "three 1"]
 HEARTBEAT = 0.25
 LATENCY = 0.001
@@ -42,9 +45,17 @@
 def tell(source: RequestQuarantine, target: RequestQuarantine, now: float) -> None:
     for report in source.reported(now, HEARTBEAT):
         target.take(report, now + LATENCY)
+    for trial in source.reported_trials(now, HEARTBEAT):
+        target.take_trial(trial, now + LATENCY)
+
+
+def report(worker_id: str, age: float, *requests: str) -> CrashReport:
+    items = [RequestAtEnd(request) for request in requests]
+    return CrashReport.of(worker_id, age, items, incomplete=False)
 
 
-def convicted(now: float = 0.0) -> RequestQuarantine:
+def convicted(now: float = -SETTLE_SECONDS) -> RequestQuarantine:
+    """Return a quarantine whose three ends, at a time, are settled at the time 0."""
     quarantine = RequestQuarantine()
     for worker_id in WORKERS:
         quarantine.note_end(REQUEST, worker_id, now)
@@ -55,19 +66,22 @@
     quarantine = RequestQuarantine()
     for worker_id in WORKERS[: QUARANTINE_ENDS - 1]:
         quarantine.note_end(REQUEST, worker_id, 0.0)
-    assert quarantine.state(REQUEST, 0.0) is RequestState.SUSPECTED
-    assert quarantine.seconds_left(REQUEST, 0.0) == 0.0
+    for now in (0.0, SETTLE_SECONDS):
+        assert quarantine.state(REQUEST, now) is RequestState.SUSPECTED
+        assert quarantine.seconds_left(REQUEST, now) == 0.0
+        assert quarantine.seconds_to_wait(REQUEST, now) == 0.0
 
 
 def test_the_convicting_end_shuts_it_out_for_a_while() -> None:
-    quarantine = convicted()
-    assert quarantine.seconds_left(REQUEST, 1.0) == QUARANTINE_SECONDS - 1.0
+    quarantine = convicted(now=0.0)
+    assert quarantine.seconds_left(REQUEST, 2.0) == QUARANTINE_SECONDS - 2.0
 
 
 def test_one_worker_counts_once_however_many_calls_it_broke() -> None:
     quarantine = RequestQuarantine()
     assert [quarantine.note_end(REQUEST, "one 1", at) for at in (0.0, 0.1)] == [True, False]
     assert quarantine.state(REQUEST, 0.2) is RequestState.SUSPECTED
+    assert quarantine.state(REQUEST, SETTLE_SECONDS + 0.1) is RequestState.SUSPECTED
 
 
 @pytest.mark.parametrize("order", list(permutations(range(3))))
@@ -79,21 +93,26 @@
         for source in order:
             for target in gateways:
                 tell(gateways[source], target, 0.1)
-    assert all(gateway.seconds_left(REQUEST, 0.2) > 0.0 for gateway in gateways)
+    assert all(gateway.seconds_to_wait(REQUEST, 0.2) > 0.0 for gateway in gateways)
+    settled = 0.2 + SETTLE_SECONDS
+    assert all(gateway.seconds_left(REQUEST, settled) > 0.0 for gateway in gateways)
 
 
 def test_a_good_end_clears_it_also_where_old_reports_come_late() -> None:
     first, second = convicted(), RequestQuarantine()
-    (old,) = first.reported(0.1, HEARTBEAT)
+    old = first.reported(0.1, HEARTBEAT)
+    assert len(old) == len(WORKERS)
     assert first.note_sound(REQUEST, 0.2)
     tell(first, second, 0.3)
     for gateway in (first, second):
-        gateway.take(old, 0.4)
-        assert gateway.state(REQUEST, 0.5) is RequestState.SOUND
+        for item in old:
+            gateway.take(item, 0.4)
+        for now in (0.5, 0.5 + SETTLE_SECONDS):
+            assert gateway.state(REQUEST, now) is RequestState.SOUND
 
 
 def test_passing_reports_to_and_fro_moves_no_time() -> None:
-    first, second = convicted(), RequestQuarantine()
+    first, second = convicted(now=0.0), RequestQuarantine()
     now = 0.0
     for _ in range(1000):
         tell(first, second, now)
@@ -127,7 +146,8 @@
     quarantine = RequestQuarantine()
     for number in range(100):
         quarantine.note_end(REQUEST, f"worker {number}", 0.0)
-    assert quarantine.seconds_left(REQUEST, 0.0) == LONGEST_QUARANTINE_SECONDS
+    left = quarantine.seconds_left(REQUEST, SETTLE_SECONDS)
+    assert left == LONGEST_QUARANTINE_SECONDS - SETTLE_SECONDS
 
 
 def test_ends_that_convict_nothing_are_forgotten() -> None:
@@ -152,12 +172,13 @@
     quarantine = convicted()
     for number in range(5000):
         quarantine.note_end(f"{number:016x}", f"i-{number:08x} 1764000000000", 1.0 + number / 1000)
-    assert len(quarantine.known()) == MOST_REQUESTS
+    assert len(quarantine.records) == MOST_RECORDS
+    assert len(quarantine.records.requests()) <= MOST_RECORDS
     assert quarantine.state(REQUEST, 6.0) is RequestState.QUARANTINED
     told = quarantine.reported(6.0, HEARTBEAT)
     assert len(told) == MOST_TOLD
     plain = Heartbeat("n", 1, "z", "10.0.0.1:1", 1, 0.25)
-    longer = msgspec.structs.replace(plain, requests=told)
+    longer = msgspec.structs.replace(plain, crashes=told)
     assert len(encode_heartbeat(longer)) - len(encode_heartbeat(plain)) < 400
 
 
@@ -166,8 +187,8 @@
     plain = Heartbeat("n", 1, "z", "10.0.0.1:1", 1, 0.25)
     fields = msgspec.structs.astuple(plain)
     assert fields[-1] == ()
-    assert encode_heartbeat(plain) == encode_heartbeat(msgspec.structs.replace(plain, requests=()))
-    told = msgspec.structs.replace(plain, requests=(RequestReport(REQUEST),))
+    assert encode_heartbeat(plain) == encode_heartbeat(msgspec.structs.replace(plain, crashes=()))
+    told = msgspec.structs.replace(plain, crashes=(report("one 1", 0.0, REQUEST),))
     assert len(encode_heartbeat(plain)) < len(encode_heartbeat(told))
 
 
@@ -178,21 +199,24 @@
     """
     quarantine = RequestQuarantine()
     for number, worker_id in enumerate(WORKERS):
-        quarantine.note_end("neighbour", worker_id, float(number), progressed=number == 0)
+        quarantine.note_end(NEIGHBOUR, worker_id, float(number), progressed=number == 0)
         quarantine.note_end(REQUEST, worker_id, float(number))
-    assert quarantine.quarantined() == [REQUEST]
-    assert quarantine.state("neighbour", 3.0) is RequestState.SUSPECTED
+    settled = 2.0 + SETTLE_SECONDS
+    assert quarantine.quarantined(settled) == [REQUEST]
+    assert quarantine.state(NEIGHBOUR, settled) is RequestState.SUSPECTED
 
 
 def test_neighbours_are_freed_once_more_is_known() -> None:
     """The neighbour's gateway knows its ends first; what the others saw comes later."""
     quarantine = RequestQuarantine()
     for worker_id in WORKERS:
-        quarantine.note_end("neighbour", worker_id, 0.0)
-    assert quarantine.quarantined() == ["neighbour"]
-    ends = tuple(WorkerEnd(worker_id, 0.1) for worker_id in [*WORKERS, "four 1"])
-    quarantine.take(RequestReport(REQUEST, ends), 0.2)
-    assert quarantine.quarantined() == [REQUEST]
+        quarantine.note_end(NEIGHBOUR, worker_id, 0.0)
+    now = SETTLE_SECONDS
+    assert quarantine.quarantined(now) == [NEIGHBOUR]
+    for worker_id in [*WORKERS, "four 1"]:
+        quarantine.take(report(worker_id, now, REQUEST), now)
+    assert quarantine.quarantined(now) == []
+    assert quarantine.quarantined(now + SETTLE_SECONDS) == [REQUEST]
 
 
 def test_of_two_that_explain_the_same_ends_the_next_end_tells() -> None:
@@ -200,33 +224,38 @@
 
     By its fingerprint it came first and was shut out in two soaks; the request at fault was not.
     """
-    for neighbour in ("0", "f"):
+    for neighbour in ("0" * 16, "f" * 16):
         quarantine = RequestQuarantine()
         for worker_id in WORKERS:
             quarantine.note_end(neighbour, worker_id, 0.0)
             quarantine.note_end(REQUEST, worker_id, 0.0)
-        assert quarantine.quarantined() == []
-        quarantine.note_end(REQUEST, "four 1", 1.0)
-        assert quarantine.quarantined() == [REQUEST]
-        assert quarantine.state(neighbour, 1.0) is RequestState.SUSPECTED
+        assert quarantine.quarantined(SETTLE_SECONDS) == []
+        quarantine.note_end(REQUEST, "four 1", 2.0)
+        assert quarantine.quarantined(2.0 + SETTLE_SECONDS) == [REQUEST]
+        assert quarantine.state(neighbour, 2.0 + SETTLE_SECONDS) is RequestState.SUSPECTED
 
 
 @given(st.lists(st.sets(st.integers(0, 5), max_size=5), min_size=1, max_size=5))
 def test_requests_that_share_no_worker_need_no_comparison(ended: list[set[int]]) -> None:
-    """A full table of 512 blamed requests, each compared with all, took 0.29 s; 2.4 ms now."""
-    requests = {f"request {number}": RequestEvidence() for number in range(len(ended))}
-    for evidence, workers in zip(requests.values(), ended, strict=True):
+    """Only requests at one worker are compared; the verdict is that of comparing each with all."""
+    records = CrashRecords()
+    ends = {f"{number:016x}": workers for number, workers in enumerate(ended)}
+    for request, workers in ends.items():
         for worker in workers:
-            evidence.add_end(f"worker {worker}", 0.0)
-    beginnings = _Beginnings(requests)
-    for key, own in beginnings.of.items():
-        alike = [
-            other
-            for name, other in beginnings.of.items()
-            if name != key and len(other) == len(own) and len(other - own) < QUARANTINE_ENDS
-        ]
-        if len(own) >= QUARANTINE_ENDS:
-            assert beginnings.ambiguous(key) == bool(alike)
+            item = RequestAtEnd(request)
+            records.add(f"worker {worker}", 0.0, item, 0.0)
+    first = [
+        request
+        for request, own in ends.items()
+        if len(own) >= QUARANTINE_ENDS
+        and all(own - other for key, other in ends.items() if key != request)
+    ]
+    certain = [request for request, own in ends.items() if len(own) >= CERTAIN_ENDS]
+    blamed = judge(records)
+    assert bool(blamed) == bool(first or certain)
+    for request in certain:
+        others = set().union(*(ends[key] for key in blamed if key != request))
+        assert request in blamed or ends[request] <= others
 
 
 def test_runs_that_had_gone_on_convict_only_in_greater_number() -> None:
@@ -234,7 +263,7 @@
     states = []
     for number in range(CERTAIN_ENDS):
         quarantine.note_end(REQUEST, f"worker {number}", 0.0, progressed=True)
-        states.append(quarantine.state(REQUEST, 0.0))
+        states.append(quarantine.state(REQUEST, SETTLE_SECONDS))
     assert states == [RequestState.SUSPECTED] * 4 + [RequestState.QUARANTINED]
 
 
@@ -243,12 +272,13 @@
     quarantine = RequestQuarantine()
     for worker_id in WORKERS:
         quarantine.note_end(REQUEST, worker_id, 0.0)
-        quarantine.note_end("second", worker_id, 0.0)
-    sent = 0
-    while free := {REQUEST, "second"} - set(quarantine.quarantined()):
+        quarantine.note_end(NEIGHBOUR, worker_id, 0.0)
+    sent, now = 0, SETTLE_SECONDS
+    while free := {REQUEST, NEIGHBOUR} - set(quarantine.quarantined(now)):
         sent += 1
-        quarantine.note_end(min(free), f"later {sent}", float(sent))
-    ends = [len(quarantine.ended_workers(request)) for request in (REQUEST, "second")]
+        quarantine.note_end(min(free), f"later {sent}", now)
+        now += SETTLE_SECONDS
+    ends = [len(quarantine.records.of_request(request)) for request in (REQUEST, NEIGHBOUR)]
     assert max(ends) <= CERTAIN_ENDS
 
 
@@ -264,7 +294,7 @@
         self.now = 0.0
         self.gateways = [RequestQuarantine() for _ in range(3)]
         self.ended: set[str] = set()
-        self.on_the_way: list[RequestReport] = []
+        self.on_the_way: list[CrashReport] = []
 
     @rule(gateway=st.integers(0, 2), worker=st.integers(0, 5))
     def worker_ends(self, gateway: int, worker: int) -> None:
@@ -279,8 +309,8 @@
     @rule(gateway=st.integers(0, 2), data=st.data())
     def report_comes(self, gateway: int, data: st.DataObject) -> None:
         if self.on_the_way:
-            report = data.draw(st.sampled_from(self.on_the_way))
-            self.gateways[gateway].take(report, self.now)
+            told = data.draw(st.sampled_from(self.on_the_way))
+            self.gateways[gateway].take(told, self.now)
 
     @rule(gateway=st.integers(0, 2))
     def restart(self, gateway: int) -> None:
@@ -298,9 +328,10 @@
             for source in self.gateways:
                 reports = source.reported(self.now, HEARTBEAT)
                 for target in self.gateways:
-                    for report in reports:
-                        target.take(report, self.now)
-        states = {gateway.state(REQUEST, self.now) for gateway in self.gateways}
+                    for told in reports:
+                        target.take(told, self.now)
+        settled = self.now + LONGEST_SETTLE_SECONDS
+        states = {gateway.state(REQUEST, settled) for gateway in self.gateways}
         assert len(states) == 1
 
     @invariant()
@@ -311,7 +342,8 @@
     @invariant()
     def nobody_counts_an_end_that_was_none(self) -> None:
         for gateway in self.gateways:
-            assert set(gateway.ended_workers(REQUEST)) <= self.ended
+            known = {record.worker_id for record in gateway.records.of_request(REQUEST)}
+            assert known <= self.ended
 
     @invariant()
     def no_quarantine_outlasts_the_bound(self) -> None:
@@ -333,13 +365,15 @@
         for source in gateways:
             reports = source.reported(now, HEARTBEAT)
             for target in gateways:
-                for report in reports:
-                    target.take(report, now)
+                for told in reports:
+                    target.take(told, now)
+    now += SETTLE_SECONDS
     assert all(gateway.seconds_left(REQUEST, now) > 0.0 for gateway in gateways)
 
 
 def test_an_end_told_with_its_age_is_as_old_everywhere() -> None:
     quarantine = RequestQuarantine()
-    ends = tuple(WorkerEnd(worker_id, 20.0) for worker_id in WORKERS)
-    quarantine.take(RequestReport(REQUEST, ends), 100.0)
-    assert quarantine.seconds_left(REQUEST, 100.0) == pytest.approx(QUARANTINE_SECONDS - 20.0)
+    for worker_id in WORKERS:
+        quarantine.take(report(worker_id, 20.0, REQUEST), 100.0)
+    left = quarantine.seconds_left(REQUEST, 100.0 + SETTLE_SECONDS)
+    assert left == pytest.approx(QUARANTINE_SECONDS - 20.0 - SETTLE_SECONDS)
--- a/tests/soak/crashing.py
+++ b/tests/soak/crashing.py
@@ -4,6 +4,7 @@
 import json
 import time
 from collections import defaultdict
+from typing import Any
 
 import aiohttp
 
@@ -82,14 +83,26 @@
         if len(held) > MOST_OTHERS_HELD:
             self._ledger.violate("quarantine", f"shut out without a fault: {sorted(held)}")
 
+    def check_never_held(self) -> None:
+        """Check that no request was held at any time that crashes nobody."""
+        for request, first in self._wrongly_quarantined().items():
+            detail = f"{request} at {first['process']}, {first.get('workers')}"
+            self._ledger.violate("held", f"for a moment at least, without a fault: {detail}")
+
     def wrongly_quarantined(self) -> int:
         """Return how many other requests were quarantined at all, if only for a moment."""
-        taken = set()
-        for node in self._fleet.nodes:
-            for line in self._fleet.processes.log_text(node.name).splitlines():
-                if QUARANTINE_LINE in line and line.startswith("{"):
-                    taken.add(json.loads(line)["request"])
-        return len(taken - set(self._ends))
+        return len(self._wrongly_quarantined())
+
+    def _wrongly_quarantined(self) -> dict[str, dict[str, Any]]:
+        """Return the first line of each such request, by its fingerprint."""
+        lines = [
+            json.loads(line)
+            for node in self._fleet.nodes
+            for line in self._fleet.processes.log_text(node.name).splitlines()
+            if QUARANTINE_LINE in line and line.startswith("{")
+        ]
+        lines.sort(key=lambda line: line["time"], reverse=True)
+        return {line["request"]: line for line in lines if line["request"] not in self._ends}
 
     def _begun(self, worker: AnyWorker, call: SentCall) -> None:
         """End a worker that begins such a request, and count it."""
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -97,6 +97,7 @@
         await _check_freed(fleet)
         await _check_processes(fleet)
         await crashing.check_quarantines()
+        crashing.check_never_held()
         watching.cancel()
     finally:
         result = _result(seed, fleet, injector, crashing)
--- a/tests/test_named_numbers.py
+++ b/tests/test_named_numbers.py
@@ -18,7 +18,7 @@
 FORMULAS = {
     ("outlier_detection.py", 4.0): "Wilson's interval",
     ("worker_outcomes.py", 0.5): "what is left after a half-life",
-    ("request_evidence.py", 1000.0): "milliseconds of a second",
+    ("crash_records.py", 1000.0): "milliseconds of a second",
     ("stage_queue.py", 1e-6): "rounding, in a check of invariants",
 }
 """Numbers that are parts of a formula, which names them."""
