Soak: a worker is drained by one fault only, a failing soak keeps its logs, and a dump that fails names its node

Cause: a leaving worker counts as such only once its replacement has started; a second drain that was drawn in between picked the same worker and stopped its server a second time. end_worker also kept a worker in the list while it stopped. Ruled out: the gateways (no line of theirs; the trace is the stand-in's). Change: the worker is claimed before its replacement starts, and leaves the list before it stops; an error of the soak is a violation of its own (ended), so that logs are kept; a dump that is not told is one (dump), with the node's name.

--- a/tests/soak/crashing.py
+++ b/tests/soak/crashing.py
@@ -79,7 +79,10 @@
         timeout = aiohttp.ClientTimeout(total=1.0)
         async with aiohttp.ClientSession(timeout=timeout) as session:
             for node in self._fleet.nodes:
-                held |= set(await _quarantined(session, node)) - set(self._ends)
+                try:
+                    held |= set(await _quarantined(session, node)) - set(self._ends)
+                except (aiohttp.ClientError, OSError, TimeoutError) as error:
+                    self._ledger.violate("dump", f"{node.name} told none: {error!r}")
         if len(held) > MOST_OTHERS_HELD:
             self._ledger.violate("quarantine", f"shut out without a fault: {sorted(held)}")
 
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -20,6 +20,7 @@
 from soak.ledger import Ledger
 from soak.links import FaultLink
 from soak.sent_calls import SentCall
+from soak.signal_masks import handles_signals
 from soak.stage_workers import SoakStageWorker
 from soak.store import SoakStore
 from soak.workers import SoakWorker
@@ -103,6 +104,7 @@
         self.source = random.Random(f"fleet {seed}")
         self.store = SoakStore(random.Random(f"store {seed}"))
         self.workers: list[AnyWorker] = []
+        self.claimed: set[str] = set()
         self.nodes: list[SoakNode] = []
         self.watches: list[AcceptWatch] = []
         self.processes = ProcessGroup()
@@ -142,7 +144,7 @@
             await node.callers.stop()
             await node.store.stop()
             await node.peers.stop()
-        for worker in self.workers:
+        for worker in list(self.workers):
             await self.end_worker(worker)
         await self.store.server.stop()
         self.processes.close()
@@ -174,7 +176,7 @@
         """
         process = self.processes.processes[node.name]
         give_up_at = node.started_at + INTERPRETER_SECONDS
-        while not _handles_signals(process.pid) and time.monotonic() < give_up_at:
+        while not handles_signals(process.pid) and time.monotonic() < give_up_at:
             await asyncio.sleep(0.005)
 
     def signal_node(self, node: SoakNode, number: signal.Signals) -> None:
@@ -283,11 +285,11 @@
 
     async def end_worker(self, worker: AnyWorker, *, keep_link: bool = False) -> None:
         """Stop a worker; its link may serve another one."""
+        if worker in self.workers:
+            self.workers.remove(worker)
         await worker.server.stop()
         if worker.link is not None and not keep_link:
             await worker.link.stop()
-        if worker in self.workers:
-            self.workers.remove(worker)
 
     def workers_of(self, services: Iterable[str]) -> list[AnyWorker]:
         """Return the workers of some services that are not leaving."""
@@ -295,7 +297,9 @@
         return [
             worker
             for worker in self.workers
-            if worker.service in names and worker.worker_id not in self.ledger.leaving_since
+            if worker.service in names
+            and worker.worker_id not in self.ledger.leaving_since
+            and worker.worker_id not in self.claimed
         ]
 
     # Loops
@@ -322,19 +326,6 @@
             self.ledger.note_lag(time.monotonic() - before - LAG_PROBE_SECONDS)
 
 
-def _handles_signals(process: int) -> bool:
-    """Return whether a process handles SIGHUP and SIGTERM, by what the kernel tells of it."""
-    try:
-        lines = Path(f"/proc/{process}/status").read_text(encoding="ascii").splitlines()
-    except OSError:
-        return True
-    masks = [int(line.split()[1], 16) for line in lines if line.startswith(("SigCgt", "SigIgn"))]
-    return all(
-        any(mask & 1 << (number - 1) for mask in masks)
-        for number in (signal.SIGHUP, signal.SIGTERM)
-    )
-
-
 def _end_nobody(worker: AnyWorker, call: SentCall) -> None:
     """Let a worker run a request that would end it."""
 
--- a/tests/soak/restarts.py
+++ b/tests/soak/restarts.py
@@ -61,6 +61,7 @@
 
 async def leave(fleet: SoakFleet, worker: AnyWorker, *, draining: bool, keep_link: bool) -> None:
     """Have a worker leave, with or without a word, once another one has come."""
+    fleet.claimed.add(worker.worker_id)
     await fleet.add_worker(worker.service, worker.zone)
     fleet.ledger.leaving_since[worker.worker_id] = asyncio.get_running_loop().time()
     if draining:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -99,6 +99,9 @@
         await crashing.check_quarantines()
         crashing.check_never_held()
         watching.cancel()
+    except Exception as error:
+        fleet.ledger.violate("ended", f"the soak itself failed: {error!r}")
+        raise
     finally:
         result = _result(seed, fleet, injector, crashing)
         if keep is not None and result.violations:
