--- a/src/corkcrank/scheduling/crash_reports.py
+++ b/src/corkcrank/scheduling/crash_reports.py
@@ -20,7 +20,7 @@
 """Requests of one end that are kept; a worker that had more leaves an incomplete record."""
 
 LONGEST_AGE_SECONDS = 7200.0
-"""Ends that are older are not believed: twice the longest quarantine."""
+"""Ends that are older are not believed. Twice the longest quarantine."""
 
 _PROGRESSED = 0x01
 _CLEARED = 0x02
--- a/src/corkcrank/scheduling/crash_verdicts.py
+++ b/src/corkcrank/scheduling/crash_verdicts.py
@@ -13,8 +13,7 @@
 from corkcrank.scheduling.crash_records import CrashRecord
 
 QUARANTINE_ENDS = 3
-"""Workers whose ends nothing else explains, by which a request is quarantined. In a play of 17
-ends, 2 of 102 calls that only stood beside the request at fault broke with two workers."""
+"""Workers whose ends nothing else explains, by which a request is quarantined."""
 
 CERTAIN_ENDS = 5
 """Ends that quarantine a request even where others may explain them: two more than those by which
