Rows of quarantined requests stay in the store while what was just read is judged

What callers would have seen: after a restart the crashing request ends three workers again. Evidence: test_crash_evidence.py (rows), failed before: the row is gone while its reader judges. Change: a row is removed once its request is judged and not to blame. Beside it: verdicts are asked where they are needed instead of being handed through three functions.

--- a/src/corkcrank/node/membership/quarantine_rows.py
+++ b/src/corkcrank/node/membership/quarantine_rows.py
@@ -135,13 +135,22 @@
             ):
                 return False
             self._written[request] = row.size
-        kept = set(self._quarantine.quarantined(clock.now()))
-        for request in [key for key in self._written if key not in kept][:MOST_WRITES]:
+        for request in self._to_remove()[:MOST_WRITES]:
             if isinstance(await self._store.remove(StoreTable.QUARANTINE, request), StoreFailure):
                 return False
             self._written.pop(request, None)
         return True
 
+    def _to_remove(self) -> list[str]:
+        """Return the rows of requests that are not to blame; what was just read is judged first."""
+        now = clock.now()
+        blamed = self._quarantine.verdicts(now)
+        return [
+            request
+            for request in self._written
+            if request not in blamed and not self._quarantine.is_undecided(request, now)
+        ]
+
     def _to_write(self) -> list[tuple[str, _QuarantineRow]]:
         """Return the quarantined requests whose rows are this gateway's to write."""
         now = clock.now()
--- a/src/corkcrank/scheduling/request_quarantine.py
+++ b/src/corkcrank/scheduling/request_quarantine.py
@@ -160,15 +160,18 @@
         that were at the same ends then take turns, so that the next end tells them apart.
         """
         ends = self.records.suspected_ends(request)
-        verdicts = self.verdicts(now)
-        if len(ends) < TURN_ENDS or request in verdicts:
+        if len(ends) < TURN_ENDS or request in self.verdicts(now):
             return 0.0
         begins_at = max(record.at for record in ends)
-        if self._may_be_blamed(request, ends, verdicts):
+        if self._may_be_blamed(request, ends, now):
             begins_at = max(record.settles_at for record in ends)
-        turn = TURN_SECONDS * self._turn(request, ends, verdicts)
+        turn = TURN_SECONDS * self._turn(request, ends, now)
         return max(0.0, begins_at + turn - now)
 
+    def is_undecided(self, request: str, now: float) -> bool:
+        """Return whether an end counts against a request that is not judged yet."""
+        return any(record.settles_at > now for record in self.records.suspected_ends(request))
+
     def note_sent(self, request: str, now: float) -> bool:
         """Take that a request goes to a worker; return whether that is its trial on probation."""
         if self.empty or self.state(request, now) is not RequestState.PROBATION:
@@ -234,34 +237,35 @@
         ends = self.records.suspected_ends(request)
         return max(record.at for record in ends) + quarantine_seconds(len(ends))
 
-    def _turn(self, request: str, ends: list[CrashRecord], verdicts: Mapping[str, Verdict]) -> int:
+    def _turn(self, request: str, ends: list[CrashRecord], now: float) -> int:
         """Return how many requests that were at all the same ends go before one."""
+        verdicts = self.verdicts(now)
         rivals = set.intersection(*(set(record.suspects()) for record in ends))
         before = [key for key in rivals if key < request and key not in verdicts]
         return min(MOST_TURNS, len(before))
 
-    def _may_be_blamed(
-        self, request: str, ends: list[CrashRecord], verdicts: Mapping[str, Verdict]
-    ) -> bool:
+    def _may_be_blamed(self, request: str, ends: list[CrashRecord], now: float) -> bool:
         if len(ends) >= CERTAIN_ENDS:
             return True
         beginnings = [
             record
             for record in ends
-            if not record.requests[request].progressed
-            and not any(other in verdicts for other in record.suspects())
+            if not record.requests[request].progressed and not self._has_blamed(record, now)
         ]
         return len(beginnings) >= QUARANTINE_ENDS
 
     def _in_turn(self, since: float, now: float) -> list[CrashRecord]:
         """Return the ends that are no news, those not told for longest first."""
-        verdicts = self.verdicts(now)
         old = [record for record in self.records if record.changed_at <= since]
-        blamed = [record for record in old if any(key in verdicts for key in record.suspects())]
         if now - self._suspects_told_at >= SUSPECT_SECONDS:
             self._suspects_told_at = now
-            blamed = old
-        return sorted(blamed, key=lambda record: (record.told_at, record.at))
+        else:
+            old = [record for record in old if self._has_blamed(record, now)]
+        return sorted(old, key=lambda record: (record.told_at, record.at))
+
+    def _has_blamed(self, record: CrashRecord, now: float) -> bool:
+        verdicts = self.verdicts(now)
+        return any(request in verdicts for request in record.suspects())
 
     def _trial_report(self, request: str, now: float) -> TrialReport:
         trials = self._trials[request]
--- a/tests/platform/test_crash_evidence.py
+++ b/tests/platform/test_crash_evidence.py
@@ -39,6 +39,10 @@
     return ORDINARY in quarantined_at(node)
 
 
+def row_there(running: World) -> bool:
+    return any(table == "quarantine" for table, _ in running.store.rows)
+
+
 async def crashed(running: World, peer: Node) -> None:
     """Have both requests end three workers, each at its own gateway, and judge it everywhere."""
     nodes = (running.nodes[0], peer)
@@ -77,18 +81,19 @@
             assert quarantined_at(late) == []
 
 
-async def test_rows_of_the_store_tell_every_suspect_of_an_end() -> None:
+async def test_rows_of_the_store_tell_every_suspect_and_stay_while_they_are_judged() -> None:
     workers = plain_workers(1)
     async with world(configuration(1, ROUTES), served_as("plain", workers)) as running:
         node = running.nodes[0]
         note_ends(node, ORDINARY, ENDED)
         note_ends(node, CRASHING, [*ENDED, "four 1"])
         await until(lambda: quarantined_at(node) == [CRASHING])
-        rows = running.store.rows
-        await until(lambda: any(table == "quarantine" for table, _ in rows))
+        await until(lambda: row_there(running))
         await node.stop()
         async with restarted(running) as alone:
-            await until(lambda: bool(quarantined_at(alone)) and settled(alone))
+            await until(lambda: bool(quarantined_at(alone)) or not row_there(running))
+            await until(lambda: settled(alone))
+            assert row_there(running)
             quarantine = alone.crash_watch.quarantine
             assert quarantined_at(alone) == [CRASHING]
             assert quarantine.state(ORDINARY, clock.now()) is RequestState.SUSPECTED
