Test: heartbeats of builds that tell ends by request and by worker are read by each other

No fault was seen: the place of the old field is kept for trials, ends stand behind all fields. A build that could not read the other's heartbeats would take every member for dead during a rolling restart.

--- a/tests/core/test_heartbeat_codec.py
+++ b/tests/core/test_heartbeat_codec.py
@@ -1,6 +1,7 @@
 """Heartbeats always fit a datagram, and nothing else is taken for one."""
 
 import zlib
+from typing import Any
 
 import msgspec
 from hypothesis import given
@@ -15,6 +16,7 @@
     encode_heartbeat,
 )
 from corkcrank.machines.worker_changes import MOST_TOLD, WorkerChange, WorkerChangeBatch
+from corkcrank.scheduling.crash_reports import CrashReport, RequestAtEnd, Trial, TrialReport
 from corkcrank.scheduling.stated_limits import MOST_REPORTED, ReportedLimit
 
 
@@ -98,3 +100,44 @@
     beat = heartbeat(2, 2, 2, 0)
     fields = msgspec.msgpack.decode(zlib.decompress(encode_heartbeat(beat)))
     assert len(fields) == Heartbeat.__struct_fields__.index("trials")
+
+
+class OlderReport(msgspec.Struct, frozen=True, array_like=True):
+    """What an older build tells of a request: its ends stand in the place that is reserved now."""
+
+    request: str
+    ends: tuple[tuple[str, float, bool, bool], ...] = ()
+    trial: tuple[int, float] | None = None
+
+
+OlderHeartbeat = msgspec.defstruct(
+    "OlderHeartbeat",
+    [
+        (name, tuple[OlderReport, ...] if name == "trials" else Any, msgspec.UNSET)
+        for name in Heartbeat.__struct_fields__[:-1]
+    ],
+    array_like=True,
+    frozen=True,
+)
+
+
+def test_builds_that_tell_ends_by_request_and_by_worker_hear_each_other() -> None:
+    """A member whose heartbeats cannot be read is taken for dead in a rolling restart."""
+    ends = (("w 1", 0.5, False, True),)
+    older = [
+        (OlderReport("c" * 16, ends, (2, 0.25)),) if name == "trials" else value
+        for name, value in zip(
+            Heartbeat.__struct_fields__[:-1],
+            msgspec.structs.astuple(heartbeat(2, 2, 2, 0)),
+            strict=False,
+        )
+    ]
+    heard = decode_heartbeat(zlib.compress(msgspec.msgpack.encode(older)))
+    assert heard is not None
+    assert heard.trials[0].trial == Trial(2, 0.25)
+    report = CrashReport.of("w 1", 0.5, [RequestAtEnd("c" * 16)], incomplete=False)
+    trial = TrialReport("c" * 16, trial=Trial(2, 0.25))
+    told = msgspec.structs.replace(heartbeat(2, 2, 2, 0), trials=(trial,), crashes=(report,))
+    data = zlib.decompress(encode_heartbeat(told))
+    read = msgspec.msgpack.decode(data, type=OlderHeartbeat)
+    assert read.trials == (OlderReport("c" * 16, (), (2, 0.25)),)
