A start reads an invalid settings file again before it ends

Seen by callers: one gateway fewer, for good.

Cause: a settings file that is rewritten in place is empty for a moment. A process that starts in that moment read it once and exited. A running process looks again after 2 s, a starting one never did.

A file that stays invalid ends the process with the same number and status as before.

Left: a part that is valid by itself is in force until the next poll; SETTINGS.md says to rename instead.

--- a/src/corkcrank/node/process/node_process.py
+++ b/src/corkcrank/node/process/node_process.py
@@ -11,9 +11,10 @@
 import aiohttp
 
 from corkcrank.contracts import clock
-from corkcrank.contracts.node_settings import NodeSettings, load_node_settings
+from corkcrank.contracts.node_settings import NodeSettings
 from corkcrank.links.decision_log import BoundedOutput, DecisionLog
 from corkcrank.node.process.node import Node
+from corkcrank.node.process.settings_start import load_settings_at_start
 from corkcrank.node.process.settings_watcher import SettingsWatcher
 from corkcrank.platform.ports import SETTINGS_VARIABLE, connect_platform
 
@@ -25,10 +26,10 @@
     """Serve until SIGTERM or SIGINT.
 
     The settings file is the first argument, or else the one that the platform names in the
-    environment.
+    environment. A file that is invalid at first is read again for a time.
     """
     path = Path(arguments[0] if arguments else os.environ.get(SETTINGS_VARIABLE, ""))
-    result = load_node_settings(path)
+    result = load_settings_at_start(path)
     if result.is_error():
         failure = result.error
         print(f"error {failure.code.number} {failure.code.name}: {failure.detail}", flush=True)
