--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -157,6 +157,7 @@
         """Start a node's process, or restart it after it has exited."""
         settings = node.settings(self._seeds(node), self.bounds)
         self.processes.start(node.name, RUN_LINE, settings)
+        self.ledger.terminated.pop(node.name, None)
         node.started_at = time.monotonic()
 
     def rewrite_settings(self, node: SoakNode, **bounds: float) -> None:
