Stages: a batch that was withdrawn before its request was written is not sent

What callers saw: nothing. A stage worker got the pieces of a caller that had left, after the gateway that owns the worker had been told of it.

Cause: an owner withdraws queued pieces only. A batch that has left the queue still has to get its connection (4 loop turns on loopback, up to CONNECT_TIMEOUT_SECONDS, 0.5 s), and its request was written then although every call of the batch had given its pieces up in the meantime.

Evidence: the test's play with the close forced N loop turns after the first stage's gate opens, N 0 to 45, turns counted. Close read in turn 16, pieces withdrawn in turn 19, request written in turn 22, arrived in turn 26 (the asker owns the second stage); close read 19, withdrawn 28, arrived 32 (the other gateway owns it). All of it within 5 to 10 ms, so a load is needed only to make the test's poll of 5 ms fall into these turns.

Ruled out: a stand-still of the loop (turns counted beside milliseconds; the order is the same at 0.3 ms a turn); a piece still queued at the owner (it is withdrawn in the same turn).

Change: the worker client asks, when a connection is ready, whether the request is still wanted; if not, the connection goes back unused and the batch ends as "withdrawn before it was sent", without a mark against the worker. Cancelling the batch's task would not tell whether its request was written, and a worker at work cannot be stopped.

--- a/src/corkcrank/node/stages/stage_messages.py
+++ b/src/corkcrank/node/stages/stage_messages.py
@@ -15,6 +15,7 @@
 _OUTCOMES = {
     SendTrouble.NOT_SENT: PieceOutcome.REFUSED,
     SendTrouble.REFUSED: PieceOutcome.REFUSED,
+    SendTrouble.WITHDRAWN: PieceOutcome.REFUSED,
     SendTrouble.SILENT: PieceOutcome.FAILED,
     SendTrouble.UNKNOWN: PieceOutcome.BROKEN,
 }
--- a/src/corkcrank/node/stages/stage_owner.py
+++ b/src/corkcrank/node/stages/stage_owner.py
@@ -274,8 +274,7 @@
         started: float,
     ) -> None:
         now = clock.now()
-        results = outcome if isinstance(outcome, list) else None
-        entry.queue.end_call(call, results, now)
+        entry.queue.end_call(call, outcome if isinstance(outcome, list) else None, now)
         left = seconds_since_abandoned(call.stage_items, now)
         for since in left.values():
             self.on_release("stages", since)
@@ -284,7 +283,8 @@
         if outcome is None:
             self._rejected(entry, call, now)
         elif isinstance(outcome, SendFailure):
-            self._failed(entry, call, outcome, now)
+            if outcome.trouble is not SendTrouble.WITHDRAWN:
+                self._failed(entry, call, outcome, now)
         else:
             self._succeeded(entry, call, outcome)
         self._start_calls(entry)
@@ -319,8 +319,7 @@
         outcome = piece_outcome(failure)
         for stage_item in call.stage_items:
             self._set_result(stage_item, PieceResult(outcome, worker_id=entry.worker.worker_id))
-        for stage_item in entry.queue.remove_all():
-            self._set_result(stage_item, PieceResult(PieceOutcome.REFUSED))
+        self._refuse_queued(entry)
 
     def _succeeded(self, entry: OwnedQueue, call: StageCall, results: list[PieceResult]) -> None:
         self.on_outcome(entry.worker, CallOutcome.SERVED)
--- a/src/corkcrank/node/stages/stage_worker_client.py
+++ b/src/corkcrank/node/stages/stage_worker_client.py
@@ -1,6 +1,6 @@
 """Client of stage workers: runs pieces, frees results, fetches reports."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from http import HTTPStatus
 
 import aiohttp
@@ -54,13 +54,19 @@
     ) -> list[PieceResult] | SendFailure | None:
         """Return results, a failure, or ``None`` if the worker rejected the call unexecuted.
 
+        The call is not sent if all its pieces are abandoned before its connection is ready.
         An answer with a known handle belongs to an earlier call.
         """
         now = clock.now()
         orders = [_order_with_remaining_time(stage_item, now) for stage_item in call.stage_items]
         limit = CALL_TIME_FACTOR * call.expected_seconds + CALL_TIME_MARGIN
         response = await self._send_request(
-            worker, "POST", self._codec.run_path, self._codec.encode_run(orders), limit
+            worker,
+            "POST",
+            self._codec.run_path,
+            self._codec.encode_run(orders),
+            limit,
+            lambda: _is_wanted(call),
         )
         if isinstance(response, SendFailure):
             return response
@@ -91,12 +97,25 @@
         return self._codec.decode_report(body)
 
     async def _send_request(
-        self, worker: WorkerRecord, method: str, path: str, body: bytes, seconds: float
+        self,
+        worker: WorkerRecord,
+        method: str,
+        path: str,
+        body: bytes,
+        seconds: float,
+        still_wanted: Callable[[], bool] | None = None,
     ) -> aiohttp.ClientResponse | SendFailure:
         """Send a request, and record what the response headers state about the worker."""
         headers = list(self._codec.run_headers(worker).items())
         response = await self._client.send_request(
-            method, worker.address, path, headers, body, seconds, fresh=False
+            method,
+            worker.address,
+            path,
+            headers,
+            body,
+            seconds,
+            fresh=False,
+            still_wanted=still_wanted,
         )
         if not isinstance(response, SendFailure):
             self._statements.record_response(worker, response.status, response.headers)
@@ -123,6 +142,11 @@
         return results
 
 
+def _is_wanted(call: StageCall) -> bool:
+    """Return whether any piece of a call has not been abandoned."""
+    return not all(stage_item.abandoned for stage_item in call.stage_items)
+
+
 def _record_handles(known_handles: dict[str, None], results: list[PieceResult]) -> None:
     for result in results:
         if result.handle:
--- a/src/corkcrank/node/workers/worker_client.py
+++ b/src/corkcrank/node/workers/worker_client.py
@@ -1,6 +1,8 @@
 """HTTP client for workers: sends each attempt once; a failure says if it may have been received."""
 
 import asyncio
+from collections.abc import Callable
+from contextvars import ContextVar
 from dataclasses import dataclass
 from enum import StrEnum
 from types import TracebackType
@@ -8,6 +10,7 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.connector import Connection
 from multidict import CIMultiDict
 from yarl import URL
 
@@ -45,6 +48,8 @@
     NOT_SENT = "not-sent"
     REFUSED = "refused"
     """The worker's machine refused the connection: no process listens there."""
+    WITHDRAWN = "withdrawn"
+    """The request was no longer wanted when its connection was ready, so it was not written."""
     SILENT = "silent"
     UNKNOWN = "unknown"
 
@@ -57,13 +62,34 @@
     detail: str
 
 
+_still_wanted: ContextVar[Callable[[], bool] | None] = ContextVar("_still_wanted", default=None)
+"""Returns whether the request of the current task is still wanted; ``None`` if it always is."""
+
+
+class _WithdrawnError(aiohttp.ClientError):
+    """The request is no longer wanted."""
+
+
 class _CheckedConnector(aiohttp.TCPConnector):
     """A connector that does not reuse an idle connection on which further bytes have arrived.
 
     All requests on an idle connection have their complete response. Bytes beyond that belong to no
     request, and the next request would take them for its response.
+
+    A request that is no longer wanted once its connection is ready is not written: a connection
+    may take half a second.
     """
 
+    async def connect(  # type: ignore[no-untyped-def]
+        self, req, traces, timeout
+    ) -> Connection:
+        connection = await super().connect(req, traces, timeout)
+        still_wanted = _still_wanted.get()
+        if still_wanted is not None and not still_wanted():
+            connection.release()
+            raise _WithdrawnError
+        return connection
+
     async def _get(self, key, traces):  # type: ignore[no-untyped-def]
         connection = await super()._get(key, traces)
         while connection is not None and _has_surplus_bytes(connection.protocol):
@@ -118,11 +144,14 @@
         head_seconds: float,
         *,
         fresh: bool,
+        still_wanted: Callable[[], bool] | None = None,
     ) -> aiohttp.ClientResponse | SendFailure:
         """Send a request and wait for the head of its response.
 
-        The target is sent byte for byte. Nothing is sent a second time.
+        The target is sent byte for byte. Nothing is sent a second time. ``still_wanted`` is called
+        when a keep-alive connection is ready; the request is not sent if it returns false.
         """
+        _still_wanted.set(still_wanted)
         session = self._fresh if fresh else self._kept
         url = URL(f"http://{address}{target}", encoded=True)
         started = clock.now()
@@ -135,6 +164,8 @@
                     data=body if body or method not in ("GET", "HEAD") else None,
                     allow_redirects=False,
                 )
+        except _WithdrawnError:
+            return SendFailure(SendTrouble.WITHDRAWN, "withdrawn before it was sent")
         except aiohttp.ClientConnectorError as error:
             if isinstance(error.os_error, ConnectionRefusedError):
                 return SendFailure(SendTrouble.REFUSED, "connection refused")
