--- a/tests/platform/test_limited_workers.py
+++ b/tests/platform/test_limited_workers.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
 
@@ -80,6 +81,18 @@
     return response
 
 
+async def refusals(responses: list[aiohttp.ClientResponse]) -> Counter[str]:
+    """Return the unsuccessful responses, counted by status and body, for a test's failure message.
+
+    The body of a refusal holds its code and detail.
+    """
+    return Counter(
+        f"{response.status} {await response.text()}"
+        for response in responses
+        if response.status != 200
+    )
+
+
 async def call_statuses(running: World, name: str) -> list[int]:
     """Return the statuses of successive calls, sent to both gateways alternately."""
     return [(await call(running, name, number)).status for number in range(CALLS)]
@@ -113,7 +126,9 @@
             await call(running, name, number)
         assert limited.seen
         calls = [call(running, name, number) for number in range(CALLS)]
-        assert {response.status for response in await asyncio.gather(*calls)} == {200}
+        responses = await asyncio.gather(*calls)
+        statuses = {response.status for response in responses}
+        assert statuses == {200}, await refusals(responses)
         assert max_requests_in_window([seen.at for seen in limited.seen]) <= allowed_requests(1)
 
 
