Streams: without an owner's answer, take an engine of the zone that is not at its limit

Callers saw 503 NO_BACKEND after about a second, while an engine without a rate limit stood idle.

Cause: where the owner of a zone's engines did not answer within 0.15 s, the gateway could use only the engine that it had chosen before. That one may be a limited engine: isolation of long prompts costs 12,000 tokens, a limit 6,000, so beside one unlimited engine of the other group every call chose the limited one and relied on the owner to name the other. Without the owner, each call asked again and again for a slot of the limited engine, for a second, and was refused with a wrong reason.

Change: without a usable answer, the call goes to the first engine of the zone, the chosen one before the others in order of cost, that has no limit or an open slot. The same where the owner names an engine that has exited, and in other zones.

The new test fails on the old source (503 for the first of 20 calls) and forces the silence, so its verdict needs no load.

--- a/src/corkcrank/node/engines/engine_owner.py
+++ b/src/corkcrank/node/engines/engine_owner.py
@@ -1,7 +1,7 @@
 """Prefill grants for a zone's engines: issued by their owner, requested by every gateway."""
 
 import asyncio
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
 
 import msgspec
@@ -31,7 +31,7 @@
 from corkcrank.scheduling.worker_choice import WorkerStatisticsTable
 
 GRANT_TIMEOUT_SECONDS = 0.15
-"""Timeout for the owner's reply; without a reply the engine chosen before is used."""
+"""Timeout for the owner's reply; without a reply the gateway chooses the engine itself."""
 
 
 class EngineOwner:
@@ -102,10 +102,15 @@
 
 @dataclass(frozen=True, slots=True)
 class PrefillVerdict:
-    """The engine that reads a call's prompt, or after how many seconds one may be available."""
+    """The engine that reads a call's prompt, or after how many seconds one may be available.
+
+    ``decided`` is unset if no owner decided: none replied, or it named an engine that cannot be
+    used.
+    """
 
     engine: WorkerRecord | None
     wait: float = 0.0
+    decided: bool = True
 
 
 class PrefillGrantClient:
@@ -140,8 +145,8 @@
     ) -> PrefillVerdict:
         """Request a grant in the chosen engine's zone; return the engine to send the call to.
 
-        The chosen engine is used if the owner does not reply or names an engine that cannot be
-        used. No engine is returned if the zone's engines are limited and at their limits.
+        No engine is returned if the zone's engines are limited and at their limits, and none is
+        decided on if the owner does not reply or names an engine that cannot be used.
         """
         now = clock.now()
         limited = self._limits.limited(
@@ -172,15 +177,16 @@
             return PrefillVerdict(engine)
         if grant is not None and grant.limited:
             return PrefillVerdict(None, grant.wait)
-        return PrefillVerdict(self.use_without_grant(chosen), GRANT_TIMEOUT_SECONDS)
+        return PrefillVerdict(None, GRANT_TIMEOUT_SECONDS, decided=False)
 
-    def use_without_grant(self, engine: WorkerRecord) -> WorkerRecord | None:
-        """Record a send to an engine without a grant; return None if its limit forbids it now."""
+    def use_without_grant(self, engines: Iterable[WorkerRecord]) -> WorkerRecord | None:
+        """Record a send without a grant to the first engine whose limit allows it; return it."""
         now = clock.now()
-        if not self._limits.may_send(engine, now):
-            return None
-        self._limits.record_sent(engine, now)
-        return engine
+        for engine in engines:
+            if self._limits.may_send(engine, now):
+                self._limits.record_sent(engine, now)
+                return engine
+        return None
 
     def _reports_for_owner(
         self, engines: Collection[WorkerRecord], now: float
--- a/src/corkcrank/node/streams/stream_run.py
+++ b/src/corkcrank/node/streams/stream_run.py
@@ -167,29 +167,44 @@
 
         The owner of the chosen engine's zone is asked first, then the owners of other zones.
         """
+        turn = await self._request_zone_turn(chosen)
+        if turn.engine is None:
+            return await self._request_turn_elsewhere(chosen.zone, turn.wait)
+        return turn
+
+    async def _request_zone_turn(self, chosen: WorkerRecord) -> PrefillVerdict:
+        """Request a turn from the owner of the chosen engine's zone.
+
+        Without a usable answer the call goes to the first engine of the zone, the chosen one
+        before the others, whose limit allows it.
+        """
         services = self._services
         long = services.prompt_sizes.has_long_prompts(self._call.route.name)
         turn = await services.prefill_grants.request_grant(self._call, chosen, long=long)
-        if turn.engine is None:
-            return await self._request_turn_elsewhere(chosen.zone, turn.wait, long=long)
-        if services.worker_statistics.get_or_create(turn.engine.worker_id).is_unavailable(
-            clock.now()
-        ):
-            # The owner has not yet received the report that this engine exited.
-            return PrefillVerdict(services.prefill_grants.use_without_grant(chosen), turn.wait)
-        return turn
+        if turn.decided and not self._has_exited(turn.engine):
+            return turn
+        others = (
+            engine
+            for engine in self._admission.rank_engines()
+            if engine.zone == chosen.zone and engine.worker_id != chosen.worker_id
+        )
+        engine = services.prefill_grants.use_without_grant([chosen, *others])
+        return PrefillVerdict(engine, turn.wait, decided=False)
+
+    def _has_exited(self, engine: WorkerRecord | None) -> bool:
+        """Return whether an engine exited, which its owner may not know yet."""
+        if engine is None:
+            return False
+        statistics = self._services.worker_statistics.get_or_create(engine.worker_id)
+        return statistics.is_unavailable(clock.now())
 
-    async def _request_turn_elsewhere(
-        self, zone: str, wait: float, *, long: bool
-    ) -> PrefillVerdict:
+    async def _request_turn_elsewhere(self, zone: str, wait: float) -> PrefillVerdict:
         """Request a turn from the owners of the other zones, the best zone first."""
         turn, asked = PrefillVerdict(None, wait), {zone}
         for candidate in self._admission.rank_engines():
             if turn.engine is None and candidate.zone not in asked:
                 asked.add(candidate.zone)
-                found = await self._services.prefill_grants.request_grant(
-                    self._call, candidate, long=long
-                )
+                found = await self._request_zone_turn(candidate)
                 turn = PrefillVerdict(found.engine, min(turn.wait, found.wait))
         outcome = "held back" if turn.engine is None else "elsewhere"
         self._services.metrics.calls_at_limits.labels(outcome).inc()
--- a/tests/platform/test_engine_owners.py
+++ b/tests/platform/test_engine_owners.py
@@ -1,14 +1,29 @@
 """Prefill grants with two gateways: the owner of the zone's engines chooses among them."""
 
 import asyncio
+from typing import Any
 
+import pytest
 from node_world import World, configuration, peer_of, route, until, world
 from platform_standins import StandinWorker
+from test_limit_news import knows_limit
+from test_limited_workers import (
+    allowed_requests,
+    call,
+    limited_and_unlimited,
+    max_requests_in_window,
+    two_gateways,
+)
 from test_owners import acquainted, die
 
 from corkcrank.contracts import clock
+from corkcrank.links.decision_log import LogEvent
 from corkcrank.load.loopback import loopback_address
+from corkcrank.node.peers.peer_client import PeerFailure
+from corkcrank.node.peers.peer_protocol import PREFILL_REQUEST_PATH
+from corkcrank.node.process.node import Node
 
+CALLS = 20
 ROUTES = [route("talk", "stream", "model")]
 PROMPT = {
     "X-Corkcrank-Model": "m",
@@ -55,3 +70,46 @@
         owner = owner_index(running)
         await die(running.nodes[owner])
         assert await talk(running, 1 - owner) == 200
+
+
+def ignore_prefill_requests(node: Node, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Leave a gateway's requests for prefill grants without a reply, as a stalled owner does."""
+    request = node._peers.request
+
+    async def request_or_silence(address: str, path: str, *args: Any, **options: Any) -> Any:
+        if path == PREFILL_REQUEST_PATH:
+            return PeerFailure.SILENT
+        return await request(address, path, *args, **options)
+
+    monkeypatch.setattr(node._peers, "request", request_or_silence)
+
+
+async def test_streams_beside_an_unlimited_engine_are_not_refused_while_the_owner_is_silent(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Each call waited for a slot of the limited engine, which it had chosen before, and was refused
+    # after a second, although the other engine of the zone had no limit.
+    limited, unlimited = limited_and_unlimited(1, events=2)
+    async with two_gateways({"needy": (limited, "model"), "free": (unlimited, "model")}) as running:
+        asking = 1 - owner_index(running)
+        node = running.nodes[asking]
+        while not limited.seen:
+            await call(running, "talk", asking)
+        await until(lambda: knows_limit(node, limited))
+        ignore_prefill_requests(node, monkeypatch)
+        grants: list[dict[str, Any]] = []
+        events: list[LogEvent] = []
+
+        def record(event: LogEvent, **fields: Any) -> None:
+            events.append(event)
+            if event is LogEvent.ENGINE_GRANTED:
+                grants.append(fields)
+
+        monkeypatch.setattr(node._log, "write", record)
+        calls = [call(running, "talk", asking + 2 * number) for number in range(CALLS)]
+        responses = await asyncio.gather(*calls)
+        assert [response.status for response in responses] == [200] * CALLS
+        assert {item["chosen"] for item in grants} == {limited.worker_id}
+        assert len(grants) == CALLS, "a call asked again"
+        assert LogEvent.LIMIT_DEFERRED not in events
+        assert max_requests_in_window([seen.at for seen in limited.seen]) <= allowed_requests(1)
