Plain calls: a silent worker is left only for another one that was chosen for the call

Cause: whether a worker may be given up as silent was decided when the call was sent, from the number of usable workers and the budget of that moment. The attempt was dropped when the wait had passed, and only then was another worker looked for. Where the others could get no call any more (evacuated, gone from the list, ended, leaving, at their limit; the repeats spent; the request quarantined), the call ended although its worker would have answered. A second loss on the same path: a time-out that expires in the turn of the event loop in which the answer is read cancels the read, and the answer is thrown away.

Ruled out: load alone. The tests lose the other worker in the moment of the sending, with stand-ins and an idle machine, and fail on every run.

Change: a silent wait no longer has an end of its own but the call's. After the silence the node chooses the worker of the next attempt while the wait goes on, with everything that an attempt needs (attempts left, verdict on the request, worker, grant of its owner, one repeat). Only if there is one is the silent attempt dropped, and the call is sent to exactly that worker. Otherwise it waits on and asks again after twice the silence. An answer that comes before is delivered. Unrepeatable calls wait to their end, as before. Idle connections to a worker are closed when it is given up, as before. corkcrank_limit_held_back counts "refused" where the call is refused, no longer at each look for a worker, because a call under way may look several times.

--- a/src/corkcrank/node/calls/attempts.py
+++ b/src/corkcrank/node/calls/attempts.py
@@ -12,6 +12,7 @@
 from corkcrank.links.decision_log import LogEvent
 from corkcrank.links.platform_ports import AnswerHead
 from corkcrank.node.calls.services import CallServices
+from corkcrank.node.workers.silence_timeout import SilenceRule
 from corkcrank.node.workers.worker_client import SendFailure, SendTrouble
 
 FAILED_AVOID_SECONDS = 1.0
@@ -74,6 +75,7 @@
     fresh: bool,
     inputs: tuple[str, ...] | None = None,
     resume_after: str = "",
+    silence: SilenceRule | None = None,
 ) -> Attempt:
     """Send a call to a worker and classify the head of its response.
 
@@ -104,6 +106,7 @@
         call.body,
         max(MIN_HEAD_SECONDS, min(head_seconds, remaining)),
         fresh=fresh,
+        silence=silence,
     )
     attempt = _classify_response(services, call, worker, response)
     if attempt.outcome in (AttemptOutcome.NOT_SENT, AttemptOutcome.NOT_RUN):
--- a/src/corkcrank/node/calls/plain_run.py
+++ b/src/corkcrank/node/calls/plain_run.py
@@ -14,14 +14,15 @@
 from corkcrank.node.calls.attempts import Attempt, AttemptOutcome, attempt_call
 from corkcrank.node.calls.services import DEFAULT_PLAIN_SECONDS, CallServices
 from corkcrank.node.calls.worker_answers import read_whole_answer
+from corkcrank.node.workers.silence_timeout import SilenceRule
 from corkcrank.node.workers.worker_health import MIN_FAULT_STATUS
 from corkcrank.scheduling.worker_choice import rank_workers
 
 SILENCE_FACTOR = 5.0
-"""A repeatable call is sent to another worker after this multiple of the mean answer time."""
+"""A repeatable call looks for another worker after this multiple of the mean answer time."""
 
 MIN_SILENCE_SECONDS = 0.15
-"""Minimum wait before a repeatable call is sent to another worker, in seconds: a lag of the
+"""Minimum wait before a repeatable call looks for another worker, in seconds: a lag of the
 event loop must not count as silence of the worker."""
 
 UNREPEATABLE_TIME_FACTOR = 10.0
@@ -40,6 +41,7 @@
         self._services = services
         self._last_answer: web.Response | None = None
         self._limit_wait: float | None = None
+        self._chosen: WorkerRecord | None = None
 
     @property
     def answer_begun(self) -> bool:
@@ -61,22 +63,9 @@
         """Return the worker's answer, or the refusal that states why there is none."""
         call = self._call
         call.step = CallStep.PLAIN
-        service = call.service
         if not self._ends_before_stop():
             return Refusal.draining("may take longer than the time left in the drain")
-        for number in range(call.route.maximum_attempts):
-            if await self._services.crash_watch.wait_for_verdict(call):
-                break
-            now = clock.now()
-            if now >= call.end_at:
-                break
-            worker = await self._choose_worker(now)
-            if worker is None or self._services.crash_watch.quarantine_seconds_left(call):
-                break
-            if number == 0:
-                self._services.budget(service).record_first_attempt(now)
-            elif not self._services.try_spend_repeat(service):
-                break
+        while (worker := await self._take_next_worker()) is not None:
             answer = await self._try_worker(worker)
             if answer is not None:
                 return answer
@@ -84,6 +73,36 @@
                 break
         return self._final_refusal()
 
+    async def _take_next_worker(self) -> WorkerRecord | None:
+        """Return the worker of the next attempt: one that is already chosen, or choose it."""
+        chosen, self._chosen = self._chosen, None
+        return chosen or await self._start_next_attempt()
+
+    async def _choose_next_worker(self) -> bool:
+        """Choose the worker of the next attempt while this one is under way, if there is any."""
+        self._chosen = await self._start_next_attempt()
+        return self._chosen is not None
+
+    async def _start_next_attempt(self) -> WorkerRecord | None:
+        """Return the worker of the next attempt, or ``None`` if there must be none.
+
+        The attempt is counted in the retry budget; the call must be sent to the worker next.
+        """
+        call, services = self._call, self._services
+        attempts = len(call.workers_tried)
+        if attempts >= call.route.maximum_attempts:
+            return None
+        if await services.crash_watch.wait_for_verdict(call) or clock.now() >= call.end_at:
+            return None
+        worker = await self._choose_worker(clock.now())
+        if worker is None or services.crash_watch.quarantine_seconds_left(call):
+            return None
+        if attempts == 0:
+            services.budget(call.service).record_first_attempt(clock.now())
+        elif not services.try_spend_repeat(call.service):
+            return None
+        return worker
+
     def _ends_before_stop(self) -> bool:
         """Return whether the call would end before this gateway stops; true unless draining."""
         services, call = self._services, self._call
@@ -108,9 +127,10 @@
             return verdict.worker
         self._limit_wait = verdict.wait
         free = self._rank([item for item in usable if item not in limited], (), clock.now())
-        outcome = "elsewhere" if free else "refused"
-        self._services.metrics.calls_at_limits.labels(outcome).inc()
-        return free[0] if free else None
+        if not free:
+            return None
+        self._services.metrics.calls_at_limits.labels("elsewhere").inc()
+        return free[0]
 
     def _rank(
         self, workers: Sequence[WorkerRecord], limited: Sequence[WorkerRecord], now: float
@@ -142,11 +162,14 @@
             self._services,
             call,
             worker,
-            self._max_wait_seconds(),
+            call.end_at - started,
             fresh=call.route.kind is CallKind.UNREPEATABLE,
+            silence=self._silence_rule(),
         )
         if attempt.outcome is not AttemptOutcome.ANSWERED:
             return None
+        # Chosen in the turn in which the head arrived: the call has not left this worker.
+        self._chosen = None
         response = await self._read_answer(attempt)
         if response is None:
             self._services.record_connection_failure(call, worker)
@@ -164,26 +187,20 @@
 
     async def _read_answer(self, attempt: Attempt) -> web.Response | None:
         left = self._call.end_at - clock.now()
-        silence = self._max_wait_seconds(under_way=0)
-        return await read_whole_answer(self._services, attempt, left, silence)
+        return await read_whole_answer(self._services, attempt, left, self._silence_rule())
 
-    def _max_wait_seconds(self, under_way: int = 1) -> float:
-        """Return the wait for a head or a body; an unrepeatable call waits to its deadline."""
-        left = self._call.end_at - clock.now()
-        if not self._may_try_another(under_way):
-            return left
-        if not self._services.can_spend_repeat(self._call.service):
-            return left
+    def _silence_rule(self) -> SilenceRule | None:
+        """Return when a silent worker is left; an unrepeatable call waits to its deadline."""
+        if self._call.route.kind is not CallKind.REPEATABLE:
+            return None
         usual = self._services.plain_times.mean_seconds(self._call.service, DEFAULT_PLAIN_SECONDS)
-        return min(left, max(MIN_SILENCE_SECONDS, SILENCE_FACTOR * usual))
+        seconds = max(MIN_SILENCE_SECONDS, SILENCE_FACTOR * usual)
+        return SilenceRule(seconds, self._choose_next_worker)
 
-    def _may_try_another(self, under_way: int = 0) -> bool:
-        """Return whether another worker may be tried.
-
-        ``under_way`` is the number of attempts in progress that ``workers_tried`` does not list.
-        """
+    def _may_try_another(self) -> bool:
+        """Return whether another worker may be tried."""
         call = self._call
-        attempts = len(call.workers_tried) + under_way
+        attempts = len(call.workers_tried)
         return (
             call.route.kind is CallKind.REPEATABLE
             and attempts < call.route.maximum_attempts
@@ -201,6 +218,7 @@
         if wait := self._services.crash_watch.quarantine_seconds_left(call):
             return Refusal.quarantined(wait)
         if self._limit_wait is not None:
+            self._services.metrics.calls_at_limits.labels("refused").inc()
             return Refusal(ResultCode.WORKERS_LIMITED, retry_after=self._limit_wait)
         code = ResultCode.WORKERS_FULL if call.workers_tried else ResultCode.NO_BACKEND
         return Refusal(code, retry_after=NO_WORKER_RETRY_SECONDS)
--- a/src/corkcrank/node/calls/worker_answers.py
+++ b/src/corkcrank/node/calls/worker_answers.py
@@ -6,14 +6,15 @@
 
 from corkcrank.node.calls.attempts import Attempt
 from corkcrank.node.calls.services import CallServices
+from corkcrank.node.workers.silence_timeout import SilenceRule
 
 
 async def read_whole_answer(
-    services: CallServices, attempt: Attempt, seconds: float, silence: float = float("inf")
+    services: CallServices, attempt: Attempt, seconds: float, silence: SilenceRule | None = None
 ) -> web.Response | None:
     """Return a worker's answer once its body is complete, or ``None`` if it is cut off.
 
-    ``seconds`` limits the time for the whole body, ``silence`` the wait for more bytes.
+    ``seconds`` limits the time for the whole body; ``silence`` may end a wait for more bytes.
     """
     upstream = attempt.response
     assert upstream is not None
--- a/src/corkcrank/node/workers/worker_client.py
+++ b/src/corkcrank/node/workers/worker_client.py
@@ -21,6 +21,7 @@
     drop_idle,
     ignore_silence,
 )
+from corkcrank.node.workers.silence_timeout import SilenceRule, SilenceTimeout
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 """Timeout for a connection to a worker."""
@@ -118,16 +119,18 @@
         head_seconds: float,
         *,
         fresh: bool,
+        silence: SilenceRule | None = None,
     ) -> aiohttp.ClientResponse | SendFailure:
-        """Send a request and wait for the head of its response.
+        """Send a request and wait for the head of its response, for at most ``head_seconds``.
 
-        The target is sent byte for byte. Nothing is sent a second time.
+        ``silence`` may end the wait earlier. The target is sent byte for byte. Nothing is sent a
+        second time.
         """
         session = self._fresh if fresh else self._kept
         url = URL(f"http://{address}{target}", encoded=True)
         started = clock.now()
         try:
-            async with asyncio.timeout(head_seconds):
+            async with SilenceTimeout(head_seconds, silence):
                 return await session.request(
                     method,
                     url,
@@ -148,13 +151,13 @@
             return SendFailure(SendTrouble.UNKNOWN, type(error).__name__)
 
     async def read_body(
-        self, response: aiohttp.ClientResponse, seconds: float, silence: float = float("inf")
+        self, response: aiohttp.ClientResponse, seconds: float, silence: SilenceRule | None = None
     ) -> bytes | None:
         """Return a complete body, or ``None`` if it was truncated or timed out.
 
-        ``seconds`` bounds the whole read, ``silence`` the wait for each next byte. A body without
-        length ends with its connection. If a reset ended the connection, the library still
-        reports the body as complete, so this method checks how the connection ended.
+        ``seconds`` bounds the whole read; ``silence`` may end each wait for the next byte
+        earlier. A body without length ends with its connection. If a reset ended the connection,
+        the library still reports the body as complete, so this method checks how it ended.
         """
         end_at = clock.now() + seconds
         closed = unframed_body_end(response)
@@ -162,7 +165,7 @@
         received_at = clock.now()
         try:
             while True:
-                async with asyncio.timeout(max(0.0, min(silence, end_at - received_at))):
+                async with SilenceTimeout(max(0.0, end_at - received_at), silence):
                     chunk = await response.content.readany()
                 if not chunk:
                     break
