Soak: a part of a head and a call without any answer count as cut

Cause, found by a review with a test each: bytes that had come before a reset were not kept, so a part of a head was taken for nothing; and a call that a stopping node left silent was excused as late in its time, so no check found it.

Change: what has arrived stays in the answer; a call of planned work that gets no byte until a second after its deadline breaks the promise, unless the machine stalled.

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -75,12 +75,17 @@
             answer.trouble = SILENT
         except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError) as error:
             answer.trouble = type(error).__name__
-            if isinstance(error, asyncio.IncompleteReadError):
-                answer.body += error.partial
+            answer.body += self._take_partial(error)
         answer.at = time.monotonic()
         self.usable = answer.complete and answer.headers.get("connection", "").lower() != "close"
         return answer
 
+    def _take_partial(self, error: Exception) -> bytes:
+        """Return the bytes that arrived before an error: of a head, or of a body's part."""
+        if isinstance(error, asyncio.IncompleteReadError):
+            return error.partial
+        return bytes(self._reader._buffer)  # type: ignore[attr-defined]
+
     async def _read(self, answer: Answer) -> None:
         head = (await self._reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
         answer.status = int(head[0].split(" ")[1])
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -296,6 +296,9 @@
             return
         if self.disturbances.disturbed_since(MACHINE, call.sent_at - self.bounds.contact):
             return
+        if not answer.status:
+            self.violate("not cut", f"{call.call_id} of {call.route}: no answer in time")
+            return
         spent = answer.at - call.sent_at
         if (answer.complete and answer.status < 500) or answer.status == REFUSED:
             return
--- a/tests/soak/test_ledger.py
+++ b/tests/soak/test_ledger.py
@@ -9,7 +9,7 @@
 from soak.bounds import SoakBounds
 from soak.ledger import Ledger, event, plain_body
 from soak.links import FaultLink, LinkTrouble
-from soak.sent_calls import Answer, Run, SentCall
+from soak.sent_calls import SILENT, Answer, Run, SentCall
 
 LONG_AGO = -100.0
 
@@ -272,3 +272,12 @@
     call.sent_at -= 1.9
     ledger.record_answer(call, Answer(0, {}, b"", False, time.monotonic(), "reset"))
     assert promises(ledger) == ["not cut"]
+
+
+def test_a_call_that_planned_work_leaves_without_an_answer_is_found(ledger: Ledger) -> None:
+    ledger.planned_only = True
+    ledger.terminated["node-0"] = time.monotonic() - 6.0
+    call = sent(ledger)
+    call.sent_at -= 3.0
+    ledger.record_answer(call, Answer(0, {}, b"", False, time.monotonic(), SILENT))
+    assert "not cut" in promises(ledger)
--- a/tests/soak/test_reachability.py
+++ b/tests/soak/test_reachability.py
@@ -14,7 +14,9 @@
 from node_world import until
 
 from soak import reachability
+from soak.clients import Connection
 from soak.links import FaultLink
+from soak.sent_calls import SentCall
 
 HOST = "127.0.0.1"
 REQUEST = b"request"
@@ -149,3 +151,17 @@
     await until(lambda: len(target.link._passages) == 1)
     (passage,) = target.link._passages
     return passage.target
+
+
+async def test_a_part_of_a_head_before_a_reset_stays_known() -> None:
+    async with linked() as target:
+        streams = await target.connect()
+        connection = await target.accept()
+        call = SentCall("1", "once", "n", "POST", "/", {}, b"", "tenant", False, 5.0)
+        exchange = asyncio.create_task(Connection("n", *streams).exchange(call))
+        await until(lambda: has_unread_bytes(connection))
+        connection.send(b"HTTP/1.1 2")
+        await until(lambda: len(streams[0]._buffer) > 0)  # type: ignore[attr-defined]
+        connection.close()
+        answer = await exchange
+        assert (answer.status, answer.body) == (0, b"HTTP/1.1 2")
