Streams: a silent engine is left only for another one that was chosen for the stream

What callers saw: a stream that may be resumed was broken off (or, before its first event, ended with 502 WORKER_LOST) 1.2 s or a few pauses after its engine fell silent, long before its deadline, though the engine went on later.

A silent engine was given up by attempts left and the budget alone; whether there was any other engine was never asked, neither at the sending nor in the end. Without one (all others evacuated, gone, ended, leaving or at their limit; the request quarantined; the repeats spent since the sending) nothing could resume the stream.

Ruled out: a change of the engines as a condition: nothing asked for other engines, so by the code a service with one engine was cut in the same way (not run separately).

Change: after the silence the node chooses the next engine while the wait goes on: verdict on the request, time left in a drain, engine, its turn from the owner, one repeat. Only with all of them is the silent engine dropped, and the stream goes to exactly that engine. Otherwise it waits on. An engine chosen for an attempt that did not end by silence is discarded; its repeat stays counted. The turns moved from StreamRun to EngineTurns unchanged. Left: where stage results were freed and must be produced again, the engine, its turn and the repeat are confirmed after the stages, as before; beforehand only the other engine's existence and the budget are asked.

--- a/src/corkcrank/node/streams/engine_exchange.py
+++ b/src/corkcrank/node/streams/engine_exchange.py
@@ -1,7 +1,7 @@
 """Sends a streamed call to an engine, relays its answer and records the outcome."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from aiohttp import web
 
@@ -18,6 +18,7 @@
 from corkcrank.node.streams.stream_answer import StreamAnswer
 from corkcrank.node.streams.stream_part import StreamPart
 from corkcrank.node.streams.stream_relay import MIN_SILENCE_SECONDS, RelayEnd, StreamRelay
+from corkcrank.node.workers.silence_timeout import SilenceRule
 from corkcrank.node.workers.worker_health import MIN_FAULT_STATUS
 from corkcrank.scheduling.stage_plan import StagePlan
 from corkcrank.scheduling.worker_outcomes import CallOutcome
@@ -33,7 +34,9 @@
     """The exchanges of one call with one engine after another.
 
     ``stages`` holds the results that engines fetch. ``failure`` is the most recent complete
-    answer of an engine that reported a failure instead of a stream.
+    answer of an engine that reported a failure instead of a stream. ``silent`` says whether the
+    last engine was abandoned because it sent nothing. ``choose_next_engine`` is awaited before
+    that and returns whether there is another engine for the call.
     """
 
     def __init__(
@@ -44,6 +47,7 @@
         admission: StreamAdmission,
         assignment: EngineAssignment,
         answer: StreamAnswer,
+        choose_next_engine: Callable[[], Awaitable[bool]],
     ) -> None:
         self._call = call
         self._services = services
@@ -51,7 +55,9 @@
         self._admission = admission
         self._assignment = assignment
         self._answer = answer
-        self._relay = StreamRelay(call, services, answer, self._may_move)
+        self._choose_next_engine = choose_next_engine
+        self._relay = StreamRelay(call, services, answer, choose_next_engine)
+        self.silent = False
         self.stages: StageRun | None = None
         self.failure: web.Response | None = None
 
@@ -75,6 +81,7 @@
         """Send the call to an engine and relay its answer."""
         self._call.step = CallStep.ENGINE
         attempt = await self._attempt(engine, inputs)
+        self.silent = attempt.silent
         if attempt.outcome is AttemptOutcome.ANSWERED:
             return await self._relay_answer(attempt)
         if attempt.inputs_unavailable:
@@ -87,7 +94,8 @@
         assert upstream is not None
         part = self._relay.start_part(upstream)
         if part.succeeded:
-            end = await self._relay.relay(attempt, part, self._max_first_event_seconds())
+            end = await self._relay.relay(attempt, part, self._first_event_rule())
+            self.silent = part.silent
         else:
             end = await self._read_failure(attempt)
         self._log_end(attempt.worker, part, end)
@@ -116,7 +124,7 @@
         until the caller's deadline. A stream that has begun does not need this body.
         """
         if not self._answer.prepared:
-            return self._max_first_event_seconds()
+            return self._max_failure_seconds()
         return min(self._call.end_at - clock.now(), MIN_SILENCE_SECONDS)
 
     async def _attempt(self, engine: WorkerRecord, inputs: tuple[str, ...]) -> Attempt:
@@ -128,10 +136,11 @@
                 self._services,
                 self._call,
                 engine,
-                self._max_first_event_seconds(under_way=1),
+                self._call.end_at - clock.now(),
                 fresh=False,
                 inputs=inputs,
                 resume_after=self._relay.resume_after,
+                silence=self._first_event_rule(),
             )
         finally:
             if timer is not None:
@@ -173,22 +182,26 @@
 
         return record_first_event
 
-    def _max_first_event_seconds(self, under_way: int = 0) -> float:
-        left = self._call.end_at - clock.now()
-        if not self._may_move(under_way):
-            return left
+    def _first_event_rule(self) -> SilenceRule | None:
+        """Return when an engine that sends no first event is abandoned, ``None`` for never."""
+        if not self._call.route.idempotent:
+            return None
+        return SilenceRule(self._first_event_seconds(), self._choose_next_engine)
+
+    def _first_event_seconds(self) -> float:
         usual = FIRST_EVENT_FACTOR * self._admission.first_event_seconds()
-        return min(left, max(MIN_FIRST_EVENT_SECONDS, usual))
+        return max(MIN_FIRST_EVENT_SECONDS, usual)
 
-    def _may_move(self, under_way: int = 0) -> bool:
-        """Return whether a stream that fell silent could be resumed at another engine."""
+    def _max_failure_seconds(self) -> float:
+        """Return the maximum time to read a failure before an answer has begun, in seconds."""
         call = self._call
-        attempts = len(call.workers_tried) + under_way
-        return (
+        left = call.end_at - clock.now()
+        may_move = (
             call.route.idempotent
-            and attempts < call.route.maximum_attempts
+            and len(call.workers_tried) < call.route.maximum_attempts
             and self._services.can_spend_repeat(call.service)
         )
+        return min(left, self._first_event_seconds()) if may_move else left
 
     def _log_end(self, engine: WorkerRecord, part: StreamPart, end: RelayEnd) -> None:
         self._services.log.write(
--- /dev/null
+++ b/src/corkcrank/node/streams/engine_turns.py
@@ -0,0 +1,58 @@
+"""Requests a call's turn to have its prompt read by an engine."""
+
+from corkcrank.contracts import clock
+from corkcrank.contracts.opaque_call import OpaqueCall
+from corkcrank.contracts.worker_records import WorkerRecord
+from corkcrank.links.decision_log import LogEvent
+from corkcrank.node.calls.services import CallServices
+from corkcrank.node.engines.engine_owner import PrefillVerdict
+from corkcrank.node.streams.stream_admission import StreamAdmission
+
+
+class EngineTurns:
+    """Requests turns for one call from the owners of the zones' engines."""
+
+    def __init__(
+        self, call: OpaqueCall, services: CallServices, admission: StreamAdmission
+    ) -> None:
+        self._call = call
+        self._services = services
+        self._admission = admission
+
+    async def request_turn(self, chosen: WorkerRecord) -> PrefillVerdict:
+        """Request a turn, which the owner of a zone's engines grants.
+
+        The owner of the chosen engine's zone is asked first, then the owners of other zones.
+        """
+        services = self._services
+        long = services.prompt_sizes.has_long_prompts(self._call.route.name)
+        turn = await services.prefill_grants.request_grant(self._call, chosen, long=long)
+        if turn.engine is None:
+            return await self._request_elsewhere(chosen.zone, turn.wait, long=long)
+        if services.worker_statistics.get_or_create(turn.engine.worker_id).is_unavailable(
+            clock.now()
+        ):
+            # The owner has not yet received the report that this engine exited.
+            return PrefillVerdict(services.prefill_grants.use_without_grant(chosen), turn.wait)
+        return turn
+
+    async def _request_elsewhere(self, zone: str, wait: float, *, long: bool) -> PrefillVerdict:
+        """Request a turn from the owners of the other zones, the best zone first."""
+        turn, asked = PrefillVerdict(None, wait), {zone}
+        for candidate in self._admission.rank_engines():
+            if turn.engine is None and candidate.zone not in asked:
+                asked.add(candidate.zone)
+                found = await self._services.prefill_grants.request_grant(
+                    self._call, candidate, long=long
+                )
+                turn = PrefillVerdict(found.engine, min(turn.wait, found.wait))
+        outcome = "held back" if turn.engine is None else "elsewhere"
+        self._services.metrics.calls_at_limits.labels(outcome).inc()
+        self._services.log.write(
+            LogEvent.LIMIT_DEFERRED,
+            call=self._call.call_id,
+            zone=zone,
+            taken=turn.engine.worker_id if turn.engine is not None else None,
+            wait=round(turn.wait, 3),
+        )
+        return turn
--- a/src/corkcrank/node/streams/stream_relay.py
+++ b/src/corkcrank/node/streams/stream_relay.py
@@ -1,7 +1,6 @@
 """Relays events to a caller as they arrive, in one answer that several engines may produce."""
 
-import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from enum import StrEnum
 
 import aiohttp
@@ -13,6 +12,7 @@
 from corkcrank.node.streams.events import EventReader, StreamEvent
 from corkcrank.node.streams.stream_answer import StreamAnswer
 from corkcrank.node.streams.stream_part import StreamPart, body_framing
+from corkcrank.node.workers.silence_timeout import SilenceRule, SilenceTimeout
 from corkcrank.node.workers.worker_client import address_of, unframed_body_end
 
 MIN_SILENCE_SECONDS = 1.0
@@ -43,9 +43,9 @@
         call: OpaqueCall,
         services: CallServices,
         answer: StreamAnswer,
-        may_move: Callable[[], bool],
+        choose_next_engine: Callable[[], Awaitable[bool]],
     ) -> None:
-        self._may_move = may_move
+        self._choose_next_engine = choose_next_engine
         self._call = call
         self._services = services
         self._answer = answer
@@ -60,14 +60,19 @@
             upstream.status, body_framing(upstream), self.resume_after, self._next_event_begun
         )
 
-    async def relay(self, attempt: Attempt, part: StreamPart, first_seconds: float) -> RelayEnd:
-        """Relay an engine's events until the body ends, the connection fails or no byte arrives."""
+    async def relay(
+        self, attempt: Attempt, part: StreamPart, first: SilenceRule | None
+    ) -> RelayEnd:
+        """Relay an engine's events until the body ends, the connection fails or no byte arrives.
+
+        ``first`` says when an engine is abandoned that sends no first event.
+        """
         upstream = attempt.response
         assert upstream is not None
         # Stays set if the call is cancelled, which is no failure of the engine.
         end = RelayEnd.CALLER_GONE
         try:
-            end = await self._relay_body(upstream, part, first_seconds)
+            end = await self._relay_body(upstream, part, first)
         finally:
             self._next_event_begun = part.shows_next_event()
             if end is not RelayEnd.COMPLETE:
@@ -85,21 +90,21 @@
         return end
 
     async def _relay_body(
-        self, upstream: aiohttp.ClientResponse, part: StreamPart, first_seconds: float
+        self, upstream: aiohttp.ClientResponse, part: StreamPart, first: SilenceRule | None
     ) -> RelayEnd:
         reader = EventReader()
         closed = unframed_body_end(upstream)
-        max_wait = first_seconds
+        silence = first
         try:
             while True:
-                chunk = await self._next_chunk(upstream, max_wait)
+                chunk = await self._next_chunk(upstream, silence)
                 if not chunk:
                     break
                 events = reader.feed(chunk)
                 if events and not await self._send_events(upstream, part, events):
                     return RelayEnd.BROKEN
                 if events:
-                    max_wait = self._max_silence_seconds()
+                    silence = self._silence_rule()
             if closed is not None:
                 await closed
         except TimeoutError:
@@ -111,11 +116,13 @@
             part.leftover = reader.remainder
         return await self._end_answer(upstream, part)
 
-    async def _next_chunk(self, upstream: aiohttp.ClientResponse, max_wait: float) -> bytes:
+    async def _next_chunk(
+        self, upstream: aiohttp.ClientResponse, silence: SilenceRule | None
+    ) -> bytes:
         started = clock.now()
-        left = self._call.end_at - started
+        left = clock.clamp_remaining_seconds(self._call.end_at - started)
         try:
-            async with asyncio.timeout(clock.clamp_remaining_seconds(min(left, max_wait))):
+            async with SilenceTimeout(left, silence):
                 return await upstream.content.readany()
         except TimeoutError:
             waited = clock.now() - started
@@ -169,11 +176,13 @@
         tokens = call.envelope.prompt.tokens_out
         self._services.stream_times.observe_stream(call.route.name, tokens, seconds)
 
-    def _max_silence_seconds(self) -> float:
-        if not self._may_move():
-            return float("inf")
+    def _silence_rule(self) -> SilenceRule | None:
+        """Return when an engine that stops sending events is abandoned, ``None`` for never."""
+        if not self._call.route.idempotent:
+            return None
         pause = self._call.route.pause_objective or DEFAULT_PAUSE_SECONDS
-        return max(MIN_SILENCE_SECONDS, SILENCE_FACTOR * pause)
+        seconds = max(MIN_SILENCE_SECONDS, SILENCE_FACTOR * pause)
+        return SilenceRule(seconds, self._choose_next_engine)
 
 
 def _do_nothing() -> None:
--- a/src/corkcrank/node/streams/stream_run.py
+++ b/src/corkcrank/node/streams/stream_run.py
@@ -12,11 +12,11 @@
 from corkcrank.node.callers.drain import abandoned_call_answer
 from corkcrank.node.callers.refusals import CallerDisconnectedError, Refusal
 from corkcrank.node.calls.services import CallServices
-from corkcrank.node.engines.engine_owner import PrefillVerdict
 from corkcrank.node.stages.stage_failures import StageFailedError
 from corkcrank.node.stages.stage_run import StageRun
 from corkcrank.node.streams.engine_assignment import EngineAssignment
 from corkcrank.node.streams.engine_exchange import EngineExchanges
+from corkcrank.node.streams.engine_turns import EngineTurns
 from corkcrank.node.streams.stream_admission import StreamAdmission
 from corkcrank.node.streams.stream_answer import StreamAnswer
 from corkcrank.node.streams.stream_relay import RelayEnd
@@ -42,10 +42,18 @@
         self._plan = StagePlan(call.route.stages, call.envelope.piece_counts)
         self._admission = StreamAdmission(call, services, self._plan)
         self._assignment = EngineAssignment(call, services)
+        self._turns = EngineTurns(call, services, self._admission)
         self._answer = StreamAnswer(call, services, request)
         self._exchanges = EngineExchanges(
-            call, services, self._plan, self._admission, self._assignment, self._answer
+            call,
+            services,
+            self._plan,
+            self._admission,
+            self._assignment,
+            self._answer,
+            self._choose_next_engine,
         )
+        self._chosen: WorkerRecord | None = None
 
     @property
     def answer_begun(self) -> bool:
@@ -120,20 +128,55 @@
                 return self._answer.finished()
             if end is RelayEnd.CALLER_GONE:
                 raise CallerDisconnectedError
-            if not self._exchanges.may_try_another:
-                break
-            if clock.now() >= self._call.end_at:
-                break
             failed = engine
-            engine = self._usable_or_other(failed)
+            engine = self._next_engine(failed)
             if engine is None:
                 break
             self._prepare_next_engine(failed)
         return self._final_refusal()
 
+    def _next_engine(self, failed: WorkerRecord) -> WorkerRecord | None:
+        """Return the engine to prepare next, or ``None`` if the call must not be sent again."""
+        if not self._exchanges.silent:
+            self._chosen = None
+        if clock.now() >= self._call.end_at:
+            return None
+        if self._chosen is not None:
+            self._assignment.assign(self._chosen)
+            return self._chosen
+        return self._usable_or_other(failed) if self._exchanges.may_try_another else None
+
+    async def _choose_next_engine(self) -> bool:
+        """Choose the engine of the next attempt while this one is under way, if there is any.
+
+        The attempt is counted in the retry budget. If stage results were freed, it only has to be
+        possible: the engine is confirmed after the stages.
+        """
+        crash_watch = self._services.crash_watch
+        self._chosen = None
+        if not self._exchanges.may_try_another or await crash_watch.wait_for_verdict(self._call):
+            return False
+        if not self._answer.prepared and not self._admission.ends_before_stop():
+            return False
+        engines = self._admission.rank_engines()
+        if not engines or clock.now() >= self._call.end_at:
+            return False
+        if self._exchanges.stages is not None and self._exchanges.stages.closed:
+            return True
+        turn = await self._turns.request_turn(engines[0])
+        if turn.engine is None or crash_watch.quarantine_seconds_left(self._call):
+            return False
+        if not self._services.try_spend_repeat(self._call.service):
+            return False
+        self._chosen = turn.engine
+        return True
+
     async def _confirm_engine(self, chosen: WorkerRecord, number: int) -> WorkerRecord | None:
         """Return the engine to send the call to now, or ``None`` if it must not be sent."""
         crash_watch = self._services.crash_watch
+        confirmed, self._chosen = self._chosen, None
+        if confirmed is not None:
+            return confirmed
         if await crash_watch.wait_for_verdict(self._call):
             return None
         if not self._answer.prepared and not self._admission.ends_before_stop():
@@ -153,55 +196,15 @@
         """
         self._call.step = CallStep.ENGINE_GRANT
         give_up_at = min(self._call.end_at, clock.now() + MAX_TURN_WAIT_SECONDS)
-        turn = await self._request_turn(chosen)
+        turn = await self._turns.request_turn(chosen)
         while turn.engine is None and clock.now() + turn.wait < give_up_at:
             await asyncio.sleep(max(MIN_WAIT_SECONDS, turn.wait))
-            turn = await self._request_turn(chosen)
+            turn = await self._turns.request_turn(chosen)
         engine = turn.engine
         if engine is not None and engine.worker_id != chosen.worker_id:
             self._assignment.assign(engine)
         return engine
 
-    async def _request_turn(self, chosen: WorkerRecord) -> PrefillVerdict:
-        """Request a turn, which the owner of a zone's engines grants.
-
-        The owner of the chosen engine's zone is asked first, then the owners of other zones.
-        """
-        services = self._services
-        long = services.prompt_sizes.has_long_prompts(self._call.route.name)
-        turn = await services.prefill_grants.request_grant(self._call, chosen, long=long)
-        if turn.engine is None:
-            return await self._request_turn_elsewhere(chosen.zone, turn.wait, long=long)
-        if services.worker_statistics.get_or_create(turn.engine.worker_id).is_unavailable(
-            clock.now()
-        ):
-            # The owner has not yet received the report that this engine exited.
-            return PrefillVerdict(services.prefill_grants.use_without_grant(chosen), turn.wait)
-        return turn
-
-    async def _request_turn_elsewhere(
-        self, zone: str, wait: float, *, long: bool
-    ) -> PrefillVerdict:
-        """Request a turn from the owners of the other zones, the best zone first."""
-        turn, asked = PrefillVerdict(None, wait), {zone}
-        for candidate in self._admission.rank_engines():
-            if turn.engine is None and candidate.zone not in asked:
-                asked.add(candidate.zone)
-                found = await self._services.prefill_grants.request_grant(
-                    self._call, candidate, long=long
-                )
-                turn = PrefillVerdict(found.engine, min(turn.wait, found.wait))
-        outcome = "held back" if turn.engine is None else "elsewhere"
-        self._services.metrics.calls_at_limits.labels(outcome).inc()
-        self._services.log.write(
-            LogEvent.LIMIT_DEFERRED,
-            call=self._call.call_id,
-            zone=zone,
-            taken=turn.engine.worker_id if turn.engine is not None else None,
-            wait=round(turn.wait, 3),
-        )
-        return turn
-
     def _try_start_attempt(self, number: int) -> bool:
         """Return whether there is time left; record a first attempt or spend a repeat."""
         now = clock.now()
@@ -284,6 +287,7 @@
         if self._exchanges.stages is not None and self._exchanges.stages.closed:
             self._plan.reset_results()
             self._exchanges.stages.closed = False
+            self._chosen = None
         self._services.log.write(
             LogEvent.STREAM_RESUMED,
             call=self._call.call_id,
