Stages: the next stage is not requested once the caller's close has arrived

What callers saw: nothing. A gateway requested a call's next stage of its owner after it had read the close of the caller's connection.

Cause: a close cancels the task of the request's handler. The stages run in tasks of their own, which the cancellation reaches one or two loop turns later; a stage whose task had begun by then was still placed.

Change: the stages ask the kernel whether the caller has closed, as the handler does before its first step, in the turn before pieces are placed. A close that the kernel gets later is read after the turn in which the pieces are placed.

--- a/src/corkcrank/node/stages/stage_run.py
+++ b/src/corkcrank/node/stages/stage_run.py
@@ -1,6 +1,7 @@
 """Runs the stages of one call: places pieces, collects results and frees unused ones."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
 from corkcrank.contracts import clock
@@ -44,7 +45,8 @@
     """Runs the stages of one call; its results are freed by :meth:`close`.
 
     ``seconds_after_stages`` is the time needed after the stages; ``spread_seconds`` is the
-    standard deviation of the forecast by which the call was admitted.
+    standard deviation of the forecast by which the call was admitted. ``check_caller`` raises an
+    error if the caller has closed its connection.
 
     ``started`` says whether a piece was run or attempted, ``_begun`` whether any was requested.
     """
@@ -57,6 +59,7 @@
     zone: str
     seconds_after_stages: float
     spread_seconds: float
+    check_caller: Callable[[], None]
     returning: bool = False
     started: bool = False
     closed: bool = False
@@ -206,6 +209,8 @@
         announcement: _Announcement,
     ) -> list[StageRound]:
         """Place pieces in batches, each at the worker with the earliest forecast end."""
+        # The cancellation of the call reaches the task of this stage some loop iterations later.
+        self.check_caller()
         definition = self.plan.definition(stage)
         capacity = self.dispatch.service_capacity(definition.service)
         if capacity is None:
--- a/tests/platform/test_callers_leave_between_stages.py
+++ b/tests/platform/test_callers_leave_between_stages.py
@@ -1,14 +1,21 @@
 """Tests that no stage request is sent for a caller whose disconnect is known by then."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
-from callers import LEAVE_SECONDS, caller_of, ends_in_time
+from callers import LEAVE_SECONDS, caller_of, ends_in_time, results_held
 from node_world import until
-from test_callers_leave_owners import PIECES, pair
+from test_callers_leave_owners import PIECES, Pair, pair
 
+from corkcrank.contracts.worker_records import WorkerRecord
+from corkcrank.node.callers.caller_listener import IncomingConnection
+from corkcrank.node.peers.peer_protocol import StageAnswer, StageWork
 from corkcrank.node.process.node import Node
 
+TURNS_TO_NEXT_STAGE = 10
+"""Loop turns from the answer of a stage until well after the request of the next one."""
+
 
 class SlowConnections:
     """New connections of a gateway to its workers, each of which waits until ``ready`` is set."""
@@ -56,3 +63,67 @@
             next_caller.send("/staged/x", PIECES)
             await next_caller.reader.readuntil(b"id: 3")
         assert len(two.encode.calls) == 1
+
+
+class StageRequests:
+    """The stages that the asking gateway requests for one caller, and those before its close.
+
+    ``close`` runs ``turns`` iterations of the event loop after the answer of the first stage.
+    """
+
+    def __init__(self, two: Pair, turns: int, close: Callable[[], None]) -> None:
+        self.requested: list[int] = []
+        self.before_close: list[int] | None = None
+        self._turns, self._close = turns, close
+        node = two.running.nodes[two.other]
+        (connection,) = node.callers.connections()
+        self._on_lost = connection._on_lost
+        connection._on_lost = self._record_close
+        dispatch = node.services.dispatch
+        self._run_pieces = type(dispatch).run_pieces.__get__(dispatch)
+        dispatch.run_pieces = self._run_and_close  # type: ignore[method-assign]
+
+    def _record_close(self, connection: IncomingConnection) -> None:
+        self.before_close = list(self.requested)
+        self._on_lost(connection)
+
+    async def _run_and_close(self, worker: WorkerRecord, work: StageWork) -> StageAnswer:
+        self.requested.append(work.stage)
+        answer = await self._run_pieces(worker, work)
+        if work.stage == 0:
+            after_turns(self._turns, self._close)
+        assert isinstance(answer, StageAnswer)
+        return answer
+
+
+def after_turns(turns: int, action: Callable[[], None]) -> None:
+    """Run an action after a number of iterations of the event loop, at once for none."""
+    if turns == 0:
+        action()
+    else:
+        asyncio.get_running_loop().call_soon(after_turns, turns - 1, action)
+
+
+async def test_next_stage_was_requested_after_the_close_was_read() -> None:
+    """The next stage was requested of its owner one loop turn after the caller's close was read.
+
+    The close is sent in each loop turn between the answer of a stage and the next request.
+    """
+    gate = asyncio.Event()
+    gate.set()
+    async with pair(gate) as two:
+        late, before = [], set()
+        for turns in range(TURNS_TO_NEXT_STAGE):
+            async with caller_of(two.running, two.other) as caller:
+                await until(lambda: len(two.running.nodes[two.other].callers.connections()) == 1)
+                requests = StageRequests(two, turns, caller.leave)
+                caller.send("/staged/x", PIECES)
+                await until(lambda seen=requests: seen.before_close is not None)  # type: ignore[misc]
+                await until(lambda: not two.owner.stage_owner.busy)
+                await until(lambda: not results_held(two.served))
+                assert requests.before_close is not None
+                before.add(tuple(requests.before_close))
+                if requests.requested != requests.before_close:
+                    late.append(turns)
+        assert not late, "loop turns after the answer at which the close was sent"
+        assert before == {(0,), (0, 1)}, "the closes are sent on both sides of the next request"
