Tests: a flood test that fails says what its time was spent on

Its failure did not tell a connection that was not made in 1 s from a call that was not served in 3 s, nor the gateway from the machine. It was not reproduced here; its checks and limits are unchanged.

Messages now tell which step failed, with the turns of the test's event loop, the time for which the test and the gateway ran and waited for a core, and the kernel's counters of full accept queues and repeated SYNs.

--- a/tests/platform/process_world.py
+++ b/tests/platform/process_world.py
@@ -1,6 +1,7 @@
 """Test fixture: one gateway in a separate process, with a stand-in store and worker."""
 
 import asyncio
+import os
 import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -11,6 +12,7 @@
 from node_world import HOST, KEY, call_id, configuration, new_ports, route
 from platform_standins import StandinWorker
 from standin_store import StandinStore
+from wait_report import LoopTurns, WaitReport
 
 from corkcrank.load.loopback import loopback_address
 from corkcrank.load.process_group import ProcessGroup
@@ -41,12 +43,17 @@
     caller_address: str
     readiness_address: str
     peer_address: str
+    turns: LoopTurns
     held: list[Streams] = field(default_factory=list)
 
     @property
     def resident_bytes(self) -> int:
         return resident_bytes_of(self.group.processes[NAME].pid)
 
+    def begin_wait(self) -> WaitReport:
+        """Return a report of the time from now on."""
+        return WaitReport(self.turns, {"test": os.getpid(), NAME: self.group.processes[NAME].pid})
+
     def log_lines(self) -> list[str]:
         return self.group.log_text(NAME).splitlines()
 
@@ -71,8 +78,17 @@
 
     async def hold(self, count: int, data: bytes = b"") -> None:
         """Open connections, send the same bytes on each, and keep them."""
-        for _ in range(count):
-            streams = await connect(self.caller_address)
+        report = self.begin_wait()
+        for number in range(count):
+            turns = self.turns.count
+            try:
+                streams = await connect(self.caller_address)
+            except TimeoutError:
+                used = self.turns.count - turns
+                raise AssertionError(
+                    f"connection {number} was not made in {CONNECT_SECONDS} s "
+                    f"and {used} turns of the test's loop; since the first one: {report}"
+                ) from None
             streams[1].write(data)
             self.held.append(streams)
 
@@ -171,12 +187,14 @@
         process["caller_address"],
         process["readiness_address"],
         f"{ip}:{ports[2]}",
+        LoopTurns(),
     )
     running.group.start(NAME, RUN_LINE.format(descriptors=descriptors), settings)
     try:
         await ready(running)
         yield running
     finally:
+        running.turns.stop()
         await running.release()
         running.group.close()
         await worker.server.stop()
--- a/tests/platform/test_accepting.py
+++ b/tests/platform/test_accepting.py
@@ -11,12 +11,13 @@
 import json
 import signal
 import socket
+import time
 from typing import Any
 
 import pytest
 from node_world import World, configuration, route, until, world
 from platform_standins import StandinWorker
-from process_world import ProcessWorld, connect, process_world, request_bytes
+from process_world import CONNECT_SECONDS, ProcessWorld, connect, process_world, request_bytes
 
 from corkcrank.contracts import clock
 from corkcrank.contracts.node_settings import NodeLimitSettings
@@ -73,13 +74,16 @@
 async def test_callers_are_served_beside_a_flood(kind: str) -> None:
     async with process_world(DESCRIPTORS) as running:
         probe = ReadinessProbe(await connect(running.readiness_address))
+        report = running.begin_wait()
         await running.hold(FLOOD, FLOODS[kind])
-        assert await served_within(running, CONTACT_SECONDS)
+        assert await served_within(running, CONTACT_SECONDS), f"no call served: {report}"
         for _ in range(CALLS):
-            assert await running.call() == 200
+            report = running.begin_wait()
+            assert await running.call() == 200, f"a later call was not served: {report}"
             assert await probe.status() == await running.readiness() == 200
+        report = running.begin_wait()
         await running.hold(FLOOD // 4, FLOODS[kind])
-        assert await served_within(running, CONTACT_SECONDS)
+        assert await served_within(running, CONTACT_SECONDS), f"no call served later: {report}"
         assert await running.metric("corkcrank_connections") <= DESCRIPTORS / 4
         closed = await running.metric("corkcrank_connections_closed_total")
         assert closed >= FLOOD - DESCRIPTORS / 4
@@ -88,6 +92,25 @@
         assert "accept() out of system resource" not in text
 
 
+async def test_connections_are_made_while_the_gateway_stands_still() -> None:
+    """The kernel makes a connection; that one was not made in time is no sign of the gateway."""
+    async with process_world(DESCRIPTORS) as running:
+        running.group.signal("node", signal.SIGSTOP)
+        report = running.begin_wait()
+        await running.hold(FLOOD)
+        running.group.signal("node", signal.SIGCONT)
+        assert await served_within(running, CONTACT_SECONDS), f"no call served: {report}"
+
+
+async def test_connection_missed_by_a_loop_that_stands_still_is_reported_with_its_turns() -> None:
+    async with process_world(DESCRIPTORS) as running:
+        asyncio.get_running_loop().call_soon(time.sleep, CONNECT_SECONDS + 0.1)
+        with pytest.raises(
+            AssertionError, match=r"not made in 1.0 s and [1-4] turns of the test's"
+        ):
+            await running.hold(1)
+
+
 async def test_no_request_in_progress_is_closed_for_new_connections() -> None:
     async with process_world(DESCRIPTORS) as running:
         running.worker.hold = asyncio.Event()
