Calls: a connect timeout that the event loop's own stall caused is not the worker's failure

Callers saw 503 WORKERS_FULL although no worker had said that it is full, beside idle workers.

Cause: while the event loop stands still for longer than the 0.5 s of the connect timeout, the worker accepts the connection, but the timer is due in the same turn in which the loop sees that and cancels the connect.

Change: the client tells whether the timer of a connect timeout ran more than 0.02 s late by the loop's clock. The call then connects once more, with the time that is left by then; nothing had been sent, so nothing is sent twice. A second stall, or a timeout on a punctual loop, counts as before.

--- a/src/corkcrank/node/calls/attempts.py
+++ b/src/corkcrank/node/calls/attempts.py
@@ -79,10 +79,9 @@
 
     ``call.may_have_run`` is set before the first byte is sent, so that it holds if this
     coroutine is cancelled, and is restored once the worker is known not to have begun the call.
+    If the event loop stalled until the connect timeout, the gateway connects once more.
     """
     services.crash_watch.record_sent(call)
-    remaining = call.end_at - clock.now()
-    headers = services.ports.calls.worker_headers(call, worker, remaining, inputs, resume_after)
     begun_before = call.may_have_run
     call.may_have_run = True
     call.workers_tried.append(worker.worker_id)
@@ -93,18 +92,25 @@
         service=worker.service,
         in_flight=services.worker_statistics.get_or_create(worker.worker_id).in_flight,
         peers_in_flight=services.worker_statistics.get_or_create(worker.worker_id).peers_in_flight,
-        remaining=round(remaining, 3),
+        remaining=round(call.end_at - clock.now(), 3),
         attempt=len(call.workers_tried),
     )
-    response = await services.client.send_request(
-        call.method,
-        worker.address,
-        call.target,
-        headers,
-        call.body,
-        max(MIN_HEAD_SECONDS, min(head_seconds, remaining)),
-        fresh=fresh,
-    )
+
+    async def send() -> aiohttp.ClientResponse | SendFailure:
+        remaining = call.end_at - clock.now()
+        return await services.client.send_request(
+            call.method,
+            worker.address,
+            call.target,
+            services.ports.calls.worker_headers(call, worker, remaining, inputs, resume_after),
+            call.body,
+            max(MIN_HEAD_SECONDS, min(head_seconds, remaining)),
+            fresh=fresh,
+        )
+
+    response = await send()
+    if isinstance(response, SendFailure) and response.stalled and clock.now() < call.end_at:
+        response = await send()
     attempt = _classify_response(services, call, worker, response)
     if attempt.outcome in (AttemptOutcome.NOT_SENT, AttemptOutcome.NOT_RUN):
         call.may_have_run = begun_before
--- a/src/corkcrank/node/workers/worker_client.py
+++ b/src/corkcrank/node/workers/worker_client.py
@@ -25,6 +25,10 @@
 CONNECT_TIMEOUT_SECONDS = 0.5
 """Timeout for a connection to a worker."""
 
+MAX_TIMER_LAG_SECONDS = 0.02
+"""A connect timeout that expires later than this is due to the event loop: it may have stood still
+while the worker accepted the connection."""
+
 MAX_IDLE_SECONDS = 1.5
 """A keep-alive connection that was idle for longer is not reused: it may have failed without a
 sign, and only a request that times out would show that."""
@@ -51,10 +55,15 @@
 
 @dataclass(frozen=True, slots=True)
 class SendFailure:
-    """Why a request got no usable response."""
+    """Why a request got no usable response.
+
+    ``stalled`` is set if the event loop ran late at the connect timeout, so that the failure says
+    nothing about the worker.
+    """
 
     trouble: SendTrouble
     detail: str
+    stalled: bool = False
 
 
 class _CheckedConnector(aiohttp.TCPConnector):
@@ -125,7 +134,7 @@
         """
         session = self._fresh if fresh else self._kept
         url = URL(f"http://{address}{target}", encoded=True)
-        started = clock.now()
+        started, connecting_since = clock.now(), clock.loop_time()
         try:
             async with asyncio.timeout(head_seconds):
                 return await session.request(
@@ -140,7 +149,9 @@
                 return SendFailure(SendTrouble.REFUSED, "connection refused")
             return SendFailure(SendTrouble.NOT_SENT, type(error).__name__)
         except aiohttp.ConnectionTimeoutError:
-            return SendFailure(SendTrouble.NOT_SENT, "connect time-out")
+            lag = clock.loop_time() - connecting_since - CONNECT_TIMEOUT_SECONDS
+            stalled = lag > MAX_TIMER_LAG_SECONDS
+            return SendFailure(SendTrouble.NOT_SENT, "connect time-out", stalled=stalled)
         except TimeoutError:
             self.record_silence(address, clock.now() - started)
             return SendFailure(SendTrouble.SILENT, "no answer in time")
