--- a/tests/platform/test_callers_leave_owners.py
+++ b/tests/platform/test_callers_leave_owners.py
@@ -3,7 +3,7 @@
 import asyncio
 import socket
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from typing import Any
@@ -162,7 +162,10 @@
         assert requests_seen(two.served) == 1
 
 
-async def test_results_are_freed_where_the_caller_leaves_in_the_moment_of_the_answer() -> None:
+async def leave_in_the_moment_of_the_answer(
+    check: Callable[[Pair, Caller], Awaitable[None]],
+) -> None:
+    """Have a caller leave as the first stage answers, and apply a check of later requests."""
     gate = asyncio.Event()
     async with pair(gate) as two, caller_of(two.running, two.other) as caller:
         caller.send("/staged/x", PIECES)
@@ -172,13 +175,21 @@
         gate.set()
         await until(lambda: len(two.encode.made) == 2)
         caller.leave()
-        await no_further_stage_call_is_begun(two, caller)
+        await check(two, caller)
         await until(lambda: not two.encode.held)
         follow.set()
         await until(lambda: not two.owner.stage_owner.busy and not results_held(two.served))
         assert not two.model.seen
 
 
+async def test_results_are_freed_where_the_caller_leaves_in_the_moment_of_the_answer() -> None:
+    await leave_in_the_moment_of_the_answer(no_further_request_is_sent)
+
+
+async def test_no_stage_call_begins_after_a_close_that_the_owners_know() -> None:
+    await leave_in_the_moment_of_the_answer(no_further_stage_call_is_begun)
+
+
 async def test_while_the_owner_of_the_engines_is_asked_no_engine_gets_the_call() -> None:
     asked, answer = asyncio.Event(), asyncio.Event()
     async with pair(asyncio.Event()) as two:
