--- /dev/null
+++ b/src/corkcrank/node/callers/caller_connection.py
@@ -0,0 +1,187 @@
+"""One caller's HTTP connection: its timestamps, its limits, and a close that resets nothing."""
+
+import asyncio
+from collections.abc import Callable
+from http import HTTPStatus
+
+from aiohttp import StreamReader, web
+from aiohttp.web_protocol import RequestHandler
+
+from corkcrank.contracts import clock
+from corkcrank.contracts.opaque_configuration import RequestLimits
+from corkcrank.contracts.result_codes import ResultCode
+from corkcrank.links.closed_connections import closed_by_peer
+from corkcrank.node.callers.caller_listener import ConnectionPhase, IncomingConnection
+from corkcrank.node.callers.refusals import Refusal
+
+MAX_FIELD_BYTES = 65_536
+"""Limit of aiohttp's parser for one header field; the limit of the configuration is lower."""
+
+HEAD_SLACK_BYTES = 1_024
+"""Size that an incomplete head may have beyond the configured limit of headers, for the request
+line. aiohttp limits single fields only, and not their sum."""
+
+LIBRARY_KEEPALIVE_SECONDS = 86_400.0
+"""Keep-alive timeout of aiohttp, in effect off: the periodic sweep closes idle connections."""
+
+LINGER_SECONDS = 0.5
+"""Time for which the rest of a request body is read and discarded after the response, and for
+which a connection whose sending side is closed waits for its caller to close."""
+
+
+class CallerConnection(RequestHandler, IncomingConnection):
+    """One caller's connection, with the timestamps that the sweep and the listener use."""
+
+    def __init__(
+        self,
+        manager: web.Server,
+        loop: asyncio.AbstractEventLoop,
+        limits: Callable[[], RequestLimits],
+        on_lost: Callable[[IncomingConnection], None],
+    ) -> None:
+        super().__init__(
+            manager,
+            loop=loop,
+            keepalive_timeout=LIBRARY_KEEPALIVE_SECONDS,
+            max_line_size=MAX_FIELD_BYTES,
+            max_field_size=MAX_FIELD_BYTES,
+            lingering_time=LINGER_SECONDS,
+            auto_decompress=False,
+        )
+        self.idle_since = clock.now()
+        self.head_since: float | None = None
+        self.lost_at: float | None = None
+        self._limits = limits
+        self._on_lost = on_lost
+        self._head_bytes = 0
+        self._handlers_started = 0
+        self._previous_unsent_bytes = 0
+        self._handling = False
+        self._handler_started_at = 0.0
+        self._content: StreamReader | None = None
+
+    @property
+    def caller(self) -> str:
+        """Return the caller's ``ip:port``, or an empty string once the connection is closed."""
+        name = self.peername
+        return f"{name[0]}:{name[1]}" if isinstance(name, tuple) else ""
+
+    @property
+    def busy(self) -> bool:
+        """Return whether a request is being handled, or was read and waits for its handler.
+
+        aiohttp passes a request to its handler some loop iterations after it was read.
+        """
+        return self._handling or self.has_unhandled_request
+
+    @property
+    def has_unhandled_request(self) -> bool:
+        """Return whether a request was read whose handler has not started."""
+        return self._request_count > self._handlers_started
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return how many bytes of a response are buffered until the caller reads more."""
+        return self.transport.get_write_buffer_size() if self.transport is not None else 0
+
+    def observe_reading(self, now: float) -> None:
+        """Restart the idle time if the caller has read buffered bytes since the last check."""
+        if self.unsent_bytes != self._previous_unsent_bytes:
+            self.idle_since = now
+        self._previous_unsent_bytes = self.unsent_bytes
+
+    @property
+    def phase(self) -> ConnectionPhase:
+        """Return what the connection is waiting for."""
+        if self.busy or self._current_request is not None or self.unsent_bytes > 0:
+            content = self._content
+            unfinished = content is not None and not content.is_eof()
+            return ConnectionPhase.BODY if unfinished else ConnectionPhase.BUSY
+        return ConnectionPhase.RESTING if self.head_since is None else ConnectionPhase.HEAD
+
+    @property
+    def waiting_since(self) -> float:
+        """Return when the current phase began, on the clock of :mod:`clock`."""
+        if self.busy:
+            return self._handler_started_at
+        return self.idle_since if self.head_since is None else self.head_since
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Record when the connection was closed, inform the listener, and end the handler."""
+        self.lost_at = clock.now()
+        self._on_lost(self)
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """Record when a request head begins to arrive; clear it once the head was parsed."""
+        before = self._request_count
+        super().data_received(data)
+        if self._request_count != before:
+            self.head_since = None
+            self._head_bytes = 0
+        elif not self.busy and data:
+            self._record_partial_head(len(data))
+
+    def _record_partial_head(self, size: int) -> None:
+        if self.head_since is None:
+            self.head_since = clock.now()
+        self._head_bytes += size
+        max_bytes = self._limits().header_bytes + HEAD_SLACK_BYTES
+        if self._head_bytes > max_bytes and self.transport is not None:
+            self.transport.write(Refusal(ResultCode.HEADERS_TOO_LARGE).encode_closing_response())
+            self.force_close()
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = HTTPStatus.INTERNAL_SERVER_ERROR,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answer a request that the parser rejects with a numbered code, then close."""
+        if request.writer.output_size > 0:
+            raise ConnectionError(
+                "the response has already started; closing the connection without completing it"
+            )
+        code = (
+            ResultCode.MALFORMED_REQUEST
+            if status < HTTPStatus.INTERNAL_SERVER_ERROR
+            else ResultCode.INTERNAL_ERROR
+        )
+        return Refusal(code, message or "", close=True).to_response()
+
+    def abort_if_caller_closed(self) -> None:
+        """Abort the request being handled if its caller has closed the connection.
+
+        aiohttp detects a close only by reading. Reading is paused while pipelined requests
+        wait, and after the caller has closed its end the connection stays open until all
+        data was written.
+        """
+        if self._handling and self.transport is not None and closed_by_peer(self.transport):
+            self.transport.abort()
+
+    def record_handler_start(self, content: StreamReader) -> None:
+        """Record that a handler has started; the request body may still be arriving."""
+        self._handling = True
+        self._handler_started_at = clock.now()
+        self._content = content
+        self.head_since = None
+        self._handlers_started += 1
+
+    def record_handler_end(self) -> None:
+        """Record that the handler has ended and the connection is idle."""
+        self._handling = False
+        self._content = None
+        self.idle_since = clock.now()
+
+    def abort_unsent(self) -> None:
+        """Close without sending buffered bytes; a regular close would wait until they are read."""
+        if self.transport is not None:
+            self.transport.abort()
+        self.force_close()
+
+
+def seconds_since_close(request: web.BaseRequest) -> float:
+    """Return the seconds since a request's connection was found closed, 0 while it is open."""
+    lost_at = getattr(request.protocol, "lost_at", None)
+    return clock.now() - lost_at if lost_at is not None else 0.0
--- a/src/corkcrank/node/ingress/call_handler.py
+++ b/src/corkcrank/node/ingress/call_handler.py
@@ -18,7 +18,7 @@
 from corkcrank.contracts.result_codes import ResultCode
 from corkcrank.links.closed_connections import closed_by_peer
 from corkcrank.links.decision_log import LogEvent
-from corkcrank.node.callers.caller_server import seconds_since_close
+from corkcrank.node.callers.caller_connection import seconds_since_close
 from corkcrank.node.callers.drain import CallAnswer, CallRun, OpenCalls
 from corkcrank.node.callers.refusals import CallerDisconnectedError, Refusal
 from corkcrank.node.calls.plain_run import PlainRun
