A drain ends only when nothing has arrived that was not read, and in the turn of that check

Cause: the listener was closed over its accept queue, which the kernel then resets; a connection between accept and connection_made was in no list; and the drain's last wait was 0.05 s by the clock. A loop that stood still for longer in the turn after the accept woke with the timer before the first read, found nothing in flight and closed. Change: the accept queue is emptied before the listener closes. Until the end of the schedule the drain goes on while connections are being set up, hold unread bytes or began a head less than 0.3 s ago; it ends connections in the turn of the last check. The schedule itself is as before.

--- a/src/corkcrank/node/callers/caller_listener.py
+++ b/src/corkcrank/node/callers/caller_listener.py
@@ -110,9 +110,13 @@
         self._state.listening = True
 
     def close(self) -> None:
-        """Stop accepting connections; open ones stay open."""
+        """Accept what waits in the accept queue, then stop listening; connections stay open.
+
+        The operating system resets the connections that are in the queue of a closed listener.
+        """
         if self._socket is None:
             return
+        self._accept()
         if self._retry_timer is not None:
             self._retry_timer.cancel()
         asyncio.get_running_loop().remove_reader(self._socket)
--- a/src/corkcrank/node/callers/drain.py
+++ b/src/corkcrank/node/callers/drain.py
@@ -208,6 +208,8 @@
             self._callers.close_idle_connections(0.0)
             self._apply_schedule(schedule, clock.now())
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
+        # In the turn of the check: what is read later would be closed without an answer.
+        self._callers.end_connections()
 
     def _apply_schedule(self, schedule: DrainSchedule, now: float) -> None:
         self._callers.close_idle_connections(DRAIN_IDLE_SECONDS)
@@ -226,6 +228,7 @@
     def _callers_wait(self, schedule: DrainSchedule, now: float, answers_until: float) -> bool:
         """Return whether callers still wait; after ``stop_at`` only those without a response."""
         if now < schedule.stop_at:
-            return self._callers.in_flight > 0
+            arriving = self._callers.partial_heads(DRAIN_IDLE_SECONDS)
+            return bool(self._callers.in_flight or self._callers.unread_connections or arriving)
         unanswered = self._open_calls.unanswered or self._callers.unhandled_requests
-        return bool(unanswered) and now < answers_until
+        return bool(unanswered or self._callers.unread_connections) and now < answers_until
