The periodic check of connections reads what has arrived before it closes for a limit

Seen: a reset, where the event loop stood still past an idle or head limit while a request arrived. Cause: the check looked at the clock only, as the stop did. Evidence: test_bytes_that_arrived_in_a_stall_are_read_before_a_limit_closes_their_connection (two cases), both ConnectionResetError before: the bytes are sent in the turn of the check. Change: a connection with unread bytes and nothing unsent is left to the next check; an idle one is half closed. A caller that reads no answer is closed by its limit as before.

--- a/src/corkcrank/node/callers/caller_server.py
+++ b/src/corkcrank/node/callers/caller_server.py
@@ -154,6 +154,8 @@
                     connection.abort_if_caller_closed()
                     continue
                 connection.observe_reading(now)
+                if connection.has_unread_bytes and not connection.unsent_bytes:
+                    continue
                 if connection.head_since is not None:
                     if now - connection.head_since > limits.header_seconds:
                         connection.force_close()
@@ -163,7 +165,7 @@
     def _close_idle(self, connection: CallerConnection, now: float) -> None:
         """Close a connection that has been idle, or has read no response bytes, for the limit."""
         if not connection.unsent_bytes:
-            connection.force_close()
+            connection.end()
             return
         waited = now - connection.idle_since
         self.on_silence(SilentConnection(ConnectionKind.CALLER, connection.caller, waited))
--- a/tests/platform/test_callers_connection.py
+++ b/tests/platform/test_callers_connection.py
@@ -2,11 +2,17 @@
 
 import asyncio
 import json
+import socket
 
 import pytest
 from node_world import HOST, KEY, World, configuration, route, until, world
 from platform_standins import StandinWorker
 
+from corkcrank.contracts.opaque_configuration import RequestLimits
+
+LONG_SECONDS = 60.0
+"""Time above every limit of a connection."""
+
 ROUTES = [route("safe", "safe", "plain")]
 HEAD = f"Host: {HOST}\r\nX-Corkcrank-Attempt-Id: 1\r\nX-Corkcrank-Credential: {KEY}\r\n"
 
@@ -110,3 +116,40 @@
         assert len(one.seen) == 1
         writer.close()
         await until(lambda: not callers.connections())
+
+
+@pytest.mark.parametrize("rest_of_head", [True, False], ids=["rest of a head", "request"])
+async def test_bytes_that_arrived_in_a_stall_are_read_before_a_limit_closes_their_connection(
+    rest_of_head: bool,
+) -> None:
+    """After a stall of the event loop the periodic check reset connections with unread requests."""
+    async with world(configuration(1, ROUTES), {"one": (StandinWorker(), "plain")}) as running:
+        callers = running.nodes[0].callers
+        host, port = running.address().rsplit(":", 1)
+        caller = socket.create_connection((host, int(port)), timeout=5.0)
+        await until(lambda: len(callers.connections()) == 1)
+        (connection,) = callers.connections()
+        data = f"GET /safe/x HTTP/1.1\r\n{HEAD}\r\n".encode()
+        if rest_of_head:
+            caller.sendall(data[:30])
+            await until(lambda: connection.head_since is not None)
+            data = data[30:]
+        limits = callers._limits
+        sent = False
+
+        def send_before_check() -> RequestLimits:
+            nonlocal sent
+            if not sent:
+                sent = True
+                caller.sendall(data)
+                connection.idle_since -= LONG_SECONDS
+                if connection.head_since is not None:
+                    connection.head_since -= LONG_SECONDS
+            return limits()
+
+        callers._limits = send_before_check
+        await until(lambda: sent)
+        callers._limits = limits
+        answer = await asyncio.to_thread(caller.recv, 65_536)
+        assert answer.startswith(b"HTTP/1.1 200")
+        caller.close()
