Streams: a stream held back by rate limits is refused with that reason

Callers saw 503 NO_BACKEND, "no live back end serves the stage", after a wait for a turn at a live engine that was at its rate limit.

Cause: the final refusal of a stream knew only whether an engine had been tried. A stream that an engine's limit let begin, and for which no turn came within a second, counted as one without engine.

Evidence: one limited engine, an owner that does not answer, no open slot: NO_BACKEND on the old source, WORKERS_LIMITED with the time until a turn may come now. The new test forces it.

Unchanged: a call whose stages ran is refused with STAGE_NOT_MADE, one that an engine turned away with WORKERS_FULL.

--- a/src/corkcrank/node/streams/stream_run.py
+++ b/src/corkcrank/node/streams/stream_run.py
@@ -46,6 +46,7 @@
         self._exchanges = EngineExchanges(
             call, services, self._plan, self._admission, self._assignment, self._answer
         )
+        self._limit_wait: float | None = None
 
     @property
     def answer_begun(self) -> bool:
@@ -158,6 +159,7 @@
             await asyncio.sleep(max(MIN_WAIT_SECONDS, turn.wait))
             turn = await self._request_turn(chosen)
         engine = turn.engine
+        self._limit_wait = turn.wait if engine is None else None
         if engine is not None and engine.worker_id != chosen.worker_id:
             self._assignment.assign(engine)
         return engine
@@ -323,8 +325,12 @@
         if self._exchanges.stages is not None and self._exchanges.stages.started:
             detail = "no engine after the stages"
             return Refusal(ResultCode.STAGE_NOT_MADE, detail, retry_after=NO_ENGINE_RETRY_SECONDS)
-        code = ResultCode.WORKERS_FULL if self._call.workers_tried else ResultCode.NO_BACKEND
-        return Refusal(code, retry_after=NO_ENGINE_RETRY_SECONDS)
+        if self._call.workers_tried:
+            return Refusal(ResultCode.WORKERS_FULL, retry_after=NO_ENGINE_RETRY_SECONDS)
+        if self._limit_wait is not None:
+            retry = max(MIN_RETRY_SECONDS, self._limit_wait)
+            return Refusal(ResultCode.WORKERS_LIMITED, retry_after=retry)
+        return Refusal(ResultCode.NO_BACKEND, retry_after=NO_ENGINE_RETRY_SECONDS)
 
     def _stage_refusal(self, error: StageFailedError) -> web.StreamResponse | Refusal:
         if self._answer.prepared:
--- a/tests/platform/test_engine_owners.py
+++ b/tests/platform/test_engine_owners.py
@@ -11,6 +11,7 @@
     allowed_requests,
     call,
     limited_and_unlimited,
+    limited_worker,
     max_requests_in_window,
     two_gateways,
 )
@@ -113,3 +114,24 @@
         assert len(grants) == CALLS, "a call asked again"
         assert LogEvent.LIMIT_DEFERRED not in events
         assert max_requests_in_window([seen.at for seen in limited.seen]) <= allowed_requests(1)
+
+
+async def test_a_stream_held_back_by_the_limit_of_the_only_engine_is_told_so(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # The refusal said that no live engine serves the call.
+    limited = limited_worker(1, events=2)
+    async with two_gateways({"needy": (limited, "model")}) as running:
+        asking = 1 - owner_index(running)
+        node = running.nodes[asking]
+        assert (await call(running, "talk", asking)).status == 200
+        assert knows_limit(node, limited)
+        # The limit allows one call a second to begin.
+        await until(lambda: clock.now() - limited.seen[0].at > 1.0)
+        ignore_prefill_requests(node, monkeypatch)
+        monkeypatch.setattr(node.services.limits, "may_send", lambda worker, now: False)
+        response = await call(running, "talk", asking)
+        assert response.status == 503
+        assert (await response.json())["name"] == "WORKERS_LIMITED"
+        assert float(response.headers["Retry-After"]) > 0
+        assert len(limited.seen) == 1
