--- a/src/corkcrank/node/streams/stream_run.py
+++ b/src/corkcrank/node/streams/stream_run.py
@@ -56,6 +56,7 @@
             self._choose_next_engine,
         )
         self._chosen: WorkerRecord | None = None
+        self._limit_wait: float | None = None
 
     @property
     def answer_begun(self) -> bool:
@@ -203,6 +204,7 @@
             await asyncio.sleep(max(MIN_WAIT_SECONDS, turn.wait))
             turn = await self._turns.request_turn(chosen)
         engine = turn.engine
+        self._limit_wait = turn.wait if engine is None else None
         if engine is not None and engine.worker_id != chosen.worker_id:
             self._assignment.assign(engine)
         return engine
@@ -320,8 +322,12 @@
         if self._exchanges.stages is not None and self._exchanges.stages.started:
             detail = "no engine after the stages"
             return Refusal(ResultCode.STAGE_NOT_MADE, detail, retry_after=NO_ENGINE_RETRY_SECONDS)
-        code = ResultCode.WORKERS_FULL if self._call.workers_tried else ResultCode.NO_BACKEND
-        return Refusal(code, retry_after=NO_ENGINE_RETRY_SECONDS)
+        if self._call.workers_tried:
+            return Refusal(ResultCode.WORKERS_FULL, retry_after=NO_ENGINE_RETRY_SECONDS)
+        if self._limit_wait is not None:
+            retry = max(MIN_RETRY_SECONDS, self._limit_wait)
+            return Refusal(ResultCode.WORKERS_LIMITED, retry_after=retry)
+        return Refusal(ResultCode.NO_BACKEND, retry_after=NO_ENGINE_RETRY_SECONDS)
 
     def _stage_refusal(self, error: StageFailedError) -> web.StreamResponse | Refusal:
         if self._answer.prepared:
