--- a/tests/soak/test_down_node.py
+++ b/tests/soak/test_down_node.py
@@ -20,8 +20,8 @@
 
 ROUTE = RouteUse("once", 1.0, repeatable=False)
 STALL_SECONDS = 0.25
-"""Time for which the soak's loop stands still: above ``close_crossing``, below ``STALL_SECONDS``
-of the ledger, from which on a stall disturbs the whole machine."""
+"""Time for which the soak's loop stands still: below ``STALL_SECONDS`` of the ledger, from which
+on a stall disturbs the whole machine."""
 
 
 async def call_down_node(stall_at: int | None) -> Ledger:
@@ -30,6 +30,7 @@
     ledger.planned_only = True
     address = f"{loopback_address(1)}:{new_ports(1)[0]}"
     link = FaultLink(loopback_address(1), address)
+    link.unreached_clients = ledger.unreached_clients["node-0"]
     await link.start()
     clients = Clients(ledger, [ROUTE], lambda: ("node-0", link.address), random.Random(1))
     record = ledger.record_sent
