Tests: the message that names a burst's refusals no longer fails itself

A generator with await in it is an asynchronous one, which Counter does not take: a failing burst ended with a TypeError of the message in place of its AssertionError. The check is unchanged.

--- a/tests/platform/test_limited_workers.py
+++ b/tests/platform/test_limited_workers.py
@@ -86,11 +86,12 @@
 
     The body of a refusal holds its code and detail.
     """
-    return Counter(
+    bodies = [
         f"{response.status} {await response.text()}"
         for response in responses
         if response.status != 200
-    )
+    ]
+    return Counter(bodies)
 
 
 async def call_statuses(running: World, name: str) -> list[int]:
