--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -235,7 +235,7 @@
         except OSError:
             passage.left |= blocked is BLOCKED_TO_TARGET
             if blocked is BLOCKED_FROM_TARGET:
-                passage.target.record_close(reset=True)
+                passage.target.record_close()
             # A silent direction does not forward a reset, just as it forwards no bytes.
             if not passage.lost(blocked):
                 raise
@@ -266,7 +266,7 @@
         if from_client:
             passage.left = True
         else:
-            passage.target.record_close(reset=False)
+            passage.target.record_close()
         while self._trouble in blocked and not passage.lost(blocked):
             await self._changed.wait()
         if passage.lost(blocked):
--- a/tests/soak/reachability.py
+++ b/tests/soak/reachability.py
@@ -5,9 +5,8 @@
 """
 
 import asyncio
-import socket
 
-from corkcrank.links.closed_connections import TCP_CLOSE, TCP_CLOSE_WAIT
+from corkcrank.links.closed_connections import closed_by_peer
 
 Address = tuple[str, int]
 
@@ -30,12 +29,11 @@
     def write(self, data: bytes) -> None:
         """Forward a client's bytes; record whether the target had the connection open.
 
-        The target may close between the first look and the write, so there is a second look. A
-        target that resets has left bytes unread, so it had closed before only if it sent a FIN.
+        The target may close between the first look and the write, so there is a second look.
         """
-        was_open = not self._in_state(TCP_CLOSE, TCP_CLOSE_WAIT)
+        was_open = not self._closed_by_target()
         self._writer.write(data)
-        if was_open and not self._in_state(TCP_CLOSE_WAIT):
+        if was_open and not self._closed_by_target():
             self._awaits_answer = True
         elif not self._awaits_answer:
             self._unreached_clients.add(self._client)
@@ -44,22 +42,11 @@
         """Record that the target has sent bytes, so that it has read the request."""
         self._awaits_answer = False
 
-    def record_close(self, *, reset: bool) -> None:
-        """Record that the target's end of the connection was read, by a FIN or a ``reset``.
-
-        A FIN on a connection that was reset afterwards is the close of a target with nothing
-        unread, which refused bytes that came later.
-        """
-        closed_before = not reset and self._in_state(TCP_CLOSE)
-        if closed_before or not self._awaits_answer:
+    def record_close(self) -> None:
+        """Record that the target's end of the connection was read, by a FIN or a reset."""
+        if not self._awaits_answer:
             self._unreached_clients.add(self._client)
 
-    def _in_state(self, *states: int) -> bool:
-        connection = self._writer.get_extra_info("socket")
-        if connection is None:
-            return False
-        try:
-            state = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
-        except OSError:
-            return TCP_CLOSE in states
-        return state[0] in states
+    def _closed_by_target(self) -> bool:
+        """Return whether the kernel has a FIN or a reset of the target."""
+        return closed_by_peer(self._writer.transport)
--- a/tests/soak/test_reachability.py
+++ b/tests/soak/test_reachability.py
@@ -93,14 +93,14 @@
     async with linked() as target:
         client = await target.connect()
         connection = await target.accept()
-        look = reachability.TargetSide._in_state
+        look = reachability.TargetSide._closed_by_target
 
-        def close_after_look(side: reachability.TargetSide, *states: int) -> bool:
-            seen = look(side, *states)
+        def close_after_look(side: reachability.TargetSide) -> bool:
+            seen = look(side)
             connection.close()
             return seen
 
-        monkeypatch.setattr(reachability.TargetSide, "_in_state", close_after_look)
+        monkeypatch.setattr(reachability.TargetSide, "_closed_by_target", close_after_look)
         client[1].write(REQUEST)
         assert await end_of(client) == b""
         assert not target.reached(client)
@@ -117,6 +117,18 @@
         assert target.reached(client)
 
 
+async def test_a_request_that_was_unread_as_the_target_closed_its_sending_side_reached_it() -> None:
+    async with linked() as target:
+        client = await target.connect()
+        connection = await target.accept()
+        client[1].write(REQUEST)
+        await until(lambda: has_unread_bytes(connection))
+        connection.shutdown(socket.SHUT_WR)
+        connection.close()
+        assert await end_of(client) == b""
+        assert target.reached(client)
+
+
 async def test_a_request_that_the_target_read_without_an_answer_reached_it() -> None:
     async with linked() as target:
         client = await target.connect()
