Callers: the refusal of a too large head is not lost in a reset

Callers saw: a connection reset after or instead of the 431 for a head above the limit.

Cause: the refusal was written and the connection closed at once. If more of the head was in the socket, unread, the close sent a reset, which an HTTP client reports in place of the answer.

Ruled out: the parser's own rejections (400) end through finish_response, which does not reset.

Evidence: the new test sends more of the head in the turn in which the limit is found.

Change: the connection is ended as after every other closing answer: the sending side first, what arrives is discarded for a limited time.

--- a/src/corkcrank/node/callers/caller_connection.py
+++ b/src/corkcrank/node/callers/caller_connection.py
@@ -137,7 +137,7 @@
         max_bytes = self._limits().header_bytes + HEAD_SLACK_BYTES
         if self._head_bytes > max_bytes and self.transport is not None:
             self.transport.write(Refusal(ResultCode.HEADERS_TOO_LARGE).encode_closing_response())
-            self.force_close()
+            self.end()
 
     def handle_error(
         self,
--- /dev/null
+++ b/tests/platform/test_unread_closes.py
@@ -0,0 +1,30 @@
+"""Tests that a gateway closes no connection over bytes that it has not read.
+
+The failure: a close with unread bytes resets the connection, and the caller loses its answer.
+"""
+
+from test_stop_moments import answers, connected, gateway
+
+PART_BYTES = 60_000
+"""Size of one header field: the parser accepts it, and two are above the limit of all headers."""
+
+
+async def test_the_refusal_of_a_large_head_survives_bytes_that_are_unread() -> None:
+    """The refusal was lost in a reset if more of the head arrived as its limit was found."""
+    async with gateway() as running:
+        caller = await connected(running)
+        (connection,) = running.nodes[0].callers.connections()
+        receive = connection.data_received
+        sent = False
+
+        def send_then_receive(data: bytes) -> None:
+            nonlocal sent
+            if not sent:
+                sent = True
+                caller.send(b"b" * 10)
+            receive(data)
+
+        connection.data_received = send_then_receive  # type: ignore[method-assign]
+        field = b"a" * PART_BYTES
+        caller.send(b"POST /plain/x HTTP/1.1\r\nX-First: " + field + b"\r\nX-Second: " + field)
+        assert answers(await caller.received()) == 1
