Listener: at its limit it closes no resting connection over an unread request

Callers saw: at the limit of connections or descriptors, also while a stop accepts what waits in the accept queue, a request on a kept connection was reset.

Cause: the listener closes the connections that have rested longest, by the state of the event loop. A request whose bytes are still in the socket does not show there, and a close over unread bytes is a reset.

Ruled out: a connection that rests with nothing unread is still closed (second test).

Evidence: the new test sends a request and calls the listener's closing in the same turn of the loop. Old source: the request is reset. New source: it is answered with 200.

Change: a resting connection with unread bytes is not closed; a turn later it counts by its head or its request, as before.

Left: a head whose rest is unread is still closed at the limit, as is a body that is arriving.

--- a/src/corkcrank/node/callers/caller_listener.py
+++ b/src/corkcrank/node/callers/caller_listener.py
@@ -54,6 +54,11 @@
         """Return when the current wait began, on the clock of :mod:`clock`."""
         raise NotImplementedError
 
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Return whether the caller has sent bytes that were not read yet."""
+        raise NotImplementedError
+
     def force_close(self) -> None:
         """Close the connection at once."""
         raise NotImplementedError
@@ -186,12 +191,14 @@
         """Close a batch of connections without a complete request; return whether any was closed.
 
         Connections are closed by phase, and within a phase by age of their wait, oldest first.
+        A resting one that holds unread bytes stays open: it has sent a request.
         """
         waiting = [
             (phase, connection.waiting_since, connection)
             for connection in self._connections
             if (phase := connection.phase) is not ConnectionPhase.BUSY
             and now - connection.waiting_since > MIN_WAIT_BEFORE_CLOSE_SECONDS
+            and not (phase is ConnectionPhase.RESTING and connection.has_unread_bytes)
         ]
         waiting.sort(key=lambda item: item[:2])
         count = max(1, int(self._state.connection_limit * CLOSED_BATCH_SHARE))
--- a/tests/platform/test_unread_closes.py
+++ b/tests/platform/test_unread_closes.py
@@ -3,7 +3,11 @@
 The failure: a close with unread bytes resets the connection, and the caller loses its answer.
 """
 
-from test_stop_moments import answers, connected, gateway
+import asyncio
+
+from test_stop_moments import answers, connected, gateway, kept_caller, request, set_idle
+
+from corkcrank.contracts import clock
 
 PART_BYTES = 60_000
 """Size of one header field: the parser accepts it, and two are above the limit of all headers."""
@@ -28,3 +32,24 @@
         field = b"a" * PART_BYTES
         caller.send(b"POST /plain/x HTTP/1.1\r\nX-First: " + field + b"\r\nX-Second: " + field)
         assert answers(await caller.received()) == 1
+
+
+async def test_the_limit_of_connections_resets_no_request_that_is_unread() -> None:
+    """At its limit the listener closed a resting connection over a request it had not read."""
+    async with gateway() as running:
+        caller = await kept_caller(running)
+        set_idle(running, long=True)
+        caller.send(request())
+        listener = running.nodes[0].callers._listener
+        assert not listener._close_waiting_connections(clock.now())
+        head = await asyncio.to_thread(caller.read_answer)
+        assert head.startswith(b"HTTP/1.1 200")
+
+
+async def test_the_limit_of_connections_closes_a_resting_connection() -> None:
+    async with gateway() as running:
+        caller = await kept_caller(running)
+        set_idle(running, long=True)
+        listener = running.nodes[0].callers._listener
+        assert listener._close_waiting_connections(clock.now())
+        assert await caller.received() == b""
