Moments of a stop: a caller gets no more answers than it sent requests

Since the close of connections was changed, these tests allow a connection that the gateway had ended before the request was sent (the caller can see that), and had let pass more than one answer to one request. The upper bound is back: one answer for one request, at most two for two in a row.

--- a/tests/platform/test_stop_moments.py
+++ b/tests/platform/test_stop_moments.py
@@ -89,9 +89,13 @@
         return head
 
 
-async def expect_answer(caller: Caller) -> None:
-    """Fail unless a caller gets an answer, or got a clean end before it sent its request."""
-    assert answers(await caller.received()) >= (0 if caller.ended_before else 1)
+async def expect_answer(caller: Caller, *, sent: int = 1) -> None:
+    """Fail unless a caller gets an answer, or got a clean end before it sent its request.
+
+    Of several requests in a row the later ones may go without: an answer may close the connection.
+    """
+    count = answers(await caller.received())
+    assert (0 if caller.ended_before else 1) <= count <= sent
 
 
 def answers(data: bytes) -> int:
@@ -265,7 +269,7 @@
         set_idle(running, long=step == "close_idle_connections")
         before_step(running, step, lambda: caller.send(request() + request()))
         await running.nodes[0].stop()
-        await expect_answer(caller)
+        await expect_answer(caller, sent=2)
 
 
 async def test_an_answer_survives_bytes_that_arrive_as_its_connection_closes() -> None:
@@ -292,4 +296,4 @@
         connection.record_handler_end = send_then_finish  # type: ignore[method-assign]
         hold.set()
         await stopped
-        await expect_answer(caller)
+        await expect_answer(caller, sent=2)
