--- a/src/corkcrank/links/closed_connections.py
+++ b/src/corkcrank/links/closed_connections.py
@@ -35,14 +35,20 @@
 
 
 def has_unread_bytes(transport: asyncio.BaseTransport | None) -> bool:
-    """Return whether bytes of the peer wait in the socket; a close would answer with a reset."""
+    """Return whether bytes of the peer wait in the socket; a close would answer with a reset.
+
+    Return false where the operating system does not tell.
+    """
     if transport is None or transport.is_closing():
         return False
     connection = transport.get_extra_info("socket")
     if connection is None:
         return False
     waiting = bytearray(struct.calcsize("i"))
-    fcntl.ioctl(connection.fileno(), termios.FIONREAD, waiting)
+    try:
+        fcntl.ioctl(connection.fileno(), termios.FIONREAD, waiting)
+    except OSError:
+        return False
     return any(waiting)
 
 
