Idle connections are kept until the balancer has noticed a stop, and closed by an answer

Seen: calls that crossed the close of idle connections 0.3 s after the signal got no answer. Cause: the drain closed every connection that was idle for 0.3 s, from the first moment of the stop. Evidence: test_connections_are_kept_and_closed_by_an_answer_while_the_balancer_sends: the connection had ended before. Change: idle connections are closed from streams_until on. Before, the next request is answered with 'Connection: close'.

--- a/src/corkcrank/node/callers/drain.py
+++ b/src/corkcrank/node/callers/drain.py
@@ -31,7 +31,9 @@
 """Maximum share of the grace period for the balancer's lag; applies if the period is short."""
 
 DRAIN_IDLE_SECONDS = 0.3
-"""Idle time after which connections are closed while draining."""
+"""Idle time after which connections are closed once the balancer has noticed the stop.
+
+Before, the next request on one is answered, and the response closes it."""
 
 DRAIN_RESERVE_SECONDS = 0.4
 """Part of the grace period that is reserved for closing down."""
@@ -212,7 +214,8 @@
         self._callers.end_connections()
 
     def _apply_schedule(self, schedule: DrainSchedule, now: float) -> None:
-        self._callers.close_idle_connections(DRAIN_IDLE_SECONDS)
+        if now >= schedule.streams_until:
+            self._callers.close_idle_connections(DRAIN_IDLE_SECONDS)
         if now >= schedule.answer_by:
             self._open_calls.abandon_unanswered()
         else:
--- a/tests/platform/test_callers_connection.py
+++ b/tests/platform/test_callers_connection.py
@@ -153,3 +153,37 @@
         answer = await asyncio.to_thread(caller.recv, 65_536)
         assert answer.startswith(b"HTTP/1.1 200")
         caller.close()
+
+
+async def test_connections_are_kept_and_closed_by_an_answer_while_the_balancer_sends() -> None:
+    """Calls that crossed the close of an idle connection at the start of a stop got no answer."""
+    async with world(configuration(1, ROUTES), {"one": (StandinWorker(), "plain")}) as running:
+        node = running.nodes[0]
+        host, port = running.address().rsplit(":", 1)
+        reader, writer = await asyncio.open_connection(host, int(port))
+        await until(lambda: len(node.callers.connections()) == 1)
+        (connection,) = node.callers.connections()
+        connection.idle_since -= LONG_SECONDS
+        stopped = asyncio.create_task(node.stop())
+        await until(lambda: node.life.draining)
+        await asyncio.sleep(0)
+        assert not reader.at_eof()
+        writer.write(f"GET /safe/x HTTP/1.1\r\n{HEAD}\r\n".encode())
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 200")
+        assert b"connection: close" in head.lower()
+        writer.close()
+        await stopped
+
+
+async def test_unread_bytes_that_the_system_does_not_tell_count_as_none(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def refuse(*arguments: object) -> None:
+        raise OSError
+
+    monkeypatch.setattr("corkcrank.links.closed_connections.fcntl.ioctl", refuse)
+    async with world(configuration(1, ROUTES), {"one": (StandinWorker(), "plain")}) as running:
+        answer = await running.call("/safe/x", method="GET")
+        assert answer.status == 200
+        await running.nodes[0].stop()
