Drain: a stall as the listener closes does not use up the time for answers

Callers saw: a connection accepted just before the listener closed got a clean end without an answer to the request it had sent, if the event loop was blocked for longer than 0.4 s.

Cause: the end of the time for late answers was taken before the pause in which these connections are set up and read. A stall in the pause passed it, so the drain ended without another pass.

Ruled out: the time at which the stall begins alone; with 0, 2, 3 or 4 turns of the loop before it the connection was set up or read in the turn of the check, and the request was answered.

Evidence: the new test blocks the loop for 0.6 s, 0 to 4 of its turns after the connection was accepted.

Change: the time begins after the pause, less the pause's length: without a stall it ends as before, so a stop takes no longer.

Left: a stall of more than 0.2 s in a later pass, after the time at which streams are cut, can still end the wait by the clock.

--- a/src/corkcrank/node/callers/drain.py
+++ b/src/corkcrank/node/callers/drain.py
@@ -201,9 +201,11 @@
             self._apply_schedule(schedule, clock.now())
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
         self._callers.stop_listening()
-        answers_until = max(schedule.stop_at, clock.now()) + ANSWER_RESERVE_SECONDS
         # Requests that arrived in the meantime are read now, and served as usual.
         await asyncio.sleep(CHECK_INTERVAL_SECONDS)
+        # Begins after the pause: a stall of the loop in it may not use up the time for answers.
+        begun_at = max(schedule.stop_at, clock.now() - CHECK_INTERVAL_SECONDS)
+        answers_until = begun_at + ANSWER_RESERVE_SECONDS
         while self._callers_wait(schedule, clock.now(), answers_until):
             self._callers.close_idle_connections(0.0)
             self._apply_schedule(schedule, clock.now())
--- a/tests/platform/test_unread_closes.py
+++ b/tests/platform/test_unread_closes.py
@@ -4,14 +4,29 @@
 """
 
 import asyncio
+import time
 
-from test_stop_moments import answers, connected, gateway, kept_caller, request, set_idle
+import pytest
+from test_stop_moments import (
+    Caller,
+    answers,
+    before_step,
+    connected,
+    expect_answer,
+    gateway,
+    kept_caller,
+    request,
+    set_idle,
+)
 
 from corkcrank.contracts import clock
 
 PART_BYTES = 60_000
 """Size of one header field: the parser accepts it, and two are above the limit of all headers."""
 
+STALL_SECONDS = 0.6
+"""Time for which the event loop is blocked: longer than a drain's time for late answers."""
+
 
 async def test_the_refusal_of_a_large_head_survives_bytes_that_are_unread() -> None:
     """The refusal was lost in a reset if more of the head arrived as its limit was found."""
@@ -53,3 +68,29 @@
         listener = running.nodes[0].callers._listener
         assert listener._close_waiting_connections(clock.now())
         assert await caller.received() == b""
+
+
+@pytest.mark.parametrize("turns", range(5))
+async def test_a_stall_as_the_listener_closes_leaves_time_to_answer(turns: int) -> None:
+    """The time for answers passed in a stall before any accepted connection had been read."""
+    async with gateway() as running:
+        node = running.nodes[0]
+        callers: list[Caller] = []
+
+        def connect() -> None:
+            callers.append(Caller(running))
+            callers[0].send(request())
+            node.callers._listener._accept()
+            stall_after(turns)
+
+        before_step(running, "stop_listening", connect)
+        await node.stop()
+        await expect_answer(callers[0])
+
+
+def stall_after(turns: int) -> None:
+    """Block the event loop once, after some of its turns."""
+    if turns:
+        asyncio.get_running_loop().call_soon(stall_after, turns - 1)
+    else:
+        time.sleep(STALL_SECONDS)
