--- a/tests/platform/test_unread_closes.py
+++ b/tests/platform/test_unread_closes.py
@@ -53,7 +53,7 @@
     """At its limit the listener closed a resting connection over a request it had not read."""
     async with gateway() as running:
         caller = await kept_caller(running)
-        set_idle(running, long=True)
+        await set_idle(running, long=True)
         caller.send(request())
         listener = running.nodes[0].callers._listener
         assert not listener._close_waiting_connections(clock.now())
@@ -64,7 +64,7 @@
 async def test_the_limit_of_connections_closes_a_resting_connection() -> None:
     async with gateway() as running:
         caller = await kept_caller(running)
-        set_idle(running, long=True)
+        await set_idle(running, long=True)
         listener = running.nodes[0].callers._listener
         assert listener._close_waiting_connections(clock.now())
         assert await caller.received() == b""
