Tests: the rate limit of log lines is tested on a clock that stands still

Cause: the limit refills 200 lines a second, and the test allows five more than a burst: the 450 lines had to be written within 0.025 s of real time. Ruled out: the limiter, which lets exactly the burst through where no time passes.

Change: the clock stands still in the test, and the count must be the burst exactly, so the check is stricter.

--- a/tests/core/test_decision_log.py
+++ b/tests/core/test_decision_log.py
@@ -4,7 +4,10 @@
 import os
 from pathlib import Path
 
+import pytest
+
 from corkcrank.cli.explain import explain_call
+from corkcrank.contracts import clock
 from corkcrank.links.decision_log import MAX_BURST_LINES, BoundedOutput, DecisionLog, LogEvent
 
 
@@ -39,7 +42,11 @@
     assert len(lines_of(reader)) * 100 < 5_000 * 100
 
 
-def test_lines_of_one_kind_above_the_rate_limit_are_left_out() -> None:
+def test_lines_of_one_kind_above_the_rate_limit_are_left_out(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # On a real clock a pause of 0.025 s between the lines allows five more.
+    monkeypatch.setattr(clock, "now", lambda: 100.0)
     reader, writer = os.pipe()
     output = BoundedOutput(writer, limit=10_000_000)
     log = DecisionLog(output, "node-1")
@@ -47,7 +54,7 @@
         log.write(LogEvent.CALL_SENT)
     log.write(LogEvent.READY)
     events = [line["event"] for line in lines_of(reader)]
-    assert events.count(LogEvent.CALL_SENT.value) <= MAX_BURST_LINES + 5
+    assert events.count(LogEvent.CALL_SENT.value) == MAX_BURST_LINES
     assert LogEvent.READY.value in events
 
 
