Tests: played callers keep their connection open

Cause: a stream's stages ask now whether the caller has closed its connection; plays gave no request, which reads as a closed one, so every call with stages ended. Ruled out: the gateway, whose requests have a connection until they are lost. Change: plays have a request with an open connection; no check changes. Both files passed after it.

--- a/tests/scheduling/fleet_play.py
+++ b/tests/scheduling/fleet_play.py
@@ -17,7 +17,7 @@
 from typing import Any
 
 import pytest
-from played_network import SimulatedEngine, SimulatedWorker, replace_network
+from played_network import CONNECTED_REQUEST, SimulatedEngine, SimulatedWorker, replace_network
 
 from corkcrank.contracts import clock
 from corkcrank.contracts.node_settings import (
@@ -283,8 +283,7 @@
 
     async def _send_call(self, call: OpaqueCall) -> object:
         chosen = self.random.choice(list(self.nodes.values()))
-        nothing: Any = None
-        return await stream_run.StreamRun(call, chosen.services, nothing).run()
+        return await stream_run.StreamRun(call, chosen.services, CONNECTED_REQUEST).run()
 
     def _random_shape(self, item: SimulatedRoute) -> tuple[tuple[int, ...], PromptShape]:
         counts = [max(1, round(self.random.gauss(mean, mean / 3))) for mean in item.pieces]
--- a/tests/scheduling/played_network.py
+++ b/tests/scheduling/played_network.py
@@ -3,7 +3,8 @@
 import asyncio
 from collections.abc import Callable
 from http import HTTPStatus
-from typing import TYPE_CHECKING
+from types import SimpleNamespace
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 import pytest
@@ -56,6 +57,12 @@
 """Time between two events of a stream."""
 
 
+CONNECTED_REQUEST: Any = SimpleNamespace(
+    transport=SimpleNamespace(is_closing=lambda: False, get_extra_info=lambda name: None)
+)
+"""A request whose caller keeps its connection open."""
+
+
 class SimulatedWorker:
     """A stage worker: runs one call at a time, and has a bounded queue and room for results."""
 
