Workers: a failed link is told apart from a failed worker: checks, log lines, counter and dump

What the logs could not tell: a gateway that is cut from all workers logs the same refused connections as one whose workers have ended.

Change, without an effect on any call: a connection to a worker that fails, breaks or is silent requests a check, which connects to three workers of several services, and to six more if it reaches none. No worker reached: the gateway is partitioned; two checks in a row that reach half of their sample end that. Log lines, a counter and the dump tell both. One seam for all requests to workers (WorkerClient.send), which calls, streams, stage calls and messages now share, is where a way through a member will be chosen.

Ruled out: an own probe at intervals, which costs connections while nothing fails.

--- a/src/corkcrank/node/calls/attempts.py
+++ b/src/corkcrank/node/calls/attempts.py
@@ -13,7 +13,12 @@
 from corkcrank.links.platform_ports import AnswerHead
 from corkcrank.node.calls.services import CallServices
 from corkcrank.node.workers.silence_timeout import SilenceRule
-from corkcrank.node.workers.worker_client import SendFailure, SendTrouble
+from corkcrank.node.workers.worker_request import (
+    SendFailure,
+    SendResult,
+    SendTrouble,
+    WorkerRequest,
+)
 
 FAILED_AVOID_SECONDS = 1.0
 """Time for which a worker is avoided after a failed attempt, in seconds."""
@@ -106,19 +111,21 @@
         attempt=len(call.workers_tried),
     )
 
-    async def send() -> aiohttp.ClientResponse | SendFailure:
+    async def send() -> SendResult:
         remaining = call.end_at - clock.now()
-        return await services.client.send_request(
+        headers = services.ports.calls.worker_headers(call, worker, remaining, inputs, resume_after)
+        request = WorkerRequest(
+            worker,
             call.method,
-            worker.address,
             call.target,
-            services.ports.calls.worker_headers(call, worker, remaining, inputs, resume_after),
+            headers,
             call.body,
             max(MIN_HEAD_SECONDS, min(head_seconds, remaining)),
             fresh=fresh,
-            silence=silence,
             still_wanted=services.availability.guard(worker),
+            call_id=call.call_id,
         )
+        return await services.client.send(request, silence)
 
     response = await send()
     if isinstance(response, SendFailure) and response.stalled and clock.now() < call.end_at:
@@ -136,7 +143,7 @@
     services: CallServices,
     call: OpaqueCall,
     worker: WorkerRecord,
-    response: aiohttp.ClientResponse | SendFailure,
+    response: SendResult,
 ) -> Attempt:
     if isinstance(response, SendFailure):
         if response.trouble is SendTrouble.WITHDRAWN:
@@ -144,8 +151,7 @@
             return Attempt(worker, AttemptOutcome.WITHDRAWN, reason or response.detail)
         if response.trouble is SendTrouble.REFUSED:
             services.worker_statistics.get_or_create(worker.worker_id).record_end(clock.now())
-        sent = response.trouble not in (SendTrouble.NOT_SENT, SendTrouble.REFUSED)
-        outcome = AttemptOutcome.LOST if sent else AttemptOutcome.NOT_SENT
+        outcome = AttemptOutcome.LOST if response.connected else AttemptOutcome.NOT_SENT
         silent = response.trouble is SendTrouble.SILENT
         return Attempt(worker, outcome, response.detail, silent=silent)
     head = services.ports.calls.read_answer(response.headers)
--- a/src/corkcrank/node/calls/services.py
+++ b/src/corkcrank/node/calls/services.py
@@ -21,6 +21,7 @@
 from corkcrank.node.stages.stage_dispatch import StageDispatch
 from corkcrank.node.telemetry.metrics import NodeMetrics
 from corkcrank.node.workers.crash_watch import CrashWatch
+from corkcrank.node.workers.link_monitor import LinkMonitor
 from corkcrank.node.workers.worker_availability import WorkerAvailability
 from corkcrank.node.workers.worker_client import WorkerClient
 from corkcrank.node.workers.worker_health import WorkerHealth
@@ -101,6 +102,7 @@
     limit_grants: LimitGrantClient
     statements: WorkerStatements
     client: WorkerClient
+    links: LinkMonitor
     log: DecisionLog
     metrics: NodeMetrics
     random: random.Random
--- a/src/corkcrank/node/process/node.py
+++ b/src/corkcrank/node/process/node.py
@@ -40,11 +40,13 @@
 from corkcrank.node.telemetry.silence_log import SilenceLog
 from corkcrank.node.telemetry.unreadable_log import UnreadableLog
 from corkcrank.node.workers.crash_watch import CrashWatch
+from corkcrank.node.workers.link_monitor import LinkMonitor
 from corkcrank.node.workers.worker_availability import WorkerAvailability
 from corkcrank.node.workers.worker_client import WorkerClient
 from corkcrank.node.workers.worker_health import WorkerHealth
 from corkcrank.node.workers.worker_statements import WorkerStatements
 from corkcrank.scheduling.engine_choice import EngineChooser
+from corkcrank.scheduling.link_health import LinkHealth
 from corkcrank.scheduling.prefill_pace import PrefillPace
 from corkcrank.scheduling.worker_choice import WorkerStatisticsTable
 from corkcrank.scheduling.worker_notices import WorkerNotices
@@ -84,6 +86,8 @@
         self.mirror.entry_reader.on_unreadable = unreadable.record_unreadable
         self._client = WorkerClient(silence.record_dropped)
         self._peers = PeerClient(silence.record_dropped)
+        self.links = LinkMonitor(self.mirror, LinkHealth(), log, metrics, random_source)
+        self._client.links = self.links
         notices = WorkerNotices()
         self._statements = WorkerStatements(ports.statements, notices, log, metrics)
         self._worker_statistics = WorkerStatisticsTable(notices)
@@ -144,6 +148,7 @@
             limit_grants=limit_grants,
             statements=self._statements,
             client=self._client,
+            links=self.links,
             log=log,
             metrics=metrics,
             random=random_source,
@@ -249,6 +254,7 @@
             self._spawn(self._become_ready()),
             self._spawn(measure_loop_lag(self.services.metrics, self.fleet)),
             self._spawn(self._health.evaluate_periodically()),
+            self._spawn(self.links.check_links()),
             self._spawn(self._quarantine_rows.keep_rows_current()),
         ]
 
--- a/src/corkcrank/node/process/state_dump.py
+++ b/src/corkcrank/node/process/state_dump.py
@@ -30,6 +30,7 @@
     ``rate_limit`` is its limit of requests per second, from warm-up or any other cause.
     ``leave_source`` names who reported that its answers announce a leave, ``leave_age`` the seconds
     since then. ``backoff`` is the seconds for which it wants no requests of this gateway.
+    ``link_failed`` says that a member reaches it and this gateway does not.
     """
 
     worker_id: str
@@ -47,6 +48,7 @@
     leave_source: str
     leave_age: float | None
     backoff: float
+    link_failed: bool
 
 
 class QueueDump(msgspec.Struct, frozen=True):
@@ -86,7 +88,8 @@
     """The state that determines how this gateway handles a call.
 
     ``unreadable_entries`` has the reason for each row that could not be read as a worker, for
-    rows that this gateway read from the store itself.
+    rows that this gateway read from the store itself. ``partitioned_seconds`` is the time for
+    which this gateway has reached no worker, ``None`` if it reaches workers.
     """
 
     name: str
@@ -96,6 +99,7 @@
     workers_revision: int
     evacuated_zones: tuple[str, ...]
     in_flight: int
+    partitioned_seconds: float | None
     routes: tuple[RouteDump, ...]
     workers: tuple[WorkerDump, ...]
     unreadable_entries: dict[str, str]
@@ -121,6 +125,7 @@
         workers_revision=mirror.workers.revision,
         evacuated_zones=tuple(sorted(mirror.workers.evacuated)),
         in_flight=in_flight,
+        partitioned_seconds=_partitioned_seconds(services, now),
         routes=_routes(services),
         workers=_workers(services, now),
         unreadable_entries=dict(mirror.entry_reader.unreadable),
@@ -133,6 +138,11 @@
     )
 
 
+def _partitioned_seconds(services: CallServices, now: float) -> float | None:
+    since = services.links.health.partitioned_since
+    return None if since is None else round(now - since, 3)
+
+
 def _routes(services: CallServices) -> tuple[RouteDump, ...]:
     configuration = services.mirror.configuration
     if configuration is None:
@@ -177,6 +187,7 @@
                 backoff=round(
                     services.statements.notices.backoff_seconds(record.worker_id, now), 3
                 ),
+                link_failed=record.worker_id in services.links.health.failed_links,
             )
         )
     return tuple(dumps)
--- a/src/corkcrank/node/stages/stage_messages.py
+++ b/src/corkcrank/node/stages/stage_messages.py
@@ -8,7 +8,7 @@
 from corkcrank.machines.heartbeat import StageLoad
 from corkcrank.node.peers.peer_protocol import StageAnswer, StageWork
 from corkcrank.node.stages.owned_queue import OwnedQueue
-from corkcrank.node.workers.worker_client import SendFailure, SendTrouble
+from corkcrank.node.workers.worker_request import SendFailure, SendTrouble
 from corkcrank.scheduling.batch_filling import StageItem
 from corkcrank.scheduling.stage_queue import StageCall, StageQueue
 
--- a/src/corkcrank/node/stages/stage_owner.py
+++ b/src/corkcrank/node/stages/stage_owner.py
@@ -38,7 +38,7 @@
 from corkcrank.node.stages.stage_room import StageRoom
 from corkcrank.node.stages.stage_worker_client import StageWorkerClient
 from corkcrank.node.workers.worker_availability import WorkerAvailability
-from corkcrank.node.workers.worker_client import SendFailure, SendTrouble
+from corkcrank.node.workers.worker_request import SendFailure, SendTrouble
 from corkcrank.scheduling.batch_filling import StageItem
 from corkcrank.scheduling.stage_queue import StageCall, StageQueue
 from corkcrank.scheduling.work_stealing import pieces_to_steal
--- a/src/corkcrank/node/stages/stage_worker_client.py
+++ b/src/corkcrank/node/stages/stage_worker_client.py
@@ -15,10 +15,12 @@
     Unreadable,
 )
 from corkcrank.node.workers.worker_availability import WorkerAvailability
-from corkcrank.node.workers.worker_client import (
+from corkcrank.node.workers.worker_client import WorkerClient
+from corkcrank.node.workers.worker_request import (
     SendFailure,
+    SendResult,
     SendTrouble,
-    WorkerClient,
+    WorkerRequest,
 )
 from corkcrank.node.workers.worker_statements import WorkerStatements
 from corkcrank.scheduling.batch_filling import StageItem
@@ -111,22 +113,22 @@
         body: bytes,
         seconds: float,
         still_wanted: Callable[[], bool] | None = None,
-    ) -> aiohttp.ClientResponse | SendFailure:
+    ) -> SendResult:
         """Send a request, and record what the response headers state about the worker.
 
         Without ``still_wanted``, the request is sent unless the worker requested a backoff.
         """
-        headers = list(self._codec.run_headers(worker).items())
-        response = await self._client.send_request(
+        request = WorkerRequest(
+            worker,
             method,
-            worker.address,
             path,
-            headers,
+            list(self._codec.run_headers(worker).items()),
             body,
             seconds,
-            fresh=False,
             still_wanted=still_wanted or (lambda: not self._is_in_backoff(worker)),
+            new_work=still_wanted is not None,
         )
+        response = await self._client.send(request)
         if not isinstance(response, SendFailure):
             self._statements.record_response(worker, response.status, response.headers)
         return response
--- a/src/corkcrank/node/telemetry/metrics.py
+++ b/src/corkcrank/node/telemetry/metrics.py
@@ -52,6 +52,12 @@
             ("verdict",),
             registry=self.registry,
         )
+        self.partitions = Counter(
+            "corkcrank_worker_partitions",
+            "Partitions of this gateway from all workers that began or ended.",
+            ("change",),
+            registry=self.registry,
+        )
         self.suspensions = Counter(
             "corkcrank_suspensions",
             "Suspensions of the machine during this process.",
--- a/src/corkcrank/node/workers/worker_client.py
+++ b/src/corkcrank/node/workers/worker_client.py
@@ -1,21 +1,15 @@
 """HTTP client for workers: sends each attempt once; a failure says if it may have been received."""
 
 import asyncio
-from collections.abc import Callable
-from contextvars import ContextVar
-from dataclasses import dataclass
-from enum import StrEnum
 from types import TracebackType
 from typing import Self
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
-from aiohttp.connector import Connection
 from multidict import CIMultiDict
 from yarl import URL
 
 from corkcrank.contracts import clock
-from corkcrank.links.platform_ports import HeaderList
+from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.links.silence import (
     ConnectionKind,
     SilenceListener,
@@ -24,10 +18,25 @@
     drop_idle,
     ignore_silence,
 )
+from corkcrank.node.workers.connect_watch import ConnectWatch
+from corkcrank.node.workers.link_monitor import LinkFailure, LinkMonitor
 from corkcrank.node.workers.silence_timeout import SilenceRule, SilenceTimeout
-
-CONNECT_TIMEOUT_SECONDS = 0.5
-"""Timeout for a connection to a worker."""
+from corkcrank.node.workers.worker_request import (
+    NoRelay,
+    RequestRelay,
+    SendFailure,
+    SendResult,
+    SendTrouble,
+    WorkerRequest,
+)
+from corkcrank.node.workers.worker_sessions import (
+    CONNECT_TIMEOUT_SECONDS,
+    CheckedConnector,
+    SendGuard,
+    WithdrawnError,
+    create_session,
+    send_guard,
+)
 
 MAX_TIMER_LAG_SECONDS = 0.02
 """A connect timeout that expires later than this is due to the event loop: it may have stood still
@@ -40,93 +49,21 @@
 MIN_SILENCE_SECONDS = 0.1
 """A shorter wait without a byte says nothing about a connection: the call's deadline was near."""
 
-MAX_HEADER_BYTES = 32_768
-"""Maximum length of a header field in a worker's response."""
-
-AUTOMATIC_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
-"""Headers that the client library would add to those of a caller."""
-
-
-class SendTrouble(StrEnum):
-    """What is known about a request that got no response."""
-
-    NOT_SENT = "not-sent"
-    REFUSED = "refused"
-    """The worker's machine refused the connection: no process listens there."""
-    WITHDRAWN = "withdrawn"
-    """The request was no longer wanted when its connection was ready, so it was not written."""
-    SILENT = "silent"
-    UNKNOWN = "unknown"
-
-
-@dataclass(frozen=True, slots=True)
-class SendFailure:
-    """Why a request got no usable response.
-
-    ``stalled`` is set if the event loop ran late at the connect timeout, so that the failure says
-    nothing about the worker.
-    """
-
-    trouble: SendTrouble
-    detail: str
-    stalled: bool = False
-
-
-_still_wanted: ContextVar[Callable[[], bool] | None] = ContextVar("_still_wanted", default=None)
-"""Returns whether the request of the current task is still wanted; ``None`` if it always is."""
-
-
-class _WithdrawnError(aiohttp.ClientError):
-    """The request is no longer wanted."""
-
-
-class _CheckedConnector(aiohttp.TCPConnector):
-    """A connector that does not reuse an idle connection on which further bytes have arrived.
-
-    All requests on an idle connection have their complete response. Bytes beyond that belong to no
-    request, and the next request would take them for its response.
-
-    A request that is no longer wanted once its connection is ready is not written: a connection
-    may take half a second.
-    """
-
-    async def connect(  # type: ignore[no-untyped-def]
-        self, req, traces, timeout
-    ) -> Connection:
-        connection = await super().connect(req, traces, timeout)
-        still_wanted = _still_wanted.get()
-        if still_wanted is not None and not still_wanted():
-            connection.release()
-            raise _WithdrawnError
-        return connection
-
-    async def _get(self, key, traces):  # type: ignore[no-untyped-def]
-        connection = await super()._get(key, traces)
-        while connection is not None and _has_surplus_bytes(connection.protocol):
-            connection.close()
-            connection = await super()._get(key, traces)
-        return connection
-
-
-def _has_surplus_bytes(protocol: ResponseHandler | None) -> bool:
-    """Return whether an idle connection received bytes after its last response, or is closed.
-
-    The library keeps a connection only if ``should_close`` is false after a response. It becomes
-    true later if bytes arrive, because the protocol stores them unread.
-    """
-    return protocol is None or protocol.should_close
-
 
 class WorkerClient:
     """Sends requests to workers on new or on keep-alive connections.
 
-    After a timeout no idle connection to that worker is reused.
+    After a timeout no idle connection to that worker is reused. A request to a worker that this
+    gateway cannot connect to goes through a member that can; ``relay`` and ``links`` are set by the
+    node for that. ``links`` hears of each connection that fails.
     """
 
     def __init__(self, on_silence: SilenceListener = ignore_silence) -> None:
         self._on_silence = on_silence
-        self._kept = _create_session(_CheckedConnector(limit=0, keepalive_timeout=MAX_IDLE_SECONDS))
-        self._fresh = _create_session(_CheckedConnector(limit=0, force_close=True))
+        self._kept = create_session(CheckedConnector(limit=0, keepalive_timeout=MAX_IDLE_SECONDS))
+        self._fresh = create_session(CheckedConnector(limit=0, force_close=True))
+        self.relay: RequestRelay = NoRelay()
+        self.links: LinkMonitor | None = None
 
     async def __aenter__(self) -> Self:
         return self
@@ -144,39 +81,76 @@
         await self._kept.close()
         await self._fresh.close()
 
-    async def send_request(
-        self,
-        method: str,
-        address: str,
-        target: str,
-        headers: HeaderList,
-        body: bytes,
-        head_seconds: float,
-        *,
-        fresh: bool,
-        silence: SilenceRule | None = None,
-        still_wanted: Callable[[], bool] | None = None,
-    ) -> aiohttp.ClientResponse | SendFailure:
-        """Send a request and wait for the head of its response, for at most ``head_seconds``.
+    async def send(self, request: WorkerRequest, silence: SilenceRule | None = None) -> SendResult:
+        """Send a request and wait for the head of its response, for at most its ``seconds``.
 
         ``silence`` may end the wait earlier. The target is sent byte for byte. Nothing is sent a
-        second time. ``still_wanted`` is called when the connection is ready; the request is not
-        sent if it returns false.
+        second time.
         """
-        _still_wanted.set(still_wanted)
-        session = self._fresh if fresh else self._kept
-        url = URL(f"http://{address}{target}", encoded=True)
-        started, connecting_since = clock.now(), clock.loop_time()
+        return await self._send(request, silence, self.links)
+
+    async def send_directly(self, request: WorkerRequest) -> SendResult:
+        """Send a request as :meth:`send` does, but never through a member."""
+        return await self._send(request, None, None)
+
+    async def _send(
+        self, request: WorkerRequest, silence: SilenceRule | None, links: LinkMonitor | None
+    ) -> SendResult:
+        started = clock.now()
+        try:
+            async with SilenceTimeout(request.seconds, silence):
+                if links is None:
+                    return await self._send_directly(request, None)
+                return await self._send_or_relay(request, links)
+        except TimeoutError:
+            waited = clock.now() - started
+            self.record_silence(request.worker.address, waited)
+            if links is not None and waited >= MIN_SILENCE_SECONDS:
+                links.record_failure(request.worker.worker_id, LinkFailure.SILENT)
+            return SendFailure(SendTrouble.SILENT, "no answer in time")
+
+    async def _send_or_relay(self, request: WorkerRequest, links: LinkMonitor) -> SendResult:
+        worker = request.worker
+        if links.health.is_failed(worker.worker_id):
+            result = await self.relay.send(request)
+            if result is not None:
+                if isinstance(result, SendFailure) and not result.connected:
+                    links.record_unreachable_for_peers(worker.worker_id)
+                return result
+        found: list[str] = []
+
+        async def reached_elsewhere() -> bool:
+            member = await self.relay.find_member(worker)
+            if member is not None:
+                found.append(member)
+            return member is not None
+
+        watch = ConnectWatch(reached_elsewhere) if self.relay.available else None
+        result = await self._send_directly(request, watch)
+        if not isinstance(result, SendFailure):
+            return result
+        _report_failure(links, worker, result)
+        if result.connected or result.stalled:
+            return result
+        if not found and not await reached_elsewhere():
+            return result
+        links.record_failed_link(worker, found[0])
+        relayed = await self.relay.send(request, preferred=found[0])
+        return result if relayed is None else relayed
+
+    async def _send_directly(
+        self, request: WorkerRequest, watch: ConnectWatch | None
+    ) -> SendResult:
+        send_guard.set(SendGuard(request.still_wanted, watch))
+        connecting_since = clock.loop_time()
         try:
-            async with SilenceTimeout(head_seconds, silence):
-                return await session.request(
-                    method,
-                    url,
-                    headers=CIMultiDict(headers),
-                    data=body if body or method not in ("GET", "HEAD") else None,
-                    allow_redirects=False,
-                )
-        except _WithdrawnError:
+            if watch is None:
+                return await self._request(request)
+            async with watch:
+                return await self._request(request)
+        except WithdrawnError:
+            if watch is not None and watch.gave_up:
+                return SendFailure(SendTrouble.NOT_SENT, "connection given up")
             return SendFailure(SendTrouble.WITHDRAWN, "withdrawn before it was sent")
         except aiohttp.ClientConnectorError as error:
             if isinstance(error.os_error, ConnectionRefusedError):
@@ -187,11 +161,23 @@
             stalled = lag > MAX_TIMER_LAG_SECONDS
             return SendFailure(SendTrouble.NOT_SENT, "connect time-out", stalled=stalled)
         except TimeoutError:
-            self.record_silence(address, clock.now() - started)
-            return SendFailure(SendTrouble.SILENT, "no answer in time")
+            if watch is None or not watch.gave_up:
+                raise
+            return SendFailure(SendTrouble.NOT_SENT, "connection given up")
         except (aiohttp.ClientError, OSError, ValueError) as error:
             return SendFailure(SendTrouble.UNKNOWN, type(error).__name__)
 
+    async def _request(self, request: WorkerRequest) -> aiohttp.ClientResponse:
+        session = self._fresh if request.fresh else self._kept
+        has_body = bool(request.body) or request.method not in ("GET", "HEAD")
+        return await session.request(
+            request.method,
+            URL(f"http://{request.worker.address}{request.target}", encoded=True),
+            headers=CIMultiDict(request.headers),
+            data=request.body if has_body else None,
+            allow_redirects=False,
+        )
+
     async def read_body(
         self, response: aiohttp.ClientResponse, seconds: float, silence: SilenceRule | None = None
     ) -> bytes | None:
@@ -239,28 +225,23 @@
         self._on_silence(SilentConnection(ConnectionKind.WORKER, address, waited, idle))
 
 
+def _report_failure(links: LinkMonitor, worker: WorkerRecord, failure: SendFailure) -> None:
+    """Request a check of links after a failure that a failed link would cause."""
+    causes = {
+        SendTrouble.NOT_SENT: LinkFailure.NOT_CONNECTED,
+        SendTrouble.REFUSED: LinkFailure.REFUSED,
+        SendTrouble.UNKNOWN: LinkFailure.BROKEN,
+    }
+    cause = causes.get(failure.trouble)
+    if cause is not None and not failure.stalled:
+        links.record_failure(worker.worker_id, cause)
+
+
 def address_of(response: aiohttp.ClientResponse) -> str:
     """Return the ``ip:port`` that a response came from."""
     return f"{response.url.host}:{response.url.port}"
 
 
-def _create_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
-    session = aiohttp.ClientSession(
-        connector=connector,
-        auto_decompress=False,
-        skip_auto_headers=AUTOMATIC_HEADERS,
-        cookie_jar=aiohttp.DummyCookieJar(),
-        trust_env=False,
-        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_SECONDS),
-        max_line_size=MAX_HEADER_BYTES,
-        max_field_size=MAX_HEADER_BYTES,
-    )
-    # By default the library resends an idempotent method when a keep-alive connection has
-    # failed. Only the retry budget may decide which request is sent again.
-    session._retry_connection = False
-    return session
-
-
 def unframed_body_end(response: aiohttp.ClientResponse) -> asyncio.Future[None] | None:
     """Return the future that completes when the connection closes, for a body without framing."""
     if "Content-Length" in response.headers or "Transfer-Encoding" in response.headers:
--- a/src/corkcrank/node/workers/worker_probe.py
+++ b/src/corkcrank/node/workers/worker_probe.py
@@ -1,21 +1,39 @@
-"""Tells whether the process of a worker has exited, by a new connection to its address."""
+"""Opens new connections to workers, to learn whether their machines and processes answer."""
 
 import asyncio
+from enum import StrEnum
 
 
-async def has_exited(address: str, timeout_seconds: float) -> bool:
-    """Return whether a machine refuses connections to ``ip:port``: no process listens there.
+class ProbeResult(StrEnum):
+    """Result of an attempt to open a connection."""
+
+    CONNECTED = "connected"
+    REFUSED = "refused"
+    """The machine answered that no process listens at the address."""
+    SILENT = "silent"
+    """No answer, or no way to the machine."""
 
-    ``timeout_seconds`` bounds the wait. Silence does not show an exit: the machine may be cut off
-    from the network.
+
+async def probe_worker(address: str, timeout_seconds: float) -> ProbeResult:
+    """Open a connection to ``ip:port`` and close it again.
+
+    ``timeout_seconds`` bounds the wait.
     """
     host, port = address.rsplit(":", 1)
     try:
         async with asyncio.timeout(timeout_seconds):
             _, writer = await asyncio.open_connection(host, int(port))
     except ConnectionRefusedError:
-        return True
+        return ProbeResult.REFUSED
     except (OSError, TimeoutError, ValueError):
-        return False
+        return ProbeResult.SILENT
     writer.transport.abort()
-    return False
+    return ProbeResult.CONNECTED
+
+
+async def has_exited(address: str, timeout_seconds: float) -> bool:
+    """Return whether a machine refuses connections to ``ip:port``: no process listens there.
+
+    Silence does not show an exit: the machine may be cut off from the network.
+    """
+    return await probe_worker(address, timeout_seconds) is ProbeResult.REFUSED
--- /dev/null
+++ b/src/corkcrank/node/workers/worker_sessions.py
@@ -0,0 +1,98 @@
+"""HTTP sessions for workers, whose connector checks each connection before a request is written."""
+
+from collections.abc import Callable
+from contextvars import ContextVar
+from dataclasses import dataclass
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.connector import Connection
+
+from corkcrank.node.workers.connect_watch import ConnectWatch
+
+CONNECT_TIMEOUT_SECONDS = 0.5
+"""Timeout for a connection to a worker."""
+
+MAX_HEADER_BYTES = 32_768
+"""Maximum length of a header field in a worker's response."""
+
+AUTOMATIC_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+"""Headers that the client library would add to those of a caller."""
+
+
+@dataclass(frozen=True, slots=True)
+class SendGuard:
+    """Checks of a request for the moment in which its connection is ready."""
+
+    still_wanted: Callable[[], bool] | None
+    watch: ConnectWatch | None
+
+    def allows_write(self) -> bool:
+        """Return whether the request may be written now."""
+        if self.watch is not None and not self.watch.try_begin():
+            return False
+        return self.still_wanted is None or self.still_wanted()
+
+
+send_guard: ContextVar[SendGuard | None] = ContextVar("send_guard", default=None)
+"""The checks of the current task's request; ``None`` if it is always written."""
+
+
+class WithdrawnError(aiohttp.ClientError):
+    """The request is no longer wanted."""
+
+
+class CheckedConnector(aiohttp.TCPConnector):
+    """A connector that does not reuse an idle connection on which further bytes have arrived.
+
+    All requests on an idle connection have their complete response. Bytes beyond that belong to no
+    request, and the next request would take them for its response.
+
+    A request that is no longer wanted once its connection is ready is not written: a connection
+    may take half a second.
+    """
+
+    async def connect(  # type: ignore[no-untyped-def]
+        self, req, traces, timeout
+    ) -> Connection:
+        """Return a connection on which the current request may be written."""
+        connection = await super().connect(req, traces, timeout)
+        guard = send_guard.get()
+        if guard is not None and not guard.allows_write():
+            connection.release()
+            raise WithdrawnError
+        return connection
+
+    async def _get(self, key, traces):  # type: ignore[no-untyped-def]
+        connection = await super()._get(key, traces)
+        while connection is not None and _has_surplus_bytes(connection.protocol):
+            connection.close()
+            connection = await super()._get(key, traces)
+        return connection
+
+
+def _has_surplus_bytes(protocol: ResponseHandler | None) -> bool:
+    """Return whether an idle connection received bytes after its last response, or is closed.
+
+    The library keeps a connection only if ``should_close`` is false after a response. It becomes
+    true later if bytes arrive, because the protocol stores them unread.
+    """
+    return protocol is None or protocol.should_close
+
+
+def create_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
+    """Return a session that sends requests as they are, and each only once."""
+    session = aiohttp.ClientSession(
+        connector=connector,
+        auto_decompress=False,
+        skip_auto_headers=AUTOMATIC_HEADERS,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        trust_env=False,
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_SECONDS),
+        max_line_size=MAX_HEADER_BYTES,
+        max_field_size=MAX_HEADER_BYTES,
+    )
+    # By default the library resends an idempotent method when a keep-alive connection has
+    # failed. Only the retry budget may decide which request is sent again.
+    session._retry_connection = False
+    return session
--- a/tests/platform/lost_workers.py
+++ b/tests/platform/lost_workers.py
@@ -17,6 +17,7 @@
 
 from corkcrank.contracts import clock
 from corkcrank.node.calls.services import CallServices
+from corkcrank.node.workers.worker_request import SendResult, WorkerRequest
 
 HEADERS = {"X-Corkcrank-Deadline-Ms": "20000"}
 
@@ -48,14 +49,14 @@
     def when_sent(self, patch: pytest.MonkeyPatch, change: Callable[[str], None]) -> None:
         """Make a change in the moment in which the first call is sent; it gets the address."""
         client = self.services.client
-        send = client.send_request
+        send = client.send
 
-        async def change_and_send(method: str, address: str, *parts: object, **options: object):  # type: ignore[no-untyped-def]
-            patch.setattr(client, "send_request", send)
-            change(address)
-            return await send(method, address, *parts, **options)  # type: ignore[arg-type]
+        async def change_and_send(request: WorkerRequest, *parts: Any) -> SendResult:
+            patch.setattr(client, "send", send)
+            change(request.worker.address)
+            return await send(request, *parts)
 
-        patch.setattr(client, "send_request", change_and_send)
+        patch.setattr(client, "send", change_and_send)
 
 
 @asynccontextmanager
--- a/tests/platform/test_silent_connections.py
+++ b/tests/platform/test_silent_connections.py
@@ -38,7 +38,8 @@
 )
 from corkcrank.node.telemetry.metrics import NodeMetrics
 from corkcrank.node.workers.worker_availability import WorkerAvailability
-from corkcrank.node.workers.worker_client import SendFailure, WorkerClient
+from corkcrank.node.workers.worker_client import WorkerClient
+from corkcrank.node.workers.worker_request import SendFailure, WorkerRequest
 from corkcrank.node.workers.worker_statements import WorkerStatements
 from corkcrank.platform.stage_calls import PlatformStageCodec
 from corkcrank.platform.store import PlatformStore
@@ -155,7 +156,8 @@
 
 
 async def ask_worker(client: WorkerClient, address: str) -> bytes | SendFailure:
-    response = await client.send_request("GET", address, "/", [], b"", 0.3, fresh=False)
+    request = WorkerRequest(stage_worker(address), "GET", "/", [], b"", 0.3)
+    response = await client.send(request)
     return response if isinstance(response, SendFailure) else await response.read()
 
 
