--- a/tests/platform/silent_link.py
+++ b/tests/platform/silent_link.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 from dataclasses import dataclass, field
 
 CHUNK_BYTES = 16_384
@@ -69,6 +71,16 @@
             connection.silent_from_target = connection.silent_from_target or from_target
             self._silenced.append(connection)
 
+    def reset(self) -> None:
+        """Reset all open connections at the client's side."""
+        # With a linger time of 0, closing sends a TCP reset instead of FIN.
+        linger = struct.pack("ii", 1, 0)
+        for connection in list(self._connections):
+            transport = connection.client_side.transport
+            connected = transport.get_extra_info("socket")
+            connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            transport.abort()
+
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
         assert task is not None
