--- a/src/corkcrank/contracts/result_codes.py
+++ b/src/corkcrank/contracts/result_codes.py
@@ -88,6 +88,10 @@
         3014, 503, Ran.NO, "Every worker asked this gateway to send nothing for a while."
     )
 
+    WORKERS_UNREACHABLE = CodeEntry(
+        3015, 503, Ran.NO, "Neither this gateway nor any other one reaches a worker."
+    )
+
     OUTCOME_UNKNOWN = CodeEntry(
         4001, 504, Ran.UNKNOWN, "The call was sent and its outcome is not known."
     )
--- a/src/corkcrank/links/decision_log.py
+++ b/src/corkcrank/links/decision_log.py
@@ -76,6 +76,8 @@
     LINK_RESTORED = "Links: worker reachable again."
     WORKERS_UNREACHABLE = "Links: no worker can be reached."
     WORKERS_REACHABLE = "Links: workers reachable again."
+    REQUEST_RELAYED = "Links: request sent through a member."
+    REQUEST_CARRIED = "Links: request of a member sent to its worker."
     STORE_UNREACHABLE = "Store: lost."
     STORE_REACHABLE = "Store: reachable again."
     MEMBER_JOINED = "Members: joined."
--- a/src/corkcrank/machines/fleet.py
+++ b/src/corkcrank/machines/fleet.py
@@ -66,6 +66,7 @@
         self.local_address = local_address
         self.is_owner = False
         self._local_phase = Phase.STARTING
+        self._local_partitioned = False
         self._members: dict[str, Member] = {}
         self._pending_addresses: dict[str, float] = {}
         self._heartbeat_bytes = INITIAL_HEARTBEAT_BYTES
@@ -86,6 +87,16 @@
         self._local_phase = phase
         self._invalidate_view()
 
+    @property
+    def local_partitioned(self) -> bool:
+        """Return whether this member reaches no worker."""
+        return self._local_partitioned
+
+    @local_partitioned.setter
+    def local_partitioned(self, partitioned: bool) -> None:
+        self._local_partitioned = partitioned
+        self._invalidate_view()
+
     def add_addresses(self, addresses: Iterable[str], now: float) -> None:
         """Add addresses, from seeds or the store, of members that sent no heartbeat yet."""
         known_addresses = {member.heartbeat.address for member in self._members.values()}
@@ -142,12 +153,12 @@
         return joined
 
     def _update_view(self, known: Member | None, received: Member, *, joined: bool) -> None:
-        """Keep the view if a live member reports the same phase as before, else invalidate it."""
-        same_phase = known is not None and known.heartbeat.phase == received.heartbeat.phase
+        """Keep the view if a live member reports the same state as before, else invalidate it."""
         if (
             joined
             or known is None
-            or not same_phase
+            or known.heartbeat.phase != received.heartbeat.phase
+            or known.heartbeat.partitioned != received.heartbeat.partitioned
             or received.heartbeat.name not in self._view.live
         ):
             self._invalidate_view()
@@ -205,6 +216,16 @@
         """Return the other members that are not suspected."""
         return list(self.view(now).live.values())
 
+    def has_relay_members(self, now: float) -> bool:
+        """Return whether any other serving member reaches workers."""
+        reaching = self.view(now).all_reaching
+        return len(reaching) > 1 or (bool(reaching) and reaching[0] != self.local_name)
+
+    def relay_members(self, now: float) -> list[Member]:
+        """Return the other serving members that reach workers."""
+        view = self.view(now)
+        return [view.live[name] for name in view.all_reaching if name != self.local_name]
+
     def heartbeat_addresses(self, now: float) -> list[str]:
         """Return the addresses that heartbeats go to; removes members that were silent too long."""
         self._exclude_pause(now)
@@ -270,7 +291,12 @@
             if not member.is_suspected(now):
                 view.add_member(member)
         if self.local_phase == Phase.SERVING:
-            view.add_serving_member(self.local_name, self.local_zone, self.local_strength)
+            view.add_serving_member(
+                self.local_name,
+                self.local_zone,
+                self.local_strength,
+                reaches_workers=not self.local_partitioned,
+            )
         return view
 
     def member_with_newer_configuration(self, version: int, now: float) -> Member | None:
--- a/src/corkcrank/machines/fleet_view.py
+++ b/src/corkcrank/machines/fleet_view.py
@@ -68,14 +68,17 @@
     """Live and serving members, valid until ``valid_until`` of the local clock at most.
 
     ``live`` holds the other members that are not suspected, by name. ``serving`` lists the
-    serving members by zone, this one included, and ``all_serving`` lists all of them.
-    ``strengths`` are in standard processors, by name.
+    serving members by zone, this one included, and ``all_serving`` lists all of them;
+    ``reaching`` and ``all_reaching`` only those that reach workers. ``strengths`` are in standard
+    processors, by name.
     """
 
     valid_until: float
     live: dict[str, Member] = field(default_factory=dict)
     serving: dict[str, list[str]] = field(default_factory=dict)
     all_serving: list[str] = field(default_factory=list)
+    reaching: dict[str, list[str]] = field(default_factory=dict)
+    all_reaching: list[str] = field(default_factory=list)
     strengths: dict[str, float] = field(default_factory=dict)
     backlogs: BacklogSums = field(default_factory=BacklogSums)
     _owners: dict[tuple[str, str], str] = field(default_factory=dict)
@@ -87,7 +90,9 @@
         self.backlogs.add(beat.backlogs)
         self.limit_validity(member)
         if beat.phase == Phase.SERVING:
-            self.add_serving_member(beat.name, beat.zone, beat.strength)
+            self.add_serving_member(
+                beat.name, beat.zone, beat.strength, reaches_workers=not beat.partitioned
+            )
 
     def replace_heartbeat(self, known: Member, received: Member) -> None:
         """Replace the heartbeat of a live member whose phase has not changed."""
@@ -100,22 +105,29 @@
         """Limit the validity of the view to when the member would be suspected."""
         self.valid_until = min(self.valid_until, member.suspected_at)
 
-    def add_serving_member(self, name: str, zone: str, strength: float) -> None:
+    def add_serving_member(
+        self, name: str, zone: str, strength: float, *, reaches_workers: bool = True
+    ) -> None:
         """Add a serving member; ``strength`` is in standard processors, 0 if unknown."""
         self.serving.setdefault(zone, []).append(name)
         self.all_serving.append(name)
+        if reaches_workers:
+            self.reaching.setdefault(zone, []).append(name)
+            self.all_reaching.append(name)
         self.strengths[name] = strength
 
     def owner(self, zone: str, key: str) -> str | None:
         """Return the member that decides about a key in a zone, or ``None`` if none serves.
 
         Only strong members are chosen: an owner handles all calls of its zone, and each call
-        waits for the owner's processor and link.
+        waits for the owner's processor and link. A member that reaches no worker is chosen only if
+        none does.
         """
         owner = self._owners.get((zone, key))
         if owner is not None:
             return owner
-        names = self.serving.get(zone) or self.all_serving
+        names = self.reaching.get(zone) or self.all_reaching
+        names = names or self.serving.get(zone) or self.all_serving
         if not names:
             return None
         min_strength = MIN_STRONG_SHARE * max(self.strengths[name] for name in names)
--- a/src/corkcrank/machines/heartbeat.py
+++ b/src/corkcrank/machines/heartbeat.py
@@ -83,7 +83,8 @@
     on probation. ``zone_states`` lists the zones that were ever evacuated. ``limits`` are the
     rates that workers state. ``crashes`` are the workers that crashed, each with all requests it
     had. ``leaves`` are the workers whose answers announce a leave that their entries do not state,
-    ``backoffs`` those that workers requested of the sender.
+    ``backoffs`` those that workers requested of the sender. ``partitioned`` says that the sender
+    reaches no worker: it owns nothing, and what it believes of workers is ignored.
     """
 
     name: str
@@ -111,3 +112,4 @@
     crashes: tuple[CrashReport, ...] = ()
     leaves: tuple[ReportedLeave, ...] = ()
     backoffs: tuple[ReportedBackoff, ...] = ()
+    partitioned: bool = False
--- a/src/corkcrank/node/calls/services.py
+++ b/src/corkcrank/node/calls/services.py
@@ -153,6 +153,11 @@
             for service, budget in self._budgets.items()
         }
 
+    def no_worker_reachable(self) -> bool:
+        """Return whether neither this gateway nor any member reaches a worker."""
+        partitioned = self.links.health.partitioned
+        return partitioned and not self.fleet.has_relay_members(clock.now())
+
     def record_connection_failure(
         self,
         call: OpaqueCall,
--- a/src/corkcrank/node/ingress/call_handler.py
+++ b/src/corkcrank/node/ingress/call_handler.py
@@ -1,7 +1,6 @@
 """Handles callers' requests: reads a call, finds its route and tenant, and serves it."""
 
 import asyncio
-from dataclasses import dataclass
 
 from aiohttp import web
 from aiohttp.http_exceptions import HttpProcessingError
@@ -23,15 +22,19 @@
 from corkcrank.node.callers.refusals import CallerDisconnectedError, Refusal
 from corkcrank.node.calls.plain_run import PlainRun
 from corkcrank.node.calls.services import CallServices
+from corkcrank.node.ingress.request_body import BodyRead
 from corkcrank.node.streams.stream_run import StreamRun
 
 NO_CONFIGURATION_RETRY_SECONDS = 0.3
 """Retry delay sent by a gateway that has no configuration yet, in seconds."""
 
+UNREACHABLE_RETRY_SECONDS = 1.0
+"""Retry delay sent while no gateway reaches a worker, in seconds: about the time after which the
+end of that is known."""
+
 DEFAULT_BUDGET_SECONDS = 30.0
 """Time budget of a caller that sends none, in seconds."""
 
-
 FIELD_FRAMING_BYTES = 4
 """Bytes of a header field besides its name and value: colon, space and line end."""
 
@@ -93,7 +96,7 @@
         problem = _check_head(request, configuration.limits)
         if problem is not None:
             return problem
-        body = await self.open_calls.serve(_BodyRead(request, configuration.limits))
+        body = await self.open_calls.serve(BodyRead(request, configuration.limits))
         if not isinstance(body, bytes):
             return body
         call = self._read_call(request, body, arrived_at)
@@ -101,6 +104,11 @@
             self._log_refusal(request, call)
             return call
         self._record_reserved_headers(call)
+        if self._services.no_worker_reachable():
+            self._record_end(
+                call, ResultCode.WORKERS_UNREACHABLE.name, "", UNREACHABLE_RETRY_SECONDS
+            )
+            return Refusal(ResultCode.WORKERS_UNREACHABLE, retry_after=UNREACHABLE_RETRY_SECONDS)
         call.end_at = min(call.end_at, self._services.drain.stop_at)
         return await self._run(call, request)
 
@@ -301,49 +309,5 @@
     return None
 
 
-@dataclass(frozen=True, slots=True)
-class _BodyRead:
-    """Run that reads a request's body; a stop abandons it if it is incomplete at ``answer_by``."""
-
-    request: web.BaseRequest
-    limits: RequestLimits
-    answer_begun: bool = False
-
-    async def run(self) -> bytes | Refusal:
-        """Return the body, or the refusal that states why it cannot be read."""
-        return await _read_body(self.request, self.limits)
-
-    def fits_before_stop(self) -> bool:
-        """Return true: the read may continue, since the remaining size of the body is unknown."""
-        return True
-
-    def answer_at_stop(self) -> Refusal:
-        """Return the refusal of a request whose body is incomplete when the gateway stops."""
-        return Refusal.draining("the request body was incomplete when the gateway stopped")
-
-
-async def _read_body(request: web.BaseRequest, limits: RequestLimits) -> bytes | Refusal:
-    if not request.body_exists:
-        return b""
-    if request.headers.get("Expect", "").lower() == "100-continue":
-        await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-    chunks: list[bytes] = []
-    size = 0
-    try:
-        while True:
-            async with asyncio.timeout(limits.idle_seconds):
-                chunk = await request.content.readany()
-            if not chunk:
-                return b"".join(chunks)
-            size += len(chunk)
-            if size > limits.body_bytes:
-                return Refusal(ResultCode.BODY_TOO_LARGE, close=True)
-            chunks.append(chunk)
-    except TimeoutError:
-        return Refusal(ResultCode.REQUEST_TOO_SLOW, close=True)
-    except web.RequestPayloadError as error:
-        return Refusal(ResultCode.MALFORMED_REQUEST, str(error), close=True)
-
-
 def _decode_header(raw: bytes) -> str:
     return raw.decode("utf-8", "surrogateescape")
--- a/src/corkcrank/node/membership/heartbeats.py
+++ b/src/corkcrank/node/membership/heartbeats.py
@@ -61,7 +61,7 @@
     """Reports this gateway's state to the fleet and applies what the others report.
 
     ``on_newer_configuration`` is called when a member has one, ``on_suspended`` with the
-    seconds for which the machine was suspended.
+    seconds for which the machine was suspended, ``on_suspected`` with a member that is silent.
     """
 
     def __init__(
@@ -97,6 +97,7 @@
         self._incarnation = random_source.getrandbits(INCARNATION_BITS)
         self._link = DatagramLink(self._receive)
         self.on_newer_configuration: Callable[[], None] = lambda: None
+        self.on_suspected: Callable[[str], None] = lambda member: None
         self._urgent_requested = asyncio.Event()
         self.on_suspended: Callable[[float], None] = lambda seconds: None
         self._forwarding_requested = asyncio.Event()
@@ -210,7 +211,7 @@
             ),
             forecast_ratios=self._forecast_bias.measurements_to_report(now),
             strength=self._fleet.local_strength,
-            outcomes=self._health.outcomes_to_report(now),
+            outcomes=() if self._fleet.local_partitioned else self._health.outcomes_to_report(now),
             trials=self._crash_watch.quarantine.trial_reports(
                 now, self._fleet.heartbeat_interval()
             ),
@@ -221,6 +222,7 @@
             ),
             leaves=self._statements.leaves_to_report(self._mirror.workers.records()),
             backoffs=self._statements.notices.backoffs_for_peers(now),
+            partitioned=self._fleet.local_partitioned,
         )
 
     def _store_contact(self, table: StoreTable, now: float) -> ReportedStoreContact:
@@ -251,7 +253,10 @@
             self.request_forwarding()
         self._loads.apply_peer_report(heartbeat.name, heartbeat.call_loads)
         self._forecast_bias.apply_peer_report(heartbeat.name, heartbeat.forecast_ratios, now)
-        self._health.apply_peer_report(heartbeat.name, heartbeat.zone, heartbeat.outcomes)
+        if heartbeat.partitioned:
+            self._health.discard_peer(heartbeat.name)
+        else:
+            self._health.apply_peer_report(heartbeat.name, heartbeat.zone, heartbeat.outcomes)
         self._crash_watch.apply_trial_reports(heartbeat.trials)
         self._crash_watch.apply_reports(heartbeat.crashes, heartbeat.name)
         self._statements.apply_reports(heartbeat.limits, heartbeat.name)
@@ -292,6 +297,7 @@
                 self._loads.remove_peer(name)
                 self._forecast_bias.discard_peer(name)
                 self._health.discard_peer(name)
+                self.on_suspected(name)
                 member = self._fleet.member(name)
                 age = now - member.received_at if member is not None else None
                 self._log.write(LogEvent.MEMBER_SUSPECTED, member=name, silent=age)
--- a/src/corkcrank/node/membership/peer_server.py
+++ b/src/corkcrank/node/membership/peer_server.py
@@ -48,6 +48,8 @@
     WorkersAnswer,
     WorkersRequest,
 )
+from corkcrank.node.relays.relay_protocol import RELAY_PATH, WORKER_PROBE_PATH
+from corkcrank.node.relays.relay_server import RelayServer
 from corkcrank.node.stages.recent_answers import RecentAnswers
 from corkcrank.node.stages.stage_owner import StageOwner
 from corkcrank.node.workers.crash_watch import CrashWatch
@@ -67,6 +69,7 @@
         stage_owner: StageOwner,
         engine_owner: EngineOwner,
         limit_owner: LimitOwner,
+        relays: RelayServer,
         mirror: StoreMirror,
         crash_watch: CrashWatch,
         registry: CollectorRegistry,
@@ -92,6 +95,8 @@
             CONFIGURATION_PATH: self._configuration,
             WORKERS_PATH: self._workers,
             CRASHES_PATH: self._crashes,
+            RELAY_PATH: relays.relay,
+            WORKER_PROBE_PATH: relays.probe,
             RELEASE_REQUEST_PATH: self._release_request,
             METRICS_PATH: self._metrics,
             DUMP_PATH: self._state,
--- a/src/corkcrank/node/process/node.py
+++ b/src/corkcrank/node/process/node.py
@@ -23,7 +23,6 @@
 from corkcrank.node.engines.engine_owner import EngineOwner, PrefillGrantClient
 from corkcrank.node.ingress.call_handler import CallHandler
 from corkcrank.node.limits.limit_grants import LimitGrantClient, LimitOwner
-from corkcrank.node.limits.worker_limits import WorkerLimits
 from corkcrank.node.membership.heartbeats import HeartbeatLoop
 from corkcrank.node.membership.peer_pulls import PeerPulls
 from corkcrank.node.membership.peer_server import PeerServer, serve_readiness
@@ -32,6 +31,8 @@
 from corkcrank.node.process.background import cancel_until_ended, measure_loop_lag, register_member
 from corkcrank.node.process.state_collector import StateCollector
 from corkcrank.node.process.state_dump import NodeDump, build_dump
+from corkcrank.node.process.work_for_peers import WorkForPeers
+from corkcrank.node.process.worker_access import WorkerAccess
 from corkcrank.node.stages.stage_dispatch import StageDispatch
 from corkcrank.node.stages.stage_owner import StageOwner
 from corkcrank.node.stages.stage_worker_client import StageWorkerClient
@@ -39,17 +40,9 @@
 from corkcrank.node.telemetry.metrics import NodeMetrics
 from corkcrank.node.telemetry.silence_log import SilenceLog
 from corkcrank.node.telemetry.unreadable_log import UnreadableLog
-from corkcrank.node.workers.crash_watch import CrashWatch
-from corkcrank.node.workers.link_monitor import LinkMonitor
-from corkcrank.node.workers.worker_availability import WorkerAvailability
 from corkcrank.node.workers.worker_client import WorkerClient
-from corkcrank.node.workers.worker_health import WorkerHealth
-from corkcrank.node.workers.worker_statements import WorkerStatements
 from corkcrank.scheduling.engine_choice import EngineChooser
-from corkcrank.scheduling.link_health import LinkHealth
 from corkcrank.scheduling.prefill_pace import PrefillPace
-from corkcrank.scheduling.worker_choice import WorkerStatisticsTable
-from corkcrank.scheduling.worker_notices import WorkerNotices
 
 MAX_RELEASE_WAIT_SECONDS = 0.1
 """Maximum wait at a stop for messages that free results of ended calls. With the time that
@@ -86,13 +79,13 @@
         self.mirror.entry_reader.on_unreadable = unreadable.record_unreadable
         self._client = WorkerClient(silence.record_dropped)
         self._peers = PeerClient(silence.record_dropped)
-        self.links = LinkMonitor(self.mirror, LinkHealth(), log, metrics, random_source)
-        self._client.links = self.links
-        notices = WorkerNotices()
-        self._statements = WorkerStatements(ports.statements, notices, log, metrics)
-        self._worker_statistics = WorkerStatisticsTable(notices)
-        availability = WorkerAvailability(self.mirror.workers, self._worker_statistics)
-        limits = WorkerLimits(self.mirror, self.fleet, self._statements.limits)
+        access = WorkerAccess(
+            ports, self.mirror, self.fleet, self._client, self._peers, log, metrics, random_source
+        )
+        self._access, self.links, self._statements = access, access.links, access.statements
+        self._worker_statistics, availability = access.statistics, access.availability
+        limits = access.limits
+        self._health, self.crash_watch = access.health, access.crash_watch
         self.stage_owner = StageOwner(
             self.mirror,
             self._worker_statistics,
@@ -127,11 +120,7 @@
             self._statements,
             log,
         )
-        self._health = WorkerHealth(
-            self.mirror, self._worker_statistics, log, metrics, process.zone, random_source
-        )
         self.stage_owner.on_outcome = self._health.record_outcome
-        self.crash_watch = CrashWatch(self._worker_statistics, log, metrics)
         self.services = CallServices(
             ports=ports,
             mirror=self.mirror,
@@ -200,10 +189,14 @@
         dispatch.owner_client.on_waiting = self.heartbeats.probe_member
         prefill_grants.on_silence = self.heartbeats.probe_member
         limit_grants.on_silence = self.heartbeats.probe_member
+        access.relay.on_waiting = self.heartbeats.probe_member
+        self.heartbeats.on_suspected = access.relay.drop_member
+        self.links.on_partition = self._on_partition
         self._peer_server = PeerServer(
             self.stage_owner,
             engine_owner,
             limit_owner,
+            access.relays,
             self.mirror,
             self.crash_watch,
             self.services.metrics.registry,
@@ -275,6 +268,7 @@
         if self._readiness is not None:
             await self._readiness.cleanup()
         await self._client.close()
+        await self._access.relay.close()
         await self._peers.close()
         self._log.write(LogEvent.STOPPED)
         self._log.flush()
@@ -308,15 +302,20 @@
             LogEvent.MACHINE_SUSPENDED, seconds=round(seconds, 3), connections_dropped=dropped
         )
 
+    def _on_partition(self) -> None:
+        """Tell members at once that this gateway lost its links to all workers, or has them again.
+
+        The members choose other owners then.
+        """
+        self._access.apply_partition()
+        self.heartbeats.request_urgent_send()
+
     def _on_mirror_change(self) -> None:
         self.services.metrics.configuration_version.set(self.mirror.version)
         listed = {record.worker_id for record in self.mirror.workers.records()}
         self._capacity_log.log_changes()
-        self._worker_statistics.retain_only(listed)
+        self._access.retain_only(listed)
         self._engines.retain_only(listed)
-        self._health.retain_only(listed)
-        self._statements.limits.retain_only(listed)
-        self._statements.notices.update_listed(listed, clock.now())
         self.mirror.warming.retain_only(listed)
         self.stage_owner.apply_worker_changes()
 
@@ -341,9 +340,8 @@
         )
         schedule = DrainSchedule.after_signal(signalled_at, self._settings.bounds.grace)
         self.services.drain = schedule
-        await CallerDrain(self.callers, self.call_handler.open_calls, self.stage_owner).run(
-            schedule
-        )
+        work = WorkForPeers(self.stage_owner, self._access.relays)
+        await CallerDrain(self.callers, self.call_handler.open_calls, work).run(schedule)
         self.life.fire(ProcessTrigger.STOP)
         self._log.write(
             LogEvent.DRAINED,
--- /dev/null
+++ b/src/corkcrank/node/relays/relay_client.py
@@ -0,0 +1,306 @@
+"""Sends requests to workers through members that reach them; this gateway does not."""
+
+import asyncio
+from collections import defaultdict
+from collections.abc import Callable, Collection
+from http import HTTPStatus
+from weakref import WeakSet
+
+import aiohttp
+import msgspec
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from corkcrank.contracts import clock
+from corkcrank.contracts.worker_records import WorkerRecord
+from corkcrank.links.decision_log import DecisionLog, LogEvent
+from corkcrank.links.silence import drop_idle
+from corkcrank.machines.fleet import Fleet
+from corkcrank.machines.members import Member
+from corkcrank.node.peers.peer_client import (
+    PEER_CONNECT_TIMEOUT_SECONDS,
+    PeerClient,
+    PeerFailure,
+    decode_answer,
+)
+from corkcrank.node.relays.relay_members import RelayMembers
+from corkcrank.node.relays.relay_protocol import (
+    RELAY_HEADER,
+    RELAY_PATH,
+    RELAY_RETRY_HEADER,
+    WORKER_PROBE_PATH,
+    RelayedRequest,
+    RelayOutcome,
+    WorkerProbeAnswer,
+    WorkerProbeRequest,
+    encode_relayed_request,
+)
+from corkcrank.node.telemetry.metrics import NodeMetrics
+from corkcrank.node.workers.worker_client import MAX_IDLE_SECONDS
+from corkcrank.node.workers.worker_request import (
+    SendFailure,
+    SendResult,
+    SendTrouble,
+    WorkerRequest,
+)
+from corkcrank.node.workers.worker_sessions import create_session
+from corkcrank.scheduling.worker_notices import WorkerNotices
+
+MAX_MEMBERS = 3
+"""Members that a request is offered to, one after the other."""
+
+PROBED_MEMBERS = 4
+"""Members that are asked at the same time whether they reach a worker."""
+
+MAX_PROBED_MEMBERS = 12
+"""Members that are asked in one search, so that its cost does not grow with the fleet."""
+
+PROBE_TIMEOUT_SECONDS = 0.4
+"""Timeout of that question: longer than a member's own connection attempt."""
+
+MEMBER_CHECK_SECONDS = 0.25
+"""Time between checks whether a member that relays a request is suspected to have failed."""
+
+_NOT_HANDLED_STATUSES = frozenset((HTTPStatus.NOT_FOUND, HTTPStatus.BAD_REQUEST))
+"""Statuses of a member of another release, which does not know such requests."""
+
+_FAILURES = {
+    RelayOutcome.NOT_SENT: SendTrouble.NOT_SENT,
+    RelayOutcome.REFUSED: SendTrouble.REFUSED,
+    RelayOutcome.UNKNOWN: SendTrouble.UNKNOWN,
+}
+
+
+class RelayClient:
+    """Chooses members for requests, sends each request at most once, and returns the responses.
+
+    ``on_waiting`` is called periodically with the name of a member whose response is awaited.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        peers: PeerClient,
+        notices: WorkerNotices,
+        log: DecisionLog,
+        metrics: NodeMetrics,
+    ) -> None:
+        self._fleet = fleet
+        self._peers = peers
+        self._notices = notices
+        self._log = log
+        self._metrics = metrics
+        self._kept = create_session(
+            aiohttp.TCPConnector(limit=0, keepalive_timeout=MAX_IDLE_SECONDS)
+        )
+        self._fresh = create_session(aiohttp.TCPConnector(limit=0, force_close=True))
+        self._members = RelayMembers(fleet)
+        self._open: dict[str, WeakSet[aiohttp.ClientResponse]] = defaultdict(WeakSet)
+        self._searches: dict[str, asyncio.Task[str | None]] = {}
+        self.on_waiting: Callable[[str], None] = lambda member: None
+
+    async def close(self) -> None:
+        """Close every connection."""
+        for search in self._searches.values():
+            search.cancel()
+        await self._kept.close()
+        await self._fresh.close()
+
+    @property
+    def available(self) -> bool:
+        """Return whether any member can relay requests."""
+        return self._fleet.has_relay_members(clock.now())
+
+    async def find_member(self, worker: WorkerRecord) -> str | None:
+        """Return the name of a member that can connect to a worker, ``None`` without one.
+
+        Requests to the same worker share a search.
+        """
+        search = self._searches.get(worker.worker_id)
+        if search is None:
+            search = asyncio.create_task(self._search(worker))
+            self._searches[worker.worker_id] = search
+            search.add_done_callback(lambda _: self._searches.pop(worker.worker_id, None))
+        return await asyncio.shield(search)
+
+    async def send(self, request: WorkerRequest) -> SendResult | None:
+        """Send a request through a member; ``None`` if none takes it and nothing was sent.
+
+        The member that reached the worker last is asked first.
+        """
+        declined: set[str] = set()
+        while len(declined) < MAX_MEMBERS:
+            member = self._members.choose(request.worker, declined)
+            if member is None:
+                return None
+            result = await self._send_through(member, request)
+            if result is not None:
+                return result
+            declined.add(member.heartbeat.name)
+        return None
+
+    def retain_only(self, worker_ids: Collection[str]) -> None:
+        """Forget who reached workers that are no longer listed."""
+        self._members.retain_only(worker_ids)
+
+    def drop_member(self, name: str) -> None:
+        """Abort the responses that a failed member relays: it may never end them."""
+        for response in list(self._open.pop(name, ())):
+            connection = response.connection
+            if connection is not None and connection.transport is not None:
+                connection.transport.abort()
+
+    async def _search(self, worker: WorkerRecord) -> str | None:
+        name: str | None = None
+        candidates = self._members.ranked(worker)[:MAX_PROBED_MEMBERS]
+        while candidates and name is None:
+            asked, candidates = candidates[:PROBED_MEMBERS], candidates[PROBED_MEMBERS:]
+            name = await self._ask_together(asked, worker)
+        self._members.record_reached(worker.worker_id, name)
+        return name
+
+    async def _ask_together(self, members: list[Member], worker: WorkerRecord) -> str | None:
+        """Return the member that is first to answer that it reaches a worker."""
+        questions = [asyncio.create_task(self._ask(member, worker)) for member in members]
+        try:
+            for question in asyncio.as_completed(questions):
+                if name := await question:
+                    return name
+        finally:
+            for task in questions:
+                task.cancel()
+        return None
+
+    async def _ask(self, member: Member, worker: WorkerRecord) -> str:
+        """Return the name of a member if it reaches a worker, else an empty text."""
+        message = msgspec.msgpack.encode(WorkerProbeRequest(worker.worker_id))
+        body = await self._peers.request(
+            member.heartbeat.address,
+            WORKER_PROBE_PATH,
+            message,
+            timeout_seconds=PROBE_TIMEOUT_SECONDS,
+        )
+        answer = decode_answer(body, WorkerProbeAnswer)
+        reached = not isinstance(answer, PeerFailure) and answer.reached
+        return member.heartbeat.name if reached else ""
+
+    async def _send_through(self, member: Member, request: WorkerRequest) -> SendResult | None:
+        """Send a request through one member; ``None`` if it does not take it."""
+        if request.still_wanted is not None and not request.still_wanted():
+            return SendFailure(SendTrouble.WITHDRAWN, "withdrawn before it was sent")
+        name = member.heartbeat.name
+        with self._members.count_waiting(name):
+            result = await self._exchange(member, request)
+        outcome = _outcome_of(result)
+        self._metrics.relayed_requests.labels(outcome.value).inc()
+        self._log.write(
+            LogEvent.REQUEST_RELAYED,
+            call=request.call_id,
+            worker=request.worker.worker_id,
+            member=name,
+            outcome=outcome.value,
+        )
+        if isinstance(result, SendFailure):
+            return result
+        return self._read_response(request, result, outcome, name)
+
+    def _read_response(
+        self,
+        request: WorkerRequest,
+        response: aiohttp.ClientResponse | None,
+        outcome: RelayOutcome,
+        name: str,
+    ) -> SendResult | None:
+        """Return the worker's response, or what the member's response says of the request."""
+        if response is None or outcome is RelayOutcome.DECLINED:
+            return None
+        if outcome is RelayOutcome.ANSWERED:
+            self._members.record_reached(request.worker.worker_id, name)
+            self._open[name].add(response)
+            _remove_relay_headers(response)
+            return response
+        seconds = _read_seconds(response.headers.get(RELAY_RETRY_HEADER, ""))
+        response.release()
+        if outcome is RelayOutcome.WITHDRAWN:
+            # Without this record, the next choice would be the same worker.
+            self._notices.record_backoff(request.worker.worker_id, seconds, clock.now())
+            return SendFailure(SendTrouble.WITHDRAWN, f"backoff at member {name}")
+        return SendFailure(_FAILURES[outcome], f"{outcome.value} at member {name}")
+
+    async def _exchange(
+        self, member: Member, request: WorkerRequest
+    ) -> aiohttp.ClientResponse | SendFailure | None:
+        """Return a member's response, why there is none, or ``None`` if nothing was sent."""
+        name = member.heartbeat.name
+        task = asyncio.create_task(self._post(member.heartbeat.address, request))
+        try:
+            while not task.done():
+                await asyncio.wait({task}, timeout=MEMBER_CHECK_SECONDS)
+                if task.done():
+                    break
+                self.on_waiting(name)
+                if self._fleet.is_suspected(name, clock.now()):
+                    return SendFailure(SendTrouble.UNKNOWN, f"member {name} is lost")
+        finally:
+            if not task.done():
+                task.cancel()
+        try:
+            return task.result()
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            self._members.record_unreachable(name)
+            drop_idle(self._kept, member.heartbeat.address)
+            return None
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            return SendFailure(SendTrouble.UNKNOWN, f"{type(error).__name__} of member {name}")
+
+    async def _post(self, address: str, request: WorkerRequest) -> aiohttp.ClientResponse:
+        head = RelayedRequest(
+            sender=self._fleet.local_name,
+            worker_id=request.worker.worker_id,
+            method=request.method,
+            target=_encode(request.target),
+            headers=tuple((_encode(name), _encode(value)) for name, value in request.headers),
+            seconds=request.seconds,
+            fresh=request.fresh,
+            new_work=request.new_work,
+            call_id=request.call_id,
+        )
+        session = self._fresh if request.fresh else self._kept
+        return await session.post(
+            f"http://{address}{RELAY_PATH}",
+            data=encode_relayed_request(head, request.body),
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=PEER_CONNECT_TIMEOUT_SECONDS),
+        )
+
+
+def _outcome_of(result: aiohttp.ClientResponse | SendFailure | None) -> RelayOutcome:
+    if result is None:
+        return RelayOutcome.DECLINED
+    if isinstance(result, SendFailure):
+        return RelayOutcome.UNKNOWN
+    outcome = result.headers.get(RELAY_HEADER)
+    if outcome is None and result.status in _NOT_HANDLED_STATUSES:
+        return RelayOutcome.DECLINED
+    try:
+        return RelayOutcome(outcome or "")
+    except ValueError:
+        return RelayOutcome.UNKNOWN
+
+
+def _read_seconds(text: str) -> float:
+    try:
+        return max(0.0, float(text))
+    except ValueError:
+        return 0.0
+
+
+def _remove_relay_headers(response: aiohttp.ClientResponse) -> None:
+    """Leave the worker's headers only."""
+    headers = CIMultiDict(response.headers)
+    headers.popall(RELAY_HEADER, None)
+    response._headers = CIMultiDictProxy(headers)
+    # The library caches the headers once they have been read.
+    response._cache.pop("headers", None)
+
+
+def _encode(text: str) -> bytes:
+    return text.encode("utf-8", "surrogateescape")
--- /dev/null
+++ b/src/corkcrank/node/relays/relay_server.py
@@ -0,0 +1,244 @@
+"""Sends requests of other gateways to workers that they cannot reach, and relays the responses."""
+
+import asyncio
+from collections.abc import Callable
+
+import aiohttp
+import msgspec
+from aiohttp import web
+
+from corkcrank.contracts import clock
+from corkcrank.contracts.worker_records import WorkerRecord
+from corkcrank.links.closed_connections import closed_by_peer
+from corkcrank.links.decision_log import DecisionLog, LogEvent
+from corkcrank.links.platform_ports import CallCodec
+from corkcrank.machines.store_mirror import StoreMirror
+from corkcrank.node.peers.peer_client import PEER_SILENCE_SECONDS
+from corkcrank.node.relays.relay_protocol import (
+    RELAY_HEADER,
+    RELAY_RETRY_HEADER,
+    RelayedRequest,
+    RelayOutcome,
+    WorkerProbeAnswer,
+    WorkerProbeRequest,
+    decode_relayed_request,
+)
+from corkcrank.node.telemetry.metrics import NodeMetrics
+from corkcrank.node.workers.link_monitor import LinkMonitor
+from corkcrank.node.workers.worker_availability import Unavailability, WorkerAvailability
+from corkcrank.node.workers.worker_client import WorkerClient, unframed_body_end
+from corkcrank.node.workers.worker_probe import ProbeResult, probe_worker
+from corkcrank.node.workers.worker_request import SendFailure, SendTrouble, WorkerRequest
+from corkcrank.node.workers.worker_statements import WorkerStatements
+
+MAX_RELAYED_REQUESTS = 256
+"""Requests of other gateways that this one relays at the same time."""
+
+EXCHANGE_MARGIN_SECONDS = 1.0
+"""Time added to that of a request before its exchange is given up: its sender usually ends it."""
+
+PROBE_TIMEOUT_SECONDS = 0.3
+"""Timeout of a connection attempt on behalf of another gateway."""
+
+MIN_FINAL_STATUS = 200
+"""Lowest status of a final response."""
+
+FAILURE_STATUS = 502
+"""Status of a response that is not a worker's."""
+
+_OUTCOMES = {
+    SendTrouble.NOT_SENT: RelayOutcome.NOT_SENT,
+    SendTrouble.REFUSED: RelayOutcome.REFUSED,
+    SendTrouble.WITHDRAWN: RelayOutcome.DECLINED,
+    SendTrouble.SILENT: RelayOutcome.UNKNOWN,
+    SendTrouble.UNKNOWN: RelayOutcome.UNKNOWN,
+}
+
+
+class RelayServer:
+    """The relaying side: one hop only, and only to workers that this gateway may send to itself.
+
+    ``accepts`` says whether this gateway takes work of others, which it does not while it stops.
+    """
+
+    def __init__(
+        self,
+        mirror: StoreMirror,
+        client: WorkerClient,
+        availability: WorkerAvailability,
+        statements: WorkerStatements,
+        links: LinkMonitor,
+        calls: CallCodec,
+        log: DecisionLog,
+        metrics: NodeMetrics,
+        accepts: Callable[[], bool],
+    ) -> None:
+        self._mirror = mirror
+        self._client = client
+        self._availability = availability
+        self._statements = statements
+        self._links = links
+        self._calls = calls
+        self._log = log
+        self._metrics = metrics
+        self._accepts = accepts
+        self.in_flight = 0
+
+    async def probe(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer whether this gateway can connect to a worker."""
+        message = msgspec.msgpack.decode(await request.read(), type=WorkerProbeRequest)
+        worker = self._mirror.workers.get(message.worker_id)
+        reached = worker is not None and not self._links.health.is_failed(message.worker_id)
+        if worker is not None and reached:
+            result = await probe_worker(worker.address, PROBE_TIMEOUT_SECONDS)
+            reached = result is ProbeResult.CONNECTED
+        return web.Response(body=msgspec.msgpack.encode(WorkerProbeAnswer(reached)))
+
+    async def relay(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Send a request to its worker and relay the response to the gateway that asked."""
+        head, body = decode_relayed_request(await _read_message(request))
+        if closed_by_peer(request.transport):
+            raise ConnectionResetError("the sender closed its connection")
+        worker = self._mirror.workers.get(head.worker_id)
+        refusal = self._refusal(head, worker)
+        if refusal is not None or worker is None:
+            return refusal or self._failure(head, RelayOutcome.DECLINED, "worker is not listed")
+        self.in_flight += 1
+        try:
+            async with asyncio.timeout(head.seconds + EXCHANGE_MARGIN_SECONDS):
+                return await self._exchange(request, head, worker, body)
+        except TimeoutError:
+            _abort(request)
+            raise ConnectionResetError("the exchange outlasted its time") from None
+        finally:
+            self.in_flight -= 1
+
+    def _refusal(
+        self, head: RelayedRequest, worker: WorkerRecord | None
+    ) -> web.StreamResponse | None:
+        """Return the response to a request that is not sent, ``None`` if it may be sent."""
+        detail = ""
+        if worker is None:
+            detail = "worker is not listed"
+        elif not self._accepts():
+            detail = "this gateway stops"
+        elif self._links.health.is_failed(head.worker_id):
+            detail = "this gateway does not reach the worker"
+        elif self.in_flight >= MAX_RELAYED_REQUESTS:
+            detail = "too many relayed requests"
+        elif head.new_work:
+            reason = self._availability.reason_not_to_send(worker)
+            if reason is Unavailability.BACKOFF:
+                return self._backoff(head, worker)
+            detail = reason or ""
+        elif self._availability.backoff_seconds(worker, clock.now()):
+            return self._backoff(head, worker)
+        return self._failure(head, RelayOutcome.DECLINED, detail) if detail else None
+
+    def _backoff(self, head: RelayedRequest, worker: WorkerRecord) -> web.Response:
+        seconds = self._availability.backoff_seconds(worker, clock.now())
+        return self._failure(head, RelayOutcome.WITHDRAWN, "backoff", seconds)
+
+    async def _exchange(
+        self, request: web.BaseRequest, head: RelayedRequest, worker: WorkerRecord, body: bytes
+    ) -> web.StreamResponse:
+        guard = self._availability.guard(worker) if head.new_work else None
+        sent = WorkerRequest(
+            worker,
+            head.method,
+            _decode(head.target),
+            [(_decode(name), _decode(value)) for name, value in head.headers],
+            body,
+            head.seconds,
+            fresh=head.fresh,
+            still_wanted=guard,
+            new_work=head.new_work,
+            call_id=head.call_id,
+        )
+        upstream = await self._client.send_directly(sent)
+        if isinstance(upstream, SendFailure):
+            return self._failure(head, _OUTCOMES[upstream.trouble], upstream.detail)
+        try:
+            self._record_statements(head, worker, upstream)
+            if upstream.status < MIN_FINAL_STATUS:
+                detail = f"status {upstream.status} is not the status of a final answer"
+                return self._failure(head, RelayOutcome.UNKNOWN, detail)
+            self._record(head, RelayOutcome.ANSWERED, f"status {upstream.status}")
+            return await self._relay_response(request, head, upstream)
+        finally:
+            upstream.close()
+
+    def _record_statements(
+        self, head: RelayedRequest, worker: WorkerRecord, upstream: aiohttp.ClientResponse
+    ) -> None:
+        """Record what a worker states: it counts this gateway as the sender of the request."""
+        call_id = self._calls.read_answer(upstream.headers).call_id
+        if call_id == head.call_id or not head.call_id:
+            self._statements.record_response(worker, upstream.status, upstream.headers)
+
+    async def _relay_response(
+        self, request: web.BaseRequest, head: RelayedRequest, upstream: aiohttp.ClientResponse
+    ) -> web.StreamResponse:
+        """Relay head and body; a body that breaks off is broken off here too."""
+        response = web.StreamResponse(status=upstream.status, reason=upstream.reason)
+        response.headers.clear()
+        for name, value in self._calls.answer_headers(list(upstream.headers.items())):
+            response.headers.add(name, value)
+        response.headers[RELAY_HEADER] = RelayOutcome.ANSWERED.value
+        closed = unframed_body_end(upstream)
+        await response.prepare(request)
+        try:
+            while chunk := await upstream.content.readany():
+                await response.write(chunk)
+            if closed is not None:
+                await closed
+            await response.write_eof()
+        except (aiohttp.ClientError, OSError, ValueError):
+            _abort(request)
+            raise ConnectionResetError("the worker's answer broke off") from None
+        return response
+
+    def _failure(
+        self, head: RelayedRequest, outcome: RelayOutcome, detail: str, seconds: float = 0.0
+    ) -> web.Response:
+        self._record(head, outcome, detail)
+        headers = {RELAY_HEADER: outcome.value}
+        if seconds:
+            headers[RELAY_RETRY_HEADER] = f"{seconds:.3f}"
+        return web.Response(status=FAILURE_STATUS, headers=headers)
+
+    def _record(self, head: RelayedRequest, outcome: RelayOutcome, detail: str) -> None:
+        self._metrics.requests_relayed_for_others.labels(outcome.value).inc()
+        self._log.write(
+            LogEvent.REQUEST_CARRIED,
+            call=head.call_id,
+            worker=head.worker_id,
+            sender=head.sender,
+            outcome=outcome.value,
+            detail=detail,
+        )
+
+
+async def _read_message(request: web.BaseRequest) -> bytes:
+    """Return a complete message; drop a connection that falls silent within one."""
+    chunks: list[bytes] = []
+    try:
+        while True:
+            async with asyncio.timeout(PEER_SILENCE_SECONDS):
+                chunk = await request.content.readany()
+            if not chunk:
+                return b"".join(chunks)
+            chunks.append(chunk)
+    except TimeoutError:
+        _abort(request)
+        raise web.HTTPRequestTimeout from None
+
+
+def _abort(request: web.BaseRequest) -> None:
+    """Reset the connection of a request: an incomplete response must not look complete."""
+    if request.transport is not None:
+        request.transport.abort()
+
+
+def _decode(data: bytes) -> str:
+    return data.decode("utf-8", "surrogateescape")
--- a/src/corkcrank/node/stages/stage_worker_client.py
+++ b/src/corkcrank/node/stages/stage_worker_client.py
@@ -14,6 +14,7 @@
     StageWorkerReport,
     Unreadable,
 )
+from corkcrank.node.workers.silence_timeout import SilenceRule
 from corkcrank.node.workers.worker_availability import WorkerAvailability
 from corkcrank.node.workers.worker_client import WorkerClient
 from corkcrank.node.workers.worker_request import (
@@ -29,6 +30,10 @@
 CALL_TIME_FACTOR = 4.0
 """A call times out after this multiple of its expected time, plus the margin."""
 
+PARTITION_SILENCE_FACTOR = 1.5
+"""A call without a response after this multiple of its expected time is given up if this gateway
+is partitioned from the workers."""
+
 CALL_TIME_MARGIN = 1.0
 """Seconds added to the limit above; also the timeout of messages that free results."""
 
@@ -76,6 +81,9 @@
             self._codec.encode_run(orders),
             limit,
             lambda: _is_wanted(call) and self._availability.may_send(worker),
+            SilenceRule(
+                PARTITION_SILENCE_FACTOR * call.expected_seconds, self._client.is_partitioned
+            ),
         )
         if isinstance(response, SendFailure):
             return response
@@ -113,6 +121,7 @@
         body: bytes,
         seconds: float,
         still_wanted: Callable[[], bool] | None = None,
+        silence: SilenceRule | None = None,
     ) -> SendResult:
         """Send a request, and record what the response headers state about the worker.
 
@@ -128,7 +137,7 @@
             still_wanted=still_wanted or (lambda: not self._is_in_backoff(worker)),
             new_work=still_wanted is not None,
         )
-        response = await self._client.send(request)
+        response = await self._client.send(request, silence)
         if not isinstance(response, SendFailure):
             self._statements.record_response(worker, response.status, response.headers)
         return response
--- a/src/corkcrank/node/telemetry/metrics.py
+++ b/src/corkcrank/node/telemetry/metrics.py
@@ -58,6 +58,18 @@
             ("change",),
             registry=self.registry,
         )
+        self.relayed_requests = Counter(
+            "corkcrank_relayed_requests",
+            "Requests sent through other gateways, by outcome.",
+            ("outcome",),
+            registry=self.registry,
+        )
+        self.requests_relayed_for_others = Counter(
+            "corkcrank_requests_relayed_for_others",
+            "Requests of other gateways, by outcome.",
+            ("outcome",),
+            registry=self.registry,
+        )
         self.suspensions = Counter(
             "corkcrank_suspensions",
             "Suspensions of the machine during this process.",
--- a/src/corkcrank/node/workers/crash_watch.py
+++ b/src/corkcrank/node/workers/crash_watch.py
@@ -10,6 +10,7 @@
 from corkcrank.links.decision_log import DecisionLog, LogEvent
 from corkcrank.node.telemetry.metrics import NodeMetrics
 from corkcrank.node.workers.worker_probe import has_exited
+from corkcrank.node.workers.worker_request import NoRelay, RequestRelay
 from corkcrank.scheduling.crash_reports import CrashReport, TrialReport
 from corkcrank.scheduling.crash_verdicts import Verdict
 from corkcrank.scheduling.request_quarantine import RequestQuarantine, RequestState
@@ -24,7 +25,8 @@
     """Crash detection and request quarantine of a gateway.
 
     A failed connection may have been reset on the network, or by a worker that still runs. So the
-    gateway opens a new connection to the worker, and records a crash only if it is refused.
+    gateway opens a new connection to the worker, and records a crash only if it is refused and no
+    member can connect to the worker either. ``relay`` asks the members.
     ``on_update`` is called when peers should receive an update at once.
     """
 
@@ -34,6 +36,7 @@
         self._worker_statistics = worker_statistics
         self.quarantine = RequestQuarantine()
         self.on_update: Callable[[], None] = lambda: None
+        self.relay: RequestRelay = NoRelay()
         self._log = log
         self._metrics = metrics
         self._exit_checks: dict[str, asyncio.Task[bool]] = {}
@@ -204,7 +207,7 @@
             following = self._exit_checks.get(worker.worker_id)
             if following is not None and following is not before:
                 return await following
-        check = asyncio.create_task(has_exited(worker.address, PROBE_TIMEOUT_SECONDS))
+        check = asyncio.create_task(self._is_exit_confirmed(worker))
         self._exit_checks[worker.worker_id] = check
         try:
             return await check
@@ -212,6 +215,11 @@
             if self._exit_checks.get(worker.worker_id) is check:
                 del self._exit_checks[worker.worker_id]
 
+    async def _is_exit_confirmed(self, worker: WorkerRecord) -> bool:
+        if not await has_exited(worker.address, PROBE_TIMEOUT_SECONDS):
+            return False
+        return await self.relay.find_member(worker) is None
+
     def _review_verdicts(self) -> None:
         """Log verdicts that are new or withdrawn, now and when the next crash can be decided."""
         now = clock.now()
--- a/src/corkcrank/node/workers/worker_client.py
+++ b/src/corkcrank/node/workers/worker_client.py
@@ -50,6 +50,14 @@
 """A shorter wait without a byte says nothing about a connection: the call's deadline was near."""
 
 
+_LINK_FAILURES = {
+    SendTrouble.NOT_SENT: LinkFailure.NOT_CONNECTED,
+    SendTrouble.REFUSED: LinkFailure.REFUSED,
+    SendTrouble.UNKNOWN: LinkFailure.BROKEN,
+}
+"""Failures of requests that a failed link would cause."""
+
+
 class WorkerClient:
     """Sends requests to workers on new or on keep-alive connections.
 
@@ -87,26 +95,26 @@
         ``silence`` may end the wait earlier. The target is sent byte for byte. Nothing is sent a
         second time.
         """
-        return await self._send(request, silence, self.links)
+        return await self._send(request, silence, relayed=True)
 
     async def send_directly(self, request: WorkerRequest) -> SendResult:
         """Send a request as :meth:`send` does, but never through a member."""
-        return await self._send(request, None, None)
+        return await self._send(request, None, relayed=False)
 
     async def _send(
-        self, request: WorkerRequest, silence: SilenceRule | None, links: LinkMonitor | None
+        self, request: WorkerRequest, silence: SilenceRule | None, *, relayed: bool
     ) -> SendResult:
         started = clock.now()
         try:
             async with SilenceTimeout(request.seconds, silence):
-                if links is None:
-                    return await self._send_directly(request, None)
-                return await self._send_or_relay(request, links)
+                if relayed and self.links is not None:
+                    return await self._send_or_relay(request, self.links)
+                return await self._send_directly(request, None)
         except TimeoutError:
             waited = clock.now() - started
             self.record_silence(request.worker.address, waited)
-            if links is not None and waited >= MIN_SILENCE_SECONDS:
-                links.record_failure(request.worker.worker_id, LinkFailure.SILENT)
+            if waited >= MIN_SILENCE_SECONDS:
+                self._report_failure(request.worker, LinkFailure.SILENT)
             return SendFailure(SendTrouble.SILENT, "no answer in time")
 
     async def _send_or_relay(self, request: WorkerRequest, links: LinkMonitor) -> SendResult:
@@ -120,27 +128,30 @@
         found: list[str] = []
 
         async def reached_elsewhere() -> bool:
-            member = await self.relay.find_member(worker)
-            if member is not None:
-                found.append(member)
-            return member is not None
+            found.extend(filter(None, [await self.relay.find_member(worker)]))
+            return bool(found)
 
         watch = ConnectWatch(reached_elsewhere) if self.relay.available else None
         result = await self._send_directly(request, watch)
-        if not isinstance(result, SendFailure):
-            return result
-        _report_failure(links, worker, result)
-        if result.connected or result.stalled:
+        if not isinstance(result, SendFailure) or result.connected or result.stalled:
             return result
         if not found and not await reached_elsewhere():
             return result
         links.record_failed_link(worker, found[0])
-        relayed = await self.relay.send(request, preferred=found[0])
+        relayed = await self.relay.send(request)
         return result if relayed is None else relayed
 
     async def _send_directly(
         self, request: WorkerRequest, watch: ConnectWatch | None
     ) -> SendResult:
+        result = await self._try_request(request, watch)
+        if isinstance(result, SendFailure) and not result.stalled:
+            cause = _LINK_FAILURES.get(result.trouble)
+            if cause is not None:
+                self._report_failure(request.worker, cause)
+        return result
+
+    async def _try_request(self, request: WorkerRequest, watch: ConnectWatch | None) -> SendResult:
         send_guard.set(SendGuard(request.still_wanted, watch))
         connecting_since = clock.loop_time()
         try:
@@ -167,6 +178,10 @@
         except (aiohttp.ClientError, OSError, ValueError) as error:
             return SendFailure(SendTrouble.UNKNOWN, type(error).__name__)
 
+    def _report_failure(self, worker: WorkerRecord, failure: LinkFailure) -> None:
+        if self.links is not None:
+            self.links.record_failure(worker.worker_id, failure)
+
     async def _request(self, request: WorkerRequest) -> aiohttp.ClientResponse:
         session = self._fresh if request.fresh else self._kept
         has_body = bool(request.body) or request.method not in ("GET", "HEAD")
@@ -178,6 +193,10 @@
             allow_redirects=False,
         )
 
+    async def is_partitioned(self) -> bool:
+        """Return whether this gateway reaches no worker, so that a silent request is lost."""
+        return self.links is not None and self.links.health.partitioned
+
     async def read_body(
         self, response: aiohttp.ClientResponse, seconds: float, silence: SilenceRule | None = None
     ) -> bytes | None:
@@ -225,18 +244,6 @@
         self._on_silence(SilentConnection(ConnectionKind.WORKER, address, waited, idle))
 
 
-def _report_failure(links: LinkMonitor, worker: WorkerRecord, failure: SendFailure) -> None:
-    """Request a check of links after a failure that a failed link would cause."""
-    causes = {
-        SendTrouble.NOT_SENT: LinkFailure.NOT_CONNECTED,
-        SendTrouble.REFUSED: LinkFailure.REFUSED,
-        SendTrouble.UNKNOWN: LinkFailure.BROKEN,
-    }
-    cause = causes.get(failure.trouble)
-    if cause is not None and not failure.stalled:
-        links.record_failure(worker.worker_id, cause)
-
-
 def address_of(response: aiohttp.ClientResponse) -> str:
     """Return the ``ip:port`` that a response came from."""
     return f"{response.url.host}:{response.url.port}"
--- a/src/corkcrank/node/workers/worker_health.py
+++ b/src/corkcrank/node/workers/worker_health.py
@@ -68,6 +68,10 @@
         """Remove the outcomes that an unreachable peer reported."""
         self._outcomes.remove_peer(peer)
 
+    def forget_local_outcomes(self) -> None:
+        """Remove this gateway's own outcomes, because its links to workers had failed."""
+        self._outcomes.remove_local()
+
     def outcomes_to_report(self, now: float) -> tuple[ReportedOutcomes, ...]:
         """Return the outcomes that a heartbeat reports to peers."""
         return self._outcomes.report_for_peers(now)
--- a/src/corkcrank/node/workers/worker_request.py
+++ b/src/corkcrank/node/workers/worker_request.py
@@ -76,7 +76,7 @@
     async def find_member(self, worker: WorkerRecord) -> str | None:
         """Return the name of a member that can connect to a worker, ``None`` without one."""
 
-    async def send(self, request: WorkerRequest, preferred: str = "") -> SendResult | None:
+    async def send(self, request: WorkerRequest) -> SendResult | None:
         """Send a request through a member; ``None`` if none takes it and nothing was sent."""
 
 
@@ -89,6 +89,6 @@
         """Return ``None``."""
         return None
 
-    async def send(self, request: WorkerRequest, preferred: str = "") -> SendResult | None:
+    async def send(self, request: WorkerRequest) -> SendResult | None:
         """Return ``None``."""
         return None
--- a/src/corkcrank/scheduling/worker_choice.py
+++ b/src/corkcrank/scheduling/worker_choice.py
@@ -111,6 +111,13 @@
         in_backoff = self.notices.backoff_seconds(worker_id, now) > 0
         return in_backoff or self.has_left(worker_id, now)
 
+    def forget_failures(self) -> None:
+        """Remove what failed connections showed, because this gateway's links had failed."""
+        for statistics in self._statistics.values():
+            statistics.failures.clear()
+            statistics.avoid_until = 0.0
+            statistics.ended_until = 0.0
+
     def get_or_create(self, worker_id: str) -> WorkerStatistics:
         """Return the statistics of a worker; create them if there are none."""
         statistics = self._statistics.get(worker_id)
--- a/src/corkcrank/scheduling/worker_outcomes.py
+++ b/src/corkcrank/scheduling/worker_outcomes.py
@@ -177,6 +177,11 @@
         if worker_ids:
             self._workers_by_peer[peer] = tuple(worker_ids)
 
+    def remove_local(self) -> None:
+        """Remove the outcomes of this gateway's own calls."""
+        self._local.clear()
+        self._connection_failures.clear()
+
     def remove_peer(self, peer: str) -> None:
         """Remove the report of a peer that is no longer reachable."""
         for worker_id in self._workers_by_peer.pop(peer, ()):
--- a/tests/platform/node_world.py
+++ b/tests/platform/node_world.py
@@ -205,7 +205,12 @@
 
 @asynccontextmanager
 async def peer_of(
-    running: World, ip: str, *, refused: bool = False, link: SilentLink | None = None
+    running: World,
+    ip: str,
+    *,
+    refused: bool = False,
+    link: SilentLink | None = None,
+    grace: float = 0.6,
 ) -> AsyncIterator[Node]:
     """Run another gateway on another loopback address, with the first as its seed.
 
@@ -213,7 +218,7 @@
     """
     first = running.nodes[0].fleet.local_address
     port = int(first.rsplit(":", 1)[1])
-    settings = settings_for(ip, "z1", running.store.server.address, (first,), grace=0.6)
+    settings = settings_for(ip, "z1", running.store.server.address, (first,), grace=grace)
     process = msgspec.structs.replace(settings.process, peer_ports=(port, port + 1))
     settings = msgspec.structs.replace(settings, process=process)
     if refused:
