Tests: brittle workers do not fall over (failing)

Two gateways, four workers that say Server-Brittle: 3, with room for four calls each and after 3 s for two; one that rejects more than three calls in a second aborts all connections for 1.5 s. Falls in 7 s, 2.4 allowed: 4 to 16 in 7 of 8 cases; one (unrepeatable, 50 a second) holds.

--- /dev/null
+++ b/tests/platform/test_brittle_workers.py
@@ -0,0 +1,72 @@
+"""Workers that say that they are brittle are not sent more than they have room for.
+
+Guards against gateways that each send until the worker rejects: it bears few rejections a second
+from all of them together, and falls over beyond that.
+"""
+
+import asyncio
+
+import pytest
+from brittle_workers import BrittleWorker
+from node_world import World
+from test_limited_workers import SERVICES, ServedWorkers, call, two_gateways
+
+from corkcrank.contracts import clock
+
+WORKERS = 4
+SHRINK_SECONDS = 3.0
+"""Time from a worker's first answer until it has room for fewer calls."""
+
+LOAD_SECONDS = 7.0
+ROOM_AFTERWARDS = 2
+CALLS_PER_SECOND = 50
+CALLS_PER_SECOND_OF_ROOM = 80
+MIN_SERVED_SHARE = 0.95
+REFUSAL_SECONDS = 0.5
+
+
+def allowed_falls(workers: int) -> float:
+    """Return how often workers may fall over in one time in which they are brittle."""
+    return 2 + workers / 10
+
+
+async def timed_call(running: World, name: str, number: int) -> tuple[int, float]:
+    started = clock.now()
+    try:
+        response = await call(running, name, number)
+    except OSError:
+        return 0, clock.now() - started
+    return response.status, clock.now() - started
+
+
+async def play(
+    running: World, workers: list[BrittleWorker], name: str, rate: int
+) -> list[tuple[int, float]]:
+    """Send calls to all gateways in turn; the workers' room shrinks meanwhile."""
+    asyncio.get_running_loop().call_later(SHRINK_SECONDS, shrink, workers)
+    tasks = []
+    for number in range(int(rate * LOAD_SECONDS)):
+        tasks.append(asyncio.create_task(timed_call(running, name, number)))
+        await asyncio.sleep(1.0 / rate)
+    return await asyncio.gather(*tasks)
+
+
+def shrink(workers: list[BrittleWorker]) -> None:
+    for worker in workers:
+        worker.room = ROOM_AFTERWARDS
+
+
+@pytest.mark.parametrize("rate", [CALLS_PER_SECOND, CALLS_PER_SECOND_OF_ROOM + 10])
+@pytest.mark.parametrize("name", ["safe", "once", "talk", "resumed"])
+async def test_brittle_workers_do_not_fall_over(name: str, rate: int) -> None:
+    events = 2 if SERVICES[name] == "model" else 0
+    workers = [BrittleWorker(events=events) for _ in range(WORKERS)]
+    served: ServedWorkers = {str(n): (worker, SERVICES[name]) for n, worker in enumerate(workers)}
+    async with two_gateways(served) as running:
+        answers = await play(running, workers, name, rate)
+        assert sum(worker.falls for worker in workers) <= allowed_falls(WORKERS)
+        statuses = [status for status, _ in answers]
+        if rate < CALLS_PER_SECOND_OF_ROOM:
+            assert statuses.count(200) >= MIN_SERVED_SHARE * len(statuses)
+        waits = [seconds for status, seconds in answers if status == 503]
+        assert max(waits, default=0.0) < REFUSAL_SECONDS
