Workers: brittle ones get no more calls than they have room for, by leases of their owner

What callers saw: workers that say that they bear few rejections a second (Server-Brittle) fell over under ordinary load, and everybody's calls at them were lost.

Cause: the header was read by nothing, and a 503 moved calls away for 0.15 s at one gateway only, while each gateway went on sending until the worker rejected.

Ruled out: a share of the tolerated rejections for each gateway, below one for most fleets; a cap asked at the send alone, which the choice does not know; counts from heartbeats alone, which are 0.25 to 2 s old and let a call of 0.1 s occupy its place for that time.

Change: the header is read, told to all gateways as rate limits are, and makes a worker a limited one: the owner of its service in its zone leases each call a place until the call has ended. The cap starts at the worker's slots, falls with a rejection to what the worker kept, rises by one every 4 s; near the tolerated rejections in a second nothing is granted for the rest of it. A call waits 0.2 s for a place, streams without stages 0.1 s more, then is refused with a time (3013). Stage workers, whose calls all come from their owner, are left alone for 1 s after a rejection.

--- a/src/corkcrank/links/decision_log.py
+++ b/src/corkcrank/links/decision_log.py
@@ -52,6 +52,7 @@
     LIMIT_DEFERRED = "Workers: not given a call, at their limit."
     RATE_LIMIT_RECEIVED = "Workers: rate limit heard."
     RATE_LIMIT_UNREADABLE = "Workers: rate limit unreadable, passed over."
+    BRITTLENESS_RECEIVED = "Workers: brittle, bears few rejections."
     LEAVE_ANNOUNCED = "Workers: leave announced in an answer."
     BACKOFF_REQUESTED = "Workers: backoff requested."
     NOTICE_UNREADABLE = "Workers: leave or backoff unreadable, passed over."
--- a/src/corkcrank/links/platform_ports.py
+++ b/src/corkcrank/links/platform_ports.py
@@ -47,12 +47,15 @@
     """What a worker reports about itself in the head of any answer.
 
     ``rate_limit`` is the number of requests a second that it accepts from all gateways
-    together, ``None`` if not reported. ``leaving`` says that the worker will end. ``retry_after``
-    is the number of seconds after which a rejected gateway may send requests again, ``None`` if
-    not reported. ``unknown_headers`` are unrecognized names, in lower case.
+    together, ``None`` if not reported. ``tolerated_rejections`` is how many requests in a second it
+    can reject for want of room without falling over, ``None`` if not reported. ``leaving`` says
+    that the worker will end. ``retry_after`` is the number of seconds after which a rejected
+    gateway may send requests again, ``None`` if not reported. ``unknown_headers`` are unrecognized
+    names, in lower case.
     """
 
     rate_limit: float | Unreadable | None = None
+    tolerated_rejections: float | Unreadable | None = None
     leaving: bool | Unreadable = False
     retry_after: float | Unreadable | None = None
     unknown_headers: tuple[str, ...] = ()
--- a/src/corkcrank/machines/heartbeat.py
+++ b/src/corkcrank/machines/heartbeat.py
@@ -84,7 +84,8 @@
     rates that workers state. ``crashes`` are the workers that crashed, each with all requests it
     had. ``leaves`` are the workers whose answers announce a leave that their entries do not state,
     ``backoffs`` those that workers requested of the sender. ``partitioned`` says that the sender
-    reaches no worker: it owns nothing, and what it believes of workers is ignored.
+    reaches no worker: it owns nothing, and what it believes of workers is ignored. ``brittle`` are
+    the rejections a second that brittle workers tolerate.
     """
 
     name: str
@@ -113,3 +114,4 @@
     leaves: tuple[ReportedLeave, ...] = ()
     backoffs: tuple[ReportedBackoff, ...] = ()
     partitioned: bool = False
+    brittle: tuple[ReportedLimit, ...] = ()
--- a/src/corkcrank/node/calls/attempts.py
+++ b/src/corkcrank/node/calls/attempts.py
@@ -66,6 +66,8 @@
     head: AnswerHead | None = None
     inputs_unavailable: bool = False
     silent: bool = False
+    rejected: bool = False
+    """Whether the worker rejected the call for want of room."""
 
     @property
     def status(self) -> int:
@@ -166,7 +168,13 @@
         response.close()
         inputs_unavailable = status == INPUTS_UNAVAILABLE_STATUS
         return Attempt(
-            worker, AttemptOutcome.NOT_RUN, f"status {status}", None, head, inputs_unavailable
+            worker,
+            AttemptOutcome.NOT_RUN,
+            f"status {status}",
+            None,
+            head,
+            inputs_unavailable,
+            rejected=status == HTTPStatus.SERVICE_UNAVAILABLE,
         )
     if not head.sealed or head.call_id != call.call_id:
         response.close()
@@ -195,6 +203,7 @@
     services.metrics.attempts.labels(attempt.outcome.value).inc()
     if attempt.outcome is AttemptOutcome.ANSWERED:
         return
+    services.leases.release(call.call_id, attempt.worker.worker_id, rejected=attempt.rejected)
     now = clock.now()
     statistics = services.worker_statistics.get_or_create(attempt.worker.worker_id)
     if attempt.outcome is AttemptOutcome.NOT_RUN:
--- a/src/corkcrank/node/calls/services.py
+++ b/src/corkcrank/node/calls/services.py
@@ -17,6 +17,7 @@
 from corkcrank.node.callers.refusals import Refusal
 from corkcrank.node.engines.engine_owner import PrefillGrantClient
 from corkcrank.node.limits.limit_grants import LimitGrantClient
+from corkcrank.node.limits.worker_leases import WorkerLeases
 from corkcrank.node.limits.worker_limits import WorkerLimits
 from corkcrank.node.stages.stage_dispatch import StageDispatch
 from corkcrank.node.telemetry.metrics import NodeMetrics
@@ -100,6 +101,7 @@
     crash_watch: CrashWatch
     limits: WorkerLimits
     limit_grants: LimitGrantClient
+    leases: WorkerLeases
     statements: WorkerStatements
     client: WorkerClient
     links: LinkMonitor
--- a/src/corkcrank/node/engines/engine_owner.py
+++ b/src/corkcrank/node/engines/engine_owner.py
@@ -13,6 +13,7 @@
 from corkcrank.machines.fleet import Fleet
 from corkcrank.machines.owner_use import OwnerUse
 from corkcrank.machines.store_mirror import StoreMirror
+from corkcrank.node.limits.worker_leases import WorkerLeases
 from corkcrank.node.limits.worker_limits import WorkerLimits
 from corkcrank.node.peers.peer_client import PeerClient, PeerFailure, decode_answer
 from corkcrank.node.peers.peer_protocol import (
@@ -28,7 +29,7 @@
 from corkcrank.scheduling.prefill_grants import PrefillGrants
 from corkcrank.scheduling.prefill_isolation import PrefillIsolation
 from corkcrank.scheduling.prefill_pace import PrefillPace
-from corkcrank.scheduling.stated_limits import ReportedLimit
+from corkcrank.scheduling.stated_limits import ReportedLimit, StatedLimits
 from corkcrank.scheduling.worker_choice import WorkerStatisticsTable
 
 GRANT_TIMEOUT_SECONDS = 0.15
@@ -68,6 +69,7 @@
         whose engines warm up together would otherwise fail again at once.
         """
         self._statements.apply_reports(request.limits, "asker")
+        self._statements.apply_brittleness_reports(request.brittle, "asker")
         configuration = self._mirror.configuration
         profile = self._mirror.profile(request.service)
         capacity = profile.engine.cache_tokens if profile and profile.engine else 0
@@ -98,7 +100,8 @@
             deferred_waits = [wait for wait in waits.values() if wait > 0]
             return PrefillGrant("", bool(deferred_waits), min(deferred_waits, default=0.0))
         self._limits.record_grant(engine, now)
-        return PrefillGrant(engine.worker_id)
+        leased = self._limits.grant_lease(engine, request.call_id, request.seconds, now)
+        return PrefillGrant(engine.worker_id, leased=leased)
 
     def release_grant(self, message: PrefillDone) -> None:
         """Release the grant of a prompt that was read, or that will not be read."""
@@ -136,12 +139,14 @@
         availability: WorkerAvailability,
         limits: WorkerLimits,
         statements: WorkerStatements,
+        leases: WorkerLeases,
         log: DecisionLog,
     ) -> None:
         self._mirror = mirror
         self._availability = availability
         self._limits = limits
         self._statements = statements
+        self._leases = leases
         self._fleet = fleet
         self._engine_owner = engine_owner
         self._peers = peers
@@ -169,11 +174,15 @@
             excluded=(*call.workers_tried, *self._availability.unavailable_ids(engines)),
             long=long,
             repeatable=call.route.idempotent,
-            limits=self._reports_for_owner(limited, now),
+            limits=self._reports_for_owner(self._statements.limits, limited, now),
+            brittle=self._reports_for_owner(self._statements.brittleness, limited, now),
+            seconds=call.end_at - now,
         )
         owner = self._fleet.zone_owner(chosen.zone, call.service, now)
         grant = await self._ask_owner(owner, request)
         engine = self._mirror.workers.get(grant.worker_id) if grant is not None else None
+        if grant is not None and grant.leased:
+            self._leases.record(call.call_id, grant.worker_id, owner)
         self._log.write(
             LogEvent.ENGINE_GRANTED,
             call=call.call_id,
@@ -198,14 +207,12 @@
         return None
 
     def _reports_for_owner(
-        self, engines: Collection[WorkerRecord], now: float
+        self, limits: StatedLimits, engines: Collection[WorkerRecord], now: float
     ) -> tuple[ReportedLimit, ...]:
-        """Return the rate limits of some engines, to be reported to their owner."""
+        """Return the limits of some engines, to be reported to their owner."""
         if not engines:
             return ()
-        return self._statements.limits.reports_for_peers(
-            now, {engine.worker_id for engine in engines}
-        )
+        return limits.reports_for_peers(now, {engine.worker_id for engine in engines})
 
     def report_prefill_done(self, call: OpaqueCall, *, read: bool = False) -> None:
         """Report to the owner, once, that a call's prompt was read or will not be."""
--- a/src/corkcrank/node/ingress/call_handler.py
+++ b/src/corkcrank/node/ingress/call_handler.py
@@ -136,6 +136,7 @@
             outcome, detail = ResultCode.INTERNAL_ERROR.name, type(error).__name__
             raise
         finally:
+            self._services.leases.release_call(call.call_id)
             outcome = outcome or self._unanswered_outcome()
             if outcome == LEFT_OUTCOME:
                 self._record_caller_left(call, request)
--- a/src/corkcrank/node/limits/limit_grants.py
+++ b/src/corkcrank/node/limits/limit_grants.py
@@ -1,5 +1,7 @@
 """Grants for requests to rate-limited workers: a zone's owner issues them to all gateways."""
 
+import asyncio
+from collections import deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
@@ -11,17 +13,28 @@
 from corkcrank.links.decision_log import DecisionLog, LogEvent
 from corkcrank.machines.fleet import Fleet
 from corkcrank.machines.store_mirror import StoreMirror
+from corkcrank.node.limits.worker_leases import WorkerLeases
 from corkcrank.node.limits.worker_limits import WorkerLimits
 from corkcrank.node.peers.peer_client import PeerClient, PeerFailure, decode_answer
-from corkcrank.node.peers.peer_protocol import LIMIT_GRANT_PATH, LimitGrant, LimitGrantRequest
+from corkcrank.node.peers.peer_protocol import (
+    LIMIT_GRANT_PATH,
+    LeaseRelease,
+    LimitGrant,
+    LimitGrantRequest,
+)
 from corkcrank.node.workers.worker_availability import WorkerAvailability
 from corkcrank.node.workers.worker_statements import WorkerStatements
+from corkcrank.scheduling.concurrency_caps import PLACE_WAIT_SECONDS
 from corkcrank.scheduling.return_times import ReturnTimes
 
 GRANT_TIMEOUT_SECONDS = 0.15
 """Timeout for the owner's reply; without a reply the gateway's local send slots decide."""
 
 
+MAX_PLACE_WAIT_SECONDS = 0.2
+"""Time for which a call waits for a place at a brittle worker: a few usual calls."""
+
+
 class LimitOwner:
     """The owner's side of grants.
 
@@ -40,11 +53,44 @@
         self._availability = availability
         self._limits = limits
         self._statements = statements
+        self._waiting: deque[asyncio.Future[None]] = deque()
+        limits.on_release = self._wake_first
+
+    async def grant_or_wait(self, request: LimitGrantRequest) -> LimitGrant:
+        """Grant a request as :meth:`grant_request` does; wait for a place if the requester does."""
+        give_up_at = clock.now() + request.patience
+        grant = self.grant_request(request)
+        while not grant.worker_id and clock.now() + grant.wait < give_up_at:
+            await self._wait_for_release(grant.wait)
+            grant = self.grant_request(request)
+        return grant
+
+    async def _wait_for_release(self, seconds: float) -> None:
+        """Wait until a lease is released, for at most ``seconds``; the first to wait is served."""
+        released = asyncio.get_running_loop().create_future()
+        self._waiting.append(released)
+        try:
+            await asyncio.wait({released}, timeout=seconds)
+        finally:
+            if not released.done():
+                self._waiting.remove(released)
+
+    def release_lease(self, message: LeaseRelease) -> None:
+        """Release the lease of a call that has ended, or that its worker rejected."""
+        self._limits.release_lease(message)
+
+    def _wake_first(self) -> None:
+        while self._waiting:
+            released = self._waiting.popleft()
+            if not released.done():
+                released.set_result(None)
+                return
 
     def grant_request(self, request: LimitGrantRequest) -> LimitGrant:
         """Grant a request to the first candidate whose limit allows one more now."""
         now = clock.now()
         self._statements.apply_reports(request.limits, "asker")
+        self._statements.apply_brittleness_reports(request.brittle, "asker")
         found = (self._mirror.workers.get(worker_id) for worker_id in request.workers)
         workers = [
             worker
@@ -56,8 +102,11 @@
         for worker, wait in zip(workers, waits, strict=True):
             if wait <= 0:
                 self._limits.record_grant(worker, now, begins=begins)
-                return LimitGrant(worker.worker_id)
-        rates = [self._limits.rate(worker, now) or 0.0 for worker in workers]
+                leased = not begins and self._limits.grant_lease(
+                    worker, request.call_id, request.seconds, now
+                )
+                return LimitGrant(worker.worker_id, leased=leased)
+        rates = [self._limits.call_rate(worker, now) for worker in workers]
         return LimitGrant("", min(waits, default=0.0), sum(rates))
 
 
@@ -81,6 +130,7 @@
         owner: LimitOwner,
         limits: WorkerLimits,
         statements: WorkerStatements,
+        leases: WorkerLeases,
         peers: PeerClient,
         log: DecisionLog,
     ) -> None:
@@ -88,6 +138,7 @@
         self._owner = owner
         self._limits = limits
         self._statements = statements
+        self._leases = leases
         self._peers = peers
         self._log = log
         self._return_times = ReturnTimes()
@@ -100,16 +151,27 @@
 
         The owner of each zone is asked once, in the order of the zones' best workers. With
         ``begins``, the grant only allows the call to start its stages; another grant is requested
-        before the call is sent to a worker.
+        before the call is sent to a worker. If brittle workers have no place, the owner of the zone
+        with the shortest wait is asked once more, and the call waits there for a little.
         """
+        by_id = {worker.worker_id: worker for worker in workers}
+        zones = list(dict.fromkeys(worker.zone for worker in workers))
         grants = []
-        for zone in dict.fromkeys(worker.zone for worker in workers):
+        for zone in zones:
             candidates = [worker for worker in workers if worker.zone == zone]
             grant = await self._request_zone_grant(zone, call, candidates, begins=begins)
-            for worker in candidates:
-                if worker.worker_id == grant.worker_id:
-                    return LimitVerdict(worker)
+            if grant.worker_id in by_id:
+                return LimitVerdict(by_id[grant.worker_id])
             grants.append(grant)
+        shortest = min(range(len(zones)), key=lambda place: grants[place].wait, default=None)
+        if shortest is not None and grants[shortest].wait <= PLACE_WAIT_SECONDS:
+            candidates = [worker for worker in workers if worker.zone == zones[shortest]]
+            grant = await self._request_zone_grant(
+                zones[shortest], call, candidates, begins=begins, patience=MAX_PLACE_WAIT_SECONDS
+            )
+            if grant.worker_id in by_id:
+                return LimitVerdict(by_id[grant.worker_id])
+            grants[shortest] = grant
         now = clock.now()
         wait = min((grant.wait for grant in grants), default=0.0)
         # Each gateway gives retry times to its own callers only, but a caller may retry at any
@@ -120,16 +182,33 @@
         )
 
     async def _request_zone_grant(
-        self, zone: str, call: OpaqueCall, candidates: Sequence[WorkerRecord], *, begins: bool
+        self,
+        zone: str,
+        call: OpaqueCall,
+        candidates: Sequence[WorkerRecord],
+        *,
+        begins: bool,
+        patience: float = 0.0,
     ) -> LimitGrant:
         now = clock.now()
         ids = tuple(worker.worker_id for worker in candidates)
-        limits = self._statements.limits.reports_for_peers(now, ids)
-        request = LimitGrantRequest(call.call_id, call.service, zone, ids, limits, begins)
+        request = LimitGrantRequest(
+            call.call_id,
+            call.service,
+            zone,
+            ids,
+            self._statements.limits.reports_for_peers(now, ids),
+            begins,
+            self._statements.brittleness.reports_for_peers(now, ids),
+            call.end_at - now,
+            min(patience, call.end_at - now),
+        )
         owner = self._fleet.zone_owner(zone, call.service, now)
         grant = await self._ask_owner(owner, request)
         if grant is None:
             grant = self._grant_locally(candidates, clock.now())
+        if grant.leased:
+            self._leases.record(call.call_id, grant.worker_id, owner)
         self._log.write(
             LogEvent.LIMIT_GRANTED if grant.worker_id else LogEvent.LIMIT_DEFERRED,
             call=call.call_id,
@@ -151,17 +230,20 @@
             if self._limits.may_send(worker, now):
                 self._limits.record_sent(worker, now)
                 return LimitGrant(worker.worker_id)
-        rates = [self._limits.rate(worker, now) or 0.0 for worker in candidates]
+        rates = [self._limits.call_rate(worker, now) for worker in candidates]
         return LimitGrant("", GRANT_TIMEOUT_SECONDS, sum(rates))
 
     async def _ask_owner(self, owner: str, request: LimitGrantRequest) -> LimitGrant | None:
         member = self._fleet.member(owner)
         if owner == self._fleet.local_name or member is None:
-            return self._owner.grant_request(request)
+            return await self._owner.grant_or_wait(request)
         data = msgspec.msgpack.encode(request)
         address = member.heartbeat.address
         body = await self._peers.request(
-            address, LIMIT_GRANT_PATH, data, timeout_seconds=GRANT_TIMEOUT_SECONDS
+            address,
+            LIMIT_GRANT_PATH,
+            data,
+            timeout_seconds=GRANT_TIMEOUT_SECONDS + request.patience,
         )
         grant = decode_answer(body, LimitGrant)
         if isinstance(grant, PeerFailure):
--- a/src/corkcrank/node/limits/worker_limits.py
+++ b/src/corkcrank/node/limits/worker_limits.py
@@ -1,10 +1,13 @@
 """Computes the rate limits of workers, from their warm-ups and from their response headers."""
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
+from corkcrank.contracts import clock
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.machines.fleet import Fleet
 from corkcrank.machines.store_mirror import StoreMirror
+from corkcrank.node.peers.peer_protocol import LeaseRelease
+from corkcrank.scheduling.concurrency_caps import CapLimits, ConcurrencyCaps
 from corkcrank.scheduling.rate_limits import (
     MAX_WAIT_SECONDS,
     GrantLog,
@@ -13,6 +16,7 @@
     limits_for_stated_rate,
 )
 from corkcrank.scheduling.stated_limits import StatedLimits
+from corkcrank.scheduling.worker_choice import WorkerStatisticsTable
 
 GRANT_RETENTION_SECONDS = 60.0
 """Time for which the grants of a limited worker are kept after its last one."""
@@ -23,12 +27,24 @@
 
     As an owner, this gateway counts two things for a limited worker: the calls that it allowed to
     begin, and those that it allowed to be sent. The stages of a call between the two take time
-    that varies, so calls that began apart could otherwise be sent together.
+    that varies, so calls that began apart could otherwise be sent together. For a brittle worker it
+    holds leases of the calls in progress. ``on_release`` is called when one was released.
     """
 
-    def __init__(self, mirror: StoreMirror, fleet: Fleet, stated: StatedLimits) -> None:
+    def __init__(
+        self,
+        mirror: StoreMirror,
+        fleet: Fleet,
+        stated: StatedLimits,
+        brittleness: StatedLimits,
+        worker_statistics: WorkerStatisticsTable,
+    ) -> None:
         self._mirror = mirror
         self._stated = stated
+        self._brittleness = brittleness
+        self._worker_statistics = worker_statistics
+        self.caps = ConcurrencyCaps()
+        self.on_release: Callable[[], None] = lambda: None
         self._fleet = fleet
         self._slots = LocalSlots(fleet.local_name)
         self._begun = GrantLog()
@@ -66,6 +82,13 @@
             return None
         return profile.warmup_rate
 
+    def cap_limits(self, worker: WorkerRecord, now: float) -> CapLimits | None:
+        """Return what limits the calls in progress at a worker, ``None`` if it is not brittle."""
+        if self._brittleness.empty:
+            return None
+        tolerated = self._brittleness.rate(worker.worker_id, now)
+        return None if tolerated is None else CapLimits(worker.slots, tolerated)
+
     def seconds_until_grant(
         self, worker: WorkerRecord, now: float, *, begins: bool = False
     ) -> float:
@@ -75,7 +98,41 @@
         """
         limits = self.limits(worker, now)
         log = self._begun if begins else self._sent
-        return log.seconds_until_fit(worker.worker_id, limits, now) if limits else 0.0
+        wait = log.seconds_until_fit(worker.worker_id, limits, now) if limits else 0.0
+        cap_limits = self.cap_limits(worker, now)
+        if cap_limits is None:
+            return wait
+        statistics = self._worker_statistics.get_or_create(worker.worker_id)
+        calls = statistics.in_flight + statistics.peers_in_flight
+        place = self.caps.seconds_until_place(worker.worker_id, cap_limits, calls, now)
+        return max(wait, place)
+
+    def grant_lease(self, worker: WorkerRecord, call_id: str, seconds: float, now: float) -> bool:
+        """Record a granted call at a brittle worker, for at most ``seconds``; return whether it is.
+
+        The requester must release the lease once the call has ended.
+        """
+        cap_limits = self.cap_limits(worker, now)
+        if cap_limits is None:
+            self.caps.remove(worker.worker_id)
+            return False
+        self.caps.record_lease(worker.worker_id, cap_limits, call_id, seconds, now)
+        return True
+
+    def release_lease(self, message: LeaseRelease) -> None:
+        """Release the lease of a call that has ended, or that its worker rejected."""
+        self.caps.release(
+            message.worker_id, message.call_id, rejected=message.rejected, now=clock.now()
+        )
+        self.on_release()
+
+    def call_rate(self, worker: WorkerRecord, now: float) -> float:
+        """Return how many calls a second a limited worker accepts, as far as is known."""
+        rate = self.rate(worker, now)
+        if self.cap_limits(worker, now) is None:
+            return rate or 0.0
+        places = self.caps.rate(worker.worker_id, worker.slots)
+        return places if rate is None else min(rate, places)
 
     def record_grant(self, worker: WorkerRecord, now: float, *, begins: bool = False) -> None:
         """Record that this gateway, as owner, granted a request to a worker."""
@@ -86,7 +143,12 @@
             log.remove_idle_since(now - GRANT_RETENTION_SECONDS)
 
     def may_send(self, worker: WorkerRecord, now: float) -> bool:
-        """Return whether the local send slots allow a request to a worker without a grant."""
+        """Return whether a worker may be sent a request without a grant of the owner.
+
+        A brittle worker may, if this gateway has none in progress there.
+        """
+        if self.cap_limits(worker, now) is not None:
+            return not self._worker_statistics.get_or_create(worker.worker_id).in_flight
         rate = self.rate(worker, now)
         if rate is None:
             return True
@@ -100,9 +162,19 @@
 
     def limited(self, workers: Collection[WorkerRecord], now: float) -> list[WorkerRecord]:
         """Return the workers among those given that have a limit."""
-        if self._stated.empty and not self._mirror.warming.any_warming(now):
+        unlimited = self._stated.empty and self._brittleness.empty
+        if unlimited and not self._mirror.warming.any_warming(now):
             return []
-        return [worker for worker in workers if self.limits(worker, now)]
+        return [
+            worker
+            for worker in workers
+            if self.limits(worker, now) or self.cap_limits(worker, now) is not None
+        ]
+
+    def retain_only(self, worker_ids: Collection[str]) -> None:
+        """Remove the caps of workers that are no longer listed."""
+        for worker_id in set(self.caps.worker_ids()) - set(worker_ids):
+            self.caps.remove(worker_id)
 
     def warming(self, now: float) -> list[WorkerRecord]:
         """Return all workers that are limited by a warm-up."""
--- a/src/corkcrank/node/membership/heartbeats.py
+++ b/src/corkcrank/node/membership/heartbeats.py
@@ -223,6 +223,7 @@
             leaves=self._statements.leaves_to_report(self._mirror.workers.records()),
             backoffs=self._statements.notices.backoffs_for_peers(now),
             partitioned=self._fleet.local_partitioned,
+            brittle=self._statements.brittleness.reports_for_peers(now),
         )
 
     def _store_contact(self, table: StoreTable, now: float) -> ReportedStoreContact:
@@ -260,6 +261,7 @@
         self._crash_watch.apply_trial_reports(heartbeat.trials)
         self._crash_watch.apply_reports(heartbeat.crashes, heartbeat.name)
         self._statements.apply_reports(heartbeat.limits, heartbeat.name)
+        self._statements.apply_brittleness_reports(heartbeat.brittle, heartbeat.name)
         self._statements.apply_leave_reports(heartbeat.leaves, heartbeat.name)
         self._statements.apply_backoff_reports(heartbeat.backoffs, heartbeat.name)
         if heartbeat.configuration_version > self._mirror.version:
--- a/src/corkcrank/node/membership/peer_server.py
+++ b/src/corkcrank/node/membership/peer_server.py
@@ -30,6 +30,7 @@
     CONFIGURATION_PATH,
     CRASHES_PATH,
     FREE_PATH,
+    LEASE_RELEASE_PATH,
     LIMIT_GRANT_PATH,
     PIECES_PATH,
     PREFILL_DONE_PATH,
@@ -39,6 +40,7 @@
     ConfigurationAnswer,
     CrashesAnswer,
     FreeResults,
+    LeaseRelease,
     LimitGrantRequest,
     PrefillDone,
     PrefillRequest,
@@ -92,6 +94,7 @@
             PREFILL_REQUEST_PATH: self._prefill_request,
             PREFILL_DONE_PATH: self._prefill_done,
             LIMIT_GRANT_PATH: self._limit_grant,
+            LEASE_RELEASE_PATH: self._lease_release,
             CONFIGURATION_PATH: self._configuration,
             WORKERS_PATH: self._workers,
             CRASHES_PATH: self._crashes,
@@ -188,7 +191,13 @@
     async def _limit_grant(self, request: web.BaseRequest) -> web.Response:
         message = msgspec.msgpack.decode(await self._read(request), type=LimitGrantRequest)
         _check_still_connected(request)
-        return web.Response(body=msgspec.msgpack.encode(self._limit_owner.grant_request(message)))
+        grant = await self._limit_owner.grant_or_wait(message)
+        return web.Response(body=msgspec.msgpack.encode(grant))
+
+    async def _lease_release(self, request: web.BaseRequest) -> web.Response:
+        message = msgspec.msgpack.decode(await self._read(request), type=LeaseRelease)
+        self._limit_owner.release_lease(message)
+        return web.Response()
 
     async def _read(self, request: web.BaseRequest) -> bytes:
         """Return a complete message; drop a connection that falls silent within one."""
--- a/src/corkcrank/node/peers/peer_protocol.py
+++ b/src/corkcrank/node/peers/peer_protocol.py
@@ -23,6 +23,7 @@
 PREFILL_DONE_PATH = "/peer/engine-done"
 LIMIT_GRANT_PATH = "/peer/limit-grant"
 CRASHES_PATH = "/peer/crashes"
+LEASE_RELEASE_PATH = "/peer/lease-release"
 
 
 class FollowingPieces(msgspec.Struct, frozen=True, array_like=True):
@@ -101,18 +102,22 @@
     long: bool
     repeatable: bool = False
     limits: tuple[ReportedLimit, ...] = ()
+    brittle: tuple[ReportedLimit, ...] = ()
+    seconds: float = 0.0
 
 
 class PrefillGrant(msgspec.Struct, frozen=True):
     """The engine that reads the prompt next; empty if there is none.
 
     ``limited`` says that there are engines, but all are at their rate limits; one accepts more
-    after ``wait`` seconds.
+    after ``wait`` seconds. ``leased`` says that the call holds a lease of a brittle engine, which
+    the requester must release.
     """
 
     worker_id: str
     limited: bool = False
     wait: float = 0.0
+    leased: bool = False
 
 
 class PrefillDone(msgspec.Struct, frozen=True):
@@ -129,7 +134,9 @@
     ``workers`` are the candidates, the best first. ``limits`` are those that the requester has
     received from them, so that the owner knows a limit as soon as any of its requesters does.
     ``begins`` says that the grant only allows the call to start its stages, which compute its
-    inputs; another grant is requested before the call is sent to a worker.
+    inputs; another grant is requested before the call is sent to a worker. ``brittle`` are the
+    brittle workers known to the requester, ``seconds`` the time until the call must end, and
+    ``patience`` the seconds for which it waits for a place at a brittle worker.
     """
 
     call_id: str
@@ -138,17 +145,30 @@
     workers: tuple[str, ...]
     limits: tuple[ReportedLimit, ...] = ()
     begins: bool = False
+    brittle: tuple[ReportedLimit, ...] = ()
+    seconds: float = 0.0
+    patience: float = 0.0
 
 
 class LimitGrant(msgspec.Struct, frozen=True):
     """The worker that is granted the call; empty if none accepts it for ``wait`` seconds.
 
-    ``rate`` is how many requests a second all candidates accept together.
+    ``rate`` is how many requests a second all candidates accept together. ``leased`` says that the
+    call holds a lease of a brittle worker, which the requester must release.
     """
 
     worker_id: str
     wait: float = 0.0
     rate: float = 0.0
+    leased: bool = False
+
+
+class LeaseRelease(msgspec.Struct, frozen=True):
+    """A call's lease of a brittle worker has ended; ``rejected`` for want of room there."""
+
+    worker_id: str
+    call_id: str
+    rejected: bool = False
 
 
 class WorkersRequest(msgspec.Struct, frozen=True):
--- a/src/corkcrank/node/process/node.py
+++ b/src/corkcrank/node/process/node.py
@@ -23,6 +23,7 @@
 from corkcrank.node.engines.engine_owner import EngineOwner, PrefillGrantClient
 from corkcrank.node.ingress.call_handler import CallHandler
 from corkcrank.node.limits.limit_grants import LimitGrantClient, LimitOwner
+from corkcrank.node.limits.worker_leases import WorkerLeases
 from corkcrank.node.membership.heartbeats import HeartbeatLoop
 from corkcrank.node.membership.peer_pulls import PeerPulls
 from corkcrank.node.membership.peer_server import PeerServer, serve_readiness
@@ -84,8 +85,7 @@
         )
         self._access, self.links, self._statements = access, access.links, access.statements
         self._worker_statistics, availability = access.statistics, access.availability
-        limits = access.limits
-        self._health, self.crash_watch = access.health, access.crash_watch
+        limits, self._health, self.crash_watch = access.limits, access.health, access.crash_watch
         self.stage_owner = StageOwner(
             self.mirror,
             self._worker_statistics,
@@ -102,9 +102,10 @@
             self._peers,
             random_source,
         )
+        leases = WorkerLeases(self.fleet, limits, self._peers)
         limit_owner = LimitOwner(self.mirror, availability, limits, self._statements)
         limit_grants = LimitGrantClient(
-            self.fleet, limit_owner, limits, self._statements, self._peers, log
+            self.fleet, limit_owner, limits, self._statements, leases, self._peers, log
         )
         pace = PrefillPace()
         engine_owner = EngineOwner(
@@ -118,6 +119,7 @@
             availability,
             limits,
             self._statements,
+            leases,
             log,
         )
         self.stage_owner.on_outcome = self._health.record_outcome
@@ -135,6 +137,7 @@
             crash_watch=self.crash_watch,
             limits=limits,
             limit_grants=limit_grants,
+            leases=leases,
             statements=self._statements,
             client=self._client,
             links=self.links,
@@ -303,10 +306,7 @@
         )
 
     def _on_partition(self) -> None:
-        """Tell members at once that this gateway lost its links to all workers, or has them again.
-
-        The members choose other owners then.
-        """
+        """Tell members at once: they choose other owners."""
         self._access.apply_partition()
         self.heartbeats.request_urgent_send()
 
--- a/src/corkcrank/node/process/worker_access.py
+++ b/src/corkcrank/node/process/worker_access.py
@@ -45,7 +45,9 @@
         self.statements = WorkerStatements(ports.statements, notices, log, metrics)
         self.statistics = WorkerStatisticsTable(notices)
         self.availability = WorkerAvailability(mirror.workers, self.statistics)
-        self.limits = WorkerLimits(mirror, fleet, self.statements.limits)
+        self.limits = WorkerLimits(
+            mirror, fleet, self.statements.limits, self.statements.brittleness, self.statistics
+        )
         self.health = WorkerHealth(
             mirror, self.statistics, log, metrics, fleet.local_zone, random_source
         )
@@ -73,6 +75,8 @@
         self.health.retain_only(worker_ids)
         self.relay.retain_only(worker_ids)
         self.statements.limits.retain_only(worker_ids)
+        self.statements.brittleness.retain_only(worker_ids)
+        self.limits.retain_only(worker_ids)
         self.statements.notices.update_listed(worker_ids, clock.now())
 
     def apply_partition(self) -> None:
--- a/src/corkcrank/node/stages/owned_queue.py
+++ b/src/corkcrank/node/stages/owned_queue.py
@@ -21,6 +21,9 @@
 FULL_BLOCK_SECONDS = 0.08
 """Pause after a worker rejected a call as full, because another owner sends to it too."""
 
+BRITTLE_BLOCK_SECONDS = 1.0
+"""Pause after a brittle worker rejected a call: it counts its rejections over this time."""
+
 MAX_LIMIT_BLOCK_SECONDS = 1.0
 """Time after which the queue of a rate-limited worker is checked again: the limit may be lifted."""
 
--- a/src/corkcrank/node/stages/stage_owner.py
+++ b/src/corkcrank/node/stages/stage_owner.py
@@ -19,6 +19,7 @@
 from corkcrank.node.stages.input_releases import InputReleases
 from corkcrank.node.stages.owned_queue import (
     AVOID_SECONDS,
+    BRITTLE_BLOCK_SECONDS,
     FULL_BLOCK_SECONDS,
     MIN_TIMER_SECONDS,
     OwnedQueue,
@@ -294,7 +295,8 @@
         """
         entry.queue.requeue(call.stage_items)
         self.inputs.record_requeued(call.stage_items)
-        entry.queue.block_calls(now, FULL_BLOCK_SECONDS)
+        brittle = self._limits.cap_limits(entry.worker, now) is not None
+        entry.queue.block_calls(now, BRITTLE_BLOCK_SECONDS if brittle else FULL_BLOCK_SECONDS)
         if not self._availability.may_send(entry.worker):
             self._refuse(entry.queue.remove_all())
 
--- a/src/corkcrank/node/streams/engine_turns.py
+++ b/src/corkcrank/node/streams/engine_turns.py
@@ -1,5 +1,8 @@
 """Requests a call's turn to have its prompt read by an engine."""
 
+import asyncio
+
+from corkcrank.contracts import clock
 from corkcrank.contracts.opaque_call import OpaqueCall
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.links.decision_log import LogEvent
@@ -7,6 +10,15 @@
 from corkcrank.node.engines.engine_owner import PrefillVerdict
 from corkcrank.node.streams.stream_admission import StreamAdmission
 
+MIN_WAIT_SECONDS = 0.02
+"""Minimum pause before owners are asked again for a turn, in seconds."""
+
+MAX_TURN_WAIT_SECONDS = 1.0
+"""Maximum wait for a turn at a rate-limited engine after the stages, in seconds."""
+
+MAX_BRITTLE_TURN_WAIT_SECONDS = 0.1
+"""Maximum wait for a turn at a brittle engine of a call without stages, in seconds."""
+
 
 class EngineTurns:
     """Requests turns for one call from the owners of the zones' engines."""
@@ -18,6 +30,31 @@
         self._services = services
         self._admission = admission
 
+    async def wait_for_turn(self, chosen: WorkerRecord, *, has_results: bool) -> PrefillVerdict:
+        """Request a turn; wait a little for one if every engine has reached its limit.
+
+        ``has_results`` says that the call's stages have results, which a refusal would waste.
+        """
+        give_up_at = min(self._call.end_at, clock.now() + self._max_wait(chosen, has_results))
+        turn = await self.request_turn(chosen)
+        while turn.engine is None and clock.now() + self._wait(turn) < give_up_at:
+            await asyncio.sleep(max(MIN_WAIT_SECONDS, self._wait(turn)))
+            turn = await self.request_turn(chosen)
+        return turn
+
+    def _max_wait(self, engine: WorkerRecord, has_results: bool) -> float:
+        brittle = self._services.limits.cap_limits(engine, clock.now()) is not None
+        if brittle and not has_results:
+            return MAX_BRITTLE_TURN_WAIT_SECONDS
+        return MAX_TURN_WAIT_SECONDS
+
+    def _wait(self, turn: PrefillVerdict) -> float:
+        """Return the seconds until a turn may be granted, after none was."""
+        availability, now = self._services.availability, clock.now()
+        in_backoff = availability.workers_in_backoff(self._call.service, now)
+        backoffs = [availability.backoff_seconds(engine, now) for engine in in_backoff]
+        return max(turn.wait, min(backoffs, default=0.0))
+
     async def request_turn(self, chosen: WorkerRecord) -> PrefillVerdict:
         """Request a turn, which the owner of a zone's engines grants.
 
--- a/src/corkcrank/node/streams/stream_run.py
+++ b/src/corkcrank/node/streams/stream_run.py
@@ -1,7 +1,5 @@
 """Serves a call whose answer is a stream: runs its stages, sends it to engines, resumes it."""
 
-import asyncio
-
 from aiohttp import web
 
 from corkcrank.contracts import clock
@@ -13,7 +11,6 @@
 from corkcrank.node.callers.drain import abandoned_call_answer
 from corkcrank.node.callers.refusals import CallerDisconnectedError, Refusal
 from corkcrank.node.calls.services import CallServices
-from corkcrank.node.engines.engine_owner import PrefillVerdict
 from corkcrank.node.stages.stage_failures import StageFailedError
 from corkcrank.node.stages.stage_run import StageRun
 from corkcrank.node.streams.engine_assignment import EngineAssignment
@@ -25,12 +22,6 @@
 from corkcrank.scheduling.call_admission import MIN_RETRY_SECONDS
 from corkcrank.scheduling.stage_plan import StagePlan
 
-MIN_WAIT_SECONDS = 0.02
-"""Minimum pause before owners are asked again for a turn, in seconds."""
-
-MAX_TURN_WAIT_SECONDS = 1.0
-"""Maximum wait for a turn at a rate-limited engine after the stages, in seconds."""
-
 NO_ENGINE_RETRY_SECONDS = 3 * MIN_RETRY_SECONDS
 """Retry delay sent to the caller when no engine is available, in seconds."""
 
@@ -195,30 +186,15 @@
         return None if crash_watch.quarantine_seconds_left(self._call) else engine
 
     async def _wait_for_turn(self, chosen: WorkerRecord) -> WorkerRecord | None:
-        """Wait for a turn to read the prompt; return the engine that granted it.
-
-        If every engine has reached its rate limit, waits a little for a turn, because the
-        results of the call's stages would be wasted otherwise.
-        """
+        """Wait for a turn to read the prompt; return the engine that granted it."""
         self._call.step = CallStep.ENGINE_GRANT
-        give_up_at = min(self._call.end_at, clock.now() + MAX_TURN_WAIT_SECONDS)
-        turn = await self._turns.request_turn(chosen)
-        while turn.engine is None and clock.now() + self._turn_wait(turn) < give_up_at:
-            await asyncio.sleep(max(MIN_WAIT_SECONDS, self._turn_wait(turn)))
-            turn = await self._turns.request_turn(chosen)
+        turn = await self._turns.wait_for_turn(chosen, has_results=self._plan.has_pieces)
         engine = turn.engine
         self._limit_wait = turn.wait if engine is None else None
         if engine is not None and engine.worker_id != chosen.worker_id:
             self._assignment.assign(engine)
         return engine
 
-    def _turn_wait(self, turn: PrefillVerdict) -> float:
-        """Return the seconds until a turn may be granted, after none was."""
-        availability, now = self._services.availability, clock.now()
-        in_backoff = availability.workers_in_backoff(self._call.service, now)
-        backoffs = [availability.backoff_seconds(engine, now) for engine in in_backoff]
-        return max(turn.wait, min(backoffs, default=0.0))
-
     def _usable_or_other(self, engine: WorkerRecord) -> WorkerRecord | None:
         tried = engine.worker_id in self._call.workers_tried
         if not tried and self._services.availability.may_send(engine):
--- a/src/corkcrank/node/telemetry/metrics.py
+++ b/src/corkcrank/node/telemetry/metrics.py
@@ -109,6 +109,12 @@
             ("change",),
             registry=self.registry,
         )
+        self.brittle_workers = Counter(
+            "corkcrank_brittle_workers",
+            "Responses of workers that changed how many rejections they tolerate, by kind.",
+            ("change",),
+            registry=self.registry,
+        )
         self.worker_notices = Counter(
             "corkcrank_worker_notices",
             "Leaves first heard of, requested backoffs, and unreadable ones, by kind.",
--- a/src/corkcrank/node/workers/worker_statements.py
+++ b/src/corkcrank/node/workers/worker_statements.py
@@ -40,6 +40,8 @@
         self._metrics = metrics
         self._unknown_headers: set[str] = set()
         self.limits = StatedLimits()
+        self.brittleness = StatedLimits()
+        """The rejections a second that brittle workers tolerate."""
         self.notices = notices
         self.on_update: Callable[[], None] = lambda: None
         self.on_leave: Callable[[], None] = lambda: None
@@ -60,6 +62,11 @@
             self._record_unreadable_limit(worker.worker_id, statement.rate_limit.reason)
         else:
             self._record_stated_limit(worker, statement.rate_limit)
+        if isinstance(statement.tolerated_rejections, Unreadable):
+            reason = statement.tolerated_rejections.reason
+            self._record_unreadable_notice(worker.worker_id, reason)
+        else:
+            self._record_brittleness(worker, statement.tolerated_rejections)
         if isinstance(statement.leaving, Unreadable):
             self._record_unreadable_notice(worker.worker_id, statement.leaving.reason)
         elif statement.leaving:
@@ -103,6 +110,36 @@
             if change is not None:
                 self._record_change(report.worker_id, change, report.rate, source, report.age)
 
+    def apply_brittleness_reports(self, reports: Iterable[ReportedLimit], source: str) -> None:
+        """Apply a peer's reports of workers that tolerate few rejections."""
+        now = clock.now()
+        for report in reports:
+            if not report.readable:
+                self._record_unreadable_notice("", f"report of {source}")
+                continue
+            change = self.brittleness.apply_peer_report(report, now)
+            if change is not None:
+                self._report_brittleness(report.worker_id, change, report.rate, source)
+
+    def _record_brittleness(self, worker: WorkerRecord, tolerated: float | None) -> None:
+        change = self.brittleness.record_answer(worker.worker_id, tolerated, clock.now())
+        if change is not None:
+            self._report_brittleness(worker.worker_id, change, tolerated, LOCAL_CALL)
+
+    def _report_brittleness(
+        self, worker_id: str, change: LimitChange, tolerated: float | None, source: str
+    ) -> None:
+        self._metrics.brittle_workers.labels(change.value).inc()
+        self._log.write(
+            LogEvent.BRITTLENESS_RECEIVED,
+            worker=worker_id,
+            change=change.value,
+            tolerated=tolerated,
+            source=source,
+        )
+        if change is LimitChange.NAMED:
+            self.on_update()
+
     def _record_leave(self, worker: WorkerRecord) -> None:
         if self.notices.record_leave(worker, LOCAL_CALL, clock.now()):
             self._report_leave(worker.worker_id, LOCAL_CALL, 0.0)
--- a/src/corkcrank/platform/worker_statements.py
+++ b/src/corkcrank/platform/worker_statements.py
@@ -10,7 +10,7 @@
 """Maximum length of an unreadable value in logs, in characters."""
 
 MAX_RATE_LIMIT = 1e6
-"""Highest rate limit in requests a second; higher ones are reduced to it."""
+"""Highest amount in requests a second; higher ones are reduced to it."""
 
 MAX_RETRY_AFTER_SECONDS = 86_400.0
 """Longest readable time until a retry. A longer one is taken for an error of the worker."""
@@ -46,6 +46,7 @@
 
 _RATE_LIMIT_HEADERS = frozenset((names.SERVER_LIMIT.lower(), names.PREFIXED_SERVER_LIMIT.lower()))
 _LEAVING_HEADERS = frozenset((names.SERVER_LEAVING.lower(), names.PREFIXED_SERVER_LEAVING.lower()))
+_BRITTLE_HEADERS = frozenset((names.SERVER_BRITTLE.lower(), names.PREFIXED_SERVER_BRITTLE.lower()))
 _RETRY_AFTER_HEADER = names.RETRY_AFTER.lower()
 
 
@@ -58,6 +59,7 @@
         If an answer has several values, the strictest readable one applies.
         """
         limits: list[str] = []
+        tolerated: list[str] = []
         leaving: list[str] = []
         retry_after: list[str] = []
         unknown: list[str] = []
@@ -65,6 +67,8 @@
             lowered = name.lower()
             if lowered in _RATE_LIMIT_HEADERS:
                 limits.extend(value.split(","))
+            elif lowered in _BRITTLE_HEADERS:
+                tolerated.extend(value.split(","))
             elif lowered in _LEAVING_HEADERS:
                 leaving.extend(value.split(","))
             elif lowered == _RETRY_AFTER_HEADER:
@@ -72,26 +76,27 @@
             elif lowered not in KNOWN_HEADERS:
                 unknown.append(lowered)
         return WorkerStatement(
-            _read_limits(limits),
+            _read_smallest("rate limit", limits),
+            _read_smallest("number of tolerated rejections", tolerated),
             _read_leaving(leaving),
             _read_retry_after(retry_after),
             tuple(unknown),
         )
 
 
-def _read_limits(texts: list[str]) -> float | Unreadable | None:
-    """Return the smallest readable limit in requests a second; ``None`` without any.
+def _read_smallest(what: str, texts: list[str]) -> float | Unreadable | None:
+    """Return the smallest readable amount of a second; ``None`` without any.
 
-    >>> _read_limits([]), _read_limits(["1.2"]), _read_limits(["4", " 2 ", "none"])
-    (None, 1.2, 2.0)
-    >>> _read_limits(["-1", "nan"])
+    >>> [_read_smallest("rate", texts) for texts in ([], ["1.2"], ["4", " 2 ", "none"])]
+    [None, 1.2, 2.0]
+    >>> _read_smallest("rate limit", ["-1", "nan"])
     Unreadable(reason="rate limit is '-1'")
     """
     if not texts:
         return None
     rates = _read_amounts(texts)
     if not rates:
-        return _unreadable("rate limit", texts)
+        return _unreadable(what, texts)
     return min(MAX_RATE_LIMIT, *rates)
 
 
