--- a/src/corkcrank/node/process/node.py
+++ b/src/corkcrank/node/process/node.py
@@ -83,6 +83,7 @@
         access = WorkerAccess(
             ports, self.mirror, self.fleet, self._client, self._peers, log, metrics, random_source
         )
+        access.relay.on_silence = silence.record_dropped
         self._access, self.links, self._statements = access, access.links, access.statements
         self._worker_statistics, availability = access.statistics, access.availability
         limits, self._health, self.crash_watch = access.limits, access.health, access.crash_watch
@@ -306,7 +307,6 @@
         )
 
     def _on_partition(self) -> None:
-        """Tell members at once: they choose other owners."""
         self._access.apply_partition()
         self.heartbeats.request_urgent_send()
 
--- a/src/corkcrank/node/relays/relay_client.py
+++ b/src/corkcrank/node/relays/relay_client.py
@@ -13,11 +13,18 @@
 from corkcrank.contracts import clock
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.links.decision_log import DecisionLog, LogEvent
-from corkcrank.links.silence import drop_idle
+from corkcrank.links.silence import (
+    ConnectionKind,
+    SilenceListener,
+    SilentConnection,
+    drop_idle,
+    ignore_silence,
+)
 from corkcrank.machines.fleet import Fleet
 from corkcrank.machines.members import Member
 from corkcrank.node.peers.peer_client import (
     PEER_CONNECT_TIMEOUT_SECONDS,
+    PEER_SILENCE_SECONDS,
     PeerClient,
     PeerFailure,
     decode_answer,
@@ -84,6 +91,7 @@
         log: DecisionLog,
         metrics: NodeMetrics,
     ) -> None:
+        self.on_silence: SilenceListener = ignore_silence
         self._fleet = fleet
         self._peers = peers
         self._notices = notices
@@ -230,7 +238,7 @@
         self, member: Member, request: WorkerRequest
     ) -> aiohttp.ClientResponse | SendFailure | None:
         """Return a member's response, why there is none, or ``None`` if nothing was sent."""
-        name = member.heartbeat.name
+        name, started = member.heartbeat.name, clock.now()
         task = asyncio.create_task(self._post(member.heartbeat.address, request))
         try:
             while not task.done():
@@ -249,6 +257,9 @@
             self._members.record_unreachable(name)
             drop_idle(self._kept, member.heartbeat.address)
             return None
+        except TimeoutError:
+            self._record_silence(member.heartbeat.address, clock.now() - started)
+            return SendFailure(SendTrouble.UNKNOWN, f"connection to member {name} is silent")
         except (aiohttp.ClientError, OSError, ValueError) as error:
             return SendFailure(SendTrouble.UNKNOWN, f"{type(error).__name__} of member {name}")
 
@@ -265,11 +276,25 @@
             call_id=request.call_id,
         )
         session = self._fresh if request.fresh else self._kept
-        return await session.post(
+        response = await session.post(
             f"http://{address}{RELAY_PATH}",
             data=encode_relayed_request(head, request.body),
-            timeout=aiohttp.ClientTimeout(total=None, sock_connect=PEER_CONNECT_TIMEOUT_SECONDS),
+            timeout=aiohttp.ClientTimeout(
+                total=None,
+                sock_connect=PEER_CONNECT_TIMEOUT_SECONDS,
+                sock_read=PEER_SILENCE_SECONDS,
+            ),
         )
+        connection = response.connection
+        if connection is not None and connection.protocol is not None:
+            # Only the member sends interim responses; a worker may pause within its body.
+            connection.protocol.read_timeout = None
+            connection.protocol._reschedule_timeout()
+        return response
+
+    def _record_silence(self, address: str, waited: float) -> None:
+        idle = drop_idle(self._kept, address)
+        self.on_silence(SilentConnection(ConnectionKind.PEER, address, waited, idle))
 
 
 def _outcome_of(result: aiohttp.ClientResponse | SendFailure | None) -> RelayOutcome:
--- a/src/corkcrank/node/relays/relay_server.py
+++ b/src/corkcrank/node/relays/relay_server.py
@@ -13,7 +13,10 @@
 from corkcrank.links.decision_log import DecisionLog, LogEvent
 from corkcrank.links.platform_ports import CallCodec
 from corkcrank.machines.store_mirror import StoreMirror
-from corkcrank.node.peers.peer_client import PEER_SILENCE_SECONDS
+from corkcrank.node.peers.peer_client import (
+    PEER_PROGRESS_INTERVAL_SECONDS,
+    PEER_SILENCE_SECONDS,
+)
 from corkcrank.node.relays.relay_protocol import (
     RELAY_HEADER,
     RELAY_RETRY_HEADER,
@@ -28,7 +31,12 @@
 from corkcrank.node.workers.worker_availability import Unavailability, WorkerAvailability
 from corkcrank.node.workers.worker_client import WorkerClient, unframed_body_end
 from corkcrank.node.workers.worker_probe import ProbeResult, probe_worker
-from corkcrank.node.workers.worker_request import SendFailure, SendTrouble, WorkerRequest
+from corkcrank.node.workers.worker_request import (
+    SendFailure,
+    SendResult,
+    SendTrouble,
+    WorkerRequest,
+)
 from corkcrank.node.workers.worker_statements import WorkerStatements
 
 MAX_RELAYED_REQUESTS = 256
@@ -43,6 +51,8 @@
 MIN_FINAL_STATUS = 200
 """Lowest status of a final response."""
 
+INTERIM_RESPONSE = b"HTTP/1.1 102 Processing\r\n\r\n"
+
 FAILURE_STATUS = 502
 """Status of a response that is not a worker's."""
 
@@ -155,7 +165,7 @@
             new_work=head.new_work,
             call_id=head.call_id,
         )
-        upstream = await self._client.send_directly(sent)
+        upstream = await self._send_with_progress(request, sent)
         if isinstance(upstream, SendFailure):
             return self._failure(head, _OUTCOMES[upstream.trouble], upstream.detail)
         try:
@@ -168,6 +178,23 @@
         finally:
             upstream.close()
 
+    async def _send_with_progress(
+        self, request: web.BaseRequest, sent: WorkerRequest
+    ) -> SendResult:
+        """Send a request; while its response is awaited, show the sender that this gateway lives.
+
+        An interim response is ignored by the sender's HTTP library, but ends its silence.
+        """
+        sending = asyncio.create_task(self._client.send_directly(sent))
+        try:
+            while True:
+                done, _ = await asyncio.wait({sending}, timeout=PEER_PROGRESS_INTERVAL_SECONDS)
+                if done:
+                    return sending.result()
+                await request.writer.write(INTERIM_RESPONSE)
+        finally:
+            sending.cancel()
+
     def _record_statements(
         self, head: RelayedRequest, worker: WorkerRecord, upstream: aiohttp.ClientResponse
     ) -> None:
--- a/tests/platform/test_relayed_requests.py
+++ b/tests/platform/test_relayed_requests.py
@@ -15,7 +15,9 @@
 
 from corkcrank.contracts import clock
 from corkcrank.load.loopback import loopback_address
+from corkcrank.node.peers.peer_client import PEER_SILENCE_SECONDS
 from corkcrank.node.process.node import Node
+from corkcrank.node.relays import relay_server
 from corkcrank.node.relays.relay_protocol import RELAY_HEADER
 
 RELEASE_SECONDS = 0.5
@@ -233,3 +235,31 @@
         response = await call
         assert response.status == 200
         assert (await response.read()).startswith(b"answer of ")
+
+
+async def test_a_slow_worker_is_waited_for_and_a_silent_member_is_not(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A worker that takes longer than the silence of a connection to a member is waited for."""
+    async with partitioned_world(monkeypatch, 2) as played:
+        await partition(played, 0)
+        for worker in played.plain:
+            worker.hold = asyncio.Event()
+        call = asyncio.create_task(send(played, "once"))
+        await asyncio.sleep(1.3 * PEER_SILENCE_SECONDS)
+        for worker in played.plain:
+            worker.hold.set()  # type: ignore[union-attr]
+        response = await call
+        assert (response.status, len(await response.read()) > 0) == (200, True)
+        for worker in played.plain:
+            worker.hold = asyncio.Event()
+        pause_interim_responses(monkeypatch)
+        started = clock.now()
+        response = await send(played, "once")
+        assert response.status == 502
+        assert PEER_SILENCE_SECONDS <= clock.now() - started < 1.5 * PEER_SILENCE_SECONDS
+
+
+def pause_interim_responses(patch: pytest.MonkeyPatch) -> None:
+    """Let members send nothing while they wait for a worker."""
+    patch.setattr(relay_server, "PEER_PROGRESS_INTERVAL_SECONDS", 60.0)
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -105,6 +105,8 @@
         self.store = SoakStore(random.Random(f"store {seed}"))
         self.workers: list[AnyWorker] = []
         self.claimed: set[str] = set()
+        self.partitioned: set[str] = set()
+        """Nodes whose links to workers are cut."""
         self.nodes: list[SoakNode] = []
         self.watches: list[AcceptWatch] = []
         self.processes = ProcessGroup()
--- a/tests/soak/injector.py
+++ b/tests/soak/injector.py
@@ -9,6 +9,7 @@
 from node_world import route
 
 from soak.accepting import FLOOD_PAYLOADS, flood
+from soak.brittle_workers import turn_brittle
 from soak.cold_engines import turn_cold
 from soak.crashing import CrashingRequests
 from soak.evacuations import evacuate
@@ -17,6 +18,7 @@
 from soak.limited_workers import announce_limits
 from soak.links import FaultLink, LinkTrouble, Silence
 from soak.noticed_workers import announce_leave, request_backoffs
+from soak.partitions import cut_from_workers
 from soak.picking import between, pick
 from soak.restarts import (
     SAME_ADDRESS_SHARE,
@@ -82,6 +84,8 @@
             FaultKind.WORKERS_LIMITED: lambda fault: announce_limits(fleet, fault),
             FaultKind.LEAVE_ANNOUNCED: lambda fault: announce_leave(fleet, fault),
             FaultKind.BACKOFFS_REQUESTED: lambda fault: request_backoffs(fleet, fault),
+            FaultKind.CUT_FROM_WORKERS: lambda fault: cut_from_workers(fleet, fault),
+            FaultKind.WORKERS_BRITTLE: lambda fault: turn_brittle(fleet, fault),
         }
 
     async def play(self, schedule: Sequence[Fault]) -> None:
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -144,6 +144,20 @@
         self._signal_change()
         return len(self._passages)
 
+    def silence_client(self, host: str) -> None:
+        """Silence the open connections of one client permanently."""
+        for passage in self._passages:
+            if passage.client[0] == host:
+                passage.lose(Silence.BOTH)
+        self._signal_change()
+
+    def reset_client(self, host: str) -> None:
+        """Reset the open connections of one client."""
+        for writer in list(self._writers):
+            peer = writer.get_extra_info("peername")
+            if peer is not None and peer[0] == host:
+                _reset(writer)
+
     def silent_clients(self) -> set[Address]:
         """Return the client addresses of the permanently silent connections."""
         return {item.client for item in self._passages if item.silent}
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -38,6 +38,8 @@
     WORKERS_LIMITED = "workers name rate limits"
     LEAVE_ANNOUNCED = "a worker announces its leave in its answers only"
     BACKOFFS_REQUESTED = "workers reject calls and request backoffs"
+    CUT_FROM_WORKERS = "nodes lose their links to all workers"
+    WORKERS_BRITTLE = "workers fall over if they reject too many calls"
 
 
 PLANNED = (
@@ -61,6 +63,8 @@
     FaultKind.WORKERS_LIMITED,
     FaultKind.LEAVE_ANNOUNCED,
     FaultKind.BACKOFFS_REQUESTED,
+    FaultKind.CUT_FROM_WORKERS,
+    FaultKind.WORKERS_BRITTLE,
 )
 """Kinds with their own random source, so that they don't change a seed's other faults."""
 
@@ -95,6 +99,12 @@
 MEAN_NOTICE_PAUSE_SECONDS = 5.0
 """Mean time between the starts of two announced leaves, and of two series of backoffs."""
 
+MEAN_CUT_PAUSE_SECONDS = 6.0
+"""Mean time between the starts of two cuts of nodes from workers."""
+
+MEAN_BRITTLE_PAUSE_SECONDS = 6.0
+"""Mean time from the end of one time with brittle workers to the next."""
+
 MEAN_PAUSE_SECONDS = 0.9
 FAULT_SECONDS = (0.3, 4.5)
 SERIES_SHARE = 0.25
@@ -149,6 +159,8 @@
         faults += _silences(seed, seconds)
         faults += _grey_engines(seed, seconds)
         faults += _crashing_requests(seed, seconds)
+        faults += _cuts(seed, seconds)
+        faults += _brittle_workers(seed, seconds)
     faults += _evacuations(seed, seconds)
     faults += _cold_engines(seed, seconds)
     faults += _limits(seed, seconds)
@@ -186,6 +198,24 @@
     )
 
 
+def _cuts(seed: int, seconds: float) -> list[Fault]:
+    """Return the cuts of nodes from all workers; two may overlap."""
+    source = random.Random(f"cuts {seed}")
+    pause = MEAN_CUT_PAUSE_SECONDS
+    return _draw_faults_of_kind(
+        FaultKind.CUT_FROM_WORKERS, source, seconds, pause, overlapping=True
+    )
+
+
+def _brittle_workers(seed: int, seconds: float) -> list[Fault]:
+    """Return the faults in which the workers of a service are brittle."""
+    source = random.Random(f"brittle workers {seed}")
+    pause = MEAN_BRITTLE_PAUSE_SECONDS
+    return _draw_faults_of_kind(
+        FaultKind.WORKERS_BRITTLE, source, seconds, pause, overlapping=False
+    )
+
+
 def _evacuations(seed: int, seconds: float) -> list[Fault]:
     """Return the zone evacuations; two overlap if the next starts before the last ends."""
     source = random.Random(f"evacuations {seed}")
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 from platform_standins import ATTEMPT, EXPECT, INSTANCE, NOT_RUN, SEAL, Server
 
+from soak.brittleness import Brittleness
 from soak.ledger import (
     CRASHING_BODY_PREFIX,
     Ledger,
@@ -55,6 +56,7 @@
         self.cold = RequestWindow(COLD_SECONDS)
         self.limit = NamedLimit()
         self.notices = StatedNotices()
+        self.brittleness = Brittleness()
 
     @property
     def busy(self) -> bool:
@@ -87,7 +89,8 @@
             told = self.notices.reject(sent.node)
             return web.Response(status=503, headers={NOT_RUN: "1", **told, **self._own(request)})
         kind = self.grey if self._source.random() < self.grey_share else ""
-        if kind == "full" or self.at_work >= 4 * SLOTS:
+        full = self.brittleness.is_full(self.at_work)
+        if full or kind == "full" or self.at_work >= 4 * SLOTS:
             return web.Response(status=503, headers={NOT_RUN: "1", **self._own(request)})
         if SoakStageWorker.lost.intersection(_inputs(request)):
             return web.Response(status=409, headers={NOT_RUN: "1", **self._own(request)})
@@ -122,7 +125,12 @@
         self._ledger.check_limit(call, self.worker_id, limit.window, limit.max_requests, self.link)
 
     def _own(self, request: web.BaseRequest) -> dict[str, str]:
-        return {**_own(request), **self.limit.headers, **self.notices.headers}
+        return {
+            **_own(request),
+            **self.limit.headers,
+            **self.notices.headers,
+            **self.brittleness.headers,
+        }
 
     async def _serve(
         self, request: web.BaseRequest, call: SentCall, run: Run, kind: str
