--- a/src/corkcrank/scheduling/concurrency_caps.py
+++ b/src/corkcrank/scheduling/concurrency_caps.py
@@ -27,6 +27,9 @@
 CALL_TIME_WEIGHT = 0.1
 """Weight of the newest call in the mean time of a worker's calls."""
 
+MIN_CALL_SECONDS = 0.001
+"""Shortest mean time of a call that a rate is computed from."""
+
 DEFAULT_CALL_SECONDS = 0.1
 """Time of a call that is assumed before the first has ended."""
 
@@ -146,7 +149,7 @@
         cap = self._caps.get(worker_id)
         if cap is None:
             return slots / DEFAULT_CALL_SECONDS
-        return cap.places / max(0.001, cap.call_seconds)
+        return cap.places / max(MIN_CALL_SECONDS, cap.call_seconds)
 
     def remove(self, worker_id: str) -> None:
         """Remove the cap of a worker that is not brittle any more, or not listed."""
