Calls: a gateway without members tries its workers although it reaches none

What a test saw (test_a_restarted_worker_is_used_again): a single gateway whose only worker restarted refused the next call with 3015. Cause: with nobody to ask, its own links and its workers cannot be told apart, and it took both for lost. 3015 needs other serving members now, none of which reaches a worker.

--- a/src/corkcrank/machines/fleet.py
+++ b/src/corkcrank/machines/fleet.py
@@ -221,6 +221,11 @@
         reaching = self.view(now).all_reaching
         return len(reaching) > 1 or (bool(reaching) and reaching[0] != self.local_name)
 
+    def all_partitioned(self, now: float) -> bool:
+        """Return whether other members serve, and none of all members reaches a worker."""
+        view = self.view(now)
+        return len(view.all_serving) > 1 and not view.all_reaching
+
     def relay_members(self, now: float) -> list[Member]:
         """Return the other serving members that reach workers."""
         view = self.view(now)
--- a/src/corkcrank/node/calls/services.py
+++ b/src/corkcrank/node/calls/services.py
@@ -156,9 +156,11 @@
         }
 
     def no_worker_reachable(self) -> bool:
-        """Return whether neither this gateway nor any member reaches a worker."""
-        partitioned = self.links.health.partitioned
-        return partitioned and not self.fleet.has_relay_members(clock.now())
+        """Return whether neither this gateway nor any member reaches a worker.
+
+        A gateway without members cannot tell its own links from its workers, and tries them.
+        """
+        return self.links.health.partitioned and self.fleet.all_partitioned(clock.now())
 
     def record_connection_failure(
         self,
