Limits: an owner without candidates answers at once

Found by reading: a request whose candidates had all left got a wait of 0 s, and with the patience of calls that wait for a place at a brittle worker the owner asked itself again without a pause until that was over, 0.2 s of its processor for each call. The new test waited 2 s before. Only a wait above 0 is waited for now.

--- a/src/corkcrank/node/limits/limit_grants.py
+++ b/src/corkcrank/node/limits/limit_grants.py
@@ -30,7 +30,6 @@
 GRANT_TIMEOUT_SECONDS = 0.15
 """Timeout for the owner's reply; without a reply the gateway's local send slots decide."""
 
-
 MAX_PLACE_WAIT_SECONDS = 0.2
 """Time for which a call waits for a place at a brittle worker: a few usual calls."""
 
@@ -60,7 +59,7 @@
         """Grant a request as :meth:`grant_request` does; wait for a place if the requester does."""
         give_up_at = clock.now() + request.patience
         grant = self.grant_request(request)
-        while not grant.worker_id and clock.now() + grant.wait < give_up_at:
+        while not grant.worker_id and 0 < grant.wait < give_up_at - clock.now():
             await self._wait_for_release(grant.wait)
             grant = self.grant_request(request)
         return grant
@@ -164,7 +163,7 @@
                 return LimitVerdict(by_id[grant.worker_id])
             grants.append(grant)
         shortest = min(range(len(zones)), key=lambda place: grants[place].wait, default=None)
-        if shortest is not None and grants[shortest].wait <= PLACE_WAIT_SECONDS:
+        if shortest is not None and 0 < grants[shortest].wait <= PLACE_WAIT_SECONDS:
             candidates = [worker for worker in workers if worker.zone == zones[shortest]]
             grant = await self._request_zone_grant(
                 zones[shortest], call, candidates, begins=begins, patience=MAX_PLACE_WAIT_SECONDS
--- a/tests/platform/test_brittle_workers.py
+++ b/tests/platform/test_brittle_workers.py
@@ -12,6 +12,7 @@
 from test_limited_workers import SERVICES, ServedWorkers, call, two_gateways
 
 from corkcrank.contracts import clock
+from corkcrank.node.peers.peer_protocol import LimitGrantRequest
 
 WORKERS = 4
 SHRINK_SECONDS = 3.0
@@ -70,3 +71,13 @@
             assert statuses.count(200) >= MIN_SERVED_SHARE * len(statuses)
         waits = [seconds for status, seconds in answers if status == 503]
         assert max(waits, default=0.0) < REFUSAL_SECONDS
+
+
+async def test_an_owner_without_candidates_does_not_wait_for_a_place() -> None:
+    worker = BrittleWorker()
+    async with two_gateways({"only": (worker, "plain")}) as running:
+        owner = running.nodes[0]._peer_server._limit_owner
+        request = LimitGrantRequest("call", "plain", "z1", ("gone",), patience=2.0)
+        started = clock.now()
+        assert (await owner.grant_or_wait(request)).worker_id == ""
+        assert clock.now() - started < REFUSAL_SECONDS
