--- a/tests/scheduling/fleet_play.py
+++ b/tests/scheduling/fleet_play.py
@@ -19,6 +19,7 @@
 import pytest
 from played_network import CONNECTED_REQUEST, SimulatedEngine, SimulatedWorker, replace_network
 from simulated_notices import EngineNotices, SimulatedNotice
+from simulated_rooms import EngineRooms, SimulatedRoom
 
 from corkcrank.contracts import clock
 from corkcrank.contracts.node_settings import (
@@ -80,7 +81,8 @@
     """A deployment, its load, and the interval of its heartbeats.
 
     ``slowness`` gives by worker the ratio of actual to stated call time. Engines state ``limits``
-    in requests per second, and ``notices`` (leaves and backoffs), in their answers.
+    in requests per second, and ``notices`` (leaves and backoffs), in their answers. With a ``room``
+    all engines are brittle.
     """
 
     configuration: OpaqueConfiguration
@@ -95,6 +97,7 @@
     slowness: dict[str, float] = field(default_factory=dict)
     limits: dict[str, float] = field(default_factory=dict)
     notices: dict[str, SimulatedNotice] = field(default_factory=dict)
+    room: SimulatedRoom | None = None
 
 
 @dataclass
@@ -154,6 +157,7 @@
         self.first_event_at: dict[str, float] = {}
         self.sent_at: dict[str, list[float]] = {}
         self.notices = EngineNotices(scenario.notices)
+        self.rooms = EngineRooms(scenario.room)
         self.outcomes = {item.route.name: Outcomes() for item in scenario.routes}
         self._routes = {item.route.name: item for item in scenario.routes}
         self._last_number = 0
@@ -212,10 +216,10 @@
             await item.heartbeats.open()
             beats = item.heartbeats
             loops += [asyncio.create_task(work()) for work in (beats.send_loop, beats.watch_pauses)]
-            if self.scenario.limits or self.scenario.notices:
+            if self.scenario.limits or self.scenario.notices or self.scenario.room:
                 loops.append(asyncio.create_task(beats.forward_updates()))
         await asyncio.sleep(self.scenario.warm_up_seconds)
-        started = self.notices.started_at = time.monotonic()
+        started = self.notices.started_at = self.rooms.started_at = time.monotonic()
         callers: set[asyncio.Task[None]] = set()
         for at, item in self._arrivals():
             await asyncio.sleep(max(0.0, started + at - time.monotonic()))
@@ -286,7 +290,10 @@
 
     async def _send_call(self, call: OpaqueCall) -> object:
         chosen = self.random.choice(list(self.nodes.values()))
-        return await stream_run.StreamRun(call, chosen.services, CONNECTED_REQUEST).run()
+        try:
+            return await stream_run.StreamRun(call, chosen.services, CONNECTED_REQUEST).run()
+        finally:
+            chosen.services.leases.release_call(call.call_id)
 
     def _random_shape(self, item: SimulatedRoute) -> tuple[tuple[int, ...], PromptShape]:
         counts = [max(1, round(self.random.gauss(mean, mean / 3))) for mean in item.pieces]
--- a/tests/scheduling/played_network.py
+++ b/tests/scheduling/played_network.py
@@ -20,21 +20,24 @@
 from corkcrank.node.membership import heartbeats
 from corkcrank.node.peers.peer_protocol import (
     FREE_PATH,
+    LEASE_RELEASE_PATH,
     LIMIT_GRANT_PATH,
     PIECES_PATH,
     PREFILL_DONE_PATH,
     PREFILL_REQUEST_PATH,
     FreeResults,
+    LeaseRelease,
     LimitGrantRequest,
     PrefillDone,
     PrefillRequest,
     StageWork,
 )
-from corkcrank.node.process import node
+from corkcrank.node.process import node, worker_access
 from corkcrank.node.streams import engine_exchange
 from corkcrank.node.streams.engine_exchange import EngineExchanges
 from corkcrank.node.streams.stream_answer import StreamAnswer
 from corkcrank.node.streams.stream_relay import RelayEnd
+from corkcrank.node.workers.worker_request import NoRelay
 from corkcrank.scheduling.engine_choice import PrefixCache
 from corkcrank.scheduling.stage_queue import StageCall
 
@@ -141,6 +144,16 @@
         return self._read_until - now + FIRST_EVENT_SECONDS
 
 
+class SimulatedRelay(NoRelay):
+    """A relay without members, as gateways whose links never fail need none."""
+
+    def retain_only(self, worker_ids: object) -> None:
+        """Do nothing."""
+
+    def drop_member(self, name: str) -> None:
+        """Do nothing."""
+
+
 def replace_network(simulation: "FleetSimulation", patch: pytest.MonkeyPatch) -> None:
     """Replace sockets by the simulated environment."""
     _set_heartbeat_interval(simulation, patch)
@@ -216,6 +229,7 @@
             return StageWorkerReport(simulation.workers[worker.worker_id].free_bytes)
 
     patch.setattr(node, "WorkerClient", lambda on_silence: SimpleNamespace())
+    patch.setattr(worker_access, "RelayClient", lambda *parts: SimulatedRelay())
     patch.setattr(node, "StageWorkerClient", Caller)
 
 
@@ -227,6 +241,7 @@
         simulation.first_event_at[call.call_id] = clock.now()
         exchanges._relay.on_first_event()
         await asyncio.sleep(prompt.tokens_out * EVENT_SECONDS)
+        simulation.rooms.end(attempt.worker)
         return RelayEnd.COMPLETE
 
     async def attempt_call(
@@ -243,6 +258,14 @@
             rate = simulation.scenario.limits.get(worker.worker_id)
             headers = {} if rate is None else {"Server-Limit": str(rate)}
             services.statements.record_response(worker, HTTPStatus.OK, headers)
+        if simulation.scenario.room is not None:
+            accepted = simulation.rooms.try_begin(worker)
+            status = HTTPStatus.OK if accepted else HTTPStatus.SERVICE_UNAVAILABLE
+            services.statements.record_response(worker, status, simulation.rooms.headers)
+            if not accepted:
+                call.may_have_run = False
+                services.leases.release(call.call_id, worker.worker_id, rejected=True)
+                return Attempt(worker, AttemptOutcome.NOT_RUN)
         if simulation.notices.record_request(services, worker):
             call.may_have_run = False
             return Attempt(worker, AttemptOutcome.NOT_RUN)
@@ -268,7 +291,11 @@
         return msgspec.msgpack.encode(engines.grant_request(decode(message, type=PrefillRequest)))
     if path == LIMIT_GRANT_PATH:
         request = decode(message, type=LimitGrantRequest)
-        return msgspec.msgpack.encode(target._peer_server._limit_owner.grant_request(request))
+        owner = target._peer_server._limit_owner
+        return msgspec.msgpack.encode(await owner.grant_or_wait(request))
+    if path == LEASE_RELEASE_PATH:
+        target._peer_server._limit_owner.release_lease(decode(message, type=LeaseRelease))
+        return b""
     if path == PREFILL_DONE_PATH:
         engines.release_grant(decode(message, type=PrefillDone))
         return b""
