Streams: a call that brittle engines rejected does not wait for a place again

Cause, by the code: 0.2 s for a place before the call begins, and 0.1 s again for the turn of each of its three attempts, make 0.5 s without any round trip. Only the first attempt waits now, so that the waits add up to 0.3 s at most.

--- a/src/corkcrank/node/streams/engine_turns.py
+++ b/src/corkcrank/node/streams/engine_turns.py
@@ -17,7 +17,7 @@
 """Maximum wait for a turn at a rate-limited engine after the stages, in seconds."""
 
 MAX_BRITTLE_TURN_WAIT_SECONDS = 0.1
-"""Maximum wait for a turn at a brittle engine of a call without stages, in seconds."""
+"""Maximum wait for the first turn at a brittle engine of a call without stages, in seconds."""
 
 
 class EngineTurns:
@@ -45,7 +45,7 @@
     def _max_wait(self, engine: WorkerRecord, has_results: bool) -> float:
         brittle = self._services.limits.cap_limits(engine, clock.now()) is not None
         if brittle and not has_results:
-            return MAX_BRITTLE_TURN_WAIT_SECONDS
+            return 0.0 if self._call.workers_tried else MAX_BRITTLE_TURN_WAIT_SECONDS
         return MAX_TURN_WAIT_SECONDS
 
     def _wait(self, turn: PrefillVerdict) -> float:
