Tests: connections of link checks are no connections of a call

The call itself connects once, as before. The count takes the connections of requests only, each of which has a guard; it is as strict for them.

--- a/tests/platform/test_stalled_connections.py
+++ b/tests/platform/test_stalled_connections.py
@@ -14,6 +14,7 @@
 
 from corkcrank.node.workers import worker_client
 from corkcrank.node.workers.worker_client import CONNECT_TIMEOUT_SECONDS
+from corkcrank.node.workers.worker_sessions import send_guard
 
 STALL_SECONDS = CONNECT_TIMEOUT_SECONDS + 0.2
 ROUTES = [
@@ -25,14 +26,15 @@
 def stall_while_connecting(
     monkeypatch: pytest.MonkeyPatch, worker: StandinWorker, times: int
 ) -> list[str]:
-    """Block the event loop once a connection to a worker has begun; return the list of stalls."""
+    """Block the event loop once a request's connection has begun; return the list of stalls."""
     loop = asyncio.get_running_loop()
     connect = loop.sock_connect
     stalls: list[str] = []
 
     async def connect_and_stall(connection: Any, address: Any) -> None:
         name = f"{address[0]}:{address[1]}"
-        if name == worker.server.address and len(stalls) < times:
+        of_request = send_guard.get() is not None
+        if name == worker.server.address and of_request and len(stalls) < times:
             stalls.append(name)
             loop.call_soon(time.sleep, STALL_SECONDS)
         await connect(connection, address)
