Tests: the virtual clock has a file of its own; a wait for a condition in place of a pause

The test of gateways that are all cut waited 0.5 s for the others' heartbeats; it waits until each gateway knows now.

--- a/tests/platform/test_relayed_requests.py
+++ b/tests/platform/test_relayed_requests.py
@@ -82,7 +82,7 @@
             played.links.cut(gateway, Cut.SILENT)
         await played.load(1.0)
         await until(lambda: all(node.links.health.partitioned for node in played.nodes))
-        await asyncio.sleep(0.5)
+        await until(lambda: all(node.services.no_worker_reachable() for node in played.nodes))
         for name in ("safe", "once", "talk", "resumed", "staged"):
             answer = await played.call_once(1, name, 7)
             assert "WORKERS_UNREACHABLE" in answer.detail
--- a/tests/scheduling/fleet_play.py
+++ b/tests/scheduling/fleet_play.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import random
-import selectors
 import time
 from collections import Counter
 from collections.abc import Callable
@@ -20,6 +19,7 @@
 from played_network import CONNECTED_REQUEST, SimulatedEngine, SimulatedWorker, replace_network
 from simulated_notices import EngineNotices, SimulatedNotice
 from simulated_rooms import EngineRooms, SimulatedRoom
+from virtual_clock import JumpingSelector, VirtualClock
 
 from corkcrank.contracts import clock
 from corkcrank.contracts.node_settings import (
@@ -122,28 +122,6 @@
         return self.in_time / max(1, self.asked)
 
 
-class _VirtualClock:
-    def __init__(self) -> None:
-        self.now = 1000.0
-
-    def __call__(self) -> float:
-        return self.now
-
-
-class _JumpingSelector(selectors.SelectSelector):
-    """Advances the virtual clock to the next timer instead of waiting."""
-
-    def __init__(self, virtual: _VirtualClock) -> None:
-        super().__init__()
-        self._clock = virtual
-
-    def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
-        if timeout is None:
-            raise RuntimeError("the event loop has no timer; the simulation cannot continue")
-        self._clock.now += max(0.0, timeout)
-        return super().select(0)
-
-
 class FleetSimulation:
     """The nodes, workers and engines of a simulation, and its replacement for the network."""
 
@@ -338,10 +316,10 @@
 
 def run_simulation(scenario: SimulationScenario, patch: pytest.MonkeyPatch) -> FleetSimulation:
     """Run a whole simulation; this takes seconds of processor time."""
-    virtual = _VirtualClock()
+    virtual = VirtualClock()
     patch.setattr(time, "monotonic", virtual)
     patch.setattr(clock, "now", virtual)
-    loop = asyncio.SelectorEventLoop(_JumpingSelector(virtual))
+    loop = asyncio.SelectorEventLoop(JumpingSelector(virtual))
     simulation = FleetSimulation(scenario)
     replace_network(simulation, patch)
 
