Dump: the cap and the leases of brittle workers

The way from a refused call to the cap ended at a log line and a counter; how many places an owner gives a worker stood nowhere. No call is served otherwise.

--- a/src/corkcrank/node/process/state_dump.py
+++ b/src/corkcrank/node/process/state_dump.py
@@ -30,7 +30,9 @@
     ``rate_limit`` is its limit of requests per second, from warm-up or any other cause.
     ``leave_source`` names who reported that its answers announce a leave, ``leave_age`` the seconds
     since then. ``backoff`` is the seconds for which it wants no requests of this gateway.
-    ``link_failed`` says that a member reaches it and this gateway does not.
+    ``link_failed`` says that a member reaches it and this gateway does not. ``places`` is the
+    number of calls that this gateway, as owner, lets a brittle worker have at a time, ``None``
+    without a cap; ``leases`` are the calls that hold one.
     """
 
     worker_id: str
@@ -49,6 +51,8 @@
     leave_age: float | None
     backoff: float
     link_failed: bool
+    places: int | None
+    leases: int
 
 
 class QueueDump(msgspec.Struct, frozen=True):
@@ -188,6 +192,8 @@
                     services.statements.notices.backoff_seconds(record.worker_id, now), 3
                 ),
                 link_failed=record.worker_id in services.links.health.failed_links,
+                places=services.limits.caps.places(record.worker_id),
+                leases=services.limits.caps.leases(record.worker_id),
             )
         )
     return tuple(dumps)
--- a/tests/platform/test_brittle_workers.py
+++ b/tests/platform/test_brittle_workers.py
@@ -66,6 +66,8 @@
     async with two_gateways(served) as running:
         answers = await play(running, workers, name, rate)
         assert sum(worker.falls for worker in workers) <= allowed_falls(WORKERS)
+        dumps = [worker for node in running.nodes for worker in node.dump().workers]
+        assert any(worker.places is not None for worker in dumps)
         statuses = [status for status, _ in answers]
         if rate < CALLS_PER_SECOND_OF_ROOM:
             assert statuses.count(200) >= MIN_SERVED_SHARE * len(statuses)
