Sight: the software version of workers in records, logs and metrics

Records keep the version (peers of an older release report none), lines name it, corkcrank_streams_continued counts who resumed a stream at which version. No decision uses it yet.

test_an_entry_names_a_worker_with_or_without_its_start compares the whole record, so it states the version too.

--- a/src/corkcrank/contracts/opaque_call.py
+++ b/src/corkcrank/contracts/opaque_call.py
@@ -6,6 +6,7 @@
 
 from corkcrank.contracts.opaque_configuration import OpaqueRoute
 from corkcrank.contracts.request_fingerprint import request_fingerprint
+from corkcrank.contracts.stream_origin import StreamOrigin
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,8 +43,9 @@
 
     ``budget_seconds`` is the time for which the caller waits. ``piece_counts`` is the number
     of pieces of each stage. ``resume_after`` is the id of the last event that the caller
-    received. ``reserved_headers`` names the headers of the request that only a gateway may
-    set; they are not forwarded.
+    received, ``resumed_attempt`` the id of its attempt that brought the stream's first event.
+    ``reserved_headers`` names the headers of the request that only a gateway may set; they are
+    not forwarded.
     """
 
     call_id: str
@@ -53,6 +55,7 @@
     piece_counts: tuple[int, ...] = ()
     piece_key: str = ""
     resume_after: str = ""
+    resumed_attempt: str = ""
     reserved_headers: tuple[str, ...] = ()
 
 
@@ -82,6 +85,7 @@
     ``answer_begun`` tells whether the answer's head was sent. ``may_have_run`` tells whether
     a worker may have started the request itself; running its stages does not count.
     ``first_attempt_recorded`` tells whether the retry budget has counted the first attempt.
+    ``origin`` is the software that began the call's stream, ``None`` before its first event.
     """
 
     envelope: CallEnvelope
@@ -102,6 +106,7 @@
     answer_begun: bool = False
     may_have_run: bool = False
     first_attempt_recorded: bool = False
+    origin: StreamOrigin | None = None
     step: CallStep = CallStep.UNREAD
 
     @cached_property
--- a/src/corkcrank/contracts/worker_records.py
+++ b/src/corkcrank/contracts/worker_records.py
@@ -12,7 +12,8 @@
     ``name`` is the key of the row and the name that the worker expects in requests; a
     restarted worker may keep it. ``born`` is the Unix time of the incarnation's start in
     milliseconds, ``None`` where the platform does not state it. ``warmup`` is the remaining
-    warm-up time in seconds when the worker wrote its entry.
+    warm-up time in seconds when the worker wrote its entry. ``version`` is that of the worker's
+    software; empty if unknown, as in records from gateways of a release that did not report it.
     """
 
     # Encoded for peers as "worker_id": during a rolling upgrade the other gateways still run
@@ -26,6 +27,7 @@
     revision: int = 0
     born: int | None = None
     warmup: float = 0.0
+    version: str = ""
 
     @cached_property
     def worker_id(self) -> str:
--- a/src/corkcrank/machines/store_mirror.py
+++ b/src/corkcrank/machines/store_mirror.py
@@ -316,17 +316,7 @@
         return WorkerChangeBatch(revision, self.workers.revision, changes)
 
     def _log_change(self, change: WorkerChange, source: str) -> None:
-        record = change.record
-        self._log.write(
-            LogEvent.WORKER_CHANGED,
-            worker=record.worker_id if record is not None else change.name,
-            state="gone" if record is None else "leaving" if record.leaving else "ready",
-            service=record.service if record is not None else "",
-            zone=record.zone if record is not None else "",
-            warmup=record.warmup if record is not None else 0.0,
-            revision=change.revision,
-            source=source,
-        )
+        self._log.write(LogEvent.WORKER_CHANGED, **change.log_fields(), source=source)
 
     def _record_call(self, table: StoreTable, answer: StoreRows | StoreFailure) -> None:
         reachable = isinstance(answer, StoreRows)
--- a/src/corkcrank/machines/worker_changes.py
+++ b/src/corkcrank/machines/worker_changes.py
@@ -25,6 +25,19 @@
     revision: int
     record: WorkerRecord | None
 
+    def log_fields(self) -> dict[str, object]:
+        """Return the fields of the change's log line."""
+        record = self.record
+        return {
+            "worker": record.worker_id if record is not None else self.name,
+            "state": "gone" if record is None else "leaving" if record.leaving else "ready",
+            "service": record.service if record is not None else "",
+            "version": record.version if record is not None else "",
+            "zone": record.zone if record is not None else "",
+            "warmup": record.warmup if record is not None else 0.0,
+            "revision": self.revision,
+        }
+
 
 class WorkerChangeBatch(msgspec.Struct, frozen=True, array_like=True):
     """All changes after ``since`` up to ``revision``."""
--- a/src/corkcrank/node/calls/attempts.py
+++ b/src/corkcrank/node/calls/attempts.py
@@ -107,6 +107,7 @@
         call=call.call_id,
         worker=worker.worker_id,
         service=worker.service,
+        version=worker.version,
         in_flight=services.worker_statistics.get_or_create(worker.worker_id).in_flight,
         peers_in_flight=services.worker_statistics.get_or_create(worker.worker_id).peers_in_flight,
         remaining=round(call.end_at - clock.now(), 3),
--- a/src/corkcrank/node/ingress/call_handler.py
+++ b/src/corkcrank/node/ingress/call_handler.py
@@ -41,6 +41,9 @@
 MAX_LOGGED_PATH_LENGTH = 120
 """Maximum logged length of a refused request's path, in characters."""
 
+MAX_LOGGED_ATTEMPT_LENGTH = 64
+"""Maximum logged length of the attempt id that a caller names, in characters."""
+
 LEFT_OUTCOME = "left"
 """Outcome of a call whose caller closed its connection."""
 
@@ -187,6 +190,7 @@
             first_byte=round(first_byte_seconds, 3),
             objective=call.route.objective,
             returning=call.returning,
+            resumes=call.envelope.resumed_attempt[:MAX_LOGGED_ATTEMPT_LENGTH],
             left=round(call.caller_end_at - now, 3),
             step=call.step.value if outcome == LEFT_OUTCOME else "",
             workers=call.workers_tried,
--- a/src/corkcrank/node/process/state_dump.py
+++ b/src/corkcrank/node/process/state_dump.py
@@ -37,6 +37,7 @@
 
     worker_id: str
     service: str
+    version: str
     zone: str
     leaving: bool
     warming: bool
@@ -176,6 +177,7 @@
             WorkerDump(
                 worker_id=record.worker_id,
                 service=record.service,
+                version=record.version,
                 zone=record.zone,
                 leaving=record.leaving or statistics.leaving or leave is not None,
                 warming=services.limits.warmup_rate(record, now) is not None,
--- a/src/corkcrank/node/streams/engine_exchange.py
+++ b/src/corkcrank/node/streams/engine_exchange.py
@@ -16,6 +16,7 @@
 from corkcrank.node.streams.engine_assignment import EngineAssignment
 from corkcrank.node.streams.stream_admission import StreamAdmission
 from corkcrank.node.streams.stream_answer import StreamAnswer
+from corkcrank.node.streams.stream_continuity import StreamContinuity
 from corkcrank.node.streams.stream_part import StreamPart
 from corkcrank.node.streams.stream_relay import MIN_SILENCE_SECONDS, RelayEnd, StreamRelay
 from corkcrank.node.workers.silence_timeout import SilenceRule
@@ -47,6 +48,7 @@
         admission: StreamAdmission,
         assignment: EngineAssignment,
         answer: StreamAnswer,
+        continuity: StreamContinuity,
         choose_next_engine: Callable[[], Awaitable[bool]],
     ) -> None:
         self._call = call
@@ -55,6 +57,7 @@
         self._admission = admission
         self._assignment = assignment
         self._answer = answer
+        self._continuity = continuity
         self._choose_next_engine = choose_next_engine
         self._relay = StreamRelay(call, services, answer, choose_next_engine)
         self.silent = False
@@ -166,6 +169,7 @@
     def _first_event_recorder(self, engine: WorkerRecord, sent_at: float) -> Callable[[], None]:
         def record_first_event() -> None:
             now = clock.now()
+            self._continuity.record_first_event(engine)
             self._assignment.record_prompt_read()
             self._services.health.record_outcome(engine, CallOutcome.SERVED)
             self._services.prefill_grants.report_prefill_done(self._call, read=True)
@@ -208,6 +212,7 @@
             LogEvent.STREAM_ENDED,
             call=self._call.call_id,
             worker=engine.worker_id,
+            version=engine.version,
             end=end.value,
             status=part.status,
             framing=part.framing.value,
--- a/src/corkcrank/node/streams/stream_run.py
+++ b/src/corkcrank/node/streams/stream_run.py
@@ -18,6 +18,7 @@
 from corkcrank.node.streams.engine_turns import EngineTurns
 from corkcrank.node.streams.stream_admission import StreamAdmission
 from corkcrank.node.streams.stream_answer import StreamAnswer
+from corkcrank.node.streams.stream_continuity import StreamContinuity
 from corkcrank.node.streams.stream_relay import RelayEnd
 from corkcrank.scheduling.call_admission import MIN_RETRY_SECONDS
 from corkcrank.scheduling.stage_plan import StagePlan
@@ -38,6 +39,7 @@
         self._assignment = EngineAssignment(call, services)
         self._turns = EngineTurns(call, services, self._admission)
         self._answer = StreamAnswer(call, services, request)
+        self._continuity = StreamContinuity(call, services)
         self._exchanges = EngineExchanges(
             call,
             services,
@@ -45,6 +47,7 @@
             self._admission,
             self._assignment,
             self._answer,
+            self._continuity,
             self._choose_next_engine,
         )
         self._chosen: WorkerRecord | None = None
--- a/src/corkcrank/node/telemetry/metrics.py
+++ b/src/corkcrank/node/telemetry/metrics.py
@@ -176,6 +176,13 @@
             ("cache",),
             registry=self.registry,
         )
+        self.continued_streams = Counter(
+            "corkcrank_streams_continued",
+            "Streams continued after an earlier event, by who resumed them (caller or gateway) and"
+            " the version of the software (same, other, unknown).",
+            ("resumed_by", "version"),
+            registry=self.registry,
+        )
         self.stage_seconds = Histogram(
             "corkcrank_stage_seconds",
             "Time of all stages of a call.",
--- a/src/corkcrank/platform/call_headers.py
+++ b/src/corkcrank/platform/call_headers.py
@@ -124,6 +124,7 @@
         piece_counts=_read_piece_counts(headers),
         piece_key=headers.get(names.SEGMENT_KEY, ""),
         resume_after=headers.get(names.LAST_EVENT_ID, ""),
+        resumed_attempt=headers.get(names.RESUMES, ""),
         reserved_headers=tuple(
             sorted({_normalized_name(name) for name in headers} & names.RESERVED_HEADERS),
         ),
--- a/src/corkcrank/platform/worker_entries.py
+++ b/src/corkcrank/platform/worker_entries.py
@@ -70,6 +70,7 @@
         revision=row.revision,
         born=None if entry.born is msgspec.UNSET else entry.born,
         warmup=min(MAX_WARMUP_SECONDS, max(0.0, entry.warmup_left_ms / MILLISECONDS_PER_SECOND)),
+        version=entry.version,
     )
 
 
