--- a/tests/platform/test_worker_entries.py
+++ b/tests/platform/test_worker_entries.py
@@ -56,9 +56,7 @@
 
 def test_an_entry_names_a_worker_with_or_without_its_start() -> None:
     older, newer = read(ENTRY), read({**ENTRY, "born": 1_764_000_000_123})
-    assert older == WorkerRecord(
-        "i-1", "plain", "10.0.0.1:8080", "z1", 8, revision=7, version="v1"
-    )
+    assert older == WorkerRecord("i-1", "plain", "10.0.0.1:8080", "z1", 8, revision=7, version="v1")
     assert isinstance(newer, WorkerRecord)
     assert (newer.name, newer.born) == ("i-1", 1_764_000_000_123)
     assert isinstance(older, WorkerRecord)
