--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -86,7 +86,7 @@
 
     Each request consumes one of ``faults``: ``full``, ``reset``,
     ``no-seal``, ``foreign-id``, ``cut-chunk``, ``unframed-reset``, ``surplus``, ``hang``,
-    ``error``, ``gone`` and ``break-after-N`` for streams. Each event carries ``padding``
+    ``error``, ``gone``, and for streams ``break-after-N`` and ``silent-after-N``. Each event carries ``padding``
     extra bytes; ``left`` counts the requests whose connection closed before their response.
     ``told`` adds or replaces fields of the entry; ``named`` adds response headers. While
     ``retry_after`` is set, every request is rejected with it; ``rejected_at`` holds their times.
@@ -169,6 +169,8 @@
                 await asyncio.sleep(0.05)
                 request.transport.abort()
                 raise ConnectionResetError
+            if fault == f"silent-after-{number - 1}":
+                await asyncio.Event().wait()
             data = self.worker_id.encode() + b"." * self.padding
             await response.write(b"id: %d\ndata: %s\n\n" % (number, data))
             if self.gap:
