Streams: a stream continues only at the software version that began it

Cause: the version in a worker's entry was decoded and dropped, and Resumes was read nowhere. So no choice of an engine could know which ones may continue a stream, neither within an answer nor when a caller came back; at another gateway nothing could know, since only the one that relayed the first event had seen who wrote it.

Change: one question, OpaqueCall.may_continue_at, asked by every choice and again when the request is written. The origin of a stream is reported to its holders just before its first event goes out (node/origins) and found by the gateway that the caller comes back to. Nobody guesses: an unknown origin is refused with 3016, one without a worker with 3017.

--- a/src/corkcrank/contracts/opaque_call.py
+++ b/src/corkcrank/contracts/opaque_call.py
@@ -7,6 +7,7 @@
 from corkcrank.contracts.opaque_configuration import OpaqueRoute
 from corkcrank.contracts.request_fingerprint import request_fingerprint
 from corkcrank.contracts.stream_origin import StreamOrigin
+from corkcrank.contracts.worker_records import WorkerRecord
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,6 +120,13 @@
         """Return the id that the caller gave to this attempt."""
         return self.envelope.call_id
 
+    def may_continue_at(self, worker: WorkerRecord) -> bool:
+        """Return whether a worker may write the next events of the call's stream.
+
+        Any worker may begin a stream; only the software that began it may continue it.
+        """
+        return self.origin is None or self.origin.is_software_of(worker)
+
     @property
     def returning(self) -> bool:
         """Return whether this is probably a retry by a caller that was refused before."""
--- a/src/corkcrank/contracts/opaque_configuration.py
+++ b/src/corkcrank/contracts/opaque_configuration.py
@@ -61,6 +61,10 @@
         """Return whether a call may run more than once."""
         return self.kind is CallKind.REPEATABLE or (self.kind is CallKind.STREAM and self.resumable)
 
+    def leads_to(self, service: str) -> bool:
+        """Return whether calls of the route may go to a service."""
+        return any(item.service == service and item.weight > 0 for item in self.services)
+
     def service_for(self, call_id: str) -> str:
         """Return the service for one call; the same call id always gives the same service.
 
--- a/src/corkcrank/contracts/result_codes.py
+++ b/src/corkcrank/contracts/result_codes.py
@@ -92,6 +92,14 @@
         3015, 503, Ran.NO, "Neither this gateway nor any other one reaches a worker."
     )
 
+    STREAM_ORIGIN_UNKNOWN = CodeEntry(
+        3016, 503, Ran.NO, "No gateway knows which software version began the stream."
+    )
+
+    STREAM_VERSION_UNAVAILABLE = CodeEntry(
+        3017, 503, Ran.NO, "No worker of the software version that began the stream is available."
+    )
+
     OUTCOME_UNKNOWN = CodeEntry(
         4001, 504, Ran.UNKNOWN, "The call was sent and its outcome is not known."
     )
--- a/src/corkcrank/contracts/stream_origin.py
+++ b/src/corkcrank/contracts/stream_origin.py
@@ -1,9 +1,16 @@
 """The software that began a stream: what another software version writes does not continue it."""
 
+from hashlib import blake2b
+
 import msgspec
 
 from corkcrank.contracts.worker_records import WorkerRecord
 
+STREAM_KEY_BYTES = 8
+"""Length of a stream's key; two of a million streams have the same one with probability 3e-8."""
+
+_PURPOSE = b"stream"
+
 
 class StreamOrigin(msgspec.Struct, frozen=True, array_like=True):
     """The service whose worker wrote a stream's first event, and the worker's software version.
@@ -32,3 +39,19 @@
         False
         """
         return bool(self.version) and self == StreamOrigin.of(worker)
+
+
+def stream_key(caller: str, attempt_id: str) -> bytes:
+    """Return the key of the stream that an attempt of a caller began.
+
+    The caller is part of the key, so that it neither finds nor changes the origin of another
+    caller's stream by naming its attempt.
+
+    >>> stream_key("a", "17") == stream_key("b", "17")
+    False
+    """
+    digest = blake2b(digest_size=STREAM_KEY_BYTES, person=_PURPOSE)
+    for part in (caller.encode(), attempt_id.encode("utf-8", "surrogateescape")):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.digest()
--- a/src/corkcrank/node/calls/attempts.py
+++ b/src/corkcrank/node/calls/attempts.py
@@ -116,6 +116,7 @@
 
     async def send() -> SendResult:
         remaining = call.end_at - clock.now()
+        is_available = services.availability.guard(worker)
         headers = services.ports.calls.worker_headers(call, worker, remaining, inputs, resume_after)
         request = WorkerRequest(
             worker,
@@ -125,7 +126,7 @@
             call.body,
             max(MIN_HEAD_SECONDS, min(head_seconds, remaining)),
             fresh=fresh,
-            still_wanted=services.availability.guard(worker),
+            still_wanted=lambda: call.may_continue_at(worker) and is_available(),
             call_id=call.call_id,
         )
         return await services.client.send(request, silence)
--- a/src/corkcrank/node/calls/services.py
+++ b/src/corkcrank/node/calls/services.py
@@ -19,6 +19,7 @@
 from corkcrank.node.limits.limit_grants import LimitGrantClient
 from corkcrank.node.limits.worker_leases import WorkerLeases
 from corkcrank.node.limits.worker_limits import WorkerLimits
+from corkcrank.node.origins.origin_directory import OriginDirectory
 from corkcrank.node.stages.stage_dispatch import StageDispatch
 from corkcrank.node.telemetry.metrics import NodeMetrics
 from corkcrank.node.workers.crash_watch import CrashWatch
@@ -105,6 +106,7 @@
     statements: WorkerStatements
     client: WorkerClient
     links: LinkMonitor
+    origins: OriginDirectory
     log: DecisionLog
     metrics: NodeMetrics
     random: random.Random
--- a/src/corkcrank/node/engines/engine_owner.py
+++ b/src/corkcrank/node/engines/engine_owner.py
@@ -89,7 +89,8 @@
         staying = [
             engine
             for engine in engines
-            if not self._worker_statistics.has_left(engine.worker_id, now)
+            if request.version in ("", engine.version)
+            and not self._worker_statistics.has_left(engine.worker_id, now)
         ]
         waits = {
             engine.worker_id: self._limits.seconds_until_grant(engine, now) for engine in staying
@@ -177,6 +178,7 @@
             limits=self._reports_for_owner(self._statements.limits, limited, now),
             brittle=self._reports_for_owner(self._statements.brittleness, limited, now),
             seconds=call.end_at - now,
+            version=call.origin.version if call.origin is not None else "",
         )
         owner = self._fleet.zone_owner(chosen.zone, call.service, now)
         grant = await self._ask_owner(owner, request)
@@ -191,7 +193,7 @@
             granted=grant.worker_id if grant is not None else None,
             limited=grant is not None and grant.limited,
         )
-        if engine is not None and self._availability.may_send(engine):
+        if engine is not None and self._availability.may_send_call(call, engine):
             return PrefillVerdict(engine)
         if grant is not None and grant.limited:
             return PrefillVerdict(None, grant.wait)
--- a/src/corkcrank/node/membership/heartbeats.py
+++ b/src/corkcrank/node/membership/heartbeats.py
@@ -61,7 +61,8 @@
     """Reports this gateway's state to the fleet and applies what the others report.
 
     ``on_newer_configuration`` is called when a member has one, ``on_suspended`` with the
-    seconds for which the machine was suspended, ``on_suspected`` with a member that is silent.
+    seconds for which the machine was suspended, ``on_suspected`` with a member that is silent,
+    ``on_other_datagram`` with what is not a heartbeat.
     """
 
     def __init__(
@@ -96,6 +97,7 @@
         self._loads = PeerLoads(worker_statistics)
         self._incarnation = random_source.getrandbits(INCARNATION_BITS)
         self._link = DatagramLink(self._receive)
+        self.on_other_datagram: Callable[[bytes], None] = lambda data: None
         self.on_newer_configuration: Callable[[], None] = lambda: None
         self.on_suspected: Callable[[str], None] = lambda member: None
         self._urgent_requested = asyncio.Event()
@@ -110,6 +112,10 @@
         """Stop sending and receiving."""
         self._link.close()
 
+    def send_datagram(self, data: bytes, address: str) -> None:
+        """Send a member something else than a heartbeat."""
+        self._link.send(data, address)
+
     async def send_loop(self) -> None:
         """Send heartbeats until cancelled."""
         while True:
@@ -232,9 +238,10 @@
         return newest_contact(own, self._fleet.store_contact(table)).to_report(now)
 
     def _receive(self, data: bytes) -> None:
-        """Apply a received heartbeat, and answer a probe; ignore unreadable datagrams."""
+        """Apply a received heartbeat, and answer a probe."""
         heartbeat = decode_heartbeat(data)
         if heartbeat is None:
+            self.on_other_datagram(data)
             return
         now = clock.now()
         if heartbeat.probe:
--- a/src/corkcrank/node/membership/peer_server.py
+++ b/src/corkcrank/node/membership/peer_server.py
@@ -21,6 +21,7 @@
 from corkcrank.machines.store_mirror import StoreMirror
 from corkcrank.node.engines.engine_owner import EngineOwner
 from corkcrank.node.limits.limit_grants import LimitOwner
+from corkcrank.node.origins.origin_directory import OriginDirectory
 from corkcrank.node.peers.peer_client import (
     PEER_PROGRESS_INTERVAL_SECONDS,
     PEER_SILENCE_SECONDS,
@@ -35,6 +36,7 @@
     PIECES_PATH,
     PREFILL_DONE_PATH,
     PREFILL_REQUEST_PATH,
+    STREAM_ORIGIN_PATH,
     WITHDRAW_PATH,
     WORKERS_PATH,
     ConfigurationAnswer,
@@ -46,6 +48,8 @@
     PrefillRequest,
     StageAnswer,
     StageWork,
+    StreamOriginAnswer,
+    StreamOriginRequest,
     WithdrawRequest,
     WorkersAnswer,
     WorkersRequest,
@@ -74,6 +78,7 @@
         relays: RelayServer,
         mirror: StoreMirror,
         crash_watch: CrashWatch,
+        origins: OriginDirectory,
         registry: CollectorRegistry,
         dump: Callable[[], msgspec.Struct],
     ) -> None:
@@ -82,6 +87,7 @@
         self._limit_owner = limit_owner
         self._mirror = mirror
         self._crash_watch = crash_watch
+        self._origins = origins
         self._registry = registry
         self._dump = dump
         self._recent_answers = RecentAnswers()
@@ -98,6 +104,7 @@
             CONFIGURATION_PATH: self._configuration,
             WORKERS_PATH: self._workers,
             CRASHES_PATH: self._crashes,
+            STREAM_ORIGIN_PATH: self._stream_origin,
             RELAY_PATH: relays.relay,
             WORKER_PROBE_PATH: relays.probe,
             RELEASE_REQUEST_PATH: self._release_request,
@@ -228,6 +235,11 @@
         reports = self._crash_watch.quarantine.all_crash_reports(clock.now())
         return web.Response(body=msgspec.msgpack.encode(CrashesAnswer(reports)))
 
+    async def _stream_origin(self, request: web.BaseRequest) -> web.Response:
+        message = msgspec.msgpack.decode(await self._read(request), type=StreamOriginRequest)
+        answer = StreamOriginAnswer(self._origins.kept_origin(message.key))
+        return web.Response(body=msgspec.msgpack.encode(answer))
+
     async def _release_request(self, request: web.BaseRequest) -> web.Response:
         text = (await self._read(request)).decode("ascii", "replace").strip()
         if not is_fingerprint(text):
--- /dev/null
+++ b/src/corkcrank/node/origins/origin_directory.py
@@ -0,0 +1,132 @@
+"""Replicates the origins of streams to other gateways, and finds those of resumed streams.
+
+A stream's holders are the members with the highest rendezvous hashes of its key; in a fleet of a
+few machines these are all members. They are told before the first event goes to the caller, and
+again a little later, since datagrams can be lost. The gateway that a caller resumes a stream at
+asks them. A stream whose origin nobody knows must not be continued.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from corkcrank.contracts import clock
+from corkcrank.contracts.opaque_call import OpaqueCall
+from corkcrank.contracts.rendezvous import rendezvous_hash
+from corkcrank.contracts.stream_origin import StreamOrigin, stream_key
+from corkcrank.machines.fleet import Fleet
+from corkcrank.machines.members import Member
+from corkcrank.machines.origin_reports import (
+    OriginReport,
+    decode_origin_reports,
+    encode_origin_reports,
+)
+from corkcrank.node.peers.peer_client import PeerClient, PeerFailure, decode_answer
+from corkcrank.node.peers.peer_protocol import (
+    STREAM_ORIGIN_PATH,
+    StreamOriginAnswer,
+    StreamOriginRequest,
+)
+from corkcrank.scheduling.stream_origins import StreamOrigins
+
+MAX_HOLDERS = 8
+"""Maximum number of other gateways that keep the origin of a stream."""
+
+RETENTION_SECONDS = 10.0
+"""Time for which an origin is kept after the deadline of the attempt that began the stream."""
+
+REPEAT_SECONDS = 0.5
+"""Interval at which origins that were reported once are reported again."""
+
+LOOKUP_TIMEOUT_SECONDS = 0.3
+"""Timeout for the holders' answers about an origin."""
+
+
+class OriginDirectory:
+    """The origins that this gateway keeps, and the way to those that others keep.
+
+    ``send`` sends a datagram to a member's address.
+    """
+
+    def __init__(self, fleet: Fleet, peers: PeerClient) -> None:
+        self._fleet = fleet
+        self._peers = peers
+        self.origins = StreamOrigins()
+        self._to_repeat: list[OriginReport] = []
+        self.send: Callable[[bytes, str], None] = lambda data, address: None
+
+    def record(self, call: OpaqueCall, origin: StreamOrigin) -> None:
+        """Keep the origin of the stream that a call begins, and report it to its holders."""
+        now = clock.now()
+        seconds = call.caller_end_at - now + RETENTION_SECONDS
+        report = OriginReport(stream_key(call.tenant, call.call_id), origin, round(seconds, 1))
+        self.origins.record(report.key, origin, seconds, now)
+        self._send_to_holders([report], now)
+        self._to_repeat.append(report)
+
+    async def find(self, call: OpaqueCall) -> StreamOrigin | None:
+        """Return the origin of the stream that a call resumes, ``None`` if nobody knows it."""
+        key = stream_key(call.tenant, call.envelope.resumed_attempt)
+        return self.kept_origin(key) or await self._ask_holders(key)
+
+    def kept_origin(self, key: bytes) -> StreamOrigin | None:
+        """Return an origin that this gateway keeps."""
+        return self.origins.find(key, clock.now())
+
+    def receive(self, data: bytes) -> None:
+        """Keep the origins of a datagram; ignore any other one."""
+        now = clock.now()
+        for report in decode_origin_reports(data):
+            self.origins.record(report.key, report.origin, report.seconds, now)
+
+    async def repeat_reports(self) -> None:
+        """Report each origin a second time, until cancelled."""
+        while True:
+            await asyncio.sleep(REPEAT_SECONDS)
+            reports, self._to_repeat = self._to_repeat, []
+            if reports:
+                self._send_to_holders(reports, clock.now())
+
+    def _holders(self, key: bytes, now: float) -> list[Member]:
+        members = self._fleet.live_members(now)
+        if len(members) <= MAX_HOLDERS:
+            return members
+        text = key.hex()
+        members.sort(key=lambda item: rendezvous_hash(text, item.heartbeat.name), reverse=True)
+        return members[:MAX_HOLDERS]
+
+    def _send_to_holders(self, reports: Iterable[OriginReport], now: float) -> None:
+        by_address: dict[str, list[OriginReport]] = {}
+        for report in reports:
+            for member in self._holders(report.key, now):
+                by_address.setdefault(member.heartbeat.address, []).append(report)
+        for address, items in by_address.items():
+            for data in encode_origin_reports(items):
+                self.send(data, address)
+
+    async def _ask_holders(self, key: bytes) -> StreamOrigin | None:
+        """Return the first origin that a holder knows; wait no longer than for all answers."""
+        asking = {
+            asyncio.create_task(self._ask(member.heartbeat.address, key))
+            for member in self._holders(key, clock.now())
+        }
+        try:
+            for answered in asyncio.as_completed(asking):
+                origin = await answered
+                if origin is not None:
+                    return origin
+        finally:
+            for task in asking:
+                task.cancel()
+        return None
+
+    async def _ask(self, address: str, key: bytes) -> StreamOrigin | None:
+        body = await self._peers.request(
+            address,
+            STREAM_ORIGIN_PATH,
+            msgspec.msgpack.encode(StreamOriginRequest(key)),
+            timeout_seconds=LOOKUP_TIMEOUT_SECONDS,
+        )
+        answer = decode_answer(body, StreamOriginAnswer)
+        return None if isinstance(answer, PeerFailure) else answer.origin
--- a/src/corkcrank/node/peers/peer_protocol.py
+++ b/src/corkcrank/node/peers/peer_protocol.py
@@ -7,6 +7,7 @@
 
 from corkcrank.contracts.opaque_call import PromptShape
 from corkcrank.contracts.opaque_configuration import OpaqueConfiguration
+from corkcrank.contracts.stream_origin import StreamOrigin
 from corkcrank.contracts.urgency import Urgency
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.links.platform_ports import PieceResult
@@ -24,6 +25,7 @@
 LIMIT_GRANT_PATH = "/peer/limit-grant"
 CRASHES_PATH = "/peer/crashes"
 LEASE_RELEASE_PATH = "/peer/lease-release"
+STREAM_ORIGIN_PATH = "/peer/stream-origin"
 
 
 class FollowingPieces(msgspec.Struct, frozen=True, array_like=True):
@@ -92,7 +94,10 @@
 
 
 class PrefillRequest(msgspec.Struct, frozen=True):
-    """A request for a zone's engine to read a prompt, sent after the stages of its call."""
+    """A request for a zone's engine to read a prompt, sent after the stages of its call.
+
+    ``version`` is the software version that the engine must run; empty for any.
+    """
 
     call_id: str
     service: str
@@ -104,6 +109,7 @@
     limits: tuple[ReportedLimit, ...] = ()
     brittle: tuple[ReportedLimit, ...] = ()
     seconds: float = 0.0
+    version: str = ""
 
 
 class PrefillGrant(msgspec.Struct, frozen=True):
@@ -185,6 +191,18 @@
     changes: WorkerChangeBatch | None = None
 
 
+class StreamOriginRequest(msgspec.Struct, frozen=True):
+    """A request for the origin of the stream with a key."""
+
+    key: bytes
+
+
+class StreamOriginAnswer(msgspec.Struct, frozen=True):
+    """The origin of a stream, ``None`` if the gateway does not know it."""
+
+    origin: StreamOrigin | None
+
+
 class CrashesAnswer(msgspec.Struct, frozen=True):
     """All crash reports that a gateway has stored."""
 
--- a/src/corkcrank/node/process/background.py
+++ b/src/corkcrank/node/process/background.py
@@ -9,11 +9,17 @@
 from corkcrank.machines.fleet import Fleet
 from corkcrank.node.callers.drain import CHECK_INTERVAL_SECONDS
 from corkcrank.node.membership.heartbeats import HeartbeatLoop
+from corkcrank.node.stages.stage_owner_client import StageOwnerClient
+from corkcrank.node.stages.stage_room import StageRoom
 from corkcrank.node.telemetry.metrics import NodeMetrics
 
 REGISTER_RETRY_SECONDS = 1.0
 """Pause before a failed registration in the store is retried."""
 
+MAX_RELEASE_WAIT_SECONDS = 0.1
+"""Maximum wait at a stop for messages that free results of ended calls. With the time that
+servers take to close, it stays below the part of the grace period that a drain reserves."""
+
 LAG_PROBE_SECONDS = 0.5
 """Time between measurements of the event loop's lag."""
 
@@ -44,6 +50,18 @@
         metrics.members.set(len(fleet.live_members(clock.now())) + 1)
 
 
+async def wait_for_pending_releases(owners: StageOwnerClient, room: StageRoom) -> None:
+    """Wait a limited time for messages in flight that free the results of ended calls.
+
+    If connections closed before, workers would keep these results for seconds, in result memory
+    that the next owner needs, and the sending tasks would fail on closed sessions.
+    """
+    await asyncio.gather(
+        owners.wait_for_messages(MAX_RELEASE_WAIT_SECONDS),
+        room.wait_for_free_messages(MAX_RELEASE_WAIT_SECONDS),
+    )
+
+
 async def cancel_until_ended(tasks: Collection[asyncio.Task[None]]) -> None:
     """Cancel tasks repeatedly until all have ended.
 
--- a/src/corkcrank/node/process/node.py
+++ b/src/corkcrank/node/process/node.py
@@ -28,8 +28,14 @@
 from corkcrank.node.membership.peer_pulls import PeerPulls
 from corkcrank.node.membership.peer_server import PeerServer, serve_readiness
 from corkcrank.node.membership.quarantine_rows import QuarantineRows
+from corkcrank.node.origins.origin_directory import OriginDirectory
 from corkcrank.node.peers.peer_client import PeerClient
-from corkcrank.node.process.background import cancel_until_ended, measure_loop_lag, register_member
+from corkcrank.node.process.background import (
+    cancel_until_ended,
+    measure_loop_lag,
+    register_member,
+    wait_for_pending_releases,
+)
 from corkcrank.node.process.state_collector import StateCollector
 from corkcrank.node.process.state_dump import NodeDump, build_dump
 from corkcrank.node.process.work_for_peers import WorkForPeers
@@ -45,10 +51,6 @@
 from corkcrank.scheduling.engine_choice import EngineChooser
 from corkcrank.scheduling.prefill_pace import PrefillPace
 
-MAX_RELEASE_WAIT_SECONDS = 0.1
-"""Maximum wait at a stop for messages that free results of ended calls. With the time that
-servers take to close, it stays below the part of the grace period that a drain reserves."""
-
 
 class Node:
     """One gateway for opaque calls, with all of its components."""
@@ -108,6 +110,7 @@
         limit_grants = LimitGrantClient(
             self.fleet, limit_owner, limits, self._statements, leases, self._peers, log
         )
+        self._origins = OriginDirectory(self.fleet, self._peers)
         pace = PrefillPace()
         engine_owner = EngineOwner(
             self.mirror, self._engines, self._worker_statistics, limits, self._statements, pace
@@ -142,6 +145,7 @@
             statements=self._statements,
             client=self._client,
             links=self.links,
+            origins=self._origins,
             log=log,
             metrics=metrics,
             random=random_source,
@@ -189,6 +193,8 @@
             ports.store, self.mirror, self.fleet, self._election, self.crash_watch, log
         )
         self.heartbeats.on_suspended = self._on_suspension
+        self.heartbeats.on_other_datagram = self._origins.receive
+        self._origins.send = self.heartbeats.send_datagram
         self.mirror.on_store_change = self.heartbeats.request_forwarding
         dispatch.owner_client.on_waiting = self.heartbeats.probe_member
         prefill_grants.on_silence = self.heartbeats.probe_member
@@ -203,6 +209,7 @@
             access.relays,
             self.mirror,
             self.crash_watch,
+            self._origins,
             self.services.metrics.registry,
             self.dump,
         )
@@ -253,6 +260,7 @@
             self._spawn(self._health.evaluate_periodically()),
             self._spawn(self.links.check_links()),
             self._spawn(self._quarantine_rows.keep_rows_current()),
+            self._spawn(self._origins.repeat_reports()),
         ]
 
     async def stop(self, signalled_at: float | None = None) -> None:
@@ -264,7 +272,7 @@
         await self._drain(now if signalled_at is None else signalled_at)
         self.services.closing_connections = True
         await asyncio.gather(self.callers.stop(), self._peer_server.stop())
-        await self._wait_for_pending_releases()
+        await wait_for_pending_releases(self.services.dispatch.owner_client, self.stage_owner.room)
         await self.stage_owner.close()
         await self.crash_watch.close()
         await cancel_until_ended(self._loops)
@@ -277,17 +285,6 @@
         self._log.write(LogEvent.STOPPED)
         self._log.flush()
 
-    async def _wait_for_pending_releases(self) -> None:
-        """Wait a limited time for messages in flight that free the results of ended calls.
-
-        If connections closed before, workers would keep these results for seconds, in result
-        memory that the next owner needs, and the sending tasks would fail on closed sessions.
-        """
-        await asyncio.gather(
-            self.services.dispatch.owner_client.wait_for_messages(MAX_RELEASE_WAIT_SECONDS),
-            self.stage_owner.room.wait_for_free_messages(MAX_RELEASE_WAIT_SECONDS),
-        )
-
     def _spawn(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
         task = asyncio.create_task(work)
         task.add_done_callback(self._log_task_failure)
--- a/src/corkcrank/node/process/state_dump.py
+++ b/src/corkcrank/node/process/state_dump.py
@@ -94,7 +94,8 @@
 
     ``unreadable_entries`` has the reason for each row that could not be read as a worker, for
     rows that this gateway read from the store itself. ``partitioned_seconds`` is the time for
-    which this gateway has reached no worker, ``None`` if it reaches workers.
+    which this gateway has reached no worker, ``None`` if it reaches workers. ``stream_origins`` is
+    the number of streams whose origin it keeps.
     """
 
     name: str
@@ -114,6 +115,7 @@
     refusals: dict[str, int]
     repeats_left: dict[str, float]
     store_calls: dict[str, int]
+    stream_origins: int
 
 
 def build_dump(
@@ -140,6 +142,7 @@
         refusals=services.metrics.refusals_by_cause(),
         repeats_left=services.repeats_left(now),
         store_calls=dict(mirror.call_counts),
+        stream_origins=len(services.origins.origins),
     )
 
 
--- a/src/corkcrank/node/streams/engine_turns.py
+++ b/src/corkcrank/node/streams/engine_turns.py
@@ -75,7 +75,8 @@
         long = services.prompt_sizes.has_long_prompts(self._call.route.name)
         turn = await services.prefill_grants.request_grant(self._call, chosen, long=long)
         availability = services.availability
-        if turn.decided and (turn.engine is None or availability.may_send(turn.engine)):
+        call = self._call
+        if turn.decided and (turn.engine is None or availability.may_send_call(call, turn.engine)):
             return turn
         others = (
             engine
@@ -83,7 +84,7 @@
             if engine.zone == chosen.zone and engine.worker_id != chosen.worker_id
         )
         engine = services.prefill_grants.use_without_grant(
-            item for item in (chosen, *others) if availability.may_send(item)
+            item for item in (chosen, *others) if availability.may_send_call(call, item)
         )
         return PrefillVerdict(engine, turn.wait, decided=False)
 
--- a/src/corkcrank/node/streams/stream_admission.py
+++ b/src/corkcrank/node/streams/stream_admission.py
@@ -109,7 +109,8 @@
             ),
             repeatable=call.route.idempotent,
         )
-        return services.engines.rank(engines, question, services.worker_statistics, clock.now())
+        allowed = [engine for engine in engines if call.may_continue_at(engine)]
+        return services.engines.rank(allowed, question, services.worker_statistics, clock.now())
 
     def admit(self, engines: list[WorkerRecord]) -> WorkerRecord | Refusal:
         """Return the first engine whose zone can run the stages in time, or refuse the call.
--- a/src/corkcrank/node/streams/stream_continuity.py
+++ b/src/corkcrank/node/streams/stream_continuity.py
@@ -1,12 +1,19 @@
-"""Records which software began a call's stream, and which software continues it."""
+"""Keeps a call's stream at the software that began it, over engines and a caller's attempts."""
 
 from enum import StrEnum
 
 from corkcrank.contracts.opaque_call import OpaqueCall
+from corkcrank.contracts.result_codes import ResultCode
 from corkcrank.contracts.stream_origin import StreamOrigin
 from corkcrank.contracts.worker_records import WorkerRecord
+from corkcrank.links.decision_log import LogEvent
+from corkcrank.node.callers.refusals import Refusal
 from corkcrank.node.calls.services import CallServices
 
+UNKNOWN_ORIGIN_RETRY_SECONDS = 0.5
+"""Retry delay sent to a caller whose stream's origin nobody knows, in seconds: a gateway that is
+cut off for a moment may know it."""
+
 
 class ResumedBy(StrEnum):
     """Who resumed a stream; the value is a metric label."""
@@ -24,13 +31,41 @@
 
 
 class StreamContinuity:
-    """The origin of one call's stream, over the engines that write its events."""
+    """The origin of one call's stream, and the engines that may continue it."""
 
     def __init__(self, call: OpaqueCall, services: CallServices) -> None:
         self._call = call
         self._services = services
         self._relayed = False
 
+    async def find_origin(self) -> Refusal | None:
+        """Find the origin of a stream that the caller resumes; refuse the call if it is unknown.
+
+        The stream stays at the service that began it, unless the route does not lead there any
+        more: then no worker may continue it.
+        """
+        call = self._call
+        if not call.envelope.resume_after:
+            return None
+        if call.envelope.resumed_attempt:
+            origin = await self._services.origins.find(call)
+        else:
+            origin = self._only_software()
+        self._log_taken_up(origin)
+        if origin is None or not origin.version:
+            return Refusal(
+                ResultCode.STREAM_ORIGIN_UNKNOWN, retry_after=UNKNOWN_ORIGIN_RETRY_SECONDS
+            )
+        call.origin = origin
+        if call.route.leads_to(origin.service):
+            call.service = origin.service
+        return None
+
+    def has_engine(self) -> bool:
+        """Return whether any usable engine of the service may write the stream's next events."""
+        engines = self._services.mirror.workers.usable_workers(self._call.service)
+        return any(self._call.may_continue_at(engine) for engine in engines)
+
     def record_first_event(self, engine: WorkerRecord) -> None:
         """Record that an engine's first event is about to be relayed to the caller."""
         call = self._call
@@ -40,8 +75,27 @@
             self._services.metrics.continued_streams.labels(resumed_by.value, match.value).inc()
         elif call.origin is None:
             call.origin = StreamOrigin.of(engine)
+            self._services.origins.record(call, call.origin)
         self._relayed = True
 
+    def _only_software(self) -> StreamOrigin | None:
+        """Return what all workers of the service run, for callers that name no attempt."""
+        workers = self._services.mirror.workers.for_service(self._call.service)
+        found = {StreamOrigin.of(worker) for worker in workers}
+        return found.pop() if len(found) == 1 else None
+
+    def _log_taken_up(self, origin: StreamOrigin | None) -> None:
+        call = self._call
+        self._services.log.write(
+            LogEvent.STREAM_TAKEN_UP,
+            call=call.call_id,
+            tenant=call.tenant,
+            last_event=call.envelope.resume_after,
+            service=origin.service if origin is not None else "",
+            version=origin.version if origin is not None else "",
+            outcome="known" if origin is not None and origin.version else "unknown",
+        )
+
 
 def _compare(origin: StreamOrigin | None, engine: WorkerRecord) -> SoftwareMatch:
     if origin is None or not origin.version or not engine.version:
--- a/src/corkcrank/node/streams/stream_run.py
+++ b/src/corkcrank/node/streams/stream_run.py
@@ -75,6 +75,8 @@
             return Refusal.draining("request arrived too late in the drain")
         if wait := await self._services.crash_watch.wait_for_verdict(self._call):
             return Refusal.quarantined(wait)
+        if refusal := await self._continuity.find_origin():
+            return refusal
         tokens = self._call.envelope.prompt.tokens_in
         self._services.prompt_sizes.observe_prompt_size(self._call.route.name, tokens)
         engines = self._admission.rank_engines()
@@ -173,7 +175,7 @@
         """Return the engine to send the call to now, or ``None`` if it must not be sent."""
         crash_watch = self._services.crash_watch
         confirmed, self._chosen = self._chosen, None
-        if confirmed is not None and self._services.availability.may_send(confirmed):
+        if confirmed is not None and self._may_send(confirmed):
             return confirmed
         if await crash_watch.wait_for_verdict(self._call):
             return None
@@ -198,9 +200,12 @@
             self._assignment.assign(engine)
         return engine
 
+    def _may_send(self, engine: WorkerRecord) -> bool:
+        return self._services.availability.may_send_call(self._call, engine)
+
     def _usable_or_other(self, engine: WorkerRecord) -> WorkerRecord | None:
         tried = engine.worker_id in self._call.workers_tried
-        if not tried and self._services.availability.may_send(engine):
+        if not tried and self._may_send(engine):
             return engine
         other = next(iter(self._admission.rank_engines()), None)
         if other is not None:
@@ -305,8 +310,11 @@
 
     def _no_engine_refusal(self, code: ResultCode, detail: str = "") -> Refusal:
         """Return the refusal of a call without an engine; backoffs of all engines go first."""
-        refusal = self._services.backing_off_refusal(self._call)
-        return refusal or Refusal(code, detail, retry_after=NO_ENGINE_RETRY_SECONDS)
+        if refusal := self._services.backing_off_refusal(self._call):
+            return refusal
+        if not self._continuity.has_engine():
+            code = ResultCode.STREAM_VERSION_UNAVAILABLE
+        return Refusal(code, detail, retry_after=NO_ENGINE_RETRY_SECONDS)
 
     def _stage_refusal(self, error: StageFailedError) -> web.StreamResponse | Refusal:
         if self._answer.prepared:
--- a/src/corkcrank/node/workers/worker_availability.py
+++ b/src/corkcrank/node/workers/worker_availability.py
@@ -8,6 +8,7 @@
 from enum import StrEnum
 
 from corkcrank.contracts import clock
+from corkcrank.contracts.opaque_call import OpaqueCall
 from corkcrank.contracts.worker_records import WorkerList, WorkerRecord
 from corkcrank.scheduling.worker_choice import WorkerStatisticsTable
 
@@ -50,6 +51,13 @@
         """Return whether this gateway may send a worker a request now."""
         return self.reason_not_to_send(worker) is None
 
+    def may_send_call(self, call: OpaqueCall, worker: WorkerRecord) -> bool:
+        """Return whether this gateway may send a call to a worker now.
+
+        A worker of another software version must not continue a stream.
+        """
+        return call.may_continue_at(worker) and self.may_send(worker)
+
     def guard(self, worker: WorkerRecord) -> Callable[[], bool]:
         """Return a check for the moment in which a request to a worker is written."""
         return lambda: self.may_send(worker)
--- a/src/corkcrank/reports/call_story.py
+++ b/src/corkcrank/reports/call_story.py
@@ -25,6 +25,7 @@
     FULL = "refused: workers full or none"
     LIMITED = "refused: workers at their limits"
     BACKING_OFF = "refused: workers in backoff"
+    NO_VERSION = "refused: stream's version unknown or gone"
     STOPPING = "refused: gateway stopping"
     CUT_BY_STOP = "cut: gateway stopped"
     INVALID = "refused: request or key"
@@ -51,6 +52,8 @@
     "NO_BACKEND": Loss.FULL,
     "WORKERS_LIMITED": Loss.LIMITED,
     "WORKERS_BACKING_OFF": Loss.BACKING_OFF,
+    "STREAM_ORIGIN_UNKNOWN": Loss.NO_VERSION,
+    "STREAM_VERSION_UNAVAILABLE": Loss.NO_VERSION,
     "CONFIGURATION_UNKNOWN": Loss.FULL,
     "DRAINING": Loss.STOPPING,
     "DEADLINE_EXCEEDED": Loss.DEADLINE,
--- a/src/corkcrank/reports/sent_back.py
+++ b/src/corkcrank/reports/sent_back.py
@@ -37,6 +37,7 @@
         Loss.FULL,
         Loss.LIMITED,
         Loss.BACKING_OFF,
+        Loss.NO_VERSION,
         Loss.STOPPING,
         Loss.STAGE_NOT_BEGUN,
         Loss.STAGE_STOPPING,
--- /dev/null
+++ b/src/corkcrank/scheduling/stream_origins.py
@@ -0,0 +1,69 @@
+"""Keeps the origins of streams until their callers can no longer resume them.
+
+Does no I/O: callers pass the time.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from corkcrank.contracts.stream_origin import StreamOrigin
+
+MAX_ORIGINS = 20_000
+"""Maximum number of origins kept; the oldest ones are removed first."""
+
+MAX_RETENTION_SECONDS = 600.0
+"""Maximum time for which an origin is kept, whatever deadline a caller stated."""
+
+
+@dataclass(frozen=True, slots=True)
+class _KeptOrigin:
+    origin: StreamOrigin
+    expires_at: float
+
+
+class StreamOrigins:
+    """The origins of streams that this gateway began or that others reported to it, by key."""
+
+    def __init__(self) -> None:
+        self._kept: OrderedDict[bytes, _KeptOrigin] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._kept)
+
+    def record(self, key: bytes, origin: StreamOrigin, seconds: float, now: float) -> None:
+        """Keep an origin for a time in seconds.
+
+        An origin never changes. If two are reported for one key, the attempt id was used twice, and
+        neither stream can be told from the other: the version becomes unknown.
+
+        >>> origins = StreamOrigins()
+        >>> origins.record(b"k", StreamOrigin("s", "v1"), 5.0, now=0.0)
+        >>> origins.find(b"k", now=4.0)
+        StreamOrigin(service='s', version='v1')
+        >>> origins.record(b"k", StreamOrigin("s", "v2"), 5.0, now=0.0)
+        >>> origins.find(b"k", now=4.0)
+        StreamOrigin(service='s', version='')
+        >>> origins.find(b"k", now=5.0) is None
+        True
+        """
+        expires_at = now + min(MAX_RETENTION_SECONDS, max(0.0, seconds))
+        known = self._kept.pop(key, None)
+        if known is not None and known.expires_at > now:
+            expires_at = max(expires_at, known.expires_at)
+            if known.origin != origin:
+                origin = StreamOrigin(origin.service, "")
+        self._kept[key] = _KeptOrigin(origin, expires_at)
+        self._remove_oldest(now)
+
+    def find(self, key: bytes, now: float) -> StreamOrigin | None:
+        """Return the origin of a stream, ``None`` if it is not known."""
+        known = self._kept.get(key)
+        return known.origin if known is not None and known.expires_at > now else None
+
+    def _remove_oldest(self, now: float) -> None:
+        """Remove the oldest entries that have expired, or that exceed the limit."""
+        while self._kept:
+            key, oldest = next(iter(self._kept.items()))
+            if oldest.expires_at > now and len(self._kept) <= MAX_ORIGINS:
+                return
+            del self._kept[key]
--- a/tests/scheduling/fleet_play.py
+++ b/tests/scheduling/fleet_play.py
@@ -316,11 +316,17 @@
 
 def run_simulation(scenario: SimulationScenario, patch: pytest.MonkeyPatch) -> FleetSimulation:
     """Run a whole simulation; this takes seconds of processor time."""
+    simulation = FleetSimulation(scenario)
+    play(simulation, patch)
+    return simulation
+
+
+def play(simulation: FleetSimulation, patch: pytest.MonkeyPatch) -> None:
+    """Run a simulation on a virtual clock."""
     virtual = VirtualClock()
     patch.setattr(time, "monotonic", virtual)
     patch.setattr(clock, "now", virtual)
     loop = asyncio.SelectorEventLoop(JumpingSelector(virtual))
-    simulation = FleetSimulation(scenario)
     replace_network(simulation, patch)
 
     async def whole() -> None:
@@ -332,4 +338,3 @@
     finally:
         loop.close()
         patch.undo()
-    return simulation
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -5,12 +5,13 @@
 import random
 import time
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from node_world import HOST, KEY
 
 from soak.ledger import CRASHING_KEY_PREFIX, Ledger
 from soak.sent_calls import SILENT, Answer, SentCall
+from soak.streams import last_event, versions_in
 
 THINK_SECONDS = (0.0, 0.08)
 MAX_RETRY_SECONDS = 0.5
@@ -18,6 +19,9 @@
 STREAM_DEADLINE = 6.0
 ABANDONED_SHARE = 0.04
 HEAD_BYTES = 65_536
+MAX_TAKE_UPS = 2
+MIN_TAKE_UP_SECONDS = 1.0
+"""A caller with less time left than this does not take its stream up."""
 
 _call_ids = itertools.count(0x5000_0000)
 
@@ -121,6 +125,7 @@
         self._routes = routes
         self._choose_node = choose_node
         self._source = source
+        self.on_stream: Callable[[SentCall, Answer], None] = lambda call, answer: None
         self._stopping = False
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -214,13 +219,34 @@
             await self._abandon(connection, call)
             return
         answer = await self._exchange_recorded(connection, call)
+        if route.streamed and route.repeatable:
+            await self._take_up(call, answer)
         wait = float(answer.headers.get("retry-after", 0.0)) if answer.status == 503 else 0.0
         await asyncio.sleep(min(wait, MAX_RETRY_SECONDS))
 
+    async def _take_up(self, call: SentCall, answer: Answer) -> None:
+        """Take a stream up that broke off, at other nodes, as long as its deadline allows."""
+        for _ in range(MAX_TAKE_UPS):
+            position = max(call.resume_after, last_event(answer.body))
+            version = call.version or next(iter(versions_in(answer.body)), "")
+            left = call.due_at - time.monotonic()
+            if answer.complete and answer.status == 200:
+                return
+            if not position or left < MIN_TAKE_UP_SECONDS:
+                return
+            connection = await self._connect()
+            if connection is None:
+                return
+            call = _resumed_call(call, connection.node, position, version, left)
+            answer = await self._exchange_recorded(connection, call)
+            connection.close()
+
     async def _exchange_recorded(self, connection: Connection, call: SentCall) -> Answer:
         self._ledger.record_sent(call)
         answer = await connection.exchange(call)
         self._ledger.record_answer(call, answer)
+        if call.events and call.repeatable:
+            self.on_stream(call, answer)
         return answer
 
     async def _abandon(self, connection: Connection, call: SentCall) -> None:
@@ -244,3 +270,31 @@
         except (OSError, TimeoutError):
             return None
         return Connection(node, reader, writer)
+
+
+def _resumed_call(
+    call: SentCall, node: str, position: int, version: str, seconds: float
+) -> SentCall:
+    """Return the next attempt of a caller whose stream broke off after an event."""
+    call_id = f"{next(_call_ids):016x}"
+    headers = {
+        **call.headers,
+        "X-Corkcrank-Attempt-Id": call_id,
+        "X-Corkcrank-Deadline-Ms": str(int(seconds * 1000)),
+        "Last-Event-Id": str(position),
+        "Resumes": call.stream_id,
+    }
+    return replace(
+        call,
+        call_id=call_id,
+        node=node,
+        headers=headers,
+        deadline=seconds,
+        resume_after=position,
+        version=version,
+        runs=[],
+        answer=None,
+        stage_runs=0,
+        work_ends_at=None,
+        client=None,
+    )
--- a/tests/soak/test_ledger.py
+++ b/tests/soak/test_ledger.py
@@ -7,9 +7,10 @@
 
 from soak.accepting import AcceptWatch
 from soak.bounds import SoakBounds
-from soak.ledger import Ledger, event, plain_body
+from soak.ledger import Ledger, plain_body
 from soak.links import FaultLink, LinkTrouble
 from soak.sent_calls import SILENT, Answer, Run, SentCall
+from soak.streams import event
 
 LONG_AGO = -100.0
 
@@ -107,6 +108,32 @@
     assert promises(ledger) == ["whole"]
 
 
+@pytest.mark.parametrize("events", [1, 2])
+def test_a_stream_of_two_versions_is_found(ledger: Ledger, events: int) -> None:
+    call = sent(ledger, events=3)
+    run(ledger, call)
+    versions = ["v1"] * events + ["v2"] * (3 - events)
+    body = b"".join(event("1", number + 1, version) for number, version in enumerate(versions))
+    answer(ledger, call, 200, body, SEAL)
+    assert promises(ledger) == ["version"]
+
+
+def test_a_stream_that_is_taken_up_at_another_version_is_found(ledger: Ledger) -> None:
+    call = sent(ledger, events=3)
+    call.resume_after, call.version = 1, "v1"
+    run(ledger, call)
+    answer(ledger, call, 200, event("1", 2, "v2") + event("1", 3, "v2"), SEAL)
+    assert promises(ledger) == ["version"]
+
+
+def test_a_stream_that_is_taken_up_at_its_version_is_no_violation(ledger: Ledger) -> None:
+    call = sent(ledger, events=3)
+    call.resume_after, call.version = 1, "v1"
+    run(ledger, call)
+    answer(ledger, call, 200, event("1", 2, "v1") + event("1", 3, "v1"), SEAL)
+    assert promises(ledger) == []
+
+
 def test_a_sealed_failure_with_another_status_is_found(ledger: Ledger) -> None:
     call = sent(ledger)
     run(ledger, call)
