Sight: crashes name the shared prompt parts of the calls in progress

Each line of a crash tells the fingerprints of the call's shared parts now. No decision uses them yet.

--- a/src/corkcrank/contracts/opaque_call.py
+++ b/src/corkcrank/contracts/opaque_call.py
@@ -5,7 +5,7 @@
 from functools import cached_property
 
 from corkcrank.contracts.opaque_configuration import OpaqueRoute
-from corkcrank.contracts.request_fingerprint import request_fingerprint
+from corkcrank.contracts.request_fingerprint import part_fingerprint, request_fingerprint
 from corkcrank.contracts.stream_origin import StreamOrigin
 from corkcrank.contracts.worker_records import WorkerRecord
 
@@ -75,6 +75,10 @@
 """Below this share of the route's timeout as its budget, a call is probably a retry."""
 
 
+MAX_FINGERPRINTED_PARTS = 8
+"""Maximum number of a prompt's shared parts that are evidence when its engine crashes."""
+
+
 @dataclass
 class OpaqueCall:
     """One request of one caller in progress; times are of :mod:`clock`.
@@ -115,6 +119,15 @@
         """Return a hash that is the same for every attempt at the same request."""
         return request_fingerprint(self.tenant, self.target, self.body)
 
+    @cached_property
+    def part_fingerprints(self) -> tuple[str, ...]:
+        """Return the fingerprints of the prompt's shared parts, the first ones of a long list."""
+        prompt = self.envelope.prompt
+        return tuple(
+            part_fingerprint(self.service, prompt.model, part.part_id)
+            for part in prompt.shared_parts[:MAX_FINGERPRINTED_PARTS]
+        )
+
     @property
     def call_id(self) -> str:
         """Return the id that the caller gave to this attempt."""
--- a/src/corkcrank/contracts/request_fingerprint.py
+++ b/src/corkcrank/contracts/request_fingerprint.py
@@ -1,4 +1,4 @@
-"""Computes a fingerprint of a request's content, by which a repeated request is recognized.
+"""Computes fingerprints of requests and of the prompt parts that several requests share.
 
 A caller that repeats a request gives it a new id. Path, caller and body stay the same.
 """
@@ -9,7 +9,8 @@
 """Length of a fingerprint. The probability that any two of a million requests collide is 3e-8.
 Finding a request that matches a given request of another caller takes some 2^64 attempts."""
 
-_PURPOSE = b"request"
+_REQUEST = b"request"
+_PART = b"part"
 
 
 def request_fingerprint(caller: str, target: str, body: bytes) -> str:
@@ -20,8 +21,24 @@
     >>> request_fingerprint("a", "/bc", b"") == request_fingerprint("ab", "/c", b"")
     False
     """
-    digest = blake2b(digest_size=FINGERPRINT_BYTES, person=_PURPOSE)
-    for part in (caller.encode(), target.encode("utf-8", "surrogateescape"), body):
-        digest.update(len(part).to_bytes(8, "big"))
-        digest.update(part)
+    return _digest(_REQUEST, caller.encode(), target.encode("utf-8", "surrogateescape"), body)
+
+
+def part_fingerprint(service: str, model: str, part_id: str) -> str:
+    """Return the fingerprint of a part of prompts, as a service's engines read it for a model.
+
+    Callers are no part of it: what a part does to an engine does not depend on who sends it.
+
+    >>> part_fingerprint("s", "m", "5c1e") == part_fingerprint("s", "n", "5c1e")
+    False
+    """
+    names = (name.encode("utf-8", "surrogateescape") for name in (service, model, part_id))
+    return _digest(_PART, *names)
+
+
+def _digest(purpose: bytes, *fields: bytes) -> str:
+    digest = blake2b(digest_size=FINGERPRINT_BYTES, person=purpose)
+    for field in fields:
+        digest.update(len(field).to_bytes(8, "big"))
+        digest.update(field)
     return digest.hexdigest()
--- a/src/corkcrank/node/workers/crash_watch.py
+++ b/src/corkcrank/node/workers/crash_watch.py
@@ -190,6 +190,7 @@
             worker=worker.worker_id,
             service=worker.service,
             progressed=progressed,
+            parts=call.part_fingerprints,
         )
         self._review_verdicts()
         self.on_update()
