--- a/tests/platform/mortal_workers.py
+++ b/tests/platform/mortal_workers.py
@@ -5,15 +5,19 @@
 from typing import Any
 
 from aiohttp import web
-from platform_standins import Server, StandinStageWorker, StandinWorker, _ids
+from platform_standins import ATTEMPT, Server, StandinStageWorker, StandinWorker, _ids
 from standin_store import StandinStore
 
+from corkcrank.contracts import clock
+
 CRASHING = b"crashing"
 """Content of a request body that crashes the worker that runs the request."""
 
 CRASHING_KEY = "crashing"
 """Key of the pieces that crash the stage worker that runs them."""
 
+PARTS = "X-Corkcrank-Prefix-Hash"
+
 FIRST_START = 1_764_000_000_000
 
 
@@ -83,12 +87,15 @@
 class CrashingWorker(StandinWorker):
     """A plain worker or an engine; an engine sends ``events_before`` events before it crashes.
 
-    ``crashes_always`` makes every request crash it.
+    ``crashes_always`` makes every request crash it, ``crashing_parts`` those whose prompt has one
+    of these parts. ``crashed_under`` holds the attempts that crashed it.
     """
 
     crash_control: CrashControl = field(default_factory=CrashControl)
     events_before: int = 0
     crashes_always: bool = False
+    crashing_parts: set[str] = field(default_factory=set)
+    crashed_under: list[tuple[float, str]] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         self.worker_id = self.worker_id or f"i-{next(_ids):08x}"
@@ -96,13 +103,23 @@
         self.server = KillableServer(self._handle)
 
     async def _answer(self, request: web.BaseRequest, fault: str) -> web.StreamResponse:
-        if not self.crashes_always and CRASHING not in self.seen[-1].body:
+        if not self._crashes(request):
             return await super()._answer(request, fault)
         if self.events and self.events_before:
             await self._send_first_events(request)
+        self.crashed_under.append((clock.now(), request.headers[ATTEMPT]))
         self.crash_control.crash(self)
         raise ConnectionResetError
 
+    def _crashes(self, request: web.BaseRequest) -> bool:
+        parts = request.headers.get(PARTS, "").split(",")
+        named = {part.partition(":")[0] for part in parts}
+        return (
+            self.crashes_always
+            or CRASHING in self.seen[-1].body
+            or not self.crashing_parts.isdisjoint(named)
+        )
+
     async def _send_first_events(self, request: web.BaseRequest) -> None:
         first = int(request.headers.get("Last-Event-Id") or 0) + 1
         response = web.StreamResponse(headers=self._head(request, ""))
