Streams: a new stream without engines is refused as before

A new stream whose engines left while its stages ran was refused with 3017 in place of 3011: the question whether an engine of the stream's version serves was asked of streams that have no origin yet.

--- a/src/corkcrank/node/streams/stream_continuity.py
+++ b/src/corkcrank/node/streams/stream_continuity.py
@@ -62,9 +62,9 @@
         return None
 
     def has_engine(self) -> bool:
-        """Return whether any usable engine of the service may write the stream's next events."""
+        """Return whether a stream is new, or any usable engine may write its next events."""
         engines = self._services.mirror.workers.usable_workers(self._call.service)
-        return any(self._call.may_continue_at(engine) for engine in engines)
+        return self._call.origin is None or any(map(self._call.may_continue_at, engines))
 
     def record_first_event(self, engine: WorkerRecord) -> None:
         """Record that an engine's first event is about to be relayed to the caller."""
