Quarantine: a prompt part that crashes engines is found by the crashes of different requests

Cause: a request was known by caller, path and body. Requests with the part are never alike, so what their crashes have in common was in no record, and each crashed its two or three engines anew. Ruled out by the logs: crashes that gateways miss (19 of 19 have records), and verdicts that come late (1.3 to 1.8 s after the third crash; crashes went on long after).

Change: a shared part is a suspect beside the request, in the same records, reports, rows, quarantine and probation. Three different requests must stand behind its crashes, and no run with it may have progressed; parts that most prompts share are freed by the runs that do. Parts are judged before requests, so requests that were broken off beside bad ones are blamed for none of these crashes.

Before: 13 of 15 cases of test_crashing_parts failed (24 to 55 late requests, 3 allowed). On a virtual clock no other part was held in 36 plays of nine loads (test_part_play).

The reports and the trials moved to modules of their own (crash_report_schedule, probation_trials, quarantine_times); tests import the constants from there.

--- a/src/corkcrank/contracts/opaque_call.py
+++ b/src/corkcrank/contracts/opaque_call.py
@@ -128,6 +128,11 @@
             for part in prompt.shared_parts[:MAX_FINGERPRINTED_PARTS]
         )
 
+    @property
+    def suspects(self) -> tuple[str, ...]:
+        """Return the fingerprints of what may crash the call's workers: its request and parts."""
+        return (self.fingerprint, *self.part_fingerprints)
+
     @property
     def call_id(self) -> str:
         """Return the id that the caller gave to this attempt."""
--- a/src/corkcrank/contracts/rendezvous.py
+++ b/src/corkcrank/contracts/rendezvous.py
@@ -4,7 +4,8 @@
 
 import xxhash
 
-_HASH_RANGE = float(1 << 64)
+HASH_RANGE = float(1 << 64)
+"""Upper bound of the hashes."""
 
 
 def rendezvous_hash(key: str, node: str) -> int:
@@ -26,5 +27,5 @@
     >>> max(scores, key=scores.get) in ("a", "b")
     True
     """
-    uniform = (rendezvous_hash(key, node) + 0.5) / _HASH_RANGE
+    uniform = (rendezvous_hash(key, node) + 0.5) / HASH_RANGE
     return -weight / math.log(uniform)
--- a/src/corkcrank/links/decision_log.py
+++ b/src/corkcrank/links/decision_log.py
@@ -64,6 +64,7 @@
     WORKER_RESTORED = "Workers: restored."
     WORKER_ENDED = "Workers: ended with a call in progress."
     REQUEST_QUARANTINED = "Request: quarantined, workers end under it."
+    PART_QUARANTINED = "Prompt part: quarantined, workers crash under requests with it."
     REQUEST_AWAITS_VERDICT = "Request: waits for its verdict."
     REQUEST_VERDICT_REVOKED = "Request: verdict taken back."
     EVIDENCE_INCOMPLETE = (
--- a/src/corkcrank/node/callers/refusals.py
+++ b/src/corkcrank/node/callers/refusals.py
@@ -1,5 +1,6 @@
 """Responses to opaque calls that the gateway generates itself: numbered codes, retry times."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from http import HTTPStatus
 
@@ -45,9 +46,13 @@
         return cls(ResultCode.DRAINING, detail, retry_after=DRAINING_RETRY_SECONDS, close=True)
 
     @classmethod
-    def quarantined(cls, seconds: float) -> "Refusal":
-        """Return the response to a call whose request is quarantined for ``seconds`` more."""
-        return cls(ResultCode.REQUEST_QUARANTINED, retry_after=seconds)
+    def quarantined(cls, seconds: float, parts: Sequence[str] = ()) -> "Refusal":
+        """Return the response to a call that is quarantined for ``seconds`` more.
+
+        ``parts`` are the quarantined parts of its prompt; without them its request is quarantined.
+        """
+        detail = f"prompt parts {', '.join(parts)}" if parts else ""
+        return cls(ResultCode.REQUEST_QUARANTINED, detail, retry_after=seconds)
 
     @classmethod
     def backing_off(cls, seconds: float) -> "Refusal":
--- a/src/corkcrank/node/membership/quarantine_rows.py
+++ b/src/corkcrank/node/membership/quarantine_rows.py
@@ -1,4 +1,4 @@
-"""Stores quarantined requests as rows of the store, so that they survive all gateways.
+"""Stores quarantined requests and parts as rows of the store, so that they survive all gateways.
 
 Gateways report quarantines to each other, so a single one that restarts receives them. After all
 have stopped at once only the store has them: without its rows each quarantined request would
@@ -24,7 +24,7 @@
 from corkcrank.machines.store_mirror import StoreMirror
 from corkcrank.node.workers.crash_watch import CrashWatch
 from corkcrank.scheduling.crash_records import CrashRecord
-from corkcrank.scheduling.crash_reports import CrashReport, RequestAtCrash
+from corkcrank.scheduling.crash_reports import CrashReport, PartSuccess, RequestAtCrash
 
 READ_DELAY_SECONDS = 0.5
 """Delay of the read after serving begins: two heartbeats of a small fleet, after which a gateway
@@ -41,27 +41,40 @@
 """Maximum rows written, and maximum rows removed, in one pass."""
 
 
+MAX_ROW_CRASHES = 32
+"""Maximum number of crashes in one row, the latest ones: a row's size is limited."""
+
+
 class _SuspectRow(msgspec.Struct, frozen=True, array_like=True):
-    """A request that a worker was processing when it crashed, by its fingerprint."""
+    """A request that a worker was processing when it crashed, by its fingerprint.
+
+    ``parts`` are the shared parts of its prompt, ``None`` if they are unknown, as in rows of a
+    release that did not write them.
+    """
 
     request: str
     progressed: bool = False
+    parts: tuple[str, ...] | None = None
 
 
 class _CrashRow(msgspec.Struct, frozen=True):
     """A worker's crash; ``at`` is on the store's steady clock, in seconds.
 
     ``suspects`` leaves out the requests that have completed successfully since the crash.
+    ``succeeded`` are the parts with which runs had progressed before it, ``cleared`` those with
+    which runs have progressed since.
     """
 
     worker_id: str
     at: float
     suspects: tuple[_SuspectRow, ...]
     incomplete: bool = False
+    succeeded: tuple[str, ...] = ()
+    cleared: tuple[str, ...] = ()
 
 
 class _QuarantineRow(msgspec.Struct, frozen=True):
-    """The value of a row; its key is the request's fingerprint.
+    """The value of a row; its key is the fingerprint of the request or part.
 
     Each crash is stored with all its suspects: without them a gateway that reads the row after a
     start would attribute the crashes to this request alone, although another request that was in
@@ -172,18 +185,40 @@
 
     def _row(self, request: str, offset: float) -> _QuarantineRow:
         """Return the row of a request; ``offset`` is from the local clock to the store's."""
-        ends = self._quarantine.records.suspected_crashes(request)
-        return _QuarantineRow(tuple(_crash_row(record, offset) for record in ends))
+        ends = sorted(
+            self._quarantine.records.suspected_crashes(request), key=lambda record: record.at
+        )
+        return _QuarantineRow(
+            tuple(_crash_row(record, offset) for record in ends[-MAX_ROW_CRASHES:])
+        )
 
 
 def _crash_row(record: CrashRecord, offset: float) -> _CrashRow:
-    suspects = tuple(
-        _SuspectRow(request, record.requests[request].progressed) for request in record.suspects()
+    successes = record.part_successes()
+    return _CrashRow(
+        record.worker_id,
+        round(record.at + offset, 3),
+        tuple(
+            _SuspectRow(item.request, item.progressed, item.parts)
+            for item in record.to_requests()
+            if not item.cleared
+        ),
+        record.incomplete,
+        tuple(item.part for item in successes if item.before),
+        tuple(item.part for item in successes if item.after),
     )
-    return _CrashRow(record.worker_id, round(record.at + offset, 3), suspects, record.incomplete)
 
 
 def _crash_report(end: _CrashRow, store_time: float) -> CrashReport:
-    items = [RequestAtCrash(suspect.request, suspect.progressed) for suspect in end.suspects]
+    items = [
+        RequestAtCrash(suspect.request, suspect.progressed, parts=suspect.parts)
+        for suspect in end.suspects
+    ]
+    successes = [
+        PartSuccess(part, part in end.succeeded, part in end.cleared)
+        for part in {*end.succeeded, *end.cleared}
+    ]
     age = max(0.0, store_time - end.at)
-    return CrashReport.from_requests(end.worker_id, age, items, incomplete=end.incomplete)
+    return CrashReport.from_requests(
+        end.worker_id, age, items, incomplete=end.incomplete, successes=successes
+    )
--- a/src/corkcrank/node/process/state_collector.py
+++ b/src/corkcrank/node/process/state_collector.py
@@ -35,6 +35,7 @@
         yield self._store_ages(now)
         yield self._repeats_left(now)
         yield self._requests(now)
+        yield self._prompt_parts(now)
         yield self._evacuated_zones()
         yield self._warming_workers(now)
         yield self._limited_workers(now)
@@ -83,6 +84,18 @@
             family.add_metric((state.value,), states[state])
         return family
 
+    def _prompt_parts(self, now: float) -> Metric:
+        family = GaugeMetricFamily(
+            "corkcrank_prompt_parts_that_crash",
+            "Prompt parts under which workers crash, by state of the quarantine.",
+            labels=("state",),
+        )
+        quarantine = self._services.crash_watch.quarantine
+        states = Counter(quarantine.state(part, now) for part in quarantine.blamed_parts(now))
+        for state in (RequestState.QUARANTINED, RequestState.PROBATION):
+            family.add_metric((state.value,), states[state])
+        return family
+
     def _evacuated_zones(self) -> Metric:
         zones = len(self._services.mirror.workers.evacuated)
         return GaugeMetricFamily(
--- a/src/corkcrank/node/process/state_dump.py
+++ b/src/corkcrank/node/process/state_dump.py
@@ -80,6 +80,19 @@
     rival: str = ""
 
 
+class PromptPartDump(msgspec.Struct, frozen=True):
+    """A prompt part under which workers crashed; no request with it is sent for ``seconds`` more.
+
+    ``requests`` is the number of different requests that had it at these crashes.
+    """
+
+    part: str
+    state: str
+    ended_workers: tuple[str, ...]
+    requests: int
+    seconds: float
+
+
 class MemberDump(msgspec.Struct, frozen=True):
     """Another gateway; ``silent`` is the seconds since its last heartbeat was received."""
 
@@ -111,6 +124,7 @@
     unreadable_entries: dict[str, str]
     queues: tuple[QueueDump, ...]
     requests: tuple[RequestDump, ...]
+    prompt_parts: tuple[PromptPartDump, ...]
     members: tuple[MemberDump, ...]
     refusals: dict[str, int]
     repeats_left: dict[str, float]
@@ -138,6 +152,7 @@
         unreadable_entries=dict(mirror.entry_reader.unreadable),
         queues=_queues(stage_owner),
         requests=_requests(services.crash_watch.quarantine, now),
+        prompt_parts=_prompt_parts(services.crash_watch.quarantine, now),
         members=_members(services, now),
         refusals=services.metrics.refusals_by_cause(),
         repeats_left=services.repeats_left(now),
@@ -234,6 +249,22 @@
     )
 
 
+def _prompt_parts(quarantine: RequestQuarantine, now: float) -> tuple[PromptPartDump, ...]:
+    dumps = []
+    for part in quarantine.blamed_parts(now):
+        crashes = quarantine.records.suspected_crashes(part)
+        dumps.append(
+            PromptPartDump(
+                part=part,
+                state=quarantine.state(part, now).value,
+                ended_workers=tuple(sorted(record.worker_id for record in crashes)),
+                requests=len({key for record in crashes for key in record.parts[part].holders}),
+                seconds=round(quarantine.seconds_left(part, now), 3),
+            )
+        )
+    return tuple(dumps)
+
+
 def _members(services: CallServices, now: float) -> tuple[MemberDump, ...]:
     return tuple(
         MemberDump(
--- a/src/corkcrank/node/process/worker_access.py
+++ b/src/corkcrank/node/process/worker_access.py
@@ -21,6 +21,7 @@
 from corkcrank.node.workers.worker_health import WorkerHealth
 from corkcrank.node.workers.worker_statements import WorkerStatements
 from corkcrank.scheduling.link_health import LinkHealth
+from corkcrank.scheduling.quarantine_times import probation_offset
 from corkcrank.scheduling.worker_choice import WorkerStatisticsTable
 from corkcrank.scheduling.worker_notices import WorkerNotices
 
@@ -51,7 +52,8 @@
         self.health = WorkerHealth(
             mirror, self.statistics, log, metrics, fleet.local_zone, random_source
         )
-        self.crash_watch = CrashWatch(self.statistics, log, metrics)
+        offset = probation_offset(fleet.local_name)
+        self.crash_watch = CrashWatch(self.statistics, log, metrics, offset)
         self.links = LinkMonitor(mirror, LinkHealth(), log, metrics, random_source)
         self.relay = RelayClient(fleet, peers, notices, log, metrics)
         self.relays = RelayServer(
--- a/src/corkcrank/node/streams/stream_part.py
+++ b/src/corkcrank/node/streams/stream_part.py
@@ -45,7 +45,8 @@
     that another event follows that one. ``first_event`` and ``last_event`` are the ids of the
     events that were relayed; ``leftover`` holds the bytes after the last complete event.
     ``skipped`` is set if an event was missing before one that arrived, ``silent`` if the engine
-    was abandoned because it sent nothing. ``first_event_at`` is the time of its first event.
+    was abandoned because it sent nothing. ``first_event_at`` is the time of its first event,
+    ``progress_recorded`` is set once its run is known to have gone on for a while after that.
     """
 
     status: int
@@ -59,6 +60,7 @@
     skipped: bool = False
     silent: bool = False
     first_event_at: float | None = None
+    progress_recorded: bool = False
 
     @property
     def succeeded(self) -> bool:
--- a/src/corkcrank/node/streams/stream_relay.py
+++ b/src/corkcrank/node/streams/stream_relay.py
@@ -149,8 +149,15 @@
             self.on_first_event()
             self.on_first_event = _do_nothing
             await self._answer.write(upstream, b"".join(data))
+            if part.progressed(clock.now()):
+                self._record_progress(part)
         return whole
 
+    def _record_progress(self, part: StreamPart) -> None:
+        if not part.progress_recorded and part.first_event_at is not None:
+            part.progress_recorded = True
+            self._services.crash_watch.record_progress(self._call, part.first_event_at)
+
     async def _end_answer(self, upstream: aiohttp.ClientResponse, part: StreamPart) -> RelayEnd:
         """End the answer as complete if the engine's part was the end of the stream.
 
@@ -165,6 +172,7 @@
         except ConnectionError:
             return RelayEnd.CALLER_GONE
         self._observe_stream_time()
+        self._record_progress(part)
         return RelayEnd.COMPLETE
 
     def _observe_stream_time(self) -> None:
--- a/src/corkcrank/node/streams/stream_run.py
+++ b/src/corkcrank/node/streams/stream_run.py
@@ -73,10 +73,10 @@
         """Return the finished answer, or the refusal that states why there is none."""
         if clock.now() > self._services.drain.streams_until:
             return Refusal.draining("request arrived too late in the drain")
-        if wait := await self._services.crash_watch.wait_for_verdict(self._call):
-            return Refusal.quarantined(wait)
         if refusal := await self._continuity.find_origin():
             return refusal
+        if wait := await self._services.crash_watch.wait_for_verdict(self._call):
+            return self._quarantine_refusal(wait)
         tokens = self._call.envelope.prompt.tokens_in
         self._services.prompt_sizes.observe_prompt_size(self._call.route.name, tokens)
         engines = self._admission.rank_engines()
@@ -296,7 +296,7 @@
             code = ResultCode.DEADLINE_EXCEEDED if overdue else ResultCode.WORKER_LOST
             return Refusal(code)
         if wait := self._services.crash_watch.quarantine_seconds_left(self._call):
-            return Refusal.quarantined(wait)
+            return self._quarantine_refusal(wait)
         if not self._admission.ends_before_stop():
             return Refusal.draining("its stream would outlast the drain")
         if self._exchanges.stages is not None and self._exchanges.stages.started:
@@ -308,6 +308,9 @@
             return Refusal(ResultCode.WORKERS_LIMITED, retry_after=retry)
         return self._no_engine_refusal(ResultCode.NO_BACKEND)
 
+    def _quarantine_refusal(self, wait: float) -> Refusal:
+        return Refusal.quarantined(wait, self._services.crash_watch.quarantined_parts(self._call))
+
     def _no_engine_refusal(self, code: ResultCode, detail: str = "") -> Refusal:
         """Return the refusal of a call without an engine; backoffs of all engines go first."""
         if refusal := self._services.backing_off_refusal(self._call):
@@ -325,7 +328,7 @@
         if self._call.may_have_run:
             return Refusal(ResultCode.STAGE_FAILED, error.detail)
         if wait := self._services.crash_watch.quarantine_seconds_left(self._call):
-            return Refusal.quarantined(wait)
+            return self._quarantine_refusal(wait)
         if self._services.drain.signal_received:
             return Refusal.draining(error.detail)
         code = ResultCode.STAGE_NOT_MADE if error.started else ResultCode.CAPACITY_SHORT
--- a/src/corkcrank/node/telemetry/metrics.py
+++ b/src/corkcrank/node/telemetry/metrics.py
@@ -86,6 +86,11 @@
             "Requests quarantined because workers crashed during them.",
             registry=self.registry,
         )
+        self.part_quarantines = Counter(
+            "corkcrank_prompt_part_quarantines",
+            "Prompt parts quarantined because workers crashed under requests with them.",
+            registry=self.registry,
+        )
         self.quarantines_withdrawn = Counter(
             "corkcrank_request_verdicts_taken_back",
             "Requests released from quarantine because other requests explain the crashes.",
--- a/src/corkcrank/node/workers/crash_watch.py
+++ b/src/corkcrank/node/workers/crash_watch.py
@@ -1,4 +1,4 @@
-"""Detects worker crashes after connection failures and quarantines the requests that cause them."""
+"""Detects worker crashes after connection failures and quarantines what causes them."""
 
 import asyncio
 from collections.abc import Callable, Iterable, Mapping
@@ -31,10 +31,14 @@
     """
 
     def __init__(
-        self, worker_statistics: WorkerStatisticsTable, log: DecisionLog, metrics: NodeMetrics
+        self,
+        worker_statistics: WorkerStatisticsTable,
+        log: DecisionLog,
+        metrics: NodeMetrics,
+        probation_offset: float = 0.0,
     ) -> None:
         self._worker_statistics = worker_statistics
-        self.quarantine = RequestQuarantine()
+        self.quarantine = RequestQuarantine(probation_offset)
         self.on_update: Callable[[], None] = lambda: None
         self.relay: RequestRelay = NoRelay()
         self._log = log
@@ -46,22 +50,35 @@
         self._logged_problems: set[str] = set()
 
     def quarantine_seconds_left(self, call: OpaqueCall) -> float:
-        """Return for how many more seconds a call's request is not sent to workers, 0 if it may."""
+        """Return for how many more seconds a call is not sent to workers, 0 if it may be.
+
+        Its request, or a part of its prompt, may be quarantined or await a verdict.
+        """
         if self.quarantine.empty:
             return 0.0
         now = clock.now()
-        left = self.quarantine.seconds_left(call.fingerprint, now)
-        return left or self.quarantine.seconds_to_wait(call.fingerprint, now)
+        suspects = call.suspects
+        left = max(self.quarantine.seconds_left(suspect, now) for suspect in suspects)
+        return left or max(self.quarantine.seconds_to_wait(suspect, now) for suspect in suspects)
+
+    def quarantined_parts(self, call: OpaqueCall) -> list[str]:
+        """Return the parts of a call's prompt that are quarantined."""
+        if self.quarantine.empty:
+            return []
+        now = clock.now()
+        return [part for part in call.part_fingerprints if self.quarantine.seconds_left(part, now)]
 
     async def wait_for_verdict(self, call: OpaqueCall) -> float:
-        """Wait for the verdict on a call's request; return its remaining quarantine in seconds.
+        """Wait for the verdicts on a call; return its remaining quarantine in seconds.
 
         A call whose deadline comes before the verdict does not wait.
         """
         waits = False
         while not self.quarantine.empty:
             now = clock.now()
-            wait = self.quarantine.seconds_to_wait(call.fingerprint, now)
+            if any(self.quarantine.seconds_left(suspect, now) for suspect in call.suspects):
+                break
+            wait = max(self.quarantine.seconds_to_wait(suspect, now) for suspect in call.suspects)
             if not wait or now + wait >= call.end_at:
                 break
             if not waits:
@@ -88,14 +105,24 @@
     def record_sent(self, call: OpaqueCall) -> None:
         """Record that a call is sent to a worker.
 
-        If its request is on probation, no other call of the request may be sent for a while.
+        If its request or a part of its prompt is on probation, no other call with it may be sent
+        for a while.
         """
         if self.quarantine.empty:
             return
-        if self.quarantine.record_sent(call.fingerprint, clock.now()):
-            self._log.write(
-                LogEvent.REQUEST_ON_PROBATION, call=call.call_id, request=call.fingerprint
-            )
+        for suspect in call.suspects:
+            if self.quarantine.record_sent(suspect, clock.now()):
+                self._log.write(LogEvent.REQUEST_ON_PROBATION, call=call.call_id, request=suspect)
+                self.on_update()
+
+    def record_progress(self, call: OpaqueCall, first_event_at: float) -> None:
+        """Record that an engine's run of a call went on for a while after its first event.
+
+        Parts that crash each engine which begins to write on them never get there.
+        """
+        parts = call.part_fingerprints
+        if self.quarantine.record_progress(parts, first_event_at, clock.now()):
+            self._review_verdicts()
             self.on_update()
 
     def record_connection_failure(
@@ -180,7 +207,11 @@
         now = clock.now()
         self._worker_statistics.get_or_create(worker.worker_id).record_end(now)
         request, worker_id = call.fingerprint, worker.worker_id
-        if not self.quarantine.record_crash(request, worker_id, now, progressed=progressed):
+        # Workers of stages do not read the prompt.
+        parts = call.part_fingerprints if worker.service == call.service else ()
+        if not self.quarantine.record_crash(
+            request, worker_id, now, progressed=progressed, parts=parts
+        ):
             return
         self._metrics.crashed_worker_requests.labels(worker.service).inc()
         self._log.write(
@@ -190,7 +221,7 @@
             worker=worker.worker_id,
             service=worker.service,
             progressed=progressed,
-            parts=call.part_fingerprints,
+            parts=parts,
         )
         self._review_verdicts()
         self.on_update()
@@ -243,6 +274,9 @@
             self._review_timer = loop.call_later(seconds, self._review_verdicts)
 
     def _record_quarantine(self, request: str, verdict: Verdict, now: float) -> None:
+        if request in self.quarantine.records.parts():
+            self._record_part_quarantine(request, verdict, now)
+            return
         self._metrics.quarantines.inc()
         ends = self.quarantine.records.suspected_crashes(request)
         self._log.write(
@@ -257,6 +291,19 @@
             seconds=round(self.quarantine.seconds_left(request, now), 3),
         )
 
+    def _record_part_quarantine(self, part: str, verdict: Verdict, now: float) -> None:
+        self._metrics.part_quarantines.inc()
+        ends = self.quarantine.records.suspected_crashes(part)
+        self._log.write(
+            LogEvent.PART_QUARANTINED,
+            part=part,
+            workers=sorted(verdict.workers),
+            ages=sorted(round(now - record.at, 3) for record in ends),
+            requests=len({key for record in ends for key in record.parts[part].holders}),
+            succeeded=any(record.parts[part].succeeded_before for record in ends),
+            seconds=round(self.quarantine.seconds_left(part, now), 3),
+        )
+
     def _record_unreadable_report(self, problem: str, source: str) -> None:
         """Count an invalid report; log the first of each kind."""
         self._metrics.unreadable_crash_reports.labels(problem).inc()
--- a/src/corkcrank/scheduling/crash_records.py
+++ b/src/corkcrank/scheduling/crash_records.py
@@ -11,10 +11,13 @@
 import math
 from collections.abc import Collection, Iterator
 from dataclasses import dataclass, field
+from enum import IntEnum
 
 from corkcrank.scheduling.crash_reports import (
+    MAX_PARTS_PER_CRASH,
     MAX_REQUESTS_PER_CRASH,
     CrashReport,
+    PartSuccess,
     RequestAtCrash,
 )
 
@@ -37,9 +40,35 @@
 
 
 @dataclass(slots=True)
-class _Entry:
+class RequestEntry:
+    """A request at a crash; ``parts_known`` says whether its prompt's shared parts are known."""
+
     progressed: bool
     cleared: bool = False
+    parts_known: bool = True
+
+    @property
+    def early(self) -> bool:
+        """Return whether the request may have crashed the worker: an early run, not cleared."""
+        return not self.progressed and not self.cleared
+
+
+@dataclass(slots=True)
+class PartEntry:
+    """A prompt part at a crash: the requests that have it, and whether runs with it progressed."""
+
+    holders: set[str] = field(default_factory=set)
+    succeeded_before: bool = False
+    succeeded_after: bool = False
+
+
+class SuccessNews(IntEnum):
+    """What a success of a part changed in the records of its crashes."""
+
+    NONE = 0
+    FURTHER = 1
+    """A success was known for each crash; peers need not receive this one at once."""
+    FIRST = 2
 
 
 @dataclass(slots=True)
@@ -58,7 +87,8 @@
     changed_at: float
     reported_at: float = NEVER
     incomplete: bool = False
-    requests: dict[str, _Entry] = field(default_factory=dict)
+    requests: dict[str, RequestEntry] = field(default_factory=dict)
+    parts: dict[str, PartEntry] = field(default_factory=dict)
 
     @property
     def decidable_at(self) -> float:
@@ -72,18 +102,54 @@
         if known is None:
             if len(self.requests) >= MAX_REQUESTS_PER_CRASH:
                 return self.mark_incomplete(now)
-            self.requests[item.request] = _Entry(item.progressed, item.cleared)
+            entry = RequestEntry(item.progressed, item.cleared, item.parts is not None)
+            self.requests[item.request] = entry
             self.last_added_at = now
+            self._add_parts(item, now)
             self._record_change(now)
             return True
-        before = known.progressed, known.cleared
+        before = known.progressed, known.cleared, known.parts_known
         known.progressed = known.progressed and item.progressed
         known.cleared = known.cleared or item.cleared
-        if (known.progressed, known.cleared) == before:
+        known.parts_known = known.parts_known or item.parts is not None
+        added = self._add_parts(item, now)
+        if not added and (known.progressed, known.cleared, known.parts_known) == before:
+            return False
+        self._record_change(now)
+        return True
+
+    def _add_parts(self, item: RequestAtCrash, now: float) -> bool:
+        """Add the parts of a request's prompt; return whether any is new."""
+        added = False
+        for part in item.parts or ():
+            if part not in self.parts and len(self.parts) >= MAX_PARTS_PER_CRASH:
+                self.mark_incomplete(now)
+                continue
+            holders = self.parts.setdefault(part, PartEntry()).holders
+            added = added or item.request not in holders
+            holders.add(item.request)
+        return added
+
+    def record_part_success(self, success: PartSuccess, now: float) -> bool:
+        """Record that runs with a part progressed; return whether the record changed."""
+        entry = self.parts.get(success.part)
+        if entry is None:
+            return False
+        before = entry.succeeded_before, entry.succeeded_after
+        entry.succeeded_before = entry.succeeded_before or success.before
+        entry.succeeded_after = entry.succeeded_after or success.after
+        if (entry.succeeded_before, entry.succeeded_after) == before:
             return False
         self._record_change(now)
         return True
 
+    def is_suspect(self, key: str) -> bool:
+        """Return whether a request or part is a suspect: it was there and is not cleared since."""
+        request, part = self.requests.get(key), self.parts.get(key)
+        if request is not None:
+            return not request.cleared
+        return part is not None and not part.succeeded_after
+
     def clear_request(self, request: str, now: float) -> bool:
         """Clear a request that completed successfully; return whether it was a suspect."""
         entry = self.requests.get(request)
@@ -108,11 +174,36 @@
     def to_report(self, now: float) -> CrashReport:
         """Return the report for peers; the age is rounded down, so the crash gets no earlier."""
         age = max(0.0, math.floor((now - self.at) * 1000.0) / 1000.0)
-        items = [
-            RequestAtCrash(request, entry.progressed, entry.cleared)
+        return CrashReport.from_requests(
+            self.worker_id,
+            age,
+            self.to_requests(),
+            incomplete=self.incomplete,
+            successes=self.part_successes(),
+        )
+
+    def to_requests(self) -> list[RequestAtCrash]:
+        """Return the requests that were in progress, with the parts of their prompts."""
+        parts: dict[str, list[str]] = {request: [] for request in self.requests}
+        for part, part_entry in self.parts.items():
+            for request in part_entry.holders & parts.keys():
+                parts[request].append(part)
+        return [
+            RequestAtCrash(
+                request,
+                entry.progressed,
+                entry.cleared,
+                tuple(parts[request]) if entry.parts_known else None,
+            )
             for request, entry in self.requests.items()
         ]
-        return CrashReport.from_requests(self.worker_id, age, items, incomplete=self.incomplete)
+
+    def part_successes(self) -> list[PartSuccess]:
+        """Return what is known of the parts' successes."""
+        return [
+            PartSuccess(part, entry.succeeded_before, entry.succeeded_after)
+            for part, entry in self.parts.items()
+        ]
 
     def _record_change(self, now: float) -> None:
         self.changed_at = now
@@ -120,12 +211,17 @@
 
 
 class CrashRecords:
-    """All stored crash records, indexed by worker and by request."""
+    """All stored crash records, indexed by worker, by request and by prompt part.
+
+    A suspect is named by its fingerprint, a request or a part.
+    """
 
     def __init__(self) -> None:
         self._records: dict[str, CrashRecord] = {}
         self._workers: dict[str, set[str]] = {}
         """The workers that crashed with each request in progress."""
+        self._part_workers: dict[str, set[str]] = {}
+        """The workers that crashed with each part in the prompt of a request in progress."""
 
     def __len__(self) -> int:
         return len(self._records)
@@ -137,19 +233,22 @@
         """Return every request that a stored record names."""
         return self._workers.keys()
 
+    def parts(self) -> Collection[str]:
+        """Return every prompt part that a stored record names."""
+        return self._part_workers.keys()
+
     def for_request(self, request: str) -> list[CrashRecord]:
-        """Return the records of the workers that crashed with a request in progress."""
-        return [self._records[worker_id] for worker_id in self._workers.get(request, ())]
+        """Return the records of the workers that crashed with a request or part in progress."""
+        workers = self._workers.get(request) or self._part_workers.get(request, set())
+        return [self._records[worker_id] for worker_id in workers]
 
-    def suspected_crashes(self, request: str) -> list[CrashRecord]:
-        """Return the records of a request's crashes that no successful run has cleared."""
-        return [
-            record for record in self.for_request(request) if not record.requests[request].cleared
-        ]
+    def suspected_crashes(self, suspect: str) -> list[CrashRecord]:
+        """Return the records of a suspect's crashes that no successful run has cleared."""
+        return [record for record in self.for_request(suspect) if record.is_suspect(suspect)]
 
-    def latest_crash_at(self, request: str) -> float:
-        """Return when a worker last crashed with a request in progress."""
-        return max((record.at for record in self.for_request(request)), default=NEVER)
+    def latest_crash_at(self, suspect: str) -> float:
+        """Return when a worker last crashed with a suspect in progress."""
+        return max((record.at for record in self.for_request(suspect)), default=NEVER)
 
     def add_request(self, worker_id: str, at: float, item: RequestAtCrash, now: float) -> bool:
         """Record a request that a crashed worker had; return whether the records changed."""
@@ -163,6 +262,9 @@
         changed = record.add_request(item, now)
         if item.request in record.requests:
             self._workers.setdefault(item.request, set()).add(worker_id)
+        for part in item.parts or ():
+            if part in record.parts:
+                self._part_workers.setdefault(part, set()).add(worker_id)
         self._enforce_limit()
         return changed
 
@@ -171,10 +273,37 @@
         at = now - report.age
         changed = [self.add_request(report.worker_id, at, item, now) for item in report.requests()]
         record = self._records.get(report.worker_id)
+        if record is not None:
+            changed += [record.record_part_success(item, now) for item in report.part_successes()]
         if record is not None and report.incomplete:
             changed.append(record.mark_incomplete(now))
         return any(changed)
 
+    def record_part_success(self, part: str, at: float, now: float) -> SuccessNews:
+        """Record that a run with a part had its first event at a time, and progressed."""
+        news = (
+            self.record_success_at(worker_id, part, at, now)
+            for worker_id in self._part_workers.get(part, ())
+        )
+        return max(news, default=SuccessNews.NONE)
+
+    def record_success_at(self, worker_id: str, part: str, at: float, now: float) -> SuccessNews:
+        """Record such a run in the record of one worker, if it has the part."""
+        record = self._records.get(worker_id)
+        entry = record.parts.get(part) if record is not None else None
+        if record is None or entry is None or entry.succeeded_after:
+            return SuccessNews.NONE
+        known = entry.succeeded_before
+        after = at >= record.at
+        if not record.record_part_success(PartSuccess(part, not after, after), now):
+            return SuccessNews.NONE
+        return SuccessNews.FURTHER if known else SuccessNews.FIRST
+
+    def clear_part(self, part: str, now: float) -> bool:
+        """Clear a part of all crashes; return whether any counted against it."""
+        success = PartSuccess(part, after=True)
+        return any([record.record_part_success(success, now) for record in self.for_request(part)])
+
     def clear_request(self, request: str, now: float) -> bool:
         """Clear a request that completed; return whether any crash counted against it."""
         return any([record.clear_request(request, now) for record in self.for_request(request)])
@@ -190,11 +319,16 @@
 
     def discard(self, worker_id: str) -> None:
         """Remove the record of one worker."""
-        for request in self._records.pop(worker_id).requests:
-            workers = self._workers[request]
-            workers.discard(worker_id)
-            if not workers:
-                del self._workers[request]
+        record = self._records.pop(worker_id)
+        for index, suspects in (
+            (self._workers, record.requests),
+            (self._part_workers, record.parts),
+        ):
+            for suspect in suspects:
+                workers = index.get(suspect, set())
+                workers.discard(worker_id)
+                if not workers:
+                    index.pop(suspect, None)
 
     def _enforce_limit(self) -> None:
         while len(self._records) > MAX_RECORDS:
--- /dev/null
+++ b/src/corkcrank/scheduling/part_successes.py
@@ -0,0 +1,36 @@
+"""Remembers when runs with each shared prompt part last progressed at this gateway."""
+
+from collections import OrderedDict
+
+MAX_PARTS = 4096
+"""Maximum number of remembered parts; those without a success for the longest are removed first."""
+
+SUCCESS_MEMORY_SECONDS = 600.0
+"""Time for which a success is evidence that a part does not crash every engine."""
+
+
+class PartSuccesses:
+    """The latest success of each part: when the first event of a run was sent that progressed."""
+
+    def __init__(self) -> None:
+        self._times: OrderedDict[str, float] = OrderedDict()
+
+    def record(self, part: str, at: float) -> None:
+        """Record a success.
+
+        >>> successes = PartSuccesses()
+        >>> successes.record("p", 5.0)
+        >>> successes.record("p", 3.0)
+        >>> successes.latest("p", now=6.0)
+        5.0
+        >>> successes.latest("p", now=5.0 + SUCCESS_MEMORY_SECONDS + 1.0) is None
+        True
+        """
+        self._times[part] = max(at, self._times.pop(part, at))
+        if len(self._times) > MAX_PARTS:
+            self._times.popitem(last=False)
+
+    def latest(self, part: str, now: float) -> float | None:
+        """Return the time of a part's latest success, ``None`` if there is none."""
+        at = self._times.get(part)
+        return at if at is not None and now - at <= SUCCESS_MEMORY_SECONDS else None
--- a/tests/platform/crashing_parts_world.py
+++ b/tests/platform/crashing_parts_world.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 
 import aiohttp
-from mortal_workers import CRASHING, CrashControl, CrashingWorker, join_store
+from mortal_workers import CRASHING, FIRST_START, CrashControl, CrashingWorker, join_store
 from node_world import World, call_id, configuration, peer_of, until, world
 from platform_standins import StandinStageWorker, StandinWorker
 from test_crashing_requests import ROUTES
@@ -179,7 +179,7 @@
     served: dict[str, tuple[StandinWorker | StandinStageWorker, str]] = {
         worker.worker_id: (worker, "model") for worker in workers
     }
-    served["encode"] = (StandinStageWorker(), "encode")
+    served["encode"] = (StandinStageWorker(told={"born": FIRST_START}), "encode")
     async with AsyncExitStack() as stack:
         running = await stack.enter_async_context(
             world(configuration(1, ROUTES), served, retry_allowance=1000)
--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -13,13 +13,16 @@
     CRASHES_BEFORE_CONTACT,
     FIRST_PART,
     OTHER_PARTS,
+    CrashingPartsWorld,
     crashing_parts_world,
     fingerprint,
 )
-from node_world import until
+from node_world import peer_of, until
 from test_crashing_requests import send
+from test_quarantined_requests import gateway_with_store_only
 
 from corkcrank.contracts import clock
+from corkcrank.load.loopback import loopback_address
 
 SOUND_RATE = 20.0
 BAD_RATE = 4.0
@@ -133,6 +136,43 @@
         assert answer.served
 
 
+async def quarantine_part(played: CrashingPartsWorld) -> None:
+    """Have the bad part crash engines until every gateway has quarantined it."""
+    await played.load("/resumed/x", 5.0, sound=SOUND_RATE, bad=BAD_RATE)
+    key = fingerprint(BAD_PART)
+    await until(
+        lambda: all(
+            key in node.crash_watch.quarantine.blamed_parts(clock.now()) for node in played.nodes
+        )
+    )
+    await played.wait_until_restarted()
+
+
+async def test_gateway_that_starts_later_knows_the_part_before_it_sends() -> None:
+    async with crashing_parts_world(gateways=2) as played:
+        await quarantine_part(played)
+        crashes = len(played.crashes())
+        async with peer_of(played.running, loopback_address(3)) as late:
+            await until(lambda: late.ready)
+            await until(lambda: late.crash_watch.quarantine.blamed_parts(clock.now()) != [])
+            assert (await played.ask("/resumed/x", 2, (FIRST_PART, BAD_PART))).status == 503
+        assert len(played.crashes()) == crashes
+
+
+async def test_quarantine_of_a_part_survives_the_stop_of_every_gateway() -> None:
+    async with crashing_parts_world(gateways=1) as played:
+        await quarantine_part(played)
+        running = played.running
+        await until(lambda: ("quarantine", fingerprint(BAD_PART)) in running.store.rows)
+        crashes = len(played.crashes())
+        await running.nodes[0].stop()
+        async with gateway_with_store_only(running) as node:
+            await until(lambda: bool(node.crash_watch.quarantine.blamed_parts(clock.now())))
+            assert (await played.ask("/resumed/x", 1, (FIRST_PART, BAD_PART))).status == 503
+            assert (await played.ask("/resumed/x", 1, (FIRST_PART, OTHER_PARTS[0]))).served
+        assert len(played.crashes()) == crashes
+
+
 async def test_plain_requests_are_no_evidence_on_parts() -> None:
     async with crashing_parts_world() as played:
         await played.load("/resumed/x", 6.0, sound=SOUND_RATE, bad=BAD_RATE)
--- a/tests/scheduling/crash_play.py
+++ b/tests/scheduling/crash_play.py
@@ -52,6 +52,7 @@
     crashing: bool = False
     attempts: int = 0
     sent: int = 1
+    parts: tuple[str, ...] = ()
 
 
 @dataclass
@@ -154,13 +155,18 @@
 
     def _send(self, call: _Call) -> None:
         quarantine = self.gateways[call.gateway]
-        if wait := quarantine.seconds_to_wait(call.request, self.now):
+        suspects = (call.request, *call.parts)
+        left = max(quarantine.seconds_left(suspect, self.now) for suspect in suspects)
+        wait = max(quarantine.seconds_to_wait(suspect, self.now) for suspect in suspects)
+        if wait and not left:
             self._schedule(self.now + wait, self._sender(call))
             return
-        if quarantine.seconds_left(call.request, self.now) > 0.0:
-            self._record_quarantined(call.request)
+        if left > 0.0:
+            self._record_refused(call)
             self._resend_later(call)
             return
+        for suspect in suspects:
+            quarantine.record_sent(suspect, self.now)
         usable = [engine for engine in self._engines if engine.unavailable_until <= self.now]
         if not usable:
             self._resend_later(call)
@@ -168,6 +174,10 @@
         call.attempts += 1
         self._run_at(self._random.choice(usable), call)
 
+    def _record_refused(self, call: _Call) -> None:
+        """Record that a call was refused for a quarantine."""
+        self._record_quarantined(call.request)
+
     def _run_at(self, engine: _Engine, call: _Call) -> None:
         self._numbers += 1
         number, incarnation = self._numbers, engine.incarnation
@@ -180,6 +190,17 @@
             return
         seconds = self._random.uniform(*STREAM_SECONDS)
         self._schedule(first_event + seconds, lambda: self._finish(engine, incarnation, number))
+        if call.parts:
+            progressed_at = first_event + min(seconds, EARLY_RUN_SECONDS + 0.01)
+            self._schedule(progressed_at, lambda: self._progress(engine, incarnation, number))
+
+    def _progress(self, engine: _Engine, incarnation: str, number: int) -> None:
+        if engine.incarnation != incarnation or number not in engine.running:
+            return
+        run = engine.running[number]
+        gateway = run.call.gateway
+        if self.gateways[gateway].record_progress(run.call.parts, run.first_event, self.now):
+            self._schedule_within((0.0, 0.001), lambda: self._send_reports(gateway))
 
     def _finish(self, engine: _Engine, incarnation: str, number: int) -> None:
         if engine.incarnation != incarnation or number not in engine.running:
@@ -216,7 +237,9 @@
         def record() -> None:
             if gateway is not self.gateways[call.gateway]:
                 return
-            if gateway.record_crash(call.request, incarnation, self.now, progressed=progressed):
+            if gateway.record_crash(
+                call.request, incarnation, self.now, progressed=progressed, parts=call.parts
+            ):
                 self._schedule_within((0.0, 0.001), lambda: self._send_reports(call.gateway))
 
         return record
@@ -229,7 +252,9 @@
 
     def _resend_later(self, call: _Call) -> None:
         """Let the caller send the request again, at any gateway."""
-        again = _Call(call.request, self._random_gateway(), call.crashing, 0, call.sent + 1)
+        again = _Call(
+            call.request, self._random_gateway(), call.crashing, 0, call.sent + 1, call.parts
+        )
         if call.crashing:
             if self.now < CRASHER_SECONDS:
                 self._schedule_within(CRASHER_RESEND_SECONDS, self._sender(again))
--- a/tests/scheduling/test_clock_jumps.py
+++ b/tests/scheduling/test_clock_jumps.py
@@ -25,7 +25,8 @@
 from corkcrank.scheduling.crash_records import SETTLE_SECONDS
 from corkcrank.scheduling.crash_reports import CrashReport, RequestAtCrash
 from corkcrank.scheduling.crash_verdicts import MIN_QUARANTINE_CRASHES
-from corkcrank.scheduling.request_quarantine import RequestQuarantine, quarantine_seconds
+from corkcrank.scheduling.quarantine_times import quarantine_seconds
+from corkcrank.scheduling.request_quarantine import RequestQuarantine
 
 INTERVAL = 0.25
 BOUND_SECONDS = 2.0
--- a/tests/scheduling/test_quarantine_machine.py
+++ b/tests/scheduling/test_quarantine_machine.py
@@ -5,13 +5,11 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from corkcrank.scheduling.crash_records import MAX_SETTLE_SECONDS
+from corkcrank.scheduling.crash_report_schedule import SUSPECT_REPORT_SECONDS
 from corkcrank.scheduling.crash_reports import CrashReport
 from corkcrank.scheduling.crash_verdicts import MIN_QUARANTINE_CRASHES
-from corkcrank.scheduling.request_quarantine import (
-    MAX_QUARANTINE_SECONDS,
-    SUSPECT_REPORT_SECONDS,
-    RequestQuarantine,
-)
+from corkcrank.scheduling.quarantine_times import MAX_QUARANTINE_SECONDS
+from corkcrank.scheduling.request_quarantine import RequestQuarantine
 
 REQUEST = "0123456789abcdef"
 HEARTBEAT = 0.25
--- a/tests/scheduling/test_request_quarantine.py
+++ b/tests/scheduling/test_request_quarantine.py
@@ -18,6 +18,10 @@
     SETTLE_SECONDS,
     CrashRecords,
 )
+from corkcrank.scheduling.crash_report_schedule import (
+    MAX_REPORTS_PER_HEARTBEAT,
+    SUSPECT_REPORT_SECONDS,
+)
 from corkcrank.scheduling.crash_reports import (
     CrashReport,
     RequestAtCrash,
@@ -27,13 +31,13 @@
     MIN_QUARANTINE_CRASHES,
     judge_requests,
 )
-from corkcrank.scheduling.request_quarantine import (
-    EVIDENCE_RETENTION_SECONDS,
+from corkcrank.scheduling.probation_trials import TRIAL_SECONDS
+from corkcrank.scheduling.quarantine_times import (
     MAX_QUARANTINE_SECONDS,
-    MAX_REPORTS_PER_HEARTBEAT,
     MIN_QUARANTINE_SECONDS,
-    SUSPECT_REPORT_SECONDS,
-    TRIAL_SECONDS,
+)
+from corkcrank.scheduling.request_quarantine import (
+    EVIDENCE_RETENTION_SECONDS,
     RequestQuarantine,
     RequestState,
 )
