--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -19,6 +19,7 @@
 STREAM_DEADLINE = 6.0
 ABANDONED_SHARE = 0.04
 HEAD_BYTES = 65_536
+PARTS_HEADER = "X-Corkcrank-Prefix-Hash"
 MAX_TAKE_UPS = 2
 MIN_TAKE_UP_SECONDS = 1.0
 """A caller with less time left than this does not take its stream up."""
@@ -159,6 +160,18 @@
         await self._exchange_recorded(connection, call)
         connection.close()
 
+    async def send_bad_part(self, route: RouteUse, part: str) -> None:
+        """Send a request, unlike any other, whose prompt has a part that crashes engines."""
+        connection = await self._connect()
+        if connection is None:
+            return
+        call = self.make_call(route, connection.node)
+        call.bad_part = part
+        shared, own = call.headers[PARTS_HEADER].split(",")
+        call.headers[PARTS_HEADER] = f"{shared},{part}:50,{own}"
+        await self._exchange_recorded(connection, call)
+        connection.close()
+
     def make_call(self, route: RouteUse, node: str) -> SentCall:
         """Return a new call for a route with a random body size and event count."""
         source = self._source
@@ -187,7 +200,7 @@
             headers["X-Corkcrank-Model"] = "m"
             headers["X-Corkcrank-Token-Count"] = f"{tokens},80"
             shared = source.randrange(6)
-            headers["X-Corkcrank-Prefix-Hash"] = f"aa{shared}:90,{call_id}:{tokens - 90}"
+            headers[PARTS_HEADER] = f"aa{shared}:90,{call_id}:{tokens - 90}"
         if route.stages:
             call.pieces = (source.randrange(1, 4), source.randrange(1, 6))
             headers["X-Corkcrank-Segments"] = ",".join(map(str, call.pieces))
--- a/tests/soak/crashing.py
+++ b/tests/soak/crashing.py
@@ -1,4 +1,8 @@
-"""Fault in which a caller repeats a request that crashes every worker that starts running it."""
+"""Faults in which requests crash every worker that starts running them.
+
+One caller repeats a request that does, or requests that are never alike have a part of their
+prompts in common that does.
+"""
 
 import asyncio
 import json
@@ -8,7 +12,7 @@
 
 import aiohttp
 
-from corkcrank.contracts.request_fingerprint import request_fingerprint
+from corkcrank.contracts.request_fingerprint import part_fingerprint, request_fingerprint
 from soak.clients import Clients, RouteUse
 from soak.fleet import FIRST_PEER_PORT, AnyWorker, SoakFleet, SoakNode
 from soak.ledger import CRASHING_BODY_PREFIX
@@ -17,6 +21,7 @@
 from soak.sent_calls import SentCall
 
 CRASHES_BEFORE_QUARANTINE = 3
+CRASHES_BEFORE_PART_QUARANTINE = 5
 MAX_LATE_RUNS = 3
 """Runs allowed after every node could know that the request has crashed three workers."""
 
@@ -25,7 +30,9 @@
 
 PAUSE_SECONDS = (0.05, 0.4)
 RESTART_DELAY_SECONDS = (0.3, 4.0)
+PART_PAUSE_SECONDS = (0.1, 0.4)
 QUARANTINE_LINE = "Request: quarantined, workers end under it."
+PART_QUARANTINE_LINE = "Prompt part: quarantined, workers crash under requests with it."
 
 ROUTES = (
     RouteUse("safe", 1.0, repeatable=True),
@@ -46,6 +53,8 @@
         self._crashes: dict[str, list[float]] = defaultdict(list)
         self._late_runs: dict[str, int] = defaultdict(int)
         self._restarts: set[asyncio.Task[None]] = set()
+        self._with_bad_part: set[str] = set()
+        """Requests with a bad part, which may be quarantined for their crashes too."""
         self._number = 0
         fleet.on_crashing = self._crash_worker
 
@@ -66,6 +75,21 @@
             await asyncio.sleep(low + fault.strength * (high - low))
         await asyncio.gather(*self._restarts)
 
+    async def play_part(self, fault: Fault) -> None:
+        """Send requests with one bad part for some seconds, of every kind of stream in turn."""
+        self._number += 1
+        part = f"bad{self._number:05x}"
+        streams = [use for use in ROUTES if use.streamed]
+        end_at = time.monotonic() + 2.0 * fault.seconds
+        low, high = PART_PAUSE_SECONDS
+        sending: set[asyncio.Task[None]] = set()
+        while time.monotonic() < end_at:
+            use = streams[len(sending) % len(streams)]
+            sending.add(asyncio.create_task(self._clients.send_bad_part(use, part)))
+            await asyncio.sleep(low + fault.strength * (high - low))
+        await asyncio.gather(*sending)
+        await asyncio.gather(*self._restarts)
+
     async def check_quarantines(self) -> None:
         """Check that at most 1 harmless request is quarantined at the end of the soak.
 
@@ -81,7 +105,7 @@
         async with aiohttp.ClientSession(timeout=timeout) as session:
             for node in self._fleet.nodes:
                 try:
-                    held |= set(await _quarantined(session, node)) - set(self._crashes)
+                    held |= set(await _quarantined(session, node)) - self._known()
                 except (aiohttp.ClientError, OSError, TimeoutError) as error:
                     self._ledger.violate("dump", f"{node.name} told none: {error!r}")
         if len(held) > MAX_WRONGLY_QUARANTINED:
@@ -92,6 +116,10 @@
         for request, first in self._wrongly_quarantined().items():
             detail = f"{request} at {first['process']}, {first.get('workers')}"
             self._ledger.violate("held", f"for a moment at least, without a fault: {detail}")
+        for line in self._lines(PART_QUARANTINE_LINE):
+            if line["part"] not in self._crashes:
+                detail = f"part {line['part']} at {line['process']}, {line['workers']}"
+                self._ledger.violate("held", f"for a moment at least, without a fault: {detail}")
 
     def wrongly_quarantined(self) -> int:
         """Return the number of harmless requests that were ever quarantined."""
@@ -99,30 +127,40 @@
 
     def _wrongly_quarantined(self) -> dict[str, dict[str, Any]]:
         """Return the first quarantine log line of each harmless request by its fingerprint."""
-        lines = [
+        lines = self._lines(QUARANTINE_LINE)
+        lines.sort(key=lambda line: line["time"], reverse=True)
+        return {line["request"]: line for line in lines if line["request"] not in self._known()}
+
+    def _known(self) -> set[str]:
+        """Return the requests and parts that did crash workers."""
+        return {*self._crashes, *self._with_bad_part}
+
+    def _lines(self, event: str) -> list[dict[str, Any]]:
+        """Return the log lines of all nodes of one kind."""
+        return [
             json.loads(line)
             for node in self._fleet.nodes
             for line in self._fleet.processes.log_text(node.name).splitlines()
-            if QUARANTINE_LINE in line and line.startswith("{")
+            if event in line and line.startswith("{")
         ]
-        lines.sort(key=lambda line: line["time"], reverse=True)
-        return {line["request"]: line for line in lines if line["request"] not in self._crashes}
 
     def _crash_worker(self, worker: AnyWorker, call: SentCall) -> None:
         """Crash a worker that starts a crashing request, and record the crash."""
         now = time.monotonic()
         request = request_fingerprint(call.tenant, call.target, call.body)
-        ends = self._crashes[request]
+        suspect, needed = request, CRASHES_BEFORE_QUARANTINE
+        if call.bad_part:
+            self._with_bad_part.add(request)
+            suspect = part_fingerprint("model", "m", call.bad_part)
+            needed = CRASHES_BEFORE_PART_QUARANTINE
+        ends = self._crashes[suspect]
         bound = self._ledger.bounds.contact + self._ledger.loop_lag
-        known = (
-            len(ends) >= CRASHES_BEFORE_QUARANTINE
-            and now > ends[CRASHES_BEFORE_QUARANTINE - 1] + bound
-        )
+        known = len(ends) >= needed and now > ends[needed - 1] + bound
         if known and self._ledger.in_touch(call.node, now):
-            self._late_runs[request] += 1
-            if self._late_runs[request] > MAX_LATE_RUNS:
-                late = now - ends[CRASHES_BEFORE_QUARANTINE - 1]
-                detail = f"{call.call_id} by {call.node}, {late:.1f} s after the third end"
+            self._late_runs[suspect] += 1
+            if self._late_runs[suspect] > MAX_LATE_RUNS:
+                late = now - ends[needed - 1]
+                detail = f"{call.call_id} by {call.node}, {late:.1f} s after end {needed}"
                 self._ledger.violate("crashing", detail)
         assert worker.link is not None
         if worker not in self._fleet.workers or not worker.link.listening:
--- a/tests/soak/injector.py
+++ b/tests/soak/injector.py
@@ -3,7 +3,7 @@
 import asyncio
 import signal
 import time
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from typing import Any
 
 from node_world import route
@@ -53,7 +53,7 @@
         self.floods = 0
         self._fleet = fleet
         self._ledger = fleet.ledger
-        self._actions: dict[FaultKind, Callable[[Fault], Awaitable[None]]] = {
+        self._actions: dict[FaultKind, Callable[[Fault], Coroutine[None, None, None]]] = {
             FaultKind.TERMINATE: self._terminate,
             FaultKind.CHANGE_SETTINGS: self._change_settings,
             FaultKind.CONFIGURE: self._configure,
@@ -86,6 +86,7 @@
             FaultKind.BACKOFFS_REQUESTED: lambda fault: request_backoffs(fleet, fault),
             FaultKind.CUT_FROM_WORKERS: lambda fault: cut_from_workers(fleet, fault),
             FaultKind.WORKERS_BRITTLE: lambda fault: turn_brittle(fleet, fault),
+            FaultKind.CRASHING_PART: crashing.play_part,
         }
 
     async def play(self, schedule: Sequence[Fault]) -> None:
@@ -96,10 +97,7 @@
             for fault in schedule:
                 await asyncio.sleep(max(0.0, started + fault.at - loop.time()))
                 self.played.append(str(fault))
-                group.create_task(self._inject(fault))
-
-    async def _inject(self, fault: Fault) -> None:
-        await self._actions[fault.kind](fault)
+                group.create_task(self._actions[fault.kind](fault))
 
     def _pick_node(self, fault: Fault) -> SoakNode | None:
         nodes = [node for node in self._fleet.nodes if not node.down]
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -40,6 +40,7 @@
     BACKOFFS_REQUESTED = "workers reject calls and request backoffs"
     CUT_FROM_WORKERS = "nodes lose their links to all workers"
     WORKERS_BRITTLE = "workers fall over if they reject too many calls"
+    CRASHING_PART = "requests, never alike, with a prompt part that crashes engines"
 
 
 PLANNED = (
@@ -65,6 +66,7 @@
     FaultKind.BACKOFFS_REQUESTED,
     FaultKind.CUT_FROM_WORKERS,
     FaultKind.WORKERS_BRITTLE,
+    FaultKind.CRASHING_PART,
 )
 """Kinds with their own random source, so that they don't change a seed's other faults."""
 
@@ -105,6 +107,9 @@
 MEAN_BRITTLE_PAUSE_SECONDS = 6.0
 """Mean time from the end of one time with brittle workers to the next."""
 
+MEAN_CRASHING_PART_PAUSE_SECONDS = 10.0
+"""Mean time from the end of one series of requests with a bad part to the next."""
+
 MEAN_PAUSE_SECONDS = 0.9
 FAULT_SECONDS = (0.3, 4.5)
 SERIES_SHARE = 0.25
@@ -161,6 +166,7 @@
         faults += _crashing_requests(seed, seconds)
         faults += _cuts(seed, seconds)
         faults += _brittle_workers(seed, seconds)
+        faults += _crashing_parts(seed, seconds)
     faults += _evacuations(seed, seconds)
     faults += _cold_engines(seed, seconds)
     faults += _limits(seed, seconds)
@@ -216,6 +222,13 @@
     )
 
 
+def _crashing_parts(seed: int, seconds: float) -> list[Fault]:
+    """Return the faults that send requests with a bad part; a soak of 20 s has one or two."""
+    source = random.Random(f"crashing parts {seed}")
+    pause = MEAN_CRASHING_PART_PAUSE_SECONDS
+    return _draw_faults_of_kind(FaultKind.CRASHING_PART, source, seconds, pause, overlapping=False)
+
+
 def _evacuations(seed: int, seconds: float) -> list[Fault]:
     """Return the zone evacuations; two overlap if the next starts before the last ends."""
     source = random.Random(f"evacuations {seed}")
--- a/tests/soak/sent_calls.py
+++ b/tests/soak/sent_calls.py
@@ -36,7 +36,8 @@
     """A call as its client sent it; ``pieces`` holds the number of pieces of each stage.
 
     A stream that a caller takes up keeps the ``stream_id`` of its first attempt; the caller has
-    its events up to ``resume_after``, which engines of a software ``version`` wrote.
+    its events up to ``resume_after``, which engines of a software ``version`` wrote. Engines crash
+    under ``bad_part``, a part of its prompt.
     """
 
     call_id: str
@@ -60,6 +61,7 @@
     stream_id: str = ""
     resume_after: int = 0
     version: str = ""
+    bad_part: str = ""
 
     def __post_init__(self) -> None:
         self.stream_id = self.stream_id or self.call_id
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -107,7 +107,8 @@
             return web.Response(status=400)
         self._ledger.check_evacuated(begun[0], self.worker_id, self.zone, self.link)
         self._check_limits(begun[0])
-        if body.startswith(CRASHING_BODY_PREFIX) and not begun[0].stage_runs:
+        crashes = body.startswith(CRASHING_BODY_PREFIX) and not begun[0].stage_runs
+        if crashes or begun[0].bad_part:
             begun[1].broken_off = True
             self.on_crashing(begun[0])
             raise ConnectionResetError
