--- a/src/corkcrank/contracts/result_codes.py
+++ b/src/corkcrank/contracts/result_codes.py
@@ -77,7 +77,10 @@
     )
 
     REQUEST_QUARANTINED = CodeEntry(
-        3012, 503, Ran.NO, "Workers crashed under this request or a part of its prompt; both are kept from them for a while."
+        3012,
+        503,
+        Ran.NO,
+        "Workers crashed under this request or a part of its prompt; it is not sent for a while.",
     )
 
     WORKERS_LIMITED = CodeEntry(
