Part verdicts: evidence is collected without parts that have succeeded since

Parts with a success since a crash are left out of it, sets of holders are kept for parts without any success only, and after a verdict only what shares its crashes is weighed again. Verdicts are the same: test_part_verdicts, and the plays of test_part_play that were repeated (nine engines, two parts).

--- a/src/corkcrank/scheduling/part_verdicts.py
+++ b/src/corkcrank/scheduling/part_verdicts.py
@@ -29,8 +29,8 @@
     ``requests`` maps each crashed worker to the request that is most likely to have crashed it, of
     those with the part: the one that was at the most crashes. ``likeliest`` are the workers at
     which no request without the part was at more crashes. ``complete`` are those whose records are
-    complete. ``holders`` are all requests with the part at any crash. ``succeeded`` says whether a
-    run with the part ever progressed.
+    complete. ``succeeded`` says whether a run with the part ever progressed; if none did,
+    ``holders`` are all requests with the part at these crashes.
     """
 
     requests: dict[str, str] = field(default_factory=dict)
@@ -51,52 +51,103 @@
     have. What it explains no longer counts against the others.
     """
     parts = _collect_evidence(list(records))
-    rivals = {name for name, part in parts.items() if _may_explain(part)}
+    rivals = _Rivals(parts)
+    candidates = {
+        name
+        for name, part in parts.items()
+        if part.different_requests(part.requests) >= _needed_requests(part)
+    }
+    cases: dict[str, set[str]] = {}
+    outdated = set(candidates)
     blamed: dict[str, Verdict] = {}
     explained: set[str] = set()
-    while True:
-        found = {
-            name: case
-            for name in parts.keys() - blamed.keys()
-            if len(case := _unexplained(parts, name, rivals, explained))
-            >= _needed_requests(parts[name])
-            and parts[name].different_requests(case) >= _needed_requests(parts[name])
-        }
-        if not found:
-            return blamed
-        name = min(found, key=lambda key: (parts[key].succeeded, len(parts[key].holders), key))
-        blamed[name] = Verdict(frozenset(found[name]))
-        explained |= parts[name].requests.keys()
+    while candidates:
+        for name in outdated:
+            cases[name] = _unexplained(parts[name], name, rivals, explained)
+        sufficient = [name for name in candidates if _is_sufficient(parts[name], cases[name])]
+        if not sufficient:
+            break
+        name = min(sufficient, key=lambda key: (parts[key].succeeded, len(parts[key].holders), key))
+        blamed[name] = Verdict(frozenset(cases[name]))
+        candidates.remove(name)
+        workers = parts[name].requests.keys() - explained
+        explained |= workers
+        outdated = {key for key in candidates if not workers.isdisjoint(parts[key].requests)}
+    return blamed
 
 
 def _collect_evidence(records: list[CrashRecord]) -> dict[str, _Part]:
     crashes = Counter(
         request for record in records for request, entry in record.requests.items() if entry.early
     )
+    succeeded = {
+        name
+        for record in records
+        for name, entry in record.parts.items()
+        if entry.succeeded_before or entry.succeeded_after
+    }
     parts: dict[str, _Part] = {}
     for record in records:
-        complete = not record.incomplete and all(
-            entry.parts_known for entry in record.requests.values() if entry.early
-        )
-        most = max((crashes[key] for key in record.requests), default=0)
-        for name, entry in record.parts.items():
-            part = parts.setdefault(name, _Part())
-            part.holders |= entry.holders
-            part.succeeded |= entry.succeeded_before or entry.succeeded_after
-            early = [request for request in entry.holders if record.requests[request].early]
-            if entry.succeeded_after or not early:
-                continue
-            request = max(early, key=lambda key: (crashes[key], key))
-            part.requests[record.worker_id] = request
-            if crashes[request] == most:
-                part.likeliest.add(record.worker_id)
-            if complete:
-                part.complete.add(record.worker_id)
+        _add_record(parts, record, crashes, succeeded)
     return parts
 
 
-def _may_explain(part: _Part) -> bool:
-    return not part.succeeded and part.different_requests(part.requests) >= MIN_RIVAL_REQUESTS
+def _add_record(
+    parts: dict[str, _Part], record: CrashRecord, crashes: Counter[str], succeeded: set[str]
+) -> None:
+    early = {request for request, entry in record.requests.items() if entry.early}
+    suspects = [item for item in record.parts.items() if not item[1].succeeded_after]
+    if not early or not suspects:
+        return
+    most = max(crashes[request] for request in early)
+    complete = not record.incomplete and all(
+        record.requests[request].parts_known for request in early
+    )
+    for name, entry in suspects:
+        part = parts.get(name)
+        if part is None:
+            part = parts[name] = _Part(succeeded=name in succeeded)
+        if not part.succeeded:
+            part.holders |= entry.holders
+        holders = entry.holders & early
+        if not holders:
+            continue
+        request = max(holders, key=lambda key: (crashes[key], key))
+        part.requests[record.worker_id] = request
+        if crashes[request] == most:
+            part.likeliest.add(record.worker_id)
+        if complete:
+            part.complete.add(record.worker_id)
+
+
+class _Rivals:
+    """The parts that explain crashes in place of others: no run with them ever progressed."""
+
+    def __init__(self, parts: Mapping[str, _Part]) -> None:
+        self._parts = {
+            name: part
+            for name, part in parts.items()
+            if not part.succeeded and part.different_requests(part.requests) >= MIN_RIVAL_REQUESTS
+        }
+        self._workers = {worker_id for part in self._parts.values() for worker_id in part.requests}
+
+    def explained(self, part: _Part, name: str, workers: set[str]) -> set[str]:
+        """Return which of a part's crashes a rival explains better.
+
+        Any rival does for a part that has succeeded. For one that has not, a rival explains its
+        crashes if it was at most of them and fewer requests have it, all of them with the part
+        too: it is more specific, and if it is not to blame, crashes without it will show that.
+        """
+        if part.succeeded:
+            return workers & self._workers
+        found: set[str] = set()
+        for other, rival in self._parts.items():
+            if other == name or len(rival.holders) >= len(part.holders):
+                continue
+            shared = workers & rival.requests.keys()
+            if 2 * len(shared) > len(workers) and rival.holders < part.holders:
+                found |= shared
+        return found
 
 
 def _needed_requests(part: _Part) -> int:
@@ -104,25 +155,21 @@
     return MIN_CERTAINTY_CRASHES if part.succeeded else MIN_QUARANTINE_CRASHES
 
 
-def _unexplained(
-    parts: Mapping[str, _Part], name: str, rivals: set[str], explained: set[str]
-) -> set[str]:
+def _is_sufficient(part: _Part, workers: set[str]) -> bool:
+    needed = _needed_requests(part)
+    return len(workers) >= needed and part.different_requests(workers) >= needed
+
+
+def _unexplained(part: _Part, name: str, rivals: _Rivals, explained: set[str]) -> set[str]:
     """Return the crashes with a part that nothing else explains.
 
-    Crashes of a part that has succeeded are better explained by any rival, and by a request without
-    the part that was at more crashes. A rival explains those of a part without a success if it was
-    at most of them and fewer requests have it, all of them with the part too: it is more specific,
-    and if it is not to blame, crashes without it will show that.
+    Those of a part that has succeeded are better explained by a request without the part that was
+    at more crashes.
     """
-    part = parts[name]
     workers = part.requests.keys() - explained
     if part.succeeded:
         workers &= part.likeliest
-    for rival in rivals - {name}:
-        shared = workers & parts[rival].requests.keys()
-        specific = parts[rival].holders < part.holders and 2 * len(shared) > len(workers)
-        if part.succeeded or specific:
-            workers -= shared
+    workers -= rivals.explained(part, name, workers)
     if len(workers) >= MIN_CERTAINTY_CRASHES:
         return workers
     return workers & part.complete
