Peers: a pause of the process is no silence of a peer

Cause: a connection to a peer is dropped after 1.6 s without a byte, by one timer. A pause counts for it, although neither process could send or read: with 0.1 s of waiting before it, a pause of 1.5 s is enough.

Change: silence is counted in four intervals of the event loop; a pause makes one of them longer. test_pieces_stay_with_their_owner_if_they_waited_before_a_pause_of_the_process failed before (a piece made twice) and passes; test_owners and test_silent_peers pass.

Open: requests that a member relays keep the single timer of the library.

--- a/src/corkcrank/node/peers/peer_client.py
+++ b/src/corkcrank/node/peers/peer_client.py
@@ -16,6 +16,7 @@
     drop_idle,
 )
 from corkcrank.machines.members import MIN_SILENCE_FOR_PROBE_SECONDS, PROBE_TIMEOUT_SECONDS
+from corkcrank.node.peers.peer_silence import SILENT_INTERVALS, PeerSilence
 
 PEER_CONNECT_TIMEOUT_SECONDS = 0.3
 """Timeout for connecting to a peer."""
@@ -24,7 +25,7 @@
 """A connection is dropped if no byte of an expected answer arrives for this time: the time after
 which a member that is waited for and does not answer probes is suspected."""
 
-PEER_PROGRESS_INTERVAL_SECONDS = PEER_SILENCE_SECONDS / 4
+PEER_PROGRESS_INTERVAL_SECONDS = PEER_SILENCE_SECONDS / SILENT_INTERVALS
 """Interval of progress bytes on a connection while its answer is not ready: 3 may be late, as
 heartbeats may, before the connection is dropped."""
 
@@ -99,18 +100,19 @@
     async def _exchange(
         self, address: str, path: str, message: bytes | None, seconds: float | None
     ) -> bytes | PeerFailure:
-        timeout = aiohttp.ClientTimeout(
-            total=seconds, sock_connect=PEER_CONNECT_TIMEOUT_SECONDS, sock_read=PEER_SILENCE_SECONDS
-        )
+        timeout = aiohttp.ClientTimeout(total=seconds, sock_connect=PEER_CONNECT_TIMEOUT_SECONDS)
         started = clock.now()
         try:
-            async with self._session.request(
-                "GET" if message is None else "POST",
-                f"http://{address}{path}",
-                data=message,
-                timeout=timeout,
-            ) as response:
-                body = await response.read()
+            async with (
+                PeerSilence(PEER_PROGRESS_INTERVAL_SECONDS) as silence,
+                self._session.request(
+                    "GET" if message is None else "POST",
+                    f"http://{address}{path}",
+                    data=message,
+                    timeout=timeout,
+                ) as response,
+            ):
+                body = await _read_body(response, silence)
                 return (
                     body.lstrip(PROGRESS_BYTE)
                     if response.status == HTTPStatus.OK
@@ -131,3 +133,11 @@
     def _drop_silent(self, address: str, waited: float) -> None:
         idle = drop_idle(self._session, address)
         self._on_silence(SilentConnection(ConnectionKind.PEER, address, waited, idle))
+
+
+async def _read_body(response: aiohttp.ClientResponse, silence: PeerSilence) -> bytes:
+    body = bytearray()
+    async for data in response.content.iter_any():
+        silence.record_bytes()
+        body += data
+    return bytes(body)
--- /dev/null
+++ b/src/corkcrank/node/peers/peer_silence.py
@@ -0,0 +1,56 @@
+"""Timeout for a peer that sends nothing, which does not count a pause of this process as silence.
+
+A pause delays all of this process's timers and reads alike, and a peer in the same pause sends
+nothing either. So silence is counted in intervals of the event loop: however long a pause lasts, it
+makes one interval longer.
+"""
+
+import asyncio
+from types import TracebackType
+from typing import Self
+
+SILENT_INTERVALS = 4
+"""Number of intervals without a byte after which a peer is silent."""
+
+
+class PeerSilence:
+    """Raises ``TimeoutError`` after ``SILENT_INTERVALS`` of ``seconds`` without a byte."""
+
+    def __init__(self, seconds: float) -> None:
+        self._seconds = seconds
+        self._limit = asyncio.timeout(None)
+        self._timer: asyncio.TimerHandle | None = None
+        self._silent_intervals = 0
+
+    async def __aenter__(self) -> Self:
+        await self._limit.__aenter__()
+        self.record_bytes()
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        await self._limit.__aexit__(kind, error, trace)
+
+    def record_bytes(self) -> None:
+        """Record that the peer sent something."""
+        self._silent_intervals = 0
+        self._start_interval()
+
+    def _start_interval(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(self._seconds, self._end_interval)
+
+    def _end_interval(self) -> None:
+        self._silent_intervals += 1
+        if self._silent_intervals < SILENT_INTERVALS:
+            self._start_interval()
+        else:
+            self._limit.reschedule(asyncio.get_running_loop().time())
--- a/tests/platform/test_owners.py
+++ b/tests/platform/test_owners.py
@@ -33,6 +33,8 @@
 PAUSE_SECONDS = 1.5
 """Longer than the 1 s without heartbeats after which a small fleet suspects a member."""
 
+WAIT_BEFORE_PAUSE_SECONDS = 0.3
+
 PIECES = {"X-Corkcrank-Segments": "1", "X-Corkcrank-Segment-Key": "k"}
 
 
@@ -114,6 +116,26 @@
     assert [len(call) for call in encode.calls] == [1, 3]
 
 
+async def test_pieces_stay_with_their_owner_if_they_waited_before_a_pause_of_the_process() -> None:
+    """With the wait before it, the pause exceeds the time without a byte that shows silence."""
+    gate = asyncio.Event()
+    encode = StandinStageWorker(gate=gate)
+    served = {"m": (StandinWorker(events=2), "model"), "e": (encode, "encode")}
+    async with (
+        world(slow_configuration(), served) as running,
+        peer_of(running, loopback_address(2)) as second,
+    ):
+        await acquainted(running.nodes[0], second)
+        other = 1 - running.nodes.index(owner_of(running, encode))
+        call = asyncio.create_task(call_through(running, other))
+        await until(lambda: len(encode.calls) == 1)
+        await asyncio.sleep(WAIT_BEFORE_PAUSE_SECONDS)
+        pause()
+        gate.set()
+        assert await call == 200
+    assert [len(call) for call in encode.calls] == [1]
+
+
 async def test_pieces_are_placed_again_when_their_owner_is_killed() -> None:
     gate = asyncio.Event()
     encode = StandinStageWorker(gate=gate)
