Soak: a worker that begins to leave while it is down is not restarted

Traced in its logs: the worker crashed at 13.7 s; at 15.3 s the fault that announces leaves wrote that it leaves, and counted from then; at 17.0 s the crash's own restart wrote a new incarnation as ready, which all four nodes heard within 4 ms and sent work to, as they should. The soak's two faults contradicted each other; the restart had looked for a leave at the crash only. It looks again before it restarts.

--- a/tests/soak/crashing.py
+++ b/tests/soak/crashing.py
@@ -173,7 +173,7 @@
         task.add_done_callback(self._restarts.discard)
 
     async def _restart_worker(self, worker: AnyWorker, seconds: float) -> None:
-        """Restart a crashed worker unless it was leaving."""
+        """Restart a crashed worker unless it was leaving, or began to leave meanwhile."""
         fleet, link = self._fleet, worker.link
         assert link is not None
         fleet.ledger.disturbances.begin("workers")
@@ -184,7 +184,7 @@
             fleet.store.remove("servers", worker.worker_id)
             await asyncio.sleep(max(0.0, seconds - CRASHED_ENTRY_SECONDS))
         await link.listen_again()
-        if not leaving:
+        if not leaving and worker.worker_id not in fleet.ledger.leaving_since:
             await fleet.restart_worker(worker, keep_link=True)
         fleet.ledger.disturbances.end("workers")
 
