--- a/src/corkcrank/links/decision_log.py
+++ b/src/corkcrank/links/decision_log.py
@@ -98,7 +98,7 @@
     ENGINE_GRANTED = "Call: engine granted."
     FIRST_EVENT = "Call: first event."
     STREAM_ENDED = "Call: stream ended."
-    STREAM_TAKEN_UP = "Call: stream taken up by its caller."
+    STREAM_RESUMED_BY_CALLER = "Call: stream resumed by its caller."
     STREAM_RESUMED = "Call: stream taken up at another worker."
     STAGE_PLACED = "Stage: placed."
     STAGES_RERUN = "Stage: all made again, inputs are gone."
--- a/src/corkcrank/node/origins/origin_directory.py
+++ b/src/corkcrank/node/origins/origin_directory.py
@@ -1,9 +1,9 @@
 """Replicates the origins of streams to other gateways, and finds those of resumed streams.
 
 A stream's holders are the members with the highest rendezvous hashes of its key; in a fleet of a
-few machines these are all members. They are told before the first event goes to the caller, and
-again a little later, since datagrams can be lost. The gateway that a caller resumes a stream at
-asks them. A stream whose origin nobody knows must not be continued.
+few machines these are all members. They receive the origin before the first event goes to the
+caller, and again a little later, since datagrams can be lost. The gateway at which a caller resumes
+a stream asks them for it. A stream whose origin nobody knows must not be continued.
 """
 
 import asyncio
--- a/src/corkcrank/node/streams/stream_continuity.py
+++ b/src/corkcrank/node/streams/stream_continuity.py
@@ -51,7 +51,7 @@
             origin = await self._services.origins.find(call)
         else:
             origin = self._only_software()
-        self._log_taken_up(origin)
+        self._log_resumption(origin)
         if origin is None or not origin.version:
             return Refusal(
                 ResultCode.STREAM_ORIGIN_UNKNOWN, retry_after=UNKNOWN_ORIGIN_RETRY_SECONDS
@@ -84,10 +84,10 @@
         found = {StreamOrigin.of(worker) for worker in workers}
         return found.pop() if len(found) == 1 else None
 
-    def _log_taken_up(self, origin: StreamOrigin | None) -> None:
+    def _log_resumption(self, origin: StreamOrigin | None) -> None:
         call = self._call
         self._services.log.write(
-            LogEvent.STREAM_TAKEN_UP,
+            LogEvent.STREAM_RESUMED_BY_CALLER,
             call=call.call_id,
             tenant=call.tenant,
             last_event=call.envelope.resume_after,
--- a/src/corkcrank/scheduling/crash_records.py
+++ b/src/corkcrank/scheduling/crash_records.py
@@ -62,13 +62,14 @@
     succeeded_after: bool = False
 
 
-class SuccessNews(IntEnum):
+class SuccessUpdate(IntEnum):
     """What a success of a part changed in the records of its crashes."""
 
     NONE = 0
     FURTHER = 1
-    """A success was known for each crash; peers need not receive this one at once."""
+    """One was known before for each crash; peers need not receive this one at once."""
     FIRST = 2
+    """None was known before for some crash."""
 
 
 @dataclass(slots=True)
@@ -279,25 +280,25 @@
             changed.append(record.mark_incomplete(now))
         return any(changed)
 
-    def record_part_success(self, part: str, at: float, now: float) -> SuccessNews:
+    def record_part_success(self, part: str, at: float, now: float) -> SuccessUpdate:
         """Record that a run with a part had its first event at a time, and progressed."""
-        news = (
+        updates = (
             self.record_success_at(worker_id, part, at, now)
             for worker_id in self._part_workers.get(part, ())
         )
-        return max(news, default=SuccessNews.NONE)
+        return max(updates, default=SuccessUpdate.NONE)
 
-    def record_success_at(self, worker_id: str, part: str, at: float, now: float) -> SuccessNews:
+    def record_success_at(self, worker_id: str, part: str, at: float, now: float) -> SuccessUpdate:
         """Record such a run in the record of one worker, if it has the part."""
         record = self._records.get(worker_id)
         entry = record.parts.get(part) if record is not None else None
         if record is None or entry is None or entry.succeeded_after:
-            return SuccessNews.NONE
+            return SuccessUpdate.NONE
         known = entry.succeeded_before
         after = at >= record.at
         if not record.record_part_success(PartSuccess(part, not after, after), now):
-            return SuccessNews.NONE
-        return SuccessNews.FURTHER if known else SuccessNews.FIRST
+            return SuccessUpdate.NONE
+        return SuccessUpdate.FURTHER if known else SuccessUpdate.FIRST
 
     def clear_part(self, part: str, now: float) -> bool:
         """Clear a part of all crashes; return whether any counted against it."""
--- a/src/corkcrank/scheduling/request_quarantine.py
+++ b/src/corkcrank/scheduling/request_quarantine.py
@@ -19,7 +19,7 @@
 from collections.abc import Iterable, Mapping
 from enum import StrEnum
 
-from corkcrank.scheduling.crash_records import NEVER, CrashRecord, CrashRecords, SuccessNews
+from corkcrank.scheduling.crash_records import NEVER, CrashRecord, CrashRecords, SuccessUpdate
 from corkcrank.scheduling.crash_report_schedule import CrashReportSchedule
 from corkcrank.scheduling.crash_reports import CrashReport, RequestAtCrash, TrialReport
 from corkcrank.scheduling.crash_verdicts import (
@@ -57,7 +57,10 @@
 
 
 class _Judgement:
-    """The verdicts on parts and requests by some records."""
+    """The verdicts on parts and requests by some records.
+
+    Parts are judged first: requests are not to blame for crashes that a part explains.
+    """
 
     def __init__(self, records: list[CrashRecord]) -> None:
         self.parts = judge_parts(records)
@@ -124,13 +127,13 @@
 
         Returns whether peers should know at once.
         """
-        news = SuccessNews.NONE
+        update = SuccessUpdate.NONE
         for part in parts:
             self._successes.record(part, at)
             if part in self.records.parts():
-                news = max(news, self.records.record_part_success(part, at, now))
-        self._invalidate_if_changed(news is not SuccessNews.NONE)
-        return news is SuccessNews.FIRST
+                update = max(update, self.records.record_part_success(part, at, now))
+        self._invalidate_if_changed(update is not SuccessUpdate.NONE)
+        return update is SuccessUpdate.FIRST
 
     def record_gateway_failure(self, last_heard_at: float, now: float) -> bool:
         """Record that a gateway failed without notice; return whether any evidence changed."""
@@ -245,12 +248,12 @@
 
     def _apply_known_successes(self, worker_id: str, parts: Iterable[str], now: float) -> bool:
         """Add what this gateway knows of parts to a crash record; return whether that is new."""
-        news = SuccessNews.NONE
+        update = SuccessUpdate.NONE
         for part in parts:
             at = self._successes.latest(part, now)
             if at is not None:
-                news = max(news, self.records.record_success_at(worker_id, part, at, now))
-        return news is not SuccessNews.NONE
+                update = max(update, self.records.record_success_at(worker_id, part, at, now))
+        return update is not SuccessUpdate.NONE
 
     def _seconds_to_part_verdict(self, part: str, now: float) -> float:
         """Return how long requests with a part wait that records not decidable yet would blame."""
