--- a/src/corkcrank/gateway/access_control.py
+++ b/src/corkcrank/gateway/access_control.py
@@ -57,7 +57,7 @@
     async def handle(
         self, request: web.Request, serve: Serve, refuse: Refuse
     ) -> web.StreamResponse:
-        """Serve or refuse one request; a draining gateway closes the connection afterwards."""
+        """Serve or refuse one request; close the connection afterwards if draining."""
         identifier = new_request_id()
         arrived = clock.now()
         self.in_flight += 1
@@ -77,7 +77,7 @@
             self._record_end(identifier, rank, code, arrived)
 
     def check_quota(self, caller: Caller) -> Failure | None:
-        """Count the request against the tenant's quota, or return the refusal."""
+        """Count the request against the tenant's quota; return a refusal if it is exceeded."""
         wait = self._quotas.seconds_until_admission(
             caller.tenant.name,
             caller.tenant.requests_per_second,
--- a/src/corkcrank/gateway/admission.py
+++ b/src/corkcrank/gateway/admission.py
@@ -1,8 +1,8 @@
 """Admission: refuses requests that are predicted to miss their deadline.
 
-The prediction is the sum over the remaining stages of the measured stage time and the time
-in the queue. The queue is that of the least loaded candidate of a service, because the router
-sends the next call there. Lower ranks (better tiers) see a shorter queue, as the engines and
+The prediction is the sum over the remaining stages of the measured stage time and the time in the
+queue. The queue is that of the least loaded candidate of a service, because the router sends the
+next call there. Requests of lower ranks (better tiers) have a shorter queue, because engines and
 pools serve them first.
 """
 
@@ -13,10 +13,10 @@
 """Weight of the newest sample in an exponential moving average."""
 
 FORECAST_TOLERANCE = 1.25
-"""Factor by which a forecast may exceed the budget: a delayed queue length is mostly too high."""
+"""Maximum ratio of a forecast to the budget; delayed queue lengths are usually too high."""
 
 RANK_MARGIN = 0.1
-"""Share of the budget deducted for each rank below the best while there is a queue."""
+"""Share of the budget deducted for each rank below the best while requests are queued."""
 
 MAX_MARGIN = 0.3
 """Maximum share of the budget deducted as margin."""
@@ -26,8 +26,8 @@
 class StageForecast:
     """Measured load of one remaining stage; times are in seconds.
 
-    ``queue_seconds`` is the mean time of the calls queued at the stage's service, which
-    may belong to other pipelines.
+    ``queue_seconds`` is the mean time of the calls queued at the stage's service, which may belong
+    to other pipelines.
     """
 
     service_seconds: float
--- a/src/corkcrank/gateway/caller_routes.py
+++ b/src/corkcrank/gateway/caller_routes.py
@@ -57,12 +57,12 @@
 
     @property
     def unsettled_claims(self) -> int:
-        """Return the number of claims that still run or are not recorded."""
+        """Return the number of claims that are running or not recorded."""
         return self._plain.unsettled_claims
 
     @web.middleware
     async def _answer_errors(self, request: web.Request, handler: Handler) -> web.StreamResponse:
-        """Turn an unexpected exception into an answer with a result code."""
+        """Convert an unexpected exception into an answer with a result code."""
         try:
             return await handler(request)
         except (web.HTTPException, ConnectionResetError):
--- a/src/corkcrank/gateway/claim_store.py
+++ b/src/corkcrank/gateway/claim_store.py
@@ -66,7 +66,7 @@
             return True
         if seen.row == row:
             return True
-        # An absent row is written too: it blocks an earlier insert that is still in flight.
+        # An absent row is written too, which blocks an earlier insert that is still in flight.
         outcome = await self.writer.write_row(key, seen.revision, _encode(row))
         return isinstance(outcome, Committed)
 
--- a/src/corkcrank/gateway/decode_pace.py
+++ b/src/corkcrank/gateway/decode_pace.py
@@ -1,4 +1,4 @@
-"""Decoding speed of one stream: predicts whether it can meet its deadline."""
+"""Predicts from the decoding speed of a stream whether it can meet its deadline."""
 
 MIN_DECODE_TIME_SHARE = 0.5
 """Minimum decoding time of a stream, as a share of the usual decoding time."""
@@ -24,7 +24,7 @@
         self._tokens = 0
 
     def slack_seconds(self, remaining_seconds: float, offset: int) -> float:
-        """Return the seconds of delay after which the stream cannot meet its deadline.
+        """Return the delay in seconds after which the stream cannot meet its deadline.
 
         >>> DecodePace(usual_seconds=1.0, max_tokens=10).slack_seconds(2.0, offset=5)
         1.75
--- a/src/corkcrank/gateway/dispatch.py
+++ b/src/corkcrank/gateway/dispatch.py
@@ -10,11 +10,11 @@
 from corkcrank.machines.routing import RoutingPolicy
 
 UNKNOWN_ADDRESS = Address("0.0.0.0:0")
-"""Address of a back end removed from the list between choice and send; never connects."""
+"""Address of a back end that was removed between choice and send; connecting always fails."""
 
 
 class Dispatcher:
-    """Chooses back ends for calls and keeps the retry budget of each service."""
+    """Chooses back ends for calls and holds the retry budget of each service."""
 
     def __init__(
         self,
--- a/src/corkcrank/gateway/plain_handler.py
+++ b/src/corkcrank/gateway/plain_handler.py
@@ -46,7 +46,7 @@
 
     @property
     def unsettled_claims(self) -> int:
-        """Return the number of claims that still run or are not recorded."""
+        """Return the number of claims that are running or not recorded."""
         return len(self._claim_tasks) + self._claims.unrecorded
 
     async def handle(self, request: web.Request) -> web.StreamResponse:
@@ -80,7 +80,7 @@
 
     async def _serve_claimed(self, call: PlainRequest) -> Served:
         claimed = ClaimedCall(call, self._dispatcher, self._claims)
-        # The claim runs on when the caller leaves: its outcome must be recorded.
+        # The claim continues after the caller disconnects, because its outcome must be recorded.
         task = asyncio.create_task(claimed.run())
         self._claim_tasks.add(task)
         task.add_done_callback(self._claim_tasks.discard)
@@ -131,7 +131,7 @@
 
 
 def _refuse(request: web.Request, identifier: RequestId, failure: Failure) -> web.StreamResponse:
-    # With a key, an earlier call may have run; only its claim would show it.
+    # An earlier call with the same key may have run, which only its claim would show.
     key = read_key(request)
     unsure = key.is_ok() and bool(key.ok) and failure.code.is_refusal
     return failure_response(identifier, failure, Ran.UNKNOWN if unsure else None)
--- a/src/corkcrank/gateway/plain_run.py
+++ b/src/corkcrank/gateway/plain_run.py
@@ -63,7 +63,7 @@
         self.reply: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
 
     async def run(self) -> None:
-        """Run until the claim is finished; sets :attr:`reply` as soon as it is known."""
+        """Run until the claim is finished; set :attr:`reply` as soon as it is known."""
         alarm = asyncio.create_task(self._watch_deadline())
         try:
             await self._run_instructions()
--- a/src/corkcrank/gateway/program.py
+++ b/src/corkcrank/gateway/program.py
@@ -180,7 +180,7 @@
 
 
 def main() -> None:
-    """Serve callers with the settings file named on the command line until SIGTERM."""
+    """Serve callers until SIGTERM, with the settings file given on the command line."""
     settings = read_settings_or_exit("corkcrank-gateway", needs_caller_address=True)
     configure_logs(settings.process.name)
     asyncio.run(_run(settings))
--- a/src/corkcrank/gateway/quota.py
+++ b/src/corkcrank/gateway/quota.py
@@ -1,7 +1,7 @@
 """Tenant quotas: each gateway enforces its share of the tenant's global rate.
 
 The load balancer spreads a tenant's requests evenly, so the share is the quota divided by the
-number of live gateways. A gateway that knows of no others assumes that it is the only one.
+number of live gateways. A gateway without known peers uses the whole quota.
 """
 
 
--- a/src/corkcrank/gateway/request_reader.py
+++ b/src/corkcrank/gateway/request_reader.py
@@ -17,10 +17,10 @@
 """Maximum length of an idempotency key, in characters."""
 
 MAX_DEADLINE_SECONDS = 600.0
-"""Maximum deadline that is accepted."""
+"""Maximum accepted deadline."""
 
 MAX_TOKENS = 4096
-"""Maximum number of tokens that one request may ask for."""
+"""Maximum number of tokens in one request."""
 
 
 def read_api_key(request: web.Request) -> str:
--- a/src/corkcrank/gateway/responses.py
+++ b/src/corkcrank/gateway/responses.py
@@ -13,7 +13,7 @@
 """Header with the id of the request, as in the logs."""
 
 DEFAULT_RETRY_AFTER_SECONDS = 1.0
-"""Value of ``Retry-After`` for a refusal that states none."""
+"""Default value of ``Retry-After`` for a refusal."""
 
 
 class TokenEvent(msgspec.Struct, frozen=True):
--- a/src/corkcrank/gateway/streams.py
+++ b/src/corkcrank/gateway/streams.py
@@ -10,8 +10,8 @@
 class StreamAssembler:
     """The tokens of one generate stage, collected from all its attempts.
 
-    Only the current attempt may add tokens. A token below the offset is a duplicate and
-    is dropped; one above it is a gap, which makes the attempt unusable.
+    Only the current attempt may add tokens. A token below the offset is a duplicate and is dropped.
+    A token above the offset is a gap, which makes the attempt unusable.
     """
 
     tokens: list[str] = field(default_factory=list)
--- a/src/corkcrank/node/calls/worker_answers.py
+++ b/src/corkcrank/node/calls/worker_answers.py
@@ -12,9 +12,10 @@
 async def read_whole_answer(
     services: CallServices, attempt: Attempt, seconds: float, silence: SilenceRule | None = None
 ) -> web.Response | None:
-    """Return a worker's answer once its body is complete, or ``None`` if it is cut off.
+    """Return a worker's complete answer, or ``None`` if it was truncated or timed out.
 
-    ``seconds`` limits the time for the whole body; ``silence`` may end a wait for more bytes.
+    ``seconds`` bounds the read of the body; ``silence`` may end a wait for more bytes earlier.
+    Closes the connection if there is no complete answer.
     """
     upstream = attempt.response
     assert upstream is not None
@@ -33,7 +34,7 @@
 
 
 def replace_headers(response: web.StreamResponse, headers: list[tuple[str, str]]) -> None:
-    """Set exactly the given headers on an answer, without aiohttp's defaults."""
+    """Replace all headers of an answer, including aiohttp's defaults."""
     response.headers.clear()
     for name, value in headers:
         response.headers.add(name, value)
--- a/src/corkcrank/node/engines/engine_owner.py
+++ b/src/corkcrank/node/engines/engine_owner.py
@@ -20,7 +20,7 @@
 
 @dataclass(frozen=True, slots=True)
 class GrantCandidates:
-    """Engines that may read a prompt now, the waits of all by id, and how they are compared."""
+    """Engines that may read a prompt now, the waits of all engines by id, and the comparison."""
 
     available: list[WorkerRecord]
     waits: dict[str, float]
@@ -31,8 +31,8 @@
 class EngineOwner:
     """The owner's side of prefill grants.
 
-    It serves every gateway, also where it does not consider itself the owner: gateways may
-    disagree about the owner for a short time.
+    It serves requests even if it does not consider itself the owner: gateways may disagree about
+    the owner for a short time.
     """
 
     def __init__(
@@ -53,17 +53,17 @@
         self._grants = PrefillGrants(chooser, worker_statistics)
         self._isolation = PrefillIsolation()
         self.use = OwnerUse()
-        """When this node last received a request for a grant."""
+        """Time of the last request for a grant."""
 
     def grant_request(self, request: PrefillRequest) -> PrefillGrant:
-        """Choose the engine of a zone that reads a prompt next."""
+        """Grant an engine of a zone to a prompt."""
         self.apply_reports(request)
         now = clock.now()
         candidates = self.candidates(request, now)
         return self.grant_from(candidates.available, request, candidates, now)
 
     def apply_reports(self, request: PrefillRequest) -> None:
-        """Apply what the requester knows of the engines' limits."""
+        """Apply the requester's reports of the engines' limits."""
         self._statements.apply_reports(request.limits, "asker")
         self._statements.apply_brittleness_reports(request.brittle, "asker")
         self.use.record_use(clock.now())
@@ -71,8 +71,8 @@
     def candidates(self, request: PrefillRequest, now: float) -> GrantCandidates:
         """Return the engines of a zone that may read a prompt.
 
-        A rate-limited engine never gets more than its limit, even if it is preferred: a zone
-        whose engines warm up together would otherwise fail again at once.
+        A rate-limited engine never exceeds its limit, even if it is preferred. Otherwise a zone
+        whose engines warm up together would fail again immediately.
         """
         configuration = self._mirror.configuration
         engines = self._mirror.workers.usable_in_zone(request.service, request.zone)
@@ -102,7 +102,7 @@
         return GrantCandidates(available, waits, question, self.capacity(request.service))
 
     def open_engines(self, service: str, zone: str, now: float) -> list[str]:
-        """Return the ids of a zone's engines that take prompts now, whatever the prompt."""
+        """Return the ids of a zone's engines that accept prompts now."""
         return [
             engine.worker_id
             for engine in self._mirror.workers.usable_in_zone(service, zone)
@@ -111,14 +111,14 @@
         ]
 
     def capacity(self, service: str) -> int:
-        """Return the tokens that one engine's memory holds, 0 if that is not known."""
+        """Return the tokens that one engine's memory holds, 0 if unknown."""
         profile = self._mirror.profile(service)
         return profile.engine.cache_tokens if profile and profile.engine else 0
 
     def rank(
         self, candidates: GrantCandidates, reading: Mapping[str, int], now: float
     ) -> list[WorkerRecord]:
-        """Return the candidates for a prompt, the best first, given the tokens being read."""
+        """Return the candidates for a prompt, best first, given the tokens being read."""
         question = replace(candidates.question, reading=reading)
         return self._chooser.rank(candidates.available, question, self._worker_statistics, now)
 
@@ -137,7 +137,7 @@
         candidates: GrantCandidates,
         now: float,
     ) -> PrefillGrant:
-        """Grant the best of some of the candidates."""
+        """Grant the best of ``engines``, which are among the candidates."""
         question, capacity = candidates.question, candidates.capacity
         engine = self._grants.grant(request.call_id, engines, question, capacity, now)
         if engine is None:
@@ -148,14 +148,14 @@
         return PrefillGrant(engine.worker_id, leased=leased)
 
     def apply_backoffs(self, message: PrefillDone) -> None:
-        """Apply the backoffs that engines requested of a call that this owner granted them.
+        """Apply the backoffs that engines requested after this owner granted them a call.
 
         Heartbeats report them too, but in a large fleet only after dozens of grants.
         """
         self._statements.apply_backoff_reports(message.backoffs, "asker")
 
     def release_grant(self, message: PrefillDone) -> None:
-        """Release the grant of a prompt that was read, or that will not be read."""
+        """Release the grant of a prompt that was read or withdrawn."""
         granted = self._grants.release_grant(message.call_id)
         if granted is not None and message.read:
             tokens, granted_at = granted
--- a/src/corkcrank/node/engines/prompt_queues.py
+++ b/src/corkcrank/node/engines/prompt_queues.py
@@ -20,9 +20,9 @@
 
 
 class PromptQueues:
-    """Answers requests for engines: from a queue where prompts are queued, else at once.
+    """Answers requests for engines: from a queue if prompts are queued, immediately otherwise.
 
-    ``queues_prompts`` says for a service whether its prompts are queued.
+    ``queues_prompts`` returns whether the prompts of a service are queued.
     """
 
     def __init__(
@@ -40,7 +40,7 @@
         self._used_at: dict[tuple[str, str], float] = {}
 
     async def grant_or_wait(self, request: PromptRequest) -> PrefillGrant | PromptGrant:
-        """Grant, hold or refuse a request; terms that make no sense are taken as none."""
+        """Grant, hold or refuse a request; ignore invalid terms."""
         terms = request.terms
         if terms is None or not self.queues_prompts(request.service):
             return self.owner.grant_request(request)
@@ -52,7 +52,7 @@
         return await zone.grant_or_wait(request, terms)
 
     def record_done(self, message: PrefillDone) -> None:
-        """Record that a prompt was read, or will not be."""
+        """Record that a prompt was read or withdrawn."""
         self.owner.apply_backoffs(message)
         self.owner.release_grant(message)
         for zone in self._zones.values():
@@ -60,7 +60,7 @@
                 zone.record_done(message.call_id, read=message.read)
 
     def retain_only(self, worker_ids: Collection[str]) -> None:
-        """Remove what is known of engines that are no longer listed."""
+        """Remove the state of engines that are no longer listed."""
         for zone in self._zones.values():
             zone.engines.retain_only(worker_ids)
 
@@ -74,7 +74,7 @@
         )
 
     def load(self, service: str, zone: str) -> PromptLoad | None:
-        """Return the load of one queue, ``None`` if this gateway keeps none for these engines."""
+        """Return the load of one queue, ``None`` if this gateway has no queue for these engines."""
         queue = self._zones.get((service, zone))
         return queue.load(clock.now()) if queue is not None else None
 
--- a/src/corkcrank/node/engines/prompt_reports.py
+++ b/src/corkcrank/node/engines/prompt_reports.py
@@ -13,7 +13,7 @@
 class PromptReports:
     """Reports each wait, grant and refusal of this gateway's prompt queues.
 
-    ``count_outcome`` counts one outcome, ``observe_wait`` a wait in seconds of a rank.
+    ``count_outcome`` counts an outcome; ``observe_wait`` records a wait in seconds of a rank.
     """
 
     def __init__(
@@ -34,7 +34,7 @@
     def record_refusal(
         self, forecast: PromptForecast, reading: PromptReading, cause: str, retry_after: float
     ) -> None:
-        """Record that a request is refused at its arrival, or displaced by more urgent ones."""
+        """Record that a request is refused on arrival or displaced by more urgent ones."""
         self.record_outcome(f"refused at {cause}" if cause == "arrival" else cause, forecast.prompt)
         self._log.write(
             LogEvent.PROMPT_REFUSED,
@@ -44,14 +44,14 @@
         )
 
     def record_outcome(self, outcome: str, prompt: QueuedPrompt, now: float | None = None) -> None:
-        """Count how a prompt left the queue, and how long it waited."""
+        """Count the outcome of a prompt that left the queue, and its wait."""
         now = clock.now() if now is None else now
         self._count_outcome(outcome)
         rank = ".".join(str(place) for place in prompt.rank)
         self._observe_wait(rank, now - prompt.arrived_at)
 
     def record_bad_count(self, call_id: str, prompt: PromptShape) -> None:
-        """Record a prompt whose token counts fit no engine; they are taken as none."""
+        """Record a prompt with token counts that fit no engine and are ignored."""
         self._count_outcome("bad token count")
         self._log.write(
             LogEvent.PROMPT_COUNT_IGNORED,
@@ -61,7 +61,7 @@
         )
 
     def record_bad_terms(self, call_id: str, terms: PromptTerms) -> None:
-        """Record a request whose terms make no sense; they are taken as none."""
+        """Record a request with invalid terms, which are ignored."""
         self._count_outcome("bad terms")
         self._log.write(
             LogEvent.PROMPT_TERMS_IGNORED,
@@ -74,7 +74,7 @@
 
 
 def _fields(forecast: PromptForecast, reading: PromptReading) -> dict[str, object]:
-    """Return what a decision rests on: ``age`` is that of the newest measurement of the pace."""
+    """Return the inputs of a decision; ``age`` is that of the newest measurement of the pace."""
     prompt, now = forecast.prompt, clock.now()
     measured_at = reading.measured_at
     return {
--- a/src/corkcrank/node/engines/zone_engines.py
+++ b/src/corkcrank/node/engines/zone_engines.py
@@ -1,4 +1,4 @@
-"""What one zone's engines of a service read and hold, and their room for prompts."""
+"""Tracks reading, memory and capacity for prompts of one zone's engines of a service."""
 
 from collections.abc import Callable, Collection
 
@@ -15,7 +15,7 @@
 
 
 class ZoneEngines:
-    """The engines before which a zone's prompts wait."""
+    """The engines of one zone that serve its prompt queue."""
 
     def __init__(
         self, service: str, zone: str, owner: EngineOwner, factor: Callable[[str], float]
@@ -28,16 +28,16 @@
         self._factor = factor
 
     def open_ids(self, now: float) -> list[str]:
-        """Return the engines that take prompts now, whatever the prompt."""
+        """Return the ids of the engines that accept prompts now."""
         return self._owner.open_engines(self._service, self._zone, now)
 
     def that_can_begin(self, now: float) -> list[str]:
-        """Return the engines that can begin to read a prompt now."""
+        """Return the ids of the engines that can begin to read a prompt now."""
         left = self.reading.seconds_left
         return [engine for engine in self.open_ids(now) if left(engine, now) <= LOOKAHEAD_SECONDS]
 
     def reading_tokens(self, now: float) -> dict[str, int]:
-        """Return the tokens that each engine still reads, in tokens of a mean engine."""
+        """Return the remaining tokens that each engine reads, in tokens of a mean engine."""
         left, pace = self.reading.seconds_left, self.reading.tokens_per_second
         return {engine: round(left(engine, now) * pace) for engine in self.open_ids(now)}
 
@@ -48,14 +48,14 @@
     def record_grant(
         self, request: PromptRequest, worker_id: str, unread_tokens: int, now: float
     ) -> None:
-        """Count what a granted prompt reads and holds at its engine."""
+        """Count the reading and memory of a granted prompt at its engine."""
         terms = request.terms
         stream_seconds = terms.stream_seconds if terms is not None else 0.0
         self.reading.record_grant(request.call_id, worker_id, unread_tokens, now)
         self.memory.hold(request.call_id, worker_id, request.prompt, stream_seconds, now)
 
     def record_done(self, call_id: str, now: float, *, read: bool) -> None:
-        """Record that a prompt was read, or will not be."""
+        """Record that a prompt was read or withdrawn."""
         self.reading.record_end(call_id, now, read=read)
         if read:
             self.memory.record_read(call_id, now)
@@ -63,17 +63,17 @@
             self.memory.release(call_id)
 
     def retain_only(self, worker_ids: Collection[str]) -> None:
-        """Remove what is known of engines that are no longer listed."""
+        """Remove the state of engines that are no longer listed."""
         self.reading.retain_only(worker_ids)
         self.memory.retain_only(worker_ids)
 
     def room(self, now: float) -> ReadingRoom:
-        """Return the room of all engines, for a prompt that fits each."""
+        """Return the reading state of all engines, for a prompt that fits each of them."""
         free = tuple(self.reading.seconds_left(engine, now) for engine in self.open_ids(now))
         return self._room_of(free or (0.0,), now)
 
     def room_for(self, candidates: GrantCandidates, now: float) -> ReadingRoom:
-        """Return the room of the engines that may read one prompt."""
+        """Return the reading state of the engines that may read one prompt."""
         prompt, capacity = candidates.question.prompt, candidates.capacity
         free = tuple(
             self.reading.seconds_left(engine.worker_id, now)
@@ -85,7 +85,7 @@
         return self._room_of(free or (FULL_ENGINE_SECONDS,), now)
 
     def seconds_until_turn(self, now: float) -> list[float]:
-        """Return when the busy engines can begin their next prompts, in seconds from now."""
+        """Return the seconds until each busy engine can begin its next prompt."""
         left = (self.reading.seconds_left(engine, now) for engine in self.open_ids(now))
         return [item - LOOKAHEAD_SECONDS for item in left if item > LOOKAHEAD_SECONDS]
 
@@ -93,6 +93,6 @@
         return ReadingRoom(free, self._seconds_per_token(now), self.reading.delay_seconds)
 
     def _seconds_per_token(self, now: float) -> float:
-        """Return the mean time of the engines for a token."""
+        """Return the mean time of the engines per token, in seconds."""
         paces = [1.0 / self._factor(engine) for engine in self.open_ids(now)] or [1.0]
         return len(paces) / (sum(paces) * self.reading.tokens_per_second)
--- a/src/corkcrank/node/engines/zone_prompts.py
+++ b/src/corkcrank/node/engines/zone_prompts.py
@@ -1,4 +1,4 @@
-"""The queue of prompts before one zone's engines of a service, at the engines' owner."""
+"""The queue of prompts for one zone's engines of a service, at the engines' owner."""
 
 import asyncio
 from collections.abc import Callable
@@ -33,13 +33,13 @@
 from corkcrank.scheduling.return_times import ReturnTimes
 
 MIN_WAKE_SECONDS = 0.002
-"""Minimum time between two looks at a queue that only time changes."""
+"""Minimum interval of timed checks of a queue."""
 
 MAX_WAKE_SECONDS = 0.05
-"""Maximum time between two looks at a queue: late prompts are refused within it."""
+"""Maximum interval of checks of a queue, which bounds the delay of refusals of late prompts."""
 
 SPARE_PROMPTS = 2
-"""Prompts that are considered for each engine that can begin one: some prefer another engine."""
+"""Number of prompts considered for each engine that can begin one: some prefer another engine."""
 
 
 class ZonePrompts:
@@ -64,7 +64,7 @@
         self._timer: asyncio.TimerHandle | None = None
 
     async def grant_or_wait(self, request: PromptRequest, terms: PromptTerms) -> PromptGrant:
-        """Grant an engine to a prompt, hold its request for a little, or refuse it."""
+        """Grant an engine to a prompt, hold its request for a short time, or refuse it."""
         now = clock.now()
         request = self._without_bad_counts(request, self._owner.capacity(request.service))
         candidates = self._owner.candidates(request, now)
@@ -84,7 +84,7 @@
         return await self._hold(waiter, now)
 
     def record_done(self, call_id: str, *, read: bool) -> None:
-        """Record that a prompt was read, or will not be, and let the next ones begin."""
+        """Record that a prompt was read or withdrawn, and grant engines to the next ones."""
         now = clock.now()
         self.engines.record_done(call_id, now, read=read)
         if not read:
@@ -125,7 +125,7 @@
         return HeldPrompt(queued, request)
 
     def _without_bad_counts(self, request: PromptRequest, capacity: int) -> PromptRequest:
-        """Return the request; one for a prompt without tokens if its counts fit no engine."""
+        """Return the request, without its prompt's token counts if they fit no engine."""
         prompt = request.prompt
         counts = [prompt.tokens_in, prompt.tokens_out, *(part.tokens for part in prompt.parts)]
         too_large = capacity and prompt.total_tokens > capacity
@@ -157,7 +157,7 @@
         return answered.result() if answered.done() else PromptGrant("", held=True)
 
     def _take_back(self, call_id: str) -> None:
-        """Take back a grant that did not reach its gateway."""
+        """Revoke a grant that did not reach its gateway."""
         self._owner.release_grant(PrefillDone(call_id, self.service))
         self.record_done(call_id, read=False)
 
@@ -170,7 +170,7 @@
         return self.queue.forecast(waiter.prompt, room)
 
     def _look(self) -> None:
-        """Grant what engines can begin, refuse what will be late, and plan the next look."""
+        """Grant prompts that engines can begin, refuse late ones, and schedule the next check."""
         now = clock.now()
         for prompt in self.queue.remove_lapsed(now):
             self._waiters.pop(prompt.call_id, None)
@@ -187,7 +187,8 @@
             reading = self.engines.reading_tokens(now)
             chosen = self.queue.select(partial(self._turn, reading, now), limit)
             if not chosen and len(self.queue) > limit:
-                # With more prompts waiting than engines can begin, none stays idle for its cache.
+                # With more waiting prompts than free engines, prefix affinity is ignored, so that
+                # no engine is idle.
                 chosen = self._first_for_any(free, now)
             granted = [self._answer_grant(prompt, engine, now) for prompt, engine in chosen]
             if not any(granted):
@@ -209,7 +210,7 @@
         return EngineTurn(best.worker_id, can_begin)
 
     def _first_for_any(self, free: list[str], now: float) -> list[tuple[QueuedPrompt, str]]:
-        """Return the first prompt with the best of the engines that can begin, if there is one."""
+        """Return the first awaited prompt with its best free engine, empty without one."""
         for prompt in self.queue.ordered():
             waiter = self._waiters[prompt.call_id]
             if waiter.awaited:
@@ -218,7 +219,7 @@
         return []
 
     def _best_of(self, free: list[str], waiter: HeldPrompt, now: float) -> str:
-        """Return the best of the engines that can begin for a prompt, empty without one."""
+        """Return the best free engine for a prompt, empty without one."""
         prompt = waiter.request.prompt
         candidates = self._owner.candidates(waiter.request, now)
         capacity = candidates.capacity
@@ -244,7 +245,7 @@
         engines: list[WorkerRecord],
         now: float,
     ) -> PromptGrant:
-        """Grant the best of some engines and count what the prompt reads and holds there."""
+        """Grant the best of some engines and count the prompt's reading and memory there."""
         tokens = {
             engine.worker_id: self._owner.unread_tokens(engine.worker_id, request.prompt)
             for engine in engines
@@ -257,8 +258,8 @@
     def _end_late(self, now: float) -> None:
         """End the waits of prompts that become late.
 
-        A prompt that an idle engine could begin waits for another one, which may stay full: it
-        takes the best that can begin. Those that more urgent ones have made late are refused.
+        A prompt that an idle engine could begin may wait for another engine, which may stay full.
+        It gets the best engine that can begin. Prompts delayed by more urgent ones are refused.
         """
         first = next(iter(self._waiters.values()))
         room = self.engines.room_for(self._owner.candidates(first.request, now), now)
@@ -269,7 +270,7 @@
                 self._end_if_late(waiter, now)
 
     def _end_if_late(self, waiter: HeldPrompt, now: float) -> None:
-        """Look at one prompt that seems late by itself: it may have more engines than the first."""
+        """End the wait of a prompt that is late by a forecast for its own candidates."""
         prompt = waiter.prompt
         room = self.engines.room_for(self._owner.candidates(waiter.request, now), now)
         forecast = self.queue.forecast(prompt, room)
@@ -291,7 +292,7 @@
         room: ReadingRoom,
         cause: str,
     ) -> PromptGrant:
-        """Return a refusal with the next time at which the queue has room for such a prompt."""
+        """Return a refusal with the retry time at which the queue has capacity for the prompt."""
         now, prompt = clock.now(), forecast.prompt
         left = room.tokens_per_second - self.queue.demand.more_urgent(prompt.rank, now)
         rate = max(0.0, left) / max(1, prompt.tokens)
--- a/src/corkcrank/node/stages/downstream_backlog.py
+++ b/src/corkcrank/node/stages/downstream_backlog.py
@@ -12,20 +12,20 @@
 class DownstreamBacklog(StageBacklog):
     """The later pieces of calls whose pieces run at this owner.
 
-    Owners report these counts, not the gateways that received the calls: the few owners send
-    heartbeats more often, so a call is admitted or refused by more recent counts.
+    Owners report these counts instead of the gateways that received the calls. The few owners send
+    heartbeats more often, so admission uses more recent counts.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.use = OwnerUse()
-        """When pieces were last sent here; other gateways then rely on reports of these queues."""
+        """Time of the last use by a caller; other gateways then rely on reports of these queues."""
         self.order = DownstreamOrder.DUE
         """The order in which the following stages serve the counted pieces."""
 
     @contextmanager
     def count_following(self, work: StageWork, now: float) -> Iterator[None]:
-        """Count the pieces that follow the given work until it has ended."""
+        """Count the pieces that follow the given work until the work has ended."""
         rank = work.urgency.rank
         later_rank = downstream_rank(rank, self.order)
         self.use.record_use(now)
--- a/src/corkcrank/node/stages/held_results.py
+++ b/src/corkcrank/node/stages/held_results.py
@@ -7,7 +7,7 @@
 
 
 class HeldResults:
-    """Stored results by handle. This gateway or an owner frees a result, which removes it."""
+    """Stored results by handle. A result is removed when this gateway or an owner frees it."""
 
     def __init__(self) -> None:
         self._holders: dict[str, WorkerRecord] = {}
@@ -27,7 +27,7 @@
         return self.remove(list(self._holders))
 
     def count_by_zone(self, handles: Iterable[str]) -> dict[str, int]:
-        """Return how many of the given results are stored in each zone."""
+        """Return the number of the given results stored in each zone."""
         counts: dict[str, int] = {}
         for handle in handles:
             holder = self._holders.get(handle)
--- a/src/corkcrank/node/stages/input_releases.py
+++ b/src/corkcrank/node/stages/input_releases.py
@@ -1,8 +1,8 @@
 """Frees the input results of pieces as soon as a worker has read them.
 
-A worker fetches the inputs of its pieces when it is ready to run them, before the work begins.
-It was observed to run a batch for about 0.3 s after that, and does not need the inputs meanwhile.
-Freeing them early matters because result memory limits a stage with large results in a burst.
+A worker fetches the inputs of its pieces when it is ready to run them, before the work begins. A
+batch then runs for about 0.3 s without its inputs. Result memory limits a stage with large results
+in a burst, so the inputs are freed early.
 """
 
 import asyncio
@@ -16,7 +16,7 @@
 
 @dataclass(slots=True, eq=False)
 class _Inputs:
-    """The input results of one call's stage, and the number of its pieces not yet begun."""
+    """The input results of one call's stage, and the number of its pieces that have not begun."""
 
     service: str
     results: tuple[FreeResults, ...]
@@ -48,7 +48,7 @@
             self._inputs[id(stage_item)] = inputs
 
     def record_begun(self, stage_items: Sequence[StageItem]) -> None:
-        """Record that pieces were sent to a worker that begins them at once."""
+        """Record that pieces were sent to a worker that begins them immediately."""
         for inputs in self._tracked_inputs(stage_items):
             inputs.waiting -= 1
             if inputs.waiting == 0 and not inputs.freed:
@@ -57,7 +57,7 @@
                 inputs.timer = loop.call_later(delay.seconds, self._release_inputs, inputs)
 
     def record_requeued(self, stage_items: Sequence[StageItem]) -> None:
-        """Record that a worker rejected pieces, which will therefore read their inputs again."""
+        """Record that a worker rejected pieces, which will read their inputs again."""
         for inputs in self._tracked_inputs(stage_items):
             inputs.waiting += 1
             inputs.cancel_release()
@@ -67,8 +67,8 @@
 
         Returns whether their inputs were freed.
 
-        ``inputs_missed`` says that a worker did not find some inputs: it reads them later than
-        the estimated delay.
+        ``inputs_missed`` is set if a worker did not find some inputs, because it read them later
+        than the estimated delay.
         """
         found = self._tracked_inputs(stage_items)
         for stage_item in stage_items:
--- a/src/corkcrank/node/stages/recent_answers.py
+++ b/src/corkcrank/node/stages/recent_answers.py
@@ -1,4 +1,4 @@
-"""Answers recently sent to other gateways, which may still withdraw their question.
+"""Stores recent answers to other gateways, which may still withdraw their requests.
 
 Pure: callers pass the time.
 """
@@ -9,22 +9,22 @@
 from corkcrank.node.peers.peer_protocol import StageAnswer
 
 MAX_WITHDRAWAL_SECONDS = PEER_SILENCE_SECONDS + 2 * PEER_CONNECT_TIMEOUT_SECONDS
-"""Time for which an answer can be withdrawn: the message that withdraws it needs a new connection
-and, if no reply arrives, is sent once more on another one."""
+"""Time for which an answer can be withdrawn. The withdrawal needs a new connection and, without a
+reply, is sent once more on another one."""
 
 MAX_RECENT_ANSWERS = 1024
-"""The oldest answers are removed first. 0.7 MB with two results each, by counted allocations. The
-worker frees the results of a removed answer on expiry, as those of any answer lost in transit."""
+"""Maximum number of stored answers, 0.7 MB with two results each; the oldest are removed first. The
+worker's expiry frees the results of a removed answer, as those of an answer lost in transit."""
 
 
 class RecentAnswers:
-    """Questions answered or withdrawn within the last second, by question number."""
+    """Recently answered or withdrawn requests, by question number."""
 
     def __init__(self) -> None:
         self._entries: OrderedDict[int, tuple[float, StageAnswer | None]] = OrderedDict()
 
     def record_answer(self, question: int, answer: StageAnswer, now: float) -> bool:
-        """Record an answer that is about to be sent; return whether its asker still wants it."""
+        """Record an answer that is about to be sent; return whether it was not withdrawn."""
         self._prune(now)
         _, taken_back = self._entries.pop(question, (now, answer))
         if taken_back is None:
--- a/src/corkcrank/node/stages/stage_dispatch.py
+++ b/src/corkcrank/node/stages/stage_dispatch.py
@@ -26,10 +26,10 @@
 """Time for which pieces sent to a peer are added to the load in its last report."""
 
 TURNOVER_CALLS = 2.5
-"""Usual time for which a result occupies memory, in full calls, if the owner is a peer."""
+"""Usual time for which a result occupies memory at a peer's worker, in full calls."""
 
 MIN_RATE_SHARE_LEFT = 0.2
-"""Minimum share of a service's rate assumed available to a rank despite more urgent ranks."""
+"""Minimum share of a service's rate that is assumed available despite more urgent ranks."""
 
 
 @dataclass(slots=True)
@@ -40,7 +40,7 @@
 
 
 class StageDispatch:
-    """Chooses stage workers by forecast load, and has pieces run by their owners.
+    """Chooses stage workers by forecast load, and sends pieces to their owners.
 
     ``downstream_order`` is the order of calls at stages that read results of an earlier stage.
     ``weighs_zones`` returns whether choices for a stage service depend on the state of zones.
@@ -138,7 +138,7 @@
         return QueueForecast(start, start + seconds)
 
     def news_age(self, worker: WorkerRecord) -> float | None:
-        """Return the age in seconds of what is known of a worker's load, ``None`` if nothing is.
+        """Return the age of a worker's known load in seconds, ``None`` if its load is unknown.
 
         The load in an owned queue has the age 0.
         """
@@ -150,7 +150,7 @@
         return None if member is None else now - member.received_at
 
     def waiting(self, worker: WorkerRecord) -> int:
-        """Return the pieces that wait at a worker, by its most recent known load."""
+        """Return the number of pieces queued for a worker, by its most recent known load."""
         queue = self._stage_owner.get_queue(worker.worker_id)
         if queue is not None:
             return queue.waiting
@@ -176,7 +176,7 @@
         )
 
     def _unseen_wait_seconds(self, worker: WorkerRecord) -> float:
-        """Return the wait behind calls that the members of a silent zone may send to a worker."""
+        """Return the wait behind calls that members of a silent zone may send to a worker."""
         if not self.weighs_zones(worker.service):
             return 0.0
         if not self._fleet.is_silent(worker.zone, clock.now()):
@@ -189,8 +189,8 @@
     ) -> float:
         """Return the shortest wait of a service's workers in a zone, in seconds.
 
-        Without a worker there, the work would go to another zone, which counts as the time of a
-        full call.
+        Without a worker in the zone, the work would run in another zone, which counts as the time
+        of a full call.
         """
         capacity = self.service_capacity(service)
         waits = [
@@ -205,8 +205,8 @@
         """Return when pieces of a call that has not reached this stage yet would start and end.
 
         The wait includes the pieces that admitted calls will request later, and grows with the
-        requests of more urgent ranks, which are served first. ``claimed_pieces`` are those of
-        refused callers that return soon; they go before new calls, not before one with a claim.
+        requests of more urgent ranks. ``claimed_pieces`` are those of refused callers that return
+        soon. They precede new calls, but not a call with a claim.
         """
         choice = self.choose_worker(placing, ())
         if choice is None:
@@ -226,7 +226,7 @@
         return StageForecast(start, end, forecast.start)
 
     def free_rate(self, service: str, rank: tuple[int, int]) -> float:
-        """Return the pieces per second of a service that more urgent ranks leave to a rank."""
+        """Return the rate of a service that more urgent ranks leave to a rank, in pieces/s."""
         rate = self._service_rate(service)
         return rate * self._share_left(service, rank, rate, clock.now())
 
@@ -245,7 +245,7 @@
         return workers * capacity.pieces_a_second
 
     async def run_pieces(self, worker: WorkerRecord, work: StageWork) -> StageAnswer:
-        """Have the owner of a worker run pieces."""
+        """Send pieces to the owner of a worker and return its answer."""
         owner = self.owner_of(worker, clock.now())
         member = self._fleet.member(owner)
         if owner == self._fleet.local_name or member is None:
@@ -280,14 +280,14 @@
             self.free_results([(handle, worker) for handle in read.handles])
 
     def _free_unused_answer(self, answer: StageAnswer) -> None:
-        """Free the results of an answer whose question was cancelled."""
+        """Free the results of an answer to a cancelled question."""
         made = [(result.handle, self.get_worker(result.worker_id)) for result in answer.results]
         self.free_results(
             [(handle, maker) for handle, maker in made if handle and maker is not None]
         )
 
     def _recently_sent(self, worker_id: str, since: float, rank: Rank) -> int:
-        """Return the pieces of a rank and more urgent ones sent to a worker since a time."""
+        """Return the pieces of this or more urgent ranks sent to a worker after ``since``."""
         sent = [item for item in self._sent.get(worker_id, ()) if item.at > since]
         if sent:
             self._sent[worker_id] = sent
--- a/src/corkcrank/node/stages/stage_failures.py
+++ b/src/corkcrank/node/stages/stage_failures.py
@@ -1,10 +1,10 @@
-"""Errors that say why the stages of a call could not be completed."""
+"""Errors of stages that could not be completed."""
 
 
 class StageFailedError(Exception):
     """The stages of a call could not be completed.
 
-    ``started`` says whether work had begun; ``retry_after`` is the forecast wait in seconds.
+    ``started`` is set if work had begun; ``retry_after`` is the forecast wait in seconds.
     """
 
     def __init__(self, detail: str, *, started: bool, retry_after: float) -> None:
--- a/src/corkcrank/node/stages/stage_placing.py
+++ b/src/corkcrank/node/stages/stage_placing.py
@@ -11,7 +11,7 @@
 def stage_placing(
     plan: StagePlan, dispatch: StageDispatch, call: OpaqueCall, stage: int, pieces: int
 ) -> StagePlacing:
-    """Return the inputs of a worker choice, apart from the location of input results and reader."""
+    """Return the inputs of a worker choice, without the locations of inputs and reader."""
     definition = plan.definition(stage)
     seconds_to_objective = call.objective_at - clock.now()
     urgency = Urgency(call.rank, round(seconds_to_objective, 3))
--- a/src/corkcrank/node/stages/stage_room.py
+++ b/src/corkcrank/node/stages/stage_room.py
@@ -20,11 +20,11 @@
 from corkcrank.scheduling.stage_queue import StageQueue
 
 CALLS_PER_FREE_MESSAGE = 4.0
-"""Calls that a rate-limited worker may be sent between two messages that free results. Those
+"""Number of calls that a rate-limited worker may get between two messages that free results. These
 messages count as requests too, but take no slot."""
 
 MAX_FREE_INTERVAL_SECONDS = 2.0
-"""Maximum time between two messages that free results; unfreed results expire after seconds."""
+"""Maximum interval of messages that free results; unfreed results expire after seconds."""
 
 Spawn = Callable[[Coroutine[None, None, None]], asyncio.Task[None]]
 
@@ -33,9 +33,9 @@
 class WorkerRoom:
     """Pending messages about one worker's result memory.
 
-    ``restarted`` says that the worker process has restarted: its results were lost, and the new
-    incarnation, at the same address, may have assigned the same handles to other results.
-    ``evacuated`` says that nothing may be sent to the worker; its results expire by themselves.
+    ``restarted`` is set if the worker process has restarted. Its results were lost, and the new
+    incarnation at the same address may have assigned the same handles to other results.
+    ``evacuated`` is set if nothing may be sent to the worker, so that its results expire.
     """
 
     worker: WorkerRecord
@@ -55,9 +55,9 @@
 class StageRoom:
     """Frees unused results at workers, and requests reports of their free memory.
 
-    ``spawn`` runs a task in the background; ``on_change`` is called with a worker's id when
-    its free memory may have grown. A report of another incarnation than the requested one does
-    not describe that worker and is ignored; ``on_unreadable`` is called with unreadable reports.
+    ``spawn`` runs a task in the background. ``on_change`` is called with a worker's id when its
+    free memory may have grown. A report of another incarnation is ignored, because it does not
+    describe the worker. ``on_unreadable`` is called with unreadable reports.
     """
 
     def __init__(
@@ -80,7 +80,7 @@
         self.on_unreadable: UnreadableListener = ignore_unreadable
 
     def free_results(self, room: WorkerRoom, handles: Sequence[str]) -> None:
-        """Free results; while a message is in flight, later ones collect for the next."""
+        """Free results; collect them for the next message while one is in flight."""
         now = clock.now()
         for handle in handles:
             room.queue.free_result(handle, now)
@@ -103,8 +103,8 @@
     def request_report(self, room: WorkerRoom) -> None:
         """Request a memory report from a worker, unless such a request is in flight.
 
-        A rate-limited worker is not asked: its limit is better spent on calls. Neither is one in
-        backoff.
+        No request is sent to workers with a rate limit, because it counts towards the limit, or to
+        workers in backoff.
         """
         now = clock.now()
         spared = self._limits.interval(room.worker, now) > 0
@@ -114,7 +114,7 @@
             self._spawn(self._fetch_report(room))
 
     def close(self) -> None:
-        """Stop sending messages: the connections to workers are about to close."""
+        """Stop sending messages before the connections to workers close."""
         self._closed = True
 
     async def _send_frees(self, room: WorkerRoom) -> None:
--- a/src/corkcrank/node/streams/engine_assignment.py
+++ b/src/corkcrank/node/streams/engine_assignment.py
@@ -7,7 +7,7 @@
 
 
 class EngineAssignment:
-    """Counts a call at no more than one engine at a time; heartbeats report the counts."""
+    """Counts a call at one engine at most; heartbeats report the counts."""
 
     def __init__(self, call: OpaqueCall, services: CallServices) -> None:
         self._call = call
--- a/src/corkcrank/node/streams/engine_turns.py
+++ b/src/corkcrank/node/streams/engine_turns.py
@@ -1,4 +1,4 @@
-"""Requests a call's turn to have its prompt read by an engine."""
+"""Requests grants for reading a call's prompt from the owners of engines."""
 
 import asyncio
 
@@ -11,13 +11,13 @@
 from corkcrank.node.streams.stream_admission import StreamAdmission
 
 MIN_WAIT_SECONDS = 0.02
-"""Minimum pause before owners are asked again for a turn, in seconds."""
+"""Minimum pause before another request for a turn, in seconds."""
 
 MAX_TURN_WAIT_SECONDS = 1.0
-"""Maximum wait for a turn at a limited engine after the stages, in seconds."""
+"""Maximum wait for a turn at a rate-limited engine after the stages, in seconds."""
 
 MAX_FIRST_TURN_WAIT_SECONDS = 0.1
-"""Maximum wait for the first turn at a limited engine of a call without stages, in seconds."""
+"""Maximum wait of a call without stages for its first turn at a limited engine, in seconds."""
 
 
 class EngineTurns:
@@ -33,9 +33,9 @@
         self._has_results = False
 
     async def wait_for_turn(self, chosen: WorkerRecord, *, has_results: bool) -> PrefillVerdict:
-        """Request a turn; wait a little for one if every engine has reached its limit.
+        """Request a turn; wait briefly if every engine has reached its limit.
 
-        ``has_results`` says that the call's stages have results, which a refusal would waste.
+        ``has_results`` is set if the call's stages have results, which a refusal would waste.
         """
         give_up_at = min(self._call.end_at, clock.now() + self._max_wait(chosen, has_results))
         self._may_wait, self._has_results = True, has_results
@@ -51,8 +51,8 @@
     def _patience(self) -> PromptPatience:
         """Return how the call may wait in a queue of prompts.
 
-        Only a call of which nothing has run may be refused. A call for which another engine is
-        prepared while one serves it takes the best one at once.
+        Only a call that has not run may be refused. During a failover, while another engine still
+        holds the call, it gets the best engine without waiting.
         """
         call = self._call
         begun = self._has_results or bool(call.workers_tried) or call.origin is not None
@@ -75,7 +75,7 @@
         return 0.0 if brittle else MAX_TURN_WAIT_SECONDS
 
     def _wait(self, turn: PrefillVerdict) -> float:
-        """Return the seconds until a turn may be granted, after none was."""
+        """Return the seconds until a turn may be granted, after none was granted."""
         availability, now = self._services.availability, clock.now()
         in_backoff = availability.workers_in_backoff(self._call.service, now)
         backoffs = [availability.backoff_seconds(engine, now) for engine in in_backoff]
@@ -84,7 +84,7 @@
     async def request_turn(self, chosen: WorkerRecord) -> PrefillVerdict:
         """Request a turn, which the owner of a zone's engines grants.
 
-        The owner of the chosen engine's zone is asked first, then the owners of other zones.
+        Requests go first to the owner of the chosen engine's zone, then to those of other zones.
         """
         turn = await self._request_zone_turn(chosen)
         if turn.engine is None:
@@ -94,8 +94,8 @@
     async def _request_zone_turn(self, chosen: WorkerRecord) -> PrefillVerdict:
         """Request a turn from the owner of the chosen engine's zone.
 
-        Without a usable answer the call goes to the first engine of the zone, the chosen one
-        before the others, whose limit allows it.
+        Without a usable answer, the call goes to the chosen engine or to another engine of the
+        zone, whichever is first within its limit.
         """
         services = self._services
         long = services.prompt_sizes.has_long_prompts(self._call.route.name)
@@ -117,7 +117,7 @@
         return PrefillVerdict(engine, turn.wait, decided=False)
 
     async def _request_elsewhere(self, zone: str, turn: PrefillVerdict) -> PrefillVerdict:
-        """Request a turn from the owners of the other zones, the best zone first."""
+        """Request a turn from the owners of the other zones, best zone first."""
         asked = {zone}
         for candidate in self._admission.rank_engines():
             if turn.engine is None and candidate.zone not in asked:
--- a/src/corkcrank/node/streams/events.py
+++ b/src/corkcrank/node/streams/events.py
@@ -5,15 +5,15 @@
 
 _END = re.compile(rb"\n\n|\r\n\r\n|\r\r")
 _MAX_END_BYTES = 4
-"""Length of the longest end of an event, CR LF CR LF."""
+"""Length of the longest separator of events, CR LF CR LF."""
 
 
 @dataclass(frozen=True, slots=True)
 class StreamEvent:
     """One complete block of lines.
 
-    ``event_id`` is ``None`` if the block has no id or one that is no whole number. A block with
-    ``dispatched`` unset is a comment or a hint to the reader and has no place in the order.
+    ``event_id`` is ``None`` if the block has no numeric id. ``dispatched`` is unset for a comment
+    or a hint to the reader, which has no position in the sequence.
     """
 
     data: bytes
@@ -24,9 +24,9 @@
 class EventReader:
     """Buffers bytes and returns complete events.
 
-    Each byte is searched once, regardless of how many events arrive in one read and how many
-    reads one event takes. The stream of a slow caller buffers 128 KiB; searching the buffer
-    again for each of its short events blocked the event loop for 0.56 s.
+    Searches each byte once, regardless of how many events arrive in one read and how many reads one
+    event takes. A slow caller's stream buffers up to 128 KiB; searching the buffer again for each
+    event would block the event loop.
     """
 
     def __init__(self) -> None:
--- a/src/corkcrank/node/streams/stream_answer.py
+++ b/src/corkcrank/node/streams/stream_answer.py
@@ -17,7 +17,7 @@
 
 
 class StreamAnswer:
-    """One answer that several engines may produce; its head is that of the first engine."""
+    """One answer to which several engines may contribute; the first one sets its head."""
 
     def __init__(self, call: OpaqueCall, services: CallServices, request: web.BaseRequest) -> None:
         self._call = call
@@ -41,12 +41,12 @@
 
     @property
     def kept_bytes(self) -> int:
-        """Return how many bytes of the engine's answer are kept and not written yet."""
+        """Return the number of buffered bytes of the engine's answer."""
         return self._waiting.kept_bytes if self._waiting is not None else 0
 
     @property
     def written_bytes(self) -> int:
-        """Return how many bytes were written to the caller's connection."""
+        """Return the number of bytes written to the caller's connection."""
         return self._request.writer.output_size
 
     @property
@@ -55,27 +55,27 @@
         return self._waiting is not None and self._waiting.worker_waits
 
     def read_ahead(self, count: int) -> None:
-        """Let the engine send about ``count`` bytes more, although the caller has not read."""
+        """Let the engine send about ``count`` more bytes although the caller has not read."""
         if self._waiting is not None:
             self._waiting.read_ahead(count)
 
     def set_waiting(self, waiting: UpstreamBuffer) -> None:
-        """Set the buffer of the engine's answer that is relayed now."""
+        """Set the buffer of the engine's answer that is being relayed."""
         self._waiting = waiting
 
     def finished(self) -> web.StreamResponse:
-        """Return the answer, which was sent completely."""
+        """Return the complete answer."""
         assert self._response is not None
         return self._response
 
     def abort(self) -> None:
-        """Abort the connection, so that the caller sees that the answer is incomplete."""
+        """Abort the connection, so that the caller detects an incomplete answer."""
         transport = self._request.transport
         if transport is not None:
             transport.abort()
 
     async def write(self, upstream: aiohttp.ClientResponse, data: bytes) -> None:
-        """Write bytes to the caller, after the head of ``upstream`` if they are the first."""
+        """Write bytes to the caller; the first ones follow the head of ``upstream``."""
         self._record_pause()
         await self._write_before_deadline(self._write(upstream, data))
 
@@ -86,7 +86,7 @@
     async def _write(self, upstream: aiohttp.ClientResponse, data: bytes) -> None:
         response = await self._prepare(upstream)
         await response.write(data)
-        # The library waits only after each 64 KiB that it was given.
+        # The library applies backpressure only after each 64 KiB.
         await self._request.writer.drain()
 
     async def _write_end(self, upstream: aiohttp.ClientResponse, rest: bytes) -> None:
@@ -130,8 +130,8 @@
     def _set_close_by_reset(self, reset: bool) -> None:
         """Set whether an HTTP/1.0 connection is closed by a reset.
 
-        HTTP/1.0 has no chunked encoding, so a closed connection marks the end of an answer. With
-        an ordinary close, an aborted stream looked like a complete one.
+        HTTP/1.0 has no chunked encoding, so a closed connection marks the end of an answer. A reset
+        distinguishes an aborted stream from a complete one.
         """
         if self._request.version < HttpVersion11:
             set_reset_on_close(self._request.transport, reset)
--- a/src/corkcrank/node/streams/stream_continuity.py
+++ b/src/corkcrank/node/streams/stream_continuity.py
@@ -1,4 +1,4 @@
-"""Keeps a call's stream at the software that began it, over engines and a caller's attempts."""
+"""Keeps a stream at the software version that began it, across engines and attempts."""
 
 from enum import StrEnum
 
@@ -11,19 +11,19 @@
 from corkcrank.node.calls.services import CallServices
 
 UNKNOWN_ORIGIN_RETRY_SECONDS = 0.5
-"""Retry delay sent to a caller whose stream's origin nobody knows, in seconds: a gateway that is
-cut off for a moment may know it."""
+"""Retry time in seconds sent to a caller if no reachable gateway knows its stream's origin. A
+gateway that is temporarily unreachable may know it."""
 
 
 class ResumedBy(StrEnum):
-    """Who resumed a stream; the value is a metric label."""
+    """The party that resumed a stream; the value is a metric label."""
 
     CALLER = "caller"
     GATEWAY = "gateway"
 
 
 class SoftwareMatch(StrEnum):
-    """How the software that continues a stream compares to its origin; a metric label."""
+    """Comparison of the continuing software with the stream's origin; a metric label."""
 
     SAME = "same"
     OTHER = "other"
@@ -41,8 +41,8 @@
     async def find_origin(self) -> Refusal | None:
         """Find the origin of a stream that the caller resumes; refuse the call if it is unknown.
 
-        The stream stays at the service that began it, unless the route does not lead there any
-        more: then no worker may continue it.
+        The stream stays at the service that began it. If the route no longer leads there, no worker
+        may continue the stream.
         """
         call = self._call
         if not call.envelope.resume_after:
@@ -62,7 +62,7 @@
         return None
 
     def has_engine(self) -> bool:
-        """Return whether a stream is new, or any usable engine may write its next events."""
+        """Return whether the stream is new or a usable engine may continue it."""
         engines = self._services.mirror.workers.usable_workers(self._call.service)
         return self._call.origin is None or any(map(self._call.may_continue_at, engines))
 
@@ -79,7 +79,7 @@
         self._relayed = True
 
     def _only_software(self) -> StreamOrigin | None:
-        """Return what all workers of the service run, for callers that name no attempt."""
+        """Return the common software of the service's workers, for callers without an attempt."""
         workers = self._services.mirror.workers.for_service(self._call.service)
         found = {StreamOrigin.of(worker) for worker in workers}
         return found.pop() if len(found) == 1 else None
--- a/src/corkcrank/node/streams/stream_part.py
+++ b/src/corkcrank/node/streams/stream_part.py
@@ -1,8 +1,8 @@
-"""One engine's part of a streamed answer: which events were read, and whether it is complete.
+"""State of one engine's part of a streamed answer: the events read, and whether it is complete.
 
-Events are numbered, so they show where a part begins and that no event is missing between two
-others. The end of the stream has no number: a properly terminated body is the end of the stream
-only if the engine answered with a success status and stopped after a complete event.
+Events are numbered, which shows where a part begins and whether an event is missing. The end of the
+stream has no number. A properly terminated body is the end of the stream only if the engine
+answered with a success status and stopped after a complete event.
 """
 
 from dataclasses import dataclass
@@ -14,15 +14,14 @@
 from corkcrank.scheduling.crash_reports import EARLY_RUN_SECONDS
 
 FIRST_EVENT_IDS = (0, 1)
-"""Ids that the first event of a stream may have: 1 in all of 173 observed streams of five
-engines' models; 0 for an engine that counts from zero."""
+"""Valid ids of a stream's first event: engines count from 1 or from 0."""
 
 SUCCESS_STATUSES = range(200, 300)
 """Status codes of an answer whose body is a stream."""
 
 
 class Framing(StrEnum):
-    """What marks the end of an answer's body on its connection."""
+    """The delimiter of an answer's body on its connection."""
 
     LENGTH = "length"
     CHUNKS = "chunks"
@@ -30,7 +29,7 @@
 
 
 def body_framing(response: aiohttp.ClientResponse) -> Framing:
-    """Return what marks the end of a response body (RFC 9112, 6.3)."""
+    """Return the delimiter of a response body (RFC 9112, 6.3)."""
     if "Transfer-Encoding" in response.headers:
         return Framing.CHUNKS
     return Framing.LENGTH if "Content-Length" in response.headers else Framing.CONNECTION
@@ -40,13 +39,13 @@
 class StreamPart:
     """State of the events that one engine sent for a stream.
 
-    ``resume_after`` is the id of the event after which the engine was asked to begin, empty for
-    a stream from its beginning. ``next_event_begun`` is set if the part of an earlier engine showed
-    that another event follows that one. ``first_event`` and ``last_event`` are the ids of the
-    events that were relayed; ``leftover`` holds the bytes after the last complete event.
-    ``skipped`` is set if an event was missing before one that arrived, ``silent`` if the engine
-    was abandoned because it sent nothing. ``first_event_at`` is the time of its first event,
-    ``progress_recorded`` is set once its run is known to have gone on for a while after that.
+    ``resume_after`` is the id of the event after which the engine had to begin, empty for a stream
+    from its beginning. ``next_event_begun`` is set if the part of an earlier engine showed that
+    another event follows that one. ``first_event`` and ``last_event`` are the ids of relayed
+    events; ``leftover`` holds the bytes after the last complete event. ``skipped`` is set if an
+    event was missing before a received one, ``silent`` if the engine was abandoned because it sent
+    nothing. ``first_event_at`` is the time of its first event. ``progress_recorded`` is set once
+    the run has been recorded as progressed.
     """
 
     status: int
@@ -68,7 +67,7 @@
         return self.status in SUCCESS_STATUSES
 
     def accept_event(self, event: StreamEvent) -> bool:
-        """Return whether an event directly follows the last one; count it if it does."""
+        """Return whether an event directly follows the last one, and count it if so."""
         if not event.dispatched:
             return True
         if event.event_id is None or not self._is_next(event.event_id):
@@ -93,10 +92,10 @@
         return self.first_event_at is not None and now - self.first_event_at > EARLY_RUN_SECONDS
 
     def is_stream_end(self) -> bool:
-        r"""Return whether a properly terminated body was the end of the stream.
+        r"""Return whether a properly terminated body is the end of the stream.
 
-        Engines terminate the body of a failure as properly as a stream, and some stop in the
-        middle of an event.
+        Engines also terminate the body of a failure properly, and some stop in the middle of an
+        event.
 
         >>> StreamPart(200, Framing.CHUNKS, events=3).is_stream_end()
         True
@@ -112,8 +111,8 @@
     def shows_next_event(self) -> bool:
         r"""Return whether an event is known to follow the last one that was relayed.
 
-        Without this check, an engine that had no further event ended a stream as complete
-        although the previous engine had failed in the middle of the next event.
+        Guards against an engine without further events that would end a stream as complete although
+        the previous engine failed in the middle of the next event.
 
         >>> StreamPart(200, Framing.CHUNKS, events=3, leftover=b"id: 4\n").shows_next_event()
         True
@@ -137,6 +136,6 @@
     def _is_next(self, event_id: int) -> bool:
         if self._position is not None:
             return event_id == self._position + 1
-        # If the caller resumes after an id that is not a number, the next id is unknown; any is
-        # accepted.
+        # If the caller resumes after an id that is not a number, the next id is unknown, so any id
+        # is accepted.
         return bool(self.resume_after) or event_id in FIRST_EVENT_IDS
--- a/src/corkcrank/node/workers/connect_watch.py
+++ b/src/corkcrank/node/workers/connect_watch.py
@@ -1,4 +1,4 @@
-"""Gives up a connection attempt that takes long, if a member connects to the same worker."""
+"""Cancels a slow connection attempt if a member can connect to the same worker."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
@@ -6,14 +6,14 @@
 from typing import Self
 
 USUAL_CONNECT_SECONDS = 0.12
-"""A connection that takes longer is doubted: many round trips within a region."""
+"""Time after which a connection attempt counts as slow: many round trips within a region."""
 
 
 class ConnectWatch:
-    """Raises ``TimeoutError`` while connecting, once ``reached_elsewhere`` returned true.
+    """Raises ``TimeoutError`` while connecting if ``reached_elsewhere`` returns true.
 
-    It is awaited if :meth:`try_begin` was not called within :data:`USUAL_CONNECT_SECONDS`. A
-    request that was written is never given up.
+    ``reached_elsewhere`` is awaited if :meth:`try_begin` was not called within
+    :data:`USUAL_CONNECT_SECONDS`. A request that was written is never abandoned.
     """
 
     def __init__(self, reached_elsewhere: Callable[[], Awaitable[bool]]) -> None:
@@ -23,10 +23,10 @@
         self._decision: asyncio.Task[None] | None = None
         self._begun = False
         self.gave_up = False
-        """Whether the attempt was given up; the request must not be written any more."""
+        """Whether the attempt was abandoned, so that the request must not be written."""
 
     def try_begin(self) -> bool:
-        """Return whether the request may be written, now that its connection is ready."""
+        """Return whether the request may be written; called when its connection is ready."""
         if self._timer is not None:
             self._timer.cancel()
         self._begun = not self.gave_up
--- a/src/corkcrank/node/workers/link_monitor.py
+++ b/src/corkcrank/node/workers/link_monitor.py
@@ -1,4 +1,4 @@
-"""Checks this gateway's links to workers after connection failures, and logs what it finds."""
+"""Checks this gateway's links to workers after connection failures, and logs the results."""
 
 import asyncio
 import random
@@ -17,28 +17,28 @@
 """Timeout of a connection attempt in a check: many round trips within a region."""
 
 SAMPLE_WORKERS = 3
-"""Workers that a check connects to."""
+"""Number of workers in the sample of a check."""
 
 CONFIRMATION_WORKERS = 6
-"""Further workers that a check connects to if it reached none, before it reports a partition: the
-first ones may have failed together."""
+"""Number of additional workers in a check that reached none, before it reports a partition. The
+first workers may have failed at the same time."""
 
 MIN_CHECK_INTERVAL_SECONDS = 1.0
-"""Minimum time between two checks while no link is known to have failed."""
+"""Minimum interval of checks while no link is known to have failed."""
 
 RECHECK_INTERVAL_SECONDS = 0.3
-"""Time between two checks while a link is known to have failed."""
+"""Interval of checks while a link is known to have failed."""
 
 MAX_TIMER_LAG_SECONDS = 0.1
-"""A check that ends later than its timeouts by more than this was delayed by the event loop, and
-says nothing about links."""
+"""Maximum delay of a timer. If a check exceeds its timeouts by more, the event loop was delayed,
+and the check is inconclusive."""
 
 MAX_LOGGED_WORKERS = 8
-"""Maximum number of workers that a log line names."""
+"""Maximum number of workers in one log line."""
 
 
 class LinkFailure(StrEnum):
-    """Why a check is requested."""
+    """The cause of a check."""
 
     NOT_CONNECTED = "not-connected"
     REFUSED = "refused"
@@ -47,7 +47,7 @@
 
 
 class LinkMonitor:
-    """Requests checks of links, applies their results to :class:`LinkHealth`, and logs changes.
+    """Checks links on request, applies the results to :class:`LinkHealth`, and logs changes.
 
     ``on_partition`` is called when a partition begins or ends.
     """
@@ -70,7 +70,7 @@
         self.on_partition: Callable[[], None] = lambda: None
 
     def record_failure(self, worker_id: str, failure: LinkFailure) -> None:
-        """Request a check, because a connection to a worker failed or is silent."""
+        """Request a check because a connection to a worker failed or is silent."""
         self._cause = f"{failure.value} {worker_id}"
         self._check_requested.set()
 
@@ -87,11 +87,11 @@
         self._check_requested.set()
 
     def record_unreachable_for_peers(self, worker_id: str) -> None:
-        """Record that a peer does not reach a worker either: the fault is not this gateway's."""
+        """Record that a peer cannot reach a worker either, so that the link has not failed."""
         self.health.record_link(worker_id)
 
     async def check_links(self) -> None:
-        """Check links when requested, and repeatedly while one is known to have failed."""
+        """Check links when requested, and repeatedly while a link is known to have failed."""
         while True:
             await self._check_requested.wait()
             self._check_requested.clear()
@@ -130,7 +130,7 @@
         self.on_partition()
 
     async def _connect_to_sample(self) -> LinkCheck | None:
-        """Return which workers of a sample can be reached, ``None`` if the event loop stalled."""
+        """Connect to a sample of workers; return ``None`` if the event loop stalled."""
         records = self._mirror.workers.records()
         usable = [record for record in records if self._mirror.workers.accepts_work(record)]
         failed = set(self.health.failed_links)
--- a/src/corkcrank/node/workers/silence_timeout.py
+++ b/src/corkcrank/node/workers/silence_timeout.py
@@ -7,15 +7,15 @@
 from typing import Self
 
 NEXT_WAIT_FACTOR = 2.0
-"""Each further wait for a silent worker that is not given up is this multiple of the previous."""
+"""Factor by which each further wait for a silent worker is longer than the previous one."""
 
 
 @dataclass(frozen=True, slots=True)
 class SilenceRule:
-    """When a silent worker is given up before the deadline.
+    """When to abandon a silent worker before the deadline.
 
-    After ``seconds`` without a byte, ``give_up`` is awaited while the wait for the worker goes
-    on. It returns whether to give the worker up, which it may only do if the call can be sent to
+    After ``seconds`` without a byte, ``give_up`` is awaited while the wait for the worker
+    continues. It returns whether to abandon the worker, which requires that the call can be sent to
     another one.
     """
 
@@ -24,7 +24,7 @@
 
 
 class SilenceTimeout:
-    """Raises ``TimeoutError`` at a deadline, or once a silent worker is given up.
+    """Raises ``TimeoutError`` at a deadline, or when a silent worker is abandoned.
 
     A response that arrives while ``give_up`` is awaited ends the wait normally.
     """
@@ -59,8 +59,8 @@
         self._timer = loop.call_later(self._silence_seconds, self._start_decision, rule)
 
     def _start_decision(self, rule: SilenceRule) -> None:
-        # A task begins in the next turn of the event loop: a response that was received in this
-        # turn is read before it.
+        # A task starts in the next iteration of the event loop, so a response that was received in
+        # this iteration is read first.
         self._decision = asyncio.create_task(self._decide(rule))
 
     async def _decide(self, rule: SilenceRule) -> None:
--- a/src/corkcrank/node/workers/worker_health.py
+++ b/src/corkcrank/node/workers/worker_health.py
@@ -14,14 +14,14 @@
 from corkcrank.scheduling.worker_outcomes import CallOutcome, OutcomeTable, ReportedOutcomes
 
 EVALUATION_INTERVAL_SECONDS = 0.25
-"""Time between two evaluations: heartbeats of a small fleet bring updates about this often."""
+"""Interval of evaluations: about that of the heartbeats of a small fleet."""
 
 MIN_FAULT_STATUS = 500
-"""Lowest status that counts as a failure of the worker, so that another worker may succeed; a lower
-error status is the caller's fault."""
+"""Minimum status that counts as a failure of the worker, so that another worker may succeed. Lower
+error statuses are caused by the caller."""
 
 DEADLINE_STATUS = 504
-"""Status of a worker that ran a call until its deadline: the deadline was too short."""
+"""Status of a worker that ran a call until its deadline, which was too short."""
 
 
 class WorkerHealth:
@@ -46,7 +46,7 @@
     def record_response(self, worker: WorkerRecord, status: int) -> None:
         """Record the status of a worker's complete response.
 
-        A response at the deadline says nothing about the worker and is not recorded.
+        A response at the deadline is no evidence on the worker and is not recorded.
         """
         if status == DEADLINE_STATUS:
             return
@@ -54,7 +54,7 @@
         self.record_outcome(worker, CallOutcome.FAULT if failed else CallOutcome.SERVED)
 
     def record_outcome(self, worker: WorkerRecord, outcome: CallOutcome) -> None:
-        """Record the outcome of a call at a worker; evaluate its service at once on a fault."""
+        """Record the outcome of a call; evaluate the worker's service immediately on a fault."""
         now = clock.now()
         self._outcomes.record_outcome(worker.worker_id, outcome, now)
         if outcome is CallOutcome.FAULT:
@@ -65,7 +65,7 @@
         self._outcomes.apply_peer_report(peer, zone, reports, clock.now())
 
     def discard_peer(self, peer: str) -> None:
-        """Remove the outcomes that an unreachable peer reported."""
+        """Remove the outcomes reported by an unreachable peer."""
         self._outcomes.remove_peer(peer)
 
     def forget_local_outcomes(self) -> None:
--- a/src/corkcrank/node/workers/worker_probe.py
+++ b/src/corkcrank/node/workers/worker_probe.py
@@ -1,4 +1,4 @@
-"""Opens new connections to workers, to learn whether their machines and processes answer."""
+"""Probes machines and processes of workers with new connections."""
 
 import asyncio
 from enum import StrEnum
@@ -9,9 +9,9 @@
 
     CONNECTED = "connected"
     REFUSED = "refused"
-    """The machine answered that no process listens at the address."""
+    """The machine responded that no process listens at the address."""
     SILENT = "silent"
-    """No answer, or no way to the machine."""
+    """No response, or no route to the machine."""
 
 
 async def probe_worker(address: str, timeout_seconds: float) -> ProbeResult:
@@ -34,6 +34,6 @@
 async def has_exited(address: str, timeout_seconds: float) -> bool:
     """Return whether a machine refuses connections to ``ip:port``: no process listens there.
 
-    Silence does not show an exit: the machine may be cut off from the network.
+    A timeout does not show an exit: the machine may be partitioned from the network.
     """
     return await probe_worker(address, timeout_seconds) is ProbeResult.REFUSED
--- a/src/corkcrank/node/workers/worker_sessions.py
+++ b/src/corkcrank/node/workers/worker_sessions.py
@@ -1,4 +1,4 @@
-"""HTTP sessions for workers, whose connector checks each connection before a request is written."""
+"""HTTP sessions for workers that check each connection before a request is written."""
 
 from collections.abc import Callable
 from contextvars import ContextVar
@@ -17,9 +17,9 @@
 """Maximum length of a header field in a worker's response."""
 
 MAX_RECEIVED_BYTES = 16_384
-"""Maximum size of one read from a worker's socket, and of the bytes that a connection buffers
-before it reads no further, above which it buffers at most twice as many. By default the event loop
-reads 256 KiB at once, also if the caller of a stream reads nothing."""
+"""Maximum size of one read from a worker's socket, and of a connection's buffer before reading
+pauses; the buffer may then hold at most twice as many bytes. By default the event loop reads
+256 KiB at a time, even if the caller of a stream reads nothing."""
 
 AUTOMATIC_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 """Headers that the client library would add to those of a caller."""
@@ -27,7 +27,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SendGuard:
-    """Checks of a request for the moment in which its connection is ready."""
+    """Checks of a request at the time its connection is ready."""
 
     still_wanted: Callable[[], bool] | None
     watch: ConnectWatch | None
@@ -48,13 +48,13 @@
 
 
 class CheckedConnector(aiohttp.TCPConnector):
-    """A connector that does not reuse an idle connection on which further bytes have arrived.
+    """A connector that discards idle connections with unexpected bytes and withdrawn requests.
 
-    All requests on an idle connection have their complete response. Bytes beyond that belong to no
-    request, and the next request would take them for its response.
+    Every request on an idle connection has its complete response. Further bytes belong to no
+    request, and the next request would read them as its response.
 
-    A request that is no longer wanted once its connection is ready is not written: a connection
-    may take half a second.
+    Connecting may take half a second. A request that is no longer wanted when its connection is
+    ready is not written.
     """
 
     async def connect(  # type: ignore[no-untyped-def]
@@ -88,7 +88,7 @@
 
 
 def create_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
-    """Return a session that sends requests as they are, and each only once."""
+    """Return a session that sends requests unchanged and at most once."""
     session = aiohttp.ClientSession(
         connector=connector,
         auto_decompress=False,
@@ -100,7 +100,7 @@
         max_line_size=MAX_HEADER_BYTES,
         max_field_size=MAX_HEADER_BYTES,
     )
-    # By default the library resends an idempotent method when a keep-alive connection has
-    # failed. Only the retry budget may decide which request is sent again.
+    # By default the library resends an idempotent request if a keep-alive connection fails. Only
+    # the retry budget may decide on retries.
     session._retry_connection = False
     return session
--- a/src/corkcrank/node/workers/worker_statements.py
+++ b/src/corkcrank/node/workers/worker_statements.py
@@ -1,4 +1,4 @@
-"""Reads and logs what workers state in response headers: rate limits, leaves and backoffs."""
+"""Reads and logs the statements in workers' response headers: rate limits, leaves and backoffs."""
 
 from collections.abc import Callable, Iterable, Mapping
 from http import HTTPStatus
@@ -13,23 +13,23 @@
 from corkcrank.scheduling.worker_pace import WorkerPaces
 
 LOCAL_CALL = "own call"
-"""Source, in log lines, of what this gateway read from a response to its own call."""
+"""Source in log lines of statements in responses to this gateway's own calls."""
 
 REJECTING_STATUSES = frozenset((HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS))
 """Statuses of responses whose retry time is a requested backoff."""
 
 MAX_UNREADABLE_LOADS = 1_024
-"""Maximum number of workers with an unreadable load that are stored so that each is logged once."""
+"""Maximum number of workers whose unreadable load is recorded, so that each is logged once."""
 
 MAX_UNKNOWN_HEADERS = 64
-"""Maximum number of unknown header names that are stored so that each is logged once."""
+"""Maximum number of unknown header names that are recorded, so that each is logged once."""
 
 
 class WorkerStatements:
-    """Reads the headers of every response of a worker and stores what they state.
+    """Reads the headers of every response of a worker and stores their statements.
 
     ``on_update`` is called when peers should receive an update soon, ``on_leave`` when a worker's
-    leave is first heard of.
+    leave becomes known.
     """
 
     def __init__(
@@ -48,7 +48,7 @@
         self.paces = paces if paces is not None else WorkerPaces()
         self.limits = StatedLimits()
         self.brittleness = StatedLimits()
-        """The rejections a second that brittle workers tolerate."""
+        """Rejections per second that brittle workers tolerate."""
         self.notices = notices
         self.on_update: Callable[[], None] = lambda: None
         self.on_leave: Callable[[], None] = lambda: None
@@ -56,9 +56,9 @@
     def record_response(
         self, worker: WorkerRecord, status: int, headers: Mapping[str, str]
     ) -> None:
-        """Record the statements in the head of a response to a request that was sent to a worker.
+        """Record the statements in the head of a worker's response.
 
-        A misdirected request (421) is skipped: another worker has taken over the address.
+        A misdirected request (421) is ignored: another worker has taken over the address.
         """
         if status == HTTPStatus.MISDIRECTED_REQUEST:
             return
@@ -83,7 +83,7 @@
             self._record_backoff(worker, status, statement.retry_after)
 
     def leaves_to_report(self, listed: Iterable[WorkerRecord]) -> tuple[ReportedLeave, ...]:
-        """Return the announced leaves that the entries of the listed workers do not state yet."""
+        """Return the announced leaves that the workers' entries do not state yet."""
         if not self.notices.any_leaves:
             return ()
         ready = {worker.worker_id for worker in listed if not worker.leaving}
@@ -99,7 +99,7 @@
                 self._report_leave(report.worker_id, source, report.age)
 
     def apply_backoff_reports(self, reports: Iterable[ReportedBackoff], source: str) -> None:
-        """Apply a peer's reports of backoffs that workers requested of it."""
+        """Apply a peer's reports of backoffs that workers requested from it."""
         now = clock.now()
         for report in reports:
             if report.readable:
--- a/src/corkcrank/scheduling/crash_report_schedule.py
+++ b/src/corkcrank/scheduling/crash_report_schedule.py
@@ -1,4 +1,4 @@
-"""Chooses which crash records each heartbeat reports: changed ones first, the others in turn."""
+"""Selects the crash records for each heartbeat: changed records first, the others in rotation."""
 
 from collections.abc import Callable
 
@@ -6,7 +6,7 @@
 from corkcrank.scheduling.crash_reports import CrashReport
 
 CHANGE_REPORT_SECONDS = 1.5
-"""Time for which a change is reported, or two heartbeat intervals if those are longer."""
+"""Minimum time for which a change is reported; at least two heartbeat intervals."""
 
 MAX_REPORTS_PER_HEARTBEAT = 6
 """Maximum number of crashes, or of trials, in one heartbeat. Changed crash records come first, the
@@ -24,7 +24,7 @@
 class CrashReportSchedule:
     """The order in which the records of one gateway are reported to its peers.
 
-    ``has_blamed_suspect`` tells whether a suspect of a record is blamed at a time.
+    ``has_blamed_suspect`` returns whether a suspect of a record is blamed at a given time.
     """
 
     def __init__(
@@ -37,8 +37,8 @@
     def next_reports(self, now: float, interval: float) -> tuple[CrashReport, ...]:
         """Return the crash reports of one heartbeat; ``interval`` is the time between heartbeats.
 
-        Changed records come first. The others follow for gateways that were partitioned or have
-        started since, ordered by the time since their last report, longest first.
+        Changed records come first. The others follow, least recently reported first, for gateways
+        that were partitioned or started since.
         """
         since = report_changes_since(now, interval)
         changed = [record for record in self._records if record.changed_at > since]
@@ -59,7 +59,7 @@
 
 
 def report_changes_since(now: float, interval: float) -> float:
-    """Return since when changes are reported by a heartbeat of now."""
+    """Return the time from which changes are reported in a heartbeat sent now."""
     return now - max(CHANGE_REPORT_SECONDS, 2.0 * interval)
 
 
--- a/src/corkcrank/scheduling/crash_reports.py
+++ b/src/corkcrank/scheduling/crash_reports.py
@@ -1,9 +1,9 @@
 """Defines the messages in which gateways report worker crashes and trials on probation.
 
-A crash has several suspects: the requests that were in progress, and the prompt parts that requests
-share. Evidence against one of them exonerates the others. So the unit that is reported, stored and
-evaluated is the crash of one worker incarnation with all requests that were in progress there and
-the parts of their prompts, never a single suspect.
+A crash has several suspects: the requests in progress, and the prompt parts that requests share.
+Evidence against one suspect exonerates the others. Therefore the unit of reports, storage and
+verdicts is the crash of one worker incarnation, with all requests in progress there and the parts
+of their prompts.
 """
 
 from collections.abc import Iterable, Sequence
@@ -37,9 +37,9 @@
 class RequestAtCrash(NamedTuple):
     """A request that was in progress when its worker crashed.
 
-    ``progressed`` is true if the run had lasted longer than those that crash their worker usually
-    do, ``cleared`` if the request has completed successfully since. ``parts`` are the fingerprints
-    of its prompt's shared parts, ``None`` if they are unknown.
+    ``progressed`` is true if the run had lasted longer than :data:`EARLY_RUN_SECONDS`. ``cleared``
+    is true if the request has completed successfully since. ``parts`` are the fingerprints of its
+    prompt's shared parts, ``None`` if they are unknown.
     """
 
     request: str
@@ -49,7 +49,7 @@
 
 
 class PartSuccess(NamedTuple):
-    """Whether runs with a prompt part progressed, some time before its worker's crash or since."""
+    """Whether runs with a prompt part progressed before or after its worker's crash."""
 
     part: str
     before: bool = False
@@ -61,8 +61,8 @@
 
     ``fingerprints`` is the concatenation of the parts' fingerprints. ``marks`` holds one byte of
     flags for each part: succeeded before and after the crash. ``holders`` lists for each part the
-    indices of the report's requests whose prompts have it. ``unknown`` lists the requests whose
-    parts are unknown, as they were reported by a gateway of a release without parts.
+    indices of the report's requests whose prompts contain it. ``unknown`` lists the requests whose
+    parts are unknown, because a gateway of a release without parts reported them.
     """
 
     fingerprints: bytes = b""
@@ -99,14 +99,14 @@
         ]
 
     def successes(self) -> list[PartSuccess]:
-        """Return what is known of the parts' successes."""
+        """Return the successes of the parts."""
         return [
             PartSuccess(part, bool(mark & _SUCCEEDED_BEFORE), bool(mark & _SUCCEEDED_AFTER))
             for part, mark in zip(self.parts(), self.marks, strict=True)
         ]
 
     def problem(self, requests: int) -> str:
-        """Return why the parts of a report with a number of requests are invalid, if they are."""
+        """Return why the parts are invalid in a report of ``requests`` requests, or ""."""
         if len(self.fingerprints) != FINGERPRINT_BYTES * len(self.marks):
             return "parts and marks differ in number"
         if len(self.holders) != len(self.marks):
@@ -175,7 +175,7 @@
         ]
 
     def part_successes(self) -> list[PartSuccess]:
-        """Return what a valid report tells of the parts' successes."""
+        """Return the parts' successes in a valid report."""
         return self.prompt_parts.successes() if self.prompt_parts is not None else []
 
     def _parts_by_request(self) -> list[tuple[str, ...] | None]:
--- a/src/corkcrank/scheduling/crash_verdicts.py
+++ b/src/corkcrank/scheduling/crash_verdicts.py
@@ -1,9 +1,9 @@
 """Decides which requests are to blame for worker crashes, based on the crash records.
 
-One of the requests that were in progress at a worker may have crashed it. A request is blamed once
-enough crashes have no other explanation: neither a request that is already blamed, nor another
-request that was at the same workers. The verdicts depend only on the records, not on the order in
-which they arrived. The module has no side effects.
+Any of the requests that were in progress at a worker may have crashed it. A request is blamed once
+enough of its crashes have no other explanation: no request that is already blamed, and no other
+request that was at the same workers. The verdicts depend only on the content of the records, not on
+their order. The module has no side effects.
 """
 
 from collections import Counter
@@ -13,17 +13,17 @@
 from corkcrank.scheduling.crash_records import CrashRecord
 
 MIN_QUARANTINE_CRASHES = 3
-"""Minimum number of crashes without another explanation for which a request is quarantined."""
+"""Minimum number of crashes without another explanation before a request is quarantined."""
 
 MIN_CERTAINTY_CRASHES = 5
-"""Minimum number of crashes for which a request is quarantined even if other requests may explain
-them: two more than :data:`MIN_QUARANTINE_CRASHES`. Once every gateway had time to know of the first
-three crashes, a request may cause at most three more, of which this number uses two."""
+"""Minimum number of crashes before a request is quarantined even if other requests may explain
+them. By the time all gateways know of the first :data:`MIN_QUARANTINE_CRASHES` crashes, a request
+may cause at most three more; this limit uses two of them."""
 
 
 @dataclass(frozen=True, slots=True)
 class Verdict:
-    """Why a request is blamed: its unexplained crashes, and how many its nearest rival shares."""
+    """The unexplained crashes of a blamed request, and the number that its nearest rival shares."""
 
     workers: frozenset[str]
     rival: str = ""
@@ -100,8 +100,8 @@
 def _extend_blame(evidence: _Evidence, known: Mapping[str, Verdict]) -> dict[str, Verdict]:
     """Extend known verdicts by further requests to blame, in order of decreasing certainty.
 
-    Crashes that a blamed request explains no longer count against its neighbours, so the cases of
-    the neighbours are evaluated again.
+    Crashes that a blamed request explains no longer count against its neighbours, so the
+    neighbours are evaluated again.
     """
     blamed = dict(known)
     explained = _explained_workers(evidence, blamed)
--- a/src/corkcrank/scheduling/demand_rates.py
+++ b/src/corkcrank/scheduling/demand_rates.py
@@ -1,15 +1,15 @@
-"""Tokens that calls of each rank ask for a second, whether they are admitted or not."""
+"""Measures the demand of each rank in tokens a second, of admitted and refused calls."""
 
 import math
 
 from corkcrank.contracts.urgency import Rank
 
 TIME_CONSTANT_SECONDS = 2.0
-"""Time constant of the mean: long against the gaps between calls, short against a burst."""
+"""Time constant of the mean: longer than the gaps between calls, shorter than a burst."""
 
 
 class DemandRates:
-    """Exponentially decaying means of the tokens asked for, by rank."""
+    """Exponentially decaying means of the requested tokens, by rank."""
 
     def __init__(self) -> None:
         self._rates: dict[Rank, tuple[float, float]] = {}
@@ -26,7 +26,7 @@
         self._rates[rank] = self._rate(rank, now) + tokens / TIME_CONSTANT_SECONDS, now
 
     def more_urgent(self, rank: Rank, now: float) -> float:
-        """Return the tokens that more urgent ranks ask for a second."""
+        """Return the demand of more urgent ranks in tokens a second."""
         return sum(self._rate(other, now) for other in self._rates if other < rank)
 
     def _rate(self, rank: Rank, now: float) -> float:
--- a/src/corkcrank/scheduling/engine_choice.py
+++ b/src/corkcrank/scheduling/engine_choice.py
@@ -1,10 +1,10 @@
 """Choice of the model engine for a prompt, by the tokens to prefill before the first event.
 
-The cost of an engine is the number of prompt tokens that it still has to read for earlier calls,
-plus the tokens of the new prompt that its prefix cache does not hold. Gateways report to each
-other which shared parts they sent to which engine and how many tokens are unread, so the costs
-cover the whole fleet, with a lag of some hundred milliseconds. Ties go to the engine with the
-highest rendezvous hash, which is the same one in every gateway.
+The cost of an engine is its backlog of unread prompt tokens, plus the tokens of the new prompt that
+its prefix cache does not hold. Gateways report to each other the shared parts sent to each engine
+and the unread tokens. The costs therefore cover the whole fleet, with a lag of some hundred
+milliseconds. Ties go to the engine with the highest rendezvous hash, which is the same in every
+gateway.
 """
 
 from collections import OrderedDict
@@ -20,24 +20,24 @@
 """Extra cost of each token that another engine has cached and this one would read again."""
 
 CACHED_ELSEWHERE_SECONDS = 10.0
-"""Time for which a part that another engine read counts as cached there."""
+"""Time for which a part counts as cached at the engine that read it."""
 
 FAILURE_COST_TOKENS = 6_000.0
 """Cost of one recent failure, in tokens."""
 
 EJECTION_COST_TOKENS = 12_000.0
-"""Cost of an ejection in tokens: about one of the longest prompts. Longer queues at the other
-engines outweigh it, so that calls do not pile up on the few engines that remain."""
+"""Cost of an ejection in tokens: about one long prompt. Longer queues at the other engines outweigh
+it, so that calls do not pile up on the few remaining engines."""
 
 PEERS_BACKOFF_COST_TOKENS = 12_000.0
-"""Cost in tokens of an engine that requested a backoff of another gateway."""
+"""Cost in tokens of an engine that requested a backoff from another gateway."""
 
 EXCESS_FAILURE_COST_TOKENS = 12_000.0
-"""Cost in tokens of an engine that is expected to fail all of its calls while the others fail
-none: another engine reads a failed call's prompt, and the stage results wait meanwhile."""
+"""Cost in tokens of an excess failure rate of 1. The prompt of a failed call is read again by
+another engine, and its stage results occupy memory meanwhile."""
 
 STREAM_DELAY_COST_FACTOR = 5.0
-"""Extra cost of each token read in a row beyond what makes the streams of the engine late."""
+"""Extra cost of each token read in a row beyond the limit that delays the engine's streams."""
 
 IN_FLIGHT_CALL_COST_TOKENS = 60.0
 """Cost of each call in flight, in tokens: each call makes every engine step longer."""
@@ -88,16 +88,16 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineQuestion:
-    """Inputs of a choice apart from the engines' own state.
+    """Inputs of a choice, without the state of the engines.
 
     ``weights`` gives each engine's share of new prompts and ``penalties`` its extra cost in
     tokens, both by worker id. ``reading`` gives the tokens being read, if an owner knows them;
     otherwise the counts of this gateway and the reports of its peers apply.
     ``max_consecutive_tokens`` is the number of tokens that an engine may read in a row before its
-    streams are late. A ``repeatable`` call may serve as the probe of a half-open engine.
-    ``ignore_backoffs`` is set by an owner that chooses for another gateway: backoffs are requested
-    of single gateways, and the requester has excluded the engines in its own. ``factors`` gives how
-    long work takes at engines relative to the mean, 1.0 where there is none.
+    streams are late. A ``repeatable`` call may serve as the probe of a half-open engine. Owners
+    set ``ignore_backoffs`` when they choose for another gateway: a backoff applies to a single
+    gateway, and that gateway passes its own backoffs in ``excluded``. ``factors`` gives the pace
+    of engines relative to the mean, 1.0 by default.
     """
 
     prompt: PromptShape
@@ -124,7 +124,7 @@
         worker_statistics: WorkerStatisticsTable,
         now: float,
     ) -> list[WorkerRecord]:
-        """Return the usable engines, the cheapest first."""
+        """Return the usable engines, cheapest first."""
         is_excluded = (
             worker_statistics.has_left
             if question.ignore_backoffs
@@ -189,9 +189,8 @@
         factor = question.factors.get(engine.worker_id, 1.0)
         cost = factor * (reading + unread + IN_FLIGHT_CALL_COST_TOKENS * calls)
         if calls:
-            # Protects the streams that the engine writes, which pause while it reads a prompt.
-            # Engines that read two or three prompts in a row made a tenth of the most urgent
-            # route's streams late, although other engines were idle.
+            # An engine's streams pause while it reads a prompt, so consecutive prompts make them
+            # late. The extra cost moves prompts to idle engines.
             cost += STREAM_DELAY_COST_FACTOR * max(
                 0.0, factor * (reading + unread) - question.max_consecutive_tokens
             )
@@ -228,7 +227,7 @@
 
 
 def _affinity_key(prompt: PromptShape) -> str:
-    """Return the id of the last shared part, which all prompts of a session have in common."""
+    """Return the id of the last shared part, which all prompts of a session contain."""
     if not prompt.parts:
         return ""
     return prompt.parts[max(0, len(prompt.parts) - 2)].part_id
--- a/src/corkcrank/scheduling/engine_memory.py
+++ b/src/corkcrank/scheduling/engine_memory.py
@@ -1,8 +1,8 @@
-"""Tokens that requests hold in the memory of engines, from their grants to their streams' ends.
+"""Tracks the engine memory that requests hold, in tokens, from grant to end of stream.
 
-An engine that runs out of memory throws out its newest request in the middle of its stream and
-reads the prompt again. Parts of a prompt that several running requests share are held once. The
-end of a stream is not reported: a request holds its memory for the usual time of its stream.
+An engine that runs out of memory evicts its newest request in mid-stream and reads the prompt
+again. A prompt part that several running requests share is stored once. Ends of streams are not
+reported, so a request counts for the usual duration of its stream.
 """
 
 import heapq
@@ -26,7 +26,7 @@
 
 @dataclass(slots=True)
 class _EngineHolds:
-    """Requests of one engine: their number, own tokens, and how many hold each shared part."""
+    """Requests of one engine: count, unshared tokens, and number of holders of each shared part."""
 
     requests: int = 0
     own_tokens: int = 0
@@ -35,7 +35,7 @@
 
 
 class EngineMemory:
-    """What granted and running requests hold at a zone's engines of one service."""
+    """Memory held by granted and running requests at a zone's engines of one service."""
 
     def __init__(self) -> None:
         self._holds: dict[str, _Hold] = {}
@@ -45,7 +45,7 @@
     def hold(
         self, call_id: str, worker_id: str, prompt: PromptShape, stream_seconds: float, now: float
     ) -> None:
-        """Count a request whose prompt an engine was granted."""
+        """Count a request that was granted an engine."""
         self.release(call_id)
         self._holds[call_id] = _Hold(worker_id, prompt, stream_seconds, now + MAX_HOLD_SECONDS)
         heapq.heappush(self._ends, (now + MAX_HOLD_SECONDS, call_id))
@@ -59,14 +59,14 @@
             engine.parts[part.part_id] += 1
 
     def record_read(self, call_id: str, now: float) -> None:
-        """Record that a request's stream has begun: it ends after its usual time."""
+        """Record that a request's stream has begun; it counts for the usual stream duration."""
         hold = self._holds.get(call_id)
         if hold is not None:
             hold.until = min(now + hold.stream_seconds, hold.until)
             heapq.heappush(self._ends, (hold.until, call_id))
 
     def release(self, call_id: str) -> None:
-        """Remove a request that holds nothing any more."""
+        """Remove a request that no longer holds memory."""
         hold = self._holds.pop(call_id, None)
         if hold is None:
             return
@@ -83,7 +83,7 @@
             del self._engines[hold.worker_id]
 
     def retain_only(self, worker_ids: Collection[str]) -> None:
-        """Remove the requests of all engines but these."""
+        """Remove the requests of engines that are no longer listed."""
         ended = [key for key, hold in self._holds.items() if hold.worker_id not in worker_ids]
         for call_id in ended:
             self.release(call_id)
@@ -99,7 +99,7 @@
     ) -> bool:
         """Return whether an engine has memory and a slot for one more request.
 
-        An engine that runs nothing takes any request. A ``capacity`` of 0 is unknown.
+        An idle engine takes any request. A ``capacity`` of 0 is unknown.
 
         >>> memory, prompt = EngineMemory(), PromptShape("m", 900, 100)
         >>> memory.hold("a", "e", prompt, 1.0, now=0.0)
@@ -129,6 +129,6 @@
 
 
 def _own_tokens(prompt: PromptShape) -> int:
-    """Return the tokens that no other request shares: the rest of the prompt, and its answer."""
+    """Return the tokens that no other request shares: the unshared prompt and the answer."""
     shared = sum(part.tokens for part in prompt.shared_parts)
     return max(0, prompt.total_tokens - shared) + max(0, prompt.tokens_out)
--- a/src/corkcrank/scheduling/fetch_delay.py
+++ b/src/corkcrank/scheduling/fetch_delay.py
@@ -1,8 +1,8 @@
 """Delay after which the stage results that an engine fetches may be freed.
 
-An engine fetches a call's results before it reads the prompt, well before its first event.
-Result memory at stage workers is scarce, so results are freed a short delay after the call was
-sent. The delay doubles when an engine misses a result and shrinks with each call that finds all.
+An engine fetches a call's results before it reads the prompt, well before its first event. Result
+memory at stage workers is scarce, so results are freed a short delay after the call was sent. The
+delay doubles when an engine misses a result and shrinks with each call that finds all results.
 """
 
 from dataclasses import dataclass
@@ -11,7 +11,7 @@
 """Delay before the first observation, and its minimum: several round trips."""
 
 MAX_DELAY_SECONDS = 2.0
-"""Upper bound of the delay; past it, results are kept until the first event anyway."""
+"""Upper bound of the delay. Results are kept until the first event anyway."""
 
 SUCCESS_DECAY_FACTOR = 0.98
 """Factor that shortens the delay after a call that found all its results."""
--- a/src/corkcrank/scheduling/fleet_retry_budget.py
+++ b/src/corkcrank/scheduling/fleet_retry_budget.py
@@ -1,15 +1,15 @@
 """Limits the retries that all gateways together send to one service.
 
-In any window the fleet may send ``ratio`` x the first attempts + ``allowance`` repeats to
-a service. Each gateway uses a share of ``allowance`` that depends on the number of live members. A
-gateway that does not know its peers yet assumes the smallest share.
+In any window the fleet may send ``ratio`` x the first attempts + ``allowance`` retries to a
+service. Each gateway uses an equal share of ``allowance`` among the live members. A gateway that
+does not know its peers yet assumes the smallest share.
 """
 
 from collections import deque
 from dataclasses import dataclass, field
 
 SAFETY_FACTOR = 0.7
-"""Part of the budget that is used: the member count lags behind, and the windows slide."""
+"""Fraction of the budget that is used: the member count is delayed, and the windows slide."""
 
 
 @dataclass(slots=True)
@@ -28,12 +28,12 @@
         self._firsts.append(now)
 
     def record_repeat(self, now: float) -> None:
-        """Record a repeat that was sent without a check of the budget."""
+        """Record a retry that was sent without a check of the budget."""
         self._trim(now)
         self._repeats.append(now)
 
     def remaining(self, now: float, members: int) -> float:
-        """Return the repeats that are left in the window that ends at ``now``.
+        """Return the remaining retries in the window that ends at ``now``.
 
         >>> budget = FleetRetryBudget(ratio=0.2, allowance=10.0, window=10.0)
         >>> round(budget.remaining(0.0, members=5), 6)
@@ -44,7 +44,7 @@
         return SAFETY_FACTOR * earned - len(self._repeats)
 
     def try_spend(self, now: float, members: int) -> bool:
-        """Spend one repeat if the budget allows it; return whether it did."""
+        """Spend one retry if the budget allows it; return whether it did."""
         if self.remaining(now, members) < 1.0:
             return False
         self._repeats.append(now)
--- a/src/corkcrank/scheduling/forecast_bias.py
+++ b/src/corkcrank/scheduling/forecast_bias.py
@@ -2,9 +2,9 @@
 
 Configured capacities don't account for slow workers, unreachable owners or results that occupy
 memory for longer than usual. The ratio of measured to forecast time corrects later forecasts, and
-the scatter of calls around it gives the uncertainty of a corrected forecast. One gateway of many
-sees too few calls, so gateways report their measurements to each other. A correction decays
-exponentially, because a route whose calls are all refused produces no new measurements.
+the scatter of calls around it gives the uncertainty of a corrected forecast. A single gateway
+observes too few calls, so gateways exchange their measurements. A correction decays exponentially,
+because a route whose calls are all refused produces no new measurements.
 """
 
 import math
@@ -21,8 +21,8 @@
 
 PRIOR_VARIANCE = 1.0 / 12.0
 """Variance of a ratio before the first measurement: that of a uniform distribution of width 1. A
-piece arrives at any point of the worker's running call and waits for its end. The running call and
-the call that will run the piece are equally long, so the wait is uniform over one call."""
+piece arrives at a random point of the worker's running call and waits for the end of that call. All
+calls are assumed equally long, so the wait is uniform over one call."""
 
 RATIO_BOUNDS = (0.7, 3.0)
 """Bounds of one measured ratio."""
@@ -40,8 +40,8 @@
 class ForecastRatio(msgspec.Struct, frozen=True, array_like=True):
     """A gateway's local measurements of a route, decayed to the time of the report.
 
-    ``weight`` is their number, ``total`` the sum of their ratios and ``scatter`` the sum of their
-    squared errors in seconds for each second of forecast, all in hundredths. Older versions
+    ``weight`` is their number, ``total`` the sum of their ratios. ``scatter`` is the sum of their
+    squared errors in seconds for each second of forecast. All are in hundredths. Older versions
     report no scatter.
     """
 
--- a/src/corkcrank/scheduling/link_health.py
+++ b/src/corkcrank/scheduling/link_health.py
@@ -1,7 +1,7 @@
-"""Judges from connection attempts whether this gateway's network links to workers have failed.
+"""Detects failures of this gateway's network links to workers from connection attempts.
 
-A connection that fails may be the fault of the worker, or of the links of this gateway. So the
-gateway connects to a sample of workers of several services: if none of them can be reached, it is
+A connection failure may be caused by the worker or by a link of this gateway. The gateway therefore
+connects to a sample of workers of several services. If none is reachable, the gateway is
 partitioned from the workers. A single link counts as failed if a peer reaches the worker.
 
 The module does no I/O; callers pass the time, in seconds of one clock.
@@ -14,16 +14,16 @@
 from corkcrank.contracts.worker_records import WorkerRecord
 
 CHECKS_TO_RECOVER = 2
-"""Consecutive successful checks after which a partition has ended: a single one may fall between
-two outages of a link that fails repeatedly."""
+"""Consecutive successful checks that end a partition. One success may fall between two outages of a
+flapping link."""
 
 RECOVERED_SHARE = 0.5
-"""Share of the sampled workers that a successful check reaches, at least."""
+"""Minimum share of the sampled workers that a successful check reaches."""
 
 
 @dataclass(frozen=True, slots=True)
 class LinkCheck:
-    """The workers of one sample, by whether a new connection to them was established."""
+    """The reached and unreached workers of one sample of new connections."""
 
     reached: tuple[str, ...] = ()
     unreached: tuple[str, ...] = ()
@@ -42,8 +42,8 @@
 class LinkHealth:
     """The state of this gateway's links to workers.
 
-    ``partitioned_since`` is the time of the check that reached no worker, ``None`` if the gateway
-    is not partitioned.
+    ``partitioned_since`` is the time of the check that began the partition, ``None`` if the
+    gateway is not partitioned.
     """
 
     def __init__(self) -> None:
@@ -58,7 +58,7 @@
 
     @property
     def failed_links(self) -> tuple[str, ...]:
-        """Return the ids of the workers whose links failed, the longest failed first."""
+        """Return the ids of the workers with failed links, in order of their failure."""
         return tuple(self._failed)
 
     def is_failed(self, worker_id: str) -> bool:
@@ -66,7 +66,7 @@
         return self.partitioned or worker_id in self._failed
 
     def record_failed_link(self, worker_id: str, now: float) -> bool:
-        """Record that a peer reaches a worker and this gateway does not; return whether it is new.
+        """Record that only peers reach a worker; return whether the link was not failed before.
 
         >>> health = LinkHealth()
         >>> health.record_failed_link("w", 1.0), health.record_failed_link("w", 2.0)
@@ -78,9 +78,9 @@
         return True
 
     def record_link(self, worker_id: str) -> bool:
-        """Record that a worker's link works, or that peers fail too; return whether it was failed.
+        """Remove a failed link, or do nothing; return whether the link was failed.
 
-        In the second case the fault is the worker's.
+        The link works again, or peers fail too and the fault is the worker's.
         """
         return self._failed.pop(worker_id, None) is not None
 
@@ -120,7 +120,7 @@
 def sample_workers(
     workers: Iterable[WorkerRecord], count: int, random_source: random.Random
 ) -> list[WorkerRecord]:
-    """Return up to ``count`` random workers, of as many services as possible."""
+    """Return up to ``count`` random workers, spread over as many services as possible."""
     shuffled = list(workers)
     random_source.shuffle(shuffled)
     taken: dict[str, int] = {}
--- a/src/corkcrank/scheduling/outlier_detection.py
+++ b/src/corkcrank/scheduling/outlier_detection.py
@@ -1,11 +1,11 @@
 """Detects workers that fail more of their calls than the other workers of the same service.
 
-Two results are kept for each worker. The excess is the expected failure rate above the usual rate;
-the choice of a worker adds it as a gradual cost, from the first failure on. A worker is ejected
-when its failure rate exceeds that of the better half of the other workers with high confidence; it
-then gets calls only if the other workers have no capacity left. After a while an ejected worker
-becomes half open: a few repeatable calls probe it, and their outcomes restore it or eject it
-again. The module does no I/O; callers pass the outcomes and the time.
+Each worker has two results. The excess is its expected failure rate above the usual rate; the
+choice of a worker adds it as a gradual cost from the first failure on. A worker is ejected when its
+failure rate exceeds that of the better half of the other workers with high confidence. It then gets
+calls only if the other workers have no capacity left. An ejected worker becomes half open after a
+while: a few repeatable calls probe it, and their outcomes restore it or eject it again. The module
+does no I/O; callers pass the outcomes and the time.
 """
 
 import random
@@ -18,21 +18,21 @@
 from corkcrank.scheduling.worker_outcomes import Counts, Evidence, OutcomeTable
 
 CONFIDENCE_STANDARD_DEVIATIONS = 2.5
-"""Standard deviations between a worker's failure rate and the lower bound of it."""
+"""Standard deviations between a worker's failure rate and its lower bound."""
 
 MIN_EXCESS_FOR_EJECTION = 0.1
-"""Failure rate above that of the other workers which the lower bound must reach for an ejection.
-Below it, repeating the failed calls costs less than the worker's capacity is worth."""
+"""Minimum distance of the lower bound from the failure rate of the other workers for an ejection.
+Below it, retries of failed calls cost less than the loss of the worker's capacity."""
 
 MIN_FAILURES_FOR_EJECTION = 2.2
-"""Weight of failures below which no worker is ejected: two failures never reach it, three within
-four seconds do."""
+"""Minimum weight of failures for an ejection. Two failures never reach it; three within four
+seconds do."""
 
 PRIOR_CALLS = 10.0
-"""Served calls that are added to those of the other workers when their rate is computed."""
+"""Served calls added to those of the other workers as a prior of their failure rate."""
 
 USUAL_RATE = 0.1
-"""Failure rate that is ordinary noise; only what lies above it counts as excess."""
+"""Failure rate that is treated as noise; only the part above it counts as excess."""
 
 PRIOR_WEIGHT = 5.0
 """Weight of the usual rate as a prior, in calls: one failure among two calls raises the expected
@@ -43,31 +43,31 @@
 calls are still spread over them."""
 
 BASE_EJECTION_SECONDS = 3.0
-"""Duration of a worker's first ejection: the usual length of a short fault."""
+"""Duration of a worker's first ejection: the usual length of a transient fault."""
 
 MAX_EJECTION_SECONDS = 12.0
 """Upper limit of an ejection. Each consecutive ejection lasts twice as long as the previous one."""
 
 MAX_DOUBLINGS = 8
-"""Limit of the exponent of the doubling, which keeps the power finite. The upper limit of an
-ejection is reached before it."""
+"""Limit of the doubling's exponent, which avoids an overflow. :data:`MAX_EJECTION_SECONDS` applies
+first."""
 
 EJECTION_JITTER = 0.2
-"""Random part of an ejection's duration, up or down, so that gateways do not probe together."""
+"""Relative jitter of an ejection's duration, so that gateways do not probe at the same time."""
 
 EJECTION_RESET_SECONDS = 20.0
 """Time after which the ejections of a healthy worker start again at the first duration."""
 
 MIN_SERVED_FOR_RESTORATION = 4.5
-"""Weight of served calls, with no failure among them, that restores a half-open worker. A worker
-that fails half of its calls passes five probes once in 32 times."""
+"""Weight of served calls without a failure that restores a half-open worker. A worker that fails
+half of its calls passes five probes with a probability of 1 in 32."""
 
 MIN_PROBE_FAILURES_FOR_EJECTION = 0.5
 """Weight of failures that ejects a half-open worker again."""
 
 MAX_HALF_OPEN_SECONDS = 15.0
-"""Time after which a half-open worker is restored without probes, as in a service that has no
-repeatable calls. Its old failures then have an eighth of their weight."""
+"""Time after which a half-open worker without probes is restored, for services without repeatable
+calls. The weight of its old failures has then decayed to an eighth."""
 
 
 class Verdict(StrEnum):
@@ -83,7 +83,7 @@
     """Change of a worker's verdict, with the figures that caused it.
 
     ``bound`` is the lower bound of the failure rate and ``others`` the failure rate of the better
-    half of the other workers. ``seconds`` is how long the previous verdict lasted.
+    half of the other workers. ``seconds`` is the duration of the previous verdict.
     """
 
     worker: WorkerRecord
@@ -97,7 +97,7 @@
 
 @dataclass(slots=True)
 class _EjectionState:
-    """Verdict on a worker and the earlier evidence that is subtracted from now on."""
+    """Verdict on a worker, and the earlier evidence that is subtracted."""
 
     verdict: Verdict
     since: float
@@ -108,7 +108,7 @@
 
 
 class OutlierDetector:
-    """Verdicts of one gateway on the workers that it knows failures of."""
+    """Verdicts of one gateway on workers with recorded failures."""
 
     def __init__(self, outcomes: OutcomeTable, random_source: random.Random) -> None:
         self._outcomes = outcomes
@@ -130,7 +130,7 @@
         return {key for key, item in self._states.items() if item.verdict is not Verdict.HEALTHY}
 
     def retain_only(self, worker_ids: Collection[str]) -> None:
-        """Remove the state of all workers but these."""
+        """Remove the state of workers that are no longer listed."""
         for worker_id in [key for key in self._states if key not in worker_ids]:
             del self._states[worker_id]
         for worker_id in [key for key in self._excess if key not in worker_ids]:
@@ -245,8 +245,8 @@
 def expected_failure_rate(counts: Counts, usual: float) -> float:
     """Return the mean of the Beta posterior of a failure rate, with the usual rate as prior.
 
-    The caller passes the service's usual rate, because a fixed prior fails if all workers fail:
-    the fewer calls a worker had, the closer its rate stayed to the prior, and the better it looked.
+    A fixed prior fails if all workers fail: the fewer calls a worker had, the closer its rate
+    stays to the prior, and the better it looks. Callers therefore pass the service's usual rate.
 
     >>> round(expected_failure_rate(Counts(), 0.1), 2), round(
     ...     expected_failure_rate(Counts(3.0, 3.0), 0.1), 2
--- a/src/corkcrank/scheduling/part_successes.py
+++ b/src/corkcrank/scheduling/part_successes.py
@@ -1,16 +1,16 @@
-"""Remembers when runs with each shared prompt part last progressed at this gateway."""
+"""Records when runs with each shared prompt part last progressed at this gateway."""
 
 from collections import OrderedDict
 
 MAX_PARTS = 4096
-"""Maximum number of remembered parts; those without a success for the longest are removed first."""
+"""Maximum number of recorded parts; the least recently successful ones are evicted first."""
 
 SUCCESS_MEMORY_SECONDS = 600.0
 """Time for which a success is evidence that a part does not crash every engine."""
 
 
 class PartSuccesses:
-    """The latest success of each part: when the first event of a run was sent that progressed."""
+    """The latest success of each part: the time of the first event of a run that progressed."""
 
     def __init__(self) -> None:
         self._times: OrderedDict[str, float] = OrderedDict()
--- a/src/corkcrank/scheduling/peer_loads.py
+++ b/src/corkcrank/scheduling/peer_loads.py
@@ -1,4 +1,4 @@
-"""Adds up the calls in flight at each worker that the other gateways report."""
+"""Sums the calls in flight at each worker that the other gateways report."""
 
 from collections.abc import Iterable
 
@@ -37,7 +37,7 @@
         self._reported_by_peer[peer] = reported
 
     def remove_peer(self, peer: str) -> None:
-        """Remove a peer that no longer sends heartbeats, with its load."""
+        """Remove a peer that stopped sending heartbeats, and its load."""
         self.apply_peer_report(peer, ())
         del self._reported_by_peer[peer]
 
--- a/src/corkcrank/scheduling/prefill_grants.py
+++ b/src/corkcrank/scheduling/prefill_grants.py
@@ -1,9 +1,9 @@
 """Grants of a zone's engines to prompts, decided by one gateway for all gateways.
 
-A prompt is read within some hundred milliseconds, which is less than an update takes to reach
-the other gateways. Gateways that chose by each other's reports would therefore send prompts to
-one engine at the same time: the prompts queue, and every stream of that engine pauses meanwhile.
-The owner of a zone's engines tracks each prompt from its grant until its first event.
+Reading a prompt takes some hundred milliseconds, less than an update needs to reach the other
+gateways. Gateways that choose by each other's reports would send prompts to the same engine at the
+same time. The prompts would queue, and every stream of that engine would pause. The owner of a
+zone's engines therefore tracks each prompt from its grant until its first event.
 """
 
 from collections import Counter
@@ -15,7 +15,7 @@
 from corkcrank.scheduling.worker_choice import WorkerStatisticsTable
 
 MAX_PREFILL_SECONDS = 2.0
-"""A prompt counts as read after this time if its completion was not reported."""
+"""Time after which a prompt counts as read without a report."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,7 +34,7 @@
 
 
 class PrefillGrants:
-    """Prompts that were granted an engine and are not yet reported as read."""
+    """Prompts that were granted an engine and are not reported as read."""
 
     def __init__(self, chooser: EngineChooser, worker_statistics: WorkerStatisticsTable) -> None:
         self._chooser = chooser
@@ -67,10 +67,10 @@
         return engine
 
     def release_grant(self, call_id: str) -> tuple[int, float] | None:
-        """Remove the grant of a prompt that was read, or that will not be read.
+        """Remove the grant of a prompt that was read or withdrawn.
 
-        Returns the number of tokens that its engine had to read by then and the time of the
-        grant, or ``None`` for a prompt without a grant.
+        Returns the tokens that its engine had to read since the grant, and the time of the grant.
+        The tokens include those of the prompt. Returns ``None`` for a prompt without a grant.
         """
         grant = self._grants.pop(call_id, None)
         return None if grant is None else (grant.tokens_ahead + grant.tokens, grant.granted_at)
--- a/src/corkcrank/scheduling/prefill_isolation.py
+++ b/src/corkcrank/scheduling/prefill_isolation.py
@@ -1,8 +1,8 @@
-"""Separation of long prompts from the engines that serve short ones.
+"""Separates the engines for long prompts from those for short ones.
 
 While an engine reads a long prompt, all of its streams are delayed, and a pause makes a stream
-late. About half of the engines in each zone therefore read the long prompts, while any come. A
-route counts as long or short by the measured size of its prompts.
+late. About half of the engines in each zone therefore read the long prompts, as long as there are
+any. A route counts as long or short by the measured size of its prompts.
 """
 
 from collections.abc import Sequence
@@ -20,13 +20,13 @@
 """Penalty of an engine in the group for the other prompt length, in prompt tokens."""
 
 IDLE_GROUP_PENALTY_TOKENS = 1_000.0
-"""The same while no long prompts come: an engine reads it in some 50 ms, which no caller notices.
-Streams begin at the engines set apart only while the others are busy, so that few of them are there
-when the next long prompt is read."""
+"""The same penalty while there are no long prompts: an engine reads these tokens in some 50 ms,
+which callers do not notice. Streams begin at the engines for long prompts only while the others are
+busy, so that few streams are delayed by the next long prompt."""
 
 SEPARATION_SECONDS = 10.0
-"""Time for which engines stay set apart after the last long prompt. Streams that began in the gap
-last for some seconds, and a gateway of a large fleet sees a long prompt only every few seconds."""
+"""Time for which engines stay separated after the last long prompt. Streams last for some seconds,
+and a gateway of a large fleet gets a long prompt only every few seconds."""
 
 MAX_CACHED_LISTS = 64
 """Size of the cache of partitioned engine lists; a list belongs to a service and a zone."""
@@ -64,8 +64,8 @@
 def long_prompt_engines(engines: Sequence[WorkerRecord]) -> frozenset[str]:
     """Return the ids of the engines that read long prompts; empty if that would be all engines.
 
-    The larger half of each zone is chosen: every zone holds stage results, so every zone needs
-    such an engine.
+    The larger half of each zone is chosen. Stage results are stored in every zone, so every zone
+    needs such an engine.
     """
     by_zone: dict[str, list[WorkerRecord]] = {}
     for engine in engines:
@@ -80,7 +80,7 @@
 
 
 class PrefillIsolation:
-    """Assigns engines to long or short prompts while long ones come, for each service.
+    """Assigns engines of each service to long or short prompts while there are long ones.
 
     Caches the assignment by list of engines.
     """
@@ -94,7 +94,8 @@
     ) -> dict[str, float]:
         """Return the penalty in tokens, by id, of engines for the other prompt length.
 
-        Engines are set apart only while long prompts come: all use their room otherwise.
+        Without recent long prompts the penalty is small, so that the capacity of all engines is
+        used. A ``long`` prompt starts the separation.
         """
         if not engines:
             return {}
--- a/src/corkcrank/scheduling/prefill_pace.py
+++ b/src/corkcrank/scheduling/prefill_pace.py
@@ -1,8 +1,8 @@
-"""Measured prefill throughput of a service's engines, and how much one may read in a row.
+"""Measures the prefill throughput of a service's engines and limits consecutive prompt tokens.
 
 An engine reads prompts in chunks between the decode steps of its streams. Each stream event holds
 several tokens, so the pause before an event grows with the number of prompt tokens read in a row.
-When the pause reaches the longest one that callers accept, every stream of the engine is late.
+If the pause exceeds the limit that callers accept, every stream of the engine is late.
 """
 
 from corkcrank.contracts.opaque_configuration import OpaqueConfiguration
@@ -14,11 +14,11 @@
 """Weight of the newest prompt in the moving averages."""
 
 MIN_SAMPLE_TOKENS = 2_000
-"""Shorter prompts are ignored: the network takes as long as reading them."""
+"""Shorter prompts are ignored: their time is mostly network delay."""
 
 MAX_PAUSE_SHARE = 0.8
-"""Share of the longest accepted pause that an engine may spend reading: steps without a prompt and
-prompts from other gateways add to the pause."""
+"""Share of the longest accepted pause that an engine may spend reading. Decode steps and prompts
+from other gateways add to the pause."""
 
 
 class PrefillPace:
--- a/src/corkcrank/scheduling/probation_trials.py
+++ b/src/corkcrank/scheduling/probation_trials.py
@@ -1,4 +1,4 @@
-"""The attempts of suspects on probation: one at a time in the whole fleet."""
+"""Tracks the attempts of suspects on probation: one at a time in the whole fleet."""
 
 from collections.abc import Collection
 from dataclasses import dataclass
@@ -16,7 +16,7 @@
 
 @dataclass(slots=True)
 class _Trials:
-    """The attempts of one suspect: their number, and when the latest began."""
+    """The attempts of one suspect: their number, and the start of the latest one."""
 
     number: int = 0
     at: float = NEVER
@@ -24,13 +24,13 @@
 
 
 class ProbationTrials:
-    """The attempts of all gateways, as far as this one knows, by suspect."""
+    """The known attempts of all gateways, by suspect."""
 
     def __init__(self) -> None:
         self._trials: dict[str, _Trials] = {}
 
     def seconds_until_free(self, suspect: str, now: float) -> float:
-        """Return for how long the latest attempt of a suspect reserves its probation."""
+        """Return for how many seconds the latest attempt still reserves a suspect's probation."""
         trials = self._trials.get(suspect, _Trials())
         return max(0.0, trials.at + TRIAL_SECONDS - now)
 
@@ -60,7 +60,7 @@
         return tuple(self._report(key, now) for key in recent[:MAX_REPORTS_PER_HEARTBEAT])
 
     def prune(self, suspects: Collection[str], unchanged_since: float) -> None:
-        """Remove the old attempts of those that are no suspects any more."""
+        """Remove the old attempts of requests and parts that are no longer suspects."""
         for key in [key for key in self._trials if key not in suspects]:
             if self._trials[key].changed_at < unchanged_since:
                 del self._trials[key]
--- a/src/corkcrank/scheduling/prompt_queue.py
+++ b/src/corkcrank/scheduling/prompt_queue.py
@@ -1,9 +1,9 @@
-"""The queue of prompts before a zone's engines of one service, kept by the engines' owner.
+"""The queue of prompts for a zone's engines of one service, kept by the engines' owner.
 
-Prompts that wait inside an engine are read in the order of their arrival, whatever their urgency.
-An engine therefore gets a prompt only shortly before it can begin to read it. The others wait here
-by rank; within a rank tenants take turns by the tokens that were read for them, and each tenant's
-prompts go by least slack. Lower ranks keep a small share, so that none of them is starved.
+An engine reads its queued prompts in order of arrival, regardless of urgency. It therefore gets a
+prompt only shortly before it can begin to read it. The other prompts wait here by rank. Within a
+rank, tenants are served fairly by tokens read, and each tenant's prompts by least slack. Lower
+ranks keep a small share, so that none of them starves.
 """
 
 import heapq
@@ -16,38 +16,40 @@
 from corkcrank.scheduling.demand_rates import DemandRates
 
 LOOKAHEAD_SECONDS = 0.05
-"""An engine is granted its next prompt this long before it has read the others: the grant and the
-prompt reach it meanwhile, so that it is never idle, and no urgent prompt waits for longer there."""
+"""Time before an engine becomes idle at which it is granted its next prompt. It covers the delay of
+the grant and the prompt, so that the engine is never idle; a longer time would delay urgent prompts
+behind granted ones."""
 
 LOWER_RANK_SHARE = 0.05
-"""Share of the tokens read that each waiting rank gets although more urgent ones wait: one call in
-twenty is what callers of the most urgent rank may lose to lateness."""
+"""Share of the tokens read that each waiting rank gets while more urgent ranks wait. Callers of the
+most urgent rank accept one late call in twenty."""
 
 MAX_CREDIT_PROMPTS = 2.0
-"""Credit of a waiting rank is bounded by this multiple of its first prompt."""
+"""Maximum credit of a waiting rank, as a multiple of the size of its first prompt."""
 
 ADMISSION_MARGIN_SECONDS = 0.05
-"""A new prompt is admitted if it is forecast to be in time by this much, a waiting one refused only
-once it is forecast to be late: the difference keeps small errors from refusing what was held."""
+"""Margin for admission in seconds: a new prompt must be forecast to be in time by this much, while
+a waiting one is refused only if it is forecast to be late. The hysteresis keeps small forecast
+errors from refusing admitted prompts."""
 
 RESERVED_DEVIATIONS = NormalDist().inv_cdf(0.9)
-"""Standard deviations of more urgent arrivals that a new prompt allows for: nine in ten that are
-admitted are then not displaced, as callers want nine in ten refusals at once."""
+"""Standard deviations of more urgent arrivals that the admission of a new prompt allows for. Nine
+in ten admitted prompts are then not displaced: callers want nine in ten refusals immediately."""
 
 MAX_IDLE_WAIT_SECONDS = 0.05
-"""Engines count as idle for a prompt that waits no longer than this: it delays no other call."""
+"""Wait in seconds up to which engines count as idle for a prompt: it delays no other call."""
 
 MAX_PRIOR_DEMAND = 0.95
-"""Maximum share of the reading that is expected to go to more urgent prompts in a forecast."""
+"""Maximum share of the reading capacity that a forecast assigns to more urgent prompts."""
 
 
 @dataclass(slots=True, eq=False)
 class QueuedPrompt:
     """A prompt that waits for an engine; times are on the local clock.
 
-    ``due`` of its urgency is when the first event is due. A prompt that has ``begun`` has stage
-    results or a stream, and is ordered but never refused. ``lapses_at`` is when it leaves the
-    queue unless its gateway asks again.
+    ``urgency.due`` is the deadline of the first event. A prompt that has ``begun`` has stage
+    results or a stream; it is ordered but never refused. ``lapses_at`` is the time at which it is
+    removed from the queue unless its gateway renews it.
     """
 
     call_id: str
@@ -67,10 +69,10 @@
 
 @dataclass(frozen=True, slots=True)
 class PromptForecast:
-    """When a waiting prompt would begin to be read and when its first event comes, from now.
+    """Forecast start of reading and first event of a waiting prompt, in seconds from now.
 
-    ``place`` is the number of prompts before it and ``tokens_ahead`` their tokens. A prompt right
-    behind it would begin at ``next_start``.
+    ``place`` is the number of prompts before it and ``tokens_ahead`` their tokens. ``next_start``
+    is the start of a prompt directly behind it.
     """
 
     prompt: QueuedPrompt
@@ -81,13 +83,13 @@
     next_start: float
 
     def misses_objective(self, now: float) -> bool:
-        """Return whether the prompt, which has not begun, would miss its objective."""
+        """Return whether the prompt has not begun and would miss its objective."""
         return not self.prompt.begun and now + self.first_event > self.prompt.urgency.due
 
     def is_late(self, now: float) -> bool:
         """Return whether the prompt waits and would miss its objective.
 
-        One that still waits when it is due is late whatever the forecast: no engine takes it.
+        A prompt that still waits after its due time is late regardless of the forecast.
         """
         waits = not self.is_idle or now > self.prompt.urgency.due
         return waits and self.misses_objective(now)
@@ -100,10 +102,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadingRoom:
-    """Engines as a forecast needs them: when each is free, and the pace of reading.
+    """Engine state for a forecast: when each engine is free, and the reading pace.
 
-    ``free`` are seconds from now, ``seconds_per_token`` is that of one mean engine, and ``delay``
-    the time from the end of reading to the first event.
+    ``free`` holds seconds from now, ``seconds_per_token`` is the pace of a mean engine, and
+    ``delay`` the time from the end of reading to the first event.
     """
 
     free: tuple[float, ...]
@@ -112,12 +114,12 @@
 
     @property
     def tokens_per_second(self) -> float:
-        """Return the tokens that all engines together read a second."""
+        """Return the reading throughput of all engines together, in tokens a second."""
         return len(self.free) / self.seconds_per_token
 
 
 class PromptQueue:
-    """Waiting prompts in the order in which engines read them."""
+    """Waiting prompts, ordered by rank, fair share of tenants and slack."""
 
     def __init__(self) -> None:
         self._waiting: dict[str, QueuedPrompt] = {}
@@ -134,26 +136,26 @@
         return self._waiting.get(call_id)
 
     def waiting(self) -> Iterable[QueuedPrompt]:
-        """Return all waiting prompts, in no order."""
+        """Return all waiting prompts, in no particular order."""
         return self._waiting.values()
 
     def add(self, prompt: QueuedPrompt) -> None:
-        """Let a prompt wait."""
+        """Add a prompt to the queue."""
         self._waiting[prompt.call_id] = prompt
 
     def remove(self, call_id: str) -> QueuedPrompt | None:
-        """Remove a prompt that waits no longer."""
+        """Remove and return a prompt, ``None`` if it does not wait."""
         return self._waiting.pop(call_id, None)
 
     def remove_lapsed(self, now: float) -> list[QueuedPrompt]:
-        """Remove and return the prompts whose gateways have not asked again."""
+        """Remove and return the prompts that their gateways have not renewed."""
         lapsed = [item for item in self._waiting.values() if item.lapses_at <= now]
         for item in lapsed:
             del self._waiting[item.call_id]
         return lapsed
 
     def record_grant(self, prompt: QueuedPrompt) -> None:
-        """Remove a prompt that an engine reads next, and count its tokens for its tenant."""
+        """Remove a granted prompt, charge its tokens to its tenant and update rank credits."""
         self._waiting.pop(prompt.call_id, None)
         key = prompt.rank, prompt.tenant
         start = max(self._served.get(key, 0.0), self._virtual_time.get(prompt.rank, 0.0))
@@ -173,7 +175,7 @@
             self._credits.clear()
 
     def ordered(self) -> list[QueuedPrompt]:
-        """Return the waiting prompts in the order in which they are read."""
+        """Return the waiting prompts in reading order; clamp rank credits."""
         by_rank: dict[Rank, list[QueuedPrompt]] = {}
         for prompt in self._waiting.values():
             by_rank.setdefault(prompt.rank, []).append(prompt)
@@ -189,7 +191,7 @@
         return favoured + ordered
 
     def _fair_order(self, rank: Rank, prompts: list[QueuedPrompt]) -> list[QueuedPrompt]:
-        """Return one rank's prompts: the tenant first that had the fewest tokens read."""
+        """Return one rank's prompts, those of the tenant with the fewest tokens read first."""
         prompts.sort(key=lambda item: (item.urgency.due, item.arrived_at))
         virtual_time = self._virtual_time.get(rank, 0.0)
         reached: dict[str, float] = {}
@@ -218,10 +220,10 @@
         return next(item for item in self.forecasts(room) if item.prompt is prompt)
 
     def offer(self, prompt: QueuedPrompt, room: ReadingRoom, now: float) -> "OfferVerdict":
-        """Let a prompt wait if it can be in time; name those that it makes late.
+        """Add a prompt if it can be in time; the verdict gives the forecast and the excess.
 
-        More urgent prompts make less urgent ones late, and a tenant that had little makes one late
-        that had much. No prompt makes others of its own rank and tenant late.
+        A more urgent prompt may make less urgent ones late, and a tenant with few tokens read may
+        make prompts of other tenants late. No prompt makes others of its own rank and tenant late.
         """
         self.demand.observe(prompt.rank, prompt.tokens, now)
         before = self.forecasts(room) if self._waiting else []
@@ -245,9 +247,10 @@
         return OfferVerdict(own, 0.0)
 
     def _cautious_first_event(self, own: PromptForecast, room: ReadingRoom, now: float) -> float:
-        """Return when a new prompt's first event comes if more urgent ones arrive as lately.
+        """Return the forecast first event of a new prompt with a reserve for urgent arrivals.
 
-        The number of those that arrive meanwhile has the standard deviation of random arrivals.
+        More urgent prompts are assumed to arrive at the recent rate. Their number has the standard
+        deviation of a Poisson process.
         """
         asked = self.demand.more_urgent(own.prompt.rank, now)
         share = min(MAX_PRIOR_DEMAND, asked / room.tokens_per_second)
@@ -261,8 +264,8 @@
     ) -> list[tuple[QueuedPrompt, str]]:
         """Return the prompts that engines begin now, each with its engine, of the first ``limit``.
 
-        ``choose`` returns the best engine for a prompt, and counts the prompt there for the choice
-        of those behind it: they go elsewhere once waiting for that engine costs more.
+        ``choose`` returns the best engine for a prompt and counts the prompt there for later
+        choices. Prompts behind it choose another engine once waiting for that one costs more.
         """
         chosen = []
         for prompt in self.ordered()[:limit]:
@@ -282,7 +285,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OfferVerdict:
-    """Forecast of a prompt that asked to wait; ``excess`` is by how much it would be late."""
+    """Forecast of an offered prompt; ``excess`` is its lateness in seconds."""
 
     forecast: PromptForecast
     excess: float
--- a/src/corkcrank/scheduling/prompt_reading.py
+++ b/src/corkcrank/scheduling/prompt_reading.py
@@ -1,8 +1,8 @@
-"""Prompts that engines read, and when each engine will have read those that it was granted.
+"""Tracks the prompts that engines read, and forecasts when each engine has read its prompts.
 
-An engine reads one prompt after the other, and reports none as read before its first event, which
-follows some decode steps later. Reading pace and that delay are therefore measured apart: the pace
-between the first events of prompts that were read in a row, the delay at engines that were idle.
+An engine reads one prompt after the other. A prompt is reported as read at its first event, which
+follows some decode steps later. Reading pace and that delay are therefore measured separately: the
+pace between the first events of consecutive prompts, the delay at idle engines.
 """
 
 from collections.abc import Callable, Collection
@@ -15,24 +15,24 @@
 """Weight of a prompt that was read faster than the mean."""
 
 SLOWER_WEIGHT = 0.05
-"""Weight of a slower one. A late grant or report makes a reading look longer, nothing makes it look
-shorter: slow samples count less, so that busy gateways do not take engines for slow ones."""
+"""Weight of a slower prompt. Late grants and reports make a reading look longer, never shorter, so
+slow samples count less. Otherwise busy gateways would underestimate the pace of engines."""
 
 INITIAL_DELAY_SECONDS = 0.05
-"""Time from the end of reading a prompt to its reported first event, before it was measured."""
+"""Initial time from the end of reading a prompt to its reported first event."""
 
 LOWER_DELAY_WEIGHT = 0.3
 """Weight of a delay shorter than the mean: every prompt's time is an upper bound of the delay."""
 
 HIGHER_DELAY_WEIGHT = 0.02
-"""Weight of a longer delay, which may be that of prompts that other gateways sent without a grant:
-after an owner was away, all engines have such ones."""
+"""Weight of a longer delay. It may be caused by prompts that other gateways sent without a grant,
+which all engines have after a failover of the owner."""
 
 MIN_SAMPLE_TOKENS = 500
-"""Shorter prompts are no measure of the pace: a decode step takes as long as reading them."""
+"""Shorter prompts are not measured: their time is mostly that of a decode step."""
 
 PaceFactor = Callable[[str], float]
-"""Returns by engine id how long work takes there, as a multiple of the service's mean."""
+"""Returns by engine id the duration of work there, as a multiple of the service's mean."""
 
 
 @dataclass(slots=True)
@@ -50,7 +50,7 @@
         self.tokens_per_second = tokens_per_second
         self.delay_seconds = INITIAL_DELAY_SECONDS
         self.measured_at: float | None = None
-        """When the pace or the delay was last measured."""
+        """Time of the last measurement of the pace or the delay."""
         self._factor = factor
         self._granted: dict[str, list[_Granted]] = {}
         self._engine_of: dict[str, str] = {}
@@ -58,13 +58,13 @@
         self._reported_at: dict[str, float] = {}
 
     def read_seconds(self, worker_id: str, tokens: int) -> float:
-        """Return the time that an engine takes to read some tokens."""
+        """Return the time in seconds that an engine takes to read ``tokens``."""
         return tokens / self.tokens_per_second * self._factor(worker_id)
 
     def seconds_left(self, worker_id: str, now: float) -> float:
-        """Return when an engine will have read what it was granted, in seconds from now.
+        """Return the seconds until an engine has read its granted prompts.
 
-        Only the first prompt counts as partly read: the others wait for it, however long it takes.
+        Only the first prompt counts as partly read, even if reading takes longer than forecast.
         """
         granted = self._granted.get(worker_id)
         if not granted:
@@ -86,7 +86,7 @@
         self._engine_of[call_id] = worker_id
 
     def record_end(self, call_id: str, now: float, *, read: bool) -> None:
-        """Record that a prompt was read, or will not be, and measure what was read."""
+        """Remove a prompt that was read or withdrawn; measure the pace or delay if it was read."""
         worker_id = self._engine_of.pop(call_id, None)
         if worker_id is None:
             return
@@ -94,7 +94,7 @@
         place = next(index for index, item in enumerate(granted) if item.call_id == call_id)
         item = granted.pop(place)
         if place == 0:
-            # The next one has been read since the first one's last token.
+            # The engine has read the next prompt since the end of the first one.
             began_at = now - self.delay_seconds if read else now
             next_at = granted[0].granted_at if granted else now
             self._started_at[worker_id] = max(began_at, next_at)
@@ -104,7 +104,7 @@
             self._reported_at[worker_id] = now
 
     def retain_only(self, worker_ids: Collection[str]) -> None:
-        """Remove all engines but these, with the prompts that they were granted."""
+        """Remove engines that are no longer listed, with their granted prompts."""
         ended = [key for key, engine in self._engine_of.items() if engine not in worker_ids]
         for call_id in ended:
             del self._engine_of[call_id]
@@ -134,7 +134,7 @@
     def _observe_pace(self, tokens: int, seconds: float) -> None:
         if tokens < MIN_SAMPLE_TOKENS or seconds <= 0:
             return
-        # The mean is that of seconds per token, so that one short gap changes it little.
+        # Averages seconds per token instead of the rate, so that one short gap has little weight.
         measured = seconds / tokens
         known = 1.0 / self.tokens_per_second
         weight = FASTER_WEIGHT if measured < known else SLOWER_WEIGHT
--- a/src/corkcrank/scheduling/quarantine_times.py
+++ b/src/corkcrank/scheduling/quarantine_times.py
@@ -1,4 +1,4 @@
-"""How long suspects are quarantined, and when each gateway begins the probation of a part."""
+"""Computes the quarantine of suspects, and each gateway's offset for the probation of a part."""
 
 from collections.abc import Sequence
 from itertools import pairwise
@@ -7,25 +7,25 @@
 from corkcrank.scheduling.crash_verdicts import MIN_QUARANTINE_CRASHES
 
 MIN_QUARANTINE_SECONDS = 60.0
-"""Length of the first quarantine. Each further crash doubles it: a request that crashes workers
-crashes at most one for each probation."""
+"""Length of the first quarantine. Each further crash doubles it. A request that crashes workers
+crashes at most one in each probation."""
 
 MAX_QUARANTINE_SECONDS = 3600.0
 """Maximum time for which a suspect is quarantined without another attempt."""
 
 MAX_DOUBLINGS = 12
-"""Crashes beyond this number of doublings do not extend the quarantine."""
+"""Maximum number of doublings; further crashes do not extend the quarantine."""
 
 SERIES_PAUSE_SECONDS = MIN_QUARANTINE_SECONDS / 2
-"""Pause between two crashes under a part from which the later one begins another series."""
+"""Minimum pause between two crashes under a part for the later one to begin another series."""
 
 MAX_PROBATION_OFFSET_SECONDS = 10.0
-"""Longest time by which a gateway's own probation of a part begins late. Requests with a part come
-at all gateways at once; the first one's attempt is known to the others when theirs begins."""
+"""Maximum delay of a gateway's probation of a part. Requests with a part arrive at all gateways at
+once; the offset lets the first attempt become known before others begin."""
 
 
 def quarantine_seconds(ends: int) -> float:
-    """Return how long a request is quarantined after its last crash.
+    """Return the quarantine in seconds after a request's last of ``ends`` crashes.
 
     >>> quarantine_seconds(MIN_QUARANTINE_CRASHES), quarantine_seconds(5), quarantine_seconds(99)
     (60.0, 240.0, 3600.0)
@@ -35,10 +35,10 @@
 
 
 def part_quarantine_seconds(crashes: Sequence[float]) -> float:
-    """Return how long a part is quarantined after the last of its crashes, given in order of time.
+    """Return the quarantine of a part in seconds, given the times of its crashes in order.
 
-    Many engines crash in the seconds before the verdict on a part. They count as one crash, and so
-    do those under one attempt on probation.
+    Many engines crash in the seconds before the verdict on a part. They count as one crash, as do
+    the crashes of one attempt on probation.
 
     >>> part_quarantine_seconds([0.0, 0.1, 0.3, 4.0, 4.2])
     60.0
@@ -50,7 +50,7 @@
 
 
 def probation_offset(gateway: str) -> float:
-    """Return by how many seconds a gateway's probation of parts begins late.
+    """Return the delay of a gateway's probation of parts, in seconds.
 
     >>> 0.0 <= probation_offset("gateway-1") < MAX_PROBATION_OFFSET_SECONDS
     True
--- a/src/corkcrank/scheduling/rate_limits.py
+++ b/src/corkcrank/scheduling/rate_limits.py
@@ -1,14 +1,13 @@
 """Limits the rate of requests that a worker gets from all gateways together.
 
-A worker that is warming up has a configured rate, and an overloaded worker states a rate itself.
-The limit is kept in one of two ways:
+A worker that is warming up has a configured rate, and an overloaded worker states its own rate. The
+limit is enforced in one of two ways:
 
-- If the owner of a service's workers in a zone can be reached, this one gateway decides for all: it
-  counts the requests that it granted in a window of time.
-- If the owner does not answer, each gateway has time slots for one request each, which follow from
-  its name and the worker's. Slots that pass unused expire. Equal shares of the rate are no
-  alternative: with 86 gateways each share is close to zero, and shares that were not used would
-  all become usable at once.
+- If the owner of a service's workers in a zone is reachable, it decides for all gateways: it counts
+  the requests that it granted within a window.
+- If the owner does not answer, each gateway has time slots for one request each, derived from its
+  name and the worker's. Unused slots expire. Equal shares of the rate would not work: with 86
+  gateways each share is close to zero, and all unused shares would become usable together.
 
 The module does no I/O; callers pass the time.
 """
@@ -24,14 +23,14 @@
 """Window of a warming worker's rate, and of bursts at a worker that states a rate, in seconds."""
 
 STATED_WINDOW_SECONDS = 4.0
-"""Window over which a rate that a worker states is kept exactly."""
+"""Window over which a stated rate is enforced exactly."""
 
 LOCAL_SLOT_SHARE = 0.5
-"""Part of the rate that the local slots of all gateways add up to. The rest is a margin: several
-slots may coincide by chance, and an owner may be granting at the same time."""
+"""Share of the rate that is split among the local slots of all gateways. The rest is a margin:
+slots may coincide, and an owner may grant requests at the same time."""
 
 MAX_WAIT_SECONDS = 10.0
-"""Wait that is returned for a worker with a rate of zero."""
+"""Wait returned for a worker with a rate of zero."""
 
 _PHASES = 1 << 32
 
@@ -45,7 +44,7 @@
 
     @property
     def requests(self) -> int:
-        """Return how many requests fit in the window, at least one if the rate is above zero.
+        """Return the number of requests that fit in the window, at least 1 for a positive rate.
 
         >>> RateLimit(6.7).requests, RateLimit(0.3).requests, RateLimit(0.0).requests
         (6, 1, 0)
@@ -66,7 +65,7 @@
 
 
 class GrantLog:
-    """Times of the requests that one gateway granted to each limited worker, one window back."""
+    """Times of the requests that one gateway granted to each limited worker."""
 
     def __init__(self) -> None:
         self._granted: dict[str, deque[float]] = {}
@@ -112,7 +111,7 @@
 
 
 class LocalSlots:
-    """Time slots in which one gateway may send to a limited worker without a grant of the owner."""
+    """Time slots in which a gateway may send to a limited worker without a grant of the owner."""
 
     def __init__(self, local_name: str) -> None:
         self._local_name = local_name
@@ -124,7 +123,7 @@
         return position < 1.0 and self._used.get(worker_id) != slot
 
     def record_use(self, worker_id: str, rate: float, members: int, now: float) -> None:
-        """Record that the present slot is used for a request."""
+        """Record that the current slot is used for a request."""
         self._used[worker_id] = self._position(worker_id, rate, members, now)[1]
 
     def _position(self, worker_id: str, rate: float, members: int, now: float) -> tuple[float, int]:
--- a/src/corkcrank/scheduling/reader_budget.py
+++ b/src/corkcrank/scheduling/reader_budget.py
@@ -1,7 +1,7 @@
-"""Bounds the bytes that a gateway keeps for callers that do not read their answers.
+"""Bounds the bytes that a gateway buffers for callers that do not read their answers.
 
-Load: several hundred callers stop reading long streams at one gateway with 160 MiB of memory. The
-callers beside them must be served in time, and no stream may be cut by its worker.
+Several hundred callers may stop reading long streams at one gateway with 160 MiB of memory. Other
+callers must still be served in time, and no worker may cut a stream.
 """
 
 from collections.abc import Hashable
@@ -12,48 +12,48 @@
 BYTES_PER_MB = 2**20
 
 IDLE_MEMORY_MB = 56.0
-"""Memory of a gateway without calls, in MiB: interpreter, libraries and the mirror of the store."""
+"""Memory of an idle gateway, in MiB: interpreter, libraries and the mirror of the store."""
 
 READER_MEMORY_SHARE = 0.2
 """Share of the memory above ``IDLE_MEMORY_MB`` that answers to slow readers may use.
 
-Connections may use half of the whole memory, so at 160 MiB 24 MiB remain beside them, and an
-answer needs more memory than its bytes."""
+Connections may use half of the whole memory, which leaves 24 MiB at 160 MiB, and an answer needs
+more memory than its bytes."""
 
 MIN_READERS_BYTES = 2 * BYTES_PER_MB
 """Minimum bound of a gateway with little memory: a dozen slow readers at a time."""
 
 UNREAD_SECONDS = 2.0
-"""Time after which a caller that reads nothing loses an answer that its worker cannot send on.
+"""Time without a read after which a caller loses an answer that its worker cannot continue to send.
 
-Workers cut an answer that sits unread for some seconds, at least three. While memory is not short,
-the worker may first send on ``MAX_READ_AHEADS`` times, and the time starts anew each time."""
+Workers cut an answer that is unread for some seconds, at least three. While memory suffices, the
+worker may first send more bytes ``MAX_READ_AHEADS`` times, and each time restarts this timeout."""
 
 READ_AHEAD_BYTES = 98_304
-"""Bytes that a worker may send on at a time for a caller that shows no read. The gateway's kernel
-too reopens its window in steps, so of fewer bytes the worker may see nothing (64 KiB on
+"""Bytes that a worker may send at a time for a caller without a visible read. The gateway's kernel
+also reopens its receive window in steps, so a worker may not notice fewer bytes (64 KiB on
 loopback)."""
 
 MAX_READ_AHEADS = 4
-"""Maximum number of times in a row that a worker may send on for a caller that shows no read.
+"""Maximum number of consecutive read-aheads for a caller without a visible read.
 
-A caller that reads slowly shows it only once its kernel reopens the receive window, after up to
-128 KiB: for 20 KB/s each 6.5 s. From a shown read to the cut pass at least as many times
-``UNREAD_SECONDS``, and once more from the moment in which the worker begins to wait."""
+A slow read becomes visible only when the caller's kernel reopens the receive window, after up to
+128 KiB: 6.5 s at 20 KB/s. The timeout ``UNREAD_SECONDS`` passes once for each read-ahead, and once
+more after the worker begins to wait."""
 
 MAX_READ_AHEAD_BYTES = BYTES_PER_MB
-"""Bytes kept for one caller above which its worker may not send on."""
+"""Buffered bytes of one caller above which its worker gets no read-ahead."""
 
 READ_AHEAD_SHARE = 0.5
-"""Share of the gateway's bound up to which workers may send on for callers that show no read."""
+"""Share of the gateway's bound up to which read-aheads are allowed."""
 
 MIN_UNREAD_SECONDS = 0.25
-"""Time without a read before which no caller loses its answer: twice the time that the next bytes
-take to a distant reader."""
+"""Minimum time without a read before a caller loses its answer: twice the time in which the next
+bytes reach a distant reader."""
 
 MAX_OBSERVATION_GAP_SECONDS = 0.5
-"""Longest time between two observations that counts in full, two intervals of the sweep; during a
-longer one the process stood still, and callers could not be seen reading."""
+"""Longest gap between two observations that counts in full: two intervals of the sweep. During a
+longer gap the process was paused and could not observe reads."""
 
 Reader = TypeVar("Reader", bound=Hashable)
 
@@ -62,14 +62,14 @@
     """Why a caller loses its answer."""
 
     UNREAD = "unread"
-    """It read nothing for ``UNREAD_SECONDS`` while its worker could send no further."""
+    """The caller read nothing for ``UNREAD_SECONDS`` while its worker could not send."""
     MEMORY = "memory"
-    """The gateway's bound was exceeded, and it held most for longest."""
+    """The gateway's bound was exceeded, and the caller had the largest byte-seconds unread."""
 
 
 @dataclass(frozen=True, slots=True)
 class Observation:
-    """What is kept for a caller at one moment.
+    """The bytes buffered for a caller at one time.
 
     ``read_mark`` changes whenever the caller reads. ``worker_waits`` is set while the worker cannot
     send the rest of the answer.
@@ -82,7 +82,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ReaderCut(Generic[Reader]):
-    """A caller that must lose its answer, with the bytes kept and the seconds without a read."""
+    """A caller that loses its answer, with its buffered bytes and its time without a read."""
 
     reader: Reader
     cause: CutCause
@@ -114,16 +114,16 @@
         return len(self._accounts)
 
     def readers(self) -> list[Reader]:
-        """Return the callers for which anything is kept."""
+        """Return the callers with buffered bytes."""
         return list(self._accounts)
 
     @property
     def exceeded(self) -> bool:
-        """Return whether more is kept than the gateway's bound."""
+        """Return whether the buffered bytes exceed the gateway's bound."""
         return 0 < self.bound_bytes < self.kept_bytes
 
     def observe(self, reader: Reader, seen: Observation, now: float) -> None:
-        """Record what is kept for a caller; nothing kept removes it."""
+        """Record the buffered bytes of a caller; remove the caller if there are none."""
         self._skip_gap(now)
         account = self._accounts.get(reader)
         if seen.kept_bytes <= 0:
@@ -151,9 +151,9 @@
             self.kept_bytes -= account.seen.kept_bytes
 
     def read_aheads(self, now: float) -> list[Reader]:
-        """Return the callers for which ``READ_AHEAD_BYTES`` more must be read from their workers.
+        """Return the callers for which to read ``READ_AHEAD_BYTES`` more from their workers.
 
-        A worker that waits too long cuts the answer, also that of a caller that reads slowly.
+        A worker that waits too long cuts the answer, even if the caller reads slowly.
         """
         self._skip_gap(now)
         room = int((self.bound_bytes or MIN_READERS_BYTES) * READ_AHEAD_SHARE) - self.kept_bytes
@@ -169,7 +169,7 @@
         return chosen
 
     def unread_cuts(self, now: float) -> list[ReaderCut[Reader]]:
-        """Remove and return the callers whose workers would cut their answers before long."""
+        """Remove and return the callers whose workers would soon cut their answers."""
         self._skip_gap(now)
         overdue = [
             reader
@@ -180,7 +180,7 @@
         return [self._cut(reader, CutCause.UNREAD, now) for reader in overdue]
 
     def memory_cuts(self, now: float) -> list[ReaderCut[Reader]]:
-        """Remove and return callers until the bound holds, those that hold most for longest first.
+        """Remove and return callers until the bound holds, most byte-seconds first.
 
         Callers that have read within ``MIN_UNREAD_SECONDS`` keep their answers, each within the
         bound of its own connection.
@@ -208,7 +208,7 @@
         )
 
     def _held(self, reader: Reader, now: float) -> float:
-        """Return what a caller keeps from others: bytes times seconds."""
+        """Return the buffered bytes of a caller times the seconds without a read."""
         account = self._accounts[reader]
         return account.seen.kept_bytes * (now - account.unread_since)
 
@@ -219,7 +219,7 @@
         return cut
 
     def _skip_gap(self, now: float) -> None:
-        """Leave out of all waits the time in which the process or its machine stood still."""
+        """Exclude the time in which the process was paused from all waits."""
         previous, self._observed_at = self._observed_at, now
         gap = 0.0 if previous is None else now - previous - MAX_OBSERVATION_GAP_SECONDS
         if gap <= 0:
--- a/src/corkcrank/scheduling/recent_prefixes.py
+++ b/src/corkcrank/scheduling/recent_prefixes.py
@@ -1,6 +1,6 @@
-"""Prompt prefixes that this gateway sent to engines recently, for reports to other gateways.
+"""Records the prompt prefixes recently sent to engines, for reports to other gateways.
 
-Each prefix is repeated in several heartbeats, because datagrams are sometimes lost.
+Each prefix is repeated in several heartbeats, because datagrams may be lost.
 """
 
 from collections import deque
@@ -12,14 +12,14 @@
 """Minimum time for which a prefix is reported."""
 
 MIN_REPORT_INTERVALS = 1.2
-"""Minimum number of heartbeat intervals to report a prefix for, so that each member gets it."""
+"""Minimum number of heartbeat intervals for which a prefix is reported, to reach each member."""
 
 MAX_REPORTED_PREFIXES = 48
 """Maximum number of prefixes in one heartbeat; the newest are sent."""
 
 
 class RecentPrefixes:
-    """Prefixes that this gateway sent to engines recently."""
+    """Prefixes that this gateway recently sent to engines."""
 
     def __init__(self) -> None:
         self._sent: deque[tuple[float, SentPrefix]] = deque(maxlen=MAX_REPORTED_PREFIXES)
--- a/src/corkcrank/scheduling/request_bytes.py
+++ b/src/corkcrank/scheduling/request_bytes.py
@@ -1,18 +1,18 @@
-"""Bounds the bytes of the requests that a gateway has sent to one worker and that are unanswered.
+"""Bounds the bytes of unanswered requests that a gateway has sent to one worker.
 
-Load: a worker reads slowly or not at all while large requests keep arriving for it. A worker whose
-requests outgrow its memory fails with all of them.
+A worker that reads slowly while large requests arrive may run out of memory and fail with all of
+its requests.
 """
 
 import math
 from collections.abc import Callable
 
 WORKER_REQUEST_BYTES = 64 * 2**20
-"""Maximum bytes of unanswered requests of all gateways at one worker, 64 MiB: several times what
-the prompts of a worker's usual places need, and little beside the memory of its model."""
+"""Maximum bytes of unanswered requests of all gateways at one worker, 64 MiB: several times the
+prompts of a worker's usual slots, and little compared with its model."""
 
 MIN_SHARE_BYTES = 2**20
-"""Minimum share of one gateway, so that a large fleet still has room for several long prompts."""
+"""Minimum share of one gateway, so that gateways of a large fleet can send several long prompts."""
 
 
 def _no_bound() -> float:
@@ -27,13 +27,13 @@
         self._bytes: dict[str, int] = {}
 
     def add(self, worker_id: str, size: int) -> bool:
-        """Count a request that is being sent; return whether it makes its worker full."""
+        """Count a request that is being sent; return whether its worker is full because of it."""
         before = self.is_full(worker_id)
         self._bytes[worker_id] = self.at(worker_id) + size
         return self.is_full(worker_id) and not before
 
     def remove(self, worker_id: str, size: int) -> None:
-        """Discount a request that was answered or given up."""
+        """Subtract a request that was answered or abandoned."""
         left = self.at(worker_id) - size
         if left > 0:
             self._bytes[worker_id] = left
@@ -45,7 +45,7 @@
         return self._bytes.get(worker_id, 0)
 
     def is_full(self, worker_id: str) -> bool:
-        """Return whether a worker gets no further request; one is always possible."""
+        """Return whether a worker gets no further request; an idle worker is never full."""
         sent = self._bytes.get(worker_id)
         return sent is not None and sent >= self._bound()
 
--- a/src/corkcrank/scheduling/return_claims.py
+++ b/src/corkcrank/scheduling/return_claims.py
@@ -1,4 +1,4 @@
-"""Claims of refused callers to be served before new ones when they return at the time told.
+"""Claims of refused callers that are served before new ones if they return at their retry time.
 
 Does no I/O: callers pass the time.
 """
@@ -18,40 +18,40 @@
 """Length of a claim's key, which is the fingerprint of the caller's request."""
 
 MAX_CLAIMS = 2_000
-"""Maximum number of claims that one gateway keeps. A claim lives for a few seconds, so more of them
-are more refusals than a gateway's share of a large fleet can be."""
+"""Maximum number of claims at one gateway. A claim lives for a few seconds, so a gateway's share of
+the refusals of a large fleet stays below this."""
 
 MAX_TENANT_SHARE = 0.5
 """Maximum share of the claims that one tenant may hold, so that it cannot displace the others."""
 
 MAX_WAIT_SECONDS = 10.0
-"""Maximum time told to a caller, in seconds: a third of half a minute, the longest time for which a
-caller of a stream waits for the first event."""
+"""Maximum retry time in seconds: a third of the 30 s that callers of a stream wait for the first
+event at most."""
 
 MAX_SERVICES = 16
-"""Maximum number of stage services for which one claim counts pieces."""
+"""Maximum number of stage services in one claim."""
 
 MAX_PIECES = 10_000
-"""Maximum number of pieces at one service for which a claim counts."""
+"""Maximum number of pieces at one service in one claim."""
 
 EARLY_SECONDS = 0.1
-"""A caller may return this much before the time told, in seconds: the shortest time that is told
-to anyone. Before that its room may still be taken."""
+"""Time before the retry time at which a caller may already return, in seconds: the minimum retry
+time. Before that, its room may still be in use."""
 
 LAPSE_SECONDS = 0.5
-"""Time after the time told at which an unused claim lapses, in seconds. A caller that keeps the
-time needs a new connection and a few round trips; new callers are refused for the rest of it."""
+"""Time after the retry time at which an unused claim lapses, in seconds. A punctual caller needs a
+new connection and a few round trips; new callers are refused for the rest of it."""
 
 RESERVE_SECONDS = 0.5
-"""Time before the time told from which room is kept for a claim, in seconds. What new calls ask for
-earlier has been done by then: it is longer than a full call at most stage workers."""
+"""Time before the retry time from which room is reserved for a claim, in seconds. It is longer than
+a full call at most stage workers, so work that was admitted earlier has completed."""
 
 MEMORY_SECONDS = 5.0
-"""Time for which a lapsed claim is remembered, to tell late callers from unknown ones."""
+"""Time for which a lapsed claim is kept, to distinguish late callers from unknown ones."""
 
 
 class ClaimState(StrEnum):
-    """What the keeper knows of the claim of a caller that returns."""
+    """State of the claim of a returning caller at its keeper."""
 
     ON_TIME = "on time"
     EARLY = "early"
@@ -60,7 +60,7 @@
 
 
 class ClaimedPieces(msgspec.Struct, frozen=True, array_like=True):
-    """Pieces that a claim's call will request of one stage service."""
+    """Pieces that a claim's call will request from one stage service."""
 
     service: str
     pieces: int
@@ -80,7 +80,7 @@
 
     @property
     def is_valid(self) -> bool:
-        """Return whether the claim makes sense; any other one must be ignored.
+        """Return whether the claim is well-formed; invalid claims must be ignored.
 
         >>> ReturnClaim(bytes(8), "t", (0, 1), (ClaimedPieces("s", 3),), 0.5).is_valid
         True
@@ -111,9 +111,8 @@
 class ReturnClaims:
     """The claims that one gateway keeps, by the key of their request.
 
-    Room is reserved for a claim from shortly before the time told until it is used or lapses.
-    ``lapsed`` counts claims that nobody used, ``rejected`` those that made no sense or found no
-    place.
+    Room is reserved for a claim from shortly before its retry time until it is used or lapses.
+    ``lapsed`` counts unused claims, ``rejected`` counts invalid claims and claims above the limits.
     """
 
     def __init__(self) -> None:
@@ -129,7 +128,7 @@
         return self._outstanding
 
     def record(self, claim: ReturnClaim, now: float) -> bool:
-        """Keep a claim, in place of an earlier one of the same request; return whether it is kept.
+        """Keep a claim and replace an earlier one of its request; return whether it is kept.
 
         >>> claims = ReturnClaims()
         >>> claim = ReturnClaim(bytes(8), "t", (0, 1), (ClaimedPieces("s", 3),), 0.5)
@@ -158,7 +157,7 @@
         return True
 
     def take(self, key: bytes, now: float) -> ClaimState:
-        """Use the claim of a request whose caller returns now; it is used at most once."""
+        """Use the claim of a request whose caller returns now. A claim is used at most once."""
         self._apply_changes(now)
         kept = self._kept.get(key)
         if kept is None:
@@ -185,7 +184,7 @@
             yield service, rank, pieces
 
     def next_returns(self, limit: int, now: float) -> list[float]:
-        """Return the seconds until the next callers return, the first ``limit`` of them."""
+        """Return the seconds until the next returns, for the first ``limit`` claims."""
         self._apply_changes(now)
         times = (kept.at - now for kept in self._kept.values() if kept.outstanding)
         return heapq.nsmallest(limit, times)
@@ -196,7 +195,7 @@
             self._pieces[item.service, kept.claim.rank] += item.pieces
 
     def _release(self, kept: _KeptClaim) -> None:
-        """Stop counting a claim that was used or replaced, or has lapsed."""
+        """Release the reservation of a claim that was used, was replaced or has lapsed."""
         kept.outstanding = False
         self._outstanding -= 1
         tenant = kept.claim.tenant
@@ -217,7 +216,7 @@
             self._release(kept)
 
     def _apply_changes(self, now: float) -> None:
-        """Reserve room for claims that are due soon, let unused ones lapse, and forget those."""
+        """Reserve room for claims that are due soon; lapse and later remove unused claims."""
         while self._changes and self._changes[0][0] <= now:
             at, key = heapq.heappop(self._changes)
             kept = self._kept.get(key)
--- a/src/corkcrank/scheduling/return_slots.py
+++ b/src/corkcrank/scheduling/return_slots.py
@@ -1,7 +1,7 @@
-"""Times at which refused callers may return, so that each of them meets room.
+"""Assigns return times to refused callers so that capacity is available when they return.
 
-A slot is the room of one call at each stage service that it needs. A gateway assigns its share of
-the room, one slot after the other. Does no I/O: callers pass the time.
+A slot is the capacity for one call at each stage service that it needs. A gateway assigns its share
+of the slots one after the other. Does no I/O: callers pass the time.
 """
 
 from collections.abc import Sequence
@@ -15,7 +15,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SlotDemand:
-    """Pieces of one call at a stage service, and the pieces a second that may be assigned."""
+    """Pieces of one call at a stage service, and the assignable rate in pieces a second."""
 
     service: str
     pieces: int
@@ -36,9 +36,9 @@
         latest: float,
         now: float,
     ) -> float | None:
-        """Assign the next slot to a call and return the seconds until then.
+        """Assign the next slot to a call and return the seconds until it starts.
 
-        Returns ``None``, and assigns nothing, if no slot lies between ``earliest`` and ``latest``
+        Returns ``None`` and assigns nothing if no slot lies between ``earliest`` and ``latest``
         seconds from now.
 
         >>> slots, demand = ReturnSlots(), SlotDemand("s", 4, 8.0)
--- a/src/corkcrank/scheduling/return_times.py
+++ b/src/corkcrank/scheduling/return_times.py
@@ -1,11 +1,11 @@
 """Retry times for callers that were refused because rate-limited workers had no free slot.
 
-Each caller gets the next slot that no earlier caller got, so that callers who retry at the
-reported times do not collide. The functions read no clock: the time is an argument.
+Each caller gets the next unassigned slot, so that callers that retry at the reported times do not
+collide. The functions read no clock: the time is an argument.
 """
 
 MAX_RETURN_SECONDS = 5.0
-"""Maximum retry time. A caller waits for at most a third of the time that remains before its
+"""Maximum retry time. Callers wait for at most a third of the time that remains before their
 deadline."""
 
 
@@ -16,7 +16,7 @@
         self._next: dict[str, float] = {}
 
     def next_return_seconds(self, key: str, wait: float, rate: float, now: float) -> float:
-        """Assign the next slot to a caller and return the seconds until then.
+        """Assign the next slot to a caller and return the seconds until it starts.
 
         ``wait`` is the time in seconds until the group's next slot, ``rate`` its slots a second.
 
--- a/src/corkcrank/scheduling/stage_backlog.py
+++ b/src/corkcrank/scheduling/stage_backlog.py
@@ -1,6 +1,6 @@
 """Counts pieces that admitted calls will request at later stages, by stage service and rank.
 
-A stage's queue does not show the calls that are still at an earlier stage. The owner of the
+A stage's queue does not contain the calls that are still at an earlier stage. The owner of the
 earlier stage's queue therefore counts the pieces that its calls will request next and reports
 the counts to the other gateways. Admission then accounts for the whole chain of stages.
 """
--- a/src/corkcrank/scheduling/stage_choice.py
+++ b/src/corkcrank/scheduling/stage_choice.py
@@ -1,4 +1,4 @@
-"""Chooses a stage worker by expected finish time, bytes moved between zones and failures.
+"""Chooses a stage worker by expected finish time, bytes transferred between zones and failures.
 
 The cost of a worker is in seconds: penalties are added to the time at which the pieces finish.
 """
@@ -13,7 +13,7 @@
 from corkcrank.scheduling.worker_choice import WorkerStatisticsTable
 
 CROSS_ZONE_SECONDS_PER_MEGABYTE = 0.25
-"""Cost of each megabyte that is moved between zones."""
+"""Cost of each megabyte transferred between zones."""
 
 LATENESS_COST_FACTOR = 3.0
 """Additional cost of each second after the latest useful finish time."""
@@ -24,8 +24,7 @@
 """Cost of an ejected worker: equal to three recent failures."""
 
 EXCESS_FAILURE_COST_SECONDS = 2.0
-"""Cost of a worker that is expected to fail all of its calls while the others fail none: its
-pieces must be rerun elsewhere."""
+"""Cost of an excess failure rate of 1: the pieces of failed calls must be rerun elsewhere."""
 
 FAILURE_COST_SECONDS = 1.0
 """Cost of each recent failure of a worker."""
@@ -35,11 +34,11 @@
 class StagePlacing:
     """Pieces to be placed: their number, result size, inputs and reader.
 
-    ``inputs`` gives the bytes that all pieces together read from each zone. ``reader_zone`` is
-    the zone in which the results will be read, if known. ``next_stage_wait`` returns the wait for
-    the next stage in a zone, since work runs where its large inputs are. Work that is ``claimed``
-    is forecast to go first in its rank: its caller was refused before, so it is due earlier than
-    what new callers ask for. Times are seconds from now.
+    ``inputs`` gives the bytes that all pieces together read from each zone. ``reader_zone`` is the
+    zone in which the results will be read, if known. ``next_stage_wait`` returns the wait for the
+    next stage in a zone. Results are large, so the next stage usually runs where they are stored.
+    ``claimed`` work is forecast to go first in its rank: its caller was refused before, so it is
+    due earlier than new calls. Times are seconds from now.
     """
 
     service: str
@@ -82,9 +81,8 @@
     """Return the worker with the lowest cost for the pieces, with its forecast.
 
     ``unseen_wait`` returns the wait at a worker that its forecast does not contain, in seconds.
-
-    A backoff does not exclude a worker: its owner sends the calls, and the forecast contains the
-    backoff that the worker requested of that owner.
+    A backoff does not exclude a worker: its owner sends the calls, and the forecast includes the
+    backoff that the worker requested from that owner.
     """
     best: tuple[WorkerRecord, QueueForecast] | None = None
     best_cost: tuple[float, float] | None = None
--- a/src/corkcrank/scheduling/stage_plan.py
+++ b/src/corkcrank/scheduling/stage_plan.py
@@ -11,13 +11,13 @@
 MAX_LEAD_STAGES = 1
 """A branch starts when the longest remaining branch is at most this many stages longer.
 
-Results occupy scarce memory at the worker that produced them. A short branch that started together
-with a long one would occupy its memory while the long one runs.
+Results occupy scarce memory at their worker. If a short branch started together with a long one,
+its results would occupy memory while the long one runs.
 """
 
 
 class StagePlan:
-    """The stages of one call and their results; times and workers are handled elsewhere."""
+    """The stages of one call and their results; other modules handle times and workers."""
 
     def __init__(self, stages: Sequence[StageDefinition], counts: Sequence[int]) -> None:
         self._stages = tuple(stages)
@@ -74,7 +74,7 @@
         ]
 
     def stage_with_longest_chain(self, stages: Sequence[int]) -> int:
-        """Return the one of some stages with the longest chain of dependent stages."""
+        """Return the stage with the longest chain of dependent stages, out of ``stages``."""
         return max(stages, key=lambda number: self._depths[number])
 
     def unstarted_stages(self) -> list[int]:
--- a/src/corkcrank/scheduling/stated_limits.py
+++ b/src/corkcrank/scheduling/stated_limits.py
@@ -1,12 +1,11 @@
 """Tracks the rate limits that workers state in their answers.
 
-A limit holds as long as the worker's answers state it. A gateway that receives one reports it to
-its peers. The limit ends with an answer that does not state it, or after some time without any
-answer. After the end the rate rises gradually: the gateways then do not all return to the worker at
-once, and if the limit was ended by mistake, it is received again before many requests were sent.
-
-Reports hold ages instead of times, because the clocks of machines are not compared. The module does
-no I/O; callers pass the time.
+A limit holds as long as the worker's answers state it. A gateway that receives a limit reports it
+to its peers. The limit ends with an answer that does not state it, or after some time without any
+answer. The rate then rises gradually. This keeps the gateways from returning to the worker all at
+once; if the limit ended by mistake, it is received again after few requests. Reports hold ages
+instead of times, because the clocks of machines are not compared. The module does no I/O; callers
+pass the time.
 """
 
 from collections.abc import Collection, Iterator
@@ -16,8 +15,8 @@
 import msgspec
 
 MAX_SILENCE_SECONDS = 10.0
-"""Time without an answer of the worker after which its limit counts as ended. Only an answer to a
-new request shows whether the limit still holds."""
+"""Time without an answer after which a worker's limit counts as ended. Only an answer to a new
+request shows whether the limit still applies."""
 
 RAMP_SECONDS = 6.0
 """Time from the end of a limit until the rate is unlimited."""
@@ -26,17 +25,17 @@
 """Time in which the rate doubles after the end of a limit."""
 
 MIN_RAMP_RATE = 0.5
-"""Lowest rate that the rise starts from, in requests a second, also after a limit of zero."""
+"""Minimum rate from which the ramp starts, in requests a second, also after a limit of zero."""
 
 MIN_REPORT_LEAD_SECONDS = 0.25
-"""Time by which a peer's report must be newer than the known state to replace it. It is longer than
-a report takes to arrive, so that a report does not become younger when it is passed on."""
+"""Time by which a peer's report must be newer than the known state to replace it. It exceeds the
+delay of a report, so that relayed reports do not appear newer."""
 
 MAX_REPORTED_LIMITS = 64
-"""Number of limits that one heartbeat reports; the newest are chosen."""
+"""Maximum number of limits in one heartbeat; the newest are chosen."""
 
 MAX_REPORTED_AMOUNT = 1e6
-"""Highest valid rate, and highest valid age in seconds, of a report."""
+"""Maximum valid rate, and maximum valid age in seconds, of a report."""
 
 _NOT_ENDED = float("inf")
 
@@ -69,7 +68,7 @@
 
 @dataclass(slots=True)
 class StatedLimit:
-    """A worker's limit in requests a second, when it was last stated, and when it ended."""
+    """A worker's limit in requests a second, the time of its last statement and of its end."""
 
     rate: float
     stated_at: float
@@ -77,11 +76,11 @@
 
     @property
     def updated_at(self) -> float:
-        """Return when the newest answer behind this state was received."""
+        """Return when the newest answer that determined this state was received."""
         return self.stated_at if self.ended_at == _NOT_ENDED else self.ended_at
 
     def ends_at(self) -> float:
-        """Return when the limit ended, or when it will end if no answer arrives."""
+        """Return when the limit ended, or when it will end without further answers."""
         return min(self.ended_at, self.stated_at + MAX_SILENCE_SECONDS)
 
     def rate_at(self, now: float) -> float | None:
@@ -100,13 +99,13 @@
 
 
 class StatedLimits:
-    """Limits of all workers that state one, or did recently."""
+    """Limits of all workers that state one, or did so recently."""
 
     def __init__(self) -> None:
         self._limits: dict[str, StatedLimit] = {}
 
     def __iter__(self) -> Iterator[tuple[str, StatedLimit]]:
-        """Iterate over the workers with a limit, or with one that ended recently."""
+        """Iterate over the workers whose limit holds or ended recently."""
         return iter(list(self._limits.items()))
 
     @property
@@ -143,7 +142,7 @@
     def apply_peer_report(self, report: ReportedLimit, now: float) -> LimitChange | None:
         """Apply a peer's report if it is newer; return the change."""
         if report.age >= (RAMP_SECONDS if report.ended else MAX_SILENCE_SECONDS):
-            # A limit that has ended everywhere must not return by an old report.
+            # An old report must not restore a limit that has ended.
             return None
         known = self._limits.get(report.worker_id)
         updated_at = now - report.age
@@ -166,14 +165,14 @@
     def reports_for_peers(
         self, now: float, worker_ids: Collection[str] = ()
     ) -> tuple[ReportedLimit, ...]:
-        """Return reports for peers, the newest first; only on ``worker_ids``, if given."""
+        """Return reports for peers, newest first; if ``worker_ids`` is given, only of these."""
         self._remove_ended(now)
         chosen = [item for item in self._limits.items() if not worker_ids or item[0] in worker_ids]
         chosen.sort(key=lambda item: -item[1].updated_at)
         return tuple(_report(*item, now) for item in chosen[:MAX_REPORTED_LIMITS])
 
     def retain_only(self, worker_ids: Collection[str]) -> None:
-        """Remove the limits of all workers but these."""
+        """Remove the limits of workers that are no longer listed."""
         for worker_id in self._limits.keys() - set(worker_ids):
             del self._limits[worker_id]
 
--- a/src/corkcrank/scheduling/stream_origins.py
+++ b/src/corkcrank/scheduling/stream_origins.py
@@ -12,7 +12,7 @@
 """Maximum number of origins kept; the oldest ones are removed first."""
 
 MAX_RETENTION_SECONDS = 600.0
-"""Maximum time for which an origin is kept, whatever deadline a caller stated."""
+"""Maximum time for which an origin is kept, regardless of the caller's deadline."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,7 +22,7 @@
 
 
 class StreamOrigins:
-    """The origins of streams that this gateway began or that others reported to it, by key."""
+    """The origins of streams that this gateway began or that peers reported, by key."""
 
     def __init__(self) -> None:
         self._kept: OrderedDict[bytes, _KeptOrigin] = OrderedDict()
@@ -31,10 +31,10 @@
         return len(self._kept)
 
     def record(self, key: bytes, origin: StreamOrigin, seconds: float, now: float) -> None:
-        """Keep an origin for a time in seconds.
+        """Keep an origin for ``seconds``.
 
-        An origin never changes. If two are reported for one key, the attempt id was used twice, and
-        neither stream can be told from the other: the version becomes unknown.
+        An origin never changes. If two origins are reported for one key, the attempt id was used
+        twice and the streams cannot be distinguished, so the version becomes unknown.
 
         >>> origins = StreamOrigins()
         >>> origins.record(b"k", StreamOrigin("s", "v1"), 5.0, now=0.0)
@@ -56,12 +56,12 @@
         self._remove_oldest(now)
 
     def find(self, key: bytes, now: float) -> StreamOrigin | None:
-        """Return the origin of a stream, ``None`` if it is not known."""
+        """Return the origin of a stream, ``None`` if it is unknown."""
         known = self._kept.get(key)
         return known.origin if known is not None and known.expires_at > now else None
 
     def _remove_oldest(self, now: float) -> None:
-        """Remove the oldest entries that have expired, or that exceed the limit."""
+        """Remove the oldest entries that have expired or exceed the limit."""
         while self._kept:
             key, oldest = next(iter(self._kept.items()))
             if oldest.expires_at > now and len(self._kept) <= MAX_ORIGINS:
--- a/src/corkcrank/scheduling/stream_times.py
+++ b/src/corkcrank/scheduling/stream_times.py
@@ -1,12 +1,12 @@
-"""Estimated time of a stream from its first event to its end, by route.
+"""Estimates the time of a stream from its first event to its end, by route.
 
-A stopping gateway starts a stream only if the stream usually ends before the gateway exits.
-Callers state the maximum number of output tokens, so the time is estimated per such token.
+A stopping gateway starts a stream only if the stream usually ends before the gateway exits. Callers
+state the maximum number of output tokens, so the time is estimated per such token.
 
-The estimate is the mean and not an upper bound. A stream that is more likely to end in time than
-not is worth starting: during a rolling restart of the gateways, its caller would not be served more
-often if it were refused and tried another gateway. No bound would hold anyway: one stream in a
-hundred takes nine times the usual.
+The estimate is the mean, not an upper bound. A stream is worth starting if it will probably end in
+time. During a rolling restart of the gateways, a refused caller that tries another gateway has no
+better chance. An upper bound is not useful either: one stream in a hundred takes nine times the
+usual time.
 """
 
 from dataclasses import dataclass, field
@@ -25,7 +25,7 @@
     _token_seconds: dict[str, float] = field(default_factory=dict)
 
     def observe_stream(self, route: str, tokens_out: int, seconds: float) -> None:
-        """Update the estimate with the time that a complete stream took after its first event.
+        """Update the estimate with the seconds from a stream's first event to its end.
 
         >>> times = StreamTimes()
         >>> times.observe_stream("r", 100, 2.0); times.observe_stream("r", 100, 1.0)
--- a/src/corkcrank/scheduling/usual_duration.py
+++ b/src/corkcrank/scheduling/usual_duration.py
@@ -1,4 +1,4 @@
-"""Usual duration of a service's work by its amount, from recent calls."""
+"""Estimates the usual duration of a service's work by its amount, from recent calls."""
 
 from dataclasses import dataclass
 
@@ -11,10 +11,10 @@
 
 @dataclass(slots=True)
 class UsualDuration:
-    """Linear regression of a service's durations on the units of work, over its recent calls.
+    """Linear regression of a service's durations on the units of work, over recent calls.
 
-    Part of a duration, such as fetching inputs, does not grow with the units. Without that part a
-    worker that gets little work at a time would seem slow.
+    The intercept stands for work that does not grow with the units, such as fetching inputs.
+    Without it a worker with few units per call would appear slow.
     """
 
     calls: int = 0
@@ -24,7 +24,7 @@
     covariance: float = 0.0
 
     def add(self, units: float, seconds: float) -> None:
-        """Add the duration of one call."""
+        """Add the duration of one call in seconds."""
         self.calls += 1
         weight = max(USUAL_WEIGHT, 1.0 / self.calls)
         off_units, off_seconds = units - self.units, seconds - self.seconds
@@ -34,7 +34,7 @@
         self.covariance = (1.0 - weight) * (self.covariance + weight * off_units * off_seconds)
 
     def expected(self, units: float) -> float:
-        """Return the usual duration of this much work, in seconds.
+        """Return the usual duration of ``units`` of work, in seconds.
 
         >>> usual = UsualDuration()
         >>> for units, seconds in ((1.0, 0.2), (3.0, 0.4), (2.0, 0.3)): usual.add(units, seconds)
--- a/src/corkcrank/scheduling/work_stealing.py
+++ b/src/corkcrank/scheduling/work_stealing.py
@@ -1,4 +1,4 @@
-"""Work stealing: selects waiting pieces that a free worker takes from busy ones of its pool."""
+"""Selects waiting pieces that a free worker steals from busy workers of its pool."""
 
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -18,10 +18,10 @@
 def pieces_to_steal(
     free_queue: StageQueue, other_queues: Sequence[StageQueue], now: float
 ) -> tuple[StolenPiece, ...]:
-    """Return waiting pieces that would finish earlier at the free queue, the most urgent first.
+    """Return waiting pieces that would finish earlier at the free queue, most urgent first.
 
-    Nothing is taken from a queue that can start a call itself. A slow worker takes no piece
-    that the worker of its current queue would finish sooner.
+    Queues that can start a call themselves are skipped. A piece stays in its queue if the current
+    worker would finish it sooner, so a slow worker steals few pieces.
     """
     free_places = free_queue.capacity.batch - free_queue.waiting
     if free_places <= 0 or not free_queue.can_start_call(now):
