--- a/src/corkcrank/scheduling/worker_notices.py
+++ b/src/corkcrank/scheduling/worker_notices.py
@@ -1,10 +1,10 @@
-"""Stores what workers announce in their answers: that they leave, and backoffs that they request.
+"""Stores announcements in workers' answers: leaves and requested backoffs.
 
-A worker that leaves accepts no new work from any gateway, so a leave is reported to peers. It holds
-for the worker's incarnation, whatever its entry in the store says: the store may be unreachable, or
-lose the entry for a while. A backoff binds the gateway whose request was rejected, and no other; it
-ends by itself. It is reported to peers too, which then prefer other workers: the worker would
-probably reject their requests as well, and a gateway of a large fleet has few repeats.
+A leaving worker accepts no new work from any gateway, so a leave is reported to peers. It applies
+to the worker's incarnation, regardless of its entry in the store: the store may be unreachable, or
+lose the entry for a while. A backoff applies only to the gateway whose request was rejected, and
+expires. It is also reported to peers, which then prefer other workers: the worker would probably
+reject their requests as well, and a gateway of a large fleet has few retries.
 
 The module does no I/O; callers pass the time, in seconds of one clock. Reports hold ages instead of
 times, because the clocks of machines are not compared.
@@ -18,34 +18,34 @@
 from corkcrank.contracts.worker_records import WorkerRecord
 
 MAX_BACKOFF_SECONDS = 3_600.0
-"""Longest backoff. After a longer one is requested, the worker is tried again after this time."""
+"""Maximum backoff. If a worker requests a longer one, it is retried after this time."""
 
 UNLISTED_RETENTION_SECONDS = 600.0
-"""Time for which a leave is kept after the worker's entry was removed from the store, which may
-restore entries that it lost."""
+"""Time for which a leave is kept after the worker's entry was removed. The store may restore lost
+entries."""
 
 MAX_LAPSE_SECONDS = 3.0
-"""Time within which a lost entry returns. An entry without the start time of its worker that
-returns later is taken for another incarnation."""
+"""Time within which a lost entry returns. An entry without a start time that returns later counts
+as another incarnation."""
 
 MAX_UNLISTED_LEAVES = 1_024
 """Maximum number of stored leaves of workers that are not listed."""
 
 MAX_REPORTED_LEAVES = 64
-"""Number of leaves that one heartbeat reports; the newest are chosen."""
+"""Maximum number of leaves in one heartbeat; the newest are chosen."""
 
 MAX_REPORTED_BACKOFFS = 64
-"""Number of backoffs that one heartbeat reports; those that end last are chosen."""
+"""Maximum number of backoffs in one heartbeat; those that end last are chosen."""
 
 MAX_REPORTED_AGE_SECONDS = 1e6
-"""Highest valid age of a reported leave."""
+"""Maximum valid age of a reported leave."""
 
 MAX_REPORTED_ID_LENGTH = 512
 """Maximum length of a worker's id in a report, in characters."""
 
 
 class ReportedLeave(msgspec.Struct, frozen=True, array_like=True):
-    """A worker that announced ``age`` seconds ago that it leaves."""
+    """A worker's announcement, ``age`` seconds ago, that it leaves."""
 
     worker_id: str
     age: float
@@ -62,7 +62,7 @@
 
 
 class ReportedBackoff(msgspec.Struct, frozen=True, array_like=True):
-    """A backoff of ``seconds`` more that a worker requested of the reporting gateway."""
+    """The remaining ``seconds`` of a backoff that a worker requested from the reporting gateway."""
 
     worker_id: str
     seconds: float
@@ -80,9 +80,9 @@
 
 @dataclass(slots=True)
 class Leave:
-    """When a worker announced its leave, and who reported that.
+    """The time of a worker's announcement to leave, and the source of the report.
 
-    ``incarnation_known`` says whether the worker's id tells its incarnations apart.
+    ``incarnation_known`` is set if the worker's id distinguishes its incarnations.
     ``unlisted_since`` is when the worker's entry was removed, ``None`` while it is listed.
     """
 
@@ -94,14 +94,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Backoff:
-    """When a worker requested a backoff, and when that ends."""
+    """The time at which a worker requested a backoff, and the backoff's end."""
 
     requested_at: float
     until: float
 
 
 class WorkerNotices:
-    """The leaves and the backoffs that are known to one gateway, by worker id."""
+    """The leaves and backoffs known to one gateway, by worker id."""
 
     def __init__(self) -> None:
         self._leaves: dict[str, Leave] = {}
@@ -143,7 +143,7 @@
         return max(0.0, backoff.until - now) if backoff is not None else 0.0
 
     def peers_in_backoff(self, worker_id: str, now: float) -> bool:
-        """Return whether a worker requested a backoff of another gateway that has not ended."""
+        """Return whether a worker's backoff for another gateway is in force."""
         return self._peers_backoffs.get(worker_id, 0.0) > now
 
     def record_leave(self, worker: WorkerRecord, source: str, now: float) -> bool:
@@ -156,7 +156,7 @@
     def record_backoff(self, worker_id: str, seconds: float, now: float) -> bool:
         """Record a requested backoff; return whether it ends later than the known one.
 
-        An earlier request stays in force: the worker wants nothing until both have ended.
+        An earlier request stays in force until its end.
         """
         until = now + min(seconds, MAX_BACKOFF_SECONDS)
         if until <= max(now, now + self.backoff_seconds(worker_id, now)):
@@ -172,16 +172,16 @@
         return True
 
     def apply_peer_backoff(self, report: ReportedBackoff, now: float) -> None:
-        """Record a backoff that a worker requested of a peer."""
+        """Record a backoff that a worker requested from a peer."""
         until = max(self._peers_backoffs.get(report.worker_id, 0.0), now + report.seconds)
         self._peers_backoffs[report.worker_id] = until
 
     def backoffs_for_peers(
         self, now: float, chosen: Collection[str] | None = None
     ) -> tuple[ReportedBackoff, ...]:
-        """Return the backoffs requested of this gateway for peers, those that end last first.
+        """Return this gateway's backoffs as reports for peers, latest end first.
 
-        With ``chosen`` only those of these workers.
+        With ``chosen``, only the backoffs of these workers are returned.
         """
         present = [
             (worker_id, backoff)
@@ -196,10 +196,10 @@
         )
 
     def reports_for_peers(self, listed: Collection[str], now: float) -> tuple[ReportedLeave, ...]:
-        """Return the leaves of the ``listed`` workers for peers, the newest first.
+        """Return the leaves of the ``listed`` workers for peers, newest first.
 
-        An id that does not tell incarnations apart is not reported: the report could arrive when
-        the worker has restarted.
+        An id that does not distinguish incarnations is not reported, since the worker could have
+        restarted when the report arrives.
         """
         chosen = [
             (worker_id, leave)
@@ -213,7 +213,7 @@
         )
 
     def update_listed(self, worker_ids: Collection[str], now: float) -> None:
-        """Apply the present list of workers, and remove what it makes obsolete."""
+        """Apply the current list of workers and remove obsolete leaves and expired backoffs."""
         for worker_id, leave in list(self._leaves.items()):
             if worker_id not in worker_ids:
                 leave.unlisted_since = now if leave.unlisted_since is None else leave.unlisted_since
--- a/src/corkcrank/scheduling/worker_outcomes.py
+++ b/src/corkcrank/scheduling/worker_outcomes.py
@@ -1,4 +1,4 @@
-"""Counts the recent outcomes of calls to each worker, as seen by this gateway and by its peers.
+"""Counts the recent outcomes of calls to each worker, at this gateway and at its peers.
 
 Counts decay exponentially with time. The module does no I/O; callers pass the time, in seconds of
 one clock.
@@ -12,39 +12,39 @@
 
 HALF_LIFE_SECONDS = 5.0
 """Time in which an outcome loses half of its weight. At 3 calls a second a worker's calls have a
-weight of some 22, enough to tell a worker that fails a quarter of its calls from a healthy one."""
+weight of some 22. This suffices to detect a worker that fails a quarter of its calls."""
 
 COMMON_CAUSE_SECONDS = 0.3
-"""Connections to two workers that fail within this time are taken to fail for a local cause: a cut
-link, a reset of this machine's connections or a pause of this process."""
+"""Connection failures at two workers within this time are assigned to a local cause: a failed link,
+a reset of this machine's connections or a pause of this process."""
 
 MAX_PEER_FAULTS = 1.5
-"""Weight of faults that one peer's report on a worker is limited to. It is less than an ejection
-needs, so one gateway alone cannot make the others eject a worker."""
+"""Maximum weight of faults in one peer's report on a worker. It is less than an ejection needs, so
+one gateway alone cannot make the others eject a worker."""
 
 MIN_SAME_ZONE_CALLS = 10.0
 """Weight of calls from the local zone that suffices for a verdict. Reports from other zones only
-fill up what is missing, because a worker may fail the callers of one zone only."""
+make up for missing weight, because a worker may fail the callers of a single zone."""
 
 MAX_REPORTED_WORKERS = 32
-"""Workers whose outcomes one heartbeat reports, about 20 bytes each before compression."""
+"""Maximum number of workers in one heartbeat's outcomes, about 20 bytes each uncompressed."""
 
 MIN_REPORTED_FAULTS = 0.25
-"""Weight of faults from which a worker is reported to peers, and of failures of any kind from which
-this gateway lists it as failing: one fault has this weight for two half-lives."""
+"""Minimum weight of faults for a report on a worker to peers, and of all failures for this gateway
+to list it as failing. A single fault has this weight for two half-lives."""
 
 MIN_REPORTED_SERVED = 0.5
-"""Weight of served calls from which a worker is reported if a peer reported faults of it."""
+"""Minimum weight of served calls for a report on a worker if a peer reported faults of it."""
 
 REPORT_UNIT = 0.1
-"""Weight that stands for 1 in the whole numbers of a heartbeat."""
+"""Weight of one unit in the integers of a heartbeat."""
 
 
 class CallOutcome(StrEnum):
-    """Outcome of a call, as far as it concerns the worker that ran it."""
+    """Outcome of a call with regard to its worker."""
 
     SERVED = "served"
-    """A complete answer that is not a fault. An error that the caller caused is such an answer."""
+    """A complete answer without a fault. Errors caused by the caller are included."""
     FAULT = "fault"
     """A signed answer in which the worker reports its own failure."""
     CONNECTION_FAILED = "broken"
@@ -78,21 +78,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Evidence:
-    """Outcomes at one worker: for callers of the local zone, and for those of other zones."""
+    """Outcomes at one worker for callers of the local zone and of other zones."""
 
     same_zone: Counts = Counts()
     other_zone: Counts = Counts()
 
     @property
     def counts(self) -> Counts:
-        """Return the sum, in which other zones only fill up what the local zone lacks."""
+        """Return the sum; other zones only make up for missing weight of the local zone."""
         missing = max(0.0, MIN_SAME_ZONE_CALLS - self.same_zone.total)
         if self.other_zone.total <= missing:
             return self.same_zone.plus(self.other_zone)
         return self.same_zone.plus(self.other_zone.scaled(missing / self.other_zone.total))
 
     def since(self, before: "Evidence", seconds: float) -> "Evidence":
-        """Return the outcomes since ``before``, the evidence as it was ``seconds`` ago."""
+        """Return the outcomes since ``before``, the evidence ``seconds`` ago."""
         factor = decay_factor(seconds)
         return Evidence(
             self.same_zone.less(before.same_zone.scaled(factor)),
@@ -101,7 +101,7 @@
 
 
 class ReportedOutcomes(msgspec.Struct, frozen=True, array_like=True):
-    """A member's served calls at one worker, and those with a fault that the worker reported."""
+    """A member's served calls at one worker, and its calls with a fault reported by the worker."""
 
     worker_id: str
     served: int
@@ -110,7 +110,7 @@
 
 @dataclass(slots=True)
 class _LocalCounts:
-    """Weights of this gateway's calls at one worker, as of the time ``at``."""
+    """Weights of this gateway's calls at one worker at the time ``at``."""
 
     at: float
     served: float = 0.0
@@ -191,15 +191,15 @@
                 self._reports.pop(worker_id, None)
 
     def retain_only(self, worker_ids: Collection[str]) -> None:
-        """Remove the local counts of all workers but these."""
+        """Remove the local counts of workers that are no longer listed."""
         for worker_id in [key for key in self._local if key not in worker_ids]:
             del self._local[worker_id]
 
     def report_for_peers(self, now: float) -> tuple[ReportedOutcomes, ...]:
         """Return the local outcomes at failing workers for a heartbeat, the most faults first.
 
-        Served calls at workers with faults that only peers reported are included: without them a
-        worker with rare faults would look as if it failed all of its calls.
+        Served calls at workers with faults that only peers reported are included. Without them, a
+        worker with rare faults would appear to fail all of its calls.
         """
         for tally in self._local.values():
             tally.decay(now)
@@ -257,7 +257,7 @@
         return tally
 
     def _decide_connection_failures(self, now: float) -> None:
-        """Count connection failures that did not coincide with one at another worker."""
+        """Count connection failures that do not coincide with a failure at another worker."""
         decidable = [
             item
             for item in self._connection_failures
@@ -267,7 +267,7 @@
             item.decided = True
             if not any(_may_share_a_cause(item, other) for other in self._connection_failures):
                 self._local_counts(item.worker_id, now).connection_failures += 1.0
-        # A decided failure may still coincide with one that is not decided yet.
+        # Decided failures are kept for comparison with failures that are not decided yet.
         oldest = now - 2 * COMMON_CAUSE_SECONDS
         self._connection_failures = [
             item for item in self._connection_failures if not item.decided or item.at > oldest
@@ -275,7 +275,7 @@
 
 
 def decay_factor(seconds: float) -> float:
-    """Return the part of a weight that is left after some seconds.
+    """Return the remaining share of a weight after some seconds.
 
     >>> decay_factor(0.0), decay_factor(HALF_LIFE_SECONDS)
     (1.0, 0.5)
--- a/src/corkcrank/scheduling/worker_pace.py
+++ b/src/corkcrank/scheduling/worker_pace.py
@@ -1,10 +1,10 @@
-"""How long work takes at each worker now, relative to the mean of its service.
+"""Estimates the duration of work at each worker, relative to the mean of its service.
 
-A factor of 1.7 means that work takes 1.7 times as long as at the service's mean worker. It has a
-steady part, which is measured, and a passing one, which is the worker's own statement in its
-answers. A statement is scaled by what was measured while the worker made such statements, so a
-worker that always states the same moves nothing once its calls are measured. Gateways report
-their newest statements to each other. A restarted worker has another id and starts anew.
+A factor of 1.7 means 1.7 times the duration of work at the service's mean worker. The factor has a
+steady part, which is measured, and a passing part, which the worker states in its answers. A
+statement is divided by the mean of the statements in force during the measurements. A constant
+statement therefore has no effect once the worker's calls are measured. Gateways exchange their
+newest statements. A restarted worker has another id and a new state.
 """
 
 from collections.abc import Callable, Collection, Iterable
@@ -17,11 +17,11 @@
 
 STATEMENT_SECONDS = 0.5
 """Time constant of a statement's weight: 0.82 at an age of 0.1 s, 0.37 at 0.5 s, 0.02 at 2 s.
-What slows a worker for a moment, such as its neighbours' work, is over after about this time."""
+Transient causes, such as the load of neighbouring workers, last for about this time."""
 
 MIN_STATEMENT_RATIO = 0.6
 MAX_STATEMENT_RATIO = 3.0
-"""Bounds of what a statement changes in a worker's steady factor. They contain the paces at which
+"""Bounds of the change of a worker's steady factor by a statement. They include the paces at which
 a call still meets an objective of a few times its usual duration. A false statement gains a worker
 at most 1.7 times its calls."""
 
@@ -29,47 +29,47 @@
 """Weight of the service's mean in the steady part, in measured calls."""
 
 MAX_SAMPLES = 20.0
-"""Limit of the weight of measured calls, so that the newest has at least a twentieth."""
+"""Maximum weight of measured calls, so that the newest call has at least a twentieth."""
 
 TOLD_WEIGHT = 1.0
 """Weight of a peer's report of its measurements, relative to a call that this gateway measured."""
 
 SAMPLE_MEMORY_SECONDS = 20.0
-"""Time constant with which measurements lose weight: a worker that was avoided as slow is tried
-again after about this time."""
+"""Time constant of the decay of measurements. A worker that is avoided as slow is retried after
+about this time."""
 
 TOLD_SPACING_SECONDS = 0.1
-"""Peers' reports closer together count as one sample of the steady part."""
+"""Minimum interval of peers' reports that count as separate samples of the steady part."""
 
 MAX_MEASURED_RATIO = 8.0
-"""Bound of one measured call, up or down: one that was stuck says little about the next ones."""
+"""Bound of one measured ratio, up or down: a stuck call is a poor forecast of the next ones."""
 
 MIN_REPORTED_DIFFERENCE = 0.1
-"""Difference from the service's mean below which peers are told nothing: it moves less work than
-the delay of the reported numbers of calls."""
+"""Minimum difference from the service's mean for a report to peers. A smaller difference shifts
+less work than the delay of the reported numbers of calls."""
 
 MAX_REPORT_AGE_SECONDS = 6.0
-"""Age of a statement above which it is not reported, whatever the interval of heartbeats is."""
+"""Maximum age of a reported statement, for any heartbeat interval."""
 
 REPORTED_INTERVALS = 1.2
-"""Heartbeat intervals for which a statement is reported: intervals vary by a tenth."""
+"""Number of heartbeat intervals for which a statement is reported: intervals vary by a tenth."""
 
 MAX_REPORTED_PACES = 16
 """Maximum number of workers whose pace one heartbeat reports."""
 
 MAX_PACES_OF_FLEET = 400
-"""Limit of the paces in the heartbeats of all members together: in large fleets the interval of
-heartbeats grows with their length, and with it the age of all that they report."""
+"""Maximum number of paces in the heartbeats of all members together. In large fleets the heartbeat
+interval, and so the age of reports, grows with the size of heartbeats."""
 
 PERCENT = 100
 MILLISECONDS_PER_SECOND = 1000
 
 
 class ReportedPace(msgspec.Struct, frozen=True, array_like=True):
-    """A worker's newest statement to a gateway, in hundredths, and its age in ms.
+    """A worker's newest statement to a gateway in hundredths, and its age in ms.
 
-    ``measured_percent`` and ``statement_percent`` are the means, over the calls that the gateway
-    measured there, of their duration and of the statements in force; 0 without such calls.
+    ``measured_percent`` and ``statement_percent`` are means over the calls that the gateway
+    measured there: of their duration, and of the statements in force; 0 without such calls.
     """
 
     worker_id: str
@@ -81,10 +81,10 @@
 
 @dataclass(frozen=True, slots=True)
 class PaceBelief:
-    """What a gateway believes of a worker's pace, for logs.
+    """A gateway's estimate of a worker's pace, for logs.
 
-    ``steady`` is the part that does not pass. ``statement`` is the newest one as the worker made
-    it, ``None`` without one; ``age`` is its age and ``told`` says whether a peer reported it.
+    ``steady`` is the measured part. ``statement`` is the worker's newest statement, ``None``
+    without one; ``age`` is its age, and ``told`` is set if a peer reported it.
     """
 
     factor: float
@@ -96,7 +96,7 @@
 
 @dataclass(slots=True)
 class _Samples:
-    """Mean of measured ratios, and of the statements that were in force at the same calls."""
+    """Mean of measured ratios, and of the statements in force at the same calls."""
 
     weight: float = 0.0
     ratio: float = 1.0
@@ -117,7 +117,7 @@
 
 @dataclass(slots=True)
 class _Statement:
-    """A statement with the time at which the worker made it."""
+    """A statement and the time at which the worker made it."""
 
     factor: float
     at: float
@@ -126,7 +126,7 @@
 
 
 class _WorkerState:
-    """What is known of one incarnation of a worker."""
+    """The pace data of one incarnation of a worker."""
 
     __slots__ = ("measured", "reported_statement", "service", "stated", "told")
 
@@ -138,7 +138,7 @@
         self.reported_statement: _Statement | None = None
 
     def steady(self, now: float) -> float:
-        """Return the mean factor; few samples lean on the service's mean."""
+        """Return the mean factor; with few samples it is close to the service's mean."""
         return self._means(now)[0]
 
     def _means(self, now: float) -> tuple[float, float]:
@@ -151,22 +151,22 @@
 
     @property
     def newest_statement(self) -> _Statement | None:
-        """Return the newest statement, to this gateway or as a peer reported it."""
+        """Return the newest statement, received directly or reported by a peer."""
         if self.stated is None or self.reported_statement is None:
             return self.stated or self.reported_statement
         return max(self.stated, self.reported_statement, key=lambda statement: statement.at)
 
     def factor(self, now: float) -> float:
-        """Return how long work takes now, relative to the mean of the service."""
+        """Return the current duration of work, relative to the mean of the service."""
         steady, stated = self._means(now)
         return steady * self._passing(stated, now)
 
     def passing(self, now: float) -> float:
-        """Return the factor of this moment as a multiple of the steady one."""
+        """Return the current factor as a multiple of the steady one."""
         return self._passing(self._means(now)[1], now)
 
     def _passing(self, mean_statement: float, now: float) -> float:
-        # A statement counts relative to the mean of the statements under which was measured.
+        # A statement counts relative to the mean of the statements in force at measured calls.
         statement = self.newest_statement
         if statement is None:
             return 1.0
@@ -194,9 +194,9 @@
         self._usual: dict[str, UsualDuration] = {}
 
     def factor(self, worker_id: str, service: str, now: float) -> float:
-        """Return the time that work takes at a worker, as a multiple of the service's mean.
+        """Return the duration of work at a worker, as a multiple of the service's mean.
 
-        1.0 for a worker of which nothing is known.
+        Returns 1.0 for an unknown worker.
         """
         state = self._workers.get(worker_id)
         if state is None or service not in self._services:
@@ -204,22 +204,22 @@
         return state.factor(now)
 
     def passing_factor(self, worker_id: str, now: float) -> float:
-        """Return how long work takes at a worker now, as a multiple of its own mean."""
+        """Return the current duration of work at a worker, as a multiple of its own mean."""
         state = self._workers.get(worker_id)
         return state.passing(now) if state is not None else 1.0
 
     def factors(self, worker_ids: Iterable[str], service: str, now: float) -> dict[str, float]:
-        """Return the factors of workers; none for a service whose workers state no pace."""
+        """Return the factors of workers, empty if the service's workers state no pace."""
         if service not in self._services:
             return {}
         return {worker_id: self.factor(worker_id, service, now) for worker_id in worker_ids}
 
     def has_stated(self, service: str) -> bool:
-        """Return whether any worker of a service states how long work takes there."""
+        """Return whether any worker of a service states its pace."""
         return service in self._services
 
     def belief(self, worker_id: str, now: float) -> PaceBelief | None:
-        """Return what is believed of a worker, ``None`` if nothing is known of it."""
+        """Return the estimate of a worker's pace, ``None`` for an unknown worker."""
         state = self._workers.get(worker_id)
         if state is None:
             return None
@@ -233,16 +233,16 @@
         )
 
     def stated(self, worker_id: str) -> float | None:
-        """Return a worker's newest statement to this gateway as it stands, ``None`` without one."""
+        """Return a worker's newest statement to this gateway, unscaled; ``None`` without one."""
         state = self._workers.get(worker_id)
         return state.stated.factor if state is not None and state.stated is not None else None
 
     def record_statement(
         self, worker_id: str, service: str, pace: float, now: float, waiting: int = 0
     ) -> None:
-        """Record how long work takes at a worker by its own statement, 1.0 for as usual.
+        """Record a worker's statement of its pace, 1.0 for the usual pace.
 
-        ``waiting`` is the number of requests that it states as waiting.
+        ``waiting`` is the number of waiting requests that it states.
         """
         state = self._state(worker_id, service)
         state.stated = _Statement(pace, now, told=False, waiting=waiting)
@@ -252,8 +252,9 @@
     ) -> None:
         """Record a measured duration of work, such as one call or a number of prompt tokens.
 
-        Only for services whose workers state their pace; the statement in force is recorded with
-        it. Work counts only if nothing waits at the worker, because it may have waited too.
+        Ignores services whose workers do not state their pace; records the statement in force with
+        the duration. Ignores the work if requests wait at the worker, because it may include a
+        wait.
         """
         state = self._workers.get(worker_id)
         if state is None or state.stated is None or state.stated.waiting:
@@ -269,10 +270,10 @@
     def reports_for_peers(
         self, now: float, interval: float, members: int
     ) -> tuple[ReportedPace, ...]:
-        """Return the newest statements of workers that differ from the mean, the most different.
+        """Return the newest statements for peers, largest difference from the mean first.
 
-        Each is reported about once: in the heartbeat after it, ``interval`` seconds from the last.
-        ``members`` is the number of members that send such reports.
+        Each statement is reported about once: in the first heartbeat after it. ``interval`` is the
+        heartbeat interval in seconds, ``members`` the number of members that send such reports.
         """
         limit = max(1, min(MAX_REPORTED_PACES, MAX_PACES_OF_FLEET // members))
         max_age = min(MAX_REPORT_AGE_SECONDS, REPORTED_INTERVALS * interval)
@@ -313,7 +314,7 @@
                 state.told.add(measured, statement, stated_at)
 
     def retain_only(self, worker_ids: Collection[str]) -> None:
-        """Remove all workers but these."""
+        """Remove workers that are no longer listed."""
         for worker_id in [key for key in self._workers if key not in worker_ids]:
             del self._workers[worker_id]
         self._services = {state.service for state in self._workers.values()}
--- a/src/corkcrank/scheduling/zone_capacity.py
+++ b/src/corkcrank/scheduling/zone_capacity.py
@@ -1,6 +1,6 @@
-"""Sums what the workers of each stage service can do now, by zone.
+"""Sums the current capacity of each stage service's workers, by zone.
 
-A worker at which work takes twice the usual time counts as half a worker.
+A worker that needs twice the usual time counts as half a worker.
 """
 
 from collections.abc import Callable, Iterable
@@ -9,17 +9,17 @@
 from corkcrank.contracts.worker_records import WorkerRecord
 
 MIN_PACE_FACTOR = 0.1
-"""Lower bound of the factors that are summed, so that one false factor is not a whole zone."""
+"""Lower bound of the summed factors, so that one wrong factor cannot dominate a zone."""
 
 
 @dataclass(frozen=True, slots=True)
 class StageWorkerState:
-    """State of one stage worker as this gateway knows it.
+    """State of one stage worker at this gateway.
 
-    ``available`` is unset for a worker that has left or is ejected. ``factor`` is the time that
-    work takes there, as a multiple of the service's mean. ``waiting`` counts the queued pieces,
-    and ``start_seconds`` is when a piece could start. ``news_age`` is the age in seconds of the
-    owner's report that these come from, 0 for an owned queue, ``None`` without an owner.
+    ``available`` is unset for a worker that has left or is ejected. ``factor`` is the duration of
+    work there, as a multiple of the service's mean. ``waiting`` counts the queued pieces, and
+    ``start_seconds`` is the time until a piece could start. ``news_age`` is the age in seconds of
+    the owner's report with these values, 0 for an owned queue, ``None`` without an owner.
     """
 
     available: bool
@@ -31,12 +31,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ZoneCapacity:
-    """What a zone's workers of a stage service can do now.
+    """Current capacity of a zone's workers of a stage service.
 
-    ``speed`` is the number of workers of mean pace that the available ones equal.
-    ``start_seconds`` is the shortest wait at any of them, infinite without one. ``news_age`` is
-    the age of the oldest report in seconds; ``unreported`` counts the workers whose owner has sent
-    none.
+    ``speed`` is the capacity of the available workers, in workers of mean pace. ``start_seconds``
+    is the shortest wait at any of them, infinite without one. ``news_age`` is the age of the oldest
+    report in seconds; ``unreported`` counts the workers without a report of their owner.
     """
 
     service: str
--- a/src/corkcrank/scheduling/zone_overflow.py
+++ b/src/corkcrank/scheduling/zone_overflow.py
@@ -1,7 +1,7 @@
-"""Describes calls that run in another zone than that of their first engine.
+"""Describes calls that run outside the zone of their first engine.
 
-Admission evaluates the zones in the order of a call's engines and takes the first in which the call
-is expected in time. A call overflows if that is not the zone of its first engine.
+Admission evaluates the zones in the order of a call's engines and takes the first zone in which the
+call is expected in time. A call overflows if that is not the zone of its first engine.
 """
 
 from collections.abc import Mapping
@@ -10,10 +10,10 @@
 from corkcrank.scheduling.call_admission import AdmissionVerdict
 
 MAX_COUNTED_ZONE_PAIRS = 64
-"""Maximum number of pairs of zones that are counted apart: all pairs of eight zones."""
+"""Maximum number of zone pairs that are counted separately: all pairs of eight zones."""
 
 OTHER_ZONES = "other"
-"""Stands for both zones of all pairs above :data:`MAX_COUNTED_ZONE_PAIRS`."""
+"""Replaces both zones of pairs above :data:`MAX_COUNTED_ZONE_PAIRS`."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,12 +47,12 @@
 
 @dataclass(slots=True)
 class CountedZonePairs:
-    """Bounds the number of pairs of zones that are counted apart."""
+    """Limits the number of zone pairs that are counted separately."""
 
     _pairs: set[tuple[str, str]] = field(default_factory=set)
 
     def counted_pair(self, left_zone: str, taken_zone: str) -> tuple[str, str]:
-        """Return the pair that an overflow is counted under."""
+        """Return the pair under which an overflow is counted."""
         pair = (left_zone, taken_zone)
         if pair not in self._pairs and len(self._pairs) >= MAX_COUNTED_ZONE_PAIRS:
             return OTHER_ZONES, OTHER_ZONES
--- a/src/corkcrank/scheduling/zone_weights.py
+++ b/src/corkcrank/scheduling/zone_weights.py
@@ -1,7 +1,7 @@
 """Weights of engines by the stage capacity of their zones.
 
-Transfers of results between zones are expensive, so the share of calls that an engine gets follows
-the capacity of the stage workers in its zone, not only that of the engine.
+Transfers of results between zones are expensive. An engine's share of calls therefore follows the
+capacity of the stage workers in its zone, not only that of the engine.
 """
 
 from collections import Counter
@@ -10,7 +10,7 @@
 from corkcrank.contracts.worker_records import WorkerRecord
 
 MIN_ZONE_SHARE = 0.02
-"""Share of a zone without workers for some stage, so that its engines stay a last resort."""
+"""Share of a zone without workers for some stage; its engines are a last resort."""
 
 
 def engine_weights(
@@ -36,7 +36,7 @@
 
 
 def _zone_shares(stages: Sequence[Sequence[WorkerRecord]]) -> Mapping[str, float]:
-    """Return each zone's share of the stage of which it has the smallest share."""
+    """Return each zone's smallest share of any stage."""
     shares: dict[str, float] = {}
     for number, workers in enumerate(stages):
         counts = Counter(worker.zone for worker in workers)
