Brittle workers: caps count calls without a lease, and leases of abandoned calls

Callers saw: rejections in a row beside free places, 1 place for 4 s. Cause: a rejection lowered the cap to the leased calls, although calls from before the worker was known as brittle ran there; a call given up without an answer freed its lease while it might still be under way. Ruled out: a wait for places that each caller made by itself. Change: caps use the reported calls, leases of abandoned calls stay for one window.

--- a/src/corkcrank/node/limits/limit_grants.py
+++ b/src/corkcrank/node/limits/limit_grants.py
@@ -1,4 +1,4 @@
-"""Grants for requests to rate-limited workers: a zone's owner issues them to all gateways."""
+"""Grants for requests to rate-limited workers, issued by a zone's owner to all gateways."""
 
 import asyncio
 from collections import deque
@@ -28,17 +28,17 @@
 from corkcrank.scheduling.return_times import ReturnTimes
 
 GRANT_TIMEOUT_SECONDS = 0.15
-"""Timeout for the owner's reply; without a reply the gateway's local send slots decide."""
+"""Timeout of the owner's reply; without a reply the gateway's local send slots decide."""
 
 MAX_PLACE_WAIT_SECONDS = 0.2
-"""Time for which a call waits for a place at a brittle worker: a few usual calls."""
+"""Maximum total wait of a call for slots at brittle workers: a few usual calls."""
 
 
 class LimitOwner:
     """The owner's side of grants.
 
-    It serves every gateway, also where it does not consider itself the owner: gateways may
-    disagree about the owner for a short time.
+    It serves requests even if it does not consider itself the owner: gateways may disagree about
+    the owner for a short time.
     """
 
     def __init__(
@@ -56,7 +56,7 @@
         limits.on_release = self._wake_first
 
     async def grant_or_wait(self, request: LimitGrantRequest) -> LimitGrant:
-        """Grant a request as :meth:`grant_request` does; wait for a place if the requester does."""
+        """Grant a request as :meth:`grant_request` does; wait for up to ``request.patience``."""
         give_up_at = clock.now() + request.patience
         grant = self.grant_request(request)
         while not grant.worker_id and 0 < grant.wait < give_up_at - clock.now():
@@ -65,7 +65,7 @@
         return grant
 
     async def _wait_for_release(self, seconds: float) -> None:
-        """Wait until a lease is released, for at most ``seconds``; the first to wait is served."""
+        """Wait up to ``seconds`` for a released lease; waiters are served in order of arrival."""
         released = asyncio.get_running_loop().create_future()
         self._waiting.append(released)
         try:
@@ -75,7 +75,7 @@
                 self._waiting.remove(released)
 
     def release_lease(self, message: LeaseRelease) -> None:
-        """Release the lease of a call that has ended, or that its worker rejected."""
+        """Release the lease of a call that has ended or was rejected by its worker."""
         self._limits.release_lease(message)
 
     def _wake_first(self) -> None:
@@ -111,7 +111,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LimitVerdict:
-    """The worker that is granted a call, or after how many seconds its caller should retry."""
+    """The worker granted to a call, or the seconds after which its caller should retry."""
 
     worker: WorkerRecord | None
     wait: float = 0.0
@@ -146,12 +146,13 @@
     async def request_grant(
         self, call: OpaqueCall, workers: Sequence[WorkerRecord], *, begins: bool = False
     ) -> LimitVerdict:
-        """Request a grant for a call to one of some limited workers, given the best first.
+        """Request a grant for a call to one of some limited workers, given best first.
 
-        The owner of each zone is asked once, in the order of the zones' best workers. With
-        ``begins``, the grant only allows the call to start its stages; another grant is requested
-        before the call is sent to a worker. If brittle workers have no place, the owner of the zone
-        with the shortest wait is asked once more, and the call waits there for a little.
+        The owner of each zone gets one request, in the order of the zones' best workers. With
+        ``begins``, the grant only allows the call to start its stages, and another grant is
+        requested before the call is sent to a worker. If brittle workers have no free slot, the
+        owner of the zone with the shortest wait gets a second request. The call waits there for the
+        rest of its :data:`MAX_PLACE_WAIT_SECONDS`.
         """
         by_id = {worker.worker_id: worker for worker in workers}
         zones = list(dict.fromkeys(worker.zone for worker in workers))
@@ -163,18 +164,22 @@
                 return LimitVerdict(by_id[grant.worker_id])
             grants.append(grant)
         shortest = min(range(len(zones)), key=lambda place: grants[place].wait, default=None)
-        if shortest is not None and 0 < grants[shortest].wait <= PLACE_WAIT_SECONDS:
+        patience = MAX_PLACE_WAIT_SECONDS - call.place_wait_seconds
+        may_wait = shortest is not None and 0 < grants[shortest].wait <= PLACE_WAIT_SECONDS
+        if shortest is not None and may_wait and patience > 0:
             candidates = [worker for worker in workers if worker.zone == zones[shortest]]
+            started = clock.now()
             grant = await self._request_zone_grant(
-                zones[shortest], call, candidates, begins=begins, patience=MAX_PLACE_WAIT_SECONDS
+                zones[shortest], call, candidates, begins=begins, patience=patience
             )
+            call.place_wait_seconds += clock.now() - started
             if grant.worker_id in by_id:
                 return LimitVerdict(by_id[grant.worker_id])
             grants[shortest] = grant
         now = clock.now()
         wait = min((grant.wait for grant in grants), default=0.0)
-        # Each gateway gives retry times to its own callers only, but a caller may retry at any
-        # gateway, so each hands out its share of the rate.
+        # Each gateway assigns retry times only to its own callers, but a caller may retry at any
+        # gateway. Each gateway therefore assigns its share of the rate.
         rate = sum(grant.rate for grant in grants) / self._fleet.share_member_count()
         return LimitVerdict(
             None, self._return_times.next_return_seconds(call.service, wait, rate, now)
@@ -220,9 +225,9 @@
         return grant
 
     def _grant_locally(self, candidates: Sequence[WorkerRecord], now: float) -> LimitGrant:
-        """Choose a worker by the local send slots, if the owner did not reply.
+        """Choose a worker by the local send slots, because the owner did not reply.
 
-        The time until the next slot is not computed. Without an open slot the returned wait is the
+        The time until the next slot is not computed. Without an open slot, the returned wait is the
         timeout of a request to the owner; :meth:`request_grant` spaces further retries by the rate.
         """
         for worker in candidates:
--- a/src/corkcrank/node/limits/worker_leases.py
+++ b/src/corkcrank/node/limits/worker_leases.py
@@ -1,4 +1,4 @@
-"""The leases of brittle workers that calls of this gateway hold, and their release at owners."""
+"""Records this gateway's leases of brittle workers and releases them at their owners."""
 
 import asyncio
 
@@ -10,11 +10,11 @@
 from corkcrank.node.peers.peer_protocol import LEASE_RELEASE_PATH, LeaseRelease
 
 RELEASE_TIMEOUT_SECONDS = 0.3
-"""Timeout of a release message; a lease that is not released expires with its call."""
+"""Timeout of a release message. A lease that is not released expires with its call."""
 
 
 class WorkerLeases:
-    """Records by call which owner granted a lease of which worker."""
+    """The owners that granted leases of workers, by call and worker."""
 
     def __init__(self, fleet: Fleet, limits: WorkerLimits, peers: PeerClient) -> None:
         self._fleet = fleet
@@ -24,18 +24,20 @@
         self._tasks: set[asyncio.Task[bytes | PeerFailure]] = set()
 
     def record(self, call_id: str, worker_id: str, owner: str) -> None:
-        """Record that an owner granted a call a lease of a worker."""
+        """Record the owner that granted a call a lease of a worker."""
         self._owners.setdefault(call_id, {})[worker_id] = owner
 
-    def release(self, call_id: str, worker_id: str, *, rejected: bool = False) -> None:
-        """Release a call's lease of a worker, if it holds one."""
+    def release(
+        self, call_id: str, worker_id: str, *, rejected: bool = False, unanswered: bool = False
+    ) -> None:
+        """Release a call's lease of a worker, if there is one."""
         leases = self._owners.get(call_id)
         owner = leases.pop(worker_id, None) if leases is not None else None
         if owner is None:
             return
         if not leases:
             del self._owners[call_id]
-        self._send(owner, LeaseRelease(worker_id, call_id, rejected))
+        self._send(owner, LeaseRelease(worker_id, call_id, rejected, unanswered))
 
     def release_call(self, call_id: str) -> None:
         """Release all leases of a call that has ended."""
--- a/src/corkcrank/node/limits/worker_limits.py
+++ b/src/corkcrank/node/limits/worker_limits.py
@@ -25,10 +25,11 @@
 class WorkerLimits:
     """Combines the warm-ups in worker entries, the configured rates and the limits workers state.
 
-    As an owner, this gateway counts two things for a limited worker: the calls that it allowed to
-    begin, and those that it allowed to be sent. The stages of a call between the two take time
-    that varies, so calls that began apart could otherwise be sent together. For a brittle worker it
-    holds leases of the calls in progress. ``on_release`` is called when one was released.
+    As an owner, this gateway counts two numbers for a limited worker: calls that it allowed to
+    begin, and calls that it allowed to be sent. The duration of the stages in between varies, so
+    calls that began at different times could otherwise be sent at the same time. For a brittle
+    worker it holds leases of the calls in progress. ``on_release`` is called when a lease is
+    released.
     """
 
     def __init__(
@@ -83,7 +84,7 @@
         return profile.warmup_rate
 
     def cap_limits(self, worker: WorkerRecord, now: float) -> CapLimits | None:
-        """Return what limits the calls in progress at a worker, ``None`` if it is not brittle."""
+        """Return the limits of calls in progress at a worker, ``None`` if it is not brittle."""
         if self._brittleness.empty:
             return None
         tolerated = self._brittleness.rate(worker.worker_id, now)
@@ -92,9 +93,9 @@
     def seconds_until_grant(
         self, worker: WorkerRecord, now: float, *, begins: bool = False
     ) -> float:
-        """Return after how many seconds this gateway, as owner, may grant a worker one more call.
+        """Return the seconds until this gateway, as owner, may grant a worker one more call.
 
-        ``begins`` selects the grants of calls that begin instead of those that are sent.
+        ``begins`` selects the grants of calls that begin instead of calls that are sent.
         """
         limits = self.limits(worker, now)
         log = self._begun if begins else self._sent
@@ -102,15 +103,19 @@
         cap_limits = self.cap_limits(worker, now)
         if cap_limits is None:
             return wait
-        statistics = self._worker_statistics.get_or_create(worker.worker_id)
-        calls = statistics.in_flight + statistics.peers_in_flight
+        calls = self._reported_calls(worker.worker_id)
         place = self.caps.seconds_until_place(worker.worker_id, cap_limits, calls, now)
         return max(wait, place)
 
+    def _reported_calls(self, worker_id: str) -> int:
+        """Return the calls that this gateway and its peers report at a worker."""
+        statistics = self._worker_statistics.get_or_create(worker_id)
+        return statistics.in_flight + statistics.peers_in_flight
+
     def grant_lease(self, worker: WorkerRecord, call_id: str, seconds: float, now: float) -> bool:
-        """Record a granted call at a brittle worker, for at most ``seconds``; return whether it is.
+        """Record the lease of a granted call at a brittle worker; return whether it is brittle.
 
-        The requester must release the lease once the call has ended.
+        The lease expires after ``seconds``. The requester must release it when the call ends.
         """
         cap_limits = self.cap_limits(worker, now)
         if cap_limits is None:
@@ -120,14 +125,25 @@
         return True
 
     def release_lease(self, message: LeaseRelease) -> None:
-        """Release the lease of a call that has ended, or that its worker rejected."""
+        """Release the lease of a call that has ended or was rejected by its worker.
+
+        The lease of an abandoned call without an answer counts for a further rejection window.
+        """
+        now = clock.now()
+        if message.unanswered:
+            self.caps.release_unanswered(message.worker_id, message.call_id, now)
+            return
         self.caps.release(
-            message.worker_id, message.call_id, rejected=message.rejected, now=clock.now()
+            message.worker_id,
+            message.call_id,
+            self._reported_calls(message.worker_id),
+            rejected=message.rejected,
+            now=now,
         )
         self.on_release()
 
     def call_rate(self, worker: WorkerRecord, now: float) -> float:
-        """Return how many calls a second a limited worker accepts, as far as is known."""
+        """Return the estimated number of calls per second that a limited worker accepts."""
         rate = self.rate(worker, now)
         if self.cap_limits(worker, now) is None:
             return rate or 0.0
@@ -143,9 +159,9 @@
             log.remove_idle_since(now - GRANT_RETENTION_SECONDS)
 
     def may_send(self, worker: WorkerRecord, now: float) -> bool:
-        """Return whether a worker may be sent a request without a grant of the owner.
+        """Return whether a request may be sent to a worker without a grant of the owner.
 
-        A brittle worker may, if this gateway has none in progress there.
+        For a brittle worker this gateway must have no call in progress there.
         """
         if self.cap_limits(worker, now) is not None:
             return not self._worker_statistics.get_or_create(worker.worker_id).in_flight
@@ -161,7 +177,7 @@
             self._slots.record_use(worker.worker_id, rate, self._fleet.known_member_count(), now)
 
     def limited(self, workers: Collection[WorkerRecord], now: float) -> list[WorkerRecord]:
-        """Return the workers among those given that have a limit."""
+        """Return the workers with a limit."""
         unlimited = self._stated.empty and self._brittleness.empty
         if unlimited and not self._mirror.warming.any_warming(now):
             return []
--- a/src/corkcrank/scheduling/concurrency_caps.py
+++ b/src/corkcrank/scheduling/concurrency_caps.py
@@ -1,9 +1,13 @@
-"""Caps the calls in progress at brittle workers, which fall over if they reject too many.
+"""Caps the calls in progress at brittle workers, which fail if they reject too many calls.
 
-The owner of a service's workers in a zone holds a lease for each call that it granted to such a
-worker, until the call has ended. The cap starts at the worker's slots, falls with each rejection
-to the calls that the worker kept, and rises again slowly. After nearly as many rejections in a
-second as the worker tolerates, it gets nothing until that second is over.
+The owner of a service's workers in a zone holds a lease for each call that it granted to a brittle
+worker, until the call ends. The cap starts at the worker's slots. A rejection lowers it to the
+number of calls that the worker accepted, and it then rises slowly. A worker that is one rejection
+short of its limit gets no calls until the oldest rejection leaves the window.
+
+An abandoned call without an answer may still reach the worker over a slow link. Its lease counts
+for one more rejection window, and the worker gets one call at a time until the next lease is
+released.
 
 The module does no I/O; callers pass the time, in seconds of one clock.
 """
@@ -12,31 +16,31 @@
 from dataclasses import dataclass, field
 
 REJECTION_WINDOW_SECONDS = 1.0
-"""Time over which a worker counts the calls that it rejects."""
+"""Window in which a worker counts its rejections."""
 
 RISE_SECONDS = 4.0
-"""Time after which a cap that has not changed rises by one call."""
+"""Time without a change after which a cap rises by one call."""
 
 UNKNOWN_CALLS_SECONDS = 3.0
-"""Time after its first lease in which a worker may still have calls that began without one. The
-calls that gateways report count too until then."""
+"""Time after the first lease during which calls without a lease may still run at the worker. Until
+then, the calls that gateways report count too."""
 
 PLACE_WAIT_SECONDS = 0.04
-"""Time after which to ask again for a place: some of a usual call's duration."""
+"""Retry time for a place: a fraction of a usual call's duration."""
 
 CALL_TIME_WEIGHT = 0.1
 """Weight of the newest call in the mean time of a worker's calls."""
 
 MIN_CALL_SECONDS = 0.001
-"""Shortest mean time of a call that a rate is computed from."""
+"""Lower bound of the mean call duration when a rate is computed."""
 
 DEFAULT_CALL_SECONDS = 0.1
-"""Time of a call that is assumed before the first has ended."""
+"""Call duration that is assumed before the first measurement."""
 
 
 @dataclass(frozen=True, slots=True)
 class CapLimits:
-    """What a worker states: its slots, and how many rejections in a second it tolerates."""
+    """Limits that a worker states: its slots, and the rejections that it tolerates in a second."""
 
     slots: int
     tolerated_rejections: float
@@ -50,7 +54,10 @@
 
 @dataclass(slots=True)
 class _WorkerCap:
-    """State of one worker: ``places`` is the number of calls that it may have at a time."""
+    """State of one worker: ``places`` is the maximum number of calls in progress.
+
+    ``silent`` is set by an abandoned call and cleared by the next released lease.
+    """
 
     places: int
     created_at: float
@@ -58,6 +65,7 @@
     leases: dict[str, _Lease] = field(default_factory=dict)
     rejected_at: deque[float] = field(default_factory=deque)
     call_seconds: float = DEFAULT_CALL_SECONDS
+    silent: bool = False
 
     def remove_expired(self, now: float) -> None:
         for call_id in [key for key, lease in self.leases.items() if lease.expires_at <= now]:
@@ -65,6 +73,12 @@
         while self.rejected_at and self.rejected_at[0] <= now - REJECTION_WINDOW_SECONDS:
             self.rejected_at.popleft()
 
+    def calls(self, reported_calls: int, now: float) -> int:
+        """Return the calls in progress, as far as leases and reports of gateways show."""
+        if now - self.created_at < UNKNOWN_CALLS_SECONDS:
+            return max(len(self.leases), reported_calls)
+        return len(self.leases)
+
     def rise(self, slots: int, now: float) -> None:
         if now - self.changed_at >= RISE_SECONDS and self.places < slots:
             self.places += 1
@@ -78,7 +92,7 @@
         self._caps: dict[str, _WorkerCap] = {}
 
     def places(self, worker_id: str) -> int | None:
-        """Return the calls that a worker may have at a time, ``None`` if it has no cap."""
+        """Return a worker's maximum number of calls in progress, ``None`` without a cap."""
         cap = self._caps.get(worker_id)
         return cap.places if cap is not None else None
 
@@ -90,15 +104,15 @@
     def seconds_until_place(
         self, worker_id: str, limits: CapLimits, reported_calls: int, now: float
     ) -> float:
-        """Return after how many seconds a worker may get one more call, 0 for now.
+        """Return the seconds until a worker may get one more call, 0 for now.
 
-        ``reported_calls`` are those that gateways report to have in progress there.
+        ``reported_calls`` is the number of calls in progress there by the gateways' reports.
 
         >>> caps, limits = ConcurrencyCaps(), CapLimits(slots=1, tolerated_rejections=3)
         >>> caps.record_lease("w", limits, "c1", 10.0, now=0.0)
         >>> caps.seconds_until_place("w", limits, 1, now=0.0) > 0
         True
-        >>> caps.release("w", "c1", rejected=False, now=0.2)
+        >>> caps.release("w", "c1", 1, rejected=False, now=0.2)
         >>> caps.seconds_until_place("w", limits, 0, now=0.2)
         0.0
         """
@@ -109,27 +123,30 @@
         cap.rise(limits.slots, now)
         if len(cap.rejected_at) >= max(1.0, limits.tolerated_rejections - 1):
             return cap.rejected_at[0] + REJECTION_WINDOW_SECONDS - now
-        calls = len(cap.leases)
-        if now - cap.created_at < UNKNOWN_CALLS_SECONDS:
-            calls = max(calls, reported_calls)
-        return 0.0 if calls < cap.places else PLACE_WAIT_SECONDS
+        places = 1 if cap.silent else cap.places
+        return 0.0 if cap.calls(reported_calls, now) < places else PLACE_WAIT_SECONDS
 
     def record_lease(
         self, worker_id: str, limits: CapLimits, call_id: str, seconds: float, now: float
     ) -> None:
-        """Record that a call was granted a place; it ends after ``seconds`` at the latest."""
+        """Record a call's lease, which expires after ``seconds``."""
         cap = self._caps.get(worker_id)
         if cap is None:
             cap = self._caps[worker_id] = _WorkerCap(max(1, limits.slots), now, now)
         cap.leases[call_id] = _Lease(now, now + seconds)
 
-    def release(self, worker_id: str, call_id: str, *, rejected: bool, now: float) -> None:
-        """Release a call's lease: it has ended, or the worker rejected it for want of room.
+    def release(
+        self, worker_id: str, call_id: str, reported_calls: int, *, rejected: bool, now: float
+    ) -> None:
+        """Release the lease of a call that ended or was rejected; update the worker's cap.
+
+        ``reported_calls`` is the number of calls that all gateways report in progress at the
+        worker, including this call.
 
         >>> caps, limits = ConcurrencyCaps(), CapLimits(slots=8, tolerated_rejections=3)
         >>> for call in ("c1", "c2", "c3"):
         ...     caps.record_lease("w", limits, call, 10.0, now=0.0)
-        >>> caps.release("w", "c3", rejected=True, now=0.1)
+        >>> caps.release("w", "c3", 3, rejected=True, now=0.1)
         >>> caps.places("w")
         2
         """
@@ -137,22 +154,42 @@
         lease = cap.leases.pop(call_id, None) if cap is not None else None
         if cap is None or lease is None:
             return
+        cap.silent = False
         if rejected:
             cap.rejected_at.append(now)
-            cap.places = max(1, min(cap.places - 1, len(cap.leases)))
+            kept = cap.calls(reported_calls - 1, now)
+            cap.places = max(1, min(cap.places - 1, kept))
             cap.changed_at = now
         else:
             cap.call_seconds += CALL_TIME_WEIGHT * (now - lease.granted_at - cap.call_seconds)
 
+    def release_unanswered(self, worker_id: str, call_id: str, now: float) -> None:
+        """Limit the lease of an abandoned call to a rejection window; mark the worker silent.
+
+        >>> caps, limits = ConcurrencyCaps(), CapLimits(slots=1, tolerated_rejections=3)
+        >>> caps.record_lease("w", limits, "c1", 10.0, now=0.0)
+        >>> caps.release_unanswered("w", "c1", now=0.2)
+        >>> caps.seconds_until_place("w", limits, 0, now=1.1) > 0
+        True
+        >>> caps.seconds_until_place("w", limits, 0, now=1.3)
+        0.0
+        """
+        cap = self._caps.get(worker_id)
+        lease = cap.leases.get(call_id) if cap is not None else None
+        if cap is None or lease is None:
+            return
+        cap.silent = True
+        lease.expires_at = now + REJECTION_WINDOW_SECONDS
+
     def rate(self, worker_id: str, slots: int) -> float:
-        """Return how many calls a second a worker can begin, as far as is known."""
+        """Return the estimated number of calls that a worker can begin in a second."""
         cap = self._caps.get(worker_id)
         if cap is None:
             return slots / DEFAULT_CALL_SECONDS
         return cap.places / max(MIN_CALL_SECONDS, cap.call_seconds)
 
     def remove(self, worker_id: str) -> None:
-        """Remove the cap of a worker that is not brittle any more, or not listed."""
+        """Remove the cap of a worker that is no longer brittle or listed."""
         self._caps.pop(worker_id, None)
 
     def worker_ids(self) -> list[str]:
--- a/tests/platform/test_limited_workers.py
+++ b/tests/platform/test_limited_workers.py
@@ -11,7 +11,15 @@
 
 import aiohttp
 import pytest
-from node_world import World, configuration, peer_of, route, until, world
+from node_world import (
+    LONG_IDLE_TIMEOUT_MS,
+    World,
+    configuration,
+    peer_of,
+    route,
+    until,
+    world,
+)
 from platform_standins import StandinStageWorker, StandinWorker
 from test_owners import acquainted
 
@@ -63,6 +71,7 @@
 @asynccontextmanager
 async def two_gateways(workers: ServedWorkers) -> AsyncIterator[World]:
     document = configuration(1, ROUTES)
+    document["limits"]["idle_timeout_ms"] = LONG_IDLE_TIMEOUT_MS
     async with (
         world(document, workers, retry_allowance=1000) as running,
         peer_of(running, loopback_address(2)) as second,
--- a/tests/scheduling/simulated_rooms.py
+++ b/tests/scheduling/simulated_rooms.py
@@ -1,5 +1,6 @@
 """Simulated engines that have room for few calls and bear few rejections a second."""
 
+import asyncio
 from collections import Counter, defaultdict, deque
 from dataclasses import dataclass
 
@@ -13,13 +14,15 @@
 class SimulatedRoom:
     """Calls for which each engine has room at first and from ``shrinks_at`` on, in seconds.
 
-    ``tolerated`` is the number of rejections in a second that it bears.
+    ``tolerated`` is the number of rejections in a second that it bears. ``head_seconds`` pass from
+    the beginning of a call until the head of its answer, which first shows what the engine states.
     """
 
     calls: int
     shrunk_calls: int
     shrinks_at: float
     tolerated: int = 3
+    head_seconds: float = 0.0
 
 
 class EngineRooms:
@@ -38,6 +41,16 @@
         """Return the headers that engines add to their answers."""
         return {} if self._room is None else {"Server-Brittle": str(self._room.tolerated)}
 
+    async def wait_for_head(self, worker: WorkerRecord) -> None:
+        """Wait for the head of an answer; a call that is given up meanwhile has ended."""
+        if self._room is None or not self._room.head_seconds:
+            return
+        try:
+            await asyncio.sleep(self._room.head_seconds)
+        except asyncio.CancelledError:
+            self.end(worker)
+            raise
+
     def try_begin(self, worker: WorkerRecord) -> bool:
         """Return whether an engine takes a call; count a rejection and a fall."""
         if self._room is None:
