Crash of a worker: a member that answers late neither hides nor delays it

Cause: a member without an answer counted as one that does not reach the worker, and late members of a large fleet delayed the record of a crash by 6 s. Ruled out: lost datagrams (each question was answered, late). Conclusion: an exit stays unrecorded if no member answers.

--- a/src/corkcrank/node/membership/quarantine_rows.py
+++ b/src/corkcrank/node/membership/quarantine_rows.py
@@ -88,6 +88,11 @@
         """Return how much evidence the row holds; it grows with each crash and each suspect."""
         return sum(len(end.suspects) for end in self.ends)
 
+    @property
+    def successes(self) -> int:
+        """Return how many successes of parts the row holds: what speaks for them."""
+        return sum(len(end.succeeded) + len(end.cleared) for end in self.ends)
+
 
 class QuarantineRows:
     """Reads quarantines once after a start, and writes those that this gateway owns."""
@@ -110,6 +115,8 @@
         self._log = log
         self._written: dict[str, int] = {}
         """Rows known to be in the store, with the size of each."""
+        self._written_successes: dict[str, int] = {}
+        """The number of successes in each of these rows."""
 
     async def keep_rows_current(self) -> None:
         """Read the rows once, then keep them up to date until cancelled."""
@@ -140,7 +147,7 @@
                 LogEvent.DOCUMENT_UNREADABLE, kind="quarantine", key=row.key, detail=str(error)
             )
             return []
-        self._written[row.key] = value.size
+        self._record_written(row.key, value)
         return reports
 
     async def _write(self) -> bool:
@@ -151,13 +158,22 @@
                 await self._store.put(StoreTable.QUARANTINE, request, data), StoreFailure
             ):
                 return False
-            self._written[request] = row.size
+            self._record_written(request, row)
         for request in self._rows_to_remove()[:MAX_ROW_CHANGES_PER_PASS]:
             if isinstance(await self._store.remove(StoreTable.QUARANTINE, request), StoreFailure):
                 return False
             self._written.pop(request, None)
+            self._written_successes.pop(request, None)
         return True
 
+    def _record_written(self, key: str, row: _QuarantineRow) -> None:
+        self._written[key] = row.size
+        self._written_successes[key] = row.successes
+
+    def _is_written(self, key: str, row: _QuarantineRow) -> bool:
+        written = self._written.get(key), self._written_successes.get(key)
+        return written == (row.size, row.successes)
+
     def _rows_to_remove(self) -> list[str]:
         """Return the rows of requests that are not blamed; undecided ones keep their rows."""
         now = clock.now()
@@ -181,7 +197,7 @@
             for request in self._quarantine.blamed_requests(now)
             if self._fleet.zone_owner("", request, now) == self._fleet.local_name
         ]
-        return [(key, row) for key, row in rows if row.size != self._written.get(key)]
+        return [(key, row) for key, row in rows if not self._is_written(key, row)]
 
     def _row(self, request: str, offset: float) -> _QuarantineRow:
         """Return the row of a request; ``offset`` is from the local clock to the store's."""
--- a/src/corkcrank/node/relays/relay_client.py
+++ b/src/corkcrank/node/relays/relay_client.py
@@ -1,4 +1,4 @@
-"""Sends requests to workers through members that reach them; this gateway does not."""
+"""Sends requests to workers that this gateway cannot reach through members that can."""
 
 import asyncio
 from collections import defaultdict
@@ -12,6 +12,7 @@
 
 from corkcrank.contracts import clock
 from corkcrank.contracts.worker_records import WorkerRecord
+from corkcrank.links.abandoned_tasks import abandon
 from corkcrank.links.decision_log import DecisionLog, LogEvent
 from corkcrank.links.silence import (
     ConnectionKind,
@@ -44,6 +45,7 @@
 from corkcrank.node.telemetry.metrics import NodeMetrics
 from corkcrank.node.workers.worker_client import MAX_IDLE_SECONDS
 from corkcrank.node.workers.worker_request import (
+    MemberSearch,
     SendFailure,
     SendResult,
     SendTrouble,
@@ -53,22 +55,26 @@
 from corkcrank.scheduling.worker_notices import WorkerNotices
 
 MAX_MEMBERS = 3
-"""Members that a request is offered to, one after the other."""
+"""Maximum number of members to which a request is offered, one after the other."""
 
 PROBED_MEMBERS = 4
-"""Members that are asked at the same time whether they reach a worker."""
+"""Number of members that are probed concurrently for a worker."""
 
 MAX_PROBED_MEMBERS = 12
-"""Members that are asked in one search, so that its cost does not grow with the fleet."""
+"""Maximum number of members probed in one search, so that its cost is independent of the fleet."""
 
 PROBE_TIMEOUT_SECONDS = 0.4
-"""Timeout of that question: longer than a member's own connection attempt."""
+"""Timeout of a member's probe: longer than the member's own connection attempt."""
+
+MAX_TIMER_LAG_SECONDS = 0.1
+"""Maximum delay of a timer. If probes exceed their timeout by more, the event loop of this gateway
+was delayed, and the search is inconclusive."""
 
 MEMBER_CHECK_SECONDS = 0.25
-"""Time between checks whether a member that relays a request is suspected to have failed."""
+"""Interval of checks whether a relaying member is suspected to have failed."""
 
 _NOT_HANDLED_STATUSES = frozenset((HTTPStatus.NOT_FOUND, HTTPStatus.BAD_REQUEST))
-"""Statuses of a member of another release, which does not know such requests."""
+"""Statuses of a member whose release does not support relayed requests."""
 
 _FAILURES = {
     RelayOutcome.NOT_SENT: SendTrouble.NOT_SENT,
@@ -80,7 +86,7 @@
 class RelayClient:
     """Chooses members for requests, sends each request at most once, and returns the responses.
 
-    ``on_waiting`` is called periodically with the name of a member whose response is awaited.
+    ``on_waiting`` is called periodically with the name of a member whose response is pending.
     """
 
     def __init__(
@@ -103,7 +109,7 @@
         self._fresh = create_session(aiohttp.TCPConnector(limit=0, force_close=True))
         self._members = RelayMembers(fleet)
         self._open: dict[str, WeakSet[aiohttp.ClientResponse]] = defaultdict(WeakSet)
-        self._searches: dict[str, asyncio.Task[str | None]] = {}
+        self._searches: dict[str, asyncio.Task[MemberSearch]] = {}
         self.on_waiting: Callable[[str], None] = lambda member: None
 
     async def close(self) -> None:
@@ -118,10 +124,10 @@
         """Return whether any member can relay requests."""
         return self._fleet.has_relay_members(clock.now())
 
-    async def find_member(self, worker: WorkerRecord) -> str | None:
-        """Return the name of a member that can connect to a worker, ``None`` without one.
+    async def find_member(self, worker: WorkerRecord) -> MemberSearch:
+        """Search for a member that can connect to a worker.
 
-        Requests to the same worker share a search.
+        Concurrent requests to the same worker share a search.
         """
         search = self._searches.get(worker.worker_id)
         if search is None:
@@ -131,9 +137,9 @@
         return await asyncio.shield(search)
 
     async def send(self, request: WorkerRequest) -> SendResult | None:
-        """Send a request through a member; ``None`` if none takes it and nothing was sent.
+        """Send a request through a member; return ``None`` if none accepts it and nothing was sent.
 
-        The member that reached the worker last is asked first.
+        The member that last reached the worker is tried first.
         """
         declined: set[str] = set()
         while len(declined) < MAX_MEMBERS:
@@ -147,39 +153,43 @@
         return None
 
     def retain_only(self, worker_ids: Collection[str]) -> None:
-        """Forget who reached workers that are no longer listed."""
+        """Remove the members that reached workers which are no longer listed."""
         self._members.retain_only(worker_ids)
 
     def drop_member(self, name: str) -> None:
-        """Abort the responses that a failed member relays: it may never end them."""
+        """Abort the responses that a failed member relays, because they may never end."""
         for response in list(self._open.pop(name, ())):
             connection = response.connection
             if connection is not None and connection.transport is not None:
                 connection.transport.abort()
 
-    async def _search(self, worker: WorkerRecord) -> str | None:
-        name: str | None = None
-        candidates = self._members.ranked(worker)[:MAX_PROBED_MEMBERS]
-        while candidates and name is None:
+    async def _search(self, worker: WorkerRecord) -> MemberSearch:
+        found = MemberSearch()
+        candidates = self._members.ranked_with_unreachable(worker)[:MAX_PROBED_MEMBERS]
+        while candidates and found.member is None:
             asked, candidates = candidates[:PROBED_MEMBERS], candidates[PROBED_MEMBERS:]
-            name = await self._ask_together(asked, worker)
-        self._members.record_reached(worker.worker_id, name)
-        return name
+            answer = await self._ask_together(asked, worker)
+            found = found.joined(answer)
+        self._members.record_reached(worker.worker_id, found.member)
+        return found
 
-    async def _ask_together(self, members: list[Member], worker: WorkerRecord) -> str | None:
-        """Return the member that is first to answer that it reaches a worker."""
+    async def _ask_together(self, members: list[Member], worker: WorkerRecord) -> MemberSearch:
+        """Return the first member that reports that it reaches a worker."""
         questions = [asyncio.create_task(self._ask(member, worker)) for member in members]
+        found, started = MemberSearch(), clock.loop_time()
         try:
             for question in asyncio.as_completed(questions):
-                if name := await question:
-                    return name
+                found = found.joined(await question)
+                if found.member is not None:
+                    return found
         finally:
             for task in questions:
                 task.cancel()
-        return None
+        late = clock.loop_time() - started - PROBE_TIMEOUT_SECONDS > MAX_TIMER_LAG_SECONDS
+        return MemberSearch(complete=False) if late else found
 
-    async def _ask(self, member: Member, worker: WorkerRecord) -> str:
-        """Return the name of a member if it reaches a worker, else an empty text."""
+    async def _ask(self, member: Member, worker: WorkerRecord) -> MemberSearch:
+        """Return the member if it reaches a worker, and whether its answer was conclusive."""
         message = msgspec.msgpack.encode(WorkerProbeRequest(worker.worker_id))
         body = await self._peers.request(
             member.heartbeat.address,
@@ -188,11 +198,14 @@
             timeout_seconds=PROBE_TIMEOUT_SECONDS,
         )
         answer = decode_answer(body, WorkerProbeAnswer)
-        reached = not isinstance(answer, PeerFailure) and answer.reached
-        return member.heartbeat.name if reached else ""
+        if isinstance(answer, PeerFailure):
+            return MemberSearch(complete=answer is not PeerFailure.SILENT)
+        if answer.reached:
+            return MemberSearch(member.heartbeat.name)
+        return MemberSearch(complete=not answer.late, denied=not answer.late)
 
     async def _send_through(self, member: Member, request: WorkerRequest) -> SendResult | None:
-        """Send a request through one member; ``None`` if it does not take it."""
+        """Send a request through one member; return ``None`` if the member declines it."""
         if request.still_wanted is not None and not request.still_wanted():
             return SendFailure(SendTrouble.WITHDRAWN, "withdrawn before it was sent")
         name = member.heartbeat.name
@@ -218,7 +231,7 @@
         outcome: RelayOutcome,
         name: str,
     ) -> SendResult | None:
-        """Return the worker's response, or what the member's response says of the request."""
+        """Return the worker's response, or the failure that the member's response states."""
         if response is None or outcome is RelayOutcome.DECLINED:
             return None
         if outcome is RelayOutcome.ANSWERED:
@@ -237,7 +250,7 @@
     async def _exchange(
         self, member: Member, request: WorkerRequest
     ) -> aiohttp.ClientResponse | SendFailure | None:
-        """Return a member's response, why there is none, or ``None`` if nothing was sent."""
+        """Return a member's response or the failure, or ``None`` if nothing was sent."""
         name, started = member.heartbeat.name, clock.now()
         task = asyncio.create_task(self._post(member.heartbeat.address, request))
         try:
@@ -247,10 +260,11 @@
                     break
                 self.on_waiting(name)
                 if self._fleet.is_suspected(name, clock.now()):
+                    abandon(task, lambda response: response.close())
                     return SendFailure(SendTrouble.UNKNOWN, f"member {name} is lost")
-        finally:
-            if not task.done():
-                task.cancel()
+        except asyncio.CancelledError:
+            abandon(task, lambda response: response.close())
+            raise
         try:
             return task.result()
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
@@ -319,11 +333,11 @@
 
 
 def _remove_relay_headers(response: aiohttp.ClientResponse) -> None:
-    """Leave the worker's headers only."""
+    """Remove the headers that the relaying member added."""
     headers = CIMultiDict(response.headers)
     headers.popall(RELAY_HEADER, None)
     response._headers = CIMultiDictProxy(headers)
-    # The library caches the headers once they have been read.
+    # The library caches the headers after the first access.
     response._cache.pop("headers", None)
 
 
--- a/src/corkcrank/node/relays/relay_protocol.py
+++ b/src/corkcrank/node/relays/relay_protocol.py
@@ -1,7 +1,8 @@
-"""Messages between a gateway that cannot reach a worker and one that sends its requests there.
+"""Messages between a gateway that cannot reach a worker and a member that relays its requests.
 
-The head of a request is MessagePack, preceded by its length; the body follows byte for byte. The
-response is the worker's, with one header added; a failure has that header and no worker's response.
+The head of a request is MessagePack, preceded by its length; the body follows unchanged. The
+response is the worker's, with one header added. A failure has that header and no response of the
+worker.
 """
 
 from enum import StrEnum
@@ -12,10 +13,10 @@
 WORKER_PROBE_PATH = "/peer/worker-probe"
 
 RELAY_HEADER = "Corkcrank-Relay"
-"""Response header that states the outcome of a relayed request, a :class:`RelayOutcome`."""
+"""Response header with the outcome of a relayed request, a :class:`RelayOutcome`."""
 
 RELAY_RETRY_HEADER = "Corkcrank-Relay-Retry"
-"""Seconds for which the worker wants no requests of the gateway that was to send this one."""
+"""Response header with the seconds of the worker's backoff for the relaying gateway."""
 
 HEAD_LENGTH_BYTES = 4
 
@@ -24,7 +25,7 @@
 
 
 class RelayOutcome(StrEnum):
-    """What became of a relayed request."""
+    """The outcome of a relayed request."""
 
     ANSWERED = "answered"
     NOT_SENT = "not-sent"
@@ -32,18 +33,18 @@
     REFUSED = "refused"
     """The worker's machine refused the connection."""
     WITHDRAWN = "withdrawn"
-    """The worker wants no requests of the relaying gateway for a while."""
+    """The worker is in backoff for the relaying gateway."""
     DECLINED = "declined"
-    """The gateway relays nothing to this worker, or nothing now; another one may."""
+    """The gateway does not relay this request now; another one may."""
     UNKNOWN = "unknown"
-    """The worker may have received the request; it sent no readable response."""
+    """The worker may have received the request, but sent no readable response."""
 
 
 class RelayedRequest(msgspec.Struct, frozen=True, array_like=True):
     """A request to a worker. Header fields and target are bytes, as the caller sent them.
 
     ``seconds`` limits the whole exchange. ``new_work`` is false for messages about earlier work,
-    which leaving workers get as well. ``call_id`` is empty if the request belongs to no call.
+    which leaving workers also get. ``call_id`` is empty if the request belongs to no call.
     """
 
     sender: str
@@ -58,19 +59,23 @@
 
 
 class WorkerProbeRequest(msgspec.Struct, frozen=True, array_like=True):
-    """Asks a member to open a connection to a worker."""
+    """Requests that a member opens a connection to a worker."""
 
     worker_id: str
 
 
 class WorkerProbeAnswer(msgspec.Struct, frozen=True, array_like=True):
-    """Whether the member could open a connection to the worker."""
+    """Whether the member could open a connection to the worker.
+
+    ``late`` is set if the member's event loop delayed the attempt, which is then inconclusive.
+    """
 
     reached: bool
+    late: bool = False
 
 
 def encode_relayed_request(head: RelayedRequest, body: bytes) -> bytes:
-    """Return the message of a relayed request.
+    """Encode a relayed request.
 
     >>> head = RelayedRequest("n", "w", "GET", b"/", (), 1.0, False)
     >>> decode_relayed_request(encode_relayed_request(head, b"body")) == (head, b"body")
@@ -81,7 +86,7 @@
 
 
 def decode_relayed_request(message: bytes) -> tuple[RelayedRequest, bytes]:
-    """Return head and body of a message; raises :class:`msgspec.DecodeError`."""
+    """Return head and body of a message; raise :class:`msgspec.DecodeError` if it is invalid."""
     length = int.from_bytes(message[:HEAD_LENGTH_BYTES], "big")
     end = HEAD_LENGTH_BYTES + length
     if length > MAX_HEAD_BYTES or end > len(message):
--- a/src/corkcrank/node/relays/relay_server.py
+++ b/src/corkcrank/node/relays/relay_server.py
@@ -1,4 +1,4 @@
-"""Sends requests of other gateways to workers that they cannot reach, and relays the responses."""
+"""Relays requests of other gateways to workers that they cannot reach, and the responses."""
 
 import asyncio
 from collections.abc import Callable
@@ -9,6 +9,7 @@
 
 from corkcrank.contracts import clock
 from corkcrank.contracts.worker_records import WorkerRecord
+from corkcrank.links.abandoned_tasks import abandon
 from corkcrank.links.closed_connections import closed_by_peer
 from corkcrank.links.decision_log import DecisionLog, LogEvent
 from corkcrank.links.platform_ports import CallCodec
@@ -40,21 +41,25 @@
 from corkcrank.node.workers.worker_statements import WorkerStatements
 
 MAX_RELAYED_REQUESTS = 256
-"""Requests of other gateways that this one relays at the same time."""
+"""Maximum number of concurrently relayed requests of other gateways."""
 
 EXCHANGE_MARGIN_SECONDS = 1.0
-"""Time added to that of a request before its exchange is given up: its sender usually ends it."""
+"""Time added to a request's deadline before its exchange is aborted; the sender usually ends it."""
 
 PROBE_TIMEOUT_SECONDS = 0.3
 """Timeout of a connection attempt on behalf of another gateway."""
 
+MAX_TIMER_LAG_SECONDS = 0.02
+"""Maximum delay of a timer. If a connection attempt times out later, the event loop was delayed,
+and the worker may have accepted the connection."""
+
 MIN_FINAL_STATUS = 200
-"""Lowest status of a final response."""
+"""Minimum status of a final response."""
 
 INTERIM_RESPONSE = b"HTTP/1.1 102 Processing\r\n\r\n"
 
 FAILURE_STATUS = 502
-"""Status of a response that is not a worker's."""
+"""Status of a response that does not come from a worker."""
 
 _OUTCOMES = {
     SendTrouble.NOT_SENT: RelayOutcome.NOT_SENT,
@@ -66,9 +71,9 @@
 
 
 class RelayServer:
-    """The relaying side: one hop only, and only to workers that this gateway may send to itself.
+    """Relays requests over one hop, and only to workers to which this gateway may send itself.
 
-    ``accepts`` says whether this gateway takes work of others, which it does not while it stops.
+    ``accepts`` returns whether this gateway accepts requests of others; it does not while it stops.
     """
 
     def __init__(
@@ -95,17 +100,20 @@
         self.in_flight = 0
 
     async def probe(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Answer whether this gateway can connect to a worker."""
+        """Respond whether this gateway can connect to a worker."""
         message = msgspec.msgpack.decode(await request.read(), type=WorkerProbeRequest)
         worker = self._mirror.workers.get(message.worker_id)
-        reached = worker is not None and not self._links.health.is_failed(message.worker_id)
-        if worker is not None and reached:
+        answer = WorkerProbeAnswer(reached=False)
+        if worker is not None and not self._links.health.is_failed(message.worker_id):
+            started = clock.loop_time()
             result = await probe_worker(worker.address, PROBE_TIMEOUT_SECONDS)
-            reached = result is ProbeResult.CONNECTED
-        return web.Response(body=msgspec.msgpack.encode(WorkerProbeAnswer(reached)))
+            lag = clock.loop_time() - started - PROBE_TIMEOUT_SECONDS
+            late = result is ProbeResult.SILENT and lag > MAX_TIMER_LAG_SECONDS
+            answer = WorkerProbeAnswer(result is ProbeResult.CONNECTED, late)
+        return web.Response(body=msgspec.msgpack.encode(answer))
 
     async def relay(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Send a request to its worker and relay the response to the gateway that asked."""
+        """Send a request to its worker and relay the response to the sender."""
         head, body = decode_relayed_request(await _read_message(request))
         if closed_by_peer(request.transport):
             raise ConnectionResetError("the sender closed its connection")
@@ -126,7 +134,7 @@
     def _refusal(
         self, head: RelayedRequest, worker: WorkerRecord | None
     ) -> web.StreamResponse | None:
-        """Return the response to a request that is not sent, ``None`` if it may be sent."""
+        """Return the response to a declined request, ``None`` if it may be sent."""
         detail = ""
         if worker is None:
             detail = "worker is not listed"
@@ -181,9 +189,9 @@
     async def _send_with_progress(
         self, request: web.BaseRequest, sent: WorkerRequest
     ) -> SendResult:
-        """Send a request; while its response is awaited, show the sender that this gateway lives.
+        """Send a request and report progress to the sender while the response is pending.
 
-        An interim response is ignored by the sender's HTTP library, but ends its silence.
+        The sender's HTTP library ignores interim responses, but they reset its read timeout.
         """
         sending = asyncio.create_task(self._client.send_directly(sent))
         try:
@@ -192,13 +200,14 @@
                 if done:
                     return sending.result()
                 await request.writer.write(INTERIM_RESPONSE)
-        finally:
-            sending.cancel()
+        except (asyncio.CancelledError, OSError):
+            abandon(sending, _close_response)
+            raise
 
     def _record_statements(
         self, head: RelayedRequest, worker: WorkerRecord, upstream: aiohttp.ClientResponse
     ) -> None:
-        """Record what a worker states: it counts this gateway as the sender of the request."""
+        """Record a worker's statements, which apply to this gateway as the sender."""
         call_id = self._calls.read_answer(upstream.headers).call_id
         if call_id == head.call_id or not head.call_id:
             self._statements.record_response(worker, upstream.status, upstream.headers)
@@ -206,7 +215,7 @@
     async def _relay_response(
         self, request: web.BaseRequest, head: RelayedRequest, upstream: aiohttp.ClientResponse
     ) -> web.StreamResponse:
-        """Relay head and body; a body that breaks off is broken off here too."""
+        """Relay head and body; abort the connection if the body is truncated."""
         response = web.StreamResponse(status=upstream.status, reason=upstream.reason)
         response.headers.clear()
         for name, value in self._calls.answer_headers(list(upstream.headers.items())):
@@ -247,7 +256,7 @@
 
 
 async def _read_message(request: web.BaseRequest) -> bytes:
-    """Return a complete message; drop a connection that falls silent within one."""
+    """Return a complete message; abort the connection if it is silent for too long."""
     chunks: list[bytes] = []
     try:
         while True:
@@ -262,10 +271,15 @@
 
 
 def _abort(request: web.BaseRequest) -> None:
-    """Reset the connection of a request: an incomplete response must not look complete."""
+    """Reset a request's connection, so that an incomplete response does not look complete."""
     if request.transport is not None:
         request.transport.abort()
 
 
 def _decode(data: bytes) -> str:
     return data.decode("utf-8", "surrogateescape")
+
+
+def _close_response(result: SendResult) -> None:
+    if not isinstance(result, SendFailure):
+        result.close()
--- a/src/corkcrank/node/workers/crash_watch.py
+++ b/src/corkcrank/node/workers/crash_watch.py
@@ -1,7 +1,8 @@
-"""Detects worker crashes after connection failures and quarantines what causes them."""
+"""Detects worker crashes after connection failures and quarantines their causes."""
 
 import asyncio
 from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
 
 from corkcrank.contracts import clock
 from corkcrank.contracts.opaque_call import OpaqueCall
@@ -9,25 +10,33 @@
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.links.decision_log import DecisionLog, LogEvent
 from corkcrank.node.telemetry.metrics import NodeMetrics
+from corkcrank.node.workers.exit_check import is_exit_confirmed
 from corkcrank.node.workers.worker_probe import has_exited
 from corkcrank.node.workers.worker_request import NoRelay, RequestRelay
+from corkcrank.scheduling.crash_records import MAX_SETTLE_SECONDS
 from corkcrank.scheduling.crash_reports import CrashReport, TrialReport
 from corkcrank.scheduling.crash_verdicts import Verdict
 from corkcrank.scheduling.request_quarantine import RequestQuarantine, RequestState
 from corkcrank.scheduling.worker_choice import WorkerStatisticsTable
 
-PROBE_TIMEOUT_SECONDS = 1.5
-"""Longest wait for the result of a connection attempt: TCP retransmits a lost packet after 1 s. A
-machine whose process has exited refuses the connection; silence does not show an exit."""
+
+@dataclass(frozen=True, slots=True, eq=False)
+class _LostCall:
+    """A call whose connection to a worker failed; ``progressed`` is set if it ran for a while."""
+
+    call: OpaqueCall
+    worker: WorkerRecord
+    progressed: bool
 
 
 class CrashWatch:
     """Crash detection and request quarantine of a gateway.
 
-    A failed connection may have been reset on the network, or by a worker that still runs. So the
-    gateway opens a new connection to the worker, and records a crash only if it is refused and no
-    member can connect to the worker either. ``relay`` asks the members.
-    ``on_update`` is called when peers should receive an update at once.
+    A failed connection may have been reset on the network, or by a live worker. The gateway
+    therefore opens a new connection to the worker. It records a crash if the connection is refused
+    and no member can connect to the worker. It also records a crash that a member reports
+    meanwhile, because a gateway with a failed link gets no answer. ``relay`` probes members.
+    ``on_update`` is called when peers should receive an update immediately.
     """
 
     def __init__(
@@ -45,12 +54,14 @@
         self._metrics = metrics
         self._exit_checks: dict[str, asyncio.Task[bool]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._unchecked_calls: set[_LostCall] = set()
+        """Lost calls whose workers are being checked."""
         self._verdicts: Mapping[str, Verdict] = {}
         self._review_timer: asyncio.TimerHandle | None = None
         self._logged_problems: set[str] = set()
 
     def quarantine_seconds_left(self, call: OpaqueCall) -> float:
-        """Return for how many more seconds a call is not sent to workers, 0 if it may be.
+        """Return the seconds for which a call must not be sent to workers, 0 if it may be sent.
 
         Its request, or a part of its prompt, may be quarantined or await a verdict.
         """
@@ -62,7 +73,7 @@
         return left or max(self.quarantine.seconds_to_wait(suspect, now) for suspect in suspects)
 
     def quarantined_parts(self, call: OpaqueCall) -> list[str]:
-        """Return the parts of a call's prompt that are quarantined."""
+        """Return the quarantined parts of a call's prompt."""
         if self.quarantine.empty:
             return []
         now = clock.now()
@@ -71,7 +82,7 @@
     async def wait_for_verdict(self, call: OpaqueCall) -> float:
         """Wait for the verdicts on a call; return its remaining quarantine in seconds.
 
-        A call whose deadline comes before the verdict does not wait.
+        A call whose deadline precedes the verdict does not wait.
         """
         waits = False
         while not self.quarantine.empty:
@@ -95,7 +106,7 @@
     def is_suspected(self, call: OpaqueCall) -> bool:
         """Return whether a call's request is suspected, quarantined or on probation.
 
-        That is, a worker crashed while running it, and it has not completed successfully since.
+        This is the case if a worker crashed while running it and it has not completed since.
         """
         if self.quarantine.empty:
             return False
@@ -105,8 +116,8 @@
     def record_sent(self, call: OpaqueCall) -> None:
         """Record that a call is sent to a worker.
 
-        If its request or a part of its prompt is on probation, no other call with it may be sent
-        for a while.
+        If its request or a part of its prompt is on probation, this begins an attempt on
+        probation. It is reported to peers, and no other attempt may begin for a while.
         """
         if self.quarantine.empty:
             return
@@ -116,9 +127,9 @@
                 self.on_update()
 
     def record_progress(self, call: OpaqueCall, first_event_at: float) -> None:
-        """Record that an engine's run of a call went on for a while after its first event.
+        """Record that an engine's run of a call progressed beyond its first event.
 
-        Parts that crash each engine which begins to write on them never get there.
+        Runs with a part that crashes engines never progress, so this is evidence for its parts.
         """
         parts = call.part_fingerprints
         if self.quarantine.record_progress(parts, first_event_at, clock.now()):
@@ -128,16 +139,16 @@
     def record_connection_failure(
         self, call: OpaqueCall, worker: WorkerRecord, *, progressed: bool = False
     ) -> None:
-        """Record that a call's connection to a worker failed; check if the worker has exited.
+        """Record that a call's connection to a worker failed; check whether the worker has exited.
 
-        ``progressed`` says that the worker had been running the call for some time.
+        ``progressed`` is set if the worker had been running the call for some time.
         """
-        task = asyncio.create_task(self._check_worker(call, worker, progressed=progressed))
+        task = asyncio.create_task(self._check_worker(_LostCall(call, worker, progressed)))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     def record_completed(self, call: OpaqueCall) -> None:
-        """Record that a worker completed a call: this clears the suspicion of its request."""
+        """Record that a worker completed a call, which clears its request."""
         if self.quarantine.empty:
             return
         if self.quarantine.record_success(call.fingerprint, clock.now()):
@@ -148,8 +159,8 @@
     def record_member_unreachable(self, member: str, last_received_at: float) -> None:
         """Record that a gateway is unreachable and announced no exit.
 
-        It may not have reported the requests that it had at crashed workers, so crash records of
-        that time may be incomplete.
+        It may not have reported its requests at crashed workers, so crash records of that time may
+        be incomplete.
         """
         if self.quarantine.record_gateway_failure(last_received_at, clock.now()):
             self._log.write(
@@ -173,15 +184,18 @@
         if changed:
             self._review_verdicts()
             self.on_update()
+        for lost in [item for item in self._unchecked_calls if self._has_recent_report(item)]:
+            self._unchecked_calls.discard(lost)
+            self._record_crash(lost)
 
     def apply_trial_reports(self, reports: Iterable[TrialReport]) -> None:
-        """Apply a peer's reports of calls of requests on probation."""
+        """Apply a peer's reports of attempts on probation."""
         now = clock.now()
         if any([self.quarantine.apply_trial_report(report, now) for report in reports]):
             self.on_update()
 
     def release_request(self, request: str) -> ReleaseAnswer:
-        """Release a request from quarantine, for an operator who knows that it is healthy."""
+        """Release a request from quarantine on behalf of an operator."""
         now = clock.now()
         before = self.quarantine.state(request, now)
         if self.quarantine.record_success(request, now):
@@ -199,18 +213,30 @@
             task.cancel()
         await asyncio.gather(*pending, return_exceptions=True)
 
-    async def _check_worker(
-        self, call: OpaqueCall, worker: WorkerRecord, *, progressed: bool
-    ) -> None:
-        if not await self._has_exited(worker):
+    async def _check_worker(self, lost: _LostCall) -> None:
+        if self._has_recent_report(lost):
+            self._record_crash(lost)
             return
-        now = clock.now()
+        self._unchecked_calls.add(lost)
+        try:
+            exited = await self._has_exited(lost.worker)
+        finally:
+            self._unchecked_calls.discard(lost)
+        if exited:
+            self._record_crash(lost)
+
+    def _has_recent_report(self, lost: _LostCall) -> bool:
+        """Return whether a crash of a lost call's worker was recorded recently."""
+        at = self.quarantine.records.crashed_at(lost.worker.worker_id)
+        return clock.now() - at <= MAX_SETTLE_SECONDS
+
+    def _record_crash(self, lost: _LostCall) -> None:
+        call, worker, now = lost.call, lost.worker, clock.now()
         self._worker_statistics.get_or_create(worker.worker_id).record_end(now)
-        request, worker_id = call.fingerprint, worker.worker_id
-        # Workers of stages do not read the prompt.
+        # Stage workers do not read the prompt.
         parts = call.part_fingerprints if worker.service == call.service else ()
         if not self.quarantine.record_crash(
-            request, worker_id, now, progressed=progressed, parts=parts
+            call.fingerprint, worker.worker_id, now, progressed=lost.progressed, parts=parts
         ):
             return
         self._metrics.crashed_worker_requests.labels(worker.service).inc()
@@ -220,7 +246,7 @@
             request=call.fingerprint,
             worker=worker.worker_id,
             service=worker.service,
-            progressed=progressed,
+            progressed=lost.progressed,
             parts=parts,
         )
         self._review_verdicts()
@@ -229,8 +255,8 @@
     async def _has_exited(self, worker: WorkerRecord) -> bool:
         """Return whether a worker's process has exited.
 
-        Calls that fail together share 1 or 2 checks. A check that was already in progress may have
-        found the worker alive just before its exit, so another one follows it.
+        Calls that fail together share one or two checks. A check that was already in progress may
+        have found the worker alive just before its exit, so it is followed by another one.
         """
         before = self._exit_checks.get(worker.worker_id)
         if before is not None:
@@ -239,7 +265,7 @@
             following = self._exit_checks.get(worker.worker_id)
             if following is not None and following is not before:
                 return await following
-        check = asyncio.create_task(self._is_exit_confirmed(worker))
+        check = asyncio.create_task(is_exit_confirmed(worker, self.relay, has_exited))
         self._exit_checks[worker.worker_id] = check
         try:
             return await check
@@ -247,13 +273,8 @@
             if self._exit_checks.get(worker.worker_id) is check:
                 del self._exit_checks[worker.worker_id]
 
-    async def _is_exit_confirmed(self, worker: WorkerRecord) -> bool:
-        if not await has_exited(worker.address, PROBE_TIMEOUT_SECONDS):
-            return False
-        return await self.relay.find_member(worker) is None
-
     def _review_verdicts(self) -> None:
-        """Log verdicts that are new or withdrawn, now and when the next crash can be decided."""
+        """Log new and withdrawn verdicts; schedule a review for the next decidable crash."""
         now = clock.now()
         before, self._verdicts = self._verdicts, self.quarantine.verdicts(now)
         for request in sorted(self._verdicts.keys() - before.keys()):
--- a/tests/platform/test_crash_watch.py
+++ b/tests/platform/test_crash_watch.py
@@ -9,11 +9,13 @@
 import pytest
 from node_world import configuration, route, until, world
 from platform_standins import StandinWorker
+from test_first_attempt import call_with
 
 from corkcrank.links.decision_log import DecisionLog
 from corkcrank.node.telemetry.metrics import NodeMetrics
 from corkcrank.node.workers import crash_watch
 from corkcrank.node.workers.crash_watch import CrashWatch
+from corkcrank.scheduling.crash_reports import CrashReport, RequestAtCrash
 from corkcrank.scheduling.worker_choice import WorkerStatisticsTable
 
 ROUTES = [route("talk", "stream", "model", stream_resume=True, max_attempts=1)]
@@ -96,3 +98,51 @@
         watch = running.nodes[0].crash_watch
         await until(lambda: not watch._tasks)
         assert watch.quarantine.empty
+
+
+CALL = call_with(4.0)
+WORKER = crash_watch.WorkerRecord("w", "model", "127.0.0.1:1", "z1")
+
+
+def watch_without_a_way_to_workers(monkeypatch: pytest.MonkeyPatch) -> CrashWatch:
+    """Return the crash watch of a gateway whose checks of workers get no answer."""
+
+    async def has_exited(address: str, timeout_seconds: float) -> bool:
+        await asyncio.Event().wait()
+        return False
+
+    monkeypatch.setattr(crash_watch, "has_exited", has_exited)
+    return CrashWatch(WorkerStatisticsTable(), DecisionLog(None, "n"), NodeMetrics())
+
+
+def crash_of_worker(age: float) -> CrashReport:
+    return CrashReport.from_requests("w", age, [RequestAtCrash("07" * 8)], incomplete=False)
+
+
+@pytest.mark.parametrize("reported_first", [False, True])
+async def test_request_sent_through_a_member_is_in_the_record_of_its_workers_crash(
+    monkeypatch: pytest.MonkeyPatch, reported_first: bool
+) -> None:
+    """Guards against neighbours that are blamed for what a partitioned gateway's request did."""
+    watch = watch_without_a_way_to_workers(monkeypatch)
+    if reported_first:
+        watch.apply_reports([crash_of_worker(0.1)], "member")
+    watch.record_connection_failure(CALL, WORKER)
+    await asyncio.sleep(0)
+    if not reported_first:
+        watch.apply_reports([crash_of_worker(0.1)], "member")
+    (record,) = watch.quarantine.records
+    assert CALL.fingerprint in record.requests
+    await watch.close()
+
+
+async def test_request_is_not_in_the_record_of_a_crash_long_before_it_failed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    watch = watch_without_a_way_to_workers(monkeypatch)
+    watch.apply_reports([crash_of_worker(5.0)], "member")
+    watch.record_connection_failure(CALL, WORKER)
+    await asyncio.sleep(0)
+    (record,) = watch.quarantine.records
+    assert CALL.fingerprint not in record.requests
+    await watch.close()
