Prompt parts: a request that crashes engines by itself is no evidence against its parts

Callers saw: requests with a usual part refused for some seconds. Cause: crashes of requests that are held for themselves counted against their parts; the progress of one service's runs counted against parts of another. Ruled out: lost reports (records were whole at all gateways). Change: judged requests explain crashes; progress by service.

--- a/src/corkcrank/scheduling/crash_records.py
+++ b/src/corkcrank/scheduling/crash_records.py
@@ -1,11 +1,11 @@
 """Stores one gateway's records of worker crashes, merged from local observations and peer reports.
 
-Merging is commutative and idempotent, so reports may arrive repeatedly and in any order: a request
-that any gateway saw at a worker was there, a request that any gateway cleared is cleared, and of
-several runs of a request the one that progressed least counts. Reports hold ages instead of times,
-since the clocks of machines are not compared. Of two times of the same crash the earlier one is
-kept, so that relaying a report never makes the crash more recent. The module has no side effects
-and reads no clock: callers pass the current time.
+Merging is commutative and idempotent, so reports may arrive repeatedly and in any order. A merged
+record contains each request that any gateway observed at the worker. A request is cleared if any
+gateway cleared it. Of several runs of a request the one that progressed least counts. Reports hold
+ages instead of times, since the clocks of machines are not compared. Of two times of the same crash
+the earlier one is kept, so that relaying a report never makes the crash more recent. The module has
+no side effects and reads no clock: callers pass the current time.
 """
 
 import math
@@ -63,13 +63,13 @@
 
 
 class SuccessUpdate(IntEnum):
-    """What a success of a part changed in the records of its crashes."""
+    """Change of the records of a part's crashes by a success of the part."""
 
     NONE = 0
     FURTHER = 1
-    """One was known before for each crash; peers need not receive this one at once."""
+    """Each crash already had a success of the part, so peers need no immediate report."""
     FIRST = 2
-    """None was known before for some crash."""
+    """Some crash had no success of the part before."""
 
 
 @dataclass(slots=True)
@@ -120,15 +120,20 @@
         return True
 
     def _add_parts(self, item: RequestAtCrash, now: float) -> bool:
-        """Add the parts of a request's prompt; return whether any is new."""
+        """Add the parts of a request's prompt; return whether anything is new.
+
+        A run that progressed before the crash is a success of its parts before it.
+        """
         added = False
         for part in item.parts or ():
             if part not in self.parts and len(self.parts) >= MAX_PARTS_PER_CRASH:
                 self.mark_incomplete(now)
                 continue
-            holders = self.parts.setdefault(part, PartEntry()).holders
-            added = added or item.request not in holders
-            holders.add(item.request)
+            entry = self.parts.setdefault(part, PartEntry())
+            new_success = item.progressed and not entry.succeeded_before
+            added = added or new_success or item.request not in entry.holders
+            entry.holders.add(item.request)
+            entry.succeeded_before = entry.succeeded_before or item.progressed
         return added
 
     def record_part_success(self, success: PartSuccess, now: float) -> bool:
@@ -145,7 +150,7 @@
         return True
 
     def is_suspect(self, key: str) -> bool:
-        """Return whether a request or part is a suspect: it was there and is not cleared since."""
+        """Return whether a request is not cleared, or a part had no success after the crash."""
         request, part = self.requests.get(key), self.parts.get(key)
         if request is not None:
             return not request.cleared
@@ -161,7 +166,7 @@
         return True
 
     def mark_incomplete(self, now: float) -> bool:
-        """Record that the worker may have had unknown requests; return whether that is new."""
+        """Record that unreported requests may have run there; return whether that is new."""
         if self.incomplete:
             return False
         self.incomplete = True
@@ -173,7 +178,7 @@
         return [request for request, entry in self.requests.items() if not entry.cleared]
 
     def to_report(self, now: float) -> CrashReport:
-        """Return the report for peers; the age is rounded down, so the crash gets no earlier."""
+        """Return the report for peers; the age is rounded down, so the crash appears no earlier."""
         age = max(0.0, math.floor((now - self.at) * 1000.0) / 1000.0)
         return CrashReport.from_requests(
             self.worker_id,
@@ -200,7 +205,7 @@
         ]
 
     def part_successes(self) -> list[PartSuccess]:
-        """Return what is known of the parts' successes."""
+        """Return the recorded successes of the parts."""
         return [
             PartSuccess(part, entry.succeeded_before, entry.succeeded_after)
             for part, entry in self.parts.items()
@@ -247,6 +252,10 @@
         """Return the records of a suspect's crashes that no successful run has cleared."""
         return [record for record in self.for_request(suspect) if record.is_suspect(suspect)]
 
+    def crashed_at(self, worker_id: str) -> float:
+        """Return when a worker crashed, :data:`NEVER` if there is no record of it."""
+        return self._records[worker_id].at if worker_id in self._records else NEVER
+
     def latest_crash_at(self, suspect: str) -> float:
         """Return when a worker last crashed with a suspect in progress."""
         return max((record.at for record in self.for_request(suspect)), default=NEVER)
@@ -281,7 +290,7 @@
         return any(changed)
 
     def record_part_success(self, part: str, at: float, now: float) -> SuccessUpdate:
-        """Record that a run with a part had its first event at a time, and progressed."""
+        """Record a run with a part that progressed; ``at`` is the time of its first event."""
         updates = (
             self.record_success_at(worker_id, part, at, now)
             for worker_id in self._part_workers.get(part, ())
@@ -289,7 +298,7 @@
         return max(updates, default=SuccessUpdate.NONE)
 
     def record_success_at(self, worker_id: str, part: str, at: float, now: float) -> SuccessUpdate:
-        """Record such a run in the record of one worker, if it has the part."""
+        """Record the success of a part in the record of one worker, if that record has the part."""
         record = self._records.get(worker_id)
         entry = record.parts.get(part) if record is not None else None
         if record is None or entry is None or entry.succeeded_after:
@@ -312,8 +321,8 @@
     def record_gateway_failure(self, last_heard_at: float, now: float) -> bool:
         """Record the failure of a gateway; return whether the records changed.
 
-        The gateway could not report its requests at workers that crashed after its last heartbeat,
-        or shortly before it. So the records of these crashes are marked incomplete.
+        The gateway could not report its requests at workers that crashed after its last heartbeat
+        or shortly before. The records of these crashes are marked incomplete.
         """
         since = last_heard_at - UNREPORTED_CRASH_SECONDS
         return any([record.mark_incomplete(now) for record in self if record.at >= since])
--- a/src/corkcrank/scheduling/part_verdicts.py
+++ b/src/corkcrank/scheduling/part_verdicts.py
@@ -1,14 +1,15 @@
 """Decides which prompt parts are to blame for engine crashes, based on the crash records.
 
-A part that crashes each engine that begins to write on it is present at crash after crash, beside
-requests that are otherwise different, and no run with it ever progresses. Parts that most prompts
-share are present at the same crashes; they are told apart by the runs that progressed with them,
-and by the other requests that have them. The verdicts depend only on the records. The module has
-no side effects.
+A part that crashes engines does so as soon as they begin to generate. It appears in crash after
+crash, in otherwise different requests, and no run with it ever progresses. Common parts appear in
+the same crashes; progressed runs and the number of requests with the part distinguish them. Crashes
+for which a request alone is to blame are no evidence against its parts. While no run progresses, a
+missing success is no evidence against a part, so that only its crashes count. The verdicts depend
+only on the records. The module has no side effects.
 """
 
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from corkcrank.scheduling.crash_records import CrashRecord
@@ -16,67 +17,110 @@
     MIN_CERTAINTY_CRASHES,
     MIN_QUARANTINE_CRASHES,
     Verdict,
+    judge_requests,
 )
+from corkcrank.scheduling.part_progress import outlived_crashes
 
 MIN_RIVAL_REQUESTS = 2
-"""A part explains crashes in place of another one from this number of different requests."""
+"""Minimum number of different requests with a part that may explain the crashes of another part."""
+
+MIN_LEAD_CRASHES = 2
+"""Minimum lead in crashes over another part if only the crashes distinguish the two."""
 
 MAX_HOLDERS_PER_CRASH = 1.5
-"""Maximum number of requests for each crash with a part that crashes what begins to write on it:
-some reach an engine before another one with the part has crashed it."""
+"""Maximum number of requests for each crash with a crashing part. It exceeds 1 because some
+requests reach an engine before another one with the part has crashed it."""
 
 
 @dataclass(slots=True)
 class _Part:
     """The evidence on one part.
 
-    ``requests`` maps each crashed worker to the request that is most likely to have crashed it, of
-    those with the part: the one that was at the most crashes. ``rival_requests`` holds, by worker,
-    the crashes of each request without the part that was at more. ``complete`` are the workers
-    whose records are complete. ``succeeded`` says whether a run with the part ever progressed, and
-    ``holders`` are all requests with the part at these crashes.
+    ``requests`` maps each crashed worker to the request with the part that was at the most crashes,
+    which is the most likely cause. ``rival_requests`` holds, by worker, the crashes of each request
+    that may explain the crash instead of the part: the request was at more crashes without the
+    part, or is blamed itself. ``unrelated`` are the crashes with a blamed request that was at other
+    crashes without the part. ``sole`` are the crashes at which all requests with an early run
+    contain the part. ``complete`` are the crashes with a complete record. ``succeeded`` is true if
+    a run with the part ever progressed. ``holders`` are all requests with the part at these
+    crashes.
     """
 
     requests: dict[str, str] = field(default_factory=dict)
     rival_requests: dict[str, list[set[str]]] = field(default_factory=dict)
+    unrelated: set[str] = field(default_factory=set)
+    sole: set[str] = field(default_factory=set)
     complete: set[str] = field(default_factory=set)
     holders: set[str] = field(default_factory=set)
     succeeded: bool = False
 
+    @property
+    def is_rare(self) -> bool:
+        """Return whether few requests have the part, relative to its crashes."""
+        return len(self.holders) <= MAX_HOLDERS_PER_CRASH * len(self.requests)
+
     def different_requests(self, workers: Iterable[str]) -> int:
-        """Return how many different requests stand behind some crashes."""
+        """Return the number of different requests that most likely caused some crashes."""
         return len({self.requests[worker_id] for worker_id in workers})
 
     def explains_request(self, crashes: set[str]) -> bool:
-        """Return whether the part explains why a request without it was at these crashes.
+        """Return whether the part explains why a request was at these crashes.
 
-        A sound request that is resumed beside the part is broken off again and again. The part was
-        at all of the request's crashes then and at others, and hardly more requests have it than
-        engines crashed: the first one that begins on an engine crashes it.
+        A healthy request that shares engines with the part fails repeatedly, and a request with the
+        part crashes each engine. In both cases the part was at all crashes of the request and at
+        others. It is also rare: the first request with the part crashes the engine, so hardly more
+        requests have it than engines crashed.
         """
-        rare = len(self.holders) <= MAX_HOLDERS_PER_CRASH * len(self.requests)
-        return rare and crashes < self.requests.keys()
+        return self.is_rare and crashes < self.requests.keys()
+
+    def explains_nearly_all(self, other: "_Part") -> bool:
+        """Return whether the part may explain another one's crashes, and is no less specific.
+
+        It does if it was at nearly all of them, with most of their different requests.
+        """
+        if self.holders > other.holders:
+            return False
+        shared = self.requests.keys() & other.requests.keys()
+        lead = len(other.requests) - len(shared)
+        requests = other.different_requests(other.requests)
+        return lead < MIN_LEAD_CRASHES and 2 * self.different_requests(shared) > requests
 
     def explains_better_than(self, other: "_Part") -> bool:
-        """Return whether the part explains crashes better than another one that was at them.
+        """Return whether the part explains common crashes better than another part.
 
-        It does if it is more specific. Of two that have both succeeded, the one at more crashes
-        since explains them better too, unless the other one is more specific.
+        A more specific part does, a less specific one does not. Between two parts that succeeded,
+        the one with more crashes does. A part without a success does if it was at all crashes of
+        the other one and at :data:`MIN_LEAD_CRASHES` more, and is rare.
         """
         if self.holders < other.holders:
             return True
-        more = len(self.requests) > len(other.requests)
-        return self.succeeded and more and not other.holders < self.holders
-
-
-def judge_parts(records: Iterable[CrashRecord]) -> Mapping[str, Verdict]:
+        if other.holders < self.holders:
+            return False
+        if self.succeeded:
+            return len(self.requests) > len(other.requests)
+        lead = len(self.requests.keys() - other.requests.keys())
+        contained = other.requests.keys() <= self.requests.keys()
+        return contained and lead >= MIN_LEAD_CRASHES and self.is_rare
+
+
+def judge_parts(
+    records: Iterable[CrashRecord],
+    requests: Collection[str] | None = None,
+    succeeded: Collection[str] = (),
+) -> Mapping[str, Verdict]:
     """Return the prompt parts to blame, with the crashes that each explains.
 
-    The surest one is blamed first: one without any success, then the one that the fewest requests
-    have. What it explains no longer counts against the others.
+    ``requests`` are the requests that the same records blame if no part is to blame. ``succeeded``
+    are parts with a success in other records.
+
+    Parts without a success are blamed first, then those with the fewest requests. Crashes that a
+    blamed part explains no longer count against the others.
     """
-    parts = _collect_evidence(list(records))
+    records = list(records)
+    blamed_requests = judge_requests(records) if requests is None else requests
+    parts = _collect_evidence(records, blamed_requests, {*succeeded, *succeeded_parts(records)})
     rivals = _Rivals(parts)
+    progress = _Progress(records, parts)
     candidates = {
         name
         for name, part in parts.items()
@@ -88,7 +132,8 @@
     explained: set[str] = set()
     while candidates:
         for name in outdated:
-            cases[name] = _unexplained(parts[name], name, rivals, explained)
+            workers = _unexplained(parts[name], name, rivals, explained)
+            cases[name] = progress.telling_crashes(parts[name], workers)
         sufficient = [name for name in candidates if _is_sufficient(parts[name], cases[name])]
         if not sufficient:
             break
@@ -101,32 +146,64 @@
     return blamed
 
 
-def _collect_evidence(records: list[CrashRecord]) -> dict[str, _Part]:
-    crashes: dict[str, set[str]] = {}
-    for record in records:
-        for request, entry in record.requests.items():
-            if entry.early:
-                crashes.setdefault(request, set()).add(record.worker_id)
-    succeeded = {
+def succeeded_parts(records: Iterable[CrashRecord]) -> set[str]:
+    """Return the parts with which a run progressed at any time."""
+    return {
         name
         for record in records
         for name, entry in record.parts.items()
         if entry.succeeded_before or entry.succeeded_after
     }
+
+
+class _EarlyRuns:
+    """The requests with early runs at the crashes.
+
+    ``crashes`` maps each request to the workers that crashed. ``crashes_with`` maps each part and
+    request to the workers that crashed with this part in the request's prompt. ``blamed`` are the
+    requests that are blamed independently of their parts.
+    """
+
+    def __init__(self, records: Iterable[CrashRecord], blamed: Collection[str]) -> None:
+        self.blamed = frozenset(blamed)
+        self.crashes: dict[str, set[str]] = {}
+        self.crashes_with: dict[str, dict[str, set[str]]] = {}
+        for record in records:
+            early = _early_requests(record)
+            for request in early:
+                self.crashes.setdefault(request, set()).add(record.worker_id)
+            for name, entry in record.parts.items():
+                requests = self.crashes_with.setdefault(name, {})
+                for request in entry.holders & early:
+                    requests.setdefault(request, set()).add(record.worker_id)
+
+    def crashed_without(self, request: str, part: str) -> bool:
+        """Return whether a request with a part was also at a crash without the part."""
+        return self.crashes_with[part][request] < self.crashes[request]
+
+
+def _early_requests(record: CrashRecord) -> set[str]:
+    return {request for request, entry in record.requests.items() if entry.early}
+
+
+def _collect_evidence(
+    records: list[CrashRecord], blamed_requests: Collection[str], succeeded: set[str]
+) -> dict[str, _Part]:
+    runs = _EarlyRuns(records, blamed_requests)
     parts: dict[str, _Part] = {}
     for record in records:
-        _add_record(parts, record, crashes, succeeded)
+        _add_record(parts, record, runs, succeeded)
     return parts
 
 
 def _add_record(
-    parts: dict[str, _Part], record: CrashRecord, crashes: dict[str, set[str]], succeeded: set[str]
+    parts: dict[str, _Part], record: CrashRecord, runs: _EarlyRuns, succeeded: set[str]
 ) -> None:
-    early = {request for request, entry in record.requests.items() if entry.early}
+    early = _early_requests(record)
     suspects = [item for item in record.parts.items() if not item[1].succeeded_after]
     if not early or not suspects:
         return
-    repeated = [(request, crashes[request]) for request in early if len(crashes[request]) > 1]
+    repeated = [runs.crashes[request] for request in early if len(runs.crashes[request]) > 1]
     complete = not record.incomplete and all(
         record.requests[request].parts_known for request in early
     )
@@ -135,21 +212,27 @@
         if part is None:
             part = parts[name] = _Part(succeeded=name in succeeded)
         part.holders |= entry.holders
-        holders = entry.holders & early
-        if not holders:
+        if early.isdisjoint(entry.holders):
             continue
-        request = max(holders, key=lambda key: (len(crashes[key]), key))
+        with_part = early & runs.crashes_with[name].keys()
+        request = max(with_part, key=lambda key: (len(runs.crashes[key]), key))
         part.requests[record.worker_id] = request
-        most = len(crashes[request])
-        rivals = [ends for other, ends in repeated if len(ends) > most and other not in holders]
+        most = len(runs.crashes[request])
+        rivals = [crashes for crashes in repeated if len(crashes) > most]
+        for other in with_part & runs.blamed:
+            if runs.crashed_without(other, name):
+                part.unrelated.add(record.worker_id)
+            rivals.append(runs.crashes[other])
         if rivals:
             part.rival_requests[record.worker_id] = rivals
+        if early <= entry.holders:
+            part.sole.add(record.worker_id)
         if complete:
             part.complete.add(record.worker_id)
 
 
 class _Rivals:
-    """The parts that explain crashes in place of others."""
+    """The parts that may explain the crashes of other parts."""
 
     def __init__(self, parts: Mapping[str, _Part]) -> None:
         self._parts = {
@@ -170,11 +253,11 @@
                 self._names.setdefault(worker_id, []).append(name)
 
     def explained(self, part: _Part, name: str, workers: set[str]) -> set[str]:
-        """Return which of a part's crashes a rival explains better.
+        """Return the crashes of a part that a rival explains better.
 
-        Any rival that never succeeded does for a part that has. Otherwise a rival explains crashes
-        if it was at most of them and is the better explanation: if it is not to blame, crashes
-        without it will show that.
+        If the part succeeded, each crash of a rival without a success is explained. Other rivals
+        need most of the crashes and must be the better explanation. If such a rival is not to
+        blame, later crashes without it show that.
         """
         found: set[str] = workers & self._workers if part.succeeded else set()
         shared = Counter(other for worker_id in workers for other in self._names.get(worker_id, ()))
@@ -187,8 +270,38 @@
         return found
 
 
+class _Progress:
+    """The crashes after which a run with any part of the same service progressed.
+
+    A part without a success since such a crash is suspicious, because other parts had one. While no
+    run progresses, a crash counts against a part that has succeeded in two cases: every request at
+    the crash has the part, or the part stands out. A part stands out if no engine has crashed
+    without it since its first crash, and no other part explains nearly all of its crashes.
+    """
+
+    def __init__(self, records: Collection[CrashRecord], parts: Mapping[str, _Part]) -> None:
+        self._parts = parts.values()
+        self._outlived = outlived_crashes(records)
+        self._times = {
+            item.worker_id: item.at for item in records if item.parts and _early_requests(item)
+        }
+
+    def telling_crashes(self, part: _Part, workers: set[str]) -> set[str]:
+        """Return the crashes that count against a part, of its unexplained ones."""
+        if len(workers) < _needed_requests(part) or not part.succeeded or self._stands_out(part):
+            return workers
+        return workers & (self._outlived | part.sole)
+
+    def _stands_out(self, part: _Part) -> bool:
+        first = min(self._times[worker_id] for worker_id in part.requests)
+        since = {worker_id for worker_id, at in self._times.items() if at >= first}
+        return since <= part.requests.keys() and not any(
+            other.explains_nearly_all(part) for other in self._parts if other is not part
+        )
+
+
 def _needed_requests(part: _Part) -> int:
-    """Return behind how many crashes different requests must stand to blame a part."""
+    """Return the number of crashes with different requests that a verdict on a part requires."""
     return MIN_CERTAINTY_CRASHES if part.succeeded else MIN_QUARANTINE_CRASHES
 
 
@@ -200,11 +313,13 @@
 def _unexplained(part: _Part, name: str, rivals: _Rivals, explained: set[str]) -> set[str]:
     """Return the crashes with a part that nothing else explains.
 
-    Those of a part that has succeeded are better explained by a request without the part that was
-    at more crashes, unless the part explains these too.
+    If the part has succeeded, some requests are a better explanation: those that are blamed, and
+    those that were at more crashes without the part. They are not if the part explains all crashes
+    of the request.
     """
     workers = part.requests.keys() - explained
     if part.succeeded:
+        workers -= part.unrelated
         workers -= {
             worker_id
             for worker_id, requests in part.rival_requests.items()
--- a/src/corkcrank/scheduling/request_quarantine.py
+++ b/src/corkcrank/scheduling/request_quarantine.py
@@ -1,22 +1,22 @@
 """Quarantines requests and prompt parts that crash workers, using evidence of all gateways.
 
-A worker crash interrupts every call in progress there, so a single crash says little about any one
-of them. A request is quarantined, that is, no longer sent to workers, if several workers crash
+A worker crash interrupts every call in progress there, so a single crash is weak evidence against
+each of them. A request is quarantined, that is, no longer sent to workers, if several workers crash
 while running it, at any gateway, and it never completes successfully. After its quarantine the
-request is on probation: one attempt at a time in the whole fleet, until an attempt completes
-successfully, or crashes a worker and so starts a longer quarantine.
+request is on probation: the whole fleet makes one attempt at a time. Probation ends when an attempt
+completes successfully, or crashes a worker and so starts a longer quarantine.
 
-Requests that are never alike may share a part of their prompts that crashes the engines which write
-on it. Such a part is a suspect as a request is: with the same records, quarantine and probation,
-named by its fingerprint. No request with the part is sent meanwhile.
+Different requests may share a prompt part that crashes the engines which generate after it. Such a
+part is a suspect too, with the same records, quarantine and probation, identified by its
+fingerprint. No request with a quarantined part is sent.
 
-A crash counts only once other gateways had time to report which requests the worker had
-(:mod:`crash_records`). A request that awaits its verdict is not sent meanwhile.
+A crash counts only once other gateways had time to report the worker's requests
+(:mod:`crash_records`). A request is not sent while its verdict is pending.
 :mod:`crash_verdicts` decides which requests are to blame, :mod:`part_verdicts` which parts. The
 module has no side effects and reads no clock: callers pass the current time.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from enum import StrEnum
 
 from corkcrank.scheduling.crash_records import NEVER, CrashRecord, CrashRecords, SuccessUpdate
@@ -29,7 +29,7 @@
     judge_requests,
 )
 from corkcrank.scheduling.part_successes import PartSuccesses
-from corkcrank.scheduling.part_verdicts import judge_parts
+from corkcrank.scheduling.part_verdicts import judge_parts, succeeded_parts
 from corkcrank.scheduling.probation_trials import ProbationTrials
 from corkcrank.scheduling.quarantine_times import part_quarantine_seconds, quarantine_seconds
 
@@ -37,14 +37,14 @@
 """Retention of a crash record for which no suspect was quarantined."""
 
 MIN_TURN_CRASHES = 2
-"""Minimum number of crashes from which requests that share all of them are sent one at a time."""
+"""Minimum number of crashes that requests share before they are sent one at a time."""
 
 TURN_SECONDS = 0.5
-"""Interval between two such requests: a healthy one gets its first event and progresses for a while
+"""Interval between two such requests. It lets a healthy request progress beyond its first event
 before the next one is sent."""
 
 MAX_TURNS = 4
-"""Maximum number of requests that one request waits for; all later ones are sent together."""
+"""Maximum number of requests that one request waits for; later ones are sent together."""
 
 
 class RequestState(StrEnum):
@@ -59,11 +59,15 @@
 class _Judgement:
     """The verdicts on parts and requests by some records.
 
-    Parts are judged first: requests are not to blame for crashes that a part explains.
+    Requests are not to blame for crashes that a part explains. ``succeeded`` are the parts with a
+    success in any record.
     """
 
-    def __init__(self, records: list[CrashRecord]) -> None:
-        self.parts = judge_parts(records)
+    def __init__(self, records: list[CrashRecord], succeeded: Collection[str] = ()) -> None:
+        self.requests = judge_requests(records)
+        self.parts = judge_parts(records, self.requests, succeeded)
+        if not self.parts:
+            return
         explained = {
             record.worker_id
             for record in records
@@ -76,8 +80,7 @@
 class RequestQuarantine:
     """The evidence of all gateways on every request and part in progress at a worker crash.
 
-    ``probation_offset`` is the time by which this gateway's probation of a part begins late, in
-    seconds.
+    ``probation_offset`` delays this gateway's probation of a part, in seconds.
     """
 
     def __init__(self, probation_offset: float = 0.0) -> None:
@@ -107,7 +110,7 @@
     ) -> bool:
         """Record that a worker crashed with a request in progress; return whether that is new.
 
-        ``progressed`` is true if the request had been running for a while. ``parts`` are the shared
+        ``progressed`` is true if the request ran beyond its early phase. ``parts`` are the shared
         parts of its prompt.
         """
         item = RequestAtCrash(request, progressed, parts=parts)
@@ -116,7 +119,7 @@
         return self._invalidate_if_changed(changed)
 
     def record_success(self, suspect: str, now: float) -> bool:
-        """Record that a suspect is cleared; return whether any crash counted against it."""
+        """Clear a suspect; return whether any crash counted against it."""
         cleared = self.records.clear_request(suspect, now)
         if suspect in self.records.parts():
             cleared = self.records.clear_part(suspect, now)
@@ -125,7 +128,7 @@
     def record_progress(self, parts: Iterable[str], at: float, now: float) -> bool:
         """Record that a run whose prompt has these parts, with its first event ``at``, progressed.
 
-        Returns whether peers should know at once.
+        Returns whether to report it to peers immediately.
         """
         update = SuccessUpdate.NONE
         for part in parts:
@@ -160,9 +163,9 @@
         return RequestState.SUSPECTED if suspected else RequestState.HEALTHY
 
     def seconds_left(self, suspect: str, now: float) -> float:
-        """Return for how many seconds a request or part may not be sent, 0 if it may.
+        """Return the seconds until a request or part may be sent, 0 if it may.
 
-        On probation it may be sent again once the last attempt's time has passed.
+        On probation, it may be sent again after the time reserved for the last attempt.
         """
         state = self.state(suspect, now)
         if state is RequestState.QUARANTINED:
@@ -172,11 +175,10 @@
         return 0.0
 
     def seconds_to_wait(self, suspect: str, now: float) -> float:
-        """Return how long a suspect that is not blamed waits before it is sent, 0 if it need not.
+        """Return the seconds that a suspect without blame waits before it is sent, 0 for none.
 
-        It waits for its verdict if records that are not decidable yet may lead to its blame.
-        Requests that share the same crashes are then sent one at a time, so that the next crash
-        distinguishes them.
+        It waits for its verdict if undecided records may put it to blame. Requests that share the
+        same crashes are then sent one at a time, so that the next crash distinguishes them.
         """
         if suspect in self.records.parts():
             return self._seconds_to_part_verdict(suspect, now)
@@ -229,17 +231,21 @@
         return sorted(self._decided.parts)
 
     def next_decidable_at(self, now: float) -> float:
-        """Return when the next record becomes decidable, infinity if all are."""
+        """Return when the next record becomes decidable, infinity if all are decidable."""
         waiting = [item.decidable_at for item in self.records if item.decidable_at > now]
         return min(waiting, default=float("inf"))
 
     def _judge(self, now: float) -> None:
         if now < self._judged_until:
             return
-        self._decided = _Judgement([item for item in self.records if item.decidable_at <= now])
+        records = list(self.records)
+        succeeded = succeeded_parts(records)
+        self._decided = _Judgement(
+            [item for item in records if item.decidable_at <= now], succeeded
+        )
         self._judged_until = self.next_decidable_at(now)
         undecided = self._judged_until < float("inf")
-        self._expected = _Judgement(list(self.records)) if undecided else self._decided
+        self._expected = _Judgement(records, succeeded) if undecided else self._decided
 
     def _invalidate_if_changed(self, changed: bool) -> bool:
         if changed:
@@ -247,7 +253,7 @@
         return changed
 
     def _apply_known_successes(self, worker_id: str, parts: Iterable[str], now: float) -> bool:
-        """Add what this gateway knows of parts to a crash record; return whether that is new."""
+        """Add the known successes of parts to a crash record; return whether any is new."""
         update = SuccessUpdate.NONE
         for part in parts:
             at = self._successes.latest(part, now)
@@ -256,7 +262,7 @@
         return update is not SuccessUpdate.NONE
 
     def _seconds_to_part_verdict(self, part: str, now: float) -> float:
-        """Return how long requests with a part wait that records not decidable yet would blame."""
+        """Return the seconds until a verdict on a part that undecided records would blame."""
         self._judge(now)
         if part in self._decided.parts or part not in self._expected.parts:
             return 0.0
@@ -270,7 +276,7 @@
         return times[-1] + quarantine_seconds(len(times))
 
     def _turns_ahead(self, request: str, ends: list[CrashRecord], now: float) -> int:
-        """Return how many requests that share all of these crashes are sent before a request."""
+        """Return the number of requests sharing all of these crashes that are sent first."""
         verdicts = self.verdicts(now)
         rivals = set.intersection(*(set(record.suspects()) for record in ends))
         before = [key for key in rivals if key < request and key not in verdicts]
@@ -301,7 +307,7 @@
         self._trials.prune(suspects, now - EVIDENCE_RETENTION_SECONDS)
 
     def _is_expired(self, record: CrashRecord, now: float) -> bool:
-        """Return whether a record is to be removed: it is no evidence on any suspect any more."""
+        """Return whether a record is no longer evidence on any suspect and can be removed."""
         if now - record.at <= EVIDENCE_RETENTION_SECONDS:
             return False
         blamed = [part for part in self.blamed_parts(now) if record.is_suspect(part)]
@@ -311,10 +317,10 @@
         )
 
     def _retention_seconds(self, suspect: str) -> float:
-        """Return for how long after a suspect's last crash its crash records are kept at least.
+        """Return the minimum retention of crash records after a suspect's last crash, in seconds.
 
-        A suspect is blamed only as long as its records exist. Twice the quarantine leaves it on
-        probation for at least as long as it was quarantined, before it counts as healthy again.
+        A suspect is blamed only as long as its records exist. Twice the quarantine keeps it on
+        probation for at least as long as it was quarantined.
         """
         crashes = len(self.records.suspected_crashes(suspect))
         if crashes < MIN_QUARANTINE_CRASHES:
--- a/tests/platform/test_quarantined_requests.py
+++ b/tests/platform/test_quarantined_requests.py
@@ -256,3 +256,21 @@
         written = calls.count("/rows-tx")
         await rows._write()
         assert calls.count("/rows-tx") == written
+
+
+async def test_successes_of_parts_survive_the_stop_of_every_gateway() -> None:
+    """Guards against a row that is not written again when a run with a part progresses."""
+    request, part = "ca" * 8, "f1" * 8
+    async with world(configuration(1, ROUTES), workers_by_id("plain", plain_workers())) as running:
+        quarantine, rows = running.nodes[0].crash_watch.quarantine, running.store.rows
+        for number in range(3):
+            quarantine.record_crash(request, f"gone-{number}", clock.now(), parts=(part,))
+        await until(lambda: ("quarantine", request) in rows)
+        quarantine.record_progress((part,), clock.now(), clock.now())
+        await until(lambda: f'"cleared":["{part}"]' in str(rows["quarantine", request]))
+        await running.nodes[0].stop()
+        async with gateway_with_store_only(running) as node:
+            await until(lambda: quarantined_at(node) == [request])
+            records = node.crash_watch.quarantine.records.for_request(part)
+            assert len(records) == 3
+            assert all(record.parts[part].succeeded_after for record in records)
--- a/tests/scheduling/crash_play.py
+++ b/tests/scheduling/crash_play.py
@@ -181,7 +181,7 @@
     def _run_at(self, engine: _Engine, call: _Call) -> None:
         self._numbers += 1
         number, incarnation = self._numbers, engine.incarnation
-        first_event = self.now + self._random.uniform(*FIRST_EVENT_SECONDS)
+        first_event = self.now + self._random.uniform(*self._first_event_seconds())
         if call.crashing:
             first_event = self.now if self._load.event_first else float("inf")
         engine.running[number] = _Run(call, first_event)
@@ -194,6 +194,10 @@
             progressed_at = first_event + min(seconds, EARLY_RUN_SECONDS + 0.01)
             self._schedule(progressed_at, lambda: self._progress(engine, incarnation, number))
 
+    def _first_event_seconds(self) -> tuple[float, float]:
+        """Return the bounds of the time from the begin of a run to its first event."""
+        return FIRST_EVENT_SECONDS
+
     def _progress(self, engine: _Engine, incarnation: str, number: int) -> None:
         if engine.incarnation != incarnation or number not in engine.running:
             return
--- a/tests/scheduling/played_network.py
+++ b/tests/scheduling/played_network.py
@@ -242,7 +242,7 @@
             """Replace a client that is connected to workers."""
 
         async def run_call(
-            self, worker: WorkerRecord, call: StageCall, known: dict[str, None]
+            self, worker: WorkerRecord, call: StageCall, known: dict[str, None], outlast: object
         ) -> list[PieceResult] | None:
             return await simulation.workers[worker.worker_id].send_call(call)
 
@@ -288,6 +288,8 @@
             services.statements.record_response(worker, HTTPStatus.OK, headers)
         if simulation.scenario.room is not None:
             accepted = simulation.rooms.try_begin(worker)
+            if accepted:
+                await simulation.rooms.wait_for_head(worker)
             status = HTTPStatus.OK if accepted else HTTPStatus.SERVICE_UNAVAILABLE
             services.statements.record_response(worker, status, simulation.rooms.headers)
             if not accepted:
