Soak: silent services and the check "kept"

Cause: no play of the soak let all engines or stage workers fall silent, which is how begun streams were cut. Ruled out: silences of one worker, which the soak had. Change: silences of a whole service, stage workers and engines; seeds divisible by 5 from 72000 on excuse no cut beside a silence.

--- a/tests/soak/first_routes.py
+++ b/tests/soak/first_routes.py
@@ -10,8 +10,11 @@
 ]
 
 
-def first_routes() -> dict[str, dict[str, Any]]:
-    """Return the routes by name."""
+def first_routes(*, silences: bool = False) -> dict[str, dict[str, Any]]:
+    """Return the routes by name; where services fall silent, there is one more.
+
+    It is staged, and its streams may be resumed.
+    """
     routes = [
         route("safe", "safe", "plain", max_attempts=3, timeout_ms=2_000),
         route("once", "unsafe", "plain", timeout_ms=2_000),
@@ -20,4 +23,7 @@
         route("say", "stream", "model", timeout_ms=6_000),
         route("staged", "stream", "model", timeout_ms=6_000, stages=STAGES),
     ]
+    if silences:
+        resumed = {"stream_resume": True, "max_attempts": 3, "timeout_ms": 6_000}
+        routes.append(route("story", "stream", "model", stages=STAGES, **resumed))
     return {str(item["name"]): item for item in routes}
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -20,6 +20,7 @@
 from soak.first_routes import first_routes
 from soak.ledger import Ledger
 from soak.links import FaultLink
+from soak.schedule import FIRST_SILENT_SEED
 from soak.sent_calls import SentCall
 from soak.signal_masks import handles_signals
 from soak.stage_workers import SoakStageWorker
@@ -107,6 +108,7 @@
     def __init__(self, seed: int, nodes: int, bounds: SoakBounds) -> None:
         self.bounds = bounds
         self.ledger = Ledger(bounds)
+        self.silences = seed >= FIRST_SILENT_SEED
         self.source = random.Random(f"fleet {seed}")
         self.store = SoakStore(random.Random(f"store {seed}"))
         self.workers: list[AnyWorker] = []
@@ -131,7 +133,7 @@
         for service in SERVICES:
             for number in range(WORKERS_OF_SERVICE):
                 await self.add_worker(service, ZONES[number % len(ZONES)])
-        self.configure(first_routes())
+        self.configure(first_routes(silences=self.silences))
         self.nodes = [SoakNode(number, self.store.server.address) for number in range(self._count)]
         for node in self.nodes:
             node.callers.unreached_clients = self.ledger.unreached_clients[node.name]
--- a/tests/soak/injector.py
+++ b/tests/soak/injector.py
@@ -29,6 +29,7 @@
     write_foreign_entries,
 )
 from soak.schedule import Fault, FaultKind
+from soak.silent_services import silence_service
 from soak.workers import GREY_KINDS
 
 RESTART_SECONDS = (0.1, 1.5)
@@ -87,6 +88,7 @@
             FaultKind.CUT_FROM_WORKERS: lambda fault: cut_from_workers(fleet, fault),
             FaultKind.WORKERS_BRITTLE: lambda fault: turn_brittle(fleet, fault),
             FaultKind.CRASHING_PART: crashing.play_part,
+            FaultKind.SERVICE_SILENT: lambda fault: silence_service(fleet, fault),
         }
 
     async def play(self, schedule: Sequence[Fault]) -> None:
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -3,7 +3,7 @@
 import hashlib
 import time
 from collections import defaultdict
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from soak.bounds import SoakBounds
@@ -65,6 +65,7 @@
         self.evacuated_since: dict[str, float] = {}
         self.terminated: dict[str, float] = {}
         self.planned_only = False
+        self.check_kept: Callable[[SentCall, Answer], None] = lambda call, answer: None
         self.silent_clients: set[tuple[str, int]] = set()
         self.unreached_clients: dict[str, set[Address]] = defaultdict(set)
 
@@ -259,6 +260,7 @@
         elif answer.status:
             self._check_failure(call, answer)
         self._check_in_time(call, answer)
+        self.check_kept(call, answer)
         if self.planned_only:
             self._check_not_cut(call, answer)
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -23,6 +23,7 @@
 from soak.list_check import check_lists
 from soak.schedule import make_schedule
 from soak.silence_watch import SilenceWatch
+from soak.silent_services import KeptCalls
 from soak.stage_workers import SoakStageWorker
 from soak.take_ups import TakeUps
 
@@ -35,6 +36,9 @@
     RouteUse("say", 2.0, repeatable=False, streamed=True),
     RouteUse("staged", 2.0, repeatable=False, streamed=True, stages=True),
 )
+STORY_USE = RouteUse("story", 3.0, repeatable=True, streamed=True, stages=True)
+"""A route of the soaks in which services fall silent."""
+
 PROBED = tuple(use for use in ROUTE_USES if use.name not in ("extra-0",))
 PROBE_SECONDS = 4.0
 FREED_SECONDS = 2.0
@@ -85,7 +89,10 @@
     SoakStageWorker.lost.clear()
     fleet = SoakFleet(seed, nodes, SoakBounds())
     fleet.ledger.planned_only = planned_only
-    users = Clients(fleet.ledger, ROUTE_USES, fleet.choose_node, random.Random(f"calls {seed}"))
+    if fleet.silences:
+        fleet.ledger.check_kept = KeptCalls(fleet).check
+    uses = (*ROUTE_USES, STORY_USE) if fleet.silences else ROUTE_USES
+    users = Clients(fleet.ledger, uses, fleet.choose_node, random.Random(f"calls {seed}"))
     take_ups = TakeUps(fleet)
     users.on_stream = take_ups.record
     repeaters = Clients(fleet.ledger, (), fleet.choose_node, random.Random(f"crashing {seed}"))
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -1,7 +1,7 @@
 """Generates the random fault schedule of a soak from its seed."""
 
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 
@@ -41,6 +41,7 @@
     CUT_FROM_WORKERS = "nodes lose their links to all workers"
     WORKERS_BRITTLE = "workers fall over if they reject too many calls"
     CRASHING_PART = "requests, never alike, with a prompt part that crashes engines"
+    SERVICE_SILENT = "workers of a service send nothing for a moment"
 
 
 PLANNED = (
@@ -67,6 +68,7 @@
     FaultKind.CUT_FROM_WORKERS,
     FaultKind.WORKERS_BRITTLE,
     FaultKind.CRASHING_PART,
+    FaultKind.SERVICE_SILENT,
 )
 """Kinds with their own random source, so that they don't change a seed's other faults."""
 
@@ -110,6 +112,17 @@
 MEAN_CRASHING_PART_PAUSE_SECONDS = 10.0
 """Mean time from the end of one series of requests with a bad part to the next."""
 
+MEAN_SERVICE_SILENCE_PAUSE_SECONDS = 1.0
+"""Mean time from the end of one silence of a service to the next."""
+
+SERVICE_SILENCE_SECONDS = (1.0, 1.5)
+
+FIRST_SILENT_SEED = 72_000
+"""Services fall silent in the soaks of this seed and of higher ones."""
+
+SILENCES_ONLY_EVERY = 5
+"""Every fifth of these seeds has no other faults, so that nothing excuses a call that is cut."""
+
 MEAN_PAUSE_SECONDS = 0.9
 FAULT_SECONDS = (0.3, 4.5)
 SERIES_SHARE = 0.25
@@ -141,6 +154,8 @@
 
 def make_schedule(seed: int, seconds: float, *, planned_only: bool) -> tuple[Fault, ...]:
     """Return the faults of a soak ordered by start time; some come in short series."""
+    if seed >= FIRST_SILENT_SEED and seed % SILENCES_ONLY_EVERY == 0:
+        return tuple(_silent_services(seed, seconds))
     source = random.Random(f"schedule {seed}")
     kinds = PLANNED if planned_only else tuple(k for k in FaultKind if k not in SEPARATELY_DRAWN)
     weights = [WEIGHTS.get(kind, 1.0) for kind in kinds]
@@ -172,6 +187,8 @@
     faults += _limits(seed, seconds)
     faults += _notices(seed, seconds, planned_only=planned_only)
     faults += _restarts(seed, seconds, planned_only=planned_only)
+    if seed >= FIRST_SILENT_SEED:
+        faults += _silent_services(seed, seconds)
     return tuple(sorted(faults, key=lambda fault: fault.at))
 
 
@@ -264,6 +281,15 @@
     return [fault for faults in drawn for fault in faults]
 
 
+def _silent_services(seed: int, seconds: float) -> list[Fault]:
+    """Return the faults in which workers of a service fall silent; none overlap."""
+    source = random.Random(f"silent services {seed}")
+    pause = MEAN_SERVICE_SILENCE_PAUSE_SECONDS
+    kind = FaultKind.SERVICE_SILENT
+    drawn = _draw_faults_of_kind(kind, source, seconds, pause, overlapping=False)
+    return [replace(fault, seconds=source.uniform(*SERVICE_SILENCE_SECONDS)) for fault in drawn]
+
+
 def _draw_faults_of_kind(
     kind: FaultKind, source: random.Random, seconds: float, pause: float, *, overlapping: bool
 ) -> list[Fault]:
--- a/tests/soak/sent_calls.py
+++ b/tests/soak/sent_calls.py
@@ -21,7 +21,11 @@
 
 @dataclass(slots=True)
 class Run:
-    """One run of a call at a worker."""
+    """One run of a call at a worker.
+
+    ``ended`` is set once the worker has answered or failed, and stays unset if the request's
+    connection was closed before. ``hung`` is set if the worker will never answer it.
+    """
 
     worker_id: str
     service: str
@@ -29,6 +33,9 @@
     sealed: str = ""
     status: int = 0
     broken_off: bool = False
+    worker: object = None
+    ended: bool = False
+    hung: bool = False
 
 
 @dataclass(slots=True)
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -19,6 +19,7 @@
 from soak.links import FaultLink
 from soak.named_limit import NamedLimit
 from soak.request_window import RequestWindow
+from soak.silent_workers import WorkerSilence
 from soak.stage_workers import SoakStageWorker, births, numbers, wrong_inputs
 from soak.stated_notices import StatedNotices
 from soak.stated_pace import StatedPace
@@ -27,6 +28,8 @@
 PLAIN_SECONDS = (0.003, 0.06)
 PAUSE_SECONDS = (0.005, 0.06)
 SLOTS = 8
+
+REPORT_PATH = "/report"
 COLD_SECONDS = 1.0
 """Window in which requests to a cold worker are counted."""
 
@@ -58,6 +61,7 @@
         self.limit = NamedLimit()
         self.notices = StatedNotices()
         self.brittleness = Brittleness()
+        self.silence = WorkerSilence()
         self.pace = StatedPace(random.Random(), stating=False)
 
     @property
@@ -84,6 +88,9 @@
         body = await request.read()
         if request.headers.get(EXPECT) not in (None, self.worker_id):
             return web.Response(status=421, headers={INSTANCE: self.worker_id, **_own(request)})
+        if request.path == REPORT_PATH:
+            await self.silence.wait()
+            return web.json_response({"queued": 0, "active": self.at_work})
         sent = self._ledger.calls.get(request.headers.get(ATTEMPT, ""))
         if sent is not None:
             self.notices.check(self._ledger, sent, self.worker_id, self.link)
@@ -92,7 +99,8 @@
             return web.Response(status=503, headers={NOT_RUN: "1", **told, **self._own(request)})
         kind = self.grey if self._source.random() < self.grey_share else ""
         full = self.brittleness.is_full(self.at_work)
-        if full or kind == "full" or self.at_work >= 4 * SLOTS:
+        full = full or self.silence.rejects_next() or self.at_work >= 4 * SLOTS
+        if full or kind == "full":
             return web.Response(status=503, headers={NOT_RUN: "1", **self._own(request)})
         if SoakStageWorker.lost.intersection(_inputs(request)):
             return web.Response(status=409, headers={NOT_RUN: "1", **self._own(request)})
@@ -116,9 +124,14 @@
             raise ConnectionResetError
         self.at_work += 1
         self.notices.record_response(begun[0].node)
+        run = begun[1]
+        run.worker = self
         try:
-            return await self._serve(request, *begun, kind)
+            response = await self._serve(request, *begun, kind)
+            run.ended = True
+            return response
         finally:
+            run.ended = run.ended or run.broken_off
             self.at_work -= 1
 
     def _check_limits(self, call: SentCall) -> None:
@@ -142,7 +155,9 @@
         transport = request.transport
         assert isinstance(transport, asyncio.Transport)
         if kind == "hang":
+            run.hung = True
             await asyncio.Event().wait()
+        await self.silence.wait(run)
         if kind == "reset":
             run.broken_off = True
             transport.abort()
@@ -158,6 +173,7 @@
         if call.events:
             return await self._stream(request, call, run, headers, kind)
         await asyncio.sleep(self.pace.factor * self._source.uniform(*PLAIN_SECONDS))
+        await self.silence.wait(run)
         body = plain_body(call.call_id, call.body)
         if kind in ("surplus", "cut"):
             return await self._send_raw(transport, run, headers, body, kind)
@@ -209,6 +225,7 @@
                 request.transport.abort()
                 raise ConnectionResetError
             await response.write(data)
+            await self.silence.wait(run)
             await asyncio.sleep(self.pace.factor * self._source.uniform(*PAUSE_SECONDS))
         await response.write_eof()
         return response
