--- a/src/corkcrank/contracts/opaque_call.py
+++ b/src/corkcrank/contracts/opaque_call.py
@@ -4,6 +4,7 @@
 from enum import StrEnum
 from functools import cached_property
 
+from corkcrank.contracts import clock
 from corkcrank.contracts.opaque_configuration import OpaqueRoute
 from corkcrank.contracts.request_fingerprint import part_fingerprint, request_fingerprint
 from corkcrank.contracts.stream_origin import StreamOrigin
@@ -79,6 +80,9 @@
 """Least time between the attempts of a caller that was told to return, in seconds: a little less
 than the shortest time that is told."""
 
+REJECTED_SECONDS = 0.8
+"""Time after which a begun stream may return to a worker that was full: streams end meanwhile."""
+
 MAX_FINGERPRINTED_PARTS = 8
 """Maximum number of a prompt's shared parts that are evidence when its engine crashes."""
 
@@ -95,7 +99,11 @@
     a worker may have started the request itself; running its stages does not count.
     ``first_attempt_recorded`` tells whether the retry budget has counted the first attempt.
     ``origin`` is the software that began the call's stream, ``None`` before its first event.
+    ``unresponsive_workers`` are those that did not answer when the call was last to be moved.
+    ``left_workers`` were sent the call and left, or not needed, without a failure of theirs.
+    ``rejected_at`` holds when workers last rejected the call because they were full.
     ``claimed`` tells whether the caller was refused before and returned at the time told.
+    ``place_wait_seconds`` is how long the call has waited for places at brittle workers.
     """
 
     envelope: CallEnvelope
@@ -118,7 +126,11 @@
     first_attempt_recorded: bool = False
     origin: StreamOrigin | None = None
     claimed: bool = False
+    unresponsive_workers: frozenset[str] = frozenset()
+    left_workers: set[str] = field(default_factory=set)
+    rejected_at: dict[str, float] = field(default_factory=dict)
     step: CallStep = CallStep.UNREAD
+    place_wait_seconds: float = 0.0
 
     @cached_property
     def fingerprint(self) -> str:
@@ -144,6 +156,44 @@
         """Return the id that the caller gave to this attempt."""
         return self.envelope.call_id
 
+    @property
+    def excluded_workers(self) -> tuple[str, ...]:
+        """Return the workers that the call must not be sent to next."""
+        returnable = self.returnable_workers
+        tried = (worker_id for worker_id in self.workers_tried if worker_id not in returnable)
+        return (*tried, *self.unresponsive_workers)
+
+    @property
+    def returnable_workers(self) -> frozenset[str]:
+        """Return the workers that have received the call and may be sent it again."""
+        left = (item for item in self.left_workers if self.workers_tried.count(item) == 1)
+        return frozenset((*left, *self._workers_with_room_again()))
+
+    def _workers_with_room_again(self) -> list[str]:
+        """Return the workers that rejected a begun stream long enough ago to have room now."""
+        if not self.answer_begun:
+            return []
+        latest = clock.now() - REJECTED_SECONDS
+        return [worker_id for worker_id, at in self.rejected_at.items() if at <= latest]
+
+    @property
+    def has_attempt_left(self) -> bool:
+        """Return whether the call may be sent to a worker, now or once a full one may have room."""
+        if self._may_try_new_worker or self.returnable_workers:
+            return True
+        return self.answer_begun and bool(self.rejected_at)
+
+    def allows_attempt_at(self, worker: WorkerRecord) -> bool:
+        """Return whether the route's maximum of attempts allows one at a worker.
+
+        The maximum is one of workers: an attempt at one that was tried does not add to it.
+        """
+        return self._may_try_new_worker or worker.worker_id in self.workers_tried
+
+    @property
+    def _may_try_new_worker(self) -> bool:
+        return len(set(self.workers_tried)) < self.route.maximum_attempts
+
     def may_continue_at(self, worker: WorkerRecord) -> bool:
         """Return whether a worker may write the next events of the call's stream.
 
--- a/src/corkcrank/gateway/pipeline_run.py
+++ b/src/corkcrank/gateway/pipeline_run.py
@@ -26,6 +26,7 @@
 from corkcrank.gateway.answer_checks import matches_stage_call
 from corkcrank.gateway.decode_pace import DecodePace
 from corkcrank.gateway.dispatch import Dispatcher
+from corkcrank.gateway.silent_attempts import await_attempt
 from corkcrank.gateway.stage_process import (
     AbandonStage,
     AttemptAnswered,
@@ -94,7 +95,7 @@
     work_started: bool = False
 
     async def run(self) -> None:
-        """Run every stage; raises :class:`StageAbandonedError`."""
+        """Run every stage; raise :class:`StageAbandonedError` if one is abandoned."""
         question = self.text
         for number, stage in enumerate(self.pipeline.stages):
             started = clock.now()
@@ -150,12 +151,17 @@
         process = self._process(stage, affinity="")
 
         async def attempt(send: SendAttempt) -> StageEvent:
-            return await self._attempt_pool(number, stage, service, send)
+            return await self._attempt_pool(number, stage, service, send, process)
 
         await self._run_attempts(stage, process, attempt)
 
     async def _attempt_pool(
-        self, number: int, stage: Stage, service: Service, send: SendAttempt
+        self,
+        number: int,
+        stage: Stage,
+        service: Service,
+        send: SendAttempt,
+        process: StageProcess,
     ) -> StageEvent:
         call = StageCall(
             request=self.request,
@@ -167,9 +173,14 @@
             rank=self.rank,
         )
         with self.dispatcher.count_in_flight(send.worker) as address:
-            outcome = await self.dispatcher.back_ends.call_stage(
-                address, call, self._attempt_timeout_seconds(stage)
-            )
+            try:
+                outcome = await await_attempt(
+                    self.dispatcher.back_ends.call_stage(address, call, self._seconds_left()),
+                    lambda: self._attempt_timeout_seconds(stage),
+                    lambda: process.reserve_retry(clock.now()),
+                )
+            except TimeoutError:
+                return AttemptFailed(send.attempt)
         if isinstance(outcome, NotSent):
             return AttemptNotSent(send.attempt)
         if not isinstance(outcome, StageAnswer):
@@ -192,7 +203,10 @@
             MIN_ATTEMPT_TIMEOUT_SECONDS,
             ATTEMPT_TIMEOUT_FACTOR * self.times[stage_key(self.pipeline, stage)].seconds,
         )
-        return max(0.001, min(patience, self.deadline - clock.now()))
+        return min(patience, self._seconds_left())
+
+    def _seconds_left(self) -> float:
+        return max(0.001, self.deadline - clock.now())
 
     def _charge(self, stage: Stage, service: Service, busy_seconds: float) -> None:
         cost = busy_seconds * service.cost_per_second
@@ -217,7 +231,7 @@
                 offset=assembler.offset,
                 rank=self.rank,
             )
-            return await self._attempt_stream(stage, service, call, send, assembler)
+            return await self._attempt_stream(stage, service, call, send, assembler, process)
 
         await self._run_attempts(stage, process, attempt)
         self.answer = "".join(assembler.tokens)
@@ -230,12 +244,13 @@
         call: GenerateCall,
         send: SendAttempt,
         assembler: StreamAssembler,
+        process: StageProcess,
     ) -> StageEvent:
         assembler.begin(send.attempt)
         first_offset = assembler.offset
         with self.dispatcher.count_in_flight(send.worker) as address:
             try:
-                await self._read_stream(stage, service, call, address, assembler)
+                await self._read_stream(stage, service, call, address, assembler, process)
             except TooLateError:
                 await self.dispatcher.back_ends.cancel_attempt(address, send.attempt)
                 return AttemptTooLate(send.attempt)
@@ -248,8 +263,8 @@
                 await self.dispatcher.back_ends.cancel_attempt(address, send.attempt)
                 return AttemptFailed(send.attempt)
             except (asyncio.CancelledError, ConnectionError):
-                # The caller disconnected: free the engine's slot first. The disconnect
-                # appears as a cancellation, or as an error if a token is written before that.
+                # The caller disconnected, which raises a cancellation, or an error if a token is
+                # written before it. The engine's slot is freed first.
                 await asyncio.shield(
                     self.dispatcher.back_ends.cancel_attempt(address, send.attempt)
                 )
@@ -263,15 +278,15 @@
         call: GenerateCall,
         address: str,
         assembler: StreamAssembler,
+        process: StageProcess,
     ) -> None:
-        remaining = max(0.001, self.deadline - clock.now())
         times = self.times[stage_key(self.pipeline, stage)]
         scale = self.max_tokens / self.pipeline.max_tokens
         usual = times.seconds * scale if self.abandons_early else 0.0
         pace = DecodePace(usual, self.max_tokens)
-        chunks = self.dispatcher.back_ends.generate(address, call, remaining)
+        chunks = self.dispatcher.back_ends.generate(address, call, self._seconds_left())
         async with aclosing(chunks):
-            last = await self._forward_chunks(chunks, call, assembler, pace)
+            last = await self._forward_chunks(chunks, call, assembler, pace, process)
         self._charge(stage, service, last.busy_seconds)
         if pace.measured_seconds is not None:
             times.observe_seconds(pace.measured_seconds / scale)
@@ -283,22 +298,28 @@
         call: GenerateCall,
         assembler: StreamAssembler,
         pace: DecodePace,
+        process: StageProcess,
     ) -> TokenChunk:
         """Forward an attempt's tokens as they arrive, and return its last chunk."""
-        while True:
+
+        def begun() -> bool:
+            return assembler.offset > call.offset
+
+        def patience_seconds() -> float:
             slack = pace.slack_seconds(self.deadline - clock.now(), assembler.offset)
             if slack <= 0.0:
                 raise TooLateError
-            begun = assembler.offset > call.offset
-            patience = min(slack, MAX_TOKEN_GAP_SECONDS) if begun else slack
+            return min(slack, MAX_TOKEN_GAP_SECONDS) if begun() else slack
+
+        while True:
             try:
-                chunk = await asyncio.wait_for(chunks.__anext__(), patience)
+                chunk = await await_attempt(
+                    anext(chunks),
+                    patience_seconds,
+                    lambda: begun() and process.reserve_retry(clock.now()),
+                )
             except StopAsyncIteration:
                 raise BackEndError("the stream ended without its last chunk", sent=True) from None
-            except TimeoutError:
-                if patience < slack:
-                    raise
-                raise TooLateError from None
             if assembler.accept(chunk):
                 pace.record_token(clock.now())
                 await self.sink(chunk.index, chunk.token)
@@ -312,7 +333,7 @@
 
 
 def assemble_prompt(question: str, passages: tuple[Passage, ...]) -> str:
-    """Return the prompt; passages come first so that requests with the same ones share a prefix."""
+    """Return the prompt. Passages come first, so that requests with equal ones share a prefix."""
     return "\n".join([*(passage.text for passage in passages), question])
 
 
--- a/src/corkcrank/gateway/stage_process.py
+++ b/src/corkcrank/gateway/stage_process.py
@@ -1,8 +1,8 @@
 """State machine for the attempts of one stage of a request: sends, retries, failure.
 
-The state machine does no I/O. Its caller reports how each attempt ended. It returns the back
-end to try next, or that the stage is finished or abandoned. Answers of earlier attempts are
-ignored.
+The state machine does no I/O. Its caller reports the end of each attempt. The state machine returns
+the back end for the next attempt, or that the stage is finished or abandoned. Answers of earlier
+attempts are ignored.
 """
 
 from collections.abc import Callable
@@ -40,7 +40,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptFailed:
-    """An attempt was cut off, timed out or failed its checks after bytes may have been sent."""
+    """An attempt was interrupted, timed out or failed its checks after bytes may have been sent."""
 
     attempt: AttemptId
 
@@ -70,7 +70,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AbandonStage:
-    """The request fails at once with this failure."""
+    """The request fails immediately with this failure."""
 
     failure: Failure
 
@@ -120,6 +120,7 @@
         self.attempts = 0
         self.current: AttemptId | None = None
         self._tried: frozenset[WorkerId] = frozenset()
+        self._retry_reserved = False
         self.ended = False
 
     def handle(self, event: StageEvent, now: float) -> StageInstruction:
@@ -143,6 +144,19 @@
                 self.work_started = True
                 return self._abandon_late()
 
+    def reserve_retry(self, now: float) -> bool:
+        """Reserve a retry at another back end, to be sent after the current attempt has failed.
+
+        Returns whether a retry is reserved. Without one, a silent attempt must not be abandoned.
+        """
+        if now >= self._deadline or self.attempts >= MAX_ATTEMPTS:
+            return False
+        worker = self._choose(self._tried)
+        if worker is None or worker in self._tried:
+            return False
+        self._retry_reserved = self._retry_reserved or self._budget.try_spend()
+        return self._retry_reserved
+
     def validate(self) -> None:
         """Check the invariants between events."""
         assert self.attempts <= MAX_ATTEMPTS
@@ -152,10 +166,14 @@
         self.current = None
         if now >= self._deadline:
             return self._abandon_late()
-        if self.attempts >= MAX_ATTEMPTS or not self._budget.try_spend():
+        if self.attempts >= MAX_ATTEMPTS or not self._spend_retry():
             return self._abandon(ResultCode.NO_BACKEND, ResultCode.STAGE_FAILED)
         return self._send(now)
 
+    def _spend_retry(self) -> bool:
+        reserved, self._retry_reserved = self._retry_reserved, False
+        return reserved or self._budget.try_spend()
+
     def _send(self, now: float) -> StageInstruction:
         if now >= self._deadline:
             return self._abandon_late()
--- a/src/corkcrank/node/calls/attempts.py
+++ b/src/corkcrank/node/calls/attempts.py
@@ -25,19 +25,19 @@
 """Time for which a worker is avoided after a failed attempt, in seconds."""
 
 FULL_AVOID_SECONDS = 0.15
-"""Time for which a worker is avoided that is full and did not run a call, in seconds."""
+"""Time for which a full worker that did not run a call is avoided, in seconds."""
 
 INPUTS_UNAVAILABLE_STATUS = 409
 """Status of an engine that could not fetch a stage result."""
 
 MIN_FINAL_STATUS = 200
-"""Lowest status of a final answer; aiohttp returns a 101 (protocol switch) as an answer too."""
+"""Minimum status of a final answer; aiohttp also returns a 101 (protocol switch) as an answer."""
 
 MIN_HEAD_SECONDS = 0.01
 """Minimum wait for the head of an answer, even if the call has less time left, in seconds."""
 
 MISDIRECTED_STATUS = 421
-"""Status of a worker that is not the one that the request names."""
+"""Status of a worker other than the one that the request addresses."""
 
 
 class AttemptOutcome(StrEnum):
@@ -49,6 +49,8 @@
     WITHDRAWN = "withdrawn"
     """The worker was no longer available when its connection was ready."""
     LOST = "lost"
+    DROPPED = "dropped"
+    """Another worker answered the call first."""
 
 
 _NOT_RUN_OUTCOMES = frozenset(
@@ -58,7 +60,7 @@
 
 @dataclass(slots=True)
 class Attempt:
-    """An attempt whose answer head arrived, or that failed."""
+    """An attempt that failed or whose answer head arrived."""
 
     worker: WorkerRecord
     outcome: AttemptOutcome
@@ -68,7 +70,12 @@
     inputs_unavailable: bool = False
     silent: bool = False
     rejected: bool = False
-    """Whether the worker rejected the call for want of room."""
+    """Whether the worker rejected the call because it was full."""
+
+    @property
+    def not_run(self) -> bool:
+        """Return whether the worker certainly did not begin the call."""
+        return self.outcome in _NOT_RUN_OUTCOMES
 
     @property
     def status(self) -> int:
@@ -94,16 +101,19 @@
 ) -> Attempt:
     """Send a call to a worker and classify the head of its response.
 
-    ``call.may_have_run`` is set before the first byte is sent, so that it holds if this
-    coroutine is cancelled, and is restored once the worker is known not to have begun the call.
+    Sets ``call.may_have_run`` before the first byte is sent, so that it holds if this coroutine is
+    cancelled. Restores it once it is certain that the worker did not begin the call, unless the
+    call was sent to another worker meanwhile.
+
     If the event loop stalled until the connect timeout, the gateway connects once more. A request
-    that is withdrawn because its worker became unavailable counts as no attempt.
+    that is withdrawn because its worker became unavailable does not count as an attempt.
     """
     services.crash_watch.record_sent(call)
     begun_before, sent_at = call.may_have_run, clock.now()
     belief = services.paces.belief(worker.worker_id, sent_at)
     call.may_have_run = True
     call.workers_tried.append(worker.worker_id)
+    number = len(call.workers_tried)
     services.log.write(
         LogEvent.CALL_SENT,
         call=call.call_id,
@@ -142,17 +152,21 @@
     finally:
         services.worker_statistics.requests.remove(worker.worker_id, len(call.body))
     attempt = _classify_response(services, call, worker, response)
-    if attempt.outcome in _NOT_RUN_OUTCOMES:
+    if attempt.not_run and len(call.workers_tried) == number:
         call.may_have_run = begun_before
     if attempt.outcome is AttemptOutcome.WITHDRAWN:
         call.workers_tried.remove(worker.worker_id)
+    if attempt.rejected:
+        call.rejected_at[worker.worker_id] = clock.now()
+    else:
+        call.rejected_at.pop(worker.worker_id, None)
     _record_attempt(services, call, attempt)
     _log_stated_pace(services, call, attempt, clock.now() - sent_at)
     return attempt
 
 
 def _pace_fields(belief: PaceBelief | None) -> dict[str, float]:
-    """Return what a log line says of the pace that is believed of a worker."""
+    """Return the log fields of a worker's estimated pace."""
     if belief is None:
         return {}
     fields = {"pace": round(belief.factor, 3), "steady_pace": round(belief.steady, 3)}
@@ -164,7 +178,7 @@
 def _log_stated_pace(
     services: CallServices, call: OpaqueCall, attempt: Attempt, seconds: float
 ) -> None:
-    """Log the pace that an answer states, to compare with what was believed at the sending."""
+    """Log the pace that an answer states, for comparison with the estimate at sending."""
     stated = services.paces.stated(attempt.worker.worker_id)
     if stated is None or attempt.outcome is not AttemptOutcome.ANSWERED:
         return
@@ -205,6 +219,7 @@
         outcome = AttemptOutcome.LOST if response.connected else AttemptOutcome.NOT_SENT
         silent = response.trouble is SendTrouble.SILENT
         return Attempt(worker, outcome, response.detail, silent=silent)
+    services.worker_statistics.get_or_create(worker.worker_id).heard_at = clock.now()
     head = services.ports.calls.read_answer(response.headers)
     if head.call_id and head.call_id != call.call_id:
         response.close()
@@ -248,11 +263,32 @@
         services.worker_statistics.get_or_create(worker.worker_id).leaving = True
 
 
+def record_dropped_attempt(
+    services: CallServices, call: OpaqueCall, worker: WorkerRecord, silent_seconds: float
+) -> None:
+    """Record an attempt that was abandoned because another worker answered its call first.
+
+    ``silent_seconds`` is the duration of the worker's silence, 0 if it is not silent.
+    """
+    if not silent_seconds:
+        services.metrics.attempts.labels(AttemptOutcome.DROPPED.value).inc()
+        services.leases.release(call.call_id, worker.worker_id, unanswered=True)
+        return
+    services.client.record_silent_worker(worker, silent_seconds)
+    detail = "another worker answered first"
+    _record_attempt(services, call, Attempt(worker, AttemptOutcome.LOST, detail, silent=True))
+
+
 def _record_attempt(services: CallServices, call: OpaqueCall, attempt: Attempt) -> None:
     services.metrics.attempts.labels(attempt.outcome.value).inc()
     if attempt.outcome is AttemptOutcome.ANSWERED:
         return
-    services.leases.release(call.call_id, attempt.worker.worker_id, rejected=attempt.rejected)
+    services.leases.release(
+        call.call_id,
+        attempt.worker.worker_id,
+        rejected=attempt.rejected,
+        unanswered=attempt.silent,
+    )
     now = clock.now()
     statistics = services.worker_statistics.get_or_create(attempt.worker.worker_id)
     if attempt.outcome is AttemptOutcome.NOT_RUN:
--- a/src/corkcrank/node/calls/plain_run.py
+++ b/src/corkcrank/node/calls/plain_run.py
@@ -1,6 +1,11 @@
-"""Serves a plain call: its answer is read completely before it is sent to the caller."""
+"""Serves a plain call: its answer is read completely before it is sent to the caller.
+
+A repeatable call is hedged: while its worker is silent, it is sent to another worker as well, and
+the first complete answer is sent to the caller.
+"""
 
 from collections.abc import Sequence
+from functools import partial
 
 from aiohttp import web
 
@@ -12,6 +17,7 @@
 from corkcrank.node.callers.drain import abandoned_call_answer
 from corkcrank.node.callers.refusals import Refusal
 from corkcrank.node.calls.attempts import Attempt, AttemptOutcome, attempt_call
+from corkcrank.node.calls.open_attempts import OpenAttempt, OpenAttempts
 from corkcrank.node.calls.services import DEFAULT_PLAIN_SECONDS, MIN_CALL_SECONDS, CallServices
 from corkcrank.node.calls.worker_answers import read_whole_answer
 from corkcrank.node.workers.silence_timeout import SilenceRule
@@ -19,21 +25,21 @@
 from corkcrank.scheduling.worker_choice import rank_workers
 
 SILENCE_FACTOR = 5.0
-"""A repeatable call looks for another worker after this multiple of the mean answer time."""
+"""Silence before a repeatable call is hedged, as a multiple of the mean answer time."""
 
 MIN_SILENCE_SECONDS = 0.15
-"""Minimum wait before a repeatable call looks for another worker, in seconds: a lag of the
-event loop must not count as silence of the worker."""
+"""Minimum silence before a repeatable call is hedged, in seconds. A lag of the event loop must not
+count as silence of the worker."""
 
 UNREPEATABLE_TIME_FACTOR = 10.0
-"""A draining gateway accepts an unrepeatable call if this multiple of the mean answer time is
-left, because a call that is cut off could not be sent again. A repeatable call needs the mean."""
+"""Minimum time left for an unrepeatable call in a draining gateway, as a multiple of the mean time
+of an answer: an interrupted call cannot be retried. A repeatable call needs the mean time."""
 
 CALL_UNITS = 1.0
-"""Units of work of a plain call: calls of one service are taken as equally long."""
+"""Units of work of a plain call: calls of one service are assumed equally long."""
 
 NO_WORKER_RETRY_SECONDS = 0.2
-"""Retry delay sent to the caller when no worker could run the call, in seconds."""
+"""Retry time sent to the caller when no worker could run the call, in seconds."""
 
 
 class PlainRun:
@@ -44,7 +50,8 @@
         self._services = services
         self._last_answer: web.Response | None = None
         self._limit_wait: float | None = None
-        self._chosen: WorkerRecord | None = None
+        self._attempts = OpenAttempts(services, call)
+        self._has_run = False
 
     @property
     def answer_begun(self) -> bool:
@@ -52,7 +59,7 @@
         return False
 
     def fits_before_stop(self) -> bool:
-        """Return true: :meth:`run` compared the usual time with the time left when it began.
+        """Return true: :meth:`run` has compared the usual time with the time left.
 
         A call that began before the stop signal is not compared.
         """
@@ -63,35 +70,43 @@
         return self._last_answer or abandoned_call_answer(self._call)
 
     async def run(self) -> web.StreamResponse | Refusal:
-        """Return the worker's answer, or the refusal that states why there is none."""
+        """Return the worker's answer, or a refusal with its reason."""
         call = self._call
         call.step = CallStep.PLAIN
         if not self._ends_before_stop():
             return Refusal.draining("may take longer than the time left in the drain")
-        while (worker := await self._take_next_worker()) is not None:
-            answer = await self._try_worker(worker)
-            if answer is not None:
-                return answer
-            if call.may_have_run and call.route.kind is CallKind.UNREPEATABLE:
-                break
-        return self._final_refusal()
-
-    async def _take_next_worker(self) -> WorkerRecord | None:
-        """Return the worker of the next attempt: one that is already chosen, or choose it."""
-        chosen, self._chosen = self._chosen, None
-        if chosen is not None and self._services.availability.may_send(chosen):
-            return chosen
-        return await self._start_next_attempt()
-
-    async def _choose_next_worker(self) -> bool:
-        """Choose the worker of the next attempt while this one is under way, if there is any."""
-        self._chosen = await self._start_next_attempt()
-        return self._chosen is not None
-
-    async def _start_next_attempt(self) -> WorkerRecord | None:
-        """Return the worker of the next attempt, or ``None`` if there must be none.
-
-        The attempt is counted in the retry budget; the call must be sent to the worker next.
+        self._start_next_attempt()
+        answer = await self._attempts.wait_for_answer()
+        return answer if answer is not None else self._final_refusal()
+
+    def _start_next_attempt(self) -> None:
+        """Start another attempt, unless an attempt in progress is not silent."""
+        if not self._attempts.any_active:
+            self._attempts.start(self._run_attempt)
+
+    async def _run_attempt(self, attempt: OpenAttempt) -> web.Response | None:
+        """Return the answer of an attempt; start the next attempt if it failed.
+
+        Without a next attempt, returns an earlier answer that states a fault.
+        """
+        worker = await self._choose_next_worker(attempt)
+        answer = await self._try_worker(attempt, worker) if worker is not None else None
+        attempt.ended = True
+        if answer is not None:
+            return answer
+        if worker is not None and self._may_repeat():
+            self._start_next_attempt()
+        return None if self._attempts.any_active else self._last_answer
+
+    def _may_repeat(self) -> bool:
+        """Return whether the call may be sent again after a failed attempt."""
+        call = self._call
+        return not call.may_have_run or call.route.kind is CallKind.REPEATABLE
+
+    async def _choose_next_worker(self, attempt: OpenAttempt) -> WorkerRecord | None:
+        """Return the worker of an attempt, or ``None`` if no attempt is allowed.
+
+        Counts the attempt in the retry budget, so the call must be sent to the worker next.
         """
         call, services = self._call, self._services
         attempts = len(call.workers_tried)
@@ -102,6 +117,9 @@
         worker = await self._choose_worker(clock.now())
         if worker is None or services.crash_watch.quarantine_seconds_left(call):
             return None
+        if self._attempts.any_active_besides(attempt):
+            # A silent worker began to answer in the meantime.
+            return None
         return worker if services.try_start_attempt(call) else None
 
     def _ends_before_stop(self) -> bool:
@@ -115,7 +133,7 @@
         return clock.now() + needed_seconds <= services.drain.answer_by
 
     async def _choose_worker(self, now: float) -> WorkerRecord | None:
-        """Return the worker to try next; a rate-limited one only if its owner grants the call."""
+        """Return the next worker; a rate-limited one only if its owner grants the call."""
         self._limit_wait = None
         usable = self._services.mirror.workers.usable_workers(self._call.service)
         limited = self._services.limits.limited(usable, now)
@@ -134,7 +152,7 @@
         return free[0]
 
     def _count_doubt(self, workers: Sequence[WorkerRecord]) -> float:
-        """Return the calls a slot that peers begin and end between two of their reports."""
+        """Return the calls per slot that peers begin and end between two of their reports."""
         services = self._services
         statistics = [services.worker_statistics.get_or_create(item.worker_id) for item in workers]
         peers_in_flight = sum(item.peers_in_flight for item in statistics)
@@ -146,7 +164,7 @@
     def _rank(
         self, workers: Sequence[WorkerRecord], limited: Sequence[WorkerRecord], now: float
     ) -> list[WorkerRecord]:
-        """Return the workers that may be tried, the best first."""
+        """Return the workers that may be tried, best first."""
         ids = [worker.worker_id for worker in workers]
         factors = self._services.paces.factors(ids, self._call.service, now)
         return rank_workers(
@@ -162,15 +180,18 @@
             doubt=self._count_doubt(workers) if factors else 0.0,
         )
 
-    async def _try_worker(self, worker: WorkerRecord) -> web.Response | None:
+    async def _try_worker(self, attempt: OpenAttempt, worker: WorkerRecord) -> web.Response | None:
+        attempt.begin(worker)
         statistics = self._services.worker_statistics.get_or_create(worker.worker_id)
         statistics.in_flight += 1
         try:
-            return await self._send_and_read(worker)
+            return await self._send_and_read(attempt, worker)
         finally:
             statistics.in_flight -= 1
 
-    async def _send_and_read(self, worker: WorkerRecord) -> web.Response | None:
+    async def _send_and_read(
+        self, open_attempt: OpenAttempt, worker: WorkerRecord
+    ) -> web.Response | None:
         call = self._call
         started = clock.now()
         attempt = await attempt_call(
@@ -179,13 +200,14 @@
             worker,
             call.end_at - started,
             fresh=call.route.kind is CallKind.UNREPEATABLE,
-            silence=self._silence_rule(worker),
+            silence=self._silence_rule(open_attempt, worker),
         )
+        self._has_run = self._has_run or not attempt.not_run
+        call.may_have_run = self._has_run or self._attempts.any_sent_besides(open_attempt)
         if attempt.outcome is not AttemptOutcome.ANSWERED:
             return None
-        # Chosen in the turn in which the head arrived: the call has not left this worker.
-        self._chosen = None
-        response = await self._read_answer(attempt)
+        open_attempt.record_bytes()
+        response = await self._read_answer(attempt, open_attempt)
         if response is None:
             self._services.record_connection_failure(call, worker)
             return None
@@ -194,34 +216,51 @@
         if attempt.status >= MIN_FAULT_STATUS:
             statistics = self._services.worker_statistics.get_or_create(worker.worker_id)
             statistics.failures.append(clock.now())
-            if self._may_try_another():
+            if self._attempts.any_active_besides(open_attempt) or self._may_try_another():
                 self._last_answer = response
                 return None
-        now = clock.now()
-        self._services.plain_times.observe_seconds(call.service, now - started)
-        if attempt.status < MIN_FAULT_STATUS:
+        self._observe_times(worker, clock.now() - started, attempt.status)
+        return response
+
+    def _observe_times(self, worker: WorkerRecord, seconds: float, status: int) -> None:
+        service = self._call.service
+        self._services.plain_times.observe_seconds(service, seconds)
+        if status < MIN_FAULT_STATUS:
             self._services.paces.observe_work(
-                worker.worker_id, call.service, now - started, CALL_UNITS, now
+                worker.worker_id, service, seconds, CALL_UNITS, clock.now()
             )
-        return response
 
-    async def _read_answer(self, attempt: Attempt) -> web.Response | None:
+    async def _read_answer(
+        self, attempt: Attempt, open_attempt: OpenAttempt
+    ) -> web.Response | None:
         left = self._call.end_at - clock.now()
         return await read_whole_answer(
-            self._services, attempt, left, self._silence_rule(attempt.worker)
+            self._services, attempt, left, self._silence_rule(open_attempt, attempt.worker)
         )
 
-    def _silence_rule(self, worker: WorkerRecord) -> SilenceRule | None:
-        """Return when a silent worker is left; an unrepeatable call waits to its deadline.
+    def _silence_rule(self, attempt: OpenAttempt, worker: WorkerRecord) -> SilenceRule | None:
+        """Return the rule for hedging the call, ``None`` for unrepeatable calls.
 
-        A worker where work takes longer at the moment is not silent sooner than the others.
+        The timeout is scaled by the worker's current pace, so that a slow worker is not silent
+        sooner than others.
         """
         if self._call.route.kind is not CallKind.REPEATABLE:
             return None
         usual = self._services.plain_times.mean_seconds(self._call.service, DEFAULT_PLAIN_SECONDS)
         usual *= self._services.paces.factor(worker.worker_id, worker.service, clock.now())
         seconds = max(MIN_SILENCE_SECONDS, SILENCE_FACTOR * usual)
-        return SilenceRule(seconds, self._choose_next_worker)
+        return SilenceRule(seconds, partial(self._hedge, attempt, worker))
+
+    async def _hedge(self, attempt: OpenAttempt, worker: WorkerRecord) -> bool:
+        """Try another worker beside a silent one; return false, so that the attempt continues.
+
+        Closes idle connections to the silent worker, because they may be silent too and later calls
+        would wait on them.
+        """
+        attempt.silent = True
+        self._services.client.drop_idle(worker)
+        self._start_next_attempt()
+        return False
 
     def _may_try_another(self) -> bool:
         """Return whether another worker may be tried."""
--- a/src/corkcrank/node/calls/services.py
+++ b/src/corkcrank/node/calls/services.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from collections import Counter
 from dataclasses import dataclass, field
 
 from corkcrank.contracts import clock
@@ -30,6 +31,7 @@
 from corkcrank.node.telemetry.metrics import NodeMetrics
 from corkcrank.node.workers.crash_watch import CrashWatch
 from corkcrank.node.workers.link_monitor import LinkMonitor
+from corkcrank.node.workers.liveness import LivenessProbes
 from corkcrank.node.workers.worker_availability import WorkerAvailability
 from corkcrank.node.workers.worker_client import WorkerClient
 from corkcrank.node.workers.worker_health import WorkerHealth
@@ -41,6 +43,7 @@
 from corkcrank.scheduling.prefill_isolation import PrefillIsolation, PromptSizes
 from corkcrank.scheduling.prefill_pace import PrefillPace
 from corkcrank.scheduling.recent_prefixes import RecentPrefixes
+from corkcrank.scheduling.refusal_shares import RefusalShares
 from corkcrank.scheduling.return_times import ReturnTimes
 from corkcrank.scheduling.stream_times import StreamTimes
 from corkcrank.scheduling.worker_choice import WorkerStatisticsTable
@@ -59,16 +62,16 @@
 
 
 MAX_LOGGED_WORKERS = 8
-"""Maximum number of workers that one log line names."""
+"""Maximum number of workers in one log line."""
 
 REQUESTS_FULL_RETRY_SECONDS = 1.0
-"""Retry delay sent while every worker's unanswered requests are at their bound, in seconds: workers
+"""Retry time in seconds while every worker is at its bound of unanswered request bytes. Workers
 that read so slowly rarely answer sooner."""
 
 REQUESTS_FULL_DETAIL = "the unanswered requests at every worker are at their bound in bytes"
 
 MIN_CALL_SECONDS = 0.001
-"""Shortest mean time of a call that rates are computed from, in seconds."""
+"""Lower bound of the mean call duration when rates are computed, in seconds."""
 
 
 @dataclass(slots=True)
@@ -97,10 +100,10 @@
 
 @dataclass(slots=True)
 class CallServices:
-    """Everything that is needed to serve a call.
+    """The services that calls use.
 
     ``drain`` is the schedule of a planned stop. ``closing_connections`` is set while this gateway
-    closes connections on which calls may still be waiting.
+    closes connections on which calls may still wait.
     """
 
     ports: PlatformPorts
@@ -136,18 +139,22 @@
     stream_times: StreamTimes = field(default_factory=StreamTimes)
     plain_times: MeanTimes = field(default_factory=MeanTimes)
     forecast_bias: ForecastBias = field(default_factory=ForecastBias)
+    refusal_shares: RefusalShares = field(default_factory=RefusalShares)
     zone_pairs: CountedZonePairs = field(default_factory=CountedZonePairs)
     recent_prefixes: RecentPrefixes = field(default_factory=RecentPrefixes)
     prompt_sizes: PromptSizes = field(default_factory=PromptSizes)
     isolation: PrefillIsolation = field(default_factory=PrefillIsolation)
+    silent_engines: Counter[str] = field(default_factory=Counter)
+    """Number of streams with a search for another engine, by silent engine."""
     prompt_queues: PromptQueues = field(init=False)
     readers: ReaderWatch = field(init=False)
+    liveness: LivenessProbes = field(init=False)
     _fetch_delays: dict[str, FetchDelay] = field(default_factory=dict)
     _budgets: dict[str, FleetRetryBudget] = field(default_factory=dict)
     _backoff_returns: ReturnTimes = field(default_factory=ReturnTimes)
 
     def __post_init__(self) -> None:
-        """Create the parts that follow the features that are on at any time."""
+        """Create the parts that depend on the current features."""
         self.prompt_queues = PromptQueues(
             self.prefill_grants.engine_owner,
             self.paces,
@@ -158,11 +165,12 @@
         )
         self.prefill_grants.queues = self.prompt_queues
 
+        self.liveness = LivenessProbes(self.client, self.ports.stages, self.worker_statistics)
         self.dispatch.weighs_zones = self.weighs_zones
         self.readers = ReaderWatch(self.log, self.metrics, lambda: self.drain.signal_received)
 
     def queues_prompts(self, service: str) -> bool:
-        """Return whether prompts are queued before a service's engines."""
+        """Return whether prompts of a service wait in the queue of the engines' owner."""
         features = self.features
         stated = features.follows_paces and self.paces.has_stated(service)
         return features.competing_callers or stated
@@ -170,12 +178,12 @@
     def weighs_zones(self, service: str) -> bool:
         """Return whether choices for a service depend on the state of zones.
 
-        They do where callers compete, or workers of the service state how long work takes.
+        They do if callers compete or workers of the service state their pace.
         """
         return self.features.competing_callers or self.paces.has_stated(service)
 
     def fetch_delay(self, service: str) -> FetchDelay:
-        """Return the delay after which results that a service's engines fetch may be freed."""
+        """Return the delay after which results fetched by a service's engines may be freed."""
         return self._fetch_delays.setdefault(service, FetchDelay())
 
     def budget(self, service: str) -> FleetRetryBudget:
@@ -190,7 +198,7 @@
         return budget
 
     def apply_bounds(self, bounds: NodeBoundSettings) -> None:
-        """Apply changed bounds; repeats that were already spent stay counted."""
+        """Apply changed bounds; spent retries stay counted."""
         self.bounds = bounds
         for budget in self._budgets.values():
             budget.ratio = bounds.retry_ratio
@@ -198,7 +206,7 @@
             budget.window = bounds.retry_window
 
     def repeats_left(self, now: float) -> dict[str, float]:
-        """Return the repeats left in this gateway's share of each service's budget."""
+        """Return the remaining retries in this gateway's share of each service's budget."""
         members = self.fleet.share_member_count()
         return {
             service: round(budget.remaining(now, members), 2)
@@ -208,7 +216,8 @@
     def no_worker_reachable(self) -> bool:
         """Return whether neither this gateway nor any member reaches a worker.
 
-        A gateway without members cannot tell its own links from its workers, and tries them.
+        A gateway without members cannot distinguish failed links from failed workers, so it tries
+        the workers.
         """
         return self.links.health.partitioned and self.fleet.all_partitioned(clock.now())
 
@@ -223,8 +232,8 @@
     ) -> None:
         """Record that a worker's connection failed, or was ``silent`` for too long.
 
-        ``progressed`` is set if the worker had already worked on the call for a while, ``sent``
-        if the worker may have received it: a call that was never received crashed no worker.
+        ``progressed`` is set if the worker had run the call for a while, ``sent`` if the worker may
+        have received it: a call that was not received cannot have crashed the worker.
         """
         if clock.now() < call.end_at:
             self.health.record_outcome(worker, CallOutcome.CONNECTION_FAILED)
@@ -234,8 +243,8 @@
     def backing_off_refusal(self, call: OpaqueCall) -> Refusal | None:
         """Return the refusal of a call if all workers of its service are in backoff, and log it.
 
-        ``None`` if a worker is available. Callers get different retry times from the end of the
-        first backoff on, as far apart as this gateway's share of the workers serves calls.
+        Returns ``None`` if a worker is available. Retry times begin at the end of the first backoff
+        and are spread over the rate at which this gateway's share of the workers serves calls.
         """
         now = clock.now()
         workers = self.availability.workers_in_backoff(call.service, now)
@@ -258,7 +267,7 @@
         return Refusal.backing_off(retry)
 
     def requests_full_refusal(self, call: OpaqueCall) -> Refusal | None:
-        """Return the refusal of a call if every worker holds as many request bytes as it may."""
+        """Return the refusal of a call if every worker has reached its bound of request bytes."""
         workers = self.mirror.workers.usable_workers(call.service)
         if not workers or not self.availability.all_full_of_requests(workers):
             return None
@@ -267,7 +276,7 @@
         )
 
     def try_start_attempt(self, call: OpaqueCall) -> bool:
-        """Record a call's first attempt, or spend a repeat; return whether it may be sent."""
+        """Record a call's first attempt, or spend a retry; return whether it may be sent."""
         if call.workers_tried:
             return self.try_spend_repeat(call.service)
         if not call.first_attempt_recorded:
@@ -276,12 +285,12 @@
         return True
 
     def can_spend_repeat(self, service: str) -> bool:
-        """Return whether this gateway's share allows a repeat now, without spending it."""
+        """Return whether this gateway's share allows a retry now, without spending it."""
         now = clock.now()
         return self.budget(service).remaining(now, self.fleet.share_member_count()) >= 1.0
 
     def try_spend_repeat(self, service: str) -> bool:
-        """Spend one repeat if this gateway's share of the fleet's retry budget allows it.
+        """Spend one retry if this gateway's share of the fleet's retry budget allows it.
 
         Returns whether it was spent.
         """
--- a/src/corkcrank/node/engines/prefill_client.py
+++ b/src/corkcrank/node/engines/prefill_client.py
@@ -1,4 +1,4 @@
-"""Requests of this gateway's calls for prefill grants, sent to the owners of zones' engines."""
+"""Requests prefill grants for this gateway's calls from the owners of zones' engines."""
 
 import asyncio
 from collections.abc import Callable, Collection, Iterable
@@ -35,18 +35,18 @@
 from corkcrank.scheduling.stated_limits import ReportedLimit, StatedLimits
 
 GRANT_TIMEOUT_SECONDS = 0.15
-"""Timeout for the owner's reply; without a reply the gateway chooses the engine itself."""
+"""Timeout of the owner's reply; without a reply the gateway chooses the engine itself."""
 
 MAX_LOAD_AGE_SECONDS = 3.0
-"""Maximum age of an owner's report of a queue: one and a half heartbeats of the largest fleet."""
+"""Maximum age of an owner's load report: one and a half heartbeats of the largest fleet."""
 
 
 @dataclass(frozen=True, slots=True)
 class PrefillVerdict:
-    """The engine that reads a call's prompt, or after how many seconds one may be available.
+    """The engine that reads a call's prompt, or the seconds until one may be available.
 
-    ``decided`` is unset if no owner decided: none replied, or it named an engine that cannot be
-    used. ``refused`` says that the queue of prompts cannot serve the call in time.
+    ``decided`` is unset if no owner decided: none replied, or its engine cannot be used.
+    ``refused`` is set if the queue of prompts cannot serve the call in time.
     """
 
     engine: WorkerRecord | None
@@ -57,9 +57,9 @@
 
 @dataclass(frozen=True, slots=True)
 class PromptPatience:
-    """How a call may wait for an engine: 0 seconds for one that takes the best at once.
+    """How a call may wait for an engine; 0 seconds for the best engine without a wait.
 
-    A call that has ``begun`` is never refused. ``stream_seconds`` is its stream's usual time.
+    A call that has ``begun`` is never refused. ``stream_seconds`` is its usual stream duration.
     """
 
     seconds: float
@@ -106,9 +106,9 @@
     ) -> PrefillVerdict:
         """Request a grant in the chosen engine's zone; return the engine to send the call to.
 
-        ``patience`` says how the call may wait, where prompts are queued.
-        No engine is returned if the zone's engines are limited and at their limits, and none is
-        decided on if the owner does not reply or names an engine that cannot be used.
+        ``patience`` is the allowed wait if prompts are queued. No engine is returned if the zone's
+        engines are at their rate limits. The result is undecided if the owner does not reply or
+        names an engine that cannot be used.
         """
         now = clock.now()
         engines = self._mirror.workers.usable_in_zone(call.service, chosen.zone)
@@ -118,7 +118,12 @@
             service=call.service,
             zone=chosen.zone,
             prompt=call.envelope.prompt,
-            excluded=(*call.workers_tried, *self._availability.unavailable_ids(engines)),
+            excluded=(
+                *call.excluded_workers,
+                *(item.worker_id for item in engines if not call.allows_attempt_at(item)),
+                *self._availability.unavailable_ids(engines),
+                *self._availability.silent_ids(engines),
+            ),
             long=long,
             repeatable=call.route.idempotent,
             limits=self._reports_for_owner(self._statements.limits, limited, now),
@@ -139,7 +144,8 @@
             granted=grant.worker_id if grant is not None else None,
             limited=grant is not None and grant.limited,
         )
-        if engine is not None and self._availability.may_send_call(call, engine):
+        allowed = engine is not None and call.allows_attempt_at(engine)
+        if engine is not None and allowed and self._availability.may_send_call(call, engine):
             return PrefillVerdict(engine)
         if isinstance(grant, PromptGrant) and grant.refused:
             return PrefillVerdict(None, grant.wait, refused=True)
@@ -148,7 +154,7 @@
         return PrefillVerdict(None, GRANT_TIMEOUT_SECONDS, decided=False)
 
     def _terms(self, call: OpaqueCall, patience: PromptPatience, now: float) -> PromptTerms | None:
-        """Return the terms on which a call waits, ``None`` where prompts are not queued."""
+        """Return the terms of a call's wait, ``None`` if its prompts are not queued."""
         if not self.queues.queues_prompts(call.service):
             return None
         urgency = Urgency(call.rank, call.objective_at - now)
@@ -164,9 +170,9 @@
         )
 
     def wait_seconds(self, service: str, zone: str, rank: Rank) -> float:
-        """Return the wait of a new prompt before a zone's engines, as their owner reports it.
+        """Return the wait of a new prompt for a zone's engines in seconds, by the owner's report.
 
-        0 without a queue, or if the report is too old or makes no sense.
+        Returns 0 without a queue, or if the report is too old or invalid.
         """
         if not self.queues.queues_prompts(service):
             return 0.0
@@ -183,7 +189,7 @@
         return load.start_seconds(rank) if load is not None and load.is_valid else 0.0
 
     def use_without_grant(self, engines: Iterable[WorkerRecord]) -> WorkerRecord | None:
-        """Record a send without a grant to the first engine whose limit allows it; return it."""
+        """Return the first engine within its limit and record a send without a grant to it."""
         now = clock.now()
         for engine in engines:
             if self._limits.may_send(engine, now):
@@ -194,13 +200,13 @@
     def _reports_for_owner(
         self, limits: StatedLimits, engines: Collection[WorkerRecord], now: float
     ) -> tuple[ReportedLimit, ...]:
-        """Return the limits of some engines, to be reported to their owner."""
+        """Return the limits of some engines as reports to their owner."""
         if not engines:
             return ()
         return limits.reports_for_peers(now, {engine.worker_id for engine in engines})
 
     def report_prefill_done(self, call: OpaqueCall, *, read: bool = False) -> None:
-        """Report to the owner, once, that a call's prompt was read or will not be."""
+        """Report to the owner, once, that a call's prompt was read or withdrawn."""
         owner = self._owners.pop(call.call_id, None)
         if owner is None:
             return
@@ -223,11 +229,11 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _ask_until_decided(self, request: PromptRequest) -> tuple[str, PrefillGrant | None]:
-        """Ask the owner of a zone's engines, again while it holds the request; return its name.
+        """Request a grant from the owner, repeatedly while it holds the request; return its name.
 
-        An owner that falls silent or is replaced meanwhile is noticed at the next question. A
-        request that is still held when its call must end is refused. The name is empty if the owner
-        is not asked, since it has not replied lately.
+        Each request detects an owner that became silent or was replaced. A request that is held
+        until its call's deadline is refused. The name is empty if no request is sent because the
+        owner is silent.
         """
         asked_at = clock.now()
         while True:
@@ -262,7 +268,7 @@
 
 
 def _after(request: PromptRequest, seconds: float) -> PromptRequest:
-    """Return a request as it is some seconds after it was made."""
+    """Return a request with its times reduced by ``seconds``."""
     terms = request.terms
     if terms is None or seconds <= 0:
         return request
--- a/src/corkcrank/node/membership/peer_server.py
+++ b/src/corkcrank/node/membership/peer_server.py
@@ -148,7 +148,9 @@
     async def _pieces(self, request: web.BaseRequest) -> web.StreamResponse:
         work = msgspec.msgpack.decode(await self._read(request), type=StageWork)
         _check_still_connected(request)
-        running = asyncio.create_task(self._stage_owner.run_pieces(work))
+        running = asyncio.create_task(
+            self._stage_owner.run_pieces(work, lambda: closed_by_peer(request.transport))
+        )
         try:
             response = await _answer_when_done(request, running)
         except (ConnectionError, asyncio.CancelledError):
--- a/src/corkcrank/node/peers/peer_protocol.py
+++ b/src/corkcrank/node/peers/peer_protocol.py
@@ -61,6 +61,7 @@
     machines are not compared.
     ``last_reads`` are results that only these pieces read, by the worker that holds them.
     ``question`` is a random number by which the requester may withdraw the work; 0 is none.
+    ``final`` says that the pieces are not placed again if their worker is silent.
     """
 
     worker_id: str
@@ -79,6 +80,7 @@
     alone: bool = False
     question: int = 0
     last_reads: tuple[FreeResults, ...] = ()
+    final: bool = False
 
 
 class StageAnswer(msgspec.Struct, frozen=True):
@@ -244,11 +246,15 @@
 
 
 class LeaseRelease(msgspec.Struct, frozen=True):
-    """A call's lease of a brittle worker has ended; ``rejected`` for want of room there."""
+    """A call's lease of a brittle worker has ended; ``rejected`` for want of room there.
+
+    ``unanswered`` says that the call was given up without an answer and may still be on its way.
+    """
 
     worker_id: str
     call_id: str
     rejected: bool = False
+    unanswered: bool = False
 
 
 class WorkersRequest(msgspec.Struct, frozen=True):
--- a/src/corkcrank/node/process/node.py
+++ b/src/corkcrank/node/process/node.py
@@ -288,6 +288,7 @@
         await wait_for_pending_releases(self.services.dispatch.owner_client, self.stage_owner.room)
         await self.stage_owner.close()
         await self.crash_watch.close()
+        await self.services.liveness.close()
         await self._loops.stop()
         self.heartbeats.close()
         if self._readiness is not None:
--- a/src/corkcrank/node/process/state_dump.py
+++ b/src/corkcrank/node/process/state_dump.py
@@ -104,6 +104,7 @@
     rows that this gateway read from the store itself. ``partitioned_seconds`` is the time for
     which this gateway has reached no worker, ``None`` if it reaches workers. ``stream_origins`` is
     the number of streams whose origin it keeps, ``return_claims`` the claims of refused callers.
+    ``silent_engines`` holds by engine how many of its streams wait for the first one to go on.
     """
 
     name: str
@@ -126,6 +127,7 @@
     repeats_left: dict[str, float]
     store_calls: dict[str, int]
     stream_origins: int
+    silent_engines: dict[str, int]
     readers: ReadersDump
     return_claims: ReturnClaimsDump
     zone_capacities: tuple[ZoneCapacityDump, ...]
@@ -158,6 +160,7 @@
         repeats_left=services.repeats_left(now),
         store_calls=dict(mirror.call_counts),
         stream_origins=len(services.origins.origins),
+        silent_engines=dict(services.silent_engines),
         readers=_readers(services),
         return_claims=dump_claims(services.return_offers, now),
         zone_capacities=dump_zone_capacities(services, now),
--- a/src/corkcrank/node/stages/owned_queue.py
+++ b/src/corkcrank/node/stages/owned_queue.py
@@ -12,6 +12,8 @@
 from corkcrank.node.peers.peer_protocol import StageWork
 from corkcrank.node.stages.stage_room import WorkerRoom
 from corkcrank.node.workers.worker_availability import WorkerAvailability
+from corkcrank.node.workers.worker_request import SendTrouble
+from corkcrank.scheduling.batch_filling import StageItem
 from corkcrank.scheduling.stage_queue import QueueForecast, StageCall, StageQueue
 from corkcrank.scheduling.work_stealing import pieces_to_steal
 from corkcrank.scheduling.worker_choice import WorkerStatisticsTable
@@ -21,13 +23,13 @@
 """Time for which a worker is avoided after a failed call."""
 
 FULL_BLOCK_SECONDS = 0.08
-"""Pause after a worker rejected a call as full, because another owner sends to it too."""
+"""Pause after a full worker rejected a call, because another owner sends to it too."""
 
 BRITTLE_BLOCK_SECONDS = 1.0
-"""Pause after a brittle worker rejected a call: it counts its rejections over this time."""
+"""Pause after a brittle worker rejected a call: the window in which it counts rejections."""
 
 MAX_LIMIT_BLOCK_SECONDS = 1.0
-"""Time after which the queue of a rate-limited worker is checked again: the limit may be lifted."""
+"""Interval at which the queue of a rate-limited worker is checked: the limit may be lifted."""
 
 MIN_TIMER_SECONDS = 0.005
 """Minimum time until a queue is checked again."""
@@ -43,6 +45,20 @@
     timer: asyncio.TimerHandle | None = None
     known_handles: dict[str, None] = field(default_factory=dict)
 
+    def cancel_timer(self) -> None:
+        """Cancel the next check of the queue."""
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
+    def set_timer(self, check: Callable[["OwnedQueue"], None], now: float) -> None:
+        """Schedule a check for the queue's next event; replace an earlier schedule."""
+        self.cancel_timer()
+        at = self.queue.next_event_at(now)
+        if at is not None:
+            delay = max(MIN_TIMER_SECONDS, at - now)
+            self.timer = asyncio.get_running_loop().call_later(delay, check, self)
+
 
 class OwnedQueues:
     """The queues of this gateway by worker; ``on_new`` is called with each new queue."""
@@ -65,11 +81,11 @@
         return iter(list(self._queues.values()))
 
     def get(self, worker_id: str) -> OwnedQueue | None:
-        """Return the queue of a worker, if there is one."""
+        """Return the queue of a worker, ``None`` without one."""
         return self._queues.get(worker_id)
 
     def get_or_create(self, worker: WorkerRecord, profile: ServiceProfile) -> OwnedQueue:
-        """Return the queue of a worker, created if needed, with the currently stated capacity."""
+        """Return the queue of a worker with its currently stated capacity; create it if needed."""
         assert profile.stage is not None
         entry = self._queues.get(worker.worker_id)
         if entry is None:
@@ -83,15 +99,31 @@
         return entry
 
     def apply_pace(self, entry: OwnedQueue, now: float) -> None:
-        """Apply how long work takes at a worker now, by its own statement."""
+        """Apply a worker's current pace, by its own statement."""
         entry.queue.passing_pace = self._paces.passing_factor(entry.worker.worker_id, now)
 
     def remove(self, entry: OwnedQueue) -> None:
         """Remove the queue of a worker that is no longer listed."""
-        if entry.timer is not None:
-            entry.timer.cancel()
+        entry.cancel_timer()
         del self._queues[entry.worker.worker_id]
 
+    def record_failure(
+        self, entry: OwnedQueue, trouble: SendTrouble, now: float
+    ) -> list[StageItem]:
+        """Record that a call to a worker failed; return the queued pieces to be placed again.
+
+        Final pieces stay queued if the worker is silent.
+        """
+        statistics = self._worker_statistics.get_or_create(entry.worker.worker_id)
+        statistics.failures.append(now)
+        statistics.avoid_until = now + AVOID_SECONDS
+        if trouble is SendTrouble.REFUSED:
+            statistics.record_end(now)
+        entry.queue.block_calls(now, FULL_BLOCK_SECONDS)
+        if trouble is SendTrouble.SILENT:
+            return entry.queue.remove_repeated()
+        return entry.queue.remove_all()
+
     def siblings(self, entry: OwnedQueue) -> list[OwnedQueue]:
         """Return the queues of the other workers of the same service and zone."""
         pool = (entry.worker.service, entry.worker.zone)
@@ -106,12 +138,12 @@
     ) -> tuple[OwnedQueue, QueueForecast] | None:
         """Return the queue of the worker's pool with the earliest forecast end, and the forecast.
 
-        Returns ``None`` if no worker of the pool accepts work. Forecasts contain the backoffs that
-        workers requested of this gateway.
+        Returns ``None`` if no worker of the pool accepts work. Forecasts include the backoffs that
+        workers requested from this gateway.
 
-        The sender of pieces knows the queues only from reports, a second old in a large fleet; the
-        owner knows their current state. This prevents that in bursts the most urgent route waits
-        for workers that have filled up since the report (test_fleet_play.py).
+        The sender of pieces knows the queues only from reports, which are a second old in a large
+        fleet. The owner knows their current state, and so prevents urgent work in a burst from
+        waiting for workers that have filled up since the report.
         """
         urgency = work.urgency.to_local_clock(now)
         choices = []
@@ -136,7 +168,7 @@
             entry.queue.submit(piece.stage_item)
 
     def _is_unhealthy(self, worker: WorkerRecord, now: float) -> bool:
-        """Return whether a worker failed just now, or is ejected."""
+        """Return whether a worker failed recently or is ejected."""
         statistics = self._worker_statistics.get_or_create(worker.worker_id)
         return statistics.avoid_until > now or statistics.is_last_resort(repeatable=True)
 
@@ -159,7 +191,7 @@
 def start_call_if_allowed(
     entry: OwnedQueue, limits: WorkerLimits, availability: WorkerAvailability, now: float
 ) -> StageCall | None:
-    """Start the next call of a queue, or return ``None`` if its worker may be sent none now."""
+    """Start the next call of a queue, or return ``None`` if its worker must get none now."""
     block_if_limited(entry, limits, availability, now)
     if not availability.may_send(entry.worker):
         return None
--- a/src/corkcrank/node/stages/piece_waiters.py
+++ b/src/corkcrank/node/stages/piece_waiters.py
@@ -1,13 +1,14 @@
-"""The callers that wait for the results of pieces queued at an owner of stage workers."""
+"""Tracks callers that wait for the results of pieces queued at an owner of stage workers."""
 
 import asyncio
+from collections.abc import Sequence
 
 from corkcrank.links.platform_ports import PieceResult
 from corkcrank.scheduling.batch_filling import StageItem
 
 
 class PieceWaiters:
-    """A future for each queued or running piece whose caller still waits."""
+    """A future for each queued or running piece that a caller awaits."""
 
     def __init__(self) -> None:
         self._futures: dict[int, asyncio.Future[PieceResult]] = {}
@@ -18,8 +19,24 @@
         self._futures[id(stage_item)] = future
         return future
 
+    @property
+    def any_awaited(self) -> bool:
+        """Return whether the caller of any piece still waits for it."""
+        return any(not future.done() for future in self._futures.values())
+
+    def awaits(self, stage_item: StageItem) -> bool:
+        """Return whether the caller of a piece still waits for it."""
+        future = self._futures.get(id(stage_item))
+        return future is not None and not future.done()
+
+    async def wait_while_awaited(self, stage_items: Sequence[StageItem]) -> None:
+        """Wait until no caller waits for any of the pieces."""
+        futures = [self._futures[id(item)] for item in stage_items if self.awaits(item)]
+        if futures:
+            await asyncio.wait(futures)
+
     def discard(self, stage_item: StageItem) -> None:
-        """Remove a piece whose caller has left."""
+        """Remove a piece that its caller no longer awaits."""
         self._futures.pop(id(stage_item), None)
 
     def set_result(self, stage_item: StageItem, result: PieceResult) -> bool:
--- a/src/corkcrank/node/stages/stage_messages.py
+++ b/src/corkcrank/node/stages/stage_messages.py
@@ -1,4 +1,4 @@
-"""Builds what an owner of stage workers sends and logs: loads, answers, log fields."""
+"""Builds the loads, answers and log fields of an owner of stage workers."""
 
 from collections.abc import Sequence
 from typing import Any
@@ -24,7 +24,7 @@
 
 
 def build_stage_load(worker_id: str, queue: StageQueue, now: float) -> StageLoad:
-    """Return the load of a queue as heartbeats report it."""
+    """Return the load of a queue for heartbeats."""
     most_urgent = Urgency((-1, -1), float("inf"))
     starts = tuple(
         (rank, round(queue.forecast(now, Urgency(rank, float("inf")), 1, 0.0).start, 3))
@@ -49,6 +49,8 @@
 def build_stage_item(work: StageWork, piece: int, now: float) -> StageItem:
     """Return the queue item of one piece, with its times converted to this machine's clock."""
     order = PieceOrder(work.call_id, work.stage, piece, work.key, work.inputs)
+    # If inputs are freed that no other piece reads, a silent worker causes a rerun of all stages.
+    final = work.final and not work.last_reads
     return StageItem(
         order=order,
         result_bytes=work.result_bytes,
@@ -57,6 +59,7 @@
         end_at=now + work.remaining,
         submitted_at=now,
         alone=work.alone,
+        final=final,
     )
 
 
@@ -67,7 +70,7 @@
 
 
 def seconds_since_abandoned(stage_items: Sequence[StageItem], now: float) -> dict[str, float]:
-    """Return the calls that cancelled pieces of a batch, and how many seconds ago."""
+    """Return the calls that abandoned pieces of a batch, and the seconds since then."""
     return {
         stage_item.order.call_id: round(now - stage_item.abandoned_at, 3)
         for stage_item in stage_items
--- a/src/corkcrank/node/stages/stage_owner.py
+++ b/src/corkcrank/node/stages/stage_owner.py
@@ -39,8 +39,8 @@
 from corkcrank.node.stages.stage_room import StageRoom
 from corkcrank.node.stages.stage_worker_client import StageWorkerClient
 from corkcrank.node.workers.worker_availability import WorkerAvailability
-from corkcrank.node.workers.worker_request import SendFailure, SendTrouble
-from corkcrank.scheduling.batch_filling import StageItem
+from corkcrank.node.workers.worker_request import SILENT_FAILURE, SendFailure, SendTrouble
+from corkcrank.scheduling.batch_filling import HasLeft, StageItem, never_leaves
 from corkcrank.scheduling.stage_queue import StageCall, StageQueue
 from corkcrank.scheduling.worker_choice import WorkerStatisticsTable
 from corkcrank.scheduling.worker_outcomes import CallOutcome
@@ -53,8 +53,8 @@
     Accepts work even if this gateway does not consider itself the owner: membership views differ
     for a short time, and a worker's own queue can serve two owners.
 
-    ``on_release`` is called with an abandoned call's step, ``queued`` or ``stages``, and the
-    seconds until no worker ran it; ``on_outcome`` with a worker and the outcome of a call to it.
+    ``on_release`` is called with the step of an abandoned call, ``queued`` or ``stages``, and the
+    seconds until no worker ran it. ``on_outcome`` is called with a worker and a call's outcome.
     """
 
     def __init__(
@@ -70,7 +70,6 @@
         self._mirror = mirror
         self.paces = paces if paces is not None else WorkerPaces()
         self._availability = availability
-        self._worker_statistics = worker_statistics
         self._caller = caller
         self._limits = limits
         self._log = log
@@ -100,19 +99,23 @@
 
     @property
     def busy(self) -> bool:
-        """Return whether any piece is queued or running."""
-        return any(entry.queue.waiting or entry.queue.at_work for entry in self._queues)
+        """Return whether any piece is queued or running, or awaited from a silent worker."""
+        at_work = any(entry.queue.waiting or entry.queue.at_work for entry in self._queues)
+        return at_work or self._waiters.any_awaited
 
     def stage_loads(self, now: float) -> tuple[StageLoad, ...]:
         """Return the loads of the queues that are not idle or are blocked, for heartbeats."""
-        loads = []
-        for entry in self._queues:
-            if not entry.queue.idle or entry.queue.blocked_until > now:
-                loads.append(build_stage_load(entry.worker.worker_id, entry.queue, now))
-        return tuple(loads)
+        return tuple(
+            build_stage_load(entry.worker.worker_id, entry.queue, now)
+            for entry in self._queues
+            if not entry.queue.idle or entry.queue.blocked_until > now
+        )
+
+    async def run_pieces(self, work: StageWork, has_left: HasLeft = never_leaves) -> StageAnswer:
+        """Queue pieces and return their results; withdraw the pieces on cancellation.
 
-    async def run_pieces(self, work: StageWork) -> StageAnswer:
-        """Queue pieces and return their results; on cancellation the pieces are withdrawn."""
+        A batch is not sent if all requesters of its pieces have disconnected, by ``has_left``.
+        """
         if self._refusing:
             return refusal_answer(work, 0.0, "owner is stopping")
         worker = self._mirror.workers.get(work.worker_id)
@@ -133,6 +136,7 @@
         self.inputs.track(work, stage_items)
         futures = [self._waiters.add(stage_item) for stage_item in stage_items]
         for stage_item in stage_items:
+            stage_item.has_left = has_left
             entry.queue.submit(stage_item)
         self._start_calls(entry)
         self._offer_to_idle_workers(entry, profile)
@@ -153,7 +157,7 @@
         )
 
     def free_results(self, worker_id: str, handles: Sequence[str]) -> None:
-        """Free results; nothing is sent to a worker that is no longer listed."""
+        """Free results; send nothing to a worker that is no longer listed."""
         entry = self._queues.get(worker_id)
         if entry is None:
             worker = self._mirror.workers.get(worker_id)
@@ -170,10 +174,9 @@
             entry.room.evacuated = entry.worker.zone in self._mirror.workers.evacuated
             if self._availability.accepts_work(entry.worker):
                 continue
-            worker = self._mirror.workers.get(entry.worker.worker_id)
             entry.room.restarted = self._mirror.workers.is_replaced(entry.worker)
             self._refuse(entry.queue.remove_all())
-            if worker is None and entry.queue.at_work == 0:
+            if self._mirror.workers.get(entry.worker.worker_id) is None and not entry.queue.at_work:
                 self._queues.remove(entry)
 
     def refuse_pieces(self) -> None:
@@ -183,7 +186,7 @@
             self._refuse(entry.queue.remove_all())
 
     def _refuse(self, stage_items: Sequence[StageItem]) -> None:
-        """Return pieces to the calls that requested them, to be placed again."""
+        """Return pieces as refused to their calls, which place them again."""
         for stage_item in stage_items:
             self._waiters.set_result(stage_item, PieceResult(PieceOutcome.REFUSED))
 
@@ -191,8 +194,7 @@
         """Cancel the running batches and timers."""
         self.room.close()
         for entry in self._queues:
-            if entry.timer is not None:
-                entry.timer.cancel()
+            entry.cancel_timer()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -228,19 +230,10 @@
         self._queues.steal_pieces(entry, self._availability, now)
         while call := start_call_if_allowed(entry, self._limits, self._availability, now):
             if entry.queue.room_sufficed:
-                # A piece that finds no free result memory reads its inputs again.
+                # A piece that is rejected for lack of result memory reads its inputs again.
                 self.inputs.record_begun(call.stage_items)
             self._spawn(self._run_call(entry, call))
-        self._set_timer(entry, now)
-
-    def _set_timer(self, entry: OwnedQueue, now: float) -> None:
-        if entry.timer is not None:
-            entry.timer.cancel()
-            entry.timer = None
-        at = entry.queue.next_event_at(now)
-        if at is not None:
-            delay = max(MIN_TIMER_SECONDS, at - now)
-            entry.timer = asyncio.get_running_loop().call_later(delay, self._start_calls, entry)
+        entry.set_timer(self._start_calls, now)
 
     def _offer_to_idle_workers(self, entry: OwnedQueue, profile: ServiceProfile) -> None:
         """Let idle workers of the pool steal pieces that are queued for a busy worker."""
@@ -254,10 +247,24 @@
         started = clock.now()
         outcome: list[PieceResult] | SendFailure | None = None
         try:
-            outcome = await self._caller.run_call(entry.worker, call, entry.known_handles)
+            outcome = await self._caller.run_call(
+                entry.worker, call, entry.known_handles, lambda: self._outlast(entry, call)
+            )
         finally:
             self._finish_call(entry, call, outcome, started)
 
+    async def _outlast(self, entry: OwnedQueue, call: StageCall) -> None:
+        """Wait for a silent worker while a caller awaits a final piece of its call.
+
+        The worker counts as failed meanwhile, and the other pieces are placed again.
+        """
+        call.overdue = True
+        entry.queue.end_call(call, None, clock.now())
+        self._record_failed_worker(entry, SILENT_FAILURE)
+        self._fail(entry, [item for item in call.stage_items if not item.final], SILENT_FAILURE)
+        self._start_calls(entry)
+        await self._waiters.wait_while_awaited(call.stage_items)
+
     def _finish_call(
         self,
         entry: OwnedQueue,
@@ -275,32 +282,31 @@
         if outcome is None:
             self._rejected(entry, call, now)
         elif isinstance(outcome, SendFailure):
-            if outcome.trouble is SendTrouble.WITHDRAWN:
-                self._refuse(call.stage_items)
-            else:
-                self._failed(entry, call, outcome, now)
+            known = call.overdue and outcome.trouble is SendTrouble.SILENT
+            if outcome.trouble is not SendTrouble.WITHDRAWN and not known:
+                self._record_failed_worker(entry, outcome)
+            self._fail(entry, call.stage_items, outcome)
         else:
             self._succeeded(entry, call, outcome)
         self._start_calls(entry)
 
     def _rejected(self, entry: OwnedQueue, call: StageCall, now: float) -> None:
-        """Requeue pieces that a full worker rejected: another owner sends to it too.
+        """Requeue pieces that a full worker rejected because another owner sends to it too.
 
         If the worker leaves or requested a backoff, all its pieces are returned to be placed again.
         """
-        entry.queue.requeue(call.stage_items)
-        self.inputs.record_requeued(call.stage_items)
+        awaited = [item for item in call.stage_items if self._waiters.awaits(item)]
+        entry.queue.requeue(awaited)
+        self.inputs.record_requeued(awaited)
         brittle = self._limits.cap_limits(entry.worker, now) is not None
         entry.queue.block_calls(now, BRITTLE_BLOCK_SECONDS if brittle else FULL_BLOCK_SECONDS)
         if not self._availability.may_send(entry.worker):
             self._refuse(entry.queue.remove_all())
 
-    def _failed(self, entry: OwnedQueue, call: StageCall, failure: SendFailure, now: float) -> None:
-        statistics = self._worker_statistics.get_or_create(entry.worker.worker_id)
-        statistics.failures.append(now)
-        statistics.avoid_until = now + AVOID_SECONDS
+    def _record_failed_worker(self, entry: OwnedQueue, failure: SendFailure) -> None:
+        """Avoid a worker, and return its queued pieces to be placed again."""
+        self._refuse(self._queues.record_failure(entry, failure.trouble, clock.now()))
         self.on_outcome(entry.worker, CallOutcome.CONNECTION_FAILED)
-        entry.queue.block_calls(now, FULL_BLOCK_SECONDS)
         self._log.write(
             LogEvent.WORKER_AVOIDED,
             worker=entry.worker.worker_id,
@@ -308,22 +314,21 @@
             detail=failure.detail,
             seconds=AVOID_SECONDS,
         )
-        if failure.trouble is SendTrouble.REFUSED:
-            statistics.record_end(now)
-        outcome = piece_outcome(failure)
-        for stage_item in call.stage_items:
-            self._waiters.set_result(
-                stage_item, PieceResult(outcome, worker_id=entry.worker.worker_id)
-            )
-        self._refuse(entry.queue.remove_all())
+
+    def _fail(self, entry: OwnedQueue, items: Sequence[StageItem], failure: SendFailure) -> None:
+        """Return the outcome of a failed call to the callers of its pieces."""
+        result = PieceResult(piece_outcome(failure), worker_id=entry.worker.worker_id)
+        for stage_item in items:
+            self._waiters.set_result(stage_item, result)
 
     def _succeeded(self, entry: OwnedQueue, call: StageCall, results: list[PieceResult]) -> None:
         self.on_outcome(entry.worker, CallOutcome.SERVED)
         orphans = []
         for stage_item, result in zip(call.stage_items, results, strict=True):
             if result.outcome is PieceOutcome.NO_ROOM:
-                entry.queue.requeue([stage_item])
-                self.inputs.record_requeued([stage_item])
+                if self._waiters.awaits(stage_item):
+                    entry.queue.requeue([stage_item])
+                    self.inputs.record_requeued([stage_item])
                 continue
             made = msgspec.structs.replace(result, worker_id=entry.worker.worker_id)
             if not self._waiters.set_result(stage_item, made) and result.handle:
--- a/src/corkcrank/node/stages/stage_owner_client.py
+++ b/src/corkcrank/node/stages/stage_owner_client.py
@@ -21,17 +21,17 @@
 )
 
 OWNER_CHECK_SECONDS = 0.25
-"""Time between checks whether the owner of requested pieces is suspected to have failed."""
+"""Interval of checks whether the owner of requested pieces is suspected to have failed."""
 
 QUESTION_BITS = 48
-"""Size of a question's number. Among 1,000 questions that an owner stores at a time, the
-probability that two have the same number is 1 in 500 million."""
+"""Size of a question's number in bits. Among 1,000 stored questions, the probability that two have
+the same number is 1 in 500 million."""
 
 
 class StageOwnerClient:
     """Sends requests about stage workers to the gateways that own them.
 
-    ``on_waiting`` is called periodically with the name of an owner whose answer is awaited;
+    ``on_waiting`` is called periodically with the name of an owner whose answer is pending.
     ``on_unused_answer`` is called with an answer that arrived for a cancelled question.
     """
 
@@ -44,7 +44,7 @@
         self.on_unused_answer: Callable[[StageAnswer], None] = lambda answer: None
 
     async def request_pieces(self, owner: str, address: str, work: StageWork) -> StageAnswer:
-        """Have an owner run pieces; on cancellation their results are freed."""
+        """Have an owner run pieces; free their results on cancellation."""
         work = msgspec.structs.replace(work, question=1 + self._random.getrandbits(QUESTION_BITS))
         request = asyncio.create_task(
             self._peers.request(address, PIECES_PATH, msgspec.msgpack.encode(work))
@@ -53,6 +53,9 @@
             await self._wait_for_answer(owner, request)
         except asyncio.CancelledError:
             self._cancel_question(address, work, request)
+            # The call ends only after its connection is closing, so that the owner detects it.
+            request.cancel()
+            await asyncio.wait({request})
             raise
         finally:
             if not request.done():
@@ -76,7 +79,7 @@
         handles: tuple[str, ...],
         on_unreachable: Callable[[], None],
     ) -> None:
-        """Free results at an owner; ``on_unreachable`` is called if the owner cannot be reached."""
+        """Free results at an owner; call ``on_unreachable`` if the owner cannot be reached."""
         self._spawn(
             self._send_free_message(address, FreeResults(worker_id, handles), on_unreachable)
         )
@@ -101,8 +104,8 @@
     ) -> None:
         """Free the results of a cancelled question, or withdraw it at its owner.
 
-        Cancelling the request closes the connection, which withdraws pieces that have not run yet.
-        Results of an answer in transit would occupy memory for seconds without the withdrawal.
+        Cancelling the request closes the connection, which withdraws pieces that have not run.
+        Without the withdrawal, results of an answer in transit would occupy memory for seconds.
         """
         if not request.done() or request.cancelled():
             self._spawn(self._send_withdrawal(address, work.question))
@@ -112,7 +115,7 @@
             self.on_unused_answer(answer)
 
     async def _send_withdrawal(self, address: str, question: int) -> None:
-        """Withdraw a question; a failed owner has lost the handles of its results as well."""
+        """Withdraw a question. No retry is needed at a failed owner, which lost the handles too."""
         message = msgspec.msgpack.encode(WithdrawRequest(question))
         await self._peers.request(address, WITHDRAW_PATH, message, retry_on_silence=True)
 
--- a/src/corkcrank/node/stages/stage_run.py
+++ b/src/corkcrank/node/stages/stage_run.py
@@ -18,7 +18,11 @@
 from corkcrank.node.stages.stage_dispatch import StageDispatch
 from corkcrank.node.stages.stage_failures import InputsUnavailableError, StageFailedError
 from corkcrank.node.stages.stage_placing import stage_placing, urgency_at
-from corkcrank.node.stages.stage_round import StageRound, describe_unavailable_inputs
+from corkcrank.node.stages.stage_round import (
+    Announcement,
+    StageRound,
+    describe_unavailable_inputs,
+)
 from corkcrank.node.workers.crash_watch import CrashWatch
 from corkcrank.scheduling.call_admission import MAX_IDLE_WAIT_SECONDS, MAX_OVERRUN_DEVIATIONS
 from corkcrank.scheduling.stage_plan import StagePlan
@@ -27,28 +31,20 @@
 """Maximum number of times that the pieces of one stage are placed before the call fails."""
 
 ROUND_PAUSE_SECONDS = 0.05
-"""Pause before pieces that were not completed are placed again."""
+"""Pause before uncompleted pieces are placed again."""
 
 _UNFINISHED_OUTCOMES = (PieceOutcome.REFUSED, PieceOutcome.FAILED, PieceOutcome.BROKEN)
 
 
-@dataclass(frozen=True, slots=True)
-class _Announcement:
-    """Facts about the call that are sent to the owner of its pieces: see :class:`StageWork`."""
-
-    following: tuple[FollowingPieces, ...]
-    begins: bool
-
-
 @dataclass(slots=True)
 class StageRun:
     """Runs the stages of one call; its results are freed by :meth:`close`.
 
-    ``seconds_after_stages`` is the time needed after the stages; ``spread_seconds`` is the
-    standard deviation of the forecast by which the call was admitted. ``check_caller`` raises an
-    error if the caller has closed its connection.
-
-    ``started`` says whether a piece was run or attempted, ``_begun`` whether any was requested.
+    ``seconds_after_stages`` is the time needed after the stages. ``spread_seconds`` is the standard
+    deviation of the forecast by which the call was admitted. ``check_caller`` raises an error if
+    the caller has closed its connection. ``promised`` is set if the pieces may wait until the
+    call's deadline, because its stream has begun. ``started`` is set if a piece was run or
+    attempted, ``_begun`` if any was requested.
     """
 
     call: OpaqueCall
@@ -63,6 +59,7 @@
     returning: bool = False
     started: bool = False
     closed: bool = False
+    promised: bool = False
     shortest_wait: float = float("inf")
     _held: HeldResults = field(default_factory=HeldResults)
     _begun: bool = False
@@ -73,10 +70,8 @@
     async def run(self) -> tuple[str, ...]:
         """Return the results that the call reads, once every stage has completed.
 
-        Inputs are freed as soon as a worker has read them. If that worker fails, or was faster
-        or slower than estimated, all stages are rerun, once.
-
-        Raises :class:`StageFailedError`, at the call's deadline at the latest.
+        Inputs are freed once a worker has read them. If that worker fails, all stages are rerun
+        once. Raises :class:`StageFailedError`, at the latest at the call's deadline.
         """
         while True:
             left = clock.clamp_remaining_seconds(self.call.end_at - clock.now())
@@ -112,7 +107,7 @@
     def _start_stages(self) -> list[tuple[asyncio.Task[tuple[str, ...]], int]]:
         """Start the stages that are ready.
 
-        Only the longest branch reports the later pieces of the call, so that they count once.
+        Only the longest branch reports the call's later pieces, so that they are counted once.
         """
         ready = self.plan.ready_stages()
         for stage in ready:
@@ -122,7 +117,7 @@
         started = []
         for stage in ready:
             later = self._later_pieces() if stage == leading else ()
-            work = self._run_stage(stage, _Announcement(later, begins))
+            work = self._run_stage(stage, Announcement(later, begins))
             started.append((asyncio.create_task(work), stage))
         return started
 
@@ -132,6 +127,11 @@
             for stage in self.plan.unstarted_stages()
         )
 
+    def reopen(self, *, promised: bool) -> None:
+        """Allow the stages to run again after their results were freed."""
+        self.closed = False
+        self.promised = promised
+
     def close(self) -> None:
         """Free all results that are still stored."""
         self.closed = True
@@ -146,7 +146,7 @@
         if held := self._held.remove_all():
             self.dispatch.free_results(held)
 
-    async def _run_stage(self, stage: int, announcement: _Announcement) -> tuple[str, ...]:
+    async def _run_stage(self, stage: int, announcement: Announcement) -> tuple[str, ...]:
         count = self.plan.counts[stage]
         handles: dict[int, str] = {}
         refused: set[str] = set()
@@ -158,7 +158,8 @@
             if wait := await self.crash_watch.wait_for_verdict(self.call):
                 raise StageFailedError("quarantined", started=self.started, retry_after=wait)
             rounds = await self._place_pieces(stage, missing, refused, announcement)
-            announcement = replace(announcement, begins=False)
+            final = attempt + 2 == MAX_ROUNDS and not self.promised
+            announcement = replace(announcement, begins=False, final=final)
             for item in rounds:
                 detail, wait = item.answer.detail or detail, item.answer.start_seconds
                 self._apply_round(item, handles, refused)
@@ -194,7 +195,7 @@
         self._report_connection_failures(item)
 
     def _report_connection_failures(self, item: StageRound) -> None:
-        """Report connection failures of workers under this call's pieces to the crash watch."""
+        """Report connection failures of workers that ran this call's pieces to the crash watch."""
         broken = {
             result.worker_id
             for result in item.answer.results
@@ -210,13 +211,12 @@
         stage: int,
         missing: list[int],
         refused: set[str],
-        announcement: _Announcement,
+        announcement: Announcement,
     ) -> list[StageRound]:
         """Place pieces in batches, each at the worker with the earliest forecast end."""
-        # The cancellation of the call reaches the task of this stage some loop iterations later.
+        # The task of this stage is cancelled some loop iterations after its call.
         self.check_caller()
-        definition = self.plan.definition(stage)
-        capacity = self.dispatch.service_capacity(definition.service)
+        capacity = self.dispatch.service_capacity(self.plan.definition(stage).service)
         if capacity is None:
             return []
         placings = []
@@ -232,7 +232,7 @@
         stage: int,
         pieces: tuple[int, ...],
         refused: set[str],
-        announcement: _Announcement,
+        announcement: Announcement,
     ) -> StageRound | None:
         definition = self.plan.definition(stage)
         placing = stage_placing(self.plan, self.dispatch, self.call, stage, len(pieces))
@@ -281,6 +281,7 @@
             begins=announcement.begins,
             alone=self.crash_watch.is_suspected(self.call),
             last_reads=self._results_read_last(stage, len(pieces)),
+            final=announcement.final,
         )
         answer = await self.dispatch.run_pieces(worker, work)
         if answer.short_of_room:
@@ -290,16 +291,15 @@
                 self._held.remove(read.handles)
         for result in answer.results:
             if result.handle:
-                maker = self.dispatch.get_worker(result.worker_id)
-                self._held.add(result.handle, maker or worker)
+                self._held.add(result.handle, self.dispatch.get_worker(result.worker_id) or worker)
         return StageRound(worker, pieces, answer)
 
     def _results_read_last(self, stage: int, pieces: int) -> tuple[FreeResults, ...]:
         """Return the results of which these pieces are the last readers, by worker.
 
-        Returns none if no piece waits for their memory: after an early release, a failed worker
-        causes a rerun of all stages. Returns none if only a part of a stage's pieces is placed
-        together, because the other pieces read the results too.
+        Returns none if no piece waits for the memory of these results: after an early release, a
+        failed worker causes a rerun of all stages. Returns none if only some of the stage's pieces
+        are placed together, because the other pieces read the results too.
         """
         if pieces != self.plan.counts[stage]:
             return ()
@@ -312,7 +312,7 @@
         return self._held.group_by_worker(handles)
 
     def _input_bytes(self, stage: int, pieces: int) -> dict[str, float]:
-        """Return the bytes that pieces of a stage fetch, by the zone in which they are stored."""
+        """Return the bytes that pieces of a stage fetch, by the zone of their storage."""
         inputs: dict[str, float] = {}
         for source in self.plan.definition(stage).after:
             size = pieces * self.plan.definition(source).result_bytes
@@ -329,11 +329,12 @@
     def _max_wait(self, now: float) -> float:
         """Return the maximum wait in seconds after which pieces may still start.
 
-        Before any work has begun, a start must still meet the objective. Later, a call is
-        cancelled once it is later than usual forecast errors explain. Neither such a call nor a
-        returning caller that is too late for its objective is refused at a worker that is free
-        or nearly free: without this rule callers were refused after 4 s beside free workers.
+        Before any work has begun, a start must still meet the objective. Later, a call is abandoned
+        once its lateness exceeds usual forecast errors. The minimum keeps such a call, or a
+        returning caller that is too late for its objective, from a refusal while workers are idle.
         """
+        if self.promised:
+            return max(0.0, self.call.end_at - now - self.seconds_after_stages)
         limit = self.call.objective_at
         if self.started or self.returning:
             limit += MAX_OVERRUN_DEVIATIONS * self.spread_seconds
--- a/src/corkcrank/node/stages/stage_worker_client.py
+++ b/src/corkcrank/node/stages/stage_worker_client.py
@@ -1,6 +1,7 @@
 """Client of stage workers: runs pieces, frees results, fetches reports."""
 
-from collections.abc import Callable, Sequence
+import asyncio
+from collections.abc import Awaitable, Callable, Sequence
 from http import HTTPStatus
 
 import aiohttp
@@ -29,20 +30,23 @@
 from corkcrank.scheduling.stage_queue import StageCall
 
 CALL_TIME_FACTOR = 4.0
-"""A call times out after this multiple of its expected time, plus the margin."""
+"""Timeout of a call, as a multiple of its expected time; the margin is added."""
 
 PARTITION_SILENCE_FACTOR = 1.5
-"""A call without a response after this multiple of its expected time is given up if this gateway
-is partitioned from the workers."""
+"""Timeout of a call without a response while this gateway is partitioned from the workers, as a
+multiple of its expected time."""
 
 CALL_TIME_MARGIN = 1.0
-"""Seconds added to the limit above; also the timeout of messages that free results."""
+"""Seconds added to the timeout of a call; also the timeout of messages that free results."""
 
 REPORT_SECONDS = 0.2
 """Timeout of a report: many round trips, and less than a usual call."""
 
+MIN_PARTITION_CHECK_SECONDS = 0.05
+"""Minimum interval of checks whether this gateway is partitioned from a silent worker."""
+
 MAX_KNOWN_HANDLES = 512
-"""Handles stored for each worker, to distinguish a duplicate answer from a new one."""
+"""Maximum number of handles stored for each worker to detect duplicate answers."""
 
 REJECTED_STATUS = 503
 """Status of a worker that is at capacity and has not run the call."""
@@ -64,13 +68,18 @@
         self._statements = statements
 
     async def run_call(
-        self, worker: WorkerRecord, call: StageCall, known_handles: dict[str, None]
+        self,
+        worker: WorkerRecord,
+        call: StageCall,
+        known_handles: dict[str, None],
+        outlast: Callable[[], Awaitable[None]],
     ) -> list[PieceResult] | SendFailure | None:
-        """Return results, a failure, or ``None`` if the worker rejected the call unexecuted.
+        """Run a call; return its results, a failure, or ``None`` if the worker rejected it.
 
-        The call is not sent if all its pieces are abandoned, or the worker is no longer available,
-        before its connection is ready.
-        An answer with a known handle belongs to an earlier call.
+        The call is not sent if none of its pieces is wanted or the worker is unavailable when its
+        connection is ready. An answer with a known handle belongs to an earlier call. If the worker
+        is silent for too long and the call has final pieces, ``outlast`` is awaited while the call
+        stays open.
         """
         now = clock.now()
         orders = [_order_with_remaining_time(stage_item, now) for stage_item in call.stage_items]
@@ -80,16 +89,18 @@
             "POST",
             self._codec.run_path,
             self._codec.encode_run(orders),
-            limit,
+            max(limit, _seconds_to_last_end(call, now)),
             lambda: _is_wanted(call) and self._availability.may_send(worker),
-            SilenceRule(
-                PARTITION_SILENCE_FACTOR * call.expected_seconds, self._client.is_partitioned
-            ),
+            self._silence_rule(worker, call, limit, outlast),
         )
         if isinstance(response, SendFailure):
             return response
         results = await self._read_results(response, len(orders), known_handles, limit)
-        if isinstance(results, list) and all(item.outcome is PieceOutcome.DONE for item in results):
+        if (
+            isinstance(results, list)
+            and not call.overdue
+            and all(item.outcome is PieceOutcome.DONE for item in results)
+        ):
             self._statements.paces.observe_work(
                 worker.worker_id,
                 worker.service,
@@ -100,7 +111,7 @@
         return results
 
     async def free_results(self, worker: WorkerRecord, handles: Sequence[str]) -> None:
-        """Free results; if that fails, they expire at the worker."""
+        """Free results. If that fails, they expire at the worker."""
         body = self._codec.encode_free(handles)
         response = await self._send_request(
             worker, "POST", self._codec.free_path, body, CALL_TIME_MARGIN
@@ -133,9 +144,9 @@
         still_wanted: Callable[[], bool] | None = None,
         silence: SilenceRule | None = None,
     ) -> SendResult:
-        """Send a request, and record what the response headers state about the worker.
+        """Send a request, and record the worker's statements in the response headers.
 
-        Without ``still_wanted``, the request is sent unless the worker requested a backoff.
+        Without ``still_wanted``, the request is sent unless the worker is in backoff.
         """
         request = WorkerRequest(
             worker,
@@ -152,6 +163,31 @@
             self._statements.record_response(worker, response.status, response.headers)
         return response
 
+    def _silence_rule(
+        self,
+        worker: WorkerRecord,
+        call: StageCall,
+        limit: float,
+        outlast: Callable[[], Awaitable[None]],
+    ) -> SilenceRule:
+        """Return the rule for abandoning a silent worker; a wanted final piece prevents it."""
+        seconds = PARTITION_SILENCE_FACTOR * call.expected_seconds
+        if not any(stage_item.final for stage_item in call.stage_items):
+            return SilenceRule(seconds, self._client.is_partitioned)
+        overdue_at = clock.now() + limit
+
+        async def give_up() -> bool:
+            while (left := overdue_at - clock.now()) > 0:
+                if await self._client.is_partitioned():
+                    break
+                await asyncio.sleep(min(left, max(seconds, MIN_PARTITION_CHECK_SECONDS)))
+            if any(stage_item.final and stage_item.wanted for stage_item in call.stage_items):
+                self._client.suspect_silence(worker)
+                await outlast()
+            return True
+
+        return SilenceRule(min(seconds, limit), give_up)
+
     def _is_in_backoff(self, worker: WorkerRecord) -> bool:
         return self._availability.backoff_seconds(worker, clock.now()) > 0
 
@@ -177,8 +213,13 @@
 
 
 def _is_wanted(call: StageCall) -> bool:
-    """Return whether any piece of a call has not been abandoned."""
-    return not all(stage_item.abandoned for stage_item in call.stage_items)
+    """Return whether any piece of a call is wanted."""
+    return any(stage_item.wanted for stage_item in call.stage_items)
+
+
+def _seconds_to_last_end(call: StageCall, now: float) -> float:
+    """Return the seconds until the last of a call's final pieces must end, 0 without any."""
+    return max((item.end_at - now for item in call.stage_items if item.final), default=0.0)
 
 
 def _record_handles(known_handles: dict[str, None], results: list[PieceResult]) -> None:
--- a/src/corkcrank/node/streams/engine_exchange.py
+++ b/src/corkcrank/node/streams/engine_exchange.py
@@ -1,8 +1,10 @@
 """Sends a streamed call to an engine, relays its answer and records the outcome."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
+from dataclasses import dataclass
 
+import aiohttp
 from aiohttp import web
 
 from corkcrank.contracts import clock
@@ -14,30 +16,49 @@
 from corkcrank.node.calls.worker_answers import read_whole_answer
 from corkcrank.node.stages.stage_run import StageRun
 from corkcrank.node.streams.engine_assignment import EngineAssignment
+from corkcrank.node.streams.events import EventReader
+from corkcrank.node.streams.result_release import ResultRelease
 from corkcrank.node.streams.stream_admission import StreamAdmission
 from corkcrank.node.streams.stream_answer import StreamAnswer
 from corkcrank.node.streams.stream_continuity import StreamContinuity
-from corkcrank.node.streams.stream_part import StreamPart
-from corkcrank.node.streams.stream_relay import MIN_SILENCE_SECONDS, RelayEnd, StreamRelay
+from corkcrank.node.streams.stream_part import SUCCESS_STATUSES, StreamPart
+from corkcrank.node.streams.stream_relay import (
+    MIN_SILENCE_SECONDS,
+    EngineSearch,
+    RelayEnd,
+    StreamRelay,
+)
+from corkcrank.node.streams.upstream_buffer import UpstreamBuffer
 from corkcrank.node.workers.silence_timeout import SilenceRule
 from corkcrank.node.workers.worker_health import MIN_FAULT_STATUS
 from corkcrank.scheduling.stage_plan import StagePlan
 from corkcrank.scheduling.worker_outcomes import CallOutcome
 
 MIN_FIRST_EVENT_SECONDS = 1.2
-"""Minimum wait for a first event before a resumable stream is moved, in seconds."""
+"""Minimum wait for a first event before a resumable stream fails over, in seconds."""
 
 FIRST_EVENT_FACTOR = 4.0
-"""A resumable stream is moved after this multiple of the mean time to a first event."""
+"""Timeout of a first event for a resumable stream, as a multiple of the mean time to it."""
+
+
+@dataclass(frozen=True, slots=True)
+class BegunExchange:
+    """An answer whose next event has arrived, and the callback for its first relayed event."""
+
+    attempt: Attempt
+    waiting: UpstreamBuffer
+    record_first_event: Callable[[], None]
+
+    def close(self) -> None:
+        """Close the connection, because another engine continues the stream."""
+        self.attempt.close()
 
 
 class EngineExchanges:
-    """The exchanges of one call with one engine after another.
+    """The consecutive exchanges of one call with engines.
 
-    ``stages`` holds the results that engines fetch. ``failure`` is the most recent complete
-    answer of an engine that reported a failure instead of a stream. ``silent`` says whether the
-    last engine was abandoned because it sent nothing. ``choose_next_engine`` is awaited before
-    that and returns whether there is another engine for the call.
+    ``stages`` holds the results that engines fetch. ``failure`` is the most recent complete answer
+    in which an engine reported a failure instead of a stream.
     """
 
     def __init__(
@@ -49,7 +70,6 @@
         assignment: EngineAssignment,
         answer: StreamAnswer,
         continuity: StreamContinuity,
-        choose_next_engine: Callable[[], Awaitable[bool]],
     ) -> None:
         self._call = call
         self._services = services
@@ -58,12 +78,15 @@
         self._assignment = assignment
         self._answer = answer
         self._continuity = continuity
-        self._choose_next_engine = choose_next_engine
-        self._relay = StreamRelay(call, services, answer, choose_next_engine)
-        self.silent = False
+        self._relay = StreamRelay(call, services, answer)
+        self._release: ResultRelease | None = None
         self.stages: StageRun | None = None
         self.failure: web.Response | None = None
 
+    def set_search(self, search: EngineSearch) -> None:
+        """Set the search for another engine, which starts when an engine is silent."""
+        self._relay.search = search
+
     @property
     def resume_after(self) -> str:
         """Return the id of the last event that the caller received, empty before the first."""
@@ -71,34 +94,115 @@
 
     @property
     def may_try_another(self) -> bool:
-        """Return whether the call may be sent to another engine that could succeed."""
+        """Return whether another attempt may succeed and the retry budget allows it."""
+        return self.has_attempt_left and self._services.can_spend_repeat(self._call.service)
+
+    @property
+    def has_attempt_left(self) -> bool:
+        """Return whether another attempt may succeed, regardless of the retry budget."""
         call = self._call
         if call.may_have_run and not call.route.idempotent:
             return False
         if self.failure is not None and self.failure.status < MIN_FAULT_STATUS:
             return False
-        attempts_left = len(call.workers_tried) < call.route.maximum_attempts
-        return attempts_left and self._services.can_spend_repeat(call.service)
+        return call.has_attempt_left
 
     async def send(self, engine: WorkerRecord, inputs: tuple[str, ...]) -> RelayEnd:
         """Send the call to an engine and relay its answer."""
         self._call.step = CallStep.ENGINE
         attempt = await self._attempt(engine, inputs)
-        self.silent = attempt.silent
         if attempt.outcome is AttemptOutcome.ANSWERED:
             return await self._relay_answer(attempt)
+        if attempt.silent:
+            self._call.left_workers.add(engine.worker_id)
+        self._record_missed_inputs(attempt)
+        return RelayEnd.BROKEN
+
+    async def begin(self, engine: WorkerRecord, inputs: tuple[str, ...]) -> BegunExchange | None:
+        """Send the call to another engine during a failover.
+
+        Returns once the engine has sent the next event, or ``None`` if it fails. Closes the
+        connection if this coroutine is cancelled.
+        """
+        self._record_prefix(engine)
+        self._cancel_release()
+        record_first_event = self._first_event_recorder(engine, clock.now())
+        attempt = await attempt_call(
+            self._services,
+            self._call,
+            engine,
+            self._call.end_at - clock.now(),
+            fresh=False,
+            inputs=inputs,
+            resume_after=self._relay.resume_after,
+        )
+        if attempt.response is None:
+            self._record_missed_inputs(attempt)
+            return None
+        waiting = UpstreamBuffer(attempt.response)
+        begun = BegunExchange(attempt, waiting, record_first_event)
+        try:
+            if await self._has_begun(begun):
+                return begun
+        except asyncio.CancelledError:
+            begun.close()
+            raise
+        begun.close()
+        return None
+
+    async def continue_at(self, begun: BegunExchange) -> RelayEnd:
+        """Relay the answer of an engine that continues the stream."""
+        attempt = begun.attempt
+        assert attempt.response is not None
+        self._assignment.assign(attempt.worker)
+        self._relay.on_first_event = begun.record_first_event
+        part = self._relay.start_part(attempt.response)
+        first = self._first_event_rule(attempt.worker)
+        end = await self._relay.relay(attempt, part, first, begun.waiting)
+        self._log_end(attempt.worker, part, end)
+        return end
+
+    async def _has_begun(self, begun: BegunExchange) -> bool:
+        """Wait for an engine's next event or end; return whether it continues the stream."""
+        attempt = begun.attempt
+        if attempt.status not in SUCCESS_STATUSES:
+            statistics = self._services.worker_statistics.get_or_create(attempt.worker.worker_id)
+            statistics.failures.append(clock.now())
+            self._services.health.record_response(attempt.worker, attempt.status)
+            return False
+        try:
+            async with asyncio.timeout(
+                clock.clamp_remaining_seconds(self._call.end_at - clock.now())
+            ):
+                if await self._peek_next_event(begun):
+                    return True
+        except (TimeoutError, aiohttp.ClientError, ConnectionError, ValueError):
+            self._services.record_connection_failure(self._call, attempt.worker)
+        return False
+
+    async def _peek_next_event(self, begun: BegunExchange) -> bool:
+        """Return whether an engine sends the stream's next event, or its end without an event."""
+        assert begun.attempt.response is not None
+        part, reader = self._relay.start_part(begun.attempt.response), EventReader()
+        while piece := await begun.waiting.peek():
+            for event in reader.feed(piece):
+                if event.dispatched:
+                    return part.accept_event(event)
+        part.leftover = reader.remainder
+        return part.is_stream_end()
+
+    def _record_missed_inputs(self, attempt: Attempt) -> None:
         if attempt.inputs_unavailable:
             self._services.fetch_delay(self._call.service).record_miss()
             self._plan.reset_results()
-        return RelayEnd.BROKEN
 
     async def _relay_answer(self, attempt: Attempt) -> RelayEnd:
         upstream = attempt.response
         assert upstream is not None
         part = self._relay.start_part(upstream)
         if part.succeeded:
+            self._relay.search.cancel()
             end = await self._relay.relay(attempt, part, self._first_event_rule(attempt.worker))
-            self.silent = part.silent
         else:
             end = await self._read_failure(attempt)
         self._log_end(attempt.worker, part, end)
@@ -107,7 +211,7 @@
     async def _read_failure(self, attempt: Attempt) -> RelayEnd:
         """Read an engine's failure and store it as the answer if no engine succeeds.
 
-        It is never relayed into a stream that another engine began: the end of its body must
+        A failure is never relayed into a stream that another engine began: the end of its body must
         not end the caller's answer.
         """
         if attempt.status >= MIN_FAULT_STATUS:
@@ -125,8 +229,8 @@
     def _failure_read_seconds(self, engine: WorkerRecord) -> float:
         """Return the maximum time to read the body of a failure, in seconds.
 
-        A body that never ends would otherwise delay a stream that another engine could resume
-        until the caller's deadline. A stream that has begun does not need this body.
+        Without the limit, a body that never ends would delay a failover until the caller's
+        deadline. A stream that has begun does not need this body.
         """
         if not self._answer.prepared:
             return self._max_failure_seconds(engine)
@@ -135,7 +239,7 @@
     async def _attempt(self, engine: WorkerRecord, inputs: tuple[str, ...]) -> Attempt:
         self._record_prefix(engine)
         self._relay.on_first_event = self._first_event_recorder(engine, clock.now())
-        timer = self._schedule_free(engine)
+        self._release = self._schedule_release(engine)
         try:
             return await attempt_call(
                 self._services,
@@ -148,8 +252,7 @@
                 silence=self._first_event_rule(engine),
             )
         finally:
-            if timer is not None:
-                timer.cancel()
+            self._cancel_release()
 
     def _record_prefix(self, engine: WorkerRecord) -> None:
         now = clock.now()
@@ -159,14 +262,19 @@
         self._services.engines.record_sent(engine.worker_id, capacity, prompt.shared_parts, now)
         self._services.recent_prefixes.record_prefix(engine.worker_id, prompt, now)
 
-    def _schedule_free(self, engine: WorkerRecord) -> asyncio.TimerHandle | None:
+    def _cancel_release(self) -> None:
+        """Cancel the scheduled release: results are kept until an engine's first event."""
+        if self._release is not None:
+            self._release.cancel()
+
+    def _schedule_release(self, engine: WorkerRecord) -> ResultRelease | None:
         """Schedule the release of results after the usual fetch time, unless the engine queues."""
         statistics = self._services.worker_statistics.get_or_create(engine.worker_id)
         busy = statistics.in_flight + statistics.peers_in_flight
         if self.stages is None or busy >= engine.slots:
             return None
         delay = self._services.fetch_delay(self._call.service).seconds
-        return asyncio.get_running_loop().call_later(delay, self.stages.close)
+        return ResultRelease(self.stages.close, statistics, delay)
 
     def _first_event_recorder(self, engine: WorkerRecord, sent_at: float) -> Callable[[], None]:
         statistics = self._services.worker_statistics.get_or_create(engine.worker_id)
@@ -195,13 +303,13 @@
         return record_first_event
 
     def _first_event_rule(self, engine: WorkerRecord) -> SilenceRule | None:
-        """Return when an engine that sends no first event is abandoned, ``None`` for never."""
+        """Return the rule for an engine without a first event, ``None`` to wait indefinitely."""
         if not self._call.route.idempotent:
             return None
-        return SilenceRule(self._first_event_seconds(engine), self._choose_next_engine)
+        return self._relay.search.rule(engine, self.first_event_seconds(engine))
 
-    def _first_event_seconds(self, engine: WorkerRecord) -> float:
-        """Return how long an engine may take; one that is slow at the moment, longer."""
+    def first_event_seconds(self, engine: WorkerRecord) -> float:
+        """Return the timeout of an engine's first event before a failover, in seconds."""
         usual = FIRST_EVENT_FACTOR * self._admission.first_event_seconds()
         usual *= self._services.paces.factor(engine.worker_id, engine.service, clock.now())
         return max(MIN_FIRST_EVENT_SECONDS, usual)
@@ -210,12 +318,10 @@
         """Return the maximum time to read a failure before an answer has begun, in seconds."""
         call = self._call
         left = call.end_at - clock.now()
-        may_move = (
-            call.route.idempotent
-            and len(call.workers_tried) < call.route.maximum_attempts
-            and self._services.can_spend_repeat(call.service)
-        )
-        return min(left, self._first_event_seconds(engine)) if may_move else left
+        may_move = call.route.idempotent and call.has_attempt_left
+        if may_move and self._services.can_spend_repeat(call.service):
+            return min(left, self.first_event_seconds(engine))
+        return left
 
     def _log_end(self, engine: WorkerRecord, part: StreamPart, end: RelayEnd) -> None:
         self._services.log.write(
--- a/src/corkcrank/node/streams/stream_admission.py
+++ b/src/corkcrank/node/streams/stream_admission.py
@@ -28,11 +28,11 @@
 from corkcrank.scheduling.zone_weights import engine_weights
 
 LIMITED_PENALTY_TOKENS = 6_000.0
-"""Penalty of a rate-limited engine, in prompt tokens, when a call's zone is chosen."""
+"""Penalty of a rate-limited engine in the choice of a call's zone, in prompt tokens."""
 
 
 class StreamAdmission:
-    """Decides for one call, from the current views of workers and load."""
+    """Decides the admission of one call from the current views of workers and load."""
 
     def __init__(self, call: OpaqueCall, services: CallServices, plan: StagePlan) -> None:
         self._call = call
@@ -50,7 +50,7 @@
         )
 
     def _engine_forecast(self, wait: float) -> EngineForecast:
-        """Return the time to a first event with its standard deviation, after a wait."""
+        """Return the forecast time to a first event after a wait, with its standard deviation."""
         spread = self._services.first_event_times.spread_seconds(self._call.service)
         return EngineForecast(wait + self.first_event_seconds(), spread)
 
@@ -58,9 +58,9 @@
         return self._services.prefill_grants.wait_seconds(self._call.service, zone, rank)
 
     def _first_in_time(self, engines: list[WorkerRecord]) -> WorkerRecord:
-        """Return the first engine whose zone's queue is short enough, else that of the shortest.
+        """Return the first engine whose zone's queue is short enough, or that of the shortest.
 
-        The owner of its zone's queue then grants an engine or refuses the call.
+        The owner of that zone's queue then grants an engine or refuses the call.
         """
         rank = self._call.rank
         waits = {zone: self._engine_wait(zone, rank) for zone in {item.zone for item in engines}}
@@ -73,7 +73,7 @@
     def ends_before_stop(self, stages_seconds: float = 0.0) -> bool:
         """Return whether the stream would end before this gateway stops; true unless draining.
 
-        ``stages_seconds`` is the time that the call's stages still need.
+        ``stages_seconds`` is the remaining time of the call's stages.
         """
         drain = self._services.drain
         if not drain.signal_received:
@@ -104,7 +104,7 @@
         )
 
     def rank_engines(self) -> list[WorkerRecord]:
-        """Return the engines that the call may be sent to, the best first."""
+        """Return the engines that the call may be sent to, best first."""
         call, services = self._call, self._services
         workers = services.mirror.workers
         engines = workers.usable_workers(call.service)
@@ -113,8 +113,8 @@
         penalties = services.isolation.penalties(engines, long=long, now=clock.now())
         limited = services.limits.limited(engines, clock.now())
         if limited:
-            # A rate-limited engine receives few calls and looks idle, which would attract
-            # calls to its zone.
+            # A rate-limited engine gets few calls and looks idle, which would attract calls to its
+            # zone.
             penalties = dict(penalties)
             for engine in limited:
                 known = penalties.get(engine.worker_id, 0.0)
@@ -122,7 +122,7 @@
         pace, configuration = services.prefill_pace, services.mirror.configuration
         question = EngineQuestion(
             prompt=call.envelope.prompt,
-            excluded=call.workers_tried,
+            excluded=call.excluded_workers,
             weights=engine_weights(engines, stages),
             penalties=penalties,
             max_consecutive_tokens=pace.max_consecutive_tokens_for_routes(
@@ -133,13 +133,21 @@
                 [engine.worker_id for engine in engines], call.service, clock.now()
             ),
         )
-        allowed = [engine for engine in engines if call.may_continue_at(engine)]
+        allowed = [
+            engine
+            for engine in engines
+            if call.may_continue_at(engine) and call.allows_attempt_at(engine)
+        ]
+        silent = services.worker_statistics.silent_ids(
+            [engine.worker_id for engine in allowed], clock.now()
+        )
+        allowed = [engine for engine in allowed if engine.worker_id not in silent]
         return services.engines.rank(allowed, question, services.worker_statistics, clock.now())
 
     def admit(self, engines: list[WorkerRecord]) -> WorkerRecord | Refusal:
         """Return the first engine whose zone can run the stages in time, or refuse the call.
 
-        No stage has started at this point. Zones are evaluated in the order of the engines, so
+        No stage has started at this point. Zones are evaluated in the order of the engines, so that
         a session stays with its engine as long as the zone meets the objective.
         """
         if not self._plan.has_pieces:
@@ -158,11 +166,13 @@
             if verdict.admitted:
                 self.stages_forecast = verdict.stages_seconds
                 self.spread_seconds = verdict.spread_seconds
+                self._record_decision(refused=False)
                 self._record_overflow(verdicts)
                 if not self.ends_before_stop(verdict.stages_seconds * correction.factor):
                     return _drain_refusal()
                 self.log_time_left(verdict.stages_seconds * correction.factor)
                 return engine
+        self._record_decision(refused=True)
         verdict = min(verdicts.values(), key=lambda item: item.forecast_seconds)
         self._log_refusal(verdict)
         return Refusal(
@@ -171,8 +181,18 @@
             retry_after=self._seconds_to_return(verdict, verdicts, correction),
         )
 
+    def _record_decision(self, *, refused: bool) -> None:
+        shares, route = self._services.refusal_shares, self._call.route.name
+        shares.observe_decision(route, refused=refused, now=clock.now())
+
+    def _refused_share(self) -> float:
+        """Return the share of the route's calls that are refused, 0 unless callers compete."""
+        if not self._services.features.competing_callers:
+            return 0.0
+        return self._services.refusal_shares.for_route(self._call.route.name, clock.now())
+
     async def find_claim(self) -> None:
-        """Find out whether the call returns at the time told, and goes before new ones."""
+        """Look up whether the call returns on time with a claim, which gives it precedence."""
         call, services = self._call, self._services
         if services.features.return_claims and call.may_hold_claim and self._plan.has_pieces:
             call.claimed = await services.return_offers.keeper.find(call)
@@ -180,7 +200,7 @@
     def _seconds_to_return(
         self, verdict: AdmissionVerdict, zones: Iterable[str], correction: ForecastCorrection
     ) -> float:
-        """Return when the refused caller may return; it gets a claim if it would be in time."""
+        """Return the refused caller's retry time; create a claim if the return would be in time."""
         call = self._call
         if not self._services.features.return_claims:
             return verdict.retry_after
@@ -200,7 +220,7 @@
         return downstream_rank(self._call.rank, DownstreamOrder.DUE)
 
     def _claimed_pieces(self, service: str) -> int:
-        """Return the pieces of claims that go before a new call at a stage service."""
+        """Return the claimed pieces that precede a new call at a stage service."""
         if not self._services.features.return_claims:
             return 0
         return self._services.return_offers.keeper.pieces_up_to(service, self._call.rank)
@@ -217,6 +237,7 @@
             call.objective_at - now,
             call.end_at - now,
             returning=self._call.returning,
+            refused_share=self._refused_share(),
         )
 
     def _forecast_zone(self, zone: str, *, claimed: bool) -> ChainForecast:
@@ -227,7 +248,7 @@
         )
 
     def _cached_forecast(self, stage: int, zone: str, claimed: bool) -> StageForecast | None:
-        """Return a stage's forecast; the zone matters only if the engine reads the results."""
+        """Return a stage's forecast. The zone matters only if the engine reads the results."""
         reader_zone = "" if self._plan.reader_stages(stage) else zone
         key = stage, reader_zone, claimed
         if key not in self._forecasts:
@@ -245,7 +266,7 @@
         )
 
     def _record_overflow(self, verdicts: Mapping[str, AdmissionVerdict]) -> None:
-        """Log and count an admitted call that leaves its first zone."""
+        """Log and count an admitted call that runs outside its first zone."""
         services, call = self._services, self._call
         overflow = find_overflow(verdicts)
         names = [call.service, *(stage.service for stage in call.route.stages)]
--- a/src/corkcrank/node/streams/stream_relay.py
+++ b/src/corkcrank/node/streams/stream_relay.py
@@ -1,12 +1,14 @@
-"""Relays events to a caller as they arrive, in one answer that several engines may produce."""
+"""Relays events to a caller as they arrive, in one answer to which several engines contribute."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from enum import StrEnum
+from typing import Protocol
 
 import aiohttp
 
 from corkcrank.contracts import clock
 from corkcrank.contracts.opaque_call import CallStep, OpaqueCall
+from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.node.calls.attempts import Attempt
 from corkcrank.node.calls.services import CallServices
 from corkcrank.node.streams.events import EventReader, StreamEvent
@@ -17,17 +19,17 @@
 from corkcrank.node.workers.worker_client import address_of, unframed_body_end
 
 MIN_SILENCE_SECONDS = 1.0
-"""Minimum silence between events after which a stream is moved, in seconds."""
+"""Minimum silence between events before a stream fails over, in seconds."""
 
 SILENCE_FACTOR = 2.5
-"""A resumable stream is moved after a silence of this multiple of its pause objective."""
+"""Silence before a failover of a resumable stream, as a multiple of its pause objective."""
 
 DEFAULT_PAUSE_SECONDS = 1.0
-"""Pause objective of a route that has none, in seconds."""
+"""Default pause objective of a route, in seconds."""
 
 
 class RelayEnd(StrEnum):
-    """How one engine's part of a stream ended."""
+    """The end of one engine's part of a stream."""
 
     COMPLETE = "complete"
     BROKEN = "broken"
@@ -36,17 +38,23 @@
     CALLER_GONE = "caller-gone"
 
 
+class EngineSearch(Protocol):
+    """The search for another engine while the current one is silent."""
+
+    def rule(self, engine: WorkerRecord, seconds: float) -> SilenceRule:
+        """Return the rule for a failover from an engine after a silence of ``seconds``."""
+
+    def cancel(self) -> None:
+        """Cancel the search, because the current engine has sent bytes."""
+
+
 class StreamRelay:
-    """Reads the parts of a stream from one engine after another and relays each event once."""
+    """Reads the parts of a stream from consecutive engines and relays each event once."""
 
-    def __init__(
-        self,
-        call: OpaqueCall,
-        services: CallServices,
-        answer: StreamAnswer,
-        choose_next_engine: Callable[[], Awaitable[bool]],
-    ) -> None:
-        self._choose_next_engine = choose_next_engine
+    search: EngineSearch
+    """The search for another engine; set after construction."""
+
+    def __init__(self, call: OpaqueCall, services: CallServices, answer: StreamAnswer) -> None:
         self._call = call
         self._services = services
         self._answer = answer
@@ -62,22 +70,30 @@
         )
 
     async def relay(
-        self, attempt: Attempt, part: StreamPart, first: SilenceRule | None
+        self,
+        attempt: Attempt,
+        part: StreamPart,
+        first: SilenceRule | None,
+        waiting: UpstreamBuffer | None = None,
     ) -> RelayEnd:
-        """Relay an engine's events until the body ends, the connection fails or no byte arrives.
+        """Relay an engine's events until the body ends, the connection fails or it is silent.
 
-        ``first`` says when an engine is abandoned that sends no first event.
+        ``first`` is the rule for an engine without a first event. ``waiting`` is the buffer of its
+        answer, if bytes were already read.
         """
         upstream = attempt.response
         assert upstream is not None
-        # Stays set if the call is cancelled, which is no failure of the engine.
+        waiting = waiting or UpstreamBuffer(upstream)
+        # Stays set if the call is cancelled, which is not a failure of the engine.
         end = RelayEnd.CALLER_GONE
         try:
-            end = await self._relay_body(upstream, part, first)
+            end = await self._relay_body(attempt, waiting, part, first)
         finally:
             self._next_event_begun = part.shows_next_event()
             if end is not RelayEnd.COMPLETE:
                 attempt.close()
+            if part.silent:
+                self._call.left_workers.add(attempt.worker.worker_id)
             if end is RelayEnd.BROKEN:
                 self._services.record_connection_failure(
                     self._call,
@@ -91,23 +107,31 @@
         return end
 
     async def _relay_body(
-        self, upstream: aiohttp.ClientResponse, part: StreamPart, first: SilenceRule | None
+        self,
+        attempt: Attempt,
+        waiting: UpstreamBuffer,
+        part: StreamPart,
+        first: SilenceRule | None,
     ) -> RelayEnd:
+        upstream = attempt.response
+        assert upstream is not None
         reader = EventReader()
-        waiting = UpstreamBuffer(upstream)
         self._answer.set_waiting(waiting)
         closed = unframed_body_end(upstream)
+        statistics = self._services.worker_statistics.get_or_create(attempt.worker.worker_id)
         silence = first
         try:
             while True:
                 chunk = await self._next_chunk(upstream, waiting, silence)
                 if not chunk:
                     break
+                statistics.heard_at = clock.now()
+                self.search.cancel()
                 events = reader.feed(chunk)
                 if events and not await self._send_events(upstream, part, events):
                     return RelayEnd.BROKEN
                 if events:
-                    silence = self._silence_rule()
+                    silence = self._silence_rule(attempt.worker)
             if closed is not None:
                 await closed
         except TimeoutError:
@@ -167,9 +191,8 @@
     async def _end_answer(self, upstream: aiohttp.ClientResponse, part: StreamPart) -> RelayEnd:
         """End the answer as complete if the engine's part was the end of the stream.
 
-        A properly terminated body proves nothing: without this check, the failure of a second
-        engine or a partial event ended incomplete streams as complete (18 streams in 6
-        simulations with failing engines and broken streams; none in the same 6 with the check).
+        A properly terminated body is not sufficient: a failure answer or a partial event also ends
+        with one, and would end an incomplete stream as complete.
         """
         if not part.is_stream_end():
             return RelayEnd.BROKEN
@@ -190,13 +213,12 @@
         tokens = call.envelope.prompt.tokens_out
         self._services.stream_times.observe_stream(call.route.name, tokens, seconds)
 
-    def _silence_rule(self) -> SilenceRule | None:
-        """Return when an engine that stops sending events is abandoned, ``None`` for never."""
+    def _silence_rule(self, engine: WorkerRecord) -> SilenceRule | None:
+        """Return the rule for a silence between events, ``None`` to wait indefinitely."""
         if not self._call.route.idempotent:
             return None
         pause = self._call.route.pause_objective or DEFAULT_PAUSE_SECONDS
-        seconds = max(MIN_SILENCE_SECONDS, SILENCE_FACTOR * pause)
-        return SilenceRule(seconds, self._choose_next_engine)
+        return self.search.rule(engine, max(MIN_SILENCE_SECONDS, SILENCE_FACTOR * pause))
 
 
 def _do_nothing() -> None:
--- a/src/corkcrank/node/streams/stream_run.py
+++ b/src/corkcrank/node/streams/stream_run.py
@@ -1,4 +1,4 @@
-"""Serves a call whose answer is a stream: runs its stages, sends it to engines, resumes it."""
+"""Serves a streamed call: runs its stages, sends it to engines, and fails over if one fails."""
 
 from aiohttp import web
 
@@ -15,6 +15,7 @@
 from corkcrank.node.stages.stage_run import StageRun
 from corkcrank.node.streams.engine_assignment import EngineAssignment
 from corkcrank.node.streams.engine_exchange import EngineExchanges
+from corkcrank.node.streams.engine_failover import EngineFailover
 from corkcrank.node.streams.engine_turns import EngineTurns
 from corkcrank.node.streams.stream_admission import StreamAdmission
 from corkcrank.node.streams.stream_answer import StreamAnswer
@@ -24,7 +25,7 @@
 from corkcrank.scheduling.stage_plan import StagePlan
 
 NO_ENGINE_RETRY_SECONDS = 3 * MIN_RETRY_SECONDS
-"""Retry delay sent to the caller when no engine is available, in seconds."""
+"""Retry time sent to the caller when no engine is available, in seconds."""
 
 
 class StreamRun:
@@ -48,9 +49,16 @@
             self._assignment,
             self._answer,
             self._continuity,
-            self._choose_next_engine,
         )
-        self._chosen: WorkerRecord | None = None
+        self._failover = EngineFailover(
+            call,
+            services,
+            self._plan,
+            self._admission,
+            self._turns,
+            self._answer,
+            self._exchanges,
+        )
         self._limit_wait: float | None = None
         self._refused_by_queue = False
 
@@ -60,7 +68,7 @@
         return self._call.answer_begun
 
     def fits_before_stop(self) -> bool:
-        """Return whether an engine may have run the call, or it should end before the stop."""
+        """Return whether the call may have run, or is expected to end before the stop."""
         return self._call.may_have_run or self._admission.ends_before_stop()
 
     def answer_at_stop(self) -> web.StreamResponse | Refusal:
@@ -71,7 +79,7 @@
         return self._exchanges.failure or abandoned_call_answer(self._call)
 
     async def run(self) -> web.StreamResponse | Refusal:
-        """Return the finished answer, or the refusal that states why there is none."""
+        """Return the finished answer, or a refusal with its reason."""
         if clock.now() > self._services.drain.streams_until:
             return Refusal.draining("request arrived too late in the drain")
         if refusal := await self._continuity.find_origin():
@@ -93,6 +101,7 @@
         except StageFailedError as error:
             return self._stage_refusal(error)
         finally:
+            self._failover.cancel()
             self._services.prefill_grants.report_prefill_done(self._call)
             self._assignment.clear()
             if self._exchanges.stages is not None:
@@ -101,9 +110,8 @@
     async def _admit(self, engines: list[WorkerRecord]) -> WorkerRecord | Refusal:
         """Return the engine that the stages are run for, or refuse the call immediately.
 
-        If every engine is rate-limited, one must grant the call before its stages start.
-        Otherwise the stage results would be wasted and the caller kept waiting if no engine
-        accepted the call later.
+        If every engine is rate-limited, one must grant the call before its stages start. Otherwise
+        a later rejection by all engines would waste the stage results and the caller's time.
         """
         limited = self._services.limits.limited(engines, clock.now())
         if len(limited) == len(engines):
@@ -118,13 +126,14 @@
 
     async def _run_admitted(self, chosen: WorkerRecord) -> web.StreamResponse | Refusal:
         engine: WorkerRecord | None = chosen
-        while len(self._call.workers_tried) < self._call.route.maximum_attempts:
+        while self._call.has_attempt_left:
             assert engine is not None
             inputs = await self._run_stages(engine)
             engine = await self._confirm_engine(engine)
             if engine is None:
                 break
             end = await self._exchanges.send(engine, inputs)
+            end = await self._continue_elsewhere(engine, end)
             if end is RelayEnd.COMPLETE:
                 self._services.crash_watch.record_completed(self._call)
                 return self._answer.finished()
@@ -137,48 +146,25 @@
             self._prepare_next_engine(failed)
         return self._final_refusal()
 
+    async def _continue_elsewhere(self, engine: WorkerRecord, end: RelayEnd) -> RelayEnd:
+        """Continue a stream at the engines that the failover finds after a silence or failure."""
+        while end in (RelayEnd.BROKEN, RelayEnd.FAILED):
+            if (begun := await self._failover.take(begins=self._answer.prepared)) is None:
+                break
+            self._log_resumption(engine, begun.attempt.worker.worker_id)
+            engine = begun.attempt.worker
+            end = await self._exchanges.continue_at(begun)
+        return end
+
     def _next_engine(self, failed: WorkerRecord) -> WorkerRecord | None:
         """Return the engine to prepare next, or ``None`` if the call must not be sent again."""
-        if not self._exchanges.silent:
-            self._chosen = None
         if clock.now() >= self._call.end_at:
             return None
-        if self._chosen is not None:
-            self._assignment.assign(self._chosen)
-            return self._chosen
         return self._usable_or_other(failed) if self._exchanges.may_try_another else None
 
-    async def _choose_next_engine(self) -> bool:
-        """Choose the engine of the next attempt while this one is under way, if there is any.
-
-        The attempt is counted in the retry budget. If stage results were freed, it only has to be
-        possible: the engine is confirmed after the stages.
-        """
-        crash_watch = self._services.crash_watch
-        self._chosen = None
-        if not self._exchanges.may_try_another or await crash_watch.wait_for_verdict(self._call):
-            return False
-        if not self._answer.prepared and not self._admission.ends_before_stop():
-            return False
-        engines = self._admission.rank_engines()
-        if not engines or clock.now() >= self._call.end_at:
-            return False
-        if self._exchanges.stages is not None and self._exchanges.stages.closed:
-            return True
-        turn = await self._turns.request_turn(engines[0])
-        if turn.engine is None or crash_watch.quarantine_seconds_left(self._call):
-            return False
-        if not self._services.try_spend_repeat(self._call.service):
-            return False
-        self._chosen = turn.engine
-        return True
-
     async def _confirm_engine(self, chosen: WorkerRecord) -> WorkerRecord | None:
         """Return the engine to send the call to now, or ``None`` if it must not be sent."""
         crash_watch = self._services.crash_watch
-        confirmed, self._chosen = self._chosen, None
-        if confirmed is not None and self._may_send(confirmed):
-            return confirmed
         if await crash_watch.wait_for_verdict(self._call):
             return None
         if not self._answer.prepared and not self._admission.ends_before_stop():
@@ -195,7 +181,7 @@
         return None if crash_watch.quarantine_seconds_left(self._call) else engine
 
     async def _wait_for_turn(self, chosen: WorkerRecord) -> WorkerRecord | None:
-        """Wait for a turn to read the prompt; return the engine that granted it."""
+        """Wait for a turn to read the prompt; return the engine of the grant."""
         self._call.step = CallStep.ENGINE_GRANT
         turn = await self._turns.wait_for_turn(chosen, has_results=self._plan.has_pieces)
         engine = turn.engine
@@ -278,22 +264,26 @@
         tokens.labels("kept").inc(max(0, prompt.tokens_in - unread))
 
     def _prepare_next_engine(self, engine: WorkerRecord) -> None:
-        """Mark freed results to be produced again for the next engine, and log the move."""
-        if self._exchanges.stages is not None and self._exchanges.stages.closed:
+        """Schedule a rerun of freed stage results for the next engine, and log the failover."""
+        stages = self._exchanges.stages
+        # A search that was cancelled while it reran the stages leaves the results incomplete.
+        if stages is not None and (stages.closed or not self._plan.complete):
             self._plan.reset_results()
-            self._exchanges.stages.closed = False
-            self._chosen = None
+            stages.reopen(promised=self._answer.prepared)
+        self._log_resumption(engine)
+
+    def _log_resumption(self, left: WorkerRecord, taken: str | None = None) -> None:
         self._services.log.write(
             LogEvent.STREAM_RESUMED,
             call=self._call.call_id,
-            worker=engine.worker_id,
+            worker=left.worker_id,
+            taken=taken,
             last_event=self._exchanges.resume_after,
         )
 
     def _final_refusal(self) -> web.StreamResponse | Refusal:
         if self._answer.prepared:
-            self._answer.abort()
-            raise ConnectionResetError("no engine is left to complete the stream")
+            raise self._cut_stream("deadline" if clock.now() >= self._call.end_at else "engine")
         if self._exchanges.failure is not None:
             return self._exchanges.failure
         if self._call.may_have_run:
@@ -315,11 +305,26 @@
             return Refusal(code, retry_after=retry)
         return self._no_engine_refusal(ResultCode.NO_BACKEND)
 
+    def _cut_stream(self, failed: str, detail: str = "") -> ConnectionResetError:
+        """Close the caller's connection in the middle of the answer; return the error to raise."""
+        self._services.metrics.cut_streams.labels(failed).inc()
+        self._services.log.write(
+            LogEvent.STREAM_CUT,
+            call=self._call.call_id,
+            failed=failed,
+            detail=detail,
+            workers=self._call.workers_tried,
+            resume_after=self._exchanges.resume_after,
+            left=round(self._call.end_at - clock.now(), 3),
+        )
+        self._answer.abort()
+        return ConnectionResetError("no engine is left to complete the stream")
+
     def _quarantine_refusal(self, wait: float) -> Refusal:
         return Refusal.quarantined(wait, self._services.crash_watch.quarantined_parts(self._call))
 
     def _no_engine_refusal(self, code: ResultCode, detail: str = "") -> Refusal:
-        """Return the refusal of a call without an engine; backoffs of all engines go first."""
+        """Return the refusal of a call without an engine; common backoffs have precedence."""
         if refusal := self._services.backing_off_refusal(self._call):
             return refusal
         if refusal := self._services.requests_full_refusal(self._call):
@@ -330,8 +335,7 @@
 
     def _stage_refusal(self, error: StageFailedError) -> web.StreamResponse | Refusal:
         if self._answer.prepared:
-            self._answer.abort()
-            raise ConnectionResetError("no engine is left to complete the stream") from error
+            raise self._cut_stream("stages", error.detail) from error
         if self._exchanges.failure is not None:
             return self._exchanges.failure
         if self._call.may_have_run:
--- a/src/corkcrank/node/telemetry/metrics.py
+++ b/src/corkcrank/node/telemetry/metrics.py
@@ -228,6 +228,13 @@
             ("resumed_by", "version"),
             registry=self.registry,
         )
+        self.cut_streams = Counter(
+            "corkcrank_streams_cut",
+            "Streams cut midway by this gateway because no engine continued them, by what failed"
+            " last (engine, stages or the deadline).",
+            ("failed",),
+            registry=self.registry,
+        )
         self.stage_seconds = Histogram(
             "corkcrank_stage_seconds",
             "Time of all stages of a call.",
--- a/src/corkcrank/node/workers/worker_client.py
+++ b/src/corkcrank/node/workers/worker_client.py
@@ -1,6 +1,7 @@
-"""HTTP client for workers: sends each attempt once; a failure says if it may have been received."""
+"""HTTP client for workers that sends each attempt once and reports whether it was received."""
 
 import asyncio
+from dataclasses import replace
 from types import TracebackType
 from typing import Self
 
@@ -22,6 +23,8 @@
 from corkcrank.node.workers.link_monitor import LinkFailure, LinkMonitor
 from corkcrank.node.workers.silence_timeout import SilenceRule, SilenceTimeout
 from corkcrank.node.workers.worker_request import (
+    SILENT_FAILURE,
+    MemberSearch,
     NoRelay,
     RequestRelay,
     SendFailure,
@@ -39,15 +42,15 @@
 )
 
 MAX_TIMER_LAG_SECONDS = 0.02
-"""A connect timeout that expires later than this is due to the event loop: it may have stood still
-while the worker accepted the connection."""
+"""Maximum delay of a connect timeout. If it expires later, the event loop was stalled, and the
+worker may have accepted the connection."""
 
 MAX_IDLE_SECONDS = 1.5
-"""A keep-alive connection that was idle for longer is not reused: it may have failed without a
-sign, and only a request that times out would show that."""
+"""Maximum idle time of a keep-alive connection for reuse. A connection may fail without an error,
+which only the timeout of a request would show."""
 
 MIN_SILENCE_SECONDS = 0.1
-"""A shorter wait without a byte says nothing about a connection: the call's deadline was near."""
+"""A shorter wait does not show a silent connection: the call's deadline was close."""
 
 
 _LINK_FAILURES = {
@@ -55,15 +58,15 @@
     SendTrouble.REFUSED: LinkFailure.REFUSED,
     SendTrouble.UNKNOWN: LinkFailure.BROKEN,
 }
-"""Failures of requests that a failed link would cause."""
+"""Failures of requests that a failed link may cause."""
 
 
 class WorkerClient:
     """Sends requests to workers on new or on keep-alive connections.
 
-    After a timeout no idle connection to that worker is reused. A request to a worker that this
-    gateway cannot connect to goes through a member that can; ``relay`` and ``links`` are set by the
-    node for that. ``links`` hears of each connection that fails.
+    After a timeout, no idle connection to that worker is reused. A request to a worker that this
+    gateway cannot connect to is relayed by a member that can; the node sets ``relay`` and ``links``
+    for that. Connection failures are reported to ``links``.
     """
 
     def __init__(self, on_silence: SilenceListener = ignore_silence) -> None:
@@ -92,8 +95,8 @@
     async def send(self, request: WorkerRequest, silence: SilenceRule | None = None) -> SendResult:
         """Send a request and wait for the head of its response, for at most its ``seconds``.
 
-        ``silence`` may end the wait earlier. The target is sent byte for byte. Nothing is sent a
-        second time.
+        ``silence`` may end the wait earlier. The target is sent unchanged. A request is sent at
+        most once.
         """
         return await self._send(request, silence, relayed=True)
 
@@ -111,11 +114,8 @@
                     return await self._send_or_relay(request, self.links)
                 return await self._send_directly(request, None)
         except TimeoutError:
-            waited = clock.now() - started
-            self.record_silence(request.worker.address, waited)
-            if waited >= MIN_SILENCE_SECONDS:
-                self._report_failure(request.worker, LinkFailure.SILENT)
-            return SendFailure(SendTrouble.SILENT, "no answer in time")
+            self.record_silent_worker(request.worker, clock.now() - started)
+            return SILENT_FAILURE
 
     async def _send_or_relay(self, request: WorkerRequest, links: LinkMonitor) -> SendResult:
         worker = request.worker
@@ -125,21 +125,24 @@
                 if isinstance(result, SendFailure) and not result.connected:
                     links.record_unreachable_for_peers(worker.worker_id)
                 return result
-        found: list[str] = []
+        search = MemberSearch()
 
         async def reached_elsewhere() -> bool:
-            found.extend(filter(None, [await self.relay.find_member(worker)]))
-            return bool(found)
+            nonlocal search
+            search = await self.relay.find_member(worker)
+            return search.member is not None
 
         watch = ConnectWatch(reached_elsewhere) if self.relay.available else None
         result = await self._send_directly(request, watch)
         if not isinstance(result, SendFailure) or result.connected or result.stalled:
             return result
-        if not found and not await reached_elsewhere():
-            return result
-        links.record_failed_link(worker, found[0])
+        if search.member is None:
+            await reached_elsewhere()
+        if search.member is None:
+            return result if search.complete else _without_verdict(result)
+        links.record_failed_link(worker, search.member)
         relayed = await self.relay.send(request)
-        return result if relayed is None else relayed
+        return _without_verdict(result) if relayed is None else relayed
 
     async def _send_directly(
         self, request: WorkerRequest, watch: ConnectWatch | None
@@ -202,9 +205,9 @@
     ) -> bytes | None:
         """Return a complete body, or ``None`` if it was truncated or timed out.
 
-        ``seconds`` bounds the whole read; ``silence`` may end each wait for the next byte
-        earlier. A body without length ends with its connection. If a reset ended the connection,
-        the library still reports the body as complete, so this method checks how it ended.
+        ``seconds`` bounds the whole read; ``silence`` may end each wait for the next byte earlier.
+        A body without length ends with its connection. The library reports such a body as complete
+        even if a reset ended the connection, so this method checks how it ended.
         """
         end_at = clock.now() + seconds
         closed = unframed_body_end(response)
@@ -232,6 +235,21 @@
         """Close all idle connections; return their number."""
         return drop_all_idle(self._kept)
 
+    def drop_idle(self, worker: WorkerRecord) -> None:
+        """Close all idle connections to a worker, because one to it is silent."""
+        drop_idle(self._kept, worker.address)
+
+    def record_silent_worker(self, worker: WorkerRecord, waited: float) -> None:
+        """Record that a request was abandoned after ``waited`` seconds without a byte."""
+        self.record_silence(worker.address, waited)
+        if waited >= MIN_SILENCE_SECONDS:
+            self._report_failure(worker, LinkFailure.SILENT)
+
+    def suspect_silence(self, worker: WorkerRecord) -> None:
+        """Close idle connections to a worker and request a link check, because one is silent."""
+        self.drop_idle(worker)
+        self._report_failure(worker, LinkFailure.SILENT)
+
     def record_silence(self, address: str, waited: float) -> None:
         """Record that a worker's connection was dropped after ``waited`` seconds without a byte.
 
@@ -244,8 +262,13 @@
         self._on_silence(SilentConnection(ConnectionKind.WORKER, address, waited, idle))
 
 
+def _without_verdict(failure: SendFailure) -> SendFailure:
+    """Return a connect failure that is not evidence of an exited worker process."""
+    return replace(failure, trouble=SendTrouble.NOT_SENT)
+
+
 def address_of(response: aiohttp.ClientResponse) -> str:
-    """Return the ``ip:port`` that a response came from."""
+    """Return the ``ip:port`` of a response's sender."""
     return f"{response.url.host}:{response.url.port}"
 
 
--- a/src/corkcrank/node/workers/worker_request.py
+++ b/src/corkcrank/node/workers/worker_request.py
@@ -1,4 +1,4 @@
-"""A request to a worker, and how it may travel there."""
+"""Defines a request to a worker, its failures and its relay by members."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -12,7 +12,7 @@
 
 
 class SendTrouble(StrEnum):
-    """What is known about a request that got no response."""
+    """The failure of a request without a response."""
 
     NOT_SENT = "not-sent"
     REFUSED = "refused"
@@ -27,8 +27,8 @@
 class SendFailure:
     """Why a request got no usable response.
 
-    ``stalled`` is set if the event loop ran late at the connect timeout, so that the failure says
-    nothing about the worker.
+    ``stalled`` is set if the event loop was delayed at the connect timeout, so that the failure is
+    no evidence on the worker.
     """
 
     trouble: SendTrouble
@@ -37,15 +37,19 @@
 
     @property
     def connected(self) -> bool:
-        """Return whether a connection to the worker was ready, as far as is known."""
+        """Return whether a connection to the worker may have been ready."""
         return self.trouble not in (SendTrouble.NOT_SENT, SendTrouble.REFUSED)
 
 
+SILENT_FAILURE = SendFailure(SendTrouble.SILENT, "no answer in time")
+"""The failure of a request to a worker that was silent for too long."""
+
+
 @dataclass(frozen=True, slots=True)
 class WorkerRequest:
-    """A request to a worker; ``target`` and ``headers`` are sent as they are.
+    """A request to a worker; ``target`` and ``headers`` are sent unchanged.
 
-    ``seconds`` is the time until the exchange must end. ``fresh`` asks for a new connection.
+    ``seconds`` is the time until the exchange must end. ``fresh`` requires a new connection.
     ``still_wanted`` is called when the connection is ready; the request is not sent if it returns
     false. ``new_work`` is false for messages about earlier work. ``call_id`` is empty if the
     request belongs to no call.
@@ -66,18 +70,40 @@
 SendResult = aiohttp.ClientResponse | SendFailure
 
 
+@dataclass(frozen=True, slots=True)
+class MemberSearch:
+    """The result of a search for a ``member`` that reaches a worker, ``None`` without one.
+
+    ``complete`` is set if each probed member has answered. Otherwise a late member may reach the
+    worker, so the search is no evidence of an exit. ``denied`` is set if some member answered in
+    time that it does not reach the worker.
+    """
+
+    member: str | None = None
+    complete: bool = True
+    denied: bool = False
+
+    def joined(self, answer: "MemberSearch") -> "MemberSearch":
+        """Return this result combined with the answer of one more member."""
+        if answer.member is not None:
+            return MemberSearch(answer.member)
+        return MemberSearch(
+            complete=self.complete and answer.complete, denied=self.denied or answer.denied
+        )
+
+
 class RequestRelay(Protocol):
-    """Sends requests through gateways that reach a worker which this one does not reach."""
+    """Sends requests through members that reach a worker which this gateway cannot reach."""
 
     @property
     def available(self) -> bool:
         """Return whether any member can relay requests."""
 
-    async def find_member(self, worker: WorkerRecord) -> str | None:
-        """Return the name of a member that can connect to a worker, ``None`` without one."""
+    async def find_member(self, worker: WorkerRecord) -> MemberSearch:
+        """Search for a member that can connect to a worker."""
 
     async def send(self, request: WorkerRequest) -> SendResult | None:
-        """Send a request through a member; ``None`` if none takes it and nothing was sent."""
+        """Send a request through a member; ``None`` if none accepts it and nothing was sent."""
 
 
 class NoRelay:
@@ -85,9 +111,9 @@
 
     available = False
 
-    async def find_member(self, worker: WorkerRecord) -> str | None:
-        """Return ``None``."""
-        return None
+    async def find_member(self, worker: WorkerRecord) -> MemberSearch:
+        """Return a search result without a member."""
+        return MemberSearch()
 
     async def send(self, request: WorkerRequest) -> SendResult | None:
         """Return ``None``."""
--- a/src/corkcrank/scheduling/batch_filling.py
+++ b/src/corkcrank/scheduling/batch_filling.py
@@ -1,14 +1,23 @@
 """Selects the waiting pieces that go into the next call to a stage worker."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from corkcrank.contracts.urgency import Urgency
 from corkcrank.links.platform_ports import PieceOrder
 
 MAX_OVERTAKING_SIZE_SHARE = 0.1
-"""Largest size of a piece that may overtake one that waits for result memory, as a share of the
+"""Maximum size of a piece that may overtake one that waits for result memory, as a share of the
 latter's size."""
 
+HasLeft = Callable[[], bool]
+"""Returns whether the requester of pieces has closed its connection."""
+
+
+def never_leaves() -> bool:
+    """Return false: a requester in this process withdraws its pieces instead."""
+    return False
+
 
 @dataclass(slots=True, eq=False)
 class StageItem:
@@ -16,7 +25,8 @@
 
     ``urgency`` orders the queue, lowest first; it includes the time by which the piece should
     finish. From ``start_by`` on, starting the piece is useless. ``abandoned_at`` is when its
-    call abandoned it. A piece that goes ``alone`` shares no batch with pieces of other calls.
+    call abandoned it. A piece that goes ``alone`` shares no batch with pieces of other calls. A
+    ``final`` piece is not placed again if its worker is silent.
     """
 
     order: PieceOrder
@@ -28,12 +38,19 @@
     sequence: int = 0
     abandoned_at: float | None = None
     alone: bool = False
+    final: bool = False
+    has_left: HasLeft = never_leaves
 
     @property
     def abandoned(self) -> bool:
         """Return whether the piece's call has abandoned it."""
         return self.abandoned_at is not None
 
+    @property
+    def wanted(self) -> bool:
+        """Return whether the piece's call has not abandoned it and its requester is connected."""
+        return not self.abandoned and not self.has_left()
+
 
 def fill_batch(
     queue: list[StageItem], batch: int, room: float, whole_room: float
--- a/src/corkcrank/scheduling/stage_queue.py
+++ b/src/corkcrank/scheduling/stage_queue.py
@@ -21,18 +21,22 @@
 """Bounds of the measured pace, so that one outlier does not starve or overload a worker."""
 
 SHORT_OF_ROOM_SHARE = 0.6
-"""Share of the room, used or wanted, above which room limits the batches: running batches need
-room in addition to the results that wait to be read."""
+"""Share of the room, used or wanted, above which room limits the batches. Running batches need
+room in addition to unread results."""
 
 
 @dataclass(slots=True, eq=False)
 class StageCall:
-    """One running call at the worker; ``stated_seconds`` is its duration by stated capacity."""
+    """One running call at the worker; ``stated_seconds`` is its duration by stated capacity.
+
+    ``overdue`` is set once the worker has been silent for too long; the call stays open.
+    """
 
     stage_items: list[StageItem]
     started_at: float
     expected_seconds: float
     stated_seconds: float = 0.0
+    overdue: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,7 +51,7 @@
 class StageQueue:
     """The queued pieces, running calls and held results of one stage worker.
 
-    ``pace`` is measured; ``passing_pace`` is what the worker's statement makes of it for a moment.
+    ``pace`` is measured. ``passing_pace`` is the temporary factor from the worker's statements.
     """
 
     capacity: StageCapacity
@@ -83,13 +87,13 @@
 
     @property
     def short_of_room(self) -> bool:
-        """Return whether pieces wait whose results, with existing ones, fill much of the room."""
+        """Return whether pieces wait and the results would fill most of the room."""
         room_needed = self.room_used + self.room_wanted
         return bool(self._queue) and room_needed > SHORT_OF_ROOM_SHARE * self.capacity.room_bytes
 
     @property
     def room_sufficed(self) -> bool:
-        """Return whether the room recently sufficed for all results of the worker's calls."""
+        """Return whether the worker's recent calls found enough room for all results."""
         return self._results.usable_share >= 1.0
 
     @property
@@ -105,7 +109,7 @@
         self._queue.sort(key=_queue_order)
 
     def withdraw(self, stage_item: StageItem, now: float) -> None:
-        """Mark a piece whose call has ended as abandoned, and remove it if it is still queued."""
+        """Mark a piece as abandoned because its call has ended, and remove it from the queue."""
         stage_item.abandoned_at = now
         if stage_item in self._queue:
             self._queue.remove(stage_item)
@@ -123,6 +127,12 @@
         waiting, self._queue = self._queue, []
         return waiting
 
+    def remove_repeated(self) -> list[StageItem]:
+        """Remove and return the queued pieces that can be placed again; final ones stay."""
+        removed = [stage_item for stage_item in self._queue if not stage_item.final]
+        self._queue = [stage_item for stage_item in self._queue if stage_item.final]
+        return removed
+
     def queued(self) -> tuple[StageItem, ...]:
         """Return the queued pieces, the most urgent first."""
         return tuple(self._queue)
@@ -167,12 +177,16 @@
     def end_call(self, call: StageCall, results: list[PieceResult] | None, now: float) -> None:
         """Record the end of a call and its results; ``None`` means that it returned none.
 
-        Results of abandoned pieces also occupy room until they are freed.
+        Results of abandoned pieces also occupy room until they are freed. A call that ended without
+        results may still return some late.
         """
-        self._calls.remove(call)
+        late = call not in self._calls
+        if not late:
+            self._calls.remove(call)
         if results is None:
             return
-        self._update_pace(call, now)
+        if not late:
+            self._update_pace(call, now)
         refused_pieces, smallest_refused = 0, float("inf")
         for stage_item, result in zip(call.stage_items, results, strict=True):
             if result.outcome is PieceOutcome.DONE:
@@ -245,9 +259,9 @@
         assert self.room_used <= self.capacity.room_bytes + 1e-6
 
     def _in_start_order(self, now: float) -> list[StageItem]:
-        """Return the queue, with the pieces last that would finish late even if started now.
+        """Return the queue, with pieces at the end that would be late even if started now.
 
-        Running these first, because they are due earliest, would make the others late as well.
+        Running these pieces first, because they are due earliest, would make others late too.
         """
         limit = now + self.call_seconds(1)
         in_time = [stage_item for stage_item in self._queue if stage_item.urgency.due >= limit]
@@ -274,7 +288,7 @@
         return self.capacity.room_bytes * self._results.usable_share
 
     def _room_wait(self, ahead: list[StageItem], pieces: int, size: float) -> float:
-        """Return the seconds until the room suffices, based on the mean hold time."""
+        """Return the seconds until there is enough room, based on the mean hold time."""
         wanted = (
             self.room_used + sum(stage_item.result_bytes for stage_item in ahead) + pieces * size
         )
--- a/src/corkcrank/scheduling/worker_choice.py
+++ b/src/corkcrank/scheduling/worker_choice.py
@@ -1,8 +1,8 @@
 """Chooses a worker for a call of a plain service, one without engines or stages.
 
-The worker with the lowest pressure is chosen: calls in flight of this gateway and of its peers per
-slot, with penalties for failures, verdicts, other zones and rate limits. Where workers state how
-long work takes there, the expected time of a call counts in place of the calls per slot.
+The worker with the lowest pressure is chosen. Pressure is the number of calls per slot in flight at
+all gateways, plus penalties for failures, verdicts, other zones and rate limits. For services whose
+workers state their pace, the expected time of a call replaces the calls per slot.
 """
 
 import random
@@ -19,41 +19,44 @@
 """Time for which a failed call counts against a worker."""
 
 FAILURE_PENALTY = 1.0
-"""Pressure that each recent failure adds."""
+"""Pressure of each recent failure."""
 
 EJECTED_PENALTY = 4.0
-"""Pressure that an ejection adds: an ejected worker is chosen once each of the other workers has
-four calls a slot more than it."""
+"""Pressure of an ejection. An ejected worker is chosen only if every other worker has four more
+calls per slot."""
 
 EXCESS_PENALTY = 4.0
-"""Pressure of a worker that is expected to fail all of its calls while the others fail none. A
-higher value lets a random excess concentrate calls on workers with few slots."""
+"""Pressure of an excess failure rate of 1. A higher value would let random excess concentrate calls
+on workers with few slots."""
+
+SILENCE_MEMORY_SECONDS = 1.0
+"""Time for which an unresponsive worker gets no calls while other workers of its service answer."""
 
 ENDED_EXCLUSION_SECONDS = 5.0
-"""Time for which an incarnation that has ended gets no calls. Its entry is removed after three
-missed heartbeats of the worker, 3.6 s. If it is still listed after this time, the end was detected
-by mistake and the incarnation is tried again."""
+"""Time for which a crashed incarnation gets no calls. Its entry is removed after three missed
+heartbeats of the worker, 3.6 s. If it is still listed after this time, the crash was detected by
+mistake and the incarnation is tried again."""
 
 MAX_HALF_OPEN_CALLS = 2
-"""Limit of calls in flight of all gateways together at a half-open worker that is probed."""
+"""Maximum number of calls in flight of all gateways together at a half-open worker."""
 
 PEERS_BACKOFF_PENALTY = 4.0
-"""Pressure that a backoff adds that the worker requested of another gateway."""
+"""Pressure of a backoff that the worker requested from another gateway."""
 
 LIMITED_PENALTY = 1.0
-"""Pressure that a rate limit adds: a limited worker looks idle because few calls are sent to it."""
+"""Pressure of a rate limit. A limited worker has few calls and would otherwise look idle."""
 
 OTHER_ZONE_PENALTY = 0.25
-"""Pressure that a worker in another zone has in addition."""
+"""Additional pressure of a worker in another zone."""
 
 MIN_EXPECTED_TIME_SPREAD = 0.1
 MAX_EXPECTED_TIME_SPREAD = 0.4
-"""Bounds of the random share of an expected time, up or down. Gateways that knew the same best
-worker would all choose it until the next heartbeat. The upper one still leaves a worker that is
-2.5 times slower unused while the others have free slots."""
+"""Bounds of the random share of an expected time, up or down. Without it, gateways with the same
+information would all choose the same worker until the next heartbeat. At the upper bound, a worker
+that is 2.5 times slower still gets no calls while the others have free slots."""
 
 SPREAD_PER_DOUBT = 0.5
-"""Random share for each call a slot by which the reported calls may be wrong."""
+"""Random share for each call per slot by which reported calls may be wrong."""
 
 NO_FACTORS: Mapping[str, float] = MappingProxyType({})
 
@@ -64,8 +67,9 @@
 
     ``reading`` counts prompt tokens of calls that have no first event yet. ``verdict`` and
     ``excess`` are the last results of :mod:`outlier_detection` for the worker. ``leaving`` is set
-    if another worker answers at its address. The incarnation counts as ended until
-    ``ended_until``.
+    if another worker answers at its address. The incarnation counts as crashed until
+    ``ended_until``. ``heard_at`` is the time of the last bytes received from the worker,
+    ``unanswered_at`` that of its last missing answer.
     """
 
     in_flight: int = 0
@@ -79,22 +83,29 @@
     seconds: float = 0.0
     verdict: Verdict = Verdict.HEALTHY
     excess: float = 0.0
+    heard_at: float = float("-inf")
+    unanswered_at: float = float("-inf")
+
+    def is_silent(self, now: float) -> bool:
+        """Return whether the worker recently failed to answer and has sent no bytes since."""
+        recent = now - self.unanswered_at < SILENCE_MEMORY_SECONDS
+        return recent and self.heard_at < self.unanswered_at
 
     def recent_failures(self, now: float) -> int:
-        """Return the number of failures that still count."""
+        """Return the number of failures within ``FAILURE_MEMORY_SECONDS``; remove older ones."""
         if not self.failures:
             return 0
         self.failures = [at for at in self.failures if at > now - FAILURE_MEMORY_SECONDS]
         return len(self.failures)
 
     def record_end(self, at: float) -> None:
-        """Record when this incarnation ended; it gets no calls until its entry is removed."""
+        """Record the crash of this incarnation, which gets no calls until its entry is removed."""
         self.ended_until = max(self.ended_until, at + ENDED_EXCLUSION_SECONDS)
 
     def is_last_resort(self, *, repeatable: bool) -> bool:
         """Return whether the worker gets a call only if no other worker is free.
 
-        A call that must not run twice is never used to probe a half-open worker.
+        An unrepeatable call is never used to probe a half-open worker.
         """
         if self.verdict is Verdict.HEALTHY:
             return False
@@ -105,7 +116,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _Candidate:
-    """A worker with its calls per slot, the penalties on top, and a random number for ties."""
+    """A worker with its calls per slot, its penalties, and a random number for ties."""
 
     record: WorkerRecord
     calls: float
@@ -116,7 +127,7 @@
 class WorkerStatisticsTable:
     """Statistics of every worker that this gateway has called or received a report on.
 
-    ``notices`` are the workers' own announcements, which outlast their entries. ``requests`` holds
+    ``notices`` are announcements of the workers, which outlast their entries. ``requests`` holds
     the bytes of unanswered requests.
     """
 
@@ -128,36 +139,45 @@
         self._statistics: dict[str, WorkerStatistics] = {}
 
     def has_left(self, worker_id: str, now: float) -> bool:
-        """Return whether a worker gets no calls of any gateway: it is leaving or has ended."""
+        """Return whether a worker gets no calls from any gateway: it is leaving or has crashed."""
         if self.notices.is_leaving(worker_id):
             return True
         statistics = self._statistics.get(worker_id)
         return statistics is not None and (statistics.leaving or statistics.ended_until > now)
 
     def is_unavailable(self, worker_id: str, now: float) -> bool:
-        """Return whether a worker gets no calls of this gateway.
+        """Return whether a worker gets no calls from this gateway.
 
-        It has left, is in backoff, or holds as many bytes of this gateway's requests as it may.
+        The worker has left, is in backoff, or has reached its bound of request bytes.
         """
         in_backoff = self.notices.backoff_seconds(worker_id, now) > 0
         return in_backoff or self.has_left(worker_id, now) or self.requests.is_full(worker_id)
 
+    def silent_ids(self, worker_ids: Collection[str], now: float) -> frozenset[str]:
+        """Return the silent workers, or none if all are silent: a call needs some worker."""
+        silent = frozenset(
+            worker_id
+            for worker_id in worker_ids
+            if worker_id in self._statistics and self._statistics[worker_id].is_silent(now)
+        )
+        return silent if len(silent) < len(worker_ids) else frozenset()
+
     def forget_failures(self) -> None:
-        """Remove what failed connections showed, because this gateway's links had failed."""
+        """Remove the evidence of failed connections, because this gateway's links had failed."""
         for statistics in self._statistics.values():
             statistics.failures.clear()
             statistics.avoid_until = 0.0
             statistics.ended_until = 0.0
 
     def get_or_create(self, worker_id: str) -> WorkerStatistics:
-        """Return the statistics of a worker; create them if there are none."""
+        """Return the statistics of a worker; create them if missing."""
         statistics = self._statistics.get(worker_id)
         if statistics is None:
             statistics = self._statistics[worker_id] = WorkerStatistics()
         return statistics
 
     def retain_only(self, worker_ids: Collection[str]) -> None:
-        """Remove all workers but these and those with a local call in flight."""
+        """Remove workers that are not listed and have no local call in flight."""
         for worker_id in list(self._statistics):
             if worker_id not in worker_ids and not self._statistics[worker_id].in_flight:
                 del self._statistics[worker_id]
@@ -182,10 +202,10 @@
 ) -> WorkerRecord | None:
     """Return the worker with the lowest pressure that is not excluded, or ``None``.
 
-    Pressure is calls per slot, with penalties for recent failures, for an ejection, for another
-    zone and for a rate limit. A ``repeatable`` call may probe a half-open worker. ``factors`` gives
-    how long work takes at workers, empty for a service whose workers do not state it, and ``doubt``
-    the calls a slot that peers may have begun and ended since their reports.
+    Pressure is calls per slot, with penalties for recent failures, an ejection, another zone and a
+    rate limit. A ``repeatable`` call may probe a half-open worker. ``factors`` gives the pace of
+    workers, empty for a service whose workers do not state it. ``doubt`` is the number of calls per
+    slot that peers may have begun or ended since their reports.
     """
     ranked = rank_workers(
         candidates,
@@ -215,7 +235,7 @@
     factors: Mapping[str, float] = NO_FACTORS,
     doubt: float = 0.0,
 ) -> list[WorkerRecord]:
-    """Return the workers that are not excluded, sorted as :func:`choose_worker` prefers them."""
+    """Return the workers that are not excluded, in the order of :func:`choose_worker`."""
     found = []
     for record in candidates:
         if record.worker_id in excluded or worker_statistics.is_unavailable(record.worker_id, now):
@@ -249,10 +269,10 @@
 ) -> list[float]:
     """Return the expected times of a call at the workers, without their penalties.
 
-    A call takes the worker's factor, and as long again for each call a slot before it. Doubt and
-    pace concern only that: a verdict or a failure is no less certain where calls are uncertain,
-    and no milder where work is quick. Times are relative to the candidates' mean factor, so that
-    penalties weigh the same where all other workers are slow.
+    A call takes the worker's factor, and the same time for each call per slot before it. ``doubt``
+    and ``factors`` apply only to this time, not to the penalties, because they do not change the
+    certainty of a verdict or failure. Times are relative to the candidates' mean factor, so that
+    penalties keep their weight if all workers are slow.
     """
     count = max(1, len(candidates))
     mean = sum(item.calls for item in candidates) / count
--- a/tests/scheduling/test_stage_queue.py
+++ b/tests/scheduling/test_stage_queue.py
@@ -238,3 +238,26 @@
         2.0 * (CAPACITY.call_seconds + CAPACITY.piece_seconds)
     )
     assert queue.pace == 1.0
+
+
+def test_late_results_of_a_call_that_was_given_up_occupy_room_and_say_nothing_of_the_pace() -> None:
+    queue = queue_with(stage_item("a"), stage_item("b"))
+    call = queue.start_next_call(0.0)
+    assert call is not None
+    queue.end_call(call, None, 2.0)
+    assert (queue.at_work, queue.room_used) == (0, 0.0)
+    results = done_results(call, itertools.count())
+    queue.end_call(call, results, 3.0)
+    assert queue.room_used == 20.0
+    assert queue.pace == 1.0
+    for result in results:
+        queue.free_result(result.handle, 3.1)
+    assert queue.room_used == 0.0
+
+
+def test_final_pieces_stay_in_the_queue_of_a_worker_that_failed() -> None:
+    final, repeated = stage_item("a"), stage_item("b")
+    final.final = True
+    queue = queue_with(final, repeated)
+    assert queue.remove_repeated() == [repeated]
+    assert queue.queued() == (final,)
