Stage workers: a call that is late is expected to take as long again as it is late

Cause: the forecast of an overdue call was "ends now". So the pieces behind it were expected to end sooner there than at a free worker that was measured as equally fast or slower, nobody stole them, and new ones were placed there too. And nothing offered them again as the call became later. Change: StageCall.remaining_seconds; a queue with pieces behind a late call offers them to free workers when it is late by half its time, then each time it is twice as late.

--- a/src/corkcrank/node/stages/owned_queue.py
+++ b/src/corkcrank/node/stages/owned_queue.py
@@ -98,6 +98,16 @@
         entry.queue.capacity = profile.stage
         return entry
 
+    def get_or_create_listed(self, worker_id: str) -> OwnedQueue | None:
+        """Return the queue of a worker; create it if the worker is listed, else return ``None``."""
+        if worker_id in self._queues:
+            return self._queues[worker_id]
+        worker = self._mirror.workers.get(worker_id)
+        profile = None if worker is None else self._mirror.profile(worker.service)
+        if worker is None or profile is None or profile.stage is None:
+            return None
+        return self.get_or_create(worker, profile)
+
     def apply_pace(self, entry: OwnedQueue, now: float) -> None:
         """Apply a worker's current pace, by its own statement."""
         entry.queue.passing_pace = self._paces.passing_factor(entry.worker.worker_id, now)
@@ -133,6 +143,12 @@
             if other is not entry and (other.worker.service, other.worker.zone) == pool
         ]
 
+    def free_siblings(self, entry: OwnedQueue, now: float) -> list[OwnedQueue]:
+        """Return the siblings that can start a call, if any piece waits for this worker."""
+        if not entry.queue.waiting:
+            return []
+        return [other for other in self.siblings(entry) if other.queue.can_start_call(now)]
+
     def queue_with_earliest_end(
         self, worker: WorkerRecord, profile: ServiceProfile, work: StageWork, now: float
     ) -> tuple[OwnedQueue, QueueForecast] | None:
--- a/src/corkcrank/node/stages/piece_waiters.py
+++ b/src/corkcrank/node/stages/piece_waiters.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Sequence
 
-from corkcrank.links.platform_ports import PieceResult
+from corkcrank.links.platform_ports import PieceOutcome, PieceResult
 from corkcrank.scheduling.batch_filling import StageItem
 
 
@@ -46,3 +46,8 @@
             return False
         future.set_result(result)
         return True
+
+    def refuse(self, stage_items: Sequence[StageItem]) -> None:
+        """Return pieces as refused to their callers, which place them again."""
+        for stage_item in stage_items:
+            self.set_result(stage_item, PieceResult(PieceOutcome.REFUSED))
--- a/src/corkcrank/node/stages/stage_owner.py
+++ b/src/corkcrank/node/stages/stage_owner.py
@@ -158,13 +158,9 @@
 
     def free_results(self, worker_id: str, handles: Sequence[str]) -> None:
         """Free results; send nothing to a worker that is no longer listed."""
-        entry = self._queues.get(worker_id)
+        entry = self._queues.get_or_create_listed(worker_id)
         if entry is None:
-            worker = self._mirror.workers.get(worker_id)
-            profile = self._mirror.profile(worker.service) if worker is not None else None
-            if worker is None or profile is None or profile.stage is None:
-                return
-            entry = self._queues.get_or_create(worker, profile)
+            return
         self.room.free_results(entry.room, handles)
         self._start_calls(entry)
 
@@ -175,7 +171,7 @@
             if self._availability.accepts_work(entry.worker):
                 continue
             entry.room.restarted = self._mirror.workers.is_replaced(entry.worker)
-            self._refuse(entry.queue.remove_all())
+            self._waiters.refuse(entry.queue.remove_all())
             if self._mirror.workers.get(entry.worker.worker_id) is None and not entry.queue.at_work:
                 self._queues.remove(entry)
 
@@ -183,12 +179,7 @@
         """Refuse queued and later pieces, because this gateway is stopping."""
         self._refusing = True
         for entry in self._queues:
-            self._refuse(entry.queue.remove_all())
-
-    def _refuse(self, stage_items: Sequence[StageItem]) -> None:
-        """Return pieces as refused to their calls, which place them again."""
-        for stage_item in stage_items:
-            self._waiters.set_result(stage_item, PieceResult(PieceOutcome.REFUSED))
+            self._waiters.refuse(entry.queue.remove_all())
 
     async def close(self) -> None:
         """Cancel the running batches and timers."""
@@ -233,7 +224,13 @@
                 # A piece that is rejected for lack of result memory reads its inputs again.
                 self.inputs.record_begun(call.stage_items)
             self._spawn(self._run_call(entry, call))
-        entry.set_timer(self._start_calls, now)
+        entry.set_timer(self._check, now)
+
+    def _check(self, entry: OwnedQueue) -> None:
+        """Start calls at a worker, and at free ones of its pool that steal its pieces."""
+        self._start_calls(entry)
+        for sibling in self._queues.free_siblings(entry, clock.now()):
+            self._start_calls(sibling)
 
     def _offer_to_idle_workers(self, entry: OwnedQueue, profile: ServiceProfile) -> None:
         """Let idle workers of the pool steal pieces that are queued for a busy worker."""
@@ -301,11 +298,11 @@
         brittle = self._limits.cap_limits(entry.worker, now) is not None
         entry.queue.block_calls(now, BRITTLE_BLOCK_SECONDS if brittle else FULL_BLOCK_SECONDS)
         if not self._availability.may_send(entry.worker):
-            self._refuse(entry.queue.remove_all())
+            self._waiters.refuse(entry.queue.remove_all())
 
     def _record_failed_worker(self, entry: OwnedQueue, failure: SendFailure) -> None:
         """Avoid a worker, and return its queued pieces to be placed again."""
-        self._refuse(self._queues.record_failure(entry, failure.trouble, clock.now()))
+        self._waiters.refuse(self._queues.record_failure(entry, failure.trouble, clock.now()))
         self.on_outcome(entry.worker, CallOutcome.CONNECTION_FAILED)
         self._log.write(
             LogEvent.WORKER_AVOIDED,
--- a/src/corkcrank/scheduling/stage_queue.py
+++ b/src/corkcrank/scheduling/stage_queue.py
@@ -20,6 +20,10 @@
 PACE_BOUNDS = (0.5, 8.0)
 """Bounds of the measured pace, so that one outlier does not starve or overload a worker."""
 
+LATE_SHARE = 0.5
+"""Share of its expected duration by which a call is late when the pieces behind it are offered to
+other workers for the first time. They are offered again each time the call is twice as late."""
+
 SHORT_OF_ROOM_SHARE = 0.6
 """Share of the room, used or wanted, above which room limits the batches. Running batches need
 room in addition to unread results."""
@@ -38,6 +42,29 @@
     stated_seconds: float = 0.0
     overdue: bool = False
 
+    def remaining_seconds(self, now: float) -> float:
+        """Return the expected rest of the call, which for a late call is the time it is late.
+
+        >>> call = StageCall([], started_at=0.0, expected_seconds=0.5)
+        >>> call.remaining_seconds(0.25), call.remaining_seconds(2.5)
+        (0.25, 2.0)
+        """
+        return abs(self._expected_end - now)
+
+    def next_offer_at(self, now: float) -> float:
+        """Return when to offer the pieces behind this call to other workers again.
+
+        >>> call = StageCall([], started_at=0.0, expected_seconds=0.5)
+        >>> [call.next_offer_at(now) for now in (0.25, 0.75, 1.0)]
+        [0.75, 1.0, 1.5]
+        """
+        late = max(LATE_SHARE * self.expected_seconds, 2.0 * (now - self._expected_end))
+        return self._expected_end + late
+
+    @property
+    def _expected_end(self) -> float:
+        return self.started_at + self.expected_seconds
+
 
 @dataclass(frozen=True, slots=True)
 class QueueForecast:
@@ -243,13 +270,15 @@
         return sorted({stage_item.urgency.rank for stage_item in self._queue})
 
     def next_event_at(self, now: float) -> float | None:
-        """Return when a piece next becomes overdue, a result expires or a block ends."""
+        """Return when a piece is next overdue, a result expires, a block ends or a call is late."""
         if not self._queue:
             return None
         times = [stage_item.start_by for stage_item in self._queue]
         if len(self._calls) < self.capacity.slots:
             times.extend(self._results.expiries())
             times.append(self.blocked_until)
+        else:
+            times.extend(call.next_offer_at(now) for call in self._calls)
         return min((at for at in times if at > now), default=None)
 
     def validate(self) -> None:
@@ -273,8 +302,7 @@
         wait = max(0.0, self.blocked_until - now)
         if len(self._calls) < self.capacity.slots:
             return wait
-        ends = [call.started_at + call.expected_seconds - now for call in self._calls]
-        return max(wait, 0.0, min(ends))
+        return max(wait, min(call.remaining_seconds(now) for call in self._calls))
 
     @property
     def _working_bytes(self) -> float:
--- a/tests/scheduling/test_work_stealing.py
+++ b/tests/scheduling/test_work_stealing.py
@@ -1,5 +1,6 @@
 """Tests that a free worker takes only pieces that a busy worker of its pool would finish later."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from test_stage_queue import stage_item
@@ -52,6 +53,21 @@
     assert pieces_to_steal(slow, [busy_queue(2)], 0.0) == ()
 
 
+@pytest.mark.parametrize("pace", [1.0, 4.0])
+def test_pieces_do_not_wait_for_a_call_that_is_long_overdue(pace: float) -> None:
+    """The worker with the call does not answer, and the free one was measured as slower or alike.
+
+    An overdue call was expected to end at once, so the pieces behind it stayed until it was given
+    up.
+    """
+    assert len(pieces_to_steal(StageQueue(CAPACITY, pace=pace), [busy_queue(2)], 3.0)) == 2
+
+
+def test_a_call_that_is_hardly_overdue_keeps_pieces_from_a_slower_worker() -> None:
+    slow = StageQueue(CAPACITY, pace=4.0)
+    assert pieces_to_steal(slow, [busy_queue(2)], 0.3) == ()
+
+
 @given(st.lists(st.integers(0, 9), max_size=4), st.integers(0, 6))
 def test_at_most_one_batch_is_taken_and_each_piece_once(waiting: list[int], own: int) -> None:
     free = StageQueue(CAPACITY)
