Tests: a bounded wait has a limit of stalls

Weak: finish_within left every stall of the test's loop out of its count, so a wait in a loop that stands still again and again had no bound in wall time, and nothing tested the bound at all (test_accepting.py uses it through whole processes only).

Change: stalls extend a wait by at most MAX_STALLED_SECONDS (10 s) together; a longer wait raises TimeoutError.

--- a/tests/platform/wait_report.py
+++ b/tests/platform/wait_report.py
@@ -18,21 +18,26 @@
 MAX_COUNTED_SECONDS = 2 * CHECK_SECONDS
 """Time between two checks that counts at most; the loop stood still for the rest."""
 
+MAX_STALLED_SECONDS = 10.0
+"""Total time of stalls by which a bounded wait may last longer."""
+
 Result = TypeVar("Result")
 
 
 async def finish_within(seconds: float, work: Coroutine[Any, Any, Result]) -> Result:
     """Return the result of ``work``, or raise ``TimeoutError`` after ``seconds`` of a running loop.
 
-    What a test waits for may have happened while its own event loop stood still.
+    What a test waits for may have happened while its own event loop stood still. Stalls extend the
+    wait by at most ``MAX_STALLED_SECONDS``.
     """
     task = asyncio.create_task(work)
+    give_up_at = time.monotonic() + seconds + MAX_STALLED_SECONDS
     counted = 0.0
     try:
         while not task.done():
-            if counted >= seconds:
-                raise TimeoutError
             started = time.monotonic()
+            if counted >= seconds or started >= give_up_at:
+                raise TimeoutError
             await asyncio.wait({task}, timeout=min(CHECK_SECONDS, seconds - counted))
             counted += min(time.monotonic() - started, MAX_COUNTED_SECONDS)
         return task.result()
