Test: the first of two engines rejects a call that the second may have run

test_a_call_that_a_second_engine_may_have_run_is_not_said_not_to_have_run let both engines hang. The first one's silence alone already made the call one that may have run, so the rule that its name means was never reached: a rejection by the first engine restores `may_have_run` only if the call was sent to nobody else meanwhile (`attempt_call`).

Now the test has two cases. In the new one the first engine answers 503 with X-Corkcrank-Not-Executed after the second one was sent the call; the answer must still be 504. The old case stays as it was.

Evidence that it can fail: with `len(call.workers_tried) == number` taken out of `attempt_call` the new case fails (503, not 504), the old one passes.

--- a/tests/platform/test_stream_failover.py
+++ b/tests/platform/test_stream_failover.py
@@ -14,8 +14,9 @@
 
 import aiohttp
 import pytest
+from aiohttp import web
 from node_world import World, configuration, route, until, world
-from platform_standins import StandinStageWorker
+from platform_standins import NOT_RUN, StandinStageWorker
 from test_silent_engines import SlowEngine
 
 from corkcrank.contracts import clock
@@ -26,6 +27,7 @@
 EVENTS = 6
 EVENTS_BEFORE_SILENCE = 2
 HOLD = f"hold-after-{EVENTS_BEFORE_SILENCE}"
+REJECTS_LATER = "reject-after-hold"
 PIECES = {"X-Corkcrank-Segments": "1", "X-Corkcrank-Segment-Key": "7c1e07a291bd"}
 STAGES = [{"service": "encode", "since_revision": [], "byte_length": 1000}]
 
@@ -202,11 +204,28 @@
         await until(lambda: sum(engine.left for engine in failover.engines) == 2)
 
 
-async def test_a_call_that_a_second_engine_may_have_run_is_not_said_not_to_have_run() -> None:
-    async with failover_world("hang", "hang") as failover:
+class LateRejectingEngine(SlowEngine):
+    """An engine that says after ``hold`` that it has not run the call."""
+
+    async def _answer(self, request: web.BaseRequest, fault: str) -> web.StreamResponse:
+        if fault != REJECTS_LATER:
+            return await super()._answer(request, fault)
+        assert self.hold is not None
+        await self.hold.wait()
+        return web.Response(
+            status=HTTPStatus.SERVICE_UNAVAILABLE, headers={NOT_RUN: "1", **self._ids(request)}
+        )
+
+
+@pytest.mark.parametrize("first", ["hang", REJECTS_LATER])
+async def test_a_call_that_a_second_engine_may_have_run_is_not_said_not_to_have_run(
+    first: str,
+) -> None:
+    async with failover_world(first, "hang", engine_type=LateRejectingEngine) as failover:
         headers = {"X-Corkcrank-Deadline-Ms": "1500"}
         call = asyncio.create_task(failover.running.call("/talk/x", headers=headers))
         await until(lambda: failover.requests == 2)
+        failover.hold.set()
         response = await call
         assert response.status == HTTPStatus.GATEWAY_TIMEOUT
 
