Test: an engine that was found is handed over or closed, not either

test_an_engine_that_has_begun_is_closed_if_the_search_ends_while_others_are_closed accepted an engine that was closed as well as one that was handed over. The design promises one of them in each case: whoever waits in `take`, because the stream has lost its engine, gets the engine that has begun, and keeps it at the cancellations that follow with every chunk; where the silent engine sends first, the other one's connection is closed at once.

Two tests replace it, one for each case, while another attempt of the search is being closed.

--- a/tests/platform/test_failover_closing.py
+++ b/tests/platform/test_failover_closing.py
@@ -42,11 +42,10 @@
     assert attempt.closed
 
 
-async def test_an_engine_that_has_begun_is_closed_if_the_search_ends_while_others_are_closed(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    attempt: Any = FakeAttempt()
-    failover = failover_of_nothing()
+def search_that_closes_another_attempt(
+    failover: EngineFailover, attempt: Any, monkeypatch: pytest.MonkeyPatch
+) -> asyncio.Event:
+    """Let a search find an engine; the returned event is set while another attempt is closed."""
     closing = asyncio.Event()
 
     async def other() -> None:
@@ -62,9 +61,35 @@
         return BegunExchange(attempt, MagicMock(), MagicMock())
 
     monkeypatch.setattr(failover, "_find_among", find_among)
+    return closing
+
+
+async def test_an_engine_that_has_begun_is_handed_over_while_others_are_closed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    attempt: Any = FakeAttempt()
+    failover = failover_of_nothing()
+    closing = search_that_closes_another_attempt(failover, attempt, monkeypatch)
     taking = asyncio.create_task(failover.take(begins=True))
     await closing.wait()
     failover.cancel()
-    await asyncio.wait({taking})
-    handed_over = not taking.cancelled() and taking.result() is not None
-    assert attempt.closed or handed_over
+    begun = await taking
+    assert begun is not None
+    assert begun.attempt is attempt
+    # The search is cancelled at every chunk that the successor sends.
+    failover.cancel()
+    assert not attempt.closed
+
+
+async def test_an_engine_that_has_begun_is_closed_if_the_silent_one_sends_while_others_are_closed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    attempt: Any = FakeAttempt()
+    failover = failover_of_nothing()
+    closing = search_that_closes_another_attempt(failover, attempt, monkeypatch)
+    seeking = asyncio.ensure_future(failover.rule(MagicMock(), 0.0).give_up())
+    await closing.wait()
+    seeking.cancel()
+    failover.cancel()
+    assert attempt.closed
+    await asyncio.wait({seeking})
