Test: an answer's first byte is due within its objective, also at a caller that accepts no more

test_a_caller_that_accepts_no_bytes_is_dropped counts the silence of the plain case from when the gateway begins to write, and nothing bounded how long that takes: a whole answer that the gateway held back for seconds passed, up to the 10 s of `until`.

Both cases now read one byte and require it within the route's `target_latency_ms`, 1.5 s, which the protocol counts up to the first piece of an answer and which the test names (it was the default of the test's routes). The checks that were there stay as they are.

--- a/tests/platform/test_silent_peers.py
+++ b/tests/platform/test_silent_peers.py
@@ -179,6 +179,9 @@
     return answer
 
 
+OBJECTIVE_MS = 1_500
+"""Time within which the first byte of an answer is due, in milliseconds."""
+
 DEADLINE_SECONDS = 0.8
 LONG_DEADLINE_SECONDS = 8.0
 """Deadline of a call that is refused unless its whole answer is at the gateway in time."""
@@ -194,13 +197,16 @@
     kind = "stream" if streamed else "unsafe"
     served = {"w": (worker, service)}
     deadline_ms = int((DEADLINE_SECONDS if streamed else LONG_DEADLINE_SECONDS) * 1000)
-    document = configuration(1, [route("big", kind, service, timeout_ms=deadline_ms)])
-    async with world(document, served) as running:
+    big = route("big", kind, service, timeout_ms=deadline_ms, target_latency_ms=OBJECTIVE_MS)
+    async with world(configuration(1, [big]), served) as running:
         node = running.nodes[0]
-        _, writer = await open_caller(running.address())
+        reader, writer = await open_caller(running.address())
+        sent_at = clock.now()
         writer.write(request_head("/big/x", deadline_ms))
         await until(lambda: node.callers.in_flight == 1)
         started = clock.now()
+        await reader.readexactly(1)
+        assert clock.now() - sent_at < OBJECTIVE_MS / 1000
         await until(lambda: any(caller.unsent_bytes for caller in node.callers.connections()))
         silent_since = max(clock.now(), started + DEADLINE_SECONDS)
         await until(lambda: not node.callers.connections(), seconds=5.0)
