Test: a member's report of a crash stands for 2 s, neither less nor more

The tests of which lost call belongs to a crash that a member reports used crashes 0.1 s and 5 s old. Any bound between passed, while the design page says that the report stands for the gateway's own check for 2 s after the crash (docs/design/crash-evidence.md).

Crashes 1.99 s old must be in the record now, those 2.01 s old must not, whether the report comes before or after the failure (the older crash had been tried in one order only). The clock stands still meanwhile, so that a busy machine makes no report older. The case of 0.1 s stays.

Evidence that they can fail, put into `CrashWatch._has_recent_report` by hand: with a bound of 4 s both cases of 2.01 s fail, with 1 s both cases of 1.99 s; the old tests passed with both.

--- a/tests/platform/test_crash_watch.py
+++ b/tests/platform/test_crash_watch.py
@@ -11,6 +11,7 @@
 from platform_standins import StandinWorker
 from test_first_attempt import call_with
 
+from corkcrank.contracts import clock
 from corkcrank.links.decision_log import DecisionLog
 from corkcrank.node.telemetry.metrics import NodeMetrics
 from corkcrank.node.workers import crash_watch
@@ -20,6 +21,11 @@
 
 ROUTES = [route("talk", "stream", "model", stream_resume=True, max_attempts=1)]
 
+REPORT_VALID_SECONDS = 2.0
+"""Time after a crash for which a member's report of it stands for the gateway's own check."""
+
+MARGIN_SECONDS = 0.01
+
 
 async def test_calls_that_fail_together_open_two_connections_at_most(
     monkeypatch: pytest.MonkeyPatch,
@@ -119,30 +125,45 @@
     return CrashReport.from_requests("w", age, [RequestAtCrash("07" * 8)], incomplete=False)
 
 
+@pytest.fixture
+def still_clock(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Stop the clock, so that no report becomes older than the test says."""
+    at = clock.now()
+    monkeypatch.setattr(clock, "now", lambda: at)
+
+
+@pytest.mark.usefixtures("still_clock")
+@pytest.mark.parametrize("age", [0.1, REPORT_VALID_SECONDS - MARGIN_SECONDS])
 @pytest.mark.parametrize("reported_first", [False, True])
 async def test_request_sent_through_a_member_is_in_the_record_of_its_workers_crash(
-    monkeypatch: pytest.MonkeyPatch, reported_first: bool
+    monkeypatch: pytest.MonkeyPatch, reported_first: bool, age: float
 ) -> None:
     """Guards against neighbours that are blamed for what a partitioned gateway's request did."""
     watch = watch_without_a_way_to_workers(monkeypatch)
     if reported_first:
-        watch.apply_reports([crash_of_worker(0.1)], "member")
+        watch.apply_reports([crash_of_worker(age)], "member")
     watch.record_connection_failure(CALL, WORKER)
     await asyncio.sleep(0)
     if not reported_first:
-        watch.apply_reports([crash_of_worker(0.1)], "member")
+        watch.apply_reports([crash_of_worker(age)], "member")
     (record,) = watch.quarantine.records
     assert CALL.fingerprint in record.requests
     await watch.close()
 
 
+@pytest.mark.usefixtures("still_clock")
+@pytest.mark.parametrize("reported_first", [False, True])
 async def test_request_is_not_in_the_record_of_a_crash_long_before_it_failed(
-    monkeypatch: pytest.MonkeyPatch,
+    monkeypatch: pytest.MonkeyPatch, reported_first: bool
 ) -> None:
     watch = watch_without_a_way_to_workers(monkeypatch)
-    watch.apply_reports([crash_of_worker(5.0)], "member")
+    age = REPORT_VALID_SECONDS + MARGIN_SECONDS
+    if reported_first:
+        watch.apply_reports([crash_of_worker(age)], "member")
     watch.record_connection_failure(CALL, WORKER)
     await asyncio.sleep(0)
+    if not reported_first:
+        watch.apply_reports([crash_of_worker(age)], "member")
     (record,) = watch.quarantine.records
     assert CALL.fingerprint not in record.requests
     await watch.close()
