Test: a call waits 0.2 s for places at brittle workers, whatever the product's constant says

test_a_call_that_is_rejected_after_a_wait_does_not_wait_as_long_again compared the waits with MAX_PLACE_WAIT_SECONDS itself, so a longer constant allowed longer waits. The bound is the 0.2 s of the design page now (docs/design/brittle-workers.md, a call that a worker rejects after a wait has only the rest of it), the same figure as before.

--- a/tests/platform/test_brittle_workers.py
+++ b/tests/platform/test_brittle_workers.py
@@ -14,7 +14,6 @@
 
 from corkcrank.contracts import clock
 from corkcrank.node.limits import limit_grants
-from corkcrank.node.limits.limit_grants import MAX_PLACE_WAIT_SECONDS
 from corkcrank.node.peers.peer_protocol import LimitGrant, LimitGrantRequest
 from corkcrank.scheduling.concurrency_caps import PLACE_WAIT_SECONDS
 
@@ -28,6 +27,8 @@
 CALLS_PER_SECOND_OF_ROOM = 80
 MIN_SERVED_SHARE = 0.95
 REFUSAL_SECONDS = 0.5
+TOTAL_PLACE_WAIT_SECONDS = 0.2
+"""Time for which a call may wait at owners for places, all its waits together."""
 
 
 def allowed_falls(workers: int) -> float:
@@ -123,4 +124,4 @@
         assert (await call(running, "once", 0)).status == 503
         assert sum(worker.rejections for worker in workers) > rejections
         assert waited
-        assert sum(waited) <= MAX_PLACE_WAIT_SECONDS
+        assert sum(waited) <= TOTAL_PLACE_WAIT_SECONDS
