Tests: requests for the reports of workers have bounds

Weak: the stand-ins counted the requests for their reports, and tests waited until some had come (test_stage_room.py, test_failover_search.py), but none had an upper bound; the soak did not count them at all. A gateway that asks without end passed everything.

What is promised: the owner of a stage worker asks when it takes it over and after each call that found no room, once at a time, and waits REPORTED_HOLD_SECONDS (0.1 s) after a report before the next such call (docs/DESIGN.md, stage_room.py, result_room.py). Engines are asked once for all calls of a gateway, not within RECENT_SECONDS (0.1 s) of an answer, and for PROBE_TIMEOUT_SECONDS (0.3 s) where they do not answer (liveness.py, docs/design/engine-failover.md).

The ledger's method link_was_faulty lost its underscore, unchanged.

--- a/tests/soak/bounds.py
+++ b/tests/soak/bounds.py
@@ -20,6 +20,7 @@
     ``contact`` is how long a node must have been undisturbed before time limits apply to it.
     A node closes a silent connection within a limit: to the store after the wait and the timeout
     of a call (1.6 s), to a peer after 1.6 s, to a worker at the end of the longest call (6 s).
+    ``report_interval`` is the minimum time between two requests of a node for a worker's report.
     """
 
     leaving: float = 2.5
@@ -28,6 +29,7 @@
     cold_notice: float = 1.0
     limit_notice: float = 3.0
     cold_requests: float = 1.5 * WARMUP_RATE + 5
+    report_interval: float = 0.1
     grace: float = 6.0
     contact: float = 3.0
     late_answer: float = 0.75
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -108,6 +108,7 @@
     def __init__(self, seed: int, nodes: int, bounds: SoakBounds) -> None:
         self.bounds = bounds
         self.ledger = Ledger(bounds)
+        self.ledger.nodes = nodes
         self.silences = seed >= FIRST_SILENT_SEED
         self.source = random.Random(f"fleet {seed}")
         self.store = SoakStore(random.Random(f"store {seed}"))
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -54,6 +54,7 @@
 
     def __init__(self, bounds: SoakBounds) -> None:
         self.bounds = bounds
+        self.nodes = 1
         self.started_at = time.monotonic()
         self.calls: dict[str, SentCall] = {}
         self.violations: list[Violation] = []
@@ -170,7 +171,7 @@
     def check_leaving(self, call: SentCall, worker_id: str, link: FaultLink | None) -> None:
         """Check that a connected node sends no call to a worker after its leaving bound."""
         left_at = self.leaving_since.get(worker_id)
-        if not self._link_was_faulty(link):
+        if not self.link_was_faulty(link):
             self._check_no_late_call("leaving", left_at, self.bounds.leaving, call, worker_id)
 
     def check_evacuated(
@@ -178,7 +179,7 @@
     ) -> None:
         """Check that a connected node sends no call to a zone after its evacuation bound."""
         since = self.evacuated_since.get(zone)
-        if not self._link_was_faulty(link):
+        if not self.link_was_faulty(link):
             self._check_no_late_call("evacuated", since, self.bounds.evacuation, call, worker_id)
 
     def check_cold(
@@ -188,7 +189,7 @@
 
         Only its store entry says that it is cold: a node with silent store connections can't know.
         """
-        if self._link_was_faulty(link) or not self.in_touch(call.node, time.monotonic()):
+        if self.link_was_faulty(link) or not self.in_touch(call.node, time.monotonic()):
             return
         arrived = cold.count(self.bounds.cold_notice + self.loop_lag)
         if arrived > self.bounds.cold_requests:
@@ -203,13 +204,13 @@
         link: FaultLink,
     ) -> None:
         """Check that connected nodes together stay within a worker's announced limit."""
-        if self._link_was_faulty(link) or not self.in_touch(call.node, time.monotonic()):
+        if self.link_was_faulty(link) or not self.in_touch(call.node, time.monotonic()):
             return
         arrived = limit.count(self.bounds.limit_notice + self.loop_lag)
         if arrived > cap:
             self.violate("limit", f"{worker_id} gets {arrived} requests in a window, not {cap}")
 
-    def _link_was_faulty(self, link: FaultLink | None) -> bool:
+    def link_was_faulty(self, link: FaultLink | None) -> bool:
         """Return whether a fault of the worker's link may have delayed a call sent earlier."""
         return link is not None and link.harmed_since(time.monotonic() - self.bounds.contact)
 
--- a/tests/soak/stage_workers.py
+++ b/tests/soak/stage_workers.py
@@ -13,6 +13,7 @@
 from soak.ledger import CRASHING_KEY_PREFIX, Ledger, SentCall
 from soak.links import FaultLink
 from soak.named_limit import NamedLimit
+from soak.report_requests import ReportRequests
 
 PIECE_SECONDS = 0.004
 CALL_SECONDS = 0.03
@@ -48,6 +49,7 @@
         self.link: FaultLink | None = None
         self.on_crashing: Callable[[SentCall], None] = lambda call: None
         self.limit = NamedLimit()
+        self.reports = ReportRequests(ledger, self.worker_id)
         self._ledger = ledger
         self._calls = 0
         self._slot = asyncio.Lock()
@@ -83,6 +85,7 @@
         if request.headers.get(EXPECT) not in (None, self.worker_id):
             return web.Response(status=421, headers={INSTANCE: self.worker_id})
         if request.path == "/report":
+            self.reports.record(self.link)
             free = (ROOM - self.held) * RESULT_MB
             answer = {"free_mb": free, "born": self.born}
             return web.json_response(answer, headers=self.limit.headers)
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -18,6 +18,7 @@
 )
 from soak.links import FaultLink
 from soak.named_limit import NamedLimit
+from soak.report_requests import ReportRequests
 from soak.request_window import RequestWindow
 from soak.silent_workers import WorkerSilence
 from soak.stage_workers import SoakStageWorker, births, numbers, wrong_inputs
@@ -62,6 +63,7 @@
         self.notices = StatedNotices()
         self.brittleness = Brittleness()
         self.silence = WorkerSilence()
+        self.reports = ReportRequests(ledger, self.worker_id)
         self.pace = StatedPace(random.Random(), stating=False)
 
     @property
@@ -89,6 +91,7 @@
         if request.headers.get(EXPECT) not in (None, self.worker_id):
             return web.Response(status=421, headers={INSTANCE: self.worker_id, **_own(request)})
         if request.path == REPORT_PATH:
+            self.reports.record(self.link)
             await self.silence.wait()
             return web.json_response({"queued": 0, "active": self.at_work})
         sent = self._ledger.calls.get(request.headers.get(ATTEMPT, ""))
