Quarantine: verdicts that known, undecided crash records contradict are pending

Cause: both had just started and heard of four old crashes, whose records settle one by one, 1.25 s after the last request was added to each. Three had settled, at all of which the sound request was; the fourth, which makes another request the better explanation of two of them, settled 0.03 s later (47.323 s and 47.357 s in the log of node-1; "verdict taken back" followed at once). The verdict depended on the order in which old records settle.

Ruled out: news that came later (all four records were known to both gateways when the verdict was given: they judge 1.25 s after the last addition), and a request moved on too fast (the three crashes were up to 1.3 s apart and 5 s old).

Change: what the decidable records blame is blamed only if all known records together blame it as well. Until the next record settles such a suspect is pending: not held, and not sent either, since it may be the one to blame. Its row in the store stays meanwhile.

--- a/src/corkcrank/scheduling/request_quarantine.py
+++ b/src/corkcrank/scheduling/request_quarantine.py
@@ -11,7 +11,8 @@
 fingerprint. No request with a quarantined part is sent.
 
 A crash counts only once other gateways had time to report the worker's requests
-(:mod:`crash_records`). A request is not sent while its verdict is pending.
+(:mod:`crash_records`). A request is not sent while its verdict is pending. A verdict that all known
+crashes together contradict is pending until the next of them counts.
 :mod:`crash_verdicts` decides which requests are to blame, :mod:`part_verdicts` which parts. The
 module has no side effects and reads no clock: callers pass the current time.
 """
@@ -76,6 +77,15 @@
         unexplained = [record for record in records if record.worker_id not in explained]
         self.requests = judge_requests(unexplained)
 
+    def remove_contradicted(self, other: "_Judgement") -> frozenset[str]:
+        """Remove the verdicts that another judgement does not give; return their suspects."""
+        removed = (self.requests.keys() - other.requests.keys()) | (
+            self.parts.keys() - other.parts.keys()
+        )
+        self.requests = {key: self.requests[key] for key in self.requests if key not in removed}
+        self.parts = {key: self.parts[key] for key in self.parts if key not in removed}
+        return frozenset(removed)
+
 
 class RequestQuarantine:
     """The evidence of all gateways on every request and part in progress at a worker crash.
@@ -92,6 +102,8 @@
         self._decided = _Judgement([])
         self._expected = _Judgement([])
         """The verdicts if all records were decidable now."""
+        self._contradicted: frozenset[str] = frozenset()
+        """The suspects that the decidable records blame, but not all records together."""
         self._judged_until = NEVER
 
     @property
@@ -177,9 +189,13 @@
     def seconds_to_wait(self, suspect: str, now: float) -> float:
         """Return the seconds that a suspect without blame waits before it is sent, 0 for none.
 
-        It waits for its verdict if undecided records may put it to blame. Requests that share the
-        same crashes are then sent one at a time, so that the next crash distinguishes them.
+        It waits for its verdict if undecided records may put it to blame, or may clear it. Requests
+        that share the same crashes are then sent one at a time, so that the next crash
+        distinguishes them.
         """
+        self._judge(now)
+        if suspect in self._contradicted:
+            return self._judged_until - now
         if suspect in self.records.parts():
             return self._seconds_to_part_verdict(suspect, now)
         ends = self.records.suspected_crashes(suspect)
@@ -192,8 +208,10 @@
         return max(0.0, turns_begin_at + turn_delay - now)
 
     def is_undecided(self, suspect: str, now: float) -> bool:
-        """Return whether a crash that counts against a suspect is not decidable yet."""
-        return any(record.decidable_at > now for record in self.records.suspected_crashes(suspect))
+        """Return whether crashes that may change the verdict on a suspect are not decidable yet."""
+        self._judge(now)
+        ends = self.records.suspected_crashes(suspect)
+        return suspect in self._contradicted or any(record.decidable_at > now for record in ends)
 
     def record_sent(self, suspect: str, now: float) -> bool:
         """Record that a suspect is sent; return whether this is an attempt on probation."""
@@ -246,6 +264,7 @@
         self._judged_until = self.next_decidable_at(now)
         undecided = self._judged_until < float("inf")
         self._expected = _Judgement(records, succeeded) if undecided else self._decided
+        self._contradicted = self._decided.remove_contradicted(self._expected)
 
     def _invalidate_if_changed(self, changed: bool) -> bool:
         if changed:
@@ -263,7 +282,6 @@
 
     def _seconds_to_part_verdict(self, part: str, now: float) -> float:
         """Return the seconds until a verdict on a part that undecided records would blame."""
-        self._judge(now)
         if part in self._decided.parts or part not in self._expected.parts:
             return 0.0
         ends = self.records.suspected_crashes(part)
