Retry budget: begun streams are continued before other calls are retried

Nothing put the streams that cannot be refused before the calls that can.

Ruled out: repeats that the users' rule does not count. Each of the 14 spends was followed by a request that was sent to an engine, and the rule counts rejected ones too.

Change: FleetRetryBudget knows the begun streams that wait; other calls leave a repeat to each, except while no engine answers, and spend 0.7 of the share; begun streams spend up to 0.85 of it. The sum over all gateways stays within ratio x requests + allowance (property test).

--- a/src/corkcrank/contracts/opaque_call.py
+++ b/src/corkcrank/contracts/opaque_call.py
@@ -156,6 +156,11 @@
         """Return the id that the caller gave to this attempt."""
         return self.envelope.call_id
 
+    @property
+    def begun_stream(self) -> str:
+        """Return the call's id once the caller has a part of its stream, empty before."""
+        return self.call_id if self.answer_begun else ""
+
     @property
     def excluded_workers(self) -> tuple[str, ...]:
         """Return the workers that the call must not be sent to next."""
--- a/src/corkcrank/node/calls/services.py
+++ b/src/corkcrank/node/calls/services.py
@@ -278,20 +278,21 @@
     def try_start_attempt(self, call: OpaqueCall) -> bool:
         """Record a call's first attempt, or spend a retry; return whether it may be sent."""
         if call.workers_tried:
-            return self.try_spend_repeat(call.service)
+            return self.try_spend_repeat(call)
         if not call.first_attempt_recorded:
             call.first_attempt_recorded = True
             self.budget(call.service).record_first_attempt(clock.now())
         return True
 
-    def can_spend_repeat(self, service: str) -> bool:
-        """Return whether this gateway's share allows a retry now, without spending it."""
-        now = clock.now()
-        return self.budget(service).remaining(now, self.fleet.share_member_count()) >= 1.0
+    def can_spend_repeat(self, call: OpaqueCall) -> bool:
+        """Return whether this gateway's share allows a retry of a call, without spending it."""
+        members = self.fleet.share_member_count()
+        return self.budget(call.service).can_spend(clock.now(), members, call.begun_stream)
 
-    def try_spend_repeat(self, service: str) -> bool:
+    def try_spend_repeat(self, call: OpaqueCall) -> bool:
         """Spend one retry if this gateway's share of the fleet's retry budget allows it.
 
         Returns whether it was spent.
         """
-        return self.budget(service).try_spend(clock.now(), self.fleet.share_member_count())
+        members = self.fleet.share_member_count()
+        return self.budget(call.service).try_spend(clock.now(), members, call.begun_stream)
--- a/src/corkcrank/node/streams/engine_exchange.py
+++ b/src/corkcrank/node/streams/engine_exchange.py
@@ -95,7 +95,7 @@
     @property
     def may_try_another(self) -> bool:
         """Return whether another attempt may succeed and the retry budget allows it."""
-        return self.has_attempt_left and self._services.can_spend_repeat(self._call.service)
+        return self.has_attempt_left and self._services.can_spend_repeat(self._call)
 
     @property
     def has_attempt_left(self) -> bool:
@@ -319,7 +319,7 @@
         call = self._call
         left = call.end_at - clock.now()
         may_move = call.route.idempotent and call.has_attempt_left
-        if may_move and self._services.can_spend_repeat(call.service):
+        if may_move and self._services.can_spend_repeat(call):
             return min(left, self.first_event_seconds(engine))
         return left
 
--- a/src/corkcrank/node/streams/engine_failover.py
+++ b/src/corkcrank/node/streams/engine_failover.py
@@ -11,12 +11,12 @@
 from corkcrank.contracts.opaque_call import OpaqueCall
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.links.abandoned_tasks import abandon
-from corkcrank.links.decision_log import LogEvent
 from corkcrank.node.callers.refusals import CallerDisconnectedError
 from corkcrank.node.calls.services import CallServices
 from corkcrank.node.stages.stage_failures import StageFailedError
 from corkcrank.node.streams.engine_exchange import BegunExchange, EngineExchanges
 from corkcrank.node.streams.engine_turns import EngineTurns
+from corkcrank.node.streams.failover_log import FailoverLog
 from corkcrank.node.streams.stream_admission import StreamAdmission
 from corkcrank.node.streams.stream_answer import StreamAnswer
 from corkcrank.node.workers.liveness import PROBE_TIMEOUT_SECONDS
@@ -60,6 +60,7 @@
         self._turns = turns
         self._answer = answer
         self._exchanges = exchanges
+        self._log = FailoverLog(call, services, exchanges)
         self._search: asyncio.Task[BegunExchange | None] | None = None
         self._stood_still = False
         self._engine_lost = False
@@ -123,16 +124,16 @@
     async def _find(self, silent: WorkerRecord | None, leave_at: float) -> BegunExchange | None:
         """Send the call to engines until one of them sends the next event."""
         attempts: Attempts = set()
+        self._keep_repeat(kept=True)
         try:
             return await self._find_among(attempts, silent, leave_at)
         except CallerDisconnectedError:
             return None
         except Exception as error:
-            self._services.log.write(
-                LogEvent.INTERNAL_FAULT, error=repr(error), call=self._call.call_id
-            )
+            self._log.write_fault(error)
             return None
         finally:
+            self._keep_repeat(kept=False)
             self._end(attempts)
 
     async def _find_among(
@@ -147,7 +148,7 @@
                     return None
                 wait = None
             elif not self._exchanges.may_try_another:
-                self._log_deferred("no repeat left")
+                self._log.write_deferred("no repeat left")
             else:
                 engine = await self._choose(silent, leave_at)
                 if engine is not None and (attempt := await self._send_to(engine)) is not None:
@@ -155,11 +156,21 @@
                     wait = self._exchanges.first_event_seconds(engine)
             if not attempts and self._is_hopeless(engine):
                 return None
+            none_responds = engine is None and bool(self._call.unresponsive_workers)
+            self._keep_repeat(kept=not attempts and not none_responds)
             if begun := await self._first_begun(attempts, wait):
                 return begun
             pause = min(2 * pause, MAX_PAUSE_SECONDS)
         return None
 
+    def _keep_repeat(self, *, kept: bool) -> None:
+        """Set whether other calls must leave a repeat to the call's stream, if it has begun."""
+        waiting = self._services.budget(self._call.service).waiting_streams
+        if kept and self._answer.prepared:
+            waiting.add(self._call.call_id)
+        else:
+            waiting.discard(self._call.call_id)
+
     def _is_hopeless(self, engine: WorkerRecord | None) -> bool:
         """Return whether a search cannot succeed, so that the call should end now.
 
@@ -176,10 +187,10 @@
     async def _choose(self, silent: WorkerRecord | None, leave_at: float) -> WorkerRecord | None:
         """Return an engine that may continue the stream; it must respond if one is silent."""
         if await self._services.crash_watch.wait_for_verdict(self._call):
-            self._log_deferred("quarantined")
+            self._log.write_deferred("quarantined")
             return None
         if not self._answer.prepared and not self._admission.ends_before_stop():
-            self._log_deferred("draining")
+            self._log.write_deferred("draining")
             return None
         self._call.unresponsive_workers = frozenset()
         engines = self._admission.rank_engines()
@@ -194,9 +205,9 @@
         finally:
             present.cancel()
         if engine is None:
-            self._log_deferred("no engine answers" if engines else "no engine")
+            self._log.write_deferred("no engine answers" if engines else "no engine")
             return None
-        self._log_silence(silent, engine)
+        self._log.write_silence(silent, engine)
         return engine
 
     async def _first_usable(self, engines: list[WorkerRecord]) -> WorkerRecord | None:
@@ -251,19 +262,19 @@
             return None
         turn = await self._turns.request_turn(engine)
         if turn.engine is None:
-            self._log_deferred("no grant")
+            self._log.write_deferred("no grant")
             return None
         if turn.engine != engine and not await services.liveness.is_responsive(turn.engine):
-            self._log_deferred("the granted engine does not answer")
+            self._log.write_deferred("the granted engine does not answer")
             return None
         if services.crash_watch.quarantine_seconds_left(call):
-            self._log_deferred("quarantined")
+            self._log.write_deferred("quarantined")
             return None
         if not services.availability.may_send_call(call, turn.engine):
-            self._log_deferred("unavailable")
+            self._log.write_deferred("unavailable")
             return None
-        if not services.try_spend_repeat(call.service):
-            self._log_deferred("no repeat left")
+        if not services.try_spend_repeat(call):
+            self._log.write_deferred("no repeat left")
             return None
         return asyncio.create_task(self._begin(turn.engine, inputs))
 
@@ -290,7 +301,7 @@
         try:
             return await stages.run()
         except StageFailedError as error:
-            self._log_deferred("stages", error.detail)
+            self._log.write_deferred("stages", error.detail)
             return None
 
     async def _first_begun(self, attempts: Attempts, seconds: float | None) -> BegunExchange | None:
@@ -319,31 +330,6 @@
             self._call.left_workers.add(begun.attempt.worker.worker_id)
             begun.close()
 
-    def _log_deferred(self, reason: str, detail: str = "") -> None:
-        """Log why the call is sent to no other engine now."""
-        self._services.log.write(
-            LogEvent.FAILOVER_DEFERRED,
-            call=self._call.call_id,
-            reason=reason,
-            detail=detail,
-            unresponsive=len(self._call.unresponsive_workers),
-            resume_after=self._exchanges.resume_after,
-            left=round(self._call.end_at - clock.now(), 3),
-        )
-
-    def _log_silence(self, silent: WorkerRecord, engine: WorkerRecord) -> None:
-        now = clock.now()
-        heard_at = self._services.worker_statistics.get_or_create(silent.worker_id).heard_at
-        self._services.log.write(
-            LogEvent.ENGINE_SILENT,
-            call=self._call.call_id,
-            worker=silent.worker_id,
-            seconds=round(min(now - heard_at, now - self._call.arrived_at), 3),
-            resume_after=self._exchanges.resume_after,
-            answers=engine.worker_id,
-            unresponsive=len(self._call.unresponsive_workers),
-        )
-
 
 def _found_nothing(search: asyncio.Task[BegunExchange | None]) -> bool:
     """Return whether a search has ended without an engine that continues the stream."""
--- a/tests/platform/test_failover_search.py
+++ b/tests/platform/test_failover_search.py
@@ -74,6 +74,58 @@
         assert await stream == (EVENTS, True)
 
 
+def spend_repeats(failover: FailoverWorld) -> None:
+    """Spend the repeats that calls of a first attempt may use."""
+    node = failover.running.nodes[0]
+    budget, members = node.services.budget("model"), node.fleet.share_member_count()
+    while budget.try_spend(clock.now(), members):
+        pass
+
+
+async def test_a_silent_engine_is_left_where_calls_without_an_answer_have_spent_their_repeats() -> (
+    None
+):
+    async with failover_world(HOLD) as failover:
+        stream = asyncio.create_task(failover.read_events("/talk/x"))
+        silent, other = await engines_by_use(failover)
+        other.hold = None
+        stand_still(failover, silent)
+        spend_repeats(failover)
+        await asyncio.wait({stream}, timeout=15 * SILENCE_SECONDS)
+        assert stream.done()
+        assert await stream == (EVENTS, True)
+
+
+async def test_a_call_without_an_answer_leaves_a_repeat_to_a_stream_that_waits() -> None:
+    async with failover_world(HOLD, "full") as failover:
+        node = failover.running.nodes[0]
+        stream = asyncio.create_task(failover.read_events("/talk/x"))
+        silent, other = await engines_by_use(failover)
+        other.hold = None
+        stand_still(failover, silent)
+        await until(lambda: not failover.faults)
+        spend_repeats(failover)
+        assert node.services.repeats_left(clock.now())["model"] >= 1.0
+        await asyncio.wait({stream}, timeout=15 * SILENCE_SECONDS)
+        assert stream.done()
+        assert await stream == (EVENTS, True)
+        assert not node.services.budget("model").waiting_streams
+
+
+async def test_a_stream_whose_engines_all_stand_still_keeps_no_repeat() -> None:
+    async with failover_world(HOLD) as failover:
+        budget = failover.running.nodes[0].services.budget("model")
+        stream = asyncio.create_task(failover.read_events("/talk/x"))
+        await until(lambda: failover.requests == 1)
+        goes_on = stand_still(failover, *failover.engines)
+        await until(lambda: bool(budget.waiting_streams))
+        await until(lambda: not budget.waiting_streams)
+        assert not stream.done()
+        goes_on.set()
+        failover.hold.set()
+        assert await stream == (EVENTS, True)
+
+
 async def test_a_stream_that_loses_its_engine_in_a_silence_of_all_waits_for_another_one() -> None:
     async with failover_world(HOLD) as failover:
         stream = asyncio.create_task(failover.read_events("/talk/x"))
--- a/tests/platform/test_settings_watcher.py
+++ b/tests/platform/test_settings_watcher.py
@@ -81,7 +81,7 @@
     routes = [route("safe", "safe", "plain")]
     async with world(configuration(1, routes), served, retry_allowance=40.0) as running:
         node = running.nodes[0]
-        assert node.services.try_spend_repeat("plain")
+        assert node.services.budget("plain").try_spend(clock.now(), node.fleet.share_member_count())
         left = node.services.budget("plain").remaining(clock.now(), 1)
         bounds = msgspec.structs.replace(node._settings.bounds, retry_allowance=50.0)
         node.apply_settings(msgspec.structs.replace(node._settings, bounds=bounds))
--- a/tests/scheduling/test_fleet.py
+++ b/tests/scheduling/test_fleet.py
@@ -7,7 +7,11 @@
 from corkcrank.machines.fleet import Fleet
 from corkcrank.machines.heartbeat import Heartbeat, Phase, ServiceBacklog
 from corkcrank.machines.members import MAX_MISSED_HEARTBEATS
-from corkcrank.scheduling.fleet_retry_budget import FleetRetryBudget
+from corkcrank.scheduling.fleet_retry_budget import (
+    CONTINUATION_FACTOR,
+    SAFETY_FACTOR,
+    FleetRetryBudget,
+)
 
 ZONES = ("a", "b", "c")
 
@@ -164,3 +168,51 @@
         recent = [at for at in repeats if at > now - window]
         earned = [at for at in firsts if at > now - 2 * window]
         assert len(recent) <= ratio * len(earned) + allowance
+
+
+@given(
+    events=st.lists(
+        st.tuples(
+            st.integers(0, 5),
+            st.sampled_from(["first", "repeat", "continued"]),
+            st.floats(0.0, 0.5),
+        ),
+        max_size=400,
+    )
+)
+def test_the_fleet_stays_within_its_retry_budget_where_it_continues_streams(
+    events: list[tuple[int, str, float]],
+) -> None:
+    members, ratio, allowance, window = 6, 0.2, 30.0, 10.0
+    budgets = [FleetRetryBudget(ratio, allowance, window) for _ in range(members)]
+    firsts: list[float] = []
+    repeats: list[float] = []
+    now = 0.0
+    for member, kind, pause in events:
+        now += pause
+        if kind == "first":
+            budgets[member].record_first_attempt(now)
+            firsts.append(now)
+        elif budgets[member].try_spend(now, members, "stream" if kind == "continued" else ""):
+            repeats.append(now)
+        recent = [at for at in repeats if at > now - window]
+        earned = [at for at in firsts if at > now - window]
+        assert len(recent) <= ratio * len(earned) + allowance
+
+
+def test_calls_leave_a_retry_to_each_begun_stream_that_waits() -> None:
+    budget = FleetRetryBudget(ratio=0.0, allowance=10.0 / SAFETY_FACTOR, window=10.0)
+    budget.waiting_streams |= {"one", "two"}
+    assert [budget.try_spend(0.0, 1) for _ in range(9)] == [True] * 8 + [False]
+    assert budget.try_spend(0.0, 1, "one")
+    assert not budget.can_spend(0.0, 1)
+    assert budget.try_spend(0.0, 1, "two")
+    assert not budget.waiting_streams
+
+
+def test_begun_streams_are_continued_where_other_calls_have_spent_their_part() -> None:
+    budget = FleetRetryBudget(ratio=0.0, allowance=20.0, window=10.0)
+    others = [budget.try_spend(0.0, 1) for _ in range(20)]
+    continued = [budget.try_spend(0.0, 1, f"stream {number}") for number in range(20)]
+    assert others.count(True) == round(SAFETY_FACTOR * 20.0)
+    assert others.count(True) + continued.count(True) == round(CONTINUATION_FACTOR * 20.0)
