Test: releases of results are awaited by their looks, not by a sleep

Two tests slept 0.1 and 0.05 s while a release must not happen, and would have passed as well if the release had stopped to look whether its worker was heard. They count the looks now and wait for five, as many as fit into the sleeps before, and end at once where the release happens.

The other sleeps above 0.05 s in tests/platform are silences, pauses, loads and work of a given length, or the time in which nothing may be freed or sent; by reading, no event could be awaited in their place.

--- a/tests/platform/test_failover_results.py
+++ b/tests/platform/test_failover_results.py
@@ -3,10 +3,10 @@
 import asyncio
 
 from node_world import until
+from test_result_release import FETCH_DELAYS, CountedRelease
 from test_stream_failover import engines_by_use, failover_world, short_silences, stand_still
 
 from corkcrank.contracts import clock
-from corkcrank.node.streams.result_release import ResultRelease
 from corkcrank.scheduling.worker_choice import WorkerStatistics
 
 __all__ = ["short_silences"]
@@ -30,8 +30,8 @@
 async def test_results_stay_where_an_engine_was_heard_only_before_the_usual_fetch_time() -> None:
     freed = asyncio.Event()
     statistics = WorkerStatistics()
-    release = ResultRelease(freed.set, statistics, 0.02)
+    release = CountedRelease(freed.set, statistics, 0.02)
     statistics.heard_at = clock.now()
-    await asyncio.sleep(0.1)
+    await until(lambda: freed.is_set() or release.looks >= FETCH_DELAYS)
     release.cancel()
     assert not freed.is_set()
--- a/tests/platform/test_result_release.py
+++ b/tests/platform/test_result_release.py
@@ -6,7 +6,7 @@
 from node_world import route, until
 from test_stream_failover import PIECES, STAGES, failover_world
 
-from corkcrank.node.streams import result_release
+from corkcrank.node.streams.result_release import ResultRelease
 from corkcrank.scheduling.worker_choice import WorkerStatistics
 
 ROUTES = [route("staged", "stream", "model", timeout_ms=20_000, stages=STAGES)]
@@ -24,14 +24,23 @@
         call.cancel()
 
 
+class CountedRelease(ResultRelease):
+    """A release that counts how often it has looked whether its worker was heard."""
+
+    looks = 0
+
+    def _release_if_heard(self) -> None:
+        self.looks += 1
+        super()._release_if_heard()
+
+
 @pytest.mark.parametrize("heard", [False, True])
 async def test_release_waits_until_its_worker_is_heard(heard: bool) -> None:
     released = asyncio.Event()
     statistics = WorkerStatistics()
-    release = result_release.ResultRelease(released.set, statistics, 0.01)
+    release = CountedRelease(released.set, statistics, 0.01)
     if heard:
         statistics.heard_at = float("inf")
-        await asyncio.wait_for(released.wait(), 1.0)
-    await asyncio.sleep(0.05)
+    await until(lambda: released.is_set() or release.looks >= FETCH_DELAYS)
     release.cancel()
     assert released.is_set() is heard
