Test: a pause of the test's loop ends no caller's connection in the plays of silent engines

Cause: the plays close idle connections after 0.6 s, and callers share the gateway's loop. A pause of the loop that is longer lies between a caller's choice of its connection and its first byte, so that the gateway closes a connection that looks idle. Ruled out: pauses at random points (0 of 80 plays, 0.1 to 0.7 s), connections idle for long (idle for 3 to 6 ms where lost). The checks stay.

--- a/tests/platform/silent_play.py
+++ b/tests/platform/silent_play.py
@@ -9,7 +9,7 @@
 
 import aiohttp
 from aiohttp import web
-from node_world import World, configuration, route, world
+from node_world import LONG_IDLE_TIMEOUT_MS, World, configuration, route, world
 from platform_standins import NOT_RUN, StandinStageWorker, StandinWorker
 
 from corkcrank.contracts import clock
@@ -235,6 +235,7 @@
     outcomes = Outcomes()
     rejects = source.random() < 0.5
     document = configuration(1, routes(max_attempts))
+    document["limits"]["idle_timeout_ms"] = LONG_IDLE_TIMEOUT_MS
     async with world(document, served, retry_allowance=retry_allowance) as running:
         silence = asyncio.create_task(fall_silent(source, engines))
         streams = []
