Test: the plays of silent engines leave out the time without a core

Cause: the play's gateway, engines and callers share a thread. Beside load a caller was refused again and again and ran out of its 8 s: since each caller must get its whole stream, 13 of 98 cases failed in seven runs of the file beside seven others, at loads of 13 to 22, 1 to 3 callers of 40 in each. Ruled out: cuts (none) and answers lost (none). Change: the plays run on core_clock, as brittle workers and partitioned gateways do; checks and bounds stay. Conclusion: what engines, gateway and callers compute or wait for counts in full.

--- a/tests/platform/silent_play.py
+++ b/tests/platform/silent_play.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 from aiohttp import web
+from core_clock import core_clock
 from node_world import LONG_IDLE_TIMEOUT_MS, World, configuration, route, world
 from platform_standins import NOT_RUN, StandinStageWorker, StandinWorker
 
@@ -236,7 +237,10 @@
     rejects = source.random() < 0.5
     document = configuration(1, routes(max_attempts))
     document["limits"]["idle_timeout_ms"] = LONG_IDLE_TIMEOUT_MS
-    async with world(document, served, retry_allowance=retry_allowance) as running:
+    async with (
+        core_clock(),
+        world(document, served, retry_allowance=retry_allowance) as running,
+    ):
         silence = asyncio.create_task(fall_silent(source, engines))
         streams = []
         for number in range(STREAMS):
