Tests: an answer that ends early fails a raw caller

Weak: Caller.read_answer of test_stop_moments.py read on at the end of the connection, in a thread and without end, so that a gateway that closes before its answer hung the test run in place of failing a test. test_unread_closes.py and test_rested_connections.py use it too.

Change: the end of a connection before the end of an answer fails the test.

--- a/tests/platform/test_stop_moments.py
+++ b/tests/platform/test_stop_moments.py
@@ -78,16 +78,21 @@
         return data
 
     def read_answer(self) -> bytes:
-        """Return one answer with its body."""
+        """Return the head of one answer, read with its body; fail if the connection ends before."""
         data = b""
         while b"\r\n\r\n" not in data:
-            data += self.connection.recv(65_536)
+            data += self._receive_part()
         head, _, body = data.partition(b"\r\n\r\n")
         length = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
         while len(body) < length:
-            body += self.connection.recv(65_536)
+            body += self._receive_part()
         return head
 
+    def _receive_part(self) -> bytes:
+        part = self.connection.recv(65_536)
+        assert part, "the connection ended before the end of the answer"
+        return part
+
 
 async def expect_answer(caller: Caller, *, sent: int = 1) -> None:
     """Fail unless a caller gets an answer, or got a clean end before it sent its request.
