Streams: comments of a silent engine do not end the search for another one

An engine that is silent but for a comment now and then kept its stream to the deadline, because each byte ended the search and closed the engine that was about to continue.

Cause: the relay cancelled the search at any bytes, also those that are no part of an event.

Ruled out: the head of the present engine's answer. It stays as it is.

Change: while another engine is sought, bytes without an event or a part of one are held back, up to 4 KiB, and passed on with the next ones (events.shows_event).

Conclusion: only what continues the answer ends the search for who might continue it.

--- a/src/corkcrank/node/streams/engine_failover.py
+++ b/src/corkcrank/node/streams/engine_failover.py
@@ -71,6 +71,11 @@
         lead = min(PROBE_TIMEOUT_SECONDS, seconds / 2)
         return SilenceRule(seconds - lead, lambda: self._begin_search(engine, clock.now() + lead))
 
+    @property
+    def in_progress(self) -> bool:
+        """Return whether another engine is sought, or has been found."""
+        return self._search is not None and not _found_nothing(self._search)
+
     async def _begin_search(self, engine: WorkerRecord, leave_at: float) -> bool:
         """Search while an engine is silent; return whether another one has begun to send.
 
@@ -88,7 +93,7 @@
 
         ``begins`` starts a search if none is in progress.
         """
-        if begins and (self._search is None or _found_nothing(self._search)):
+        if begins and not self.in_progress:
             self._search = asyncio.create_task(self._find(None, clock.now()))
         if self._search is None:
             return None
@@ -99,7 +104,7 @@
         return begun
 
     def cancel(self) -> None:
-        """Cancel the search, because the current engine has sent bytes."""
+        """Cancel the search, because the current engine continues its answer."""
         search, self._search = self._search, None
         if search is None:
             return
--- a/src/corkcrank/node/streams/events.py
+++ b/src/corkcrank/node/streams/events.py
@@ -59,6 +59,23 @@
         return events
 
 
+def shows_event(data: bytes) -> bool:
+    r"""Return whether bytes hold an event or the beginning of one.
+
+    Comments and hints to the reader are no events.
+
+    >>> shows_event(b": still here\n\n: st")
+    False
+    >>> shows_event(b": still here\n\nid: 4\n")
+    True
+    """
+    reader = EventReader()
+    if any(event.dispatched for event in reader.feed(data)):
+        return True
+    begun = reader.remainder.strip()
+    return bool(begun) and not begun.startswith(b":")
+
+
 def _parse_event(raw: bytes) -> StreamEvent:
     event_id: int | None = None
     dispatched = False
--- a/src/corkcrank/node/streams/stream_relay.py
+++ b/src/corkcrank/node/streams/stream_relay.py
@@ -11,7 +11,7 @@
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.node.calls.attempts import Attempt
 from corkcrank.node.calls.services import CallServices
-from corkcrank.node.streams.events import EventReader, StreamEvent
+from corkcrank.node.streams.events import EventReader, StreamEvent, shows_event
 from corkcrank.node.streams.stream_answer import StreamAnswer
 from corkcrank.node.streams.stream_part import StreamPart, body_framing
 from corkcrank.node.streams.upstream_buffer import UpstreamBuffer
@@ -27,6 +27,9 @@
 DEFAULT_PAUSE_SECONDS = 1.0
 """Default pause objective of a route, in seconds."""
 
+MAX_HELD_BYTES = 4_096
+"""Maximum size of comments that are held back while another engine is sought, in bytes."""
+
 
 class RelayEnd(StrEnum):
     """The end of one engine's part of a stream."""
@@ -44,8 +47,12 @@
     def rule(self, engine: WorkerRecord, seconds: float) -> SilenceRule:
         """Return the rule for a failover from an engine after a silence of ``seconds``."""
 
+    @property
+    def in_progress(self) -> bool:
+        """Return whether another engine is sought, or has been found."""
+
     def cancel(self) -> None:
-        """Cancel the search, because the current engine has sent bytes."""
+        """Cancel the search, because the current engine continues its answer."""
 
 
 class StreamRelay:
@@ -122,11 +129,12 @@
         silence = first
         try:
             while True:
-                chunk = await self._next_chunk(upstream, waiting, silence)
+                chunk = await self._next_chunk(upstream, waiting, silence, reader)
                 if not chunk:
                     break
                 statistics.heard_at = clock.now()
-                self.search.cancel()
+                if not self.search.in_progress or shows_event(reader.remainder + chunk):
+                    self.search.cancel()
                 events = reader.feed(chunk)
                 if events and not await self._send_events(upstream, part, events):
                     return RelayEnd.BROKEN
@@ -148,18 +156,32 @@
         upstream: aiohttp.ClientResponse,
         waiting: UpstreamBuffer,
         silence: SilenceRule | None,
+        reader: EventReader,
     ) -> bytes:
+        """Return the next bytes for a reader.
+
+        While another engine is sought, comments are held back until the next event: they do not
+        show that the engine continues its answer.
+        """
         started = clock.now()
         left = clock.clamp_remaining_seconds(self._call.end_at - started)
         try:
             async with SilenceTimeout(left, silence):
-                return await waiting.read()
+                chunk = await waiting.read()
+                while self._is_held(chunk, reader) and (more := await waiting.read()):
+                    chunk += more
+                return chunk
         except TimeoutError:
             waited = clock.now() - started
             if waited >= MIN_SILENCE_SECONDS:
                 self._services.client.record_silence(address_of(upstream), waited)
             raise
 
+    def _is_held(self, chunk: bytes, reader: EventReader) -> bool:
+        if not chunk or len(chunk) > MAX_HELD_BYTES or not self.search.in_progress:
+            return False
+        return not shows_event(reader.remainder + chunk)
+
     async def _send_events(
         self, upstream: aiohttp.ClientResponse, part: StreamPart, events: list[StreamEvent]
     ) -> bool:
