Streams: a stream that lost its engine waits for one that may be asked again

A begun stream whose engine was lost was cut at once, seconds before its deadline, where the other engines had rejected it less than 0.8 s ago.

Cause: a search ended where no engine could be ranked at that moment. Engines that have just rejected the stream, stand still or asked for a pause are not ranked, but may be sent it later.

Ruled out: a wait in all cases. Engines that failed for this call, have left, run another version, are beyond the route's attempts, or ask for a pause beyond the deadline do not count: then it is cut at once, as before.

Change: the search of a lost engine goes on while a listed engine may continue the stream before its deadline (StreamAdmission.may_continue_later).

Tests, in test_failover_returning.py: an engine that has just rejected the stream (2 cases), one that stands still (found while the first was written), one that asked for a pause (2 cases).

Conclusion: no stream is cut for a state of the others that passes before its deadline.

--- a/src/corkcrank/node/streams/engine_failover.py
+++ b/src/corkcrank/node/streams/engine_failover.py
@@ -187,7 +187,7 @@
         self._call.unresponsive_workers = frozenset()
         if not self._answer.prepared:
             return True
-        return engine is None and not self._admission.rank_engines()
+        return engine is None and not self._admission.may_continue_later()
 
     async def _choose(self, silent: WorkerRecord | None, leave_at: float) -> WorkerRecord | None:
         """Return an engine that may continue the stream; it must respond if one is silent."""
--- a/src/corkcrank/node/streams/stream_admission.py
+++ b/src/corkcrank/node/streams/stream_admission.py
@@ -144,6 +144,23 @@
         allowed = [engine for engine in allowed if engine.worker_id not in silent]
         return services.engines.rank(allowed, question, services.worker_statistics, clock.now())
 
+    def may_continue_later(self) -> bool:
+        """Return whether a listed engine may continue the call's stream before the deadline.
+
+        It may be silent now, be in backoff, or have rejected the call because it was full.
+        """
+        call, services, now = self._call, self._services, clock.now()
+        kept = call.returnable_workers.union(call.rejected_at)
+        spent = {item for item in call.workers_tried if item not in kept}
+        return any(
+            engine.worker_id not in spent
+            and call.may_continue_at(engine)
+            and call.allows_attempt_at(engine)
+            and not services.worker_statistics.has_left(engine.worker_id, now)
+            and now + services.availability.backoff_seconds(engine, now) < call.end_at
+            for engine in services.mirror.workers.usable_workers(call.service)
+        )
+
     def admit(self, engines: list[WorkerRecord]) -> WorkerRecord | Refusal:
         """Return the first engine whose zone can run the stages in time, or refuse the call.
 
--- a/tests/platform/test_failover_returning.py
+++ b/tests/platform/test_failover_returning.py
@@ -19,9 +19,11 @@
     EVENTS_BEFORE_SILENCE,
     HOLD,
     ROUTES,
+    SILENCE_SECONDS,
     FailoverWorld,
     failover_world,
     short_silences,
+    stand_still,
 )
 
 from corkcrank.contracts import clock
@@ -106,6 +108,46 @@
         assert requests(failover) == [1, 1]
 
 
+@PATHS
+async def test_a_stream_that_lost_its_engine_returns_to_one_that_has_just_rejected_it(
+    path: str,
+) -> None:
+    async with failover_world("full", f"break-after-{EVENTS_BEFORE_SILENCE}") as failover:
+        failover.hold.set()
+        assert await failover.read_events(path) == (EVENTS, True)
+        assert requests(failover) == [1, 1]
+
+
+async def test_a_stream_that_lost_its_engine_waits_for_one_that_stands_still() -> None:
+    async with failover_world(f"break-after-{EVENTS_BEFORE_SILENCE}") as failover:
+        failover.hold.set()
+        services = failover.running.nodes[0].services
+        standing = failover.engines[0]
+        goes_on = stand_still(failover, standing)
+        record = services.mirror.workers.get(standing.worker_id)
+        assert record is not None
+        assert not await services.liveness.is_responsive(record)
+        stream = asyncio.create_task(failover.read_events("/talk/x"))
+        await asyncio.wait({stream}, timeout=2 * SILENCE_SECONDS)
+        assert not stream.done()
+        goes_on.set()
+        assert await stream == (EVENTS, True)
+
+
+@PATHS
+async def test_a_stream_that_lost_its_engine_waits_for_one_that_asked_for_a_pause(
+    path: str,
+) -> None:
+    async with failover_world(f"break-after-{EVENTS_BEFORE_SILENCE}") as failover:
+        failover.hold.set()
+        pausing = failover.engines[0]
+        pausing.retry_after = str(2 * REJECTED_SECONDS)
+        stream = asyncio.create_task(failover.read_events(path))
+        await until(lambda: bool(pausing.rejected_at))
+        pausing.retry_after = ""
+        assert await stream == (EVENTS, True)
+
+
 @PATHS
 async def test_a_stream_returns_to_no_engine_that_failed(path: str) -> None:
     first, second = f"break-after-{EVENTS_BEFORE_SILENCE}", f"break-after-{LATER}"
