Workers: a brittle one that has rejected calls gets those that it bears to reject

Callers saw (tests/platform/test_brittle_workers.py, talk-50 and resumed-50, at times): 287 and 320 of 350 calls served, not 0.95.

Cause, as traced before: a worker at one rejection less than it tolerates within a second got nothing for the rest of it.

Change: a call may be rejected by its worker until it has been there for twice the longest time that the rejections of the last second took to be reported. The rejections of the last second and the calls that may be rejected are together at most as many as the worker tolerates.

--- a/src/corkcrank/scheduling/concurrency_caps.py
+++ b/src/corkcrank/scheduling/concurrency_caps.py
@@ -2,8 +2,9 @@
 
 The owner of a service's workers in a zone holds a lease for each call that it granted to a brittle
 worker, until the call ends. The cap starts at the worker's slots. A rejection lowers it to the
-number of calls that the worker accepted, and it then rises slowly. A worker that is one rejection
-short of its limit gets no calls until the oldest rejection leaves the window.
+number of calls that the worker accepted, and it then rises slowly. After a rejection the calls that
+the worker may still reject are limited to the further rejections that it tolerates, so that even if
+it rejects all of them it does not fail.
 
 An abandoned call without an answer may still reach the worker over a slow link. Its lease counts
 for one more rejection window, and the worker gets one call at a time until the next lease is
@@ -28,6 +29,10 @@
 PLACE_WAIT_SECONDS = 0.04
 """Retry time for a place: a fraction of a usual call's duration."""
 
+ACCEPTANCE_FACTOR = 2.0
+"""A call counts as accepted after the longest time that a recent rejection by its worker took,
+multiplied by this factor."""
+
 CALL_TIME_WEIGHT = 0.1
 """Weight of the newest call in the mean time of a worker's calls."""
 
@@ -52,6 +57,14 @@
     expires_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Rejection:
+    """A rejection of a call, ``seconds`` after its lease was granted."""
+
+    at: float
+    seconds: float
+
+
 @dataclass(slots=True)
 class _WorkerCap:
     """State of one worker: ``places`` is the maximum number of calls in progress.
@@ -63,15 +76,36 @@
     created_at: float
     changed_at: float
     leases: dict[str, _Lease] = field(default_factory=dict)
-    rejected_at: deque[float] = field(default_factory=deque)
+    rejections: deque[_Rejection] = field(default_factory=deque)
     call_seconds: float = DEFAULT_CALL_SECONDS
     silent: bool = False
 
     def remove_expired(self, now: float) -> None:
         for call_id in [key for key, lease in self.leases.items() if lease.expires_at <= now]:
             del self.leases[call_id]
-        while self.rejected_at and self.rejected_at[0] <= now - REJECTION_WINDOW_SECONDS:
-            self.rejected_at.popleft()
+        while self.rejections and self.rejections[0].at <= now - REJECTION_WINDOW_SECONDS:
+            self.rejections.popleft()
+
+    def seconds_until_tolerated(self, tolerated: float, now: float) -> float:
+        """Return the seconds until the worker tolerates it if one more call is rejected too.
+
+        One rejection is reserved while calls without a lease, or leases of an earlier owner, may
+        still be in progress.
+        """
+        if not self.rejections:
+            return 0.0
+        wait = self.rejections[0].at + REJECTION_WINDOW_SECONDS - now
+        reserved_for = self.created_at + UNKNOWN_CALLS_SECONDS - now
+        if reserved_for > 0:
+            tolerated -= 1
+            wait = min(wait, reserved_for)
+        spare = tolerated - len(self.rejections)
+        if spare < 1:
+            return wait
+        slowest = max(rejection.seconds for rejection in self.rejections)
+        accepted_before = now - ACCEPTANCE_FACTOR * slowest
+        undecided = sum(lease.granted_at > accepted_before for lease in self.leases.values())
+        return 0.0 if undecided + 1 <= spare else min(PLACE_WAIT_SECONDS, wait)
 
     def calls(self, reported_calls: int, now: float) -> int:
         """Return the calls in progress, as far as leases and reports of gateways show."""
@@ -121,8 +155,9 @@
             return 0.0 if reported_calls < limits.slots else PLACE_WAIT_SECONDS
         cap.remove_expired(now)
         cap.rise(limits.slots, now)
-        if len(cap.rejected_at) >= max(1.0, limits.tolerated_rejections - 1):
-            return cap.rejected_at[0] + REJECTION_WINDOW_SECONDS - now
+        wait = cap.seconds_until_tolerated(limits.tolerated_rejections, now)
+        if wait > 0:
+            return wait
         places = 1 if cap.silent else cap.places
         return 0.0 if cap.calls(reported_calls, now) < places else PLACE_WAIT_SECONDS
 
@@ -156,7 +191,7 @@
             return
         cap.silent = False
         if rejected:
-            cap.rejected_at.append(now)
+            cap.rejections.append(_Rejection(now, now - lease.granted_at))
             kept = cap.calls(reported_calls - 1, now)
             cap.places = max(1, min(cap.places - 1, kept))
             cap.changed_at = now
--- a/tests/scheduling/test_brittle_fleet.py
+++ b/tests/scheduling/test_brittle_fleet.py
@@ -94,14 +94,24 @@
 
 def test_a_cap_does_not_fall_to_the_calls_with_a_lease_while_others_are_in_progress() -> None:
     """The engines bear many rejections, so that only the caps limit the calls."""
+    assert served_share(tolerated=20) >= MIN_SERVED_SHARE
+
+
+def test_few_engines_that_tolerate_one_more_rejection_each_still_serve_nearly_all_calls() -> None:
+    """Two rejections of an engine kept all calls from it for the rest of the second."""
+    assert served_share(tolerated=3) >= MIN_SERVED_SHARE
+
+
+def served_share(tolerated: int) -> float:
+    """Return the share of calls that few engines serve, over some seeds."""
     asked = served = 0
     for seed in range(1, 31):
         with pytest.MonkeyPatch.context() as patch:
-            world = run_simulation(few_engines(seed, tolerated=20), patch)
+            world = run_simulation(few_engines(seed, tolerated), patch)
         outcomes = world.outcomes["talk"]
         asked += outcomes.asked
         served += outcomes.asked - outcomes.refused - outcomes.failed
-    assert served >= MIN_SERVED_SHARE * asked
+    return served / asked
 
 
 @pytest.mark.parametrize("seed", range(1, 11))
