Stage workers: admission does not count the lateness of running calls

Change: only what decides where waiting pieces run expects late calls to last longer (seconds_until_free_if_late); forecasts that admit and refuse are as before.

--- a/src/corkcrank/scheduling/stage_queue.py
+++ b/src/corkcrank/scheduling/stage_queue.py
@@ -49,7 +49,7 @@
         >>> call.remaining_seconds(0.25), call.remaining_seconds(2.5)
         (0.25, 2.0)
         """
-        return abs(self._expected_end - now)
+        return abs(self.expected_end - now)
 
     def next_offer_at(self, now: float) -> float:
         """Return when to offer the pieces behind this call to other workers again.
@@ -58,11 +58,12 @@
         >>> [call.next_offer_at(now) for now in (0.25, 0.75, 1.0)]
         [0.75, 1.0, 1.5]
         """
-        late = max(LATE_SHARE * self.expected_seconds, 2.0 * (now - self._expected_end))
-        return self._expected_end + late
+        late = max(LATE_SHARE * self.expected_seconds, 2.0 * (now - self.expected_end))
+        return self.expected_end + late
 
     @property
-    def _expected_end(self) -> float:
+    def expected_end(self) -> float:
+        """Return when the call should end by its expected duration."""
         return self.started_at + self.expected_seconds
 
 
@@ -302,7 +303,17 @@
         wait = max(0.0, self.blocked_until - now)
         if len(self._calls) < self.capacity.slots:
             return wait
-        return max(wait, min(call.remaining_seconds(now) for call in self._calls))
+        return max(wait, 0.0, min(call.expected_end for call in self._calls) - now)
+
+    def seconds_until_free_if_late(self, now: float) -> float:
+        """Return the seconds until a call can start if late calls last as long again.
+
+        Admission does not use it: after a pause of the process all calls are late for a moment.
+        """
+        if len(self._calls) < self.capacity.slots:
+            return self.seconds_until_free(now)
+        remaining = min(call.remaining_seconds(now) for call in self._calls)
+        return max(self.blocked_until - now, remaining)
 
     @property
     def _working_bytes(self) -> float:
--- a/src/corkcrank/scheduling/work_stealing.py
+++ b/src/corkcrank/scheduling/work_stealing.py
@@ -36,7 +36,7 @@
     taken: list[StolenPiece] = []
     for piece in candidates:
         seconds_if_moved = free_queue.call_seconds(free_queue.waiting + len(taken) + 1)
-        seconds_if_kept = piece.queue.seconds_until_free(now) + piece.queue.call_seconds(1)
+        seconds_if_kept = piece.queue.seconds_until_free_if_late(now) + piece.queue.call_seconds(1)
         if seconds_if_moved < seconds_if_kept:
             taken.append(piece)
         if len(taken) == free_places:
