Test: the idle timeout does not close the connection whose stop is tested

Cause: test_connections_are_kept_and_closed_by_an_answer_while_the_balancer_sends (once, at a load of 40) makes a connection look idle for 60 s beside an idle timeout of 0.6 s. Ruled out: the stop (it closes no idle connection then). Change: an idle timeout of 120 s.

--- a/tests/platform/test_callers_connection.py
+++ b/tests/platform/test_callers_connection.py
@@ -157,7 +157,9 @@
 
 async def test_connections_are_kept_and_closed_by_an_answer_while_the_balancer_sends() -> None:
     """Calls that crossed the close of an idle connection at the start of a stop got no answer."""
-    async with world(configuration(1, ROUTES), {"one": (StandinWorker(), "plain")}) as running:
+    document = configuration(1, ROUTES)
+    document["limits"]["idle_timeout_ms"] = 2_000 * LONG_SECONDS
+    async with world(document, {"one": (StandinWorker(), "plain")}) as running:
         node = running.nodes[0]
         host, port = running.address().rsplit(":", 1)
         reader, writer = await asyncio.open_connection(host, int(port))
