Tests: the plays of a failover leave out the time without a core

Cause: gateway, engines and callers share one thread, and a silence is 0.2 s there. Beside a load of 40 a time without a core was a silence of all engines, and test_a_stream_is_continued_by_the_engine_that_it_did_not_need_before never saw two requests (once). Ruled out, by the file's own cases: a search that sends to no other engine. Suspected for that run, as its times were not kept. Change: failover_world runs on core_clock; the two tests that did so themselves no longer do. Bounds and checks stay. Conclusion: what the parties compute or wait for counts in full.

--- a/tests/platform/test_failover_search.py
+++ b/tests/platform/test_failover_search.py
@@ -4,7 +4,6 @@
 from http import HTTPStatus
 
 import pytest
-from core_clock import core_clock
 from mortal_workers import KillableServer
 from node_world import route, until
 from test_silent_engines import SlowEngine
@@ -65,7 +64,7 @@
 async def test_a_silent_engine_is_left_once_a_repeat_is_free(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    async with core_clock(), failover_world(HOLD) as failover:
+    async with failover_world(HOLD) as failover:
         stream = asyncio.create_task(failover.read_events("/talk/x"))
         _, other = await engines_by_use(failover)
         other.hold = None
@@ -160,10 +159,7 @@
 ) -> None:
     fields = {"timeout_ms": 20_000, "target_latency_ms": OBJECTIVE_MS}
     talk = route("talk", "stream", "model", stream_resume=True, **fields)
-    async with (
-        core_clock(),
-        failover_world("hang", routes=[talk], engine_type=MortalEngine) as failover,
-    ):
+    async with failover_world("hang", routes=[talk], engine_type=MortalEngine) as failover:
         services = failover.running.nodes[0].services
         monkeypatch.setattr(type(services), "can_spend_repeat", lambda _, service: False)
         headers = {"X-Corkcrank-Deadline-Ms": "20000"}
--- a/tests/platform/test_stream_failover.py
+++ b/tests/platform/test_stream_failover.py
@@ -15,6 +15,7 @@
 import aiohttp
 import pytest
 from aiohttp import web
+from core_clock import core_clock
 from node_world import World, configuration, route, until, world
 from platform_standins import NOT_RUN, StandinStageWorker
 from test_silent_engines import SlowEngine
@@ -103,7 +104,7 @@
     )
     stage = StandinStageWorker()
     served = {"one": (one, "model"), "two": (two, "model"), "stage": (stage, "encode")}
-    async with world(configuration(1, routes), served) as running:
+    async with core_clock(), world(configuration(1, routes), served) as running:
         yield FailoverWorld(running, (one, two), stage, hold, taken)
 
 
