--- a/review/4/case.py
+++ b/review/5/case.py
@@ -24,7 +24,7 @@
     serve,
 )
 
-RUN_SECONDS = 45.0
+RUN_SECONDS, FAULT_AT_SECONDS = 45.0, 5.0
 STREAM_CALLERS, ORDER_CALLERS = 4, 10
 """Callers at each gateway."""
 
@@ -58,7 +58,7 @@
             while (request := await read_request(reader)) is not None:
                 writer.write(await self._answer(request[2]))
                 await writer.drain()
-        except ConnectionError:
+        except (ConnectionError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
@@ -78,17 +78,17 @@
 class Engine:
     """A model worker that streams twelve events; a faulty one spoils a share of its answers."""
 
-    def __init__(self, name: str, record: Record, *, faulty: bool) -> None:
+    def __init__(self, name: str, record: Record) -> None:
         self.name = name
         self.record = record
-        self._faulty = faulty
-        self._answers = self._spoiled = 0
+        self.faulty = False
+        self.answers = self._spoiled = 0
 
     async def handle(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             while (request := await read_request(reader)) is not None:
                 await self._answer(writer, *request[1:3])
-        except ConnectionError:
+        except (ConnectionError, asyncio.CancelledError):
             pass
         finally:
             writer.transport.abort()
@@ -101,10 +101,10 @@
             report = {"queued": 0, "active": 0, "kv_used": 0, "kv_total": 244943}
             writer.write(http_answer(200, json.dumps(report).encode()))
             return
-        self._answers += 1
+        self.answers += 1
         request = headers["x-corkcrank-attempt-id"]
         after = int(headers.get("last-event-id") or 0)
-        spoiled = self._faulty and self._spoiled < int(SPOILED_SHARE * self._answers)
+        spoiled = self.faulty and self._spoiled < int(SPOILED_SHARE * self.answers)
         self._spoiled += spoiled
         self.record.write("engine runs", engine=self.name, request=request, spoiled=spoiled)
         head = (
@@ -275,7 +275,7 @@
         "X-Corkcrank-Deadline-Ms": "15000",
         "X-Corkcrank-Model": "m",
         "X-Corkcrank-Token-Count": "543,36",
-        "X-Corkcrank-Prefix-Hash": f"5c1e07a2:172,{request[:8]}:371",
+        "X-Corkcrank-Prefix-Hash": f"{request[-8:]}:543",
     }
     url = f"http://{gateway.caller_address}/guide/a"
     timeout = aiohttp.ClientTimeout(total=16.0)
@@ -291,11 +291,20 @@
         await asyncio.sleep(0.3)
 
 
+async def _begin_fault(engines: list[Engine], record: Record) -> None:
+    """Make the two busiest engines of four faulty."""
+    await asyncio.sleep(FAULT_AT_SECONDS)
+    for engine in sorted(engines, key=lambda item: item.answers)[-2:]:
+        engine.faulty = TROUBLE
+        record.write("fault begins" if TROUBLE else "no fault", engine=engine.name)
+
+
 async def main(record: Record) -> None:
     loop = asyncio.get_running_loop()
-    servers, entries = [], {}
+    servers, entries, engines = [], {}, []
     for number in range(1, 5):
-        engine = Engine(f"i-e0{number:06x}", record, faulty=TROUBLE and number <= 2)
+        engine = Engine(f"i-e0{number:06x}", record)
+        engines.append(engine)
         server, address = await serve(engine.handle)
         servers.append(server)
         entries[engine.name] = entry("llm", address, "hall-petrol", 128)
@@ -324,7 +333,7 @@
             for gateway in world.gateways
             for _ in range(ORDER_CALLERS)
         ]
-        await asyncio.gather(*callers)
+        await asyncio.gather(*callers, _begin_fault(engines, record))
         watching.cancel()
         record.write("results", kills=platform.kills, peak_mb=round(platform.peak_mb, 1))
         record.write("outcomes", **{name.replace(" ", "-"): n for name, n in results.items()})
