--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -269,6 +269,8 @@
 def run_case(main, folder: str) -> None:
     """Run a case and exit with its result: 1 if the rule was broken, 0 if it held, 2 otherwise."""
     record = Record(Path(folder))
+    # A case that is told to end still ends its processes.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     try:
         asyncio.run(asyncio.wait_for(main(record), 115))
     except BaseException as error:  # noqa: BLE001
