Bodies without a length are complete only if their sender closed the connection

Cause: how such a body ended was known only from a future of its connection, which each reader looked up before it read. If the head was awaited in another task (failover, hedged call, relayed request), the reset had been read by then and the HTTP library had released the connection: no future, so the body counted as one with a length. Two of five readers (peers, the store) never asked.

Evidence: a trace of the new test shows connection_lost(ConnectionResetError), and 0.2 ms later the look-up with connection=None. Ruled out: a future that completes without an error (the look-up found no connection), and the stream's end being judged by its events (a chunked answer that breaks off there resumes).

Change: the connection decides when it ends. Unless its sender has closed it, the body fails, whoever reads it and whenever; a local close is no end either. Every HTTP client has these connections, and the readers ask nothing any more.

--- a/src/corkcrank/cli/controller_client.py
+++ b/src/corkcrank/cli/controller_client.py
@@ -12,6 +12,7 @@
 from corkcrank.contracts.request_release import RELEASE_REQUEST_PATH, ReleaseAnswer
 from corkcrank.contracts.result_codes import ResultCode
 from corkcrank.controller.routes import FailureView, StatusView
+from corkcrank.links.client_connections import ClientConnector
 
 TIMEOUT_SECONDS = 10.0
 """Timeout of a call to a controller; a confirm may take some seconds of retries."""
@@ -64,7 +65,7 @@
     async def _request(self, method: str, path: str, body: bytes) -> tuple[int, bytes]:
         timeout = aiohttp.ClientTimeout(total=TIMEOUT_SECONDS)
         async with (
-            aiohttp.ClientSession(timeout=timeout) as session,
+            aiohttp.ClientSession(connector=ClientConnector(), timeout=timeout) as session,
             session.request(method, f"http://{self.address}{path}", data=body or None) as response,
         ):
             return response.status, await response.read()
--- a/src/corkcrank/links/back_ends.py
+++ b/src/corkcrank/links/back_ends.py
@@ -22,6 +22,7 @@
     StageCall,
     TokenChunk,
 )
+from corkcrank.links.client_connections import ClientConnector
 from corkcrank.links.traffic import UNUSED_HEADERS, ControlTraffic
 
 CONNECT_TIMEOUT_SECONDS = 0.5
@@ -71,13 +72,13 @@
     def __init__(self, traffic: ControlTraffic) -> None:
         self._traffic = traffic
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=10.0),
+            connector=ClientConnector(limit=0, keepalive_timeout=10.0),
             skip_auto_headers=UNUSED_HEADERS,
         )
         # A kept-alive connection can fail while a call is being written, and then it is
         # unknown whether the call was sent; unrepeatable calls use a new connection.
         self._fresh_session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, force_close=True)
+            connector=ClientConnector(limit=0, force_close=True)
         )
         self._machine_list: MachineList | None = None
         self._machine_list_tag = ""
--- a/src/corkcrank/links/peer_client.py
+++ b/src/corkcrank/links/peer_client.py
@@ -4,6 +4,7 @@
 
 from corkcrank.contracts.configuration import Configuration, decode_configuration
 from corkcrank.contracts.identifiers import Address
+from corkcrank.links.client_connections import ClientConnector
 from corkcrank.links.peer_codec import (
     PeerDecodeError,
     decode_digest_reply,
@@ -23,7 +24,7 @@
     def __init__(self, traffic: ControlTraffic) -> None:
         self._traffic = traffic
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=15.0),
+            connector=ClientConnector(limit=0, keepalive_timeout=15.0),
             timeout=aiohttp.ClientTimeout(total=PEER_TIMEOUT_SECONDS),
             skip_auto_headers=UNUSED_HEADERS,
         )
--- a/src/corkcrank/machines/daemon_links.py
+++ b/src/corkcrank/machines/daemon_links.py
@@ -4,6 +4,7 @@
 
 from corkcrank.contracts.settings import Settings
 from corkcrank.links.back_ends import BackEndClient
+from corkcrank.links.client_connections import ClientConnector
 from corkcrank.links.http_table import HttpTable
 from corkcrank.links.peer_client import PeerClient
 from corkcrank.links.traffic import UNUSED_HEADERS, ControlTraffic
@@ -14,7 +15,9 @@
 
     def __init__(self, settings: Settings) -> None:
         self.traffic = ControlTraffic()
-        self._session = aiohttp.ClientSession(skip_auto_headers=UNUSED_HEADERS)
+        self._session = aiohttp.ClientSession(
+            connector=ClientConnector(), skip_auto_headers=UNUSED_HEADERS
+        )
         self.table = HttpTable(self._session, settings.platform.table, self.traffic)
         self.peers = PeerClient(self.traffic)
         self.back_ends = BackEndClient(self.traffic)
--- a/src/corkcrank/node/peers/peer_client.py
+++ b/src/corkcrank/node/peers/peer_client.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from corkcrank.contracts import clock
+from corkcrank.links.client_connections import ClientConnector
 from corkcrank.links.silence import (
     ConnectionKind,
     SilenceListener,
@@ -70,7 +71,7 @@
         self._on_silence = on_silence
         self._session = aiohttp.ClientSession(
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=PEER_CONNECT_TIMEOUT_SECONDS),
-            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=MAX_IDLE_SECONDS),
+            connector=ClientConnector(limit=0, keepalive_timeout=MAX_IDLE_SECONDS),
         )
 
     async def close(self) -> None:
--- a/src/corkcrank/node/process/node_process.py
+++ b/src/corkcrank/node/process/node_process.py
@@ -12,6 +12,7 @@
 
 from corkcrank.contracts import clock
 from corkcrank.contracts.node_settings import NodeSettings
+from corkcrank.links.client_connections import ClientConnector
 from corkcrank.links.decision_log import BoundedOutput, DecisionLog
 from corkcrank.node.process.node import Node
 from corkcrank.node.process.settings_start import load_settings_at_start
@@ -42,7 +43,7 @@
 async def _run(settings: NodeSettings, path: Path, log: DecisionLog) -> None:
     loop = asyncio.get_running_loop()
     signalled = _first_stop_signal(loop)
-    async with aiohttp.ClientSession() as session:
+    async with aiohttp.ClientSession(connector=ClientConnector()) as session:
         ports = connect_platform(session, settings.store.address, settings.store.timeout)
         node = Node(settings, ports, log, random.Random())
         watcher = SettingsWatcher(path, settings, log, node.apply_settings)
--- a/src/corkcrank/node/relays/relay_client.py
+++ b/src/corkcrank/node/relays/relay_client.py
@@ -13,6 +13,7 @@
 from corkcrank.contracts import clock
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.links.abandoned_tasks import abandon
+from corkcrank.links.client_connections import ClientConnector
 from corkcrank.links.decision_log import DecisionLog, LogEvent
 from corkcrank.links.silence import (
     ConnectionKind,
@@ -103,10 +104,8 @@
         self._notices = notices
         self._log = log
         self._metrics = metrics
-        self._kept = create_session(
-            aiohttp.TCPConnector(limit=0, keepalive_timeout=MAX_IDLE_SECONDS)
-        )
-        self._fresh = create_session(aiohttp.TCPConnector(limit=0, force_close=True))
+        self._kept = create_session(ClientConnector(limit=0, keepalive_timeout=MAX_IDLE_SECONDS))
+        self._fresh = create_session(ClientConnector(limit=0, force_close=True))
         self._members = RelayMembers(fleet)
         self._open: dict[str, WeakSet[aiohttp.ClientResponse]] = defaultdict(WeakSet)
         self._searches: dict[str, asyncio.Task[MemberSearch]] = {}
--- a/src/corkcrank/node/relays/relay_server.py
+++ b/src/corkcrank/node/relays/relay_server.py
@@ -30,7 +30,7 @@
 from corkcrank.node.telemetry.metrics import NodeMetrics
 from corkcrank.node.workers.link_monitor import LinkMonitor
 from corkcrank.node.workers.worker_availability import Unavailability, WorkerAvailability
-from corkcrank.node.workers.worker_client import WorkerClient, unframed_body_end
+from corkcrank.node.workers.worker_client import WorkerClient
 from corkcrank.node.workers.worker_probe import ProbeResult, probe_worker
 from corkcrank.node.workers.worker_request import (
     SendFailure,
@@ -221,13 +221,10 @@
         for name, value in self._calls.answer_headers(list(upstream.headers.items())):
             response.headers.add(name, value)
         response.headers[RELAY_HEADER] = RelayOutcome.ANSWERED.value
-        closed = unframed_body_end(upstream)
         await response.prepare(request)
         try:
             while chunk := await upstream.content.readany():
                 await response.write(chunk)
-            if closed is not None:
-                await closed
             await response.write_eof()
         except (aiohttp.ClientError, OSError, ValueError):
             _abort(request)
--- a/src/corkcrank/node/streams/stream_relay.py
+++ b/src/corkcrank/node/streams/stream_relay.py
@@ -16,7 +16,7 @@
 from corkcrank.node.streams.stream_part import StreamPart, body_framing
 from corkcrank.node.streams.upstream_buffer import UpstreamBuffer
 from corkcrank.node.workers.silence_timeout import SilenceRule, SilenceTimeout
-from corkcrank.node.workers.worker_client import address_of, unframed_body_end
+from corkcrank.node.workers.worker_client import address_of
 
 MIN_SILENCE_SECONDS = 1.0
 """Minimum silence between events before a stream fails over, in seconds."""
@@ -124,7 +124,6 @@
         assert upstream is not None
         reader = EventReader()
         self._answer.set_waiting(waiting)
-        closed = unframed_body_end(upstream)
         statistics = self._services.worker_statistics.get_or_create(attempt.worker.worker_id)
         silence = first
         try:
@@ -140,8 +139,6 @@
                     return RelayEnd.BROKEN
                 if events:
                     silence = self._silence_rule(attempt.worker)
-            if closed is not None:
-                await closed
         except TimeoutError:
             part.silent = True
             return RelayEnd.CALLER_GONE if self._answer.caller_disconnected else RelayEnd.BROKEN
--- a/src/corkcrank/node/workers/worker_client.py
+++ b/src/corkcrank/node/workers/worker_client.py
@@ -1,6 +1,5 @@
 """HTTP client for workers that sends each attempt once and reports whether it was received."""
 
-import asyncio
 from dataclasses import replace
 from types import TracebackType
 from typing import Self
@@ -206,11 +205,8 @@
         """Return a complete body, or ``None`` if it was truncated or timed out.
 
         ``seconds`` bounds the whole read; ``silence`` may end each wait for the next byte earlier.
-        A body without length ends with its connection. The library reports such a body as complete
-        even if a reset ended the connection, so this method checks how it ended.
         """
         end_at = clock.now() + seconds
-        closed = unframed_body_end(response)
         chunks: list[bytes] = []
         received_at = clock.now()
         try:
@@ -221,8 +217,6 @@
                     break
                 chunks.append(chunk)
                 received_at = clock.now()
-            if closed is not None:
-                await closed
         except TimeoutError:
             response.close()
             self.record_silence(address_of(response), clock.now() - received_at)
@@ -270,13 +264,3 @@
 def address_of(response: aiohttp.ClientResponse) -> str:
     """Return the ``ip:port`` of a response's sender."""
     return f"{response.url.host}:{response.url.port}"
-
-
-def unframed_body_end(response: aiohttp.ClientResponse) -> asyncio.Future[None] | None:
-    """Return the future that completes when the connection closes, for a body without framing."""
-    if "Content-Length" in response.headers or "Transfer-Encoding" in response.headers:
-        return None
-    connection = response.connection
-    if connection is None or connection.protocol is None:
-        return None
-    return connection.protocol.closed
--- a/src/corkcrank/node/workers/worker_sessions.py
+++ b/src/corkcrank/node/workers/worker_sessions.py
@@ -8,6 +8,7 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
 
+from corkcrank.links.client_connections import ClientConnector
 from corkcrank.node.workers.connect_watch import ConnectWatch
 
 CONNECT_TIMEOUT_SECONDS = 0.5
@@ -47,7 +48,7 @@
     """The request is no longer wanted."""
 
 
-class CheckedConnector(aiohttp.TCPConnector):
+class CheckedConnector(ClientConnector):
     """A connector that discards idle connections with unexpected bytes and withdrawn requests.
 
     Every request on an idle connection has its complete response. Further bytes belong to no
@@ -87,7 +88,7 @@
     return protocol is None or protocol.should_close
 
 
-def create_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
+def create_session(connector: ClientConnector) -> aiohttp.ClientSession:
     """Return a session that sends requests unchanged and at most once."""
     session = aiohttp.ClientSession(
         connector=connector,
--- a/tests/platform/gateway_links.py
+++ b/tests/platform/gateway_links.py
@@ -30,9 +30,13 @@
 
 @dataclass
 class GatewayLinks:
-    """The links of each gateway, by its number, to the workers whose addresses are given."""
+    """The links of each gateway, by its number, to the workers whose addresses are given.
+
+    The gateways in ``direct`` connect without a proxy, which would delay a reset.
+    """
 
     workers: set[str] = field(default_factory=set)
+    direct: set[int] = field(default_factory=set)
     _cuts: dict[tuple[int, str], Cut] = field(default_factory=dict)
     _links: dict[tuple[int, str], SilentLink] = field(default_factory=dict)
 
@@ -70,6 +74,8 @@
             raise ConnectionRefusedError
         if cut is not None:
             await asyncio.Event().wait()
+        if gateway in self.direct:
+            return await connect(sock, address)
         link = await self._link(gateway, target)
         host, port = link.address.rsplit(":", 1)
         return await connect(sock, (host, int(port)))
--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -84,8 +84,8 @@
 class StandinWorker:
     """A simulated plain worker or model engine.
 
-    Each request consumes one of ``faults``: ``full``, ``reset``,
-    ``no-seal``, ``foreign-id``, ``cut-chunk``, ``unframed-reset``, ``surplus``, ``hang``,
+    Each request consumes one of ``faults``: ``full``, ``reset``, ``no-seal``, ``foreign-id``,
+    ``cut-chunk``, ``unframed-reset``, ``unframed-reset-at-once``, ``surplus``, ``hang``,
     ``error``, ``gone``, and for streams ``break-after-N`` and ``silent-after-N``. Each event
     carries ``padding`` extra bytes; ``left`` counts the requests whose connection closed before
     their response.
@@ -156,7 +156,7 @@
         if fault == "reset":
             transport.abort()
             raise ConnectionResetError
-        if fault in ("unframed-reset", "surplus"):
+        if fault in ("unframed-reset", "unframed-reset-at-once", "surplus"):
             return await self._send_raw(request, transport, fault)
         if self.events:
             return await self._stream(request, fault)
@@ -211,7 +211,8 @@
             transport.write(answer + answer)
             await asyncio.Event().wait()
         transport.write(f"HTTP/1.1 200 OK\r\n{head}Connection: close\r\n\r\nhalf".encode())
-        await asyncio.sleep(0.05)
+        if fault == "unframed-reset":
+            await asyncio.sleep(0.05)
         # With a linger time of 0, closing sends a TCP reset instead of FIN.
         linger = struct.pack("ii", 1, 0)
         transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -134,3 +134,17 @@
     for path in SOURCE.rglob("*.py"):
         if path.name != "clock.py":
             assert "monotonic" not in path.read_text(encoding="utf-8"), path
+
+
+def test_every_http_client_uses_connections_that_know_how_a_body_ended() -> None:
+    """A session without this connector would take a body that was reset for a complete one."""
+    wrong = []
+    for path in sorted(SOURCE.rglob("*.py")):
+        text = path.read_text(encoding="utf-8")
+        if path.parts[-2:] == ("links", "client_connections.py"):
+            continue
+        if "aiohttp.TCPConnector(" in text and "load" not in path.parts:
+            wrong.append(f"{path.relative_to(SOURCE)} creates a connector of the library")
+        if "aiohttp.ClientSession()" in text:
+            wrong.append(f"{path.relative_to(SOURCE)} creates a session without a connector")
+    assert wrong == []
