What a gateway keeps of peers' bytes has a bound, for a message and for all

Cause: what readers keep until a message is complete was bounded by the call's deadline alone. The same held for plain answers, failures, stage results, reports, relayed requests, peers, the store, back ends, and for comments while a failover waits for an event.

The connection bounds bytes without content: heads, interim responses, chunk extensions. A dropped message is a broken connection: repeatable calls and resumable streams go elsewhere, others end at once. The own interface's line above the library's limit is a back-end error now; it was an unhandled one.

Why the fix works: no reader can keep a byte that is not counted, and counting fails before the bound is passed.

--- a/src/corkcrank/contracts/node_settings.py
+++ b/src/corkcrank/contracts/node_settings.py
@@ -82,13 +82,15 @@
 class NodeLimitSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Resource limits of the process; 0 where a limit is unknown.
 
-    ``file_descriptors`` counts all files and sockets, ``memory_mb`` is in MiB. ``cpu_share``
+    ``file_descriptors`` counts all files and sockets, ``memory_mb`` is in MiB. A worker's answer
+    that exceeds ``max_answer_mb`` MiB is dropped, unless it is a stream. ``cpu_share``
     is the share of one processor that the process may use. ``cpu_speed`` is the speed of that
     processor relative to the platform's standard one.
     """
 
     file_descriptors: int = 0
     memory_mb: float = 0.0
+    max_answer_mb: float = 8.0
     cpu_share: float = 0.0
     cpu_speed: float = 1.0
 
@@ -178,6 +180,7 @@
         "bounds.leaving": settings.bounds.leaving,
         "bounds.configuration": settings.bounds.configuration,
         "bounds.evacuation": settings.bounds.evacuation,
+        "limits.max_answer_mb": settings.limits.max_answer_mb,
     }
     for key, value in positive.items():
         if value <= 0:
--- a/src/corkcrank/links/back_ends.py
+++ b/src/corkcrank/links/back_ends.py
@@ -10,6 +10,7 @@
 
 import aiohttp
 import msgspec
+from aiohttp.http_exceptions import LineTooLong
 
 from corkcrank.contracts.messages import (
     GenerateCall,
@@ -23,6 +24,7 @@
     TokenChunk,
 )
 from corkcrank.links.client_connections import ClientConnector
+from corkcrank.links.received_bytes import OversizedMessageError, Purpose, ReceivedBytes
 from corkcrank.links.traffic import UNUSED_HEADERS, ControlTraffic
 
 CONNECT_TIMEOUT_SECONDS = 0.5
@@ -71,6 +73,7 @@
 
     def __init__(self, traffic: ControlTraffic) -> None:
         self._traffic = traffic
+        self._received = ReceivedBytes()
         self._session = aiohttp.ClientSession(
             connector=ClientConnector(limit=0, keepalive_timeout=10.0),
             skip_auto_headers=UNUSED_HEADERS,
@@ -92,14 +95,14 @@
         self, address: str, call: StageCall, timeout: float
     ) -> StageAnswer | NotSent | PossiblySent:
         """Call an encoder, retriever or reranker; ``timeout`` is in seconds."""
-        return await _post(self._session, address, "/v1/stage", call, StageAnswer, timeout)
+        return await self._post(self._session, address, "/v1/stage", call, StageAnswer, timeout)
 
     async def call_plain(
         self, address: str, call: PlainCall, timeout: float, fresh: bool
     ) -> PlainAnswer | NotSent | PossiblySent:
         """Call a plain service; ``fresh`` forbids reuse of a kept-alive connection."""
         session = self._fresh_session if fresh else self._session
-        return await _post(session, address, "/v1/call", call, PlainAnswer, timeout)
+        return await self._post(session, address, "/v1/call", call, PlainAnswer, timeout)
 
     async def generate(
         self, address: str, call: GenerateCall, timeout: float
@@ -119,7 +122,7 @@
                     yield msgspec.json.decode(line, type=TokenChunk)
         except aiohttp.ClientConnectorError as error:
             raise BackEndError(str(error), sent=sent) from error
-        except (TimeoutError, aiohttp.ClientError, OSError, msgspec.DecodeError) as error:
+        except (TimeoutError, aiohttp.ClientError, LineTooLong, OSError, ValueError) as error:
             raise BackEndError(type(error).__name__, sent=True) from error
 
     async def cancel_attempt(self, address: str, attempt: str) -> None:
@@ -128,13 +131,13 @@
             async with self._session.post(
                 f"http://{address}/v1/cancel/{attempt}", timeout=_timeout(POLL_TIMEOUT_SECONDS)
             ) as response:
-                await response.read()
-        except (TimeoutError, aiohttp.ClientError, OSError):
+                await self._received.read(response, Purpose.BACK_END, address)
+        except (TimeoutError, aiohttp.ClientError, OversizedMessageError, OSError):
             return
 
     async def read_load_report(self, address: str) -> LoadReport | NotSent | PossiblySent:
         """Read a back end's load report."""
-        report = await _get(self._session, f"http://{address}/v1/load", LoadReport)
+        report = await self._get(self._session, f"http://{address}/v1/load", LoadReport)
         self._traffic.record_exchange(0, LOAD_REPORT_BYTES)
         return report
 
@@ -142,7 +145,7 @@
         self, address: str, order: ModelOrder
     ) -> LoadReport | NotSent | PossiblySent:
         """Send a fenced order; return the actual state of the back end."""
-        return await _post(
+        return await self._post(
             self._session, address, "/v1/orders", order, LoadReport, ORDER_TIMEOUT_SECONDS
         )
 
@@ -159,55 +162,54 @@
                     return self._machine_list
                 if response.status != 200:
                     return None
-                content = await response.read()
+                content = await self._received.read(response, Purpose.BACK_END, address)
                 self._traffic.record_exchange(0, len(content))
                 decoded = msgspec.json.decode(content, type=MachineList)
                 self._machine_list_tag = response.headers.get("ETag", "")
-        except (TimeoutError, aiohttp.ClientError, OSError, msgspec.DecodeError):
+        except (TimeoutError, aiohttp.ClientError, OSError, ValueError):
             return None
         self._machine_list = decoded
         return decoded
 
+    async def _post(
+        self,
+        session: aiohttp.ClientSession,
+        address: str,
+        path: str,
+        body: msgspec.Struct,
+        answer_type: type[_AnswerT],
+        timeout: float,
+    ) -> _AnswerT | NotSent | PossiblySent:
+        try:
+            async with session.post(
+                f"http://{address}{path}", data=msgspec.json.encode(body), timeout=_timeout(timeout)
+            ) as response:
+                content = await self._received.read(response, Purpose.BACK_END, str(response.url))
+                if response.status == 503:
+                    # The protocol allows status 503 only before the back end starts any work.
+                    return NotSent("refused by the back end")
+                if response.status != 200:
+                    return PossiblySent(f"status {response.status}")
+                return msgspec.json.decode(content, type=answer_type)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            return NotSent(type(error).__name__)
+        except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
+            return PossiblySent(type(error).__name__)
+
+    async def _get(
+        self, session: aiohttp.ClientSession, url: str, answer_type: type[_AnswerT]
+    ) -> _AnswerT | NotSent | PossiblySent:
+        try:
+            async with session.get(url, timeout=_timeout(POLL_TIMEOUT_SECONDS)) as response:
+                content = await self._received.read(response, Purpose.BACK_END, str(response.url))
+                if response.status != 200:
+                    return PossiblySent(f"status {response.status}")
+                return msgspec.json.decode(content, type=answer_type)
+        except aiohttp.ClientConnectorError as error:
+            return NotSent(type(error).__name__)
+        except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
+            return PossiblySent(type(error).__name__)
+
 
 def _timeout(total: float) -> aiohttp.ClientTimeout:
     return aiohttp.ClientTimeout(total=total, sock_connect=min(total, CONNECT_TIMEOUT_SECONDS))
-
-
-async def _post(
-    session: aiohttp.ClientSession,
-    address: str,
-    path: str,
-    body: msgspec.Struct,
-    answer_type: type[_AnswerT],
-    timeout: float,
-) -> _AnswerT | NotSent | PossiblySent:
-    try:
-        async with session.post(
-            f"http://{address}{path}", data=msgspec.json.encode(body), timeout=_timeout(timeout)
-        ) as response:
-            content = await response.read()
-            if response.status == 503:
-                # The protocol allows status 503 only before the back end starts any work.
-                return NotSent("refused by the back end")
-            if response.status != 200:
-                return PossiblySent(f"status {response.status}")
-            return msgspec.json.decode(content, type=answer_type)
-    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-        return NotSent(type(error).__name__)
-    except (TimeoutError, aiohttp.ClientError, OSError, msgspec.DecodeError) as error:
-        return PossiblySent(type(error).__name__)
-
-
-async def _get(
-    session: aiohttp.ClientSession, url: str, answer_type: type[_AnswerT]
-) -> _AnswerT | NotSent | PossiblySent:
-    try:
-        async with session.get(url, timeout=_timeout(POLL_TIMEOUT_SECONDS)) as response:
-            content = await response.read()
-            if response.status != 200:
-                return PossiblySent(f"status {response.status}")
-            return msgspec.json.decode(content, type=answer_type)
-    except aiohttp.ClientConnectorError as error:
-        return NotSent(type(error).__name__)
-    except (TimeoutError, aiohttp.ClientError, OSError, msgspec.DecodeError) as error:
-        return PossiblySent(type(error).__name__)
--- a/src/corkcrank/links/client_connections.py
+++ b/src/corkcrank/links/client_connections.py
@@ -15,6 +15,15 @@
 from aiohttp.helpers import set_exception
 
 INCOMPLETE_BODY = "the connection ended before its sender closed it"
+TOO_MUCH_FRAMING = "too many bytes without content"
+
+MAX_FRAMING_BYTES = 65_536
+"""Maximum number of bytes that a peer sends without content: the head of a response with the
+interim responses before it, or the extensions of a chunk."""
+
+MAX_UNREAD_RESPONSES = 256
+"""Maximum number of responses on a connection that no request has taken. One is expected; interim
+responses arrive together after a stall."""
 
 
 class ResponseConnection(ResponseHandler):
@@ -27,6 +36,23 @@
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
         self._closed_by_sender = False
+        self._framing_bytes = 0
+
+    def set_response_params(self, **params: Any) -> None:
+        """Prepare for the response to the next request."""
+        self._framing_bytes = 0
+        super().set_response_params(**params)
+
+    def data_received(self, data: bytes) -> None:
+        """Handle received bytes; abort the connection if they hold no content for too long."""
+        content = self._content_mark()
+        super().data_received(data)
+        if self._reading_paused or self._content_mark() != content:
+            self._framing_bytes = 0
+        else:
+            self._framing_bytes += len(data)
+        if self._framing_bytes > MAX_FRAMING_BYTES or len(self._buffer) > MAX_UNREAD_RESPONSES:
+            self._abort_with(aiohttp.ClientPayloadError(TOO_MUCH_FRAMING))
 
     def eof_received(self) -> None:
         """Record that the sender closed its side of the connection."""
@@ -49,6 +75,18 @@
         self._fail_open_body(None)
         super().abort()
 
+    def _content_mark(self) -> tuple[object, int]:
+        """Return a value that changes when content of a response arrives."""
+        body = self._payload
+        return body, 0 if body is None else body.total_bytes
+
+    def _abort_with(self, error: aiohttp.ClientError) -> None:
+        """Fail the current response, and abort the connection."""
+        self._fail_open_body(error)
+        self.set_exception(error)
+        if self.transport is not None:
+            self.transport.abort()
+
     def _fail_open_body(self, cause: BaseException | None) -> None:
         body = self._payload
         if body is None or body.is_eof() or body.exception() is not None:
--- a/src/corkcrank/links/http_table.py
+++ b/src/corkcrank/links/http_table.py
@@ -5,6 +5,7 @@
 import aiohttp
 import msgspec
 
+from corkcrank.links.received_bytes import OversizedMessageError, Purpose, ReceivedBytes
 from corkcrank.links.table import (
     CommitAnswer,
     CommitRequest,
@@ -31,6 +32,7 @@
     ) -> None:
         self._session = session
         self._traffic = traffic
+        self._received = ReceivedBytes()
         self._base = f"http://{address}"
         self._timeout = aiohttp.ClientTimeout(total=TABLE_TIMEOUT_SECONDS)
 
@@ -57,10 +59,10 @@
             async with self._session.post(
                 self._base + path, data=data, timeout=self._timeout
             ) as response:
-                content = await response.read()
+                content = await self._received.read(response, Purpose.STORE, self._base)
                 self._traffic.record_exchange(len(data), len(content))
                 if response.status != 200:
                     return Unanswered(f"status {response.status}")
                 return content
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+        except (TimeoutError, aiohttp.ClientError, OversizedMessageError, OSError) as error:
             return Unanswered(type(error).__name__)
--- a/src/corkcrank/links/peer_client.py
+++ b/src/corkcrank/links/peer_client.py
@@ -11,6 +11,7 @@
     decode_heartbeat_reply,
     encode_heartbeat,
 )
+from corkcrank.links.received_bytes import OversizedMessageError, Purpose, ReceivedBytes
 from corkcrank.links.traffic import UNUSED_HEADERS, ControlTraffic
 from corkcrank.zones.peer_messages import DigestReply, Heartbeat, HeartbeatReply
 
@@ -23,6 +24,7 @@
 
     def __init__(self, traffic: ControlTraffic) -> None:
         self._traffic = traffic
+        self._received = ReceivedBytes()
         self._session = aiohttp.ClientSession(
             connector=ClientConnector(limit=0, keepalive_timeout=15.0),
             timeout=aiohttp.ClientTimeout(total=PEER_TIMEOUT_SECONDS),
@@ -70,8 +72,8 @@
             async with self._session.request(
                 method, f"http://{address}{path}", data=body or None
             ) as response:
-                content = await response.read()
+                content = await self._received.read(response, Purpose.PEER, address)
                 self._traffic.record_exchange(len(body), len(content))
                 return content if response.status == 200 else None
-        except (TimeoutError, aiohttp.ClientError, OSError):
+        except (TimeoutError, aiohttp.ClientError, OversizedMessageError, OSError):
             return None
--- a/src/corkcrank/links/platform_ports.py
+++ b/src/corkcrank/links/platform_ports.py
@@ -16,6 +16,7 @@
 from corkcrank.contracts.scheduling_features import SchedulingFeatures
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.contracts.zone_evacuations import ZoneState
+from corkcrank.links.received_bytes import ReceivedBytes
 from corkcrank.links.silence import SilenceListener
 
 HeaderList = list[tuple[str, str]]
@@ -263,9 +264,13 @@
 
 
 class MetadataStore(Protocol):
-    """Operations of the platform's store; ``on_silence`` is called for dropped connections."""
+    """Operations of the platform's store; ``on_silence`` is called for dropped connections.
+
+    ``received`` counts the bytes of its answers.
+    """
 
     on_silence: SilenceListener
+    received: ReceivedBytes
 
     def drop_all_idle(self) -> int:
         """Close all idle connections; return their number."""
--- a/src/corkcrank/node/callers/listener_state.py
+++ b/src/corkcrank/node/callers/listener_state.py
@@ -10,6 +10,7 @@
 from enum import StrEnum
 
 from corkcrank.contracts import clock
+from corkcrank.contracts.memory import BYTES_PER_MB
 from corkcrank.contracts.node_settings import NodeLimitSettings
 
 RESERVED_FILE_DESCRIPTORS = 200
@@ -28,7 +29,6 @@
 """Maximum memory of a connection without a request in progress: it is idle after a request, or
 its head is incomplete. A connection that never sent a byte uses a quarter of it."""
 
-BYTES_PER_MB = 2**20
 
 DEFAULT_DESCRIPTOR_LIMIT = 2**20
 """Number of descriptors if neither the operating system nor the settings limit them."""
--- a/src/corkcrank/node/peers/peer_client.py
+++ b/src/corkcrank/node/peers/peer_client.py
@@ -9,6 +9,7 @@
 
 from corkcrank.contracts import clock
 from corkcrank.links.client_connections import ClientConnector
+from corkcrank.links.received_bytes import OversizedMessageError, Purpose, ReceivedBytes
 from corkcrank.links.silence import (
     ConnectionKind,
     SilenceListener,
@@ -67,8 +68,9 @@
 class PeerClient:
     """Sends requests to peers; retries one only if its caller allows that."""
 
-    def __init__(self, on_silence: SilenceListener) -> None:
+    def __init__(self, on_silence: SilenceListener, received: ReceivedBytes | None = None) -> None:
         self._on_silence = on_silence
+        self._received = received or ReceivedBytes()
         self._session = aiohttp.ClientSession(
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=PEER_CONNECT_TIMEOUT_SECONDS),
             connector=ClientConnector(limit=0, keepalive_timeout=MAX_IDLE_SECONDS),
@@ -113,7 +115,7 @@
                     timeout=timeout,
                 ) as response,
             ):
-                body = await _read_body(response, silence)
+                body = await self._read_body(response, silence, address)
                 return (
                     body.lstrip(PROGRESS_BYTE)
                     if response.status == HTTPStatus.OK
@@ -124,9 +126,20 @@
         except TimeoutError:
             self._drop_silent(address, clock.now() - started)
             return PeerFailure.SILENT
-        except (aiohttp.ClientError, OSError):
+        except (aiohttp.ClientError, OversizedMessageError, OSError):
             return PeerFailure.BROKEN
 
+    async def _read_body(
+        self, response: aiohttp.ClientResponse, silence: PeerSilence, address: str
+    ) -> bytes:
+        body = bytearray()
+        with self._received.open(Purpose.PEER, address, response) as kept:
+            async for data in response.content.iter_any():
+                silence.record_bytes()
+                kept.add(len(data))
+                body += data
+        return bytes(body)
+
     def drop_all_idle(self) -> int:
         """Drop every idle connection, so that none is reused; return how many there were."""
         return drop_all_idle(self._session)
@@ -134,11 +147,3 @@
     def _drop_silent(self, address: str, waited: float) -> None:
         idle = drop_idle(self._session, address)
         self._on_silence(SilentConnection(ConnectionKind.PEER, address, waited, idle))
-
-
-async def _read_body(response: aiohttp.ClientResponse, silence: PeerSilence) -> bytes:
-    body = bytearray()
-    async for data in response.content.iter_any():
-        silence.record_bytes()
-        body += data
-    return bytes(body)
--- a/src/corkcrank/node/process/node.py
+++ b/src/corkcrank/node/process/node.py
@@ -49,6 +49,7 @@
 from corkcrank.node.stages.stage_worker_client import StageWorkerClient
 from corkcrank.node.telemetry.capacity_log import CapacityLog
 from corkcrank.node.telemetry.metrics import NodeMetrics
+from corkcrank.node.telemetry.oversize_log import account_received_bytes
 from corkcrank.node.telemetry.silence_log import SilenceLog
 from corkcrank.node.telemetry.unreadable_log import UnreadableLog
 from corkcrank.node.workers.worker_client import WorkerClient
@@ -84,8 +85,9 @@
         ports.store.on_silence = silence.record_dropped
         unreadable = UnreadableLog(log, metrics)
         self.mirror.entry_reader.on_unreadable = unreadable.record_unreadable
-        self._client = WorkerClient(silence.record_dropped)
-        self._peers = PeerClient(silence.record_dropped)
+        received = ports.store.received = account_received_bytes(settings.limits, log, metrics)
+        self._client = WorkerClient(silence.record_dropped, received)
+        self._peers = PeerClient(silence.record_dropped, received)
         access = WorkerAccess(
             ports, self.mirror, self.fleet, self._client, self._peers, log, metrics, random_source
         )
@@ -241,6 +243,7 @@
         apply_features(features, self.services, self.stage_owner)
         self.listener_state.connection_limit = connection_limit(settings.limits)
         self.services.readers.apply_limits(settings.limits)
+        self._client.received.apply_limits(settings.limits)
 
     def dump(self) -> NodeDump:
         """Return the state dump for ``/dump``."""
--- a/src/corkcrank/node/process/state_dump.py
+++ b/src/corkcrank/node/process/state_dump.py
@@ -4,6 +4,7 @@
 
 from corkcrank.contracts import clock
 from corkcrank.links.platform_ports import StoreTable
+from corkcrank.links.received_bytes import Purpose
 from corkcrank.node.calls.services import CallServices
 from corkcrank.node.engines.zone_prompts import ZonePrompts
 from corkcrank.node.process.claims_dump import ReturnClaimsDump, dump_claims
@@ -97,6 +98,13 @@
     bound_bytes: int
 
 
+class ReceivedDump(msgspec.Struct, frozen=True):
+    """Bytes kept of incomplete messages, by purpose; ``bound_bytes`` is 0 without a bound."""
+
+    kept_bytes: dict[str, int]
+    bound_bytes: int
+
+
 class NodeDump(msgspec.Struct, frozen=True):
     """The state that determines how this gateway handles a call.
 
@@ -129,6 +137,7 @@
     stream_origins: int
     silent_engines: dict[str, int]
     readers: ReadersDump
+    received: ReceivedDump
     return_claims: ReturnClaimsDump
     zone_capacities: tuple[ZoneCapacityDump, ...]
 
@@ -162,6 +171,7 @@
         stream_origins=len(services.origins.origins),
         silent_engines=dict(services.silent_engines),
         readers=_readers(services),
+        received=_received(services),
         return_claims=dump_claims(services.return_offers, now),
         zone_capacities=dump_zone_capacities(services, now),
     )
@@ -172,6 +182,12 @@
     return ReadersDump(len(budget), budget.kept_bytes, budget.bound_bytes)
 
 
+def _received(services: CallServices) -> ReceivedDump:
+    received = services.client.received
+    kept = {purpose.value: received.kept[purpose] for purpose in Purpose}
+    return ReceivedDump(kept, received.bound_bytes)
+
+
 def _partitioned_seconds(services: CallServices, now: float) -> float | None:
     since = services.links.health.partitioned_since
     return None if since is None else round(now - since, 3)
--- a/src/corkcrank/node/relays/relay_server.py
+++ b/src/corkcrank/node/relays/relay_server.py
@@ -8,17 +8,21 @@
 from aiohttp import web
 
 from corkcrank.contracts import clock
+from corkcrank.contracts.opaque_configuration import RequestLimits
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.links.abandoned_tasks import abandon
 from corkcrank.links.closed_connections import closed_by_peer
 from corkcrank.links.decision_log import DecisionLog, LogEvent
 from corkcrank.links.platform_ports import CallCodec
+from corkcrank.links.received_bytes import OversizedMessageError, Purpose
 from corkcrank.machines.store_mirror import StoreMirror
 from corkcrank.node.peers.peer_client import (
     PEER_PROGRESS_INTERVAL_SECONDS,
     PEER_SILENCE_SECONDS,
 )
 from corkcrank.node.relays.relay_protocol import (
+    HEAD_LENGTH_BYTES,
+    MAX_HEAD_BYTES,
     RELAY_HEADER,
     RELAY_RETRY_HEADER,
     RelayedRequest,
@@ -114,7 +118,7 @@
 
     async def relay(self, request: web.BaseRequest) -> web.StreamResponse:
         """Send a request to its worker and relay the response to the sender."""
-        head, body = decode_relayed_request(await _read_message(request))
+        head, body = decode_relayed_request(await self._read_message(request))
         if closed_by_peer(request.transport):
             raise ConnectionResetError("the sender closed its connection")
         worker = self._mirror.workers.get(head.worker_id)
@@ -131,6 +135,35 @@
         finally:
             self.in_flight -= 1
 
+    @property
+    def _max_message_bytes(self) -> int:
+        """Return the limit of a relayed request, whose body is one that a caller may send."""
+        configuration = self._mirror.configuration
+        limits = configuration.limits if configuration is not None else RequestLimits()
+        return HEAD_LENGTH_BYTES + MAX_HEAD_BYTES + limits.body_bytes
+
+    async def _read_message(self, request: web.BaseRequest) -> bytes:
+        """Return a complete message; abort the connection if it is silent or too large."""
+        chunks: list[bytes] = []
+        try:
+            with self._client.received.open(
+                Purpose.RELAY, request.remote or "", limit_bytes=self._max_message_bytes
+            ) as kept:
+                kept.expect(request.content_length)
+                while True:
+                    async with asyncio.timeout(PEER_SILENCE_SECONDS):
+                        chunk = await request.content.readany()
+                    if not chunk:
+                        return b"".join(chunks)
+                    kept.add(len(chunk))
+                    chunks.append(chunk)
+        except TimeoutError:
+            _abort(request)
+            raise web.HTTPRequestTimeout from None
+        except OversizedMessageError:
+            _abort(request)
+            raise ConnectionResetError("the message exceeds a bound") from None
+
     def _refusal(
         self, head: RelayedRequest, worker: WorkerRecord | None
     ) -> web.StreamResponse | None:
@@ -252,21 +285,6 @@
         )
 
 
-async def _read_message(request: web.BaseRequest) -> bytes:
-    """Return a complete message; abort the connection if it is silent for too long."""
-    chunks: list[bytes] = []
-    try:
-        while True:
-            async with asyncio.timeout(PEER_SILENCE_SECONDS):
-                chunk = await request.content.readany()
-            if not chunk:
-                return b"".join(chunks)
-            chunks.append(chunk)
-    except TimeoutError:
-        _abort(request)
-        raise web.HTTPRequestTimeout from None
-
-
 def _abort(request: web.BaseRequest) -> None:
     """Reset a request's connection, so that an incomplete response does not look complete."""
     if request.transport is not None:
--- a/src/corkcrank/node/stages/stage_worker_client.py
+++ b/src/corkcrank/node/stages/stage_worker_client.py
@@ -16,6 +16,7 @@
     StageWorkerReport,
     Unreadable,
 )
+from corkcrank.links.received_bytes import Purpose
 from corkcrank.node.workers.silence_timeout import SilenceRule
 from corkcrank.node.workers.worker_availability import WorkerAvailability
 from corkcrank.node.workers.worker_client import WorkerClient
@@ -117,7 +118,7 @@
             worker, "POST", self._codec.free_path, body, CALL_TIME_MARGIN
         )
         if not isinstance(response, SendFailure):
-            await self._client.read_body(response, CALL_TIME_MARGIN)
+            await self._client.read_body(response, CALL_TIME_MARGIN, purpose=Purpose.STAGE)
 
     async def fetch_report(self, worker: WorkerRecord) -> StageWorkerReport | Unreadable | None:
         """Return a worker's memory report, or ``None`` if it did not answer.
@@ -129,7 +130,7 @@
         )
         if isinstance(response, SendFailure):
             return None
-        body = await self._client.read_body(response, REPORT_SECONDS)
+        body = await self._client.read_body(response, REPORT_SECONDS, purpose=Purpose.REPORT)
         if body is None or response.status != HTTPStatus.OK:
             return None
         return self._codec.decode_report(body)
@@ -198,7 +199,7 @@
         known_handles: dict[str, None],
         limit: float,
     ) -> list[PieceResult] | SendFailure | None:
-        body = await self._client.read_body(response, limit)
+        body = await self._client.read_body(response, limit, purpose=Purpose.STAGE)
         if response.status == REJECTED_STATUS:
             return None
         results = self._codec.decode_run(body, count) if body is not None else None
--- a/src/corkcrank/node/streams/engine_exchange.py
+++ b/src/corkcrank/node/streams/engine_exchange.py
@@ -11,6 +11,7 @@
 from corkcrank.contracts.opaque_call import CallStep, OpaqueCall
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.links.decision_log import LogEvent
+from corkcrank.links.received_bytes import Purpose
 from corkcrank.node.calls.attempts import Attempt, AttemptOutcome, attempt_call
 from corkcrank.node.calls.services import CallServices
 from corkcrank.node.calls.worker_answers import read_whole_answer
@@ -183,11 +184,15 @@
     async def _peek_next_event(self, begun: BegunExchange) -> bool:
         """Return whether an engine sends the stream's next event, or its end without an event."""
         assert begun.attempt.response is not None
-        part, reader = self._relay.start_part(begun.attempt.response), EventReader()
-        while piece := await begun.waiting.peek():
-            for event in reader.feed(piece):
-                if event.dispatched:
-                    return part.accept_event(event)
+        response, worker = begun.attempt.response, begun.attempt.worker
+        part, reader = self._relay.start_part(response), EventReader()
+        received = self._services.client.received
+        with received.open(Purpose.EVENT, worker.worker_id, response) as kept:
+            while piece := await begun.waiting.peek():
+                kept.add(len(piece))
+                for event in reader.feed(piece):
+                    if event.dispatched:
+                        return part.accept_event(event)
         part.leftover = reader.remainder
         return part.is_stream_end()
 
--- a/src/corkcrank/node/streams/events.py
+++ b/src/corkcrank/node/streams/events.py
@@ -32,6 +32,11 @@
     def __init__(self) -> None:
         self._buffer = bytearray()
 
+    @property
+    def kept_bytes(self) -> int:
+        """Return the number of bytes after the last complete event."""
+        return len(self._buffer)
+
     @property
     def remainder(self) -> bytes:
         """Return the bytes after the last complete event."""
--- a/src/corkcrank/node/streams/stream_relay.py
+++ b/src/corkcrank/node/streams/stream_relay.py
@@ -9,6 +9,7 @@
 from corkcrank.contracts import clock
 from corkcrank.contracts.opaque_call import CallStep, OpaqueCall
 from corkcrank.contracts.worker_records import WorkerRecord
+from corkcrank.links.received_bytes import Purpose
 from corkcrank.node.calls.attempts import Attempt
 from corkcrank.node.calls.services import CallServices
 from corkcrank.node.streams.events import EventReader, StreamEvent, shows_event
@@ -123,6 +124,8 @@
         upstream = attempt.response
         assert upstream is not None
         reader = EventReader()
+        received = self._services.client.received
+        kept = received.open(Purpose.EVENT, attempt.worker.worker_id, upstream)
         self._answer.set_waiting(waiting)
         statistics = self._services.worker_statistics.get_or_create(attempt.worker.worker_id)
         silence = first
@@ -135,6 +138,7 @@
                 if not self.search.in_progress or shows_event(reader.remainder + chunk):
                     self.search.cancel()
                 events = reader.feed(chunk)
+                kept.set(reader.kept_bytes)
                 if events and not await self._send_events(upstream, part, events):
                     return RelayEnd.BROKEN
                 if events:
@@ -145,6 +149,7 @@
         except (aiohttp.ClientError, ConnectionError, ValueError):
             return RelayEnd.CALLER_GONE if self._answer.caller_disconnected else RelayEnd.BROKEN
         finally:
+            kept.close()
             part.leftover = reader.remainder
         return await self._end_answer(upstream, part)
 
--- a/src/corkcrank/node/telemetry/metrics.py
+++ b/src/corkcrank/node/telemetry/metrics.py
@@ -167,6 +167,18 @@
             ("kind",),
             registry=self.registry,
         )
+        self.oversized_messages = Counter(
+            "corkcrank_oversized_messages",
+            "Messages of workers, members and the store dropped for their size, by purpose.",
+            ("purpose",),
+            registry=self.registry,
+        )
+        self.received_bytes = Gauge(
+            "corkcrank_received_bytes",
+            "Bytes kept of messages that are incomplete, by purpose.",
+            ("purpose",),
+            registry=self.registry,
+        )
         self.unreadable_documents = Counter(
             "corkcrank_unreadable_documents",
             "Entries of the list of workers, and reports of workers, that could not be read.",
--- a/src/corkcrank/node/workers/liveness.py
+++ b/src/corkcrank/node/workers/liveness.py
@@ -6,6 +6,7 @@
 from corkcrank.contracts import clock
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.links.platform_ports import StageCodec
+from corkcrank.links.received_bytes import Purpose
 from corkcrank.node.workers.worker_client import WorkerClient
 from corkcrank.node.workers.worker_request import SendFailure, WorkerRequest
 from corkcrank.scheduling.worker_choice import WorkerStatisticsTable
@@ -65,7 +66,7 @@
         if isinstance(response, SendFailure):
             statistics.unanswered_at = clock.now()
             return False
-        await self._client.read_body(response, PROBE_TIMEOUT_SECONDS)
+        await self._client.read_body(response, PROBE_TIMEOUT_SECONDS, purpose=Purpose.REPORT)
         if response.status == HTTPStatus.MISDIRECTED_REQUEST:
             return False
         statistics.heard_at = clock.now()
--- a/src/corkcrank/node/workers/worker_client.py
+++ b/src/corkcrank/node/workers/worker_client.py
@@ -10,6 +10,7 @@
 
 from corkcrank.contracts import clock
 from corkcrank.contracts.worker_records import WorkerRecord
+from corkcrank.links.received_bytes import OversizedMessageError, Purpose, ReceivedBytes
 from corkcrank.links.silence import (
     ConnectionKind,
     SilenceListener,
@@ -68,8 +69,13 @@
     for that. Connection failures are reported to ``links``.
     """
 
-    def __init__(self, on_silence: SilenceListener = ignore_silence) -> None:
+    def __init__(
+        self,
+        on_silence: SilenceListener = ignore_silence,
+        received: ReceivedBytes | None = None,
+    ) -> None:
         self._on_silence = on_silence
+        self.received = received or ReceivedBytes()
         self._kept = create_session(CheckedConnector(limit=0, keepalive_timeout=MAX_IDLE_SECONDS))
         self._fresh = create_session(CheckedConnector(limit=0, force_close=True))
         self.relay: RequestRelay = NoRelay()
@@ -200,9 +206,13 @@
         return self.links is not None and self.links.health.partitioned
 
     async def read_body(
-        self, response: aiohttp.ClientResponse, seconds: float, silence: SilenceRule | None = None
+        self,
+        response: aiohttp.ClientResponse,
+        seconds: float,
+        silence: SilenceRule | None = None,
+        purpose: Purpose = Purpose.ANSWER,
     ) -> bytes | None:
-        """Return a complete body, or ``None`` if it was truncated or timed out.
+        """Return a complete body, or ``None`` if it was truncated, too large or timed out.
 
         ``seconds`` bounds the whole read; ``silence`` may end each wait for the next byte earlier.
         """
@@ -210,20 +220,25 @@
         chunks: list[bytes] = []
         received_at = clock.now()
         try:
-            while True:
-                async with SilenceTimeout(max(0.0, end_at - received_at), silence):
-                    chunk = await response.content.readany()
-                if not chunk:
-                    break
-                chunks.append(chunk)
-                received_at = clock.now()
+            with self.received.open(purpose, address_of(response), response) as kept:
+                kept.expect(response.content_length)
+                while True:
+                    async with SilenceTimeout(max(0.0, end_at - received_at), silence):
+                        chunk = await response.content.readany()
+                    if not chunk:
+                        return b"".join(chunks)
+                    kept.add(len(chunk))
+                    chunks.append(chunk)
+                    received_at = clock.now()
         except TimeoutError:
             response.close()
             self.record_silence(address_of(response), clock.now() - received_at)
             return None
+        except OversizedMessageError:
+            response.close()
+            return None
         except (aiohttp.ClientError, OSError, ValueError):
             return None
-        return b"".join(chunks)
 
     def drop_all_idle(self) -> int:
         """Close all idle connections; return their number."""
--- a/src/corkcrank/platform/store.py
+++ b/src/corkcrank/platform/store.py
@@ -14,6 +14,7 @@
     StoreTable,
     Unreadable,
 )
+from corkcrank.links.received_bytes import OversizedMessageError, Purpose, ReceivedBytes
 from corkcrank.links.silence import (
     ConnectionKind,
     SilenceListener,
@@ -115,6 +116,7 @@
         self._address = address
         self._timeout = timeout
         self.on_silence: SilenceListener = ignore_silence
+        self.received = ReceivedBytes()
 
     async def read(self, table: StoreTable) -> StoreRows | StoreFailure:
         """Return all rows of a table, read page by page.
@@ -200,14 +202,19 @@
                 headers={"Content-Type": "application/json"} if data else None,
                 timeout=aiohttp.ClientTimeout(total=timeout, connect=self._timeout),
             ) as response:
-                content = await response.read()
+                content = await self.received.read(response, Purpose.STORE, self._address)
                 return _check_status(response.status, content)
         except aiohttp.ConnectionTimeoutError:
             return StoreFailure(StoreFailureReason.SILENT, "connect time-out")
         except TimeoutError:
             self._drop_idle(timeout)
             return StoreFailure(StoreFailureReason.SILENT)
-        except (aiohttp.ClientError, OSError, asyncio.IncompleteReadError) as error:
+        except (
+            aiohttp.ClientError,
+            OSError,
+            asyncio.IncompleteReadError,
+            OversizedMessageError,
+        ) as error:
             return StoreFailure(StoreFailureReason.BROKEN, type(error).__name__)
 
     def drop_all_idle(self) -> int:
--- a/src/corkcrank/scheduling/reader_budget.py
+++ b/src/corkcrank/scheduling/reader_budget.py
@@ -9,10 +9,7 @@
 from enum import StrEnum
 from typing import Generic, TypeVar
 
-BYTES_PER_MB = 2**20
-
-IDLE_MEMORY_MB = 56.0
-"""Memory of an idle gateway, in MiB: interpreter, libraries and the mirror of the store."""
+from corkcrank.contracts.memory import BYTES_PER_MB, IDLE_MEMORY_MB
 
 READER_MEMORY_SHARE = 0.2
 """Share of the memory above ``IDLE_MEMORY_MB`` that answers to slow readers may use.
--- a/tests/platform/engine_script.py
+++ b/tests/platform/engine_script.py
@@ -10,6 +10,8 @@
 from multidict import CIMultiDict
 from platform_standins import ATTEMPT, INSTANCE, SEAL, Server, _ids, worker_entry
 
+COMMENTS = b": still here\n\n" * 4_000
+
 
 class Framing(StrEnum):
     CHUNKS = "chunks"
@@ -21,14 +23,15 @@
     PROPER = "proper"
     RESET = "reset"
     SILENCE = "silence"
+    COMMENTS = "comments"
 
 
 @dataclass(frozen=True)
 class Answer:
     """A scripted response: its body, framing and ending.
 
-    A reset follows the body after ``pause`` seconds; silence lasts until the client closes the
-    connection. ``Content-Length`` exceeds the sent bytes by ``missing``.
+    A reset follows the body after ``pause`` seconds; silence lasts, and comments follow, until the
+    client closes the connection. ``Content-Length`` exceeds the sent bytes by ``missing``.
     """
 
     body: bytes
@@ -60,6 +63,7 @@
     scripts: list[Script]
     worker_id: str = ""
     heads: list[CIMultiDict[str]] = field(default_factory=list)
+    comment_bytes: int = 0
 
     def __post_init__(self) -> None:
         self.worker_id = self.worker_id or f"i-{next(_ids):08x}"
@@ -132,6 +136,10 @@
         if answer.ending is Ending.SILENCE:
             await reader.read()
             return False
+        while answer.ending is Ending.COMMENTS:
+            writer.write(b"%x\r\n%s\r\n" % (len(COMMENTS), COMMENTS))
+            await writer.drain()
+            self._engine.comment_bytes += len(COMMENTS)
         return answer.framing is not Framing.CONNECTION
 
 
--- a/tests/platform/test_slow_readers.py
+++ b/tests/platform/test_slow_readers.py
@@ -14,10 +14,11 @@
 from slow_callers import EndlessEngine, UnreadingWorker, stalled_caller
 
 from corkcrank.contracts import clock
+from corkcrank.contracts.memory import BYTES_PER_MB, IDLE_MEMORY_MB
 from corkcrank.contracts.node_settings import NodeLimitSettings
 from corkcrank.node.process.node import Node
 from corkcrank.scheduling import reader_budget, request_bytes
-from corkcrank.scheduling.reader_budget import BYTES_PER_MB, IDLE_MEMORY_MB, readers_bound_bytes
+from corkcrank.scheduling.reader_budget import readers_bound_bytes
 
 MEMORY_MB = 160.0
 CALLERS = 300
--- a/tests/scheduling/test_reader_budget.py
+++ b/tests/scheduling/test_reader_budget.py
@@ -4,9 +4,8 @@
 
 import pytest
 
+from corkcrank.contracts.memory import BYTES_PER_MB, IDLE_MEMORY_MB
 from corkcrank.scheduling.reader_budget import (
-    BYTES_PER_MB,
-    IDLE_MEMORY_MB,
     MAX_READ_AHEAD_BYTES,
     MAX_READ_AHEADS,
     MIN_UNREAD_SECONDS,
