--- a/tests/scheduling/played_network.py
+++ b/tests/scheduling/played_network.py
@@ -210,7 +210,7 @@
 
 def _replace_peers(simulation: "FleetSimulation", patch: pytest.MonkeyPatch) -> None:
     class Peers:
-        def __init__(self, on_silence: object) -> None:
+        def __init__(self, on_silence: object, received: object) -> None:
             self._address = simulation.new_node_address
 
         async def request(
