A stream without a named attempt continues only where one software can have begun it

Cause: for a caller that names no attempt, the gateway took the version that all listed workers have in common. The list shows who serves now, not who has left.

Ruled out: named attempts (unknown after a restart, refused) and failovers within an answer.

Change: a gateway remembers the versions of each service. One that has not watched for a route's timeout reads a row that the service's owner keeps in the store, written only when versions change. Only if one version alone can have begun the stream, and it serves, the stream goes on; an unreadable row or a store that does not answer refuses it.

--- a/src/corkcrank/links/platform_ports.py
+++ b/src/corkcrank/links/platform_ports.py
@@ -261,6 +261,7 @@
     WORKERS = "workers"
     MEMBERS = "members"
     QUARANTINE = "quarantine"
+    SOFTWARE = "software"
 
 
 class MetadataStore(Protocol):
--- a/src/corkcrank/node/origins/origin_directory.py
+++ b/src/corkcrank/node/origins/origin_directory.py
@@ -15,6 +15,8 @@
 from corkcrank.contracts.opaque_call import OpaqueCall
 from corkcrank.contracts.rendezvous import rendezvous_hash
 from corkcrank.contracts.stream_origin import StreamOrigin, stream_key
+from corkcrank.links.decision_log import DecisionLog
+from corkcrank.links.platform_ports import MetadataStore
 from corkcrank.machines.fleet import Fleet
 from corkcrank.machines.members import Member
 from corkcrank.machines.origin_reports import (
@@ -22,6 +24,8 @@
     decode_origin_reports,
     encode_origin_reports,
 )
+from corkcrank.machines.store_mirror import StoreMirror
+from corkcrank.node.origins.software_rows import SoftwareRows
 from corkcrank.node.peers.peer_client import PeerClient, PeerFailure, decode_answer
 from corkcrank.node.peers.peer_protocol import (
     STREAM_ORIGIN_PATH,
@@ -49,9 +53,17 @@
     ``send`` sends a datagram to a member's address.
     """
 
-    def __init__(self, fleet: Fleet, peers: PeerClient) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        peers: PeerClient,
+        mirror: StoreMirror,
+        store: MetadataStore,
+        log: DecisionLog,
+    ) -> None:
         self._fleet = fleet
         self._peers = peers
+        self.software = SoftwareRows(fleet, mirror, store, log)
         self.origins = StreamOrigins()
         self._to_repeat: list[OriginReport] = []
         self.send: Callable[[bytes, str], None] = lambda data, address: None
@@ -67,6 +79,8 @@
 
     async def find(self, call: OpaqueCall) -> StreamOrigin | None:
         """Return the origin of the stream that a call resumes, ``None`` if nobody knows it."""
+        if not call.envelope.resumed_attempt:
+            return await self.software.find_only_software(call)
         key = stream_key(call.tenant, call.envelope.resumed_attempt)
         return self.kept_origin(key) or await self._ask_holders(key)
 
--- /dev/null
+++ b/src/corkcrank/node/origins/software_rows.py
@@ -0,0 +1,173 @@
+"""Finds the only software that can have begun a stream whose caller names no attempt.
+
+The list of workers shows the versions that serve now, not one that has just left. A gateway that
+has watched the list for long enough knows both. A gateway that has just started reads the rows that
+the owner of each service keeps in the store: they outlast all gateways. A row is written only when
+the versions of its service change.
+"""
+
+import asyncio
+from collections.abc import Iterable
+
+import msgspec
+
+from corkcrank.contracts import clock
+from corkcrank.contracts.opaque_call import OpaqueCall
+from corkcrank.contracts.stream_origin import StreamOrigin
+from corkcrank.links.decision_log import DecisionLog, LogEvent
+from corkcrank.links.platform_ports import MetadataStore, StoreFailure, StoreRows, StoreTable
+from corkcrank.machines.fleet import Fleet
+from corkcrank.machines.store_contact import StoreContact, newest_contact
+from corkcrank.machines.store_mirror import StoreMirror
+from corkcrank.scheduling.software_history import SoftwareHistory
+
+CHECK_SECONDS = 0.2
+"""Interval of checks whether the versions of a service have changed."""
+
+RETRY_SECONDS = 1.0
+"""Delay after a failed call to the store."""
+
+MAX_KEPT_SECONDS = 600.0
+"""Time for which a row keeps a version that has left; no stream is resumed later."""
+
+
+class SoftwareRow(msgspec.Struct, frozen=True):
+    """The value of a row, whose key is the name of its service.
+
+    ``versions`` has the time at which each version was noticed to have left, on the store's clock
+    in seconds, ``None`` while it is listed.
+    """
+
+    versions: dict[str, float | None]
+
+    @property
+    def listed(self) -> set[str]:
+        """Return the versions that have not left."""
+        return {version for version, left_at in self.versions.items() if left_at is None}
+
+    def updated(self, listed: Iterable[str], store_time: float) -> "SoftwareRow":
+        """Return the row after a look at the listed versions.
+
+        >>> SoftwareRow({"v1": None}).updated(["v2"], 5.0)
+        SoftwareRow(versions={'v1': 5.0, 'v2': None})
+        """
+        listed = set(listed)
+        versions: dict[str, float | None] = {}
+        for version, left_at in self.versions.items():
+            left_at = store_time if left_at is None else left_at
+            if version not in listed and left_at > store_time - MAX_KEPT_SECONDS:
+                versions[version] = left_at
+        return SoftwareRow(versions | dict.fromkeys(sorted(listed)))
+
+    def versions_since(self, since: float) -> set[str]:
+        """Return the versions that may have been listed at a time on the store's clock."""
+        return {
+            version
+            for version, left_at in self.versions.items()
+            if left_at is None or left_at >= since
+        }
+
+
+UNREADABLE_ROW = SoftwareRow({"": None})
+"""Stands for a row that cannot be read: an unknown version may have served."""
+
+
+class SoftwareRows:
+    """The software versions of the services with resumable streams."""
+
+    def __init__(
+        self, fleet: Fleet, mirror: StoreMirror, store: MetadataStore, log: DecisionLog
+    ) -> None:
+        self._fleet = fleet
+        self._mirror = mirror
+        self._store = store
+        self._log = log
+        self._history = SoftwareHistory()
+        self._written: dict[str, SoftwareRow] = {}
+        """Rows known to be in the store."""
+
+    async def keep_rows_current(self) -> None:
+        """Watch the list of workers, and write the rows that this gateway owns, until cancelled."""
+        while True:
+            await asyncio.sleep(CHECK_SECONDS if await self._check() else RETRY_SECONDS)
+
+    async def find_only_software(self, call: OpaqueCall) -> StreamOrigin | None:
+        """Return the software that began a call's stream, ``None`` if two may have.
+
+        The stream began at most the route's timeout ago.
+        """
+        self._observe(call.service)
+        now, service = clock.now(), call.service
+        listed = self._listed(service)
+        if len(listed) != 1:
+            return None
+        since = now - call.route.timeout
+        if self._history.covers(service, since):
+            found = self._history.versions_since(service, since)
+        else:
+            rows = await self._store.read(StoreTable.SOFTWARE)
+            if isinstance(rows, StoreFailure):
+                return None
+            row = self._find_row(rows, service)
+            found = row.versions_since(rows.store_time - call.route.timeout) if row else set()
+        return StreamOrigin(service, listed.pop()) if found <= listed else None
+
+    async def _check(self) -> bool:
+        """Write the rows that have changed; return whether the store accepted every change."""
+        if not self._mirror.workers_known:
+            return True
+        for service in self._resumable_services():
+            self._observe(service)
+            if not await self._write_changed(service):
+                return False
+        return True
+
+    async def _write_changed(self, service: str) -> bool:
+        listed, now = self._listed(service), clock.now()
+        written = self._written.get(service)
+        if not listed or self._fleet.zone_owner("", service, now) != self._fleet.local_name:
+            return True
+        if written is None:
+            rows = await self._store.read(StoreTable.SOFTWARE)
+            if isinstance(rows, StoreFailure):
+                return False
+            written = self._written[service] = self._find_row(rows, service) or SoftwareRow({})
+        own = self._mirror.store_contacts.get(StoreTable.WORKERS, StoreContact())
+        contact = newest_contact(own, self._fleet.store_contact(StoreTable.WORKERS))
+        if written.listed == listed or contact.received_at == float("-inf"):
+            return True
+        row = written.updated(listed, contact.store_time + now - contact.received_at)
+        value = msgspec.json.encode(row)
+        if isinstance(await self._store.put(StoreTable.SOFTWARE, service, value), StoreFailure):
+            # The write may have taken effect.
+            del self._written[service]
+            return False
+        self._written[service] = row
+        return True
+
+    def _observe(self, service: str) -> None:
+        if self._mirror.workers_known:
+            self._history.record(service, self._listed(service), clock.now())
+
+    def _listed(self, service: str) -> set[str]:
+        workers = self._mirror.workers.for_service(service)
+        return {worker.version for worker in workers}
+
+    def _resumable_services(self) -> list[str]:
+        configuration = self._mirror.configuration
+        routes = configuration.routes if configuration is not None else ()
+        services = {item.service for route in routes if route.resumable for item in route.services}
+        return sorted(services)
+
+    def _find_row(self, rows: StoreRows, service: str) -> SoftwareRow | None:
+        """Return the row of a service, ``None`` if no gateway has written it yet."""
+        value = next((row.value for row in rows.rows if row.key == service), None)
+        if value is None:
+            return None
+        try:
+            return msgspec.json.decode(value if isinstance(value, bytes) else b"", type=SoftwareRow)
+        except msgspec.DecodeError as error:
+            self._log.write(
+                LogEvent.DOCUMENT_UNREADABLE, kind="software", key=service, detail=str(error)
+            )
+            return UNREADABLE_ROW
--- a/src/corkcrank/node/process/node.py
+++ b/src/corkcrank/node/process/node.py
@@ -117,7 +117,7 @@
         limit_grants = LimitGrantClient(
             self.fleet, limit_owner, limits, self._statements, leases, self._peers, log
         )
-        self._origins = OriginDirectory(self.fleet, self._peers)
+        self._origins = OriginDirectory(self.fleet, self._peers, self.mirror, ports.store, log)
         pace = PrefillPace()
         engine_owner = EngineOwner(
             self.mirror, self._engines, self._worker_statistics, limits, self._statements, pace
@@ -277,6 +277,7 @@
             self.links.check_links(),
             self._quarantine_rows.keep_rows_current(),
             self._origins.repeat_reports(),
+            self._origins.software.keep_rows_current(),
         )
 
     async def stop(self, signalled_at: float | None = None) -> None:
--- a/src/corkcrank/node/streams/stream_continuity.py
+++ b/src/corkcrank/node/streams/stream_continuity.py
@@ -47,10 +47,7 @@
         call = self._call
         if not call.envelope.resume_after:
             return None
-        if call.envelope.resumed_attempt:
-            origin = await self._services.origins.find(call)
-        else:
-            origin = self._only_software()
+        origin = await self._services.origins.find(call)
         self._log_resumption(origin)
         if origin is None or not origin.version:
             return Refusal(
@@ -78,12 +75,6 @@
             self._services.origins.record(call, call.origin)
         self._relayed = True
 
-    def _only_software(self) -> StreamOrigin | None:
-        """Return the common software of the service's workers, for callers without an attempt."""
-        workers = self._services.mirror.workers.for_service(self._call.service)
-        found = {StreamOrigin.of(worker) for worker in workers}
-        return found.pop() if len(found) == 1 else None
-
     def _log_resumption(self, origin: StreamOrigin | None) -> None:
         call = self._call
         self._services.log.write(
--- a/src/corkcrank/platform/names.py
+++ b/src/corkcrank/platform/names.py
@@ -74,6 +74,7 @@
 WORKER_TABLE = "servers"
 MEMBER_TABLE = "members"
 QUARANTINE_TABLE = "quarantine"
+SOFTWARE_TABLE = "software"
 
 READY = "ready"
 DRAINING = "draining"
--- a/src/corkcrank/platform/store.py
+++ b/src/corkcrank/platform/store.py
@@ -35,6 +35,7 @@
     StoreTable.WORKERS: names.WORKER_TABLE,
     StoreTable.MEMBERS: names.MEMBER_TABLE,
     StoreTable.QUARANTINE: names.QUARANTINE_TABLE,
+    StoreTable.SOFTWARE: names.SOFTWARE_TABLE,
 }
 
 
