Tests: a worker that stops in the middle of its answer's head has given no answer

Another operator's clients got a 200 with an empty or short body after a worker had stopped in its answer's head and closed. The stand-ins learn the fault.

--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -12,7 +12,7 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, NoReturn
 
 from aiohttp import web
 from multidict import CIMultiDict
@@ -85,10 +85,10 @@
     """A simulated plain worker or model engine.
 
     Each request consumes one of ``faults``: ``full``, ``reset``, ``no-seal``, ``foreign-id``,
-    ``cut-chunk``, ``unframed-reset``, ``unframed-reset-at-once``, ``surplus``, ``hang``,
-    ``error``, ``gone``, and for streams ``break-after-N`` and ``silent-after-N``. Each event
-    carries ``padding`` extra bytes; ``left`` counts the requests whose connection closed before
-    their response.
+    ``cut-chunk``, ``unframed-reset``, ``unframed-reset-at-once``, ``partial-head``, ``surplus``,
+    ``hang``, ``error``, ``gone``, and for streams ``break-after-N`` and ``silent-after-N``.
+    ``partial_head`` is sent for ``partial-head``, before a close. Each event carries ``padding``
+    extra bytes; ``left`` counts the requests whose connection closed before their response.
     ``told`` adds or replaces fields of the entry; ``named`` adds response headers. While
     ``retry_after`` is set, every request is rejected with it; ``rejected_at`` holds their times.
     ``reports`` counts the requests for its report, which wait until ``paused`` is set.
@@ -104,6 +104,7 @@
     hold: asyncio.Event | None = None
     told: dict[str, Any] = field(default_factory=dict)
     named: dict[str, str] = field(default_factory=dict)
+    partial_head: bytes = b"HTTP/1.1 200 OK\r\n"
     retry_after: str = ""
     rejected_at: list[float] = field(default_factory=list)
     reports: int = 0
@@ -156,6 +157,10 @@
         if fault == "reset":
             transport.abort()
             raise ConnectionResetError
+        if fault == "partial-head":
+            transport.write(self.partial_head)
+            transport.close()
+            raise ConnectionResetError
         if fault in ("unframed-reset", "unframed-reset-at-once", "surplus"):
             return await self._send_raw(request, transport, fault)
         if self.events:
@@ -237,7 +242,7 @@
     """A simulated stage worker that stores at most ``room`` results.
 
     Running calls wait until ``gate`` is set. Each call consumes one of ``faults``: ``full``,
-    ``reset`` at once, and ``reset-at-work`` once the gate is set.
+    ``reset`` at once, and ``reset-at-work`` and ``partial-head`` once the gate is set.
 
     It reports ``free_mb`` of result memory; ``reports`` counts its reports. ``left`` counts the
     calls whose connection closed before their response. ``told`` adds or replaces fields of the
@@ -305,10 +310,8 @@
             except asyncio.CancelledError:
                 self.left += 1
                 raise
-        if fault == "reset-at-work":
-            assert request.transport is not None
-            request.transport.abort()
-            raise ConnectionResetError
+        if fault in ("reset-at-work", "partial-head"):
+            _break_off(request, fault)
         items = [self._make(item) for item in body["items"]]
         return web.Response(
             body=json.dumps({"items": items}).encode(),
@@ -323,3 +326,14 @@
         self.held.add(handle)
         self.made.add(handle)
         return {"handle": handle}
+
+
+def _break_off(request: web.BaseRequest, fault: str) -> NoReturn:
+    """Reset a connection, or close it after a part of an answer's head."""
+    assert isinstance(request.transport, asyncio.Transport)
+    if fault == "partial-head":
+        request.transport.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n")
+        request.transport.close()
+    else:
+        request.transport.abort()
+    raise ConnectionResetError
--- a/tests/platform/test_hedged_calls.py
+++ b/tests/platform/test_hedged_calls.py
@@ -30,7 +30,16 @@
     route("safe", "safe", "plain", timeout_ms=20_000, max_attempts=2),
     route("once", "unsafe", "plain", timeout_ms=20_000, max_attempts=2),
 ]
-FAILURES = ["full", "gone", "reset", "cut-chunk", "unframed-reset", "no-seal", "foreign-id"]
+FAILURES = [
+    "full",
+    "gone",
+    "reset",
+    "partial-head",
+    "cut-chunk",
+    "unframed-reset",
+    "no-seal",
+    "foreign-id",
+]
 
 
 @pytest.fixture(autouse=True)
