An answer that names no request never passes for the answer to another one

Cause: a connection was used again although nothing had shown that its last answer was the one to its last request, and calls shared connections with requests whose answers carry no id. Closing the connection after a foreign answer had no effect: the library had put it back into its pool by then.

Change: requests that name no call have connections of their own, which are used again only after the answer was confirmed (a new handle, a readable report, an empty success of a release). Relayed requests of this kind use a new connection.

--- a/src/corkcrank/links/client_connections.py
+++ b/src/corkcrank/links/client_connections.py
@@ -31,12 +31,15 @@
 
     The body fails when the connection ends, before any reader is informed of the end. So it does
     not matter when a reader begins to read, or whether the library has released the connection.
+
+    ``confirmed`` is unset while it is not known whether the last response belongs to its request.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
         self._closed_by_sender = False
         self._framing_bytes = 0
+        self.confirmed = True
 
     def set_response_params(self, **params: Any) -> None:
         """Prepare for the response to the next request."""
--- a/src/corkcrank/node/relays/relay_server.py
+++ b/src/corkcrank/node/relays/relay_server.py
@@ -201,7 +201,8 @@
             [(_decode(name), _decode(value)) for name, value in head.headers],
             body,
             head.seconds,
-            fresh=head.fresh,
+            # Nothing confirms here that a response without the id of a call belongs to its request.
+            fresh=head.fresh or not head.call_id,
             still_wanted=guard,
             new_work=head.new_work,
             call_id=head.call_id,
--- a/src/corkcrank/node/stages/stage_worker_client.py
+++ b/src/corkcrank/node/stages/stage_worker_client.py
@@ -118,7 +118,9 @@
             worker, "POST", self._codec.free_path, body, CALL_TIME_MARGIN
         )
         if not isinstance(response, SendFailure):
-            await self._client.read_body(response, CALL_TIME_MARGIN, purpose=Purpose.STAGE)
+            answer = await self._client.read_body(response, CALL_TIME_MARGIN, purpose=Purpose.STAGE)
+            if answer == b"" and response.status == HTTPStatus.OK:
+                self._client.confirm(response)
 
     async def fetch_report(self, worker: WorkerRecord) -> StageWorkerReport | Unreadable | None:
         """Return a worker's memory report, or ``None`` if it did not answer.
@@ -133,7 +135,10 @@
         body = await self._client.read_body(response, REPORT_SECONDS, purpose=Purpose.REPORT)
         if body is None or response.status != HTTPStatus.OK:
             return None
-        return self._codec.decode_report(body)
+        report = self._codec.decode_report(body)
+        if not isinstance(report, Unreadable):
+            self._client.confirm(response)
+        return report
 
     async def _send_request(
         self,
@@ -210,6 +215,9 @@
             response.close()
             return SendFailure(SendTrouble.UNKNOWN, "answer to an earlier call")
         _record_handles(known_handles, results)
+        if any(item.handle for item in results):
+            # A new handle shows that the answer is the one to this call.
+            self._client.confirm(response)
         return results
 
 
--- a/src/corkcrank/node/workers/liveness.py
+++ b/src/corkcrank/node/workers/liveness.py
@@ -69,5 +69,7 @@
         await self._client.read_body(response, PROBE_TIMEOUT_SECONDS, purpose=Purpose.REPORT)
         if response.status == HTTPStatus.MISDIRECTED_REQUEST:
             return False
+        if response.status == HTTPStatus.OK:
+            self._client.confirm(response)
         statistics.heard_at = clock.now()
         return True
--- a/src/corkcrank/node/workers/worker_client.py
+++ b/src/corkcrank/node/workers/worker_client.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 from types import TracebackType
 from typing import Self
+from weakref import WeakKeyDictionary
 
 import aiohttp
 from multidict import CIMultiDict
@@ -10,6 +11,7 @@
 
 from corkcrank.contracts import clock
 from corkcrank.contracts.worker_records import WorkerRecord
+from corkcrank.links.client_connections import ResponseConnection
 from corkcrank.links.received_bytes import OversizedMessageError, Purpose, ReceivedBytes
 from corkcrank.links.silence import (
     ConnectionKind,
@@ -78,6 +80,12 @@
         self.received = received or ReceivedBytes()
         self._kept = create_session(CheckedConnector(limit=0, keepalive_timeout=MAX_IDLE_SECONDS))
         self._fresh = create_session(CheckedConnector(limit=0, force_close=True))
+        self._unnamed = create_session(
+            CheckedConnector(limit=0, keepalive_timeout=MAX_IDLE_SECONDS, needs_confirmation=True)
+        )
+        self._unconfirmed: WeakKeyDictionary[aiohttp.ClientResponse, ResponseConnection] = (
+            WeakKeyDictionary()
+        )
         self.relay: RequestRelay = NoRelay()
         self.links: LinkMonitor | None = None
 
@@ -96,6 +104,16 @@
         """Close every connection."""
         await self._kept.close()
         await self._fresh.close()
+        await self._unnamed.close()
+
+    def confirm(self, response: aiohttp.ClientResponse) -> None:
+        """Record that a response without the id of a call belongs to its request.
+
+        Only then its connection is used again.
+        """
+        connection = self._unconfirmed.pop(response, None)
+        if connection is not None:
+            connection.confirmed = True
 
     async def send(self, request: WorkerRequest, silence: SilenceRule | None = None) -> SendResult:
         """Send a request and wait for the head of its response, for at most its ``seconds``.
@@ -165,9 +183,9 @@
         connecting_since = clock.loop_time()
         try:
             if watch is None:
-                return await self._request(request)
+                return await self._request(request, guard)
             async with watch:
-                return await self._request(request)
+                return await self._request(request, guard)
         except WithdrawnError:
             if watch is not None and watch.gave_up:
                 return SendFailure(SendTrouble.NOT_SENT, "connection given up")
@@ -193,16 +211,28 @@
         if self.links is not None:
             self.links.record_failure(worker.worker_id, failure)
 
-    async def _request(self, request: WorkerRequest) -> aiohttp.ClientResponse:
-        session = self._fresh if request.fresh else self._kept
+    async def _request(self, request: WorkerRequest, guard: SendGuard) -> aiohttp.ClientResponse:
         has_body = bool(request.body) or request.method not in ("GET", "HEAD")
-        return await session.request(
+        response = await self._session_for(request).request(
             request.method,
             URL(f"http://{request.worker.address}{request.target}", encoded=True),
             headers=CIMultiDict(request.headers),
             data=request.body if has_body else None,
             allow_redirects=False,
         )
+        if not request.call_id and guard.connection is not None:
+            self._unconfirmed[response] = guard.connection
+        return response
+
+    def _session_for(self, request: WorkerRequest) -> aiohttp.ClientSession:
+        """Return the session whose connections a request may use.
+
+        Responses to calls carry the id of their call. Others carry none, so their connections are
+        not shared with calls.
+        """
+        if request.fresh:
+            return self._fresh
+        return self._kept if request.call_id else self._unnamed
 
     async def is_partitioned(self) -> bool:
         """Return whether this gateway reaches no worker, so that a silent request is lost."""
@@ -245,11 +275,14 @@
 
     def drop_all_idle(self) -> int:
         """Close all idle connections; return their number."""
-        return drop_all_idle(self._kept)
+        return drop_all_idle(self._kept) + drop_all_idle(self._unnamed)
 
     def drop_idle(self, worker: WorkerRecord) -> None:
         """Close all idle connections to a worker, because one to it is silent."""
-        drop_idle(self._kept, worker.address)
+        self._drop_idle(worker.address)
+
+    def _drop_idle(self, address: str) -> int:
+        return drop_idle(self._kept, address) + drop_idle(self._unnamed, address)
 
     def record_silent_worker(self, worker: WorkerRecord, waited: float) -> None:
         """Record that a request was abandoned after ``waited`` seconds without a byte."""
@@ -270,7 +303,7 @@
         """
         if waited < MIN_SILENCE_SECONDS:
             return
-        idle = drop_idle(self._kept, address)
+        idle = self._drop_idle(address)
         self._on_silence(SilentConnection(ConnectionKind.WORKER, address, waited, idle))
 
 
