Workers' answers up to the bound of the process are passed on, as before

The default is 64 MiB now; where the memory of the process is known, the bound for all messages (36 MiB of 300) is what limits one answer.

--- a/src/corkcrank/contracts/node_settings.py
+++ b/src/corkcrank/contracts/node_settings.py
@@ -90,7 +90,7 @@
 
     file_descriptors: int = 0
     memory_mb: float = 0.0
-    max_answer_mb: float = 8.0
+    max_answer_mb: float = 64.0
     cpu_share: float = 0.0
     cpu_speed: float = 1.0
 
--- a/src/corkcrank/links/client_connections.py
+++ b/src/corkcrank/links/client_connections.py
@@ -2,7 +2,10 @@
 
 Such a body ends with its connection (RFC 9112, 6.3), and is complete only if the sender closed the
 connection. The HTTP library ends the body in the same way after a reset and after a local close,
-so the cause is lost unless the connection keeps it. Every HTTP client of this project uses
+so the cause is lost unless the connection keeps it.
+
+The connection also bounds the bytes that a peer sends without content, and keeps whether its last
+response was confirmed to belong to its request. Every HTTP client of this project uses
 :class:`ClientConnector`.
 """
 
--- a/src/corkcrank/links/received_bytes.py
+++ b/src/corkcrank/links/received_bytes.py
@@ -47,21 +47,19 @@
     """The answer of a back end of the own interface."""
 
 
-DEFAULT_MAX_ANSWER_BYTES = 8 * BYTES_PER_MB
-"""Default limit of a worker's answer: twice the default limit of a caller's body."""
-
 MAX_MESSAGE_BYTES = {
-    Purpose.ANSWER: DEFAULT_MAX_ANSWER_BYTES,
+    Purpose.ANSWER: 64 * BYTES_PER_MB,
     Purpose.EVENT: BYTES_PER_MB,
     Purpose.STAGE: BYTES_PER_MB,
     Purpose.REPORT: BYTES_PER_MB // 4,
-    Purpose.RELAY: DEFAULT_MAX_ANSWER_BYTES,
-    Purpose.PEER: DEFAULT_MAX_ANSWER_BYTES,
-    Purpose.STORE: 2 * DEFAULT_MAX_ANSWER_BYTES,
-    Purpose.BACK_END: DEFAULT_MAX_ANSWER_BYTES,
+    Purpose.RELAY: 8 * BYTES_PER_MB,
+    Purpose.PEER: 8 * BYTES_PER_MB,
+    Purpose.STORE: 16 * BYTES_PER_MB,
+    Purpose.BACK_END: 64 * BYTES_PER_MB,
 }
-"""Limits of the messages of each purpose, in bytes. An honest event holds a few tokens, the results
-of a stage call a handle for each piece, and an answer of the store at most 1 MB of rows."""
+"""Limits of the messages of each purpose, in bytes, unless the settings name others. An event holds
+a few tokens, the results of a stage call a handle for each piece, and an answer of the store at
+most 1 MB of rows. The bound of the process may be lower than the limit of an answer."""
 
 
 class OversizedMessageError(ValueError):
