A request's target reaches its worker as the caller sent it

Cause: the target was parsed as a URL, and the URL type writes neither an empty query nor a fragment. Ruled out: the server side (raw_path holds both) and relayed requests (they end at the same client).

Change: the whole target is the path of the URL, which the library sends unchanged.

--- a/src/corkcrank/node/workers/worker_client.py
+++ b/src/corkcrank/node/workers/worker_client.py
@@ -215,7 +215,7 @@
         has_body = bool(request.body) or request.method not in ("GET", "HEAD")
         response = await self._session_for(request).request(
             request.method,
-            URL(f"http://{request.worker.address}{request.target}", encoded=True),
+            _exact_url(request.worker.address, request.target),
             headers=CIMultiDict(request.headers),
             data=request.body if has_body else None,
             allow_redirects=False,
@@ -315,3 +315,14 @@
 def address_of(response: aiohttp.ClientResponse) -> str:
     """Return the ``ip:port`` of a response's sender."""
     return f"{response.url.host}:{response.url.port}"
+
+
+def _exact_url(address: str, target: str) -> URL:
+    """Return a URL whose path holds a whole request target, which the library sends unchanged.
+
+    Parsed as a URL, a target would lose an empty query and a fragment.
+
+    >>> _exact_url("127.0.0.1:80", "/a?").raw_path_qs
+    '/a?'
+    """
+    return URL.build(scheme="http", authority=address, path=target, encoded=True)
