Header fields that are no UTF-8 are forwarded unchanged

What callers saw: bytes of a header that are no UTF-8 were missing at the worker, and those of a worker's answer at the caller (with the library's Python code the call fails with 502, as the review read it).

Cause: the library decodes fields with surrogateescape, and its serializer drops the escaped characters. Ruled out: our decoding, which keeps the bytes (a trace of the test shows "caf" for b"caf\xe9 \xff\xf0" only behind the client).

Change: one serializer for all connections of the process.

Before: the 5 cases of test_unchanged_requests.py about headers failed. After: all pass.

--- a/src/corkcrank/node/process/node.py
+++ b/src/corkcrank/node/process/node.py
@@ -10,6 +10,7 @@
 from corkcrank.contracts.process_life import ProcessLife, ProcessState, ProcessTrigger
 from corkcrank.links.decision_log import DecisionLog, LogEvent
 from corkcrank.links.platform_ports import PlatformPorts, StoreTable
+from corkcrank.links.raw_headers import install_raw_headers
 from corkcrank.machines.fleet import Fleet
 from corkcrank.machines.heartbeat import Phase
 from corkcrank.machines.store_followers import StoreFollowerElection
@@ -67,6 +68,7 @@
         log: DecisionLog,
         random_source: random.Random,
     ) -> None:
+        install_raw_headers()
         process = settings.process
         self._settings = settings
         self._ports = ports
--- a/tests/platform/test_unchanged_requests.py
+++ b/tests/platform/test_unchanged_requests.py
@@ -1,7 +1,7 @@
-"""A worker gets a request's target as the caller sent it.
+"""A worker gets a request's target and headers as the caller sent them.
 
-Guards against an empty query that lost its question mark: the client library changes targets that
-it has parsed as URLs.
+Guards against an empty query that lost its question mark, and against a call that failed because
+one of its headers was no UTF-8: the client library changes both unless it is kept from it.
 """
 
 import asyncio
@@ -10,13 +10,18 @@
 
 import pytest
 from node_world import HOST, KEY, World, call_id, configuration, route, world
-from platform_standins import StandinWorker
+from partitioned_world import partitioned_world
+from platform_standins import Seen, StandinWorker
+from test_relayed_requests import partition
 
 ROUTES = [route("safe", "safe", "plain"), route("talk", "stream", "model")]
 
 TARGETS = ["?", "?a", "?a=b", "?a=%2F&b=%zz", "//b/../c?", "%2e%2e/b?x?y", "#a", "?a#b"]
 """What follows the route's path."""
 
+RAW_VALUE = b"caf\xe9 \xff\xf0"
+"""A header value that is no UTF-8."""
+
 
 @asynccontextmanager
 async def plain_and_stream() -> AsyncIterator[tuple[World, dict[str, StandinWorker]]]:
@@ -43,6 +48,10 @@
         writer.close()
 
 
+def raw_header(seen: Seen, name: str) -> bytes:
+    return seen.headers[name].encode("utf-8", "surrogateescape")
+
+
 @pytest.mark.parametrize("rest", TARGETS)
 @pytest.mark.parametrize("path", ["safe", "talk"])
 async def test_target_reaches_its_worker_unchanged(path: str, rest: str) -> None:
@@ -50,3 +59,36 @@
         answer = await send_raw(running.address(), f"/{path}/x{rest}")
         assert answer.startswith(b"HTTP/1.1 200 OK")
         assert [seen.target for seen in workers[path].seen] == [f"/{path}/x{rest}"]
+
+
+@pytest.mark.parametrize("path", ["safe", "talk"])
+async def test_header_that_is_no_text_reaches_its_worker_unchanged(path: str) -> None:
+    async with plain_and_stream() as (running, workers):
+        header = b"X-Note: " + RAW_VALUE + b"\r\n"
+        answer = await send_raw(running.address(), f"/{path}/x", header)
+        assert answer.startswith(b"HTTP/1.1 200 OK")
+        assert [raw_header(seen, "X-Note") for seen in workers[path].seen] == [RAW_VALUE]
+
+
+@pytest.mark.parametrize("path", ["safe", "talk"])
+async def test_header_of_an_answer_that_is_no_text_reaches_its_caller_unchanged(path: str) -> None:
+    async with plain_and_stream() as (running, workers):
+        workers[path].named = {"X-Note": RAW_VALUE.decode("utf-8", "surrogateescape")}
+        answer = await send_raw(running.address(), f"/{path}/x")
+        assert b"\r\nX-Note: " + RAW_VALUE + b"\r\n" in answer + b"\r\n"
+
+
+async def test_relayed_request_reaches_its_worker_unchanged(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with partitioned_world(monkeypatch, 2) as played:
+        await partition(played, 0)
+        header = b"X-Note: " + RAW_VALUE + b"\r\n"
+        answer = await send_raw(played.running.address(), "/once/x?", header)
+        assert answer.startswith(b"HTTP/1.1 200 OK")
+        noted = [
+            item for worker in played.plain for item in worker.seen if "X-Note" in item.headers
+        ]
+        assert [(item.target, raw_header(item, "X-Note")) for item in noted] == [
+            ("/once/x?", RAW_VALUE)
+        ]
