--- a/tests/platform/test_callers_leave_between_stages.py
+++ b/tests/platform/test_callers_leave_between_stages.py
@@ -30,7 +30,7 @@
 
 
 class SlowConnections:
-    """New connections of a gateway to its workers, each of which waits until ``ready`` is set.
+    """New connections of a gateway for stage calls, each of which waits until ``ready`` is set.
 
     The gateway sends nothing through members: they would take its requests while it waits.
     """
@@ -38,7 +38,7 @@
     def __init__(self, node: Node) -> None:
         self.ready = asyncio.Event()
         self.begun = 0
-        connector: Any = node.services.client._kept.connector
+        connector: Any = node.services.client._unnamed.connector
         self._connect = connector._create_connection
         node.services.client.relay = NoRelay()
         connector._create_connection = self._connect_slowly
