Large request bodies have a bound, claimed before they are read

Cause: a body is kept until its call ends, and nothing counted the bytes of the calls in progress: only connections were bounded, by number.

Change: a body above 64 KiB claims room in a budget of 0.2 of the memory above an idle gateway's. Without room it waits unread for 0.04 s, the most urgent one first, then its call is refused with 3018, Retry-After, and has not run. One tenant may use half. Small bodies need no room.

Calls are read in a module of their own now; test_ended_calls.py follows a rename.

--- a/src/corkcrank/contracts/result_codes.py
+++ b/src/corkcrank/contracts/result_codes.py
@@ -103,6 +103,10 @@
         3017, 503, Ran.NO, "No worker of the software version that began the stream is available."
     )
 
+    MEMORY_SHORT = CodeEntry(
+        3018, 503, Ran.NO, "This gateway has no memory for another large body now."
+    )
+
     OUTCOME_UNKNOWN = CodeEntry(
         4001, 504, Ran.UNKNOWN, "The call was sent and its outcome is not known."
     )
--- a/src/corkcrank/node/calls/services.py
+++ b/src/corkcrank/node/calls/services.py
@@ -16,6 +16,7 @@
 from corkcrank.links.silence import SilenceListener, ignore_silence
 from corkcrank.machines.fleet import Fleet
 from corkcrank.machines.store_mirror import StoreMirror
+from corkcrank.node.callers.body_admission import BodyAdmission
 from corkcrank.node.callers.drain import DrainSchedule
 from corkcrank.node.callers.reader_watch import ReaderWatch
 from corkcrank.node.callers.refusals import Refusal
@@ -148,6 +149,7 @@
     """Number of streams with a search for another engine, by silent engine."""
     prompt_queues: PromptQueues = field(init=False)
     readers: ReaderWatch = field(init=False)
+    bodies: BodyAdmission = field(default_factory=BodyAdmission)
     liveness: LivenessProbes = field(init=False)
     _fetch_delays: dict[str, FetchDelay] = field(default_factory=dict)
     _budgets: dict[str, FleetRetryBudget] = field(default_factory=dict)
@@ -167,6 +169,7 @@
 
         self.liveness = LivenessProbes(self.client, self.ports.stages, self.worker_statistics)
         self.dispatch.weighs_zones = self.weighs_zones
+        self.metrics.body_bytes.set_function(lambda: self.bodies.budget.kept_bytes)
         self.readers = ReaderWatch(self.log, self.metrics, lambda: self.drain.signal_received)
 
     def queues_prompts(self, service: str) -> bool:
--- a/src/corkcrank/node/ingress/call_handler.py
+++ b/src/corkcrank/node/ingress/call_handler.py
@@ -1,19 +1,14 @@
 """Handles callers' requests: reads a call, finds its route and tenant, and serves it."""
 
 import asyncio
+from functools import partial
 
 from aiohttp import web
 from aiohttp.http_exceptions import HttpProcessingError
 
 from corkcrank.contracts import clock
-from corkcrank.contracts.opaque_call import CallEnvelope, CallStep, OpaqueCall
-from corkcrank.contracts.opaque_configuration import (
-    CallKind,
-    KeyedTenant,
-    OpaqueConfiguration,
-    OpaqueRoute,
-    RequestLimits,
-)
+from corkcrank.contracts.opaque_call import CallStep, OpaqueCall
+from corkcrank.contracts.opaque_configuration import CallKind, RequestLimits
 from corkcrank.contracts.result_codes import ResultCode
 from corkcrank.links.closed_connections import closed_by_peer
 from corkcrank.links.decision_log import LogEvent
@@ -22,6 +17,13 @@
 from corkcrank.node.callers.refusals import CallerDisconnectedError, Refusal
 from corkcrank.node.calls.plain_run import PlainRun
 from corkcrank.node.calls.services import CallServices
+from corkcrank.node.ingress.call_reading import (
+    build_call,
+    check_head,
+    claim_room,
+    find_route,
+    find_tenant,
+)
 from corkcrank.node.ingress.request_body import BodyRead
 from corkcrank.node.streams.stream_run import StreamRun
 
@@ -32,12 +34,6 @@
 """Retry delay sent while no gateway reaches a worker, in seconds: about the time after which the
 end of that is known."""
 
-DEFAULT_BUDGET_SECONDS = 30.0
-"""Time budget of a caller that sends none, in seconds."""
-
-FIELD_FRAMING_BYTES = 4
-"""Bytes of a header field besides its name and value: colon, space and line end."""
-
 MAX_LOGGED_PATH_LENGTH = 120
 """Maximum logged length of a refused request's path, in characters."""
 
@@ -99,12 +95,29 @@
                 retry_after=NO_CONFIGURATION_RETRY_SECONDS,
                 close=True,
             )
-        problem = _check_head(request, configuration.limits)
+        problem = check_head(request, configuration.limits)
         if problem is not None:
             return problem
-        body = await self.open_calls.serve(BodyRead(request, configuration.limits))
-        if not isinstance(body, bytes):
-            return body
+        read = BodyRead(
+            request,
+            configuration.limits,
+            self._services.bodies,
+            partial(claim_room, request, configuration, self._services.ports.calls),
+        )
+        try:
+            body = await self.open_calls.serve(read)
+            if isinstance(body, bytes):
+                return await self._serve_call(request, body, arrived_at)
+        finally:
+            read.release()
+        if isinstance(body, Refusal):
+            self._log_refusal(request, body)
+        return body
+
+    async def _serve_call(
+        self, request: web.BaseRequest, body: bytes, arrived_at: float
+    ) -> web.StreamResponse | Refusal:
+        """Serve a request whose body was read."""
         call = self._read_call(request, body, arrived_at)
         if isinstance(call, Refusal):
             self._log_refusal(request, call)
@@ -221,14 +234,13 @@
         envelope = self._services.ports.calls.read_envelope(request.headers)
         if isinstance(envelope, str):
             return Refusal(ResultCode.MALFORMED_REQUEST, envelope)
-        path = request.raw_path.partition("?")[0]
-        route = configuration.route_for(request.headers.get("Host", ""), path)
+        route = find_route(configuration, request)
         if route is None:
             return Refusal(ResultCode.UNKNOWN_ROUTE, f"version {configuration.version}")
-        tenant = _find_tenant(configuration, route, envelope)
+        tenant = find_tenant(configuration, route, envelope)
         if isinstance(tenant, Refusal):
             return tenant
-        return _build_call(request, body, arrived_at, configuration, envelope, route, tenant)
+        return build_call(request, body, arrived_at, configuration, envelope, route, tenant)
 
     def _record_reserved_headers(self, call: OpaqueCall) -> None:
         reserved = call.envelope.reserved_headers
@@ -248,76 +260,3 @@
             detail=refusal.detail,
             version=self._services.mirror.version,
         )
-
-
-def _build_call(
-    request: web.BaseRequest,
-    body: bytes,
-    arrived_at: float,
-    configuration: OpaqueConfiguration,
-    envelope: CallEnvelope,
-    route: OpaqueRoute,
-    tenant: KeyedTenant | None,
-) -> OpaqueCall:
-    """Return the call of a request; its body is forwarded without being parsed.
-
-    ``end_at``, the end of work on the call, applies the caller's budget and the route's timeout;
-    ``caller_end_at``, the end of the caller's wait, only the budget.
-    """
-    budget = envelope.budget_seconds
-    caller_seconds = DEFAULT_BUDGET_SECONDS if budget is None else budget
-    return OpaqueCall(
-        envelope=envelope,
-        route=route,
-        service=route.service_for(envelope.call_id),
-        tenant=tenant.name if tenant is not None else "",
-        rank=(tenant.rank if tenant is not None else 0, route.rank),
-        method=request.method,
-        target=request.raw_path,
-        headers=[
-            (_decode_header(name), _decode_header(value)) for name, value in request.raw_headers
-        ],
-        body=body,
-        arrived_at=arrived_at,
-        end_at=arrived_at + min(caller_seconds, route.timeout),
-        caller_end_at=arrived_at + caller_seconds,
-        configuration_version=configuration.version,
-    )
-
-
-def _find_tenant(
-    configuration: OpaqueConfiguration, route: OpaqueRoute, envelope: CallEnvelope
-) -> KeyedTenant | Refusal | None:
-    if not configuration.has_tenants:
-        return None
-    tenant = configuration.tenant_for(envelope.key) if envelope.key else None
-    if tenant is None and route.needs_key:
-        return Refusal(ResultCode.UNKNOWN_API_KEY, f"version {configuration.version}")
-    return tenant
-
-
-def _check_head(request: web.BaseRequest, limits: RequestLimits) -> Refusal | None:
-    size = sum(len(name) + len(value) + FIELD_FRAMING_BYTES for name, value in request.raw_headers)
-    if size + len(request.raw_path) > limits.header_bytes:
-        return Refusal(ResultCode.HEADERS_TOO_LARGE, close=True)
-    names = [name.lower() for name, _ in request.raw_headers]
-    if b"content-length" in names and b"transfer-encoding" in names:
-        return Refusal(
-            ResultCode.MALFORMED_REQUEST,
-            "both Content-Length and Transfer-Encoding are set",
-            close=True,
-        )
-    if names.count(b"content-length") > 1 or names.count(b"host") != 1:
-        return Refusal(
-            ResultCode.MALFORMED_REQUEST,
-            "more than one Content-Length, or not exactly one Host header",
-            close=True,
-        )
-    length = request.content_length
-    if length is not None and length > limits.body_bytes:
-        return Refusal(ResultCode.BODY_TOO_LARGE, close=True)
-    return None
-
-
-def _decode_header(raw: bytes) -> str:
-    return raw.decode("utf-8", "surrogateescape")
--- a/src/corkcrank/node/process/node.py
+++ b/src/corkcrank/node/process/node.py
@@ -169,6 +169,7 @@
         self.stage_owner.on_release = self.services.metrics.record_release
         self.services.metrics.registry.register(StateCollector(self.services, self.stage_owner))
         self.services.readers.apply_limits(settings.limits)
+        self.services.bodies.apply_limits(settings.limits)
         self.call_handler = CallHandler(self.services)
         self.listener_state = ListenerState(
             connection_limit(settings.limits), lambda: self.life.state == ProcessState.SERVING
@@ -245,6 +246,7 @@
         apply_features(features, self.services, self.stage_owner)
         self.listener_state.connection_limit = connection_limit(settings.limits)
         self.services.readers.apply_limits(settings.limits)
+        self.services.bodies.apply_limits(settings.limits)
         self._client.received.apply_limits(settings.limits)
 
     def dump(self) -> NodeDump:
--- a/src/corkcrank/node/process/state_dump.py
+++ b/src/corkcrank/node/process/state_dump.py
@@ -98,6 +98,15 @@
     bound_bytes: int
 
 
+class BodiesDump(msgspec.Struct, frozen=True):
+    """Large request bodies of calls in progress, and how many wait unread for room."""
+
+    bodies: int
+    kept_bytes: int
+    bound_bytes: int
+    waiting: int
+
+
 class ReceivedDump(msgspec.Struct, frozen=True):
     """Bytes kept of incomplete messages, by purpose; ``bound_bytes`` is 0 without a bound."""
 
@@ -138,6 +147,7 @@
     silent_engines: dict[str, int]
     readers: ReadersDump
     received: ReceivedDump
+    bodies: BodiesDump
     return_claims: ReturnClaimsDump
     zone_capacities: tuple[ZoneCapacityDump, ...]
 
@@ -172,6 +182,7 @@
         silent_engines=dict(services.silent_engines),
         readers=_readers(services),
         received=_received(services),
+        bodies=_bodies(services),
         return_claims=dump_claims(services.return_offers, now),
         zone_capacities=dump_zone_capacities(services, now),
     )
@@ -182,6 +193,11 @@
     return ReadersDump(len(budget), budget.kept_bytes, budget.bound_bytes)
 
 
+def _bodies(services: CallServices) -> BodiesDump:
+    budget = services.bodies.budget
+    return BodiesDump(len(budget), budget.kept_bytes, budget.bound_bytes, budget.waiting)
+
+
 def _received(services: CallServices) -> ReceivedDump:
     received = services.client.received
     kept = {purpose.value: received.kept[purpose] for purpose in Purpose}
--- a/src/corkcrank/node/telemetry/metrics.py
+++ b/src/corkcrank/node/telemetry/metrics.py
@@ -211,6 +211,11 @@
             "Bytes kept for callers that have not read their answers.",
             registry=self.registry,
         )
+        self.body_bytes = Gauge(
+            "corkcrank_body_bytes",
+            "Bytes of the large request bodies of calls in progress.",
+            registry=self.registry,
+        )
         self.workers_full_of_requests = Counter(
             "corkcrank_workers_full_of_requests",
             "Times that a worker's unanswered requests reached their bound in bytes.",
--- a/tests/platform/test_ended_calls.py
+++ b/tests/platform/test_ended_calls.py
@@ -44,14 +44,14 @@
 def watch_calls(patch: pytest.MonkeyPatch) -> list[weakref.ref[OpaqueCall]]:
     """Return a list that will hold a reference to each call, which does not keep the call."""
     calls: list[weakref.ref[OpaqueCall]] = []
-    build = call_handler._build_call
+    build = call_handler.build_call
 
     def build_watched(*parts: object) -> OpaqueCall:
         call = build(*parts)  # type: ignore[arg-type]
         calls.append(weakref.ref(call))
         return call
 
-    patch.setattr(call_handler, "_build_call", build_watched)
+    patch.setattr(call_handler, "build_call", build_watched)
     return calls
 
 
