Tests: an endless engine is the first one at one of two orders of the ids

Which of two idle engines comes first follows from their ids, which depend on the tests before. Each now has each id once; one of the two orders begins with the endless engine. The checks of each stream and of the bytes are unchanged.

--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -101,8 +101,19 @@
 
 @pytest.mark.parametrize("how", [Endless.BODY, Endless.CHUNKS, Endless.EXTENSION])
 async def test_stream_with_an_endless_event_continues_at_another_engine(how: Endless) -> None:
+    """The ids decide which of two idle engines comes first, so both get each id once."""
+    sent = [
+        *await streams_beside_an_endless_engine(how, "i-1", "i-2"),
+        *await streams_beside_an_endless_engine(how, "i-2", "i-1"),
+    ]
+    assert sent
+
+
+async def streams_beside_an_endless_engine(how: Endless, endless_id: str, id_: str) -> list[int]:
+    """Check streams of two engines, one of them endless; return the bytes of its answers."""
     endless = EndlessPeer(how, beginning=events(1, 2), sound={"/report": b"{}"})
     sound = ScriptedEngine([honest(EVENTS)])
+    endless.worker_id, sound.worker_id = endless_id, id_
     served = {"endless": (endless, "model"), "sound": (sound, "model")}
     async with world(configuration(1, ROUTES), served) as running:  # type: ignore[arg-type]
         for _ in range(CALLS):
@@ -111,8 +122,8 @@
             assert (response.status, await response.read()) == (200, events(1, EVENTS))
             assert clock.now() - started < MAX_ANSWER_SECONDS
         await until(lambda: not endless.open)
-        assert endless.sent
         assert bounded(endless)
+    return endless.sent
 
 
 async def test_comments_without_end_are_not_kept_during_a_failover() -> None:
