Tests: a stream waits for a repeat before the repeats are spent

Cause: the test spent the repeats when the engine had taken the request, before the gateway had its rejection; until then the stream does not wait, so no repeat is kept for it. The checks are unchanged.

--- a/tests/platform/test_failover_search.py
+++ b/tests/platform/test_failover_search.py
@@ -106,6 +106,7 @@
         other.hold = None
         stand_still(failover, silent)
         await until(lambda: not failover.faults)
+        await until(lambda: bool(node.services.budget("model").waiting_streams))
         spend_repeats(failover)
         assert node.services.repeats_left(clock.now())["model"] >= 1.0
         await asyncio.wait({stream}, timeout=15 * SILENCE_SECONDS)
