Origins of streams outlast the loss of all gateways while versions differ

Cause: the version that began a stream was in the memory of gateways only. Ruled out: the version's engines had left (about half of the engines ran it), and a version that was known but not used (each refusal was 3016).

Change: while a service has, or had in the last minute, several versions, the gateway that begins a stream and one of its holders write its origin into a row of their own, at most each 0.25 s and 40 writes a second together, and read it once after a start. A row that cannot be read counts as unknown: nothing is guessed. With one version nothing is written.

The stand-in of the store now obeys the range of keys that a read names.

--- a/src/corkcrank/links/platform_ports.py
+++ b/src/corkcrank/links/platform_ports.py
@@ -262,6 +262,7 @@
     MEMBERS = "members"
     QUARANTINE = "quarantine"
     SOFTWARE = "software"
+    ORIGINS = "origins"
 
 
 class MetadataStore(Protocol):
@@ -276,8 +277,8 @@
     def drop_all_idle(self) -> int:
         """Close all idle connections; return their number."""
 
-    async def read(self, table: StoreTable) -> StoreRows | StoreFailure:
-        """Return a consistent snapshot of all rows of a table."""
+    async def read(self, table: StoreTable, key: str = "") -> StoreRows | StoreFailure:
+        """Return a consistent snapshot of all rows of a table, or of the row with a key."""
 
     async def watch(
         self, table: StoreTable, since: int, wait_seconds: float
--- a/src/corkcrank/machines/origin_reports.py
+++ b/src/corkcrank/machines/origin_reports.py
@@ -15,11 +15,15 @@
 
 
 class OriginReport(msgspec.Struct, frozen=True, array_like=True):
-    """The origin of a stream, and the seconds for which its caller may still resume it."""
+    """The origin of a stream, and the seconds for which its caller may still resume it.
+
+    ``written`` asks the receiver to write the origin to the store if versions differ.
+    """
 
     key: bytes
     origin: StreamOrigin
     seconds: float
+    written: bool = False
 
 
 _decoder = msgspec.msgpack.Decoder(tuple[OriginReport, ...])
--- a/src/corkcrank/node/origins/origin_directory.py
+++ b/src/corkcrank/node/origins/origin_directory.py
@@ -25,6 +25,7 @@
     encode_origin_reports,
 )
 from corkcrank.machines.store_mirror import StoreMirror
+from corkcrank.node.origins.origin_rows import OriginRows
 from corkcrank.node.origins.software_rows import SoftwareRows
 from corkcrank.node.peers.peer_client import PeerClient, PeerFailure, decode_answer
 from corkcrank.node.peers.peer_protocol import (
@@ -65,6 +66,7 @@
         self._peers = peers
         self.software = SoftwareRows(fleet, mirror, store, log)
         self.origins = StreamOrigins()
+        self.rows = OriginRows(fleet, store, log, self.origins, self.software)
         self._to_repeat: list[OriginReport] = []
         self.send: Callable[[bytes, str], None] = lambda data, address: None
 
@@ -74,6 +76,7 @@
         seconds = call.caller_end_at - now + RETENTION_SECONDS
         report = OriginReport(stream_key(call.tenant, call.call_id), origin, round(seconds, 1))
         self.origins.record(report.key, origin, seconds, now)
+        self.rows.add(report.key)
         self._send_to_holders([report], now)
         self._to_repeat.append(report)
 
@@ -93,6 +96,8 @@
         now = clock.now()
         for report in decode_origin_reports(data):
             self.origins.record(report.key, report.origin, report.seconds, now)
+            if report.written:
+                self.rows.add(report.key)
 
     async def repeat_reports(self) -> None:
         """Report each origin a second time, until cancelled."""
@@ -113,8 +118,11 @@
     def _send_to_holders(self, reports: Iterable[OriginReport], now: float) -> None:
         by_address: dict[str, list[OriginReport]] = {}
         for report in reports:
-            for member in self._holders(report.key, now):
-                by_address.setdefault(member.heartbeat.address, []).append(report)
+            holders = self._holders(report.key, now)
+            writer = int.from_bytes(report.key, "big") % max(1, len(holders))
+            for number, member in enumerate(holders):
+                told = msgspec.structs.replace(report, written=number == writer)
+                by_address.setdefault(member.heartbeat.address, []).append(told)
         for address, items in by_address.items():
             for data in encode_origin_reports(items):
                 self.send(data, address)
--- /dev/null
+++ b/src/corkcrank/node/origins/origin_rows.py
@@ -0,0 +1,195 @@
+"""Keeps origins of streams in the store, so that they outlast the memory of all gateways.
+
+While a service has workers of several software versions, two gateways write each origin: the one
+that began the stream, and a holder. Each writes one row, with its recent origins, and reads it once
+after a start. With one version nothing is written.
+"""
+
+import asyncio
+from collections import defaultdict
+from collections.abc import Iterator
+
+import msgspec
+
+from corkcrank.contracts import clock
+from corkcrank.contracts.stream_origin import STREAM_KEY_BYTES, StreamOrigin
+from corkcrank.links.decision_log import DecisionLog, LogEvent
+from corkcrank.links.platform_ports import MetadataStore, StoreFailure, StoreTable
+from corkcrank.machines.fleet import Fleet
+from corkcrank.node.origins.software_rows import SoftwareRows
+from corkcrank.scheduling.stream_origins import StreamOrigins
+
+WRITE_INTERVAL_SECONDS = 0.25
+"""Minimum interval of writes: the origins of streams that began since are lost by a kill."""
+
+MAX_WRITES_PER_SECOND = 40.0
+"""Writes of all gateways together; a tenth of what a store of the design size takes."""
+
+RETRY_SECONDS = 0.5
+"""Delay after a failed call to the store."""
+
+EXPIRY_STEP_SECONDS = 4.0
+"""Step to which expiry times are rounded up, so that origins share one."""
+
+MAX_ROW_ORIGINS = 4_000
+"""Maximum number of origins in a row, those that expire last: half of a row's size limit."""
+
+ROW_FORMAT = 1
+
+
+class OriginGroup(msgspec.Struct, frozen=True, array_like=True):
+    """Streams of one origin; ``expires_at`` is on the store's clock, in seconds.
+
+    ``keys`` holds the streams' keys, one behind the other.
+    """
+
+    service: str
+    version: str
+    expires_at: float
+    keys: bytes
+
+
+class OriginRow(msgspec.Struct, frozen=True, array_like=True):
+    """The value of a row; its key is the name of the gateway that writes it."""
+
+    format: int
+    groups: tuple[OriginGroup, ...]
+
+
+class OriginRows:
+    """The row of one gateway. ``origins`` are those that the gateway keeps in memory."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        store: MetadataStore,
+        log: DecisionLog,
+        origins: StreamOrigins,
+        software: SoftwareRows,
+    ) -> None:
+        self._fleet = fleet
+        self._store = store
+        self._log = log
+        self._origins = origins
+        self._software = software
+        self._to_write: dict[bytes, None] = {}
+        """Keys of the streams that this gateway writes, the newest last."""
+        self._written: OriginRow | None = None
+        self.restored = False
+        self.failures = 0
+
+    def __len__(self) -> int:
+        return len(self._to_write)
+
+    def add(self, key: bytes) -> None:
+        """Add a stream whose origin this gateway writes."""
+        self._to_write.pop(key, None)
+        self._to_write[key] = None
+
+    async def keep_row_current(self) -> None:
+        """Read the row once, then write it while versions differ, until cancelled.
+
+        A row that was not read would be overwritten.
+        """
+        while not await self._restore():
+            await asyncio.sleep(RETRY_SECONDS)
+        while True:
+            await asyncio.sleep(self._interval() if await self._write() else RETRY_SECONDS)
+
+    def _interval(self) -> float:
+        members = len(self._fleet.live_members(clock.now())) + 1
+        return max(WRITE_INTERVAL_SECONDS, members / MAX_WRITES_PER_SECOND)
+
+    async def _restore(self) -> bool:
+        """Keep the origins that this gateway had written before it started again."""
+        rows = await self._store.read(StoreTable.ORIGINS, self._fleet.local_name)
+        if isinstance(rows, StoreFailure):
+            self.failures += 1
+            return False
+        now = clock.now()
+        for row in rows.rows:
+            value = row.value if isinstance(row.value, bytes) else b""
+            for key, origin, expires_at in self._decode(value):
+                if expires_at > rows.store_time:
+                    self._origins.record(key, origin, expires_at - rows.store_time, now)
+                    self.add(key)
+        self.restored = True
+        return True
+
+    async def _write(self) -> bool:
+        """Write the row if it has changed; return whether the store accepted it."""
+        now = clock.now()
+        self._remove_expired(now)
+        store_time = self._software.store_time(now)
+        if store_time is None or not self._software.any_several(now):
+            return True
+        row = self._build(now, store_time)
+        if row is None or row == self._written:
+            return True
+        value = msgspec.msgpack.encode(row)
+        written = await self._store.put(StoreTable.ORIGINS, self._fleet.local_name, value)
+        if isinstance(written, StoreFailure):
+            self.failures += 1
+            return False
+        self._written = row
+        return True
+
+    def _remove_expired(self, now: float) -> None:
+        """Remove the oldest streams that are no longer kept."""
+        while self._to_write:
+            oldest = next(iter(self._to_write))
+            if self._origins.kept(oldest, now) is not None:
+                return
+            del self._to_write[oldest]
+
+    def _build(self, now: float, store_time: float) -> OriginRow | None:
+        """Return the row with the origins of services of several versions, ``None`` without one."""
+        several: dict[str, bool] = {}
+        keys: dict[tuple[str, str, float], list[bytes]] = defaultdict(list)
+        count = 0
+        for key in reversed(list(self._to_write)):
+            kept = self._origins.kept(key, now)
+            if kept is None or count >= MAX_ROW_ORIGINS:
+                del self._to_write[key]
+                continue
+            service = kept.origin.service
+            if service not in several:
+                several[service] = self._software.has_several(service, now)
+            if several[service]:
+                count += 1
+                expires_at = _round_up(store_time + kept.expires_at - now)
+                keys[service, kept.origin.version, expires_at].append(key)
+        if not keys:
+            return None
+        groups = (OriginGroup(*group, b"".join(sorted(keys[group]))) for group in sorted(keys))
+        return OriginRow(ROW_FORMAT, tuple(groups))
+
+    def _decode(self, value: bytes) -> Iterator[tuple[bytes, StreamOrigin, float]]:
+        """Return the origins of a row, none if it cannot be read."""
+        try:
+            row = msgspec.msgpack.decode(value, type=OriginRow)
+            if row.format != ROW_FORMAT:
+                raise ValueError(f"format {row.format}")
+            if any(len(group.keys) % STREAM_KEY_BYTES for group in row.groups):
+                raise ValueError("incomplete key")
+        except ValueError as error:
+            self._log.write(
+                LogEvent.DOCUMENT_UNREADABLE,
+                kind="origins",
+                key=self._fleet.local_name,
+                detail=str(error),
+            )
+            return
+        for group in row.groups:
+            for first in range(0, len(group.keys), STREAM_KEY_BYTES):
+                key = group.keys[first : first + STREAM_KEY_BYTES]
+                yield key, StreamOrigin(group.service, group.version), group.expires_at
+
+
+def _round_up(seconds: float) -> float:
+    """Return a time rounded up to the next step.
+
+    >>> _round_up(8.0), _round_up(8.1)
+    (8.0, 12.0)
+    """
+    return -(-seconds // EXPIRY_STEP_SECONDS) * EXPIRY_STEP_SECONDS
--- a/src/corkcrank/node/origins/software_rows.py
+++ b/src/corkcrank/node/origins/software_rows.py
@@ -27,6 +27,9 @@
 RETRY_SECONDS = 1.0
 """Delay after a failed call to the store."""
 
+RECENT_SECONDS = 60.0
+"""Time for which a version that has left still counts as one of several."""
+
 MAX_KEPT_SECONDS = 600.0
 """Time for which a row keeps a version that has left; no stream is resumed later."""
 
@@ -112,6 +115,23 @@
             found = row.versions_since(rows.store_time - call.route.timeout) if row else set()
         return StreamOrigin(service, listed.pop()) if found <= listed else None
 
+    def has_several(self, service: str, now: float) -> bool:
+        """Return whether a service has, or recently had, workers of several versions."""
+        self._observe(service)
+        return len(self._history.versions_since(service, now - RECENT_SECONDS)) > 1
+
+    def any_several(self, now: float) -> bool:
+        """Return whether a service with resumable streams has workers of several versions."""
+        return any(self.has_several(service, now) for service in self._resumable_services())
+
+    def store_time(self, now: float) -> float | None:
+        """Return the time on the store's clock, ``None`` if the store has not answered yet."""
+        own = self._mirror.store_contacts.get(StoreTable.WORKERS, StoreContact())
+        contact = newest_contact(own, self._fleet.store_contact(StoreTable.WORKERS))
+        if contact.received_at == float("-inf"):
+            return None
+        return contact.store_time + now - contact.received_at
+
     async def _check(self) -> bool:
         """Write the rows that have changed; return whether the store accepted every change."""
         if not self._mirror.workers_known:
@@ -132,11 +152,10 @@
             if isinstance(rows, StoreFailure):
                 return False
             written = self._written[service] = self._find_row(rows, service) or SoftwareRow({})
-        own = self._mirror.store_contacts.get(StoreTable.WORKERS, StoreContact())
-        contact = newest_contact(own, self._fleet.store_contact(StoreTable.WORKERS))
-        if written.listed == listed or contact.received_at == float("-inf"):
+        store_time = self.store_time(now)
+        if written.listed == listed or store_time is None:
             return True
-        row = written.updated(listed, contact.store_time + now - contact.received_at)
+        row = written.updated(listed, store_time)
         value = msgspec.json.encode(row)
         if isinstance(await self._store.put(StoreTable.SOFTWARE, service, value), StoreFailure):
             # The write may have taken effect.
--- a/src/corkcrank/node/process/node.py
+++ b/src/corkcrank/node/process/node.py
@@ -282,6 +282,7 @@
             self._quarantine_rows.keep_rows_current(),
             self._origins.repeat_reports(),
             self._origins.software.keep_rows_current(),
+            self._origins.rows.keep_row_current(),
         )
 
     async def stop(self, signalled_at: float | None = None) -> None:
--- a/src/corkcrank/node/process/state_dump.py
+++ b/src/corkcrank/node/process/state_dump.py
@@ -98,6 +98,17 @@
     bound_bytes: int
 
 
+class OriginRowDump(msgspec.Struct, frozen=True):
+    """The row with origins of streams: whether it was read after the start, its streams, failures.
+
+    ``streams`` counts those that would be written if versions differed.
+    """
+
+    restored: bool
+    streams: int
+    failures: int
+
+
 class BodiesDump(msgspec.Struct, frozen=True):
     """Large request bodies of calls in progress, and how many wait unread for room."""
 
@@ -148,6 +159,7 @@
     readers: ReadersDump
     received: ReceivedDump
     bodies: BodiesDump
+    origin_row: OriginRowDump
     return_claims: ReturnClaimsDump
     zone_capacities: tuple[ZoneCapacityDump, ...]
 
@@ -183,6 +195,7 @@
         readers=_readers(services),
         received=_received(services),
         bodies=_bodies(services),
+        origin_row=_origin_row(services),
         return_claims=dump_claims(services.return_offers, now),
         zone_capacities=dump_zone_capacities(services, now),
     )
@@ -193,6 +206,11 @@
     return ReadersDump(len(budget), budget.kept_bytes, budget.bound_bytes)
 
 
+def _origin_row(services: CallServices) -> OriginRowDump:
+    row = services.origins.rows
+    return OriginRowDump(row.restored, len(row), row.failures)
+
+
 def _bodies(services: CallServices) -> BodiesDump:
     budget = services.bodies.budget
     return BodiesDump(len(budget), budget.kept_bytes, budget.bound_bytes, budget.waiting)
--- a/src/corkcrank/platform/names.py
+++ b/src/corkcrank/platform/names.py
@@ -75,6 +75,7 @@
 MEMBER_TABLE = "members"
 QUARANTINE_TABLE = "quarantine"
 SOFTWARE_TABLE = "software"
+ORIGIN_TABLE = "origins"
 
 READY = "ready"
 DRAINING = "draining"
--- a/src/corkcrank/platform/store.py
+++ b/src/corkcrank/platform/store.py
@@ -1,6 +1,5 @@
 """Client of the platform's store, which serves rows as JSON over HTTP."""
 
-import asyncio
 from dataclasses import dataclass, field
 
 import aiohttp
@@ -36,6 +35,7 @@
     StoreTable.MEMBERS: names.MEMBER_TABLE,
     StoreTable.QUARANTINE: names.QUARANTINE_TABLE,
     StoreTable.SOFTWARE: names.SOFTWARE_TABLE,
+    StoreTable.ORIGINS: names.ORIGIN_TABLE,
 }
 
 
@@ -119,8 +119,8 @@
         self.on_silence: SilenceListener = ignore_silence
         self.received = ReceivedBytes()
 
-    async def read(self, table: StoreTable) -> StoreRows | StoreFailure:
-        """Return all rows of a table, read page by page.
+    async def read(self, table: StoreTable, key: str = "") -> StoreRows | StoreFailure:
+        """Return all rows of a table, or the one with a key, read page by page.
 
         Pages are read at different revisions. The result has the revision of the first one, so
         that changes made while the others were read appear among the changes since then.
@@ -128,6 +128,8 @@
         found = _Rows()
         revision: int | None = None
         query = {"table": _TABLES[table], "part": "", "limit": str(MAX_PAGE_ROWS)}
+        if key:
+            query |= {"source": key, "target_version": key + "\x00"}
         while True:
             body = await self._call("GET", names.ROWS_GET_PATH, query, None, self._timeout)
             page = _decode_page(body)
@@ -210,12 +212,7 @@
         except TimeoutError:
             self._drop_idle(timeout)
             return StoreFailure(StoreFailureReason.SILENT)
-        except (
-            aiohttp.ClientError,
-            OSError,
-            asyncio.IncompleteReadError,
-            OversizedMessageError,
-        ) as error:
+        except (aiohttp.ClientError, OSError, EOFError, OversizedMessageError) as error:
             return StoreFailure(StoreFailureReason.BROKEN, type(error).__name__)
 
     def drop_all_idle(self) -> int:
--- a/src/corkcrank/scheduling/stream_origins.py
+++ b/src/corkcrank/scheduling/stream_origins.py
@@ -16,7 +16,9 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _KeptOrigin:
+class KeptOrigin:
+    """The origin of a stream, and the time until which it is kept."""
+
     origin: StreamOrigin
     expires_at: float
 
@@ -25,7 +27,7 @@
     """The origins of streams that this gateway began or that peers reported, by key."""
 
     def __init__(self) -> None:
-        self._kept: OrderedDict[bytes, _KeptOrigin] = OrderedDict()
+        self._kept: OrderedDict[bytes, KeptOrigin] = OrderedDict()
 
     def __len__(self) -> int:
         return len(self._kept)
@@ -52,13 +54,18 @@
             expires_at = max(expires_at, known.expires_at)
             if known.origin != origin:
                 origin = StreamOrigin(origin.service, "")
-        self._kept[key] = _KeptOrigin(origin, expires_at)
+        self._kept[key] = KeptOrigin(origin, expires_at)
         self._remove_oldest(now)
 
     def find(self, key: bytes, now: float) -> StreamOrigin | None:
         """Return the origin of a stream, ``None`` if it is unknown."""
+        known = self.kept(key, now)
+        return known.origin if known is not None else None
+
+    def kept(self, key: bytes, now: float) -> KeptOrigin | None:
+        """Return the origin of a stream and its expiry, ``None`` if it is unknown."""
         known = self._kept.get(key)
-        return known.origin if known is not None and known.expires_at > now else None
+        return known if known is not None and known.expires_at > now else None
 
     def _remove_oldest(self, now: float) -> None:
         """Remove the oldest entries that have expired or exceed the limit."""
--- a/tests/platform/standin_store.py
+++ b/tests/platform/standin_store.py
@@ -53,18 +53,20 @@
         if request.remote in self.refused:
             return web.Response(status=503)
         if request.path == "/rows-get":
-            return self._get(request.query["table"])
+            return self._get(request)
         if request.path == "/rows-feed":
             return await self._feed(request)
         if request.path == "/rows-tx":
             return await self._transaction(request)
         return web.Response(status=404)
 
-    def _get(self, table: str) -> web.Response:
+    def _get(self, request: web.BaseRequest) -> web.Response:
+        table, first = request.query["table"], request.query.get("source", "")
+        end = request.query.get("target_version")
         rows = [
             {"table": table, "part": "", "key": key, "value": _encode(data), "ver": revision}
             for (name, key), (data, revision) in sorted(self.rows.items())
-            if name == table
+            if name == table and key >= first and (end is None or key < end)
         ]
         return self._answer(rows=rows, more=False)
 
