Bodies: a claim that gives up, or needs less room, lets others in

What callers would see: a body was refused although there was room: it waited behind a larger one that had given up, or for room that a body in chunks had claimed and not needed. Seen by reading, before a release: only the end of a call granted claims.

Change: each change that frees room grants what fits (withdraw, resize, a new bound).

The property test had granted them by a call of its own; it checks the returned claims now, as strictly (kept bytes, counts and that no claim that fits waits).

--- a/src/corkcrank/node/callers/body_admission.py
+++ b/src/corkcrank/node/callers/body_admission.py
@@ -33,8 +33,8 @@
 
     def apply_limits(self, limits: NodeLimitSettings) -> None:
         """Set the bound that the settings of the process allow."""
-        self.budget.bound_bytes = bodies_bound_bytes(limits.memory_mb)
-        self._wake(self.budget.grant_waiting(clock.now()))
+        bound_bytes = bodies_bound_bytes(limits.memory_mb)
+        self._wake(self.budget.set_bound(bound_bytes, clock.now()))
 
     async def admit(self, ticket: BodyTicket, claim: BodyClaim) -> Refusal | None:
         """Wait until the gateway has room for a body; return a refusal if it has none in time."""
@@ -47,9 +47,13 @@
             if not ticket.granted.is_set():
                 return self._refusal(claim)
         finally:
-            self.budget.withdraw(ticket)
+            self._wake(self.budget.withdraw(ticket, clock.now()))
         return None
 
+    def resize(self, ticket: BodyTicket, size: int) -> None:
+        """Free the room that a body of unknown length did not need."""
+        self._wake(self.budget.resize(ticket, size, clock.now()))
+
     def release(self, ticket: BodyTicket) -> None:
         """Free the room of a call that has ended."""
         self._wake(self.budget.release(ticket, clock.now()))
--- a/src/corkcrank/node/ingress/request_body.py
+++ b/src/corkcrank/node/ingress/request_body.py
@@ -71,7 +71,7 @@
                     chunk = await request.content.readany()
                 if not chunk:
                     if self.ticket is not None:
-                        self.admission.budget.resize(self.ticket, size)
+                        self.admission.resize(self.ticket, size)
                     return b"".join(chunks)
                 size += len(chunk)
                 if size > limits.body_bytes:
--- a/src/corkcrank/scheduling/body_budget.py
+++ b/src/corkcrank/scheduling/body_budget.py
@@ -88,16 +88,25 @@
         self._grant(key, claim, now)
         return True
 
-    def withdraw(self, key: Key) -> None:
-        """Remove a claim that no longer waits."""
-        self._waiting.pop(key, None)
-
-    def resize(self, key: Key, size: int) -> None:
-        """Reduce a grant to the size of the body that was read."""
+    def withdraw(self, key: Key, now: float) -> list[Key]:
+        """Remove a claim that no longer waits; grant and return claims that fit now."""
+        if self._waiting.pop(key, None) is None:
+            return []
+        return self._grant_waiting(now)
+
+    def resize(self, key: Key, size: int, now: float) -> list[Key]:
+        """Reduce a grant to the size of the body that was read; grant and return other claims."""
         grant = self._granted.get(key)
-        if grant is not None and size < grant.claim.size:
-            self._count(grant.claim, size - grant.claim.size)
-            grant.claim = BodyClaim(size, grant.claim.tenant, grant.claim.rank)
+        if grant is None or size >= grant.claim.size:
+            return []
+        self._count(grant.claim, size - grant.claim.size)
+        grant.claim = BodyClaim(size, grant.claim.tenant, grant.claim.rank)
+        return self._grant_waiting(now)
+
+    def set_bound(self, bound_bytes: int, now: float) -> list[Key]:
+        """Change the bound; grant and return claims that fit now."""
+        self.bound_bytes = bound_bytes
+        return self._grant_waiting(now)
 
     def release(self, key: Key, now: float) -> list[Key]:
         """Remove the grant of a call that has ended; grant and return claims that fit now."""
@@ -107,9 +116,14 @@
             self._count(grant.claim, -grant.claim.size)
             kept_seconds = now - grant.granted_at
             self._mean_kept_seconds += KEPT_SMOOTHING * (kept_seconds - self._mean_kept_seconds)
-        return self.grant_waiting(now)
+        return self._grant_waiting(now)
 
-    def grant_waiting(self, now: float) -> list[Key]:
+    def retry_seconds(self) -> float:
+        """Return the time after which a refused caller may find room."""
+        turns = 1 + len(self._waiting) / max(1, len(self._granted))
+        return min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, turns * self._mean_kept_seconds))
+
+    def _grant_waiting(self, now: float) -> list[Key]:
         """Grant and return the waiting claims that fit, the most urgent ones first.
 
         A claim that exceeds only the share of its tenant holds up no other tenant.
@@ -124,11 +138,6 @@
                 granted.append(key)
         return granted
 
-    def retry_seconds(self) -> float:
-        """Return the time after which a refused caller may find room."""
-        turns = 1 + len(self._waiting) / max(1, len(self._granted))
-        return min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, turns * self._mean_kept_seconds))
-
     def _blocks(self, waiting: BodyClaim, claim: BodyClaim) -> bool:
         """Return whether a waiting claim comes before a new one."""
         return waiting.rank <= claim.rank and self._fits_tenant(waiting)
--- a/tests/scheduling/test_body_budget.py
+++ b/tests/scheduling/test_body_budget.py
@@ -58,8 +58,7 @@
     budget.claim("waits", claim(60), 0.0)
     assert not budget.claim("small", claim(5), 0.1)
     assert budget.claim("urgent", claim(5, rank=URGENT), 0.1)
-    budget.withdraw("waits")
-    assert budget.grant_waiting(0.2) == ["small"]
+    assert budget.withdraw("waits", 0.2) == ["small"]
 
 
 def test_one_tenant_leaves_room_for_others() -> None:
@@ -81,12 +80,19 @@
 def test_a_body_that_was_shorter_than_claimed_frees_the_rest() -> None:
     budget = BodyBudget[str](BOUND)
     budget.claim("a", claim(90), 0.0)
-    budget.resize("a", 10)
-    assert budget.claim("b", claim(90), 0.0)
-    budget.resize("b", 95)
+    budget.claim("b", claim(90), 0.0)
+    assert budget.resize("a", 10, 0.1) == ["b"]
+    assert budget.resize("b", 95, 0.2) == []
     assert budget.kept_bytes == 100
 
 
+def test_claims_are_granted_when_the_bound_rises() -> None:
+    budget = BodyBudget[str](BOUND)
+    budget.claim("a", claim(90), 0.0)
+    budget.claim("b", claim(90), 0.0)
+    assert budget.set_bound(2 * BOUND, 0.1) == ["b"]
+
+
 def test_callers_are_told_when_bodies_have_usually_ended() -> None:
     budget = BodyBudget[int](BOUND)
     for number in range(40):
@@ -126,12 +132,10 @@
             granted = budget.release(key, now)
         elif step == "withdraw" and key in waiting:
             waiting.pop(key)
-            budget.withdraw(key)
-            granted = budget.grant_waiting(now)
+            granted = budget.withdraw(key, now)
         elif step == "resize" and key in sizes:
             sizes[key] = (min(size, sizes[key][0]), sizes[key][1])
-            budget.resize(key, size)
-            granted = budget.grant_waiting(now)
+            granted = budget.resize(key, size, now)
         for item in granted:
             sizes[item] = (waiting[item].size, waiting.pop(item).tenant)
         kept = sum(size for size, _ in sizes.values())
