Origins count versions of the last 30 s, not of the last minute

A row is needed for as long as streams of a version that has left may be taken up; half a minute covers the deadlines of the routes. Fewer writes after a release.

Tried and not taken: writes each 0.5 s instead of 0.25 s.

--- a/src/corkcrank/node/origins/software_rows.py
+++ b/src/corkcrank/node/origins/software_rows.py
@@ -27,7 +27,7 @@
 RETRY_SECONDS = 1.0
 """Delay after a failed call to the store."""
 
-RECENT_SECONDS = 60.0
+RECENT_SECONDS = 30.0
 """Time for which a version that has left still counts as one of several."""
 
 MAX_KEPT_SECONDS = 600.0
