Limits of a gateway are applied in one place

The node set the bounds of readers, bodies and received messages one by one, at its start and when settings change; a new one could be forgotten at either. The services do it now. The serializer of header fields is installed where sessions are made that send requests unchanged.

--- a/src/corkcrank/node/calls/services.py
+++ b/src/corkcrank/node/calls/services.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from corkcrank.contracts import clock
-from corkcrank.contracts.node_settings import NodeBoundSettings
+from corkcrank.contracts.node_settings import NodeBoundSettings, NodeLimitSettings
 from corkcrank.contracts.opaque_call import OpaqueCall
 from corkcrank.contracts.result_codes import ResultCode
 from corkcrank.contracts.scheduling_features import SchedulingFeatures
@@ -200,6 +200,12 @@
             self._budgets[service] = budget
         return budget
 
+    def apply_limits(self, limits: NodeLimitSettings) -> None:
+        """Set the bounds of kept bytes, which follow from the limits of the process."""
+        self.readers.apply_limits(limits)
+        self.bodies.apply_limits(limits)
+        self.client.received.apply_limits(limits)
+
     def apply_bounds(self, bounds: NodeBoundSettings) -> None:
         """Apply changed bounds; spent retries stay counted."""
         self.bounds = bounds
--- a/src/corkcrank/node/process/node.py
+++ b/src/corkcrank/node/process/node.py
@@ -10,7 +10,6 @@
 from corkcrank.contracts.process_life import ProcessLife, ProcessState, ProcessTrigger
 from corkcrank.links.decision_log import DecisionLog, LogEvent
 from corkcrank.links.platform_ports import PlatformPorts, StoreTable
-from corkcrank.links.raw_headers import install_raw_headers
 from corkcrank.machines.fleet import Fleet
 from corkcrank.machines.heartbeat import Phase
 from corkcrank.machines.store_followers import StoreFollowerElection
@@ -68,7 +67,6 @@
         log: DecisionLog,
         random_source: random.Random,
     ) -> None:
-        install_raw_headers()
         process = settings.process
         self._settings = settings
         self._ports = ports
@@ -168,8 +166,7 @@
         self.stage_owner.room.on_unreadable = unreadable.record_unreadable
         self.stage_owner.on_release = self.services.metrics.record_release
         self.services.metrics.registry.register(StateCollector(self.services, self.stage_owner))
-        self.services.readers.apply_limits(settings.limits)
-        self.services.bodies.apply_limits(settings.limits)
+        self.services.apply_limits(settings.limits)
         self.call_handler = CallHandler(self.services)
         self.listener_state = ListenerState(
             connection_limit(settings.limits), lambda: self.life.state == ProcessState.SERVING
@@ -242,12 +239,9 @@
         self._settings = settings
         self._election.shortest_bound = settings.bounds.min_reaction_seconds
         self.services.apply_bounds(settings.bounds)
-        features = self._ports.features(settings.scheduling)
-        apply_features(features, self.services, self.stage_owner)
+        apply_features(self._ports.features(settings.scheduling), self.services, self.stage_owner)
         self.listener_state.connection_limit = connection_limit(settings.limits)
-        self.services.readers.apply_limits(settings.limits)
-        self.services.bodies.apply_limits(settings.limits)
-        self._client.received.apply_limits(settings.limits)
+        self.services.apply_limits(settings.limits)
 
     def dump(self) -> NodeDump:
         """Return the state dump for ``/dump``."""
--- a/src/corkcrank/node/workers/worker_sessions.py
+++ b/src/corkcrank/node/workers/worker_sessions.py
@@ -10,6 +10,7 @@
 from aiohttp.connector import Connection
 
 from corkcrank.links.client_connections import ClientConnector, ResponseConnection
+from corkcrank.links.raw_headers import install_raw_headers
 from corkcrank.node.workers.connect_watch import ConnectWatch
 
 CONNECT_TIMEOUT_SECONDS = 0.5
@@ -115,6 +116,7 @@
 
 def create_session(connector: ClientConnector) -> aiohttp.ClientSession:
     """Return a session that sends requests unchanged and at most once."""
+    install_raw_headers()
     session = aiohttp.ClientSession(
         connector=connector,
         auto_decompress=False,
