--- a/tests/platform/test_surplus_stage_play.py
+++ b/tests/platform/test_surplus_stage_play.py
@@ -5,9 +5,11 @@
 """
 
 import asyncio
+import itertools
 import json
 import random
 from collections import Counter
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -19,14 +21,17 @@
 EVENTS = 1
 CALLERS, CALLS = 25, 24
 SEEDS = (1, 2, 3)
-SURPLUS_SHARE = 0.2
-MAX_SURPLUS_DELAY_SECONDS = 0.1
+SURPLUS_SHARE = 0.3
+MAX_SURPLUS_DELAY_SECONDS = 0.02
 FAILED_SHARE = 0.15
 """Share of the calls for which no piece is made, so that their answers carry no handle."""
 
 REJECTED_SHARE = 0.1
+KINDS = ("copy", "rejection", "failure", "empty", "fault")
+"""Kinds of surplus answers, which come in turn."""
+
 STAGES = [{"service": "encode", "since_revision": [], "byte_length": 1000}]
-ROUTES = [route("staged", "stream", "model", stages=STAGES, stream_resume=True)]
+ROUTES = [route("staged", "stream", "model", stages=STAGES)]
 
 
 @dataclass
@@ -36,6 +41,7 @@
     source: random.Random = field(default_factory=random.Random)
     made_for: dict[str, str] = field(default_factory=dict)
     surplus: Counter[str] = field(default_factory=Counter)
+    _kinds: Iterator[str] = field(default_factory=lambda: itertools.cycle(KINDS))
     _late: set[asyncio.Task[None]] = field(default_factory=set)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -64,7 +70,9 @@
         self, transport: asyncio.Transport, status: int, headers: dict[str, str], body: bytes
     ) -> None:
         await asyncio.sleep(self.source.uniform(0.0, MAX_SURPLUS_DELAY_SECONDS))
-        kind = self.source.choice(["copy", "rejection", "failure", "empty", "fault"])
+        if transport.is_closing():
+            return
+        kind = next(self._kinds)
         if kind == "rejection":
             status, headers, body = 503, {NOT_RUN: "1"}, b""
         elif kind == "failure":
@@ -73,9 +81,8 @@
             status, headers, body = 200, {}, b""
         elif kind == "fault":
             status, headers, body = 500, {}, b"fault"
-        if not transport.is_closing():
-            self.surplus[kind] += 1
-            transport.write(_raw(status, headers, body))
+        self.surplus[kind] += 1
+        transport.write(_raw(status, headers, body))
 
     def _make(self, item: dict[str, Any]) -> dict[str, str]:
         made = super()._make(item)
@@ -121,7 +128,7 @@
     made_for = {**encoders[0].made_for, **encoders[1].made_for}
     surplus = encoders[0].surplus + encoders[1].surplus
     assert statuses[200] > CALLERS
-    assert min(surplus[kind] for kind in ("copy", "rejection", "failure", "empty", "fault")) > 0
+    assert min(surplus[kind] for kind in KINDS) > 0
     for seen in engine.seen:
         handles = seen.headers["X-Corkcrank-Inputs"].split(",")
         assert {made_for[handle] for handle in handles} == {seen.headers["X-Corkcrank-Attempt-Id"]}
