Releases of results keep their connections if the answer has no fields

Cause: a connection is used again once its answer is confirmed, and a release's counted only with an empty body. The platform answers with an empty object, so every release closed its connection.

Change: an empty object confirms, too. A copy of it in the place of a stage call's or a report's answer cannot be read, and the connection is not used again.

The new test failed with the empty object; the stand-in of the stage workers answers as the platform does now.

--- a/src/corkcrank/links/platform_ports.py
+++ b/src/corkcrank/links/platform_ports.py
@@ -206,6 +206,9 @@
     def encode_free(self, handles: Sequence[str]) -> bytes:
         """Return the body of a request to free results."""
 
+    def is_free_answer(self, body: bytes) -> bool:
+        """Return whether a body is that of the answer to a request to free results."""
+
     def decode_report(self, body: bytes) -> StageWorkerReport | Unreadable:
         """Return a stage worker's report, or why it cannot be decoded."""
 
--- a/src/corkcrank/node/stages/stage_worker_client.py
+++ b/src/corkcrank/node/stages/stage_worker_client.py
@@ -119,7 +119,9 @@
         )
         if not isinstance(response, SendFailure):
             answer = await self._client.read_body(response, CALL_TIME_MARGIN, purpose=Purpose.STAGE)
-            if answer == b"" and response.status == HTTPStatus.OK:
+            if answer is None or response.status != HTTPStatus.OK:
+                return
+            if self._codec.is_free_answer(answer):
                 self._client.confirm(response)
 
     async def fetch_report(self, worker: WorkerRecord) -> StageWorkerReport | Unreadable | None:
--- a/src/corkcrank/platform/stage_calls.py
+++ b/src/corkcrank/platform/stage_calls.py
@@ -84,6 +84,10 @@
         """Return the body of a request to free results."""
         return msgspec.json.encode(_Free(list(handles)))
 
+    def is_free_answer(self, body: bytes) -> bool:
+        """Return whether a body is that of the answer to such a request, which has no fields."""
+        return body.strip() in (b"", b"{}")
+
     def decode_report(self, body: bytes) -> StageWorkerReport | Unreadable:
         """Return a stage worker's report, or the reason why it is unreadable."""
         report = decode_strictly(body, _Report)
--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -244,7 +244,8 @@
     Running calls wait until ``gate`` is set. Each call consumes one of ``faults``: ``full``,
     ``reset`` at once, and ``reset-at-work`` and ``partial-head`` once the gate is set.
 
-    It reports ``free_mb`` of result memory; ``reports`` counts its reports. ``left`` counts the
+    It reports ``free_mb`` of result memory; ``reports`` counts its reports. A release of results is
+    answered with ``free_body``. ``left`` counts the
     calls whose connection closed before their response. ``told`` adds or replaces fields of the
     entry and of the reports; ``named`` adds response headers. While ``retry_after`` is set, every
     request is rejected with it; ``rejected_at`` holds their times.
@@ -260,6 +261,7 @@
     held: set[str] = field(default_factory=set)
     made: set[str] = field(default_factory=set)
     free_mb: float = 1e6
+    free_body: bytes = b"{}"
     reports: int = 0
     lies_of_room: bool = False
     left: int = 0
@@ -294,7 +296,7 @@
         body = json.loads(await request.read())
         if request.path == "/stage-free":
             self.held.difference_update(body["handles"])
-            return web.Response(headers=self.named)
+            return web.Response(body=self.free_body, headers=self.named)
         fault = self.faults.popleft() if self.faults else ""
         if fault == "full":
             return web.Response(status=503, headers={NOT_RUN: "1", **self.named})
--- a/tests/platform/test_surplus_stage_answers.py
+++ b/tests/platform/test_surplus_stage_answers.py
@@ -15,10 +15,13 @@
 from aiohttp import web
 from node_world import LONG_IDLE_TIMEOUT_MS, configuration, route, world
 from platform_standins import NOT_RUN, Server, StandinStageWorker, StandinWorker
+from test_silent_connections import empty_statements, no_backoffs
 
 from corkcrank.contracts.worker_records import WorkerRecord
+from corkcrank.node.stages.stage_worker_client import StageWorkerClient
 from corkcrank.node.workers.worker_client import WorkerClient
 from corkcrank.node.workers.worker_request import SendFailure, WorkerRequest
+from corkcrank.platform.stage_calls import PlatformStageCodec
 
 EVENTS = 2
 CALLERS, CALLS = 12, 6
@@ -97,15 +100,18 @@
 
 
 class CountingServer(Server):
-    """A server that counts the connections on which it was sent requests."""
+    """A server that records the connection of each request, by the port of its sender."""
 
-    def __init__(self) -> None:
+    def __init__(self, body: bytes = b"{}") -> None:
         self.connections: list[int] = []
+        self._body = body
         super().__init__(self._answer)
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
-        self.connections.append(id(request.transport))
-        return web.Response(body=b"{}")
+        assert request.transport is not None
+        _, port = request.transport.get_extra_info("peername")
+        self.connections.append(port)
+        return web.Response(body=self._body)
 
 
 async def connections_of(requests: list[tuple[str, bool]]) -> list[int]:
@@ -135,3 +141,22 @@
     one, two, three = await connections_of([("", False), ("", True), ("", False)])
     assert one != two
     assert two == three
+
+
+@pytest.mark.parametrize(("body", "connections"), [(b"", 1), (b"{}", 1), (b'{"items":[]}', CALLS)])
+async def test_connection_of_a_release_is_reused_if_its_answer_has_no_fields(
+    body: bytes, connections: int
+) -> None:
+    """An answer with an empty object counted as foreign: each release took a new connection."""
+    server = CountingServer(body)
+    await server.start()
+    worker = WorkerRecord("w", "s", server.address, "z1")
+    async with WorkerClient() as client:
+        stage_workers = StageWorkerClient(
+            PlatformStageCodec(), client, no_backoffs(), empty_statements()
+        )
+        for number in range(CALLS):
+            await stage_workers.free_results(worker, [f"handle-{number}"])
+    await server.stop()
+    assert len(server.connections) == CALLS
+    assert len(set(server.connections)) == connections
