Soak: a gateway is judged by a worker's notice only if it was sent the notice

Cause: the check counted a gateway as informed when a call began at the worker, not when the worker's response was sent. A call whose link was cut, whose connection was silent or reset, or which the worker never answered counted as well. A rejection that a cut link held back counted as a requested backoff in the same way.

Ruled out: a gateway that overlooks the header.

Change: notices are recorded when a response is sent, on a link that passes it. Rejections by a full worker, which carry the header, count too, as they did not before. The promise is unchanged: SOAK.md says "had been sent such an answer".

--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -117,6 +117,16 @@
         """Return whether the link had a fault at any time after ``moment``."""
         return self._trouble is not None or self._mended_at >= moment
 
+    def passes_answers(self, source: Address) -> bool:
+        """Return whether the target's bytes reach the client of a connection at once.
+
+        ``source`` is the address from which the target sees the connection.
+        """
+        if self._trouble is not None:
+            return False
+        found = [passage for passage in self._passages if passage.target.source == source]
+        return not any(passage.lost_from_target for passage in found)
+
     @property
     def listening(self) -> bool:
         """Return whether the link accepts new connections."""
--- a/tests/soak/reachability.py
+++ b/tests/soak/reachability.py
@@ -26,6 +26,11 @@
         self._unreached_clients = unreached_clients
         self._awaits_answer = False
 
+    @property
+    def source(self) -> Address:
+        """Return the address from which the target sees the connection."""
+        return self._writer.get_extra_info("sockname")
+
     def write(self, data: bytes) -> None:
         """Forward a client's bytes; record whether the target had the connection open.
 
--- a/tests/soak/stated_notices.py
+++ b/tests/soak/stated_notices.py
@@ -6,12 +6,16 @@
 
 import time
 from collections import defaultdict
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from soak.ledger import Ledger
 from soak.links import FaultLink
 from soak.sent_calls import SentCall
 
+LEAVING_HEADER = "Server-Leaving"
+BACKOFF_HEADER = "Retry-After"
+
 MAX_BACKOFF_REQUESTS = 2
 """Requests of one gateway that may reach a worker in its backoff."""
 
@@ -19,6 +23,14 @@
 """Time after a rejection in which requests that were under way may arrive."""
 
 
+@dataclass(frozen=True, slots=True)
+class _ToldLeave:
+    """The call by whose response a gateway was told of the leave, and when."""
+
+    call_id: str
+    told_at: float
+
+
 @dataclass(slots=True)
 class _Backoff:
     """A backoff requested of one gateway, and the requests that arrived in it."""
@@ -35,7 +47,7 @@
         self.leaving = False
         self.backoff_seconds = 0.0
         self._rejects_until = 0.0
-        self._told_leaving: dict[str, float] = {}
+        self._told_leaving: dict[str, _ToldLeave] = {}
         self._backoffs: dict[str, list[_Backoff]] = defaultdict(list)
 
     def reject_for(self, seconds: float, backoff_seconds: float) -> None:
@@ -51,18 +63,21 @@
     @property
     def headers(self) -> dict[str, str]:
         """Return the response headers that announce the leave, if the worker leaves."""
-        return {"Server-Leaving": "1"} if self.leaving else {}
+        return {LEAVING_HEADER: "1"} if self.leaving else {}
 
-    def record_response(self, node: str) -> None:
-        """Record that a gateway is sent the headers of a response."""
-        if self.leaving:
-            self._told_leaving.setdefault(node, time.monotonic())
+    @property
+    def rejection_headers(self) -> dict[str, str]:
+        """Return the response headers of a rejection, which request a backoff."""
+        return {BACKOFF_HEADER: f"{self.backoff_seconds:.2f}"}
 
-    def reject(self, node: str) -> dict[str, str]:
-        """Record a rejection; return the header that requests the backoff."""
+    def record_response(self, call: SentCall, headers: Mapping[str, str]) -> None:
+        """Record the notices in the headers that the gateway of a call is sent."""
         now = time.monotonic()
-        self._backoffs[node].append(_Backoff(now, now + self.backoff_seconds))
-        return {"Retry-After": f"{self.backoff_seconds:.2f}"}
+        if LEAVING_HEADER in headers:
+            self._told_leaving.setdefault(call.node, _ToldLeave(call.call_id, now))
+        if BACKOFF_HEADER in headers:
+            backoff = _Backoff(now, now + float(headers[BACKOFF_HEADER]))
+            self._backoffs[call.node].append(backoff)
 
     def check(self, ledger: Ledger, call: SentCall, worker_id: str, link: FaultLink | None) -> None:
         """Check a call that arrives; the gateway that serves it sent it."""
@@ -73,11 +88,12 @@
 
     def _check_leave(self, ledger: Ledger, call: SentCall, worker_id: str) -> None:
         told = self._told_leaving.get(call.node)
-        if told is None or ledger.disturbances.disturbed_since(call.node, told):
+        if told is None or ledger.disturbances.disturbed_since(call.node, told.told_at):
             return
-        late = call.sent_at - told - ledger.bounds.told_leaving - ledger.loop_lag
+        late = call.sent_at - told.told_at - ledger.bounds.told_leaving - ledger.loop_lag
         if late > 0:
-            ledger.violate("announced leave", f"{worker_id} gets {call.call_id} {late:.2f} s late")
+            detail = f"{worker_id} gets {call.call_id} of {call.node} {late:.2f} s late"
+            ledger.violate("announced leave", f"{detail}, told by the response to {told.call_id}")
 
     def _check_backoffs(self, ledger: Ledger, call: SentCall, worker_id: str) -> None:
         now = time.monotonic()
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from aiohttp import web
@@ -98,13 +98,17 @@
         if sent is not None:
             self.notices.check(self._ledger, sent, self.worker_id, self.link)
         if sent is not None and self.notices.rejecting:
-            told = self.notices.reject(sent.node)
-            return web.Response(status=503, headers={NOT_RUN: "1", **told, **self._own(request)})
+            headers = {NOT_RUN: "1", **self.notices.rejection_headers, **self._own(request)}
+            self._record_notices(request, sent, headers)
+            return web.Response(status=503, headers=headers)
         kind = self.grey if self._source.random() < self.grey_share else ""
         full = self.brittleness.is_full(self.at_work)
         full = full or self.silence.rejects_next() or self.at_work >= 4 * SLOTS
         if full or kind == "full":
-            return web.Response(status=503, headers={NOT_RUN: "1", **self._own(request)})
+            headers = {NOT_RUN: "1", **self._own(request)}
+            if sent is not None:
+                self._record_notices(request, sent, headers)
+            return web.Response(status=503, headers=headers)
         if SoakStageWorker.lost.intersection(_inputs(request)):
             return web.Response(status=409, headers={NOT_RUN: "1", **self._own(request)})
         begun = self._ledger.begin_run(
@@ -126,7 +130,6 @@
             self.on_crashing(begun[0])
             raise ConnectionResetError
         self.at_work += 1
-        self.notices.record_response(begun[0].node)
         run = begun[1]
         run.worker = self
         try:
@@ -143,6 +146,16 @@
         limit = self.limit
         self._ledger.check_limit(call, self.worker_id, limit.window, limit.max_requests, self.link)
 
+    def _record_notices(
+        self, request: web.BaseRequest, call: SentCall, headers: Mapping[str, str]
+    ) -> None:
+        """Record the notices in a response that is sent now, unless its link may lose it."""
+        transport = request.transport
+        if transport is None or transport.is_closing():
+            return
+        if self.link is None or self.link.passes_answers(transport.get_extra_info("peername")):
+            self.notices.record_response(call, headers)
+
     def _own(self, request: web.BaseRequest) -> dict[str, str]:
         return {
             **_own(request),
@@ -172,12 +185,14 @@
             headers[ATTEMPT] = "0" * 16
         run.status = 500 if kind == "error" else 200
         if kind == "error":
+            self._record_notices(request, call, headers)
             return web.Response(status=run.status, body=b"failed", headers=headers)
         if call.events:
             return await self._stream(request, call, run, headers, kind)
         await asyncio.sleep(self.pace.factor * self._source.uniform(*PLAIN_SECONDS))
         await self.silence.wait(run)
         body = plain_body(call.call_id, call.body)
+        self._record_notices(request, call, headers)
         if kind in ("surplus", "cut"):
             return await self._send_raw(transport, run, headers, body, kind)
         return web.Response(body=body, headers=headers)
@@ -219,6 +234,7 @@
         response.content_type = "text/event-stream"
         response.enable_chunked_encoding()
         await response.prepare(request)
+        self._record_notices(request, call, headers)
         for number in range(first, call.events + 1):
             data = event(call.stream_id, number, engine_version(self.worker_id))
             if number == breaks_at:
