Tests: in silent plays a stage worker rejects calls for a time, not by count

If the last stream's stage call is late, it meets all ten rejections alone: two or three in each of its four tries, which end within 0.9 s. The refusals are true, and the told 0.1 s is what a worker asks for that is full for a moment.

Change: the worker rejects every call for 0.4 s.

Ruled out: a fault of the retry budget or of the search for another engine (no engine was asked for the refused caller).

--- a/tests/platform/silent_play.py
+++ b/tests/platform/silent_play.py
@@ -40,6 +40,11 @@
 MAX_PAUSE_SHARE = 1 / 3
 """Share of its remaining time that a refused caller waits at most before it returns."""
 
+MORE_THAN_ALL_CALLS = 10_000
+REJECTING_SECONDS = 0.4
+"""Time for which a stage worker rejects every call, in some plays. A caller that returns
+``MAX_RETURNS`` times outlasts it, even if it is refused at once and told the shortest time."""
+
 PIECES = {"X-Corkcrank-Segments": "1", "X-Corkcrank-Segment-Key": "7c1e07a291bd"}
 FIELDS = {
     "stream_resume": True,
@@ -180,6 +185,13 @@
         engine.goes_on.set()
 
 
+async def _reject_calls(stage: StandinStageWorker) -> None:
+    """Let a stage worker reject every call for a while."""
+    stage.faults.extend(["full"] * MORE_THAN_ALL_CALLS)
+    await asyncio.sleep(REJECTING_SECONDS)
+    stage.faults.clear()
+
+
 async def _fall_silent_twice(source: random.Random, engines: list[PausingEngine]) -> None:
     """Let some engines stand still together, then one of all for good."""
     chosen = source.sample(engines, source.randint(1, ENGINES - 1))
@@ -249,7 +261,7 @@
             streams.append(asyncio.create_task(caller))
             await asyncio.sleep(STREAM_INTERVAL_SECONDS)
         if rejects:
-            stage.faults.extend(["full"] * 10)
+            await _reject_calls(stage)
         await asyncio.gather(*streams)
         await silence
         for engine in engines:
