A connection is not used again after an answer that belongs to another call

What callers saw: a worker sends one answer twice, late. The copy is read as the answer to the next call on that connection, which is lost, as it must be. But the connection is used again: that call's own answer is read by the call after it, and so on. Of six calls in a row the first was served and five got 502 (a route with one try; else each costs a repeat).

The answer was dropped by closing the response. The library had released the connection with the end of the body, so the close had no effect on it.

Calls of unsafe routes use new connections and were not hit.

Change: a connection on which an answer was found to be foreign (another call's id, a known handle) is marked, so that the connector does not use it again; a member that relays a request looks at the id as well. One log line and a counter for each foreign answer, also for those that came while no request waited, name the worker (asked for by the issue on answers without an id).

--- a/src/corkcrank/links/client_connections.py
+++ b/src/corkcrank/links/client_connections.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import functools
+from collections.abc import Callable
 from typing import Any
 
 import aiohttp
@@ -29,6 +30,17 @@
 responses arrive together after a stall."""
 
 
+MIN_FINAL_STATUS = 200
+"""Minimum status of a final response; the library also returns a 101 (protocol switch) as one."""
+
+SurplusListener = Callable[[str], None]
+"""Called with the ``ip:port`` of a peer that sent a response while no request waited."""
+
+
+def ignore_surplus(peer: str) -> None:
+    """Ignore a surplus response."""
+
+
 class ResponseConnection(ResponseHandler):
     """A connection that fails the body it receives unless the body is complete.
 
@@ -38,17 +50,35 @@
     ``confirmed`` is unset while it is not known whether the last response belongs to its request.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, on_surplus: SurplusListener = ignore_surplus
+    ) -> None:
         super().__init__(loop)
+        self._on_surplus = on_surplus
+        self._peer = ""
         self._closed_by_sender = False
         self._framing_bytes = 0
+        self._answered = False
         self.confirmed = True
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Record the address of the peer."""
+        super().connection_made(transport)
+        address = transport.get_extra_info("peername")
+        self._peer = f"{address[0]}:{address[1]}" if address else ""
+
     def set_response_params(self, **params: Any) -> None:
         """Prepare for the response to the next request."""
         self._framing_bytes = 0
+        self._answered = False
         super().set_response_params(**params)
 
+    async def read(self) -> Any:
+        """Return the next head with its body; record whether it is the final one of a response."""
+        message = await super().read()
+        self._answered = message[0].code >= MIN_FINAL_STATUS
+        return message
+
     def data_received(self, data: bytes) -> None:
         """Handle received bytes; abort the connection if they hold no content for too long."""
         content = self._content_mark()
@@ -69,11 +99,13 @@
         """Fail a body without an end, unless the sender closed the connection."""
         if exc is not None or not self._closed_by_sender:
             self._fail_open_body(exc)
+        self._report_surplus()
         super().connection_lost(exc)
 
     def close(self) -> None:
         """Fail a body without an end, and close the connection."""
         self._fail_open_body(None)
+        self._report_surplus()
         super().close()
 
     def abort(self) -> None:
@@ -93,6 +125,12 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def _report_surplus(self) -> None:
+        """Report a response that came while no request waited, once."""
+        if self._answered and self._buffer:
+            self._answered = False
+            self._on_surplus(self._peer)
+
     def _fail_open_body(self, cause: BaseException | None) -> None:
         body = self._payload
         if body is None or body.is_eof() or body.exception() is not None:
@@ -104,7 +142,7 @@
 class ClientConnector(aiohttp.TCPConnector):
     """A connector whose connections are :class:`ResponseConnection`."""
 
-    def __init__(self, **options: Any) -> None:
+    def __init__(self, *, on_surplus: SurplusListener = ignore_surplus, **options: Any) -> None:
         super().__init__(**options)
-        create: type[ResponseHandler] = ResponseConnection
-        self._factory = functools.partial(create, loop=self._loop)
+        create: Callable[..., ResponseHandler] = ResponseConnection
+        self._factory = functools.partial(create, loop=self._loop, on_surplus=on_surplus)
--- a/src/corkcrank/links/decision_log.py
+++ b/src/corkcrank/links/decision_log.py
@@ -120,6 +120,7 @@
     ROOM_REPORTED = "Stage: worker reported its room."
     BATCH_ENDED = "Batch: ended."
     CONNECTION_SILENT = "Connection: dropped for silence."
+    ANSWER_FOREIGN = "Connection: dropped for an answer to another request."
     MESSAGE_OVERSIZED = "Connection: message dropped, it exceeds a bound."
     INTERNAL_FAULT = "Process: fault."
 
--- a/src/corkcrank/node/calls/attempts.py
+++ b/src/corkcrank/node/calls/attempts.py
@@ -9,7 +9,9 @@
 from corkcrank.contracts import clock
 from corkcrank.contracts.opaque_call import OpaqueCall
 from corkcrank.contracts.worker_records import WorkerRecord
+from corkcrank.links.client_connections import MIN_FINAL_STATUS
 from corkcrank.links.decision_log import LogEvent
+from corkcrank.links.foreign_answers import ForeignKind
 from corkcrank.links.platform_ports import AnswerHead
 from corkcrank.node.calls.services import CallServices
 from corkcrank.node.workers.silence_timeout import SilenceRule
@@ -30,9 +32,6 @@
 INPUTS_UNAVAILABLE_STATUS = 409
 """Status of an engine that could not fetch a stage result."""
 
-MIN_FINAL_STATUS = 200
-"""Minimum status of a final answer; aiohttp also returns a 101 (protocol switch) as an answer."""
-
 MIN_HEAD_SECONDS = 0.01
 """Minimum wait for the head of an answer, even if the call has less time left, in seconds."""
 
@@ -222,7 +221,7 @@
     services.worker_statistics.get_or_create(worker.worker_id).heard_at = clock.now()
     head = services.ports.calls.read_answer(response.headers)
     if head.call_id and head.call_id != call.call_id:
-        response.close()
+        services.client.drop_foreign(response, ForeignKind.OTHER_CALL)
         return Attempt(worker, AttemptOutcome.LOST, "answer to another request")
     if head.call_id:
         services.statements.record_response(worker, response.status, response.headers)
--- a/src/corkcrank/node/process/node.py
+++ b/src/corkcrank/node/process/node.py
@@ -48,6 +48,7 @@
 from corkcrank.node.stages.stage_owner import StageOwner
 from corkcrank.node.stages.stage_worker_client import StageWorkerClient
 from corkcrank.node.telemetry.capacity_log import CapacityLog
+from corkcrank.node.telemetry.foreign_answer_log import ForeignAnswerLog
 from corkcrank.node.telemetry.metrics import NodeMetrics
 from corkcrank.node.telemetry.oversize_log import account_received_bytes
 from corkcrank.node.telemetry.silence_log import SilenceLog
@@ -81,12 +82,12 @@
         self._capacity_log = CapacityLog(self.mirror, log)
         self._engines = EngineChooser()
         metrics = NodeMetrics()
-        silence = SilenceLog(log, metrics)
+        silence, foreign = SilenceLog(log, metrics), ForeignAnswerLog(log, metrics)
         ports.store.on_silence = silence.record_dropped
         unreadable = UnreadableLog(log, metrics)
         self.mirror.entry_reader.on_unreadable = unreadable.record_unreadable
         received = ports.store.received = account_received_bytes(settings.limits, log, metrics)
-        self._client = WorkerClient(silence.record_dropped, received)
+        self._client = WorkerClient(silence.record_dropped, received, foreign.record)
         self._peers = PeerClient(silence.record_dropped, received)
         access = WorkerAccess(
             ports, self.mirror, self.fleet, self._client, self._peers, log, metrics, random_source
--- a/src/corkcrank/node/relays/relay_server.py
+++ b/src/corkcrank/node/relays/relay_server.py
@@ -11,8 +11,10 @@
 from corkcrank.contracts.opaque_configuration import RequestLimits
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.links.abandoned_tasks import abandon
+from corkcrank.links.client_connections import MIN_FINAL_STATUS
 from corkcrank.links.closed_connections import closed_by_peer
 from corkcrank.links.decision_log import DecisionLog, LogEvent
+from corkcrank.links.foreign_answers import ForeignKind
 from corkcrank.links.platform_ports import CallCodec
 from corkcrank.links.received_bytes import OversizedMessageError, Purpose
 from corkcrank.machines.store_mirror import StoreMirror
@@ -57,9 +59,6 @@
 """Maximum delay of a timer. If a connection attempt times out later, the event loop was delayed,
 and the worker may have accepted the connection."""
 
-MIN_FINAL_STATUS = 200
-"""Minimum status of a final response."""
-
 INTERIM_RESPONSE = b"HTTP/1.1 102 Processing\r\n\r\n"
 
 FAILURE_STATUS = 502
@@ -211,7 +210,13 @@
         if isinstance(upstream, SendFailure):
             return self._failure(head, _OUTCOMES[upstream.trouble], upstream.detail)
         try:
-            self._record_statements(head, worker, upstream)
+            answered_id = self._calls.read_answer(upstream.headers).call_id
+            if answered_id and head.call_id and answered_id != head.call_id:
+                self._client.drop_foreign(upstream, ForeignKind.OTHER_CALL)
+                return self._failure(head, RelayOutcome.UNKNOWN, "answer to another request")
+            if answered_id == head.call_id or not head.call_id:
+                # The worker's statements apply to this gateway as the sender.
+                self._statements.record_response(worker, upstream.status, upstream.headers)
             if upstream.status < MIN_FINAL_STATUS:
                 detail = f"status {upstream.status} is not the status of a final answer"
                 return self._failure(head, RelayOutcome.UNKNOWN, detail)
@@ -238,14 +243,6 @@
             abandon(sending, _close_response)
             raise
 
-    def _record_statements(
-        self, head: RelayedRequest, worker: WorkerRecord, upstream: aiohttp.ClientResponse
-    ) -> None:
-        """Record a worker's statements, which apply to this gateway as the sender."""
-        call_id = self._calls.read_answer(upstream.headers).call_id
-        if call_id == head.call_id or not head.call_id:
-            self._statements.record_response(worker, upstream.status, upstream.headers)
-
     async def _relay_response(
         self, request: web.BaseRequest, head: RelayedRequest, upstream: aiohttp.ClientResponse
     ) -> web.StreamResponse:
--- a/src/corkcrank/node/stages/stage_worker_client.py
+++ b/src/corkcrank/node/stages/stage_worker_client.py
@@ -8,6 +8,7 @@
 
 from corkcrank.contracts import clock
 from corkcrank.contracts.worker_records import WorkerRecord
+from corkcrank.links.foreign_answers import ForeignKind
 from corkcrank.links.platform_ports import (
     PieceOrder,
     PieceOutcome,
@@ -214,7 +215,7 @@
             response.close()
             return SendFailure(SendTrouble.UNKNOWN, f"status {response.status}")
         if any(item.handle in known_handles for item in results if item.handle):
-            response.close()
+            self._client.drop_foreign(response, ForeignKind.KNOWN_HANDLE)
             return SendFailure(SendTrouble.UNKNOWN, "answer to an earlier call")
         _record_handles(known_handles, results)
         if any(item.handle for item in results):
--- a/src/corkcrank/node/streams/stream_relay.py
+++ b/src/corkcrank/node/streams/stream_relay.py
@@ -17,7 +17,7 @@
 from corkcrank.node.streams.stream_part import StreamPart, body_framing
 from corkcrank.node.streams.upstream_buffer import UpstreamBuffer
 from corkcrank.node.workers.silence_timeout import SilenceRule, SilenceTimeout
-from corkcrank.node.workers.worker_client import address_of
+from corkcrank.node.workers.worker_addresses import address_of
 
 MIN_SILENCE_SECONDS = 1.0
 """Minimum silence between events before a stream fails over, in seconds."""
--- a/src/corkcrank/node/telemetry/metrics.py
+++ b/src/corkcrank/node/telemetry/metrics.py
@@ -173,6 +173,12 @@
             ("purpose",),
             registry=self.registry,
         )
+        self.foreign_answers = Counter(
+            "corkcrank_foreign_answers",
+            "Answers of workers that belong to other requests or to none, by how they were found.",
+            ("kind",),
+            registry=self.registry,
+        )
         self.received_bytes = Gauge(
             "corkcrank_received_bytes",
             "Bytes kept of messages that are incomplete, by purpose.",
--- a/src/corkcrank/node/workers/worker_client.py
+++ b/src/corkcrank/node/workers/worker_client.py
@@ -2,16 +2,21 @@
 
 from dataclasses import replace
 from types import TracebackType
-from typing import Self
+from typing import Any, Self
 from weakref import WeakKeyDictionary
 
 import aiohttp
 from multidict import CIMultiDict
-from yarl import URL
 
 from corkcrank.contracts import clock
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.links.client_connections import ResponseConnection
+from corkcrank.links.foreign_answers import (
+    ForeignAnswer,
+    ForeignAnswerListener,
+    ForeignKind,
+    ignore_foreign_answer,
+)
 from corkcrank.links.received_bytes import OversizedMessageError, Purpose, ReceivedBytes
 from corkcrank.links.silence import (
     ConnectionKind,
@@ -24,6 +29,7 @@
 from corkcrank.node.workers.connect_watch import ConnectWatch
 from corkcrank.node.workers.link_monitor import LinkFailure, LinkMonitor
 from corkcrank.node.workers.silence_timeout import SilenceRule, SilenceTimeout
+from corkcrank.node.workers.worker_addresses import address_of, exact_url
 from corkcrank.node.workers.worker_request import (
     SILENT_FAILURE,
     MemberSearch,
@@ -68,24 +74,28 @@
 
     After a timeout, no idle connection to that worker is reused. A request to a worker that this
     gateway cannot connect to is relayed by a member that can; the node sets ``relay`` and ``links``
-    for that. Connection failures are reported to ``links``.
+    for that. Connection failures are reported to ``links``, answers that belong to other requests
+    to ``on_foreign_answer``.
     """
 
     def __init__(
         self,
         on_silence: SilenceListener = ignore_silence,
         received: ReceivedBytes | None = None,
+        on_foreign_answer: ForeignAnswerListener = ignore_foreign_answer,
     ) -> None:
         self._on_silence = on_silence
+        self._on_foreign_answer = on_foreign_answer
         self.received = received or ReceivedBytes()
-        self._kept = create_session(CheckedConnector(limit=0, keepalive_timeout=MAX_IDLE_SECONDS))
-        self._fresh = create_session(CheckedConnector(limit=0, force_close=True))
-        self._unnamed = create_session(
-            CheckedConnector(limit=0, keepalive_timeout=MAX_IDLE_SECONDS, needs_confirmation=True)
+        self._kept = self._create_session(keepalive_timeout=MAX_IDLE_SECONDS)
+        self._fresh = self._create_session(force_close=True)
+        self._unnamed = self._create_session(
+            keepalive_timeout=MAX_IDLE_SECONDS, needs_confirmation=True
         )
-        self._unconfirmed: WeakKeyDictionary[aiohttp.ClientResponse, ResponseConnection] = (
+        self._connections: WeakKeyDictionary[aiohttp.ClientResponse, ResponseConnection] = (
             WeakKeyDictionary()
         )
+        """The connections of responses, which the library releases with the body."""
         self.relay: RequestRelay = NoRelay()
         self.links: LinkMonitor | None = None
 
@@ -111,10 +121,28 @@
 
         Only then its connection is used again.
         """
-        connection = self._unconfirmed.pop(response, None)
+        connection = self._connections.get(response)
         if connection is not None:
             connection.confirmed = True
 
+    def drop_foreign(self, response: aiohttp.ClientResponse, kind: ForeignKind) -> None:
+        """Drop a response that belongs to another request; its connection is not used again.
+
+        If the body is complete, the library has released the connection, and closing the response
+        has no effect on it.
+        """
+        connection = self._connections.get(response)
+        if connection is not None:
+            connection.confirmed = False
+        response.close()
+        self._on_foreign_answer(ForeignAnswer(kind, address_of(response)))
+
+    def _create_session(self, **options: Any) -> aiohttp.ClientSession:
+        return create_session(CheckedConnector(limit=0, on_surplus=self._record_surplus, **options))
+
+    def _record_surplus(self, peer: str) -> None:
+        self._on_foreign_answer(ForeignAnswer(ForeignKind.SURPLUS, peer))
+
     async def send(self, request: WorkerRequest, silence: SilenceRule | None = None) -> SendResult:
         """Send a request and wait for the head of its response, for at most its ``seconds``.
 
@@ -215,13 +243,13 @@
         has_body = bool(request.body) or request.method not in ("GET", "HEAD")
         response = await self._session_for(request).request(
             request.method,
-            _exact_url(request.worker.address, request.target),
+            exact_url(request.worker.address, request.target),
             headers=CIMultiDict(request.headers),
             data=request.body if has_body else None,
             allow_redirects=False,
         )
-        if not request.call_id and guard.connection is not None:
-            self._unconfirmed[response] = guard.connection
+        if guard.connection is not None:
+            self._connections[response] = guard.connection
         return response
 
     def _session_for(self, request: WorkerRequest) -> aiohttp.ClientSession:
@@ -310,19 +338,3 @@
 def _without_verdict(failure: SendFailure) -> SendFailure:
     """Return a connect failure that is not evidence of an exited worker process."""
     return replace(failure, trouble=SendTrouble.NOT_SENT)
-
-
-def address_of(response: aiohttp.ClientResponse) -> str:
-    """Return the ``ip:port`` of a response's sender."""
-    return f"{response.url.host}:{response.url.port}"
-
-
-def _exact_url(address: str, target: str) -> URL:
-    """Return a URL whose path holds a whole request target, which the library sends unchanged.
-
-    Parsed as a URL, a target would lose an empty query and a fragment.
-
-    >>> _exact_url("127.0.0.1:80", "/a?").raw_path_qs
-    '/a?'
-    """
-    return URL.build(scheme="http", authority=address, path=target, encoded=True)
--- a/tests/platform/test_relayed_requests.py
+++ b/tests/platform/test_relayed_requests.py
@@ -263,3 +263,21 @@
 def pause_interim_responses(patch: pytest.MonkeyPatch) -> None:
     """Let members send nothing while they wait for a worker."""
     patch.setattr(relay_server, "PEER_PROGRESS_INTERVAL_SECONDS", 60.0)
+
+
+async def test_a_member_uses_no_connection_again_after_an_answer_to_another_call(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with partitioned_world(monkeypatch, 2) as played:
+        await partition(played, 0)
+        worker = played.plain[0]
+        worker.faults.append("foreign-id")
+        while worker.faults:
+            await send(played, "safe")
+        member = played.nodes[1].services
+        assert member.metrics.foreign_answers.labels("other call")._value.get() == 1
+        protocols = [
+            kept for idle in member.client._kept.connector._conns.values() for kept in idle
+        ]
+        unconfirmed = [protocol for protocol, _ in protocols if not protocol.confirmed]
+        assert len(unconfirmed) == 1
