Soak: stage workers send surplus answers

From seed 98000 on, the stage workers of a service send surplus answers for some seconds at a time: a copy, a rejection, a failure of each piece of the next call or an empty answer, in the place of the answer to the next request on the connection. The checks are those that the soak has (inputs, not run, at most once).

--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -12,9 +12,11 @@
 KEPT_LOGS = Path("results/soak")
 SHORT_SECONDS = 8.0
 PLANNED_SEED, MIXED_SEED = 6, 7
+SURPLUS_SEED = 98_003
+"""A mixed soak whose stage workers send surplus answers as well."""
 
 
-@pytest.mark.parametrize("seed", [PLANNED_SEED, MIXED_SEED])
+@pytest.mark.parametrize("seed", [PLANNED_SEED, MIXED_SEED, SURPLUS_SEED])
 async def test_promises_hold_in_a_short_soak(seed: int) -> None:
     result = await soak(seed, SHORT_SECONDS, nodes=3, keep=KEPT_LOGS)
     assert result.violations == (), result.faults
--- a/tests/soak/first_routes.py
+++ b/tests/soak/first_routes.py
@@ -27,3 +27,8 @@
         resumed = {"stream_resume": True, "max_attempts": 3, "timeout_ms": 6_000}
         routes.append(route("story", "stream", "model", stages=STAGES, **resumed))
     return {str(item["name"]): item for item in routes}
+
+
+def extra_route(name: str) -> dict[str, Any]:
+    """Return a route that comes and goes."""
+    return route(name, "safe", "plain", max_attempts=2, timeout_ms=2_000)
--- a/tests/soak/injector.py
+++ b/tests/soak/injector.py
@@ -4,15 +4,13 @@
 import signal
 import time
 from collections.abc import Callable, Coroutine, Sequence
-from typing import Any
-
-from node_world import route
 
 from soak.accepting import FLOOD_PAYLOADS, flood
 from soak.brittle_workers import turn_brittle
 from soak.cold_engines import turn_cold
 from soak.crashing import CrashingRequests
 from soak.evacuations import evacuate
+from soak.first_routes import extra_route
 from soak.fleet import PLAIN_SERVICES, SERVICES, ZONES, AnyWorker, SoakFleet, SoakNode
 from soak.grey_workers import fail_together
 from soak.limited_workers import announce_limits
@@ -30,6 +28,7 @@
 )
 from soak.schedule import Fault, FaultKind
 from soak.silent_services import silence_service
+from soak.surplus_faults import send_surplus_answers
 from soak.workers import GREY_KINDS
 
 RESTART_SECONDS = (0.1, 1.5)
@@ -89,6 +88,7 @@
             FaultKind.WORKERS_BRITTLE: lambda fault: turn_brittle(fleet, fault),
             FaultKind.CRASHING_PART: crashing.play_part,
             FaultKind.SERVICE_SILENT: lambda fault: silence_service(fleet, fault),
+            FaultKind.SURPLUS_ANSWERS: lambda fault: send_surplus_answers(fleet, fault),
         }
 
     async def play(self, schedule: Sequence[Fault]) -> None:
@@ -342,9 +342,5 @@
         if name in routes:
             del routes[name]
         else:
-            routes[name] = _extra_route(name)
+            routes[name] = extra_route(name)
         self._fleet.configure(routes)
-
-
-def _extra_route(name: str) -> dict[str, Any]:
-    return route(name, "safe", "plain", max_attempts=2, timeout_ms=2_000)
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -42,6 +42,7 @@
     WORKERS_BRITTLE = "workers fall over if they reject too many calls"
     CRASHING_PART = "requests, never alike, with a prompt part that crashes engines"
     SERVICE_SILENT = "workers of a service send nothing for a moment"
+    SURPLUS_ANSWERS = "stage workers send surplus answers"
 
 
 PLANNED = (
@@ -69,6 +70,7 @@
     FaultKind.WORKERS_BRITTLE,
     FaultKind.CRASHING_PART,
     FaultKind.SERVICE_SILENT,
+    FaultKind.SURPLUS_ANSWERS,
 )
 """Kinds with their own random source, so that they don't change a seed's other faults."""
 
@@ -117,6 +119,12 @@
 
 SERVICE_SILENCE_SECONDS = (1.0, 1.5)
 
+MEAN_SURPLUS_PAUSE_SECONDS = 3.0
+"""Mean time between the starts of two times with surplus answers."""
+
+FIRST_SURPLUS_SEED = 98_000
+"""Stage workers send surplus answers in the soaks of this seed and of higher ones."""
+
 FIRST_SILENT_SEED = 72_000
 """Services fall silent in the soaks of this seed and of higher ones."""
 
@@ -182,6 +190,8 @@
         faults += _cuts(seed, seconds)
         faults += _brittle_workers(seed, seconds)
         faults += _crashing_parts(seed, seconds)
+        if seed >= FIRST_SURPLUS_SEED:
+            faults += _surplus_answers(seed, seconds)
     faults += _evacuations(seed, seconds)
     faults += _cold_engines(seed, seconds)
     faults += _limits(seed, seconds)
@@ -246,6 +256,13 @@
     return _draw_faults_of_kind(FaultKind.CRASHING_PART, source, seconds, pause, overlapping=False)
 
 
+def _surplus_answers(seed: int, seconds: float) -> list[Fault]:
+    """Return the faults in which stage workers send surplus answers; both services may overlap."""
+    source = random.Random(f"surplus answers {seed}")
+    pause = MEAN_SURPLUS_PAUSE_SECONDS
+    return _draw_faults_of_kind(FaultKind.SURPLUS_ANSWERS, source, seconds, pause, overlapping=True)
+
+
 def _evacuations(seed: int, seconds: float) -> list[Fault]:
     """Return the zone evacuations; two overlap if the next starts before the last ends."""
     source = random.Random(f"evacuations {seed}")
--- a/tests/soak/stage_workers.py
+++ b/tests/soak/stage_workers.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import json
+import random
 import time
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -14,6 +15,7 @@
 from soak.links import FaultLink
 from soak.named_limit import NamedLimit
 from soak.report_requests import ReportRequests
+from soak.surplus_answers import SurplusAnswers
 
 PIECE_SECONDS = 0.004
 CALL_SECONDS = 0.03
@@ -50,6 +52,7 @@
         self.on_crashing: Callable[[SentCall], None] = lambda call: None
         self.limit = NamedLimit()
         self.reports = ReportRequests(ledger, self.worker_id)
+        self.surplus = SurplusAnswers(random.Random(self.worker_id))
         self._ledger = ledger
         self._calls = 0
         self._slot = asyncio.Lock()
@@ -85,21 +88,25 @@
         if request.headers.get(EXPECT) not in (None, self.worker_id):
             return web.Response(status=421, headers={INSTANCE: self.worker_id})
         if request.path == "/report":
+            self.surplus.send_pending(request)
             self.reports.record(self.link)
             free = (ROOM - self.held) * RESULT_MB
             answer = {"free_mb": free, "born": self.born}
             return web.json_response(answer, headers=self.limit.headers)
         body = json.loads(await request.read())
+        self.surplus.send_pending(request, len(body.get("items", ())))
         if request.path == "/stage-free":
             for handle in body["handles"]:
                 self._held.pop(handle, None)
             return web.Response(headers=self.limit.headers)
+        return self.surplus.follow(request, await self._run(body["items"]))
+
+    async def _run(self, items: list[dict[str, Any]]) -> web.Response:
         if self.grey or self._calls > STAGE_QUEUE:
             return web.Response(status=503, headers={NOT_RUN: "1", **self.limit.headers})
         self._calls += 1
         try:
             async with self._slot:
-                items = body["items"]
                 self._check_items(items)
                 self._crash_if_requested(items)
                 await asyncio.sleep(CALL_SECONDS + PIECE_SECONDS * len(items))
