Soak: failures keep the nodes' waits for a core

The soak samples the kernel's count for each node now, prints the longest wait and keeps all waits of a failed play in core-waits.txt. No check uses them.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -16,6 +16,7 @@
 
 from soak.bounds import SoakBounds
 from soak.clients import Clients, RouteUse
+from soak.core_waits import CoreWait, CoreWaits
 from soak.crashing import CrashingRequests
 from soak.fleet import SoakFleet
 from soak.injector import Injector
@@ -64,6 +65,8 @@
     violations: tuple[Violation, ...]
     faults: tuple[str, ...]
     longest_lag: float
+    core_waits: tuple[CoreWait, ...]
+    longest_core_wait: float
     floods: int
     longest_unaccepted: float
     largest_bytes: int
@@ -98,10 +101,12 @@
     repeaters = Clients(fleet.ledger, (), fleet.choose_node, random.Random(f"crashing {seed}"))
     crashing = CrashingRequests(fleet, repeaters)
     injector = Injector(fleet, crashing)
+    core_waits = CoreWaits(fleet)
+    watching = [asyncio.create_task(core_waits.run())]
     try:
         await fleet.start()
         users.start(clients)
-        watching = asyncio.create_task(SilenceWatch(fleet).run())
+        watching.append(asyncio.create_task(SilenceWatch(fleet).run()))
         await injector.play(make_schedule(seed, seconds, planned_only=planned_only))
         await _check_recovery(fleet, users)
         await check_lists(fleet)
@@ -111,12 +116,13 @@
         await crashing.check_quarantines()
         crashing.check_never_held()
         take_ups.check()
-        watching.cancel()
     except Exception as error:
         fleet.ledger.violate("ended", f"the soak itself failed: {error!r}")
         raise
     finally:
-        result = _result(seed, fleet, injector, crashing, take_ups)
+        for task in watching:
+            task.cancel()
+        result = _result(seed, fleet, injector, crashing, take_ups, core_waits)
         if keep is not None and result.violations:
             _keep(fleet, result, keep / f"seed-{seed}")
         await fleet.stop()
@@ -172,6 +178,7 @@
     injector: Injector,
     crashing: CrashingRequests,
     take_ups: TakeUps,
+    core_waits: CoreWaits,
 ) -> SoakResult:
     ledger: Ledger = fleet.ledger
     outcomes = Counter(
@@ -186,6 +193,8 @@
         violations=tuple(ledger.violations),
         faults=tuple(injector.played),
         longest_lag=round(ledger.longest_lag, 3),
+        core_waits=tuple(core_waits.waits),
+        longest_core_wait=round(core_waits.longest, 3),
         floods=injector.floods,
         longest_unaccepted=round(max((item.longest for item in fleet.watches), default=0.0), 2),
         largest_bytes=fleet.largest_bytes(),
@@ -212,6 +221,8 @@
     shutil.copytree(fleet.processes.root, folder)
     lines = [f"{item.at:7.2f} s {item.promise}: {item.detail}" for item in result.violations]
     (folder / "violations.txt").write_text("\n".join(lines) + "\n", encoding="utf-8")
+    waits = "\n".join(map(str, result.core_waits))
+    (folder / "core-waits.txt").write_text(waits + "\n", encoding="utf-8")
     (folder / "faults.txt").write_text("\n".join(result.faults) + "\n", encoding="utf-8")
 
 
@@ -254,6 +265,7 @@
     print(
         f"seed {result.seed}: {result.calls} calls, {len(result.faults)} faults, "
         f"{len(result.violations)} broken, lag {result.longest_lag} s, "
+        f"longest wait for a core {result.longest_core_wait} s, "
         f"largest node {result.largest_bytes >> 20} MB, "
         f"{result.floods} floods, longest without a connection {result.longest_unaccepted} s, "
         f"dropped for silence {result.silences}, "
