--- a/tests/soak/brittle_workers.py
+++ b/tests/soak/brittle_workers.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
+from soak.faults import Fault
 from soak.fleet import PLAIN_SERVICES, SoakFleet
-from soak.schedule import Fault
 from soak.workers import SoakWorker
 
 BRITTLE_FACTOR = 3.0
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -148,6 +148,17 @@
         connection.close()
         return answer
 
+    async def send_large(self, route: RouteUse, size: int) -> None:
+        """Send a call with a body of a number of bytes over a new connection."""
+        connection = await self._connect()
+        if connection is None:
+            return
+        call = self.make_call(route, connection.node)
+        call.body = self._source.randbytes(1) * size
+        answer = await self._exchange_recorded(connection, call)
+        connection.close()
+        await asyncio.sleep(min(float(answer.headers.get("retry-after", 0.0)), MAX_RETRY_SECONDS))
+
     async def send_crashing(self, route: RouteUse, target: str, body: bytes) -> None:
         """Send a worker-crashing request with a new call id over a new connection."""
         connection = await self._connect()
--- a/tests/soak/cold_engines.py
+++ b/tests/soak/cold_engines.py
@@ -3,8 +3,8 @@
 import asyncio
 import time
 
+from soak.faults import Fault
 from soak.fleet import ZONES, SoakFleet
-from soak.schedule import Fault
 from soak.workers import SoakWorker
 
 
--- a/tests/soak/crashing.py
+++ b/tests/soak/crashing.py
@@ -14,10 +14,10 @@
 
 from corkcrank.contracts.request_fingerprint import part_fingerprint, request_fingerprint
 from soak.clients import Clients, RouteUse
+from soak.faults import Fault
 from soak.fleet import FIRST_PEER_PORT, AnyWorker, SoakFleet, SoakNode
 from soak.ledger import CRASHING_BODY_PREFIX
 from soak.restarts import CRASHED_ENTRY_SECONDS
-from soak.schedule import Fault
 from soak.sent_calls import SentCall
 
 CRASHES_BEFORE_QUARANTINE = 3
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -13,14 +13,13 @@
 
 from corkcrank.load.loopback import loopback_address
 from corkcrank.load.process_group import ProcessGroup
-from corkcrank.load.process_usage import resident_bytes_of
 from corkcrank.load.toml_writer import write_toml
 from soak.accepting import AcceptWatch
 from soak.bounds import MODEL_SERVICE, SoakBounds
 from soak.first_routes import first_routes
 from soak.ledger import Ledger
 from soak.links import FaultLink
-from soak.schedule import FIRST_SILENT_SEED
+from soak.schedule import FIRST_LARGE_SEED, FIRST_SILENT_SEED
 from soak.sent_calls import SentCall
 from soak.signal_masks import handles_signals
 from soak.stage_workers import SoakStageWorker
@@ -44,6 +43,9 @@
 """File descriptor limit of a node's process; a third is for callers' connections."""
 
 MEMORY_MB = 300
+USUAL_BODY_BYTES, LARGE_BODY_BYTES = 100_000, 4 << 20
+"""Maximum length of a request's body; the larger one where callers send large bodies."""
+
 STATING_SHARE = 0.5
 """Share of the seeds whose workers have slow spells and state how long work takes there."""
 
@@ -110,6 +112,7 @@
         self.ledger = Ledger(bounds)
         self.ledger.nodes = nodes
         self.silences = seed >= FIRST_SILENT_SEED
+        self.max_body_bytes = LARGE_BODY_BYTES if seed >= FIRST_LARGE_SEED else USUAL_BODY_BYTES
         self.source = random.Random(f"fleet {seed}")
         self.store = SoakStore(random.Random(f"store {seed}"))
         self.workers: list[AnyWorker] = []
@@ -224,15 +227,6 @@
         node = self.source.choice(chosen)
         return node.name, node.callers.address
 
-    def largest_bytes(self) -> int:
-        """Return the resident memory of the largest running process, in bytes."""
-        sizes = [
-            resident_bytes_of(process.pid)
-            for process in self.processes.processes.values()
-            if process.poll() is None
-        ]
-        return max(sizes, default=0)
-
     # Configuration
 
     def configure(self, routes: dict[str, dict[str, Any]]) -> None:
@@ -253,7 +247,7 @@
             "services": services,
             "limits": {
                 "max_header_bytes": 8_192,
-                "max_body_bytes": 100_000,
+                "max_body_bytes": self.max_body_bytes,
                 "header_timeout_ms": 1_000,
                 "idle_timeout_ms": 3_000,
             },
--- a/tests/soak/grey_workers.py
+++ b/tests/soak/grey_workers.py
@@ -6,8 +6,8 @@
 
 import asyncio
 
+from soak.faults import Fault
 from soak.fleet import SoakFleet
-from soak.schedule import Fault
 
 ENGINE_KINDS = ("cut", "error", "reset", "full")
 """Failure kinds that are assigned to the workers in round-robin order."""
--- a/tests/soak/injector.py
+++ b/tests/soak/injector.py
@@ -10,9 +10,11 @@
 from soak.cold_engines import turn_cold
 from soak.crashing import CrashingRequests
 from soak.evacuations import evacuate
+from soak.faults import Fault, FaultKind
 from soak.first_routes import extra_route
 from soak.fleet import PLAIN_SERVICES, SERVICES, ZONES, AnyWorker, SoakFleet, SoakNode
 from soak.grey_workers import fail_together
+from soak.large_messages import LargeMessages
 from soak.limited_workers import announce_limits
 from soak.links import FaultLink, LinkTrouble, Silence
 from soak.noticed_workers import announce_leave, request_backoffs
@@ -26,7 +28,6 @@
     restart_planned,
     write_foreign_entries,
 )
-from soak.schedule import Fault, FaultKind
 from soak.silent_services import silence_service
 from soak.surplus_faults import send_surplus_answers
 from soak.workers import GREY_KINDS
@@ -48,7 +49,7 @@
 class Injector:
     """Runner of faults; each fault undoes its effect when its duration ends."""
 
-    def __init__(self, fleet: SoakFleet, crashing: CrashingRequests) -> None:
+    def __init__(self, fleet: SoakFleet, crashing: CrashingRequests, large: LargeMessages) -> None:
         self.played: list[str] = []
         self.floods = 0
         self._fleet = fleet
@@ -88,6 +89,8 @@
             FaultKind.WORKERS_BRITTLE: lambda fault: turn_brittle(fleet, fault),
             FaultKind.CRASHING_PART: crashing.play_part,
             FaultKind.SERVICE_SILENT: lambda fault: silence_service(fleet, fault),
+            FaultKind.LARGE_BODIES: large.send_large_bodies,
+            FaultKind.ENDLESS_ANSWERS: large.answer_without_end,
             FaultKind.SURPLUS_ANSWERS: lambda fault: send_surplus_answers(fleet, fault),
         }
 
--- a/tests/soak/limited_workers.py
+++ b/tests/soak/limited_workers.py
@@ -3,9 +3,9 @@
 import asyncio
 import time
 
+from soak.faults import Fault
 from soak.fleet import SERVICES, SoakFleet
 from soak.picking import between
-from soak.schedule import Fault
 
 RATES = (0.5, 4.0)
 LIMITED_FACTOR = 3.0
--- a/tests/soak/noticed_workers.py
+++ b/tests/soak/noticed_workers.py
@@ -2,10 +2,10 @@
 
 import asyncio
 
+from soak.faults import Fault
 from soak.fleet import SERVICES, SoakFleet
 from soak.picking import between
 from soak.restarts import leave
-from soak.schedule import Fault
 from soak.workers import SoakWorker
 
 BACKOFF_SECONDS = (1.0, 4.0)
--- a/tests/soak/partitions.py
+++ b/tests/soak/partitions.py
@@ -6,9 +6,9 @@
 from collections.abc import Collection
 from enum import Enum
 
+from soak.faults import Fault
 from soak.fleet import SoakFleet, SoakNode
 from soak.link_cuts import REFUSED, SILENT, cut_file
-from soak.schedule import Fault
 
 CUT_FACTOR = 2.0
 """Duration of a cut in fault lengths: the check starts some seconds after its beginning."""
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -20,8 +20,10 @@
 from soak.crashing import CrashingRequests
 from soak.fleet import SoakFleet
 from soak.injector import Injector
+from soak.large_messages import LargeMessages
 from soak.ledger import Ledger, Violation
 from soak.list_check import check_lists
+from soak.memory_watch import MemoryWatch
 from soak.schedule import make_schedule
 from soak.silence_watch import SilenceWatch
 from soak.silent_services import KeptCalls
@@ -100,9 +102,11 @@
     users.on_stream = take_ups.record
     repeaters = Clients(fleet.ledger, (), fleet.choose_node, random.Random(f"crashing {seed}"))
     crashing = CrashingRequests(fleet, repeaters)
-    injector = Injector(fleet, crashing)
+    senders = Clients(fleet.ledger, (), fleet.choose_node, random.Random(f"large {seed}"))
+    injector = Injector(fleet, crashing, LargeMessages(fleet, senders))
+    memory = MemoryWatch(fleet)
     core_waits = CoreWaits(fleet)
-    watching = [asyncio.create_task(core_waits.run())]
+    watching = [asyncio.create_task(watch.run()) for watch in (core_waits, memory)]
     try:
         await fleet.start()
         users.start(clients)
@@ -122,7 +126,7 @@
     finally:
         for task in watching:
             task.cancel()
-        result = _result(seed, fleet, injector, crashing, take_ups, core_waits)
+        result = _result(seed, fleet, injector, crashing, take_ups, core_waits, memory)
         if keep is not None and result.violations:
             _keep(fleet, result, keep / f"seed-{seed}")
         await fleet.stop()
@@ -179,6 +183,7 @@
     crashing: CrashingRequests,
     take_ups: TakeUps,
     core_waits: CoreWaits,
+    memory: MemoryWatch,
 ) -> SoakResult:
     ledger: Ledger = fleet.ledger
     outcomes = Counter(
@@ -197,7 +202,7 @@
         longest_core_wait=round(core_waits.longest, 3),
         floods=injector.floods,
         longest_unaccepted=round(max((item.longest for item in fleet.watches), default=0.0), 2),
-        largest_bytes=fleet.largest_bytes(),
+        largest_bytes=memory.largest_bytes,
         silences=dict(sorted(_silences(fleet).items())),
         crashed=crashing.ends,
         wrongly_quarantined=crashing.wrongly_quarantined(),
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -1,49 +1,9 @@
 """Generates the random fault schedule of a soak from its seed."""
 
 import random
-from dataclasses import dataclass, replace
-from enum import Enum
-
-
-class FaultKind(Enum):
-    """Kinds of faults of the processes, links and simulated back ends."""
-
-    TERMINATE = "terminate"
-    CHANGE_SETTINGS = "change settings"
-    CONFIGURE = "configure"
-    DRAIN_WORKER = "drain worker"
-    WORKER_VANISHES = "worker vanishes from the list"
-    KILL = "kill"
-    KILL_MANY = "kill many"
-    FREEZE = "freeze"
-    CALLERS_LINK = "callers' link"
-    CALLERS_FLOOD = "flood of callers' connections"
-    STORE_LINK = "store's link"
-    WORKER_LINK = "worker's link"
-    STORE_DOWN = "store down"
-    STORE_SLOW = "store slow"
-    STORE_LOSES_ANSWERS = "store loses answers"
-    STORE_FORGETS = "store forgets its history"
-    STORE_TURNS_AWAY = "store turns a node away"
-    WORKER_GREY = "worker fails some calls"
-    WORKER_CRASH = "worker crashes"
-    KEPT_SILENT = "kept connections fall silent for good"
-    ENGINES_GREY = "engines fail some calls, each in its own way"
-    WORKER_RESTARTED = "worker drains and starts again under its id"
-    WORKER_STARTS_AGAIN = "worker crashes and starts again under its id"
-    FOREIGN_ENTRY = "entry of another writer"
-    CRASHING_REQUEST = "a request that crashes its workers, again and again"
-    EVACUATE_ZONE = "a zone is evacuated and taken back"
-    ENGINES_COLD = "engines turn cold together"
-    WORKERS_LIMITED = "workers name rate limits"
-    LEAVE_ANNOUNCED = "a worker announces its leave in its answers only"
-    BACKOFFS_REQUESTED = "workers reject calls and request backoffs"
-    CUT_FROM_WORKERS = "nodes lose their links to all workers"
-    WORKERS_BRITTLE = "workers fall over if they reject too many calls"
-    CRASHING_PART = "requests, never alike, with a prompt part that crashes engines"
-    SERVICE_SILENT = "workers of a service send nothing for a moment"
-    SURPLUS_ANSWERS = "stage workers send surplus answers"
+from dataclasses import replace
 
+from soak.faults import Fault, FaultKind
 
 PLANNED = (
     FaultKind.TERMINATE,
@@ -71,6 +31,8 @@
     FaultKind.CRASHING_PART,
     FaultKind.SERVICE_SILENT,
     FaultKind.SURPLUS_ANSWERS,
+    FaultKind.LARGE_BODIES,
+    FaultKind.ENDLESS_ANSWERS,
 )
 """Kinds with their own random source, so that they don't change a seed's other faults."""
 
@@ -131,6 +93,13 @@
 SILENCES_ONLY_EVERY = 5
 """Every fifth of these seeds has no other faults, so that nothing excuses a call that is cut."""
 
+MEAN_LARGE_PAUSE_SECONDS = 2.0
+"""Mean time from the end of one time with large bodies to the next, and with endless answers."""
+
+FIRST_LARGE_SEED = 99_000
+"""Callers send large bodies and workers answer without end in the soaks of this seed and higher
+ones."""
+
 MEAN_PAUSE_SECONDS = 0.9
 FAULT_SECONDS = (0.3, 4.5)
 SERIES_SHARE = 0.25
@@ -145,21 +114,6 @@
 """
 
 
-@dataclass(frozen=True, slots=True)
-class Fault:
-    """A scheduled fault; ``choice`` (0 to 1) selects target and variant, ``strength`` its size."""
-
-    kind: FaultKind
-    at: float
-    seconds: float
-    choice: float
-    strength: float
-
-    def __str__(self) -> str:
-        """Return a one-line description for logs."""
-        return f"{self.at:6.2f} s {self.kind.value}, {self.seconds:.1f} s, choice {self.choice:.3f}"
-
-
 def make_schedule(seed: int, seconds: float, *, planned_only: bool) -> tuple[Fault, ...]:
     """Return the faults of a soak ordered by start time; some come in short series."""
     if seed >= FIRST_SILENT_SEED and seed % SILENCES_ONLY_EVERY == 0:
@@ -192,6 +146,8 @@
         faults += _crashing_parts(seed, seconds)
         if seed >= FIRST_SURPLUS_SEED:
             faults += _surplus_answers(seed, seconds)
+        if seed >= FIRST_LARGE_SEED:
+            faults += _large_messages(seed, seconds)
     faults += _evacuations(seed, seconds)
     faults += _cold_engines(seed, seconds)
     faults += _limits(seed, seconds)
@@ -263,6 +219,16 @@
     return _draw_faults_of_kind(FaultKind.SURPLUS_ANSWERS, source, seconds, pause, overlapping=True)
 
 
+def _large_messages(seed: int, seconds: float) -> list[Fault]:
+    """Return the faults that cost memory."""
+    source = random.Random(f"large messages {seed}")
+    pause, kinds = MEAN_LARGE_PAUSE_SECONDS, (FaultKind.LARGE_BODIES, FaultKind.ENDLESS_ANSWERS)
+    drawn = [
+        _draw_faults_of_kind(kind, source, seconds, pause, overlapping=False) for kind in kinds
+    ]
+    return [fault for faults in drawn for fault in faults]
+
+
 def _evacuations(seed: int, seconds: float) -> list[Fault]:
     """Return the zone evacuations; two overlap if the next starts before the last ends."""
     source = random.Random(f"evacuations {seed}")
--- a/tests/soak/silent_services.py
+++ b/tests/soak/silent_services.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
+from soak.faults import Fault
 from soak.fleet import SoakFleet
 from soak.picking import pick
-from soak.schedule import Fault
 from soak.sent_calls import SILENT, Answer, Run, SentCall
 from soak.workers import SoakWorker
 
--- a/tests/soak/surplus_faults.py
+++ b/tests/soak/surplus_faults.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
+from soak.faults import Fault
 from soak.fleet import STAGE_SERVICES, SoakFleet
-from soak.schedule import Fault
 from soak.stage_workers import SoakStageWorker
 
 
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -34,6 +34,10 @@
 COLD_SECONDS = 1.0
 """Window in which requests to a cold worker are counted."""
 
+ENDLESS = "endless"
+"""Kind of failure of a worker that answers a call without end."""
+
+ENDLESS_CHUNK = b"x" * 65_536
 GREY_KINDS = ("reset", "no-seal", "foreign-id", "cut", "surplus", "hang", "error", "full")
 
 
@@ -184,6 +188,8 @@
         if kind == "foreign-id":
             headers[ATTEMPT] = "0" * 16
         run.status = 500 if kind == "error" else 200
+        if kind == ENDLESS:
+            return await self._answer_without_end(request, run, headers, bool(call.events))
         if kind == "error":
             self._record_notices(request, call, headers)
             return web.Response(status=run.status, body=b"failed", headers=headers)
@@ -197,6 +203,20 @@
             return await self._send_raw(transport, run, headers, body, kind)
         return web.Response(body=body, headers=headers)
 
+    async def _answer_without_end(
+        self, request: web.BaseRequest, run: Run, headers: dict[str, str], streamed: bool
+    ) -> web.StreamResponse:
+        """Send a body, or an event, that does not end before its connection."""
+        run.broken_off = True
+        response = web.StreamResponse(headers=headers)
+        if streamed:
+            response.content_type = "text/event-stream"
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+        while True:
+            await response.write(ENDLESS_CHUNK)
+            await asyncio.sleep(0)
+
     async def _send_raw(
         self,
         transport: asyncio.Transport,
