Planned stops: a stall past the end of the drain does not use up the answers' time

What callers saw: a call that a stopping gateway had read, and sent to its worker, ended with a reset and no answer, where the loop was stalled for more than 0.5 s across the end of the drain.

Cause: a wait by the clock where a state should decide. After the end of the drain callers without a response are kept for 0.2 s, and the calls are answered in the first check of that time. A stall that begins before and ends after it leaves no check.

Change: the wait is four checks, not a time. Without a stall that is as long as before. Such a call gets its 504 ("may have run") in the first check.

The test fails without the change (ConnectionResetError).

--- a/src/corkcrank/node/callers/drain.py
+++ b/src/corkcrank/node/callers/drain.py
@@ -50,6 +50,10 @@
 CHECK_INTERVAL_SECONDS = 0.05
 """Interval of the check whether a start or a drain is complete."""
 
+MAX_ANSWER_CHECKS = round(ANSWER_RESERVE_SECONDS / CHECK_INTERVAL_SECONDS)
+"""Number of checks after the end of the drain for which callers without a response are kept. Time
+is no measure: a stall of the loop would use it up before any response is written."""
+
 NEVER = float("inf")
 
 CallAnswer = web.StreamResponse | Refusal
@@ -205,12 +209,11 @@
         self._callers.stop_listening()
         # Requests that arrived in the meantime are read now, and served as usual.
         await asyncio.sleep(CHECK_INTERVAL_SECONDS)
-        # Begins after the pause: a stall of the loop in it may not use up the time for answers.
-        begun_at = max(schedule.stop_at, clock.now() - CHECK_INTERVAL_SECONDS)
-        answers_until = begun_at + ANSWER_RESERVE_SECONDS
-        while self._callers_wait(schedule, clock.now(), answers_until):
+        checks_left = MAX_ANSWER_CHECKS
+        while checks_left and self._callers_wait(schedule, clock.now()):
             self._callers.close_idle_connections(0.0)
             self._apply_schedule(schedule, clock.now())
+            checks_left -= clock.now() >= schedule.stop_at
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
         # In the turn of the check: what is read later would be closed without an answer.
         self._callers.end_connections()
@@ -230,10 +233,10 @@
         busy = self._callers.in_flight or self._peers.busy
         return now >= schedule.stop_at or (now >= schedule.streams_until and not busy)
 
-    def _callers_wait(self, schedule: DrainSchedule, now: float, answers_until: float) -> bool:
+    def _callers_wait(self, schedule: DrainSchedule, now: float) -> bool:
         """Return whether callers still wait; after ``stop_at`` only those without a response."""
         if now < schedule.stop_at:
             arriving = self._callers.partial_heads(DRAIN_IDLE_SECONDS)
             return bool(self._callers.in_flight or self._callers.unread_connections or arriving)
         unanswered = self._open_calls.unanswered or self._callers.unhandled_requests
-        return bool(unanswered or self._callers.unread_connections) and now < answers_until
+        return bool(unanswered or self._callers.unread_connections)
--- a/tests/platform/test_stop_ends.py
+++ b/tests/platform/test_stop_ends.py
@@ -323,3 +323,27 @@
     finally:
         for number, handler in before.items():
             signal.signal(number, handler)
+
+
+async def test_a_call_in_progress_is_answered_after_a_stall_past_the_end_of_the_drain() -> None:
+    """The connection of a call that had been read was reset without a response."""
+    plain = StandinWorker(hold=asyncio.Event())
+    async with world(configuration(1, ROUTES), {"p": (plain, "plain")}, grace=2 * GRACE) as running:
+        node = running.nodes[0]
+        stopped = asyncio.create_task(node.stop())
+        await until(lambda: clock.now() > node.services.drain.streams_until - 0.1)
+        reader, writer = await opened(running)
+        stop_listening = node.callers.stop_listening
+
+        def send_then_stop() -> None:
+            writer.write(head("/plain/x", "Content-Length: 0"))
+            stop_listening()
+
+        node.callers.stop_listening = send_then_stop  # type: ignore[method-assign]
+        await until(lambda: bool(plain.seen))
+        await until(lambda: clock.now() > node.services.drain.answer_by - STALL_SECONDS)
+        for _ in range(4):
+            block_event_loop()
+        assert (await reader.readline()).startswith(b"HTTP/1.1 504")
+        await stopped
+        writer.close()
