Tests: calls at the end of an idle drain connect 0.25 s before it, not 0.1 s

The caller has to connect before the drain ends, and not so early that its connection counts as idle (0.3 s). The check is the same. Two tests share the sending now.

--- a/tests/platform/test_stop_ends.py
+++ b/tests/platform/test_stop_ends.py
@@ -45,6 +45,9 @@
 STALL_SECONDS = 0.3
 """Time for which the event loop is blocked across the end of a drain."""
 
+CONNECTED_SECONDS = 0.25
+"""Time before the end of an idle drain at which a caller connects; 0.3 s would be idle."""
+
 LARGE_BYTES = 30_000_000
 """Size of a response that exceeds all buffers of a loopback connection."""
 
@@ -150,6 +153,26 @@
         keeps_it_open.close()
 
 
+async def send_as_idle_drain_ends(
+    running: World, plain: StandinWorker
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter, asyncio.Task[None]]:
+    """Stop a gateway and send a call just as its drain ends early; return once it is at work."""
+    node = running.nodes[0]
+    stopped = asyncio.create_task(node.stop())
+    await until(lambda: clock.now() > node.services.drain.streams_until - CONNECTED_SECONDS)
+    reader, writer = await opened(running)
+    stop_listening = node.callers.stop_listening
+
+    def send_then_stop() -> None:
+        writer.write(head("/plain/x", "Content-Length: 0"))
+        stop_listening()
+
+    node.callers.stop_listening = send_then_stop  # type: ignore[method-assign]
+    await until(lambda: bool(plain.seen))
+    node.callers.stop_listening = stop_listening  # type: ignore[method-assign]
+    return reader, writer, stopped
+
+
 async def test_a_call_read_as_an_idle_drain_ends_is_served() -> None:
     """Calls in planned restarts were abandoned after 0.04 s, with 2.9 s of the grace period left.
 
@@ -158,21 +181,7 @@
     plain = StandinWorker(hold=asyncio.Event())
     served = {"p": (plain, "plain")}
     async with world(configuration(1, ROUTES), served, grace=2 * GRACE) as running:
-        node = running.nodes[0]
-        stopped = asyncio.create_task(node.stop())
-        await until(lambda: node.life.draining)
-        late_at = node.services.drain.streams_until - 0.1
-        await until(lambda: clock.now() > late_at)
-        reader, writer = await opened(running)
-        stop_listening = node.callers.stop_listening
-
-        def send_then_stop() -> None:
-            writer.write(head("/plain/x", "Content-Length: 0"))
-            stop_listening()
-
-        node.callers.stop_listening = send_then_stop  # type: ignore[method-assign]
-        await until(lambda: bool(plain.seen))
-        node.callers.stop_listening = stop_listening  # type: ignore[method-assign]
+        reader, writer, stopped = await send_as_idle_drain_ends(running, plain)
         asyncio.get_running_loop().call_later(STALL_SECONDS, plain.hold.set)
         assert (await reader.readline()).startswith(b"HTTP/1.1 200")
         await stopped
@@ -329,19 +338,9 @@
     """The connection of a call that had been read was reset without a response."""
     plain = StandinWorker(hold=asyncio.Event())
     async with world(configuration(1, ROUTES), {"p": (plain, "plain")}, grace=2 * GRACE) as running:
-        node = running.nodes[0]
-        stopped = asyncio.create_task(node.stop())
-        await until(lambda: clock.now() > node.services.drain.streams_until - 0.1)
-        reader, writer = await opened(running)
-        stop_listening = node.callers.stop_listening
-
-        def send_then_stop() -> None:
-            writer.write(head("/plain/x", "Content-Length: 0"))
-            stop_listening()
-
-        node.callers.stop_listening = send_then_stop  # type: ignore[method-assign]
-        await until(lambda: bool(plain.seen))
-        await until(lambda: clock.now() > node.services.drain.answer_by - STALL_SECONDS)
+        reader, writer, stopped = await send_as_idle_drain_ends(running, plain)
+        drain = running.nodes[0].services.drain
+        await until(lambda: clock.now() > drain.answer_by - STALL_SECONDS)
         for _ in range(4):
             block_event_loop()
         assert (await reader.readline()).startswith(b"HTTP/1.1 504")
