--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -339,3 +339,10 @@
     else:
         request.transport.abort()
     raise ConnectionResetError
+
+
+def raw_response(status: int, headers: dict[str, str], body: bytes) -> bytes:
+    """Return a response as it is sent, for workers that write to their transport."""
+    lines = [f"HTTP/1.1 {status} Status", f"Content-Length: {len(body)}"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
--- a/tests/platform/test_surplus_stage_answers.py
+++ b/tests/platform/test_surplus_stage_answers.py
@@ -14,7 +14,7 @@
 import pytest
 from aiohttp import web
 from node_world import LONG_IDLE_TIMEOUT_MS, configuration, route, world
-from platform_standins import NOT_RUN, Server, StandinStageWorker, StandinWorker
+from platform_standins import NOT_RUN, Server, StandinStageWorker, StandinWorker, raw_response
 from test_silent_connections import empty_statements, no_backoffs
 
 from corkcrank.contracts.worker_records import WorkerRecord
@@ -59,7 +59,7 @@
             return await super()._handle(request)
         body = b"" if self.rejects else self._failure(json.loads(await request.read()))
         status, headers = (503, {NOT_RUN: "1"}) if self.rejects else (200, {})
-        self._copies[transport] = _raw(status, headers, body)
+        self._copies[transport] = raw_response(status, headers, body)
         return web.Response(status=status, headers=headers, body=body)
 
     def _failure(self, call: dict[str, Any]) -> bytes:
@@ -71,12 +71,6 @@
         return made
 
 
-def _raw(status: int, headers: dict[str, str], body: bytes) -> bytes:
-    lines = [f"HTTP/1.1 {status} Status", f"Content-Length: {len(body)}"]
-    lines += [f"{name}: {value}" for name, value in headers.items()]
-    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
-
-
 @pytest.mark.parametrize("rejects", [False, True])
 async def test_engines_get_the_results_of_their_own_requests(rejects: bool) -> None:
     encoder, engine = DoublingWorker(rejects=rejects), StandinWorker(events=EVENTS)
--- a/tests/platform/test_surplus_stage_play.py
+++ b/tests/platform/test_surplus_stage_play.py
@@ -16,7 +16,7 @@
 import pytest
 from aiohttp import web
 from node_world import LONG_IDLE_TIMEOUT_MS, call_id, configuration, route, world
-from platform_standins import NOT_RUN, StandinStageWorker, StandinWorker
+from platform_standins import NOT_RUN, StandinStageWorker, StandinWorker, raw_response
 
 EVENTS = 1
 CALLERS, CALLS = 25, 24
@@ -82,7 +82,7 @@
         elif kind == "fault":
             status, headers, body = 500, {}, b"fault"
         self.surplus[kind] += 1
-        transport.write(_raw(status, headers, body))
+        transport.write(raw_response(status, headers, body))
 
     def _make(self, item: dict[str, Any]) -> dict[str, str]:
         made = super()._make(item)
@@ -94,12 +94,6 @@
     return json.dumps({"items": items}).encode()
 
 
-def _raw(status: int, headers: dict[str, str], body: bytes) -> bytes:
-    lines = [f"HTTP/1.1 {status} Status", f"Content-Length: {len(body)}"]
-    lines += [f"{name}: {value}" for name, value in headers.items()]
-    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
-
-
 @pytest.mark.parametrize("seed", SEEDS)
 async def test_no_surplus_answer_passes_for_the_answer_to_another_call(seed: int) -> None:
     encoders = [SurplusWorker(source=random.Random(10 * seed + number)) for number in range(2)]
--- a/tests/soak/surplus_answers.py
+++ b/tests/soak/surplus_answers.py
@@ -6,7 +6,7 @@
 from weakref import WeakKeyDictionary
 
 from aiohttp import web
-from platform_standins import NOT_RUN
+from platform_standins import NOT_RUN, raw_response
 
 SURPLUS_SHARE = 0.4
 KINDS = ("copy", "rejection", "failure", "empty")
@@ -42,22 +42,18 @@
     def _draw_answer(self, earlier: web.Response, pieces: int) -> bytes:
         kind = self._source.choice(KINDS)
         if kind == "rejection":
-            return _raw(503, {NOT_RUN: "1"}, b"")
+            return raw_response(503, {NOT_RUN: "1"}, b"")
         if kind == "failure":
-            return _raw(200, {}, json.dumps({"items": [{"reason": "error"}] * pieces}).encode())
+            return raw_response(
+                200, {}, json.dumps({"items": [{"reason": "error"}] * pieces}).encode()
+            )
         if kind == "empty":
-            return _raw(200, {}, b"")
+            return raw_response(200, {}, b"")
         body = earlier.body if isinstance(earlier.body, bytes) else b""
         headers = {NOT_RUN: "1"} if NOT_RUN in earlier.headers else {}
-        return _raw(earlier.status, headers, body)
+        return raw_response(earlier.status, headers, body)
 
 
 def _transport(request: web.BaseRequest) -> asyncio.Transport:
     assert isinstance(request.transport, asyncio.Transport)
     return request.transport
-
-
-def _raw(status: int, headers: dict[str, str], body: bytes) -> bytes:
-    lines = [f"HTTP/1.1 {status} Status", f"Content-Length: {len(body)}"]
-    lines += [f"{name}: {value}" for name, value in headers.items()]
-    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
