--- a/tests/scheduling/played_network.py
+++ b/tests/scheduling/played_network.py
@@ -254,7 +254,7 @@
             await asyncio.sleep(2 * HOP_SECONDS)
             return StageWorkerReport(simulation.workers[worker.worker_id].free_bytes)
 
-    patch.setattr(node, "WorkerClient", lambda _, received: SimpleNamespace(received=received))
+    patch.setattr(node, "WorkerClient", lambda _, received, __: SimpleNamespace(received=received))
     patch.setattr(worker_access, "RelayClient", lambda *parts: SimulatedRelay())
     patch.setattr(node, "StageWorkerClient", Caller)
 
