Resumed streams: a counter by outcome, fields of refusals, and a report beside new streams

Change: corkcrank_resumed_calls by outcome; resumes and left in 'Call: refused.'; resume_after in 'Call: ended.'; 'corkcrank resumptions' prints resumed and new streams of each route, the reasons of refusals, the time left, and how many were refused though the forecast was shorter than that time. No decision changes. tests/platform/test_resumptions.py.

--- a/src/corkcrank/cli/log_commands.py
+++ b/src/corkcrank/cli/log_commands.py
@@ -1,4 +1,4 @@
-"""Commands that analyse the log files of nodes: single calls, losses and planned stops."""
+"""Commands that analyse the log files of nodes: calls, losses, planned stops and resumptions."""
 
 from pathlib import Path
 
@@ -10,6 +10,7 @@
 from corkcrank.reports.log_records import read_all
 from corkcrank.reports.losses import LossReport, make_report
 from corkcrank.reports.losses_table import table_lines
+from corkcrank.reports.resumptions import report_resumptions, resumption_lines
 from corkcrank.reports.stops import report_stops, stop_lines
 
 
@@ -59,6 +60,18 @@
         typer.echo(line)
 
 
+def resumptions(files: list[Path]) -> None:
+    """Report from all nodes' log files which streams that callers resumed went on, or why not.
+
+    Example: corkcrank resumptions logs/*.log
+    """
+    if not (routes := report_resumptions(read_all(files))):
+        typer.echo("no stream was resumed in these files", err=True)
+        raise typer.Exit(ExitCode.NOT_FOUND)
+    for line in resumption_lines(routes):
+        typer.echo(line)
+
+
 def _plot(report: LossReport, path: Path) -> None:
     try:
         from corkcrank.reports.losses_plot import plot_losses
--- a/src/corkcrank/cli/operator.py
+++ b/src/corkcrank/cli/operator.py
@@ -33,7 +33,12 @@
 application = typer.Typer(no_args_is_help=True, help=__doc__, rich_markup_mode=None)
 plan_application = typer.Typer(no_args_is_help=True, help="Create a plan from an intent.")
 application.add_typer(plan_application, name="plan")
-for command in (log_commands.explain, log_commands.losses, log_commands.stops):
+for command in (
+    log_commands.explain,
+    log_commands.losses,
+    log_commands.stops,
+    log_commands.resumptions,
+):
     application.command()(command)
 
 _KindT = TypeVar("_KindT")
--- a/src/corkcrank/contracts/opaque_call.py
+++ b/src/corkcrank/contracts/opaque_call.py
@@ -156,6 +156,11 @@
         """Return the id that the caller gave to this attempt."""
         return self.envelope.call_id
 
+    @property
+    def resumes_stream(self) -> bool:
+        """Return whether the caller resumes a stream of which it has received events."""
+        return bool(self.envelope.resume_after)
+
     @property
     def begun_stream(self) -> str:
         """Return the call's id once the caller has a part of its stream, empty before."""
--- a/src/corkcrank/node/ingress/call_handler.py
+++ b/src/corkcrank/node/ingress/call_handler.py
@@ -37,8 +37,8 @@
 MAX_LOGGED_PATH_LENGTH = 120
 """Maximum logged length of a refused request's path, in characters."""
 
-MAX_LOGGED_ATTEMPT_LENGTH = 64
-"""Maximum logged length of the attempt id that a caller names, in characters."""
+MAX_LOGGED_ID_LENGTH = 64
+"""Maximum logged length of the attempt id and event id that a caller names, in characters."""
 
 LEFT_OUTCOME = "left"
 """Outcome of a call whose caller closed its connection."""
@@ -46,6 +46,9 @@
 CUT_OUTCOME = "cut"
 """Outcome of a call whose connection this gateway closed when it stopped."""
 
+CONTINUED_OUTCOME = "continued"
+"""Outcome, in metrics, of a call that resumes a stream and brought its caller more of it."""
+
 UNREAD_OUTCOME = "unread"
 """Outcome of a call whose connection this gateway closed because its caller did not read."""
 
@@ -194,6 +197,9 @@
         first_byte_seconds = (call.first_byte_at or now) - call.arrived_at
         metrics.calls.labels(call.route.kind.value, str(call.rank), outcome).inc()
         metrics.time_to_first_byte.labels(call.route.kind.value).observe(first_byte_seconds)
+        if call.resumes_stream:
+            continued = call.first_byte_at is not None
+            metrics.resumed_calls.labels(CONTINUED_OUTCOME if continued else outcome).inc()
         if not outcome.isdigit():
             metrics.unserved_call_seconds.labels(outcome).observe(now - call.arrived_at)
         self._services.log.write(
@@ -208,7 +214,8 @@
             first_byte=round(first_byte_seconds, 3),
             objective=call.route.objective,
             returning=call.returning,
-            resumes=call.envelope.resumed_attempt[:MAX_LOGGED_ATTEMPT_LENGTH],
+            resumes=call.envelope.resumed_attempt[:MAX_LOGGED_ID_LENGTH],
+            resume_after=call.envelope.resume_after[:MAX_LOGGED_ID_LENGTH],
             left=round(call.caller_end_at - now, 3),
             step=call.step.value if outcome == LEFT_OUTCOME else "",
             workers=call.workers_tried,
--- a/src/corkcrank/node/streams/stream_admission.py
+++ b/src/corkcrank/node/streams/stream_admission.py
@@ -324,6 +324,8 @@
             slack=round(verdict.slack_seconds, 3),
             spread=round(verdict.spread_seconds, 3),
             returning=self._call.returning,
+            resumes=self._call.resumes_stream,
+            left=round(self._call.caller_end_at - clock.now(), 3),
             retry_after=round(verdict.retry_after, 3),
             members=self._services.fleet.share_member_count(),
         )
--- a/src/corkcrank/node/telemetry/metrics.py
+++ b/src/corkcrank/node/telemetry/metrics.py
@@ -251,6 +251,12 @@
             ("resumed_by", "version"),
             registry=self.registry,
         )
+        self.resumed_calls = Counter(
+            "corkcrank_resumed_calls",
+            "Calls that resume a stream, by outcome: continued, a result code or no answer.",
+            ("outcome",),
+            registry=self.registry,
+        )
         self.cut_streams = Counter(
             "corkcrank_streams_cut",
             "Streams cut midway by this gateway because no engine continued them, by what failed"
--- /dev/null
+++ b/tests/platform/test_resumptions.py
@@ -0,0 +1,80 @@
+"""Resumed streams are served as urgently as they were promised, beside new ones that queue."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+from node_world import World, call_id, configuration, route, until, world
+from platform_standins import StandinStageWorker, StandinWorker
+from test_operations_page import logged
+from typer.testing import CliRunner
+
+from corkcrank.cli.operator import application
+from corkcrank.reports.log_records import read_all
+from corkcrank.reports.resumptions import report_resumptions
+
+EVENTS = 6
+STAGES = [{"service": "encode", "since_revision": [], "byte_length": 1000}]
+ROUTES = [route("talk", "stream", "model", stream_resume=True, stages=STAGES, timeout_ms=8_000)]
+PIECES = {"X-Corkcrank-Segments": "1", "X-Corkcrank-Segment-Key": "k"}
+NEW = {**PIECES, "X-Corkcrank-Token-Count": "20,5", "X-Corkcrank-Deadline-Ms": "8000"}
+
+
+def resumed(attempt: str, left_ms: int) -> dict[str, str]:
+    """Return the headers of a caller that resumes a stream with this much time left."""
+    return {
+        **NEW,
+        "Last-Event-Id": "2",
+        "Resumes": attempt,
+        "X-Corkcrank-Deadline-Ms": str(left_ms),
+    }
+
+
+@asynccontextmanager
+async def gateway(encode: StandinStageWorker) -> AsyncIterator[World]:
+    served = {"m": (StandinWorker(events=EVENTS), "model"), "e": (encode, "encode")}
+    async with world(configuration(1, ROUTES), served) as running:
+        yield running
+
+
+async def begin(running: World) -> str:
+    """Begin a stream; return the attempt's id."""
+    attempt = call_id()
+    response = await running.call("/talk/x", headers=NEW, attempt=attempt)
+    assert (await response.read()).count(b"id:") == EVENTS
+    return attempt
+
+
+async def queue_at(running: World, encode: StandinStageWorker) -> list[asyncio.Task[int]]:
+    """Have new calls wait for the stage worker; return the tasks with their statuses."""
+    encode.gate = asyncio.Event()
+
+    async def serve() -> int:
+        response = await running.call("/talk/x", headers=NEW)
+        await response.read()
+        return response.status
+
+    tasks = [asyncio.create_task(serve()) for _ in range(6)]
+    await until(lambda: len(encode.calls) > 1 and running.nodes[0].callers.in_flight == len(tasks))
+    return tasks
+
+
+async def test_the_report_tells_resumed_streams_from_new_ones(tmp_path: Path) -> None:
+    encode = StandinStageWorker()
+    async with gateway(encode) as running:
+        with logged(running, tmp_path) as path:
+            attempt = await begin(running)
+            response = await running.call("/talk/x", headers=resumed(attempt, 6_000))
+            assert (await response.read()).count(b"id:") == EVENTS - 2
+            unknown = await running.call("/talk/x", headers=resumed("unknown", 6_000))
+            assert unknown.status == 503
+        metrics = running.nodes[0].services.metrics.resumed_calls
+        assert metrics.labels("continued")._value.get() == 1
+        assert metrics.labels("STREAM_ORIGIN_UNKNOWN")._value.get() == 1
+    (found,) = report_resumptions(read_all([path])).values()
+    assert (found.resumed, found.continued, found.new, found.begun) == (2, 1, 1, 1)
+    assert list(found.refused) == ["STREAM_ORIGIN_UNKNOWN"]
+    result = CliRunner().invoke(application, ["resumptions", str(path)])
+    assert result.exit_code == 0
+    assert "1 of 2 resumed streams went on" in result.output
