Test: a resumed stream is refused beside a queue in which new ones wait and begin (fails)

What callers see: a caller with 5 s left resumes its stream while six new calls wait 0.2 s for the stage; it is refused at once (3009, 'stage 0 was not made'), the six are served.

--- a/tests/platform/test_resumptions.py
+++ b/tests/platform/test_resumptions.py
@@ -78,3 +78,18 @@
     result = CliRunner().invoke(application, ["resumptions", str(path)])
     assert result.exit_code == 0
     assert "1 of 2 resumed streams went on" in result.output
+
+
+async def test_a_resumed_stream_waits_at_the_stages_as_long_as_its_caller_does() -> None:
+    encode = StandinStageWorker()
+    async with gateway(encode) as running:
+        attempt = await begin(running)
+        waiting = await queue_at(running, encode)
+        call = asyncio.create_task(running.call("/talk/x", headers=resumed(attempt, 5_000)))
+        await asyncio.sleep(0.2)
+        assert encode.gate is not None
+        encode.gate.set()
+        response = await call
+        body = await response.read()
+        assert (response.status, body.count(b"id:")) == (200, EVENTS - 2), body
+        assert await asyncio.gather(*waiting) == [200] * len(waiting)
