A resumed stream is served by its caller's deadline and before new calls, within a share

What callers saw: streams that they resumed with 10 to 18 s left were refused (3009) as soon as anything waited at the stages, three times in a row, while new streams of the same route were admitted.

Cause: the rest of a stream was judged as a new call. Its objective is the time of the first byte, counted from the caller's first attempt; that time lies in the past whenever a caller resumes. With it admission had no slack, the pieces' latest start was 0.05 s, and their due time put them behind all others in the queues (pieces that would be late go last). The same for stages that run again within an answer after an engine was lost.

Change: OpaqueCall.due_at is the deadline for the rest of a stream and the objective for a new call; queue_rank puts it before the less urgent routes of its tenant's rank, never before a more urgent tenant. Both are read by admission, stages, the queues of prompts and retry times. That a call resumes a stream is its caller's word, so ResumptionShare bounds it by tenant: a quarter of its recent new streams, and 24 over all gateways; beyond that a resumed stream is judged as before.

--- a/src/corkcrank/contracts/opaque_call.py
+++ b/src/corkcrank/contracts/opaque_call.py
@@ -8,6 +8,7 @@
 from corkcrank.contracts.opaque_configuration import OpaqueRoute
 from corkcrank.contracts.request_fingerprint import part_fingerprint, request_fingerprint
 from corkcrank.contracts.stream_origin import StreamOrigin
+from corkcrank.contracts.urgency import Rank
 from corkcrank.contracts.worker_records import WorkerRecord
 
 
@@ -83,6 +84,9 @@
 REJECTED_SECONDS = 0.8
 """Time after which a begun stream may return to a worker that was full: streams end meanwhile."""
 
+MOST_URGENT_ROUTE = 0
+"""The most urgent rank of a route."""
+
 MAX_FINGERPRINTED_PARTS = 8
 """Maximum number of a prompt's shared parts that are evidence when its engine crashes."""
 
@@ -103,6 +107,7 @@
     ``left_workers`` were sent the call and left, or not needed, without a failure of theirs.
     ``rejected_at`` holds when workers last rejected the call because they were full.
     ``claimed`` tells whether the caller was refused before and returned at the time told.
+    ``precedence`` is set for a resumed stream that is served before new calls.
     ``place_wait_seconds`` is how long the call has waited for places at brittle workers.
     """
 
@@ -110,7 +115,7 @@
     route: OpaqueRoute
     service: str
     tenant: str
-    rank: tuple[int, int]
+    rank: Rank
     method: str
     target: str
     headers: list[tuple[str, str]]
@@ -126,6 +131,7 @@
     first_attempt_recorded: bool = False
     origin: StreamOrigin | None = None
     claimed: bool = False
+    precedence: bool = False
     unresponsive_workers: frozenset[str] = frozenset()
     left_workers: set[str] = field(default_factory=set)
     rejected_at: dict[str, float] = field(default_factory=dict)
@@ -161,6 +167,11 @@
         """Return whether the caller resumes a stream of which it has received events."""
         return bool(self.envelope.resume_after)
 
+    @property
+    def precedes(self) -> bool:
+        """Return whether the call is the rest of a stream, which is served before new calls."""
+        return self.answer_begun or self.precedence
+
     @property
     def begun_stream(self) -> str:
         """Return the call's id once the caller has a part of its stream, empty before."""
@@ -244,3 +255,21 @@
         from callers that can still be served in time.
         """
         return self.arrived_at - self.seconds_since_first_attempt + self.route.objective
+
+    @property
+    def due_at(self) -> float:
+        """Return when the next part of the answer is due.
+
+        A stream whose first byte was sent has no objective left to miss. The rest of it is of use
+        to the caller until the deadline.
+        """
+        return self.end_at if self.precedes else self.objective_at
+
+    @property
+    def queue_rank(self) -> Rank:
+        """Return the rank in the queues of stages and engines.
+
+        The rest of a stream goes before the less urgent routes of its tenant's rank, never before a
+        more urgent tenant.
+        """
+        return (self.rank[0], MOST_URGENT_ROUTE) if self.precedes else self.rank
--- a/src/corkcrank/node/calls/services.py
+++ b/src/corkcrank/node/calls/services.py
@@ -45,6 +45,7 @@
 from corkcrank.scheduling.prefill_pace import PrefillPace
 from corkcrank.scheduling.recent_prefixes import RecentPrefixes
 from corkcrank.scheduling.refusal_shares import RefusalShares
+from corkcrank.scheduling.resumption_share import ResumptionShare
 from corkcrank.scheduling.return_times import ReturnTimes
 from corkcrank.scheduling.stream_times import StreamTimes
 from corkcrank.scheduling.worker_choice import WorkerStatisticsTable
@@ -141,6 +142,7 @@
     plain_times: MeanTimes = field(default_factory=MeanTimes)
     forecast_bias: ForecastBias = field(default_factory=ForecastBias)
     refusal_shares: RefusalShares = field(default_factory=RefusalShares)
+    resumption_share: ResumptionShare = field(default_factory=ResumptionShare)
     zone_pairs: CountedZonePairs = field(default_factory=CountedZonePairs)
     recent_prefixes: RecentPrefixes = field(default_factory=RecentPrefixes)
     prompt_sizes: PromptSizes = field(default_factory=PromptSizes)
--- a/src/corkcrank/node/engines/prefill_client.py
+++ b/src/corkcrank/node/engines/prefill_client.py
@@ -157,7 +157,7 @@
         """Return the terms of a call's wait, ``None`` if its prompts are not queued."""
         if not self.queues.queues_prompts(call.service):
             return None
-        urgency = Urgency(call.rank, call.objective_at - now)
+        urgency = Urgency(call.queue_rank, call.due_at - now)
         if patience.begun:
             urgency = downstream_urgency(urgency, DownstreamOrder.DUE)
         return PromptTerms(
--- a/src/corkcrank/node/returns/return_offers.py
+++ b/src/corkcrank/node/returns/return_offers.py
@@ -71,12 +71,12 @@
         demands = self._demands(call, plan)
         seconds = None
         if not call.claimed:
-            seconds = self.slots.assign(demands, call.rank, earliest, latest, now)
+            seconds = self.slots.assign(demands, call.queue_rank, earliest, latest, now)
         if seconds is None:
             return self._tell(call, ReturnOffer.WITHOUT_SLOT, latest, latest)
         pieces = tuple(ClaimedPieces(item.service, item.pieces) for item in demands)
         key = bytes.fromhex(call.fingerprint)
-        keeper = self.keeper.issue(ReturnClaim(key, call.tenant, call.rank, pieces, seconds))
+        keeper = self.keeper.issue(ReturnClaim(key, call.tenant, call.queue_rank, pieces, seconds))
         return self._tell(call, ReturnOffer.ISSUED, seconds, latest, keeper)
 
     def _tell(
@@ -86,7 +86,7 @@
         self._log.write(
             LogEvent.CALL_RETURN_TOLD,
             call=call.call_id,
-            rank=call.rank,
+            rank=call.queue_rank,
             claim=offer.value,
             keeper=keeper,
             seconds=round(seconds, 3),
@@ -103,6 +103,6 @@
                 pieces[service] = pieces.get(service, 0) + count
         share = ROOM_SHARE / max(1, len(self._fleet.view(clock.now()).all_serving))
         return [
-            SlotDemand(service, count, share * self._dispatch.free_rate(service, call.rank))
+            SlotDemand(service, count, share * self._dispatch.free_rate(service, call.queue_rank))
             for service, count in pieces.items()
         ]
--- a/src/corkcrank/node/stages/stage_placing.py
+++ b/src/corkcrank/node/stages/stage_placing.py
@@ -13,8 +13,8 @@
 ) -> StagePlacing:
     """Return the inputs of a worker choice, without the locations of inputs and reader."""
     definition = plan.definition(stage)
-    seconds_to_objective = call.objective_at - clock.now()
-    urgency = Urgency(call.rank, round(seconds_to_objective, 3))
+    seconds_left = call.due_at - clock.now()
+    urgency = Urgency(call.queue_rank, round(seconds_left, 3))
     next_urgency = downstream_urgency(urgency, dispatch.downstream_order)
     next_stages = [
         (plan.definition(reader), plan.counts[reader])
@@ -36,7 +36,7 @@
         pieces=pieces,
         size=float(definition.result_bytes),
         urgency=urgency_at(plan, stage, urgency, dispatch.downstream_order),
-        end_by=seconds_to_objective,
+        end_by=seconds_left,
         next_stage_wait=longest_next_wait if next_stages else None,
     )
 
--- a/src/corkcrank/node/stages/stage_run.py
+++ b/src/corkcrank/node/stages/stage_run.py
@@ -321,21 +321,21 @@
         return inputs
 
     def _urgency(self, stage: int) -> Urgency:
-        """Return the urgency at a stage: the rank, and the seconds until the stages must end."""
-        seconds_left = self.call.objective_at - clock.now() - self.seconds_after_stages
-        urgency = Urgency(self.call.rank, round(seconds_left, 3))
+        """Return the urgency at a stage: the rank, and the seconds until the stages are due."""
+        seconds_left = self.call.due_at - clock.now() - self.seconds_after_stages
+        urgency = Urgency(self.call.queue_rank, round(seconds_left, 3))
         return urgency_at(self.plan, stage, urgency, self.dispatch.downstream_order)
 
     def _max_wait(self, now: float) -> float:
         """Return the maximum wait in seconds after which pieces may still start.
 
-        Before any work has begun, a start must still meet the objective. Later, a call is abandoned
-        once its lateness exceeds usual forecast errors. The minimum keeps such a call, or a
+        Before any work has begun, a start must still be in time. Later, a call is abandoned once
+        its lateness exceeds usual forecast errors. The minimum keeps such a call, or a
         returning caller that is too late for its objective, from a refusal while workers are idle.
         """
         if self.promised:
             return max(0.0, self.call.end_at - now - self.seconds_after_stages)
-        limit = self.call.objective_at
+        limit = self.call.due_at
         if self.started or self.returning:
             limit += MAX_OVERRUN_DEVIATIONS * self.spread_seconds
         limit = min(limit, self.call.end_at)
--- a/src/corkcrank/node/streams/stream_admission.py
+++ b/src/corkcrank/node/streams/stream_admission.py
@@ -62,9 +62,9 @@
 
         The owner of that zone's queue then grants an engine or refuses the call.
         """
-        rank = self._call.rank
+        rank = self._call.queue_rank
         waits = {zone: self._engine_wait(zone, rank) for zone in {item.zone for item in engines}}
-        longest = self._call.objective_at - clock.now() - self.first_event_seconds()
+        longest = self._call.due_at - clock.now() - self.first_event_seconds()
         for engine in engines:
             if waits[engine.zone] <= longest:
                 return engine
@@ -221,7 +221,7 @@
         call = self._call
         if not self._services.features.return_claims:
             return verdict.retry_after
-        objective, rank = call.objective_at - clock.now(), self._engine_rank()
+        objective, rank = call.due_at - clock.now(), self._engine_rank()
         latest = max(
             latest_return_seconds(
                 self._forecast_zone(zone, claimed=True),
@@ -234,13 +234,13 @@
         return self._services.return_offers.seconds_to_return(call, self._plan, verdict, latest)
 
     def _engine_rank(self) -> Rank:
-        return downstream_rank(self._call.rank, DownstreamOrder.DUE)
+        return downstream_rank(self._call.queue_rank, DownstreamOrder.DUE)
 
     def _claimed_pieces(self, service: str) -> int:
         """Return the claimed pieces that precede a new call at a stage service."""
         if not self._services.features.return_claims:
             return 0
-        return self._services.return_offers.keeper.pieces_up_to(service, self._call.rank)
+        return self._services.return_offers.keeper.pieces_up_to(service, self._call.queue_rank)
 
     def _evaluate_zone(self, zone: str, correction: ForecastCorrection) -> AdmissionVerdict:
         call = self._call
@@ -251,9 +251,9 @@
             replace(chain, queued=max(chain.queued, wait)),
             correction,
             self._engine_forecast(wait),
-            call.objective_at - now,
+            call.due_at - now,
             call.end_at - now,
-            returning=self._call.returning,
+            returning=call.returning or call.precedence,
             refused_share=self._refused_share(),
         )
 
--- a/src/corkcrank/node/streams/stream_continuity.py
+++ b/src/corkcrank/node/streams/stream_continuity.py
@@ -2,6 +2,7 @@
 
 from enum import StrEnum
 
+from corkcrank.contracts import clock
 from corkcrank.contracts.opaque_call import OpaqueCall
 from corkcrank.contracts.result_codes import ResultCode
 from corkcrank.contracts.stream_origin import StreamOrigin
@@ -44,16 +45,20 @@
         The stream stays at the service that began it. If the route no longer leads there, no worker
         may continue the stream.
         """
-        call = self._call
-        if not call.envelope.resume_after:
+        call, share = self._call, self._services.resumption_share
+        if not call.resumes_stream:
+            share.observe_new(call.tenant, clock.now())
             return None
         origin = await self._services.origins.find(call)
-        self._log_resumption(origin)
         if origin is None or not origin.version:
+            self._log_resumption(None)
             return Refusal(
                 ResultCode.STREAM_ORIGIN_UNKNOWN, retry_after=UNKNOWN_ORIGIN_RETRY_SECONDS
             )
         call.origin = origin
+        gateways = self._services.fleet.share_member_count()
+        call.precedence = share.may_precede(call.tenant, gateways, clock.now())
+        self._log_resumption(origin)
         if call.route.leads_to(origin.service):
             call.service = origin.service
         return None
@@ -84,7 +89,8 @@
             last_event=call.envelope.resume_after,
             service=origin.service if origin is not None else "",
             version=origin.version if origin is not None else "",
-            outcome="known" if origin is not None and origin.version else "unknown",
+            outcome="known" if origin is not None else "unknown",
+            precedence=call.precedence,
         )
 
 
--- a/src/corkcrank/node/streams/stream_run.py
+++ b/src/corkcrank/node/streams/stream_run.py
@@ -216,7 +216,7 @@
                 self._admission.first_event_seconds(),
                 self._admission.spread_seconds,
                 self._answer.check_caller,
-                returning=self._call.returning,
+                returning=self._call.returning or self._call.precedence,
             )
         if self._plan.complete:
             return self._plan.final_handles()
--- /dev/null
+++ b/src/corkcrank/scheduling/resumption_share.py
@@ -0,0 +1,80 @@
+"""Bounds how many resumed streams are served before new calls, by tenant at one gateway.
+
+That a call resumes a stream is the word of its caller, who may name one begun stream in many calls.
+Beyond the bound, a resumed stream is served as a new call. Does no I/O: callers pass the time.
+"""
+
+import math
+from dataclasses import dataclass
+
+DECAY_SECONDS = 10.0
+"""Time constant of the exponential decay of a stream's weight: streams break off together, and
+those of the last seconds show how many there can be."""
+
+MAX_PRECEDING_PER_NEW = 0.25
+"""Maximum number of recent streams with precedence, for each recent new stream of the tenant."""
+
+MIN_PRECEDING_STREAMS = 24.0
+"""Number that all gateways together allow in any case, since one that has just started has seen no
+new streams."""
+
+MIN_WEIGHT = 0.05
+"""Weight below which a tenant's streams are removed."""
+
+
+@dataclass(slots=True)
+class _Streams:
+    """Weights of new streams and of resumed ones with precedence."""
+
+    new: float
+    preceding: float
+    at: float
+
+    def decayed(self, now: float) -> "_Streams":
+        decay = math.exp(-max(0.0, now - self.at) / DECAY_SECONDS)
+        return _Streams(self.new * decay, self.preceding * decay, now)
+
+
+class ResumptionShare:
+    """Exponentially decaying numbers of new streams, and of those with precedence, by tenant."""
+
+    def __init__(self) -> None:
+        self._tenants: dict[str, _Streams] = {}
+
+    def __len__(self) -> int:
+        return len(self._tenants)
+
+    def observe_new(self, tenant: str, now: float) -> None:
+        """Record a stream that a caller begins."""
+        known = self._decayed(tenant, now)
+        known.new += 1.0
+
+    def may_precede(self, tenant: str, gateways: int, now: float) -> bool:
+        """Return whether a resumed stream has precedence, and record it if it does.
+
+        >>> share = ResumptionShare()
+        >>> sum(share.may_precede("t", 6, 0.0) for _ in range(100))
+        4
+        >>> for _ in range(40): share.observe_new("t", 0.0)
+        >>> sum(share.may_precede("t", 6, 0.0) for _ in range(100))
+        6
+        """
+        known = self._decayed(tenant, now)
+        fixed = MIN_PRECEDING_STREAMS / max(1, gateways)
+        precedes = known.preceding < max(fixed, MAX_PRECEDING_PER_NEW * known.new)
+        known.preceding += precedes
+        return precedes
+
+    def _decayed(self, tenant: str, now: float) -> _Streams:
+        """Return a tenant's streams at a time; remove those of tenants without recent ones."""
+        if tenant not in self._tenants:
+            self._remove_old(now)
+        known = self._tenants.get(tenant, _Streams(0.0, 0.0, now)).decayed(now)
+        self._tenants[tenant] = known
+        return known
+
+    def _remove_old(self, now: float) -> None:
+        for tenant in list(self._tenants):
+            streams = self._tenants[tenant].decayed(now)
+            if max(streams.new, streams.preceding) < MIN_WEIGHT:
+                del self._tenants[tenant]
--- a/tests/platform/test_first_attempt.py
+++ b/tests/platform/test_first_attempt.py
@@ -1,6 +1,7 @@
 """The objective of a caller that retries counts from its first attempt."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 from node_world import configuration, route, until, world
@@ -70,3 +71,22 @@
         encode.gate.set()
         for call in waiting:
             assert (await (await call).read()).count(b"id:") == 2
+
+
+def resumed_call(**fields: object) -> OpaqueCall:
+    call = call_with(2.0)
+    envelope = replace(call.envelope, resume_after="3", resumed_attempt="0")
+    return replace(call, envelope=envelope, rank=(1, 2), **fields)
+
+
+def test_a_resumed_stream_is_due_at_the_deadline_not_at_a_first_byte_that_was_sent() -> None:
+    assert resumed_call(precedence=True).due_at == 104.0
+    assert resumed_call().due_at == resumed_call().objective_at
+    assert replace(call_with(4.0), answer_begun=True).due_at == 104.0
+    assert call_with(2.0).due_at == call_with(2.0).objective_at
+
+
+def test_a_resumed_stream_goes_before_other_routes_but_not_before_urgent_tenants() -> None:
+    assert resumed_call().queue_rank == (1, 2)
+    assert resumed_call(precedence=True).queue_rank == (1, 0)
+    assert resumed_call(answer_begun=True).queue_rank == (1, 0)
--- /dev/null
+++ b/tests/scheduling/test_resumption_share.py
@@ -0,0 +1,55 @@
+"""Precedence of resumed streams is bounded, whatever callers say."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from corkcrank.scheduling.resumption_share import (
+    DECAY_SECONDS,
+    MAX_PRECEDING_PER_NEW,
+    MIN_PRECEDING_STREAMS,
+    ResumptionShare,
+)
+
+WINDOW_SECONDS = 1.0
+DECAY_OF_A_WINDOW = 1.0 + WINDOW_SECONDS / DECAY_SECONDS
+
+steps = st.lists(
+    st.tuples(st.sampled_from(["new", "resumed"]), st.floats(0.0, 0.3)), min_size=1, max_size=300
+)
+
+
+@given(steps, st.integers(1, 400))
+def test_a_caller_that_names_one_stream_in_many_calls_gets_little_precedence(
+    calls: list[tuple[str, float]], gateways: int
+) -> None:
+    share, now = ResumptionShare(), 0.0
+    begun: list[float] = []
+    preceding: list[float] = []
+    for kind, pause in calls:
+        now += pause
+        if kind == "new":
+            share.observe_new("tenant", now)
+            begun.append(now)
+        elif share.may_precede("tenant", gateways, now):
+            preceding.append(now)
+    for start in preceding:
+        end = start + WINDOW_SECONDS
+        given_there = sum(start <= at <= end for at in preceding)
+        begun_before = sum(at <= end for at in begun)
+        limit = max(MIN_PRECEDING_STREAMS / gateways, MAX_PRECEDING_PER_NEW * begun_before)
+        assert given_there <= limit * DECAY_OF_A_WINDOW + 1
+
+
+def test_one_tenant_does_not_use_up_the_precedence_of_another() -> None:
+    share = ResumptionShare()
+    while share.may_precede("greedy", 6, 0.0):
+        pass
+    assert share.may_precede("other", 6, 0.0)
+
+
+def test_tenants_without_recent_streams_are_forgotten() -> None:
+    share = ResumptionShare()
+    for number in range(100):
+        share.observe_new(f"tenant {number}", 0.0)
+    share.observe_new("last", 10 * DECAY_SECONDS)
+    assert len(share) == 1
