The strict JSON decoder moves to links; the stand-in store serves pages and rows of any text

Nothing in the decoder belongs to the platform, and rows of the gateways' own tables need it too. The stand-in store honours the limits of a page (500 rows, 1 MB), and a test can put a row whose text is no JSON. No behaviour changes.

--- a/src/corkcrank/platform/documents.py
+++ b/src/corkcrank/platform/documents.py
@@ -19,9 +19,9 @@
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.contracts.zone_evacuations import ZoneState
 from corkcrank.links.platform_ports import StoreRow, Unreadable
+from corkcrank.links.strict_json import decode_strictly
 from corkcrank.platform import names
 from corkcrank.platform.call_headers import MILLISECONDS_PER_SECOND
-from corkcrank.platform.strict_json import decode_strictly
 from corkcrank.platform.worker_entries import read_worker
 
 BYTES_PER_MEGABYTE = 1_000_000
--- a/src/corkcrank/platform/stage_calls.py
+++ b/src/corkcrank/platform/stage_calls.py
@@ -13,10 +13,10 @@
     StageWorkerReport,
     Unreadable,
 )
+from corkcrank.links.strict_json import decode_strictly
 from corkcrank.platform import names
 from corkcrank.platform.call_headers import MILLISECONDS_PER_SECOND
 from corkcrank.platform.documents import BYTES_PER_MEGABYTE
-from corkcrank.platform.strict_json import decode_strictly
 from corkcrank.platform.worker_entries import BornMilliseconds
 
 _OUTCOMES_BY_REASON = {
--- a/src/corkcrank/platform/store.py
+++ b/src/corkcrank/platform/store.py
@@ -22,9 +22,9 @@
     drop_idle,
     ignore_silence,
 )
+from corkcrank.links.strict_json import decode_strictly
 from corkcrank.platform import names
 from corkcrank.platform.call_headers import MILLISECONDS_PER_SECOND
-from corkcrank.platform.strict_json import decode_strictly
 
 MAX_PAGE_ROWS = 500
 """Maximum number of rows that one request reads."""
--- a/src/corkcrank/platform/worker_entries.py
+++ b/src/corkcrank/platform/worker_entries.py
@@ -13,9 +13,9 @@
 
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.links.platform_ports import StoreRow, Unreadable
+from corkcrank.links.strict_json import decode_strictly, unreadable_because
 from corkcrank.platform import names
 from corkcrank.platform.call_headers import MILLISECONDS_PER_SECOND
-from corkcrank.platform.strict_json import decode_strictly, unreadable_because
 
 BornMilliseconds = Annotated[int, msgspec.Meta(ge=1, lt=1 << 53)]
 """Unix time of a worker's start in milliseconds; JSON integers are exact below this limit."""
--- a/tests/platform/standin_store.py
+++ b/tests/platform/standin_store.py
@@ -4,11 +4,24 @@
 import base64
 import json
 import time
+from dataclasses import dataclass
 from typing import Any
 
 from aiohttp import web
 from platform_standins import Server
 
+MAX_PAGE_ROWS = 500
+MAX_PAGE_BYTES = 1_000_000
+
+REVISION = b"(revision)"
+
+
+@dataclass(frozen=True)
+class RowText:
+    """A row as it stands in answers, which may be no JSON; ``REVISION`` stands for its revision."""
+
+    text: bytes
+
 
 class StandinStore:
     """Rows with revisions, a feed, and failures that a test can switch on."""
@@ -16,8 +29,8 @@
     def __init__(self) -> None:
         self.server = Server(self._handle)
         self.revision = 1
-        self.rows: dict[tuple[str, str], tuple[bytes, int]] = {}
-        self.changes: list[tuple[str, str, bytes | None, int]] = []
+        self.rows: dict[tuple[str, str], tuple[bytes | RowText, int]] = {}
+        self.changes: list[tuple[str, str, bytes | RowText | None, int]] = []
         self.oldest_revision = 0
         self.refused: set[str] = set()
         self.silent = False
@@ -25,7 +38,8 @@
         self._changed = asyncio.Event()
 
     def put(self, table: str, key: str, value: Any) -> None:
-        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        """Put a row; a :class:`RowText` stands for the whole row in the store's answers."""
+        data = value if isinstance(value, bytes | RowText) else json.dumps(value).encode()
         self.revision += 1
         self.rows[table, key] = (data, self.revision)
         self._record_change(table, key, data)
@@ -41,7 +55,7 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    def _record_change(self, table: str, key: str, data: bytes | None) -> None:
+    def _record_change(self, table: str, key: str, data: "bytes | RowText | None") -> None:
         self.changes.append((table, key, data, self.revision))
         self._changed.set()
         self._changed = asyncio.Event()
@@ -63,12 +77,18 @@
     def _get(self, request: web.BaseRequest) -> web.Response:
         table, first = request.query["table"], request.query.get("source", "")
         end = request.query.get("target_version")
+        limit = int(request.query.get("limit", MAX_PAGE_ROWS))
         rows = [
-            {"table": table, "part": "", "key": key, "value": _encode(data), "ver": revision}
-            for (name, key), (data, revision) in sorted(self.rows.items())
+            _row_text(table, key, data, revision)
+            for (name, key), (data, revision) in sorted(self.rows.items(), key=lambda item: item[0])
             if name == table and key >= first and (end is None or key < end)
         ]
-        return self._answer(rows=rows, more=False)
+        page = rows[:1]
+        for row in rows[1 : min(limit, MAX_PAGE_ROWS)]:
+            if sum(map(len, page)) + len(row) > MAX_PAGE_BYTES:
+                break
+            page.append(row)
+        return self._answer(page, more=len(page) < len(rows))
 
     async def _feed(self, request: web.BaseRequest) -> web.Response:
         table = request.query["table"]
@@ -84,16 +104,14 @@
                 pass
             if since < self.oldest_revision:
                 return web.Response(status=410)
-        return self._answer(rows=self._rows_since(table, since))
+        return self._answer(self._rows_since(table, since))
 
-    def _rows_since(self, table: str, since: int) -> list[dict[str, Any]]:
-        found = []
-        for name, key, data, revision in self.changes:
-            if name == table and revision > since:
-                row: dict[str, Any] = {"table": table, "part": "", "key": key, "ver": revision}
-                row.update({"gone": True} if data is None else {"value": _encode(data)})
-                found.append(row)
-        return found
+    def _rows_since(self, table: str, since: int) -> list[bytes]:
+        return [
+            _row_text(table, key, data, revision)
+            for name, key, data, revision in self.changes
+            if name == table and revision > since
+        ]
 
     async def _transaction(self, request: web.BaseRequest) -> web.Response:
         body = json.loads(await request.read())
@@ -103,10 +121,17 @@
             self.remove(entry["table"], entry["key"])
         return self._answer()
 
-    def _answer(self, **fields: Any) -> web.Response:
-        body = {**fields, "ver": self.revision, "now_ms": time.monotonic() * 1000}
-        return web.Response(body=json.dumps(body).encode(), content_type="application/json")
+    def _answer(self, rows: list[bytes] | None = None, **fields: Any) -> web.Response:
+        fields |= {"ver": self.revision, "now_ms": time.monotonic() * 1000}
+        body = json.dumps(fields).encode()
+        if rows is not None:
+            body = b'{"rows":[' + b",".join(rows) + b"]," + body[1:]
+        return web.Response(body=body, content_type="application/json")
 
 
-def _encode(data: bytes) -> str:
-    return base64.b64encode(data).decode()
+def _row_text(table: str, key: str, data: bytes | RowText | None, revision: int) -> bytes:
+    if isinstance(data, RowText):
+        return data.text.replace(REVISION, str(revision).encode())
+    row: dict[str, Any] = {"table": table, "part": "", "key": key, "ver": revision}
+    row.update({"gone": True} if data is None else {"value": base64.b64encode(data).decode()})
+    return json.dumps(row).encode()
--- a/tests/platform/test_worker_entries.py
+++ b/tests/platform/test_worker_entries.py
@@ -17,11 +17,11 @@
 
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.links.platform_ports import StoreRow, StoreRows, StoreTable, Unreadable
+from corkcrank.links.strict_json import MAX_REASON_CHARACTERS
 from corkcrank.load.loopback import loopback_address
 from corkcrank.node.process.node import Node
 from corkcrank.platform.documents import PlatformDocumentCodec
 from corkcrank.platform.store import PlatformStore
-from corkcrank.platform.strict_json import MAX_REASON_CHARACTERS
 
 ROUTES = [route("safe", "safe", "plain")]
 
