A worker's entry is decoded into values that every later step can use

Another writer's entry with an address such as [fe80::1%[]:80 became a worker and was chosen for calls. Accepted as well were 0.0.0.0, multicast addresses, zone ids with a NUL, names of services, zones and versions with control characters or of any length, and a sequence beyond 64 bits.

Cause: the decoder checked that an address parses, not that a connection can be opened to it, and texts not at all. Ports of 99999, deep nesting, NaN and 1e400 had been refused before, and still are.

An address is now that of a single machine without a zone id, with a port from 1 to 65535; texts are short and without control characters; numbers have 64 bits. An entry is either a worker that URLs, sockets, heartbeats, logs and the dump can take, which a property test checks, or is refused with a reason.

--- /dev/null
+++ b/src/corkcrank/contracts/bounded_values.py
@@ -0,0 +1,30 @@
+"""Types of values from other processes that every later step can use, whoever wrote them."""
+
+from typing import Annotated
+
+import msgspec
+
+MAX_REVISION = (1 << 63) - 1
+"""Highest revision of the store; messages to peers hold integers of 64 bits."""
+
+Revision = Annotated[int, msgspec.Meta(ge=0, le=MAX_REVISION)]
+
+MAX_TEXT_CHARACTERS = 200
+"""Maximum length of a name; that of a key of the store is the same."""
+
+_PLAIN = r"^[^\x00-\x1f\x7f-\x9f\u2028\u2029]*\Z"
+
+PlainText = Annotated[str, msgspec.Meta(max_length=MAX_TEXT_CHARACTERS, pattern=_PLAIN)]
+"""A short text without control characters and line separators."""
+
+PlainName = Annotated[PlainText, msgspec.Meta(min_length=1)]
+
+
+def is_header_token(text: str) -> bool:
+    """Return whether a text is a valid value of a header: graphic ASCII characters, no spaces.
+
+    >>> [is_header_token(text) for text in ("i-1", "a b", "", "i" * 201)]
+    [True, False, False, False]
+    """
+    graphic = all("!" <= character <= "~" for character in text)
+    return graphic and 1 <= len(text) <= MAX_TEXT_CHARACTERS
--- a/src/corkcrank/platform/worker_entries.py
+++ b/src/corkcrank/platform/worker_entries.py
@@ -5,12 +5,18 @@
 address would be lost. Numbers must be in a plausible range.
 """
 
-import ipaddress
 from enum import StrEnum
 from typing import Annotated
 
 import msgspec
 
+from corkcrank.contracts.bounded_values import (
+    PlainName,
+    PlainText,
+    Revision,
+    is_header_token,
+)
+from corkcrank.contracts.socket_addresses import parse_socket_address
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.links.platform_ports import StoreRow, Unreadable
 from corkcrank.links.strict_json import decode_strictly, unreadable_because
@@ -23,13 +29,10 @@
 MAX_SLOTS = 1_000_000
 """Maximum plausible number of slots of a worker; no machine runs as many."""
 
-MAX_PORT = 65_535
-
 MAX_WARMUP_SECONDS = 60.0
 """Upper limit for a stated warm-up; a longer one would keep a worker from its share of work."""
 
 _Slots = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
-_Text = Annotated[str, msgspec.Meta(min_length=1)]
 
 
 class _State(StrEnum):
@@ -38,14 +41,14 @@
 
 
 class _Entry(msgspec.Struct):
-    service: _Text
-    address: str
-    zone: str
-    version: str
+    service: PlainName
+    address: PlainText
+    zone: PlainText
+    version: PlainText
     slots: _Slots
     state: _State
     warmup_left_ms: float
-    sequence: int
+    sequence: Revision
     born: BornMilliseconds | msgspec.UnsetType = msgspec.UNSET
 
 
@@ -56,14 +59,15 @@
     entry = decode_strictly(row.value, _Entry)
     if isinstance(entry, Unreadable):
         return entry
-    if not _is_worker_name(row.key):
+    if not is_header_token(row.key):
         return unreadable_because("key is not a valid worker name")
-    if not _is_address(entry.address):
+    address = parse_socket_address(entry.address)
+    if address is None:
         return unreadable_because(f"address {entry.address!r} is not of the form ip:port")
     return WorkerRecord(
         name=row.key,
         service=entry.service,
-        address=entry.address,
+        address=address,
         zone=entry.zone,
         slots=entry.slots,
         leaving=entry.state is _State.DRAINING,
@@ -72,29 +76,3 @@
         warmup=min(MAX_WARMUP_SECONDS, max(0.0, entry.warmup_left_ms / MILLISECONDS_PER_SECOND)),
         version=entry.version,
     )
-
-
-def _is_worker_name(key: str) -> bool:
-    """Return whether a key is a valid header value: graphic ASCII characters, no spaces."""
-    return bool(key) and all("!" <= character <= "~" for character in key)
-
-
-def _is_address(text: str) -> bool:
-    """Return whether a text is an IP address, in brackets if it is IPv6, with a port.
-
-    >>> [_is_address(text) for text in ("10.0.0.1:80", "[::1]:80", "::1:80", "host:80", "")]
-    [True, True, False, False, False]
-    """
-    host, _, port = text.rpartition(":")
-    if not (port.isascii() and port.isdigit() and len(port) <= len(str(MAX_PORT))):
-        return False
-    if not 1 <= int(port) <= MAX_PORT:
-        return False
-    try:
-        if host.startswith("[") and host.endswith("]"):
-            ipaddress.IPv6Address(host[1:-1])
-        else:
-            ipaddress.IPv4Address(host)
-    except ValueError:
-        return False
-    return True
--- a/tests/platform/test_worker_entries.py
+++ b/tests/platform/test_worker_entries.py
@@ -6,20 +6,27 @@
 
 import base64
 import json
+import socket
 from typing import Any
 
 import aiohttp
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from node_world import configuration, peer_of, route, until, world
+from odd_entries import ADDRESSES, TEXTS, odd_values
 from platform_standins import Server, StandinWorker
 
+from corkcrank.contracts.bounded_values import MAX_TEXT_CHARACTERS
+from corkcrank.contracts.socket_addresses import split_socket_address
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.links.platform_ports import StoreRow, StoreRows, StoreTable, Unreadable
 from corkcrank.links.strict_json import MAX_REASON_CHARACTERS
 from corkcrank.load.loopback import loopback_address
+from corkcrank.machines.worker_changes import WorkerChange, WorkerChangeBatch
 from corkcrank.node.process.node import Node
+from corkcrank.node.workers.worker_addresses import exact_url
 from corkcrank.platform.documents import PlatformDocumentCodec
 from corkcrank.platform.store import PlatformStore
 
@@ -105,6 +112,61 @@
     assert isinstance(found, WorkerRecord | Unreadable)
 
 
+@pytest.mark.parametrize("name", odd_values())
+def test_an_odd_entry_names_no_worker(name: str) -> None:
+    found = read(odd_values()[name])
+    assert isinstance(found, Unreadable)
+    assert len(found.reason) <= MAX_REASON_CHARACTERS
+
+
+IPV4 = st.ip_addresses(v=4).map(lambda ip: f"{ip}:80")
+IPV6 = st.ip_addresses(v=6).map(lambda ip: f"[{ip}]:80")
+ODD_TEXTS = st.text() | st.sampled_from([text for text in [*ADDRESSES, *TEXTS] if text])
+ODD_FIELDS = {
+    "service": ODD_TEXTS,
+    "address": ODD_TEXTS
+    | st.ip_addresses().map(lambda ip: f"[{ip}]:80" if ip.version == 6 else f"{ip}:80"),
+    "zone": ODD_TEXTS,
+    "version": ODD_TEXTS,
+    "slots": st.integers(),
+    "warmup_left_ms": st.integers() | st.floats(),
+    "sequence": st.integers(),
+    "born": st.integers(),
+}
+
+
+@given(st.fixed_dictionaries({}, optional=ODD_FIELDS), st.text(), st.integers(1, 1 << 62))
+def test_every_later_step_can_use_any_worker_that_is_read(
+    fields: dict[str, object], key: str, revision: int
+) -> None:
+    data = json.dumps({**ENTRY, **fields}).encode()
+    for name in (key, "i-1"):
+        found = PlatformDocumentCodec().worker(StoreRow(name, data, revision))
+        if isinstance(found, WorkerRecord):
+            check_usable(found)
+
+
+def check_usable(worker: WorkerRecord) -> None:
+    """Check what requests, probes, heartbeats, logs, metrics and the dump do with a worker."""
+    url = exact_url(worker.address, "/a?b")
+    assert url.host
+    assert url.port
+    host, port = split_socket_address(worker.address)
+    info = socket.getaddrinfo(host, port, type=socket.SOCK_STREAM, flags=socket.AI_NUMERICHOST)
+    assert [address[4][:2] for address in info] == [(host, port)]
+    change = WorkerChange(worker.name, worker.revision, worker)
+    batch = WorkerChangeBatch(worker.revision - 1, worker.revision, (change,))
+    packed = msgspec.msgpack.encode(batch)
+    assert msgspec.msgpack.decode(packed, type=WorkerChangeBatch) == batch
+    assert msgspec.json.encode(batch)
+    for text in (worker.name, worker.service, worker.zone, worker.version, worker.address):
+        assert len(text) <= MAX_TEXT_CHARACTERS
+        assert text.splitlines() in ([], [text])
+        text.encode()
+    assert json.dumps(change.log_fields()).encode()
+    assert 0.0 <= worker.warmup <= 60.0
+
+
 def test_deeply_nested_bytes_are_unreadable() -> None:
     assert isinstance(read(b'{"service":' + b"[" * 100_000), Unreadable)
     assert isinstance(read(b'{"other":' + b"[" * 100_000), Unreadable)
