A row of the store that no decoder accepts loses neither its page nor the feed

One row with text that is no JSON outside of its value (nesting beyond the decoder's depth, a broken escape, a quote or bracket too many, a control character) made its whole page undecodable. The follower asked for the same page again and again: a worker added later was never known at any gateway, a drained one kept getting calls. A row's revision beyond that of the store, or beyond 64 bits, marked the list as complete up to it, so every later change counted as old.

Cause: a page was decoded as one document. When that fails, the rows are now separated by their brackets alone, in linear time and without recursion, and decoded one by one; if a bracket or quote has no counterpart, rows begin and end wherever an object may. The unreadable row keeps its key if it can be found, is logged and counted, and the feed goes on after it. Revisions lie between 1 and that of the answer. A whole list goes on after the last readable row, since keys of odd rows may be wrong; a page of one odd row is passed by its lowest possible key, for at most 20 such pages.

Ruled out: asking the store for smaller pages. That costs calls, and the feed takes no limit.

--- a/src/corkcrank/platform/store.py
+++ b/src/corkcrank/platform/store.py
@@ -1,14 +1,12 @@
 """Client of the platform's store, which serves rows as JSON over HTTP."""
 
-from dataclasses import dataclass, field
-
 import aiohttp
 import msgspec
 
+from corkcrank.contracts.bounded_values import Revision
 from corkcrank.links.platform_ports import (
     StoreFailure,
     StoreFailureReason,
-    StoreRow,
     StoreRows,
     StoreTable,
     Unreadable,
@@ -25,10 +23,14 @@
 from corkcrank.links.strict_json import decode_strictly
 from corkcrank.platform import names
 from corkcrank.platform.call_headers import MILLISECONDS_PER_SECOND
+from corkcrank.platform.store_pages import Page, PageRows, decode_page
 
 MAX_PAGE_ROWS = 500
 """Maximum number of rows that one request reads."""
 
+MAX_UNREADABLE_PAGES = 20
+"""Maximum number of pages without a readable row in one read."""
+
 _TABLES = {
     StoreTable.CONFIGURATION: names.OPERATOR_TABLE,
     StoreTable.WORKERS: names.WORKER_TABLE,
@@ -39,48 +41,6 @@
 }
 
 
-class _Row(msgspec.Struct):
-    key: str
-    ver: int = 0
-    value: bytes | None = None
-    gone: bool = False
-
-
-class _RowKeyOnly(msgspec.Struct):
-    """The key of a row whose other fields are unreadable."""
-
-    key: str
-
-
-class _Page(msgspec.Struct):
-    ver: int
-    rows: list[msgspec.Raw]
-    now_ms: float = 0.0
-    more: bool = False
-
-
-@dataclass(slots=True)
-class _Rows:
-    """The rows of one or more pages; an unreadable row does not affect the others."""
-
-    rows: list[StoreRow] = field(default_factory=list)
-    nameless: list[Unreadable] = field(default_factory=list)
-
-    def add_page(self, page: _Page) -> None:
-        """Decode and add the rows of a page."""
-        for raw in page.rows:
-            row = _decode_row(raw, page.ver)
-            if isinstance(row, StoreRow):
-                self.rows.append(row)
-            else:
-                self.nameless.append(row)
-
-    def to_store_rows(self, revision: int, page: _Page) -> StoreRows:
-        """Return all rows as of a revision, with the store time of a page."""
-        at = page.now_ms / MILLISECONDS_PER_SECOND
-        return StoreRows(tuple(self.rows), revision, at, tuple(self.nameless))
-
-
 class _Put(msgspec.Struct):
     table: str
     part: str
@@ -101,7 +61,7 @@
 
 
 class _TransactionAnswer(msgspec.Struct):
-    ver: int
+    ver: Revision
 
 
 class PlatformStore:
@@ -125,7 +85,7 @@
         Pages are read at different revisions. The result has the revision of the first one, so
         that changes made while the others were read appear among the changes since then.
         """
-        found = _Rows()
+        found = PageRows()
         revision: int | None = None
         query = {"table": _TABLES[table], "part": "", "limit": str(MAX_PAGE_ROWS)}
         if key:
@@ -136,16 +96,13 @@
             if isinstance(page, StoreFailure):
                 return page
             revision = page.ver if revision is None else revision
-            known = len(found.rows)
-            found.add_page(page)
+            source = query.get("source", "")
+            last = found.add_page(page, source)
             if not page.more:
                 return found.to_store_rows(revision, page)
-            if len(found.rows) == known:
-                return StoreFailure(
-                    StoreFailureReason.BROKEN,
-                    "incomplete page without a readable row to continue from",
-                )
-            query["source"] = found.rows[-1].key + "\x00"
+            if last is None or last < source or found.unreadable_pages > MAX_UNREADABLE_PAGES:
+                return StoreFailure(StoreFailureReason.BROKEN, "no readable row to continue from")
+            query["source"] = last + "\x00"
 
     async def watch(
         self, table: StoreTable, since: int, wait_seconds: float
@@ -164,7 +121,7 @@
         page = _decode_page(body)
         if isinstance(page, StoreFailure):
             return page
-        found = _Rows()
+        found = PageRows()
         found.add_page(page)
         return found.to_store_rows(page.ver, page)
 
@@ -232,27 +189,10 @@
     return StoreFailure(StoreFailureReason.REFUSED, f"status {status}")
 
 
-def _decode_page(body: bytes | StoreFailure) -> _Page | StoreFailure:
+def _decode_page(body: bytes | StoreFailure) -> Page | StoreFailure:
     if isinstance(body, StoreFailure):
         return body
-    page = decode_strictly(body, _Page)
+    page = decode_page(body)
     if isinstance(page, Unreadable):
         return StoreFailure(StoreFailureReason.BROKEN, page.reason)
     return page
-
-
-def _decode_row(raw: msgspec.Raw, newest: int) -> StoreRow | Unreadable:
-    """Return a row, a row with a key and an unreadable value, or why even the key is unreadable.
-
-    A row with an unreadable revision gets that of the answer, ``newest``: later changes of the
-    row are newer.
-    """
-    row = decode_strictly(raw, _Row)
-    if isinstance(row, Unreadable):
-        named = decode_strictly(raw, _RowKeyOnly)
-        return named if isinstance(named, Unreadable) else StoreRow(named.key, row, newest)
-    if row.gone:
-        return StoreRow(row.key, None, row.ver)
-    if row.value is None or not row.ver:
-        return StoreRow(row.key, Unreadable("row without value or revision"), row.ver or newest)
-    return StoreRow(row.key, row.value, row.ver)
--- /dev/null
+++ b/tests/platform/test_odd_entries.py
@@ -0,0 +1,120 @@
+"""Odd entries of another writer, all at once beside those of sound workers."""
+
+import asyncio
+import json
+from typing import Any
+
+import aiohttp
+import pytest
+from node_world import World, configuration, peer_of, route, until, world
+from odd_entries import ODD_KEYS, odd_rows, odd_values
+from platform_standins import StandinWorker
+
+from corkcrank.contracts import clock
+from corkcrank.links.decision_log import DecisionLog, LogEvent
+from corkcrank.links.platform_ports import StoreTable
+from corkcrank.load.loopback import loopback_address
+from corkcrank.node.process.node import Node
+
+ROUTES = [
+    route("safe", "safe", "plain"),
+    route("once", "unsafe", "plain"),
+    route("talk", "stream", "plain", stream_resume=True),
+]
+
+
+@pytest.fixture
+def logged(monkeypatch: pytest.MonkeyPatch) -> list[tuple[LogEvent, dict[str, Any]]]:
+    """Collect the events that gateways log; each must be encodable."""
+    events: list[tuple[LogEvent, dict[str, Any]]] = []
+
+    def write(log: DecisionLog, event: LogEvent, **fields: Any) -> None:
+        json.dumps(fields, default=str).encode()
+        events.append((event, fields))
+
+    monkeypatch.setattr(DecisionLog, "write", write)
+    return events
+
+
+async def fetch(running: World, node: Node, path: str) -> bytes:
+    assert running.session is not None
+    async with running.session.get(f"http://{node.fleet.local_address}{path}") as response:
+        assert response.status == 200
+        return await response.read()
+
+
+async def all_served(running: World, paths: tuple[str, ...] = ("safe", "once")) -> None:
+    for number in range(len(running.nodes)):
+        for path in paths:
+            for _ in range(4):
+                response = await running.call(f"/{path}/x", number=number)
+                assert response.status == 200, await response.text()
+
+
+def put_all(running: World) -> None:
+    for key, value in odd_values().items():
+        running.store.put("servers", key, value)
+    for key in ODD_KEYS:
+        running.store.put("servers", key, {**json.loads(odd_values()["duplicate-state"])})
+    for key, row in odd_rows().items():
+        running.store.put("servers", key, row)
+
+
+def usable(node: Node) -> set[str]:
+    return {worker.name for worker in node.mirror.workers.usable_workers("plain")}
+
+
+def ended_loops(node: Node) -> list[asyncio.Task[None]]:
+    return [
+        task
+        for task in node._loops.tasks
+        if task.done() and (task.cancelled() or task.exception() is not None)
+    ]
+
+
+@pytest.mark.parametrize("first", [True, False])
+async def test_odd_entries_stop_neither_calls_nor_the_list(
+    first: bool, logged: list[tuple[LogEvent, dict[str, Any]]]
+) -> None:
+    one, two, late = StandinWorker(), StandinWorker(), StandinWorker()
+    await late.server.start()
+    served = {"one": (one, "plain"), "two": (two, "plain")}
+    async with world(configuration(1, ROUTES), served) as running:
+        if not first:
+            put_all(running)
+        async with peer_of(running, loopback_address(2)) as second:
+            nodes = [running.nodes[0], second]
+            if first:
+                await until(lambda: all(len(usable(node)) == 2 for node in nodes))
+                put_all(running)
+            await until(lambda: second.ready)
+            await until(lambda: all(len(usable(node)) == 2 for node in nodes))
+            await all_served(running)
+            running.store.put("servers", late.worker_id, late.entry("plain"))
+            expected = {one.worker_id, two.worker_id, late.worker_id}
+            await until(lambda: all(usable(node) == expected for node in nodes))
+            await all_served(running)
+            assert late.seen
+            running.store.put("servers", two.worker_id, two.entry("plain", state="draining"))
+            expected = {one.worker_id, late.worker_id}
+            await until(lambda: all(usable(node) == expected for node in nodes))
+            count = len(two.seen)
+            await all_served(running)
+            assert len(two.seen) == count
+            await no_odd_worker_is_used(running, nodes, expected | {two.worker_id})
+    await late.server.stop()
+    assert not [fields for event, fields in logged if event is LogEvent.INTERNAL_FAULT]
+
+
+async def no_odd_worker_is_used(running: World, nodes: list[Node], known: set[str]) -> None:
+    """Check the list, the loops, and what operators read, after some heartbeats."""
+    await asyncio.sleep(0.6)
+    for node in nodes:
+        assert {worker.name for worker in node.mirror.workers.records()} == known
+        assert node.mirror.workers.revision <= running.store.revision
+        assert ended_loops(node) == []
+        assert len(node.fleet.live_members(clock.now())) == 1
+        assert node.mirror.call_counts.get(f"{StoreTable.WORKERS}:broken", 0) == 0
+        assert b"corkcrank_unreadable_documents" in await fetch(running, node, "/metrics")
+        assert json.loads(await fetch(running, node, "/dump"))["unreadable_entries"]
+    assert isinstance(running.session, aiohttp.ClientSession)
--- a/tests/platform/test_worker_entries.py
+++ b/tests/platform/test_worker_entries.py
@@ -239,6 +239,27 @@
     assert sources == ["", "i-a\x00"]
 
 
+@pytest.mark.parametrize("broken", [valid_row("z-odd") | {"ver": -1}, valid_row("") | {"ver": "x"}])
+async def test_the_key_of_an_unreadable_row_leaves_no_row_out(broken: object) -> None:
+    pages = [
+        {"ver": 9, "rows": [valid_row("i-a"), broken], "more": True},
+        {"ver": 9, "rows": [valid_row("i-z")]},
+    ]
+    found, sources = await rows_of(pages)
+    assert isinstance(found, StoreRows)
+    assert [row.key for row in found.rows if row.value == b"{}"] == ["i-a", "i-z"]
+    assert sources == ["", "i-a\x00"]
+
+
+async def test_reading_ends_at_pages_that_lead_nowhere() -> None:
+    pages = [
+        {"ver": 9, "rows": [valid_row("i-b")], "more": True},
+        {"ver": 9, "rows": [valid_row("i-a")], "more": True},
+    ]
+    found, _ = await rows_of(pages)
+    assert not isinstance(found, StoreRows)
+
+
 async def test_reading_ends_at_a_page_without_keys() -> None:
     found, _ = await rows_of([{"ver": 9, "rows": [None], "more": True}])
     assert not isinstance(found, StoreRows)
