A member's address that is none ends no heartbeats

One odd row in the table of members, or one datagram that states an odd address, ended the heartbeats of every gateway that read it: with a port of 99999 send_loop ended with OverflowError: sendto(): port must be 0-65535, without a port with ValueError, and a value that is no UTF-8 ended the registration. Nobody starts these loops again, so a gateway was then suspected by all others for the rest of its life.

Cause: rows were decoded to any text, and the address in a heartbeat was never looked at; it was first read where datagrams are sent, inside the loops. Addresses of members are now decoded once, in rows and in heartbeats, into literal IPv4 addresses with a port from 1 to 65535. Unreadable rows are logged and counted (kind member); a datagram with another address, or one that nests too deeply, is no heartbeat.

--- a/src/corkcrank/contracts/socket_addresses.py
+++ b/src/corkcrank/contracts/socket_addresses.py
@@ -30,6 +30,16 @@
     return SocketAddress(text) if _is_host(host) else None
 
 
+def parse_member_address(text: str) -> SocketAddress | None:
+    """Return a text as the address of a gateway, ``None`` if no datagram can be sent to it.
+
+    >>> [parse_member_address(text) for text in ("10.0.0.1:80", "[::1]:80", "10.0.0.1:99999")]
+    ['10.0.0.1:80', None, None]
+    """
+    address = parse_socket_address(text)
+    return None if address is None or address.startswith("[") else address
+
+
 def split_socket_address(address: str) -> tuple[str, int]:
     """Return the host without brackets, and the port.
 
--- a/src/corkcrank/links/unreadable_documents.py
+++ b/src/corkcrank/links/unreadable_documents.py
@@ -1,4 +1,4 @@
-"""Types that report documents about workers which cannot be decoded."""
+"""Types that report documents about workers and members which cannot be decoded."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -10,11 +10,12 @@
 
     ENTRY = "entry"
     REPORT = "report"
+    MEMBER = "member"
 
 
 @dataclass(frozen=True, slots=True)
 class UnreadableDocument:
-    """One unreadable document; ``name`` is the entry's key or the reporting worker's id."""
+    """One unreadable document; ``name`` is the row's key or the reporting worker's id."""
 
     kind: DocumentKind
     name: str
--- a/src/corkcrank/machines/heartbeat_codec.py
+++ b/src/corkcrank/machines/heartbeat_codec.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from corkcrank.contracts.socket_addresses import parse_member_address
 from corkcrank.links.datagrams import MAX_DATAGRAM_BYTES
 from corkcrank.machines.heartbeat import Heartbeat
 
@@ -41,12 +42,16 @@
 
 
 def decode_heartbeat(data: bytes) -> Heartbeat | None:
-    """Return the heartbeat of a datagram, or ``None`` for anything else."""
+    """Return the heartbeat of a datagram, or ``None`` for anything else.
+
+    Heartbeats and requests go to the address that a member states, so it must be one.
+    """
     unpacker = zlib.decompressobj()
     try:
-        return _decoder.decode(unpacker.decompress(data, MAX_HEARTBEAT_BYTES))
-    except (zlib.error, msgspec.DecodeError):
+        heartbeat = _decoder.decode(unpacker.decompress(data, MAX_HEARTBEAT_BYTES))
+    except (zlib.error, msgspec.DecodeError, RecursionError):
         return None
+    return heartbeat if parse_member_address(heartbeat.address) is not None else None
 
 
 def _pack(heartbeat: Heartbeat) -> bytes:
--- a/src/corkcrank/node/process/background.py
+++ b/src/corkcrank/node/process/background.py
@@ -6,8 +6,20 @@
 from corkcrank.contracts import clock
 from corkcrank.contracts.node_settings import NodeProcessSettings
 from corkcrank.contracts.process_life import ProcessLife, ProcessTrigger
+from corkcrank.contracts.socket_addresses import SocketAddress, parse_member_address
 from corkcrank.links.decision_log import DecisionLog, LogEvent
-from corkcrank.links.platform_ports import MetadataStore, StoreFailure, StoreTable
+from corkcrank.links.platform_ports import (
+    MetadataStore,
+    StoreFailure,
+    StoreRows,
+    StoreTable,
+    Unreadable,
+)
+from corkcrank.links.unreadable_documents import (
+    DocumentKind,
+    UnreadableDocument,
+    UnreadableListener,
+)
 from corkcrank.machines.fleet import Fleet
 from corkcrank.machines.heartbeat import Phase
 from corkcrank.machines.store_mirror import StoreMirror
@@ -52,7 +64,11 @@
 
 
 async def register_member(
-    process: NodeProcessSettings, store: MetadataStore, fleet: Fleet, heartbeats: HeartbeatLoop
+    process: NodeProcessSettings,
+    store: MetadataStore,
+    fleet: Fleet,
+    heartbeats: HeartbeatLoop,
+    on_unreadable: UnreadableListener,
 ) -> None:
     """Write this node's address to the store, then read the addresses of the others once.
 
@@ -63,11 +79,27 @@
         await asyncio.sleep(REGISTER_RETRY_SECONDS)
     while isinstance(rows := await store.read(StoreTable.MEMBERS), StoreFailure):
         await asyncio.sleep(REGISTER_RETRY_SECONDS)
-    addresses = [row.value.decode() for row in rows.rows if isinstance(row.value, bytes)]
-    fleet.add_addresses(addresses, clock.now())
+    fleet.add_addresses(_read_addresses(rows, on_unreadable), clock.now())
     heartbeats.request_urgent_send()
 
 
+def _read_addresses(rows: StoreRows, on_unreadable: UnreadableListener) -> list[SocketAddress]:
+    """Return the addresses of members; heartbeats can be sent to each of them."""
+    addresses = []
+    for row in rows.rows:
+        value = row.value.decode(errors="replace") if isinstance(row.value, bytes) else ""
+        address = parse_member_address(value)
+        if address is None:
+            found = row.value if isinstance(row.value, Unreadable) else None
+            reason = found.reason if found is not None else "value is no address of a member"
+            on_unreadable(UnreadableDocument(DocumentKind.MEMBER, row.key, reason))
+        else:
+            addresses.append(address)
+    for broken in rows.unreadable_keys:
+        on_unreadable(UnreadableDocument(DocumentKind.MEMBER, "", broken.reason))
+    return addresses
+
+
 async def become_ready(
     mirror: StoreMirror, life: ProcessLife, fleet: Fleet, log: DecisionLog
 ) -> None:
--- a/src/corkcrank/node/process/node.py
+++ b/src/corkcrank/node/process/node.py
@@ -84,8 +84,8 @@
         metrics = NodeMetrics()
         silence, foreign = SilenceLog(log, metrics), ForeignAnswerLog(log, metrics)
         ports.store.on_silence = silence.record_dropped
-        unreadable = UnreadableLog(log, metrics)
-        self.mirror.entry_reader.on_unreadable = unreadable.record_unreadable
+        self._unreadable = UnreadableLog(log, metrics).record_unreadable
+        self.mirror.entry_reader.on_unreadable = self._unreadable
         received = ports.store.received = account_received_bytes(settings.limits, log, metrics)
         self._client = WorkerClient(silence.record_dropped, received, foreign.record)
         self._peers = PeerClient(silence.record_dropped, received)
@@ -164,7 +164,7 @@
             record_silence=silence.record_dropped,
         )
         apply_features(ports.features(settings.scheduling), self.services, self.stage_owner)
-        self.stage_owner.room.on_unreadable = unreadable.record_unreadable
+        self.stage_owner.room.on_unreadable = self._unreadable
         self.stage_owner.on_release = self.services.metrics.record_release
         self.services.metrics.registry.register(StateCollector(self.services, self.stage_owner))
         self.services.apply_limits(settings.limits)
@@ -250,7 +250,7 @@
 
     async def start(self) -> None:
         """Open the servers for peers, readiness and callers, then start the background loops."""
-        process = self._settings.process
+        process, store = self._settings.process, self._ports.store
         self._log.write(LogEvent.STARTED, name=process.name, zone=process.zone)
         port = process.peer_address.rsplit(":", 1)[1]
         seeds = [f"{seed.rsplit(':', 1)[0]}:{port}" for seed in self._settings.peers.seeds]
@@ -269,7 +269,7 @@
             self.heartbeats.send_urgent_heartbeats(),
             self.heartbeats.forward_updates(),
             self._pulls.pull_periodically(),
-            register_member(process, self._ports.store, self.fleet, self.heartbeats),
+            register_member(process, store, self.fleet, self.heartbeats, self._unreadable),
             become_ready(self.mirror, self.life, self.fleet, self._log),
             measure_loop_lag(self.services.metrics, self.fleet),
             self._health.evaluate_periodically(),
--- a/src/corkcrank/node/telemetry/unreadable_log.py
+++ b/src/corkcrank/node/telemetry/unreadable_log.py
@@ -1,4 +1,4 @@
-"""Logs and counts documents about workers that could not be decoded."""
+"""Logs and counts documents about workers and members that could not be decoded."""
 
 from corkcrank.links.decision_log import DecisionLog, LogEvent
 from corkcrank.links.unreadable_documents import UnreadableDocument
@@ -6,7 +6,7 @@
 
 
 class UnreadableLog:
-    """Receives the unreadable entries and reports of one gateway; the log limits its own rate."""
+    """Receives the unreadable rows and reports of one gateway; the log limits its own rate."""
 
     def __init__(self, log: DecisionLog, metrics: NodeMetrics) -> None:
         self._log = log
--- a/tests/platform/odd_entries.py
+++ b/tests/platform/odd_entries.py
@@ -1,10 +1,13 @@
 """Odd rows that another writer may leave among those of the workers."""
 
+import asyncio
 import json
 from typing import Any
 
 from standin_store import REVISION, RowText
 
+from corkcrank.node.process.node import Node
+
 DEPTH = 200_000
 LONG = 60_000
 """Length of a long text: with its encoding, the row stays below what the store takes."""
@@ -132,3 +135,12 @@
     rows["row-null"] = RowText(b"null")
     rows["row-list"] = RowText(b"[[],{}]")
     return rows
+
+
+def ended_loops(node: Node) -> list[asyncio.Task[None]]:
+    """Return the background loops of a gateway that have failed or were cancelled."""
+    return [
+        task
+        for task in node._loops.tasks
+        if task.done() and (task.cancelled() or task.exception() is not None)
+    ]
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -7,7 +7,7 @@
 import aiohttp
 import pytest
 from node_world import World, configuration, peer_of, route, until, world
-from odd_entries import ODD_KEYS, odd_rows, odd_values
+from odd_entries import ODD_KEYS, ended_loops, odd_rows, odd_values
 from platform_standins import StandinWorker
 
 from corkcrank.contracts import clock
@@ -64,14 +64,6 @@
     return {worker.name for worker in node.mirror.workers.usable_workers("plain")}
 
 
-def ended_loops(node: Node) -> list[asyncio.Task[None]]:
-    return [
-        task
-        for task in node._loops.tasks
-        if task.done() and (task.cancelled() or task.exception() is not None)
-    ]
-
-
 @pytest.mark.parametrize("first", [True, False])
 async def test_odd_entries_stop_neither_calls_nor_the_list(
     first: bool, logged: list[tuple[LogEvent, dict[str, Any]]]
