Deeply nested rows and messages of gateways end no loop

A row in the gateways' own tables, or a peer's answer, that nests too deeply ended the loop that read it, for the life of the process: quarantines were neither read nor written, software versions and origins no longer written (a stream taken up without an attempt got 500), configuration and workers no longer pulled from peers; calls whose pieces or engine a peer answered so got 500. A datagram like it put off those behind it.

Cause: msgspec raises RecursionError, which is no DecodeError, for nesting in fields that the reader does not know. Rows and answers are now decoded by the strict decoder, which covers it, as do the decoders of datagrams and the peer server.

Failed before, pass now: 4 cases of test_odd_rows.py, 4 of test_peer_answers.py (the new body, deeply nested). Ruled out with the other rows of test_odd_rows.py, which passed before: odd numbers, texts and times in these rows.

--- a/src/corkcrank/links/strict_json.py
+++ b/src/corkcrank/links/strict_json.py
@@ -1,4 +1,4 @@
-"""Decodes untrusted JSON into typed structures without raising errors."""
+"""Decodes untrusted JSON and MessagePack into typed structures without raising errors."""
 
 from typing import TypeVar
 
@@ -28,6 +28,18 @@
         return unreadable_because(str(error))
 
 
+def decode_packed_strictly(data: bytes, kind: type[_Document]) -> _Document | Unreadable:
+    r"""Return a document in MessagePack, or the reason why it is unreadable; never raises an error.
+
+    >>> decode_packed_strictly(b"\x91\x01", list[int]), decode_packed_strictly(b"", int)
+    ([1], Unreadable(reason='Input data was truncated'))
+    """
+    try:
+        return msgspec.msgpack.decode(data, type=kind)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        return unreadable_because(str(error))
+
+
 def unreadable_because(reason: str) -> Unreadable:
     """Return an ``Unreadable`` with its reason truncated."""
     return Unreadable(reason[:MAX_REASON_CHARACTERS])
--- a/src/corkcrank/machines/claim_reports.py
+++ b/src/corkcrank/machines/claim_reports.py
@@ -36,5 +36,5 @@
         return None
     try:
         return _decoder.decode(data[len(DATAGRAM_TAG) :])
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         return None
--- a/src/corkcrank/machines/origin_reports.py
+++ b/src/corkcrank/machines/origin_reports.py
@@ -51,7 +51,7 @@
         return ()
     try:
         reports = _decoder.decode(data[len(DATAGRAM_TAG) :])
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         return ()
     return tuple(_valid(reports))
 
--- a/src/corkcrank/node/membership/peer_server.py
+++ b/src/corkcrank/node/membership/peer_server.py
@@ -139,7 +139,7 @@
             return web.Response(status=HTTPStatus.NOT_FOUND)
         try:
             return await handler(request)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             return web.Response(status=HTTPStatus.BAD_REQUEST, text=str(error))
         except ConnectionError:
             # The peer has disconnected; the library would log the error as a fault.
--- a/src/corkcrank/node/membership/quarantine_rows.py
+++ b/src/corkcrank/node/membership/quarantine_rows.py
@@ -16,7 +16,9 @@
     StoreFailure,
     StoreRow,
     StoreTable,
+    Unreadable,
 )
+from corkcrank.links.strict_json import decode_strictly, unreadable_because
 from corkcrank.machines.fleet import Fleet
 from corkcrank.machines.heartbeat import Phase
 from corkcrank.machines.store_contact import StoreContact, newest_contact
@@ -137,19 +139,23 @@
         self._crash_watch.apply_reports(reports, "store")
 
     def _decode_reports(self, row: StoreRow, store_time: float) -> list[CrashReport]:
-        if not isinstance(row.value, bytes):
+        if row.value is None:
+            return []
+        value = decode_strictly(row.value, _QuarantineRow)
+        if isinstance(value, Unreadable):
+            self._log_unreadable(row.key, value.reason)
             return []
         try:
-            value = msgspec.json.decode(row.value, type=_QuarantineRow)
             reports = [_crash_report(end, store_time) for end in value.ends]
-        except (msgspec.DecodeError, ValueError) as error:
-            self._log.write(
-                LogEvent.DOCUMENT_UNREADABLE, kind="quarantine", key=row.key, detail=str(error)
-            )
+        except ValueError as error:
+            self._log_unreadable(row.key, unreadable_because(str(error)).reason)
             return []
         self._record_written(row.key, value)
         return reports
 
+    def _log_unreadable(self, key: str, reason: str) -> None:
+        self._log.write(LogEvent.DOCUMENT_UNREADABLE, kind="quarantine", key=key, detail=reason)
+
     async def _write(self) -> bool:
         """Write and remove changed rows; return whether the store accepted every change."""
         for request, row in self._rows_to_write()[:MAX_ROW_CHANGES_PER_PASS]:
--- a/src/corkcrank/node/origins/origin_rows.py
+++ b/src/corkcrank/node/origins/origin_rows.py
@@ -14,7 +14,8 @@
 from corkcrank.contracts import clock
 from corkcrank.contracts.stream_origin import STREAM_KEY_BYTES, StreamOrigin
 from corkcrank.links.decision_log import DecisionLog, LogEvent
-from corkcrank.links.platform_ports import MetadataStore, StoreFailure, StoreTable
+from corkcrank.links.platform_ports import MetadataStore, StoreFailure, StoreTable, Unreadable
+from corkcrank.links.strict_json import decode_packed_strictly
 from corkcrank.machines.fleet import Fleet
 from corkcrank.node.origins.software_rows import SoftwareRows
 from corkcrank.scheduling.stream_origins import StreamOrigins
@@ -166,18 +167,14 @@
 
     def _decode(self, value: bytes) -> Iterator[tuple[bytes, StreamOrigin, float]]:
         """Return the origins of a row, none if it cannot be read."""
-        try:
-            row = msgspec.msgpack.decode(value, type=OriginRow)
-            if row.format != ROW_FORMAT:
-                raise ValueError(f"format {row.format}")
-            if any(len(group.keys) % STREAM_KEY_BYTES for group in row.groups):
-                raise ValueError("incomplete key")
-        except ValueError as error:
+        row = decode_packed_strictly(value, OriginRow)
+        problem = row.reason if isinstance(row, Unreadable) else _find_problem(row)
+        if isinstance(row, Unreadable) or problem:
             self._log.write(
                 LogEvent.DOCUMENT_UNREADABLE,
                 kind="origins",
                 key=self._fleet.local_name,
-                detail=str(error),
+                detail=problem,
             )
             return
         for group in row.groups:
@@ -186,6 +183,14 @@
                 yield key, StreamOrigin(group.service, group.version), group.expires_at
 
 
+def _find_problem(row: OriginRow) -> str:
+    """Return why a row cannot be used, an empty text if it can."""
+    if row.format != ROW_FORMAT:
+        return f"format {row.format}"
+    incomplete = any(len(group.keys) % STREAM_KEY_BYTES for group in row.groups)
+    return "incomplete key" if incomplete else ""
+
+
 def _round_up(seconds: float) -> float:
     """Return a time rounded up to the next step.
 
--- a/src/corkcrank/node/origins/software_rows.py
+++ b/src/corkcrank/node/origins/software_rows.py
@@ -15,7 +15,14 @@
 from corkcrank.contracts.opaque_call import OpaqueCall
 from corkcrank.contracts.stream_origin import StreamOrigin
 from corkcrank.links.decision_log import DecisionLog, LogEvent
-from corkcrank.links.platform_ports import MetadataStore, StoreFailure, StoreRows, StoreTable
+from corkcrank.links.platform_ports import (
+    MetadataStore,
+    StoreFailure,
+    StoreRows,
+    StoreTable,
+    Unreadable,
+)
+from corkcrank.links.strict_json import decode_strictly
 from corkcrank.machines.fleet import Fleet
 from corkcrank.machines.store_contact import StoreContact, newest_contact
 from corkcrank.machines.store_mirror import StoreMirror
@@ -183,10 +190,10 @@
         value = next((row.value for row in rows.rows if row.key == service), None)
         if value is None:
             return None
-        try:
-            return msgspec.json.decode(value if isinstance(value, bytes) else b"", type=SoftwareRow)
-        except msgspec.DecodeError as error:
+        found = decode_strictly(value, SoftwareRow)
+        if isinstance(found, Unreadable):
             self._log.write(
-                LogEvent.DOCUMENT_UNREADABLE, kind="software", key=service, detail=str(error)
+                LogEvent.DOCUMENT_UNREADABLE, kind="software", key=service, detail=found.reason
             )
             return UNREADABLE_ROW
+        return found
--- a/src/corkcrank/node/peers/peer_client.py
+++ b/src/corkcrank/node/peers/peer_client.py
@@ -5,10 +5,10 @@
 from typing import TypeVar
 
 import aiohttp
-import msgspec
 
 from corkcrank.contracts import clock
 from corkcrank.links.client_connections import ClientConnector
+from corkcrank.links.platform_ports import Unreadable
 from corkcrank.links.received_bytes import OversizedMessageError, Purpose, ReceivedBytes
 from corkcrank.links.silence import (
     ConnectionKind,
@@ -17,6 +17,7 @@
     drop_all_idle,
     drop_idle,
 )
+from corkcrank.links.strict_json import decode_packed_strictly
 from corkcrank.machines.members import MIN_SILENCE_FOR_PROBE_SECONDS, PROBE_TIMEOUT_SECONDS
 from corkcrank.node.peers.peer_silence import SILENT_INTERVALS, PeerSilence
 
@@ -59,10 +60,8 @@
     """
     if isinstance(body, PeerFailure):
         return body
-    try:
-        return msgspec.msgpack.decode(body, type=answer_type)
-    except msgspec.DecodeError:
-        return PeerFailure.UNREADABLE
+    answer = decode_packed_strictly(body, answer_type)
+    return PeerFailure.UNREADABLE if isinstance(answer, Unreadable) else answer
 
 
 class PeerClient:
--- a/tests/platform/test_odd_rows.py
+++ b/tests/platform/test_odd_rows.py
@@ -1,23 +1,30 @@
 """Odd rows of another writer in the tables of the gateways themselves, and of the operator."""
 
 import asyncio
+import json
 import zlib
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
 import msgspec
 import pytest
-from node_world import configuration, peer_of, route, until, world
-from odd_entries import ADDRESSES, DEPTH, ended_loops, odd_rows
+from node_world import World, configuration, peer_of, route, until, world
+from odd_entries import ADDRESSES, DEPTH, LONG, ended_loops, odd_rows
 from platform_standins import StandinWorker
 
 from corkcrank.contracts import clock
+from corkcrank.contracts.stream_origin import StreamOrigin
 from corkcrank.load.loopback import loopback_address
 from corkcrank.machines.claim_reports import DATAGRAM_TAG as CLAIM_TAG
 from corkcrank.machines.heartbeat import Heartbeat
 from corkcrank.machines.heartbeat_codec import encode_heartbeat
 from corkcrank.machines.origin_reports import DATAGRAM_TAG as ORIGIN_TAG
+from corkcrank.machines.origin_reports import OriginReport
+from corkcrank.node.process.node import Node
+from corkcrank.scheduling.return_claims import ReturnClaim
 
 ROUTES = [route("safe", "safe", "plain")]
-
+STREAM_ROUTES = [*ROUTES, route("talk", "stream", "plain", stream_resume=True)]
 ODD_MEMBERS = {
     "no text": [b"\xff\xfe"],
     "no address": [b"[" * DEPTH, b"\xd9\xa1:\xd9\xa1", *(text.encode() for text in ADDRESSES)],
@@ -44,6 +51,13 @@
                 assert response.status == 200
 
 
+def with_surplus(packed: tuple[object, ...]) -> bytes:
+    """Return an array with one more element than its reader knows, which nests deeply."""
+    items = b"".join(msgspec.msgpack.encode(item) for item in packed)
+    head = b"\xdc" + (len(packed) + 1).to_bytes(2, "big")
+    return head + items + b"\x91" * 5_000 + b"\xc0"
+
+
 def odd_datagrams(sound: Heartbeat) -> list[bytes]:
     """Return datagrams that are no heartbeats, or state an address that is none."""
     nested = b"\x91" * 5_000 + b"\xc0"
@@ -55,6 +69,14 @@
     tags = (b"", CLAIM_TAG, ORIGIN_TAG)
     datagrams = [encode_heartbeat(beat) for beat in beats]
     datagrams += [zlib.compress(tag + nested) for tag in tags]
+    report = OriginReport(bytes(8), StreamOrigin("plain", "v1"), 9.0)
+    claim = ReturnClaim(bytes(8), "t", (0, 1), (), 0.5)
+    surplus = with_surplus(msgspec.structs.astuple(report))
+    datagrams += [
+        zlib.compress(with_surplus(msgspec.structs.astuple(sound))),
+        CLAIM_TAG + with_surplus(msgspec.structs.astuple(claim)),
+        ORIGIN_TAG + b"\x91" + surplus,
+    ]
     return datagrams + [tag + body for tag in tags for body in (nested, b"", b"\xff", b"\xa1\xff")]
 
 
@@ -77,3 +99,91 @@
             assert len(node.fleet.live_members(clock.now())) == 1
             assert (await running.call("/safe/x", number=number)).status == 200
     assert faults == []
+
+
+def quarantine_values() -> list[bytes]:
+    end = {"worker_id": "i-1", "at": 1.0, "suspects": [["a" * 16, False, None]]}
+    odd_fields = [
+        {"at": 1e308},
+        {"at": -1e308},
+        {"worker_id": "a\x00\r\n" + "b" * LONG},
+        {"suspects": [["", True, [""] * 1_000]]},
+        {"suspects": [["\u2028", False, ["x" * LONG]]] * 2},
+        {"succeeded": ["x"] * 1_000, "cleared": ["x", "\x00"]},
+        {"at": 10**23},
+    ]
+    return [json.dumps({"ends": [end | odd]}).encode() for odd in odd_fields]
+
+
+def software_values() -> list[bytes]:
+    odd_versions = [
+        {"v0": 1e308},
+        {"v0": -1e308},
+        {"\x00": None},
+        {"v" * LONG: None},
+        {"v0": 10**23},
+    ]
+    return [json.dumps({"versions": versions}).encode() for versions in odd_versions]
+
+
+def origin_values() -> list[bytes]:
+    times = [float("nan"), float("inf"), float("-inf"), 1e308]
+    groups = [("plain", "v1", expires_at, bytes(8)) for expires_at in times]
+    groups += [("a\x00" + "b" * LONG, "", 1e9, bytes(16)), ("plain", "v1", 1e9, bytes(7))]
+    return [msgspec.msgpack.encode((1, [group])) for group in groups]
+
+
+UNDECODABLE = [
+    b"",
+    b"\xff\xfe",
+    b"[]",
+    b'{"ends":[],"versions":{},"x":' + b"[" * DEPTH + b"]" * DEPTH + b"}",
+    b'{"ends":[{"worker_id":"w","at":1,"suspects":[],"x":' + b"[" * DEPTH + b"]" * DEPTH + b"}]}",
+    b"\x93\x01\x90" + b"\x91" * 60_000 + b"\xc0",
+]
+
+OWN_ROWS = {
+    "software": [software_values()[0], software_values()[3], UNDECODABLE[3]],
+    "origins": [origin_values()[0], origin_values()[4], UNDECODABLE[5]],
+}
+
+
+@pytest.mark.parametrize(
+    ("table", "number"),
+    [("quarantine", 0)]
+    + [(table, number) for table, values in OWN_ROWS.items() for number in range(len(values))],
+)
+async def test_odd_rows_of_gateways_end_no_loop(table: str, number: int) -> None:
+    """The rows of quarantines are all read at once, of the others only one each."""
+    worker = StandinWorker(events=2)
+    values = [*quarantine_values(), *UNDECODABLE]
+    if table in OWN_ROWS:
+        values = [OWN_ROWS[table][number]]
+    async with (
+        world(configuration(1, STREAM_ROUTES), {"one": (worker, "plain")}) as running,
+        later_gateway(running, table, values) as second,
+    ):
+        await asyncio.sleep(1.3)
+        assert ended_loops(second) == []
+        for path in ("/safe/x", "/talk/x"):
+            response = await running.call(path, number=1)
+            assert response.status == 200, await response.text()
+        headers = {"Last-Event-Id": "1"}
+        response = await running.call("/talk/x", number=1, headers=headers)
+        assert response.status in (200, 503), await response.text()
+        assert ended_loops(second) == []
+        second.dump()
+
+
+@asynccontextmanager
+async def later_gateway(running: World, table: str, values: list[bytes]) -> AsyncIterator[Node]:
+    """Start a gateway that reads odd rows."""
+    ip = loopback_address(2)
+    for number, value in enumerate(values):
+        for key in ("plain", f"node-{ip}", f"{number:016x}"):
+            running.store.put(table, key, value)
+    for key, row in odd_rows().items():
+        running.store.put(table, key, row)
+    async with peer_of(running, ip) as second:
+        await until(lambda: second.ready)
+        yield second
--- a/tests/platform/test_peer_answers.py
+++ b/tests/platform/test_peer_answers.py
@@ -32,6 +32,7 @@
     "other type": b"\x2a",
     "another message": b"\x81\xa4name\xa1x",
     "text": b"<html>",
+    "deeply nested": b"\x81\xa1x" + b"\x91" * 60_000 + b"\xc0",
 }
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
