A number too large in a configuration ends no heartbeats

A configuration with a number beyond 64 bits was adopted. With its version, every heartbeat raised OverflowError and send_loop ended; with any other number (attempts, priorities, slots, limits, bytes of a stage as 1e300) no peer could be told it.

Cause: JSON integers have no bound, MessagePack's have 64 bits. The decoder bounds every number now, so that such a configuration is refused with a reason, and the one before stays in force until the next.

--- a/src/corkcrank/contracts/bounded_values.py
+++ b/src/corkcrank/contracts/bounded_values.py
@@ -9,6 +9,9 @@
 
 Revision = Annotated[int, msgspec.Meta(ge=0, le=MAX_REVISION)]
 
+WholeNumber = Annotated[int, msgspec.Meta(ge=-MAX_REVISION, le=MAX_REVISION)]
+"""An integer of 64 bits."""
+
 MAX_TEXT_CHARACTERS = 200
 """Maximum length of a name; that of a key of the store is the same."""
 
--- a/src/corkcrank/platform/documents.py
+++ b/src/corkcrank/platform/documents.py
@@ -1,9 +1,11 @@
 """Decodes the operator's configuration and the workers' entries from rows of the store."""
 
 from collections.abc import Sequence
+from typing import Annotated
 
 import msgspec
 
+from corkcrank.contracts.bounded_values import WholeNumber
 from corkcrank.contracts.opaque_configuration import (
     CallKind,
     EngineCapacity,
@@ -35,8 +37,8 @@
 
 class _Stage(msgspec.Struct):
     service: str
-    since_revision: tuple[int, ...] = ()
-    byte_length: float = 0
+    since_revision: tuple[WholeNumber, ...] = ()
+    byte_length: Annotated[float, msgspec.Meta(ge=0, le=1 << 53)] = 0
 
 
 class _Weighted(msgspec.Struct):
@@ -51,8 +53,8 @@
     route_type: str
     timeout_ms: float = 30_000
     target_latency_ms: float = 1_000
-    max_attempts: int = 1
-    priority: int = 0
+    max_attempts: WholeNumber = 1
+    priority: WholeNumber = 0
     service: str = ""
     weighted_services: tuple[_Weighted, ...] = ()
     anonymous: bool = False
@@ -63,9 +65,9 @@
 
 
 class _Segments(msgspec.Struct):
-    slots: int = 1
-    queue: int = 0
-    batch: int = 1
+    slots: WholeNumber = 1
+    queue: WholeNumber = 0
+    batch: WholeNumber = 1
     call_ms: float = 0
     item_ms: float = 0
     headroom_mb: float = 0
@@ -73,14 +75,14 @@
 
 
 class _Engine(msgspec.Struct):
-    slots: int = 1
-    kv_capacity: int = 0
+    slots: WholeNumber = 1
+    kv_capacity: WholeNumber = 0
 
 
 class _Service(msgspec.Struct):
     name: str
     health_path: str = "/"
-    max_connections: int = 0
+    max_connections: WholeNumber = 0
     warmup_s: float = 0
     warmup_per_s: float = 0
     segments: _Segments | None = None
@@ -88,8 +90,8 @@
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4 << 20
+    max_header_bytes: WholeNumber = 16_384
+    max_body_bytes: WholeNumber = 4 << 20
     header_timeout_ms: float = 3_000
     idle_timeout_ms: float = 15_000
 
@@ -97,11 +99,11 @@
 class _Tenant(msgspec.Struct):
     name: str
     api_keys: tuple[str, ...] = ()
-    priority: int = 0
+    priority: WholeNumber = 0
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: WholeNumber
     routes: tuple[_Route, ...] = ()
     services: tuple[_Service, ...] = ()
     limits: _Limits = msgspec.field(default_factory=_Limits)
--- a/src/corkcrank/platform/worker_entries.py
+++ b/src/corkcrank/platform/worker_entries.py
@@ -10,12 +10,7 @@
 
 import msgspec
 
-from corkcrank.contracts.bounded_values import (
-    PlainName,
-    PlainText,
-    Revision,
-    is_header_token,
-)
+from corkcrank.contracts.bounded_values import PlainName, PlainText, Revision, is_header_token
 from corkcrank.contracts.socket_addresses import parse_socket_address
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.links.platform_ports import StoreRow, Unreadable
--- a/tests/platform/test_odd_rows.py
+++ b/tests/platform/test_odd_rows.py
@@ -5,6 +5,7 @@
 import zlib
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from typing import Any, cast
 
 import msgspec
 import pytest
@@ -14,16 +15,23 @@
 
 from corkcrank.contracts import clock
 from corkcrank.contracts.stream_origin import StreamOrigin
+from corkcrank.links.platform_ports import StoreRow
 from corkcrank.load.loopback import loopback_address
 from corkcrank.machines.claim_reports import DATAGRAM_TAG as CLAIM_TAG
 from corkcrank.machines.heartbeat import Heartbeat
 from corkcrank.machines.heartbeat_codec import encode_heartbeat
 from corkcrank.machines.origin_reports import DATAGRAM_TAG as ORIGIN_TAG
 from corkcrank.machines.origin_reports import OriginReport
+from corkcrank.node.peers.peer_protocol import ConfigurationAnswer
 from corkcrank.node.process.node import Node
+from corkcrank.platform.documents import PlatformDocumentCodec
 from corkcrank.scheduling.return_claims import ReturnClaim
 
 ROUTES = [route("safe", "safe", "plain")]
+STAGED_ROUTES = [
+    *ROUTES,
+    route("staged", "safe", "plain", stages=[{"service": "encode", "since_revision": [0]}]),
+]
 STREAM_ROUTES = [*ROUTES, route("talk", "stream", "plain", stream_resume=True)]
 ODD_MEMBERS = {
     "no text": [b"\xff\xfe"],
@@ -187,3 +195,69 @@
     async with peer_of(running, ip) as second:
         await until(lambda: second.ready)
         yield second
+
+
+NUMBER_PLACES: list[list[str | int]] = [
+    ["version"],
+    ["routes", 0, "max_attempts"],
+    ["routes", 0, "priority"],
+    ["services", 0, "max_connections"],
+    ["services", 1, "engine", "slots"],
+    ["services", 1, "engine", "kv_capacity"],
+    ["services", 2, "segments", "slots"],
+    ["services", 2, "segments", "queue"],
+    ["services", 2, "segments", "batch"],
+    ["limits", "max_header_bytes"],
+    ["limits", "max_body_bytes"],
+    ["tenants", 0, "priority"],
+]
+
+
+def with_number(place: list[str | int], number: float) -> dict[str, Any]:
+    document: Any = json.loads(json.dumps(configuration(2, STAGED_ROUTES)))
+    inner = document
+    for step in place[:-1]:
+        inner = inner[step]
+    inner[place[-1]] = number
+    return cast("dict[str, Any]", document)
+
+
+BYTES_PLACE: list[str | int] = ["routes", 1, "stages", 0, "byte_length"]
+STAGES_PLACE: list[str | int] = ["routes", 1, "stages", 0, "since_revision", 0]
+
+
+@pytest.mark.parametrize("place", [*NUMBER_PLACES, BYTES_PLACE, STAGES_PLACE], ids=str)
+@pytest.mark.parametrize("number", [10**23, -(10**23), 1e300, 1 << 64])
+def test_every_peer_can_be_told_a_configuration_that_is_read(
+    place: list[str | int], number: float
+) -> None:
+    row = StoreRow("config", json.dumps(with_number(place, number)).encode(), 4)
+    found = PlatformDocumentCodec().configuration([row])
+    if not isinstance(found, str):
+        msgspec.msgpack.encode(ConfigurationAnswer(found))
+
+
+async def test_odd_configurations_end_no_heartbeats() -> None:
+    worker = StandinWorker()
+    nested = b'{"version":3,"x":' + b"[" * DEPTH + b"]" * DEPTH + b"}"
+    async with (
+        world(configuration(1, ROUTES), {"one": (worker, "plain")}) as running,
+        peer_of(running, loopback_address(2)) as second,
+    ):
+        await until(lambda: second.ready)
+        for place in NUMBER_PLACES:
+            running.store.put("op", "config", with_number(place, 10**23))
+            await asyncio.sleep(0.1)
+        for value in (nested, b"\xff", b"[]", b""):
+            running.store.put("op", "config", value)
+        for key, row in odd_rows().items():
+            running.store.put("op", key, row)
+        running.store.put("op", "evacuate/\u2028\x00" + "z" * 180, nested)
+        await asyncio.sleep(0.5)
+        running.store.put("op", "config", configuration(9, ROUTES))
+        await until(lambda: all(node.mirror.version == 9 for node in running.nodes))
+        await asyncio.sleep(0.5)
+        for number, node in enumerate(running.nodes):
+            assert ended_loops(node) == []
+            assert len(node.fleet.live_members(clock.now())) == 1
+            assert (await running.call("/safe/x", number=number)).status == 200
