An odd entry is logged once with a numbered code

Each write of an odd entry was logged again, without a code to look up. A line now has the code of its kind (7001 a worker's entry, 7002 a report, 7003 a gateway's address) and stands once until the reason changes; the counter still has all. An entry that is mended or removed leaves the dump and is logged anew if it turns odd again.

test_odd_entries.py checks the code, one line a gateway, entry and reason while an entry is written again, and that mended and removed entries are retired.

--- a/src/corkcrank/contracts/result_codes.py
+++ b/src/corkcrank/contracts/result_codes.py
@@ -137,6 +137,14 @@
     SETTINGS_UNREADABLE = CodeEntry(6001, 500, Ran.NO, "The settings file cannot be read.")
     SETTINGS_INVALID = CodeEntry(6002, 500, Ran.NO, "The settings file has a wrong value.")
 
+    WORKER_ENTRY_UNREADABLE = CodeEntry(
+        7001, 500, Ran.NO, "A row of the list of workers names no worker that can be used."
+    )
+    WORKER_REPORT_UNREADABLE = CodeEntry(7002, 500, Ran.NO, "A worker's report cannot be read.")
+    MEMBER_ROW_UNREADABLE = CodeEntry(
+        7003, 500, Ran.NO, "A row of the list of gateways holds no address."
+    )
+
     @property
     def number(self) -> int:
         """Return the stable number of the code."""
--- a/src/corkcrank/links/unreadable_documents.py
+++ b/src/corkcrank/links/unreadable_documents.py
@@ -15,11 +15,15 @@
 
 @dataclass(frozen=True, slots=True)
 class UnreadableDocument:
-    """One unreadable document; ``name`` is the row's key or the reporting worker's id."""
+    """One unreadable document; ``name`` is the row's key or the reporting worker's id.
+
+    ``repeated`` says that the one before it had the same name and reason.
+    """
 
     kind: DocumentKind
     name: str
     reason: str
+    repeated: bool = False
 
 
 UnreadableListener = Callable[[UnreadableDocument], None]
--- a/src/corkcrank/machines/entry_reader.py
+++ b/src/corkcrank/machines/entry_reader.py
@@ -42,11 +42,11 @@
         self._record_starts(rows, records)
         starts_expected = 2 * sum(self._has_start.values()) > len(self._has_start)
         for row, found in zip(rows, records, strict=True):
-            self.unreadable.pop(row.key, None)
+            known_reason = self.unreadable.pop(row.key, None)
             if isinstance(found, WorkerRecord) and starts_expected and found.born is None:
                 found = START_MISSING
             if isinstance(found, Unreadable):
-                self._record_unreadable(row.key, found)
+                self._record_unreadable(row.key, found, repeated=found.reason == known_reason)
                 found = None
             changes.append(WorkerChange(row.key, row.revision, found))
         return changes
@@ -71,8 +71,8 @@
             else:
                 self._has_start.pop(row.key, None)
 
-    def _record_unreadable(self, key: str, found: Unreadable) -> None:
+    def _record_unreadable(self, key: str, found: Unreadable, *, repeated: bool) -> None:
         self.unreadable[key] = found.reason
         if len(self.unreadable) > MAX_UNREADABLE_ENTRIES:
             del self.unreadable[next(iter(self.unreadable))]
-        self.on_unreadable(UnreadableDocument(DocumentKind.ENTRY, key, found.reason))
+        self.on_unreadable(UnreadableDocument(DocumentKind.ENTRY, key, found.reason, repeated))
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -2,15 +2,16 @@
 
 import asyncio
 import json
+from collections import Counter
 from typing import Any
 
-import aiohttp
 import pytest
 from node_world import World, configuration, peer_of, route, until, world
-from odd_entries import ODD_KEYS, ended_loops, odd_rows, odd_values
+from odd_entries import ENTRY, ODD_KEYS, ended_loops, odd_rows, odd_values
 from platform_standins import StandinWorker
 
 from corkcrank.contracts import clock
+from corkcrank.contracts.result_codes import ResultCode
 from corkcrank.links.decision_log import DecisionLog, LogEvent
 from corkcrank.links.platform_ports import StoreTable
 from corkcrank.load.loopback import loopback_address
@@ -30,7 +31,7 @@
 
     def write(log: DecisionLog, event: LogEvent, **fields: Any) -> None:
         json.dumps(fields, default=str).encode()
-        events.append((event, fields))
+        events.append((event, {"process": log._process, **fields}))
 
     monkeypatch.setattr(DecisionLog, "write", write)
     return events
@@ -55,7 +56,7 @@
     for key, value in odd_values().items():
         running.store.put("servers", key, value)
     for key in ODD_KEYS:
-        running.store.put("servers", key, {**json.loads(odd_values()["duplicate-state"])})
+        running.store.put("servers", key, {**ENTRY})
     for key, row in odd_rows().items():
         running.store.put("servers", key, row)
 
@@ -94,8 +95,14 @@
             await all_served(running)
             assert len(two.seen) == count
             await no_odd_worker_is_used(running, nodes, expected | {two.worker_id})
+            await mended_entries_are_retired(running, nodes)
     await late.server.stop()
     assert not [fields for event, fields in logged if event is LogEvent.INTERNAL_FAULT]
+    lines = [fields for event, fields in logged if event is LogEvent.DOCUMENT_UNREADABLE]
+    assert {line["code"] for line in lines} == {ResultCode.WORKER_ENTRY_UNREADABLE.number}
+    named = Counter((line["process"], line["name"], line["reason"]) for line in lines)
+    assert {count for (_, name, _), count in named.items() if name} == {1}
+    assert set(odd_values()) <= {name for _, name, _ in named}
 
 
 async def no_odd_worker_is_used(running: World, nodes: list[Node], known: set[str]) -> None:
@@ -109,4 +116,23 @@
         assert node.mirror.call_counts.get(f"{StoreTable.WORKERS}:broken", 0) == 0
         assert b"corkcrank_unreadable_documents" in await fetch(running, node, "/metrics")
         assert json.loads(await fetch(running, node, "/dump"))["unreadable_entries"]
-    assert isinstance(running.session, aiohttp.ClientSession)
+
+
+async def mended_entries_are_retired(running: World, nodes: list[Node]) -> None:
+    """Write an odd entry again, then remove or replace all."""
+    for value in [odd_values()["duplicate-address"]] * 3:
+        running.store.put("servers", "duplicate-address", value)
+        await asyncio.sleep(0.1)
+    known = len(usable(nodes[0]))
+    running.store.put("servers", "duplicate-address", {**ENTRY})
+    for node in nodes:
+        await until(lambda node=node: len(usable(node)) == known + 1)  # type: ignore[misc]
+        assert "duplicate-address" not in node.dump().unreadable_entries
+    for key in [key for table, key in running.store.rows if table == "servers"]:
+        if key not in usable(nodes[0]):
+            running.store.remove("servers", key)
+    await until(lambda: all(node.dump().unreadable_entries.keys() <= NAMELESS for node in nodes))
+
+
+NAMELESS = {"row-bytes", "row-a"}
+"""Keys within the text of odd rows; the store knows these rows by others."""
