Changes whose answer cannot be decoded do not end the feed

If the frame of an answer of the feed was unreadable (or the answer above 16 MB), the follower asked for the changes since the same revision again and again, and got the same answer: configuration and workers stood still for as long as the store kept the history.

Cause: only lost history led to a read of the whole table. An answer that cannot be decoded now does too; the table's pages hold no history, and the feed goes on after them. A connection that breaks does not: the next answer may be whole. The pause after a failed call bounds the reads.

The new test of test_store_mirror.py failed before (the added worker is never known).

--- a/src/corkcrank/links/platform_ports.py
+++ b/src/corkcrank/links/platform_ports.py
@@ -251,10 +251,14 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreFailure:
-    """A failed store request; an unanswered write may still take effect."""
+    """A failed store request; an unanswered write may still take effect.
+
+    ``undecodable`` says that the same request would get the same answer, which cannot be read.
+    """
 
     failure_reason: StoreFailureReason
     detail: str = ""
+    undecodable: bool = False
 
 
 class StoreTable(StrEnum):
--- a/src/corkcrank/machines/store_mirror.py
+++ b/src/corkcrank/machines/store_mirror.py
@@ -119,6 +119,7 @@
     async def follow_table(self, table: StoreTable) -> None:
         """Follow one table until cancelled.
 
+        Changes whose answer cannot be decoded are passed by a read of the whole table.
         After a failure the store is polled with a wait of zero: a long poll that is sent while
         the store is silent would hide its return for the whole duration of the poll.
         """
@@ -142,6 +143,8 @@
                 if answer.failure_reason is StoreFailureReason.HISTORY_GONE:
                     cursor = None
                     failures = 0
+                elif answer.undecodable:
+                    cursor = None
                 await asyncio.sleep(self._retry_pause(failures))
                 continue
             failures = 0
--- a/src/corkcrank/platform/store.py
+++ b/src/corkcrank/platform/store.py
@@ -170,7 +170,8 @@
             self._drop_idle(timeout)
             return StoreFailure(StoreFailureReason.SILENT)
         except (aiohttp.ClientError, OSError, EOFError, OversizedMessageError) as error:
-            return StoreFailure(StoreFailureReason.BROKEN, type(error).__name__)
+            oversized = isinstance(error, OversizedMessageError)
+            return StoreFailure(StoreFailureReason.BROKEN, type(error).__name__, oversized)
 
     def drop_all_idle(self) -> int:
         """Discard all idle connections; return their number."""
@@ -194,5 +195,5 @@
         return body
     page = decode_page(body)
     if isinstance(page, Unreadable):
-        return StoreFailure(StoreFailureReason.BROKEN, page.reason)
+        return StoreFailure(StoreFailureReason.BROKEN, page.reason, undecodable=True)
     return page
--- a/tests/platform/standin_store.py
+++ b/tests/platform/standin_store.py
@@ -33,6 +33,8 @@
         self.changes: list[tuple[str, str, bytes | RowText | None, int]] = []
         self.oldest_revision = 0
         self.refused: set[str] = set()
+        self.undecodable_before = 0
+        """Changes since an older revision are answered by bytes that are no page."""
         self.silent = False
         self.calls: list[str] = []
         self._changed = asyncio.Event()
@@ -95,6 +97,8 @@
         since = int(request.query["since_revision"])
         if since < self.oldest_revision:
             return web.Response(status=410)
+        if since < self.undecodable_before:
+            return web.Response(body=b'{"rows":{', content_type="application/json")
         if not self._rows_since(table, since):
             changed = self._changed
             try:
--- a/tests/platform/test_store_mirror.py
+++ b/tests/platform/test_store_mirror.py
@@ -14,6 +14,9 @@
 from corkcrank.node.process.node import Node
 from corkcrank.platform.ports import connect_platform
 
+MAX_CALLS = 60
+"""Far below what a follower without pauses would send, far above what it needs."""
+
 ROUTES = [route("safe", "safe", "plain")]
 MORE = [*ROUTES, route("added", "safe", "plain")]
 
@@ -37,6 +40,23 @@
         await until(lambda: running.nodes[0].mirror.version == 2)
 
 
+async def test_changes_that_cannot_be_decoded_do_not_end_the_feed() -> None:
+    one, two = StandinWorker(), StandinWorker()
+    await two.server.start()
+    async with world(configuration(1, ROUTES), {"one": (one, "plain")}) as running:
+        mirror = running.nodes[0].mirror
+        running.store.undecodable_before = running.store.revision + 2
+        running.store.put("servers", two.worker_id, two.entry("plain"))
+        running.store.put("op", "config", configuration(2, MORE))
+        await until(lambda: mirror.version == 2 and len(mirror.workers.records()) == 2)
+        broken = mirror.call_counts["workers:broken"]
+        running.store.put("servers", one.worker_id, one.entry("plain", state="draining"))
+        await until(lambda: len(mirror.workers.usable_workers("plain")) == 1)
+        assert mirror.call_counts["workers:broken"] == broken
+        assert len(running.store.calls) < MAX_CALLS
+    await two.server.stop()
+
+
 async def test_a_gateway_serves_through_an_outage_and_detects_its_end() -> None:
     async with world(configuration(1, ROUTES), {"one": (StandinWorker(), "plain")}) as running:
         running.store.refused.add(loopback_address(1))
