Streams without a named attempt are refused where a version may be unheard of

Cause: a caller that names no attempt is served where one version alone can have begun the stream. A gateway took its list of workers, and what it had seen of it five times a second, for all that had served; neither shows what it did not hear: a version that joined while it was out of step, one that came and left between two looks or was lost with the store's history, and streams that another gateway out of step begins at workers that are listed no more. The owner of a service's row also wrote it from its own copy, and so removed a version that another owner had added.

Change: before it answers, the gateway reads the feed of the list since its last answer (whole if the history is gone), shared by all that wait. Each change of the list is recorded as it is applied; a whole list restarts the record, a worker that is gone and was never known is of an unknown version. Versions count for 30 s longer than a stream may last. The owner reads the row before it writes. Why this is exact: workers are known from the store only, which is linearizable, and a change is heard of late, never early.

Ruled out, with tests that passed before too: callers that name their attempt at a gateway out of step, at 11 gateways, and where engines of another version answer at addresses that an old list shows. An unknown origin is refused.

The call to the mirror that tests of held removals make is public now and lost its underscore; nothing else changed there.

Price: while the store does not answer a gateway, callers that name no attempt are refused there, also with one version.

--- a/src/corkcrank/machines/entry_reader.py
+++ b/src/corkcrank/machines/entry_reader.py
@@ -45,10 +45,11 @@
             self.unreadable.pop(row.key, None)
             if isinstance(found, WorkerRecord) and starts_expected and found.born is None:
                 found = START_MISSING
+            unreadable = isinstance(found, Unreadable)
             if isinstance(found, Unreadable):
                 self._record_unreadable(row.key, found)
                 found = None
-            changes.append(WorkerChange(row.key, row.revision, found))
+            changes.append(WorkerChange(row.key, row.revision, found, unreadable))
         return changes
 
     def record_readable(self, name: str) -> None:
--- a/src/corkcrank/machines/store_mirror.py
+++ b/src/corkcrank/machines/store_mirror.py
@@ -28,7 +28,12 @@
 from corkcrank.machines.store_contact import StoreContact
 from corkcrank.machines.store_followers import StoreFollowerElection
 from corkcrank.machines.warming_workers import WarmingWorkers
-from corkcrank.machines.worker_changes import RecentWorkerChanges, WorkerChange, WorkerChangeBatch
+from corkcrank.machines.worker_changes import (
+    EntryListener,
+    RecentWorkerChanges,
+    WorkerChange,
+    WorkerChangeBatch,
+)
 
 FOLLOWER_CHECK_SECONDS = 0.2
 """Interval at which a gateway that does not follow the store checks whether it should: a tenth of
@@ -65,8 +70,11 @@
         self.store_contacts: dict[StoreTable, StoreContact] = {}
         self.on_change: Callable[[], None] = lambda: None
         self.on_store_change: Callable[[], None] = lambda: None
+        self.on_whole_list: Callable[[], None] = lambda: None
+        self.on_entry: EntryListener = lambda previous, change: None
+        self.workers_cursor: int | None = None
         self._reachable: dict[StoreTable, bool] = {}
-        self.call_counts: dict[str, int] = {}
+        self.call_counts: Counter[str] = Counter()
         self.recent_changes = RecentWorkerChanges()
         self._lapsed = LapsedEntries()
 
@@ -110,6 +118,7 @@
         known = self.workers.by_name()
         self.workers.replace_all(records, revision)
         self.workers_known = True
+        self.on_whole_list()
         now = clock.now()
         for record in self.workers.records():
             if known.get(record.name) != record:
@@ -136,18 +145,17 @@
             else:
                 wait = 0.0 if failures else self._long_poll_seconds(table)
                 answer = await self._store.watch(table, cursor, wait)
-            self._record_call(table, answer)
+            self.record_call(table, answer)
             if isinstance(answer, StoreFailure):
                 failures += 1
                 if answer.failure_reason is StoreFailureReason.HISTORY_GONE:
                     cursor = None
                     failures = 0
-                await asyncio.sleep(self._retry_pause(failures))
+                max_pause = self._election.max_retry_pause_seconds(failures, clock.now())
+                await asyncio.sleep(max_pause * self._random.uniform(*RETRY_PAUSE_JITTER))
                 continue
             failures = 0
-            self.answered_at[table] = clock.now()
-            self.store_contacts[table] = StoreContact(answer.store_time, self.answered_at[table])
-            self._apply_answer(table, answer, whole=cursor is None)
+            self.apply_answer(table, answer, whole=cursor is None)
             cursor = answer.revision
             if table is StoreTable.WORKERS and answer.rows:
                 await asyncio.sleep(self._election.change_batching_seconds)
@@ -157,7 +165,10 @@
         answered_at = self.answered_at.get(table, float("-inf"))
         return self._election.should_follow_table(table, answered_at, clock.now())
 
-    def _apply_answer(self, table: StoreTable, answer: StoreRows, *, whole: bool) -> None:
+    def apply_answer(self, table: StoreTable, answer: StoreRows, *, whole: bool) -> None:
+        """Apply an answer of the store: all rows, or those changed after an earlier answer."""
+        self.answered_at[table] = clock.now()
+        self.store_contacts[table] = StoreContact(answer.store_time, self.answered_at[table])
         if table is StoreTable.CONFIGURATION:
             self._apply_evacuations(answer, whole=whole)
             self._apply_configuration(answer)
@@ -219,6 +230,7 @@
         changes = self.entry_reader.changes(answer, self.workers.revision)
         if whole:
             self.workers_known = True
+            self.on_whole_list()
             listed = {row.key for row in answer.rows}
             self.entry_reader.retain_only(listed)
             changes += [
@@ -226,6 +238,7 @@
                 for record in self.workers.records()
                 if record.name not in listed
             ]
+        self.workers_cursor = max(answer.revision, self.workers_cursor or 0)
         known = self.workers.revision if whole else None
         applied = [change for change in changes if not self._defer_lapsed(change, now, known)]
         newest = max((change.revision for change in changes), default=0)
@@ -290,11 +303,7 @@
         only up to the revision before a deferred removal: if that removal counted as known, it
         would be ignored as outdated when it is confirmed.
         """
-        applied = [
-            change
-            for change in batch.changes
-            if self.workers.apply_row(change.name, change.record, change.revision)
-        ]
+        applied = [change for change in batch.changes if self._apply_row(change)]
         if self.workers_known and self.workers.revision >= batch.since:
             self.workers.mark_complete_up_to(self._lapsed.complete_up_to(batch.revision))
         now = clock.now()
@@ -302,27 +311,32 @@
             if change.record is not None:
                 self.entry_reader.record_readable(change.name)
                 self.warming.record_entry(change.record, now)
-            self._log_change(change, source)
+            self._log.write(LogEvent.WORKER_CHANGED, **change.log_fields(), source=source)
         if applied:
             self.on_change()
         return bool(applied)
 
+    def _apply_row(self, change: WorkerChange) -> bool:
+        previous = self.workers.get_by_name(change.name)
+        applied = self.workers.apply_row(change.name, change.record, change.revision)
+        if applied:
+            self.on_entry(previous, change)
+        return applied
+
     def changes_since(self, revision: int) -> WorkerChangeBatch | None:
         """Return the changes of the list of workers after a revision, or ``None`` if unknown."""
         rows = self.workers.changes_since(revision)
         if rows is None or not self.workers_known:
             return None
-        changes = tuple(WorkerChange(name, changed_at, record) for name, changed_at, record in rows)
+        unreadable = self.entry_reader.unreadable
+        changes = tuple(WorkerChange(name, at, item, name in unreadable) for name, at, item in rows)
         return WorkerChangeBatch(revision, self.workers.revision, changes)
 
-    def _log_change(self, change: WorkerChange, source: str) -> None:
-        self._log.write(LogEvent.WORKER_CHANGED, **change.log_fields(), source=source)
-
-    def _record_call(self, table: StoreTable, answer: StoreRows | StoreFailure) -> None:
+    def record_call(self, table: StoreTable, answer: StoreRows | StoreFailure) -> None:
+        """Count a call to the store, and log when the store is lost or back."""
         reachable = isinstance(answer, StoreRows)
         detail = "answered" if isinstance(answer, StoreRows) else answer.failure_reason.value
-        key = f"{table}:{detail}"
-        self.call_counts[key] = self.call_counts.get(key, 0) + 1
+        self.call_counts[f"{table}:{detail}"] += 1
         history_gone = (
             isinstance(answer, StoreFailure)
             and answer.failure_reason is StoreFailureReason.HISTORY_GONE
@@ -334,7 +348,3 @@
         self._reachable[table] = reachable
         event = LogEvent.STORE_REACHABLE if reachable else LogEvent.STORE_UNREACHABLE
         self._log.write(event, table=table.value, detail=detail)
-
-    def _retry_pause(self, failures: int) -> float:
-        max_pause = self._election.max_retry_pause_seconds(failures, clock.now())
-        return max_pause * self._random.uniform(*RETRY_PAUSE_JITTER)
--- a/src/corkcrank/machines/worker_changes.py
+++ b/src/corkcrank/machines/worker_changes.py
@@ -5,6 +5,7 @@
 """
 
 from collections import deque
+from collections.abc import Callable
 
 import msgspec
 
@@ -19,11 +20,15 @@
 
 
 class WorkerChange(msgspec.Struct, frozen=True, array_like=True):
-    """One changed row; ``record`` is ``None`` if the row no longer names a usable worker."""
+    """One changed row; ``record`` is ``None`` if the row no longer names a usable worker.
+
+    ``unreadable`` tells whether it still exists.
+    """
 
     name: str
     revision: int
     record: WorkerRecord | None
+    unreadable: bool = False
 
     def log_fields(self) -> dict[str, object]:
         """Return the fields of the change's log line."""
@@ -39,6 +44,10 @@
         }
 
 
+EntryListener = Callable[[WorkerRecord | None, WorkerChange], None]
+"""Is given the worker that a name stood for, and the change that was applied."""
+
+
 class WorkerChangeBatch(msgspec.Struct, frozen=True, array_like=True):
     """All changes after ``since`` up to ``revision``."""
 
--- a/src/corkcrank/node/origins/software_rows.py
+++ b/src/corkcrank/node/origins/software_rows.py
@@ -1,24 +1,29 @@
 """Finds the only software that can have begun a stream whose caller names no attempt.
 
-The list of workers shows the versions that serve now, not one that has just left. A gateway that
-has watched the list for long enough knows both. A gateway that has just started reads the rows that
-the owner of each service keeps in the store: they outlast all gateways. A row is written only when
-the versions of its service change.
+The list of workers shows the versions that serve now, not one that has just left, and a gateway
+that is out of step lacks those that others have begun to use. So the list is first brought up to
+date with the store; without an answer nothing is known. A gateway that has heard of every change
+for long enough knows the versions that left. One that has not reads the rows that the owner of each
+service keeps in the store: they outlast all gateways. A row is written only when the versions of
+its service change.
 """
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Collection, Mapping
 
 import msgspec
 
 from corkcrank.contracts import clock
 from corkcrank.contracts.opaque_call import OpaqueCall
 from corkcrank.contracts.stream_origin import StreamOrigin
+from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.links.decision_log import DecisionLog, LogEvent
 from corkcrank.links.platform_ports import MetadataStore, StoreFailure, StoreRows, StoreTable
 from corkcrank.machines.fleet import Fleet
 from corkcrank.machines.store_contact import StoreContact, newest_contact
 from corkcrank.machines.store_mirror import StoreMirror
+from corkcrank.machines.worker_changes import WorkerChange
+from corkcrank.machines.worker_list_check import WorkerListCheck
 from corkcrank.scheduling.software_history import SoftwareHistory
 
 CHECK_SECONDS = 0.2
@@ -30,6 +35,10 @@
 RECENT_SECONDS = 30.0
 """Time for which a version that has left still counts as one of several."""
 
+LATE_BEGIN_SECONDS = RECENT_SECONDS
+"""Time for which a gateway that is out of step may begin streams at workers that are not listed any
+more; they serve on for a while."""
+
 MAX_KEPT_SECONDS = 600.0
 """Time for which a row keeps a version that has left; no stream is resumed later."""
 
@@ -48,15 +57,22 @@
         """Return the versions that have not left."""
         return {version for version, left_at in self.versions.items() if left_at is None}
 
-    def updated(self, listed: Iterable[str], store_time: float) -> "SoftwareRow":
-        """Return the row after a look at the listed versions.
+    def lacks(self, listed: Collection[str], left: Collection[str]) -> bool:
+        """Return whether versions that are listed, or that have left, are not in the row."""
+        return self.listed != set(listed) or not set(left) <= self.versions.keys()
+
+    def updated(
+        self, listed: Collection[str], left: Mapping[str, float], store_time: float
+    ) -> "SoftwareRow":
+        """Return the row after a look at the listed versions, and at those that have left.
 
-        >>> SoftwareRow({"v1": None}).updated(["v2"], 5.0)
+        >>> SoftwareRow({"v1": None}).updated(["v2"], {}, 5.0)
         SoftwareRow(versions={'v1': 5.0, 'v2': None})
+        >>> SoftwareRow({"v1": None}).updated(["v1"], {"v2": 4.0}, 5.0)
+        SoftwareRow(versions={'v2': 4.0, 'v1': None})
         """
-        listed = set(listed)
         versions: dict[str, float | None] = {}
-        for version, left_at in self.versions.items():
+        for version, left_at in (dict(left) | self.versions).items():
             left_at = store_time if left_at is None else left_at
             if version not in listed and left_at > store_time - MAX_KEPT_SECONDS:
                 versions[version] = left_at
@@ -85,7 +101,10 @@
         self._mirror = mirror
         self._store = store
         self._log = log
+        self._list_check = WorkerListCheck(fleet, mirror, store)
         self._history = SoftwareHistory()
+        mirror.on_whole_list = self._record_whole_list
+        mirror.on_entry = self._record_entry
         self._written: dict[str, SoftwareRow] = {}
         """Rows known to be in the store."""
 
@@ -97,28 +116,28 @@
     async def find_only_software(self, call: OpaqueCall) -> StreamOrigin | None:
         """Return the software that began a call's stream, ``None`` if two may have.
 
-        The stream began at most the route's timeout ago.
+        The stream began at most the route's timeout ago, maybe at a gateway that is out of step.
         """
-        self._observe(call.service)
+        if not await self._list_check.bring_up_to_date():
+            return None
         now, service = clock.now(), call.service
         listed = self._listed(service)
         if len(listed) != 1:
             return None
-        since = now - call.route.timeout
-        if self._history.covers(service, since):
-            found = self._history.versions_since(service, since)
-        else:
+        seconds = call.route.timeout + LATE_BEGIN_SECONDS
+        found = set(self._history.last_listed(service, now - seconds))
+        if not self._history.covers(now - seconds):
             rows = await self._store.read(StoreTable.SOFTWARE)
             if isinstance(rows, StoreFailure):
                 return None
             row = self._find_row(rows, service)
-            found = row.versions_since(rows.store_time - call.route.timeout) if row else set()
+            found |= row.versions_since(rows.store_time - seconds) if row else set()
         return StreamOrigin(service, listed.pop()) if found <= listed else None
 
     def has_several(self, service: str, now: float) -> bool:
         """Return whether a service has, or recently had, workers of several versions."""
         self._observe(service)
-        return len(self._history.versions_since(service, now - RECENT_SECONDS)) > 1
+        return len(self._history.last_listed(service, now - RECENT_SECONDS)) > 1
 
     def any_several(self, now: float) -> bool:
         """Return whether a service with resumable streams has workers of several versions."""
@@ -144,18 +163,21 @@
 
     async def _write_changed(self, service: str) -> bool:
         listed, now = self._listed(service), clock.now()
-        written = self._written.get(service)
+        store_time = self.store_time(now)
         if not listed or self._fleet.zone_owner("", service, now) != self._fleet.local_name:
             return True
-        if written is None:
-            rows = await self._store.read(StoreTable.SOFTWARE)
-            if isinstance(rows, StoreFailure):
-                return False
-            written = self._written[service] = self._find_row(rows, service) or SoftwareRow({})
-        store_time = self.store_time(now)
-        if written.listed == listed or store_time is None:
+        if store_time is None or not self._lacks(service, listed, now):
             return True
-        row = written.updated(listed, store_time)
+        # Another gateway may have owned the service since, and written its row.
+        rows = await self._store.read(StoreTable.SOFTWARE)
+        if isinstance(rows, StoreFailure):
+            return False
+        self._written[service] = row = self._find_row(rows, service) or SoftwareRow({})
+        if not self._lacks(service, listed, now):
+            return True
+        seen = self._history.last_listed(service, now - RECENT_SECONDS)
+        left = {version: store_time - (now - at) for version, at in seen.items()}
+        row = row.updated(listed, left, store_time)
         value = msgspec.json.encode(row)
         if isinstance(await self._store.put(StoreTable.SOFTWARE, service, value), StoreFailure):
             # The write may have taken effect.
@@ -164,6 +186,22 @@
         self._written[service] = row
         return True
 
+    def _lacks(self, service: str, listed: set[str], now: float) -> bool:
+        """Return whether the row of a service lacks a version that this gateway has seen."""
+        row = self._written.get(service)
+        seen = self._history.last_listed(service, now - RECENT_SECONDS)
+        return row is None or row.lacks(listed, seen)
+
+    def _record_whole_list(self) -> None:
+        self._history.restart(clock.now())
+
+    def _record_entry(self, previous: WorkerRecord | None, change: WorkerChange) -> None:
+        now = clock.now()
+        self._history.record_change(previous, change.record, now)
+        known = previous is not None or change.record is not None
+        if not known and not change.unreadable and self._mirror.workers_known:
+            self._history.record_unknown(now)
+
     def _observe(self, service: str) -> None:
         if self._mirror.workers_known:
             self._history.record(service, self._listed(service), clock.now())
--- a/tests/platform/versioned_world.py
+++ b/tests/platform/versioned_world.py
@@ -207,6 +207,7 @@
     gateways: int = 3,
     versions: Sequence[str] = VERSIONS,
     gap: float = 0.02,
+    routes: list[dict[str, Any]] = ROUTES,
     **fields: Any,
 ) -> AsyncIterator[VersionedWorld]:
     """Run gateways that know each other, and three engines of each version."""
@@ -215,7 +216,7 @@
         engine.worker_id: (engine, "model") for items in engines.values() for engine in items
     }
     served["encode"] = (StandinStageWorker(), "encode")
-    document = configuration(1, ROUTES, tenants=TENANTS, **fields)
+    document = configuration(1, routes, tenants=TENANTS, **fields)
     async with (
         world(document, served, retry_allowance=1000) as running,
         _peers(running, gateways - 1),
--- a/tests/scheduling/test_held_removals.py
+++ b/tests/scheduling/test_held_removals.py
@@ -47,11 +47,9 @@
     monkeypatch: pytest.MonkeyPatch, reported_at: int
 ) -> None:
     mirror, clock = create_mirror(monkeypatch)
-    mirror._apply_answer(
-        StoreTable.WORKERS, StoreRows((row("a", 11), row("b", 12)), 20), whole=True
-    )
+    mirror.apply_answer(StoreTable.WORKERS, StoreRows((row("a", 11), row("b", 12)), 20), whole=True)
     mirror._lapsed.record_store_return(clock.now)
-    mirror._apply_answer(StoreTable.WORKERS, StoreRows((row("b", 12),), 35), whole=True)
+    mirror.apply_answer(StoreTable.WORKERS, StoreRows((row("b", 12),), 35), whole=True)
     assert [record.name for record in mirror.workers.records()] == ["a", "b"]
     another = WorkerRecord("c", "s", "10.0.0.2:80", "a", revision=reported_at, born=18)
     update = WorkerChangeBatch(34, reported_at, (WorkerChange("c", reported_at, another),))
@@ -75,18 +73,16 @@
     peer stands between "held back" and the confirmation of the removal.
     """
     peer, clock = create_mirror(monkeypatch)
-    peer._apply_answer(StoreTable.WORKERS, StoreRows((row("a", 11), row("b", 12)), 50), whole=True)
+    peer.apply_answer(StoreTable.WORKERS, StoreRows((row("a", 11), row("b", 12)), 50), whole=True)
     peer._lapsed.record_store_return(clock.now)
-    peer._apply_answer(StoreTable.WORKERS, StoreRows((row("b", 12),), 53), whole=True)
+    peer.apply_answer(StoreTable.WORKERS, StoreRows((row("b", 12),), 53), whole=True)
 
     gateway, gateway_clock = create_mirror(monkeypatch)
-    gateway._apply_answer(
+    gateway.apply_answer(
         StoreTable.WORKERS, StoreRows((row("a", 11), row("b", 12)), 51), whole=True
     )
     gateway._lapsed.record_store_return(gateway_clock.now)
-    gateway._apply_answer(
-        StoreTable.WORKERS, StoreRows((StoreRow("a", None, 52),), 52), whole=False
-    )
+    gateway.apply_answer(StoreTable.WORKERS, StoreRows((StoreRow("a", None, 52),), 52), whole=False)
     gateway.apply_worker_list(peer.workers.records(), peer.workers.revision, "peer")
 
     gateway_clock.now += REREGISTRATION_SECONDS
