--- a/src/corkcrank/links/platform_ports.py
+++ b/src/corkcrank/links/platform_ports.py
@@ -260,6 +260,11 @@
     detail: str = ""
     undecodable: bool = False
 
+    @property
+    def needs_whole_read(self) -> bool:
+        """Return whether changes cannot be read on from there, only the whole table."""
+        return self.undecodable or self.failure_reason is StoreFailureReason.HISTORY_GONE
+
 
 class StoreTable(StrEnum):
     """Tables that corkcrank reads or writes; the values are corkcrank's names for them."""
