Drain: the schedule is set in the signal handler, so that no stream read late is begun

What callers saw: a stream whose body was read as a stall of the event loop ended was begun, its stages made and sent to an engine, although the signal to stop had come earlier in that stall than streams may begin after it. It got `200` from a gateway that had to refuse it; a stream that takes longer than the rest of the grace is then cut.

Cause: the handler recorded the time of the signal, but the gateway learned of it two turns of the loop later (a callback, then the task that waits for it). A request that the loop reads in the turn of the stall passes the check of the drain's schedule one turn earlier, with no schedule set. The deadline of such a call was not limited to the end of the drain either.

Ruled out, a test each (they held before): a stream with stages read 4.4 s after the signal on a new connection, on a kept one, behind another on its connection, with its head read before the signal, resumed by its caller, after a suspension of the machine, and at a gateway whose requests a member relays; a signal before the gateway exists.

Why it works: the handler runs between two instructions and sets an immutable value in one assignment, so that whatever runs after the signal sees the schedule. A second signal changes nothing, now also before the first one is taken.

`test_the_time_of_a_signal_does_not_depend_on_the_event_loop` only takes the new name.

--- a/src/corkcrank/node/calls/services.py
+++ b/src/corkcrank/node/calls/services.py
@@ -214,6 +214,11 @@
             budget.allowance = bounds.retry_allowance
             budget.window = bounds.retry_window
 
+    def begin_drain(self, signalled_at: float) -> DrainSchedule:
+        """Set and return the schedule of a planned stop; safe in a signal handler."""
+        self.drain = DrainSchedule.after_signal(signalled_at, self.bounds.grace)
+        return self.drain
+
     def repeats_left(self, now: float) -> dict[str, float]:
         """Return the remaining retries in this gateway's share of each service's budget."""
         members = self.fleet.share_member_count()
--- a/src/corkcrank/node/process/node.py
+++ b/src/corkcrank/node/process/node.py
@@ -15,7 +15,7 @@
 from corkcrank.machines.store_followers import StoreFollowerElection
 from corkcrank.machines.store_mirror import StoreMirror
 from corkcrank.node.callers.caller_server import CallerServer
-from corkcrank.node.callers.drain import CallerDrain, DrainSchedule
+from corkcrank.node.callers.drain import CallerDrain
 from corkcrank.node.callers.listener_report import NodeListenerReport
 from corkcrank.node.callers.listener_state import ListenerState, connection_limit
 from corkcrank.node.calls.services import CallServices
@@ -338,8 +338,7 @@
             grace=self._settings.bounds.grace,
             signal_age=round(started_at - signalled_at, 3),
         )
-        schedule = DrainSchedule.after_signal(signalled_at, self._settings.bounds.grace)
-        self.services.drain = schedule
+        schedule = self.services.begin_drain(signalled_at)
         work = WorkForPeers(self.stage_owner, self._access.relays)
         await CallerDrain(self.callers, self.call_handler.open_calls, work).run(schedule)
         self.life.fire(ProcessTrigger.STOP)
--- a/src/corkcrank/node/process/node_process.py
+++ b/src/corkcrank/node/process/node_process.py
@@ -42,35 +42,52 @@
 
 async def _run(settings: NodeSettings, path: Path, log: DecisionLog) -> None:
     loop = asyncio.get_running_loop()
-    signalled = _first_stop_signal(loop)
+    stop_signal = StopSignal(loop)
     async with aiohttp.ClientSession(connector=ClientConnector()) as session:
         ports = connect_platform(session, settings.store.address, settings.store.timeout)
         node = Node(settings, ports, log, random.Random())
+        stop_signal.begins_drain_of(node)
         watcher = SettingsWatcher(path, settings, log, node.apply_settings)
         loop.add_signal_handler(signal.SIGHUP, watcher.reload_if_changed)
         await node.start()
         watching = asyncio.create_task(watcher.watch())
-        signalled_at = await signalled
+        signalled_at = await stop_signal.first_at
         watching.cancel()
         await node.stop(signalled_at)
 
 
-def _first_stop_signal(loop: asyncio.AbstractEventLoop) -> asyncio.Future[float]:
-    """Return a future of the time of the first signal to stop, on the clock of :mod:`clock`.
+class StopSignal:
+    """The first signal to stop; ``first_at`` is its time on the clock of :mod:`clock`.
 
     The grace period starts at the signal, also during a start or while the event loop is
-    blocked. So a handler that runs between two instructions records the time; a handler of the
-    event loop would run only after the loop is free again (1.5 s late after a stall of 1.5 s).
+    blocked. So a handler that runs between two instructions records the time and sets the drain's
+    schedule. The event loop resumes a task that waits for ``first_at`` only after what became ready
+    before it, such as requests that were read as late as a stall of the loop ended.
     """
-    signalled: asyncio.Future[float] = loop.create_future()
 
-    def set_first(at: float) -> None:
-        if not signalled.done():
-            signalled.set_result(at)
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.first_at: asyncio.Future[float] = loop.create_future()
+        self._loop = loop
+        self._received_at: float | None = None
+        self._node: Node | None = None
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._record)
 
-    def record_signal(number: int, frame: FrameType | None) -> None:
-        loop.call_soon_threadsafe(set_first, clock.now())
+    def begins_drain_of(self, node: Node) -> None:
+        """Set the schedule of a node's drain as soon as the signal is received."""
+        self._node = node
+        self._begin_drain()
 
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, record_signal)
-    return signalled
+    def _record(self, number: int, frame: FrameType | None) -> None:
+        if self._received_at is None:
+            self._received_at = clock.now()
+            self._begin_drain()
+            self._loop.call_soon_threadsafe(self._set_first, self._received_at)
+
+    def _begin_drain(self) -> None:
+        if self._node is not None and self._received_at is not None:
+            self._node.services.begin_drain(self._received_at)
+
+    def _set_first(self, at: float) -> None:
+        if not self.first_at.done():
+            self.first_at.set_result(at)
--- a/tests/platform/test_stop_ends.py
+++ b/tests/platform/test_stop_ends.py
@@ -36,7 +36,7 @@
 from corkcrank.links.platform_ports import PieceOutcome
 from corkcrank.load.loopback import loopback_address
 from corkcrank.node.peers.peer_protocol import PIECES_PATH, StageAnswer, StageWork
-from corkcrank.node.process.node_process import _first_stop_signal
+from corkcrank.node.process.node_process import StopSignal
 from corkcrank.node.streams.stream_answer import StreamAnswer
 
 GRACE = 1.6
@@ -323,7 +323,7 @@
     loop = asyncio.get_running_loop()
     before = {number: signal.getsignal(number) for number in (signal.SIGTERM, signal.SIGINT)}
     try:
-        signalled = _first_stop_signal(loop)
+        signalled = StopSignal(loop).first_at
         sent_at = clock.now()
         os.kill(os.getpid(), signal.SIGTERM)
         while clock.now() < sent_at + STALL_SECONDS:
