Tests: a caller that accepts no bytes, on the clock without waits for a core

Seen: the first byte of a plain answer of 32 MiB came 2.07 s after the request, not 1.5 s, once beside a load of 27; on the core clock, tried before, it failed at a load of 35 in a check that was not looked at.

Cause: the process had no core. Forced: with a sleep of k times the processor time that each turn of the loop had used, the unchanged test fails in that check: 1.83 s at k = 5, 6.6 s at k = 15, and passes at k = 0. The check not looked at is the limit of `until`, which took wall time while the timers that it waits for stood still: forced by 0.03 s more a turn, 2 of 2 cases.

Change: the test runs on the core clock, and `until` measures its limit on the loop's clock, which is wall time in every test without the core clock. No bound is changed.

Equally strict: faults put in by hand fail it as before, each with k = 0 and the first three with k = 15: an answer 1.6 s late, a loop blocked for 1.6 s, callers that are never closed, callers closed 1.6 s too late. (0.9 s too late passes, as it did before: the check counts from 0.8 s after the start.)

Ruled out: the product. On the core clock both cases pass at k = 5, 15 and 40, and with 0.03 s a turn.

--- a/tests/platform/node_world.py
+++ b/tests/platform/node_world.py
@@ -3,7 +3,6 @@
 import asyncio
 import itertools
 import random
-import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -60,10 +59,11 @@
 
 
 async def until(condition: Callable[[], bool], seconds: float = CONDITION_SECONDS) -> None:
-    """Wait until a condition holds; fail if it never does."""
-    deadline = time.monotonic() + seconds
+    """Wait until a condition holds; fail if it never does within ``seconds`` of the loop's time."""
+    loop = asyncio.get_running_loop()
+    deadline = loop.time() + seconds
     while not condition():
-        assert time.monotonic() < deadline, "the condition never held"
+        assert loop.time() < deadline, "the condition never held"
         await asyncio.sleep(0.005)
 
 
--- a/tests/platform/test_silent_peers.py
+++ b/tests/platform/test_silent_peers.py
@@ -200,7 +200,7 @@
     served = {"w": (worker, service)}
     deadline_ms = int((DEADLINE_SECONDS if streamed else LONG_DEADLINE_SECONDS) * 1000)
     big = route("big", kind, service, timeout_ms=deadline_ms, target_latency_ms=OBJECTIVE_MS)
-    async with world(configuration(1, [big]), served) as running:
+    async with core_clock(), world(configuration(1, [big]), served) as running:
         node = running.nodes[0]
         reader, writer = await open_caller(running.address())
         sent_at = clock.now()
