Prompt parts: successes outlast the memory of all gateways

Callers saw the parts of most prompts refused (3012) for up to a minute after all gateways had ended: quarantines were rows of the store, but what spoke for a part was in the memory of the gateways only. The new gateways knew no success of any part, and three crashes for other reasons held one.

Each gateway now writes a row with the parts that have succeeded lately, at most every 2 s, for new parts or much later successes only, all gateways together ten a second, 512 parts at most. It reads its row once after a start and marks the parts in the crash records, with the times of the successes, so that a part that turned bad is found after five crashes as before, and one that never succeeded after three.

--- a/src/corkcrank/links/platform_ports.py
+++ b/src/corkcrank/links/platform_ports.py
@@ -266,6 +266,7 @@
     QUARANTINE = "quarantine"
     SOFTWARE = "software"
     ORIGINS = "origins"
+    PART_SUCCESSES = "part successes"
 
 
 class MetadataStore(Protocol):
--- /dev/null
+++ b/src/corkcrank/node/membership/part_success_rows.py
@@ -0,0 +1,157 @@
+"""Keeps successes of prompt parts in the store, so that they outlast the memory of all gateways.
+
+A part that no gateway has seen succeed is quarantined after few crashes. Without this row the parts
+of most prompts would be such parts after all gateways have stopped. Each gateway writes one row,
+with its recent successes, and reads it once after a start. It marks them in the crash reports that
+it receives, so that the others need not read the row.
+"""
+
+import asyncio
+
+import msgspec
+
+from corkcrank.contracts import clock
+from corkcrank.contracts.request_fingerprint import FINGERPRINT_BYTES
+from corkcrank.links.decision_log import DecisionLog, LogEvent
+from corkcrank.links.platform_ports import MetadataStore, StoreFailure, StoreTable
+from corkcrank.machines.fleet import Fleet
+from corkcrank.machines.store_contact import StoreContact, newest_contact
+from corkcrank.machines.store_mirror import StoreMirror
+from corkcrank.node.workers.crash_watch import CrashWatch
+from corkcrank.scheduling.part_successes import SUCCESS_MEMORY_SECONDS
+
+WRITE_INTERVAL_SECONDS = 2.0
+"""Minimum interval of writes: first successes since the last one are lost by a kill."""
+
+MAX_WRITES_PER_SECOND = 10.0
+"""Writes of all gateways together."""
+
+RETRY_SECONDS = 1.0
+"""Delay after a failed call to the store."""
+
+REFRESH_SECONDS = SUCCESS_MEMORY_SECONDS / 2.0
+"""A written success is replaced by one that is this much later."""
+
+MAX_ROW_PARTS = 512
+"""Maximum number of parts in a row, those with the latest successes."""
+
+ROW_FORMAT = 1
+
+
+class PartSuccessRow(msgspec.Struct, frozen=True, array_like=True):
+    """The value of a row; its key is the name of the gateway that writes it.
+
+    ``fingerprints`` holds the parts' fingerprints, one behind the other. ``times`` are the times of
+    their latest successes on the store's clock, in whole seconds, rounded down.
+    """
+
+    format: int
+    fingerprints: bytes
+    times: tuple[int, ...]
+
+    @classmethod
+    def from_times(cls, times: dict[str, int]) -> "PartSuccessRow":
+        """Build the row of some parts' times."""
+        return cls(ROW_FORMAT, b"".join(map(bytes.fromhex, times)), tuple(times.values()))
+
+    def by_part(self) -> dict[str, int]:
+        """Return the time of each part; raise :class:`ValueError` if the row is invalid."""
+        if self.format != ROW_FORMAT:
+            raise ValueError(f"format {self.format}")
+        size = FINGERPRINT_BYTES
+        if len(self.fingerprints) != size * len(self.times):
+            raise ValueError("parts and times differ in number")
+        return {
+            self.fingerprints[number * size : (number + 1) * size].hex(): at
+            for number, at in enumerate(self.times)
+        }
+
+
+class PartSuccessRows:
+    """The row of one gateway."""
+
+    def __init__(
+        self,
+        store: MetadataStore,
+        mirror: StoreMirror,
+        fleet: Fleet,
+        crash_watch: CrashWatch,
+        log: DecisionLog,
+    ) -> None:
+        self._store = store
+        self._mirror = mirror
+        self._fleet = fleet
+        self._crash_watch = crash_watch
+        self._log = log
+        self._written: dict[str, int] = {}
+        """The parts in the row, with their times."""
+        self.restored = False
+
+    async def keep_row_current(self) -> None:
+        """Read the row once, then write it after new successes, until cancelled.
+
+        A row that was not read would be overwritten.
+        """
+        while not await self._restore():
+            await asyncio.sleep(RETRY_SECONDS)
+        while True:
+            await asyncio.sleep(self._interval() if await self._write() else RETRY_SECONDS)
+
+    def _interval(self) -> float:
+        members = len(self._fleet.live_members(clock.now())) + 1
+        return max(WRITE_INTERVAL_SECONDS, members / MAX_WRITES_PER_SECOND)
+
+    async def _restore(self) -> bool:
+        """Restore the successes that this gateway had written before it started again."""
+        rows = await self._store.read(StoreTable.PART_SUCCESSES, self._fleet.local_name)
+        if isinstance(rows, StoreFailure):
+            return False
+        now = clock.now()
+        for row in rows.rows:
+            value = row.value if isinstance(row.value, bytes) else b""
+            times = self._decode(value)
+            self._crash_watch.restore_part_successes(
+                {part: now - max(0.0, rows.store_time - at) for part, at in times.items()}
+            )
+            self._written = times
+        self.restored = True
+        return True
+
+    def _decode(self, value: bytes) -> dict[str, int]:
+        """Return the times of a row's parts, none if it cannot be read."""
+        try:
+            return msgspec.msgpack.decode(value, type=PartSuccessRow).by_part()
+        except ValueError as error:
+            self._log.write(
+                LogEvent.DOCUMENT_UNREADABLE,
+                kind="part successes",
+                key=self._fleet.local_name,
+                detail=str(error),
+            )
+            return {}
+
+    async def _write(self) -> bool:
+        """Write the row if there are new successes; return whether the store accepted it."""
+        now = clock.now()
+        own = self._mirror.store_contacts.get(StoreTable.WORKERS, StoreContact())
+        contact = newest_contact(own, self._fleet.store_contact(StoreTable.WORKERS))
+        if contact.received_at == float("-inf"):
+            return True
+        offset = contact.store_time - contact.received_at
+        successes = self._crash_watch.quarantine.part_successes.recent(MAX_ROW_PARTS, now)
+        times = {part: int(at + offset) for part, at in successes.items()}
+        if not self._has_news(times):
+            return True
+        value = msgspec.msgpack.encode(PartSuccessRow.from_times(times))
+        written = await self._store.put(StoreTable.PART_SUCCESSES, self._fleet.local_name, value)
+        if isinstance(written, StoreFailure):
+            return False
+        self._written = times
+        return True
+
+    def _has_news(self, times: dict[str, int]) -> bool:
+        """Return whether a part is not in the row, or has succeeded much later."""
+        return any(
+            part not in self._written or at - self._written[part] >= REFRESH_SECONDS
+            for part, at in times.items()
+        )
--- a/src/corkcrank/node/membership/quarantine_rows.py
+++ b/src/corkcrank/node/membership/quarantine_rows.py
@@ -22,6 +22,7 @@
 from corkcrank.machines.store_contact import StoreContact, newest_contact
 from corkcrank.machines.store_followers import StoreFollowerElection
 from corkcrank.machines.store_mirror import StoreMirror
+from corkcrank.node.membership.part_success_rows import PartSuccessRows
 from corkcrank.node.workers.crash_watch import CrashWatch
 from corkcrank.scheduling.crash_records import CrashRecord
 from corkcrank.scheduling.crash_reports import CrashReport, PartSuccess, RequestAtCrash
@@ -117,9 +118,15 @@
         """Rows known to be in the store, with the size of each."""
         self._written_successes: dict[str, int] = {}
         """The number of successes in each of these rows."""
+        self.part_successes = PartSuccessRows(store, mirror, fleet, crash_watch, log)
 
     async def keep_rows_current(self) -> None:
-        """Read the rows once, then keep them up to date until cancelled."""
+        """Read all rows once, then keep them up to date until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self.part_successes.keep_row_current())
+            tasks.create_task(self._keep_quarantines_current())
+
+    async def _keep_quarantines_current(self) -> None:
         while self._fleet.local_phase != Phase.SERVING:
             await asyncio.sleep(READ_DELAY_SECONDS)
         await asyncio.sleep(READ_DELAY_SECONDS)
--- a/src/corkcrank/node/workers/crash_watch.py
+++ b/src/corkcrank/node/workers/crash_watch.py
@@ -136,6 +136,13 @@
             self._review_verdicts()
             self.on_update()
 
+    def restore_part_successes(self, successes: Mapping[str, float]) -> None:
+        """Record the times of parts' successes that this gateway had seen before it started."""
+        now = clock.now()
+        if any([self.quarantine.record_progress([p], at, now) for p, at in successes.items()]):
+            self._review_verdicts()
+            self.on_update()
+
     def record_connection_failure(
         self, call: OpaqueCall, worker: WorkerRecord, *, progressed: bool = False
     ) -> None:
--- a/src/corkcrank/platform/names.py
+++ b/src/corkcrank/platform/names.py
@@ -76,6 +76,7 @@
 QUARANTINE_TABLE = "quarantine"
 SOFTWARE_TABLE = "software"
 ORIGIN_TABLE = "origins"
+PART_SUCCESS_TABLE = "part-successes"
 
 READY = "ready"
 DRAINING = "draining"
--- a/src/corkcrank/platform/store.py
+++ b/src/corkcrank/platform/store.py
@@ -36,6 +36,7 @@
     StoreTable.QUARANTINE: names.QUARANTINE_TABLE,
     StoreTable.SOFTWARE: names.SOFTWARE_TABLE,
     StoreTable.ORIGINS: names.ORIGIN_TABLE,
+    StoreTable.PART_SUCCESSES: names.PART_SUCCESS_TABLE,
 }
 
 
--- a/src/corkcrank/scheduling/part_successes.py
+++ b/src/corkcrank/scheduling/part_successes.py
@@ -34,3 +34,15 @@
         """Return the time of a part's latest success, ``None`` if there is none."""
         at = self._times.get(part)
         return at if at is not None and now - at <= SUCCESS_MEMORY_SECONDS else None
+
+    def recent(self, limit: int, now: float) -> dict[str, float]:
+        """Return the latest successes of some parts, those that succeeded last, oldest first.
+
+        >>> successes = PartSuccesses()
+        >>> for part in ("p", "q", "p", "r"):
+        ...     successes.record(part, 5.0)
+        >>> list(successes.recent(2, now=6.0))
+        ['p', 'r']
+        """
+        parts = [part for part in reversed(self._times) if self.latest(part, now) is not None]
+        return {part: self._times[part] for part in reversed(parts[:limit])}
--- a/src/corkcrank/scheduling/request_quarantine.py
+++ b/src/corkcrank/scheduling/request_quarantine.py
@@ -96,7 +96,7 @@
     def __init__(self, probation_offset: float = 0.0) -> None:
         self.records = CrashRecords()
         self.probation_offset = probation_offset
-        self._successes = PartSuccesses()
+        self.part_successes = PartSuccesses()
         self._trials = ProbationTrials()
         self._schedule = CrashReportSchedule(self.records, self._has_blamed_suspect)
         self._decided = _Judgement([])
@@ -144,7 +144,7 @@
         """
         update = SuccessUpdate.NONE
         for part in parts:
-            self._successes.record(part, at)
+            self.part_successes.record(part, at)
             if part in self.records.parts():
                 update = max(update, self.records.record_part_success(part, at, now))
         self._invalidate_if_changed(update is not SuccessUpdate.NONE)
@@ -275,7 +275,7 @@
         """Add the known successes of parts to a crash record; return whether any is new."""
         update = SuccessUpdate.NONE
         for part in parts:
-            at = self._successes.latest(part, now)
+            at = self.part_successes.latest(part, now)
             if at is not None:
                 update = max(update, self.records.record_success_at(worker_id, part, at, now))
         return update is not SuccessUpdate.NONE
