A stream that many calls name does not fill the queue of prompts

What callers saw: at a service without stages, calls that named one begun stream were never refused by the queue of prompts, went before more urgent routes, and after 1 s took any engine.

Cause: the wait in that queue asked whether the stream's origin is known, which holds for each resumed call, within its tenant's share or beyond it; the bound on precedence had no effect there.

Ruled out: the bound itself (4 of 100 calls at one of 6 gateways have precedence in its own test).

Change: a prompt counts as begun if its call has run, has results, or precedes. A resumed stream beyond the share is judged there as at the stages.

The test failed before at both sizes.

--- a/src/corkcrank/node/streams/engine_turns.py
+++ b/src/corkcrank/node/streams/engine_turns.py
@@ -51,11 +51,12 @@
     def _patience(self) -> PromptPatience:
         """Return how the call may wait in a queue of prompts.
 
-        Only a call that has not run may be refused. During a failover, while another engine still
-        holds the call, it gets the best engine without waiting.
+        Only a call that has not run may be refused, and a resumed stream only if it has no
+        precedence. During a failover, while another engine still holds the call, it gets the best
+        engine without waiting.
         """
         call = self._call
-        begun = self._has_results or bool(call.workers_tried) or call.origin is not None
+        begun = self._has_results or bool(call.workers_tried) or call.precedes
         return PromptPatience(
             seconds=min(call.end_at - clock.now(), MAX_TURN_WAIT_SECONDS)
             if self._may_wait
--- a/tests/scheduling/test_resuming_fleet.py
+++ b/tests/scheduling/test_resuming_fleet.py
@@ -9,6 +9,7 @@
 
 import msgspec
 import pytest
+from competing_world import calls, scenario
 from fleet_play import play
 from fleet_scenario import Burst
 from resuming_fleet import ResumingFleet
@@ -23,6 +24,10 @@
 MIN_FAIR_SHARE = 0.5
 """Least share of its usual calls in time that another tenant's route keeps."""
 
+MIN_SHARE_AT_ENGINES = 0.75
+"""The same of a route that is more urgent and for which alone the engines have more than enough
+room."""
+
 MIN_SHARE_OF_NEW = 0.5
 """Least share of resumed streams that go on, of that of new streams that begin."""
 
@@ -79,3 +84,28 @@
         for item in fleet.scenario.routes
     )
     return ResumingFleet(replace(fleet.scenario, routes=routes), repeats=fleet.repeats)
+
+
+@pytest.mark.parametrize("gateways", [6, 36])
+def test_a_stream_that_many_calls_name_does_not_fill_the_queue_of_prompts(
+    gateways: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    honest, greedy = (
+        run(prompt_fleet(gateways, repeats), patch)
+        for repeats, patch in ((1, pytest.MonkeyPatch()), (REPEATS, monkeypatch))
+    )
+    assert greedy.streams["bulk"].resumed > REPEATS
+    usual = honest.streams["other"].in_time_share
+    assert greedy.streams["other"].in_time_share >= MIN_SHARE_AT_ENGINES * usual, greedy.streams
+
+
+def prompt_fleet(gateways: int, repeats: int) -> ResumingFleet:
+    """Return a fleet without stages, with a more urgent route of another tenant."""
+    load = scenario(
+        (calls("other", 1, 16.0, tenant="other"), calls("bulk", 2, 8.0, tenant="greedy")),
+        gateways,
+        seconds=10.0,
+        competing=True,
+    )
+    workers = tuple(msgspec.structs.replace(worker, version="v1") for worker in load.workers)
+    return ResumingFleet(replace(load, workers=workers), repeats=Counter({"bulk": repeats}))
