Refused calls do not earn precedence for resumed streams

What callers saw: a tenant whose new calls are refused, at no cost to it, is served before others with calls that name one begun stream.

Cause: the share that bounds precedence counted a new stream when its call arrived, before admission.

Change: a stream counts when its first event is about to be relayed. The share of a quarter stays. The bound's text names one for each gateway beyond 24 gateways, which is what it gives: 350 at once at 350.

--- a/src/corkcrank/node/streams/stream_continuity.py
+++ b/src/corkcrank/node/streams/stream_continuity.py
@@ -47,7 +47,6 @@
         """
         call, share = self._call, self._services.resumption_share
         if not call.resumes_stream:
-            share.observe_new(call.tenant, clock.now())
             return None
         origin = await self._services.origins.find(call)
         if origin is None or not origin.version:
@@ -78,6 +77,7 @@
         elif call.origin is None:
             call.origin = StreamOrigin.of(engine)
             self._services.origins.record(call, call.origin)
+            self._services.resumption_share.observe_begun(call.tenant, clock.now())
         self._relayed = True
 
     def _log_resumption(self, origin: StreamOrigin | None) -> None:
--- a/src/corkcrank/scheduling/resumption_share.py
+++ b/src/corkcrank/scheduling/resumption_share.py
@@ -11,12 +11,13 @@
 """Time constant of the exponential decay of a stream's weight: streams break off together, and
 those of the last seconds show how many there can be."""
 
-MAX_PRECEDING_PER_NEW = 0.25
-"""Maximum number of recent streams with precedence, for each recent new stream of the tenant."""
+MAX_PRECEDING_PER_BEGUN = 0.25
+"""Maximum number of recent streams with precedence, for each stream of the tenant that has begun
+recently. Refused calls don't count: they cost their caller nothing."""
 
 MIN_PRECEDING_STREAMS = 24.0
-"""Number that all gateways together allow in any case, since one that has just started has seen no
-new streams."""
+"""Number that all gateways together allow in any case, or one for each gateway if there are more,
+since a gateway that has just started has seen no stream begin."""
 
 MIN_WEIGHT = 0.05
 """Weight below which a tenant's streams are removed."""
@@ -24,19 +25,19 @@
 
 @dataclass(slots=True)
 class _Streams:
-    """Weights of new streams and of resumed ones with precedence."""
+    """Weights of streams that began here and of resumed ones with precedence."""
 
-    new: float
+    begun: float
     preceding: float
     at: float
 
     def decayed(self, now: float) -> "_Streams":
         decay = math.exp(-max(0.0, now - self.at) / DECAY_SECONDS)
-        return _Streams(self.new * decay, self.preceding * decay, now)
+        return _Streams(self.begun * decay, self.preceding * decay, now)
 
 
 class ResumptionShare:
-    """Exponentially decaying numbers of new streams, and of those with precedence, by tenant."""
+    """Exponentially decaying numbers of begun streams, and of those with precedence, by tenant."""
 
     def __init__(self) -> None:
         self._tenants: dict[str, _Streams] = {}
@@ -44,10 +45,10 @@
     def __len__(self) -> int:
         return len(self._tenants)
 
-    def observe_new(self, tenant: str, now: float) -> None:
-        """Record a stream that a caller begins."""
+    def observe_begun(self, tenant: str, now: float) -> None:
+        """Record a new stream whose first event is about to be relayed."""
         known = self._decayed(tenant, now)
-        known.new += 1.0
+        known.begun += 1.0
 
     def may_precede(self, tenant: str, gateways: int, now: float) -> bool:
         """Return whether a resumed stream has precedence, and record it if it does.
@@ -55,13 +56,13 @@
         >>> share = ResumptionShare()
         >>> sum(share.may_precede("t", 6, 0.0) for _ in range(100))
         4
-        >>> for _ in range(40): share.observe_new("t", 0.0)
+        >>> for _ in range(40): share.observe_begun("t", 0.0)
         >>> sum(share.may_precede("t", 6, 0.0) for _ in range(100))
         6
         """
         known = self._decayed(tenant, now)
         fixed = MIN_PRECEDING_STREAMS / max(1, gateways)
-        precedes = known.preceding < max(fixed, MAX_PRECEDING_PER_NEW * known.new)
+        precedes = known.preceding < max(fixed, MAX_PRECEDING_PER_BEGUN * known.begun)
         known.preceding += precedes
         return precedes
 
@@ -76,5 +77,5 @@
     def _remove_old(self, now: float) -> None:
         for tenant in list(self._tenants):
             streams = self._tenants[tenant].decayed(now)
-            if max(streams.new, streams.preceding) < MIN_WEIGHT:
+            if max(streams.begun, streams.preceding) < MIN_WEIGHT:
                 del self._tenants[tenant]
--- a/tests/platform/test_resumptions.py
+++ b/tests/platform/test_resumptions.py
@@ -11,12 +11,17 @@
 from typer.testing import CliRunner
 
 from corkcrank.cli.operator import application
+from corkcrank.contracts import clock
 from corkcrank.reports.log_records import read_all
 from corkcrank.reports.resumptions import report_resumptions
+from corkcrank.scheduling.resumption_share import MIN_PRECEDING_STREAMS
 
 EVENTS = 6
 STAGES = [{"service": "encode", "since_revision": [], "byte_length": 1000}]
-ROUTES = [route("talk", "stream", "model", stream_resume=True, stages=STAGES, timeout_ms=8_000)]
+ROUTES = [
+    route("talk", "stream", "model", stream_resume=True, stages=STAGES, timeout_ms=8_000),
+    route("unserved", "stream", "none", stream_resume=True),
+]
 PIECES = {"X-Corkcrank-Segments": "1", "X-Corkcrank-Segment-Key": "k"}
 NEW = {**PIECES, "X-Corkcrank-Token-Count": "20,5", "X-Corkcrank-Deadline-Ms": "8000"}
 
@@ -93,3 +98,13 @@
         body = await response.read()
         assert (response.status, body.count(b"id:")) == (200, EVENTS - 2), body
         assert await asyncio.gather(*waiting) == [200] * len(waiting)
+
+
+async def test_refused_calls_do_not_earn_precedence_for_resumed_ones() -> None:
+    async with gateway(StandinStageWorker()) as running:
+        for _ in range(8 * round(MIN_PRECEDING_STREAMS)):
+            assert (await running.call("/unserved/x")).status == 503
+        share, tenant = running.nodes[0].services.resumption_share, "tenant"
+        calls = range(2 * round(MIN_PRECEDING_STREAMS))
+        given = sum(share.may_precede(tenant, 1, clock.now()) for _ in calls)
+        assert given <= MIN_PRECEDING_STREAMS + 1
--- a/tests/scheduling/test_resumption_share.py
+++ b/tests/scheduling/test_resumption_share.py
@@ -5,7 +5,7 @@
 
 from corkcrank.scheduling.resumption_share import (
     DECAY_SECONDS,
-    MAX_PRECEDING_PER_NEW,
+    MAX_PRECEDING_PER_BEGUN,
     MIN_PRECEDING_STREAMS,
     ResumptionShare,
 )
@@ -14,7 +14,7 @@
 DECAY_OF_A_WINDOW = 1.0 + WINDOW_SECONDS / DECAY_SECONDS
 
 steps = st.lists(
-    st.tuples(st.sampled_from(["new", "resumed"]), st.floats(0.0, 0.3)), min_size=1, max_size=300
+    st.tuples(st.sampled_from(["begun", "resumed"]), st.floats(0.0, 0.3)), min_size=1, max_size=300
 )
 
 
@@ -27,8 +27,8 @@
     preceding: list[float] = []
     for kind, pause in calls:
         now += pause
-        if kind == "new":
-            share.observe_new("tenant", now)
+        if kind == "begun":
+            share.observe_begun("tenant", now)
             begun.append(now)
         elif share.may_precede("tenant", gateways, now):
             preceding.append(now)
@@ -36,7 +36,7 @@
         end = start + WINDOW_SECONDS
         given_there = sum(start <= at <= end for at in preceding)
         begun_before = sum(at <= end for at in begun)
-        limit = max(MIN_PRECEDING_STREAMS / gateways, MAX_PRECEDING_PER_NEW * begun_before)
+        limit = max(MIN_PRECEDING_STREAMS / gateways, MAX_PRECEDING_PER_BEGUN * begun_before)
         assert given_there <= limit * DECAY_OF_A_WINDOW + 1
 
 
@@ -50,6 +50,6 @@
 def test_tenants_without_recent_streams_are_forgotten() -> None:
     share = ResumptionShare()
     for number in range(100):
-        share.observe_new(f"tenant {number}", 0.0)
-    share.observe_new("last", 10 * DECAY_SECONDS)
+        share.observe_begun(f"tenant {number}", 0.0)
+    share.observe_begun("last", 10 * DECAY_SECONDS)
     assert len(share) == 1
