Losses report: a resumed stream is neither late nor the retry of a refused call

What operators saw: 'corkcrank losses' counted a resumed stream that went on as a late call of a stage queue or engine, and as a retry that fits no refusal.

Cause: the summary of a call read the objective of its first byte, and 'returning', which is inferred from a short budget, for the rest of a stream as for a new call.

Ruled out: the log line, which has told a resumed stream from a new one since the counter was added.

Change: a summary knows whether its call resumes a stream; such a call has no objective and is no retry.

The new test failed before (Loss.LATE_OTHER).

--- a/src/corkcrank/reports/call_story.py
+++ b/src/corkcrank/reports/call_story.py
@@ -90,6 +90,8 @@
     ``held`` is the time from the call's arrival to its end. ``left`` is how much longer its
     caller would have waited at that time. ``retry_after`` is the delay after which the caller
     was asked to retry, ``None`` if the reply gave no delay or the log does not record it.
+    ``returning`` marks the probable retry of a refused call, ``resumes`` a stream that the caller
+    resumed: it is no retry, and its first byte was sent before, so that it has no objective.
     """
 
     call_id: str
@@ -108,6 +110,7 @@
     longest_pause: float = 0.0
     pause_objective: float | None = None
     retry_after: float | None = None
+    resumes: bool = False
 
     @property
     def ended_at(self) -> float:
@@ -133,7 +136,7 @@
         return _BY_CODE.get(self.outcome, Loss.INVALID)
 
     def _lateness(self) -> Loss:
-        if self.first_byte > self.objective:
+        if self.first_byte > self.objective and not self.resumes:
             longest = max(self.steps, key=lambda step: self.steps[step], default=Step.OTHER)
             return _LATE_BY_STEP[longest]
         if self.pause_objective is not None and self.longest_pause > self.pause_objective:
@@ -181,7 +184,7 @@
 def _summarize(
     record: LogRecord, steps: dict[Step, float], stream: LogRecord | None
 ) -> CallSummary:
-    first_byte = float(record["first_byte"])
+    first_byte, resumes = float(record["first_byte"]), bool(record.get("resume_after"))
     steps[Step.OTHER] = max(0.0, first_byte - sum(steps.values()))
     return CallSummary(
         call_id=record["call"],
@@ -195,8 +198,9 @@
         detail=record["detail"],
         first_byte=first_byte,
         objective=float(record["objective"]),
-        returning=bool(record["returning"]),
+        returning=bool(record["returning"]) and not resumes,
         steps=steps,
         longest_pause=float(stream["longest_pause"]) if stream else 0.0,
         pause_objective=stream.get("pause_objective") if stream else None,
+        resumes=resumes,
     )
--- a/tests/platform/test_sent_back.py
+++ b/tests/platform/test_sent_back.py
@@ -49,6 +49,14 @@
     assert (report.returning, report.unmatched, report.without_retry_delay) == (5, 2, 1)
 
 
+def test_a_resumed_stream_counts_neither_as_late_nor_as_a_retry_of_a_refused_call() -> None:
+    resumed = ended("200", 3.0, 5.0, returning=True, resume_after="7")
+    (story,) = stories_of([resumed])
+    assert story.loss is Loss.NONE
+    report = sent_back([story])
+    assert (report.returning, report.unmatched) == (0, 0)
+
+
 @pytest.mark.parametrize(
     ("arrives", "found"), [(1.94, 0), (1.96, 1), (2.0, 1), (2.19, 1), (2.21, 0)]
 )
