Workers with IPv6 addresses can be probed

Probes of a worker's machine took the host with its brackets, which no resolver knows, so every probe of an IPv6 worker said silent. What the link monitor and the confirmation of exits make of that was not played. Found while the readers of addresses were gone through; test_workers_with_ipv6_addresses_can_be_probed failed before (silent, not connected).

--- a/src/corkcrank/node/workers/worker_probe.py
+++ b/src/corkcrank/node/workers/worker_probe.py
@@ -3,6 +3,8 @@
 import asyncio
 from enum import StrEnum
 
+from corkcrank.contracts.socket_addresses import split_socket_address
+
 
 class ProbeResult(StrEnum):
     """Result of an attempt to open a connection."""
@@ -19,13 +21,13 @@
 
     ``timeout_seconds`` bounds the wait.
     """
-    host, port = address.rsplit(":", 1)
+    host, port = split_socket_address(address)
     try:
         async with asyncio.timeout(timeout_seconds):
-            _, writer = await asyncio.open_connection(host, int(port))
+            _, writer = await asyncio.open_connection(host, port)
     except ConnectionRefusedError:
         return ProbeResult.REFUSED
-    except (OSError, TimeoutError, ValueError):
+    except (OSError, TimeoutError):
         return ProbeResult.SILENT
     writer.transport.abort()
     return ProbeResult.CONNECTED
--- a/tests/platform/test_odd_rows.py
+++ b/tests/platform/test_odd_rows.py
@@ -24,6 +24,7 @@
 from corkcrank.machines.origin_reports import OriginReport
 from corkcrank.node.peers.peer_protocol import ConfigurationAnswer
 from corkcrank.node.process.node import Node
+from corkcrank.node.workers.worker_probe import ProbeResult, probe_worker
 from corkcrank.platform.documents import PlatformDocumentCodec
 from corkcrank.scheduling.return_claims import ReturnClaim
 
@@ -261,3 +262,12 @@
             assert ended_loops(node) == []
             assert len(node.fleet.live_members(clock.now())) == 1
             assert (await running.call("/safe/x", number=number)).status == 200
+
+
+async def test_workers_with_ipv6_addresses_can_be_probed() -> None:
+    server = await asyncio.start_server(lambda reader, writer: writer.close(), "::1", 0)
+    port = server.sockets[0].getsockname()[1]
+    assert await probe_worker(f"[::1]:{port}", 1.0) is ProbeResult.CONNECTED
+    server.close()
+    await server.wait_closed()
+    assert await probe_worker(f"[::1]:{port}", 1.0) is ProbeResult.REFUSED
