Entries that peers of an older release accept get no calls

During a rolling upgrade a gateway of the release before may follow the store, accept an odd address and report it: the new ones listed such workers from heartbeats and pulled lists. Records of peers are now checked as entries are, and one that no request can be sent to names no worker; its revision still counts, so nothing is pulled again.

The 4 cases of test_entries_that_peers_of_an_older_release_accept_get_no_calls failed before (four odd workers listed beside the sound one), and pass.

--- a/src/corkcrank/contracts/worker_records.py
+++ b/src/corkcrank/contracts/worker_records.py
@@ -5,6 +5,9 @@
 
 import msgspec
 
+from corkcrank.contracts.bounded_values import is_header_token
+from corkcrank.contracts.socket_addresses import parse_socket_address
+
 
 class WorkerRecord(msgspec.Struct, frozen=True, dict=True, omit_defaults=True):
     """One incarnation of one worker; ``revision`` is that of its row in the store.
@@ -43,6 +46,11 @@
         """
         return self.name if self.born is None else f"{self.name} {self.born}"
 
+    @cached_property
+    def is_usable(self) -> bool:
+        """Return whether requests that name this worker can be sent to its address."""
+        return is_header_token(self.name) and parse_socket_address(self.address) is not None
+
 
 class WorkerList:
     """All known workers: at most one incarnation of each name.
--- a/src/corkcrank/machines/worker_changes.py
+++ b/src/corkcrank/machines/worker_changes.py
@@ -47,6 +47,26 @@
     changes: tuple[WorkerChange, ...]
 
 
+def usable_changes(batch: WorkerChangeBatch) -> WorkerChangeBatch:
+    """Return a peer's changes; a record that no request can be sent to names no worker.
+
+    A peer of an older release accepts entries that this one refuses.
+
+    >>> record = WorkerRecord("w", "s", "10.0.0.1:99999", "z")
+    >>> usable_changes(WorkerChangeBatch(3, 5, (WorkerChange("w", 5, record),))).changes
+    (WorkerChange(name='w', revision=5, record=None),)
+    """
+    if all(change.record is None or change.record.is_usable for change in batch.changes):
+        return batch
+    changes = tuple(
+        change
+        if change.record is None or change.record.is_usable
+        else WorkerChange(change.name, change.revision, None)
+        for change in batch.changes
+    )
+    return WorkerChangeBatch(batch.since, batch.revision, changes)
+
+
 class RecentWorkerChanges:
     """The changes that this gateway received within the report period."""
 
--- a/src/corkcrank/node/membership/heartbeats.py
+++ b/src/corkcrank/node/membership/heartbeats.py
@@ -17,7 +17,7 @@
 from corkcrank.machines.members import Member
 from corkcrank.machines.store_contact import ReportedStoreContact, StoreContact, newest_contact
 from corkcrank.machines.store_mirror import StoreMirror
-from corkcrank.machines.worker_changes import WorkerChangeBatch
+from corkcrank.machines.worker_changes import WorkerChangeBatch, usable_changes
 from corkcrank.node.engines.prompt_queues import PromptQueues
 from corkcrank.node.stages.stage_owner import StageOwner
 from corkcrank.node.workers.crash_watch import CrashWatch
@@ -263,7 +263,8 @@
                 version=heartbeat.configuration_version,
             )
         if heartbeat.worker_changes is not None:
-            self._apply_worker_changes(heartbeat.worker_changes, heartbeat.name, now)
+            changes = usable_changes(heartbeat.worker_changes)
+            self._apply_worker_changes(changes, heartbeat.name, now)
         if self._mirror.apply_zone_states(heartbeat.zone_states, f"peer {heartbeat.name}"):
             self.request_forwarding()
         self._loads.apply_peer_report(heartbeat.name, heartbeat.call_loads)
--- a/src/corkcrank/node/membership/peer_pulls.py
+++ b/src/corkcrank/node/membership/peer_pulls.py
@@ -12,6 +12,7 @@
 from corkcrank.machines.fleet import Fleet
 from corkcrank.machines.members import Member
 from corkcrank.machines.store_mirror import StoreMirror
+from corkcrank.machines.worker_changes import usable_changes
 from corkcrank.node.peers.peer_client import PeerClient, PeerFailure, decode_answer
 from corkcrank.node.peers.peer_protocol import (
     CONFIGURATION_PATH,
@@ -115,9 +116,10 @@
             return
         source = f"peer {member.heartbeat.name}"
         if answer.changes is not None:
-            self._mirror.apply_worker_changes(answer.changes, source)
+            self._mirror.apply_worker_changes(usable_changes(answer.changes), source)
         else:
-            self._mirror.apply_worker_list(answer.records, answer.revision, source)
+            usable = tuple(record for record in answer.records if record.is_usable)
+            self._mirror.apply_worker_list(usable, answer.revision, source)
 
     async def _pull_crashes(self, now: float) -> None:
         """Request all crash reports from the first live members.
--- a/tests/platform/test_odd_rows.py
+++ b/tests/platform/test_odd_rows.py
@@ -15,6 +15,7 @@
 
 from corkcrank.contracts import clock
 from corkcrank.contracts.stream_origin import StreamOrigin
+from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.links.platform_ports import StoreRow
 from corkcrank.load.loopback import loopback_address
 from corkcrank.machines.claim_reports import DATAGRAM_TAG as CLAIM_TAG
@@ -22,6 +23,7 @@
 from corkcrank.machines.heartbeat_codec import encode_heartbeat
 from corkcrank.machines.origin_reports import DATAGRAM_TAG as ORIGIN_TAG
 from corkcrank.machines.origin_reports import OriginReport
+from corkcrank.machines.worker_changes import WorkerChange, WorkerChangeBatch
 from corkcrank.node.peers.peer_protocol import ConfigurationAnswer
 from corkcrank.node.process.node import Node
 from corkcrank.node.workers.worker_probe import ProbeResult, probe_worker
@@ -264,6 +266,31 @@
             assert (await running.call("/safe/x", number=number)).status == 200
 
 
+@pytest.mark.parametrize("address", ["[fe80::1%[]:80", "127.0.0.1:99999"])
+@pytest.mark.parametrize("whole", [True, False])
+async def test_entries_that_peers_of_an_older_release_accept_get_no_calls(
+    address: str, whole: bool
+) -> None:
+    worker = StandinWorker()
+    odd = [WorkerRecord(f"odd-{number}", "plain", address, "z1", revision=9) for number in range(4)]
+    async with world(configuration(1, ROUTES), {"one": (worker, "plain")}) as running:
+        first = running.nodes[0].mirror
+        for record in odd:
+            first.workers.apply_row(record.name, record, 500)
+        first.workers.mark_complete_up_to(500)
+        changes = tuple(WorkerChange(record.name, 500, record) for record in odd)
+        if not whole:
+            first.recent_changes.add_batch(WorkerChangeBatch(9, 500, changes), clock.now() + 3)
+        async with peer_of(running, loopback_address(2), refused=True) as second:
+            await until(lambda: second.ready)
+            await asyncio.sleep(0.5)
+            records = second.mirror.workers.records()
+            assert [record.name for record in records] == [worker.worker_id]
+            assert second.mirror.workers.revision == 500
+            for _ in range(20):
+                assert (await running.call("/safe/x", number=1)).status == 200
+
+
 async def test_workers_with_ipv6_addresses_can_be_probed() -> None:
     server = await asyncio.start_server(lambda reader, writer: writer.close(), "::1", 0)
     port = server.sockets[0].getsockname()[1]
