A row beside the configuration whose key cannot be read is logged

Such a row of the workers' list was logged; one in the operator's table was passed over without a line, though it may have been the configuration. The new test of test_store_mirror.py failed before.

--- a/src/corkcrank/machines/store_mirror.py
+++ b/src/corkcrank/machines/store_mirror.py
@@ -168,6 +168,8 @@
             self._apply_worker_rows(answer, whole=whole)
 
     def _apply_configuration(self, answer: StoreRows) -> None:
+        for broken in answer.unreadable_keys:
+            self._log.write(LogEvent.CONFIGURATION_UNREADABLE, detail=broken.reason)
         found = self._documents.configuration(answer.rows)
         if isinstance(found, str):
             self._log.write(LogEvent.CONFIGURATION_UNREADABLE, detail=found)
--- a/tests/platform/test_store_mirror.py
+++ b/tests/platform/test_store_mirror.py
@@ -5,10 +5,12 @@
 
 import aiohttp
 import msgspec
+import pytest
 from node_world import World, configuration, peer_of, route, settings_for, until, world
+from odd_entries import odd_rows
 from platform_standins import StandinWorker
 
-from corkcrank.links.decision_log import DecisionLog
+from corkcrank.links.decision_log import DecisionLog, LogEvent
 from corkcrank.load.loopback import loopback_address
 from corkcrank.node.peers.peer_protocol import WORKERS_PATH, WorkersAnswer, WorkersRequest
 from corkcrank.node.process.node import Node
@@ -57,6 +59,18 @@
     await two.server.stop()
 
 
+async def test_a_row_beside_the_configuration_without_a_readable_key_is_logged(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    events: list[LogEvent] = []
+    monkeypatch.setattr(DecisionLog, "write", lambda log, event, **fields: events.append(event))
+    async with world(configuration(1, ROUTES), {"one": (StandinWorker(), "plain")}) as running:
+        running.store.put("op", "odd", odd_rows()["row-nested"])
+        running.store.put("op", "config", configuration(2, MORE))
+        await until(lambda: running.nodes[0].mirror.version == 2)
+    assert LogEvent.CONFIGURATION_UNREADABLE in events
+
+
 async def test_a_gateway_serves_through_an_outage_and_detects_its_end() -> None:
     async with world(configuration(1, ROUTES), {"one": (StandinWorker(), "plain")}) as running:
         running.store.refused.add(loopback_address(1))
