Test: a gateway's process lives on beside every odd entry at once

The real program, with all odd rows of test_odd_entries.py in the list of workers: it answers calls, learns of a worker added after them, stays ready, serves metrics that count them and logs each with its code.

--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -2,13 +2,16 @@
 
 import asyncio
 import json
+import time
 from collections import Counter
 from typing import Any
 
 import pytest
-from node_world import World, configuration, peer_of, route, until, world
+from node_world import CONDITION_SECONDS, World, configuration, peer_of, route, until, world
 from odd_entries import ENTRY, ODD_KEYS, ended_loops, odd_rows, odd_values
 from platform_standins import StandinWorker
+from process_world import NAME, process_world
+from standin_store import StandinStore
 
 from corkcrank.contracts import clock
 from corkcrank.contracts.result_codes import ResultCode
@@ -17,6 +20,10 @@
 from corkcrank.load.loopback import loopback_address
 from corkcrank.node.process.node import Node
 
+DESCRIPTORS = 512
+CALL_SECONDS = 4.0
+"""The time that callers of this stand-in wait."""
+
 ROUTES = [
     route("safe", "safe", "plain"),
     route("once", "unsafe", "plain"),
@@ -52,13 +59,13 @@
                 assert response.status == 200, await response.text()
 
 
-def put_all(running: World) -> None:
+def put_all(store: StandinStore) -> None:
     for key, value in odd_values().items():
-        running.store.put("servers", key, value)
+        store.put("servers", key, value)
     for key in ODD_KEYS:
-        running.store.put("servers", key, {**ENTRY})
+        store.put("servers", key, {**ENTRY})
     for key, row in odd_rows().items():
-        running.store.put("servers", key, row)
+        store.put("servers", key, row)
 
 
 def usable(node: Node) -> set[str]:
@@ -74,12 +81,12 @@
     served = {"one": (one, "plain"), "two": (two, "plain")}
     async with world(configuration(1, ROUTES), served) as running:
         if not first:
-            put_all(running)
+            put_all(running.store)
         async with peer_of(running, loopback_address(2)) as second:
             nodes = [running.nodes[0], second]
             if first:
                 await until(lambda: all(len(usable(node)) == 2 for node in nodes))
-                put_all(running)
+                put_all(running.store)
             await until(lambda: second.ready)
             await until(lambda: all(len(usable(node)) == 2 for node in nodes))
             await all_served(running)
@@ -105,6 +112,25 @@
     assert set(odd_values()) <= {name for _, name, _ in named}
 
 
+async def test_a_process_lives_on_beside_odd_entries() -> None:
+    async with process_world(DESCRIPTORS) as running:
+        put_all(running.store)
+        late = StandinWorker()
+        await late.server.start()
+        running.store.put("servers", late.worker_id, late.entry("plain"))
+        deadline = time.monotonic() + CONDITION_SECONDS
+        while not late.seen:
+            assert time.monotonic() < deadline
+            assert await running.call(CALL_SECONDS) == 200
+        assert running.group.processes[NAME].poll() is None
+        assert await running.readiness() == 200
+        assert await running.metric("corkcrank_unreadable_documents_total") >= len(odd_values())
+        lines = [json.loads(line) for line in running.log_lines()]
+        codes = {line["code"] for line in lines if "code" in line}
+        assert codes == {ResultCode.WORKER_ENTRY_UNREADABLE.number}
+        await late.server.stop()
+
+
 async def no_odd_worker_is_used(running: World, nodes: list[Node], known: set[str]) -> None:
     """Check the list, the loops, and what operators read, after some heartbeats."""
     await asyncio.sleep(0.6)
