Origins of streams are found in the rows of other gateways too

Cause: two gateways write an origin, each to its own row, and a row was read by the gateway of that name alone, once after its start. Where both start later than the gateway that is asked, or never, nobody knows the origin. A named attempt that nobody knows was also refused where one version alone has served and an unnamed one goes on; there nothing is written.

Change: a lookup that finds no origin in memory and at the holders asks the store, 0.6 s at most. Where one version alone can have begun the stream, judged as for callers that name none, it goes on and no row is read. A store that is down, silent or slow, or rows that cannot be read: refused.

The versioned fleet in virtual time had no store at all; its store refuses every call now, so the streams of lost origins are still all refused there.

Not played: reads at 350 gateways.

--- a/src/corkcrank/node/origins/origin_directory.py
+++ b/src/corkcrank/node/origins/origin_directory.py
@@ -3,7 +3,8 @@
 A stream's holders are the members with the highest rendezvous hashes of its key; in a fleet of a
 few machines these are all members. They receive the origin before the first event goes to the
 caller, and again a little later, since datagrams can be lost. The gateway at which a caller resumes
-a stream asks them for it. A stream whose origin nobody knows must not be continued.
+a stream asks them for it, and looks in the store if none knows it. A stream whose origin nobody
+knows must not be continued, unless one software alone can have begun it.
 """
 
 import asyncio
@@ -26,6 +27,7 @@
 )
 from corkcrank.machines.store_mirror import StoreMirror
 from corkcrank.node.origins.origin_rows import OriginRows
+from corkcrank.node.origins.origin_table import OriginTable
 from corkcrank.node.origins.software_rows import SoftwareRows
 from corkcrank.node.peers.peer_client import PeerClient, PeerFailure, decode_answer
 from corkcrank.node.peers.peer_protocol import (
@@ -48,6 +50,10 @@
 """Timeout for the holders' answers about an origin."""
 
 
+STORE_LOOKUP_TIMEOUT_SECONDS = 0.6
+"""Time after which a lookup in the store is given up."""
+
+
 class OriginDirectory:
     """The origins that this gateway keeps, and the way to those that others keep.
 
@@ -67,6 +73,7 @@
         self.software = SoftwareRows(fleet, mirror, store, log)
         self.origins = StreamOrigins()
         self.rows = OriginRows(fleet, store, log, self.origins, self.software)
+        self.table = OriginTable(fleet, store, log)
         self._to_repeat: list[OriginReport] = []
         self.send: Callable[[bytes, str], None] = lambda data, address: None
 
@@ -82,10 +89,17 @@
 
     async def find(self, call: OpaqueCall) -> StreamOrigin | None:
         """Return the origin of the stream that a call resumes, ``None`` if nobody knows it."""
-        if not call.envelope.resumed_attempt:
-            return await self.software.find_only_software(call)
         key = stream_key(call.tenant, call.envelope.resumed_attempt)
-        return self.kept_origin(key) or await self._ask_holders(key)
+        if call.envelope.resumed_attempt:
+            known = self.kept_origin(key) or await self._ask_holders(key)
+            if known is not None:
+                return known
+        try:
+            async with asyncio.timeout(STORE_LOOKUP_TIMEOUT_SECONDS):
+                return await self._find_in_store(call, key)
+        except TimeoutError:
+            # A store that is slow tells no more than one that refuses.
+            return None
 
     def kept_origin(self, key: bytes) -> StreamOrigin | None:
         """Return an origin that this gateway keeps."""
@@ -107,6 +121,23 @@
             if reports:
                 self._send_to_holders(reports, clock.now())
 
+    async def _find_in_store(self, call: OpaqueCall, key: bytes) -> StreamOrigin | None:
+        """Return an origin that no gateway knows any more, ``None`` if the store does not show it.
+
+        The origins of a service's streams are in the store only while it has several versions.
+        """
+        named = bool(call.envelope.resumed_attempt)
+        if not named or not self.software.has_several(call.service, clock.now()):
+            only = await self.software.find_only_software(call)
+            if only is not None or not named:
+                return only
+        found = await self.table.find(key)
+        if found is None:
+            return None
+        now = clock.now()
+        self.origins.record(key, found.origin, found.expires_at - now, now)
+        return found.origin
+
     def _holders(self, key: bytes, now: float) -> list[Member]:
         members = self._fleet.live_members(now)
         if len(members) <= MAX_HOLDERS:
--- a/src/corkcrank/node/origins/origin_rows.py
+++ b/src/corkcrank/node/origins/origin_rows.py
@@ -2,19 +2,18 @@
 
 While a service has workers of several software versions, two gateways write each origin: the one
 that began the stream, and a holder. Each writes one row, with its recent origins, and reads it once
-after a start. With one version nothing is written.
+after a start; others read it when a lookup finds no origin. With one version nothing is written.
 """
 
 import asyncio
 from collections import defaultdict
-from collections.abc import Iterator
 
 import msgspec
 
 from corkcrank.contracts import clock
 from corkcrank.contracts.stream_origin import STREAM_KEY_BYTES, StreamOrigin
 from corkcrank.links.decision_log import DecisionLog, LogEvent
-from corkcrank.links.platform_ports import MetadataStore, StoreFailure, StoreTable
+from corkcrank.links.platform_ports import MetadataStore, StoreFailure, StoreRow, StoreTable
 from corkcrank.machines.fleet import Fleet
 from corkcrank.node.origins.software_rows import SoftwareRows
 from corkcrank.scheduling.stream_origins import StreamOrigins
@@ -48,6 +47,18 @@
     expires_at: float
     keys: bytes
 
+    def holds(self, key: bytes) -> bool:
+        """Return whether a stream is in the group.
+
+        >>> group = OriginGroup("s", "v1", 5.0, b"11112222" + b"33334444")
+        >>> group.holds(b"33334444"), group.holds(b"22223333")
+        (True, False)
+        """
+        at = self.keys.find(key)
+        while at >= 0 and at % STREAM_KEY_BYTES:
+            at = self.keys.find(key, at + 1)
+        return at >= 0
+
 
 class OriginRow(msgspec.Struct, frozen=True, array_like=True):
     """The value of a row; its key is the name of the gateway that writes it."""
@@ -108,14 +119,18 @@
             return False
         now = clock.now()
         for row in rows.rows:
-            value = row.value if isinstance(row.value, bytes) else b""
-            for key, origin, expires_at in self._decode(value):
-                if expires_at > rows.store_time:
-                    self._origins.record(key, origin, expires_at - rows.store_time, now)
-                    self.add(key)
+            for group in decode_groups(row, self._log):
+                if group.expires_at > rows.store_time:
+                    self._restore_group(group, group.expires_at - rows.store_time, now)
         self.restored = True
         return True
 
+    def _restore_group(self, group: OriginGroup, seconds: float, now: float) -> None:
+        for first in range(0, len(group.keys), STREAM_KEY_BYTES):
+            key = group.keys[first : first + STREAM_KEY_BYTES]
+            self._origins.record(key, StreamOrigin(group.service, group.version), seconds, now)
+            self.add(key)
+
     async def _write(self) -> bool:
         """Write the row if it has changed; return whether the store accepted it."""
         now = clock.now()
@@ -164,26 +179,20 @@
         groups = (OriginGroup(*group, b"".join(sorted(keys[group]))) for group in sorted(keys))
         return OriginRow(ROW_FORMAT, tuple(groups))
 
-    def _decode(self, value: bytes) -> Iterator[tuple[bytes, StreamOrigin, float]]:
-        """Return the origins of a row, none if it cannot be read."""
-        try:
-            row = msgspec.msgpack.decode(value, type=OriginRow)
-            if row.format != ROW_FORMAT:
-                raise ValueError(f"format {row.format}")
-            if any(len(group.keys) % STREAM_KEY_BYTES for group in row.groups):
-                raise ValueError("incomplete key")
-        except ValueError as error:
-            self._log.write(
-                LogEvent.DOCUMENT_UNREADABLE,
-                kind="origins",
-                key=self._fleet.local_name,
-                detail=str(error),
-            )
-            return
-        for group in row.groups:
-            for first in range(0, len(group.keys), STREAM_KEY_BYTES):
-                key = group.keys[first : first + STREAM_KEY_BYTES]
-                yield key, StreamOrigin(group.service, group.version), group.expires_at
+
+def decode_groups(stored: StoreRow, log: DecisionLog) -> tuple[OriginGroup, ...]:
+    """Return the origins of a gateway's row, none if it cannot be read."""
+    value = stored.value if isinstance(stored.value, bytes) else b""
+    try:
+        row = msgspec.msgpack.decode(value, type=OriginRow)
+        if row.format != ROW_FORMAT:
+            raise ValueError(f"format {row.format}")
+        if any(len(group.keys) % STREAM_KEY_BYTES for group in row.groups):
+            raise ValueError("incomplete key")
+    except ValueError as error:
+        log.write(LogEvent.DOCUMENT_UNREADABLE, kind="origins", key=stored.key, detail=str(error))
+        return ()
+    return row.groups
 
 
 def _round_up(seconds: float) -> float:
--- a/tests/scheduling/versioned_fleet.py
+++ b/tests/scheduling/versioned_fleet.py
@@ -7,6 +7,7 @@
 import asyncio
 import random
 from dataclasses import dataclass, field, replace
+from typing import Any
 
 import msgspec
 import pytest
@@ -16,6 +17,7 @@
 
 from corkcrank.contracts.opaque_call import OpaqueCall
 from corkcrank.contracts.stream_origin import stream_key
+from corkcrank.links.platform_ports import StoreFailure, StoreFailureReason
 from corkcrank.machines.origin_reports import DATAGRAM_TAG
 from corkcrank.node.callers.refusals import Refusal
 from corkcrank.node.peers.peer_client import PeerFailure
@@ -41,6 +43,16 @@
     refused: int = 0
 
 
+class RefusingStore:
+    """A store that refuses every call."""
+
+    async def read(self, *parts: object) -> StoreFailure:
+        return StoreFailure(StoreFailureReason.REFUSED)
+
+    async def watch(self, *parts: object) -> StoreFailure:
+        return StoreFailure(StoreFailureReason.REFUSED)
+
+
 @dataclass
 class VersionedFleet(FleetSimulation):
     """A simulation whose callers take their streams up once."""
@@ -108,10 +120,14 @@
         return msgspec.msgpack.encode(StreamOriginAnswer(found))
 
     def build(self) -> None:
-        """Create the nodes; their datagrams pass this simulation."""
+        """Create the nodes; their datagrams pass this simulation, and no store answers."""
         super().build()
+        store: Any = RefusingStore()
         for item in self.nodes.values():
-            item._origins.send = lambda data, address: self._send(data, address)
+            origins = item._origins
+            origins.send = lambda data, address: self._send(data, address)
+            for part in (origins.table, origins.software, origins.software._list_check):
+                part._store = store
 
     async def run(self) -> None:
         """Run the simulation with the nodes' repeated reports."""
