A stream without a known attempt is not continued at another service

What callers saw (found by reading, shown by a test): a stream that a caller took up without naming its attempt was joined from two services. Each attempt draws the service of its route by its own id, and a route may have been moved.

Cause: where one version alone can have begun the stream, only the versions of the service of the new attempt were looked at.

Change: the services to which a route has led are remembered as versions are; more than one within the time of the stream: refused.

Left: a route that was moved before this gateway started, or by a configuration that it has not received.

--- a/src/corkcrank/node/origins/software_rows.py
+++ b/src/corkcrank/node/origins/software_rows.py
@@ -9,12 +9,13 @@
 """
 
 import asyncio
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Mapping, Sequence
 
 import msgspec
 
 from corkcrank.contracts import clock
 from corkcrank.contracts.opaque_call import OpaqueCall
+from corkcrank.contracts.opaque_configuration import OpaqueRoute
 from corkcrank.contracts.stream_origin import StreamOrigin
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.links.decision_log import DecisionLog, LogEvent
@@ -24,6 +25,7 @@
 from corkcrank.machines.store_mirror import StoreMirror
 from corkcrank.machines.worker_changes import WorkerChange
 from corkcrank.machines.worker_list_check import WorkerListCheck
+from corkcrank.scheduling.route_history import RouteHistory
 from corkcrank.scheduling.software_history import SoftwareHistory
 
 CHECK_SECONDS = 0.2
@@ -103,6 +105,7 @@
         self._log = log
         self._list_check = WorkerListCheck(fleet, mirror, store)
         self._history = SoftwareHistory()
+        self._routes = RouteHistory()
         mirror.on_whole_list = self._record_whole_list
         mirror.on_entry = self._record_entry
         self._written: dict[str, SoftwareRow] = {}
@@ -116,15 +119,18 @@
     async def find_only_software(self, call: OpaqueCall) -> StreamOrigin | None:
         """Return the software that began a call's stream, ``None`` if two may have.
 
+        Services are software of their own, of whatever version.
         The stream began at most the route's timeout ago, maybe at a gateway that is out of step.
         """
         if not await self._list_check.bring_up_to_date():
             return None
         now, service = clock.now(), call.service
         listed = self._listed(service)
-        if len(listed) != 1:
-            return None
         seconds = call.route.timeout + LATE_BEGIN_SECONDS
+        self._routes.record(self._all_routes(), now)
+        led_to = self._routes.services_since(call.route.name, now - seconds)
+        if len(listed) != 1 or led_to != {service}:
+            return None
         found = set(self._history.last_listed(service, now - seconds))
         if not self._history.covers(now - seconds):
             rows = await self._store.read(StoreTable.SOFTWARE)
@@ -155,6 +161,7 @@
         """Write the rows that have changed; return whether the store accepted every change."""
         if not self._mirror.workers_known:
             return True
+        self._routes.record(self._all_routes(), clock.now())
         for service in self._resumable_services():
             self._observe(service)
             if not await self._write_changed(service):
@@ -211,10 +218,12 @@
         return {worker.version for worker in workers}
 
     def _resumable_services(self) -> list[str]:
+        routes = [route for route in self._all_routes() if route.resumable]
+        return sorted({item.service for route in routes for item in route.services})
+
+    def _all_routes(self) -> Sequence[OpaqueRoute]:
         configuration = self._mirror.configuration
-        routes = configuration.routes if configuration is not None else ()
-        services = {item.service for route in routes if route.resumable for item in route.services}
-        return sorted(services)
+        return configuration.routes if configuration is not None else ()
 
     def _find_row(self, rows: StoreRows, service: str) -> SoftwareRow | None:
         """Return the row of a service, ``None`` if no gateway has written it yet."""
