Test: streams of one version continue where the store has lost its history

A gateway whose answer is older than the store's history reads the list whole, and the row of the service then. Passes on the code before it; nothing else was changed.

--- a/tests/platform/test_out_of_step.py
+++ b/tests/platform/test_out_of_step.py
@@ -225,3 +225,16 @@
         await replace_version(played)
         await wait_for_row(played, {"v2"})
         assert written_rows(played)[-1].versions.keys() == {"v0", "v1", "v2"}
+
+
+async def test_streams_of_one_version_continue_where_the_store_has_lost_its_history() -> None:
+    async with watched_world() as played:
+        await wait_for_row(played, {"v1"})
+        streams = await played.begin(STREAMS)
+        isolation = await isolation_of(played.nodes[1])
+        isolation.cut_off = CutOff.STORE_AND_MEMBERS
+        set_state(played, "v1", "ready")
+        played.running.store.forget_history()
+        isolation.cut_off = CutOff.NOTHING
+        await asyncio.gather(*(played.attempt(item, 1, resumes="") for item in streams))
+        assert all(item.whole for item in streams)
