--- a/src/corkcrank/machines/store_mirror.py
+++ b/src/corkcrank/machines/store_mirror.py
@@ -290,13 +290,13 @@
             )
 
     def _log_worker_list(self, source: str) -> None:
-        records = self.workers.records()
+        places = Counter(f"{item.service}@{item.zone}" for item in self.workers.records())
         self._log.write(
             LogEvent.WORKER_LIST_APPLIED,
             source=source,
             revision=self.workers.revision,
-            workers=len(records),
-            places=sorted(Counter(f"{item.service}@{item.zone}" for item in records).items()),
+            workers=places.total(),
+            places=sorted(places.items()),
         )
         self.on_change()
 
