Tests: a caller of a relayed request leaves, on the clock without waits for a core

Seen: the worker stopped 0.71 s after the caller had left, not 0.5 s, once beside a load of 24 [talk].

Cause: time without a core, charged to the gateways. Forced: with 0.03 s of sleep after each turn of the loop the unchanged test fails in this check in all three cases, with 0.69, 0.71 and 0.73 s; what waited in the run that was seen was not recorded.

Change: the test runs on the core clock; no bound is changed. With the same sleeps, told to that clock as waits for a core, all three cases pass (also with 5 and 10 times the processor time of each turn). One such trial gave no result within 130 s, beside a load of 15 to 21: its sleeps counted the wait after them twice, so that the clock hardly moved (suspected, not shown); repeated, it took 54 s and passed.

Equally strict: with the member's release 0.6 s late all three cases fail (0.60 to 0.61 s), also with sleeps; with the loop blocked for 0.6 s there [talk] fails (0.62 s).

Ruled out: two pauses of 0.1 to 0.5 s at random moments (0 of 25, before).

--- a/tests/platform/test_relayed_requests.py
+++ b/tests/platform/test_relayed_requests.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 import pytest
+from core_clock import core_clock
 from gateway_links import Cut
 from node_world import call_id, peer_of, until
 from partitioned_world import EVENTS, PartitionedWorld, partitioned_world
@@ -97,7 +98,7 @@
 async def test_a_worker_stops_when_the_caller_of_a_relayed_request_leaves(
     name: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    async with partitioned_world(monkeypatch, 2) as played:
+    async with core_clock(), partitioned_world(monkeypatch, 2) as played:
         await partition(played, 0)
         workers = played.engines if name == "talk" else played.plain
         for worker in workers:
