--- a/src/corkcrank/machines/store_mirror.py
+++ b/src/corkcrank/machines/store_mirror.py
@@ -341,8 +341,7 @@
         reachable = isinstance(answer, StoreRows)
         detail = "answered" if isinstance(answer, StoreRows) else answer.failure_reason.value
         self.call_counts[f"{table}:{detail}"] += 1
-        history_gone = detail == StoreFailureReason.HISTORY_GONE.value
-        if history_gone or self._reachable.get(table) == reachable:
+        if detail == StoreFailureReason.HISTORY_GONE or self._reachable.get(table) == reachable:
             return
         if table is StoreTable.WORKERS and self._reachable.get(table) is False:
             self._lapsed.record_store_return(clock.now())
