Precedence for half of the begun streams instead of a quarter

What callers saw: with begun streams as the measure, 131 of 153 resumed streams went on at 6 gateways and 104 of 131 at 36 when 30 of 100 streams broke off; 146 of 150 and 123 of 143 before it.

Cause: a quarter of the streams that begin is less than the three in ten that break off there. As long as refused calls counted too, there were more than enough.

The new test failed with a quarter.

--- a/src/corkcrank/scheduling/resumption_share.py
+++ b/src/corkcrank/scheduling/resumption_share.py
@@ -11,7 +11,7 @@
 """Time constant of the exponential decay of a stream's weight: streams break off together, and
 those of the last seconds show how many there can be."""
 
-MAX_PRECEDING_PER_BEGUN = 0.25
+MAX_PRECEDING_PER_BEGUN = 0.5
 """Maximum number of recent streams with precedence, for each stream of the tenant that has begun
 recently. Refused calls don't count: they cost their caller nothing."""
 
@@ -58,7 +58,7 @@
         4
         >>> for _ in range(40): share.observe_begun("t", 0.0)
         >>> sum(share.may_precede("t", 6, 0.0) for _ in range(100))
-        6
+        16
         """
         known = self._decayed(tenant, now)
         fixed = MIN_PRECEDING_STREAMS / max(1, gateways)
--- a/tests/scheduling/test_resumption_share.py
+++ b/tests/scheduling/test_resumption_share.py
@@ -40,6 +40,13 @@
         assert given_there <= limit * DECAY_OF_A_WINDOW + 1
 
 
+def test_all_streams_have_precedence_if_one_in_three_breaks_off() -> None:
+    share = ResumptionShare()
+    for _ in range(30):
+        share.observe_begun("tenant", 0.0)
+    assert all(share.may_precede("tenant", 350, 0.0) for _ in range(10))
+
+
 def test_one_tenant_does_not_use_up_the_precedence_of_another() -> None:
     share = ResumptionShare()
     while share.may_precede("greedy", 6, 0.0):
