Tests: a prompt part that crashes engines, on the clock without waits for a core

Cause: time without a core, charged to the gateways, while the callers of the test send at a rate of wall time. Forced: with a sleep of 6 times the processor time of each turn of the loop the unchanged test fails in this check in 2 of 2 plays (6 of 14 crashes, 10 of 19); at 3 times it passed in its one play. What waited in the run that was seen was not recorded.

Change: the test runs on the core clock, callers and engines included; no bound is changed. With the same sleeps, told to that clock as waits for a core, it passed in 2 of 2 plays; all six cases passed without.

Equally strict: with parts that are never blamed it fails (24 late sends). Verdicts 4 s late pass, on the core clock as without it. Not run: a fault together with the sleeps.

--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -7,6 +7,7 @@
 import asyncio
 
 import pytest
+from core_clock import core_clock
 from crashing_parts_world import (
     BAD_PART,
     CONTACT_SECONDS,
@@ -36,7 +37,7 @@
 @pytest.mark.parametrize("gateways", [1, 3])
 @pytest.mark.parametrize("path", WAYS_IN)
 async def test_part_that_crashes_engines_is_quarantined(path: str, gateways: int) -> None:
-    async with crashing_parts_world(gateways) as played:
+    async with core_clock(), crashing_parts_world(gateways) as played:
         await played.load(path, 1.5, sound=SOUND_RATE, bad=0.0)
         began_at = clock.now()
         await played.load(path, 10.0, sound=SOUND_RATE, bad=BAD_RATE)
