--- a/tests/platform/test_resumptions.py
+++ b/tests/platform/test_resumptions.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 from node_world import World, call_id, configuration, route, until, world
-from platform_standins import StandinStageWorker, StandinWorker
+from platform_standins import StandinStageWorker, StandinWorker, worker_entry
 from test_operations_page import logged
 from typer.testing import CliRunner
 
@@ -65,6 +65,14 @@
     return tasks
 
 
+async def list_another_version(running: World) -> None:
+    """List an engine of another version that leaves: an unknown stream may be of that version."""
+    entry = worker_entry("model", "127.0.0.1:9", version="v2", state="draining")
+    running.store.put("servers", "i-other", entry)
+    workers = running.nodes[0].mirror.workers
+    await until(lambda: workers.get_by_name("i-other") is not None)
+
+
 async def test_the_report_tells_resumed_streams_from_new_ones(tmp_path: Path) -> None:
     encode = StandinStageWorker()
     async with gateway(encode) as running:
@@ -72,6 +80,7 @@
             attempt = await begin(running)
             response = await running.call("/talk/x", headers=resumed(attempt, 6_000))
             assert (await response.read()).count(b"id:") == EVENTS - 2
+            await list_another_version(running)
             unknown = await running.call("/talk/x", headers=resumed("unknown", 6_000))
             assert unknown.status == 503
         metrics = running.nodes[0].services.metrics.resumed_calls
