--- a/src/corkcrank/platform/store.py
+++ b/src/corkcrank/platform/store.py
@@ -162,8 +162,7 @@
         }
         timeout = wait_seconds + self._timeout
         body = await self._call("GET", names.ROWS_FEED_PATH, query, None, timeout)
-        page = _decode_page(body)
-        if isinstance(page, StoreFailure):
+        if isinstance(page := _decode_page(body), StoreFailure):
             return page
         found = _Rows()
         found.add_page(page)
