A peer's entry that no request can be sent to counts as unreadable, not as gone

Two changes met in the merge: entries that an older release accepts and this one refuses name no worker, and a worker that is gone and was never known makes the versions of its service unknown. Such an entry still exists.

--- a/src/corkcrank/machines/worker_changes.py
+++ b/src/corkcrank/machines/worker_changes.py
@@ -63,14 +63,14 @@
 
     >>> record = WorkerRecord("w", "s", "10.0.0.1:99999", "z")
     >>> usable_changes(WorkerChangeBatch(3, 5, (WorkerChange("w", 5, record),))).changes
-    (WorkerChange(name='w', revision=5, record=None),)
+    (WorkerChange(name='w', revision=5, record=None, unreadable=True),)
     """
     if all(change.record is None or change.record.is_usable for change in batch.changes):
         return batch
     changes = tuple(
         change
         if change.record is None or change.record.is_usable
-        else WorkerChange(change.name, change.revision, None)
+        else WorkerChange(change.name, change.revision, None, unreadable=True)
         for change in batch.changes
     )
     return WorkerChangeBatch(batch.since, batch.revision, changes)
