A deeply nested row of prompt parts ends no loop

What operators would see: a row of the table part-successes under a gateway's name that nests deeply ends the gateway's loops that keep quarantines and successes (RecursionError), as rows of other tables did.

The other tables were looked through: all are read by decode_strictly or decode_packed_strictly. The own interface's tables are not; that is open.

The new case of test_unreadable_row_is_replaced failed before (the loop never wrote again).

--- a/src/corkcrank/node/membership/part_success_rows.py
+++ b/src/corkcrank/node/membership/part_success_rows.py
@@ -13,7 +13,8 @@
 from corkcrank.contracts import clock
 from corkcrank.contracts.request_fingerprint import FINGERPRINT_BYTES
 from corkcrank.links.decision_log import DecisionLog, LogEvent
-from corkcrank.links.platform_ports import MetadataStore, StoreFailure, StoreTable
+from corkcrank.links.platform_ports import MetadataStore, StoreFailure, StoreTable, Unreadable
+from corkcrank.links.strict_json import decode_packed_strictly
 from corkcrank.machines.fleet import Fleet
 from corkcrank.machines.store_contact import StoreContact, newest_contact
 from corkcrank.machines.store_mirror import StoreMirror
@@ -54,13 +55,17 @@
         """Build the row of some parts' times."""
         return cls(ROW_FORMAT, b"".join(map(bytes.fromhex, times)), tuple(times.values()))
 
-    def by_part(self) -> dict[str, int]:
-        """Return the time of each part; raise :class:`ValueError` if the row is invalid."""
+    @property
+    def problem(self) -> str:
+        """Return why the row cannot be used, an empty text if it can."""
         if self.format != ROW_FORMAT:
-            raise ValueError(f"format {self.format}")
+            return f"format {self.format}"
+        complete = len(self.fingerprints) == FINGERPRINT_BYTES * len(self.times)
+        return "" if complete else "parts and times differ in number"
+
+    def by_part(self) -> dict[str, int]:
+        """Return the time of each part."""
         size = FINGERPRINT_BYTES
-        if len(self.fingerprints) != size * len(self.times):
-            raise ValueError("parts and times differ in number")
         return {
             self.fingerprints[number * size : (number + 1) * size].hex(): at
             for number, at in enumerate(self.times)
@@ -119,16 +124,17 @@
 
     def _decode(self, value: bytes) -> dict[str, int]:
         """Return the times of a row's parts, none if it cannot be read."""
-        try:
-            return msgspec.msgpack.decode(value, type=PartSuccessRow).by_part()
-        except ValueError as error:
+        row = decode_packed_strictly(value, PartSuccessRow)
+        problem = row.reason if isinstance(row, Unreadable) else row.problem
+        if isinstance(row, Unreadable) or problem:
             self._log.write(
                 LogEvent.DOCUMENT_UNREADABLE,
                 kind="part successes",
                 key=self._fleet.local_name,
-                detail=str(error),
+                detail=problem,
             )
             return {}
+        return row.by_part()
 
     async def _write(self) -> bool:
         """Write the row if there are new successes; return whether the store accepted it."""
--- a/tests/platform/test_part_success_rows.py
+++ b/tests/platform/test_part_success_rows.py
@@ -17,6 +17,7 @@
     fingerprint,
 )
 from node_world import peer_of, until
+from test_odd_rows import with_surplus
 from test_owners import die
 
 from corkcrank.contracts import clock
@@ -140,6 +141,7 @@
         msgspec.msgpack.encode({"parts": 7}),
         msgspec.msgpack.encode(PartSuccessRow(ROW_FORMAT + 1, b"", ())),
         msgspec.msgpack.encode(PartSuccessRow(ROW_FORMAT, b"odd", (1,))),
+        with_surplus((ROW_FORMAT, b"", ())),
     ],
 )
 async def test_unreadable_row_is_replaced(value: bytes) -> None:
