Odd entries are known at a gateway that hears the list from a member first

What operators saw: the dump of one gateway named no odd entry, and later ones without a start time could become workers there.

Cause: a read of the store passed over all rows that were as old as the known list, odd ones and start times too. Which came first, a member's list or the own read, decided.

Ruled out: the page decoder (the rows are in the answer), retired entries (none was mended).

Change: all rows of an answer that is as new as the list are read; only newer ones are changes.

--- a/src/corkcrank/machines/entry_reader.py
+++ b/src/corkcrank/machines/entry_reader.py
@@ -33,11 +33,16 @@
         self._has_start: dict[str, bool] = {}
 
     def changes(self, answer: StoreRows, since: int) -> list[WorkerChange]:
-        """Return the changes in a store's answer that are newer than revision ``since``."""
+        """Return the changes in a store's answer that are newer than revision ``since``.
+
+        Older rows are read too: peers may have reported the list first, but not its odd entries. An
+        answer that is older than what peers reported tells nothing of these rows.
+        """
         for broken in answer.unreadable_keys:
             self.on_unreadable(UnreadableDocument(DocumentKind.ENTRY, "", broken.reason))
         changes = []
-        rows = [row for row in answer.rows if row.revision > since]
+        is_current = answer.revision >= since
+        rows = [row for row in answer.rows if is_current or row.revision > since]
         records = [self._documents.worker(row) for row in rows]
         self._record_starts(rows, records)
         starts_expected = 2 * sum(self._has_start.values()) > len(self._has_start)
@@ -49,7 +54,8 @@
             if isinstance(found, Unreadable):
                 self._record_unreadable(row.key, found, repeated=found.reason == known_reason)
                 found = None
-            changes.append(WorkerChange(row.key, row.revision, found, unreadable))
+            if row.revision > since:
+                changes.append(WorkerChange(row.key, row.revision, found, unreadable))
         return changes
 
     def record_readable(self, name: str) -> None:
--- a/tests/scheduling/test_entry_reader.py
+++ b/tests/scheduling/test_entry_reader.py
@@ -40,3 +40,18 @@
     assert named(reader, 2, row("b", 3)) == []
     reader.retain_only({"b"})
     assert named(reader, 3, row("c", 4)) == ["c"]
+
+
+def test_an_odd_entry_is_known_although_peers_reported_a_list_as_new_first() -> None:
+    started = [row(name, number, born=17) for number, name in enumerate("bcde", 2)]
+    reader = EntryReader(PlatformDocumentCodec())
+    assert reader.changes(StoreRows((row("a", 1), *started), 5), 5) == []
+    assert list(reader.unreadable) == ["a"]
+    assert named(reader, 5, row("f", 6)) == []
+
+
+def test_an_answer_that_is_older_than_the_reports_of_peers_tells_nothing_of_their_rows() -> None:
+    reader = EntryReader(PlatformDocumentCodec())
+    rows = (row("a", 1), row("b", 2, born=17), row("c", 3, born=18))
+    assert reader.changes(StoreRows(rows, 3), 9) == []
+    assert not reader.unreadable
