--- a/tests/scheduling/test_held_prompts.py
+++ b/tests/scheduling/test_held_prompts.py
@@ -141,7 +141,7 @@
         call_id="one",
         service=SERVICE,
         tenant="t",
-        rank=(0, 0),
+        queue_rank=(0, 0),
         envelope=SimpleNamespace(prompt=prompt(1_000)),
         workers_tried=[],
         excluded_workers=(),
@@ -149,7 +149,7 @@
         route=SimpleNamespace(idempotent=True),
         origin=None,
         end_at=now + seconds,
-        objective_at=now + objective,
+        due_at=now + objective,
     )
     return cast(OpaqueCall, call)
 
