Tests: a part that turns bad, on the clock without waits for a core

Seen: late sends of 13, not 3, once beside a load of 30, and in 2 of 15 plays at loads of 18 to 24, on too.

Cause: time without a core, charged to the gateways, while the callers of the test send at a rate of wall time.

Change: the test runs on the core clock, callers and engines included; no bound is changed.

Equally strict: with parts that are never blamed it fails on the core clock (43 late sends of 70, nothing held).

--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -79,7 +79,7 @@
 
 async def test_part_that_turns_bad_is_found() -> None:
     """Engines have completed requests with the part before they begin to crash under it."""
-    async with crashing_parts_world() as played:
+    async with core_clock(), crashing_parts_world() as played:
         for engine in played.engines:
             engine.crashing_parts.clear()
         await played.load("/resumed/x", 2.0, sound=SOUND_RATE, bad=BAD_RATE)
