Tests: the connections of an owner are closed once none of them is in use

Cause: the test closes the owner's idle connections after the first report of the stage worker, so that the pieces need a new one, which it delays. While the answer of that report is still being read, its connection is not idle, stays open, and takes the pieces. Ruled out: the gateway. The pieces had a connection at once, and were sent before the caller left.

Change: the test, and its sibling that does the same, close the connections once none is in use. Both checks are as they were: a gateway that sends abandoned pieces fails both.

--- a/tests/platform/test_callers_leave_between_stages.py
+++ b/tests/platform/test_callers_leave_between_stages.py
@@ -50,6 +50,15 @@
         return connection
 
 
+async def only_slow_connections(two: Pair) -> SlowConnections:
+    """Close the owner's connections to workers once they are idle, and delay the next ones."""
+    client = two.owner.services.client
+    connector: Any = client._unnamed.connector
+    await until(lambda: two.encode.reports > 0 and not connector._acquired)
+    client.drop_all_idle()
+    return SlowConnections(two.owner)
+
+
 async def test_pieces_withdrawn_while_their_connection_was_made_were_still_sent() -> None:
     """A stage request reached its worker after its owner had been told of the caller's close.
 
@@ -60,9 +69,7 @@
     async with pair(gate) as two, caller_of(two.running, two.other) as caller:
         owner = two.owner.stage_owner
         owner.free_results(two.encode.worker_id, [])
-        await until(lambda: two.encode.reports > 0)
-        two.owner.services.client.drop_all_idle()
-        slow = SlowConnections(two.owner)
+        slow = await only_slow_connections(two)
         caller.send("/staged/x", PIECES)
         await until(lambda: slow.begun > 0 and owner.busy)
         caller.leave()
@@ -86,9 +93,7 @@
     async with pair(asyncio.Event()) as two:
         owner = two.owner.stage_owner
         owner.free_results(two.encode.worker_id, [])
-        await until(lambda: two.encode.reports > 0)
-        two.owner.services.client.drop_all_idle()
-        slow = SlowConnections(two.owner)
+        slow = await only_slow_connections(two)
         host, port = two.owner.fleet.local_address.rsplit(":", 1)
         with socket.create_connection((host, int(port))) as requester:
             requester.sendall(pieces_request(two.encode))
