A draining gateway sends no stream to an engine late in its drain

What callers saw: a stream was read in the first 2.5 s after the signal. Its stages outlasted their forecast, an engine began it seconds later, and it was cut at the end of the drain.

Cause: the schedule of a stop keeps most of the drain for streams, but it was compared with the time at which a request was read. Stages and the wait for an engine then used up what had been kept, and after them only the mean time of the route's streams decided, whatever was left. While the stages ran, the check every 50 ms left out the rest of them, and the queue of prompts was in no sum.

Ruled out: a late signal (the schedule is set by the handler), the request's own deadline (15 s), a break of the engine. A mean with a margin is no way out: it does not know that the fleet has become slower.

Change: the schedule has a time after which no stream goes to an engine (half of the drain is left then, 3.8 s of 8 s). The rest of the stages and the queue of prompts are added to the present time before it is compared, at admission, every 50 ms, after the stages and after the grant of an engine. So a call is refused as not run as soon as its forecast, or time itself, shows that it would begin too late. A call that an engine may have run cannot be refused that way and goes on by the usual time, as before. The comparison moves to a module of its own.

Conclusion: how much of a drain a stream gets at least follows from the signal and the grace alone. A stream that takes longer than that is still cut.

--- a/src/corkcrank/node/callers/drain.py
+++ b/src/corkcrank/node/callers/drain.py
@@ -30,6 +30,9 @@
 MAX_LAG_SHARE = 0.5
 """Maximum share of the grace period for the balancer's lag; applies if the period is short."""
 
+MIN_STREAM_SHARE = 0.5
+"""Minimum share of the drain that is left for a stream when it is sent to an engine."""
+
 DRAIN_IDLE_SECONDS = 0.3
 """Idle time after which connections are closed once the balancer has noticed the stop.
 
@@ -65,12 +68,14 @@
 class DrainSchedule:
     """Times of a planned stop on the clock of :mod:`clock`, in seconds; infinite before a signal.
 
-    After ``streams_until`` no stream is started. At ``answer_by`` every call without a response
-    gets one. At ``stop_at`` streams that are still running are cut.
+    After ``streams_until`` no stream is admitted, and after ``engines_until`` none is sent to an
+    engine, unless one may have run it. At ``answer_by`` every call without a response gets one. At
+    ``stop_at`` streams that are still running are cut.
     """
 
     signalled_at: float = NEVER
     streams_until: float = NEVER
+    engines_until: float = NEVER
     answer_by: float = NEVER
     stop_at: float = NEVER
 
@@ -79,13 +84,19 @@
         """Return the schedule of a stop that may take ``grace`` seconds from its signal.
 
         >>> schedule = DrainSchedule.after_signal(100.0, 8.0)
-        >>> schedule.streams_until, round(schedule.answer_by, 2), round(schedule.stop_at, 2)
-        (102.5, 107.4, 107.6)
+        >>> schedule.streams_until, round(schedule.engines_until, 2)
+        (102.5, 103.8)
+        >>> round(schedule.answer_by, 2), round(schedule.stop_at, 2)
+        (107.4, 107.6)
         """
         stop_at = signalled_at + grace - DRAIN_RESERVE_SECONDS
         answer_by = stop_at - ANSWER_RESERVE_SECONDS
         lag = min(BALANCER_LAG_SECONDS, MAX_LAG_SHARE * grace)
-        return cls(signalled_at, min(signalled_at + lag, answer_by), answer_by, stop_at)
+        streams_until = min(signalled_at + lag, answer_by)
+        engines_until = stop_at - MIN_STREAM_SHARE * (stop_at - signalled_at)
+        return cls(
+            signalled_at, streams_until, max(streams_until, engines_until), answer_by, stop_at
+        )
 
     @property
     def pieces_until(self) -> float:
--- a/src/corkcrank/node/streams/engine_failover.py
+++ b/src/corkcrank/node/streams/engine_failover.py
@@ -194,7 +194,7 @@
         if await self._services.crash_watch.wait_for_verdict(self._call):
             self._log.write_deferred("quarantined")
             return None
-        if not self._answer.prepared and not self._admission.ends_before_stop():
+        if not self._answer.prepared and not self._admission.drain.fits():
             self._log.write_deferred("draining")
             return None
         self._call.unresponsive_workers = frozenset()
--- a/src/corkcrank/node/streams/stream_admission.py
+++ b/src/corkcrank/node/streams/stream_admission.py
@@ -12,6 +12,7 @@
 from corkcrank.node.callers.refusals import Refusal
 from corkcrank.node.calls.services import DEFAULT_FIRST_EVENT_SECONDS, CallServices
 from corkcrank.node.stages.stage_placing import stage_placing
+from corkcrank.node.streams.drain_forecast import DrainForecast
 from corkcrank.scheduling.call_admission import (
     AdmissionVerdict,
     ChainForecast,
@@ -41,6 +42,7 @@
         self.stages_forecast = 0.0
         self.correction = 1.0
         self.spread_seconds = 0.0
+        self.drain = DrainForecast(call, services)
         self._forecasts: dict[tuple[int, str, bool], StageForecast | None] = {}
 
     def first_event_seconds(self) -> float:
@@ -70,39 +72,6 @@
                 return engine
         return min(engines, key=lambda item: waits[item.zone])
 
-    def ends_before_stop(self, stages_seconds: float = 0.0) -> bool:
-        """Return whether the stream would end before this gateway stops; true unless draining.
-
-        ``stages_seconds`` is the remaining time of the call's stages.
-        """
-        drain = self._services.drain
-        if not drain.signal_received:
-            return True
-        needed = stages_seconds + self.first_event_seconds() + self._stream_seconds()
-        return clock.now() + needed <= drain.stop_at
-
-    def _stream_seconds(self) -> float:
-        call = self._call
-        return self._services.stream_times.usual_seconds(
-            call.route.name, call.envelope.prompt.tokens_out
-        )
-
-    def log_time_left(self, stages_seconds: float = 0.0) -> None:
-        """Log the forecast times of a call that is served while this gateway is draining."""
-        drain = self._services.drain
-        if not drain.signal_received:
-            return
-        self._services.log.write(
-            LogEvent.CALL_ADMITTED_STOPPING,
-            call=self._call.call_id,
-            route=self._call.route.name,
-            stages=round(stages_seconds, 3),
-            engine=round(self.first_event_seconds(), 3),
-            stream=round(self._stream_seconds(), 3),
-            tokens=self._call.envelope.prompt.tokens_out,
-            left=round(drain.stop_at - clock.now(), 3),
-        )
-
     def rank_engines(self) -> list[WorkerRecord]:
         """Return the engines that the call may be sent to, best first."""
         call, services = self._call, self._services
@@ -168,10 +137,9 @@
         a session stays with its engine as long as the zone meets the objective.
         """
         if not self._plan.has_pieces:
-            if not self.ends_before_stop():
-                return _drain_refusal()
-            self.log_time_left()
-            return self._first_in_time(engines)
+            engine = self._first_in_time(engines)
+            wait = self._engine_wait(engine.zone, self._call.queue_rank)
+            return self._admit_until_stop(engine, wait)
         correction = self._services.forecast_bias.for_route(self._call.route.name, clock.now())
         self.correction = correction.factor
         verdicts: dict[str, AdmissionVerdict] = {}
@@ -185,10 +153,10 @@
                 self.spread_seconds = verdict.spread_seconds
                 self._record_decision(refused=False)
                 self._record_overflow(verdicts)
-                if not self.ends_before_stop(verdict.stages_seconds * correction.factor):
-                    return _drain_refusal()
-                self.log_time_left(verdict.stages_seconds * correction.factor)
-                return engine
+                wait = self._engine_wait(engine.zone, self._engine_rank())
+                return self._admit_until_stop(
+                    engine, verdict.stages_seconds * correction.factor + wait
+                )
         self._record_decision(refused=True)
         verdict = min(verdicts.values(), key=lambda item: item.forecast_seconds)
         self._log_refusal(verdict)
@@ -198,6 +166,16 @@
             retry_after=self._seconds_to_return(verdict, verdicts, correction),
         )
 
+    def _admit_until_stop(
+        self, engine: WorkerRecord, seconds_to_engine: float
+    ) -> WorkerRecord | Refusal:
+        """Return the engine, or refuse the call if its stream may begin too late in a drain."""
+        self.drain.expect_ready(seconds_to_engine)
+        if not self.drain.fits():
+            return Refusal.draining("would outlast the drain")
+        self.drain.write()
+        return engine
+
     def _record_decision(self, *, refused: bool) -> None:
         shares, route = self._services.refusal_shares, self._call.route.name
         shares.observe_decision(route, refused=refused, now=clock.now())
@@ -329,7 +307,3 @@
             retry_after=round(verdict.retry_after, 3),
             members=self._services.fleet.share_member_count(),
         )
-
-
-def _drain_refusal() -> Refusal:
-    return Refusal.draining("would outlast the drain")
--- a/src/corkcrank/node/streams/stream_run.py
+++ b/src/corkcrank/node/streams/stream_run.py
@@ -68,7 +68,7 @@
 
     def fits_before_stop(self) -> bool:
         """Return whether the call may have run, or is expected to end before the stop."""
-        return self._call.may_have_run or self._admission.ends_before_stop()
+        return self._call.may_have_run or self._admission.drain.fits()
 
     def answer_at_stop(self) -> web.StreamResponse | Refusal:
         """Return the answer to send when the gateway stops; abort an answer that has begun."""
@@ -166,19 +166,23 @@
         crash_watch = self._services.crash_watch
         if await crash_watch.wait_for_verdict(self._call):
             return None
-        if not self._answer.prepared and not self._admission.ends_before_stop():
+        self._admission.drain.record_ready()
+        if not self._fits_drain():
             return None
-        self._admission.log_time_left()
+        self._admission.drain.write()
         engine = self._usable_or_other(chosen)
         if engine is None or clock.now() >= self._call.end_at:
             return None
         if not self._services.try_start_attempt(self._call):
             return None
         engine = await self._wait_for_turn(engine)
-        if clock.now() >= self._call.end_at:
+        if clock.now() >= self._call.end_at or not self._fits_drain():
             return None
         return None if crash_watch.quarantine_seconds_left(self._call) else engine
 
+    def _fits_drain(self) -> bool:
+        return self._answer.prepared or self._admission.drain.fits()
+
     async def _wait_for_turn(self, chosen: WorkerRecord) -> WorkerRecord | None:
         """Wait for a turn to read the prompt; return the engine of the grant."""
         self._call.step = CallStep.ENGINE_GRANT
@@ -286,7 +290,7 @@
             return Refusal(code)
         if wait := self._services.crash_watch.quarantine_seconds_left(self._call):
             return self._quarantine_refusal(wait)
-        if not self._admission.ends_before_stop():
+        if not self._admission.drain.fits():
             return Refusal.draining("its stream would outlast the drain")
         if self._exchanges.stages is not None and self._exchanges.stages.started:
             return self._no_engine_refusal(ResultCode.STAGE_NOT_MADE, "no engine after the stages")
