A plain call that waits in a drain is sent only while it can still end

What callers saw: a plain call that waited for a verdict or for the grant of a rate-limited worker while its gateway was draining was sent to a worker however little time was left. It was answered 504 with an unknown outcome at the end, or ended just in time by luck; an unrepeatable one, too.

Cause: the usual time of the service was compared with the rest of the drain once, when the call was read, and not at all for a call that was read before the signal. What came between was not in it.

Ruled out: the deadline of the call (4 s).

A call that a worker may have run waits for its answer as before.

Both cases of the test failed before (200 where the call had to be refused unsent).

Conclusion: same cause as for streams: time between the decision and the send was in no sum.

--- a/src/corkcrank/node/calls/plain_run.py
+++ b/src/corkcrank/node/calls/plain_run.py
@@ -59,11 +59,8 @@
         return False
 
     def fits_before_stop(self) -> bool:
-        """Return true: :meth:`run` has compared the usual time with the time left.
-
-        A call that began before the stop signal is not compared.
-        """
-        return True
+        """Return whether a worker may have run the call, or it is expected to end in time."""
+        return self._call.may_have_run or self._ends_before_stop()
 
     def answer_at_stop(self) -> web.StreamResponse | Refusal:
         """Return the last answer of a worker, or a refusal because the gateway stops."""
@@ -74,7 +71,7 @@
         call = self._call
         call.step = CallStep.PLAIN
         if not self._ends_before_stop():
-            return Refusal.draining("may take longer than the time left in the drain")
+            return self._drain_refusal()
         self._start_next_attempt()
         answer = await self._attempts.wait_for_answer()
         return answer if answer is not None else self._final_refusal()
@@ -117,6 +114,8 @@
         worker = await self._choose_worker(clock.now())
         if worker is None or services.crash_watch.quarantine_seconds_left(call):
             return None
+        if not self.fits_before_stop():
+            return None
         if self._attempts.any_active_besides(attempt):
             # A silent worker began to answer in the meantime.
             return None
@@ -272,6 +271,9 @@
             and len(self._services.mirror.workers.usable_workers(call.service)) > attempts
         )
 
+    def _drain_refusal(self) -> Refusal:
+        return Refusal.draining("may take longer than the time left in the drain")
+
     def _final_refusal(self) -> web.StreamResponse | Refusal:
         if self._last_answer is not None:
             return self._last_answer
@@ -282,6 +284,8 @@
             return Refusal(ResultCode.WORKER_LOST)
         if wait := self._services.crash_watch.quarantine_seconds_left(call):
             return Refusal.quarantined(wait)
+        if not self._ends_before_stop():
+            return self._drain_refusal()
         if refusal := self._services.backing_off_refusal(call):
             return refusal
         if self._limit_wait is not None:
--- a/tests/platform/test_drain_admission.py
+++ b/tests/platform/test_drain_admission.py
@@ -5,9 +5,13 @@
 from contextlib import asynccontextmanager
 
 import aiohttp
+import pytest
 from node_world import World, configuration, route, stop, until, world
 from platform_standins import StandinStageWorker, StandinWorker
 
+from corkcrank.contracts import clock
+from corkcrank.node.workers.crash_watch import CrashWatch
+
 GRACE = 2.4
 """Grace period of the gateway, in seconds."""
 
@@ -31,6 +35,10 @@
         stages=[{"service": "encode", "since_revision": [], "byte_length": 1000}],
     ),
 ]
+PLAIN_SECONDS = 1.0
+"""Usual time of a plain call, more than half of the drain."""
+
+PLAIN_ROUTES = [route("plain", "safe", "plain"), route("unsafe", "unsafe", "plain")]
 TOKENS = {"X-Corkcrank-Token-Count": f"10,{LONG_EVENTS}"}
 PIECES = {**TOKENS, "X-Corkcrank-Segments": "1", "X-Corkcrank-Segment-Key": "abcd"}
 
@@ -123,3 +131,28 @@
             await response.read()
             assert len(model.seen) == before
             await stopped
+
+
+@pytest.mark.parametrize("name", ["plain", "unsafe"])
+async def test_a_plain_call_that_waits_too_long_in_a_drain_reaches_no_worker(
+    name: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def wait(*_: object) -> float:
+        await asyncio.sleep(GRACE / 2)
+        return 0.0
+
+    plain = StandinWorker()
+    async with world(configuration(1, PLAIN_ROUTES), {"p": (plain, "plain")}, grace=GRACE) as run:
+        run.nodes[0].services.plain_times.observe_seconds("plain", PLAIN_SECONDS)
+        monkeypatch.setattr(CrashWatch, "wait_for_verdict", wait)
+        call = asyncio.create_task(run.call(f"/{name}/x"))
+        await until(lambda: run.nodes[0].callers.in_flight == 1)
+        stopped = await stop(run)
+        response = await call
+        body = await response.read()
+        assert response.status == 503
+        assert b"DRAINING" in body
+        assert b'"ran":"no"' in body
+        assert clock.now() < run.nodes[0].services.drain.signalled_at + GRACE / 2
+        assert plain.seen == []
+        await stopped
