A drain judges a resumed stream by the part that its caller lacks

What callers saw: a caller that had 95 of 100 events and resumed its stream at a draining gateway was refused (503), though the rest fitted into the drain many times.

Cause: the time that a stream needs was the usual time of a whole one, whatever the caller had.

Evidence: with a usual time of 1 s and 0.67 s left, event 95 of 100 was refused, as event 5 was.

Change: what the caller has is taken off the tokens that the time is forecast from. Ids of events are consecutive (a part whose ids are not is not passed on), an event holds a token at least, and the stated number of tokens is the most that may come: so at most the stated tokens less the last id are left, which may be too many but not too few. An id that is no number of usual length takes nothing off. That streams usually end before their stated number is in the usual time per stated token, as for whole streams; that half of the drain is left for them holds here, too.

The test with event 95 failed before (503); event 5, of which too much is left, is refused as before.

--- a/src/corkcrank/node/streams/drain_forecast.py
+++ b/src/corkcrank/node/streams/drain_forecast.py
@@ -5,6 +5,9 @@
 from corkcrank.links.decision_log import LogEvent
 from corkcrank.node.calls.services import DEFAULT_FIRST_EVENT_SECONDS, CallServices
 
+MAX_ID_DIGITS = 18
+"""Maximum number of digits of an event id that is read as a number."""
+
 
 class DrainForecast:
     """The forecast times of one stream, compared with what is left of a drain.
@@ -66,7 +69,18 @@
         )
 
     def _stream_seconds(self) -> float:
-        call = self._call
-        return self._services.stream_times.usual_seconds(
-            call.route.name, call.envelope.prompt.tokens_out
-        )
+        """Return the usual time of the part of the stream that the caller lacks, in seconds."""
+        envelope = self._call.envelope
+        tokens_left = envelope.prompt.tokens_out - min_tokens_received(envelope.resume_after)
+        return self._services.stream_times.usual_seconds(self._call.route.name, tokens_left)
+
+
+def min_tokens_received(last_id: str) -> int:
+    """Return a lower bound of the tokens that a caller has, from the id of its last event.
+
+    Ids of events are consecutive, and each event holds a token at least.
+
+    >>> min_tokens_received("95"), min_tokens_received(""), min_tokens_received("9" * 5_000)
+    (95, 0, 0)
+    """
+    return int(last_id) if last_id.isdecimal() and len(last_id) <= MAX_ID_DIGITS else 0
--- a/tests/platform/test_streams_begun_late.py
+++ b/tests/platform/test_streams_begun_late.py
@@ -12,7 +12,7 @@
 
 import aiohttp
 import pytest
-from node_world import World, configuration, route, until, world
+from node_world import World, call_id, configuration, route, until, world
 from platform_standins import StandinStageWorker, StandinWorker
 
 from corkcrank.contracts import clock
@@ -24,9 +24,13 @@
 """Seconds from the signal to the end of the process; streams go to engines in the first 3.8."""
 
 EVENTS = 4
+MANY_EVENTS = 100
 USUAL_GAP, SLOW_GAP = 0.01, 1.2
 """Seconds between events when the time of streams is measured, and later."""
 
+SHORT_GRACE = 1.6
+"""Grace in which a stream of many events that begins after a third of it does not end."""
+
 STAGES = [{"service": "encode", "since_revision": [], "byte_length": 1000}]
 LONG = {"target_latency_ms": 6_000, "timeout_ms": 15_000}
 ROUTES = [
@@ -182,3 +186,26 @@
         assert (await response.read()).count(b"id: ") == EVENTS
         assert len(second.seen) == 1
         await stopped
+
+
+@pytest.mark.parametrize(("read", "status"), [(95, 200), (5, 503)])
+async def test_a_resumed_stream_is_judged_by_what_is_left_of_it(read: int, status: int) -> None:
+    """The rest of a stream, five events of a hundred, was refused as if all were left."""
+    engine = StandinWorker(events=MANY_EVENTS, gap=USUAL_GAP)
+    document = configuration(1, ROUTES)
+    async with world(document, {"m": (engine, "model")}, grace=SHORT_GRACE) as running:
+        headers = {**HEADERS, "X-Corkcrank-Token-Count": f"10,{MANY_EVENTS}"}
+        await (await running.call("/resumable/x", headers=headers)).read()
+        attempt = call_id()
+        cut = await running.call("/resumable/x", headers=headers, attempt=attempt)
+        await cut.content.readuntil(f"id: {read}\n".encode())
+        cut.close()
+        node = running.nodes[0]
+        stopped = asyncio.create_task(node.stop(clock.now() - SHORT_GRACE / 3))
+        await until(lambda: node.life.draining)
+        resumed = {**headers, "Last-Event-Id": str(read), "Resumes": attempt}
+        response = await running.call("/resumable/x", headers=resumed)
+        assert response.status == status
+        body = await response.read()
+        assert body.count(b"id: ") == (MANY_EVENTS - read if status == 200 else 0)
+        await stopped
