A repeat whose stages run again is sent only while it fits into the drain

What callers saw: an engine that had a stream without an event fell silent while its gateway was draining. The stages ran again for another engine, which got the call however late that was.

Cause: the search for another engine compares the usual time with the drain when it chooses one. The stages that run again and the grant come after that.

Ruled out: the main path, which compares after the stages and the grant; an engine whose connection breaks goes that way.

Change: the search compares again right before it sends. The call then has its answer, 504 with an unknown outcome, as the first engine may have run it, instead of a stream that is cut.

The test failed before (both engines had the call).

Conclusion: the same cause as for first attempts; every send to an engine is compared now.

--- a/src/corkcrank/node/streams/engine_failover.py
+++ b/src/corkcrank/node/streams/engine_failover.py
@@ -194,8 +194,7 @@
         if await self._services.crash_watch.wait_for_verdict(self._call):
             self._log.write_deferred("quarantined")
             return None
-        if not self._answer.prepared and not self._admission.drain.fits():
-            self._log.write_deferred("draining")
+        if self._is_too_late():
             return None
         self._call.unresponsive_workers = frozenset()
         engines = self._admission.rank_engines()
@@ -215,6 +214,13 @@
         self._log.write_silence(silent, engine)
         return engine
 
+    def _is_too_late(self) -> bool:
+        """Return whether a stream without an event would not end before this gateway stops."""
+        too_late = not self._answer.prepared and not self._admission.drain.fits()
+        if too_late:
+            self._log.write_deferred("draining")
+        return too_late
+
     async def _first_usable(self, engines: list[WorkerRecord]) -> WorkerRecord | None:
         """Return the best engine; an engine that the call was sent to before must respond."""
         if not engines or engines[0].worker_id not in self._call.workers_tried:
@@ -266,6 +272,8 @@
         if inputs is None:
             return None
         turn = await self._turns.request_turn(engine)
+        if self._is_too_late():
+            return None
         if turn.engine is None:
             self._log.write_deferred("no grant")
             return None
--- a/tests/platform/test_streams_begun_late.py
+++ b/tests/platform/test_streams_begun_late.py
@@ -28,6 +28,9 @@
 USUAL_GAP, SLOW_GAP = 0.01, 1.2
 """Seconds between events when the time of streams is measured, and later."""
 
+USUAL_SECONDS = 2.0
+"""Usual time of a stream that must end within the last seconds of a drain."""
+
 SHORT_GRACE = 1.6
 """Grace in which a stream of many events that begins after a third of it does not end."""
 
@@ -35,6 +38,7 @@
 LONG = {"target_latency_ms": 6_000, "timeout_ms": 15_000}
 ROUTES = [
     route("staged", "stream", "model", stages=STAGES, **LONG),
+    route("staged-resumable", "stream", "model", stages=STAGES, stream_resume=True, **LONG),
     route("brief", "stream", "model", **LONG),
     route("resumable", "stream", "model", stream_resume=True, **LONG),
 ]
@@ -209,3 +213,27 @@
         body = await response.read()
         assert body.count(b"id: ") == (MANY_EVENTS - read if status == 200 else 0)
         await stopped
+
+
+async def test_a_stream_whose_stages_run_again_too_long_goes_to_no_second_engine() -> None:
+    engines = [StandinWorker(events=EVENTS, hold=asyncio.Event()) for _ in range(2)]
+    encode, path = StandinStageWorker(), "/staged-resumable/x"
+    served = {f"m{number}": (engine, "model") for number, engine in enumerate(engines)}
+    workers = {**served, "e": (encode, "encode")}
+    async with world(configuration(1, ROUTES), workers, grace=GRACE) as running:
+        node = running.nodes[0]
+        node.services.stream_times.observe_stream("staged-resumable", EVENTS, USUAL_SECONDS)
+        stopped = asyncio.create_task(node.stop(clock.now() - READ_AFTER))
+        await until(lambda: node.life.draining)
+        call = asyncio.create_task(running.call(path, headers=HEADERS))
+        await until(lambda: any(engine.seen for engine in engines))
+        encode.gate = asyncio.Event()
+        await until(lambda: len(encode.calls) == 2)
+        latest = node.services.drain.stop_at - USUAL_SECONDS
+        await until(lambda: clock.now() > latest)
+        encode.gate.set()
+        response = await call
+        assert response.status == 504
+        assert b'"ran":"unknown"' in await response.read()
+        assert [len(engine.seen) for engine in engines] in ([0, 1], [1, 0])
+        await stopped
