A draining owner takes no piece that would end after its stop

What callers saw: a piece of stage work that another gateway sent to a draining owner of its worker was queued and begun, though it could not end before the owner stopped. The answer was lost with the connection, and the piece was made again.

Cause: until 0.8 s before its end a drain took every piece; how long a piece takes was compared with the wait that its sender accepts, and not with the stop.

Other gateways pass a leaving owner over about a second after the signal, so this concerns that second, and zones all of whose gateways stop.

Change: the drain tells the owner its end, and a piece whose forecast end is later is refused at once, so that its sender places it elsewhere while there is time.

The test failed before (the piece was run).

--- a/src/corkcrank/node/callers/drain.py
+++ b/src/corkcrank/node/callers/drain.py
@@ -116,6 +116,9 @@
     def busy(self) -> bool:
         """Return whether any piece is queued or running."""
 
+    def end_by(self, stop_at: float) -> None:
+        """Accept only pieces that are expected to end before a time."""
+
     def refuse_pieces(self) -> None:
         """Refuse queued and later pieces; the gateways that sent them receive the refusals."""
 
@@ -214,6 +217,7 @@
 
     async def run(self, schedule: DrainSchedule) -> None:
         """Drain until nothing is in flight, or until the time at which streams are cut."""
+        self._peers.end_by(schedule.stop_at)
         while not self._drained(schedule):
             self._apply_schedule(schedule, clock.now())
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
--- a/src/corkcrank/node/process/work_for_peers.py
+++ b/src/corkcrank/node/process/work_for_peers.py
@@ -18,6 +18,10 @@
         """Return whether any piece is queued or running, or any request is being relayed."""
         return self.stage_owner.busy or self.relays.in_flight > 0
 
+    def end_by(self, stop_at: float) -> None:
+        """Accept only pieces that are expected to end before a time."""
+        self.stage_owner.ends_by = stop_at
+
     def refuse_pieces(self) -> None:
         """Refuse queued and later pieces."""
         self.stage_owner.refuse_pieces()
--- a/src/corkcrank/node/stages/stage_owner.py
+++ b/src/corkcrank/node/stages/stage_owner.py
@@ -53,8 +53,8 @@
     Accepts work even if this gateway does not consider itself the owner: membership views differ
     for a short time, and a worker's own queue can serve two owners.
 
-    ``on_release`` is called with the step of an abandoned call, ``queued`` or ``stages``, and the
-    seconds until no worker ran it. ``on_outcome`` is called with a worker and a call's outcome.
+    ``on_release`` gets an abandoned call's step, ``queued`` or ``stages``, and the seconds until no
+    worker ran it; ``on_outcome`` a worker and a call's outcome. No piece may end after ``ends_by``.
     """
 
     def __init__(
@@ -85,6 +85,7 @@
         self._waiters = PieceWaiters()
         self._tasks: set[asyncio.Task[None]] = set()
         self._refusing = False
+        self.ends_by = float("inf")
         self.on_release: Callable[[str, float], None] = lambda step, seconds: None
         self.on_outcome: Callable[[WorkerRecord, CallOutcome], None] = lambda worker, outcome: None
 
@@ -132,6 +133,8 @@
         if forecast.start > work.start_by:
             entry.queue.counters.refused += len(work.pieces)
             return refusal_answer(work, forecast.start, "too long a wait")
+        if now + forecast.end > self.ends_by:
+            return refusal_answer(work, 0.0, "owner is stopping")
         stage_items = [build_stage_item(work, piece, now) for piece in work.pieces]
         self.inputs.track(work, stage_items)
         futures = [self._waiters.add(stage_item) for stage_item in stage_items]
--- a/tests/platform/test_drain_admission.py
+++ b/tests/platform/test_drain_admission.py
@@ -5,11 +5,15 @@
 from contextlib import asynccontextmanager
 
 import aiohttp
+import msgspec
 import pytest
-from node_world import World, configuration, route, stop, until, world
+from node_world import World, configuration, route, stage_service, stop, until, world
 from platform_standins import StandinStageWorker, StandinWorker
+from test_stop_ends import waiting_piece
 
 from corkcrank.contracts import clock
+from corkcrank.links.platform_ports import PieceOutcome
+from corkcrank.node.peers.peer_protocol import PIECES_PATH, StageAnswer
 from corkcrank.node.workers.crash_watch import CrashWatch
 
 GRACE = 2.4
@@ -156,3 +160,19 @@
         assert clock.now() < run.nodes[0].services.drain.signalled_at + GRACE / 2
         assert plain.seen == []
         await stopped
+
+
+async def test_a_piece_of_a_peer_that_would_outlast_the_drain_is_refused_at_once() -> None:
+    encode = StandinStageWorker()
+    document = configuration(1, ROUTES, services=[stage_service("encode", call_ms=1000 * GRACE)])
+    async with (
+        world(document, {"e": (encode, "encode")}, grace=GRACE) as running,
+        aiohttp.ClientSession() as peers,
+    ):
+        url = f"http://{running.nodes[0].fleet.local_address}{PIECES_PATH}"
+        stopped = await stop(running)
+        async with peers.post(url, data=waiting_piece(encode, 1)) as response:
+            answer = msgspec.msgpack.decode(await response.read(), type=StageAnswer)
+        assert [result.outcome for result in answer.results] == [PieceOutcome.REFUSED]
+        assert encode.calls == []
+        await stopped
