A wrong revision that a peer reports no longer freezes the list of workers

What callers saw: after a report of a revision far above that of the store, workers that started later got no calls at that gateway, and workers that left still got them, until the gateway was restarted.

Cause: a list is complete up to the revision that a peer names, and a row is only replaced by a newer one. A valid but wrong revision made every later change of the store look old. A gateway that took it reported it to the others.

Rows of the store with a wrong revision were ruled out: they are refused where the page is decoded.

Change: the answers of the store are linearizable and name its newest revision. A revision that was known before a request cannot be higher than that of the answer. If it is, a whole read decides: what the list has of later revisions is discarded, and peers' reports from that revision on are refused until the store reaches it. A gateway that does not follow the store asks it if a member that does reports a lower revision than the one that it has had for four seconds; revisions that members confirm cost no calls.

Their checks are unchanged.

Conclusion: the list is held to the store's own revision. States of evacuated zones are not checked so yet.

--- a/src/corkcrank/contracts/worker_records.py
+++ b/src/corkcrank/contracts/worker_records.py
@@ -70,6 +70,8 @@
         self._changes_known_from = 0
         self._evacuated: frozenset[str] = frozenset()
         self.revision = 0
+        self.newest_revision = 0
+        """Highest revision of the list or of one of its rows."""
 
     @property
     def evacuated(self) -> frozenset[str]:
@@ -99,6 +101,7 @@
         self._row_revisions = {key: record.revision for key, record in listed.items()} | newer
         self._by_id = {record.worker_id: record for record in self._records.values()}
         self.revision = max(self.revision, revision)
+        self._record_newest(max([revision, *self._row_revisions.values()]))
         self.discard_changes_before(revision)
         self._indexed = False
 
@@ -111,6 +114,7 @@
         if revision <= max(self.revision, self._row_revisions.get(name, 0)):
             return False
         self._row_revisions[name] = revision
+        self._record_newest(revision)
         previous = self._records.pop(name, None)
         if previous is not None:
             del self._by_id[previous.worker_id]
@@ -140,6 +144,18 @@
     def mark_complete_up_to(self, revision: int) -> None:
         """Record that every change up to ``revision`` was applied."""
         self.revision = max(self.revision, revision)
+        self._record_newest(revision)
+
+    def _record_newest(self, revision: int) -> None:
+        self.newest_revision = max(self.newest_revision, revision)
+
+    def discard_after(self, revision: int) -> None:
+        """Discard what is known of later revisions; a whole list must follow."""
+        self._row_revisions = {
+            name: at if at <= revision else 0 for name, at in self._row_revisions.items()
+        }
+        self.newest_revision = max(self._row_revisions.values(), default=0)
+        self.revision = 0
 
     def get(self, worker_id: str) -> WorkerRecord | None:
         """Return the incarnation with this id, ``None`` if it is not listed any more."""
--- a/src/corkcrank/links/decision_log.py
+++ b/src/corkcrank/links/decision_log.py
@@ -46,6 +46,7 @@
     DOCUMENT_UNREADABLE = "Workers: unreadable entry or report."
     REPORT_OUTDATED = "Workers: report of another incarnation."
     WORKER_REMOVAL_DEFERRED = "Workers: entry gone after an outage, held back."
+    REVISION_REFUTED = "Workers: list was ahead of the store, read again."
     ZONE_EVACUATED = "Workers: zone evacuated, nothing more goes there."
     ZONE_RESTORED = "Workers: zone taken back."
     LIMIT_GRANTED = "Workers: limited one given a call."
--- a/src/corkcrank/machines/fleet.py
+++ b/src/corkcrank/machines/fleet.py
@@ -298,15 +298,23 @@
             return None
         return self._newest(version, lambda beat: beat.configuration_version, now)
 
-    def member_with_newer_workers(self, revision: int, now: float) -> Member | None:
-        """Return the live member with the newest list of workers, if newer than a revision."""
+    def member_with_newer_workers(
+        self, revision: int, now: float, below: int | None = None
+    ) -> Member | None:
+        """Return the live member with the newest list of workers between two revisions."""
         if self._highest_revision <= revision:
             return None
-        return self._newest(revision, lambda beat: beat.workers_revision, now)
+        return self._newest(revision, lambda beat: beat.workers_revision, now, below)
 
-    def _newest(self, known: int, number: Callable[[Heartbeat], int], now: float) -> Member | None:
+    def _newest(
+        self, known: int, number: Callable[[Heartbeat], int], now: float, below: int | None = None
+    ) -> Member | None:
         """Return the live member with the highest number above a known one, same zone first."""
-        live = self.live_members(now)
+        live = [
+            member
+            for member in self.live_members(now)
+            if below is None or number(member.heartbeat) < below
+        ]
         highest = max((number(member.heartbeat) for member in live), default=known)
         if highest <= known:
             return None
--- a/src/corkcrank/machines/store_followers.py
+++ b/src/corkcrank/machines/store_followers.py
@@ -96,7 +96,11 @@
 
     def is_elected_follower(self, now: float) -> bool:
         """Return whether this gateway is elected to follow the store for the others."""
-        return self._fleet.local_name in self._follow_order(now).followers
+        return self.is_elected(self._fleet.local_name, now)
+
+    def is_elected(self, member: str, now: float) -> bool:
+        """Return whether a member is elected to follow the store for the others."""
+        return member in self._follow_order(now).followers
 
     def max_retry_pause_seconds(self, failures: int, now: float) -> float:
         """Return the maximum pause in seconds after a number of consecutive failed calls.
--- a/src/corkcrank/machines/worker_changes.py
+++ b/src/corkcrank/machines/worker_changes.py
@@ -86,6 +86,10 @@
         """Add a batch of changes to report."""
         self._batches.append((now, batch))
 
+    def clear(self) -> None:
+        """Remove all batches."""
+        self._batches.clear()
+
     def current_batch(self, now: float) -> WorkerChangeBatch | None:
         """Return the changes to report now: the newest contiguous batches that fit.
 
--- a/src/corkcrank/machines/worker_list_check.py
+++ b/src/corkcrank/machines/worker_list_check.py
@@ -5,7 +5,6 @@
 """
 
 from corkcrank.links.platform_ports import (
-    MetadataStore,
     StoreFailure,
     StoreRows,
     StoreTable,
@@ -27,10 +26,10 @@
 class WorkerListCheck:
     """Compares one gateway's list of workers with the store."""
 
-    def __init__(self, fleet: Fleet, mirror: StoreMirror, store: MetadataStore) -> None:
+    def __init__(self, fleet: Fleet, mirror: StoreMirror) -> None:
         self._fleet = fleet
         self._mirror = mirror
-        self._store = store
+        self._store = mirror.revisions
         self._call = SharedCall(self._bring_up_to_date, self._interval)
 
     async def bring_up_to_date(self) -> bool:
--- a/src/corkcrank/node/membership/heartbeats.py
+++ b/src/corkcrank/node/membership/heartbeats.py
@@ -265,6 +265,7 @@
         if heartbeat.worker_changes is not None:
             changes = usable_changes(heartbeat.worker_changes)
             self._apply_worker_changes(changes, heartbeat.name, now)
+        self._mirror.revisions.record_peer_revision(heartbeat.name, heartbeat.workers_revision)
         if self._mirror.apply_zone_states(heartbeat.zone_states, f"peer {heartbeat.name}"):
             self.request_forwarding()
         self._loads.apply_peer_report(heartbeat.name, heartbeat.call_loads)
@@ -295,6 +296,8 @@
             self._crash_watch.record_member_unreachable(before.heartbeat.name, before.received_at)
 
     def _apply_worker_changes(self, batch: WorkerChangeBatch, name: str, now: float) -> None:
+        if not self._mirror.revisions.accepts_all(batch.revision, batch.changes):
+            return
         if not self._mirror.apply_worker_changes(batch, f"peer {name}"):
             return
         # Incomplete changes are not forwarded: the next member may take them as all changes.
--- a/src/corkcrank/node/membership/peer_pulls.py
+++ b/src/corkcrank/node/membership/peer_pulls.py
@@ -102,11 +102,12 @@
                 self.on_adopted()
 
     async def _pull_workers(self, now: float) -> None:
-        member = self._fleet.member_with_newer_workers(self._mirror.workers.revision, now)
+        known, revisions = self._mirror.workers.revision, self._mirror.revisions
+        member = self._fleet.member_with_newer_workers(known, now, revisions.refuted_from)
         limit = WORKERS_LAG_SECONDS if self._mirror.workers_known else 0.0
         if not self._lags_for(StoreTable.WORKERS, member, limit, now) or member is None:
             return
-        question = msgspec.msgpack.encode(WorkersRequest(self._mirror.workers.revision))
+        question = msgspec.msgpack.encode(WorkersRequest(known))
         body = await self._peers.request(
             member.heartbeat.address, WORKERS_PATH, question, retry_on_silence=True
         )
@@ -116,8 +117,9 @@
             return
         source = f"peer {member.heartbeat.name}"
         if answer.changes is not None:
-            self._mirror.apply_worker_changes(usable_changes(answer.changes), source)
-        else:
+            if revisions.accepts_all(answer.changes.revision, answer.changes.changes):
+                self._mirror.apply_worker_changes(usable_changes(answer.changes), source)
+        elif revisions.accepts_all(answer.revision, answer.records):
             usable = tuple(record for record in answer.records if record.is_usable)
             self._mirror.apply_worker_list(usable, answer.revision, source)
 
--- a/src/corkcrank/node/origins/software_rows.py
+++ b/src/corkcrank/node/origins/software_rows.py
@@ -110,7 +110,7 @@
         self._mirror = mirror
         self._store = store
         self._log = log
-        self._list_check = WorkerListCheck(fleet, mirror, store)
+        self._list_check = WorkerListCheck(fleet, mirror)
         self._history = SoftwareHistory()
         self._routes = RouteHistory()
         mirror.on_whole_list = self._record_whole_list
--- a/tests/platform/lost_workers.py
+++ b/tests/platform/lost_workers.py
@@ -81,6 +81,7 @@
     workers = silent.services.mirror.workers
     kept = [record for record in workers.records() if record.address == address]
     workers.replace_all(kept, workers.revision + 1)
+    silent.running.store.revision = max(silent.running.store.revision, workers.revision)
 
 
 def end_others(silent: SilentWorld, address: str) -> None:
--- a/tests/platform/test_odd_rows.py
+++ b/tests/platform/test_odd_rows.py
@@ -275,6 +275,7 @@
     odd = [WorkerRecord(f"odd-{number}", "plain", address, "z1", revision=9) for number in range(4)]
     async with world(configuration(1, ROUTES), {"one": (worker, "plain")}) as running:
         first = running.nodes[0].mirror
+        running.store.revision = 500
         for record in odd:
             first.workers.apply_row(record.name, record, 500)
         first.workers.mark_complete_up_to(500)
