--- a/tests/platform/local_store.py
+++ b/tests/platform/local_store.py
@@ -11,17 +11,16 @@
 
 
 class LocalStore(PlatformStore):
-    """Reads the tables of a stand-in; ``calls`` counts the pages."""
+    """Reads the tables of a stand-in; other tasks run before each answer, as on a network."""
 
     def __init__(self, standin: StandinStore) -> None:
         super().__init__(cast("Any", None), "127.0.0.1:1", 1.0)
         self._standin = standin
-        self.calls = 0
 
     async def _call(
         self, method: str, path: str, query: dict[str, str] | None, data: Any, timeout: float
     ) -> bytes:
-        self.calls += 1
+        await asyncio.sleep(0)
         request = cast("Any", SimpleNamespace(query=query))
         if path == "/rows-get":
             response = self._standin._get(request)
--- a/tests/platform/test_store_pages.py
+++ b/tests/platform/test_store_pages.py
@@ -252,3 +252,42 @@
         answer = await store.watch(StoreTable.WORKERS, 5, 0.1)
     server.close()
     assert isinstance(answer, StoreFailure)
+
+
+MAX_HELD_SECONDS = 0.1
+"""For one page of 1 MB: what callers, heartbeats and probes may wait beside it."""
+
+SIZE = MAX_PAGE_BYTES - 1_000
+HOLDING = {
+    "open brackets": b"[" * SIZE,
+    "brackets": b"[" * (SIZE // 2) + b"]" * (SIZE // 2),
+    "maps": b'{"x":' * (SIZE // 5),
+    "commas": b'{"x":\\}' + b"," * SIZE,
+    "objects": b'{"x":"\\x"},' * (SIZE // 11) + b"{}",
+    "strings": b'"",' * (SIZE // 3) + b'""',
+    "ends of objects": b'"' + b'},{"' * (SIZE // 4),
+    "one string": b'{"a":"' + b"},{" * (SIZE // 3) + b'","b":\\}',
+    "spaces": b'{"a":"' + b"}  " * (SIZE // 3) + b'","b":\\}',
+    "keys": b'{"b":[' + b'{"key":"b"},' * (SIZE // 12) + b'0],"c":"\\x"}',
+}
+
+
+@pytest.mark.parametrize("kind", HOLDING)
+@pytest.mark.parametrize("whole", [True, False])
+async def test_no_page_holds_the_event_loop(kind: str, whole: bool) -> None:
+    standin = standin_of({"a": b"value", "k": RowText(HOLDING[kind]), "z": b"value"})
+    client = LocalStore(standin)
+    call = client.read(StoreTable.WORKERS) if whole else client.watch(StoreTable.WORKERS, 1, 0.0)
+    reading = asyncio.create_task(call)
+    held = 0.0
+    while not reading.done():
+        began = time.thread_time()
+        await asyncio.sleep(0)
+        held = max(held, time.thread_time() - began)
+    assert held < MAX_HELD_SECONDS
+    found = reading.result()
+    if isinstance(found, StoreRows):
+        assert [item.key for item in found.rows if item.value == b"value"] == ["a", "z"]
+    else:
+        assert not whole
+        assert found.needs_whole_read
