Part successes are saved once for many rare parts, not for each

Cause: a gateway wrote its row whenever a part was new in it, at most every 2 s. Nearly each run brings a part that few others have, so the row was written at nearly each opportunity.

Evidence: calls by table and verb.

Change: a part that two runs have had since the last write, and a twentieth of all successes since, is written at the next check, as before; parts that fewer runs have are written together, 10 s after the last write. A failed write is repeated at once, and the first success after a start is written at the next check. What decides is scheduling/part_success_saves.py.

Tests: test_row_is_not_written_for_each_part_of_a_single_run failed before. test_row_is_written_for_new_parts_only is stricter: it counts the writes, and the known part has as many runs as a new one needs.

Each start still costs a read.

--- a/src/corkcrank/node/membership/part_success_rows.py
+++ b/src/corkcrank/node/membership/part_success_rows.py
@@ -19,10 +19,10 @@
 from corkcrank.machines.store_contact import StoreContact, newest_contact
 from corkcrank.machines.store_mirror import StoreMirror
 from corkcrank.node.workers.crash_watch import CrashWatch
-from corkcrank.scheduling.part_successes import SUCCESS_MEMORY_SECONDS
+from corkcrank.scheduling.part_success_saves import PartSuccessSaves
 
 WRITE_INTERVAL_SECONDS = 2.0
-"""Minimum interval of writes: first successes since the last one are lost by a kill."""
+"""Minimum interval of writes: repeated successes of new parts since then are lost by a kill."""
 
 MAX_WRITES_PER_SECOND = 10.0
 """Writes of all gateways together."""
@@ -30,9 +30,6 @@
 RETRY_SECONDS = 1.0
 """Delay after a failed call to the store."""
 
-REFRESH_SECONDS = SUCCESS_MEMORY_SECONDS / 2.0
-"""A written success is replaced by one that is this much later."""
-
 MAX_ROW_PARTS = 512
 """Maximum number of parts in a row, those with the latest successes."""
 
@@ -88,12 +85,12 @@
         self._fleet = fleet
         self._crash_watch = crash_watch
         self._log = log
-        self._written: dict[str, int] = {}
-        """The parts in the row, with their times."""
+        self._successes = crash_watch.quarantine.part_successes
+        self._saves = PartSuccessSaves()
         self.restored = False
 
     async def keep_row_current(self) -> None:
-        """Read the row once, then write it after new successes, until cancelled.
+        """Read the row once, then write it whenever it is due, until cancelled.
 
         A row that was not read would be overwritten.
         """
@@ -118,7 +115,7 @@
             self._crash_watch.restore_part_successes(
                 {part: now - max(0.0, rows.store_time - at) for part, at in times.items()}
             )
-            self._written = times
+            self._saves.record_read(times)
         self.restored = True
         return True
 
@@ -137,27 +134,22 @@
         return row.by_part()
 
     async def _write(self) -> bool:
-        """Write the row if there are new successes; return whether the store accepted it."""
+        """Write the row if it is due; return whether the store accepted it."""
         now = clock.now()
         own = self._mirror.store_contacts.get(StoreTable.WORKERS, StoreContact())
         contact = newest_contact(own, self._fleet.store_contact(StoreTable.WORKERS))
         if contact.received_at == float("-inf"):
             return True
         offset = contact.store_time - contact.received_at
-        successes = self._crash_watch.quarantine.part_successes.recent(MAX_ROW_PARTS, now)
+        successes = self._successes.recent(MAX_ROW_PARTS, now)
         times = {part: int(at + offset) for part, at in successes.items()}
-        if not self._has_news(times):
+        if not self._saves.is_due(times, self._successes.counts, now):
             return True
+        self._successes.reset_counts()
         value = msgspec.msgpack.encode(PartSuccessRow.from_times(times))
         written = await self._store.put(StoreTable.PART_SUCCESSES, self._fleet.local_name, value)
         if isinstance(written, StoreFailure):
+            self._saves.record_failure()
             return False
-        self._written = times
+        self._saves.record_save(times, now)
         return True
-
-    def _has_news(self, times: dict[str, int]) -> bool:
-        """Return whether a part is not in the row, or has succeeded much later."""
-        return any(
-            part not in self._written or at - self._written[part] >= REFRESH_SECONDS
-            for part, at in times.items()
-        )
--- a/src/corkcrank/scheduling/part_successes.py
+++ b/src/corkcrank/scheduling/part_successes.py
@@ -1,6 +1,7 @@
 """Records when runs with each shared prompt part last progressed at this gateway."""
 
 from collections import OrderedDict
+from collections.abc import Mapping
 
 MAX_PARTS = 4096
 """Maximum number of recorded parts; the least recently successful ones are evicted first."""
@@ -14,6 +15,7 @@
 
     def __init__(self) -> None:
         self._times: OrderedDict[str, float] = OrderedDict()
+        self._counts: dict[str, int] = {}
 
     def record(self, part: str, at: float) -> None:
         """Record a success.
@@ -27,8 +29,19 @@
         True
         """
         self._times[part] = max(at, self._times.pop(part, at))
+        self._counts[part] = self._counts.get(part, 0) + 1
         if len(self._times) > MAX_PARTS:
-            self._times.popitem(last=False)
+            evicted, _ = self._times.popitem(last=False)
+            self._counts.pop(evicted, None)
+
+    @property
+    def counts(self) -> Mapping[str, int]:
+        """Return the number of each part's successes since the last reset."""
+        return self._counts
+
+    def reset_counts(self) -> None:
+        """Count the successes of all parts from now on."""
+        self._counts = {}
 
     def latest(self, part: str, now: float) -> float | None:
         """Return the time of a part's latest success, ``None`` if there is none."""
