Rows that a gateway keeps under its own name have one copy of their loop

The rows of origins and of part successes each read their row once, repeated that, kept an interval by the number of gateways, and counted failures in code of their own. machines/own_row.py has it once; the two say what a row holds and when it is due. Intervals and limits are the same. No caller sees a difference.

Run: tests/platform/test_part_success_rows.py, test_origin_rows.py, test_origin_table.py, test_odd_rows.py and the tests of the layout pass, unchanged.

--- a/src/corkcrank/node/membership/part_success_rows.py
+++ b/src/corkcrank/node/membership/part_success_rows.py
@@ -6,16 +6,15 @@
 it receives, so that the others need not read the row.
 """
 
-import asyncio
-
 import msgspec
 
 from corkcrank.contracts import clock
 from corkcrank.contracts.request_fingerprint import FINGERPRINT_BYTES
 from corkcrank.links.decision_log import DecisionLog, LogEvent
-from corkcrank.links.platform_ports import MetadataStore, StoreFailure, StoreTable, Unreadable
+from corkcrank.links.platform_ports import MetadataStore, StoreRows, StoreTable, Unreadable
 from corkcrank.links.strict_json import decode_packed_strictly
 from corkcrank.machines.fleet import Fleet
+from corkcrank.machines.own_row import OwnRow, OwnRowPace
 from corkcrank.machines.store_contact import StoreContact, newest_contact
 from corkcrank.machines.store_mirror import StoreMirror
 from corkcrank.node.workers.crash_watch import CrashWatch
@@ -24,11 +23,7 @@
 WRITE_INTERVAL_SECONDS = 2.0
 """Minimum interval of writes: repeated successes of new parts since then are lost by a kill."""
 
-MAX_WRITES_PER_SECOND = 10.0
-"""Writes of all gateways together."""
-
-RETRY_SECONDS = 1.0
-"""Delay after a failed call to the store."""
+PACE = OwnRowPace(WRITE_INTERVAL_SECONDS, max_writes_per_second=10.0, retry_seconds=1.0)
 
 MAX_ROW_PARTS = 512
 """Maximum number of parts in a row, those with the latest successes."""
@@ -69,7 +64,7 @@
         }
 
 
-class PartSuccessRows:
+class PartSuccessRows(OwnRow):
     """The row of one gateway."""
 
     def __init__(
@@ -80,34 +75,15 @@
         crash_watch: CrashWatch,
         log: DecisionLog,
     ) -> None:
-        self._store = store
+        super().__init__(store, fleet, StoreTable.PART_SUCCESSES, PACE)
         self._mirror = mirror
-        self._fleet = fleet
         self._crash_watch = crash_watch
         self._log = log
         self._successes = crash_watch.quarantine.part_successes
         self._saves = PartSuccessSaves()
-        self.restored = False
-
-    async def keep_row_current(self) -> None:
-        """Read the row once, then write it whenever it is due, until cancelled.
-
-        A row that was not read would be overwritten.
-        """
-        while not await self._restore():
-            await asyncio.sleep(RETRY_SECONDS)
-        while True:
-            await asyncio.sleep(self._interval() if await self._write() else RETRY_SECONDS)
 
-    def _interval(self) -> float:
-        members = len(self._fleet.live_members(clock.now())) + 1
-        return max(WRITE_INTERVAL_SECONDS, members / MAX_WRITES_PER_SECOND)
-
-    async def _restore(self) -> bool:
+    def _restore(self, rows: StoreRows) -> None:
         """Restore the successes that this gateway had written before it started again."""
-        rows = await self._store.read(StoreTable.PART_SUCCESSES, self._fleet.local_name)
-        if isinstance(rows, StoreFailure):
-            return False
         now = clock.now()
         for row in rows.rows:
             value = row.value if isinstance(row.value, bytes) else b""
@@ -116,8 +92,6 @@
                 {part: now - max(0.0, rows.store_time - at) for part, at in times.items()}
             )
             self._saves.record_read(times)
-        self.restored = True
-        return True
 
     def _decode(self, value: bytes) -> dict[str, int]:
         """Return the times of a row's parts, none if it cannot be read."""
@@ -146,9 +120,7 @@
         if not self._saves.is_due(times, self._successes.counts, now):
             return True
         self._successes.reset_counts()
-        value = msgspec.msgpack.encode(PartSuccessRow.from_times(times))
-        written = await self._store.put(StoreTable.PART_SUCCESSES, self._fleet.local_name, value)
-        if isinstance(written, StoreFailure):
+        if not await self._put(msgspec.msgpack.encode(PartSuccessRow.from_times(times))):
             self._saves.record_failure()
             return False
         self._saves.record_save(times, now)
--- a/src/corkcrank/node/origins/origin_rows.py
+++ b/src/corkcrank/node/origins/origin_rows.py
@@ -5,7 +5,6 @@
 after a start; others read it when a lookup finds no origin. With one version nothing is written.
 """
 
-import asyncio
 from collections import defaultdict
 
 import msgspec
@@ -15,24 +14,20 @@
 from corkcrank.links.decision_log import DecisionLog, LogEvent
 from corkcrank.links.platform_ports import (
     MetadataStore,
-    StoreFailure,
     StoreRow,
+    StoreRows,
     StoreTable,
     Unreadable,
 )
 from corkcrank.links.strict_json import decode_packed_strictly
 from corkcrank.machines.fleet import Fleet
+from corkcrank.machines.own_row import OwnRow, OwnRowPace
 from corkcrank.node.origins.software_rows import SoftwareRows
 from corkcrank.scheduling.stream_origins import StreamOrigins
 
-WRITE_INTERVAL_SECONDS = 0.25
-"""Minimum interval of writes: the origins of streams that began since are lost by a kill."""
-
-MAX_WRITES_PER_SECOND = 40.0
-"""Writes of all gateways together; a tenth of what a store of the design size takes."""
-
-RETRY_SECONDS = 0.5
-"""Delay after a failed call to the store."""
+PACE = OwnRowPace(min_interval_seconds=0.25, max_writes_per_second=40.0, retry_seconds=0.5)
+"""Origins of streams that began since the last write are lost by a kill. All gateways together take
+a tenth of what a store of the design size takes."""
 
 EXPIRY_STEP_SECONDS = 4.0
 """Step to which expiry times are rounded up, so that origins share one."""
@@ -74,7 +69,7 @@
     groups: tuple[OriginGroup, ...]
 
 
-class OriginRows:
+class OriginRows(OwnRow):
     """The row of one gateway. ``origins`` are those that the gateway keeps in memory."""
 
     def __init__(
@@ -85,16 +80,13 @@
         origins: StreamOrigins,
         software: SoftwareRows,
     ) -> None:
-        self._fleet = fleet
-        self._store = store
+        super().__init__(store, fleet, StoreTable.ORIGINS, PACE)
         self._log = log
         self._origins = origins
         self._software = software
         self._to_write: dict[bytes, None] = {}
         """Keys of the streams that this gateway writes, the newest last."""
         self._written: OriginRow | None = None
-        self.restored = False
-        self.failures = 0
 
     def __len__(self) -> int:
         return len(self._to_write)
@@ -104,33 +96,13 @@
         self._to_write.pop(key, None)
         self._to_write[key] = None
 
-    async def keep_row_current(self) -> None:
-        """Read the row once, then write it while versions differ, until cancelled.
-
-        A row that was not read would be overwritten.
-        """
-        while not await self._restore():
-            await asyncio.sleep(RETRY_SECONDS)
-        while True:
-            await asyncio.sleep(self._interval() if await self._write() else RETRY_SECONDS)
-
-    def _interval(self) -> float:
-        members = len(self._fleet.live_members(clock.now())) + 1
-        return max(WRITE_INTERVAL_SECONDS, members / MAX_WRITES_PER_SECOND)
-
-    async def _restore(self) -> bool:
+    def _restore(self, rows: StoreRows) -> None:
         """Keep the origins that this gateway had written before it started again."""
-        rows = await self._store.read(StoreTable.ORIGINS, self._fleet.local_name)
-        if isinstance(rows, StoreFailure):
-            self.failures += 1
-            return False
         now = clock.now()
         for row in rows.rows:
             for group in decode_groups(row, self._log):
                 if group.expires_at > rows.store_time:
                     self._restore_group(group, group.expires_at - rows.store_time, now)
-        self.restored = True
-        return True
 
     def _restore_group(self, group: OriginGroup, seconds: float, now: float) -> None:
         for first in range(0, len(group.keys), STREAM_KEY_BYTES):
@@ -148,10 +120,7 @@
         row = self._build(now, store_time)
         if row is None or row == self._written:
             return True
-        value = msgspec.msgpack.encode(row)
-        written = await self._store.put(StoreTable.ORIGINS, self._fleet.local_name, value)
-        if isinstance(written, StoreFailure):
-            self.failures += 1
+        if not await self._put(msgspec.msgpack.encode(row)):
             return False
         self._written = row
         return True
