--- a/src/corkcrank/node/membership/part_success_rows.py
+++ b/src/corkcrank/node/membership/part_success_rows.py
@@ -6,32 +6,24 @@
 it receives, so that the others need not read the row.
 """
 
-import asyncio
-
 import msgspec
 
 from corkcrank.contracts import clock
 from corkcrank.contracts.request_fingerprint import FINGERPRINT_BYTES
 from corkcrank.links.decision_log import DecisionLog, LogEvent
-from corkcrank.links.platform_ports import MetadataStore, StoreFailure, StoreTable, Unreadable
+from corkcrank.links.platform_ports import MetadataStore, StoreRows, StoreTable, Unreadable
 from corkcrank.links.strict_json import decode_packed_strictly
 from corkcrank.machines.fleet import Fleet
+from corkcrank.machines.own_row import OwnRow, OwnRowPace
 from corkcrank.machines.store_contact import StoreContact, newest_contact
 from corkcrank.machines.store_mirror import StoreMirror
 from corkcrank.node.workers.crash_watch import CrashWatch
-from corkcrank.scheduling.part_successes import SUCCESS_MEMORY_SECONDS
+from corkcrank.scheduling.part_success_saves import PartSuccessSaves
 
 WRITE_INTERVAL_SECONDS = 2.0
-"""Minimum interval of writes: first successes since the last one are lost by a kill."""
-
-MAX_WRITES_PER_SECOND = 10.0
-"""Writes of all gateways together."""
-
-RETRY_SECONDS = 1.0
-"""Delay after a failed call to the store."""
+"""Minimum interval of writes: repeated successes of new parts since then are lost by a kill."""
 
-REFRESH_SECONDS = SUCCESS_MEMORY_SECONDS / 2.0
-"""A written success is replaced by one that is this much later."""
+PACE = OwnRowPace(WRITE_INTERVAL_SECONDS, max_writes_per_second=10.0, retry_seconds=1.0)
 
 MAX_ROW_PARTS = 512
 """Maximum number of parts in a row, those with the latest successes."""
@@ -72,7 +64,7 @@
         }
 
 
-class PartSuccessRows:
+class PartSuccessRows(OwnRow):
     """The row of one gateway."""
 
     def __init__(
@@ -83,34 +75,15 @@
         crash_watch: CrashWatch,
         log: DecisionLog,
     ) -> None:
-        self._store = store
+        super().__init__(store, fleet, StoreTable.PART_SUCCESSES, PACE)
         self._mirror = mirror
-        self._fleet = fleet
         self._crash_watch = crash_watch
         self._log = log
-        self._written: dict[str, int] = {}
-        """The parts in the row, with their times."""
-        self.restored = False
-
-    async def keep_row_current(self) -> None:
-        """Read the row once, then write it after new successes, until cancelled.
-
-        A row that was not read would be overwritten.
-        """
-        while not await self._restore():
-            await asyncio.sleep(RETRY_SECONDS)
-        while True:
-            await asyncio.sleep(self._interval() if await self._write() else RETRY_SECONDS)
+        self._successes = crash_watch.quarantine.part_successes
+        self._saves = PartSuccessSaves()
 
-    def _interval(self) -> float:
-        members = len(self._fleet.live_members(clock.now())) + 1
-        return max(WRITE_INTERVAL_SECONDS, members / MAX_WRITES_PER_SECOND)
-
-    async def _restore(self) -> bool:
+    def _restore(self, rows: StoreRows) -> None:
         """Restore the successes that this gateway had written before it started again."""
-        rows = await self._store.read(StoreTable.PART_SUCCESSES, self._fleet.local_name)
-        if isinstance(rows, StoreFailure):
-            return False
         now = clock.now()
         for row in rows.rows:
             value = row.value if isinstance(row.value, bytes) else b""
@@ -118,9 +91,7 @@
             self._crash_watch.restore_part_successes(
                 {part: now - max(0.0, rows.store_time - at) for part, at in times.items()}
             )
-            self._written = times
-        self.restored = True
-        return True
+            self._saves.record_read(times)
 
     def _decode(self, value: bytes) -> dict[str, int]:
         """Return the times of a row's parts, none if it cannot be read."""
@@ -137,27 +108,20 @@
         return row.by_part()
 
     async def _write(self) -> bool:
-        """Write the row if there are new successes; return whether the store accepted it."""
+        """Write the row if it is due; return whether the store accepted it."""
         now = clock.now()
         own = self._mirror.store_contacts.get(StoreTable.WORKERS, StoreContact())
         contact = newest_contact(own, self._fleet.store_contact(StoreTable.WORKERS))
         if contact.received_at == float("-inf"):
             return True
         offset = contact.store_time - contact.received_at
-        successes = self._crash_watch.quarantine.part_successes.recent(MAX_ROW_PARTS, now)
+        successes = self._successes.recent(MAX_ROW_PARTS, now)
         times = {part: int(at + offset) for part, at in successes.items()}
-        if not self._has_news(times):
+        if not self._saves.is_due(times, self._successes.counts, now):
             return True
-        value = msgspec.msgpack.encode(PartSuccessRow.from_times(times))
-        written = await self._store.put(StoreTable.PART_SUCCESSES, self._fleet.local_name, value)
-        if isinstance(written, StoreFailure):
+        self._successes.reset_counts()
+        if not await self._put(msgspec.msgpack.encode(PartSuccessRow.from_times(times))):
+            self._saves.record_failure()
             return False
-        self._written = times
+        self._saves.record_save(times, now)
         return True
-
-    def _has_news(self, times: dict[str, int]) -> bool:
-        """Return whether a part is not in the row, or has succeeded much later."""
-        return any(
-            part not in self._written or at - self._written[part] >= REFRESH_SECONDS
-            for part, at in times.items()
-        )
