A resumed stream beyond the share is judged as a new call that arrives now

Seen: callers whose stream broke off, of a tenant that had used its share of precedence, were refused as soon as anything waited, with seconds left to them, while new calls of the same route began. So were callers that stated less time than the route allows.

Cause: the budget of a call tells whether its caller was refused before, and how long ago its first attempt was. A caller that resumes a stream has used time to read, not to wait: it was taken for a returning one, and its objective, counted from the first attempt, was over before it came.

Ruled out: the share itself (within it such calls are due at the deadline), and the origin (known in the tests).

Change: the budget of a call that resumes a stream shows no refusal, only a claim does; its objective counts from this attempt. A claim still lets it go first as it does for a new call.

--- a/src/corkcrank/contracts/opaque_call.py
+++ b/src/corkcrank/contracts/opaque_call.py
@@ -224,10 +224,13 @@
 
     @property
     def returning(self) -> bool:
-        """Return whether this is probably a retry by a caller that was refused before."""
+        """Return whether this is probably a retry by a caller that was refused before.
+
+        The budget shows it, except that of a resumed stream, whose caller has used time to read.
+        """
         budget = self.envelope.budget_seconds
-        if budget is None:
-            return False
+        if budget is None or self.resumes_stream:
+            return self.claimed
         return self.claimed or budget < MIN_FIRST_ATTEMPT_BUDGET_SHARE * self.route.timeout
 
     @property
@@ -241,9 +244,12 @@
 
     @property
     def seconds_since_first_attempt(self) -> float:
-        """Return the seconds since the caller's first attempt; 0 if this is the first."""
+        """Return the seconds since the caller's first attempt at what it asks for now.
+
+        They are 0 if this is the first, or if it resumes a stream: the caller has had a part since.
+        """
         budget = self.envelope.budget_seconds
-        if budget is None or not self.returning:
+        if budget is None or self.resumes_stream or not self.returning:
             return 0.0
         return max(0.0, self.route.timeout - budget)
 
--- a/tests/platform/test_first_attempt.py
+++ b/tests/platform/test_first_attempt.py
@@ -90,3 +90,22 @@
     assert resumed_call().queue_rank == (1, 2)
     assert resumed_call(precedence=True).queue_rank == (1, 0)
     assert resumed_call(answer_begun=True).queue_rank == (1, 0)
+
+
+@pytest.mark.parametrize("claimed", [False, True])
+def test_a_resumed_stream_beyond_the_share_is_judged_as_a_new_call_that_arrives_now(
+    claimed: bool,
+) -> None:
+    resumed, new = resumed_call(claimed=claimed), replace(call_with(4.0), rank=(1, 2))
+    assert (resumed.due_at, resumed.queue_rank) == (new.due_at, new.queue_rank)
+    assert resumed.returning == claimed
+
+
+@pytest.mark.parametrize("budget_seconds", [0.5, 2.0, 3.0])
+def test_a_shorter_budget_does_not_make_a_resumed_stream_a_retry_of_a_refused_call(
+    budget_seconds: float,
+) -> None:
+    call = resumed_call()
+    short = replace(call, envelope=replace(call.envelope, budget_seconds=budget_seconds))
+    assert not short.returning
+    assert short.objective_at == call_with(4.0).objective_at
--- a/tests/platform/test_resumptions.py
+++ b/tests/platform/test_resumptions.py
@@ -14,7 +14,7 @@
 from corkcrank.contracts import clock
 from corkcrank.reports.log_records import read_all
 from corkcrank.reports.resumptions import report_resumptions
-from corkcrank.scheduling.resumption_share import MIN_PRECEDING_STREAMS
+from corkcrank.scheduling.resumption_share import MIN_PRECEDING_STREAMS, ResumptionShare
 
 EVENTS = 6
 STAGES = [{"service": "encode", "since_revision": [], "byte_length": 1000}]
@@ -51,6 +51,14 @@
     return attempt
 
 
+def use_up_share(running: World) -> ResumptionShare:
+    """Give the tenant's precedence to other streams until none is left."""
+    share = running.nodes[0].services.resumption_share
+    while share.may_precede("tenant", 1, clock.now()):
+        pass
+    return share
+
+
 async def queue_at(running: World, encode: StandinStageWorker) -> list[asyncio.Task[int]]:
     """Have new calls wait for the stage worker; return the tasks with their statuses."""
     encode.gate = asyncio.Event()
@@ -109,6 +117,22 @@
         assert await asyncio.gather(*waiting) == [200] * len(waiting)
 
 
+async def test_a_resumed_stream_beyond_the_share_waits_at_the_stages_as_new_calls_do() -> None:
+    encode = StandinStageWorker()
+    async with gateway(encode) as running:
+        attempt = await begin(running)
+        waiting = await queue_at(running, encode)
+        use_up_share(running)
+        call = asyncio.create_task(running.call("/talk/x", headers=resumed(attempt, 5_000)))
+        await asyncio.sleep(0.2)
+        assert encode.gate is not None
+        encode.gate.set()
+        response = await call
+        body = await response.read()
+        assert (response.status, body.count(b"id:")) == (200, EVENTS - 2), body
+        assert await asyncio.gather(*waiting) == [200] * len(waiting)
+
+
 async def test_refused_calls_do_not_earn_precedence_for_resumed_ones() -> None:
     async with gateway(StandinStageWorker()) as running:
         for _ in range(8 * round(MIN_PRECEDING_STREAMS)):
--- a/tests/scheduling/test_resuming_fleet.py
+++ b/tests/scheduling/test_resuming_fleet.py
@@ -27,6 +27,10 @@
 MIN_SHARE_OF_NEW = 0.5
 """Least share of resumed streams that go on, of that of new streams that begin."""
 
+MIN_SHARE_IF_ALL_BREAK = 0.95
+"""The same if all streams break off, most of them beyond the share and judged as new ones. Some
+callers come back with less time than a new call has."""
+
 
 def resuming_fleet(gateways: int, seed: int = 1, **fields: object) -> ResumingFleet:
     load = heavy_load(0.5 if gateways == 3 else 2.0)
@@ -95,6 +99,18 @@
     assert greedy.streams["other"].in_time_share >= MIN_FAIR_SHARE * usual, greedy.streams
 
 
+@pytest.mark.parametrize("gateways", [6, 36])
+def test_streams_beyond_the_share_go_on_as_often_as_new_ones_begin(
+    gateways: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    fleet = prompt_fleet(gateways, 1)
+    fleet.broken_share = 1.0
+    for name, streams in run(fleet, monkeypatch).streams.items():
+        assert streams.resumed >= 12, name
+        usual = streams.begun_share
+        assert streams.continued_share >= MIN_SHARE_IF_ALL_BREAK * usual, (name, streams)
+
+
 def prompt_fleet(gateways: int, repeats: int) -> ResumingFleet:
     """Return a fleet without stages, with a more urgent route of another tenant."""
     load = scenario(
