An attempt that is not admitted gives its part of the share of precedence back

Seen: a caller whose resumed attempt was refused and that came back used its tenant's share once for each attempt. Callers that had waited for nothing used up the precedence of those that could be served.

Cause: precedence is recorded when the origin is found, before the call is judged. A refused call went before nobody and was counted like one that did.

Ruled out: giving back whenever a call is refused. A refusal may come with a claim, which reserves room at the rank of resumed streams; one stream named in many calls could hold many of them. A call that was admitted has waited before others and stays counted too, as does one whose caller leaves.

Change: `give_back` takes what is left of the call's weight out of the share when it is refused before its stages, unless a claim was issued. Its weight counts while the call is judged, so that calls that are judged together keep to the bound. Counting the prompt's tokens moves to the engine's assignment, where they are known.

Open: an attempt that is refused with a claim is counted there and where it comes back.

--- a/src/corkcrank/contracts/opaque_call.py
+++ b/src/corkcrank/contracts/opaque_call.py
@@ -108,6 +108,7 @@
     ``rejected_at`` holds when workers last rejected the call because they were full.
     ``claimed`` tells whether the caller was refused before and returned at the time told.
     ``precedence`` is set for a resumed stream that is served before new calls.
+    ``claim_issued`` tells whether its refusal reserves room for the caller's return.
     ``place_wait_seconds`` is how long the call has waited for places at brittle workers.
     """
 
@@ -132,6 +133,7 @@
     origin: StreamOrigin | None = None
     claimed: bool = False
     precedence: bool = False
+    claim_issued: bool = False
     unresponsive_workers: frozenset[str] = frozenset()
     left_workers: set[str] = field(default_factory=set)
     rejected_at: dict[str, float] = field(default_factory=dict)
--- a/src/corkcrank/node/returns/return_offers.py
+++ b/src/corkcrank/node/returns/return_offers.py
@@ -77,6 +77,7 @@
         pieces = tuple(ClaimedPieces(item.service, item.pieces) for item in demands)
         key = bytes.fromhex(call.fingerprint)
         keeper = self.keeper.issue(ReturnClaim(key, call.tenant, call.queue_rank, pieces, seconds))
+        call.claim_issued = True
         return self._tell(call, ReturnOffer.ISSUED, seconds, latest, keeper)
 
     def _tell(
--- a/src/corkcrank/node/streams/engine_assignment.py
+++ b/src/corkcrank/node/streams/engine_assignment.py
@@ -31,6 +31,14 @@
             self._statistics.reading -= self._unread
             self._unread = 0
 
+    def count_tokens(self, engine: WorkerRecord) -> None:
+        """Count the prompt's tokens that an engine has kept, and those that it will read."""
+        prompt = self._call.envelope.prompt
+        unread = self._services.engines.unread_tokens(engine.worker_id, prompt)
+        tokens = self._services.metrics.prompt_tokens
+        tokens.labels("read").inc(unread)
+        tokens.labels("kept").inc(max(0, prompt.tokens_in - unread))
+
     def clear(self) -> None:
         """Remove the call from the load of its engine."""
         if self._statistics is not None:
--- a/src/corkcrank/node/streams/stream_continuity.py
+++ b/src/corkcrank/node/streams/stream_continuity.py
@@ -38,6 +38,7 @@
         self._call = call
         self._services = services
         self._relayed = False
+        self._preceded_at = 0.0
 
     async def find_origin(self) -> Refusal | None:
         """Find the origin of a stream that the caller resumes; refuse the call if it is unknown.
@@ -55,13 +56,20 @@
                 ResultCode.STREAM_ORIGIN_UNKNOWN, retry_after=UNKNOWN_ORIGIN_RETRY_SECONDS
             )
         call.origin = origin
-        gateways = self._services.fleet.share_member_count()
-        call.precedence = share.may_precede(call.tenant, gateways, clock.now())
+        gateways, self._preceded_at = self._services.fleet.share_member_count(), clock.now()
+        call.precedence = share.may_precede(call.tenant, gateways, self._preceded_at)
         self._log_resumption(origin)
         if call.route.leads_to(origin.service):
             call.service = origin.service
         return None
 
+    def give_back_precedence(self) -> None:
+        """Take a call that was not admitted out of the share, unless a claim keeps room for it."""
+        call = self._call
+        if call.precedence and not call.claim_issued:
+            share = self._services.resumption_share
+            share.give_back(call.tenant, self._preceded_at, clock.now())
+
     def has_engine(self) -> bool:
         """Return whether the stream is new or a usable engine may continue it."""
         engines = self._services.mirror.workers.usable_workers(self._call.service)
--- a/src/corkcrank/node/streams/stream_run.py
+++ b/src/corkcrank/node/streams/stream_run.py
@@ -83,17 +83,11 @@
             return Refusal.draining("request arrived too late in the drain")
         if refusal := await self._continuity.find_origin():
             return refusal
-        if wait := await self._services.crash_watch.wait_for_verdict(self._call):
-            return self._quarantine_refusal(wait)
-        tokens = self._call.envelope.prompt.tokens_in
-        self._services.prompt_sizes.observe_prompt_size(self._call.route.name, tokens)
-        engines = self._admission.rank_engines()
-        if not engines:
-            return self._no_engine_refusal(ResultCode.NO_BACKEND)
-        engine = await self._admit(engines)
+        engine = await self._choose_engine()
         if isinstance(engine, Refusal):
+            self._continuity.give_back_precedence()
             return engine
-        self._count_tokens(engine)
+        self._assignment.count_tokens(engine)
         self._assignment.assign(engine)
         try:
             return await self._run_admitted(engine)
@@ -106,6 +100,17 @@
             if self._exchanges.stages is not None:
                 self._exchanges.stages.close()
 
+    async def _choose_engine(self) -> WorkerRecord | Refusal:
+        """Return the engine that the call is admitted for, or the refusal of the call."""
+        if wait := await self._services.crash_watch.wait_for_verdict(self._call):
+            return self._quarantine_refusal(wait)
+        tokens = self._call.envelope.prompt.tokens_in
+        self._services.prompt_sizes.observe_prompt_size(self._call.route.name, tokens)
+        engines = self._admission.rank_engines()
+        if not engines:
+            return self._no_engine_refusal(ResultCode.NO_BACKEND)
+        return await self._admit(engines)
+
     async def _admit(self, engines: list[WorkerRecord]) -> WorkerRecord | Refusal:
         """Return the engine that the stages are run for, or refuse the call immediately.
 
@@ -250,13 +255,6 @@
             self._services.metrics.forecast_ratio.observe((now - started) / forecast)
         return handles, now - started
 
-    def _count_tokens(self, engine: WorkerRecord) -> None:
-        prompt = self._call.envelope.prompt
-        unread = self._services.engines.unread_tokens(engine.worker_id, prompt)
-        tokens = self._services.metrics.prompt_tokens
-        tokens.labels("read").inc(unread)
-        tokens.labels("kept").inc(max(0, prompt.tokens_in - unread))
-
     def _prepare_next_engine(self, engine: WorkerRecord) -> None:
         """Schedule a rerun of freed stage results for the next engine, and log the failover."""
         stages = self._exchanges.stages
--- a/src/corkcrank/scheduling/resumption_share.py
+++ b/src/corkcrank/scheduling/resumption_share.py
@@ -66,6 +66,19 @@
         known.preceding += precedes
         return precedes
 
+    def give_back(self, tenant: str, preceded_at: float, now: float) -> None:
+        """Take back the record of a resumed stream that was refused before it preceded any call.
+
+        >>> share = ResumptionShare()
+        >>> while share.may_precede("t", 350, 0.0): pass
+        >>> share.give_back("t", 0.0, 1.0)
+        >>> [share.may_precede("t", 350, 1.0) for _ in range(2)]
+        [True, False]
+        """
+        known = self._decayed(tenant, now)
+        weight = math.exp(-max(0.0, now - preceded_at) / DECAY_SECONDS)
+        known.preceding = max(0.0, known.preceding - weight)
+
     def _decayed(self, tenant: str, now: float) -> _Streams:
         """Return a tenant's streams at a time; remove those of tenants without recent ones."""
         if tenant not in self._tenants:
--- a/tests/platform/test_resumptions.py
+++ b/tests/platform/test_resumptions.py
@@ -25,6 +25,9 @@
 PIECES = {"X-Corkcrank-Segments": "1", "X-Corkcrank-Segment-Key": "k"}
 NEW = {**PIECES, "X-Corkcrank-Token-Count": "20,5", "X-Corkcrank-Deadline-Ms": "8000"}
 
+HOPELESS_MS = 20
+"""Less than the work of the stages."""
+
 
 def resumed(attempt: str, left_ms: int) -> dict[str, str]:
     """Return the headers of a caller that resumes a stream with this much time left."""
@@ -133,6 +136,24 @@
         assert await asyncio.gather(*waiting) == [200] * len(waiting)
 
 
+async def test_refused_attempts_of_one_caller_do_not_use_up_the_share() -> None:
+    encode = StandinStageWorker()
+    async with gateway(encode) as running:
+        attempt = await begin(running)
+        waiting = await queue_at(running, encode)
+        for _ in range(2 * round(MIN_PRECEDING_STREAMS)):
+            response = await running.call("/talk/x", headers=resumed(attempt, HOPELESS_MS))
+            assert response.status == 503
+        services = running.nodes[0].services
+        share, gateways = services.resumption_share, services.fleet.share_member_count()
+        calls = round(MIN_PRECEDING_STREAMS / gateways)
+        given = sum(share.may_precede("tenant", gateways, clock.now()) for _ in range(calls))
+        assert given >= calls / 2
+        assert encode.gate is not None
+        encode.gate.set()
+        await asyncio.gather(*waiting)
+
+
 async def test_refused_calls_do_not_earn_precedence_for_resumed_ones() -> None:
     async with gateway(StandinStageWorker()) as running:
         for _ in range(8 * round(MIN_PRECEDING_STREAMS)):
