The rest of a stream waits for a place at the only engine of its version

Seen: a caller resumed a stream while the only engine of its software version was full for a moment.

Cause: an engine that has rejected a call is tried again only within an answer that has begun. A resumed call has no answer yet and was treated as a new one: a new call has other engines, the rest of a stream only those of its version.

Ruled out: the choice of engines (the other version's engine had places and must not be used); a longer way for new calls: at full engines they are tried at as many as their route allows and refused then, as before, and so is a resumed stream beyond its tenant's share.

Change: for the rest of a stream an engine may be tried again 0.8 s after its rejection, as within an answer, if a first event is expected before the deadline, and before a stop of the gateway. Each try spends a repeat of the retry budget. Nothing has run when it is refused in the end, so the refusal stays true.

A wait without enough time left, beyond the share, of a caller that leaves, and at a stop of the gateway end as before.

--- a/src/corkcrank/contracts/opaque_call.py
+++ b/src/corkcrank/contracts/opaque_call.py
@@ -82,7 +82,8 @@
 than the shortest time that is told."""
 
 REJECTED_SECONDS = 0.8
-"""Time after which a begun stream may return to a worker that was full: streams end meanwhile."""
+"""Time after which the rest of a stream may return to a worker that was full: others end meanwhile.
+"""
 
 MOST_URGENT_ROUTE = 0
 """The most urgent rank of a route."""
@@ -193,8 +194,8 @@
         return frozenset((*left, *self._workers_with_room_again()))
 
     def _workers_with_room_again(self) -> list[str]:
-        """Return the workers that rejected a begun stream long enough ago to have room now."""
-        if not self.answer_begun:
+        """Return the workers that rejected a stream's rest long enough ago to have room now."""
+        if not self.precedes:
             return []
         latest = clock.now() - REJECTED_SECONDS
         return [worker_id for worker_id, at in self.rejected_at.items() if at <= latest]
@@ -204,7 +205,7 @@
         """Return whether the call may be sent to a worker, now or once a full one may have room."""
         if self._may_try_new_worker or self.returnable_workers:
             return True
-        return self.answer_begun and bool(self.rejected_at)
+        return self.precedes and bool(self.rejected_at)
 
     def allows_attempt_at(self, worker: WorkerRecord) -> bool:
         """Return whether the route's maximum of attempts allows one at a worker.
--- a/src/corkcrank/node/streams/engine_turns.py
+++ b/src/corkcrank/node/streams/engine_turns.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from corkcrank.contracts import clock
-from corkcrank.contracts.opaque_call import OpaqueCall
+from corkcrank.contracts.opaque_call import REJECTED_SECONDS, OpaqueCall
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.links.decision_log import LogEvent
 from corkcrank.node.calls.services import CallServices
@@ -48,6 +48,24 @@
         self._may_wait = False
         return turn
 
+    async def wait_for_room(self) -> bool:
+        """Wait until an engine that rejected the rest of a stream may have room again.
+
+        Returns false at once if the call is not the rest of a stream, or if none may continue it
+        then. A new call has every engine to begin at, the rest of a stream those of its version.
+        """
+        call = self._call
+        if not call.precedes or not call.rejected_at:
+            return False
+        seconds = max(0.0, min(call.rejected_at.values()) + REJECTED_SECONDS - clock.now())
+        end_at = clock.now() + seconds + self._admission.first_event_seconds()
+        if end_at >= call.end_at or not self._admission.ends_before_stop(seconds):
+            return False
+        if not self._admission.may_continue_later():
+            return False
+        await asyncio.sleep(seconds)
+        return True
+
     def _patience(self) -> PromptPatience:
         """Return how the call may wait in a queue of prompts.
 
--- a/src/corkcrank/node/streams/stream_run.py
+++ b/src/corkcrank/node/streams/stream_run.py
@@ -144,7 +144,7 @@
             if end is RelayEnd.CALLER_GONE:
                 raise CallerDisconnectedError
             failed = engine
-            engine = self._next_engine(failed)
+            engine = await self._next_engine(failed)
             if engine is None:
                 break
             self._prepare_next_engine(failed)
@@ -160,11 +160,13 @@
             end = await self._exchanges.continue_at(begun)
         return end
 
-    def _next_engine(self, failed: WorkerRecord) -> WorkerRecord | None:
+    async def _next_engine(self, failed: WorkerRecord) -> WorkerRecord | None:
         """Return the engine to prepare next, or ``None`` if the call must not be sent again."""
-        if clock.now() >= self._call.end_at:
+        if clock.now() >= self._call.end_at or not self._exchanges.may_try_another:
             return None
-        return self._usable_or_other(failed) if self._exchanges.may_try_another else None
+        if engine := self._usable_or_other(failed):
+            return engine
+        return self._usable_or_other(failed) if await self._turns.wait_for_room() else None
 
     async def _confirm_engine(self, chosen: WorkerRecord) -> WorkerRecord | None:
         """Return the engine to send the call to now, or ``None`` if it must not be sent."""
