--- a/src/corkcrank/contracts/opaque_call.py
+++ b/src/corkcrank/contracts/opaque_call.py
@@ -82,7 +82,8 @@
 than the shortest time that is told."""
 
 REJECTED_SECONDS = 0.8
-"""Time after which a begun stream may return to a worker that was full: streams end meanwhile."""
+"""Time after which the rest of a stream may return to a worker that was full: others end meanwhile.
+"""
 
 MOST_URGENT_ROUTE = 0
 """The most urgent rank of a route."""
@@ -108,6 +109,7 @@
     ``rejected_at`` holds when workers last rejected the call because they were full.
     ``claimed`` tells whether the caller was refused before and returned at the time told.
     ``precedence`` is set for a resumed stream that is served before new calls.
+    ``claim_issued`` tells whether its refusal reserves room for the caller's return.
     ``place_wait_seconds`` is how long the call has waited for places at brittle workers.
     """
 
@@ -132,6 +134,7 @@
     origin: StreamOrigin | None = None
     claimed: bool = False
     precedence: bool = False
+    claim_issued: bool = False
     unresponsive_workers: frozenset[str] = frozenset()
     left_workers: set[str] = field(default_factory=set)
     rejected_at: dict[str, float] = field(default_factory=dict)
@@ -191,8 +194,8 @@
         return frozenset((*left, *self._workers_with_room_again()))
 
     def _workers_with_room_again(self) -> list[str]:
-        """Return the workers that rejected a begun stream long enough ago to have room now."""
-        if not self.answer_begun:
+        """Return the workers that rejected a stream's rest long enough ago to have room now."""
+        if not self.precedes:
             return []
         latest = clock.now() - REJECTED_SECONDS
         return [worker_id for worker_id, at in self.rejected_at.items() if at <= latest]
@@ -202,7 +205,7 @@
         """Return whether the call may be sent to a worker, now or once a full one may have room."""
         if self._may_try_new_worker or self.returnable_workers:
             return True
-        return self.answer_begun and bool(self.rejected_at)
+        return self.precedes and bool(self.rejected_at)
 
     def allows_attempt_at(self, worker: WorkerRecord) -> bool:
         """Return whether the route's maximum of attempts allows one at a worker.
@@ -224,10 +227,13 @@
 
     @property
     def returning(self) -> bool:
-        """Return whether this is probably a retry by a caller that was refused before."""
+        """Return whether this is probably a retry by a caller that was refused before.
+
+        The budget shows it, except that of a resumed stream, whose caller has used time to read.
+        """
         budget = self.envelope.budget_seconds
-        if budget is None:
-            return False
+        if budget is None or self.resumes_stream:
+            return self.claimed
         return self.claimed or budget < MIN_FIRST_ATTEMPT_BUDGET_SHARE * self.route.timeout
 
     @property
@@ -241,9 +247,12 @@
 
     @property
     def seconds_since_first_attempt(self) -> float:
-        """Return the seconds since the caller's first attempt; 0 if this is the first."""
+        """Return the seconds since the caller's first attempt at what it asks for now.
+
+        They are 0 if this is the first, or if it resumes a stream: the caller has had a part since.
+        """
         budget = self.envelope.budget_seconds
-        if budget is None or not self.returning:
+        if budget is None or self.resumes_stream or not self.returning:
             return 0.0
         return max(0.0, self.route.timeout - budget)
 
