--- a/src/corkcrank/node/streams/engine_turns.py
+++ b/src/corkcrank/node/streams/engine_turns.py
@@ -59,7 +59,8 @@
             return False
         seconds = max(0.0, min(call.rejected_at.values()) + REJECTED_SECONDS - clock.now())
         end_at = clock.now() + seconds + self._admission.first_event_seconds()
-        if end_at >= call.end_at or not self._admission.ends_before_stop(seconds):
+        self._admission.drain.expect_ready(seconds)
+        if end_at >= call.end_at or not self._admission.drain.fits():
             return False
         if not self._admission.may_continue_later():
             return False
