--- a/src/corkcrank/links/json_arrays.py
+++ b/src/corkcrank/links/json_arrays.py
@@ -21,8 +21,7 @@
 _CLOSED_BY = {b"[": b"]", b"{": b"}"}
 _CLOSING = frozenset(_CLOSED_BY.values())
 _COMMA, _QUOTE = b",", b'"'
-_BOUNDARY = (b"{", b",", b"}")
-"""What stands before the quote that begins the next object's first name, from the end."""
+_BOUNDARY_AS_STRING = re.compile(rb"\}\s*,\s*\{\s*\"\Z")
 
 
 def cut_array(name: str, text: bytes) -> tuple[bytes, bytes]:
@@ -41,18 +40,17 @@
     return text[: start.end()] + text[end:], text[start.end() : end].strip()
 
 
-def split_elements(text: bytes, max_elements: int) -> Steps[list[bytes] | None]:
+def split_elements(text: bytes) -> Steps[list[bytes] | None]:
     r"""Return the texts of the elements between the brackets of an array, which may be no JSON.
 
     They are the texts between the commas that stand outside of all brackets and strings. ``None``
-    if there are too many, or if a bracket or quote has no counterpart, since any of these commas
-    may then be wrong. Behind a quote without counterpart, the ends of objects seem to be ends of
-    strings.
+    if a bracket or quote has no counterpart, since any of these commas may then be wrong. Behind a
+    quote without counterpart, the ends of objects seem to be ends of strings.
 
     >>> from corkcrank.links.time_slices import run_at_once
-    >>> run_at_once(split_elements(rb'{"a":"},{\""},[[{}]], {"b":"\x"}', 3))
+    >>> run_at_once(split_elements(rb'{"a":"},{\""},[[{}]], {"b":"\x"}'))
     [b'{"a":"},{\\""}', b'[[{}]]', b'{"b":"\\x"}']
-    >>> run_at_once(split_elements(b'{"a":[},{"b":1}', 3)), run_at_once(split_elements(b' ', 3))
+    >>> run_at_once(split_elements(b'{"a":[},{"b":1}')), run_at_once(split_elements(b' '))
     (None, [])
     """
     elements: list[bytes] = []
@@ -69,30 +67,14 @@
                 return None
         elif mark == _COMMA:
             if not open_brackets:
-                if len(elements) >= max_elements:
-                    return None
                 elements.append(text[start : token.start()].strip())
                 start = token.end()
-        elif mark == _QUOTE or _ends_as_boundary(mark):
+        elif mark == _QUOTE or _BOUNDARY_AS_STRING.search(mark) is not None:
             return None
     elements.append(text[start:].strip())
     return None if open_brackets else [element for element in elements if element]
 
 
-def _ends_as_boundary(string: bytes) -> bool:
-    """Return whether a string ends as the text between two objects does.
-
-    >>> [_ends_as_boundary(string) for string in (b'":7} , {"', b'"},{x"', b'"')]
-    [True, False, False]
-    """
-    rest = string[:-1].rstrip()
-    for mark in _BOUNDARY:
-        if not rest.endswith(mark):
-            return False
-        rest = rest[:-1].rstrip()
-    return True
-
-
 def find_lowest_text(name: str, text: bytes, first: str) -> str | None:
     r"""Return the lowest text from ``first`` on of the first members with a name.
 
--- a/src/corkcrank/platform/store.py
+++ b/src/corkcrank/platform/store.py
@@ -23,7 +23,7 @@
     ignore_silence,
 )
 from corkcrank.links.strict_json import decode_strictly
-from corkcrank.links.time_slices import run_in_slices
+from corkcrank.links.time_slices import run_at_once
 from corkcrank.platform import names
 from corkcrank.platform.call_headers import MILLISECONDS_PER_SECOND
 from corkcrank.platform.store_pages import decode_page
@@ -204,7 +204,7 @@
 async def _decode_page(body: bytes | StoreFailure, max_rows: int) -> RowPage | StoreFailure:
     if isinstance(body, StoreFailure):
         return body
-    page = await run_in_slices(decode_page(body, max_rows))
+    page = run_at_once(decode_page(body, max_rows))
     if isinstance(page, Unreadable):
         return StoreFailure(StoreFailureReason.BROKEN, page.reason, undecodable=True)
     return page
--- a/src/corkcrank/platform/store_pages.py
+++ b/src/corkcrank/platform/store_pages.py
@@ -69,7 +69,7 @@
     The text of a page of one row is that of the row, whatever it holds.
     """
     if max_rows > 1:
-        return (yield from split_elements(text, max_rows))
+        return (yield from split_elements(text))
     return [text] if text else []
 
 
--- a/tests/platform/local_store.py
+++ b/tests/platform/local_store.py
@@ -11,16 +11,17 @@
 
 
 class LocalStore(PlatformStore):
-    """Reads the tables of a stand-in; other tasks run before each answer, as on a network."""
+    """Reads the tables of a stand-in; ``calls`` counts the pages."""
 
     def __init__(self, standin: StandinStore) -> None:
         super().__init__(cast("Any", None), "127.0.0.1:1", 1.0)
         self._standin = standin
+        self.calls = 0
 
     async def _call(
         self, method: str, path: str, query: dict[str, str] | None, data: Any, timeout: float
     ) -> bytes:
-        await asyncio.sleep(0)
+        self.calls += 1
         request = cast("Any", SimpleNamespace(query=query))
         if path == "/rows-get":
             response = self._standin._get(request)
