--- a/src/corkcrank/links/json_arrays.py
+++ b/src/corkcrank/links/json_arrays.py
@@ -4,61 +4,45 @@
 brackets alone. Takes linear time, without recursion.
 """
 
-import itertools
 import re
 
 from corkcrank.links.strict_json import decode_strictly
-from corkcrank.links.time_slices import Steps
-
-TOKENS_PER_STEP = 1_000
-"""Number of brackets, commas and strings after which a separation may be interrupted."""
-
-MAX_COMPARED_TEXTS = 1_000
-"""Maximum number of texts among which the lowest is sought."""
 
 _TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*+"|[\[\]{},"]', re.DOTALL)
 _STRING = rb'("(?:[^"\\]|\\.)*+")'
 _CLOSED_BY = {b"[": b"]", b"{": b"}"}
 _CLOSING = frozenset(_CLOSED_BY.values())
 _COMMA, _QUOTE = b",", b'"'
+_OBJECT_BOUNDARY = re.compile(rb"(?<=\})\s*,|,\s*(?=\{\s*\")")
 _BOUNDARY_AS_STRING = re.compile(rb"\}\s*,\s*\{\s*\"\Z")
 
 
-def cut_array(name: str, text: bytes) -> tuple[bytes, bytes]:
-    """Return an object without the elements of an array, and their text.
+def split_elements(text: bytes) -> list[bytes]:
+    r"""Return the texts of the elements between the brackets of an array, which may be no JSON.
 
-    The array is the first member with a name, and nothing behind it holds another. Both are empty
-    if there is none.
+    Where a bracket or quote has no counterpart, elements begin and end wherever an object may.
 
-    >>> cut_array("a", b'{"a" : [1, [2] ], "b": 3}'), cut_array("a", b'{"a":1}')
-    ((b'{"a" : [], "b": 3}', b'1, [2]'), (b'', b''))
+    >>> split_elements(rb'{"a":"},{\""},[[{}]],{"b":"\x"}')
+    [b'{"a":"},{\\""}', b'[[{}]]', b'{"b":"\\x"}']
+    >>> split_elements(b'{"a":[},{"b":1}'), split_elements(b' ')
+    ([b'{"a":[}', b'{"b":1}'], [])
     """
-    start = re.search(b'"' + re.escape(name.encode()) + rb'"\s*:\s*\[', text)
-    end = text.rfind(b"]")
-    if start is None or end < start.end():
-        return b"", b""
-    return text[: start.end()] + text[end:], text[start.end() : end].strip()
+    elements = _split_by_brackets(text)
+    if elements is None:
+        elements = _OBJECT_BOUNDARY.split(text)
+    return [element.strip() for element in elements if element.strip()]
 
 
-def split_elements(text: bytes) -> Steps[list[bytes] | None]:
-    r"""Return the texts of the elements between the brackets of an array, which may be no JSON.
-
-    They are the texts between the commas that stand outside of all brackets and strings. ``None``
-    if a bracket or quote has no counterpart, since any of these commas may then be wrong. Behind a
-    quote without counterpart, the ends of objects seem to be ends of strings.
+def _split_by_brackets(text: bytes) -> list[bytes] | None:
+    """Return the texts between the commas that stand outside of all brackets and strings.
 
-    >>> from corkcrank.links.time_slices import run_at_once
-    >>> run_at_once(split_elements(rb'{"a":"},{\""},[[{}]], {"b":"\x"}'))
-    [b'{"a":"},{\\""}', b'[[{}]]', b'{"b":"\\x"}']
-    >>> run_at_once(split_elements(b'{"a":[},{"b":1}')), run_at_once(split_elements(b' '))
-    (None, [])
+    ``None`` if a bracket or quote has no counterpart, since any of these commas may then be wrong.
+    Behind a quote without counterpart, the ends of objects seem to be ends of strings.
     """
     elements: list[bytes] = []
     open_brackets: list[bytes] = []
     start = 0
-    for number, token in enumerate(_TOKEN.finditer(text)):
-        if number % TOKENS_PER_STEP == 0:
-            yield
+    for token in _TOKEN.finditer(text):
         mark = token[0]
         if mark in _CLOSED_BY:
             open_brackets.append(_CLOSED_BY[mark])
@@ -67,16 +51,15 @@
                 return None
         elif mark == _COMMA:
             if not open_brackets:
-                elements.append(text[start : token.start()].strip())
+                elements.append(text[start : token.start()])
                 start = token.end()
         elif mark == _QUOTE or _BOUNDARY_AS_STRING.search(mark) is not None:
             return None
-    elements.append(text[start:].strip())
-    return None if open_brackets else [element for element in elements if element]
+    return None if open_brackets else [*elements, text[start:]]
 
 
 def find_lowest_text(name: str, text: bytes, first: str) -> str | None:
-    r"""Return the lowest text from ``first`` on of the first members with a name.
+    r"""Return the lowest text from ``first`` on of all members with a name.
 
     They may be at any depth of what may be no JSON.
 
@@ -84,8 +67,7 @@
     '2'
     """
     member = re.compile(b'"' + re.escape(name.encode()) + rb'"\s*:\s*' + _STRING, re.DOTALL)
-    members = itertools.islice(member.finditer(bytes(text)), MAX_COMPARED_TEXTS)
-    found = (decode_strictly(match[1], str) for match in members)
+    found = (decode_strictly(match[1], str) for match in member.finditer(bytes(text)))
     return min((item for item in found if isinstance(item, str) and item >= first), default=None)
 
 
--- a/src/corkcrank/links/key_ranges.py
+++ b/src/corkcrank/links/key_ranges.py
@@ -8,11 +8,6 @@
 
 MAX_KEY_CHARACTERS = 200
 
-MAX_PAGE_ROWS = 500
-"""Maximum number of rows that one request reads."""
-
-SHRINK_FACTOR = 8
-
 MAX_HALVINGS = 64
 """Maximum number of halvings, each after a page without a readable row."""
 
@@ -40,25 +35,15 @@
     def __init__(self, first: str = "", end: str | None = None) -> None:
         self.first = first
         self.end = end
-        self.page_rows = MAX_PAGE_ROWS
-        """Maximum number of rows of the next page."""
         self._halvings = 0
         self._wrong_guesses = 0
         self._later_ends: list[str | None] = []
 
-    def shrink_pages(self) -> None:
-        """Read smaller pages from now on, as one cannot be separated into rows; at last one row."""
-        self.page_rows = max(1, self.page_rows // SHRINK_FACTOR)
-
-    def _grow_pages(self) -> None:
-        self.page_rows = min(MAX_PAGE_ROWS, self.page_rows * 2)
-
     def advance(self, last: str | None, last_row: bytes) -> bool:
         """Continue after the last readable key of a page; return whether it was possible.
 
         Without one, halve the range; the text of the page's last row may tell where.
         """
-        self._grow_pages()
         if last is None:
             return self._halve(find_lowest_text("key", last_row, self.first))
         if last < self.first or (self.end is not None and last >= self.end):
@@ -68,7 +53,6 @@
 
     def skip_range(self, *, was_empty: bool = False) -> bool:
         """Continue behind the range; return whether any keys remain."""
-        self._grow_pages()
         if not was_empty:
             self._wrong_guesses = 0
         if self.end is None or not self._later_ends:
--- a/src/corkcrank/platform/store.py
+++ b/src/corkcrank/platform/store.py
@@ -13,7 +13,6 @@
     Unreadable,
 )
 from corkcrank.links.received_bytes import OversizedMessageError, Purpose, ReceivedBytes
-from corkcrank.links.row_pages import CollectedRows, RowPage
 from corkcrank.links.silence import (
     ConnectionKind,
     SilenceListener,
@@ -23,13 +22,12 @@
     ignore_silence,
 )
 from corkcrank.links.strict_json import decode_strictly
-from corkcrank.links.time_slices import run_at_once
 from corkcrank.platform import names
 from corkcrank.platform.call_headers import MILLISECONDS_PER_SECOND
-from corkcrank.platform.store_pages import decode_page
+from corkcrank.platform.store_pages import Page, PageRows, decode_page
 
-MAX_FEED_ROWS = 20_000
-"""Maximum number of changes in one answer; a whole table is read instead of more."""
+MAX_PAGE_ROWS = 500
+"""Maximum number of rows that one request reads."""
 
 _TABLES = {
     StoreTable.CONFIGURATION: names.OPERATOR_TABLE,
@@ -86,32 +84,29 @@
         Pages are read at different revisions. The result has the revision of the first one, so
         that changes made while the others were read appear among the changes since then.
         """
-        found = CollectedRows()
+        found = PageRows()
         revision: int | None = None
         keys = KeyCursor(key, key + "\x00" if key else None)
         while True:
             page = await self._read_page(table, keys)
             if isinstance(page, StoreFailure):
                 return page
-            revision = page.revision if revision is None else revision
-            if not page.is_separable:
-                keys.shrink_pages()
-                continue
+            revision = page.ver if revision is None else revision
             last = found.add_page(page)
             if not page.more:
                 if not keys.skip_range(was_empty=not page.rows):
                     return found.to_store_rows(revision, page)
-            elif not page.rows or not keys.advance(last, page.last_text):
+            elif not page.rows or not keys.advance(last, page.rows[-1]):
                 return StoreFailure(StoreFailureReason.BROKEN, "no readable row to continue from")
 
-    async def _read_page(self, table: StoreTable, keys: KeyCursor) -> RowPage | StoreFailure:
-        query = {"table": _TABLES[table], "part": "", "limit": str(keys.page_rows)}
+    async def _read_page(self, table: StoreTable, keys: KeyCursor) -> Page | StoreFailure:
+        query = {"table": _TABLES[table], "part": "", "limit": str(MAX_PAGE_ROWS)}
         if keys.first:
             query["source"] = keys.first
         if keys.end is not None:
             query["target_version"] = keys.end
         body = await self._call("GET", names.ROWS_GET_PATH, query, None, self._timeout)
-        return await _decode_page(body, keys.page_rows)
+        return _decode_page(body)
 
     async def watch(
         self, table: StoreTable, since: int, wait_seconds: float
@@ -127,14 +122,11 @@
         }
         timeout = wait_seconds + self._timeout
         body = await self._call("GET", names.ROWS_FEED_PATH, query, None, timeout)
-        page = await _decode_page(body, MAX_FEED_ROWS)
-        if isinstance(page, StoreFailure):
+        if isinstance(page := _decode_page(body), StoreFailure):
             return page
-        if not page.is_separable:
-            return StoreFailure(StoreFailureReason.HISTORY_GONE, "rows cannot be separated")
-        found = CollectedRows()
+        found = PageRows()
         found.add_page(page)
-        return found.to_store_rows(page.revision, page)
+        return found.to_store_rows(page.ver, page)
 
     async def put(self, table: StoreTable, key: str, value: bytes) -> int | StoreFailure:
         """Write one row unconditionally; return its revision."""
@@ -201,10 +193,10 @@
     return StoreFailure(StoreFailureReason.REFUSED, f"status {status}")
 
 
-async def _decode_page(body: bytes | StoreFailure, max_rows: int) -> RowPage | StoreFailure:
+def _decode_page(body: bytes | StoreFailure) -> Page | StoreFailure:
     if isinstance(body, StoreFailure):
         return body
-    page = run_at_once(decode_page(body, max_rows))
+    page = decode_page(body)
     if isinstance(page, Unreadable):
         return StoreFailure(StoreFailureReason.BROKEN, page.reason, undecodable=True)
     return page
--- a/src/corkcrank/platform/store_pages.py
+++ b/src/corkcrank/platform/store_pages.py
@@ -2,22 +2,22 @@
 
 Any writer of a table may leave a row that no JSON decoder accepts, for example one that nests too
 deeply. Such a row makes the whole page undecodable, so its rows are then separated by their
-brackets alone, and decoded one by one. Objects within a row whose brackets are not in pairs could
-be taken for rows, so such a page must be read again in smaller ones.
+brackets alone, and decoded one by one.
 """
 
-from collections.abc import Sequence
+import re
+from dataclasses import dataclass, field
 
 import msgspec
 
 from corkcrank.contracts.bounded_values import Revision
-from corkcrank.links.json_arrays import cut_array, find_outer_text, split_elements
-from corkcrank.links.platform_ports import StoreRow, Unreadable
-from corkcrank.links.row_pages import RowPage
+from corkcrank.links.json_arrays import find_outer_text, split_elements
+from corkcrank.links.platform_ports import StoreRow, StoreRows, Unreadable
 from corkcrank.links.strict_json import decode_strictly
-from corkcrank.links.time_slices import Steps
 from corkcrank.platform.call_headers import MILLISECONDS_PER_SECOND
 
+_ROWS_START = re.compile(rb'"rows"\s*:\s*\[')
+
 
 class _Row(msgspec.Struct):
     key: str
@@ -32,7 +32,7 @@
     key: str
 
 
-class _Page(msgspec.Struct):
+class Page(msgspec.Struct):
     """Rows of one answer, not decoded yet; ``ver`` is the revision of the store."""
 
     ver: Revision
@@ -41,39 +41,49 @@
     more: bool = False
 
 
-def decode_page(body: bytes, max_rows: int) -> Steps[RowPage | Unreadable]:
-    """Return a page of up to ``max_rows`` rows, or why it is unreadable even without its rows."""
-    page = decode_strictly(body, _Page)
-    rows: Sequence[bytes | msgspec.Raw] | None = None
-    if not isinstance(page, Unreadable) and len(page.rows) <= max_rows:
-        rows = page.rows
-    else:
-        frame, text = cut_array("rows", body)
-        page = decode_strictly(frame, _Page)
-        if isinstance(page, Unreadable):
-            return page
-        rows = yield from _separate_rows(text, max_rows)
-    if rows is None or len(rows) > max_rows:
-        return RowPage(page.ver, is_separable=False)
-    decoded: list[StoreRow | Unreadable] = []
-    for row in rows:
-        decoded.append(_decode_row(row, page.ver))
-        yield
-    at, last_text = page.now_ms / MILLISECONDS_PER_SECOND, bytes(rows[-1]) if rows else b""
-    return RowPage(page.ver, tuple(decoded), at, page.more, last_text)
-
-
-def _separate_rows(text: bytes, max_rows: int) -> Steps[Sequence[bytes] | None]:
-    """Return the texts of rows, ``None`` if it is not certain where they end.
-
-    The text of a page of one row is that of the row, whatever it holds.
-    """
-    if max_rows > 1:
-        return (yield from split_elements(text))
-    return [text] if text else []
-
-
-def _decode_row(raw: bytes | msgspec.Raw, newest: int) -> StoreRow | Unreadable:
+@dataclass(slots=True)
+class PageRows:
+    """The rows of one or more pages."""
+
+    rows: list[StoreRow] = field(default_factory=list)
+    nameless: list[Unreadable] = field(default_factory=list)
+
+    def add_page(self, page: Page) -> str | None:
+        """Decode and add the rows of a page; return the key after which the next page begins.
+
+        It is the last one of a readable row, as keys of others may be wrong. If more follow, rows
+        after it are not added, as they are read again.
+        """
+        decoded = [_decode_row(raw, page.ver) for raw in page.rows]
+        last = None
+        while page.more and decoded and (last := _readable_key(decoded[-1])) is None:
+            decoded.pop()
+        self.rows += [row for row in decoded if isinstance(row, StoreRow)]
+        self.nameless += [row for row in decoded if isinstance(row, Unreadable)]
+        return last
+
+    def to_store_rows(self, revision: int, page: Page) -> StoreRows:
+        """Return all rows as of a revision, with the store time of a page."""
+        at = page.now_ms / MILLISECONDS_PER_SECOND
+        return StoreRows(tuple(self.rows), revision, at, tuple(self.nameless))
+
+
+def decode_page(body: bytes) -> Page | Unreadable:
+    """Return a page, or why it is unreadable even without its rows."""
+    page = decode_strictly(body, Page)
+    if not isinstance(page, Unreadable):
+        return page
+    start, end = _ROWS_START.search(body), body.rfind(b"]")
+    if start is None or end < start.end():
+        return page
+    frame = decode_strictly(body[: start.end()] + body[end:], Page)
+    if isinstance(frame, Unreadable):
+        return page
+    frame.rows = [msgspec.Raw(row) for row in split_elements(body[start.end() : end])]
+    return frame
+
+
+def _decode_row(raw: msgspec.Raw, newest: int) -> StoreRow | Unreadable:
     """Return a row, a row with a key and an unreadable value, or why even the key is unreadable.
 
     A row with an unreadable revision, or one newer than that of the answer, gets that of the
@@ -98,7 +108,7 @@
     return None if isinstance(row, Unreadable) or isinstance(row.value, Unreadable) else row.key
 
 
-def _find_key(raw: bytes | msgspec.Raw) -> str | None:
+def _find_key(raw: msgspec.Raw) -> str | None:
     """Return the key of an unreadable row, ``None`` if it cannot be read either."""
     named = decode_strictly(raw, _RowKeyOnly)
     return find_outer_text("key", raw) if isinstance(named, Unreadable) else named.key
