--- a/src/corkcrank/links/json_arrays.py
+++ b/src/corkcrank/links/json_arrays.py
@@ -58,17 +58,15 @@
     return None if open_brackets else [*elements, text[start:]]
 
 
-def find_lowest_text(name: str, text: bytes, first: str) -> str | None:
-    r"""Return the lowest text from ``first`` on of all members with a name.
+def find_texts(name: str, text: bytes) -> list[str]:
+    r"""Return the readable texts of all members with a name, at any depth of what may be no JSON.
 
-    They may be at any depth of what may be no JSON.
-
-    >>> find_lowest_text("a", rb'{"a":"1","b":[{"a" : "\x"},{"a":"3"},{"a":"2"', "2")
-    '2'
+    >>> find_texts("a", rb'{"a":"1","b":[{"a" : "\x"},{"a":"2"')
+    ['1', '2']
     """
     member = re.compile(b'"' + re.escape(name.encode()) + rb'"\s*:\s*' + _STRING, re.DOTALL)
     found = (decode_strictly(match[1], str) for match in member.finditer(bytes(text)))
-    return min((item for item in found if isinstance(item, str) and item >= first), default=None)
+    return [item for item in found if isinstance(item, str)]
 
 
 def find_outer_text(name: str, text: bytes) -> str | None:
--- a/src/corkcrank/platform/store.py
+++ b/src/corkcrank/platform/store.py
@@ -4,7 +4,6 @@
 import msgspec
 
 from corkcrank.contracts.bounded_values import Revision
-from corkcrank.links.key_ranges import KeyCursor
 from corkcrank.links.platform_ports import (
     StoreFailure,
     StoreFailureReason,
@@ -29,6 +28,9 @@
 MAX_PAGE_ROWS = 500
 """Maximum number of rows that one request reads."""
 
+MAX_UNREADABLE_PAGES = 20
+"""Maximum number of pages without a readable row in one read."""
+
 _TABLES = {
     StoreTable.CONFIGURATION: names.OPERATOR_TABLE,
     StoreTable.WORKERS: names.WORKER_TABLE,
@@ -86,27 +88,22 @@
         """
         found = PageRows()
         revision: int | None = None
-        keys = KeyCursor(key, key + "\x00" if key else None)
+        query = {"table": _TABLES[table], "part": "", "limit": str(MAX_PAGE_ROWS)}
+        if key:
+            query |= {"source": key, "target_version": key + "\x00"}
         while True:
-            page = await self._read_page(table, keys)
+            body = await self._call("GET", names.ROWS_GET_PATH, query, None, self._timeout)
+            page = _decode_page(body)
             if isinstance(page, StoreFailure):
                 return page
             revision = page.ver if revision is None else revision
-            last = found.add_page(page)
+            source = query.get("source", "")
+            last = found.add_page(page, source)
             if not page.more:
-                if not keys.skip_range(was_empty=not page.rows):
-                    return found.to_store_rows(revision, page)
-            elif not page.rows or not keys.advance(last, page.rows[-1]):
+                return found.to_store_rows(revision, page)
+            if last is None or last < source or found.unreadable_pages > MAX_UNREADABLE_PAGES:
                 return StoreFailure(StoreFailureReason.BROKEN, "no readable row to continue from")
-
-    async def _read_page(self, table: StoreTable, keys: KeyCursor) -> Page | StoreFailure:
-        query = {"table": _TABLES[table], "part": "", "limit": str(MAX_PAGE_ROWS)}
-        if keys.first:
-            query["source"] = keys.first
-        if keys.end is not None:
-            query["target_version"] = keys.end
-        body = await self._call("GET", names.ROWS_GET_PATH, query, None, self._timeout)
-        return _decode_page(body)
+            query["source"] = last + "\x00"
 
     async def watch(
         self, table: StoreTable, since: int, wait_seconds: float
--- a/src/corkcrank/platform/store_pages.py
+++ b/src/corkcrank/platform/store_pages.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from corkcrank.contracts.bounded_values import Revision
-from corkcrank.links.json_arrays import find_outer_text, split_elements
+from corkcrank.links.json_arrays import find_outer_text, find_texts, split_elements
 from corkcrank.links.platform_ports import StoreRow, StoreRows, Unreadable
 from corkcrank.links.strict_json import decode_strictly
 from corkcrank.platform.call_headers import MILLISECONDS_PER_SECOND
@@ -47,20 +47,26 @@
 
     rows: list[StoreRow] = field(default_factory=list)
     nameless: list[Unreadable] = field(default_factory=list)
+    unreadable_pages: int = 0
 
-    def add_page(self, page: Page) -> str | None:
-        """Decode and add the rows of a page; return the key after which the next page begins.
+    def add_page(self, page: Page, source: str = "") -> str | None:
+        """Decode and add the rows of a page that begins at a key, ``source``.
 
-        It is the last one of a readable row, as keys of others may be wrong. If more follow, rows
-        after it are not added, as they are read again.
+        Return the key after which the next page begins: the last one of a readable row, as keys of
+        others may be wrong. On a page of unreadable rows it is the lowest that may be the last's.
         """
-        decoded = [_decode_row(raw, page.ver) for raw in page.rows]
-        last = None
-        while page.more and decoded and (last := _readable_key(decoded[-1])) is None:
-            decoded.pop()
-        self.rows += [row for row in decoded if isinstance(row, StoreRow)]
-        self.nameless += [row for row in decoded if isinstance(row, Unreadable)]
-        return last
+        readable = None
+        for raw in page.rows:
+            row = _decode_row(raw, page.ver)
+            if isinstance(row, Unreadable):
+                self.nameless.append(row)
+                continue
+            self.rows.append(row)
+            readable = readable if isinstance(row.value, Unreadable) else row.key
+        if readable is not None or not page.rows:
+            return readable
+        self.unreadable_pages += 1
+        return min((key for key in find_texts("key", page.rows[-1]) if key >= source), default=None)
 
     def to_store_rows(self, revision: int, page: Page) -> StoreRows:
         """Return all rows as of a revision, with the store time of a page."""
@@ -104,10 +110,6 @@
     return StoreRow(row.key, row.value, row.ver)
 
 
-def _readable_key(row: StoreRow | Unreadable) -> str | None:
-    return None if isinstance(row, Unreadable) or isinstance(row.value, Unreadable) else row.key
-
-
 def _find_key(raw: msgspec.Raw) -> str | None:
     """Return the key of an unreadable row, ``None`` if it cannot be read either."""
     named = decode_strictly(raw, _RowKeyOnly)
