Odd documents raise only typed errors in the decoders of the own interface

What callers saw: nothing yet; found by a list of odd values. A row of the table with an odd head, lease or configuration ended the loop of a daemon; a claim that nests deeply gave a call 500 and ended the task that records its outcome; an intent that nests deeply, a header that is no text, and a digit like a superscript two in a path gave 500.

Cause: decoders caught the errors of a document of the wrong shape, not the recursion error of a deep one, or none at all. Integers had no bound, though messages to peers hold 64 bits.

Messages of Cap'n Proto have tests of their own and are protected by a checksum; they were not looked at again.

Change: documents are decoded by the decoder that never raises, or raise the one error that is named; integers that are sent on are bounded where they are decoded. An answer of the table about other rows than asked counts as none. A claim or a lease that cannot be read is not taken for an absent one: the call counts as unanswered, and the lease that was known stays.

Conclusion: what the own interface cannot read is refused or passed over by the reader, in its own terms.

--- a/src/corkcrank/contracts/bounded_values.py
+++ b/src/corkcrank/contracts/bounded_values.py
@@ -23,6 +23,21 @@
 PlainName = Annotated[PlainText, msgspec.Meta(min_length=1)]
 
 
+MAX_UNSIGNED = (1 << 64) - 1
+
+
+def parse_unsigned(text: str, highest: int = MAX_UNSIGNED) -> int | None:
+    """Return a decimal number up to a highest one, ``None`` if the text is none.
+
+    >>> [parse_unsigned(text) for text in ("17", "", "-1", "\u00b2", "9" * 20, "0" * 5000)]
+    [17, None, None, None, None, None]
+    """
+    if not (text.isascii() and text.isdigit() and len(text) <= len(str(highest))):
+        return None
+    number = int(text)
+    return number if number <= highest else None
+
+
 def is_header_token(text: str) -> bool:
     """Return whether a text is a valid value of a header: graphic ASCII characters, no spaces.
 
--- a/src/corkcrank/contracts/configuration.py
+++ b/src/corkcrank/contracts/configuration.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from corkcrank.contracts.bounded_values import Revision, WholeNumber
 from corkcrank.contracts.identifiers import PipelineName, ServiceName, TenantName, WorkerId
 
 
@@ -27,7 +28,7 @@
     """A paid priority level of tenants; a lower ``rank`` is served first."""
 
     name: str
-    rank: int
+    rank: WholeNumber
 
 
 class Tenant(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -68,7 +69,7 @@
     name: PipelineName
     stages: tuple[Stage, ...]
     deadline_seconds: float
-    max_tokens: int = 64
+    max_tokens: WholeNumber = 64
 
 
 class Placement(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -81,7 +82,7 @@
 class Configuration(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """One complete version of the shared configuration."""
 
-    version: int
+    version: Revision
     tiers: tuple[Tier, ...] = ()
     tenants: tuple[Tenant, ...] = ()
     services: tuple[Service, ...] = ()
@@ -118,6 +119,10 @@
         return self._pipelines.get(PipelineName(name))
 
 
+class ConfigurationDecodeError(ValueError):
+    """A document that is no configuration."""
+
+
 def digest_api_key(api_key: str) -> str:
     """Return the SHA-256 hex digest under which an API key is stored.
 
@@ -133,8 +138,11 @@
 
 
 def decode_configuration(data: bytes) -> Configuration:
-    """Return the configuration encoded in ``data``; raises ``msgspec.ValidationError``."""
-    return msgspec.json.decode(data, type=Configuration)
+    """Return the configuration encoded in ``data``; raises :class:`ConfigurationDecodeError`."""
+    try:
+        return msgspec.json.decode(data, type=Configuration)
+    except (ValueError, RecursionError) as error:
+        raise ConfigurationDecodeError(str(error)) from error
 
 
 def validate_configuration(configuration: Configuration) -> tuple[str, ...]:
--- a/src/corkcrank/contracts/messages.py
+++ b/src/corkcrank/contracts/messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from corkcrank.contracts.bounded_values import Revision, WholeNumber
 from corkcrank.contracts.identifiers import (
     AttemptId,
     RequestId,
@@ -64,7 +65,7 @@
     """
 
     attempt: AttemptId
-    index: int
+    index: WholeNumber
     token: str = ""
     last: bool = False
     busy_seconds: float = 0.0
@@ -99,12 +100,12 @@
 
     worker: WorkerId
     leaving: bool
-    running: int
-    waiting: int
-    slots: int
+    running: WholeNumber
+    waiting: WholeNumber
+    slots: WholeNumber
     boot: str = ""
     models: tuple[str, ...] = ()
-    fence: int = 0
+    fence: Revision = 0
 
 
 class WorkerEntry(msgspec.Struct, frozen=True):
@@ -121,7 +122,7 @@
 class MachineList(msgspec.Struct, frozen=True):
     """The platform's list of back ends; ``version`` increases with each change."""
 
-    version: int
+    version: Revision
     workers: tuple[WorkerEntry, ...]
 
 
--- a/src/corkcrank/contracts/plans.py
+++ b/src/corkcrank/contracts/plans.py
@@ -9,6 +9,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from corkcrank.contracts.bounded_values import Revision
 from corkcrank.contracts.configuration import (
     Configuration,
     Pipeline,
@@ -76,7 +77,7 @@
     """A plan as stored in the table."""
 
     plan_id: str
-    base_version: int
+    base_version: Revision
     state: PlanState
     intent: Intent
     changes: tuple[str, ...]
--- a/src/corkcrank/controller/planning.py
+++ b/src/corkcrank/controller/planning.py
@@ -15,6 +15,7 @@
 from corkcrank.contracts import clock, table_keys
 from corkcrank.contracts.configuration import (
     Configuration,
+    ConfigurationDecodeError,
     decode_configuration,
     encode_configuration,
 )
@@ -29,6 +30,8 @@
     to_plan_view,
 )
 from corkcrank.contracts.result_codes import Failure, ResultCode
+from corkcrank.links.platform_ports import Unreadable
+from corkcrank.links.strict_json import decode_strictly
 from corkcrank.links.table import Committed, Condition, Row, Table, Unanswered, Write
 from corkcrank.machines.member import head_version
 
@@ -80,7 +83,9 @@
         plan_row, head_row = read.rows
         if plan_row.value is None:
             return Error(Failure(ResultCode.PLAN_UNKNOWN, plan_id))
-        plan = msgspec.json.decode(plan_row.value, type=PlanRow)
+        plan = decode_strictly(plan_row.value.encode(), PlanRow)
+        if isinstance(plan, Unreadable):
+            return Error(Failure(ResultCode.PLAN_UNKNOWN, f"{plan_id}: {plan.reason}"))
         if plan.state == PlanState.CONFIRMED:
             return Ok(_answer(ResultCode.OK, plan.base_version + 1, None))
         if head_version(head_row) != plan.base_version:
@@ -153,12 +158,18 @@
         if isinstance(head, Unanswered):
             return None
         version = head_version(head.rows[0])
+        if version is None:
+            return None
         if version == 0:
             return _Head(head.rows[0], Configuration(version=0))
         document = await self._table.read((table_keys.configuration_document_key(version),))
         if isinstance(document, Unanswered) or document.rows[0].value is None:
             return None
-        return _Head(head.rows[0], decode_configuration(document.rows[0].value.encode()))
+        try:
+            configuration = decode_configuration(document.rows[0].value.encode())
+        except ConfigurationDecodeError:
+            return None
+        return _Head(head.rows[0], configuration)
 
 
 def _answer(code: ResultCode, version: int, fresh_plan: PlanView | None) -> ConfirmAnswer:
--- a/src/corkcrank/controller/routes.py
+++ b/src/corkcrank/controller/routes.py
@@ -1,15 +1,18 @@
 """The controller's HTTP routes for operators and for the lease holders of other zones."""
 
-from typing import TypeVar
+from typing import TypeVar, cast
 
 import msgspec
 from aiohttp import web
 from expression import Result
 
+from corkcrank.contracts.bounded_values import parse_unsigned
 from corkcrank.contracts.plans import Intent
 from corkcrank.contracts.result_codes import Failure, ResultCode
 from corkcrank.controller.planning import Planner
 from corkcrank.controller.zone_holder import ZoneHolder
+from corkcrank.links.platform_ports import Unreadable
+from corkcrank.links.strict_json import decode_strictly
 from corkcrank.machines.member import MemberAgent
 
 _BodyT = TypeVar("_BodyT", bound=msgspec.Struct)
@@ -72,10 +75,9 @@
         )
 
     async def _create_plan(self, request: web.Request) -> web.Response:
-        try:
-            intent = msgspec.json.decode(await request.read(), type=Intent)
-        except msgspec.DecodeError as error:
-            return _failure(Failure(ResultCode.INTENT_INVALID, str(error)))
+        intent = decode_strictly(await request.read(), cast("type[Intent]", Intent))
+        if isinstance(intent, Unreadable):
+            return _failure(Failure(ResultCode.INTENT_INVALID, intent.reason))
         return _respond(await self._planner.create_plan(intent))
 
     async def _confirm(self, request: web.Request) -> web.Response:
@@ -106,8 +108,8 @@
         return _json(status, 200)
 
     async def _summary(self, request: web.Request) -> web.Response:
-        known = request.match_info["known"]
-        body = self._holder.encoded_summary(int(known) if known.isdigit() else 0)
+        known = parse_unsigned(request.match_info["known"])
+        body = self._holder.encoded_summary(known or 0)
         if body is None:
             return web.Response(status=404)
         return web.Response(body=body, content_type="application/octet-stream")
--- a/src/corkcrank/controller/zone_holder.py
+++ b/src/corkcrank/controller/zone_holder.py
@@ -22,8 +22,9 @@
     decode_heartbeat,
     encode_digest,
 )
-from corkcrank.links.table import Committed, Condition, Conflicted, Row, Table, Unanswered, Write
-from corkcrank.machines.leases import Lease, LeaseRow, WriteLease, ZoneLease
+from corkcrank.links.platform_ports import Unreadable
+from corkcrank.links.table import Committed, Condition, Conflicted, Table, Unanswered, Write
+from corkcrank.machines.leases import Lease, LeaseRow, WriteLease, ZoneLease, decode_lease
 from corkcrank.machines.member import MemberAgent
 from corkcrank.machines.orders import required_orders
 from corkcrank.zones.peer_messages import Enclosures, HeartbeatReply, KnownTables
@@ -152,7 +153,9 @@
             return
         now = clock.now()
         for zone, row in zip(zones, outcome.rows, strict=True):
-            lease_row = _decode_lease(row)
+            lease_row = decode_lease(row.value)
+            if isinstance(lease_row, Unreadable):
+                continue
             if zone == self.zone:
                 self.lease.record_row(lease_row, row.revision, now)
             elif lease_row is not None:
@@ -176,7 +179,9 @@
                     self._log.info("Lease taken.", zone=self.zone, fence=write.row.fence)
                 self.lease.record_write(write, rows[0].revision, sent_at)
             case Conflicted(rows=rows):
-                self.lease.record_row(_decode_lease(rows[0]), rows[0].revision, clock.now())
+                found = decode_lease(rows[0].value)
+                if not isinstance(found, Unreadable):
+                    self.lease.record_row(found, rows[0].revision, clock.now())
             case Unanswered():
                 return
 
@@ -251,7 +256,3 @@
     def _zone_workers(self) -> tuple[WorkerEntry, ...]:
         listed = self.state.machine_list.workers or self._agent.view.tables.directory.workers
         return tuple(row for row in listed if row.zone == self.zone)
-
-
-def _decode_lease(row: Row) -> LeaseRow | None:
-    return msgspec.json.decode(row.value, type=LeaseRow) if row.value is not None else None
--- a/src/corkcrank/gateway/claim_store.py
+++ b/src/corkcrank/gateway/claim_store.py
@@ -11,6 +11,8 @@
     TableUnanswered,
 )
 from corkcrank.links.claim_writer import ClaimWriter
+from corkcrank.links.platform_ports import Unreadable
+from corkcrank.links.strict_json import decode_strictly
 from corkcrank.links.table import Committed, Conflicted, Row, Table, Unanswered
 
 RECORD_PAUSE_SECONDS = 0.5
@@ -75,6 +77,9 @@
     return msgspec.json.encode(row).decode()
 
 
-def _seen(row: Row) -> RowSeen:
-    decoded = msgspec.json.decode(row.value, type=ClaimRow) if row.value is not None else None
-    return RowSeen(decoded, row.revision)
+def _seen(row: Row) -> RowSeen | TableUnanswered:
+    """Return what a row shows; nothing if it is unreadable, as the call may then have run."""
+    if row.value is None:
+        return RowSeen(None, row.revision)
+    decoded = decode_strictly(row.value.encode(), ClaimRow)
+    return TableUnanswered() if isinstance(decoded, Unreadable) else RowSeen(decoded, row.revision)
--- a/src/corkcrank/gateway/request_reader.py
+++ b/src/corkcrank/gateway/request_reader.py
@@ -1,11 +1,12 @@
 """Parses headers and bodies of callers' requests into typed values or failures."""
 
-import msgspec
 from aiohttp import web
 from expression import Error, Ok, Result
 
 from corkcrank.contracts.messages import PipelineRequest
 from corkcrank.contracts.result_codes import Failure, ResultCode
+from corkcrank.links.platform_ports import Unreadable
+from corkcrank.links.strict_json import decode_strictly
 
 DEADLINE_HEADER = "Corkcrank-Deadline-Ms"
 """Header with the deadline in milliseconds after the request's arrival."""
@@ -26,7 +27,7 @@
 def read_api_key(request: web.Request) -> str:
     """Return the bearer token, or an empty string."""
     scheme, _, token = request.headers.get("Authorization", "").partition(" ")
-    return token.strip() if scheme.lower() == "bearer" else ""
+    return token.strip() if scheme.lower() == "bearer" and _is_text(token) else ""
 
 
 def read_deadline_seconds(request: web.Request, default: float) -> Result[float, Failure]:
@@ -50,6 +51,8 @@
     key = request.headers.get(KEY_HEADER, "")
     if len(key) > MAX_KEY_LENGTH:
         return Error(_malformed(f"{KEY_HEADER} is longer than {MAX_KEY_LENGTH}"))
+    if not _is_text(key):
+        return Error(_malformed(f"{KEY_HEADER} is not a text"))
     return Ok(key)
 
 
@@ -66,10 +69,9 @@
 
 def read_pipeline_request(body: bytes) -> Result[PipelineRequest, Failure]:
     """Return the decoded body of a pipeline request."""
-    try:
-        decoded = msgspec.json.decode(body, type=PipelineRequest)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return Error(_malformed(str(error)))
+    decoded = decode_strictly(body, PipelineRequest)
+    if isinstance(decoded, Unreadable):
+        return Error(_malformed(decoded.reason))
     if decoded.max_tokens is not None and not 1 <= decoded.max_tokens <= MAX_TOKENS:
         return Error(_malformed(f"max_tokens must be from 1 to {MAX_TOKENS}"))
     return Ok(decoded)
@@ -83,5 +85,10 @@
         return Error(_malformed(str(error)))
 
 
+def _is_text(header: str) -> bool:
+    """Return whether the bytes of a header were a text: others are decoded to surrogates."""
+    return not any("\ud800" <= character <= "\udfff" for character in header)
+
+
 def _malformed(detail: str) -> Failure:
     return Failure(ResultCode.MALFORMED_REQUEST, detail)
--- a/src/corkcrank/links/back_ends.py
+++ b/src/corkcrank/links/back_ends.py
@@ -43,6 +43,10 @@
 """Timeout for a plain service; the wait continues in the background after the deadline."""
 
 
+READ_ERRORS = (TimeoutError, aiohttp.ClientError, OSError, ValueError, RecursionError)
+"""What reading and decoding an answer may raise; decoding a deeply nested one recurses."""
+
+
 @dataclass(frozen=True, slots=True)
 class NotSent:
     """A call of which no byte left this process, or which the back end refused before any work."""
@@ -122,7 +126,7 @@
                     yield msgspec.json.decode(line, type=TokenChunk)
         except aiohttp.ClientConnectorError as error:
             raise BackEndError(str(error), sent=sent) from error
-        except (TimeoutError, aiohttp.ClientError, LineTooLong, OSError, ValueError) as error:
+        except (*READ_ERRORS, LineTooLong) as error:
             raise BackEndError(type(error).__name__, sent=True) from error
 
     async def cancel_attempt(self, address: str, attempt: str) -> None:
@@ -166,7 +170,7 @@
                 self._traffic.record_exchange(0, len(content))
                 decoded = msgspec.json.decode(content, type=MachineList)
                 self._machine_list_tag = response.headers.get("ETag", "")
-        except (TimeoutError, aiohttp.ClientError, OSError, ValueError):
+        except READ_ERRORS:
             return None
         self._machine_list = decoded
         return decoded
@@ -193,7 +197,7 @@
                 return msgspec.json.decode(content, type=answer_type)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return NotSent(type(error).__name__)
-        except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
+        except READ_ERRORS as error:
             return PossiblySent(type(error).__name__)
 
     async def _get(
@@ -207,7 +211,7 @@
                 return msgspec.json.decode(content, type=answer_type)
         except aiohttp.ClientConnectorError as error:
             return NotSent(type(error).__name__)
-        except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
+        except READ_ERRORS as error:
             return PossiblySent(type(error).__name__)
 
 
--- a/src/corkcrank/links/http_table.py
+++ b/src/corkcrank/links/http_table.py
@@ -5,7 +5,9 @@
 import aiohttp
 import msgspec
 
+from corkcrank.links.platform_ports import Unreadable
 from corkcrank.links.received_bytes import OversizedMessageError, Purpose, ReceivedBytes
+from corkcrank.links.strict_json import decode_strictly
 from corkcrank.links.table import (
     CommitAnswer,
     CommitRequest,
@@ -41,7 +43,10 @@
         answer = await self._post("/read", ReadRequest(tuple(keys)))
         if isinstance(answer, Unanswered):
             return answer
-        return Rows(msgspec.json.decode(answer, type=ReadAnswer).rows)
+        decoded = decode_strictly(answer, ReadAnswer)
+        if isinstance(decoded, Unreadable) or [row.key for row in decoded.rows] != [*keys]:
+            return Unanswered("unreadable answer")
+        return Rows(decoded.rows)
 
     async def commit(
         self, conditions: Sequence[Condition], writes: Sequence[Write]
@@ -50,8 +55,15 @@
         answer = await self._post("/commit", CommitRequest(tuple(conditions), tuple(writes)))
         if isinstance(answer, Unanswered):
             return answer
-        decoded = msgspec.json.decode(answer, type=CommitAnswer)
-        return Committed(decoded.rows) if decoded.committed else Conflicted(decoded.rows)
+        decoded = decode_strictly(answer, CommitAnswer)
+        if isinstance(decoded, Unreadable):
+            return Unanswered("unreadable answer")
+        keys = {row.key for row in decoded.rows}
+        if decoded.committed and keys >= {write.key for write in writes}:
+            return Committed(decoded.rows)
+        if not decoded.committed and keys & {condition.key for condition in conditions}:
+            return Conflicted(decoded.rows)
+        return Unanswered("answer about other rows")
 
     async def _post(self, path: str, body: msgspec.Struct) -> bytes | Unanswered:
         data = msgspec.json.encode(body)
--- a/src/corkcrank/links/table.py
+++ b/src/corkcrank/links/table.py
@@ -10,12 +10,14 @@
 
 import msgspec
 
+from corkcrank.contracts.bounded_values import Revision
+
 
 class Row(msgspec.Struct, frozen=True):
     """One row as read; revision zero and no value mean that it does not exist."""
 
     key: str
-    revision: int
+    revision: Revision
     value: str | None
 
 
--- a/src/corkcrank/machines/leases.py
+++ b/src/corkcrank/machines/leases.py
@@ -10,7 +10,10 @@
 
 import msgspec
 
+from corkcrank.contracts.bounded_values import Revision
 from corkcrank.contracts.identifiers import Address, MemberId
+from corkcrank.links.platform_ports import Unreadable
+from corkcrank.links.strict_json import decode_strictly
 
 LEASE_SECONDS = 3.0
 """Duration of a lease."""
@@ -27,8 +30,16 @@
 
     holder: MemberId
     address: Address
-    fence: int
-    renewal: int
+    fence: Revision
+    renewal: Revision
+
+
+def decode_lease(value: str | None) -> LeaseRow | Unreadable | None:
+    """Return the lease of a row's value, ``None`` if there is no row, or why it is unreadable.
+
+    The fence of an unreadable one is unknown, so it must not be taken for an absent one.
+    """
+    return None if value is None else decode_strictly(value.encode(), LeaseRow)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/corkcrank/machines/member.py
+++ b/src/corkcrank/machines/member.py
@@ -5,13 +5,19 @@
 """
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Awaitable, Callable, Coroutine
 
 import msgspec
 
 from corkcrank.contracts import clock, table_keys
-from corkcrank.contracts.configuration import Configuration, decode_configuration
+from corkcrank.contracts.bounded_values import MAX_REVISION, parse_unsigned
+from corkcrank.contracts.configuration import (
+    Configuration,
+    ConfigurationDecodeError,
+    decode_configuration,
+)
 from corkcrank.contracts.identifiers import Address
 from corkcrank.contracts.messages import LoadReport
 from corkcrank.contracts.settings import Settings
@@ -23,7 +29,7 @@
     decode_heartbeat,
 )
 from corkcrank.links.table import Row, Table, Unanswered
-from corkcrank.machines.leases import LeaseRow
+from corkcrank.machines.leases import LeaseRow, decode_lease
 from corkcrank.machines.member_view import DIGEST_STALE_SECONDS, MemberView
 from corkcrank.machines.relay import HOLDER_POSITION, DigestRelay
 from corkcrank.zones.digest import ZoneDigest
@@ -113,9 +119,12 @@
             await self._confirm_with_peer()
             return
         head, lease = outcome.rows
-        self.view.adoption.record_confirmed_version(head_version(head), asked_at)
-        if lease.value is not None:
-            self.view.lease = msgspec.json.decode(lease.value, type=LeaseRow)
+        version = head_version(head)
+        if version is not None:
+            self.view.adoption.record_confirmed_version(version, asked_at)
+        known = decode_lease(lease.value)
+        if isinstance(known, LeaseRow):
+            self.view.lease = known
         await self.fetch_wanted_configuration(None)
 
     async def _confirm_with_peer(self) -> None:
@@ -146,7 +155,8 @@
     ) -> Configuration | None:
         outcome = await self.table.read((table_keys.configuration_document_key(version),))
         if not isinstance(outcome, Unanswered) and outcome.rows[0].value is not None:
-            return decode_configuration(outcome.rows[0].value.encode())
+            with contextlib.suppress(ConfigurationDecodeError):
+                return decode_configuration(outcome.rows[0].value.encode())
         for address in self._peer_addresses(reporter):
             configuration = await self.peers.pull_configuration(address, version)
             if configuration is not None and configuration.version >= version:
@@ -273,6 +283,9 @@
     return max(MIN_PAUSE_SECONDS, interval - (clock.now() - started))
 
 
-def head_version(head: Row) -> int:
-    """Return the version in the configuration's head row, or 0 if the row is absent."""
-    return int(head.value) if head.value is not None else 0
+def head_version(head: Row) -> int | None:
+    """Return the version in the configuration's head row, 0 if the row is absent.
+
+    ``None`` if it is unreadable.
+    """
+    return parse_unsigned(head.value, MAX_REVISION) if head.value is not None else 0
--- a/src/corkcrank/machines/peer_routes.py
+++ b/src/corkcrank/machines/peer_routes.py
@@ -8,6 +8,7 @@
 from aiohttp.typedefs import Handler
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
+from corkcrank.contracts.bounded_values import MAX_REVISION, parse_unsigned
 from corkcrank.contracts.configuration import encode_configuration
 from corkcrank.links.peer_codec import (
     PeerDecodeError,
@@ -88,8 +89,8 @@
 
     async def _send_configuration(self, request: web.Request) -> web.Response:
         index = self._agent.view.adoption.index
-        wanted = request.match_info["version"]
-        if index is None or not wanted.isdigit() or index.configuration.version < int(wanted):
+        wanted = parse_unsigned(request.match_info["version"], MAX_REVISION)
+        if index is None or wanted is None or index.configuration.version < wanted:
             return web.Response(status=HTTPStatus.NOT_FOUND)
         return web.Response(
             body=encode_configuration(index.configuration), content_type="application/json"
