A wrong revision that a peer reports no longer freezes the state of a zone

What callers saw: after a report that a zone is evacuated, or is not, with a revision far above that of the store, the operator's rows of that zone had no effect any more: its workers got nothing, or got what they must not.

Cause: the state of a zone with the highest revision counts, and the operator's later rows looked older.

The list of workers was mended before by the comparison with the store's own revision.

Change: the same comparison covers the states of zones. Refuted ones become older than any row, peers' reports of them are refused, and the table is read again by every gateway that found them wrong.

Conclusion: workers and zones are held to the store's own revision. Versions of the configuration are the operator's, and are not compared.

--- a/src/corkcrank/contracts/zone_evacuations.py
+++ b/src/corkcrank/contracts/zone_evacuations.py
@@ -66,6 +66,24 @@
         self._update_evacuated()
         return tuple(changed)
 
+    @property
+    def newest_revision(self) -> int:
+        """Return the highest revision of a state."""
+        return max((state.revision for state in self._states.values()), default=0)
+
+    def discard_after(self, revision: int) -> None:
+        """Make states of later revisions older than any other; a full read must follow.
+
+        >>> zones = ZoneEvacuations()
+        >>> changed = zones.apply_states([ZoneState("a", 99, True)])
+        >>> zones.discard_after(7)
+        >>> zones.replace_all([], 8)
+        (ZoneState(zone='a', revision=8, evacuated=False),)
+        """
+        for state in list(self._states.values()):
+            if state.revision > revision:
+                self._states[state.zone] = ZoneState(state.zone, 0, state.evacuated)
+
     def states_to_report(self) -> tuple[ZoneState, ...]:
         """Return the states for heartbeats, in an order that is the same at all members."""
         return tuple(self._states[zone] for zone in sorted(self._states))
--- a/src/corkcrank/machines/revision_check.py
+++ b/src/corkcrank/machines/revision_check.py
@@ -1,4 +1,4 @@
-"""Finds revisions in the list of workers that a peer reported and that the store never reached.
+"""Finds revisions of workers and zones that a peer reported and that the store never reached.
 
 Later changes would be ignored as older. The answers of the store are linearizable and name its
 newest revision, so a revision that was known before a request cannot be higher than that of the
@@ -10,6 +10,7 @@
 
 from corkcrank.contracts import clock
 from corkcrank.contracts.worker_records import WorkerList, WorkerRecord
+from corkcrank.contracts.zone_evacuations import ZoneEvacuations, ZoneState
 from corkcrank.links.decision_log import DecisionLog, LogEvent
 from corkcrank.links.platform_ports import (
     MetadataStore,
@@ -36,13 +37,15 @@
         self,
         store: MetadataStore,
         workers: WorkerList,
-        recent_changes: RecentWorkerChanges,
+        evacuations: ZoneEvacuations,
         election: StoreFollowerElection,
         log: DecisionLog,
     ) -> None:
         self._store = store
         self._workers = workers
-        self._recent_changes = recent_changes
+        self._evacuations = evacuations
+        self.recent_changes = RecentWorkerChanges()
+        """The changes that are reported to peers."""
         self._election = election
         self._log = log
         self._confirmed = 0
@@ -50,15 +53,16 @@
         self._refuted_at = 0.0
         self.refuted_from: int | None = None
         """Lowest revision that the store was found not to have reached."""
-        self.is_doubted = False
-        """Whether the store must be asked about the list."""
+        self._doubted: set[StoreTable] = set()
 
     async def read(self, table: StoreTable) -> StoreRows | StoreFailure:
-        """Return all rows of a table; discard what the list has of later revisions before."""
-        claimed = self._workers.newest_revision
+        """Return all rows of a table; discard before what is known of later revisions."""
+        claimed = self._newest_revision
         answer = await self._store.read(table)
-        if table is StoreTable.WORKERS and isinstance(answer, StoreRows):
-            self._compare(claimed, answer.revision)
+        if isinstance(answer, StoreRows):
+            self._doubted.discard(table)
+            if table is StoreTable.WORKERS:
+                self._compare(claimed, answer.revision)
         return answer
 
     async def watch(
@@ -68,23 +72,36 @@
 
         A whole read decides, since the revision of partial changes may be lower than the newest.
         """
-        claimed = self._workers.newest_revision
+        if table is StoreTable.CONFIGURATION and self.must_ask(table):
+            return StoreFailure(StoreFailureReason.HISTORY_GONE)
+        claimed = self._newest_revision
         answer = await self._store.watch(table, since, wait_seconds)
         if table is StoreTable.WORKERS and isinstance(answer, StoreRows):
             if answer.revision < claimed:
                 return StoreFailure(StoreFailureReason.HISTORY_GONE)
+            self._doubted.discard(table)
             self._compare(claimed, answer.revision)
         return answer
 
+    @property
+    def _newest_revision(self) -> int:
+        return max(self._workers.newest_revision, self._evacuations.newest_revision)
+
+    def must_ask(self, table: StoreTable) -> bool:
+        """Return whether the store must be asked about a table, whoever follows it."""
+        return table in self._doubted
+
     def accepts(self, revision: int) -> bool:
         """Return whether a peer may report a revision: the store was not found to be below it."""
         if self.refuted_from is None or revision < self.refuted_from:
             return True
         if clock.now() - self._refuted_at > RECHECK_SECONDS:
-            self.is_doubted = True
+            self._doubted.add(StoreTable.WORKERS)
         return False
 
-    def accepts_all(self, revision: int, rows: Iterable[WorkerChange | WorkerRecord]) -> bool:
+    def accepts_all(
+        self, revision: int, rows: Iterable[WorkerChange | WorkerRecord | ZoneState]
+    ) -> bool:
         """Return whether a peer may report rows as of a revision, with those of their own."""
         return self.accepts(max([revision, *(row.revision for row in rows)]))
 
@@ -93,18 +110,18 @@
 
         A revision that the store confirmed here needs no other proof.
         """
-        known, now = self._workers.newest_revision, clock.now()
+        known, now = self._newest_revision, clock.now()
         if known <= self._confirmed:
             self._settling = None
         elif self._settling is None:
             self._settling = now, known
         elif now - self._settling[0] > SETTLE_SECONDS and self._election.is_elected(member, now):
-            self.is_doubted |= revision < self._settling[1]
+            if revision < self._settling[1]:
+                self._doubted.add(StoreTable.WORKERS)
             self._settling = None
 
     def _compare(self, claimed: int, revision: int) -> None:
         """Compare what was known before a request with the revision of its answer."""
-        self.is_doubted = False
         self._confirmed = max(self._confirmed, revision)
         if self.refuted_from is not None:
             self._refuted_at = clock.now()
@@ -117,5 +134,7 @@
         self.refuted_from = min(claimed, self.refuted_from or claimed)
         self._refuted_at = clock.now()
         self._workers.discard_after(revision)
-        self._recent_changes.clear()
+        self._evacuations.discard_after(revision)
+        self._doubted.add(StoreTable.CONFIGURATION)
+        self.recent_changes.clear()
         self._log.write(LogEvent.REVISION_REFUTED, revision=claimed, store_revision=revision)
--- a/src/corkcrank/machines/store_mirror.py
+++ b/src/corkcrank/machines/store_mirror.py
@@ -31,7 +31,6 @@
 from corkcrank.machines.warming_workers import WarmingWorkers
 from corkcrank.machines.worker_changes import (
     EntryListener,
-    RecentWorkerChanges,
     WorkerChange,
     WorkerChangeBatch,
 )
@@ -75,8 +74,8 @@
         self.workers_cursor: int | None = None
         self._reachable: dict[StoreTable, bool] = {}
         self.call_counts: Counter[str] = Counter()
-        self.recent_changes = RecentWorkerChanges()
-        self.revisions = RevisionCheck(store, self.workers, self.recent_changes, election, log)
+        self.revisions = RevisionCheck(store, self.workers, self.evacuations, election, log)
+        self.recent_changes = self.revisions.recent_changes
         self._lapsed = LapsedEntries()
 
     @property
@@ -163,9 +162,9 @@
 
     def is_follower(self, table: StoreTable) -> bool:
         """Return whether this gateway polls the store for a table."""
-        doubted = table is StoreTable.WORKERS and self.revisions.is_doubted
         answered_at = self.answered_at.get(table, float("-inf"))
-        return doubted or self._election.should_follow_table(table, answered_at, clock.now())
+        follows = self._election.should_follow_table(table, answered_at, clock.now())
+        return follows or self.revisions.must_ask(table)
 
     def apply_answer(self, table: StoreTable, answer: StoreRows, *, whole: bool) -> None:
         """Apply an answer of the store: all rows, or those changed after an earlier answer."""
--- a/src/corkcrank/node/membership/heartbeats.py
+++ b/src/corkcrank/node/membership/heartbeats.py
@@ -266,7 +266,9 @@
             changes = usable_changes(heartbeat.worker_changes)
             self._apply_worker_changes(changes, heartbeat.name, now)
         self._mirror.revisions.record_peer_revision(heartbeat.name, heartbeat.workers_revision)
-        if self._mirror.apply_zone_states(heartbeat.zone_states, f"peer {heartbeat.name}"):
+        accepts = self._mirror.revisions.accepts
+        zones = tuple(state for state in heartbeat.zone_states if accepts(state.revision))
+        if self._mirror.apply_zone_states(zones, f"peer {heartbeat.name}"):
             self.request_forwarding()
         self._loads.apply_peer_report(heartbeat.name, heartbeat.call_loads)
         self._forecast_bias.apply_peer_report(heartbeat.name, heartbeat.forecast_ratios, now)
--- a/tests/platform/test_wrong_revisions.py
+++ b/tests/platform/test_wrong_revisions.py
@@ -12,6 +12,8 @@
 
 from corkcrank.contracts import clock
 from corkcrank.contracts.worker_records import WorkerRecord
+from corkcrank.contracts.zone_evacuations import ZoneState
+from corkcrank.links.platform_ports import StoreTable
 from corkcrank.load.loopback import loopback_address
 from corkcrank.machines import revision_check, store_followers
 from corkcrank.machines.heartbeat_codec import encode_heartbeat
@@ -40,7 +42,9 @@
     return {worker.name for worker in node.mirror.workers.usable_workers("plain")}
 
 
-def report(running: World, batch: WorkerChangeBatch) -> None:
+def report(
+    running: World, batch: WorkerChangeBatch | None, zone_states: tuple[ZoneState, ...] = ()
+) -> None:
     """Send all gateways a heartbeat of another member."""
     sender = running.nodes[-1]
     sound = sender.heartbeats._build_heartbeat(clock.now())
@@ -49,7 +53,8 @@
         name="another",
         address=f"{loopback_address(3)}:9",
         worker_changes=batch,
-        workers_revision=batch.revision,
+        workers_revision=batch.revision if batch is not None else sound.workers_revision,
+        zone_states=zone_states,
     )
     for node in running.nodes:
         sender.heartbeats.send_datagram(encode_heartbeat(beat), node.fleet.local_address)
@@ -100,6 +105,32 @@
         await followed_again(running, worker.worker_id)
 
 
+@pytest.mark.parametrize("followers", [1, 4])
+@pytest.mark.parametrize("evacuated", [True, False])
+async def test_a_wrong_revision_of_a_peer_does_not_freeze_the_state_of_a_zone(
+    evacuated: bool, followers: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The reported state is the opposite of the operator's."""
+    monkeypatch.setattr(store_followers, "MIN_FOLLOWERS", followers)
+    monkeypatch.setattr(revision_check, "SETTLE_SECONDS", 0.5)
+    worker = StandinWorker()
+    async with two_gateways(worker) as running:
+        states = [node.mirror.evacuations for node in running.nodes]
+        if not evacuated:
+            running.store.put("op", "evacuate/z1", b"")
+            await until(lambda: all("z1" in state.evacuated for state in states))
+        for _ in range(2):
+            report(running, None, (ZoneState("z1", WRONG, evacuated),))
+            await asyncio.sleep(0.1)
+        running.store.remove("op", "evacuate/z2")
+        await until(lambda: all(("z1" in state.evacuated) != evacuated for state in states))
+        await asyncio.sleep(0.5)
+        assert all(("z1" in state.evacuated) != evacuated for state in states)
+        expected = {worker.worker_id} if evacuated else set()
+        assert all(usable(node) == expected for node in running.nodes)
+        assert all(state.newest_revision <= running.store.revision for state in states)
+
+
 async def test_a_revision_that_the_store_reaches_later_is_accepted(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -129,6 +160,6 @@
             entry = {**worker.entry("plain"), "sequence": number}
             running.store.put("servers", worker.worker_id, entry)
             await asyncio.sleep(0.02)
-            assert not any(check.is_doubted for check in checks)
+            assert not any(check.must_ask(StoreTable.WORKERS) for check in checks)
             if clock.now() > ends_at:
                 break
