Tests: the stream whose engine breaks late had a second engine before that

The first engine was silent for longer than a first event may take, so that the second one had the call before the time that the test is about. The usual time to a first event is stated now, and the test checks that the second engine has seen nothing when the first one breaks.

--- a/tests/platform/test_streams_begun_late.py
+++ b/tests/platform/test_streams_begun_late.py
@@ -31,6 +31,8 @@
 USUAL_SECONDS = 2.0
 """Usual time of a stream that must end within the last seconds of a drain."""
 
+SLOW_FIRST_EVENT_SECONDS = 1.0
+
 SHORT_GRACE = 1.6
 """Grace in which a stream of many events that begins after a third of it does not end."""
 
@@ -176,14 +178,16 @@
     served = {f"m{number}": (engine, "model") for number, engine in enumerate(engines)}
     async with world(configuration(1, ROUTES), served, grace=GRACE) as running:
         node = running.nodes[0]
+        # No other engine is sought for the silence of the first one before it breaks.
+        node.services.first_event_times.observe_seconds("model", SLOW_FIRST_EVENT_SECONDS)
         stopped = asyncio.create_task(node.stop(clock.now() - READ_AFTER))
         await until(lambda: node.life.draining)
         call = asyncio.create_task(running.call("/resumable/x", headers=HEADERS))
         await until(lambda: any(engine.seen for engine in engines))
         first, second = sorted(engines, key=lambda engine: not engine.seen)
         await until(lambda: clock.now() > node.services.drain.engines_until)
-        assert second.hold is not None
-        second.hold.set()
+        assert second.seen == []
+        second.hold = None
         await first.server.stop()
         response = await call
         assert response.status == 200
