--- a/src/corkcrank/node/callers/drain.py
+++ b/src/corkcrank/node/callers/drain.py
@@ -1,10 +1,10 @@
 """Drains a gateway at a planned stop: sets until when calls are admitted, answered and streamed.
 
 Forecasts of call durations are wrong while the rest of the fleet is being restarted too, so
-whether a call is cut must not depend on one. New streams start only while the load balancer
-may not have noticed the stop, when most of the grace period is left. Each call without a
-response gets one before the end; it states that the call was not run, unless a worker may have
-run it.
+whether a call is cut must not depend on one. New streams are admitted only while the load
+balancer may not have noticed the stop, and go to an engine only while enough of the drain is left,
+however long their stages take. Each call without a response gets one before the end; it states that
+the call was not run, unless a worker may have run it.
 """
 
 import asyncio
