--- a/tests/platform/test_crash_watch.py
+++ b/tests/platform/test_crash_watch.py
@@ -12,6 +12,7 @@
 from test_first_attempt import call_with
 
 from corkcrank.contracts import clock
+from corkcrank.contracts.opaque_call import OpaqueCall
 from corkcrank.links.decision_log import DecisionLog
 from corkcrank.node.telemetry.metrics import NodeMetrics
 from corkcrank.node.workers import crash_watch
@@ -25,6 +26,13 @@
 """Time after a crash for which a member's report of it stands for the gateway's own check."""
 
 MARGIN_SECONDS = 0.01
+CHECK_SECONDS = 0.05
+
+MAX_CHECK_WAIT_SECONDS = 0.25
+"""Time after which a call goes on although the check of its worker has no answer."""
+
+WAIT_SLACK_SECONDS = 0.75
+"""Time that a busy machine may take beside a wait."""
 
 
 async def test_calls_that_fail_together_open_two_connections_at_most(
@@ -121,6 +129,48 @@
     return CrashWatch(WorkerStatisticsTable(), DecisionLog(None, "n"), NodeMetrics())
 
 
+def call_that_ends_in(seconds: float) -> OpaqueCall:
+    call = call_with(seconds)
+    call.end_at = clock.now() + seconds
+    return call
+
+
+async def test_call_goes_on_only_after_the_check_of_the_worker_that_it_was_lost_at(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against sound calls that follow a crashing one to the next engines in no turn."""
+    gate = asyncio.Event()
+
+    async def has_exited(address: str, timeout_seconds: float) -> bool:
+        await gate.wait()
+        return True
+
+    monkeypatch.setattr(crash_watch, "has_exited", has_exited)
+    watch = CrashWatch(WorkerStatisticsTable(), DecisionLog(None, "n"), NodeMetrics())
+    call = call_that_ends_in(4.0)
+    watch.record_connection_failure(call, WORKER)
+    waiting = asyncio.create_task(watch.wait_for_verdict(call))
+    await asyncio.sleep(CHECK_SECONDS)
+    assert not waiting.done()
+    gate.set()
+    await waiting
+    (record,) = watch.quarantine.records
+    assert call.fingerprint in record.requests
+    await watch.close()
+
+
+@pytest.mark.parametrize("seconds_left", [0.02, 4.0])
+async def test_call_does_not_wait_for_a_check_without_an_answer(
+    monkeypatch: pytest.MonkeyPatch, seconds_left: float
+) -> None:
+    watch = watch_without_a_way_to_workers(monkeypatch)
+    call = call_that_ends_in(seconds_left)
+    watch.record_connection_failure(call, WORKER)
+    async with asyncio.timeout(MAX_CHECK_WAIT_SECONDS + WAIT_SLACK_SECONDS):
+        assert await watch.wait_for_verdict(call) == 0.0
+    await watch.close()
+
+
 def crash_of_worker(age: float) -> CrashReport:
     return CrashReport.from_requests("w", age, [RequestAtCrash("07" * 8)], incomplete=False)
 
