Tests: the time to decode a page of brackets is the time of its thread

Cause: wall time counts the waits for a core. Six decodes beside a load of 21 took 0.91 to 1.19 s of wall time and 0.34 to 0.35 s of the thread's.

Change: the thread's time is compared with the same bound. A search in quadratic time uses the thread for all of its time.

--- a/tests/platform/test_store_pages.py
+++ b/tests/platform/test_store_pages.py
@@ -173,9 +173,9 @@
 
 def test_a_page_of_brackets_is_decoded_in_linear_time() -> None:
     rows = b'{"x":' * 100_000 + b"[" * 400_000
-    started = time.perf_counter()
+    started = time.thread_time()
     decode_page(b'{"rows":[' + rows + b'],"ver":10}')
-    assert time.perf_counter() - started < MAX_DECODE_SECONDS
+    assert time.thread_time() - started < MAX_DECODE_SECONDS
 
 
 async def test_a_page_of_one_undecodable_row_does_not_end_the_list() -> None:
