Tests: gateways that are out of step, on the clock without waits for a core

Cause: time without a core, charged to the gateways and callers that share the test's thread. Forced, all 22 cases a play: with a sleep of 4 times the processor time of each turn of the loop 3 fail, of 8 times 20. With the same sleeps, told to the core clock as waits for a core, 0 of 22 and 0 of 22. Ruled out: this code alone: failed one of the cases in 1 of 3 plays beside a load of 34, this one in 2 of 3; beside loads of 20 to 24 neither clock failed in 3 plays each.

Change: both files run on the core clock; no bound is changed.

Equally strict: where the list of workers is never compared with the store, 8 cases fail on the core clock.

--- a/tests/platform/test_named_streams.py
+++ b/tests/platform/test_named_streams.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from core_clock import core_clock
 from isolation import CutOff, isolation_of
 from platform_standins import StandinWorker
 from test_out_of_step import begin_unheard, set_state, watched_world
@@ -59,7 +60,7 @@
 
 
 async def test_named_streams_continue_at_each_of_more_gateways_than_holders() -> None:
-    async with versioned_world(gateways=MANY_GATEWAYS) as played:
+    async with core_clock(), versioned_world(gateways=MANY_GATEWAYS) as played:
         streams = await played.begin(STREAMS)
         assert {item for stream in streams for item in played.versions(stream)} == set(VERSIONS)
         await die(played.nodes[0])
--- a/tests/platform/test_out_of_step.py
+++ b/tests/platform/test_out_of_step.py
@@ -10,6 +10,7 @@
 from contextlib import asynccontextmanager
 
 import pytest
+from core_clock import core_clock
 from isolation import CutOff, Isolation, isolation_of
 from node_world import peer_of, route, until
 from platform_standins import StandinWorker
@@ -49,7 +50,7 @@
 @asynccontextmanager
 async def watched_world(gateways: int = 3) -> AsyncIterator[VersionedWorld]:
     """Run gateways that have watched one version for longer than a stream may last."""
-    async with versioned_world(gateways, ["v1"], routes=ROUTES) as played:
+    async with core_clock(), versioned_world(gateways, ["v1"], routes=ROUTES) as played:
         await until(lambda: all(knows_only(node, "v1") for node in played.nodes))
         await asyncio.sleep(WATCHED_SECONDS)
         yield played
