Tests: odd entries and refused parts, on the clock without waits for a core

Cause: time without a core, charged to gateways, workers and callers that share the test's thread. Forced: with a sleep of 4 and of 8 times the processor time of each turn of the loop all three cases fail; with the same sleeps, told to the core clock as waits for a core, none does. What waited in the runs that were seen was not recorded.

Change: the tests run on the core clock; no bound is changed.

Equally strict: with parts that are never blamed and odd entries that are not recorded all three fail on the core clock.

--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -91,7 +91,7 @@
 
 
 async def test_refused_requests_with_a_bad_part_have_not_run_and_cost_no_stage() -> None:
-    async with crashing_parts_world() as played:
+    async with core_clock(), crashing_parts_world() as played:
         await played.load("/staged/x", 7.0, sound=SOUND_RATE, bad=BAD_RATE)
         await until(lambda: played.held_parts() == {BAD_PART})
         begun = sum(len(engine.seen) for engine in played.engines)
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import pytest
+from core_clock import core_clock
 from node_world import CONDITION_SECONDS, World, configuration, peer_of, route, until, world
 from odd_entries import ENTRY, ODD_KEYS, ended_loops, odd_rows, odd_values
 from platform_standins import StandinWorker
@@ -79,7 +80,7 @@
     one, two, late = StandinWorker(), StandinWorker(), StandinWorker()
     await late.server.start()
     served = {"one": (one, "plain"), "two": (two, "plain")}
-    async with world(configuration(1, ROUTES), served) as running:
+    async with core_clock(), world(configuration(1, ROUTES), served) as running:
         if not first:
             put_all(running.store)
         async with peer_of(running, loopback_address(2)) as second:
