Tests: three more plays of parts that crash engines, on the clock without waits for a core

Cause: as for its siblings, time without a core, charged to the gateways, while the callers send at a rate of wall time. Forced: with a sleep of 6 times the processor time of each turn of the loop all three fail; with the same sleeps, told to the core clock, none does.

Change: they run on the core clock; no bound is changed.

Equally strict: with parts that are never blamed the first two cases of the file's selection failed on the core clock; the run of the others was cut off after 100 s.

--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -51,7 +51,7 @@
 
 
 async def test_part_is_found_although_engines_send_an_event_before_they_crash() -> None:
-    async with crashing_parts_world(events_before=1) as played:
+    async with core_clock(), crashing_parts_world(events_before=1) as played:
         await played.load("/resumed/x", 1.5, sound=SOUND_RATE, bad=0.0)
         await played.load("/resumed/x", 8.0, sound=SOUND_RATE, bad=BAD_RATE)
         assert played.late_sends() <= MAX_LATE_SENDS
@@ -60,14 +60,14 @@
 
 async def test_part_is_found_by_gateways_that_have_just_started() -> None:
     """No gateway has seen a success of any part when the first engine crashes."""
-    async with crashing_parts_world() as played:
+    async with core_clock(), crashing_parts_world() as played:
         await played.load("/resumed/x", 9.0, sound=SOUND_RATE, bad=BAD_RATE)
         assert played.late_sends() <= MAX_LATE_SENDS
         assert played.held_parts() == {BAD_PART}
 
 
 async def test_two_parts_that_crash_engines_are_both_found() -> None:
-    async with crashing_parts_world() as played:
+    async with core_clock(), crashing_parts_world() as played:
         for engine in played.engines:
             engine.crashing_parts.add("bad2")
         await played.load("/resumed/x", 1.5, sound=SOUND_RATE, bad=0.0)
