Revert "A caller whose time cannot suffice for its stages is told no time to come back"

Suspected: callers without a told time come back by themselves, at moments when the queue is full. Not looked into further.

--- a/src/corkcrank/node/streams/stream_admission.py
+++ b/src/corkcrank/node/streams/stream_admission.py
@@ -1,6 +1,5 @@
 """Chooses the engine of a streamed call and decides whether the call is admitted."""
 
-import math
 from collections.abc import Iterable, Mapping
 from dataclasses import replace
 
@@ -15,7 +14,6 @@
 from corkcrank.node.stages.stage_placing import stage_placing
 from corkcrank.node.streams.drain_forecast import DrainForecast
 from corkcrank.scheduling.call_admission import (
-    MIN_RETRY_SECONDS,
     AdmissionVerdict,
     ChainForecast,
     EngineForecast,
@@ -46,7 +44,6 @@
         self.spread_seconds = 0.0
         self.drain = DrainForecast(call, services)
         self._forecasts: dict[tuple[int, str, bool], StageForecast | None] = {}
-        self._shortest_seconds: list[float] = []
 
     def first_event_seconds(self) -> float:
         """Return the mean time of the service's engines to a first event, in seconds."""
@@ -116,14 +113,6 @@
         allowed = [engine for engine in allowed if engine.worker_id not in silent]
         return services.engines.rank(allowed, question, services.worker_statistics, clock.now())
 
-    def may_return(self) -> bool:
-        """Return whether a caller that is refused now could be served at its next attempt.
-
-        False if its time could not suffice even if nothing waited then.
-        """
-        left = self._call.caller_end_at - clock.now() - MIN_RETRY_SECONDS
-        return left >= min(self._shortest_seconds, default=0.0)
-
     def may_continue_later(self) -> bool:
         """Return whether a listed engine may continue the call's stream before the deadline.
 
@@ -155,7 +144,6 @@
         self.correction = correction.factor
         verdicts: dict[str, AdmissionVerdict] = {}
         self._forecasts.clear()
-        self._shortest_seconds.clear()
         for engine in engines:
             if engine.zone not in verdicts:
                 verdicts[engine.zone] = self._evaluate_zone(engine.zone, correction)
@@ -171,12 +159,11 @@
                 )
         self._record_decision(refused=True)
         verdict = min(verdicts.values(), key=lambda item: item.forecast_seconds)
-        may_return = self.may_return()
-        self._log_refusal(verdict, may_return=may_return)
+        self._log_refusal(verdict)
         return Refusal(
             ResultCode.CAPACITY_SHORT,
             f"needs {verdict.forecast_seconds:.2f} s",
-            self._seconds_to_return(verdict, verdicts, correction) if may_return else None,
+            retry_after=self._seconds_to_return(verdict, verdicts, correction),
         )
 
     def _admit_until_stop(
@@ -238,8 +225,6 @@
         now = clock.now()
         chain = self._forecast_zone(zone, claimed=call.claimed)
         wait = self._engine_wait(zone, self._engine_rank())
-        if math.isfinite(chain.end):
-            self._shortest_seconds.append(chain.working + self.first_event_seconds())
         return decide_admission(
             replace(chain, queued=max(chain.queued, wait)),
             correction,
@@ -308,7 +293,7 @@
         ]
         return max((age for age in ages if age is not None), default=0.0)
 
-    def _log_refusal(self, verdict: AdmissionVerdict, *, may_return: bool) -> None:
+    def _log_refusal(self, verdict: AdmissionVerdict) -> None:
         self._services.log.write(
             LogEvent.CALL_REFUSED,
             call=self._call.call_id,
@@ -319,6 +304,6 @@
             returning=self._call.returning,
             resumes=self._call.resumes_stream,
             left=round(self._call.caller_end_at - clock.now(), 3),
-            retry_after=round(verdict.retry_after, 3) if may_return else None,
+            retry_after=round(verdict.retry_after, 3),
             members=self._services.fleet.share_member_count(),
         )
--- a/src/corkcrank/node/streams/stream_run.py
+++ b/src/corkcrank/node/streams/stream_run.py
@@ -343,6 +343,5 @@
         if self._services.drain.signal_received:
             return Refusal.draining(error.detail)
         code = ResultCode.STAGE_NOT_MADE if error.started else ResultCode.CAPACITY_SHORT
-        may_return = self._admission.may_return()
-        retry = max(MIN_RETRY_SECONDS, error.retry_after) if may_return else None
+        retry = max(MIN_RETRY_SECONDS, error.retry_after)
         return Refusal(code, error.detail, retry_after=retry)
