Send plain calls late in a drain only if their own time ends before it

Callers saw: a gateway with 8 s of grace read plain calls about 5 s after SIGTERM; they were passed on and ended with 504 (outcome unknown) at 7.4 s, long before their deadline, unrepeatable ones among them.

Cause: the only check was a forecast. Repeatable calls needed the mean time of an answer until the end of the drain, unrepeatable ones ten means or their objective; a worker that turns slow breaks both. A call that waited for a crash verdict, or that a full worker rejected late, was judged by the same forecast after its wait.

Ruled out: answers that were cut (each call got a response), and the times of the deadline, which were kept.

Change: a plain call is sent at any time if its own time (deadline and route timeout) ends before the calls are answered. Otherwise the schedule decides: repeatable calls are sent in the first half of the drain, unrepeatable ones while the balancer may not have noticed the stop, in addition to the forecasts.

Changed tests: two tests of test_stop_ends.py play a call that is read as an idle drain ends. With 3.2 s of grace and a route timeout of 4 s such a call is refused now, as it had 1 s left. They play a grace of 6.4 s now, with a signal 2 s old: the call is still sent to its worker and must be served, and be answered after a stall past the end.

--- a/src/corkcrank/node/callers/drain.py
+++ b/src/corkcrank/node/callers/drain.py
@@ -3,8 +3,9 @@
 Forecasts of call durations are wrong while the rest of the fleet is being restarted too, so
 whether a call is cut must not depend on one. New streams are admitted only while the load
 balancer may not have noticed the stop, and go to an engine only while enough of the drain is left,
-however long their stages take. Each call without a response gets one before the end; it states that
-the call was not run, unless a worker may have run it.
+however long their stages take. Plain calls go to a worker by the same times, unless their own time
+ends before the drain. Each call without a response gets one before the end; it states that the call
+was not run, unless a worker may have run it.
 """
 
 import asyncio
@@ -31,7 +32,7 @@
 """Maximum share of the grace period for the balancer's lag; applies if the period is short."""
 
 MIN_STREAM_SHARE = 0.5
-"""Minimum share of the drain that is left for a stream when it is sent to an engine."""
+"""Minimum share of the drain that is left for a call when it is sent to a worker."""
 
 DRAIN_IDLE_SECONDS = 0.3
 """Idle time after which connections are closed once the balancer has noticed the stop.
@@ -68,9 +69,11 @@
 class DrainSchedule:
     """Times of a planned stop on the clock of :mod:`clock`, in seconds; infinite before a signal.
 
-    After ``streams_until`` no stream is admitted, and after ``engines_until`` none is sent to an
-    engine, unless one may have run it. At ``answer_by`` every call without a response gets one. At
-    ``stop_at`` streams that are still running are cut.
+    After ``streams_until`` no stream is admitted and no unrepeatable call is sent to a worker;
+    after ``engines_until`` no stream is sent to an engine, and no repeatable call to a worker,
+    unless one may have run it. A plain call whose own time ends by ``answer_by`` is not bound by
+    these. At ``answer_by`` every call without a response gets one. At ``stop_at`` streams that are
+    still running are cut.
     """
 
     signalled_at: float = NEVER
--- a/src/corkcrank/node/calls/plain_run.py
+++ b/src/corkcrank/node/calls/plain_run.py
@@ -59,8 +59,8 @@
         return False
 
     def fits_before_stop(self) -> bool:
-        """Return whether a worker may have run the call, or it is expected to end in time."""
-        return self._call.may_have_run or self._ends_before_stop()
+        """Return whether a worker may have run the call, or it may be sent to one in this drain."""
+        return self._call.may_have_run or self._may_be_sent()
 
     def answer_at_stop(self) -> web.StreamResponse | Refusal:
         """Return the last answer of a worker, or a refusal because the gateway stops."""
@@ -70,7 +70,7 @@
         """Return the worker's answer, or a refusal with its reason."""
         call = self._call
         call.step = CallStep.PLAIN
-        if not self._ends_before_stop():
+        if not self._may_be_sent():
             return self._drain_refusal()
         self._start_next_attempt()
         answer = await self._attempts.wait_for_answer()
@@ -121,15 +121,22 @@
             return None
         return worker if services.try_start_attempt(call) else None
 
-    def _ends_before_stop(self) -> bool:
-        """Return whether the call would end before this gateway stops; true unless draining."""
-        services, call = self._services, self._call
-        if not services.drain.signal_received:
+    def _may_be_sent(self) -> bool:
+        """Return whether the call may be sent before this gateway stops; true unless draining.
+
+        The mean time of an answer says little of a single one. A call whose own time ends after
+        the drain is therefore sent only in the first part of it.
+        """
+        drain, call = self._services.drain, self._call
+        if not drain.signal_received or call.end_at <= drain.answer_by:
             return True
-        needed_seconds = services.plain_times.mean_seconds(call.service, DEFAULT_PLAIN_SECONDS)
+        mean = self._services.plain_times.mean_seconds(call.service, DEFAULT_PLAIN_SECONDS)
+        sent_until, needed_seconds = drain.engines_until, mean
         if call.route.kind is CallKind.UNREPEATABLE:
-            needed_seconds = max(call.route.objective, UNREPEATABLE_TIME_FACTOR * needed_seconds)
-        return clock.now() + needed_seconds <= services.drain.answer_by
+            sent_until = drain.streams_until
+            needed_seconds = max(call.route.objective, UNREPEATABLE_TIME_FACTOR * mean)
+        now = clock.now()
+        return now <= sent_until and now + needed_seconds <= drain.answer_by
 
     async def _choose_worker(self, now: float) -> WorkerRecord | None:
         """Return the next worker; a rate-limited one only if its owner grants the call."""
@@ -284,7 +291,7 @@
             return Refusal(ResultCode.WORKER_LOST)
         if wait := self._services.crash_watch.quarantine_seconds_left(call):
             return Refusal.quarantined(wait)
-        if not self._ends_before_stop():
+        if not self._may_be_sent():
             return self._drain_refusal()
         if refusal := self._services.backing_off_refusal(call):
             return refusal
--- a/tests/platform/test_stop_ends.py
+++ b/tests/platform/test_stop_ends.py
@@ -42,6 +42,12 @@
 GRACE = 1.6
 """Seconds from the signal to the end of the process; the drain ends 0.4 s earlier."""
 
+LONG_GRACE = 6.4
+"""Grace in which repeatable calls are sent to workers after an idle drain may have ended."""
+
+SIGNAL_AGE_SECONDS = 2.0
+"""Time by which a signal is older than the drain that a test begins."""
+
 STALL_SECONDS = 0.3
 """Time for which the event loop is blocked across the end of a drain."""
 
@@ -158,7 +164,8 @@
 ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter, asyncio.Task[None]]:
     """Stop a gateway and send a call just as its drain ends early; return once it is at work."""
     node = running.nodes[0]
-    stopped = asyncio.create_task(node.stop())
+    stopped = asyncio.create_task(node.stop(clock.now() - SIGNAL_AGE_SECONDS))
+    await until(lambda: node.services.drain.signal_received)
     await until(lambda: clock.now() > node.services.drain.streams_until - CONNECTED_SECONDS)
     reader, writer = await opened(running)
     stop_listening = node.callers.stop_listening
@@ -180,7 +187,7 @@
     """
     plain = StandinWorker(hold=asyncio.Event())
     served = {"p": (plain, "plain")}
-    async with world(configuration(1, ROUTES), served, grace=2 * GRACE) as running:
+    async with world(configuration(1, ROUTES), served, grace=LONG_GRACE) as running:
         reader, writer, stopped = await send_as_idle_drain_ends(running, plain)
         asyncio.get_running_loop().call_later(STALL_SECONDS, plain.hold.set)
         assert (await reader.readline()).startswith(b"HTTP/1.1 200")
@@ -337,7 +344,8 @@
 async def test_a_call_in_progress_is_answered_after_a_stall_past_the_end_of_the_drain() -> None:
     """The connection of a call that had been read was reset without a response."""
     plain = StandinWorker(hold=asyncio.Event())
-    async with world(configuration(1, ROUTES), {"p": (plain, "plain")}, grace=2 * GRACE) as running:
+    served = {"p": (plain, "plain")}
+    async with world(configuration(1, ROUTES), served, grace=LONG_GRACE) as running:
         reader, writer, stopped = await send_as_idle_drain_ends(running, plain)
         drain = running.nodes[0].services.drain
         await until(lambda: clock.now() > drain.answer_by - STALL_SECONDS)
