Answer each request that was read behind another when a gateway stops

Callers saw: of requests that were sent in a row on one connection before SIGTERM, only the one in progress was answered; its answer closed the connection, and those behind it, read seconds before, got nothing.

Cause: in a drain every answer closed its connection, also while requests that had been read waited for their handler on it.

Ruled out: requests run without an answer (the ones behind never reached a worker), and requests that cross the close: a caller that sends after it has the answer with "Connection: close" sends too late by itself.

Change: an answer closes its connection in a drain only if no other request was read on it; the last answer does. Refusals of a drain and the answer to an abandoned call no longer carry a close of their own, so that they follow the same rule. What is read behind is judged by the schedule, as any request.

--- a/src/corkcrank/node/callers/caller_connection.py
+++ b/src/corkcrank/node/callers/caller_connection.py
@@ -312,6 +312,15 @@
         self.force_close()
 
 
+def has_request_behind(request: web.BaseRequest) -> bool:
+    """Return whether another request was read behind one on its connection.
+
+    An answer that closes the connection would leave that one without an answer.
+    """
+    connection = request.protocol
+    return isinstance(connection, CallerConnection) and connection.has_unhandled_request
+
+
 def reader_was_cut(request: web.BaseRequest) -> bool:
     """Return whether this gateway closed a request's connection because its caller did not read."""
     return getattr(request.protocol, "cut_cause", None) is not None
--- a/src/corkcrank/node/callers/drain.py
+++ b/src/corkcrank/node/callers/drain.py
@@ -203,7 +203,7 @@
 def abandoned_call_answer(call: OpaqueCall) -> Refusal:
     """Return the response to an abandoned call: unknown outcome if a worker may have run it."""
     if call.may_have_run:
-        return Refusal(ResultCode.OUTCOME_UNKNOWN, "this gateway is stopping", close=True)
+        return Refusal(ResultCode.OUTCOME_UNKNOWN, "this gateway is stopping")
     return Refusal.draining("given up at the end of the drain")
 
 
--- a/src/corkcrank/node/callers/refusals.py
+++ b/src/corkcrank/node/callers/refusals.py
@@ -43,7 +43,7 @@
     @classmethod
     def draining(cls, detail: str) -> "Refusal":
         """Return the response to a call that has not run and would not end before the stop."""
-        return cls(ResultCode.DRAINING, detail, retry_after=DRAINING_RETRY_SECONDS, close=True)
+        return cls(ResultCode.DRAINING, detail, retry_after=DRAINING_RETRY_SECONDS)
 
     @classmethod
     def quarantined(cls, seconds: float, parts: Sequence[str] = ()) -> "Refusal":
--- a/src/corkcrank/node/ingress/call_handler.py
+++ b/src/corkcrank/node/ingress/call_handler.py
@@ -12,7 +12,11 @@
 from corkcrank.contracts.result_codes import ResultCode
 from corkcrank.links.closed_connections import closed_by_peer
 from corkcrank.links.decision_log import LogEvent
-from corkcrank.node.callers.caller_connection import reader_was_cut, seconds_since_close
+from corkcrank.node.callers.caller_connection import (
+    has_request_behind,
+    reader_was_cut,
+    seconds_since_close,
+)
 from corkcrank.node.callers.drain import CallAnswer, CallRun, OpenCalls
 from corkcrank.node.callers.refusals import CallerDisconnectedError, Refusal
 from corkcrank.node.calls.plain_run import PlainRun
@@ -80,7 +84,8 @@
             self._services.log.write(LogEvent.INTERNAL_FAULT, error=repr(error), path=request.path)
             outcome = Refusal(ResultCode.INTERNAL_ERROR, type(error).__name__, close=True)
         response = self._count_refusal(outcome) if isinstance(outcome, Refusal) else outcome
-        if self._services.drain.signal_received and not response.prepared:
+        stopping = self._services.drain.signal_received
+        if stopping and not response.prepared and not has_request_behind(request):
             response.force_close()
         return response
 
--- a/src/corkcrank/node/streams/stream_answer.py
+++ b/src/corkcrank/node/streams/stream_answer.py
@@ -10,7 +10,7 @@
 from corkcrank.contracts.opaque_call import OpaqueCall
 from corkcrank.links.closed_connections import closed_by_peer, set_reset_on_close
 from corkcrank.links.silence import ConnectionKind, SilentConnection
-from corkcrank.node.callers.caller_connection import CallerConnection
+from corkcrank.node.callers.caller_connection import CallerConnection, has_request_behind
 from corkcrank.node.callers.refusals import CallerDisconnectedError
 from corkcrank.node.calls.services import CallServices
 from corkcrank.node.calls.worker_answers import replace_headers
@@ -121,7 +121,7 @@
             response = web.StreamResponse(status=upstream.status, reason=upstream.reason)
             headers = self._services.ports.calls.answer_headers(list(upstream.headers.items()))
             replace_headers(response, headers)
-            if self._services.drain.signal_received:
+            if self._services.drain.signal_received and not has_request_behind(self._request):
                 response.force_close()
             self._response = response
             connection = self._request.protocol
