Dropped messages are freed at once, not by the garbage collector

What callers saw: thirty faulty workers that answer without end take a gateway to 177 MiB of 160 and 306 MiB of 300 with 60 repeatable calls (152 and 269 MiB with unrepeatable ones); the platform kills it for resident memory, and every call there is lost. The account said 15.6 and 36.6 MiB all the time.

Cause: a message was dropped, and counted no longer, but its pieces lived on. The body of the response keeps the error with which it failed; raised, the error holds its traceback, the traceback the reader's frame, the frame the pieces and the response. Only a garbage collection frees such a cycle. The same for every answer that breaks off: worker, peer, store, relayed request.

Ruled out: the join of pieces and the library's buffers (one bad worker: peak 87 MiB of 300 = idle 51 and the bound of 36.6); late tasks of readers (the memory was still there after the calls).

Change: the account's message keeps the pieces itself and frees them when it is counted no longer.

--- a/src/corkcrank/links/received_bytes.py
+++ b/src/corkcrank/links/received_bytes.py
@@ -126,11 +126,9 @@
         """Return a complete body; raise ``OversizedMessageError`` if it exceeds a bound."""
         with self.open(purpose, peer, response) as message:
             message.expect(response.content_length)
-            chunks: list[bytes] = []
-            while chunk := await response.content.readany():
-                message.add(len(chunk))
-                chunks.append(chunk)
-            return b"".join(chunks)
+            while piece := await response.content.readany():
+                message.keep(piece)
+            return message.joined()
 
     def change(self, message: "ReceivedMessage", change: int) -> None:
         """Count a change of a message; drop the largest messages while the bound is exceeded."""
@@ -164,7 +162,12 @@
 
 
 class ReceivedMessage:
-    """The kept bytes of one message, ``count``. A dropped message accepts no more bytes."""
+    """The kept bytes of one message, ``count``. A dropped message accepts no more bytes.
+
+    The pieces are kept here and freed once the message is counted no longer. A reader that keeps
+    them itself keeps them after an error: the body holds the error, whose traceback holds the
+    reader, until the next garbage collection.
+    """
 
     def __init__(
         self,
@@ -177,6 +180,7 @@
         self._account = account
         self._response = response
         self._dropped = False
+        self._pieces: list[bytes] = []
         self.purpose = purpose
         self.peer = peer
         self.limit_bytes = limit_bytes
@@ -198,6 +202,15 @@
         if length is not None and length > self.limit_bytes:
             self._fail(length)
 
+    def keep(self, piece: bytes) -> None:
+        """Keep a further piece; raise ``OversizedMessageError`` if a bound is exceeded."""
+        self.add(len(piece))
+        self._pieces.append(piece)
+
+    def joined(self) -> bytes:
+        """Return the kept pieces as one."""
+        return b"".join(self._pieces)
+
     def add(self, count: int) -> None:
         """Count further bytes; raise ``OversizedMessageError`` if a bound is exceeded."""
         self.set(self.count + count)
@@ -222,7 +235,8 @@
             self._response.close()
 
     def close(self) -> None:
-        """Count the message no longer."""
+        """Free the kept pieces, and count the message no longer."""
+        self._pieces.clear()
         self._account.remove(self)
 
     def _fail(self, message_bytes: int) -> None:
--- a/src/corkcrank/load/process_usage.py
+++ b/src/corkcrank/load/process_usage.py
@@ -20,3 +20,10 @@
     """Return the resident size of a process in bytes."""
     pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
     return pages * resource.getpagesize()
+
+
+def peak_bytes_of(pid: int) -> int:
+    """Return the largest resident size of a process so far, in bytes."""
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    peak = next(line for line in lines if line.startswith("VmHWM:"))
+    return int(peak.split()[1]) * 1024
--- a/src/corkcrank/node/peers/peer_client.py
+++ b/src/corkcrank/node/peers/peer_client.py
@@ -131,13 +131,11 @@
     async def _read_body(
         self, response: aiohttp.ClientResponse, silence: PeerSilence, address: str
     ) -> bytes:
-        body = bytearray()
         with self._received.open(Purpose.PEER, address, response) as kept:
             async for data in response.content.iter_any():
                 silence.record_bytes()
-                kept.add(len(data))
-                body += data
-        return bytes(body)
+                kept.keep(data)
+            return kept.joined()
 
     def drop_all_idle(self) -> int:
         """Drop every idle connection, so that none is reused; return how many there were."""
--- a/src/corkcrank/node/relays/relay_server.py
+++ b/src/corkcrank/node/relays/relay_server.py
@@ -143,7 +143,6 @@
 
     async def _read_message(self, request: web.BaseRequest) -> bytes:
         """Return a complete message; abort the connection if it is silent or too large."""
-        chunks: list[bytes] = []
         try:
             with self._client.received.open(
                 Purpose.RELAY, request.remote or "", limit_bytes=self._max_message_bytes
@@ -151,11 +150,10 @@
                 kept.expect(request.content_length)
                 while True:
                     async with asyncio.timeout(PEER_SILENCE_SECONDS):
-                        chunk = await request.content.readany()
-                    if not chunk:
-                        return b"".join(chunks)
-                    kept.add(len(chunk))
-                    chunks.append(chunk)
+                        piece = await request.content.readany()
+                    if not piece:
+                        return kept.joined()
+                    kept.keep(piece)
         except TimeoutError:
             _abort(request)
             raise web.HTTPRequestTimeout from None
--- a/src/corkcrank/node/workers/worker_client.py
+++ b/src/corkcrank/node/workers/worker_client.py
@@ -278,18 +278,16 @@
         ``seconds`` bounds the whole read; ``silence`` may end each wait for the next byte earlier.
         """
         end_at = clock.now() + seconds
-        chunks: list[bytes] = []
         received_at = clock.now()
         try:
             with self.received.open(purpose, address_of(response), response) as kept:
                 kept.expect(response.content_length)
                 while True:
                     async with SilenceTimeout(max(0.0, end_at - received_at), silence):
-                        chunk = await response.content.readany()
-                    if not chunk:
-                        return b"".join(chunks)
-                    kept.add(len(chunk))
-                    chunks.append(chunk)
+                        piece = await response.content.readany()
+                    if not piece:
+                        return kept.joined()
+                    kept.keep(piece)
                     received_at = clock.now()
         except TimeoutError:
             response.close()
--- a/tests/platform/endless_answers.py
+++ b/tests/platform/endless_answers.py
@@ -1,14 +1,16 @@
-"""A simulated peer whose answers never end, in one of several ways."""
+"""A simulated peer whose answers never end, or end late, in one of several ways."""
 
 import asyncio
 import contextlib
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from engine_script import reset
 from multidict import CIMultiDict
 from platform_standins import ATTEMPT, INSTANCE, SEAL, Server, _ids, worker_entry
 
 PIECE = b"x" * 65_536
+LAST_CHUNK = b"0\r\n\r\n"
 
 
 class Endless(StrEnum):
@@ -57,11 +59,15 @@
     """A worker, member or store whose answers never end; ``sent`` counts the bytes of each.
 
     Answers to paths in ``sound`` are given as they stand there. A body begins with ``beginning``.
+    With ``breaks_after``, the connection is reset after that many bytes; with ``ends_after``, a
+    body in chunks is complete after them.
     """
 
     how: Endless
     beginning: bytes = b""
     sound: dict[str, bytes] = field(default_factory=dict)
+    breaks_after: int = 0
+    ends_after: int = 0
     worker_id: str = ""
     sent: list[int] = field(default_factory=list)
     open: int = 0
@@ -105,24 +111,32 @@
         if sound is not None:
             writer.write(OK + b"Content-Length: %d\r\n\r\n%s" % (len(sound), sound))
             return True
-        await self._send_endlessly(writer, self._ids(head))
+        await self._send_endlessly(reader, writer, self._ids(head))
         return False
 
     def _ids(self, head: CIMultiDict[str]) -> bytes:
         ids = {ATTEMPT: head.get(ATTEMPT, ""), INSTANCE: self._peer.worker_id, SEAL: "seal"}
         return "".join(f"{name}: {value}\r\n" for name, value in ids.items()).encode()
 
-    async def _send_endlessly(self, writer: asyncio.StreamWriter, ids: bytes) -> None:
+    async def _send_endlessly(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, ids: bytes
+    ) -> None:
         peer, number = self._peer, len(self._peer.sent)
         peer.sent.append(0)
         peer.open += 1
         piece = endless_piece(peer.how)
         try:
             writer.write(begin(peer.how, ids, peer.beginning))
-            while True:
+            last = peer.breaks_after or peer.ends_after
+            while not last or peer.sent[number] < last:
                 writer.write(piece)
                 await writer.drain()
                 peer.sent[number] += len(piece)
+            if peer.breaks_after:
+                reset(writer)
+                return
+            writer.write(LAST_CHUNK)
+            await reader.read()
         finally:
             peer.open -= 1
 
--- a/tests/platform/process_world.py
+++ b/tests/platform/process_world.py
@@ -3,20 +3,20 @@
 import asyncio
 import os
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, Protocol
 
 import aiohttp
 from node_world import HOST, KEY, call_id, configuration, new_ports, route
-from platform_standins import StandinWorker
+from platform_standins import Server, StandinWorker
 from standin_store import StandinStore
 from wait_report import LoopTurns, WaitReport, finish_within
 
 from corkcrank.load.loopback import loopback_address
 from corkcrank.load.process_group import ProcessGroup
-from corkcrank.load.process_usage import resident_bytes_of
+from corkcrank.load.process_usage import peak_bytes_of, resident_bytes_of
 
 RUN_LINE = """
 import resource
@@ -33,6 +33,16 @@
 Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
 
+class OtherWorker(Protocol):
+    """A simulated worker."""
+
+    worker_id: str
+    server: Server
+
+    def entry(self, service: str) -> dict[str, Any]:
+        """Return its entry in the store."""
+
+
 @dataclass
 class ProcessWorld:
     """The gateway process, its addresses, and the connections that a test holds open."""
@@ -50,6 +60,11 @@
     def resident_bytes(self) -> int:
         return resident_bytes_of(self.group.processes[NAME].pid)
 
+    @property
+    def peak_bytes(self) -> int:
+        """Return the largest resident size of the gateway so far."""
+        return peak_bytes_of(self.group.processes[NAME].pid)
+
     def begin_wait(self) -> WaitReport:
         """Return a report of the time from now on."""
         return WaitReport(self.turns, {"test": os.getpid(), NAME: self.group.processes[NAME].pid})
@@ -113,11 +128,13 @@
         self.held.clear()
 
 
-def request_bytes(*, close: bool = False, body: bytes = b"", length: int | None = None) -> bytes:
+def request_bytes(
+    *, close: bool = False, body: bytes = b"", length: int | None = None, path: str = "/safe/x"
+) -> bytes:
     """Return a call's request; ``length`` may declare a longer body than is sent."""
     size = len(body) if length is None else length
     lines = [
-        "POST /safe/x HTTP/1.1",
+        f"POST {path} HTTP/1.1",
         f"Host: {HOST}",
         f"X-Corkcrank-Attempt-Id: {call_id()}",
         f"X-Corkcrank-Credential: {KEY}",
@@ -154,14 +171,23 @@
 
 @asynccontextmanager
 async def process_world(
-    descriptors: int, *, limits: dict[str, Any] | None = None
+    descriptors: int,
+    *,
+    limits: dict[str, Any] | None = None,
+    routes: list[dict[str, Any]] = ROUTES,
+    others: Sequence[tuple[OtherWorker, str]] = (),
 ) -> AsyncIterator[ProcessWorld]:
-    """Run a gateway with a reduced limit of descriptors; yield it once it is ready."""
+    """Run a gateway with a reduced limit of descriptors; yield it once it is ready.
+
+    ``others`` are further workers, each with its service.
+    """
     store, worker = StandinStore(), StandinWorker()
+    workers: list[tuple[OtherWorker, str]] = [(worker, "plain"), *others]
     await store.server.start()
-    await worker.server.start()
-    store.put("servers", worker.worker_id, worker.entry("plain"))
-    document = configuration(1, ROUTES)
+    for one, service in workers:
+        await one.server.start()
+        store.put("servers", one.worker_id, one.entry(service))
+    document = configuration(1, routes)
     document["limits"].update(
         max_header_bytes=8_192, header_timeout_ms=LONG_MS, idle_timeout_ms=LONG_MS
     )
@@ -198,7 +224,8 @@
         running.turns.stop()
         await running.release()
         running.group.close()
-        await worker.server.stop()
+        for one, _ in workers:
+            await one.server.stop()
         await store.server.stop()
 
 
