Complete large answers are kept once while they are written

Cause: a complete answer was joined (twice its bytes), kept until its caller had read it, and copied into the connection's buffer, while the next answers filled the account again.

Change: an answer above 64 KiB stays in the pieces in which it came, and each is freed once it is written. Callers that do not read are still in the readers' bound: all bytes are given to the connection at once.

--- a/src/corkcrank/links/received_bytes.py
+++ b/src/corkcrank/links/received_bytes.py
@@ -128,7 +128,7 @@
             message.expect(response.content_length)
             while piece := await response.content.readany():
                 message.keep(piece)
-            return message.joined()
+            return b"".join(message.take())
 
     def change(self, message: "ReceivedMessage", change: int) -> None:
         """Count a change of a message; drop the largest messages while the bound is exceeded."""
@@ -207,9 +207,11 @@
         self.add(len(piece))
         self._pieces.append(piece)
 
-    def joined(self) -> bytes:
-        """Return the kept pieces as one."""
-        return b"".join(self._pieces)
+    def take(self) -> list[bytes]:
+        """Return the kept pieces of a complete message; they are counted no longer."""
+        pieces, self._pieces = self._pieces, []
+        self.close()
+        return pieces
 
     def add(self, count: int) -> None:
         """Count further bytes; raise ``OversizedMessageError`` if a bound is exceeded."""
--- /dev/null
+++ b/src/corkcrank/node/calls/pieced_body.py
@@ -0,0 +1,30 @@
+"""The body of an answer in the pieces in which it was received."""
+
+from collections import deque
+
+from aiohttp.abc import AbstractStreamWriter
+from aiohttp.payload import Payload
+
+
+class PiecedBody(Payload):
+    """A body that frees each piece once it is written; it can be written once.
+
+    Joining the pieces first, and keeping them until the caller has read them, would take three
+    times the bytes of the answer: the connection keeps a copy of what it has not sent.
+    """
+
+    _autoclose = True
+
+    def __init__(self, pieces: list[bytes]) -> None:
+        super().__init__(None)
+        self._size = sum(map(len, pieces))
+        self._pieces = deque(pieces)
+
+    def decode(self, encoding: str = "utf-8", errors: str = "strict") -> str:
+        """Return the body as text."""
+        return b"".join(self._pieces).decode(encoding, errors)
+
+    async def write(self, writer: AbstractStreamWriter) -> None:
+        """Write the whole body to the connection without a wait for its reader."""
+        while self._pieces:
+            await writer.write(self._pieces.popleft(), drain=False)  # type: ignore[call-arg]
--- a/src/corkcrank/node/calls/worker_answers.py
+++ b/src/corkcrank/node/calls/worker_answers.py
@@ -5,9 +5,13 @@
 from aiohttp import web
 
 from corkcrank.node.calls.attempts import Attempt
+from corkcrank.node.calls.pieced_body import PiecedBody
 from corkcrank.node.calls.services import CallServices
 from corkcrank.node.workers.silence_timeout import SilenceRule
 
+MAX_JOINED_BYTES = 65_536
+"""Maximum length of an answer whose pieces are joined, to be written at once."""
+
 
 async def read_whole_answer(
     services: CallServices, attempt: Attempt, seconds: float, silence: SilenceRule | None = None
@@ -20,13 +24,15 @@
     upstream = attempt.response
     assert upstream is not None
     try:
-        body = await services.client.read_body(upstream, seconds, silence)
+        pieces = await services.client.read_pieces(upstream, seconds, silence)
     except asyncio.CancelledError:
         attempt.close()
         raise
-    if body is None:
+    if pieces is None:
         attempt.close()
         return None
+    large = sum(map(len, pieces)) > MAX_JOINED_BYTES
+    body = PiecedBody(pieces) if large else b"".join(pieces)
     headers = services.ports.calls.answer_headers(list(upstream.headers.items()))
     response = web.Response(status=upstream.status, reason=upstream.reason, body=body)
     replace_headers(response, headers)
--- a/src/corkcrank/node/peers/peer_client.py
+++ b/src/corkcrank/node/peers/peer_client.py
@@ -135,7 +135,7 @@
             async for data in response.content.iter_any():
                 silence.record_bytes()
                 kept.keep(data)
-            return kept.joined()
+            return b"".join(kept.take())
 
     def drop_all_idle(self) -> int:
         """Drop every idle connection, so that none is reused; return how many there were."""
--- a/src/corkcrank/node/relays/relay_server.py
+++ b/src/corkcrank/node/relays/relay_server.py
@@ -152,7 +152,7 @@
                     async with asyncio.timeout(PEER_SILENCE_SECONDS):
                         piece = await request.content.readany()
                     if not piece:
-                        return kept.joined()
+                        return b"".join(kept.take())
                     kept.keep(piece)
         except TimeoutError:
             _abort(request)
--- a/src/corkcrank/node/workers/worker_client.py
+++ b/src/corkcrank/node/workers/worker_client.py
@@ -277,6 +277,17 @@
 
         ``seconds`` bounds the whole read; ``silence`` may end each wait for the next byte earlier.
         """
+        pieces = await self.read_pieces(response, seconds, silence, purpose)
+        return None if pieces is None else b"".join(pieces)
+
+    async def read_pieces(
+        self,
+        response: aiohttp.ClientResponse,
+        seconds: float,
+        silence: SilenceRule | None = None,
+        purpose: Purpose = Purpose.ANSWER,
+    ) -> list[bytes] | None:
+        """Return the pieces of a complete body, as :meth:`read_body` does."""
         end_at = clock.now() + seconds
         received_at = clock.now()
         try:
@@ -286,7 +297,7 @@
                     async with SilenceTimeout(max(0.0, end_at - received_at), silence):
                         piece = await response.content.readany()
                     if not piece:
-                        return kept.joined()
+                        return kept.take()
                     kept.keep(piece)
                     received_at = clock.now()
         except TimeoutError:
--- a/tests/platform/test_endless_memory.py
+++ b/tests/platform/test_endless_memory.py
@@ -33,6 +33,9 @@
 USED_SHARE = 0.6
 """Share of a gateway's memory limit that it may use while its workers are faulty."""
 
+NEAR_BOUND = 0.95
+"""Length of an answer that is just not dropped, as a share of the bound."""
+
 SECONDS = 5.0
 """Time in which a call is answered; its deadline is 4 s."""
 
@@ -79,6 +82,18 @@
         assert running.peak_bytes < USED_SHARE * memory_mb * BYTES_PER_MB
 
 
+@pytest.mark.parametrize("memory_mb", [160.0, 300.0])
+async def test_answers_close_to_the_bound_leave_a_gateway_within_its_memory(
+    memory_mb: float,
+) -> None:
+    """Guards against a complete answer that was kept three times until its caller had read it."""
+    longest = int(received_bound_bytes(memory_mb) * NEAR_BOUND)
+    async with bad_workers(memory_mb, ends_after=longest) as running:
+        sound = await call_bad_workers(running, "/once/x")
+        assert set(sound) == {200}
+        assert running.peak_bytes < USED_SHARE * memory_mb * BYTES_PER_MB
+
+
 Read = Callable[[str], Awaitable[object]]
 
 
