Bytes of an engine that bring no event on count as silence

Cause: each read ended the wait to which the silence rule applies, so any byte was life. A comment before the first event also counted as the first event, and sent the head.

Ruled out: the search itself; with an engine that sends nothing it always began.

Change: the wait lasts until an event is complete or begins; further parts of a begun event are no progress. Nothing is given up before another engine has sent the next event, as before. Comments are passed on once a stream has begun, up to 4 KiB between two events, and held back before the first event and during a search; beyond that bytes are read at 64 KiB a second. A failed body's error no longer holds the frames of stream readers with their bytes.

--- a/src/corkcrank/links/received_bytes.py
+++ b/src/corkcrank/links/received_bytes.py
@@ -85,6 +85,14 @@
     """Ignore a dropped message."""
 
 
+def forget_readers(error: BaseException) -> None:
+    """Drop the frames of the readers of a failed body, which keeps its error.
+
+    Their bytes would be kept until the next garbage collection.
+    """
+    error.__traceback__ = None
+
+
 class ReceivedBytes:
     """The account of one process.
 
--- a/src/corkcrank/node/streams/engine_exchange.py
+++ b/src/corkcrank/node/streams/engine_exchange.py
@@ -12,7 +12,7 @@
 from corkcrank.contracts.opaque_call import CallStep, OpaqueCall
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.links.decision_log import LogEvent
-from corkcrank.links.received_bytes import Purpose
+from corkcrank.links.received_bytes import Purpose, forget_readers
 from corkcrank.node.calls.attempts import Attempt, AttemptOutcome, attempt_call
 from corkcrank.node.calls.services import CallServices
 from corkcrank.node.calls.worker_answers import read_whole_answer
@@ -178,7 +178,8 @@
             ):
                 if await self._peek_next_event(begun):
                     return True
-        except (TimeoutError, aiohttp.ClientError, ConnectionError, ValueError):
+        except (TimeoutError, aiohttp.ClientError, ConnectionError, ValueError) as error:
+            forget_readers(error)
             self._services.record_connection_failure(self._call, attempt.worker)
         return False
 
--- /dev/null
+++ b/src/corkcrank/node/streams/event_feed.py
@@ -0,0 +1,86 @@
+"""Reads an engine's answer event by event; bytes that bring no event on count as silence."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from corkcrank.contracts import clock
+from corkcrank.links.received_bytes import ReceivedMessage
+from corkcrank.node.streams.events import EventReader, StreamEvent
+from corkcrank.node.streams.upstream_buffer import UpstreamBuffer
+from corkcrank.scheduling.worker_choice import WorkerStatistics
+
+MAX_COMMENT_BYTES = 4_096
+"""Maximum number of bytes of comments that are passed on between two events."""
+
+COMMENT_BYTES_PER_SECOND = 65_536
+"""Rate at which an engine's bytes are read while it sends more comments than are passed on."""
+
+CommentWriter = Callable[[bytes], Awaitable[bool]]
+"""Passes comments on; returns false if they have to wait for the next event."""
+
+
+class EventFeed:
+    """The events of one engine's answer.
+
+    Comments and hints to the reader are passed on, or held back until the next event, up to
+    ``MAX_COMMENT_BYTES`` between two events. ``heard_at`` is the time of the last bytes, which is
+    also recorded in the engine's statistics.
+    """
+
+    def __init__(
+        self,
+        waiting: UpstreamBuffer,
+        kept: ReceivedMessage,
+        statistics: WorkerStatistics,
+        write: CommentWriter,
+    ) -> None:
+        self._waiting = waiting
+        self._kept = kept
+        self._statistics = statistics
+        self._write = write
+        self._reader = EventReader()
+        self._held = bytearray()
+        self._comment_bytes = 0
+        self.heard_at = clock.now()
+
+    @property
+    def remainder(self) -> bytes:
+        """Return the bytes after the last complete event."""
+        return self._reader.remainder
+
+    def take_held(self) -> bytes:
+        """Return the comments that were held back, once."""
+        held, self._held = bytes(self._held), bytearray()
+        return held
+
+    async def read(self) -> list[StreamEvent] | None:
+        """Return the next events, nothing once an event has begun, ``None`` at the body's end.
+
+        Further parts of an event that has begun are no progress until it is complete.
+        """
+        while piece := await self._waiting.read():
+            self.heard_at = self._statistics.heard_at = clock.now()
+            begun = self._reader.event_begun
+            blocks = self._reader.feed(piece)
+            self._kept.set(self._reader.kept_bytes)
+            if any(block.dispatched for block in blocks):
+                self._comment_bytes = 0
+                return blocks
+            await self._pass_on(b"".join(block.data for block in blocks))
+            if not self._reader.event_begun:
+                await self._read_slowly(len(piece))
+            elif not begun:
+                return []
+        return None
+
+    async def _pass_on(self, comments: bytes) -> None:
+        if not comments or self._comment_bytes + len(comments) > MAX_COMMENT_BYTES:
+            return
+        if self._held or not await self._write(comments):
+            self._held += comments
+
+    async def _read_slowly(self, count: int) -> None:
+        """Count bytes without an event; wait while they are more than comments usually take."""
+        self._comment_bytes += count
+        if self._comment_bytes > MAX_COMMENT_BYTES:
+            await asyncio.sleep(count / COMMENT_BYTES_PER_SECOND)
--- a/src/corkcrank/node/streams/events.py
+++ b/src/corkcrank/node/streams/events.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 _END = re.compile(rb"\n\n|\r\n\r\n|\r\r")
+_BEGIN = re.compile(rb"(?:^|[\r\n])(?:id|data):")
 _MAX_END_BYTES = 4
 """Length of the longest separator of events, CR LF CR LF."""
 
@@ -42,6 +43,18 @@
         """Return the bytes after the last complete event."""
         return bytes(self._buffer)
 
+    @property
+    def event_begun(self) -> bool:
+        r"""Return whether the bytes after the last complete event show another one.
+
+        Comments and hints to the reader are no events.
+
+        >>> reader = EventReader()
+        >>> [(reader.feed(data), reader.event_begun)[1] for data in (b": still", b" here\n\nid: 4")]
+        [False, True]
+        """
+        return _BEGIN.search(self._buffer) is not None
+
     def feed(self, data: bytes) -> list[StreamEvent]:
         r"""Add bytes to the buffer and return the events that they complete.
 
@@ -64,23 +77,6 @@
         return events
 
 
-def shows_event(data: bytes) -> bool:
-    r"""Return whether bytes hold an event or the beginning of one.
-
-    Comments and hints to the reader are no events.
-
-    >>> shows_event(b": still here\n\n: st")
-    False
-    >>> shows_event(b": still here\n\nid: 4\n")
-    True
-    """
-    reader = EventReader()
-    if any(event.dispatched for event in reader.feed(data)):
-        return True
-    begun = reader.remainder.strip()
-    return bool(begun) and not begun.startswith(b":")
-
-
 def _parse_event(raw: bytes) -> StreamEvent:
     event_id: int | None = None
     dispatched = False
--- a/src/corkcrank/node/streams/stream_relay.py
+++ b/src/corkcrank/node/streams/stream_relay.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from enum import StrEnum
+from functools import partial
 from typing import Protocol
 
 import aiohttp
@@ -9,10 +10,11 @@
 from corkcrank.contracts import clock
 from corkcrank.contracts.opaque_call import CallStep, OpaqueCall
 from corkcrank.contracts.worker_records import WorkerRecord
-from corkcrank.links.received_bytes import Purpose
+from corkcrank.links.received_bytes import Purpose, forget_readers
 from corkcrank.node.calls.attempts import Attempt
 from corkcrank.node.calls.services import CallServices
-from corkcrank.node.streams.events import EventReader, StreamEvent, shows_event
+from corkcrank.node.streams.event_feed import EventFeed
+from corkcrank.node.streams.events import StreamEvent
 from corkcrank.node.streams.stream_answer import StreamAnswer
 from corkcrank.node.streams.stream_part import StreamPart, body_framing
 from corkcrank.node.streams.upstream_buffer import UpstreamBuffer
@@ -28,9 +30,6 @@
 DEFAULT_PAUSE_SECONDS = 1.0
 """Default pause objective of a route, in seconds."""
 
-MAX_HELD_BYTES = 4_096
-"""Maximum size of comments that are held back while another engine is sought, in bytes."""
-
 
 class RelayEnd(StrEnum):
     """The end of one engine's part of a stream."""
@@ -123,69 +122,61 @@
     ) -> RelayEnd:
         upstream = attempt.response
         assert upstream is not None
-        reader = EventReader()
         received = self._services.client.received
         kept = received.open(Purpose.EVENT, attempt.worker.worker_id, upstream)
-        self._answer.set_waiting(waiting)
         statistics = self._services.worker_statistics.get_or_create(attempt.worker.worker_id)
+        feed = EventFeed(waiting, kept, statistics, partial(self._write_comments, upstream))
+        self._answer.set_waiting(waiting)
         silence = first
         try:
-            while True:
-                chunk = await self._next_chunk(upstream, waiting, silence, reader)
-                if not chunk:
-                    break
-                statistics.heard_at = clock.now()
-                if not self.search.in_progress or shows_event(reader.remainder + chunk):
-                    self.search.cancel()
-                events = reader.feed(chunk)
-                kept.set(reader.kept_bytes)
-                if events and not await self._send_events(upstream, part, events):
+            while (events := await self._next_events(upstream, feed, silence)) is not None:
+                self.search.cancel()
+                if events and not await self._send_events(upstream, part, events, feed):
                     return RelayEnd.BROKEN
                 if events:
                     silence = self._silence_rule(attempt.worker)
         except TimeoutError:
             part.silent = True
             return RelayEnd.CALLER_GONE if self._answer.caller_disconnected else RelayEnd.BROKEN
-        except (aiohttp.ClientError, ConnectionError, ValueError):
+        except (aiohttp.ClientError, ConnectionError, ValueError) as error:
+            forget_readers(error)
             return RelayEnd.CALLER_GONE if self._answer.caller_disconnected else RelayEnd.BROKEN
         finally:
             kept.close()
-            part.leftover = reader.remainder
-        return await self._end_answer(upstream, part)
+            part.leftover = feed.remainder
+        return await self._end_answer(upstream, part, feed)
 
-    async def _next_chunk(
-        self,
-        upstream: aiohttp.ClientResponse,
-        waiting: UpstreamBuffer,
-        silence: SilenceRule | None,
-        reader: EventReader,
-    ) -> bytes:
-        """Return the next bytes for a reader.
+    async def _next_events(
+        self, upstream: aiohttp.ClientResponse, feed: EventFeed, silence: SilenceRule | None
+    ) -> list[StreamEvent] | None:
+        """Return the next events of an engine; one without an event is silent, whatever it sends.
 
-        While another engine is sought, comments are held back until the next event: they do not
-        show that the engine continues its answer.
+        While another engine is sought, only an event shows that this one continues its answer.
         """
         started = clock.now()
         left = clock.clamp_remaining_seconds(self._call.end_at - started)
         try:
             async with SilenceTimeout(left, silence):
-                chunk = await waiting.read()
-                while self._is_held(chunk, reader) and (more := await waiting.read()):
-                    chunk += more
-                return chunk
+                return await feed.read()
         except TimeoutError:
-            waited = clock.now() - started
+            waited = clock.now() - max(started, feed.heard_at)
             if waited >= MIN_SILENCE_SECONDS:
                 self._services.client.record_silence(address_of(upstream), waited)
             raise
 
-    def _is_held(self, chunk: bytes, reader: EventReader) -> bool:
-        if not chunk or len(chunk) > MAX_HELD_BYTES or not self.search.in_progress:
+    async def _write_comments(self, upstream: aiohttp.ClientResponse, comments: bytes) -> bool:
+        """Pass comments on, unless no event was sent yet or another engine is sought."""
+        if not self._answer.prepared or self.search.in_progress:
             return False
-        return not shows_event(reader.remainder + chunk)
+        await self._answer.write(upstream, comments)
+        return True
 
     async def _send_events(
-        self, upstream: aiohttp.ClientResponse, part: StreamPart, events: list[StreamEvent]
+        self,
+        upstream: aiohttp.ClientResponse,
+        part: StreamPart,
+        events: list[StreamEvent],
+        feed: EventFeed,
     ) -> bool:
         """Relay events; return whether each id directly follows the previous one."""
         data = []
@@ -202,7 +193,7 @@
             self._call.step = CallStep.RELAY
             self.on_first_event()
             self.on_first_event = _do_nothing
-            await self._answer.write(upstream, b"".join(data))
+            await self._answer.write(upstream, b"".join([feed.take_held(), *data]))
             if part.progressed(clock.now()):
                 self._record_progress(part)
         return whole
@@ -212,7 +203,9 @@
             part.progress_recorded = True
             self._services.crash_watch.record_progress(self._call, part.first_event_at)
 
-    async def _end_answer(self, upstream: aiohttp.ClientResponse, part: StreamPart) -> RelayEnd:
+    async def _end_answer(
+        self, upstream: aiohttp.ClientResponse, part: StreamPart, feed: EventFeed
+    ) -> RelayEnd:
         """End the answer as complete if the engine's part was the end of the stream.
 
         A properly terminated body is not sufficient: a failure answer or a partial event also ends
@@ -221,7 +214,7 @@
         if not part.is_stream_end():
             return RelayEnd.BROKEN
         try:
-            await self._answer.end(upstream, part.leftover)
+            await self._answer.end(upstream, feed.take_held() + part.leftover)
         except ConnectionError:
             return RelayEnd.CALLER_GONE
         self._observe_stream_time()
