Successes of prompt parts are saved by the gateways that follow the store

Cause: each gateway saves what all of them see, and a failed save knows nothing of the feed that this gateway polls.

Change: the gateways that follow the store for the others (4, or one a zone) read all rows once, half a second after serving began, and save as before. The others save what is new after 60 s, and read only their own row before. After a failed call none is made until the store has answered the feed, or 10 s. What was restored counts neither as new nor as recent. So what most prompts share is known after the loss of all gateways as before, also from rows of gateways that do not come back; what only a gateway that does not follow the store has seen may be up to 60 s late.

--- a/src/corkcrank/machines/own_row.py
+++ b/src/corkcrank/machines/own_row.py
@@ -41,17 +41,24 @@
 
     async def keep_row_current(self) -> None:
         """Read the row once, then write it whenever it is due, until cancelled."""
-        while isinstance(rows := await self._read(), StoreFailure):
-            self.failures += 1
-            await asyncio.sleep(self._pace.retry_seconds)
-        self._restore(rows)
-        self.restored = True
         while True:
-            accepted = await self._write()
+            accepted = await self._keep()
             await asyncio.sleep(self._interval() if accepted else self._pace.retry_seconds)
 
+    async def _keep(self) -> bool:
+        """Read the row if it was not read, else write it; return whether the store accepted it."""
+        if self.restored:
+            return await self._write()
+        rows = await self._read()
+        if isinstance(rows, StoreFailure):
+            self.failures += 1
+            return False
+        await self._restore(rows)
+        self.restored = True
+        return await self._write()
+
     @abstractmethod
-    def _restore(self, rows: StoreRows) -> None:
+    async def _restore(self, rows: StoreRows) -> None:
         """Apply what this gateway had written before it started again."""
 
     @abstractmethod
--- a/src/corkcrank/node/membership/part_success_rows.py
+++ b/src/corkcrank/node/membership/part_success_rows.py
@@ -1,24 +1,47 @@
 """Keeps successes of prompt parts in the store, so that they outlast the memory of all gateways.
 
-A part that no gateway has seen succeed is quarantined after few crashes. Without this row the parts
-of most prompts would be such parts after all gateways have stopped. Each gateway writes one row,
-with its recent successes, and reads it once after a start. It marks them in the crash reports that
-it receives, so that the others need not read the row.
+A part that no gateway has seen succeed is quarantined after few crashes. Without these rows the
+parts of most prompts would be such parts after all gateways have stopped. Each call is priced, so
+the gateways that follow the store for the others save soon what many runs share, each in a row of
+its own, and read all rows once after a start. They mark the successes in the crash reports that
+they receive, so that the others need not read the rows. The others save their successes late, and
+read only their own row before.
 """
 
+import asyncio
+
 import msgspec
 
 from corkcrank.contracts import clock
 from corkcrank.contracts.request_fingerprint import FINGERPRINT_BYTES
 from corkcrank.links.decision_log import DecisionLog, LogEvent
-from corkcrank.links.platform_ports import MetadataStore, StoreRows, StoreTable, Unreadable
+from corkcrank.links.platform_ports import (
+    MetadataStore,
+    StoreFailure,
+    StoreRow,
+    StoreRows,
+    StoreTable,
+    Unreadable,
+)
 from corkcrank.links.strict_json import decode_packed_strictly
 from corkcrank.machines.fleet import Fleet
+from corkcrank.machines.heartbeat import Phase
 from corkcrank.machines.own_row import OwnRow, OwnRowPace
 from corkcrank.machines.store_contact import StoreContact, newest_contact
+from corkcrank.machines.store_followers import StoreFollowerElection
 from corkcrank.machines.store_mirror import StoreMirror
 from corkcrank.node.workers.crash_watch import CrashWatch
-from corkcrank.scheduling.part_success_saves import PartSuccessSaves
+from corkcrank.scheduling.part_success_saves import (
+    MAX_UNSAVED_BY_OTHERS_SECONDS,
+    PartSuccessSaves,
+)
+
+READ_DELAY_SECONDS = 0.5
+"""Delay of the first read after serving begins: two heartbeats of a small fleet, after which a
+gateway knows whether others serve, and whether it is one of those that read the store."""
+
+MAX_RETRY_SECONDS = 10.0
+"""Time after a failed call for which this gateway waits until the store answers its feed."""
 
 WRITE_INTERVAL_SECONDS = 2.0
 """Minimum interval of writes: repeated successes of new parts since then are lost by a kill."""
@@ -65,43 +88,84 @@
 
 
 class PartSuccessRows(OwnRow):
-    """The row of one gateway."""
+    """The row of one gateway, and what it reads of the others' rows."""
 
     def __init__(
         self,
         store: MetadataStore,
         mirror: StoreMirror,
         fleet: Fleet,
+        election: StoreFollowerElection,
         crash_watch: CrashWatch,
         log: DecisionLog,
     ) -> None:
         super().__init__(store, fleet, StoreTable.PART_SUCCESSES, PACE)
         self._mirror = mirror
+        self._election = election
         self._crash_watch = crash_watch
         self._log = log
         self._successes = crash_watch.quarantine.part_successes
         self._saves = PartSuccessSaves()
+        self._serving_since: float | None = None
+        self._failed_at = float("-inf")
 
-    def _restore(self, rows: StoreRows) -> None:
-        """Restore the successes that this gateway had written before it started again."""
+    async def _keep(self) -> bool:
         now = clock.now()
+        if self._serving_since is None and self._fleet.local_phase == Phase.SERVING:
+            self._serving_since = now
+        if not self._takes_part(now) or not self._may_call(now):
+            return True
+        accepted = await super()._keep()
+        if not accepted:
+            self._failed_at = clock.now()
+        return accepted
+
+    def _takes_part(self, now: float) -> bool:
+        """Return whether this gateway has served long enough to read and write rows."""
+        if self._serving_since is None:
+            return False
+        saves_for_others = self._election.is_elected_follower(now)
+        delay = READ_DELAY_SECONDS if saves_for_others else MAX_UNSAVED_BY_OTHERS_SECONDS
+        return now - self._serving_since >= delay
+
+    def _may_call(self, now: float) -> bool:
+        """Return whether the store may answer, for all that this gateway has seen."""
+        answered_at = self._mirror.answered_at.get(StoreTable.WORKERS, float("-inf"))
+        return answered_at > self._failed_at or now - self._failed_at >= MAX_RETRY_SECONDS
+
+    def _interval(self) -> float:
+        if self._serving_since is None or clock.now() - self._serving_since < READ_DELAY_SECONDS:
+            return READ_DELAY_SECONDS
+        return super()._interval()
+
+    async def _read(self) -> StoreRows | StoreFailure:
+        if self._election.is_elected_follower(clock.now()):
+            return await self._store.read(self._table)
+        return await super()._read()
+
+    async def _restore(self, rows: StoreRows) -> None:
+        """Restore the successes of all rows that were read; they need not be saved again."""
+        read_at, saved = clock.now(), dict[str, int]()
         for row in rows.rows:
-            value = row.value if isinstance(row.value, bytes) else b""
-            times = self._decode(value)
+            times = self._decode(row)
             self._crash_watch.restore_part_successes(
-                {part: now - max(0.0, rows.store_time - at) for part, at in times.items()}
+                {part: read_at - max(0.0, rows.store_time - at) for part, at in times.items()}
             )
-            self._saves.record_read(times)
+            saved |= {part: max(at, saved.get(part, at)) for part, at in times.items()}
+            # Many rows of large fleets do not hold the event loop in one piece.
+            await asyncio.sleep(0)
+        self._saves.record_read(saved)
 
-    def _decode(self, value: bytes) -> dict[str, int]:
+    def _decode(self, stored: StoreRow) -> dict[str, int]:
         """Return the times of a row's parts, none if it cannot be read."""
+        value = stored.value if isinstance(stored.value, bytes) else b""
         row = decode_packed_strictly(value, PartSuccessRow)
         problem = row.reason if isinstance(row, Unreadable) else row.problem
         if isinstance(row, Unreadable) or problem:
             self._log.write(
                 LogEvent.DOCUMENT_UNREADABLE,
                 kind="part successes",
-                key=self._fleet.local_name,
+                key=stored.key,
                 detail=problem,
             )
             return {}
@@ -117,7 +181,7 @@
         offset = contact.store_time - contact.received_at
         successes = self._successes.recent(MAX_ROW_PARTS, now)
         times = {part: int(at + offset) for part, at in successes.items()}
-        if not self._saves.is_due(times, self._successes.counts, now):
+        if not self._is_due(times, now):
             return True
         self._successes.reset_counts()
         if not await self._put(msgspec.msgpack.encode(PartSuccessRow.from_times(times))):
@@ -125,3 +189,8 @@
             return False
         self._saves.record_save(times, now)
         return True
+
+    def _is_due(self, times: dict[str, int], now: float) -> bool:
+        if self._election.is_elected_follower(now):
+            return self._saves.is_due(times, self._successes.counts, now)
+        return self._saves.is_due_late(times, now)
--- a/src/corkcrank/node/membership/quarantine_rows.py
+++ b/src/corkcrank/node/membership/quarantine_rows.py
@@ -120,7 +120,7 @@
         """Rows known to be in the store, with the size of each."""
         self._written_successes: dict[str, int] = {}
         """The number of successes in each of these rows."""
-        self.part_successes = PartSuccessRows(store, mirror, fleet, crash_watch, log)
+        self.part_successes = PartSuccessRows(store, mirror, fleet, election, crash_watch, log)
 
     async def keep_rows_current(self) -> None:
         """Read all rows once, then keep them up to date until cancelled."""
--- a/src/corkcrank/node/origins/origin_rows.py
+++ b/src/corkcrank/node/origins/origin_rows.py
@@ -96,7 +96,7 @@
         self._to_write.pop(key, None)
         self._to_write[key] = None
 
-    def _restore(self, rows: StoreRows) -> None:
+    async def _restore(self, rows: StoreRows) -> None:
         """Keep the origins that this gateway had written before it started again."""
         now = clock.now()
         for row in rows.rows:
--- a/src/corkcrank/node/workers/crash_watch.py
+++ b/src/corkcrank/node/workers/crash_watch.py
@@ -137,9 +137,10 @@
             self.on_update()
 
     def restore_part_successes(self, successes: Mapping[str, float]) -> None:
-        """Record the times of parts' successes that this gateway had seen before it started."""
+        """Record the times of parts' successes that gateways had seen before this one started."""
         now = clock.now()
-        if any([self.quarantine.record_progress([p], at, now) for p, at in successes.items()]):
+        record = self.quarantine.record_progress
+        if any([record([part], at, now, restored=True) for part, at in successes.items()]):
             self._review_verdicts()
             self.on_update()
 
--- a/src/corkcrank/scheduling/part_success_saves.py
+++ b/src/corkcrank/scheduling/part_success_saves.py
@@ -12,6 +12,9 @@
 MAX_UNSAVED_SECONDS = 10.0
 """Time after the last save for which successes of parts that few runs have stay unsaved."""
 
+MAX_UNSAVED_BY_OTHERS_SECONDS = 60.0
+"""The same at a gateway that does not save for others: what many runs have is saved by those."""
+
 MIN_USUAL_SUCCESSES = 2
 """Minimum number of successes since the last save of a part that is saved at once."""
 
@@ -41,12 +44,17 @@
         >>> saves.is_due({"p": 6, "q": 7}, {"p": 1, "q": 2}, 7.0)
         True
         """
-        new = [part for part, at in times.items() if self._is_new(part, at)]
+        new = self._new_parts(times)
         if not new or now - self._saved_at >= MAX_UNSAVED_SECONDS:
             return bool(new)
         usual = max(MIN_USUAL_SUCCESSES, USUAL_SHARE * sum(counts.values()))
         return any(counts.get(part, 0) >= usual for part in new)
 
+    def is_due_late(self, times: Mapping[str, int], now: float) -> bool:
+        """Return whether to save successes at a gateway that does not save for others."""
+        is_late = now - self._saved_at >= MAX_UNSAVED_BY_OTHERS_SECONDS
+        return is_late and bool(self._new_parts(times))
+
     def record_save(self, times: Mapping[str, int], now: float) -> None:
         """Record that the store holds these successes and no others."""
         self._saved, self._saved_at = times, now
@@ -59,6 +67,9 @@
         """Record that a save failed, or that nobody knows whether it did: repeat it at once."""
         self._saved_at = float("-inf")
 
+    def _new_parts(self, times: Mapping[str, int]) -> list[str]:
+        return [part for part, at in times.items() if self._is_new(part, at)]
+
     def _is_new(self, part: str, at: int) -> bool:
         """Return whether a part is not saved, or has succeeded much later."""
         return part not in self._saved or at - self._saved[part] >= REFRESH_SECONDS
--- a/src/corkcrank/scheduling/part_successes.py
+++ b/src/corkcrank/scheduling/part_successes.py
@@ -30,6 +30,24 @@
         """
         self._times[part] = max(at, self._times.pop(part, at))
         self._counts[part] = self._counts.get(part, 0) + 1
+        self._evict_oldest()
+
+    def restore(self, part: str, at: float) -> None:
+        """Record a success from before this gateway started; it does not count as a new one.
+
+        >>> successes = PartSuccesses()
+        >>> successes.record("p", 5.0)
+        >>> for part in ("p", "q"):
+        ...     successes.restore(part, 3.0)
+        >>> successes.recent(2, now=6.0), dict(successes.counts)
+        ({'q': 3.0, 'p': 5.0}, {'p': 1})
+        """
+        if part not in self._times:
+            self._times[part] = at
+            self._times.move_to_end(part, last=False)
+            self._evict_oldest()
+
+    def _evict_oldest(self) -> None:
         if len(self._times) > MAX_PARTS:
             evicted, _ = self._times.popitem(last=False)
             self._counts.pop(evicted, None)
--- a/src/corkcrank/scheduling/request_quarantine.py
+++ b/src/corkcrank/scheduling/request_quarantine.py
@@ -137,14 +137,17 @@
             cleared = self.records.clear_part(suspect, now)
         return self._invalidate_if_changed(cleared)
 
-    def record_progress(self, parts: Iterable[str], at: float, now: float) -> bool:
+    def record_progress(
+        self, parts: Iterable[str], at: float, now: float, *, restored: bool = False
+    ) -> bool:
         """Record that a run whose prompt has these parts, with its first event ``at``, progressed.
 
         Returns whether to report it to peers immediately.
         """
+        record = self.part_successes.restore if restored else self.part_successes.record
         update = SuccessUpdate.NONE
         for part in parts:
-            self.part_successes.record(part, at)
+            record(part, at)
             if part in self.records.parts():
                 update = max(update, self.records.record_part_success(part, at, now))
         self._invalidate_if_changed(update is not SuccessUpdate.NONE)
--- a/tests/platform/test_part_success_rows.py
+++ b/tests/platform/test_part_success_rows.py
@@ -89,13 +89,15 @@
 
 
 async def test_success_that_is_restored_after_the_crashes_frees_the_part() -> None:
-    """The store answers only after engines have crashed."""
+    """The store answers only after engines have crashed, and no other gateway has read the row."""
     async with crashing_parts_world(gateways=1) as played:
-        await serve_usual_part(played)
+        name = await serve_usual_part(played)
         await die(played.nodes[0])
-        address = loopback_address(1)
+        address, row = loopback_address(1), row_value(played, name)
+        played.running.store.remove(TABLE, name)
         async with peer_of(played.running, loopback_address(2)) as first:
-            await until(lambda: first.ready)
+            await restored(first)
+            played.running.store.put(TABLE, name, row)
             played.running.store.refused.add(address)
             async with peer_of(played.running, address) as node:
                 await until(lambda: node.ready)
@@ -106,6 +108,16 @@
                 await until(lambda: not node.crash_watch.quarantine.blamed_parts(clock.now()))
 
 
+async def test_success_in_the_row_of_a_gateway_that_is_gone_frees_the_part() -> None:
+    async with crashing_parts_world(gateways=1) as played:
+        await serve_usual_part(played)
+        await die(played.nodes[0])
+        async with peer_of(played.running, loopback_address(2)) as node:
+            await restored(node)
+            crash_engines(node, FIRST_PART, 3)
+            assert await blamed_parts(node) == []
+
+
 async def test_part_that_turned_bad_is_found_after_all_gateways_were_killed() -> None:
     async with crashing_parts_world(gateways=1) as played:
         await serve_usual_part(played)
