Tests: streams of versioned worlds begin at each version, whatever ids earlier files used

Seen: test_an_unreadable_row_hides_no_other failed in its set-up three times behind test_silent_workers.py and test_late_reads.py: all twelve streams began at one version. No caller was concerned: this is a fault of the test's set-up.

Cause: idle gateways choose among equal engines by a hash of prompt and id. The stand-ins' ids and the prompts are counted through the process, and those that the two files leave to this test (engines from 163, prompts from 85) prefer the engines of one version for all twelve prompts; of 1,999 other first ids 21 do. Load spreads streams that are sent together, unless the loop pauses meanwhile.

Ruled out: slowness alone (a sleep of 2 to 20 times the processor time after each turn of the loop: 3 and 9 streams in 10 of 10 plays); other state of earlier files.

Before: with a pause of 0.4 or 1.2 s at one of 15 turns 25 of 30 plays began at one version (one did not begin), 0 of 12 without a pause, 0 of 12 with the ids of the file alone. The new test (streams one after another, these ids) failed in 3 of 3: only v1.1 had begun, in place of v1 and v1.1.

Change: VersionedWorld takes prompts that idle gateways begin at each version in turn; two set-ups of test_stream_versions.py take theirs from it too. No check is changed. After: 0 of 30 with the same pauses at one version (one did not begin); the new test passed in 3 of 3; test_stream_versions, test_origin_table, test_origin_rows and test_layout passed.

--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -42,7 +42,7 @@
         for engines in played.engines.values():
             for engine in engines:
                 engine.faults.extend([fault] * BREAKS_OF_AN_ENGINE)
-        streams = [Stream(path) for _ in range(STREAMS)]
+        streams = played.new_streams(STREAMS, path)
         attempts = [played.attempt(item, number % 2) for number, item in enumerate(streams)]
         await asyncio.gather(*attempts)
         assert_continued(played, streams)
@@ -163,7 +163,7 @@
 
 async def test_caller_without_events_begins_anew_at_any_version() -> None:
     async with versioned_world(gateways=2) as played:
-        streams = [Stream("/resumed/x") for _ in range(STREAMS)]
+        streams = played.new_streams(STREAMS)
         await asyncio.gather(*(played.attempt(item, Resumes="0" * 16) for item in streams))
         assert all(item.whole for item in streams)
         assert {version for item in streams for version in played.versions(item)} == {"v1", "v1.1"}
--- a/tests/platform/versioned_world.py
+++ b/tests/platform/versioned_world.py
@@ -13,7 +13,7 @@
 from platform_standins import StandinStageWorker, StandinWorker
 from test_owners import acquainted
 
-from corkcrank.contracts.rendezvous import rendezvous_hash
+from corkcrank.contracts.rendezvous import rendezvous_hash, weighted_rendezvous_score
 from corkcrank.load.loopback import loopback_address
 from corkcrank.node.process.node import Node
 
@@ -76,6 +76,9 @@
     running: World
     engines: dict[str, list[StandinWorker]]
 
+    def __post_init__(self) -> None:
+        self._next_versions = itertools.cycle(self.engines)
+
     @property
     def nodes(self) -> list[Node]:
         return self.running.nodes
@@ -143,12 +146,29 @@
 
     async def begin(self, count: int, path: str = "/resumed/x", gateway: int = 0) -> list[Stream]:
         """Begin streams whose callers leave after some events."""
-        streams = [Stream(path) for _ in range(count)]
+        streams = self.new_streams(count, path)
         begun = [self.attempt(item, gateway, events=EVENTS_READ) for item in streams]
         await asyncio.gather(*begun)
         assert all(item.last_event >= EVENTS_READ for item in streams)
         return streams
 
+    def new_streams(self, count: int, path: str = "/resumed/x") -> list[Stream]:
+        """Return streams that idle gateways begin at each version in turn."""
+        streams = []
+        for version in itertools.islice(self._next_versions, count):
+            stream = Stream(path)
+            while self._preferred_version(stream) != version:
+                stream = Stream(path)
+            streams.append(stream)
+        return streams
+
+    def _preferred_version(self, stream: Stream) -> str:
+        """Return the version of the engine that an idle gateway chooses for a short prompt."""
+        engines = [engine.worker_id for items in self.engines.values() for engine in items]
+        engines.sort(key=lambda item: rendezvous_hash(ZONE, item))
+        key, short = f"{stream.prompt:x}", engines[(len(engines) + 1) // 2 :]
+        return self.version_of(max(short, key=lambda it: weighted_rendezvous_score(key, it, 1.0)))
+
     def drain_engine(self, version: str, number: int = 0) -> None:
         """Have an engine announce in its entry that it leaves."""
         engine = self.engines[version][number]
