--- a/src/corkcrank/machines/own_row.py
+++ b/src/corkcrank/machines/own_row.py
@@ -42,8 +42,7 @@
     async def keep_row_current(self) -> None:
         """Read the row once, then write it whenever it is due, until cancelled."""
         while True:
-            accepted = await self._keep()
-            await asyncio.sleep(self._interval() if accepted else self._pace.retry_seconds)
+            await self._pause(accepted=await self._keep())
 
     async def _keep(self) -> bool:
         """Read the row if it was not read, else write it; return whether the store accepted it."""
@@ -65,6 +64,10 @@
     async def _write(self) -> bool:
         """Write the row if it is due; return whether the store accepted it."""
 
+    async def _pause(self, *, accepted: bool) -> None:
+        """Wait until the row may be written again."""
+        await asyncio.sleep(self._interval() if accepted else self._pace.retry_seconds)
+
     async def _put(self, value: bytes) -> bool:
         """Write the row; return whether the store accepted it."""
         written = await self._store.put(self._table, self._fleet.local_name, value)
