A begun event is found in linear time, and only comments are read slowly

Change: the reader searches only new bytes for the beginning of an event, and only complete comments and hints, which nothing else bounds, slow the reading.

--- a/src/corkcrank/node/streams/event_feed.py
+++ b/src/corkcrank/node/streams/event_feed.py
@@ -66,11 +66,11 @@
             if any(block.dispatched for block in blocks):
                 self._comment_bytes = 0
                 return blocks
-            await self._pass_on(b"".join(block.data for block in blocks))
-            if not self._reader.event_begun:
-                await self._read_slowly(len(piece))
-            elif not begun:
+            comments = b"".join(block.data for block in blocks)
+            await self._pass_on(comments)
+            if not begun and self._reader.event_begun:
                 return []
+            await self._read_slowly(len(comments))
         return None
 
     async def _pass_on(self, comments: bytes) -> None:
@@ -80,7 +80,10 @@
             self._held += comments
 
     async def _read_slowly(self, count: int) -> None:
-        """Count bytes without an event; wait while they are more than comments usually take."""
+        """Count bytes of comments; wait while they are more than are passed on.
+
+        Incomplete events and comments are bounded by their own limit.
+        """
         self._comment_bytes += count
         if self._comment_bytes > MAX_COMMENT_BYTES:
             await asyncio.sleep(count / COMMENT_BYTES_PER_SECOND)
--- a/src/corkcrank/node/streams/events.py
+++ b/src/corkcrank/node/streams/events.py
@@ -5,6 +5,9 @@
 
 _END = re.compile(rb"\n\n|\r\n\r\n|\r\r")
 _BEGIN = re.compile(rb"(?:^|[\r\n])(?:id|data):")
+_MAX_BEGIN_BYTES = 6
+"""Length of the longest match of ``_BEGIN``."""
+
 _MAX_END_BYTES = 4
 """Length of the longest separator of events, CR LF CR LF."""
 
@@ -28,10 +31,14 @@
     Searches each byte once, regardless of how many events arrive in one read and how many reads one
     event takes. A slow caller's stream buffers up to 128 KiB; searching the buffer again for each
     event would block the event loop.
+
+    ``event_begun`` is set if the bytes after the last complete event show another one. Comments
+    and hints to the reader do not.
     """
 
     def __init__(self) -> None:
         self._buffer = bytearray()
+        self.event_begun = False
 
     @property
     def kept_bytes(self) -> int:
@@ -43,18 +50,6 @@
         """Return the bytes after the last complete event."""
         return bytes(self._buffer)
 
-    @property
-    def event_begun(self) -> bool:
-        r"""Return whether the bytes after the last complete event show another one.
-
-        Comments and hints to the reader are no events.
-
-        >>> reader = EventReader()
-        >>> [(reader.feed(data), reader.event_begun)[1] for data in (b": still", b" here\n\nid: 4")]
-        [False, True]
-        """
-        return _BEGIN.search(self._buffer) is not None
-
     def feed(self, data: bytes) -> list[StreamEvent]:
         r"""Add bytes to the buffer and return the events that they complete.
 
@@ -63,8 +58,10 @@
         [StreamEvent(data=b'id: 4\ndata: a\n\n', event_id=4, dispatched=True)]
         >>> [event.event_id for event in reader.feed(b"data: b\n\n")]
         [5]
-        >>> reader.feed(b": still here\n\n")[0].dispatched
-        False
+        >>> reader.feed(b": still here\n\nda")[0].dispatched, reader.event_begun
+        (False, False)
+        >>> reader.feed(b"ta: c"), reader.event_begun
+        ([], True)
         """
         unsearched = max(0, len(self._buffer) - _MAX_END_BYTES + 1)
         self._buffer += data
@@ -74,6 +71,12 @@
             events.append(_parse_event(bytes(self._buffer[begin : end.end()])))
             begin = end.end()
         del self._buffer[:begin]
+        if begin:
+            self.event_begun, unsearched = False, 0
+        elif not self.event_begun:
+            unsearched = max(0, len(self._buffer) - len(data) - _MAX_BEGIN_BYTES + 1)
+        if not self.event_begun:
+            self.event_begun = _BEGIN.search(self._buffer, unsearched) is not None
         return events
 
 
--- a/tests/platform/test_event_reader.py
+++ b/tests/platform/test_event_reader.py
@@ -9,6 +9,7 @@
 import itertools
 import time
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -68,3 +69,21 @@
     part = b"x" * 4096
     ratio = seconds_to_read([part] * 100 * LARGER) / seconds_to_read([part] * 100)
     assert ratio < 3 * LARGER
+
+
+@given(streams())
+def test_whether_an_event_has_begun_does_not_depend_on_how_bytes_are_split(stream: bytes) -> None:
+    whole, split = EventReader(), EventReader()
+    whole.feed(stream)
+    for byte in stream:
+        split.feed(bytes([byte]))
+    assert split.event_begun == whole.event_begun
+
+
+@pytest.mark.parametrize("lines", [b"id: 4", b"data: a", b": here\ndata:", b"event: e\r\nid:"])
+def test_each_split_of_a_begun_event_shows_it(lines: bytes) -> None:
+    for cut in range(len(lines) + 1):
+        reader = EventReader()
+        reader.feed(b": still here\n\n" + lines[:cut])
+        reader.feed(lines[cut:])
+        assert reader.event_begun
