A report that is not complete in its time is no answer of a worker

What callers saw: nothing alone; a silent engine's stream goes to an engine that answers its health check, and one whose report has no end counted as such. A report whose head comes late took nearly twice its time.

Cause: the body got a whole time of its own after the head, and whether it was complete was not looked at.

Change: head and body share the time; an incomplete report counts as none.

Tests, on the code before: test_a_report_that_drips_is_none_and_takes_its_own_time fails for the health check (True) and the report (0.37 s of 0.2 s).

--- a/src/corkcrank/node/stages/stage_worker_client.py
+++ b/src/corkcrank/node/stages/stage_worker_client.py
@@ -130,12 +130,14 @@
 
         An answer that cannot be decoded is returned as :class:`Unreadable`.
         """
+        end_at = clock.now() + REPORT_SECONDS
         response = await self._send_request(
             worker, "GET", self._codec.report_path, b"", REPORT_SECONDS
         )
         if isinstance(response, SendFailure):
             return None
-        body = await self._client.read_body(response, REPORT_SECONDS, purpose=Purpose.REPORT)
+        left = max(0.0, end_at - clock.now())
+        body = await self._client.read_body(response, left, purpose=Purpose.REPORT)
         if body is None or response.status != HTTPStatus.OK:
             return None
         report = self._codec.decode_report(body)
--- a/src/corkcrank/node/workers/liveness.py
+++ b/src/corkcrank/node/workers/liveness.py
@@ -62,11 +62,16 @@
             new_work=False,
         )
         statistics = self._worker_statistics.get_or_create(worker.worker_id)
+        end_at = clock.now() + PROBE_TIMEOUT_SECONDS
         response = await self._client.send(request)
         if isinstance(response, SendFailure):
             statistics.unanswered_at = clock.now()
             return False
-        await self._client.read_body(response, PROBE_TIMEOUT_SECONDS, purpose=Purpose.REPORT)
+        left = max(0.0, end_at - clock.now())
+        body = await self._client.read_body(response, left, purpose=Purpose.REPORT)
+        if body is None:
+            statistics.unanswered_at = clock.now()
+            return False
         if response.status == HTTPStatus.MISDIRECTED_REQUEST:
             return False
         if response.status == HTTPStatus.OK:
--- a/tests/platform/endless_answers.py
+++ b/tests/platform/endless_answers.py
@@ -60,7 +60,8 @@
 
     Answers to paths in ``sound`` are given as they stand there. A body begins with ``beginning``.
     With ``breaks_after``, the connection is reset after that many bytes; with ``ends_after``, a
-    body in chunks is complete after them.
+    body in chunks is complete after them. With ``pause``, bytes come one at a time after a pause,
+    the first ones after ``head_pause``.
     """
 
     how: Endless
@@ -68,6 +69,8 @@
     sound: dict[str, bytes] = field(default_factory=dict)
     breaks_after: int = 0
     ends_after: int = 0
+    pause: float = 0.0
+    head_pause: float = 0.0
     worker_id: str = ""
     sent: list[int] = field(default_factory=list)
     open: int = 0
@@ -124,14 +127,16 @@
         peer, number = self._peer, len(self._peer.sent)
         peer.sent.append(0)
         peer.open += 1
-        piece = endless_piece(peer.how)
+        piece = chunk(b"x") if peer.pause else endless_piece(peer.how)
         try:
+            await asyncio.sleep(peer.head_pause)
             writer.write(begin(peer.how, ids, peer.beginning))
             last = peer.breaks_after or peer.ends_after
             while not last or peer.sent[number] < last:
                 writer.write(piece)
                 await writer.drain()
                 peer.sent[number] += len(piece)
+                await asyncio.sleep(peer.pause)
             if peer.breaks_after:
                 reset(writer)
                 return
