Bodies that arrive while the event loop stands still are read, not refused as too slow

Callers saw: 408 for a request whose body was whole in the gateway's socket, after a stall of the event loop that was longer than the idle timeout.

Cause: if the loop sees the bytes one turn after the stall, the timer of the body is due in the same turn. The connection is read first, but the reader of the body runs a turn later, and the timer cancels it before that.

Change: when the timer fires, the connection is read once more before the caller counts as too slow.

The same pattern is left where peers and relays read a message (peer_server, relay_server), whose silence bounds are other ones.

--- a/src/corkcrank/node/ingress/request_body.py
+++ b/src/corkcrank/node/ingress/request_body.py
@@ -1,6 +1,5 @@
 """Reads the body of a caller's request within the limits of the configuration and the memory."""
 
-import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -10,6 +9,7 @@
 from corkcrank.contracts.result_codes import ResultCode
 from corkcrank.node.callers.body_admission import BodyAdmission, BodyTicket
 from corkcrank.node.callers.refusals import Refusal
+from corkcrank.node.ingress.body_chunks import read_any
 from corkcrank.scheduling.body_budget import SMALL_BODY_BYTES, BodyClaim
 
 ClaimRoom = Callable[[int], BodyClaim]
@@ -67,8 +67,7 @@
         size = 0
         try:
             while True:
-                async with asyncio.timeout(limits.idle_seconds):
-                    chunk = await request.content.readany()
+                chunk = await read_any(request.content, limits.idle_seconds)
                 if not chunk:
                     if self.ticket is not None:
                         self.admission.resize(self.ticket, size)
--- a/tests/platform/test_late_reads.py
+++ b/tests/platform/test_late_reads.py
@@ -237,7 +237,10 @@
     then()
 
 
-async def test_a_body_that_ends_in_a_stall_with_the_signal_begins_no_stream() -> None:
+@pytest.mark.parametrize("before_stall", [BODY[1:2], b""])
+async def test_a_body_that_ends_in_a_stall_with_the_signal_begins_no_stream(
+    before_stall: bytes,
+) -> None:
     """The stream was begun: the loop read its body before it told the gateway of the signal."""
     loop = asyncio.get_running_loop()
     with process_signals():
@@ -253,9 +256,11 @@
             caller = Caller(played.running)
             caller.send(staged_head(f"Content-Length: {len(BODY)}") + BODY[:1])
             await until(lambda: node.callers.in_flight == 2)
-            # The stall is the first callback of the turn in which the connection is read.
-            loop.call_soon(stall_after_signal, lambda: caller.send(BODY[2:]))
-            caller.send(BODY[1:2])
+            # The stall is the first callback of the turn in which the connection is read, or is
+            # the turn before that, whose timers are due then.
+            rest = BODY[1 + len(before_stall) :]
+            loop.call_soon(stall_after_signal, lambda: caller.send(rest))
+            caller.send(before_stall)
             expect_refusal(await caller.received())
             assert played.work() == before
 
