An answer of a member that has begun ends within twelve intervals

What callers saw: nothing alone; a list of workers, a configuration or a list of crashes that drips from one member without end held the question to it for good, since such questions have no time of their own.

Cause: each byte of the answer counted as progress, as the bytes do that a member sends before its answer.

Change: once an answer has begun, 12 intervals (4.8 s) are left to its end. Intervals of the event loop are counted, as for silence, so a pause of this process does not end it.

Test, on the code before: test_an_answer_of_a_member_that_drips_ends_with_its_time without a time fails (TimeoutError of the test after twice the time).

--- a/src/corkcrank/node/peers/peer_client.py
+++ b/src/corkcrank/node/peers/peer_client.py
@@ -134,6 +134,8 @@
         with self._received.open(Purpose.PEER, address, response) as kept:
             async for data in response.content.iter_any():
                 silence.record_bytes()
+                if data.strip(PROGRESS_BYTE):
+                    silence.record_answer()
                 kept.keep(data)
             return b"".join(kept.take())
 
--- a/tests/platform/test_dripping_answers.py
+++ b/tests/platform/test_dripping_answers.py
@@ -1,5 +1,6 @@
 """A body that arrives byte by byte without end holds its reader no longer than its own time."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 
 import aiohttp
@@ -12,7 +13,9 @@
 from corkcrank.contracts import clock
 from corkcrank.links.platform_ports import StoreFailure, StoreTable
 from corkcrank.links.silence import ignore_silence
+from corkcrank.node.peers import peer_client
 from corkcrank.node.peers.peer_client import PeerClient, PeerFailure
+from corkcrank.node.peers.peer_silence import ANSWER_INTERVALS
 from corkcrank.node.stages.stage_worker_client import REPORT_SECONDS, StageWorkerClient
 from corkcrank.node.workers.liveness import PROBE_TIMEOUT_SECONDS
 from corkcrank.platform.store import PlatformStore
@@ -26,6 +29,7 @@
 whole time for the body, took more."""
 
 DEADLINE_SECONDS = 0.8
+
 ROUTES = [route("safe", "safe", "plain"), route("once", "unsafe", "plain")]
 
 
@@ -96,13 +100,20 @@
     await peer.server.stop()
 
 
-async def test_an_answer_of_a_member_that_drips_ends_with_its_time() -> None:
+@pytest.mark.parametrize("seconds", [DEADLINE_SECONDS, None])
+async def test_an_answer_of_a_member_that_drips_ends_with_its_time(
+    seconds: float | None, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    if seconds is None:
+        interval = DEADLINE_SECONDS / ANSWER_INTERVALS
+        monkeypatch.setattr(peer_client, "PEER_PROGRESS_INTERVAL_SECONDS", interval)
     peer = dripping()
     await peer.server.start()
     peers = PeerClient(ignore_silence)
     async with core_clock():
         asked_at = clock.now()
-        answer = await peers.request(peer.server.address, "/x", timeout_seconds=DEADLINE_SECONDS)
+        async with asyncio.timeout(2 * DEADLINE_SECONDS):
+            answer = await peers.request(peer.server.address, "/x", timeout_seconds=seconds)
         assert answer is PeerFailure.SILENT
         assert clock.now() - asked_at < LATE_FACTOR * DEADLINE_SECONDS
         await until(lambda: not peer.open)
