--- a/src/corkcrank/node/origins/software_rows.py
+++ b/src/corkcrank/node/origins/software_rows.py
@@ -28,7 +28,6 @@
 )
 from corkcrank.links.strict_json import decode_strictly
 from corkcrank.machines.fleet import Fleet
-from corkcrank.machines.heartbeat import Phase
 from corkcrank.machines.store_contact import StoreContact, newest_contact
 from corkcrank.machines.store_mirror import StoreMirror
 from corkcrank.machines.worker_changes import WorkerChange
@@ -42,10 +41,6 @@
 RETRY_SECONDS = 1.0
 """Delay after a failed call to the store."""
 
-OWNER_DELAY_SECONDS = 0.5
-"""Time after serving begins from which this gateway writes rows: two heartbeats of a small fleet,
-after which it knows whether others serve, and which rows it owns."""
-
 RECENT_SECONDS = 30.0
 """Time for which a version that has left still counts as one of several."""
 
@@ -124,7 +119,6 @@
         """The services with resumable streams, kept until the routes change."""
         mirror.on_whole_list = self._record_whole_list
         mirror.on_entry = self._record_entry
-        self._serving_since: float | None = None
         self._written: dict[str, SoftwareRow] = {}
         """Rows known to be in the store."""
 
@@ -178,20 +172,13 @@
         """Write the rows that have changed; return whether the store accepted every change."""
         if not self._mirror.workers_known:
             return True
-        now = clock.now()
-        self._routes.record(self._all_routes(), now)
+        self._routes.record(self._all_routes(), clock.now())
         for service in self._resumable_services():
             self._observe(service)
-            if self._knows_owners(now) and not await self._write_changed(service):
+            if not await self._write_changed(service):
                 return False
         return True
 
-    def _knows_owners(self, now: float) -> bool:
-        """Return whether this gateway has served for long enough to know who owns which row."""
-        if self._serving_since is None and self._fleet.local_phase == Phase.SERVING:
-            self._serving_since = now
-        return self._serving_since is not None and now - self._serving_since >= OWNER_DELAY_SECONDS
-
     async def _write_changed(self, service: str) -> bool:
         listed, now = self._listed(service), clock.now()
         if not listed or self._fleet.zone_owner("", service, now) != self._fleet.local_name:
--- a/tests/platform/test_origin_table.py
+++ b/tests/platform/test_origin_table.py
@@ -177,6 +177,24 @@
             assert reads == []
 
 
+@pytest.mark.parametrize("number", [1, 9])
+async def test_no_stream_is_mixed_where_one_version_left_while_no_gateway_ran(number: int) -> None:
+    """The gateway that comes back has a row of origins, or none."""
+    async with versioned_world(gateways=GATEWAYS) as played:
+        streams = await played.begin(STREAMS)
+        stay = [item for item in streams if played.versions(item) == {VERSIONS[1]}]
+        await wait_for_rows(played, streams, rows=2)
+        await kill_all(played)
+        for engine in played.engines[VERSIONS[0]]:
+            played.running.store.remove("servers", engine.worker_id)
+        async with peer_of(played.running, loopback_address(number)) as node:
+            await until(lambda: node.ready and node._origins.rows.restored)
+            await take_up(played, streams, node)
+            assert played.mixed(streams) == []
+            assert stay
+            assert number > GATEWAYS or all(item.whole for item in stay)
+
+
 async def test_gateway_is_ready_at_once_while_the_rows_cannot_be_read() -> None:
     async with versioned_world(gateways=2) as played:
         began_at = time.monotonic()
