Lost calls are listed in one call, and versioned worlds begin streams at the versions that they have now

Cause: each heartbeat asks for the lost calls, a call more since they have a class of their own; the set-up of versioned worlds went through the versions while a test replaced one. Change: the list is made without a call of its own; the set-up takes the versions that are there. No check is changed.

--- a/src/corkcrank/node/workers/lost_calls.py
+++ b/src/corkcrank/node/workers/lost_calls.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 from dataclasses import dataclass, field
+from itertools import chain
 
 from corkcrank.contracts import clock
 from corkcrank.contracts.opaque_call import OpaqueCall
@@ -31,7 +32,7 @@
 
     def snapshot(self) -> list[LostCall]:
         """Return all lost calls of this moment."""
-        return [lost for lost_calls in self._lost.values() for lost in lost_calls]
+        return list(chain.from_iterable(self._lost.values()))
 
     def add(self, lost: LostCall) -> None:
         """Add a lost call whose worker is being checked."""
--- a/tests/platform/versioned_world.py
+++ b/tests/platform/versioned_world.py
@@ -77,7 +77,7 @@
     engines: dict[str, list[StandinWorker]]
 
     def __post_init__(self) -> None:
-        self._next_versions = itertools.cycle(self.engines)
+        self._turns = itertools.count()
 
     @property
     def nodes(self) -> list[Node]:
@@ -153,10 +153,11 @@
         return streams
 
     def new_streams(self, count: int, path: str = "/resumed/x") -> list[Stream]:
-        """Return streams that idle gateways begin at each version in turn."""
+        """Return streams that idle gateways begin at each present version in turn."""
+        versions = [version for version, engines in self.engines.items() if engines]
         streams = []
-        for version in itertools.islice(self._next_versions, count):
-            stream = Stream(path)
+        for turn in itertools.islice(self._turns, count):
+            version, stream = versions[turn % len(versions)], Stream(path)
             while self._preferred_version(stream) != version:
                 stream = Stream(path)
             streams.append(stream)
