--- a/tests/platform/test_kept_fault_answers.py
+++ b/tests/platform/test_kept_fault_answers.py
@@ -1,7 +1,7 @@
 """The failures that a gateway keeps while another worker is tried stay within its memory limit.
 
-Guards against complete answers that no account counts: each repeatable call keeps the last failure
-of a worker until another worker has answered.
+Guards against complete answers that no account counts: each call that may be sent again keeps the
+last failure of a worker until another worker has answered.
 """
 
 import asyncio
@@ -25,7 +25,11 @@
 SECONDS = 5.0
 """Time in which a call is answered; its deadline is 4 s."""
 
-ROUTES = [route("safe", "safe", "plain"), route("repeated", "safe", "model", max_attempts=2)]
+ROUTES = [
+    route("safe", "safe", "plain"),
+    route("repeated", "safe", "model", max_attempts=2),
+    route("talk", "stream", "model", max_attempts=2, stream_resume=True),
+]
 
 
 class FailingOnce(_EndlessServer):
@@ -44,8 +48,9 @@
         await super()._send_endlessly(reader, writer, ids)
 
 
+@pytest.mark.parametrize("path", ["/repeated/x", "/talk/x"])
 async def test_kept_failures_leave_a_gateway_within_its_memory(
-    monkeypatch: pytest.MonkeyPatch,
+    path: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.setattr(endless_answers, "OK", b"HTTP/1.1 500 Failed\r\n")
     monkeypatch.setattr(FailingOnce, "attempted", set(), raising=False)
@@ -57,7 +62,7 @@
 
         async def call(number: int) -> int:
             await asyncio.sleep(GAP_SECONDS * number)
-            request = request_bytes(close=True, path="/repeated/x")
+            request = request_bytes(close=True, path=path)
             return await exchange(running.caller_address, request, SECONDS)
 
         statuses = await asyncio.gather(*[call(number) for number in range(CALLS)])
