All comments of an engine reach the caller, and the newest of several restored successes counts

A part whose success stood in two rows was unproven if the older row was read first. Cause: comments beyond a limit were dropped and read slowly at once; a restored success was kept as it was read first. Change: comments are passed on in their places; up to 4 KiB are held back while the stream has not begun or another engine is sought, and reading slows down after 64 KiB without an event.

--- a/src/corkcrank/node/streams/event_feed.py
+++ b/src/corkcrank/node/streams/event_feed.py
@@ -9,22 +9,25 @@
 from corkcrank.node.streams.upstream_buffer import UpstreamBuffer
 from corkcrank.scheduling.worker_choice import WorkerStatistics
 
-MAX_COMMENT_BYTES = 4_096
-"""Maximum number of bytes of comments that are passed on between two events."""
+MAX_HELD_BYTES = 4_096
+"""Maximum number of bytes of comments that are held back until the next event."""
+
+MAX_BURST_BYTES = 65_536
+"""Number of bytes of comments that are read without a pause between two events."""
 
 COMMENT_BYTES_PER_SECOND = 65_536
-"""Rate at which an engine's bytes are read while it sends more comments than are passed on."""
+"""Rate at which an engine's bytes are read while it sends more comments than that."""
 
-CommentWriter = Callable[[bytes], Awaitable[bool]]
-"""Passes comments on; returns false if they have to wait for the next event."""
+CommentWriter = Callable[[bytes], Awaitable[None]]
+"""Passes comments on to the caller."""
 
 
 class EventFeed:
     """The events of one engine's answer.
 
-    Comments and hints to the reader are passed on, or held back until the next event, up to
-    ``MAX_COMMENT_BYTES`` between two events. ``heard_at`` is the time of the last bytes, which is
-    also recorded in the engine's statistics.
+    Comments and hints to the reader are passed on in their places. While ``hold`` returns true,
+    up to ``MAX_HELD_BYTES`` of them are held back until the next event. ``heard_at`` is the time of
+    the last bytes, which is also recorded in the engine's statistics.
     """
 
     def __init__(
@@ -33,11 +36,13 @@
         kept: ReceivedMessage,
         statistics: WorkerStatistics,
         write: CommentWriter,
+        hold: Callable[[], bool],
     ) -> None:
         self._waiting = waiting
         self._kept = kept
         self._statistics = statistics
         self._write = write
+        self._hold = hold
         self._reader = EventReader()
         self._held = bytearray()
         self._comment_bytes = 0
@@ -74,16 +79,15 @@
         return None
 
     async def _pass_on(self, comments: bytes) -> None:
-        if not comments or self._comment_bytes + len(comments) > MAX_COMMENT_BYTES:
-            return
-        if self._held or not await self._write(comments):
-            self._held += comments
+        self._held += comments
+        if self._held and (len(self._held) > MAX_HELD_BYTES or not self._hold()):
+            await self._write(self.take_held())
 
     async def _read_slowly(self, count: int) -> None:
-        """Count bytes of comments; wait while they are more than are passed on.
+        """Count bytes of comments; wait while they are more than a burst.
 
         Incomplete events and comments are bounded by their own limit.
         """
         self._comment_bytes += count
-        if self._comment_bytes > MAX_COMMENT_BYTES:
+        if self._comment_bytes > MAX_BURST_BYTES:
             await asyncio.sleep(count / COMMENT_BYTES_PER_SECOND)
--- a/src/corkcrank/node/streams/stream_relay.py
+++ b/src/corkcrank/node/streams/stream_relay.py
@@ -125,7 +125,8 @@
         received = self._services.client.received
         kept = received.open(Purpose.EVENT, attempt.worker.worker_id, upstream)
         statistics = self._services.worker_statistics.get_or_create(attempt.worker.worker_id)
-        feed = EventFeed(waiting, kept, statistics, partial(self._write_comments, upstream))
+        write = partial(self._answer.write, upstream)
+        feed = EventFeed(waiting, kept, statistics, write, self._holds_comments)
         self._answer.set_waiting(waiting)
         silence = first
         try:
@@ -164,12 +165,9 @@
                 self._services.client.record_silence(address_of(upstream), waited)
             raise
 
-    async def _write_comments(self, upstream: aiohttp.ClientResponse, comments: bytes) -> bool:
-        """Pass comments on, unless no event was sent yet or another engine is sought."""
-        if not self._answer.prepared or self.search.in_progress:
-            return False
-        await self._answer.write(upstream, comments)
-        return True
+    def _holds_comments(self) -> bool:
+        """Return whether comments wait: no event was sent yet, or another engine is sought."""
+        return not self._answer.prepared or self.search.in_progress
 
     async def _send_events(
         self,
--- a/src/corkcrank/scheduling/part_successes.py
+++ b/src/corkcrank/scheduling/part_successes.py
@@ -42,10 +42,12 @@
         >>> successes.recent(2, now=6.0), dict(successes.counts)
         ({'q': 3.0, 'p': 5.0}, {'p': 1})
         """
-        if part not in self._times:
-            self._times[part] = at
-            self._times.move_to_end(part, last=False)
-            self._evict_oldest()
+        if part in self._times:
+            self._times[part] = max(at, self._times[part])
+            return
+        self._times[part] = at
+        self._times.move_to_end(part, last=False)
+        self._evict_oldest()
 
     def _evict_oldest(self) -> None:
         if len(self._times) > MAX_PARTS:
