The drain tests measure their streams on the clock without waits for a core

Seen: test_a_kept_connection_gets_an_answer_late_in_the_drain failed once beside a load of 26: a chunked stream broke off.

Cause, in the test's set-up: stopping_soon measures a stream of 140 events in 0.02 s each against a deadline of 9 s. Ruled out: the product cuts nothing before the deadline.

Change: the world of stopping_soon runs on the core clock. Checks, grace period, deadline and number of events are as they were.

With a forecast that lets every stream begin in a drain (DrainForecast.fits returns true), the test and test_a_stream_that_outlasts_the_grace_is_refused_at_once fail: 200, not 503.

Conclusion: the set-up, not the product.

--- a/tests/platform/test_drain_admission.py
+++ b/tests/platform/test_drain_admission.py
@@ -7,6 +7,7 @@
 import aiohttp
 import msgspec
 import pytest
+from core_clock import core_clock
 from node_world import World, configuration, route, stage_service, stop, until, world
 from platform_standins import StandinStageWorker, StandinWorker
 from test_stop_ends import waiting_piece
@@ -61,7 +62,7 @@
     }
     document = configuration(1, ROUTES)
     document["services"].append({"name": "brief", "engine": {"slots": 8, "kv_capacity": 1000}})
-    async with world(document, served, grace=GRACE) as running:
+    async with core_clock(), world(document, served, grace=GRACE) as running:
         paths = ("/short/x", "/long/x", "/staged/x")
         headers = {**PIECES, "X-Corkcrank-Deadline-Ms": str(LONG_TIMEOUT_MS)}
         answers = [running.call(path, headers=headers) for path in paths]
