Pieces after an undecodable answer are played on the clock without waits for a core

Cause, in the test's set-up: the call, the owner's lost answer and the second attempt share one thread and one deadline of 4 s. Forced by 0.1, 0.15, 0.2 and 0.3 s without a core after each turn of the loop from the call on: 8 of 8 plays answered 503 STAGE_NOT_MADE "deadline"; 0 of 2 at 0.05 s. An owner that answers 2.5 s late does the same (1 of 1), 0 of 1 each at 0.4, 0.8 and 1.5 s. Ruled out: a gateway that is not ready, or lacks the engine or the stage worker, when the call begins: each play that printed it had both.

Change: the world of this test runs on the core clock; its check and the deadline are as they were.

With answers decoded without the check of errors all six cases fail: 500, not 200.

--- a/tests/platform/test_peer_answers.py
+++ b/tests/platform/test_peer_answers.py
@@ -9,6 +9,7 @@
 
 import pytest
 from aiohttp import web
+from core_clock import core_clock
 from node_world import World, configuration, peer_of, route, until, world
 from platform_standins import StandinStageWorker, StandinWorker
 from test_owners import ROUTES as STAGED_ROUTES
@@ -77,6 +78,7 @@
     encode = StandinStageWorker()
     served = {"m": (StandinWorker(events=2), "model"), "e": (encode, "encode")}
     async with (
+        core_clock(),
         world(configuration(1, STAGED_ROUTES), served) as running,
         peer_of(running, loopback_address(2)) as second,
     ):
