Failures that calls keep while another worker is tried stay in the account of received bytes

Callers: a gateway of 160 MB whose workers answer with large failures reached more memory than it has, at which the platform ends it with every call in progress.

Change: FallbackAnswer counts the failure until it is sent, replaced or not needed; a stream frees it with its first event, a call when its run ends. A call whose failure was dropped ends as if its worker had broken off (502, or 504 after its deadline) where it would have passed the failure on. Delivering a large failure at once was weighed and not taken: it would end calls that another worker can still answer.

Ruled out: stage calls keep no failure answer (by reading). Not tested end to end: that a stream frees its failure with its first event.

--- a/src/corkcrank/links/received_bytes.py
+++ b/src/corkcrank/links/received_bytes.py
@@ -194,6 +194,11 @@
         self.limit_bytes = limit_bytes
         self.count = 0
 
+    @property
+    def dropped(self) -> bool:
+        """Return whether a bound was exceeded and the pieces were freed."""
+        return self._dropped
+
     def __enter__(self) -> Self:
         return self
 
--- a/src/corkcrank/node/calls/plain_run.py
+++ b/src/corkcrank/node/calls/plain_run.py
@@ -17,9 +17,10 @@
 from corkcrank.node.callers.drain import abandoned_call_answer
 from corkcrank.node.callers.refusals import Refusal
 from corkcrank.node.calls.attempts import Attempt, AttemptOutcome, attempt_call
+from corkcrank.node.calls.fallback_answer import FallbackAnswer
 from corkcrank.node.calls.open_attempts import OpenAttempt, OpenAttempts
 from corkcrank.node.calls.services import DEFAULT_PLAIN_SECONDS, MIN_CALL_SECONDS, CallServices
-from corkcrank.node.calls.worker_answers import read_whole_answer
+from corkcrank.node.calls.worker_answers import WorkerAnswer, read_whole_answer
 from corkcrank.node.workers.silence_timeout import SilenceRule
 from corkcrank.node.workers.worker_health import MIN_FAULT_STATUS
 from corkcrank.scheduling.worker_choice import rank_workers
@@ -48,7 +49,7 @@
     def __init__(self, call: OpaqueCall, services: CallServices) -> None:
         self._call = call
         self._services = services
-        self._last_answer: web.Response | None = None
+        self.fallback = FallbackAnswer(services.client.received)
         self._limit_wait: float | None = None
         self._attempts = OpenAttempts(services, call)
         self._has_run = False
@@ -64,7 +65,7 @@
 
     def answer_at_stop(self) -> web.StreamResponse | Refusal:
         """Return the last answer of a worker, or a refusal because the gateway stops."""
-        return self._last_answer or abandoned_call_answer(self._call)
+        return self.fallback.take() or abandoned_call_answer(self._call)
 
     async def run(self) -> web.StreamResponse | Refusal:
         """Return the worker's answer, or a refusal with its reason."""
@@ -93,7 +94,7 @@
             return answer
         if worker is not None and self._may_repeat():
             self._start_next_attempt()
-        return None if self._attempts.any_active else self._last_answer
+        return None if self._attempts.any_active else self.fallback.take()
 
     def _may_repeat(self) -> bool:
         """Return whether the call may be sent again after a failed attempt."""
@@ -213,8 +214,8 @@
         if attempt.outcome is not AttemptOutcome.ANSWERED:
             return None
         open_attempt.record_bytes()
-        response = await self._read_answer(attempt, open_attempt)
-        if response is None:
+        answer = await self._read_answer(attempt, open_attempt)
+        if answer is None:
             self._services.record_connection_failure(call, worker)
             return None
         self._services.health.record_response(worker, attempt.status)
@@ -223,10 +224,10 @@
             statistics = self._services.worker_statistics.get_or_create(worker.worker_id)
             statistics.failures.append(clock.now())
             if self._attempts.any_active_besides(open_attempt) or self._may_try_another():
-                self._last_answer = response
+                self.fallback.keep(worker, answer)
                 return None
         self._observe_times(worker, clock.now() - started, attempt.status)
-        return response
+        return answer.response()
 
     def _observe_times(self, worker: WorkerRecord, seconds: float, status: int) -> None:
         service = self._call.service
@@ -238,7 +239,7 @@
 
     async def _read_answer(
         self, attempt: Attempt, open_attempt: OpenAttempt
-    ) -> web.Response | None:
+    ) -> WorkerAnswer | None:
         left = self._call.end_at - clock.now()
         return await read_whole_answer(
             self._services, attempt, left, self._silence_rule(open_attempt, attempt.worker)
@@ -282,8 +283,8 @@
         return Refusal.draining("may take longer than the time left in the drain")
 
     def _final_refusal(self) -> web.StreamResponse | Refusal:
-        if self._last_answer is not None:
-            return self._last_answer
+        if (answer := self.fallback.take()) is not None:
+            return answer
         call = self._call
         if clock.now() >= call.end_at and call.may_have_run:
             return Refusal(ResultCode.DEADLINE_EXCEEDED)
--- a/src/corkcrank/node/calls/worker_answers.py
+++ b/src/corkcrank/node/calls/worker_answers.py
@@ -1,6 +1,7 @@
 """Reads answers of workers completely and copies their headers for the caller."""
 
 import asyncio
+from dataclasses import dataclass
 
 from aiohttp import web
 
@@ -13,9 +14,34 @@
 """Maximum length of an answer whose pieces are joined, to be written at once."""
 
 
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """The head of a worker's answer, with the headers for the caller."""
+
+    status: int
+    reason: str | None
+    headers: list[tuple[str, str]]
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerAnswer:
+    """A worker's complete answer, its body in the pieces in which it was received."""
+
+    head: AnswerHead
+    pieces: list[bytes]
+
+    def response(self) -> web.Response:
+        """Return the answer to the caller; it can be sent once."""
+        large = sum(map(len, self.pieces)) > MAX_JOINED_BYTES
+        body = PiecedBody(self.pieces) if large else b"".join(self.pieces)
+        response = web.Response(status=self.head.status, reason=self.head.reason, body=body)
+        replace_headers(response, self.head.headers)
+        return response
+
+
 async def read_whole_answer(
     services: CallServices, attempt: Attempt, seconds: float, silence: SilenceRule | None = None
-) -> web.Response | None:
+) -> WorkerAnswer | None:
     """Return a worker's complete answer, or ``None`` if it was truncated or timed out.
 
     ``seconds`` bounds the read of the body; ``silence`` may end a wait for more bytes earlier.
@@ -31,12 +57,8 @@
     if pieces is None:
         attempt.close()
         return None
-    large = sum(map(len, pieces)) > MAX_JOINED_BYTES
-    body = PiecedBody(pieces) if large else b"".join(pieces)
     headers = services.ports.calls.answer_headers(list(upstream.headers.items()))
-    response = web.Response(status=upstream.status, reason=upstream.reason, body=body)
-    replace_headers(response, headers)
-    return response
+    return WorkerAnswer(AnswerHead(upstream.status, upstream.reason, headers), pieces)
 
 
 def replace_headers(response: web.StreamResponse, headers: list[tuple[str, str]]) -> None:
--- a/src/corkcrank/node/ingress/call_handler.py
+++ b/src/corkcrank/node/ingress/call_handler.py
@@ -17,7 +17,7 @@
     reader_was_cut,
     seconds_since_close,
 )
-from corkcrank.node.callers.drain import CallAnswer, CallRun, OpenCalls
+from corkcrank.node.callers.drain import OpenCalls
 from corkcrank.node.callers.refusals import CallerDisconnectedError, Refusal
 from corkcrank.node.calls.plain_run import PlainRun
 from corkcrank.node.calls.services import CallServices
@@ -147,7 +147,7 @@
         try:
             if closed_by_peer(request.transport):
                 raise CallerDisconnectedError
-            answer = await self.open_calls.serve(self._create_run(call, request))
+            answer = await self._serve_run(self._create_run(call, request))
             if isinstance(answer, Refusal):
                 outcome, detail = answer.code.name, answer.detail
                 retry_after = answer.retry_after
@@ -169,7 +169,11 @@
                 self._record_caller_left(call, request)
             self._record_end(call, outcome, detail, retry_after)
 
-    def _create_run(self, call: OpaqueCall, request: web.BaseRequest) -> CallRun[CallAnswer]:
+    async def _serve_run(self, run: PlainRun | StreamRun) -> web.StreamResponse | Refusal:
+        with run.fallback:
+            return await self.open_calls.serve(run)
+
+    def _create_run(self, call: OpaqueCall, request: web.BaseRequest) -> PlainRun | StreamRun:
         if call.route.kind is CallKind.STREAM:
             return StreamRun(call, self._services, request)
         return PlainRun(call, self._services)
--- a/src/corkcrank/node/streams/engine_exchange.py
+++ b/src/corkcrank/node/streams/engine_exchange.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass
 
 import aiohttp
-from aiohttp import web
 
 from corkcrank.contracts import clock
 from corkcrank.contracts.opaque_call import CallStep, OpaqueCall
@@ -14,6 +13,7 @@
 from corkcrank.links.decision_log import LogEvent
 from corkcrank.links.received_bytes import Purpose, forget_readers
 from corkcrank.node.calls.attempts import Attempt, AttemptOutcome, attempt_call
+from corkcrank.node.calls.fallback_answer import FallbackAnswer
 from corkcrank.node.calls.services import CallServices
 from corkcrank.node.calls.worker_answers import read_whole_answer
 from corkcrank.node.stages.stage_run import StageRun
@@ -83,7 +83,7 @@
         self._relay = StreamRelay(call, services, answer)
         self._release: ResultRelease | None = None
         self.stages: StageRun | None = None
-        self.failure: web.Response | None = None
+        self.failure = FallbackAnswer(services.client.received)
 
     def set_search(self, search: EngineSearch) -> None:
         """Set the search for another engine, weakly: it refers to these exchanges and the call."""
@@ -103,11 +103,9 @@
     def has_attempt_left(self) -> bool:
         """Return whether another attempt may succeed, regardless of the retry budget."""
         call = self._call
-        if call.may_have_run and not call.route.idempotent:
-            return False
-        if self.failure is not None and self.failure.status < MIN_FAULT_STATUS:
-            return False
-        return call.has_attempt_left
+        may_repeat = call.route.idempotent or not call.may_have_run
+        refused = 0 < self.failure.status < MIN_FAULT_STATUS
+        return may_repeat and not refused and call.has_attempt_left
 
     async def send(self, engine: WorkerRecord, inputs: tuple[str, ...]) -> RelayEnd:
         """Send the call to an engine and relay its answer."""
@@ -141,8 +139,7 @@
         if attempt.response is None:
             self._record_missed_inputs(attempt)
             return None
-        waiting = UpstreamBuffer(attempt.response)
-        begun = BegunExchange(attempt, waiting, record_first_event)
+        begun = BegunExchange(attempt, UpstreamBuffer(attempt.response), record_first_event)
         try:
             if await self._has_begun(begun):
                 return begun
@@ -230,7 +227,9 @@
         )
         if failure is not None:
             self._services.crash_watch.record_completed(self._call)
-            self.failure = failure
+            self.failure.keep(attempt.worker, failure)
+            if self._answer.prepared:
+                self.failure.discard()
         return RelayEnd.FAILED
 
     def _failure_read_seconds(self, engine: WorkerRecord) -> float:
@@ -289,6 +288,7 @@
 
         def record_first_event() -> None:
             now = clock.now()
+            self.failure.discard()
             self._services.paces.observe_work(
                 engine.worker_id, engine.service, now - sent_at, tokens, now
             )
--- a/src/corkcrank/node/streams/stream_run.py
+++ b/src/corkcrank/node/streams/stream_run.py
@@ -49,6 +49,7 @@
             self._answer,
             self._continuity,
         )
+        self.fallback = self._exchanges.failure
         self._failover = EngineFailover(
             call,
             services,
@@ -75,7 +76,7 @@
         if self._answer.prepared:
             self._answer.abort()
             raise ConnectionResetError("the gateway stops before the stream is complete")
-        return self._exchanges.failure or abandoned_call_answer(self._call)
+        return self.fallback.take() or abandoned_call_answer(self._call)
 
     async def run(self) -> web.StreamResponse | Refusal:
         """Return the finished answer, or a refusal with its reason."""
@@ -282,8 +283,8 @@
     def _final_refusal(self) -> web.StreamResponse | Refusal:
         if self._answer.prepared:
             raise self._cut_stream("deadline" if clock.now() >= self._call.end_at else "engine")
-        if self._exchanges.failure is not None:
-            return self._exchanges.failure
+        if (failure := self.fallback.take()) is not None:
+            return failure
         if self._call.may_have_run:
             overdue = clock.now() >= self._call.end_at
             code = ResultCode.DEADLINE_EXCEEDED if overdue else ResultCode.WORKER_LOST
@@ -334,8 +335,8 @@
     def _stage_refusal(self, error: StageFailedError) -> web.StreamResponse | Refusal:
         if self._answer.prepared:
             raise self._cut_stream("stages", error.detail) from error
-        if self._exchanges.failure is not None:
-            return self._exchanges.failure
+        if (failure := self.fallback.take()) is not None:
+            return failure
         if self._call.may_have_run:
             return Refusal(ResultCode.STAGE_FAILED, error.detail)
         if wait := self._services.crash_watch.quarantine_seconds_left(self._call):
