--- a/tests/platform/test_drain_admission.py
+++ b/tests/platform/test_drain_admission.py
@@ -10,7 +10,7 @@
 from core_clock import core_clock
 from node_world import World, configuration, route, stage_service, stop, until, world
 from platform_standins import StandinStageWorker, StandinWorker
-from test_stop_ends import waiting_piece
+from test_pieces_in_stops import waiting_piece
 
 from corkcrank.contracts import clock
 from corkcrank.links.platform_ports import PieceOutcome
--- a/tests/platform/test_stop_ends.py
+++ b/tests/platform/test_stop_ends.py
@@ -2,8 +2,7 @@
 
 Each of these requests was once closed without a response, answered twice or delayed needlessly at
 the end of a drain: requests read whose handler had not started, incomplete bodies, partly written
-responses, a response started in the loop iteration in which the drain abandoned its call, and
-pieces queued for other gateways.
+responses, and a response started in the loop iteration in which the drain abandoned its call.
 """
 
 import asyncio
@@ -13,8 +12,6 @@
 import threading
 import time
 
-import aiohttp
-import msgspec
 import pytest
 from aiohttp import web
 from node_world import (
@@ -24,19 +21,13 @@
     World,
     call_id,
     configuration,
-    peer_of,
     route,
-    stage_service,
     until,
     world,
 )
 from platform_standins import StandinStageWorker, StandinWorker
 
 from corkcrank.contracts import clock
-from corkcrank.contracts.urgency import Urgency
-from corkcrank.links.platform_ports import PieceOutcome
-from corkcrank.load.loopback import loopback_address
-from corkcrank.node.peers.peer_protocol import PIECES_PATH, StageAnswer, StageWork
 from corkcrank.node.process.node_process import StopSignal
 from corkcrank.node.streams.stream_answer import StreamAnswer
 
@@ -258,76 +249,6 @@
         assert await response.read() == b"answer of " + failing.worker_id.encode()
 
 
-def waiting_piece(worker: StandinStageWorker, number: int) -> bytes:
-    work = StageWork(
-        worker_id=worker.worker_id,
-        service="encode",
-        call_id=f"{number:016x}",
-        stage=0,
-        pieces=(0,),
-        key="abcd",
-        inputs=(),
-        result_bytes=1000.0,
-        urgency=Urgency((0, 0), 8.0),
-        start_by=8.0,
-        remaining=9.0,
-    )
-    return msgspec.msgpack.encode(work)
-
-
-async def test_a_stop_gives_back_what_waits_for_others_and_keeps_its_grace() -> None:
-    """A stop while one piece of another gateway ran took 0.04 s longer than the grace period."""
-    model, encode = StandinWorker(events=400, gap=0.05), StandinStageWorker(gate=asyncio.Event())
-    served = {"m": (model, "model"), "e": (encode, "encode")}
-    services = [
-        {"name": "model", "engine": {"slots": 16, "kv_capacity": 100_000}},
-        stage_service("encode", call_ms=2_500.0, batch=1),
-    ]
-    document = configuration(1, [ROUTES[1]], services=services)
-    async with world(document, served, grace=GRACE) as running, aiohttp.ClientSession() as peers:
-        node = running.nodes[0]
-        stream = await running.call("/brief/x", headers=TOKENS)
-        await stream.content.readany()
-        url = f"http://{node.fleet.local_address}{PIECES_PATH}"
-
-        async def ask(number: int) -> StageAnswer:
-            async with peers.post(url, data=waiting_piece(encode, number)) as response:
-                return msgspec.msgpack.decode(await response.read(), type=StageAnswer)
-
-        at_work = asyncio.create_task(ask(1))
-        await until(lambda: bool(encode.calls))
-        waiting = asyncio.create_task(ask(2))
-        await until(lambda: any(queue.waiting for _, queue in node.stage_owner.queues()))
-        signalled_at = clock.now()
-        stopped = asyncio.create_task(node.stop(signalled_at))
-        answer = await waiting
-        assert [result.outcome for result in answer.results] == [PieceOutcome.REFUSED]
-        assert clock.now() < node.services.drain.stop_at
-        await stopped
-        assert clock.now() - signalled_at < GRACE
-        at_work.cancel()
-        stream.close()
-
-
-async def test_an_owner_that_is_stopping_takes_no_pieces() -> None:
-    encode = StandinStageWorker()
-    served = {"m": (StandinWorker(events=2), "model"), "e": (encode, "encode")}
-    async with (
-        world(configuration(1, ROUTES), served, grace=GRACE) as running,
-        peer_of(running, loopback_address(2)) as second,
-    ):
-        first = running.nodes[0]
-        await until(lambda: len(first.fleet.live_members(clock.now())) == 1 and second.ready)
-        first.stage_owner.refuse_pieces()
-        second.stage_owner.refuse_pieces()
-        response = await running.call("/staged/x", headers=PIECES)
-        assert response.status == 503
-        first.stage_owner._refusing = second.stage_owner._refusing = False
-        response = await running.call("/staged/x", headers=PIECES)
-        assert response.status == 200
-        await response.read()
-
-
 async def test_the_time_of_a_signal_does_not_depend_on_the_event_loop() -> None:
     """A signal in a stall of 1.5 s was recorded 1.5 s late: the drain exceeded its grace period."""
     loop = asyncio.get_running_loop()
