--- a/src/corkcrank/node/membership/part_success_rows.py
+++ b/src/corkcrank/node/membership/part_success_rows.py
@@ -1,11 +1,11 @@
 """Keeps successes of prompt parts in the store, so that they outlast the memory of all gateways.
 
 A part that no gateway has seen succeed is quarantined after few crashes. Without these rows the
-parts of most prompts would be such parts after all gateways have stopped. Each call is priced, so
-the gateways that follow the store for the others save soon what many runs share, each in a row of
-its own, and read all rows once after a start. They mark the successes in the crash reports that
-they receive, so that the others need not read the rows. The others save their successes late, and
-read only their own row before.
+parts of most prompts would be such parts after all gateways have stopped. To spare the store, only
+the gateways that follow it for the others save soon what many runs share, each in a row of its
+own, and read all rows once after a start. They mark the successes in the crash reports that they
+receive, so that the others need not read the rows. The others save their successes late, and read
+only their own row before.
 """
 
 import asyncio
