The play of slow workers in stops runs on the clock without waits for a core

Cause, in the test's set-up: it takes requests sent 0.2 s before the slow-down for ended by then; without a core they were not. They were read while the balancer may still send here, so that their cut is allowed. Ruled out: late requests; the check on them held. Change: the world runs on the core clock. Checks, margin and grace are as they were.

--- a/tests/platform/test_slow_workers_in_drains.py
+++ b/tests/platform/test_slow_workers_in_drains.py
@@ -11,6 +11,7 @@
 
 import aiohttp
 import pytest
+from core_clock import core_clock
 from node_world import LONG_IDLE_TIMEOUT_MS, World, configuration, peer_of, route, until, world
 from platform_standins import StandinStageWorker, StandinWorker
 from test_owners import acquainted
@@ -141,7 +142,7 @@
     served |= {f"e{number}": (worker, "encode") for number, worker in enumerate(stages)}
     document = configuration(1, ROUTES)
     document["limits"]["idle_timeout_ms"] = LONG_IDLE_TIMEOUT_MS
-    async with world(document, served, grace=GRACE) as running:
+    async with core_clock(), world(document, served, grace=GRACE) as running:
         if count == 1:
             yield await measured(Stop(running, plain, engines, stages), count)
             return
