--- a/review/lib-2/world.py
+++ b/review/lib-2/world.py
@@ -117,9 +117,7 @@
         self._server = await asyncio.start_server(self._connection, self.ip, port)
         self.address = "%s:%d" % self._server.sockets[0].getsockname()[:2]
 
-    async def _connection(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
+    async def _connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             while True:
                 first, headers = await read_head(reader)
@@ -201,9 +199,7 @@
         rows = [
             _row(query["table"], key, data, ver)
             for (table, key), (data, ver) in sorted(self.rows.items())
-            if table == query["table"]
-            and key >= first
-            and (end is None or key < _unquote(end))
+            if table == query["table"] and key >= first and (end is None or key < _unquote(end))
         ]
         return {"rows": rows[:500], "more": len(rows) > 500}
 
@@ -391,7 +387,12 @@
         "max_connections": 500,
         "protocol": "h1",
         "tls": False,
-        "engine": {"slots": slots, "kv_capacity": 244943, "kv_bytes": 131072, "models": [{"name": "m"}]},
+        "engine": {
+            "slots": slots,
+            "kv_capacity": 244943,
+            "kv_bytes": 131072,
+            "models": [{"name": "m"}],
+        },
     }
 
 
