--- a/tests/platform/process_world.py
+++ b/tests/platform/process_world.py
@@ -176,10 +176,12 @@
     limits: dict[str, Any] | None = None,
     routes: list[dict[str, Any]] = ROUTES,
     others: Sequence[tuple[OtherWorker, str]] = (),
+    body_bytes: int = 10_000,
 ) -> AsyncIterator[ProcessWorld]:
     """Run a gateway with a reduced limit of descriptors; yield it once it is ready.
 
-    ``others`` are further workers, each with its service.
+    ``others`` are further workers, each with its service. Callers' bodies have ``body_bytes`` at
+    most.
     """
     store, worker = StandinStore(), StandinWorker()
     workers: list[tuple[OtherWorker, str]] = [(worker, "plain"), *others]
@@ -189,7 +191,10 @@
         store.put("servers", one.worker_id, one.entry(service))
     document = configuration(1, routes)
     document["limits"].update(
-        max_header_bytes=8_192, header_timeout_ms=LONG_MS, idle_timeout_ms=LONG_MS
+        max_header_bytes=8_192,
+        max_body_bytes=body_bytes,
+        header_timeout_ms=LONG_MS,
+        idle_timeout_ms=LONG_MS,
     )
     store.put("op", "config", document)
     ip, ports = loopback_address(2), new_ports(4)
