The next request of a connection begins once the answer before it has been taken

Callers saw: clients that sent many requests ahead for answers of 1 MiB, and read none, ended a gateway: it ran out of memory with all calls in progress.

Cause: an answer above 64 KiB is written in pieces without a wait for its reader, and the library waits at the end of an answer only if that end brings bytes of its own. An answer with a length brings none, so the handler ended at once and the next request on the connection began: all answers to requests sent ahead were kept in the connection, where the readers' bound saw them a quarter of a second later. Ruled out: answers up to 64 KiB (the library waits), streams (they wait), the parsed requests themselves.

Change: a body in pieces waits until the connection has taken most of it.

Conclusion: one answer waits on each connection; the sum over all connections is the readers' bound.

--- a/src/corkcrank/node/calls/pieced_body.py
+++ b/src/corkcrank/node/calls/pieced_body.py
@@ -25,6 +25,11 @@
         return b"".join(self._pieces).decode(encoding, errors)
 
     async def write(self, writer: AbstractStreamWriter) -> None:
-        """Write the whole body to the connection without a wait for its reader."""
+        """Write the whole body to the connection, then wait until its reader has taken most of it.
+
+        The library does not wait after a body that was written in pieces; answers to requests that
+        were sent ahead would pile up in the connection.
+        """
         while self._pieces:
             await writer.write(self._pieces.popleft(), drain=False)  # type: ignore[call-arg]
+        await writer.drain()
