A gateway parses one request ahead on a connection, and reads 16 KiB of it at a time

Callers saw: a few clients that sent requests ahead, with bodies or with large heads, ended a gateway: it ran out of memory with all calls in progress.

Cause: the library parses up to 32 requests ahead of the one that is handled, keeps up to 512 KiB of the body of each before it stops reading, and takes 256 KiB in one read. No account counts any of it: room for a body is claimed when its handler reads it. About 16 MB a connection, where the limit of connections assumes 24 KB. Ruled out: the bodies that handlers read (BodyBudget).

Change: BoundedRequestHandler parses one request ahead (a planned stop has to know whether another one was read), keeps 16 to 32 KiB of an unread body and reads 16 KiB at a time; the rest stays in the kernel, so the sender is held up.

Test changed: test_caller_that_leaves_while_its_body_waits_takes_no_room let an HTTP client close while its body of 256 KiB waited. The gateway had read all of that body before, so it saw the FIN. Now the body waits unread, and a FIN comes only behind it, as it always did with bodies above 512 KiB. The client resets its connection in the test; the checks are the same.

--- a/src/corkcrank/node/callers/caller_connection.py
+++ b/src/corkcrank/node/callers/caller_connection.py
@@ -6,7 +6,6 @@
 from typing import Protocol
 
 from aiohttp import StreamReader, web
-from aiohttp.web_protocol import RequestHandler
 
 from corkcrank.contracts import clock
 from corkcrank.contracts.opaque_configuration import RequestLimits
@@ -19,6 +18,7 @@
     set_reset_on_close,
     unlimit_unsent_bytes,
 )
+from corkcrank.links.server_connections import BoundedRequestHandler
 from corkcrank.node.callers.caller_listener import ConnectionPhase, IncomingConnection
 from corkcrank.node.callers.refusals import Refusal
 from corkcrank.scheduling.reader_budget import CutCause, Observation
@@ -62,7 +62,7 @@
         """Let the worker send about ``count`` bytes more, although the caller has not read."""
 
 
-class CallerConnection(RequestHandler, IncomingConnection):
+class CallerConnection(BoundedRequestHandler, IncomingConnection):
     """One caller's connection, with the timestamps that the sweep and the listener use.
 
     ``bounded`` limits the bytes that the kernel and the process keep unsent. ``source`` is the
--- a/tests/platform/test_large_bodies.py
+++ b/tests/platform/test_large_bodies.py
@@ -10,6 +10,7 @@
 from contextlib import asynccontextmanager
 
 import pytest
+from engine_script import reset
 from node_world import HOST, KEY, LONG_IDLE_TIMEOUT_MS, World, call_id, configuration, route, until
 from node_world import world as node_world
 from platform_standins import StandinWorker
@@ -119,15 +120,21 @@
         await until(lambda: bodies.budget.kept_bytes == 0)
 
 
+async def begin_body(running: World) -> asyncio.StreamWriter:
+    """Send the head of a request with a large body on a new connection."""
+    host, port = running.address().rsplit(":", 1)
+    _reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(
+        f"POST /once/x HTTP/1.1\r\nHost: {HOST}\r\nX-Corkcrank-Attempt-Id: {call_id()}\r\n"
+        f"X-Corkcrank-Credential: {KEY}\r\nContent-Length: {len(BODY)}\r\n\r\n".encode()
+    )
+    return writer
+
+
 @pytest.mark.parametrize("share", [0.0, 0.5])
 async def test_caller_that_closes_within_its_body_frees_its_room(share: float) -> None:
     async with world() as (running, _, bodies):
-        host, port = running.address().rsplit(":", 1)
-        _reader, writer = await asyncio.open_connection(host, int(port))
-        writer.write(
-            f"POST /once/x HTTP/1.1\r\nHost: {HOST}\r\nX-Corkcrank-Attempt-Id: {call_id()}\r\n"
-            f"X-Corkcrank-Credential: {KEY}\r\nContent-Length: {len(BODY)}\r\n\r\n".encode()
-        )
+        writer = await begin_body(running)
         writer.write(BODY[: int(share * len(BODY))])
         await until(lambda: bodies.budget.kept_bytes == len(BODY))
         writer.close()
@@ -140,9 +147,11 @@
     monkeypatch.setattr(body_admission, "MAX_WAIT_SECONDS", 10.0)
     async with world() as (running, worker, bodies):
         tasks = await fill(running, worker)
-        waiting = asyncio.create_task(send(running))
+        waiting = await begin_body(running)
+        waiting.write(BODY)
         await until(lambda: bodies.budget.waiting == 1)
-        waiting.cancel()
+        # A FIN would follow the bytes that are not read yet.
+        reset(waiting)
         await until(lambda: bodies.budget.waiting == 0)
         release(worker)
         assert [(await task)[0] for task in tasks] == [200] * FITTING
