Connections to the peers' and readiness addresses are bounded, and read little ahead

Callers saw: while 450 clients held connections to the address of peers (metrics, state dump) or to the readiness address, no call was answered: the process had no descriptor left. Clients that sent requests ahead there ended the process: it ran out of memory.

Cause: both addresses were served by the library's server, which accepts any number of connections, closes none whose client is silent, and parses 32 requests ahead. Ruled out: the callers' listener, which stays within its share of the descriptors.

Change: BoundedServer serves them through the listener of callers (now links/connection_listener.py, which accepts only below a limit and closes connections that wait for their client) with BoundedRequestHandler. Peers get a quarter of the descriptors for sockets, readiness a twentieth.

--- a/src/corkcrank/node/callers/caller_listener.py
+++ b/src/corkcrank/links/connection_listener.py
@@ -1,4 +1,4 @@
-"""Accepts callers' connections up to a limit, and closes idle ones to admit new ones.
+"""Accepts connections up to a limit, and closes idle ones to admit new ones.
 
 When the process has no file descriptor left, the server of asyncio keeps calling ``accept``,
 a thousand times in one loop iteration with a log line each, and then pauses for a second.
@@ -15,7 +15,7 @@
 
 from corkcrank.contracts import clock
 from corkcrank.links.closed_connections import socket_closed_by_peer
-from corkcrank.node.callers.listener_state import BlockCause, ListenerState
+from corkcrank.links.listener_state import BlockCause, ListenerState
 
 ACCEPT_BACKLOG = 1024
 """Maximum number of connections waiting to be accepted."""
@@ -63,6 +63,10 @@
         """Close the connection at once."""
         raise NotImplementedError
 
+    def discard(self) -> None:
+        """Close the connection to admit another one; what is buffered for it need not be sent."""
+        self.force_close()
+
 
 class ListenerReport(Protocol):
     """Receives the events of the listener."""
@@ -83,7 +87,7 @@
         """
 
 
-class CallerListener:
+class ConnectionListener:
     """Listens on one address; ``make_connection`` returns the protocol of a new connection."""
 
     def __init__(
@@ -204,7 +208,7 @@
         count = max(1, int(self._state.connection_limit * CLOSED_BATCH_SHARE))
         closed = waiting[:count]
         for _, _, connection in closed:
-            connection.force_close()
+            connection.discard()
             self.remove_connection(connection)
         if closed:
             phases: Counter[ConnectionPhase] = Counter(phase for phase, _, _ in closed)
--- a/src/corkcrank/node/callers/listener_state.py
+++ b/src/corkcrank/links/listener_state.py
@@ -22,6 +22,13 @@
 A request in progress uses one connection to a worker for each caller's connection. The other
 half is for workers, the store, peers, readiness and metrics."""
 
+MAX_PEERS_DESCRIPTOR_SHARE = 0.25
+"""Maximum share of the socket descriptors for connections of other gateways, and of operators that
+read metrics."""
+
+MAX_READINESS_DESCRIPTOR_SHARE = 0.05
+"""Maximum share of the socket descriptors for connections of the load balancer's health check."""
+
 MAX_CALLERS_MEMORY_SHARE = 0.5
 """Maximum share of the memory for connections that wait for a request."""
 
@@ -110,15 +117,37 @@
     >>> connection_limit(NodeLimitSettings(file_descriptors=900, memory_mb=10))
     218
     """
-    descriptors = _descriptor_limit(limits)
-    sockets = max(descriptors - RESERVED_FILE_DESCRIPTORS, descriptors // 2)
-    allowed = int(sockets * MAX_CALLERS_DESCRIPTOR_SHARE)
+    allowed = int(_socket_limit(limits) * MAX_CALLERS_DESCRIPTOR_SHARE)
     if limits.memory_mb:
         memory_bytes = limits.memory_mb * BYTES_PER_MB
         allowed = min(allowed, int(memory_bytes * MAX_CALLERS_MEMORY_SHARE / MAX_CONNECTION_BYTES))
     return max(MIN_CONNECTION_LIMIT, allowed)
 
 
+def peer_connection_limit(limits: NodeLimitSettings) -> int:
+    """Return the maximum number of connections of other gateways and of operators.
+
+    >>> peer_connection_limit(NodeLimitSettings(file_descriptors=1_638))
+    359
+    """
+    return max(MIN_CONNECTION_LIMIT, int(_socket_limit(limits) * MAX_PEERS_DESCRIPTOR_SHARE))
+
+
+def readiness_connection_limit(limits: NodeLimitSettings) -> int:
+    """Return the maximum number of connections of the load balancer's health check.
+
+    >>> readiness_connection_limit(NodeLimitSettings(file_descriptors=1_638))
+    71
+    """
+    return max(MIN_CONNECTION_LIMIT, int(_socket_limit(limits) * MAX_READINESS_DESCRIPTOR_SHARE))
+
+
+def _socket_limit(limits: NodeLimitSettings) -> int:
+    """Return the number of descriptors for sockets."""
+    descriptors = _descriptor_limit(limits)
+    return max(descriptors - RESERVED_FILE_DESCRIPTORS, descriptors // 2)
+
+
 def _descriptor_limit(limits: NodeLimitSettings) -> int:
     """Return the descriptor limit of this process, of the operating system or a lower setting."""
     allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
--- a/src/corkcrank/node/callers/caller_connection.py
+++ b/src/corkcrank/node/callers/caller_connection.py
@@ -18,8 +18,8 @@
     set_reset_on_close,
     unlimit_unsent_bytes,
 )
+from corkcrank.links.connection_listener import ConnectionPhase, IncomingConnection
 from corkcrank.links.server_connections import BoundedRequestHandler
-from corkcrank.node.callers.caller_listener import ConnectionPhase, IncomingConnection
 from corkcrank.node.callers.refusals import Refusal
 from corkcrank.scheduling.reader_budget import CutCause, Observation
 
--- a/src/corkcrank/node/callers/caller_server.py
+++ b/src/corkcrank/node/callers/caller_server.py
@@ -13,6 +13,8 @@
 
 from corkcrank.contracts import clock
 from corkcrank.contracts.opaque_configuration import RequestLimits
+from corkcrank.links.connection_listener import ConnectionListener, ListenerReport
+from corkcrank.links.listener_state import ListenerState
 from corkcrank.links.silence import (
     ConnectionKind,
     SilenceListener,
@@ -20,8 +22,6 @@
     ignore_silence,
 )
 from corkcrank.node.callers.caller_connection import CallerConnection
-from corkcrank.node.callers.caller_listener import CallerListener, ListenerReport
-from corkcrank.node.callers.listener_state import ListenerState
 from corkcrank.node.callers.reader_watch import ReaderWatch
 
 SWEEP_INTERVAL_SECONDS = 0.25
@@ -54,7 +54,7 @@
         self._readers = readers
         self._limits = limits
         self._server = web.Server(self._handle_request, handler_cancellation=True)
-        self._listener = CallerListener(self._make_connection, state, report)
+        self._listener = ConnectionListener(self._make_connection, state, report)
         self._sweeper: asyncio.Task[None] | None = None
         self.on_silence: SilenceListener = ignore_silence
 
--- a/src/corkcrank/node/callers/listener_report.py
+++ b/src/corkcrank/node/callers/listener_report.py
@@ -2,9 +2,9 @@
 
 from collections import Counter
 
+from corkcrank.links.connection_listener import ConnectionPhase
 from corkcrank.links.decision_log import DecisionLog, LogEvent
-from corkcrank.node.callers.caller_listener import ConnectionPhase
-from corkcrank.node.callers.listener_state import ListenerState
+from corkcrank.links.listener_state import ListenerState
 from corkcrank.node.telemetry.metrics import NodeMetrics
 
 
--- a/src/corkcrank/node/membership/peer_server.py
+++ b/src/corkcrank/node/membership/peer_server.py
@@ -9,9 +9,12 @@
 from prometheus_client import CollectorRegistry, generate_latest
 
 from corkcrank.contracts import clock
+from corkcrank.contracts.node_settings import NodeLimitSettings
 from corkcrank.contracts.request_release import RELEASE_REQUEST_PATH, is_fingerprint
 from corkcrank.contracts.result_codes import ResultCode
+from corkcrank.links.bounded_server import BoundedServer
 from corkcrank.links.closed_connections import closed_by_peer
+from corkcrank.links.listener_state import peer_connection_limit, readiness_connection_limit
 from corkcrank.links.silence import (
     ConnectionKind,
     SilenceListener,
@@ -97,6 +100,7 @@
         self._registry = registry
         self._dump = dump
         self._recent_answers = RecentAnswers()
+        self._server: BoundedServer | None = None
         self._runner: web.ServerRunner | None = None
         self.on_silence: SilenceListener = ignore_silence
         self._routes = {
@@ -119,18 +123,24 @@
             DUMP_PATH: self._state,
         }
 
-    async def start(self, addresses: list[str]) -> None:
-        """Listen on each ``ip:port``."""
-        server = web.Server(self._handle, handler_cancellation=True, access_log=None)
+    async def start(self, addresses: list[str], limits: NodeLimitSettings) -> None:
+        """Listen on each ``ip:port``, within the limits of the process."""
+        server = BoundedServer(
+            self._handle,
+            max_connections=peer_connection_limit(limits) // len(addresses),
+            handler_cancellation=True,
+            access_log=None,
+        )
         self._runner = web.ServerRunner(server, shutdown_timeout=PEER_SHUTDOWN_SECONDS)
         await self._runner.setup()
+        self._server = server
         for address in addresses:
-            host, port = address.rsplit(":", 1)
-            await web.TCPSite(self._runner, host, int(port)).start()
+            server.listen(address)
 
     async def stop(self) -> None:
         """Close every connection."""
-        if self._runner is not None:
+        if self._server is not None and self._runner is not None:
+            self._server.stop_listening()
             await self._runner.cleanup()
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -298,7 +308,9 @@
     return bool(done)
 
 
-async def serve_readiness(address: str, path: str, ready: Callable[[], bool]) -> web.ServerRunner:
+async def serve_readiness(
+    address: str, path: str, ready: Callable[[], bool], limits: NodeLimitSettings
+) -> web.ServerRunner:
     """Serve the load balancer's health check on ``ip:port`` until the runner is cleaned up."""
 
     async def answer(request: web.BaseRequest) -> web.Response:
@@ -306,11 +318,10 @@
             return web.Response(status=HTTPStatus.NOT_FOUND)
         return web.Response(status=HTTPStatus.OK if ready() else HTTPStatus.SERVICE_UNAVAILABLE)
 
-    runner = web.ServerRunner(
-        web.Server(answer, access_log=None), shutdown_timeout=PEER_SHUTDOWN_SECONDS
-    )
+    max_connections = readiness_connection_limit(limits)
+    server = BoundedServer(answer, max_connections=max_connections, access_log=None)
+    runner = web.ServerRunner(server, shutdown_timeout=PEER_SHUTDOWN_SECONDS)
     await runner.setup()
-    host, port = address.rsplit(":", 1)
-    await web.TCPSite(runner, host, int(port)).start()
+    server.listen(address)
     await asyncio.sleep(0)
     return runner
--- a/src/corkcrank/node/process/node.py
+++ b/src/corkcrank/node/process/node.py
@@ -9,6 +9,7 @@
 from corkcrank.contracts.node_settings import NodeSettings
 from corkcrank.contracts.process_life import ProcessLife, ProcessState, ProcessTrigger
 from corkcrank.links.decision_log import DecisionLog, LogEvent
+from corkcrank.links.listener_state import ListenerState, connection_limit
 from corkcrank.links.platform_ports import PlatformPorts, StoreTable
 from corkcrank.machines.fleet import Fleet
 from corkcrank.machines.heartbeat import Phase
@@ -17,7 +18,6 @@
 from corkcrank.node.callers.caller_server import CallerServer
 from corkcrank.node.callers.drain import CallerDrain
 from corkcrank.node.callers.listener_report import NodeListenerReport
-from corkcrank.node.callers.listener_state import ListenerState, connection_limit
 from corkcrank.node.calls.services import CallServices
 from corkcrank.node.engines.engine_owner import EngineOwner
 from corkcrank.node.engines.prefill_client import PrefillGrantClient
@@ -250,15 +250,15 @@
 
     async def start(self) -> None:
         """Open the servers for peers, readiness and callers, then start the background loops."""
-        process, store = self._settings.process, self._ports.store
+        process, limits = self._settings.process, self._settings.limits
         self._log.write(LogEvent.STARTED, name=process.name, zone=process.zone)
         port = process.peer_address.rsplit(":", 1)[1]
         seeds = [f"{seed.rsplit(':', 1)[0]}:{port}" for seed in self._settings.peers.seeds]
         self.fleet.add_addresses(seeds, clock.now())
-        await self._peer_server.start(process.peer_addresses)
+        await self._peer_server.start(process.peer_addresses, limits)
         await self.heartbeats.open()
         self._readiness = await serve_readiness(
-            process.readiness_address, self._ports.ready_path, lambda: self.ready
+            process.readiness_address, self._ports.ready_path, lambda: self.ready, limits
         )
         await self.callers.start(process.caller_address)
         self._loops.start(
@@ -269,7 +269,9 @@
             self.heartbeats.send_urgent_heartbeats(),
             self.heartbeats.forward_updates(),
             self._pulls.pull_periodically(),
-            register_member(process, store, self.fleet, self.heartbeats, self._unreadable),
+            register_member(
+                process, self._ports.store, self.fleet, self.heartbeats, self._unreadable
+            ),
             become_ready(self.mirror, self.life, self.fleet, self._log),
             measure_loop_lag(self.services.metrics, self.fleet),
             self._health.evaluate_periodically(),
--- a/tests/platform/test_accepting.py
+++ b/tests/platform/test_accepting.py
@@ -22,15 +22,15 @@
 
 from corkcrank.contracts import clock
 from corkcrank.contracts.node_settings import NodeLimitSettings
-from corkcrank.load.loopback import loopback_address
-from corkcrank.node.callers.caller_listener import MIN_WAIT_BEFORE_CLOSE_SECONDS
-from corkcrank.node.callers.listener_state import (
+from corkcrank.links.connection_listener import MIN_WAIT_BEFORE_CLOSE_SECONDS
+from corkcrank.links.listener_state import (
     MIN_CONNECTION_LIMIT,
     UNREADY_AFTER_SECONDS,
     BlockCause,
     ListenerState,
     connection_limit,
 )
+from corkcrank.load.loopback import loopback_address
 
 DESCRIPTORS = 256
 FLOOD = 400
--- a/tests/platform/test_callers_leave_between_stages.py
+++ b/tests/platform/test_callers_leave_between_stages.py
@@ -17,7 +17,7 @@
 )
 
 from corkcrank.contracts.worker_records import WorkerRecord
-from corkcrank.node.callers.caller_listener import IncomingConnection
+from corkcrank.links.connection_listener import IncomingConnection
 from corkcrank.node.peers.peer_protocol import StageAnswer, StageWork
 from corkcrank.node.process.node import Node
 from corkcrank.node.workers.worker_request import NoRelay
--- a/tests/platform/test_client_crowds.py
+++ b/tests/platform/test_client_crowds.py
@@ -7,7 +7,15 @@
 import asyncio
 
 import pytest
-from client_crowd import MAX_BODY_BYTES, LargeWorker, crowded_world, head, ordinary_calls
+from client_crowd import (
+    HANG_SECONDS,
+    MAX_BODY_BYTES,
+    LargeWorker,
+    crowded_world,
+    head,
+    ordinary_calls,
+)
+from process_world import exchange
 
 REQUESTS_AHEAD = 32
 LARGE_ANSWER_CLIENTS = 24
@@ -25,6 +33,7 @@
 FEW_DESCRIPTORS = 400
 SILENT_CLIENTS = 450
 PARTIAL_HEAD = b"GET /readyz HTTP/1.1\r\nHost: x"
+HEAD_END = b"\r\n\r\n"
 PEER_CLIENTS = 24
 PEER_ANSWERS_AHEAD = 200
 PEER_BODY_BYTES = 500_000
@@ -85,7 +94,7 @@
         address = world.peer_address if listener == "peers" else world.readiness_address
         await crowd.join(SILENT_CLIENTS, [PARTIAL_HEAD], address)
         assert await ordinary_calls(world, 1) == [200]
-        assert await world.readiness() == 200
+        assert await exchange(world.readiness_address, PARTIAL_HEAD + HEAD_END, HANG_SECONDS) == 200
 
 
 async def test_requests_sent_ahead_to_the_address_of_peers_stay_within_the_memory() -> None:
