--- a/src/corkcrank/node/process/node.py
+++ b/src/corkcrank/node/process/node.py
@@ -287,8 +287,7 @@
 
         ``signalled_at`` is the time of the signal on the clock of :mod:`clock`, by default now.
         """
-        now = clock.now()
-        await self._drain(now if signalled_at is None else signalled_at)
+        await self._drain(clock.now() if signalled_at is None else signalled_at)
         self.services.closing_connections = True
         await asyncio.gather(self.callers.stop(), self._peer_server.stop())
         await wait_for_pending_releases(self.services.dispatch.owner_client, self.stage_owner.room)
