Large answers without room in the memory are relayed at the pace of their callers

Cause: a plain answer is read whole and handed to the caller's connection. From then on no account counts it but the readers' budget, which cuts only callers that have read nothing for 0.25 s. Ruled out: cutting the steady readers instead, since each of them may be a proper client whose answer is ready; refusing their calls, since the length of an answer is known only once a worker has run the call.

Change: an answer above 64 KiB with a known length claims room (AnswerBudget, 0.1 of the memory above an idle process) when its head has come; the room is free once the answer was read or dropped. Without room it is relayed as streams are: the worker sends on as the caller reads. If the worker breaks such an answer off, the caller's connection is reset, so it is not complete. A caller that reads nothing of it loses it by the rule for streams. Below the bound nothing changes.

Conclusion: open are answers without a length, which count only once they are complete.

--- a/src/corkcrank/node/calls/open_attempts.py
+++ b/src/corkcrank/node/calls/open_attempts.py
@@ -10,6 +10,7 @@
 from corkcrank.contracts.opaque_call import OpaqueCall
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.node.calls.attempts import record_dropped_attempt
+from corkcrank.node.calls.relayed_answer import RelayedAnswer
 from corkcrank.node.calls.services import CallServices
 
 
@@ -42,7 +43,10 @@
         return not self.silent and not self.ended
 
 
-AttemptRun = Callable[[OpenAttempt], Coroutine[None, None, web.Response | None]]
+AttemptAnswer = web.Response | RelayedAnswer
+"""An answer of a worker that was read whole, or whose head was read."""
+
+AttemptRun = Callable[[OpenAttempt], Coroutine[None, None, AttemptAnswer | None]]
 """Chooses the worker of an attempt and returns its answer, or ``None`` if it failed."""
 
 
@@ -55,7 +59,7 @@
     def __init__(self, services: CallServices, call: OpaqueCall) -> None:
         self._services = services
         self._call = call
-        self._tasks: dict[OpenAttempt, asyncio.Task[web.Response | None]] = {}
+        self._tasks: dict[OpenAttempt, asyncio.Task[AttemptAnswer | None]] = {}
         self._any_done = asyncio.Event()
 
     @property
@@ -78,12 +82,12 @@
         task = self._tasks[attempt] = asyncio.create_task(run(attempt))
         task.add_done_callback(lambda _: self._any_done.set())
 
-    async def wait_for_answer(self) -> web.Response | None:
+    async def wait_for_answer(self) -> AttemptAnswer | None:
         """Return the first answer, or ``None`` if all attempts fail; cancel the other attempts.
 
         A cancellation of this coroutine also cancels all attempts.
         """
-        answer: web.Response | None = None
+        answer: AttemptAnswer | None = None
         try:
             while answer is None and self._tasks:
                 await self._any_done.wait()
@@ -95,7 +99,7 @@
             self._record_dropped(attempt)
         return answer
 
-    def _take_answer(self) -> web.Response | None:
+    def _take_answer(self) -> AttemptAnswer | None:
         """Remove completed attempts until one has an answer; return it, or ``None`` without one."""
         for attempt in [item for item, task in self._tasks.items() if task.done()]:
             answer = self._tasks.pop(attempt).result()
@@ -108,7 +112,9 @@
         open_attempts = [attempt for attempt in self._tasks if not attempt.ended]
         for task in self._tasks.values():
             task.cancel()
-        await asyncio.gather(*self._tasks.values(), return_exceptions=True)
+        for result in await asyncio.gather(*self._tasks.values(), return_exceptions=True):
+            if isinstance(result, RelayedAnswer):
+                result.close()
         self._tasks.clear()
         return [attempt for attempt in open_attempts if not attempt.ended]
 
--- a/src/corkcrank/node/calls/pieced_body.py
+++ b/src/corkcrank/node/calls/pieced_body.py
@@ -5,6 +5,8 @@
 from aiohttp.abc import AbstractStreamWriter
 from aiohttp.payload import Payload
 
+from corkcrank.scheduling.answer_budget import AnswerRoom
+
 
 class PiecedBody(Payload):
     """A body that frees each piece once it is written; it can be written once.
@@ -15,10 +17,12 @@
 
     _autoclose = True
 
-    def __init__(self, pieces: list[bytes]) -> None:
+    def __init__(self, pieces: list[bytes], room: AnswerRoom | None) -> None:
+        """``room`` is released when the body was written."""
         super().__init__(None)
         self._size = sum(map(len, pieces))
         self._pieces = deque(pieces)
+        self._room = room
 
     def decode(self, encoding: str = "utf-8", errors: str = "strict") -> str:
         """Return the body as text."""
@@ -33,3 +37,5 @@
         while self._pieces:
             await writer.write(self._pieces.popleft(), drain=False)  # type: ignore[call-arg]
         await writer.drain()
+        if self._room is not None:
+            self._room.release()
--- a/src/corkcrank/node/calls/plain_run.py
+++ b/src/corkcrank/node/calls/plain_run.py
@@ -1,5 +1,7 @@
 """Serves a plain call: its answer is read completely before it is sent to the caller.
 
+A large answer for which there is no memory is relayed at the pace of its caller.
+
 A repeatable call is hedged: while its worker is silent, it is sent to another worker as well, and
 the first complete answer is sent to the caller.
 """
@@ -18,9 +20,10 @@
 from corkcrank.node.callers.refusals import Refusal
 from corkcrank.node.calls.attempts import Attempt, AttemptOutcome, attempt_call
 from corkcrank.node.calls.fallback_answer import FallbackAnswer
-from corkcrank.node.calls.open_attempts import OpenAttempt, OpenAttempts
+from corkcrank.node.calls.open_attempts import AttemptAnswer, OpenAttempt, OpenAttempts
+from corkcrank.node.calls.relayed_answer import RelayedAnswer, read_or_relay
 from corkcrank.node.calls.services import DEFAULT_PLAIN_SECONDS, MIN_CALL_SECONDS, CallServices
-from corkcrank.node.calls.worker_answers import WorkerAnswer, read_whole_answer
+from corkcrank.node.calls.worker_answers import WorkerAnswer
 from corkcrank.node.workers.silence_timeout import SilenceRule
 from corkcrank.node.workers.worker_health import MIN_FAULT_STATUS
 from corkcrank.scheduling.worker_choice import rank_workers
@@ -46,9 +49,11 @@
 class PlainRun:
     """Serves one call of a plain service."""
 
-    def __init__(self, call: OpaqueCall, services: CallServices) -> None:
+    def __init__(self, call: OpaqueCall, services: CallServices, request: web.BaseRequest) -> None:
         self._call = call
         self._services = services
+        self._request = request
+        self._relaying = False
         self.fallback = FallbackAnswer(services.client.received)
         self._limit_wait: float | None = None
         self._attempts = OpenAttempts(services, call)
@@ -56,8 +61,8 @@
 
     @property
     def answer_begun(self) -> bool:
-        """Return false: an answer is sent only once it is complete."""
-        return False
+        """Return whether an answer is being relayed; others are sent once they are complete."""
+        return self._relaying
 
     def fits_before_stop(self) -> bool:
         """Return whether a worker may have run the call, or it may be sent to one in this drain."""
@@ -75,6 +80,9 @@
             return self._drain_refusal()
         self._start_next_attempt()
         answer = await self._attempts.wait_for_answer()
+        if isinstance(answer, RelayedAnswer):
+            self._relaying = True
+            return await answer.send(call, self._request)
         return answer if answer is not None else self._final_refusal()
 
     def _start_next_attempt(self) -> None:
@@ -82,7 +90,7 @@
         if not self._attempts.any_active:
             self._attempts.start(self._run_attempt)
 
-    async def _run_attempt(self, attempt: OpenAttempt) -> web.Response | None:
+    async def _run_attempt(self, attempt: OpenAttempt) -> AttemptAnswer | None:
         """Return the answer of an attempt; start the next attempt if it failed.
 
         Without a next attempt, returns an earlier answer that states a fault.
@@ -187,7 +195,7 @@
             doubt=self._count_doubt(workers) if factors else 0.0,
         )
 
-    async def _try_worker(self, attempt: OpenAttempt, worker: WorkerRecord) -> web.Response | None:
+    async def _try_worker(self, attempt: OpenAttempt, worker: WorkerRecord) -> AttemptAnswer | None:
         attempt.begin(worker)
         statistics = self._services.worker_statistics.get_or_create(worker.worker_id)
         statistics.in_flight += 1
@@ -198,7 +206,7 @@
 
     async def _send_and_read(
         self, open_attempt: OpenAttempt, worker: WorkerRecord
-    ) -> web.Response | None:
+    ) -> AttemptAnswer | None:
         call = self._call
         started = clock.now()
         attempt = await attempt_call(
@@ -220,14 +228,14 @@
             return None
         self._services.health.record_response(worker, attempt.status)
         self._services.crash_watch.record_completed(call)
-        if attempt.status >= MIN_FAULT_STATUS:
+        if isinstance(answer, WorkerAnswer) and attempt.status >= MIN_FAULT_STATUS:
             statistics = self._services.worker_statistics.get_or_create(worker.worker_id)
             statistics.failures.append(clock.now())
             if self._attempts.any_active_besides(open_attempt) or self._may_try_another():
                 self.fallback.keep(worker, answer)
                 return None
         self._observe_times(worker, clock.now() - started, attempt.status)
-        return answer.response()
+        return answer.response() if isinstance(answer, WorkerAnswer) else answer
 
     def _observe_times(self, worker: WorkerRecord, seconds: float, status: int) -> None:
         service = self._call.service
@@ -239,9 +247,9 @@
 
     async def _read_answer(
         self, attempt: Attempt, open_attempt: OpenAttempt
-    ) -> WorkerAnswer | None:
+    ) -> WorkerAnswer | RelayedAnswer | None:
         left = self._call.end_at - clock.now()
-        return await read_whole_answer(
+        return await read_or_relay(
             self._services, attempt, left, self._silence_rule(open_attempt, attempt.worker)
         )
 
--- /dev/null
+++ b/src/corkcrank/node/calls/relayed_answer.py
@@ -0,0 +1,127 @@
+"""Relays a large answer of a worker at the pace of its caller, because memory is short."""
+
+import asyncio
+from dataclasses import replace
+
+import aiohttp
+from aiohttp import web
+
+from corkcrank.contracts import clock
+from corkcrank.contracts.opaque_call import OpaqueCall
+from corkcrank.contracts.worker_records import WorkerRecord
+from corkcrank.links.received_bytes import forget_readers
+from corkcrank.node.callers.caller_connection import CallerConnection, has_request_behind
+from corkcrank.node.calls.attempts import Attempt
+from corkcrank.node.calls.services import CallServices
+from corkcrank.node.calls.worker_answers import (
+    AnswerHead,
+    WorkerAnswer,
+    read_head,
+    read_whole_answer,
+    replace_headers,
+)
+from corkcrank.node.workers.silence_timeout import SilenceRule
+from corkcrank.node.workers.worker_health import MIN_FAULT_STATUS
+from corkcrank.scheduling.answer_budget import SMALL_ANSWER_BYTES
+
+MIN_READ_SECONDS = 1.0
+"""Minimum time to wait for further bytes of a worker: its answer has begun, and may come late."""
+
+
+class RelayedAnswer:
+    """An answer with a length, of which only the head was read. It can be sent once.
+
+    It is the source of its caller's connection: a caller that reads nothing loses it.
+    """
+
+    def __init__(
+        self,
+        services: CallServices,
+        worker: WorkerRecord,
+        upstream: aiohttp.ClientResponse,
+        head: AnswerHead,
+    ) -> None:
+        self._services = services
+        self._worker = worker
+        self._upstream = upstream
+        self._head = head
+        self._request: web.BaseRequest | None = None
+        self.kept_bytes = 0
+        self.worker_waits = False
+
+    @property
+    def written_bytes(self) -> int:
+        """Return the number of bytes written to the caller's connection so far."""
+        return self._request.writer.output_size if self._request is not None else 0
+
+    def read_ahead(self, count: int) -> None:
+        """Keep no more bytes: memory is short."""
+
+    def close(self) -> None:
+        """Drop an answer that is not sent, or not whole."""
+        self._upstream.close()
+
+    async def send(self, call: OpaqueCall, request: web.BaseRequest) -> web.StreamResponse:
+        """Send the answer; fail with the caller's connection if the worker breaks it off."""
+        response = web.StreamResponse(status=self._head.status, reason=self._head.reason)
+        replace_headers(response, self._head.headers)
+        response.content_length = self._upstream.content_length
+        if self._services.drain.signal_received and not has_request_behind(request):
+            response.force_close()
+        self._request = request
+        connection = request.protocol
+        if isinstance(connection, CallerConnection):
+            connection.call_id = call.call_id
+            connection.source = self
+        try:
+            await response.prepare(request)
+            while piece := await self._read(call):
+                self.worker_waits = True
+                await response.write(piece)
+                # The library applies backpressure only after each 64 KiB.
+                await request.writer.drain()
+                self.worker_waits = False
+            await response.write_eof()
+        except (aiohttp.ClientError, TimeoutError) as error:
+            forget_readers(error)
+            self._services.record_connection_failure(call, self._worker)
+            if request.transport is not None:
+                request.transport.abort()
+            raise ConnectionResetError("the worker broke its answer off") from None
+        finally:
+            if not response._eof_sent:
+                self.close()
+        return response
+
+    async def _read(self, call: OpaqueCall) -> bytes:
+        async with asyncio.timeout(max(MIN_READ_SECONDS, call.end_at - clock.now())):
+            return await self._upstream.content.readany()
+
+
+async def read_or_relay(
+    services: CallServices, attempt: Attempt, seconds: float, silence: SilenceRule | None
+) -> WorkerAnswer | RelayedAnswer | None:
+    """Return a worker's whole answer, or one to relay if there is no room to keep it.
+
+    Failures are read whole, since another worker may be tried, and so are answers without a length,
+    which count once they are complete. Returns ``None`` as :func:`read_whole_answer` does.
+    """
+    upstream = attempt.response
+    assert upstream is not None
+    size = upstream.content_length or 0
+    room = None
+    if (
+        size > SMALL_ANSWER_BYTES
+        and attempt.status < MIN_FAULT_STATUS
+        and upstream.method != "HEAD"
+    ):
+        room = services.answers.claim(size)
+        if room is None:
+            return RelayedAnswer(services, attempt.worker, upstream, read_head(services, upstream))
+    answer = await read_whole_answer(services, attempt, seconds, silence)
+    if answer is None:
+        return None
+    kept = sum(map(len, answer.pieces))
+    if room is None and kept > SMALL_ANSWER_BYTES:
+        room = services.answers.count(kept)
+    return replace(answer, room=room)
--- a/src/corkcrank/node/calls/services.py
+++ b/src/corkcrank/node/calls/services.py
@@ -37,6 +37,7 @@
 from corkcrank.node.workers.worker_client import WorkerClient
 from corkcrank.node.workers.worker_health import WorkerHealth
 from corkcrank.node.workers.worker_statements import WorkerStatements
+from corkcrank.scheduling.answer_budget import AnswerBudget, answers_bound_bytes
 from corkcrank.scheduling.engine_choice import EngineChooser
 from corkcrank.scheduling.fetch_delay import FetchDelay
 from corkcrank.scheduling.fleet_retry_budget import FleetRetryBudget
@@ -152,6 +153,7 @@
     prompt_queues: PromptQueues = field(init=False)
     readers: ReaderWatch = field(init=False)
     bodies: BodyAdmission = field(default_factory=BodyAdmission)
+    answers: AnswerBudget = field(default_factory=AnswerBudget)
     liveness: LivenessProbes = field(init=False)
     _fetch_delays: dict[str, FetchDelay] = field(default_factory=dict)
     _budgets: dict[str, FleetRetryBudget] = field(default_factory=dict)
@@ -206,6 +208,7 @@
         """Set the bounds of kept bytes, which follow from the limits of the process."""
         self.readers.apply_limits(limits)
         self.bodies.apply_limits(limits)
+        self.answers.bound_bytes = answers_bound_bytes(limits.memory_mb)
         self.client.received.apply_limits(limits)
 
     def apply_bounds(self, bounds: NodeBoundSettings) -> None:
--- a/src/corkcrank/node/calls/worker_answers.py
+++ b/src/corkcrank/node/calls/worker_answers.py
@@ -3,15 +3,14 @@
 import asyncio
 from dataclasses import dataclass
 
+import aiohttp
 from aiohttp import web
 
 from corkcrank.node.calls.attempts import Attempt
 from corkcrank.node.calls.pieced_body import PiecedBody
 from corkcrank.node.calls.services import CallServices
 from corkcrank.node.workers.silence_timeout import SilenceRule
-
-MAX_JOINED_BYTES = 65_536
-"""Maximum length of an answer whose pieces are joined, to be written at once."""
+from corkcrank.scheduling.answer_budget import SMALL_ANSWER_BYTES, AnswerRoom
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,11 +28,15 @@
 
     head: AnswerHead
     pieces: list[bytes]
+    room: AnswerRoom | None = None
 
     def response(self) -> web.Response:
         """Return the answer to the caller; it can be sent once."""
-        large = sum(map(len, self.pieces)) > MAX_JOINED_BYTES
-        body = PiecedBody(self.pieces) if large else b"".join(self.pieces)
+        body: PiecedBody | bytes
+        if sum(map(len, self.pieces)) > SMALL_ANSWER_BYTES:
+            body = PiecedBody(self.pieces, self.room)
+        else:
+            body = b"".join(self.pieces)
         response = web.Response(status=self.head.status, reason=self.head.reason, body=body)
         replace_headers(response, self.head.headers)
         return response
@@ -57,8 +60,13 @@
     if pieces is None:
         attempt.close()
         return None
+    return WorkerAnswer(read_head(services, upstream), pieces)
+
+
+def read_head(services: CallServices, upstream: aiohttp.ClientResponse) -> AnswerHead:
+    """Return the head of a worker's answer for the caller."""
     headers = services.ports.calls.answer_headers(list(upstream.headers.items()))
-    return WorkerAnswer(AnswerHead(upstream.status, upstream.reason, headers), pieces)
+    return AnswerHead(upstream.status, upstream.reason, headers)
 
 
 def replace_headers(response: web.StreamResponse, headers: list[tuple[str, str]]) -> None:
--- a/src/corkcrank/node/ingress/call_handler.py
+++ b/src/corkcrank/node/ingress/call_handler.py
@@ -176,7 +176,7 @@
     def _create_run(self, call: OpaqueCall, request: web.BaseRequest) -> PlainRun | StreamRun:
         if call.route.kind is CallKind.STREAM:
             return StreamRun(call, self._services, request)
-        return PlainRun(call, self._services)
+        return PlainRun(call, self._services, request)
 
     def _unanswered_outcome(self, request: web.BaseRequest) -> str:
         """Return the outcome of an unanswered call: cut by this gateway, or the caller left."""
--- /dev/null
+++ b/tests/platform/test_relayed_answers.py
@@ -0,0 +1,83 @@
+"""Large answers without room in the memory are relayed whole, at the pace of their callers."""
+
+import asyncio
+import gc
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import aiohttp
+import pytest
+from aiohttp import web
+from client_crowd import LargeWorker, connect_unreading, head
+from node_world import World, configuration, route, until, world
+
+from corkcrank.node.process.node import Node
+
+ANSWER_BYTES = 2 * 2**20
+CALLERS = 5
+BREAK_AFTER = 300_000
+ROUTES = [route("safe", "safe", "plain"), route("once", "unsafe", "plain")]
+
+
+class BreakingWorker(LargeWorker):
+    """A worker that closes its connection within each answer."""
+
+    async def _answer(self, request: web.BaseRequest, fault: str) -> web.StreamResponse:
+        response = web.StreamResponse(headers=self._head(request, fault))
+        response.content_length = self.answer_bytes
+        await response.prepare(request)
+        await response.write(b"r" * BREAK_AFTER)
+        assert request.transport is not None
+        request.transport.abort()
+        raise ConnectionResetError
+
+
+@asynccontextmanager
+async def short_of_memory(worker: LargeWorker) -> AsyncIterator[tuple[World, Node]]:
+    """Run a gateway that has no room for the answers of its worker."""
+    async with world(configuration(1, ROUTES), {"plain": (worker, "plain")}) as running:
+        node = running.nodes[0]
+        node.services.answers.bound_bytes = ANSWER_BYTES // 2
+        yield running, node
+
+
+@pytest.mark.parametrize("path", ["/safe/x", "/once/x"])
+async def test_answers_without_room_are_whole(path: str) -> None:
+    async with short_of_memory(LargeWorker(answer_bytes=ANSWER_BYTES)) as (running, node):
+        responses = [await running.call(path) for _ in range(CALLERS)]
+        assert node.services.answers.kept_bytes == 0
+        for response in responses:
+            assert response.status == 200
+            assert await response.read() == b"r" * ANSWER_BYTES
+        assert (await running.call(path)).status == 200
+
+
+async def test_an_answer_that_breaks_off_while_it_is_relayed_is_not_complete() -> None:
+    async with short_of_memory(BreakingWorker(answer_bytes=ANSWER_BYTES)) as (running, node):
+        with pytest.raises(aiohttp.ClientError):
+            await (await running.call("/once/x")).read()
+        await until(lambda: node.callers.in_flight == 0)
+
+
+async def test_a_caller_that_leaves_a_relayed_answer_closes_the_worker_s_connection() -> None:
+    worker = LargeWorker(answer_bytes=ANSWER_BYTES)
+    async with short_of_memory(worker) as (running, node):
+        connection = await connect_unreading(running.address())
+        await asyncio.get_running_loop().sock_sendall(connection, head("/once/x"))
+        await until(lambda: node.callers.in_flight == 1 and bool(worker.seen))
+        connection.close()
+        await until(lambda: node.callers.in_flight == 0)
+
+
+async def test_the_room_of_an_answer_is_free_once_it_is_read() -> None:
+    async with short_of_memory(LargeWorker(answer_bytes=ANSWER_BYTES)) as (running, node):
+        answers = node.services.answers
+        answers.bound_bytes = 2 * ANSWER_BYTES
+        gc.disable()
+        try:
+            for _ in range(CALLERS):
+                response = await running.call("/safe/x")
+                assert len(await response.read()) == ANSWER_BYTES
+                await until(lambda: answers.kept_bytes == 0)
+        finally:
+            gc.enable()
