A status above 599 is no answer, and no promise in one below 200 or above 599 is believed

Callers saw: a worker in trouble answered with status 600 or 999, and clients got it as it came, with the worker's seal; with "has not run" beside a status like 000 or 600, a call that may have run was refused as not run (503).

Cause: answers were checked for a final status by a lower bound only, and after the header that says that nothing has run.

Change: is_final_status (200 to 599) is asked in both places that receive answers to calls, the attempt and the relaying member, before anything in the answer is believed.

--- a/src/corkcrank/links/client_connections.py
+++ b/src/corkcrank/links/client_connections.py
@@ -33,6 +33,19 @@
 MIN_FINAL_STATUS = 200
 """Minimum status of a final response; the library also returns a 101 (protocol switch) as one."""
 
+MAX_FINAL_STATUS = 599
+"""Maximum status of a response (RFC 9110, 15)."""
+
+
+def is_final_status(status: int) -> bool:
+    """Return whether a response with this status is an answer at all.
+
+    >>> [is_final_status(status) for status in (0, 101, 200, 599, 600, 999)]
+    [False, False, True, True, False, False]
+    """
+    return MIN_FINAL_STATUS <= status <= MAX_FINAL_STATUS
+
+
 SurplusListener = Callable[[str], None]
 """Called with the ``ip:port`` of a peer that sent a response while no request waited."""
 
@@ -76,7 +89,7 @@
     async def read(self) -> Any:
         """Return the next head with its body; record whether it is the final one of a response."""
         message = await super().read()
-        self._answered = message[0].code >= MIN_FINAL_STATUS
+        self._answered = is_final_status(message[0].code)
         return message
 
     def data_received(self, data: bytes) -> None:
--- a/src/corkcrank/node/calls/attempts.py
+++ b/src/corkcrank/node/calls/attempts.py
@@ -9,7 +9,7 @@
 from corkcrank.contracts import clock
 from corkcrank.contracts.opaque_call import OpaqueCall
 from corkcrank.contracts.worker_records import WorkerRecord
-from corkcrank.links.client_connections import MIN_FINAL_STATUS
+from corkcrank.links.client_connections import is_final_status
 from corkcrank.links.decision_log import LogEvent
 from corkcrank.links.foreign_answers import ForeignKind
 from corkcrank.links.platform_ports import AnswerHead
@@ -223,6 +223,13 @@
     if head.call_id and head.call_id != call.call_id:
         services.client.drop_foreign(response, ForeignKind.OTHER_CALL)
         return Attempt(worker, AttemptOutcome.LOST, "answer to another request")
+    if not is_final_status(response.status):
+        response.close()
+        return Attempt(
+            worker,
+            AttemptOutcome.LOST,
+            f"status {response.status} is not the status of a final answer",
+        )
     if head.call_id:
         services.statements.record_response(worker, response.status, response.headers)
     if head.not_run or response.status == MISDIRECTED_STATUS:
@@ -242,13 +249,6 @@
     if not head.sealed or head.call_id != call.call_id:
         response.close()
         return Attempt(worker, AttemptOutcome.LOST, "answer without signature or request id")
-    if response.status < MIN_FINAL_STATUS:
-        response.close()
-        return Attempt(
-            worker,
-            AttemptOutcome.LOST,
-            f"status {response.status} is not the status of a final answer",
-        )
     if head.encoded and response.status < HTTPStatus.MULTIPLE_CHOICES:
         response.close()
         return Attempt(worker, AttemptOutcome.LOST, "answer in another encoding")
--- a/src/corkcrank/node/relays/relay_server.py
+++ b/src/corkcrank/node/relays/relay_server.py
@@ -11,7 +11,7 @@
 from corkcrank.contracts.opaque_configuration import RequestLimits
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.links.abandoned_tasks import abandon
-from corkcrank.links.client_connections import MIN_FINAL_STATUS
+from corkcrank.links.client_connections import is_final_status
 from corkcrank.links.closed_connections import closed_by_peer
 from corkcrank.links.decision_log import DecisionLog, LogEvent
 from corkcrank.links.foreign_answers import ForeignKind
@@ -212,12 +212,12 @@
             if answered_id and head.call_id and answered_id != head.call_id:
                 self._client.drop_foreign(upstream, ForeignKind.OTHER_CALL)
                 return self._failure(head, RelayOutcome.UNKNOWN, "answer to another request")
+            if not is_final_status(upstream.status):
+                detail = f"status {upstream.status} is not the status of a final answer"
+                return self._failure(head, RelayOutcome.UNKNOWN, detail)
             if answered_id == head.call_id or not head.call_id:
                 # The worker's statements apply to this gateway as the sender.
                 self._statements.record_response(worker, upstream.status, upstream.headers)
-            if upstream.status < MIN_FINAL_STATUS:
-                detail = f"status {upstream.status} is not the status of a final answer"
-                return self._failure(head, RelayOutcome.UNKNOWN, detail)
             self._record(head, RelayOutcome.ANSWERED, f"status {upstream.status}")
             return await self._relay_response(request, head, upstream)
         finally:
