A search for another engine ends with its call, not with its pause

Cause: a search pauses up to 0.8 s between two tries, and waits for reports, grants and stages; none of these waits ends with the call. The call ends when the search does. Ruled out: the wait for the silent engine, which has the call's deadline.

Change: the whole search has the time that the call has left. Its end is that of a cancelled search: what was sent is closed.

--- a/src/corkcrank/node/streams/engine_failover.py
+++ b/src/corkcrank/node/streams/engine_failover.py
@@ -127,12 +127,14 @@
         self._search.add_done_callback(search_ended)
 
     async def _find(self, silent: WorkerRecord | None, leave_at: float) -> BegunExchange | None:
-        """Send the call to engines until one of them sends the next event."""
+        """Send the call to engines until one of them sends the next event, or the call ends."""
         attempts: Attempts = set()
+        left = self._call.end_at - clock.now()
         self._keep_repeat(kept=True)
         try:
-            return await self._find_among(attempts, silent, leave_at)
-        except CallerDisconnectedError:
+            async with asyncio.timeout(clock.clamp_remaining_seconds(left)):
+                return await self._find_among(attempts, silent, leave_at)
+        except (CallerDisconnectedError, TimeoutError):
             return None
         except Exception as error:
             self._log.write_fault(error)
@@ -171,10 +173,8 @@
     def _keep_repeat(self, *, kept: bool) -> None:
         """Set whether other calls must leave a repeat to the call's stream, if it has begun."""
         waiting = self._services.budget(self._call.service).waiting_streams
-        if kept and self._answer.prepared:
-            waiting.add(self._call.call_id)
-        else:
-            waiting.discard(self._call.call_id)
+        change = waiting.add if kept and self._answer.prepared else waiting.discard
+        change(self._call.call_id)
 
     def _is_hopeless(self, engine: WorkerRecord | None) -> bool:
         """Return whether a search cannot succeed, so that the call should end now.
--- a/tests/platform/test_failover_search.py
+++ b/tests/platform/test_failover_search.py
@@ -11,6 +11,7 @@
     EVENTS,
     EVENTS_BEFORE_SILENCE,
     HOLD,
+    ROUTES,
     SILENCE_SECONDS,
     FailoverWorld,
     engines_by_use,
@@ -21,6 +22,7 @@
 )
 
 from corkcrank.contracts import clock
+from corkcrank.node.streams import engine_failover
 
 __all__ = ["short_silences"]
 
@@ -32,6 +34,11 @@
 """Longest pause between two tries of a search, and the time for which it waits for reports."""
 
 
+SHORT_TIMEOUT_MS = 2_000
+LONG_PAUSE_SECONDS = 40.0
+"""A pause of a search that lasts several times as long as the call."""
+
+
 def spend_no_repeat_until(
     failover: FailoverWorld, monkeypatch: pytest.MonkeyPatch
 ) -> asyncio.Event:
@@ -173,3 +180,20 @@
         response = await call
         assert response.status >= HTTPStatus.BAD_GATEWAY
         assert clock.now() - begun < REFUSAL_SECONDS
+
+
+@pytest.mark.parametrize("path", ["/staged/x", "/talk/x"])
+async def test_a_search_ends_with_its_call_and_not_with_its_pause(
+    path: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against streams that were held past their route's timeout by a pause of a search."""
+    for name in ("MIN_PAUSE_SECONDS", "MAX_PAUSE_SECONDS"):
+        monkeypatch.setattr(engine_failover, name, LONG_PAUSE_SECONDS)
+    routes = [{**one, "timeout_ms": SHORT_TIMEOUT_MS} for one in ROUTES]
+    async with failover_world(f"break-after-{EVENTS_BEFORE_SILENCE}", routes=routes) as failover:
+        spend_no_repeat_until(failover, monkeypatch)
+        failover.hold.set()
+        stream = asyncio.create_task(failover.read_events(path))
+        await asyncio.wait({stream}, timeout=LONG_PAUSE_SECONDS / 2)
+        assert stream.done()
+        assert await stream == (EVENTS_BEFORE_SILENCE, False)
