The programs of the own interface read little ahead, and bound their connections

Callers saw: clients that sent requests ahead to a gateway or a controller of the own interface, and read nothing, took it to 285 and 243 MiB; nothing bounded them.

Cause: as on the peers' address: the library's server parses 32 requests ahead, with up to 512 KiB of the body of each, and accepts any number of connections.

Change: serve_application uses BoundedAppRunner: the listener with a limit, connections that read little ahead, the same limits of time as at the addresses of peers.

--- a/src/corkcrank/controller/program.py
+++ b/src/corkcrank/controller/program.py
@@ -6,11 +6,14 @@
 from aiohttp import web
 
 from corkcrank.contracts import clock
+from corkcrank.contracts.node_settings import NodeLimitSettings
 from corkcrank.contracts.process_life import ProcessLife, ProcessTrigger
 from corkcrank.contracts.settings import Settings
 from corkcrank.controller.planning import Planner
 from corkcrank.controller.routes import MAX_INTENT_BYTES, OperatorRoutes
 from corkcrank.controller.zone_holder import ZoneHolder
+from corkcrank.links.bounded_server import BoundedAppRunner
+from corkcrank.links.listener_state import connection_limit
 from corkcrank.links.logs import ComponentLog, configure_logs
 from corkcrank.machines.daemon import (
     MemberDump,
@@ -54,7 +57,7 @@
         self.agent.reports = self.holder.reports
         self.planner = Planner(table)
         self._log = ComponentLog(ROLE)
-        self._runner: web.AppRunner | None = None
+        self._runner: BoundedAppRunner | None = None
         self._loops: list[asyncio.Task[None]] = []
 
     def dump(self) -> ControllerDump:
@@ -78,7 +81,11 @@
             self.agent, self.dump, self.holder.apply_heartbeat, self._links.traffic
         ).register_routes(application)
         OperatorRoutes(self.planner, self.holder, self.agent).add_to(application)
-        self._runner = await serve_application(application, self._settings.process.peer_address)
+        self._runner = await serve_application(
+            application,
+            self._settings.process.peer_address,
+            connection_limit(NodeLimitSettings()),
+        )
         self.life.fire(ProcessTrigger.SERVE)
         self._log.info("Serving.", address=self._settings.process.peer_address)
         self._loops = [
--- a/src/corkcrank/gateway/program.py
+++ b/src/corkcrank/gateway/program.py
@@ -8,11 +8,14 @@
 
 from corkcrank.contracts import clock
 from corkcrank.contracts.identifiers import WorkerId
+from corkcrank.contracts.node_settings import NodeLimitSettings
 from corkcrank.contracts.process_life import ProcessLife, ProcessState, ProcessTrigger
 from corkcrank.contracts.settings import Settings
 from corkcrank.gateway.caller_routes import CallerRoutes
 from corkcrank.gateway.claim_store import ClaimStore
 from corkcrank.gateway.dispatch import Dispatcher
+from corkcrank.links.bounded_server import BoundedAppRunner
+from corkcrank.links.listener_state import connection_limit, peer_connection_limit
 from corkcrank.links.logs import ComponentLog, configure_logs
 from corkcrank.machines.daemon import (
     MemberDump,
@@ -77,8 +80,8 @@
             self.agent.view, self.dispatcher, self.claims, self.life, settings
         )
         self._log = ComponentLog(ROLE)
-        self._peer_runner: web.AppRunner | None = None
-        self._caller_runner: web.AppRunner | None = None
+        self._peer_runner: BoundedAppRunner | None = None
+        self._caller_runner: BoundedAppRunner | None = None
         self._loops: list[asyncio.Task[None]] = []
 
     def _apply_digest(self, digest: ZoneDigest) -> None:
@@ -120,12 +123,18 @@
             self.agent, self.dump, self.agent.answer_heartbeat, self._links.traffic
         ).register_routes(peer_application)
         process = self._settings.process
-        self._peer_runner = await serve_application(peer_application, process.peer_address)
+        limits = NodeLimitSettings()
+        self._peer_runner = await serve_application(
+            peer_application, process.peer_address, peer_connection_limit(limits)
+        )
         if process.caller_address:
             application = web.Application(client_max_size=self._settings.limits.maximum_body_bytes)
             self.routes.add_to(application)
             self._caller_runner = await serve_application(
-                application, process.caller_address, handler_cancellation=True
+                application,
+                process.caller_address,
+                connection_limit(limits),
+                handler_cancellation=True,
             )
         self._loops = [
             asyncio.create_task(self.agent.run()),
@@ -155,8 +164,7 @@
         limits = self._settings.limits
         await asyncio.sleep(limits.drain_linger_seconds)
         if self._caller_runner is not None:
-            for site in list(self._caller_runner.sites):
-                await site.stop()
+            self._caller_runner.stop_listening()
         drain_until = clock.now() + limits.drain_limit_seconds
         while self.routes.in_flight or self.routes.unsettled_claims:
             if clock.now() >= drain_until:
--- a/src/corkcrank/links/bounded_server.py
+++ b/src/corkcrank/links/bounded_server.py
@@ -169,3 +169,29 @@
             if connection.is_stalled(now):
                 connection.discard()
         self._sweep_timer = self._loop.call_later(SWEEP_INTERVAL_SECONDS, self._sweep)
+
+
+class BoundedAppRunner(web.AppRunner):
+    """Runs an application on a :class:`BoundedServer`."""
+
+    def __init__(self, application: web.Application, *, max_connections: int, **options: Any):
+        super().__init__(application, **options)
+        self._max_connections = max_connections
+
+    def listen(self, address: str) -> None:
+        """Accept connections on ``ip:port``, once the runner is set up."""
+        cast(BoundedServer, self.server).listen(address)
+
+    def stop_listening(self) -> None:
+        """Accept no more connections; those that are open stay so."""
+        cast(BoundedServer, self.server).stop_listening()
+
+    async def _make_server(self) -> web.Server:
+        server = await super()._make_server()
+        return BoundedServer(
+            server.request_handler,
+            max_connections=self._max_connections,
+            request_factory=server.request_factory,
+            handler_cancellation=server.handler_cancellation,
+            **server._kwargs,
+        )
--- a/src/corkcrank/machines/daemon.py
+++ b/src/corkcrank/machines/daemon.py
@@ -12,9 +12,7 @@
 
 from corkcrank.contracts.result_codes import Failure
 from corkcrank.contracts.settings import Settings, load_settings
-
-BACKLOG = 1024
-"""Most connections that may wait to be accepted."""
+from corkcrank.links.bounded_server import BoundedAppRunner
 
 EXIT_SETTINGS = 3
 """Exit status of a daemon whose settings are invalid."""
@@ -83,16 +81,20 @@
 
 
 async def serve_application(
-    application: web.Application, address: str, *, handler_cancellation: bool = False
-) -> web.AppRunner:
+    application: web.Application,
+    address: str,
+    max_connections: int,
+    *,
+    handler_cancellation: bool = False,
+) -> BoundedAppRunner:
     """Serve an application on ``ip:port`` until the runner is cleaned up."""
-    runner = web.AppRunner(
+    runner = BoundedAppRunner(
         application,
+        max_connections=max_connections,
         access_log=None,
         handler_cancellation=handler_cancellation,
         shutdown_timeout=1.0,
     )
     await runner.setup()
-    host, port = address.rsplit(":", 1)
-    await web.TCPSite(runner, host, int(port), backlog=BACKLOG).start()
+    runner.listen(address)
     return runner
