--- a/src/corkcrank/scheduling/answer_budget.py
+++ b/src/corkcrank/scheduling/answer_budget.py
@@ -17,7 +17,7 @@
 MIN_ANSWERS_BYTES = 2 * BYTES_PER_MB
 """Minimum bound of a gateway with little memory."""
 
-SMALL_ANSWER_BYTES = 65_536
+SMALL_ANSWER_BYTES = 16_384
 """Length up to which an answer is kept without room. The number of connections bounds these."""
 
 
@@ -45,7 +45,7 @@
 
     >>> budget = AnswerBudget(300_000)
     >>> first, second = AnswerRoom(budget), AnswerRoom(budget)
-    >>> first.grow(200_000), second.grow(60_000), second.grow(200_000), second.grow(400_000)
+    >>> first.grow(200_000), second.grow(16_000), second.grow(200_000), second.grow(400_000)
     (True, True, False, True)
     >>> del first, second
     >>> budget.kept_bytes
--- a/tests/platform/test_client_crowds.py
+++ b/tests/platform/test_client_crowds.py
@@ -28,6 +28,13 @@
 PIECES = 400_000
 PIECE = b"1\r\nx\r\n"
 PIECES_PER_SEND = 10_000
+MANY_DESCRIPTORS = 1_638
+"""Descriptors of the machines with the least memory."""
+
+MANY_CLIENTS = 710
+MANY_FIELDS = [f"X-Filler-{number}: " + "f" * 40 for number in range(110)]
+FEW_AHEAD = 6
+MIDDLE_ANSWER_BYTES = 65_000
 SLOW_READERS = 60
 SLOW_BYTES_PER_SECOND = 250_000.0
 FEW_DESCRIPTORS = 400
@@ -106,3 +113,19 @@
         bodies = [head("/nothing", length=len(body)), body] * REQUESTS_AHEAD
         await crowd.join(PEER_CLIENTS, [metrics, *bodies], crowd.world.peer_address)
         await ordinary_calls(crowd.world)
+
+
+async def test_many_unread_answers_of_middle_size_stay_within_the_memory() -> None:
+    """Guards against answers that are kept several times while their callers do not read."""
+    worker = LargeWorker(answer_bytes=MIDDLE_ANSWER_BYTES)
+    async with crowded_world(worker, MANY_DESCRIPTORS) as crowd:
+        await crowd.join(MANY_CLIENTS, [head("/crowd/x")] * FEW_AHEAD)
+        await ordinary_calls(crowd.world)
+
+
+async def test_many_heads_of_many_fields_stay_within_the_memory() -> None:
+    """Guards against fields that take many times their bytes while their calls wait."""
+    worker = LargeWorker(hold=asyncio.Event())
+    async with crowded_world(worker, MANY_DESCRIPTORS) as crowd:
+        await crowd.join(MANY_CLIENTS, [head("/crowd/x", *MANY_FIELDS)] * FEW_AHEAD)
+        await ordinary_calls(crowd.world)
