The stand-in call of the failover's closing tests has an end

The search of an engine has had the time of its call since the last change of it; a mock has no time. The checks are the same: two of the three tests waited without an end before.

--- a/tests/platform/test_failover_closing.py
+++ b/tests/platform/test_failover_closing.py
@@ -6,10 +6,14 @@
 
 import pytest
 
+from corkcrank.contracts import clock
 from corkcrank.node.streams.engine_exchange import BegunExchange
 from corkcrank.node.streams.engine_failover import EngineFailover
 
 
+CALL_SECONDS = 60.0
+
+
 class FakeAttempt:
     closed = False
     worker = MagicMock()
@@ -20,6 +24,7 @@
 
 def failover_of_nothing() -> EngineFailover:
     parts: list[Any] = [MagicMock() for _ in range(7)]
+    parts[0].end_at = clock.now() + CALL_SECONDS
     return EngineFailover(*parts)
 
 
