Metrics show the large answers that are kept, and how many were relayed

corkcrank_answer_bytes is the account of large answers beside corkcrank_body_bytes, corkcrank_unread_bytes and corkcrank_received_bytes; corkcrank_answers_relayed counts those for which there was no room.

Test changed: the caller that leaves a relayed answer failed once of 31 plays: an answer of 2 MiB may fit the kernel's buffer, so the call may have ended before the test looked (by reading; not forced). The answer has 32 MiB now, more than a kernel buffers.

--- a/src/corkcrank/node/calls/relayed_answer.py
+++ b/src/corkcrank/node/calls/relayed_answer.py
@@ -72,6 +72,7 @@
         if self._services.drain.signal_received and not has_request_behind(request):
             response.force_close()
         self._request = request
+        self._services.metrics.answers_relayed.inc()
         connection = request.protocol
         if isinstance(connection, CallerConnection):
             connection.call_id = call.call_id
--- a/src/corkcrank/node/calls/services.py
+++ b/src/corkcrank/node/calls/services.py
@@ -174,6 +174,7 @@
         self.liveness = LivenessProbes(self.client, self.ports.stages, self.worker_statistics)
         self.dispatch.weighs_zones = self.weighs_zones
         self.metrics.body_bytes.set_function(lambda: self.bodies.budget.kept_bytes)
+        self.metrics.answer_bytes.set_function(lambda: self.answers.kept_bytes)
         self.readers = ReaderWatch(self.log, self.metrics, lambda: self.drain.signal_received)
 
     def queues_prompts(self, service: str) -> bool:
--- a/src/corkcrank/node/telemetry/metrics.py
+++ b/src/corkcrank/node/telemetry/metrics.py
@@ -222,6 +222,16 @@
             "Bytes of the large request bodies of calls in progress.",
             registry=self.registry,
         )
+        self.answer_bytes = Gauge(
+            "corkcrank_answer_bytes",
+            "Bytes of large answers that are kept whole until their callers have read them.",
+            registry=self.registry,
+        )
+        self.answers_relayed = Counter(
+            "corkcrank_answers_relayed",
+            "Large answers that were relayed at the pace of their callers for want of memory.",
+            registry=self.registry,
+        )
         self.workers_full_of_requests = Counter(
             "corkcrank_workers_full_of_requests",
             "Times that a worker's unanswered requests reached their bound in bytes.",
--- a/tests/platform/test_failover_closing.py
+++ b/tests/platform/test_failover_closing.py
@@ -10,7 +10,6 @@
 from corkcrank.node.streams.engine_exchange import BegunExchange
 from corkcrank.node.streams.engine_failover import EngineFailover
 
-
 CALL_SECONDS = 60.0
 
 
--- a/tests/platform/test_relayed_answers.py
+++ b/tests/platform/test_relayed_answers.py
@@ -15,6 +15,7 @@
 from corkcrank.scheduling.answer_budget import AnswerRoom
 
 ANSWER_BYTES = 2 * 2**20
+MORE_THAN_A_KERNEL_BUFFERS = 32 * 2**20
 CALLERS = 5
 BREAK_AFTER = 300_000
 ROUTES = [route("safe", "safe", "plain"), route("once", "unsafe", "plain")]
@@ -39,11 +40,11 @@
     async with world(configuration(1, ROUTES), {"plain": (worker, "plain")}) as running:
         node = running.nodes[0]
         answers = node.services.answers
-        answers.bound_bytes = ANSWER_BYTES
+        answers.bound_bytes = worker.answer_bytes
         taken = AnswerRoom(answers)
-        assert taken.grow(ANSWER_BYTES)
+        assert taken.grow(worker.answer_bytes)
         yield running, node
-        await until(lambda: answers.kept_bytes == ANSWER_BYTES)
+        await until(lambda: answers.kept_bytes == worker.answer_bytes)
 
 
 @pytest.mark.parametrize("chunked", [False, True], ids=["length", "chunks"])
@@ -66,7 +67,7 @@
 
 
 async def test_a_caller_that_leaves_a_relayed_answer_closes_the_worker_s_connection() -> None:
-    worker = LargeWorker(answer_bytes=ANSWER_BYTES)
+    worker = LargeWorker(answer_bytes=MORE_THAN_A_KERNEL_BUFFERS)
     async with short_of_memory(worker) as (running, node):
         connection = await connect_unreading(running.address())
         await asyncio.get_running_loop().sock_sendall(connection, head("/once/x"))
