--- a/tests/core/test_control_traffic.py
+++ b/tests/core/test_control_traffic.py
@@ -13,6 +13,8 @@
 from corkcrank.machines.daemon import serve_application
 from corkcrank.zones.peer_messages import Heartbeat, HeartbeatReply
 
+MAX_CONNECTIONS = 8
+
 ROUNDS = 20
 
 
@@ -41,7 +43,7 @@
 
     application = web.Application()
     application.add_routes([web.post("/peer/heartbeat", answer)])
-    runner = await serve_application(application, address)
+    runner = await serve_application(application, address, MAX_CONNECTIONS)
     link = CountingLink(link_address, address)
     await link.start()
     traffic = ControlTraffic()
