A relayed answer that breaks off never ends as whole at a caller without chunks

Callers would have seen: HTTP/1.0 callers of an answer without a length got 500 while memory was short, and one that its worker broke off would have ended with the connection, as a whole one does. A caller that left could be booked as a failure of its worker.

Change: chunks from HTTP/1.1 on; the connection resets until the answer is whole; only errors of reads are the worker's.

--- a/src/corkcrank/node/calls/relayed_answer.py
+++ b/src/corkcrank/node/calls/relayed_answer.py
@@ -4,12 +4,13 @@
 from collections import deque
 
 import aiohttp
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 
 from corkcrank.contracts import clock
 from corkcrank.contracts.opaque_call import OpaqueCall
 from corkcrank.contracts.worker_records import WorkerRecord
-from corkcrank.links.received_bytes import OversizedMessageError, Purpose, forget_readers
+from corkcrank.links.closed_connections import set_reset_on_close
+from corkcrank.links.received_bytes import Purpose, forget_readers
 from corkcrank.node.callers.caller_connection import CallerConnection, has_request_behind
 from corkcrank.node.calls.attempts import Attempt
 from corkcrank.node.calls.services import CallServices
@@ -27,6 +28,10 @@
 """Minimum time to wait for further bytes of a worker: its answer has begun, and may come late."""
 
 
+class BrokenAnswerError(Exception):
+    """A worker's answer ended before it was whole, or does not end."""
+
+
 class RelayedAnswer:
     """An answer of which only the head and the first pieces were read. It can be sent once.
 
@@ -63,38 +68,51 @@
         self._upstream.close()
 
     async def send(self, call: OpaqueCall, request: web.BaseRequest) -> web.StreamResponse:
-        """Send the answer; fail with the caller's connection if the worker breaks it off."""
-        response = web.StreamResponse(status=self._head.status, reason=self._head.reason)
-        replace_headers(response, self._head.headers)
-        response.content_length = self._upstream.content_length
-        if self._upstream.content_length is None:
-            response.enable_chunked_encoding()
-        if self._services.drain.signal_received and not has_request_behind(request):
-            response.force_close()
+        """Send the answer; reset the caller's connection if the worker breaks it off."""
         self._request = request
         self._services.metrics.answers_relayed.inc()
         connection = request.protocol
         if isinstance(connection, CallerConnection):
             connection.call_id = call.call_id
             connection.source = self
+        # Without chunks the end of the connection is that of the answer, unless it is a reset.
+        set_reset_on_close(request.transport, True)
         try:
-            await response.prepare(request)
-            while piece := await self._read(call):
-                self.worker_waits = True
-                await response.write(piece)
-                # The library applies backpressure only after each 64 KiB.
-                await request.writer.drain()
-                self.worker_waits = False
-            await response.write_eof()
-        except (aiohttp.ClientError, TimeoutError, OversizedMessageError) as error:
-            forget_readers(error)
+            response = await self._send_body(call, request)
+        except BrokenAnswerError as error:
             self._services.record_connection_failure(call, self._worker)
+            self.close()
             if request.transport is not None:
                 request.transport.abort()
-            raise ConnectionResetError("the worker broke its answer off") from None
-        finally:
-            if not response._eof_sent:
-                self.close()
+            raise ConnectionResetError(str(error)) from None
+        except (ConnectionError, asyncio.CancelledError):
+            self.close()
+            raise
+        set_reset_on_close(request.transport, False)
+        return response
+
+    async def _send_body(self, call: OpaqueCall, request: web.BaseRequest) -> web.StreamResponse:
+        response = self._response(request)
+        await response.prepare(request)
+        while piece := await self._read(call):
+            self.worker_waits = True
+            await response.write(piece)
+            # The library applies backpressure only after each 64 KiB.
+            await request.writer.drain()
+            self.worker_waits = False
+        await response.write_eof()
+        return response
+
+    def _response(self, request: web.BaseRequest) -> web.StreamResponse:
+        response = web.StreamResponse(status=self._head.status, reason=self._head.reason)
+        replace_headers(response, self._head.headers)
+        length = self._upstream.content_length
+        if length is not None:
+            response.content_length = length
+        elif request.version >= HttpVersion11:
+            response.enable_chunked_encoding()
+        if self._services.drain.signal_received and not has_request_behind(request):
+            response.force_close()
         return response
 
     async def _read(self, call: OpaqueCall) -> bytes:
@@ -103,9 +121,13 @@
         if self._room is not None:
             self._room.release()
         if self.written_bytes > self._services.client.received.limits[Purpose.ANSWER]:
-            raise OversizedMessageError(f"more than {self.written_bytes} bytes")
-        async with asyncio.timeout(max(MIN_READ_SECONDS, call.end_at - clock.now())):
-            return await self._upstream.content.readany()
+            raise BrokenAnswerError(f"the answer has more than {self.written_bytes} bytes")
+        try:
+            async with asyncio.timeout(max(MIN_READ_SECONDS, call.end_at - clock.now())):
+                return await self._upstream.content.readany()
+        except (aiohttp.ClientError, OSError) as error:
+            forget_readers(error)
+            raise BrokenAnswerError("the worker broke its answer off") from None
 
 
 async def read_or_relay(
--- a/tests/platform/test_relayed_answers.py
+++ b/tests/platform/test_relayed_answers.py
@@ -26,7 +26,10 @@
 
     async def _answer(self, request: web.BaseRequest, fault: str) -> web.StreamResponse:
         response = web.StreamResponse(headers=self._head(request, fault))
-        response.content_length = self.answer_bytes
+        if self.chunked:
+            response.enable_chunked_encoding()
+        else:
+            response.content_length = self.answer_bytes
         await response.prepare(request)
         await response.write(b"r" * BREAK_AFTER)
         assert request.transport is not None
@@ -74,6 +77,7 @@
         await until(lambda: node.callers.in_flight == 1 and bool(worker.seen))
         connection.close()
         await until(lambda: node.callers.in_flight == 0)
+        assert not node.services.worker_statistics.get_or_create(worker.worker_id).failures
 
 
 async def test_the_room_of_an_answer_is_free_once_it_is_read() -> None:
@@ -89,3 +93,32 @@
                 await until(lambda: answers.kept_bytes == before)
         finally:
             gc.enable()
+
+
+async def read_as_http_1_0(running: World) -> bytes:
+    """Return the response to an HTTP/1.0 request, up to the end of its connection."""
+    host, port = running.address().rsplit(":", 1)
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(head("/once/x").replace(b"HTTP/1.1", b"HTTP/1.0"))
+    try:
+        return await reader.read()
+    finally:
+        writer.transport.abort()
+
+
+async def test_an_answer_without_a_length_is_relayed_to_a_caller_without_chunks() -> None:
+    worker = LargeWorker(answer_bytes=ANSWER_BYTES, chunked=True)
+    async with short_of_memory(worker) as (running, _):
+        response = await read_as_http_1_0(running)
+        assert response.startswith(b"HTTP/1.0 200")
+        assert response.endswith(b"\r\n\r\n" + b"r" * ANSWER_BYTES)
+
+
+async def test_an_answer_that_breaks_off_does_not_end_as_whole_without_chunks() -> None:
+    """Guards against the end of a connection that looks like the end of an answer."""
+    worker = BreakingWorker(answer_bytes=ANSWER_BYTES, chunked=True)
+    async with short_of_memory(worker) as (running, node):
+        # So little room that the answer is relayed before it breaks off.
+        node.services.answers.bound_bytes = BREAK_AFTER
+        with pytest.raises(ConnectionResetError):
+            await read_as_http_1_0(running)
