A caller that sent requests ahead and does not read is closed when it has been idle

Callers would have seen: a client that sent a request behind an answer that it did not read kept its connection for good; as many such clients as a gateway takes connections kept all others out.

Cause: a connection with a request that waits for its handler counts as in use, and the check for idle connections passed it over. The request waits for the answer before it to be read. Ruled out: connections without a request behind the answer (closed after idle_timeout_ms), callers whose worker waits (cut after 2 s).

Change: a connection whose complete answer waits for its reader is idle once nothing of it was read for idle_timeout_ms, whatever was read behind it.

--- a/src/corkcrank/node/callers/caller_connection.py
+++ b/src/corkcrank/node/callers/caller_connection.py
@@ -119,6 +119,11 @@
         """
         return self._handling or self.has_unhandled_request
 
+    @property
+    def waits_for_reader(self) -> bool:
+        """Return whether a complete answer waits for its caller; a request may wait behind it."""
+        return not self._handling and self.unsent_bytes > 0
+
     @property
     def has_unread_bytes(self) -> bool:
         """Return whether the caller has sent bytes that were not read yet."""
--- a/src/corkcrank/node/callers/caller_server.py
+++ b/src/corkcrank/node/callers/caller_server.py
@@ -158,7 +158,7 @@
             now = clock.now()
             self._readers.sweep(self.connections())
             for connection in self.connections():
-                if connection.busy:
+                if connection.busy and not connection.waits_for_reader:
                     connection.abort_if_caller_closed()
                     continue
                 connection.observe_reading(now)
--- a/tests/platform/test_relayed_answers.py
+++ b/tests/platform/test_relayed_answers.py
@@ -122,3 +122,15 @@
         node.services.answers.bound_bytes = BREAK_AFTER
         with pytest.raises(ConnectionResetError):
             await read_as_http_1_0(running)
+
+
+async def test_a_caller_that_sends_ahead_and_does_not_read_is_closed_when_it_is_idle() -> None:
+    """Guards against a request behind an unread answer that keeps its connection for good."""
+    worker = LargeWorker(answer_bytes=MORE_THAN_A_KERNEL_BUFFERS)
+    async with world(configuration(1, ROUTES), {"plain": (worker, "plain")}) as running:
+        node = running.nodes[0]
+        connection = await connect_unreading(running.address())
+        await asyncio.get_running_loop().sock_sendall(connection, head("/once/x") * 3)
+        await until(lambda: bool(worker.seen))
+        await until(lambda: not node.callers.connections())
+        connection.close()
