Connections closed on the listeners for peers and health checks are logged and counted

What operators saw: a gateway at the limit of connections of these listeners, or one whose clients stood still, closed connections without a line or a figure. The seeds' addresses are computed by the settings.

--- a/src/corkcrank/contracts/node_settings.py
+++ b/src/corkcrank/contracts/node_settings.py
@@ -130,6 +130,12 @@
     limits: NodeLimitSettings = NodeLimitSettings()
     scheduling: NodeSchedulingSettings = NodeSchedulingSettings()
 
+    @property
+    def seed_addresses(self) -> list[str]:
+        """Return the addresses at which the seeds serve peers; all use the same port."""
+        port = self.process.peer_address.rsplit(":", 1)[1]
+        return [f"{seed.rsplit(':', 1)[0]}:{port}" for seed in self.peers.seeds]
+
 
 def load_node_settings(path: Path) -> Result[NodeSettings, Failure]:
     """Read and validate a settings file."""
--- a/src/corkcrank/links/bounded_server.py
+++ b/src/corkcrank/links/bounded_server.py
@@ -41,6 +41,9 @@
     def record_disconnected(self, count: int) -> None:
         """Ignore clients that had disconnected."""
 
+    def record_stalled(self, count: int) -> None:
+        """Ignore clients that made no progress."""
+
     def record_blocked(self, state: ListenerState) -> None:
         """Ignore that accepting is blocked."""
 
@@ -172,11 +175,15 @@
 
     def _sweep(self) -> None:
         now = clock.now()
+        stalled = 0
         for item in self.connections:
             connection = cast(BoundedConnection, item)
             connection.observe(now)
             if connection.is_stalled(now):
                 connection.discard()
+                stalled += 1
+        if stalled:
+            self._report.record_stalled(stalled)
         self._sweep_timer = self._loop.call_later(SWEEP_INTERVAL_SECONDS, self._sweep)
 
 
--- a/src/corkcrank/links/connection_listener.py
+++ b/src/corkcrank/links/connection_listener.py
@@ -77,6 +77,9 @@
     def record_disconnected(self, count: int) -> None:
         """Record how many callers had disconnected before their connection was accepted."""
 
+    def record_stalled(self, count: int) -> None:
+        """Record how many connections were closed because their clients made no progress."""
+
     def record_blocked(self, state: ListenerState) -> None:
         """Record that accepting has been blocked for longer than the limit."""
 
--- a/src/corkcrank/node/callers/listener_report.py
+++ b/src/corkcrank/node/callers/listener_report.py
@@ -27,6 +27,9 @@
         self._metrics.callers_disconnected.inc(count)
         self._log.write(LogEvent.CALLERS_DISCONNECTED, count=count)
 
+    def record_stalled(self, count: int) -> None:
+        """Ignore stalled clients: the server of callers records them itself."""
+
     def record_blocked(self, state: ListenerState) -> None:
         """Record that accepting has been blocked for longer than the limit."""
         self._log.write(
--- a/src/corkcrank/node/membership/peer_server.py
+++ b/src/corkcrank/node/membership/peer_server.py
@@ -14,6 +14,7 @@
 from corkcrank.contracts.result_codes import ResultCode
 from corkcrank.links.bounded_server import BoundedServer
 from corkcrank.links.closed_connections import closed_by_peer
+from corkcrank.links.connection_listener import ListenerReport
 from corkcrank.links.listener_state import peer_connection_limit, readiness_connection_limit
 from corkcrank.links.silence import (
     ConnectionKind,
@@ -73,6 +74,9 @@
 """Time for peers' requests to complete at a stop; the library waits twice as long. Their pieces
 were returned before (``PIECES_RESERVE_SECONDS`` of the drain)."""
 
+ReportFactory = Callable[[str], ListenerReport]
+"""Returns the receiver of the events of the listener with a name."""
+
 
 class PeerServer:
     """Serves peers' requests, metrics and the state dump on the same addresses."""
@@ -123,11 +127,14 @@
             DUMP_PATH: self._state,
         }
 
-    async def start(self, addresses: list[str], limits: NodeLimitSettings) -> None:
+    async def start(
+        self, addresses: list[str], limits: NodeLimitSettings, report: ReportFactory
+    ) -> None:
         """Listen on each ``ip:port``, within the limits of the process."""
         server = BoundedServer(
             self._handle,
             max_connections=peer_connection_limit(limits) // len(addresses),
+            report=report("peers"),
             handler_cancellation=True,
             access_log=None,
         )
@@ -309,7 +316,11 @@
 
 
 async def serve_readiness(
-    address: str, path: str, ready: Callable[[], bool], limits: NodeLimitSettings
+    address: str,
+    path: str,
+    ready: Callable[[], bool],
+    limits: NodeLimitSettings,
+    report: ReportFactory,
 ) -> web.ServerRunner:
     """Serve the load balancer's health check on ``ip:port`` until the runner is cleaned up."""
 
@@ -318,8 +329,12 @@
             return web.Response(status=HTTPStatus.NOT_FOUND)
         return web.Response(status=HTTPStatus.OK if ready() else HTTPStatus.SERVICE_UNAVAILABLE)
 
-    max_connections = readiness_connection_limit(limits)
-    server = BoundedServer(answer, max_connections=max_connections, access_log=None)
+    server = BoundedServer(
+        answer,
+        max_connections=readiness_connection_limit(limits),
+        report=report("readiness"),
+        access_log=None,
+    )
     runner = web.ServerRunner(server, shutdown_timeout=PEER_SHUTDOWN_SECONDS)
     await runner.setup()
     server.listen(address)
--- a/src/corkcrank/node/process/node.py
+++ b/src/corkcrank/node/process/node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from functools import partial
 
 from aiohttp import web
 
@@ -49,6 +50,7 @@
 from corkcrank.node.stages.stage_worker_client import StageWorkerClient
 from corkcrank.node.telemetry.capacity_log import CapacityLog
 from corkcrank.node.telemetry.foreign_answer_log import ForeignAnswerLog
+from corkcrank.node.telemetry.listener_log import ListenerLog
 from corkcrank.node.telemetry.metrics import NodeMetrics
 from corkcrank.node.telemetry.oversize_log import account_received_bytes
 from corkcrank.node.telemetry.silence_log import SilenceLog
@@ -252,13 +254,12 @@
         """Open the servers for peers, readiness and callers, then start the background loops."""
         process, limits = self._settings.process, self._settings.limits
         self._log.write(LogEvent.STARTED, name=process.name, zone=process.zone)
-        port = process.peer_address.rsplit(":", 1)[1]
-        seeds = [f"{seed.rsplit(':', 1)[0]}:{port}" for seed in self._settings.peers.seeds]
-        self.fleet.add_addresses(seeds, clock.now())
-        await self._peer_server.start(process.peer_addresses, limits)
+        self.fleet.add_addresses(self._settings.seed_addresses, clock.now())
+        report = partial(ListenerLog, self._log, self.services.metrics)
+        await self._peer_server.start(process.peer_addresses, limits, report)
         await self.heartbeats.open()
         self._readiness = await serve_readiness(
-            process.readiness_address, self._ports.ready_path, lambda: self.ready, limits
+            process.readiness_address, self._ports.ready_path, lambda: self.ready, limits, report
         )
         await self.callers.start(process.caller_address)
         self._loops.start(
@@ -306,8 +307,7 @@
 
     def _on_suspension(self, seconds: float) -> None:
         """Drop all idle connections after a suspension of the machine; ages include its time."""
-        dropped = self._client.drop_all_idle() + self._peers.drop_all_idle()
-        dropped += self._ports.store.drop_all_idle()
+        dropped = sum(one.drop_all_idle() for one in (self._client, self._peers, self._ports.store))
         self.services.metrics.suspensions.inc()
         self._log.write(
             LogEvent.MACHINE_SUSPENDED, seconds=round(seconds, 3), connections_dropped=dropped
--- a/src/corkcrank/node/telemetry/metrics.py
+++ b/src/corkcrank/node/telemetry/metrics.py
@@ -206,6 +206,12 @@
             ("phase",),
             registry=self.registry,
         )
+        self.listener_closed = Counter(
+            "corkcrank_listener_closed",
+            "Connections closed on the listeners for peers and health checks, by cause.",
+            ("listener", "cause"),
+            registry=self.registry,
+        )
         self.readers_cut = Counter(
             "corkcrank_readers_cut",
             "Answers cut because their callers did not read them, by cause.",
--- a/tests/core/test_bounded_server.py
+++ b/tests/core/test_bounded_server.py
@@ -9,7 +9,7 @@
 from node_world import until
 
 from corkcrank.links import bounded_server
-from corkcrank.links.bounded_server import BoundedServer
+from corkcrank.links.bounded_server import BoundedServer, IgnoredEvents
 from corkcrank.load.local_cluster import PortSource
 
 MAX_CONNECTIONS = 4
@@ -36,12 +36,22 @@
     return web.Response(body=b"r" * (LARGE_BYTES if request.path == "/large" else 1))
 
 
+class StalledCount(IgnoredEvents):
+    """Counts the connections that were closed because their clients made no progress."""
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    def record_stalled(self, count: int) -> None:
+        self.count += count
+
+
 @asynccontextmanager
-async def served() -> AsyncIterator[tuple[str, BoundedServer]]:
+async def served(report: IgnoredEvents | None = None) -> AsyncIterator[tuple[str, BoundedServer]]:
     ports = PortSource()
     address = ports.address()
     ports.release()
-    server = BoundedServer(answer, max_connections=MAX_CONNECTIONS, access_log=None)
+    server = BoundedServer(answer, max_connections=MAX_CONNECTIONS, report=report, access_log=None)
     server.listen(address)
     try:
         yield address, server
@@ -71,11 +81,13 @@
 async def test_a_client_that_stops_is_closed(data: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(bounded_server, "MAX_STALL_SECONDS", 0.2)
     monkeypatch.setattr(bounded_server, "SWEEP_INTERVAL_SECONDS", 0.05)
-    async with served() as (address, server):
+    report = StalledCount()
+    async with served(report) as (address, server):
         reader, writer = await connect(address, WHOLE if data.startswith(WHOLE) else data)
         if data.startswith(WHOLE):
             await reader.readline()
             writer.write(data.removeprefix(WHOLE))
         await until(lambda: bool(server.connections))
         await until(lambda: not server.connections)
+        assert report.count == 1
         writer.transport.abort()
--- a/tests/platform/node_world.py
+++ b/tests/platform/node_world.py
@@ -203,7 +203,7 @@
     address = node.fleet.local_address
     behind = f"{address.rsplit(':', 1)[0]}:{new_ports(1)[0]}"
     serve = node._peer_server.start
-    node._peer_server.start = lambda _, limits: serve([behind], limits)  # type: ignore[method-assign]
+    node._peer_server.start = lambda _, *rest: serve([behind], *rest)  # type: ignore[method-assign]
     await link.start(behind, address)
 
 
