A relayed answer keeps one piece unsent, and counts what was received

Cause: a relayed answer was written until 64 KiB waited unsent, beside 32 KiB received ahead of it, and what was received ahead was in no account. Ruled out: bytes of the answers that are kept whole (bound 10 MiB held), of the read buffers (at most 14 MiB of 711 connections in a probe of the heap). Change: the next piece is read once the kernel has taken the whole piece before; the bytes received and not yet written count as kept for the reader.

--- a/src/corkcrank/node/calls/relayed_answer.py
+++ b/src/corkcrank/node/calls/relayed_answer.py
@@ -11,7 +11,11 @@
 from corkcrank.contracts.worker_records import WorkerRecord
 from corkcrank.links.closed_connections import set_reset_on_close
 from corkcrank.links.received_bytes import Purpose, forget_readers
-from corkcrank.node.callers.caller_connection import CallerConnection, has_request_behind
+from corkcrank.node.callers.caller_connection import (
+    MAX_UNSENT_BYTES,
+    CallerConnection,
+    has_request_behind,
+)
 from corkcrank.node.calls.attempts import Attempt
 from corkcrank.node.calls.services import CallServices
 from corkcrank.node.calls.worker_answers import (
@@ -52,9 +56,14 @@
         self._pieces = deque(begun.pieces)
         self._room = begun.room
         self._request: web.BaseRequest | None = None
-        self.kept_bytes = 0
+        self._passed_on_bytes = 0
         self.worker_waits = False
 
+    @property
+    def kept_bytes(self) -> int:
+        """Return the number of bytes that were received and not yet written."""
+        return self._upstream.content.total_bytes - self._passed_on_bytes
+
     @property
     def written_bytes(self) -> int:
         """Return the number of bytes written to the caller's connection so far."""
@@ -94,13 +103,20 @@
     async def _send_body(self, call: OpaqueCall, request: web.BaseRequest) -> web.StreamResponse:
         response = self._response(request)
         await response.prepare(request)
+        transport = request.transport
+        if transport is not None:
+            # The next piece is read once the kernel has taken the whole piece before.
+            transport.set_write_buffer_limits(high=0)
         while piece := await self._read(call):
             self.worker_waits = True
+            self._passed_on_bytes += len(piece)
             await response.write(piece)
             # The library applies backpressure only after each 64 KiB.
             await request.writer.drain()
             self.worker_waits = False
         await response.write_eof()
+        if transport is not None:
+            transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES)
         return response
 
     def _response(self, request: web.BaseRequest) -> web.StreamResponse:
--- a/tests/platform/test_relayed_answers.py
+++ b/tests/platform/test_relayed_answers.py
@@ -12,12 +12,14 @@
 from node_world import World, configuration, route, until, world
 
 from corkcrank.node.process.node import Node
+from corkcrank.node.workers.worker_sessions import MAX_RECEIVED_BYTES
 from corkcrank.scheduling.answer_budget import AnswerRoom
 
 ANSWER_BYTES = 2 * 2**20
 MORE_THAN_A_KERNEL_BUFFERS = 32 * 2**20
 CALLERS = 5
 BREAK_AFTER = 300_000
+CHUNK_FRAMING_BYTES = 16
 ROUTES = [route("safe", "safe", "plain"), route("once", "unsafe", "plain")]
 
 
@@ -80,6 +82,28 @@
         assert not node.services.worker_statistics.get_or_create(worker.worker_id).failures
 
 
+@pytest.mark.parametrize("chunked", [False, True], ids=["length", "chunks"])
+async def test_an_unread_relayed_answer_keeps_one_piece_and_counts_what_was_received(
+    chunked: bool,
+) -> None:
+    """Guards against pieces of many unread answers that pile up in their connections."""
+    worker = LargeWorker(answer_bytes=MORE_THAN_A_KERNEL_BUFFERS, chunked=chunked)
+    async with short_of_memory(worker) as (running, node):
+        if chunked:
+            # So little room that the answer is relayed long before its end.
+            node.services.answers.bound_bytes = BREAK_AFTER
+        connection = await connect_unreading(running.address())
+        await asyncio.get_running_loop().sock_sendall(connection, head("/once/x"))
+        await until(lambda: any(item.unsent_bytes for item in node.callers.connections()))
+        (unread,) = (item for item in node.callers.connections() if item.unsent_bytes)
+        assert unread.source is not None
+        assert unread.unsent_bytes <= MAX_RECEIVED_BYTES + CHUNK_FRAMING_BYTES
+        await until(lambda: unread.source is not None and unread.source.kept_bytes > 0)
+        connection.close()
+        await until(lambda: node.callers.in_flight == 0)
+        node.services.answers.bound_bytes = worker.answer_bytes
+
+
 async def test_the_room_of_an_answer_is_free_once_it_is_read() -> None:
     async with short_of_memory(LargeWorker(answer_bytes=ANSWER_BYTES)) as (running, node):
         answers = node.services.answers
