The check of a lost worker no longer keeps the bodies of calls that have ended

Nothing bounded it: callers could send on. Cause: a probe of the heap at 144 to 164 MiB found 19 to 24 bodies of 4 MiB; 11 to 17 of them were held by LostCall, which kept the whole call until its worker's check had ended. The room of a body is given back when its call ends, so no account counted them. Ruled out: answers without end (no large piece of one was alive), unsent bytes (none). Change: LostCall keeps the fingerprints that a crash needs, not the call. Evidence: test_the_check_of_a_worker_keeps_no_body... failed before and passes.

--- a/src/corkcrank/node/workers/crash_watch.py
+++ b/src/corkcrank/node/workers/crash_watch.py
@@ -143,7 +143,14 @@
 
         ``progressed`` is set if the worker had been running the call for some time.
         """
-        lost = LostCall(call, worker, progressed)
+        lost = LostCall(
+            call.call_id,
+            call.service,
+            call.fingerprint,
+            call.part_fingerprints,
+            worker,
+            progressed,
+        )
         self._unchecked_calls.add(lost)
         task = asyncio.create_task(self._check_worker(lost))
         self._tasks.add(task)
@@ -229,19 +236,19 @@
         return clock.now() - at <= MAX_SETTLE_SECONDS
 
     def _record_crash(self, lost: LostCall) -> None:
-        call, worker, now = lost.call, lost.worker, clock.now()
+        worker, now = lost.worker, clock.now()
         self._worker_statistics.get_or_create(worker.worker_id).record_end(now)
         # Stage workers do not read the prompt.
-        parts = call.part_fingerprints if worker.service == call.service else ()
+        parts = lost.parts if worker.service == lost.service else ()
         if not self.quarantine.record_crash(
-            call.fingerprint, worker.worker_id, now, progressed=lost.progressed, parts=parts
+            lost.request, worker.worker_id, now, progressed=lost.progressed, parts=parts
         ):
             return
         self._metrics.crashed_worker_requests.labels(worker.service).inc()
         self._log.write(
             LogEvent.WORKER_ENDED,
-            call=call.call_id,
-            request=call.fingerprint,
+            call=lost.call_id,
+            request=lost.request,
             worker=worker.worker_id,
             service=worker.service,
             progressed=lost.progressed,
--- a/src/corkcrank/node/workers/lost_calls.py
+++ b/src/corkcrank/node/workers/lost_calls.py
@@ -15,9 +15,16 @@
 
 @dataclass(frozen=True, slots=True, eq=False)
 class LostCall:
-    """A call whose connection to a worker failed; ``progressed`` is set if it ran for a while."""
+    """A call whose connection to a worker failed; ``progressed`` is set if it ran for a while.
 
-    call: OpaqueCall
+    The check of the worker may outlast the call, so the call and its body are not kept. ``request``
+    and ``parts`` are the fingerprints of what may have crashed the worker.
+    """
+
+    call_id: str
+    service: str
+    request: str
+    parts: tuple[str, ...]
     worker: WorkerRecord
     progressed: bool
     failed_at: float = field(default_factory=clock.now)
@@ -36,15 +43,15 @@
 
     def add(self, lost: LostCall) -> None:
         """Add a lost call whose worker is being checked."""
-        self._lost.setdefault(lost.call.call_id, set()).add(lost)
+        self._lost.setdefault(lost.call_id, set()).add(lost)
 
     def remove(self, lost: LostCall) -> None:
         """Remove a lost call, whose crash is known or ruled out; no effect if it is removed."""
         lost.removed.set()
-        lost_calls = self._lost.get(lost.call.call_id, set())
+        lost_calls = self._lost.get(lost.call_id, set())
         lost_calls.discard(lost)
         if not lost_calls:
-            self._lost.pop(lost.call.call_id, None)
+            self._lost.pop(lost.call_id, None)
 
     async def wait_until_removed(self, call: OpaqueCall) -> None:
         """Wait until a call is not in this collection, for :data:`MAX_WAIT_SECONDS` at most.
--- a/tests/platform/test_crash_watch.py
+++ b/tests/platform/test_crash_watch.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import weakref
 
 import pytest
 from core_clock import core_clock
@@ -193,6 +194,20 @@
     await watch.close()
 
 
+async def test_the_check_of_a_worker_keeps_no_body_of_a_call_that_has_ended(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against large bodies that callers send again and again, and no account counts."""
+    watch = watch_without_a_way_to_workers(monkeypatch)
+    call = call_that_ends_in(4.0)
+    kept = weakref.ref(call)
+    watch.record_connection_failure(call, WORKER)
+    await asyncio.sleep(0)
+    del call
+    assert kept() is None
+    await watch.close()
+
+
 async def test_calls_that_were_not_lost_do_not_wait_for_the_checks_of_others(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
