A gateway bounds the bodies of requests that it sends for others

What callers saw: nothing yet; a member was ended by its memory. A gateway that reaches no worker sends its callers' requests through members. A member counted a body only until it was complete; then up to 256 of 4 MiB were kept until their workers answered, in no account. Ruled out: the account of callers' bodies at the sender bounds only one sender's share. Change: bodies in progress may use as much as messages that are being received; beyond that the member declines, which the sender takes as 'not sent' and asks the next member. Evidence: test_bodies_of_relayed_requests_stay_within_the_memory_of_a_member waited in vain before (six bodies were kept, two have room) and passes; the file passes three times.

--- a/src/corkcrank/node/relays/relay_server.py
+++ b/src/corkcrank/node/relays/relay_server.py
@@ -77,6 +77,7 @@
     """Relays requests over one hop, and only to workers to which this gateway may send itself.
 
     ``accepts`` returns whether this gateway accepts requests of others; it does not while it stops.
+    ``body_bytes`` is the size of the bodies of the requests that are being relayed.
     """
 
     def __init__(
@@ -101,6 +102,7 @@
         self._metrics = metrics
         self._accepts = accepts
         self.in_flight = 0
+        self.body_bytes = 0
 
     async def probe(self, request: web.BaseRequest) -> web.StreamResponse:
         """Respond whether this gateway can connect to a worker."""
@@ -121,10 +123,11 @@
         if closed_by_peer(request.transport):
             raise ConnectionResetError("the sender closed its connection")
         worker = self._mirror.workers.get(head.worker_id)
-        refusal = self._refusal(head, worker)
+        refusal = self._refusal(head, worker, len(body))
         if refusal is not None or worker is None:
             return refusal or self._failure(head, RelayOutcome.DECLINED, "worker is not listed")
         self.in_flight += 1
+        self.body_bytes += len(body)
         try:
             async with asyncio.timeout(head.seconds + EXCHANGE_MARGIN_SECONDS):
                 return await self._exchange(request, head, worker, body)
@@ -133,6 +136,7 @@
             raise ConnectionResetError("the exchange outlasted its time") from None
         finally:
             self.in_flight -= 1
+            self.body_bytes -= len(body)
 
     @property
     def _max_message_bytes(self) -> int:
@@ -162,7 +166,7 @@
             raise ConnectionResetError("the message exceeds a bound") from None
 
     def _refusal(
-        self, head: RelayedRequest, worker: WorkerRecord | None
+        self, head: RelayedRequest, worker: WorkerRecord | None, body_bytes: int
     ) -> web.StreamResponse | None:
         """Return the response to a declined request, ``None`` if it may be sent."""
         detail = ""
@@ -174,6 +178,8 @@
             detail = "this gateway does not reach the worker"
         elif self.in_flight >= MAX_RELAYED_REQUESTS:
             detail = "too many relayed requests"
+        elif not self._has_room(body_bytes):
+            detail = "no memory for the body"
         elif head.new_work:
             reason = self._availability.reason_not_to_send(worker)
             if reason is Unavailability.BACKOFF:
@@ -183,6 +189,17 @@
             return self._backoff(head, worker)
         return self._failure(head, RelayOutcome.DECLINED, detail) if detail else None
 
+    def _has_room(self, body_bytes: int) -> bool:
+        """Return whether the bodies in progress may grow by this many bytes.
+
+        Together they may use as much memory as messages that are being received. One body always
+        has room.
+        """
+        bound_bytes = self._client.received.bound_bytes
+        if not bound_bytes or not self.body_bytes:
+            return True
+        return self.body_bytes + body_bytes <= bound_bytes
+
     def _backoff(self, head: RelayedRequest, worker: WorkerRecord) -> web.Response:
         seconds = self._availability.backoff_seconds(worker, clock.now())
         return self._failure(head, RelayOutcome.WITHDRAWN, "backoff", seconds)
--- a/tests/platform/test_relayed_requests.py
+++ b/tests/platform/test_relayed_requests.py
@@ -23,6 +23,8 @@
 
 RELEASE_SECONDS = 0.5
 REFUSAL_SECONDS = 0.3
+LARGE_BODY = b"b" * 9_000
+BODIES_WITH_ROOM = 2
 
 
 async def partition(played: PartitionedWorld, gateway: int, how: Cut = Cut.REFUSED) -> None:
@@ -112,6 +114,29 @@
         assert clock.now() - left_at < RELEASE_SECONDS
 
 
+async def test_bodies_of_relayed_requests_stay_within_the_memory_of_a_member(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against large bodies of other gateways' callers, kept until workers answer."""
+    async with core_clock(), partitioned_world(monkeypatch, 2) as played:
+        await partition(played, 0)
+        member = played.nodes[1].services.client.received
+        relays = played.nodes[1]._access.relays
+        member.bound_bytes = BODIES_WITH_ROOM * len(LARGE_BODY)
+        for worker in played.plain:
+            worker.hold = asyncio.Event()
+        calls = [asyncio.create_task(send(played, "once", body=LARGE_BODY)) for _ in range(6)]
+        await until(lambda: relays.in_flight == BODIES_WITH_ROOM)
+        await until(lambda: sum(call.done() for call in calls) == len(calls) - BODIES_WITH_ROOM)
+        assert relays.body_bytes == BODIES_WITH_ROOM * len(LARGE_BODY)
+        for worker in played.plain:
+            assert worker.hold is not None
+            worker.hold.set()
+        statuses = [(await call).status for call in calls]
+        assert sorted(statuses) == [200] * BODIES_WITH_ROOM + [503] * (6 - BODIES_WITH_ROOM)
+        assert not relays.body_bytes
+
+
 async def test_a_worker_in_backoff_at_the_member_gets_no_relayed_request(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
