All that a gateway keeps for clients has one bound besides those of its accounts

Cause: each account looked at its own bound only. Change: KeptMemory sums the accounts of a process, with a bound of half of that memory. Beyond it bodies wait or are refused (3018), answers are relayed, members decline, and callers that do not read are cut. Received messages count, and keep their own bound only.

--- a/src/corkcrank/links/received_bytes.py
+++ b/src/corkcrank/links/received_bytes.py
@@ -15,6 +15,7 @@
 
 from corkcrank.contracts.memory import BYTES_PER_MB, IDLE_MEMORY_MB
 from corkcrank.contracts.node_settings import NodeLimitSettings
+from corkcrank.links.kept_memory import KeptMemory, kept_bound_bytes
 
 RECEIVED_MEMORY_SHARE = 0.15
 """Share of the memory above ``IDLE_MEMORY_MB`` that incomplete messages may use. A message needs
@@ -97,7 +98,7 @@
     """The account of one process.
 
     ``bound_bytes`` is its bound, 0 for none. ``kept_bytes`` counts all messages, ``kept`` those of
-    each purpose.
+    each purpose. ``memory`` sums this account and all others of the process.
     """
 
     def __init__(self) -> None:
@@ -106,11 +107,14 @@
         self.limits = dict(MAX_MESSAGE_BYTES)
         self.on_oversize: OversizeListener = ignore_oversize
         self.kept = dict.fromkeys(Purpose, 0)
+        self.memory = KeptMemory()
+        self.memory.add_account(lambda: self.kept_bytes)
         self._messages: set[ReceivedMessage] = set()
 
     def apply_limits(self, limits: NodeLimitSettings) -> None:
         """Set the bounds that the settings of the process allow."""
         self.bound_bytes = received_bound_bytes(limits.memory_mb)
+        self.memory.bound_bytes = kept_bound_bytes(limits.memory_mb)
         self.limits[Purpose.ANSWER] = int(limits.max_answer_mb * BYTES_PER_MB)
 
     def open(
--- a/src/corkcrank/node/callers/body_admission.py
+++ b/src/corkcrank/node/callers/body_admission.py
@@ -65,10 +65,13 @@
         self._wake(self.budget.release(ticket, clock.now()))
 
     def _refusal(self, claim: BodyClaim) -> Refusal:
-        budget = self.budget
+        budget, memory = self.budget, self.budget.memory
+        detail = f"{claim.size} bytes beside {budget.kept_bytes} of {budget.bound_bytes}"
+        if not memory.has_room(claim.size):
+            detail += f", {memory.kept_bytes} of {memory.bound_bytes} in all"
         return Refusal(
             ResultCode.MEMORY_SHORT,
-            f"{claim.size} bytes beside {budget.kept_bytes} of {budget.bound_bytes}",
+            detail,
             retry_after=budget.retry_seconds(),
             close=True,
         )
--- a/src/corkcrank/node/calls/services.py
+++ b/src/corkcrank/node/calls/services.py
@@ -176,6 +176,16 @@
         self.metrics.body_bytes.set_function(lambda: self.bodies.budget.kept_bytes)
         self.metrics.answer_bytes.set_function(lambda: self.answers.kept_bytes)
         self.readers = ReaderWatch(self.log, self.metrics, lambda: self.drain.signal_received)
+        self._sum_accounts()
+
+    def _sum_accounts(self) -> None:
+        """Let all accounts of what is kept for callers share the bound of their sum."""
+        memory = self.client.received.memory
+        self.bodies.budget.memory = self.answers.memory = self.readers.budget.memory = memory
+        memory.add_account(lambda: self.bodies.budget.kept_bytes)
+        memory.add_account(lambda: self.answers.kept_bytes)
+        memory.add_account(lambda: self.readers.budget.kept_bytes)
+        self.metrics.kept_bytes.set_function(lambda: memory.kept_bytes)
 
     def queues_prompts(self, service: str) -> bool:
         """Return whether prompts of a service wait in the queue of the engines' owner."""
--- a/src/corkcrank/node/relays/relay_server.py
+++ b/src/corkcrank/node/relays/relay_server.py
@@ -103,6 +103,7 @@
         self._accepts = accepts
         self.in_flight = 0
         self.body_bytes = 0
+        client.received.memory.add_account(lambda: self.body_bytes)
 
     async def probe(self, request: web.BaseRequest) -> web.StreamResponse:
         """Respond whether this gateway can connect to a worker."""
@@ -195,10 +196,11 @@
         Together they may use as much memory as messages that are being received. One body always
         has room.
         """
-        bound_bytes = self._client.received.bound_bytes
-        if not bound_bytes or not self.body_bytes:
+        received = self._client.received
+        if not received.bound_bytes or not self.body_bytes:
             return True
-        return self.body_bytes + body_bytes <= bound_bytes
+        within_bound = self.body_bytes + body_bytes <= received.bound_bytes
+        return within_bound and received.memory.has_room(body_bytes)
 
     def _backoff(self, head: RelayedRequest, worker: WorkerRecord) -> web.Response:
         seconds = self._availability.backoff_seconds(worker, clock.now())
--- a/src/corkcrank/node/telemetry/metrics.py
+++ b/src/corkcrank/node/telemetry/metrics.py
@@ -233,6 +233,11 @@
             "Bytes of large answers that are kept whole until their callers have read them.",
             registry=self.registry,
         )
+        self.kept_bytes = Gauge(
+            "corkcrank_kept_bytes",
+            "Bytes kept for callers, workers and peers, over all accounts.",
+            registry=self.registry,
+        )
         self.answers_relayed = Counter(
             "corkcrank_answers_relayed",
             "Large answers that were relayed at the pace of their callers for want of memory.",
--- a/src/corkcrank/scheduling/answer_budget.py
+++ b/src/corkcrank/scheduling/answer_budget.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from corkcrank.contracts.memory import BYTES_PER_MB, IDLE_MEMORY_MB
+from corkcrank.links.kept_memory import KeptMemory
 
 ANSWER_MEMORY_SHARE = 0.1
 """Share of the memory above ``IDLE_MEMORY_MB`` for large answers that are kept whole. Half of what
@@ -43,6 +44,8 @@
 class AnswerBudget:
     """The large answers that one gateway keeps; ``bound_bytes`` is the bound, 0 for none.
 
+    ``memory`` sums all accounts of the gateway.
+
     >>> budget = AnswerBudget(300_000)
     >>> first, second = AnswerRoom(budget), AnswerRoom(budget)
     >>> first.grow(200_000), second.grow(16_000), second.grow(200_000), second.grow(400_000)
@@ -55,11 +58,13 @@
     def __init__(self, bound_bytes: int = 0) -> None:
         self.bound_bytes = bound_bytes
         self.kept_bytes = 0
+        self.memory = KeptMemory()
 
     def resize(self, held: "_Held", size: int) -> bool:
         """Change the room of an answer if the bound allows it; return whether it does."""
         kept_bytes = self.kept_bytes + size - held.size
-        if 0 < self.bound_bytes < kept_bytes and size <= self.bound_bytes:
+        exceeded = 0 < self.bound_bytes < kept_bytes or not self.memory.has_room(size - held.size)
+        if exceeded and size <= self.bound_bytes:
             return False
         self.kept_bytes = kept_bytes
         held.size = size
--- a/src/corkcrank/scheduling/body_budget.py
+++ b/src/corkcrank/scheduling/body_budget.py
@@ -10,6 +10,7 @@
 from typing import Generic, TypeVar
 
 from corkcrank.contracts.memory import BYTES_PER_MB, IDLE_MEMORY_MB
+from corkcrank.links.kept_memory import KeptMemory
 
 BODY_MEMORY_SHARE = 0.2
 """Share of the memory above ``IDLE_MEMORY_MB`` that large bodies may use. A body needs up to twice
@@ -61,11 +62,13 @@
     """The large bodies of the calls in progress, by a key for each call.
 
     ``bound_bytes`` is the bound of the gateway, 0 for none; ``kept_bytes`` is what they use.
+    ``memory`` sums all accounts of the gateway.
     """
 
     def __init__(self, bound_bytes: int = 0) -> None:
         self.bound_bytes = bound_bytes
         self.kept_bytes = 0
+        self.memory = KeptMemory()
         self._granted: dict[Key, _Grant] = {}
         self._waiting: dict[Key, BodyClaim] = {}
         self._by_tenant: dict[str, int] = {}
@@ -148,7 +151,8 @@
     def _fits_bound(self, claim: BodyClaim) -> bool:
         if not self.bound_bytes or not self.kept_bytes:
             return True
-        return self.kept_bytes + claim.size <= self.bound_bytes
+        within_bound = self.kept_bytes + claim.size <= self.bound_bytes
+        return within_bound and self.memory.has_room(claim.size)
 
     def _fits_tenant(self, claim: BodyClaim) -> bool:
         used = self._by_tenant.get(claim.tenant, 0)
--- a/src/corkcrank/scheduling/reader_budget.py
+++ b/src/corkcrank/scheduling/reader_budget.py
@@ -10,6 +10,7 @@
 from typing import Generic, TypeVar
 
 from corkcrank.contracts.memory import BYTES_PER_MB, IDLE_MEMORY_MB
+from corkcrank.links.kept_memory import KeptMemory
 
 READER_MEMORY_SHARE = 0.2
 """Share of the memory above ``IDLE_MEMORY_MB`` that answers to slow readers may use.
@@ -98,12 +99,13 @@
 class ReaderBudget(Generic[Reader]):
     """The callers that have not read all of their answers; times are in seconds.
 
-    ``bound_bytes`` is the gateway's bound, 0 for none.
+    ``bound_bytes`` is the gateway's bound, 0 for none. ``memory`` sums all accounts of the gateway.
     """
 
     def __init__(self, bound_bytes: int = 0) -> None:
         self.bound_bytes = bound_bytes
         self.kept_bytes = 0
+        self.memory = KeptMemory()
         self._accounts: dict[Reader, _Account] = {}
         self._observed_at: float | None = None
 
@@ -116,8 +118,8 @@
 
     @property
     def exceeded(self) -> bool:
-        """Return whether the buffered bytes exceed the gateway's bound."""
-        return 0 < self.bound_bytes < self.kept_bytes
+        """Return whether the buffered bytes, or those of all accounts, exceed their bound."""
+        return 0 < self.bound_bytes < self.kept_bytes or self.memory.exceeded
 
     def observe(self, reader: Reader, seen: Observation, now: float) -> None:
         """Record the buffered bytes of a caller; remove the caller if there are none."""
