An ordinary request costs no pause of its connection's reading

What operators saw: more processor time a call since connections read one request ahead: each request took the connection out of the event loop and put it back, at callers' and peers' servers. Cause: the library stops reading once as many requests wait as may be read ahead; one request that finds its handler idle is as many. Change: such a request only marks the connection; its handler takes it in the next iteration and parses on, and a second one stops the reading as before. The account of an answer that is small makes no finalizer.

--- a/src/corkcrank/links/server_connections.py
+++ b/src/corkcrank/links/server_connections.py
@@ -47,3 +47,26 @@
         super().connection_made(transport)
         # The attribute of asyncio's transports that bounds one call of ``recv``.
         transport.max_size = READ_BYTES  # type: ignore[attr-defined]
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes; stop reading if the request before was not taken yet."""
+        if data and self._buffer_paused:
+            self._pause_transport_reading()
+        super().data_received(data)
+
+    def _pause_reading_for_buffer(self) -> None:
+        """Stop reading while a request waits for its handler.
+
+        A handler without a request takes it in the next iteration of the loop, and then resumes the
+        parser. Each request would else cost two changes of what the loop waits for.
+        """
+        if self._current_request is None:
+            self._buffer_paused = True
+        else:
+            super()._pause_reading_for_buffer()
+
+    def _resume_reading_if_drained(self) -> None:
+        """Parse what was read; stop reading if another request waits now."""
+        super()._resume_reading_if_drained()
+        if self._buffer_paused:
+            self._pause_transport_reading()
--- a/src/corkcrank/scheduling/answer_budget.py
+++ b/src/corkcrank/scheduling/answer_budget.py
@@ -28,7 +28,7 @@
     def __init__(self, budget: "AnswerBudget") -> None:
         self._budget = budget
         self._held = _Held()
-        self.release = weakref.finalize(self, budget.free, self._held)
+        self._finalizer: weakref.finalize[..., AnswerRoom] | None = None
 
     def grow(self, size: int) -> bool:
         """Claim room for an answer of at least ``size`` bytes; return whether there was room.
@@ -38,8 +38,15 @@
         """
         if size <= SMALL_ANSWER_BYTES or size <= self._held.size:
             return True
+        if self._finalizer is None:
+            self._finalizer = weakref.finalize(self, self._budget.free, self._held)
         return self._budget.resize(self._held, size)
 
+    def release(self) -> None:
+        """Free the room; no effect if it is free."""
+        if self._finalizer is not None:
+            self._finalizer()
+
 
 class AnswerBudget:
     """The large answers that one gateway keeps; ``bound_bytes`` is the bound, 0 for none.
