Crowds on unrepeatable and stream routes, at the readiness address, and of requests not served

Guards for shapes that were only read or tried before: answers unread on an unrepeatable route (69 MiB of 160), unread streams (76), checks and bodies ahead at the readiness address (52), bodies for an unknown route (60), with an unknown key (61), that expect a permission (77), half-sent bodies (71), and workers' answers in chunks of a byte (65, 64).

--- a/tests/platform/client_crowd.py
+++ b/tests/platform/client_crowd.py
@@ -73,6 +73,14 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
 
+@dataclass
+class StreamWorker(StandinWorker):
+    """An engine with room for many streams."""
+
+    def entry(self, service: str, zone: str = "z1", state: str = "ready") -> dict[str, Any]:
+        return {**super().entry(service, zone, state), "slots": 1_000}
+
+
 @dataclass
 class Crowd:
     """The clients' connections and the tasks that send on them."""
@@ -160,7 +168,7 @@
 
 @asynccontextmanager
 async def crowded_world(
-    worker: LargeWorker | None = None, descriptors: int = DESCRIPTORS
+    worker: StandinWorker | None = None, descriptors: int = DESCRIPTORS
 ) -> AsyncIterator[Crowd]:
     """Run a small gateway, with a worker for the crowd's calls to ``/crowd/`` and a sound one.
 
@@ -170,6 +178,8 @@
     routes = [
         route("safe", "safe", "plain", timeout_ms=LONG_DEADLINE_MS),
         route("crowd", "safe", "model", timeout_ms=LONG_DEADLINE_MS, max_attempts=1),
+        route("once", "unsafe", "model", timeout_ms=LONG_DEADLINE_MS),
+        route("talk", "stream", "model", timeout_ms=LONG_DEADLINE_MS, stream_resume=True),
     ]
     async with process_world(
         descriptors,
