A relayed answer without a length ends with its call

Cause: a relayed answer was read as long as bytes came within a second; answers that are kept whole are given up at the end of their call. Change: an answer with a length may be late, since it ends; one without ends with its call, by a reset, so that it does not look whole. Evidence: test_an_answer_without_end_is_relayed_no_longer... failed before (30 MB and more) and passes.

--- a/src/corkcrank/node/calls/relayed_answer.py
+++ b/src/corkcrank/node/calls/relayed_answer.py
@@ -139,12 +139,24 @@
         if self.written_bytes > self._services.client.received.limits[Purpose.ANSWER]:
             raise BrokenAnswerError(f"the answer has more than {self.written_bytes} bytes")
         try:
-            async with asyncio.timeout(max(MIN_READ_SECONDS, call.end_at - clock.now())):
+            async with asyncio.timeout(self._read_seconds(call)):
                 return await self._upstream.content.readany()
         except (aiohttp.ClientError, OSError) as error:
             forget_readers(error)
             raise BrokenAnswerError("the worker broke its answer off") from None
 
+    def _read_seconds(self, call: OpaqueCall) -> float:
+        """Return the time to wait for further bytes of the worker.
+
+        An answer with a length may be late. One without may have no end, so it ends with its call.
+        """
+        seconds = call.end_at - clock.now()
+        if self._upstream.content_length is not None:
+            return max(MIN_READ_SECONDS, seconds)
+        if seconds <= 0:
+            raise BrokenAnswerError("the answer has no end within the time of its call")
+        return seconds
+
 
 async def read_or_relay(
     services: CallServices, attempt: Attempt, seconds: float, silence: SilenceRule | None
--- a/tests/platform/test_relayed_answers.py
+++ b/tests/platform/test_relayed_answers.py
@@ -20,6 +20,12 @@
 CALLERS = 5
 BREAK_AFTER = 300_000
 CHUNK_FRAMING_BYTES = 16
+ENDLESS_PIECE_BYTES = 100_000
+ENDLESS_PAUSE_SECONDS = 0.01
+ENDLESS_CALL_MS = 1_000
+MAX_ENDLESS_BYTES = 30_000_000
+"""More than an endless worker sends in the time of its call."""
+
 ROUTES = [route("safe", "safe", "plain"), route("once", "unsafe", "plain")]
 
 
@@ -39,6 +45,18 @@
         raise ConnectionResetError
 
 
+class EndlessWorker(LargeWorker):
+    """A worker whose answers never end; they are sent in pieces, with a pause after each."""
+
+    async def _answer(self, request: web.BaseRequest, fault: str) -> web.StreamResponse:
+        response = web.StreamResponse(headers=self._head(request, fault))
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+        while True:
+            await response.write(b"r" * ENDLESS_PIECE_BYTES)
+            await asyncio.sleep(ENDLESS_PAUSE_SECONDS)
+
+
 @asynccontextmanager
 async def short_of_memory(worker: LargeWorker) -> AsyncIterator[tuple[World, Node]]:
     """Run a gateway that has no room for the answers of its worker."""
@@ -71,6 +89,26 @@
         await until(lambda: node.callers.in_flight == 0)
 
 
+async def read_at_most(response: aiohttp.ClientResponse, count: int) -> None:
+    """Read a response to its end; fail if it has more bytes."""
+    received = 0
+    async for piece in response.content.iter_any():
+        received += len(piece)
+        assert received <= count
+
+
+async def test_an_answer_without_end_is_relayed_no_longer_than_its_call_lasts() -> None:
+    """Guards against callers that read what never ends, long after their own deadline."""
+    async with short_of_memory(EndlessWorker(answer_bytes=ANSWER_BYTES)) as (running, node):
+        node.services.answers.bound_bytes = BREAK_AFTER
+        deadline = {"X-Corkcrank-Deadline-Ms": str(ENDLESS_CALL_MS)}
+        response = await running.call("/once/x", headers=deadline)
+        with pytest.raises(aiohttp.ClientError):
+            await read_at_most(response, MAX_ENDLESS_BYTES)
+        await until(lambda: node.callers.in_flight == 0)
+        node.services.answers.bound_bytes = ANSWER_BYTES
+
+
 async def test_a_caller_that_leaves_a_relayed_answer_closes_the_worker_s_connection() -> None:
     worker = LargeWorker(answer_bytes=MORE_THAN_A_KERNEL_BUFFERS)
     async with short_of_memory(worker) as (running, node):
