--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -24,6 +24,7 @@
 NOT_RUN = "X-Corkcrank-Not-Executed"
 INSTANCE = "X-Corkcrank-Instance-Id"
 EXPECT = "X-Corkcrank-Expect-Instance"
+MAX_BODY_BYTES = 64 * 2**20
 
 _ids = itertools.count(1)
 
@@ -46,10 +47,6 @@
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
-MAX_BODY_BYTES = 64 * 2**20
-"""Longest body that a worker reads; the library reads a mebibyte."""
-
-
 @dataclass
 class Server:
     """An HTTP server on a free loopback port."""
